--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# The tools are pinned here and installed when missing.
+GOLANGCI_VERSION = v2.15.0
+GOFUMPT_VERSION = v0.12.0
+PROTOC_GEN_VERSION = v1.36.12
+GOBIN = $(shell go env GOPATH)/bin
+
+.PHONY: all build test race lint format tools proto soak fuzz
+
+all: lint test
+
+build:
+	go build -o bin/ ./cmd/...
+
+# test is what the README names and CI runs. Tests of separate processes and
+# of timing share the machine, so packages run a few at a time.
+test:
+	go vet ./...
+	go test -p 4 -timeout 20m ./...
+
+race:
+	go test -race -p 4 -timeout 30m ./...
+
+tools:
+	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	@test -x $(GOBIN)/gofumpt || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
+
+lint: tools
+	@out=$$($(GOBIN)/gofumpt -l cmd internal pkg); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	$(GOBIN)/golangci-lint run ./...
+
+format: tools
+	$(GOBIN)/gofumpt -w cmd internal pkg
+
+# proto regenerates the committed code. It needs protoc, which the build does
+# not.
+proto:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_VERSION)
+	protoc --plugin=protoc-gen-go=$(GOBIN)/protoc-gen-go --go_out=. --go_opt=module=verbenadale.example/verbenadale internal/wire/wire.proto
--- /dev/null
+++ b/cmd/verbdev/main.go
@@ -0,0 +1,18 @@
+// Verbdev runs stand-ins for development.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"verbenadale.example/verbenadale/internal/dev/cmds"
+)
+
+func main() {
+	cmds.Register(subcommands.DefaultCommander)
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/verbenadale/main.go
@@ -0,0 +1,18 @@
+// Verbenadale is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"verbenadale.example/verbenadale/internal/cmds"
+)
+
+func main() {
+	cmds.Register(subcommands.DefaultCommander)
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,114 @@
+// Package config reads and checks the settings of an entry host: what a
+// process learns from its own file and not from the platform.
+//
+// # Usage
+//
+//	set, faults := config.Load("entry.jsonc")
+//	for _, f := range faults {
+//		fmt.Println(f)
+//	}
+//
+// The file is JSON with comments. Unknown fields are faults.
+package config
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Settings is the settings file of one entry host.
+type Settings struct {
+	Entry      ident.EntryID    `json:"entry"`
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Region     ident.Region     `json:"region"`
+	Callers    Callers          `json:"callers"`
+	Peers      Peers            `json:"peers"`
+	Operators  Operators        `json:"operators"`
+	Platform   Platform         `json:"platform"`
+	Limits     Limits           `json:"limits"`
+	Traces     Traces           `json:"traces"`
+	Logs       Logs             `json:"logs"`
+}
+
+// Callers is the address towards callers.
+type Callers struct {
+	// Listen is host:port, with an IP number as the host.
+	Listen string `json:"listen"`
+	// URL is what callers are told; empty stands for http://LISTEN.
+	URL string `json:"url"`
+	// CertFile and KeyFile turn on TLS towards callers.
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+}
+
+// Peers is the address towards other entry hosts.
+type Peers struct {
+	Listen string `json:"listen"`
+	// Seeds are hosts to try before the platform's list is known.
+	Seeds []Seed `json:"seeds"`
+	// CertFile, KeyFile and CAFile hold the keys for mutual TLS. They are
+	// read again when they change.
+	CertFile string `json:"certFile"`
+	KeyFile  string `json:"keyFile"`
+	CAFile   string `json:"caFile"`
+	// Plain turns TLS off, for development.
+	Plain bool `json:"plain"`
+}
+
+// Seed is one entry host known from the settings.
+type Seed struct {
+	Entry      ident.EntryID    `json:"entry"`
+	Addr       string           `json:"addr"`
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Region     ident.Region     `json:"region"`
+}
+
+// Operators is the address towards operators.
+type Operators struct {
+	Listen string     `json:"listen"`
+	Known  []Operator `json:"known"`
+}
+
+// Operator is a person who may change profiles.
+type Operator struct {
+	Name ident.Operator `json:"name"`
+	// TokenDigest is the SHA-256 digest of the token in hexadecimal.
+	TokenDigest string `json:"tokenDigest"`
+}
+
+// Platform is the platform's service.
+type Platform struct {
+	URL string `json:"url"`
+	// TimeoutMs bounds each call but the watch.
+	TimeoutMs int64 `json:"timeoutMs"`
+	// CallsPerSecond bounds the calls of this host, with bursts of as many.
+	CallsPerSecond float64 `json:"callsPerSecond"`
+}
+
+// Limits bound what one sender can take up.
+type Limits struct {
+	MaxBodyBytes   ident.Bytes `json:"maxBodyBytes"`
+	MaxHeaderBytes int         `json:"maxHeaderBytes"`
+	MaxConnections int         `json:"maxConnections"`
+	MaxRequests    int         `json:"maxRequests"`
+	HeaderMs       int64       `json:"headerMs"`
+	BodyMs         int64       `json:"bodyMs"`
+}
+
+// Traces says where spans go.
+type Traces struct {
+	// Exporter is none, stdout or otlp.
+	Exporter string  `json:"exporter"`
+	Endpoint string  `json:"endpoint"`
+	Ratio    float64 `json:"ratio"`
+}
+
+// Logs says what is logged.
+type Logs struct {
+	// Level is a logr verbosity: 0 for events, 1 for each request.
+	Level int `json:"level"`
+}
+
+// Millis turns a number of milliseconds into a duration.
+func Millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/daemon/carry.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/revlog"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// watchWait is how long one watch waits, and loadWait how long a load report
+// may take.
+const (
+	watchWait = 20 * time.Second
+	loadWait  = time.Second
+)
+
+// carry takes an effect from the control thread and must not block it.
+func (d *Daemon) carry(eff event.Effect) {
+	switch e := eff.(type) {
+	case event.InForceNow:
+		d.book.Store(e.Book)
+		d.cfg.Log.Info("configuration in force", "revision", e.Book.Revision)
+	case event.ForgetOutcome:
+		d.outs.Forget(e.Request)
+	case event.Note:
+		d.note(e)
+	case event.Drained:
+		d.closeDrained()
+	default:
+		d.enqueue(eff)
+	}
+}
+
+func (d *Daemon) note(e event.Note) {
+	kv := []any{}
+	for _, p := range e.Fields {
+		kv = append(kv, p.Key, p.Value)
+	}
+	d.cfg.Log.Info(e.Text, kv...)
+}
+
+func (d *Daemon) closeDrained() {
+	select {
+	case <-d.drained:
+	default:
+		close(d.drained)
+	}
+}
+
+func (d *Daemon) enqueue(eff event.Effect) {
+	select {
+	case d.work <- eff:
+	default:
+		// The platform or the targets are slower than the effects come. The
+		// reducer asks again; blocking here would stop its decisions.
+		d.cfg.Log.Info("effect dropped, workers are busy", "effect", event.TypeName(eff))
+	}
+}
+
+// run carries out effects that wait for the network.
+func (d *Daemon) run() error {
+	ctx := d.t.Context(context.Background())
+	for {
+		select {
+		case eff := <-d.work:
+			d.do(ctx, eff)
+		case <-d.t.Dying():
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) do(ctx context.Context, eff event.Effect) {
+	switch e := eff.(type) {
+	case event.ReadHosts:
+		d.readHosts(ctx)
+	case event.WatchChange:
+		d.watch(ctx, e)
+	case event.PollLoad:
+		d.poll(ctx, e)
+	}
+}
+
+func (d *Daemon) readHosts(ctx context.Context) {
+	hs, err := d.store.Hosts(ctx)
+	if err != nil {
+		d.loop.Post(event.PlatformFailed{Op: event.OpReadHosts})
+		return
+	}
+	d.loop.Post(event.HostsRead{Version: hs.Version, Hosts: hs.Hosts, Targets: hs.Targets})
+}
+
+func (d *Daemon) watch(ctx context.Context, e event.WatchChange) {
+	c, err := d.revs.Next(ctx, e.After, watchWait)
+	switch {
+	case err == nil:
+		d.loop.Post(event.ChangesReceived{Changes: []rules.Change{c}})
+	case errors.Is(err, revlog.ErrIdle):
+		d.loop.Post(event.WatchIdle(e))
+	default:
+		d.loop.Post(event.PlatformFailed{Op: event.OpWatchChange})
+	}
+}
+
+func (d *Daemon) poll(ctx context.Context, e event.PollLoad) {
+	ctx, cancel := context.WithTimeout(ctx, loadWait)
+	defer cancel()
+	ld, err := d.targets.Load(ctx, e.Target)
+	if err != nil {
+		d.loop.Post(event.LoadFailed{Target: e.Target.ID})
+		return
+	}
+	d.loop.Post(event.LoadReported{Load: ld})
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,184 @@
+// Package daemon puts the parts of an entry host together and runs them.
+//
+// # Usage
+//
+//	d, err := daemon.Start(daemon.Config{Settings: set, Log: log, Level: lvl})
+//	<-d.Drained()
+//	d.Stop()
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"verbenadale.example/verbenadale/internal/admin"
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/core"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/front"
+	"verbenadale.example/verbenadale/internal/logs"
+	"verbenadale.example/verbenadale/internal/loop"
+	"verbenadale.example/verbenadale/internal/revlog"
+	"verbenadale.example/verbenadale/internal/serve"
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/internal/target"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// Config is what a daemon needs.
+type Config struct {
+	Settings config.Settings
+	Log      logr.Logger
+	Level    *logs.Level
+	// Step, where set, replaces the reducer, for comparisons.
+	Step func(now ident.Time, ev event.Event) []event.Effect
+}
+
+// Daemon is a running entry host.
+type Daemon struct {
+	t       tomb.Tomb
+	cfg     Config
+	self    event.Host
+	clock   *clock.Service
+	loop    *loop.Loop
+	store   *store.Client
+	revs    *revlog.Log
+	targets *target.Client
+	book    atomic.Pointer[rules.Book]
+	outs    *serve.Outcomes
+	work    chan event.Effect
+	callers *http.Server
+	ops     *http.Server
+	drained chan struct{}
+}
+
+// Sizes of the worker pool that carries out effects towards the platform and
+// the load reports.
+const (
+	workQueue = 1024
+	workers   = 8
+)
+
+// Start starts an entry host and returns when it listens.
+func Start(cfg Config) (*Daemon, error) {
+	set := cfg.Settings
+	d := &Daemon{
+		cfg: cfg, self: self(set), clock: clock.New(),
+		targets: target.New(), outs: &serve.Outcomes{},
+		work: make(chan event.Effect, workQueue), drained: make(chan struct{}),
+	}
+	d.store = store.New(store.Config{
+		URL: set.Platform.URL, Timeout: config.Millis(set.Platform.TimeoutMs),
+		CallsPerSecond: set.Platform.CallsPerSecond,
+	})
+	d.revs = revlog.New(d.store)
+	step := cfg.Step
+	if step == nil {
+		step = core.New(d.self).Step
+	}
+	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
+	for range workers {
+		d.t.Go(d.run)
+	}
+	if err := d.listen(); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	d.loop.Post(event.Tick{})
+	return d, nil
+}
+
+func self(set config.Settings) event.Host {
+	return event.Host{
+		ID:          set.Entry,
+		Incarnation: ident.Incarnation(time.Now().UnixNano()),
+		Place:       event.Place{DataCentre: set.DataCentre, Region: set.Region},
+		CallerURL:   set.Callers.URL,
+		PeerAddr:    set.Peers.Listen,
+	}
+}
+
+// maxAnswer bounds an answer that is held until it is whole.
+const maxAnswer = 16 << 20
+
+func (d *Daemon) listen() error {
+	lim := d.cfg.Settings.Limits
+	rn := &serve.Runner{
+		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets,
+		Outcomes: d.outs, MaxAnswer: maxAnswer,
+	}
+	fr := front.New(front.Config{
+		Self: d.self, Loop: d.loop, Runner: rn, Clock: d.clock, Log: d.cfg.Log,
+		Book: d.book.Load, MaxBody: lim.MaxBodyBytes,
+	})
+	d.callers = &http.Server{
+		Handler:           fr,
+		ReadHeaderTimeout: config.Millis(lim.HeaderMs),
+		MaxHeaderBytes:    lim.MaxHeaderBytes,
+	}
+	ad := admin.New(admin.Config{
+		Loop: d.loop, Log: d.cfg.Log, Level: d.cfg.Level, Revs: d.revs,
+		Book: d.book.Load, Operators: d.cfg.Settings.Operators.Known,
+	})
+	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
+	if err := d.serve(d.callers, d.cfg.Settings.Callers.Listen); err != nil {
+		return err
+	}
+	return d.serve(d.ops, d.cfg.Settings.Operators.Listen)
+}
+
+func (d *Daemon) serve(srv *http.Server, addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "daemon: listen")
+	}
+	l := &listener{srv: srv, ln: ln}
+	d.t.Go(l.run)
+	return nil
+}
+
+// listener serves one address.
+type listener struct {
+	srv *http.Server
+	ln  net.Listener
+}
+
+func (l *listener) run() error {
+	err := l.srv.Serve(l.ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "daemon: serve")
+}
+
+// Drain starts a graceful stop.
+func (d *Daemon) Drain() { d.loop.Post(event.DrainAsked{}) }
+
+// Drained is closed when the last request has ended after Drain.
+func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+// closeWait bounds the time for the last answers to leave the sockets.
+const closeWait = 5 * time.Second
+
+// Stop ends the host.
+func (d *Daemon) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	if d.callers != nil {
+		_ = d.callers.Shutdown(ctx)
+		_ = d.ops.Shutdown(ctx)
+	}
+	d.t.Kill(nil)
+	_ = d.t.Wait()
+	d.loop.Stop()
+	d.clock.Stop()
+}
--- /dev/null
+++ b/internal/event/effect.go
@@ -0,0 +1,294 @@
+package event
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// Dispatch asks the request's goroutine to send the request to a target.
+type Dispatch struct {
+	Request ident.RequestID `json:"request"`
+	Attempt ident.Attempt   `json:"attempt"`
+	Target  Target          `json:"target"`
+	// Serve is what the target is asked to run.
+	Serve    rules.Serve `json:"serve"`
+	Priority int         `json:"priority"`
+	// Deadline is when the attempt must have ended.
+	Deadline ident.Time `json:"deadline"`
+	// Resume is the number of tokens that have reached the caller already;
+	// the engine goes on after them.
+	Resume ident.Tokens `json:"resume,omitempty"`
+	// Once says that the call may not be repeated.
+	Once bool `json:"once,omitempty"`
+	// Keep says that the answer is to be kept for repeats.
+	Keep bool `json:"keep,omitempty"`
+}
+
+// Forward asks the request's goroutine to pass the request to another entry
+// host.
+type Forward struct {
+	Request  ident.RequestID `json:"request"`
+	To       Host            `json:"to"`
+	Envelope Envelope        `json:"envelope"`
+	Deadline ident.Time      `json:"deadline"`
+	Resume   ident.Tokens    `json:"resume,omitempty"`
+	Once     bool            `json:"once,omitempty"`
+	Keep     bool            `json:"keep,omitempty"`
+}
+
+// Refuse gives a request its final answer, for a request of which nothing has
+// been sent to the caller yet, or cuts the stream where something has.
+type Refuse struct {
+	Request ident.RequestID `json:"request"`
+	Code    codes.ID        `json:"code"`
+	Outcome Outcome         `json:"outcome"`
+	// RetryAfter is when to come back, zero where waiting does not help.
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Entries are the hosts to try instead, best first.
+	Entries []Host `json:"entries,omitempty"`
+	// Reason is one plain sentence for the answer and the log.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Finish says that the request is over and its answer was passed on whole.
+// The goroutine sends the final chunk or status only after it.
+type Finish struct {
+	Request ident.RequestID `json:"request"`
+	Outcome Outcome         `json:"outcome"`
+}
+
+// Replay asks the request's goroutine to answer with the kept outcome of
+// another request.
+type Replay struct {
+	Request ident.RequestID `json:"request"`
+	Of      ident.RequestID `json:"of"`
+}
+
+// ForgetOutcome drops a kept outcome.
+type ForgetOutcome struct {
+	Request ident.RequestID `json:"request"`
+}
+
+// Cancel asks to break off an attempt: the caller left, or another attempt
+// won.
+type Cancel struct {
+	Request ident.RequestID `json:"request"`
+	Attempt ident.Attempt   `json:"attempt"`
+}
+
+// Wake asks for a Tick at a time. A later Wake replaces the one before.
+type Wake struct {
+	At ident.Time `json:"at"`
+}
+
+// SendDigest sends a heartbeat to hosts of the own data centre.
+type SendDigest struct {
+	To     []Host `json:"to"`
+	Digest Digest `json:"digest"`
+}
+
+// SendSummary sends a summary to one host of another data centre.
+type SendSummary struct {
+	To      Host    `json:"to"`
+	Summary Summary `json:"summary"`
+}
+
+// SendChanges sends changes to peers.
+type SendChanges struct {
+	To      []Host         `json:"to"`
+	Changes []rules.Change `json:"changes"`
+}
+
+// SendSnapshot sends the whole book to a peer that lacks too much.
+type SendSnapshot struct {
+	To   Host        `json:"to"`
+	Book *rules.Book `json:"book"`
+}
+
+// AskChanges asks a peer for all after a revision.
+type AskChanges struct {
+	To    Host           `json:"to"`
+	After ident.Revision `json:"after"`
+}
+
+// AskBar asks a peer "run or bar" about an attempt. It is answered by
+// BarAnswered, or not at all; the reducer asks again.
+type AskBar struct {
+	To          Host              `json:"to"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Attempt     ident.Attempt     `json:"attempt"`
+}
+
+// AnswerBar answers a peer's question.
+type AnswerBar struct {
+	To      ident.EntryID `json:"to"`
+	Attempt ident.Attempt `json:"attempt"`
+	Answer  Answer        `json:"answer"`
+}
+
+// ClaimKey records an idempotency key in the platform's store before the
+// first send.
+type ClaimKey struct {
+	Request ident.RequestID `json:"request"`
+	Key     string          `json:"key"`
+	Record  KeyRecord       `json:"record"`
+	// Deadline is when the claim must be answered.
+	Deadline ident.Time `json:"deadline"`
+}
+
+// WatchChange waits for the change that follows a revision.
+type WatchChange struct {
+	After ident.Revision `json:"after"`
+}
+
+// StopWatch ends the watch: another host watches for the data centre.
+type StopWatch struct{}
+
+// ReadSnapshot reads the newest snapshot of the configuration.
+type ReadSnapshot struct{}
+
+// ReadHosts reads the platform's list of hosts.
+type ReadHosts struct{}
+
+// PollLoad reads the load report of a target and its cache events.
+type PollLoad struct {
+	Target Target `json:"target"`
+	// After is the last sequence number of its cache events that was seen.
+	After uint64 `json:"after"`
+}
+
+// InForceNow says that a revision is in force at this host from now on. The
+// loop publishes the book for the traffic side to read.
+type InForceNow struct {
+	Book *rules.Book `json:"book"`
+}
+
+// TicketIssued answers TicketAsked.
+type TicketIssued struct {
+	Ask    Ask    `json:"ask"`
+	Ticket string `json:"ticket"`
+	// Valid is how long it may be redeemed.
+	Valid time.Duration `json:"valid"`
+	// Code is set when no ticket is given.
+	Code codes.ID `json:"code,omitempty"`
+	// Entries are the hosts to ask instead.
+	Entries []Host `json:"entries,omitempty"`
+}
+
+// EntriesAnswered answers EntriesAsked.
+type EntriesAnswered struct {
+	Ask     Ask           `json:"ask"`
+	Entries []Host        `json:"entries"`
+	Valid   time.Duration `json:"valid"`
+	Code    codes.ID      `json:"code,omitempty"`
+}
+
+// Choice is one place that a request could go to.
+type Choice struct {
+	Target     ident.TargetID   `json:"target,omitempty"`
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	// RuledOut is the filter that rules it out, empty for one that remains.
+	RuledOut codes.ID `json:"ruledOut,omitempty"`
+	// Cost is the weighted cost in seconds of one that remains, and its parts.
+	Cost     float64 `json:"cost"`
+	Wait     float64 `json:"wait"`
+	Prefill  float64 `json:"prefill"`
+	Decode   float64 `json:"decode"`
+	Price    float64 `json:"price"`
+	Crossing float64 `json:"crossing"`
+}
+
+// RouteAnswered answers RouteAsked.
+type RouteAnswered struct {
+	Ask     Ask      `json:"ask"`
+	Choices []Choice `json:"choices"`
+	// Chosen is the index in Choices, -1 for none.
+	Chosen int      `json:"chosen"`
+	Code   codes.ID `json:"code,omitempty"`
+}
+
+// TargetStatus is one target as this host knows it.
+type TargetStatus struct {
+	Target  Target        `json:"target"`
+	Load    Load          `json:"load"`
+	LoadAge time.Duration `json:"loadAge"`
+	Sent    int           `json:"sent"`
+	Suspect bool          `json:"suspect"`
+	Leaving bool          `json:"leaving"`
+}
+
+// CentreStatus is one data centre as this host knows it.
+type CentreStatus struct {
+	Place   Place          `json:"place"`
+	InForce ident.Revision `json:"inForce"`
+	Hosts   []Host         `json:"hosts"`
+	Pools   []Pool         `json:"pools"`
+	// Age is how old the newest word of it is.
+	Age     time.Duration `json:"age"`
+	CutOff  bool          `json:"cutOff"`
+	Speaker ident.EntryID `json:"speaker"`
+	Watcher ident.EntryID `json:"watcher,omitempty"`
+}
+
+// StatusAnswered answers StatusAsked.
+type StatusAnswered struct {
+	Ask      Ask            `json:"ask"`
+	Self     Host           `json:"self"`
+	Revision ident.Revision `json:"revision"`
+	Ready    bool           `json:"ready"`
+	Requests int            `json:"requests"`
+	// PlatformAge is the time since the platform last answered this host or
+	// the one that watches for it.
+	PlatformAge time.Duration  `json:"platformAge"`
+	Centres     []CentreStatus `json:"centres"`
+	Targets     []TargetStatus `json:"targets"`
+}
+
+// Drained says that the last request has ended and the host may stop.
+type Drained struct{}
+
+// Note is one line for the log. It holds no text of a request.
+type Note struct {
+	// Code tells which declared thing happened, where one did.
+	Code   codes.ID   `json:"code,omitempty"`
+	Text   string     `json:"text"`
+	Fields []NotePair `json:"fields,omitempty"`
+}
+
+// NotePair is one key and value of a Note.
+type NotePair struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+func (Dispatch) isEffect()        {}
+func (Forward) isEffect()         {}
+func (Refuse) isEffect()          {}
+func (Finish) isEffect()          {}
+func (Replay) isEffect()          {}
+func (ForgetOutcome) isEffect()   {}
+func (Cancel) isEffect()          {}
+func (Wake) isEffect()            {}
+func (SendDigest) isEffect()      {}
+func (SendSummary) isEffect()     {}
+func (SendChanges) isEffect()     {}
+func (SendSnapshot) isEffect()    {}
+func (AskChanges) isEffect()      {}
+func (AskBar) isEffect()          {}
+func (AnswerBar) isEffect()       {}
+func (ClaimKey) isEffect()        {}
+func (WatchChange) isEffect()     {}
+func (StopWatch) isEffect()       {}
+func (ReadSnapshot) isEffect()    {}
+func (ReadHosts) isEffect()       {}
+func (PollLoad) isEffect()        {}
+func (InForceNow) isEffect()      {}
+func (TicketIssued) isEffect()    {}
+func (EntriesAnswered) isEffect() {}
+func (RouteAnswered) isEffect()   {}
+func (StatusAnswered) isEffect()  {}
+func (Drained) isEffect()         {}
+func (Note) isEffect()            {}
--- /dev/null
+++ b/internal/event/member.go
@@ -0,0 +1,153 @@
+package event
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// Place is where a host or target stands.
+type Place struct {
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Region     ident.Region     `json:"region"`
+}
+
+// Host describes one entry host to its peers.
+type Host struct {
+	ID          ident.EntryID     `json:"id"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Place       Place             `json:"place"`
+	// CallerURL is the base URL for callers, such as http://127.1.1.1:8080.
+	CallerURL string `json:"callerURL"`
+	// PeerAddr is the address for other entry hosts, as host:port.
+	PeerAddr string `json:"peerAddr"`
+	Leaving  bool   `json:"leaving,omitempty"`
+}
+
+// TargetKind tells model engines from plain services.
+type TargetKind string
+
+// The kinds of targets.
+const (
+	Engine  TargetKind = "engine"
+	Service TargetKind = "service"
+)
+
+// Target describes one target, as the platform's host list gives it.
+type Target struct {
+	ID          ident.TargetID    `json:"id"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Kind        TargetKind        `json:"kind"`
+	Place       Place             `json:"place"`
+	// URL is the base URL of the target.
+	URL string `json:"url"`
+	// Service names the plain service, for targets of that kind.
+	Service string `json:"service,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+	// Price is the cost of one second of one slot, in cost units.
+	Price float64 `json:"price,omitempty"`
+}
+
+// Load is what a target reports of itself. It lags: AgeMs says by how much
+// the target itself knows.
+type Load struct {
+	Target      ident.TargetID    `json:"target"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	// Seq grows with each report of one incarnation.
+	Seq   uint64        `json:"seq"`
+	Age   time.Duration `json:"age"`
+	Slots int           `json:"slots"`
+	// Running and Queued count requests of all senders.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	// QueuedTokens is the prefill work that waits.
+	QueuedTokens ident.Tokens `json:"queuedTokens"`
+	// PrefillRate is tokens a second; DecodeRate is tokens a second of one
+	// stream.
+	PrefillRate float64       `json:"prefillRate"`
+	DecodeRate  float64       `json:"decodeRate"`
+	Serves      []rules.Serve `json:"serves,omitempty"`
+	Leaving     bool          `json:"leaving,omitempty"`
+}
+
+// TargetUse is the work that one entry host has sent to one target and that
+// has not ended.
+type TargetUse struct {
+	Target ident.TargetID `json:"target"`
+	// Running counts requests, Tokens the prefill work among them.
+	Running int          `json:"running"`
+	Tokens  ident.Tokens `json:"tokens"`
+}
+
+// AccountUse is the demand of one account at one place, as a smoothed rate.
+type AccountUse struct {
+	Account  ident.Account   `json:"account"`
+	Requests ident.PerMinute `json:"requests"`
+	Tokens   ident.PerMinute `json:"tokens"`
+}
+
+// LeavingTarget passes on the word that a target leaves.
+type LeavingTarget struct {
+	Target      ident.TargetID    `json:"target"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
+// Digest is the heartbeat between the entry hosts of one data centre.
+type Digest struct {
+	Host Host `json:"host"`
+	// Seq grows with each digest of one incarnation.
+	Seq      uint64          `json:"seq"`
+	Revision ident.Revision  `json:"revision"`
+	Use      []TargetUse     `json:"use,omitempty"`
+	Loads    []Load          `json:"loads,omitempty"`
+	Accounts []AccountUse    `json:"accounts,omitempty"`
+	Leaving  []LeavingTarget `json:"leaving,omitempty"`
+	// Summaries are those of other data centres that the sender has received
+	// since its last digest, so that one speaker serves its data centre.
+	Summaries []Summary `json:"summaries,omitempty"`
+	// Targets and Hosts are what the sender last read from the platform, sent
+	// by the host that watches it when they change or a peer is new.
+	Targets []Target `json:"targets,omitempty"`
+}
+
+// Pool is the state of one model or service in one data centre.
+type Pool struct {
+	// Serve names the model, or is empty for a plain service.
+	Serve rules.Serve `json:"serve"`
+	// Service names the plain service.
+	Service string `json:"service,omitempty"`
+	// Slots counts the slots of all targets that are not leaving.
+	Slots int `json:"slots"`
+	// Free counts the slots expected to be free.
+	Free int `json:"free"`
+	// Offer is how many requests the receiver of the summary may have sent
+	// and not ended, until the summary expires.
+	Offer int `json:"offer"`
+	// Wait is the predicted time until a new request starts.
+	Wait        time.Duration `json:"wait"`
+	PrefillRate float64       `json:"prefillRate"`
+	DecodeRate  float64       `json:"decodeRate"`
+	Price       float64       `json:"price"`
+}
+
+// Summary is what a data centre tells another. The host that speaks for its
+// data centre sends it; two that speak at once do no harm, since a summary
+// replaces the one before it and adds nothing to it.
+type Summary struct {
+	From  ident.EntryID `json:"from"`
+	Place Place         `json:"place"`
+	// Incarnation and Seq order the summaries of one sender.
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Seq         uint64            `json:"seq"`
+	// Age is how long ago the sender made it; a host that relays adds the
+	// time that it held it.
+	Age time.Duration `json:"age"`
+	// InForce is the lowest revision of the live hosts of the data centre,
+	// Highest the highest.
+	InForce  ident.Revision `json:"inForce"`
+	Highest  ident.Revision `json:"highest"`
+	Hosts    []Host         `json:"hosts"`
+	Pools    []Pool         `json:"pools"`
+	Accounts []AccountUse   `json:"accounts,omitempty"`
+}
--- /dev/null
+++ b/internal/event/request.go
@@ -0,0 +1,216 @@
+package event
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/value"
+)
+
+// Outcome is what a caller is told about whether its request ran.
+type Outcome string
+
+// The outcomes. NotRun is a promise; Unknown claims nothing.
+const (
+	Done    Outcome = "done"
+	NotRun  Outcome = "notRun"
+	Unknown Outcome = "unknown"
+)
+
+// Envelope travels with a request from one entry host to another.
+type Envelope struct {
+	// Attempt names the sender's try. The receiver answers "run or bar" by it.
+	Attempt ident.Attempt `json:"attempt"`
+	// To is the incarnation of the receiver that the sender meant. Another
+	// incarnation refuses it, since it can't know what the meant one did.
+	To        ident.Incarnation `json:"to"`
+	From      ident.EntryID     `json:"from"`
+	FromPlace Place             `json:"fromPlace"`
+	// Crossings counts the passages between regions so far, this included.
+	Crossings ident.Hops `json:"crossings"`
+	// Seen lists the entry hosts that the request has passed.
+	Seen []ident.EntryID `json:"seen"`
+	// Revision is the configuration that the sender decided by.
+	Revision ident.Revision `json:"revision"`
+}
+
+// Request is what the reducer knows of a request. It holds no text.
+type Request struct {
+	ID      ident.RequestID `json:"id"`
+	Account ident.Account   `json:"account"`
+	Profile ident.Profile   `json:"profile"`
+	// Prompt is the estimated length of the prompt, MaxTokens the most that
+	// may be generated.
+	Prompt    ident.Tokens `json:"prompt"`
+	MaxTokens ident.Tokens `json:"maxTokens"`
+	// Prefix holds chained digests of the prompt's blocks, the longest prefix
+	// last, for cache affinity. They are compared with the cache events of
+	// engines and never leave the host.
+	Prefix []uint64 `json:"prefix,omitempty"`
+	// Deadline is when the caller stops waiting; zero stands for the
+	// profile's.
+	Deadline ident.Time `json:"deadline"`
+	Stream   bool       `json:"stream,omitempty"`
+	// Ticket is the caller's ticket, Key the digest of its idempotency key,
+	// Print a digest of the request that tells a reused key.
+	Ticket string `json:"ticket,omitempty"`
+	Key    string `json:"key,omitempty"`
+	Print  string `json:"print,omitempty"`
+	// Envelope is set for a request that another entry host passed on.
+	Envelope value.Option[Envelope] `json:"envelope"`
+}
+
+// Ask numbers a question to the reducer. Its answer carries the same number.
+type Ask uint64
+
+// Result says how an attempt ended.
+type Result string
+
+// The results of attempts.
+const (
+	// ResultDone is a whole answer, passed on to the caller.
+	ResultDone Result = "done"
+	// ResultNotRun is a proof that nothing ran: no byte was sent, or the
+	// target or peer said so under its contract.
+	ResultNotRun Result = "notRun"
+	// ResultBroken is an attempt that may have run: the link broke, the
+	// answer was short, or the target failed in the middle.
+	ResultBroken Result = "broken"
+	// ResultFailed is a whole answer of the target that says it failed, such
+	// as status 500. It ran.
+	ResultFailed Result = "failed"
+)
+
+// Answer tells what became of an attempt that was asked about by "run or
+// bar".
+type Answer string
+
+// The answers.
+const (
+	// Barred says that the attempt had not arrived and never will run.
+	Barred Answer = "barred"
+	// Running says that it runs; the asker asks again.
+	Running Answer = "running"
+	// Ended says that it ran or may have run.
+	Ended Answer = "ended"
+	// Refused says that it had arrived and was not run.
+	Refused Answer = "refused"
+	// Forgotten says that the asked host can't know, such as after a restart.
+	Forgotten Answer = "forgotten"
+)
+
+// RequestArrived starts a request at this host.
+type RequestArrived struct {
+	Request Request `json:"request"`
+}
+
+// AttemptSent says that the first byte of the request was written, so that
+// from now on it may run.
+type AttemptSent struct {
+	Attempt ident.Attempt `json:"attempt"`
+}
+
+// FirstToken says that the first byte of an answer has come.
+type FirstToken struct {
+	Attempt ident.Attempt `json:"attempt"`
+}
+
+// AttemptEnded says how an attempt ended.
+type AttemptEnded struct {
+	Attempt ident.Attempt `json:"attempt"`
+	Result  Result        `json:"result"`
+	// Code and Status tell the peer's or target's refusal, where it gave one.
+	Code   codes.ID `json:"code,omitempty"`
+	Status int      `json:"status,omitempty"`
+	// RetryAfter is the wait that the target or peer asked for.
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Delivered counts tokens that have reached the caller.
+	Delivered ident.Tokens `json:"delivered,omitempty"`
+	// Generated counts all tokens of the answer.
+	Generated ident.Tokens `json:"generated,omitempty"`
+	// Cached counts prompt tokens that the engine found in its cache.
+	Cached ident.Tokens `json:"cached,omitempty"`
+	// Leaving says that the target refused because it leaves.
+	Leaving bool `json:"leaving,omitempty"`
+	// Resumable says that a new attempt may go on after the tokens delivered.
+	Resumable bool `json:"resumable,omitempty"`
+	// Kept says that the outcome was kept for repeats by the traffic side.
+	Kept bool `json:"kept,omitempty"`
+}
+
+// CallerLeft says that the caller has closed its connection.
+type CallerLeft struct {
+	Request ident.RequestID `json:"request"`
+}
+
+// KeyClaimed answers ClaimKey.
+type KeyClaimed struct {
+	Request ident.RequestID `json:"request"`
+	Claim   Claim           `json:"claim"`
+	// Owner and Print are those on record, where the key was taken.
+	Owner KeyRecord `json:"owner"`
+}
+
+// Claim is the platform's answer to the claim of an idempotency key.
+type Claim string
+
+// The answers to a claim.
+const (
+	// ClaimWon says that the record was made by this claim and read back if
+	// the reply was lost.
+	ClaimWon Claim = "won"
+	// ClaimTaken says that the key was claimed before.
+	ClaimTaken Claim = "taken"
+	// ClaimFailed says that nothing is known: the request is not run.
+	ClaimFailed Claim = "failed"
+)
+
+// KeyRecord is what the store holds under the digest of an idempotency key.
+type KeyRecord struct {
+	Entry       ident.EntryID     `json:"entry"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Request     ident.RequestID   `json:"request"`
+	Print       string            `json:"print"`
+}
+
+// TicketAsked asks for a ticket.
+type TicketAsked struct {
+	Ask     Ask           `json:"ask"`
+	Account ident.Account `json:"account"`
+	Profile ident.Profile `json:"profile"`
+	// Secret is 128 bits of randomness in hexadecimal, made outside the
+	// reducer, which has no source of its own.
+	Secret string `json:"secret"`
+}
+
+// EntriesAsked asks which entry hosts callers should use.
+type EntriesAsked struct {
+	Ask     Ask           `json:"ask"`
+	Account ident.Account `json:"account"`
+	Profile ident.Profile `json:"profile"`
+	// Spread is a random number that shares callers out over equal hosts.
+	Spread uint64 `json:"spread"`
+}
+
+// RouteAsked asks where a request would go and why, without sending it.
+type RouteAsked struct {
+	Ask     Ask     `json:"ask"`
+	Request Request `json:"request"`
+}
+
+// StatusAsked asks for the state as this host knows it.
+type StatusAsked struct {
+	Ask Ask `json:"ask"`
+}
+
+func (RequestArrived) isEvent() {}
+func (AttemptSent) isEvent()    {}
+func (FirstToken) isEvent()     {}
+func (AttemptEnded) isEvent()   {}
+func (CallerLeft) isEvent()     {}
+func (KeyClaimed) isEvent()     {}
+func (TicketAsked) isEvent()    {}
+func (EntriesAsked) isEvent()   {}
+func (RouteAsked) isEvent()     {}
+func (StatusAsked) isEvent()    {}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,42 @@
+// Package logs makes the loggers of the programs: one line of key=value pairs
+// for each event, at a level that an operator can change while the program
+// runs.
+//
+// # Usage
+//
+//	lvl := logs.NewLevel(0)
+//	log := logs.New(os.Stderr, lvl)
+//	log.Info("peer is up", "entry", id)
+//	lvl.Set(1)
+//
+// Level 0 is for events of the system, level 1 for a line a request. No line
+// holds the text of a prompt or an answer.
+package logs
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+)
+
+// Level is the verbosity that is logged, changeable at any time.
+type Level struct{ v slog.LevelVar }
+
+// NewLevel returns a level of the given verbosity.
+func NewLevel(verbosity int) *Level {
+	l := &Level{}
+	l.Set(verbosity)
+	return l
+}
+
+// Set changes the verbosity.
+func (l *Level) Set(verbosity int) { l.v.Set(slog.Level(-verbosity)) }
+
+// Get returns the verbosity.
+func (l *Level) Get() int { return -int(l.v.Level()) }
+
+// New returns a logger that writes lines to w.
+func New(w io.Writer, l *Level) logr.Logger {
+	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: &l.v}))
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,228 @@
+// Package loop is the control thread of an entry host: the one goroutine that
+// steps the reducer and carries out its effects.
+//
+// # Usage
+//
+//	lp := loop.New(loop.Config{Step: red.Step, Clock: svc, Log: log, Carry: carry})
+//	defer lp.Stop()
+//
+//	box := lp.Open(id)                  // a request's mailbox
+//	defer lp.Close(id)
+//	lp.Post(event.RequestArrived{...})
+//	eff := <-box                        // Dispatch, Forward, Refuse, ...
+//
+//	answer, err := lp.Ask(ctx, func(n event.Ask) event.Event {
+//		return event.StatusAsked{Ask: n}
+//	})
+//
+// Effects that name a request go to its mailbox, answers go to who asked, and
+// all others to the Carry function. Neither may block the loop: a slow peer
+// or caller must not hold up the decisions for the rest.
+package loop
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// ErrStopped says that the loop has ended.
+var ErrStopped = errors.New("loop: stopped")
+
+// Sizes of the queues. A request never has more than a few effects that wait,
+// so its mailbox does not fill unless its goroutine has ended.
+const (
+	eventQueue = 4096
+	boxSize    = 16
+)
+
+// Config is what a loop needs.
+type Config struct {
+	// Step is the reducer.
+	Step  func(now ident.Time, ev event.Event) []event.Effect
+	Clock *clock.Service
+	Log   logr.Logger
+	// Carry takes the effects that name no request and answer no question.
+	// It must not block.
+	Carry func(eff event.Effect)
+	// Record, where set, sees each event and its effects, for replay.
+	Record func(now ident.Time, ev event.Event, effs []event.Effect)
+}
+
+// Loop is the control thread.
+type Loop struct {
+	t    tomb.Tomb
+	cfg  Config
+	in   chan event.Event
+	wake *clock.Sub
+
+	mu    sync.Mutex
+	boxes map[ident.RequestID]chan event.Effect
+	asks  map[event.Ask]chan event.Effect
+	ask   event.Ask
+}
+
+// New starts a loop.
+func New(cfg Config) *Loop {
+	l := &Loop{
+		cfg:   cfg,
+		in:    make(chan event.Event, eventQueue),
+		wake:  cfg.Clock.At(cfg.Clock.Now()),
+		boxes: make(map[ident.RequestID]chan event.Effect),
+		asks:  make(map[event.Ask]chan event.Effect),
+	}
+	l.t.Go(l.run)
+	return l
+}
+
+// Stop ends the loop.
+func (l *Loop) Stop() {
+	l.t.Kill(nil)
+	_ = l.t.Wait()
+}
+
+// Done is closed when the loop ends.
+func (l *Loop) Done() <-chan struct{} { return l.t.Dead() }
+
+// Post hands an event to the loop. It waits while the queue is full, which
+// slows the senders down instead of losing events.
+func (l *Loop) Post(ev event.Event) {
+	select {
+	case l.in <- ev:
+	case <-l.t.Dying():
+	}
+}
+
+// Open makes the mailbox of a request. It reports false for an id that has
+// one.
+func (l *Loop) Open(id ident.RequestID) (<-chan event.Effect, bool) {
+	box := make(chan event.Effect, boxSize)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.boxes[id]; ok {
+		return nil, false
+	}
+	l.boxes[id] = box
+	return box, true
+}
+
+// Close drops the mailbox of a request.
+func (l *Loop) Close(id ident.RequestID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.boxes, id)
+}
+
+// Ask puts a question and waits for the answer.
+func (l *Loop) Ask(ctx context.Context, question func(n event.Ask) event.Event) (event.Effect, error) {
+	c := make(chan event.Effect, 1)
+	l.mu.Lock()
+	l.ask++
+	n := l.ask
+	l.asks[n] = c
+	l.mu.Unlock()
+	defer l.dropAsk(n)
+	l.Post(question(n))
+	select {
+	case eff := <-c:
+		return eff, nil
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "loop: ask")
+	case <-l.t.Dying():
+		return nil, ErrStopped
+	}
+}
+
+func (l *Loop) dropAsk(n event.Ask) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.asks, n)
+}
+
+func (l *Loop) run() error {
+	defer l.wake.Close()
+	for {
+		select {
+		case ev := <-l.in:
+			l.step(ev)
+		case <-l.wake.C():
+			l.step(event.Tick{})
+		case <-l.t.Dying():
+			return nil
+		}
+	}
+}
+
+func (l *Loop) step(ev event.Event) {
+	now := l.cfg.Clock.Now()
+	effs := l.cfg.Step(now, ev)
+	if l.cfg.Record != nil {
+		l.cfg.Record(now, ev, effs)
+	}
+	for _, eff := range effs {
+		l.carry(eff)
+	}
+}
+
+func (l *Loop) carry(eff event.Effect) {
+	switch e := eff.(type) {
+	case event.Wake:
+		l.wake.Reset(e.At)
+	case event.Dispatch:
+		l.deliver(e.Request, e)
+	case event.Forward:
+		l.deliver(e.Request, e)
+	case event.Refuse:
+		l.deliver(e.Request, e)
+	case event.Finish:
+		l.deliver(e.Request, e)
+	case event.Replay:
+		l.deliver(e.Request, e)
+	case event.Cancel:
+		l.deliver(e.Request, e)
+	case event.TicketIssued:
+		l.answer(e.Ask, e)
+	case event.EntriesAnswered:
+		l.answer(e.Ask, e)
+	case event.RouteAnswered:
+		l.answer(e.Ask, e)
+	case event.StatusAnswered:
+		l.answer(e.Ask, e)
+	default:
+		l.cfg.Carry(eff)
+	}
+}
+
+func (l *Loop) deliver(id ident.RequestID, eff event.Effect) {
+	l.mu.Lock()
+	box, ok := l.boxes[id]
+	l.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case box <- eff:
+	default:
+		// A full mailbox means that the request's goroutine no longer reads.
+		// Blocking here would stop every decision of the host; the request
+		// ends by its deadline instead.
+		l.cfg.Log.Info("mailbox is full", "request", id, "effect", event.TypeName(eff))
+	}
+}
+
+func (l *Loop) answer(n event.Ask, eff event.Effect) {
+	l.mu.Lock()
+	c, ok := l.asks[n]
+	delete(l.asks, n)
+	l.mu.Unlock()
+	if ok {
+		c <- eff
+	}
+}
--- /dev/null
+++ b/internal/proofs/proc_test.go
@@ -0,0 +1,286 @@
+package proofs
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// bin is the folder of the programs, built once for all tests.
+var bin string
+
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "proofs")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// Ports of the programs. Each process has an IP number of its own, so that
+// the ports never clash.
+const (
+	callersPort   = 8080
+	peersPort     = 7070
+	operatorsPort = 9090
+	platformPort  = 7900
+	targetPort    = 8000
+)
+
+var ipCount atomic.Uint32
+
+// newIP returns an IP number of the loopback range that no other process of
+// this test run has.
+func newIP() string {
+	n := ipCount.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, n/250+1, n%250+1)
+}
+
+// lines collects what a process prints.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
+// proc is one process.
+type proc struct {
+	cmd  *exec.Cmd
+	out  *lines
+	done chan struct{}
+}
+
+// start runs a program until the test ends.
+func start(t *testing.T, name string, args ...string) *proc {
+	t.Helper()
+	p := &proc{cmd: exec.Command(filepath.Join(bin, name), args...), out: &lines{}, done: make(chan struct{})}
+	p.cmd.Stdout = p.out
+	p.cmd.Stderr = p.out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.run()
+	t.Cleanup(func() { p.kill(t) })
+	return p
+}
+
+func (p *proc) run() {
+	_ = p.cmd.Wait()
+	close(p.done)
+}
+
+func (p *proc) kill(t *testing.T) {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	if t.Failed() {
+		t.Logf("%s:\n%s", strings.Join(p.cmd.Args[1:], " "), p.out)
+	}
+}
+
+// patience bounds every wait of the tests. It is long, so that no verdict
+// hangs on a tight timing.
+const patience = 20 * time.Second
+
+// eventually waits until ok reports true.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func reachable(url string) func() bool {
+	return func() bool {
+		res, err := http.Get(url)
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return true
+	}
+}
+
+// entry is an entry host that runs.
+type entry struct {
+	*proc
+	set config.Settings
+}
+
+func (e *entry) callers() string   { return "http://" + e.set.Callers.Listen }
+func (e *entry) operators() string { return "http://" + e.set.Operators.Listen }
+
+const operatorToken = "operator-token"
+
+func startPlatform(t *testing.T) string {
+	t.Helper()
+	addr := fmt.Sprintf("%s:%d", newIP(), platformPort)
+	start(t, "verbdev", "platform", "-listen", addr)
+	eventually(t, "the platform answers", reachable("http://"+addr+"/v1/hosts"))
+	return "http://" + addr
+}
+
+func startEngine(t *testing.T, id ident.TargetID, place event.Place, args ...string) event.Target {
+	t.Helper()
+	addr := fmt.Sprintf("%s:%d", newIP(), targetPort)
+	start(t, "verbdev", append([]string{"engine", "-listen", addr, "-id", string(id)}, args...)...)
+	eventually(t, "the engine answers", reachable("http://"+addr+"/load"))
+	return event.Target{ID: id, Kind: event.Engine, Place: place, URL: "http://" + addr}
+}
+
+func startEntry(t *testing.T, platform string, id ident.EntryID, place event.Place) *entry {
+	t.Helper()
+	ip := newIP()
+	set := config.Settings{
+		Entry: id, DataCentre: place.DataCentre, Region: place.Region,
+		Callers:   config.Callers{Listen: fmt.Sprintf("%s:%d", ip, callersPort)},
+		Peers:     config.Peers{Listen: fmt.Sprintf("%s:%d", ip, peersPort), Plain: true},
+		Operators: config.Operators{Listen: fmt.Sprintf("%s:%d", ip, operatorsPort), Known: []config.Operator{{Name: "ops", TokenDigest: rules.Digest(operatorToken)}}},
+		Platform:  config.Platform{URL: platform, TimeoutMs: 1000, CallsPerSecond: 50},
+		Limits:    config.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 32 << 10, MaxConnections: 1000, MaxRequests: 500, HeaderMs: 5000, BodyMs: 5000},
+		Traces:    config.Traces{Exporter: "none"},
+	}
+	file := filepath.Join(t.TempDir(), "entry.json")
+	b, err := json.Marshal(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	e := &entry{proc: start(t, "verbenadale", "serve", "-settings", file), set: set}
+	eventually(t, "the entry host answers", reachable(e.operators()+"/healthz"))
+	return e
+}
+
+func putHosts(t *testing.T, platform string, hs store.Hosts) {
+	t.Helper()
+	b, err := json.Marshal(hs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, platform+"/dev/hosts", bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
+
+func item(t *testing.T, kind rules.Kind, name string, doc any) rules.Item {
+	t.Helper()
+	b, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rules.Item{Kind: kind, Name: name, Doc: b}
+}
+
+// verbctl runs the operators' client to its end.
+func verbctl(t *testing.T, e *entry, args ...string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	args = append([]string{"-entry", e.operators(), "-token", operatorToken}, args...)
+	out, err := exec.CommandContext(ctx, filepath.Join(bin, "verbctl"), args...).CombinedOutput()
+	return string(out), err
+}
+
+func applyItems(t *testing.T, e *entry, items ...rules.Item) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "items.json")
+	b, err := json.Marshal(items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := verbctl(t, e, "apply", file); err != nil {
+		t.Fatalf("apply: %v\n%s", err, out)
+	}
+}
+
+// reply is an answer to a caller.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	events []string
+}
+
+func post(t *testing.T, url, key, body string) reply {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := reply{status: res.StatusCode, header: res.Header, body: string(b)}
+	sc := bufio.NewScanner(bytes.NewReader(b))
+	for sc.Scan() {
+		if data, ok := strings.CutPrefix(sc.Text(), "data: "); ok {
+			rep.events = append(rep.events, data)
+		}
+	}
+	for k, vs := range res.Trailer {
+		rep.header[k] = vs
+	}
+	return rep
+}
--- /dev/null
+++ b/pkg/codes/filter.go
@@ -0,0 +1,48 @@
+package codes
+
+// The routing filters. Each rules out a choice for good; none is a cost that
+// could be outbid under load.
+var (
+	FilterKind = Code{
+		ID: "VB2001", Title: "the target is of another kind than the profile asks for", Since: firstVersion, Severity: Info,
+		Text: "The profile names a plain service or a model, and the target is the other, or another service.",
+	}
+	FilterModel = Code{
+		ID: "VB2002", Title: "the target serves none of the models, versions and adapters of the profile", Since: firstVersion, Severity: Info,
+		Text: "The load report of the target lists what it has loaded. A model that is being loaded counts only once it is reported.",
+	}
+	FilterResidency = Code{
+		ID: "VB2003", Title: "the place lies outside the residency rule", Since: firstVersion, Severity: Info,
+		Text: "The region of the choice is not among those that the profile, or the home of the account, allows.",
+	}
+	FilterHops = Code{
+		ID: "VB2004", Title: "the request may not be passed on again", Since: firstVersion, Severity: Info,
+		Text: "The request has crossed between regions as often as the profile allows, or came from another entry host.",
+	}
+	FilterLeaving = Code{
+		ID: "VB2005", Title: "the target is leaving", Since: firstVersion, Severity: Info,
+		Text: "The platform's list, the target itself or a peer said so. It holds for the whole incarnation of the target.",
+	}
+	FilterHealth = Code{
+		ID: "VB2006", Title: "the target does not answer", Since: firstVersion, Severity: Warning,
+		Text: "Requests or load reports failed in a row. A probe lets it back in.",
+	}
+	FilterTried = Code{
+		ID: "VB2007", Title: "the target has already failed for this request", Since: firstVersion, Severity: Info,
+		Text: "A retry goes elsewhere as long as there is another choice.",
+	}
+	FilterOffer = Code{
+		ID: "VB2008", Title: "the other data centre has offered no spare capacity", Since: firstVersion, Severity: Info,
+		Text: "Work goes to another data centre only on an offer that has not expired or been used up.",
+	}
+	FilterFull = Code{
+		ID: "VB2009", Title: "the target has no free slot", Since: firstVersion, Severity: Info,
+		Text: "The requests sent and not yet ended fill the target's slots and the queue it is allowed.",
+	}
+)
+
+// Filters is the table of the routing filters.
+var Filters = []Code{
+	FilterKind, FilterModel, FilterResidency, FilterHops, FilterLeaving,
+	FilterHealth, FilterTried, FilterOffer, FilterFull,
+}
--- /dev/null
+++ b/pkg/rules/book.go
@@ -0,0 +1,326 @@
+package rules
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Book is the whole configuration at one revision. The zero Book is the empty
+// configuration. A Book is shared between goroutines and never changed.
+type Book struct {
+	Revision ident.Revision
+	profiles map[ident.Profile]Profile
+	clients  map[ident.Account]Client
+	byDigest map[string]ident.Account
+	// changed holds the revision that last changed each item.
+	changed map[itemKey]ident.Revision
+	// lastID is the id of the change that made this revision.
+	lastID ident.ChangeID
+}
+
+type itemKey struct {
+	kind Kind
+	name string
+}
+
+// ConflictError says that an item has changed since the operator read it.
+type ConflictError struct {
+	Kind    Kind
+	Name    string
+	Base    ident.Revision
+	Changed ident.Revision
+}
+
+// Error tells which item to read again.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s %s was changed in revision %d, after revision %d that the change is based on; read it again",
+		e.Kind, e.Name, e.Changed, e.Base)
+}
+
+// GapError says that a change does not follow the book's revision.
+type GapError struct {
+	Have ident.Revision
+	Got  ident.Revision
+}
+
+// Error tells both revisions.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("revision %d does not follow revision %d", e.Got, e.Have)
+}
+
+// Profile returns the profile of the given name.
+func (b *Book) Profile(name ident.Profile) (Profile, bool) {
+	if b == nil {
+		return Profile{}, false
+	}
+	p, ok := b.profiles[name]
+	return p, ok
+}
+
+// Profiles returns all profiles by name.
+func (b *Book) Profiles() []Profile {
+	if b == nil {
+		return nil
+	}
+	names := slices.Sorted(maps.Keys(b.profiles))
+	ps := make([]Profile, 0, len(names))
+	for _, name := range names {
+		ps = append(ps, b.profiles[name])
+	}
+	return ps
+}
+
+// Client returns the account of the given name.
+func (b *Book) Client(name ident.Account) (Client, bool) {
+	if b == nil {
+		return Client{}, false
+	}
+	c, ok := b.clients[name]
+	return c, ok
+}
+
+// Clients returns all accounts by name.
+func (b *Book) Clients() []Client {
+	if b == nil {
+		return nil
+	}
+	names := slices.Sorted(maps.Keys(b.clients))
+	cs := make([]Client, 0, len(names))
+	for _, name := range names {
+		cs = append(cs, b.clients[name])
+	}
+	return cs
+}
+
+// ClientByDigest returns the account whose key has the given digest.
+func (b *Book) ClientByDigest(digest string) (Client, bool) {
+	if b == nil {
+		return Client{}, false
+	}
+	name, ok := b.byDigest[digest]
+	if !ok {
+		return Client{}, false
+	}
+	return b.Client(name)
+}
+
+// ChangedAt returns the revision that last changed an item, zero for one that
+// never was.
+func (b *Book) ChangedAt(kind Kind, name string) ident.Revision {
+	if b == nil {
+		return 0
+	}
+	return b.changed[itemKey{kind, name}]
+}
+
+// LastID returns the id of the change that made this revision.
+func (b *Book) LastID() ident.ChangeID {
+	if b == nil {
+		return ""
+	}
+	return b.lastID
+}
+
+// Conflict returns a ConflictError if an item of c has changed since c.Base.
+func (b *Book) Conflict(c Change) error {
+	for _, it := range c.Items {
+		at := b.ChangedAt(it.Kind, it.Name)
+		if at > c.Base {
+			return &ConflictError{Kind: it.Kind, Name: it.Name, Base: c.Base, Changed: at}
+		}
+	}
+	return nil
+}
+
+// Apply returns the book after c, which must carry the next revision.
+func (b *Book) Apply(c Change) (*Book, error) {
+	have := b.Rev()
+	if c.Revision != have+1 {
+		return nil, &GapError{Have: have, Got: c.Revision}
+	}
+	next := b.clone()
+	for _, it := range c.Items {
+		if err := next.put(it, c.Revision); err != nil {
+			return nil, err
+		}
+	}
+	next.Revision = c.Revision
+	next.lastID = c.ID
+	return next, nil
+}
+
+// Rev returns the revision, zero for a nil book.
+func (b *Book) Rev() ident.Revision {
+	if b == nil {
+		return 0
+	}
+	return b.Revision
+}
+
+func (b *Book) clone() *Book {
+	if b == nil {
+		b = &Book{}
+	}
+	next := &Book{
+		Revision: b.Revision,
+		profiles: maps.Clone(b.profiles),
+		clients:  maps.Clone(b.clients),
+		byDigest: maps.Clone(b.byDigest),
+		changed:  maps.Clone(b.changed),
+		lastID:   b.lastID,
+	}
+	if next.profiles == nil {
+		next.profiles = make(map[ident.Profile]Profile)
+	}
+	if next.clients == nil {
+		next.clients = make(map[ident.Account]Client)
+	}
+	if next.byDigest == nil {
+		next.byDigest = make(map[string]ident.Account)
+	}
+	if next.changed == nil {
+		next.changed = make(map[itemKey]ident.Revision)
+	}
+	return next
+}
+
+func (b *Book) put(it Item, rev ident.Revision) error {
+	b.changed[itemKey{it.Kind, it.Name}] = rev
+	switch it.Kind {
+	case KindProfile:
+		return b.putProfile(it)
+	case KindAccount:
+		return b.putClient(it)
+	}
+	return fmt.Errorf("item %s has the unknown kind %q", it.Name, it.Kind)
+}
+
+func (b *Book) putProfile(it Item) error {
+	name := ident.Profile(it.Name)
+	if it.Deletes() {
+		delete(b.profiles, name)
+		return nil
+	}
+	p, err := it.Profile()
+	if err != nil {
+		return err
+	}
+	b.profiles[name] = p
+	return nil
+}
+
+func (b *Book) putClient(it Item) error {
+	name := ident.Account(it.Name)
+	if old, ok := b.clients[name]; ok {
+		delete(b.byDigest, old.KeyDigest)
+	}
+	if it.Deletes() {
+		delete(b.clients, name)
+		return nil
+	}
+	c, err := it.Client()
+	if err != nil {
+		return err
+	}
+	b.clients[name] = c
+	b.byDigest[c.KeyDigest] = name
+	return nil
+}
+
+// Deletes reports whether the item removes what it names.
+func (it Item) Deletes() bool {
+	doc := bytes.TrimSpace(it.Doc)
+	return len(doc) == 0 || string(doc) == "null"
+}
+
+// Profile reads the document as a profile. Unknown fields are faults.
+func (it Item) Profile() (Profile, error) {
+	p := Profile{}
+	if err := strict(it, &p); err != nil {
+		return Profile{}, err
+	}
+	p.Name = ident.Profile(it.Name)
+	return p, nil
+}
+
+// Client reads the document as an account. Unknown fields are faults.
+func (it Item) Client() (Client, error) {
+	c := Client{}
+	if err := strict(it, &c); err != nil {
+		return Client{}, err
+	}
+	c.Name = ident.Account(it.Name)
+	return c, nil
+}
+
+func strict(it Item, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(it.Doc))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return fmt.Errorf("%s %s: %w", it.Kind, it.Name, err)
+	}
+	return nil
+}
+
+// image is the JSON form of a book, used for snapshots.
+type image struct {
+	Revision ident.Revision `json:"revision"`
+	LastID   ident.ChangeID `json:"lastID"`
+	Profiles []Profile      `json:"profiles"`
+	Clients  []Client       `json:"clients"`
+	Changed  []changedItem  `json:"changed"`
+}
+
+type changedItem struct {
+	Kind     Kind           `json:"kind"`
+	Name     string         `json:"name"`
+	Revision ident.Revision `json:"revision"`
+}
+
+// MarshalJSON writes the whole book, for a snapshot.
+func (b *Book) MarshalJSON() ([]byte, error) {
+	img := image{
+		Revision: b.Rev(),
+		LastID:   b.LastID(),
+		Profiles: b.Profiles(),
+		Clients:  b.Clients(),
+	}
+	for k, rev := range b.changed {
+		img.Changed = append(img.Changed, changedItem{k.kind, k.name, rev})
+	}
+	slices.SortFunc(img.Changed, func(x, y changedItem) int {
+		if c := bytes.Compare([]byte(x.Kind), []byte(y.Kind)); c != 0 {
+			return c
+		}
+		return bytes.Compare([]byte(x.Name), []byte(y.Name))
+	})
+	return json.Marshal(img)
+}
+
+// UnmarshalJSON reads a snapshot.
+func (b *Book) UnmarshalJSON(data []byte) error {
+	var img image
+	if err := json.Unmarshal(data, &img); err != nil {
+		return err
+	}
+	next := (*Book)(nil).clone()
+	next.Revision = img.Revision
+	next.lastID = img.LastID
+	for _, p := range img.Profiles {
+		next.profiles[p.Name] = p
+	}
+	for _, c := range img.Clients {
+		next.clients[c.Name] = c
+		next.byDigest[c.KeyDigest] = c.Name
+	}
+	for _, it := range img.Changed {
+		next.changed[itemKey{it.Kind, it.Name}] = it.Revision
+	}
+	*b = *next
+	return nil
+}
