make the stand-ins behave like engines and services that fail

Cause: the first engine answered at a fixed pace whatever its load, so neither routing nor any failure of a target could be tried against it.

Ruled out: one goroutine and timer for each stream; thousands of streams then compete for timers and the pace drifts under load. Taken: one step of a batch for all streams, as continuous batching does.

Change: engine with slots, priorities, prefill that competes with decode, a bounded prefix cache with late and lossy events, lagging load reports, resume, cancel, fencing and told faults; a plain service that keeps a ledger of runs.

--- a/internal/dev/engine/engine.go
+++ b/internal/dev/engine/engine.go
@@ -1,79 +1,218 @@
-// Package engine is a stand-in for a model engine, for development and tests:
-// it serves the chat-completions API with a made-up text that depends on the
-// prompt only, reports load, and can be told to fail. docs/targets.md
-// describes what it speaks.
+// Package engine is a stand-in for a model engine, for development and tests.
+// It batches continuously, caches prompt prefixes in limited memory, honours
+// priorities, resumes and cancels streams, publishes cache events late and
+// with gaps, reports load with a lag, and can be told to fail.
+// docs/targets.md describes what it speaks.
 //
 // # Usage
 //
-//	eng := engine.New(engine.Config{ID: "uvs-e1", Model: "draft", Slots: 8})
+//	eng := engine.New(engine.Config{ID: "uvs-e1", Slots: 8})
+//	defer eng.Stop()
 //	http.ListenAndServe(addr, eng)
+//
+// The text of an answer depends on the prompt alone, so that a caller can
+// check that it got its own answer, and another engine can go on in the
+// middle.
 package engine
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"gopkg.in/tomb.v2"
 
+	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/target"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// defaultTokens is the length of an answer whose request names none.
-const defaultTokens = 32
-
 // Config describes the engine.
 type Config struct {
 	ID          ident.TargetID
 	Incarnation ident.Incarnation
 	Serves      []rules.Serve
-	Slots       int
-	// TokenTime is the time between two tokens of one stream.
+	// Slots is how many requests run at once; the rest wait.
+	Slots int
+	// TokenTime is the time of one step of the batch without prefill.
 	TokenTime time.Duration
-	// PrefillRate is tokens a second.
+	// PrefillRate is prompt tokens a second.
 	PrefillRate float64
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
+	// LoadLag is how old a load report may be, CacheLag how late cache events
+	// come, and CacheGap loses every n-th of them; zero loses none.
+	LoadLag  time.Duration
+	CacheLag time.Duration
+	CacheGap uint64
+	// ChecksFence refuses orders with an old fencing number.
+	ChecksFence bool
 }
 
+// Defaults of the configuration.
+const (
+	defaultSlots  = 8
+	defaultBlocks = 4096
+	defaultTokens = 32
+)
+
 // Engine is the stand-in.
 type Engine struct {
-	cfg Config
-	mux *http.ServeMux
+	t     tomb.Tomb
+	cfg   Config
+	mux   *http.ServeMux
+	clock *clock.Service
+	poke  chan struct{}
 
 	mu      sync.Mutex
-	running int
-	seq     uint64
+	batch   batch
+	cache   *cache
+	faults  Faults
+	leaving bool
+	served  int
+	ledger  Ledger
+	load    event.Load
+	loadAt  ident.Time
+	fence   ident.Fence
 }
 
-// New returns an engine.
+// New starts an engine.
 func New(cfg Config) *Engine {
-	e := &Engine{cfg: cfg, mux: http.NewServeMux()}
+	if cfg.Slots <= 0 {
+		cfg.Slots = defaultSlots
+	}
+	if cfg.CacheBlocks <= 0 {
+		cfg.CacheBlocks = defaultBlocks
+	}
+	e := &Engine{
+		cfg: cfg, mux: http.NewServeMux(), clock: clock.New(), poke: make(chan struct{}, 1),
+		cache: newCache(cfg.CacheBlocks),
+	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
-	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.HandleFunc("GET /load", e.getLoad)
+	e.mux.HandleFunc("GET /cache", e.getCache)
+	e.mux.HandleFunc("POST /orders", e.order)
+	e.mux.HandleFunc("PUT /dev/faults", e.putFaults)
+	e.mux.HandleFunc("POST /dev/leave", e.leave)
+	e.mux.HandleFunc("GET /dev/ledger", e.getLedger)
+	e.t.Go(e.run)
 	return e
 }
 
+// Stop ends the engine.
+func (e *Engine) Stop() {
+	e.t.Kill(nil)
+	_ = e.t.Wait()
+	e.clock.Stop()
+}
+
 // ServeHTTP serves one call.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
-func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+// Leave makes the engine refuse new requests and finish those that run.
+func (e *Engine) Leave() {
 	e.mu.Lock()
-	e.seq++
-	ld := event.Load{
-		Target: e.cfg.ID, Incarnation: e.cfg.Incarnation, Seq: e.seq,
-		Slots: e.cfg.Slots, Running: e.running,
-		PrefillRate: e.cfg.PrefillRate, DecodeRate: e.decodeRate(), Serves: e.cfg.Serves,
+	defer e.mu.Unlock()
+	e.leaving = true
+	e.ledger.LeavingSince = time.Now()
+}
+
+// Idle reports whether no request runs or waits.
+func (e *Engine) Idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.batch.running)+len(e.batch.waiting) == 0
+}
+
+func (e *Engine) leave(http.ResponseWriter, *http.Request) { e.Leave() }
+
+// run steps the batch.
+func (e *Engine) run() error {
+	sub := e.clock.At(e.clock.Now())
+	defer sub.Close()
+	for {
+		select {
+		case <-sub.C():
+		case <-e.poke:
+		case <-e.t.Dying():
+			return nil
+		}
+		if wait, busy := e.step(); busy {
+			sub.Reset(e.clock.Now().Add(wait))
+		}
+	}
+}
+
+// step lets the batch go on if its time has come. It returns the time to the
+// next step and whether there is work.
+func (e *Engine) step() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	if now < e.batch.next {
+		return e.batch.next.Sub(now), true
 	}
+	if e.faults.Frozen {
+		return e.cfg.TokenTime + time.Millisecond, true
+	}
+	e.batch.admit(e.cfg.Slots)
+	if len(e.batch.running) == 0 {
+		return 0, false
+	}
+	prefill := e.batch.prefill()
+	e.batch.decode()
+	took := e.cfg.TokenTime
+	if e.cfg.PrefillRate > 0 {
+		took += time.Duration(float64(prefill) / e.cfg.PrefillRate * float64(time.Second))
+	}
+	// Steps are counted from when the last was due, so that a late timer does
+	// not slow the engine down.
+	due := e.batch.next
+	if now.Sub(due) > took {
+		due = now
+	}
+	e.batch.next = due.Add(took)
+	return max(e.batch.next.Sub(now), 0), true
+}
+
+func (e *Engine) wake() {
+	select {
+	case e.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	ld := e.loadNow()
 	e.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(ld)
 }
 
+// loadNow returns the load report, which is made anew when it is older than
+// the lag.
+func (e *Engine) loadNow() event.Load {
+	now := e.clock.Now()
+	if e.load.Seq == 0 || now.Sub(e.loadAt) >= e.cfg.LoadLag {
+		e.loadAt = now
+		e.load = event.Load{
+			Target: e.cfg.ID, Incarnation: e.cfg.Incarnation, Seq: e.load.Seq + 1,
+			Slots: e.cfg.Slots, Running: len(e.batch.running), Queued: len(e.batch.waiting),
+			QueuedTokens: e.batch.waitingTokens(),
+			PrefillRate:  e.cfg.PrefillRate, DecodeRate: e.decodeRate(), Serves: e.cfg.Serves,
+		}
+	}
+	ld := e.load
+	ld.Leaving = e.leaving
+	ld.Age = now.Sub(e.loadAt)
+	return ld
+}
+
 func (e *Engine) decodeRate() float64 {
 	if e.cfg.TokenTime <= 0 {
 		return 0
@@ -81,98 +220,63 @@
 	return float64(time.Second) / float64(e.cfg.TokenTime)
 }
 
-// ask is what the engine reads of a request.
-type ask struct {
-	Model     string          `json:"model"`
-	Stream    bool            `json:"stream"`
-	MaxTokens int             `json:"max_tokens"`
-	Messages  json.RawMessage `json:"messages"`
-	Prompt    json.RawMessage `json:"prompt"`
+// Order is an order to load or unload, as the platform's engines take it.
+type Order struct {
+	Fence  ident.Fence  `json:"fence"`
+	Load   *rules.Serve `json:"load,omitempty"`
+	Unload *rules.Serve `json:"unload,omitempty"`
 }
 
-func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
-	var a ask
-	if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if a.MaxTokens <= 0 {
-		a.MaxTokens = defaultTokens
-	}
-	e.enter(1)
-	defer e.enter(-1)
-	w.Header().Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
-	id := r.Header.Get(target.HeaderRequest)
-	if a.Stream {
-		e.stream(w, r, id, a)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.ChecksFence && o.Fence < e.fence {
+		w.WriteHeader(http.StatusPreconditionFailed)
 		return
 	}
-	e.whole(w, r, id, a)
-}
-
-func (e *Engine) enter(n int) {
-	e.mu.Lock()
-	e.running += n
-	e.mu.Unlock()
-}
-
-// Word returns token n of the answer to a prompt. The answer depends on the
-// prompt alone, so that a caller can check that it got its own, and so that
-// another engine can go on in the middle.
-func Word(prompt []byte, n int) string {
-	return fmt.Sprintf(" w%x", (xxhash.Sum64(prompt)+uint64(n)*7919)&0xffff)
+	e.fence = max(e.fence, o.Fence)
+	e.ledger.Orders++
+	if o.Load != nil {
+		e.cfg.Serves = append(e.cfg.Serves, *o.Load)
+	}
+	if o.Unload != nil {
+		e.cfg.Serves = without(e.cfg.Serves, *o.Unload)
+	}
+	e.loadAt = 0
 }
 
-func (a ask) prompt() []byte { return append([]byte(a.Messages), a.Prompt...) }
-
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string, a ask) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	from, _ := strconv.Atoi(r.Header.Get(target.HeaderResume))
-	flush := http.NewResponseController(w)
-	for n := from; n < a.MaxTokens; n++ {
-		if !e.pause(r) {
-			return
+func without(svs []rules.Serve, out rules.Serve) []rules.Serve {
+	var left []rules.Serve
+	for _, sv := range svs {
+		if sv != out {
+			left = append(left, sv)
 		}
-		chunk := map[string]any{
-			"id": id, "object": "chat.completion.chunk", "model": a.Model,
-			"choices": []any{map[string]any{"index": 0, "delta": map[string]any{"content": Word(a.prompt(), n)}}},
-		}
-		b, _ := json.Marshal(chunk)
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, b)
-		_ = flush.Flush()
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	return left
 }
 
-func (e *Engine) pause(r *http.Request) bool {
-	if e.cfg.TokenTime <= 0 {
-		return true
-	}
-	timer := time.NewTimer(e.cfg.TokenTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
+// Blocks of a prompt, as the callers' side cuts them too.
+const blockBytes = 256
+
+// blocks returns the chained digests of the whole blocks of a prompt.
+func blocks(prompt []byte) []uint64 {
+	var ds []uint64
+	h := xxhash.New()
+	for len(prompt) >= blockBytes {
+		_, _ = h.Write(prompt[:blockBytes])
+		ds = append(ds, h.Sum64())
+		prompt = prompt[blockBytes:]
 	}
+	return ds
 }
 
-func (e *Engine) whole(w http.ResponseWriter, r *http.Request, id string, a ask) {
-	text := ""
-	for n := range a.MaxTokens {
-		if !e.pause(r) {
-			return
-		}
-		text += Word(a.prompt(), n)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"id": id, "object": "chat.completion", "model": a.Model,
-		"choices": []any{map[string]any{
-			"index": 0, "finish_reason": "stop",
-			"message": map[string]any{"role": "assistant", "content": text},
-		}},
-		"usage": map[string]any{"completion_tokens": a.MaxTokens},
-	})
+// refuseNotRun answers that the request was not run and never will be.
+func refuseNotRun(w http.ResponseWriter, why string) {
+	w.Header().Set(target.HeaderNotRun, why)
+	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- /dev/null
+++ b/internal/dev/plain/plain.go
@@ -0,0 +1,218 @@
+// Package plain is a stand-in for a plain service, such as one that publishes
+// notices or books vans, for development and tests. It keeps a ledger of every
+// call that it ran, so that a test can count runs against what callers were
+// told.
+//
+// # Usage
+//
+//	svc := plain.New(plain.Config{ID: "uvs-publish-1", Service: "publish"})
+//	http.ListenAndServe(addr, svc)
+package plain
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/target"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// HeaderJob names a job in the ledger. It is the caller's, not the system's.
+const HeaderJob = "X-Job"
+
+// Config describes the service.
+type Config struct {
+	ID          ident.TargetID
+	Incarnation ident.Incarnation
+	Service     string
+	Slots       int
+	// Work is how long a call takes.
+	Work time.Duration
+}
+
+// Faults is what the service is told to do wrong.
+type Faults struct {
+	// DieAfterRun breaks the connection of every n-th call after it has run,
+	// before the answer; DieBeforeRun before it runs.
+	DieAfterRun  int `json:"dieAfterRun"`
+	DieBeforeRun int `json:"dieBeforeRun"`
+	// Refuse answers every call as not run.
+	Refuse bool `json:"refuse"`
+	// WorkMs replaces the time that a call takes.
+	WorkMs int64 `json:"workMs"`
+}
+
+// Ledger is what the service has run.
+type Ledger struct {
+	// Jobs counts the runs by job.
+	Jobs map[string]int `json:"jobs"`
+	// Calls counts all calls, run or not.
+	Calls  int   `json:"calls"`
+	Late   int   `json:"late"`
+	LateMs int64 `json:"lateMs"`
+}
+
+// Service is the stand-in.
+type Service struct {
+	cfg   Config
+	mux   *http.ServeMux
+	clock *clock.Service
+
+	mu      sync.Mutex
+	faults  Faults
+	running int
+	seq     uint64
+	leaving bool
+	since   time.Time
+	ledger  Ledger
+}
+
+// New returns a service.
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg, mux: http.NewServeMux(), clock: clock.New(), ledger: Ledger{Jobs: make(map[string]int)}}
+	s.mux.HandleFunc("GET /load", s.load)
+	s.mux.HandleFunc("PUT /dev/faults", s.putFaults)
+	s.mux.HandleFunc("GET /dev/ledger", s.getLedger)
+	s.mux.HandleFunc("POST /dev/leave", s.leave)
+	s.mux.HandleFunc("/", s.call)
+	return s
+}
+
+// Stop ends the service.
+func (s *Service) Stop() { s.clock.Stop() }
+
+// ServeHTTP serves one call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Leave makes the service refuse new calls and finish those that run.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.since = time.Now()
+}
+
+// Idle reports whether no call runs.
+func (s *Service) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running == 0
+}
+
+func (s *Service) leave(http.ResponseWriter, *http.Request) { s.Leave() }
+
+// Result is the answer to a call that ran.
+type Result struct {
+	Job  string `json:"job"`
+	Runs int    `json:"runs"`
+	Size int    `json:"size"`
+	By   string `json:"by"`
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	n, faults := s.enter()
+	defer s.exit()
+	if why := s.refusal(faults); why != "" {
+		w.Header().Set(target.HeaderNotRun, why)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if faults.DieBeforeRun > 0 && n%faults.DieBeforeRun == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	s.work(faults)
+	job := r.Header.Get(HeaderJob)
+	runs := s.run(job)
+	if faults.DieAfterRun > 0 && n%faults.DieAfterRun == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Result{Job: job, Runs: runs, Size: len(body), By: string(s.cfg.ID)})
+}
+
+func (s *Service) enter() (int, Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.ledger.Calls++
+	return s.ledger.Calls, s.faults
+}
+
+func (s *Service) exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Service) refusal(f Faults) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		s.ledger.Late++
+		s.ledger.LateMs = time.Since(s.since).Milliseconds()
+		return "leaving"
+	}
+	if f.Refuse {
+		return "true"
+	}
+	return ""
+}
+
+// work takes the time that a call takes. The caller's leaving does not end
+// it: a booking that has begun is made.
+func (s *Service) work(f Faults) {
+	d := s.cfg.Work
+	if f.WorkMs > 0 {
+		d = time.Duration(f.WorkMs) * time.Millisecond
+	}
+	if d <= 0 {
+		return
+	}
+	sub := s.clock.At(s.clock.Now().Add(d))
+	<-sub.C()
+}
+
+func (s *Service) run(job string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger.Jobs[job]++
+	return s.ledger.Jobs[job]
+}
+
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.seq++
+	ld := event.Load{
+		Target: s.cfg.ID, Incarnation: s.cfg.Incarnation, Seq: s.seq,
+		Slots: s.cfg.Slots, Running: s.running, Leaving: s.leaving,
+	}
+	s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(ld)
+}
+
+func (s *Service) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Service) getLedger(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.ledger)
+}
