--- /dev/null
+++ b/internal/admit/order.go
@@ -0,0 +1,175 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Pop takes out the request to serve next. Requests that can't be met are left
+// for Shed.
+func (q *Queue) Pop(now ident.Time) (Item, bool) {
+	home, other := q.kinds(now)
+	if home == 0 && other == 0 {
+		return Item{}, false
+	}
+	if home == 0 || other == 0 {
+		q.home, q.other = 0, 0
+	}
+	wantHome := other == 0 || (home > 0 && q.homeFirst())
+	best := q.best(now, wantHome)
+	e := q.entries[best]
+	e.account.given += e.Work
+	if home > 0 && other > 0 {
+		q.charge(e.Item)
+	}
+	q.remove(best)
+	return e.Item, true
+}
+
+// kinds counts the home-bound and the other requests that can be served.
+func (q *Queue) kinds(now ident.Time) (home, other int) {
+	for i := range q.entries {
+		switch e := &q.entries[i]; {
+		case q.late(now, e.Item):
+		case e.Home:
+			home++
+		default:
+			other++
+		}
+	}
+	return home, other
+}
+
+func (q *Queue) homeFirst() bool {
+	return float64(q.home)*(1-q.cfg.HomeShare) <= float64(q.other)*q.cfg.HomeShare
+}
+
+func (q *Queue) charge(it Item) {
+	if it.Home {
+		q.home += it.Work
+		return
+	}
+	q.other += it.Work
+}
+
+// best finds the index of the next request of one kind.
+func (q *Queue) best(now ident.Time, home bool) int {
+	ok := func(e *entry) bool { return e.Home == home && !q.late(now, e.Item) }
+	priority, least := q.front(ok)
+	q.level = max(q.level, least)
+	best := -1
+	for i := range q.entries {
+		e := &q.entries[i]
+		if !ok(e) || e.Priority != priority || e.account.given > least+q.cfg.Lead {
+			continue
+		}
+		if best < 0 || e.Deadline < q.entries[best].Deadline {
+			best = i
+		}
+	}
+	return best
+}
+
+// front finds the highest priority that waits, and the least work given to an
+// account that waits at that priority.
+func (q *Queue) front(ok func(e *entry) bool) (priority int, least time.Duration) {
+	found := false
+	for i := range q.entries {
+		e := &q.entries[i]
+		if !ok(e) {
+			continue
+		}
+		if !found || e.Priority > priority {
+			found, priority, least = true, e.Priority, e.account.given
+			continue
+		}
+		if e.Priority == priority {
+			least = min(least, e.account.given)
+		}
+	}
+	return priority, least
+}
+
+func (q *Queue) add(it Item) {
+	a, ok := q.accounts[it.Account]
+	if !ok {
+		a = &account{name: it.Account}
+		q.accounts[it.Account] = a
+	}
+	if a.waiting == 0 {
+		a.given = max(a.given, q.level)
+	}
+	a.waiting++
+	q.work += it.Work
+	q.entries = append(q.entries, entry{Item: it, account: a})
+}
+
+func (q *Queue) remove(i int) {
+	e := q.entries[i]
+	e.account.waiting--
+	q.work -= e.Work
+	q.entries = slices.Delete(q.entries, i, i+1)
+	if len(q.entries) == 0 {
+		// Nobody waits, so nobody is owed a turn.
+		clear(q.accounts)
+		q.level, q.home, q.other = 0, 0, 0
+		return
+	}
+	if len(q.accounts) > 2*q.cfg.Most {
+		q.forgetIdle()
+	}
+}
+
+// forgetIdle drops the counts of accounts of which nothing waits.
+func (q *Queue) forgetIdle() {
+	for name, a := range q.accounts {
+		if a.waiting == 0 {
+			delete(q.accounts, name)
+		}
+	}
+}
+
+func (q *Queue) index(id ident.RequestID) int {
+	return slices.IndexFunc(q.entries, func(e entry) bool { return e.ID == id })
+}
+
+// victim finds who gives up its place in a full queue to an account: the
+// request of lowest priority and latest deadline of the account that holds
+// most. An account that holds its even share or more gets no place.
+func (q *Queue) victim(by ident.Account) (int, bool) {
+	held, accounts, most := 0, 1, (*account)(nil)
+	for _, a := range q.accounts {
+		if a.name == by {
+			held = a.waiting
+			continue
+		}
+		if a.waiting == 0 {
+			continue
+		}
+		accounts++
+		if most == nil || a.waiting > most.waiting || (a.waiting == most.waiting && a.name < most.name) {
+			most = a
+		}
+	}
+	if held*accounts >= q.cfg.Most || most == nil || most.waiting <= held+1 {
+		return 0, false
+	}
+	return q.lastOf(most), true
+}
+
+func (q *Queue) lastOf(a *account) int {
+	last := -1
+	for i := range q.entries {
+		e := &q.entries[i]
+		if e.account != a {
+			continue
+		}
+		if last < 0 || e.Priority < q.entries[last].Priority ||
+			(e.Priority == q.entries[last].Priority && e.Deadline >= q.entries[last].Deadline) {
+			last = i
+		}
+	}
+	return last
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -1,7 +1,57 @@
-// Package once makes non-idempotent requests run at most once.
+// Package once makes non-idempotent requests run at most once, and says that
+// one was not run only when that is proved.
+//
+// # Usage
+//
+// A caller takes a ticket and sends it with its request, or sends an
+// idempotency key of its own:
+//
+//	ticket, valid, code := rg.IssueTicket(now, account, profile, secret)
+//	v := rg.Redeem(now, ticket, account, profile, req, print)
+//	v := rg.Key(now, key, print, req)
+//
+// The Verdict says how to go on. Claim asks the platform's store first, and
+// its answer goes to Claimed, which gives the next verdict. Each Run must be
+// followed by exactly one Ended, also when the caller has left, and each Claim
+// that is given up by an Ended with NotRun.
+//
+// A request that another entry host has passed on is judged by its attempt:
+//
+//	v := rg.Arrive(now, envelope)
+//	rg.PeerEnded(now, attempt, event.Ended) // or event.Refused
+//	answer := rg.Bar(now, attempt, to)
+//
+// # What is promised
+//
+// A ticket runs at most once, because only the incarnation that issued it may
+// run it, and that incarnation remembers. After a restart the memory is gone,
+// so the answer is "unknown": a restarted host that said "not run" would make
+// the caller send a second van.
+//
+// A key runs at most once, because one record in the platform's store names
+// the one incarnation that may run it, and that incarnation remembers.
+//
+// An attempt of a peer runs at most once, because its number is remembered, or
+// lies at or below a floor under which nothing new is accepted.
+//
+// # Bounds
+//
+// A record of a ticket or key lasts recordKept after its end, and its answer
+// answerKept. There are at most maxRecords records of some 500 bytes, so 32 MB;
+// an unused ticket lasts ticketValid, and an account has at most
+// maxAccountTickets of them. Where there is no room the record that is due
+// next goes early. Running requests are never dropped: when they fill the
+// memory, new ones are refused. Attempts of peers take at most maxAttempts
+// entries of 24 bytes over maxSenders senders, so 7 MB.
+//
+// Dropping a record never turns "ran" into "not run". For tickets a floor
+// holds the highest number that ran and was dropped; for keys a flag says that
+// any was; for attempts each sender has its floor. At or below the floor the
+// answer is "unknown".
 package once
 
 import (
+	"math"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -9,64 +59,182 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Do says what is to be done with a request.
+// Never is what Next returns when nothing is due.
+const Never ident.Time = math.MaxInt64
+
+// Retention and bounds of tickets and keys.
+const (
+	// ticketValid is how long an unused ticket may be redeemed.
+	ticketValid = 15 * time.Minute
+	// answerKept is how long an answer is kept for repeats.
+	answerKept = 10 * time.Minute
+	// recordKept is how long it is remembered that a ticket or key has ended.
+	recordKept = time.Hour
+
+	maxRecords        = 1 << 16
+	maxTickets        = 1 << 15
+	maxAccountTickets = 1 << 12
+
+	// comeBack is when a repeat may find more than it found now.
+	comeBack = time.Second
+)
+
+// bounds are the sizes that a registry keeps to.
+type bounds struct {
+	records, tickets, accountTickets  int
+	senders, attempts, senderAttempts int
+}
+
+// Do says how to go on with a request.
 type Do string
 
-// The ways to go on with a request.
+// The ways to go on.
 const (
-	Run    Do = "run"
-	Claim  Do = "claim"
+	// Run allows the request to be sent.
+	Run Do = "run"
+	// Claim asks the platform's store first, with the Record.
+	Claim Do = "claim"
+	// Replay answers with the kept answer of the request Of.
 	Replay Do = "replay"
-	Owner  Do = "owner"
+	// Owner leaves the request to the host Entry, which alone can know.
+	Owner Do = "owner"
+	// Refuse gives the final answer.
 	Refuse Do = "refuse"
 )
 
 // Verdict is the decision on one request.
 type Verdict struct {
-	Do          Do
-	Record      event.KeyRecord
-	Of          ident.RequestID
+	Do Do
+	// Record is what to claim the key with.
+	Record event.KeyRecord
+	// Of is the request whose answer is kept.
+	Of ident.RequestID
+	// Entry and Incarnation name the owner of the ticket or key.
 	Entry       ident.EntryID
 	Incarnation ident.Incarnation
-	Code        codes.ID
-	Outcome     event.Outcome
-	RetryAfter  time.Duration
+	// Code, Outcome and RetryAfter are the final answer of Refuse, and of
+	// Owner where the request isn't passed on.
+	Code       codes.ID
+	Outcome    event.Outcome
+	RetryAfter time.Duration
 }
 
-// Registry is the state.
-type Registry struct{}
-
-// New returns an empty registry.
-func New(_ ident.EntryID, _ ident.Incarnation) *Registry { return &Registry{} }
-
-func (rg *Registry) IssueTicket(now ident.Time, account ident.Account, profile ident.Profile, secret string) (string, time.Duration, codes.ID) {
-	return "", 0, codes.Overloaded.ID
+// Registry holds the tickets, keys and attempts of peers that one incarnation
+// of an entry host knows.
+type Registry struct {
+	self   ident.EntryID
+	inc    ident.Incarnation
+	now    ident.Time
+	bounds bounds
+
+	// issued is the number of the last ticket.
+	issued uint64
+	// ticketFloor is the highest number of a ticket that may have run and
+	// was dropped from memory.
+	ticketFloor uint64
+	// keyForgotten says that a key that may have run was dropped.
+	keyForgotten bool
+
+	tickets map[uint64]*record
+	keys    map[string]*record
+	// live finds a record by the request that claims or runs it.
+	live map[ident.RequestID]*record
+	// unused counts the tickets that may still be redeemed, by account.
+	unused      map[ident.Account]int
+	unusedTotal int
+	queue       dueQueue
+	seq         uint64
+	// forget lists answers that were dropped early, for the next Expire.
+	forget []ident.RequestID
+
+	senders     map[ident.EntryID]*sender
+	senderFloor ident.Incarnation
+	attempts    int
 }
 
-func OwnerOf(ticket string) (ident.EntryID, ident.Incarnation, bool) { return "", 0, false }
-
-func (rg *Registry) Redeem(now ident.Time, ticket string, account ident.Account, profile ident.Profile, req ident.RequestID, print string) Verdict {
-	return Verdict{Do: Refuse}
+// New returns an empty registry of one incarnation of an entry host.
+func New(self ident.EntryID, inc ident.Incarnation) *Registry {
+	return &Registry{
+		self: self, inc: inc,
+		bounds: bounds{
+			records: maxRecords, tickets: maxTickets, accountTickets: maxAccountTickets,
+			senders: maxSenders, attempts: maxAttempts, senderAttempts: maxSenderAttempts,
+		},
+		tickets: make(map[uint64]*record),
+		keys:    make(map[string]*record),
+		live:    make(map[ident.RequestID]*record),
+		unused:  make(map[ident.Account]int),
+		senders: make(map[ident.EntryID]*sender),
+	}
 }
 
-func (rg *Registry) Key(now ident.Time, key, print string, req ident.RequestID) Verdict {
-	return Verdict{Do: Refuse}
+// Ended takes the end of a request that was allowed to run, or of a claim that
+// was given up. NotRun must be proved: the ticket or key may be used again.
+// Done and Unknown are for good. A second end of one request changes nothing.
+func (rg *Registry) Ended(now ident.Time, req ident.RequestID, outcome event.Outcome, kept bool) {
+	rg.advance(now)
+	rec, ok := rg.live[req]
+	if !ok {
+		return
+	}
+	delete(rg.live, req)
+	if outcome == event.NotRun || rec.state == claiming {
+		rg.release(rec)
+		return
+	}
+	rec.state = ended
+	rec.outcome = outcome
+	rec.endedAt = rg.now
+	rec.kept = kept && outcome == event.Done
+	if rec.kept {
+		rg.setDue(rec, rg.now.Add(answerKept))
+		return
+	}
+	rg.setDue(rec, rg.now.Add(recordKept))
 }
 
-func (rg *Registry) Claimed(now ident.Time, req ident.RequestID, claim event.Claim, record event.KeyRecord) Verdict {
-	return Verdict{Do: Refuse}
+// Expire drops what has outlived its retention and returns the requests whose
+// kept answers are to be forgotten.
+func (rg *Registry) Expire(now ident.Time) []ident.RequestID {
+	rg.advance(now)
+	for len(rg.queue) > 0 && rg.queue[0].due <= rg.now {
+		rec := rg.queue[0]
+		if rec.state == ended && rec.kept {
+			rg.dropAnswer(rec)
+			rg.setDue(rec, rec.endedAt.Add(recordKept))
+			continue
+		}
+		rg.drop(rec)
+	}
+	forget := rg.forget
+	rg.forget = nil
+	return forget
 }
 
-func (rg *Registry) Ended(now ident.Time, req ident.RequestID, outcome event.Outcome, kept bool) {}
-
-func (rg *Registry) Expire(now ident.Time) []ident.RequestID { return nil }
-
-func (rg *Registry) Next() ident.Time { return 0 }
+// Next returns when Expire has work, or Never.
+func (rg *Registry) Next() ident.Time {
+	if len(rg.forget) > 0 {
+		return rg.now
+	}
+	if len(rg.queue) == 0 {
+		return Never
+	}
+	return rg.queue[0].due
+}
 
-func (rg *Registry) Arrive(now ident.Time, env event.Envelope) Verdict { return Verdict{Do: Refuse} }
+// advance keeps time from going back: a record that is given a time in the
+// past would be dropped before its retention.
+func (rg *Registry) advance(now ident.Time) { rg.now = max(rg.now, now) }
 
-func (rg *Registry) PeerEnded(now ident.Time, a ident.Attempt, answer event.Answer) {}
+func refuse(c codes.Code, outcome event.Outcome) Verdict {
+	v := Verdict{Do: Refuse, Code: c.ID, Outcome: outcome}
+	if c.Wait {
+		v.RetryAfter = comeBack
+	}
+	return v
+}
 
-func (rg *Registry) Bar(now ident.Time, a ident.Attempt, to ident.Incarnation) event.Answer {
-	return event.Forgotten
+func owner(entry ident.EntryID, inc ident.Incarnation) Verdict {
+	// The outcome is unknown and not "not run": the owner may have run it.
+	return Verdict{Do: Owner, Entry: entry, Incarnation: inc, Code: codes.ForeignTicket.ID, Outcome: event.Unknown}
 }
--- /dev/null
+++ b/internal/once/peer.go
@@ -0,0 +1,182 @@
+package once
+
+import (
+	"cmp"
+	"slices"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Bounds of the attempts of peers.
+const (
+	// maxSenderAttempts is the history of one sender. A sender asks "run or
+	// bar" within seconds, while the history spans its last thousand attempts
+	// at this host.
+	maxSenderAttempts = 1 << 10
+	maxSenders        = 1 << 12
+	maxAttempts       = 1 << 18
+)
+
+// sender is what is known of the attempts of one entry host. Only its newest
+// incarnation counts: an earlier one has ended and can't ask any more.
+type sender struct {
+	inc ident.Incarnation
+	// floor is the highest number that was dropped. At or below it nothing
+	// new is accepted, since it may have run, and what isn't in seen is
+	// Forgotten, never Barred.
+	floor uint64
+	// seen is sorted by number.
+	seen []seen
+	last ident.Time
+}
+
+type seen struct {
+	number uint64
+	answer event.Answer
+}
+
+func (s *sender) find(n uint64) (int, bool) {
+	return slices.BinarySearchFunc(s.seen, n, func(a seen, n uint64) int { return cmp.Compare(a.number, n) })
+}
+
+// Arrive judges an attempt that a peer has passed on. Not run is said where
+// this host proves it: the attempt is barred, was refused, or is meant for
+// another incarnation, given that a sender writes an attempt to one
+// connection once. A copy of one that runs or ran is refused as unknown: to
+// say "not run" of the copy would be said of the attempt.
+func (rg *Registry) Arrive(now ident.Time, env event.Envelope) Verdict {
+	rg.advance(now)
+	if env.To != rg.inc {
+		return refuse(codes.NoTarget, event.NotRun)
+	}
+	a := env.Attempt
+	s := rg.sender(a)
+	if s == nil || a.Number <= s.floor {
+		return refuse(codes.OutcomeUnknown, event.Unknown)
+	}
+	i, ok := s.find(a.Number)
+	if !ok {
+		rg.remember(s, i, seen{number: a.Number, answer: event.Running})
+		return Verdict{Do: Run}
+	}
+	switch s.seen[i].answer {
+	case event.Barred, event.Refused:
+		return refuse(codes.NoTarget, event.NotRun)
+	case event.Running:
+		return refuse(codes.InProgress, event.Unknown)
+	}
+	return refuse(codes.OutcomeUnknown, event.Unknown)
+}
+
+// PeerEnded takes the end of an attempt that Arrive allowed to run: Refused
+// where it is proved not to have run, Ended otherwise.
+func (rg *Registry) PeerEnded(now ident.Time, a ident.Attempt, answer event.Answer) {
+	rg.advance(now)
+	s, ok := rg.senders[a.Entry]
+	if !ok || s.inc != a.Incarnation || (answer != event.Ended && answer != event.Refused) {
+		return
+	}
+	if i, ok := s.find(a.Number); ok && s.seen[i].answer == event.Running {
+		s.seen[i].answer = answer
+	}
+}
+
+// Bar answers a peer's "run or bar" about an attempt meant for an incarnation
+// of this host. Barred is said only of an attempt that has not arrived and
+// from now on never will be accepted.
+func (rg *Registry) Bar(now ident.Time, a ident.Attempt, to ident.Incarnation) event.Answer {
+	rg.advance(now)
+	if to != rg.inc {
+		return event.Forgotten
+	}
+	s := rg.sender(a)
+	if s == nil {
+		return event.Forgotten
+	}
+	i, ok := s.find(a.Number)
+	if ok {
+		return s.seen[i].answer
+	}
+	if a.Number <= s.floor {
+		return event.Forgotten
+	}
+	rg.remember(s, i, seen{number: a.Number, answer: event.Barred})
+	return event.Barred
+}
+
+// sender returns the state of the incarnation that made an attempt, or nil if
+// it is not the newest or may have been dropped.
+func (rg *Registry) sender(a ident.Attempt) *sender {
+	s, ok := rg.senders[a.Entry]
+	if ok && a.Incarnation < s.inc {
+		return nil
+	}
+	if ok && a.Incarnation == s.inc {
+		s.last = rg.now
+		return s
+	}
+	if !ok && a.Incarnation <= rg.senderFloor {
+		return nil
+	}
+	if ok {
+		rg.attempts -= len(s.seen)
+	} else if len(rg.senders) >= rg.bounds.senders {
+		rg.dropSender()
+	}
+	s = &sender{inc: a.Incarnation, last: rg.now}
+	rg.senders[a.Entry] = s
+	return s
+}
+
+// remember stores an attempt, and drops the lowest numbers where there is no
+// room. The floor rises with each drop.
+func (rg *Registry) remember(s *sender, i int, a seen) {
+	s.seen = slices.Insert(s.seen, i, a)
+	rg.attempts++
+	if len(s.seen) > rg.bounds.senderAttempts {
+		s.floor = s.seen[0].number
+		s.seen = slices.Delete(s.seen, 0, 1)
+		rg.attempts--
+	}
+	if rg.attempts > rg.bounds.attempts {
+		rg.dropHistory(s)
+	}
+}
+
+// dropHistory empties the history of the sender that was silent longest.
+func (rg *Registry) dropHistory(but *sender) {
+	_, s := rg.idlest(func(s *sender) bool { return s != but && len(s.seen) > 0 })
+	if s == nil {
+		return
+	}
+	s.floor = s.seen[len(s.seen)-1].number
+	rg.attempts -= len(s.seen)
+	s.seen = nil
+}
+
+// dropSender forgets the sender that was silent longest. What is not known and
+// no newer than a dropped one is treated as forgotten.
+func (rg *Registry) dropSender() {
+	id, s := rg.idlest(func(*sender) bool { return true })
+	rg.senderFloor = max(rg.senderFloor, s.inc)
+	rg.attempts -= len(s.seen)
+	delete(rg.senders, id)
+}
+
+// idlest finds the sender that was silent longest, the least id among equals,
+// so that no map order shows.
+func (rg *Registry) idlest(counts func(*sender) bool) (ident.EntryID, *sender) {
+	var id ident.EntryID
+	var s *sender
+	for oid, o := range rg.senders {
+		if !counts(o) {
+			continue
+		}
+		if s == nil || o.last < s.last || (o.last == s.last && oid < id) {
+			id, s = oid, o
+		}
+	}
+	return id, s
+}
--- /dev/null
+++ b/internal/once/ticket.go
@@ -0,0 +1,129 @@
+package once
+
+import (
+	"crypto/subtle"
+	"strconv"
+	"strings"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// ticketText is what the text of a ticket says. The number finds the record,
+// the secret proves that the ticket was issued and not guessed.
+type ticketText struct {
+	entry  ident.EntryID
+	inc    ident.Incarnation
+	number uint64
+	secret string
+}
+
+// ticketParts is the number of parts in the text of a ticket.
+const ticketParts = 4
+
+func (t ticketText) String() string {
+	return strings.Join([]string{
+		string(t.entry), strconv.FormatUint(uint64(t.inc), 10), strconv.FormatUint(t.number, 10), t.secret,
+	}, "/")
+}
+
+func parseTicket(s string) (ticketText, bool) {
+	parts := strings.Split(s, "/")
+	if len(parts) != ticketParts || parts[0] == "" || parts[3] == "" {
+		return ticketText{}, false
+	}
+	inc, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return ticketText{}, false
+	}
+	n, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil || n == 0 {
+		return ticketText{}, false
+	}
+	return ticketText{entry: ident.EntryID(parts[0]), inc: ident.Incarnation(inc), number: n, secret: parts[3]}, true
+}
+
+// OwnerOf tells which incarnation of which entry host a ticket names. Any host
+// can read it; only the owner can tell whether it is genuine.
+func OwnerOf(ticket string) (ident.EntryID, ident.Incarnation, bool) {
+	t, ok := parseTicket(ticket)
+	return t.entry, t.inc, ok
+}
+
+// IssueTicket gives a ticket for one request of an account with a profile. The
+// secret comes from outside, since the registry has no randomness. A code
+// tells that none is given.
+func (rg *Registry) IssueTicket(
+	now ident.Time, account ident.Account, profile ident.Profile, secret string,
+) (string, time.Duration, codes.ID) {
+	rg.advance(now)
+	if secret == "" || strings.Contains(secret, "/") {
+		return "", 0, codes.BadRequest.ID
+	}
+	if rg.unused[account] >= rg.bounds.accountTickets {
+		return "", 0, codes.AccountLimit.ID
+	}
+	if rg.unusedTotal >= rg.bounds.tickets || !rg.room() {
+		return "", 0, codes.Overloaded.ID
+	}
+	rg.issued++
+	rec := &record{
+		ticket: rg.issued, secret: secret, account: account, profile: profile,
+		expires: rg.now.Add(ticketValid),
+	}
+	rg.tickets[rec.ticket] = rec
+	rg.countUnused(account, 1)
+	rg.add(rec, rec.expires)
+	return ticketText{entry: rg.self, inc: rg.inc, number: rec.ticket, secret: secret}.String(), ticketValid, ""
+}
+
+// Redeem judges a request that came with a ticket.
+func (rg *Registry) Redeem(
+	now ident.Time, ticket string, account ident.Account, profile ident.Profile, req ident.RequestID, fprint string,
+) Verdict {
+	rg.advance(now)
+	t, ok := parseTicket(ticket)
+	if !ok {
+		return refuse(codes.BadTicket, event.NotRun)
+	}
+	if t.entry != rg.self || t.inc > rg.inc {
+		return owner(t.entry, t.inc)
+	}
+	if t.inc < rg.inc {
+		return refuse(codes.OutcomeUnknown, event.Unknown)
+	}
+	rec, ok := rg.tickets[t.number]
+	if !ok {
+		return rg.unknownTicket(t)
+	}
+	if subtle.ConstantTimeCompare([]byte(rec.secret), []byte(t.secret)) == 0 ||
+		rec.account != account || rec.profile != profile {
+		return refuse(codes.BadTicket, event.NotRun)
+	}
+	return rg.redeem(rec, req, fprint)
+}
+
+func (rg *Registry) redeem(rec *record, req ident.RequestID, fprint string) Verdict {
+	if rec.state != idle {
+		return repeat(rec, fprint)
+	}
+	if rg.now >= rec.expires {
+		return refuse(codes.BadTicket, event.NotRun)
+	}
+	if _, ok := rg.live[req]; ok {
+		return refuse(codes.InProgress, event.Unknown)
+	}
+	rec.print = fprint
+	return rg.start(rec, req)
+}
+
+// unknownTicket answers for a ticket that is not in memory. Above the floor it
+// can't have run: what ran and was dropped has raised the floor.
+func (rg *Registry) unknownTicket(t ticketText) Verdict {
+	if t.number <= rg.ticketFloor {
+		return refuse(codes.OutcomeUnknown, event.Unknown)
+	}
+	return refuse(codes.BadTicket, event.NotRun)
+}
--- /dev/null
+++ b/internal/quota/report.go
@@ -0,0 +1,163 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+const (
+	// maxReport bounds the accounts in a summary. At 30 bytes each and 44
+	// other data centres, a summary each 10 s costs a speaker 2 KB a second.
+	maxReport = 16
+	// staleReports is how many reports of a data centre what it said of an
+	// account outlives. It exceeds the rounds in which every account has its
+	// turn, and counts reports rather than time so that it stands while the
+	// data centre is cut off.
+	staleReports = 256
+	// zeroReports is how often it is said that an account became inactive.
+	zeroReports = 3
+	// tokensPerRequest weighs a change in tokens against one in requests.
+	tokensPerRequest = 500
+	// smallChange is the share of the demand that counts as no change.
+	smallChange = 0.1
+)
+
+// PeerDemand takes the demand of a host of the own data centre, which replaces
+// what it said before.
+func (l *Ledger) PeerDemand(now ident.Time, from ident.EntryID, uses []event.AccountUse) {
+	l.advance(now)
+	if from == l.self {
+		return
+	}
+	l.Drop(from)
+	names := make([]ident.Account, 0, min(len(uses), maxAccounts))
+	for _, u := range uses[:min(len(uses), maxAccounts)] {
+		r := ratesOf(u)
+		if !r.active() {
+			continue
+		}
+		a := l.account(u.Account)
+		a.last = l.now
+		a.peers = with(a.peers, place[ident.EntryID]{id: from, rate: r})
+		names = append(names, u.Account)
+	}
+	l.peers[from] = names
+}
+
+// Drop forgets the demand of a host of the own data centre that has gone.
+func (l *Ledger) Drop(entry ident.EntryID) {
+	for _, name := range l.peers[entry] {
+		if a, ok := l.accounts[name]; ok {
+			a.peers = without(a.peers, entry)
+		}
+	}
+	delete(l.peers, entry)
+}
+
+// CentreReport takes the demand of another data centre. An account that it
+// doesn't name keeps what was said of it before.
+func (l *Ledger) CentreReport(now ident.Time, dc ident.DataCentre, uses []event.AccountUse) {
+	l.advance(now)
+	c, ok := l.centres[dc]
+	if dc == l.dc || (!ok && len(l.centres) >= maxCentres) {
+		return
+	}
+	if !ok {
+		c = &centre{}
+		l.centres[dc] = c
+	}
+	c.heard = l.now
+	c.reports++
+	for _, u := range uses[:min(len(uses), maxAccounts)] {
+		l.centreUse(dc, c, u)
+	}
+}
+
+func (l *Ledger) centreUse(dc ident.DataCentre, c *centre, u event.AccountUse) {
+	r := ratesOf(u)
+	if !r.active() {
+		if a, ok := l.accounts[u.Account]; ok {
+			a.centres = without(a.centres, dc)
+		}
+		return
+	}
+	a := l.account(u.Account)
+	a.last = l.now
+	a.centres = with(a.centres, place[ident.DataCentre]{id: dc, rate: r, report: c.reports})
+}
+
+// holds reports whether what a data centre said still counts.
+func (l *Ledger) holds(p place[ident.DataCentre]) bool {
+	c, ok := l.centres[p.id]
+	return ok && c.reports-p.report <= staleReports
+}
+
+// centreDemand is an account that may go into a summary.
+type centreDemand struct {
+	*account
+	rate rates
+	// change is how far the demand has moved since it was last sent, zero if
+	// that is little.
+	change float64
+}
+
+// CentreDemand returns the demand of the own data centre for a summary. It
+// takes note of what it returns: call it once a round and send the same to
+// all. One that is lost is made good by the turns that every account has.
+func (l *Ledger) CentreDemand(now ident.Time) []event.AccountUse {
+	l.advance(now)
+	l.sweep()
+	l.round++
+	var all []centreDemand
+	for _, name := range l.names() {
+		d := l.centreDemand(l.accounts[name])
+		if d.rate.active() || d.zeros > 0 {
+			all = append(all, d)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b centreDemand) int {
+		return cmp.Or(cmp.Compare(b.change, a.change), cmp.Compare(a.sentRound, b.sentRound))
+	})
+	var uses []event.AccountUse
+	for _, d := range all[:min(len(all), maxReport)] {
+		uses = append(uses, d.rate.use(d.name))
+		d.sent = d.rate
+		d.sentRound = l.round
+		d.zeros = max(d.zeros-1, 0)
+	}
+	slices.SortFunc(uses, func(a, b event.AccountUse) int { return cmp.Compare(a.Account, b.Account) })
+	return uses
+}
+
+func (l *Ledger) centreDemand(a *account) centreDemand {
+	for _, p := range a.centres {
+		if !l.holds(p) {
+			a.centres = without(slices.Clone(a.centres), p.id)
+		}
+	}
+	rate := a.own.at(l.now)
+	for _, p := range a.peers {
+		rate = rate.plus(p.rate)
+	}
+	switch {
+	case rate.active():
+		a.zeros = 0
+	case a.sent.active():
+		rate, a.zeros = rates{}, zeroReports
+	default:
+		rate = rates{}
+	}
+	d := centreDemand{account: a, rate: rate, change: distance(rate, a.sent)}
+	if d.change <= smallChange*distance(a.sent, rates{}) {
+		d.change = 0
+	}
+	return d
+}
+
+func distance(a, b rates) float64 {
+	return math.Abs(float64(a.requests-b.requests)) + math.Abs(float64(a.tokens-b.tokens))/tokensPerRequest
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -1,7 +1,28 @@
-// Package retry bounds how often requests are tried again.
+// Package retry bounds how often requests are tried again, so that the failure
+// of a region does not multiply the load on the others.
+//
+// # Usage
+//
+//	var b retry.Budget
+//	b.Arrived(now) // for each request of a caller
+//	if tries < retry.MaxTries && b.Spend(now) {
+//		// try again after retry.Backoff(tries, id)
+//	}
+//
+// Without a budget, each request that fails at a region that is gone is sent
+// MaxTries times, and the other regions see up to three times their load just
+// when capacity is short. With it, the sends of a window are at most its
+// arrivals times 1+Share, plus Floor. A retry that is refused is the final
+// answer at once.
+//
+// # Bounds
+//
+// A Budget is one fixed array of counts, with no memory for each request.
 package retry
 
 import (
+	"encoding/binary"
+	"hash/fnv"
 	"time"
 
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -10,12 +31,101 @@
 // MaxTries bounds the tries of one request, the first included.
 const MaxTries = 3
 
-// Budget is the state. The zero Budget has the default share and floor.
-type Budget struct{}
+const (
+	// defaultShare is high enough for the failure of single targets, and low
+	// enough that a region that is gone adds a tenth to the load.
+	defaultShare = 0.1
+	// defaultFloor lets a host that sees few requests retry at all.
+	defaultFloor = 3
 
-func (b *Budget) Arrived(now ident.Time) {}
+	slotTime = time.Second
+	slots    = 10
 
-func (b *Budget) Spend(now ident.Time) bool { return false }
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = time.Second
+)
+
+// Window is the time that a Budget looks back on.
+const Window = slots * slotTime
+
+// Budget counts arrivals and retries of the last Window. The zero Budget has
+// the default share and floor.
+type Budget struct {
+	// Share is the most retries for each arrival. Zero stands for the
+	// default, a negative share for none.
+	Share float64
+	// Floor is the number of retries in a Window that need no arrivals. Zero
+	// stands for the default, a negative floor for none.
+	Floor int
+
+	slot    int64
+	arrived [slots]int
+	spent   [slots]int
+}
+
+// Arrived takes note of a request of a caller; retries don't count.
+func (b *Budget) Arrived(now ident.Time) {
+	b.advance(now)
+	b.arrived[b.slot%slots]++
+}
+
+// Spend reports whether a request may be tried again, and takes note of it.
+func (b *Budget) Spend(now ident.Time) bool {
+	b.advance(now)
+	if float64(sum(b.spent)+1) > b.allowed() {
+		return false
+	}
+	b.spent[b.slot%slots]++
+	return true
+}
+
+func (b *Budget) allowed() float64 {
+	share, floor := b.Share, b.Floor
+	if share == 0 {
+		share = defaultShare
+	}
+	if floor == 0 {
+		floor = defaultFloor
+	}
+	return max(share, 0)*float64(sum(b.arrived)) + float64(max(floor, 0))
+}
+
+// advance empties the slots that time has passed over.
+func (b *Budget) advance(now ident.Time) {
+	to := int64(now) / int64(slotTime)
+	for n := 0; b.slot < to && n < slots; n++ {
+		b.slot++
+		b.arrived[b.slot%slots] = 0
+		b.spent[b.slot%slots] = 0
+	}
+	if b.slot >= to {
+		return
+	}
+	// More than a window has passed, and every slot is empty.
+	b.slot = to
+}
+
+func sum(counts [slots]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
 
-// Backoff returns the pause before the n-th try, counted from 1, of a request.
-func Backoff(n int, id ident.RequestID) time.Duration { return 0 }
+// Backoff returns the pause after the n-th try of a request, counted from 1.
+// It doubles up to a second. A digest of the request's id spreads it over its
+// upper half, so that requests that failed together don't return together; it
+// needs no random number and is the same on every run.
+func Backoff(n int, id ident.RequestID) time.Duration {
+	pause := firstBackoff
+	for i := 1; i < n && pause < maxBackoff; i++ {
+		pause *= 2
+	}
+	pause = min(pause, maxBackoff)
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(n)))
+	half := pause / 2
+	return half + time.Duration(h.Sum64()%uint64(half))
+}
