--- a/internal/once/key_test.go
+++ b/internal/once/key_test.go
@@ -7,6 +7,7 @@
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
 )
 
 // The store takes the record but its reply is lost, and the read back fails as
@@ -15,6 +16,7 @@
 // not make it with its key at all if that record counted as a run.
 func TestLateWriteDoesNoHarm(t *testing.T) {
 	rg := New("a", 5)
+	rg.keyForgotten = true // as at any host that has run for an hour
 	first := rg.Key(0, "k", "p", "r1")
 	got := []Verdict{
 		rg.Claimed(0, "r1", event.ClaimFailed, event.KeyRecord{}),
@@ -51,3 +53,35 @@
 		}
 	}
 }
+
+// Tickets are guessed, come to another host or account, or come too late. A
+// user whose ticket can be used by another finds its booking taken.
+func TestRedeemRefused(t *testing.T) {
+	const text = "a/5/1/s3cret"
+	late := ident.Time(0).Add(ticketValid)
+	for name, tc := range map[string]struct {
+		now     ident.Time
+		ticket  string
+		account ident.Account
+		profile ident.Profile
+		want    Verdict
+	}{
+		"no ticket":     {0, "nonsense", "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+		"never issued":  {0, "a/5/2/s3cret", "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+		"wrong secret":  {0, "a/5/1/guessed", "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+		"other account": {0, text, "other", "book", refuse(codes.BadTicket, event.NotRun)},
+		"other profile": {0, text, "acme", "other", refuse(codes.BadTicket, event.NotRun)},
+		"other host":    {0, "b/3/1/s3cret", "acme", "book", owner("b", 3)},
+		"later run":     {0, "a/6/1/s3cret", "acme", "book", owner("a", 6)},
+		"earlier run":   {0, "a/4/1/s3cret", "acme", "book", refuse(codes.OutcomeUnknown, event.Unknown)},
+		"expired":       {late, text, "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+	} {
+		rg := New("a", 5)
+		if got, _, _ := rg.IssueTicket(0, "acme", "book", "s3cret"); got != text {
+			t.Fatalf("issued %s, want %s", got, text)
+		}
+		if diff := cmp.Diff(tc.want, rg.Redeem(tc.now, tc.ticket, tc.account, tc.profile, "r1", "p")); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
