reckon the latest start of a waiting request once

Cause: Push, Shed and Pop each worked it out anew for every request that waits, from a copy of the item.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -89,6 +89,8 @@
 type entry struct {
 	Item
 	account *account
+	// latest is the last moment at which it can start and be met.
+	latest ident.Time
 }
 
 // account is what the queue knows of one client account.
@@ -140,7 +142,7 @@
 // not, retryAfter tells when to come back. shed lists those that lost their
 // place to it.
 func (q *Queue) Push(now ident.Time, it Item, wait time.Duration) (ok bool, shed []ident.RequestID, retryAfter time.Duration) {
-	if late := now.Add(wait + q.need(it)).Sub(it.Deadline); late > 0 {
+	if late := now.Add(wait).Sub(q.latest(it)); late > 0 {
 		return false, nil, max(minRetryAfter, late)
 	}
 	if q.index(it.ID) >= 0 {
@@ -173,13 +175,14 @@
 // free after wait, in the order of their arrival.
 func (q *Queue) Shed(now ident.Time, wait time.Duration) []ident.RequestID {
 	var ids []ident.RequestID
+	start := now.Add(max(wait, 0))
 	for i := 0; i < len(q.entries); {
-		it := q.entries[i].Item
-		if !q.late(now.Add(max(wait, 0)), it) {
+		e := &q.entries[i]
+		if start <= e.latest {
 			i++
 			continue
 		}
-		ids = append(ids, it.ID)
+		ids = append(ids, e.ID)
 		q.remove(i)
 	}
 	return ids
@@ -189,8 +192,7 @@
 func (q *Queue) Next() ident.Time {
 	next := Never
 	for i := range q.entries {
-		it := &q.entries[i].Item
-		next = min(next, it.Deadline.Add(-q.need(*it))+1)
+		next = min(next, q.entries[i].latest+1)
 	}
 	return next
 }
@@ -200,11 +202,7 @@
 	return max(minRetryAfter, wait)
 }
 
-// need is the time that an item is reckoned to take.
-func (q *Queue) need(it Item) time.Duration {
-	return it.Work + time.Duration(max(q.cfg.Margin, 0)*float64(it.Work))
-}
-
-func (q *Queue) late(start ident.Time, it Item) bool {
-	return start.Add(q.need(it)) > it.Deadline
+// latest returns the last moment at which an item can start and be met.
+func (q *Queue) latest(it Item) ident.Time {
+	return it.Deadline.Add(-it.Work - time.Duration(max(q.cfg.Margin, 0)*float64(it.Work)))
 }
--- a/internal/admit/order.go
+++ b/internal/admit/order.go
@@ -32,7 +32,7 @@
 func (q *Queue) kinds(now ident.Time) (home, other int) {
 	for i := range q.entries {
 		switch e := &q.entries[i]; {
-		case q.late(now, e.Item):
+		case now > e.latest:
 		case e.Home:
 			home++
 		default:
@@ -56,7 +56,7 @@
 
 // best finds the index of the next request of one kind.
 func (q *Queue) best(now ident.Time, home bool) int {
-	ok := func(e *entry) bool { return e.Home == home && !q.late(now, e.Item) }
+	ok := func(e *entry) bool { return e.Home == home && now <= e.latest }
 	priority, least := q.front(ok)
 	q.level = max(q.level, least)
 	best := -1
@@ -103,7 +103,7 @@
 	}
 	a.waiting++
 	q.work += it.Work
-	q.entries = append(q.entries, entry{Item: it, account: a})
+	q.entries = append(q.entries, entry{Item: it, account: a, latest: q.latest(it)})
 }
 
 func (q *Queue) remove(i int) {
@@ -132,7 +132,12 @@
 }
 
 func (q *Queue) index(id ident.RequestID) int {
-	return slices.IndexFunc(q.entries, func(e entry) bool { return e.ID == id })
+	for i := range q.entries {
+		if q.entries[i].ID == id {
+			return i
+		}
+	}
+	return -1
 }
 
 // victim finds who gives up its place in a full queue to an account: the
