measure the memory of once, and let its naive memory know what was dropped

The naive memory said "unknown" of a ticket whose run had ended as not run after its expiry, and the registry said "not run", which is true as long as it holds the record.

Figures: 479 bytes a record and 27 an attempt; the package comment said 500 and 24 from a reckoning.

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -37,12 +37,12 @@
 // # Bounds
 //
 // A record of a ticket or key lasts recordKept after its end, and its answer
-// answerKept. There are at most maxRecords records of some 500 bytes, so 32 MB;
+// answerKept. There are at most maxRecords records of some 480 bytes, so 31 MB;
 // an unused ticket lasts ticketValid, and an account has at most
 // maxAccountTickets of them. Where there is no room the record that is due
 // next goes early. Running requests are never dropped: when they fill the
 // memory, new ones are refused. Attempts of peers take at most maxAttempts
-// entries of 24 bytes over maxSenders senders, so 7 MB.
+// entries of 27 bytes over maxSenders senders, so 7 MB.
 //
 // Dropping a record never turns "ran" into "not run". For tickets a floor
 // holds the highest number that ran and was dropped; for keys a flag says that
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -29,6 +29,8 @@
 	ticket  string
 	key     string
 	expires ident.Time
+	// lapsed says that Expire has run since the ticket expired unused.
+	lapsed  bool
 	host    int
 	inc     ident.Incarnation
 	print   string
@@ -121,7 +123,7 @@
 	switch {
 	case w.hosts[w.owner(j)].inc != j.inc:
 		return refuse(codes.OutcomeUnknown, event.Unknown)
-	case j.active == "" && !j.ran && w.now >= j.expires && w.overtaken(j):
+	case j.active == "" && !j.ran && j.lapsed && w.overtaken(j):
 		return refuse(codes.OutcomeUnknown, event.Unknown)
 	case j.active == "" && !j.ran && w.now >= j.expires:
 		return refuse(codes.BadTicket, event.NotRun)
@@ -239,6 +241,9 @@
 func (w *world) pass(t *rapid.T) {
 	by := rapid.SampledFrom([]time.Duration{time.Second, time.Minute, answerKept, ticketValid, 2 * recordKept})
 	w.now = w.now.Add(by.Draw(t, "by"))
+	for _, j := range w.jobs {
+		j.lapsed = j.active == "" && !j.ran && w.now >= j.expires
+	}
 	for _, rg := range w.hosts {
 		for _, req := range rg.Expire(w.now) {
 			for _, j := range w.jobs {
