give members and routing the signatures that the reducer builds on

The thin versions know no peers, other data centres or caches. The methods that the reducer needs stand with empty bodies, so that both can be written at once.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -68,6 +68,7 @@
 	id     ident.Attempt
 	req    *request
 	target ident.TargetID
+	inc    ident.Incarnation
 	sent   bool
 }
 
@@ -127,7 +128,7 @@
 
 // tick does what is due by time.
 func (rd *Reducer) tick(now ident.Time) {
-	rd.out = append(rd.out, rd.table.Tick(now)...)
+	rd.out = append(rd.out, rd.table.Tick(now, member.Own{Revision: rd.revision()})...)
 	if !rd.watching {
 		rd.watching = true
 		rd.emit(event.WatchChange{After: rd.revision()})
@@ -135,7 +136,7 @@
 	if rd.draining && len(rd.requests) == 0 {
 		rd.emit(event.Drained{})
 	}
-	if at := rd.table.Next(); at != rd.wakeAt {
+	if at := rd.table.Next(now); at != rd.wakeAt {
 		rd.wakeAt = at
 		rd.emit(event.Wake{At: at})
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -62,12 +62,12 @@
 	self := rd.table.Self()
 	a := &attempt{
 		id:  ident.Attempt{Entry: self.ID, Incarnation: self.Incarnation, Number: rd.number},
-		req: r, target: dec.Target.ID,
+		req: r, target: dec.Target.ID, inc: dec.Target.Incarnation,
 	}
 	rd.attempts[a.id] = a
 	r.live = a
 	r.tries++
-	rd.table.Sent(a.target, r.Prompt)
+	rd.table.Sent(a.target, r.Prompt, r.MaxTokens)
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
 		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered, Once: r.profile.Once,
@@ -85,11 +85,11 @@
 	if !ok {
 		return
 	}
-	rd.forget(a)
+	rd.forget(a, e.Result != event.ResultBroken && e.Result != event.ResultFailed)
 	r := a.req
 	r.delivered = max(r.delivered, e.Delivered)
 	if e.Leaving {
-		rd.table.MarkLeaving(a.target)
+		rd.table.MarkLeaving(now, a.target, a.inc)
 	}
 	switch e.Result {
 	case event.ResultDone:
@@ -128,9 +128,9 @@
 	rd.place(now, r)
 }
 
-func (rd *Reducer) forget(a *attempt) {
+func (rd *Reducer) forget(a *attempt, ok bool) {
 	delete(rd.attempts, a.id)
-	rd.table.Ended(a.target, a.req.Prompt)
+	rd.table.Ended(a.target, a.req.Prompt, a.req.MaxTokens, ok)
 	a.req.live = nil
 }
 
@@ -145,7 +145,7 @@
 		return
 	}
 	if r.live != nil {
-		rd.forget(r.live)
+		rd.forget(r.live, true)
 	}
 	delete(rd.requests, id)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -128,14 +128,14 @@
 }
 
 // MarkLeaving takes the word that a target leaves.
-func (tb *Table) MarkLeaving(id ident.TargetID) {
+func (tb *Table) MarkLeaving(_ ident.Time, id ident.TargetID, _ ident.Incarnation) {
 	if t, ok := tb.byID[id]; ok {
 		t.Leaves = true
 	}
 }
 
 // Sent takes note of a request sent to a target.
-func (tb *Table) Sent(id ident.TargetID, tokens ident.Tokens) {
+func (tb *Table) Sent(id ident.TargetID, tokens, _ ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
 		t.Sent++
 		t.SentTokens += tokens
@@ -143,7 +143,7 @@
 }
 
 // Ended takes note of the end of a request at a target.
-func (tb *Table) Ended(id ident.TargetID, tokens ident.Tokens) {
+func (tb *Table) Ended(id ident.TargetID, tokens, _ ident.Tokens, _ bool) {
 	if t, ok := tb.byID[id]; ok {
 		t.Sent--
 		t.SentTokens -= tokens
@@ -155,7 +155,7 @@
 const Period = time.Second
 
 // Tick returns what is to be sent and read now.
-func (tb *Table) Tick(now ident.Time) []event.Effect {
+func (tb *Table) Tick(now ident.Time, _ Own) []event.Effect {
 	if now < tb.next {
 		return nil
 	}
@@ -168,4 +168,4 @@
 }
 
 // Next returns when Tick is due.
-func (tb *Table) Next() ident.Time { return tb.next }
+func (tb *Table) Next(_ ident.Time) ident.Time { return tb.next }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -12,6 +12,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
@@ -28,17 +29,54 @@
 	Client  rules.Client
 	// Tried holds the targets that failed for this request.
 	Tried value.Set[ident.TargetID]
+	// TriedCentres holds the data centres that refused or failed it.
+	TriedCentres value.Set[ident.DataCentre]
+	// Crossings counts the passages between regions so far.
+	Crossings ident.Hops
+	// Forwarded says that the request came from another entry host.
+	Forwarded bool
+	// Resume is the number of tokens that have reached the caller.
+	Resume ident.Tokens
 }
 
 // Decision is a choice. With no target, Code tells why.
 type Decision struct {
 	Target *member.Target
 	Serve  rules.Serve
-	Code   codes.ID
+	// Centre is set when the request is to be passed to Host, an entry host
+	// of another data centre. Pool names the offer that it uses.
+	Centre ident.DataCentre
+	Host   event.Host
+	Pool   member.PoolID
+	// Wait is the predicted time to the first token at the best choice, even
+	// when none has room.
+	Wait time.Duration
+	// Full says that only room is missing.
+	Full bool
+	Code codes.ID
 }
 
 // Router chooses. Its zero value is ready.
-type Router struct{}
+type Router struct {
+	// Pick chooses among the targets that the filters leave; nil is the cost
+	// policy.
+	Pick func(now ident.Time, q Query, left []*member.Target) *member.Target
+}
+
+// New returns a router that knows no cache.
+func New() *Router { return &Router{} }
+
+// Explain lists every choice and the index of the one taken, -1 for none.
+func (rt *Router) Explain(ident.Time, Query, *member.Table) ([]event.Choice, int) { return nil, -1 }
+
+// CacheChanged takes a cache event.
+func (rt *Router) CacheChanged(ident.Time, event.CacheChanged, *member.Table) {}
+
+// Learn takes note of a prompt that was sent to a target.
+func (rt *Router) Learn(ident.Time, ident.TargetID, []uint64) {}
+
+// Forget drops what is known of the cache of a target.
+func (rt *Router) Forget(ident.TargetID) {}
 
 // filter is one declared reason to rule a target out.
 type filter struct {
