--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -109,6 +109,21 @@
 	// Targets and Hosts are what the sender last read from the platform, sent
 	// by the host that watches it when they change or a peer is new.
 	Targets []Target `json:"targets,omitempty"`
+	// Away is the work that the sender has passed on to other data centres and
+	// that has not ended.
+	Away []AwayUse `json:"away,omitempty"`
+	// Blind says that the platform does not answer the sender, so that another
+	// host had better watch it.
+	Blind bool `json:"blind,omitempty"`
+}
+
+// AwayUse counts the requests of one model or service that one entry host has
+// passed on to another data centre and that have not ended.
+type AwayUse struct {
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Serve      rules.Serve      `json:"serve"`
+	Service    string           `json:"service,omitempty"`
+	Running    int              `json:"running"`
 }
 
 // Pool is the state of one model or service in one data centre.
--- /dev/null
+++ b/internal/member/centre.go
@@ -0,0 +1,265 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Times and bounds of summaries.
+const (
+	// slowEvery and slowEach give the time between summaries to a data centre
+	// that wants nothing: a fixed part and a part for each data centre known,
+	// so that the bytes of a speaker grow little with their number.
+	slowEvery = 5 * time.Second
+	slowEach  = 250 * time.Millisecond
+	// fastEvery is the time between summaries that carry an offer; it renews
+	// the offer before it expires.
+	fastEvery = 2 * time.Second
+	// minGap bounds the summaries on change to one data centre.
+	minGap = 500 * time.Millisecond
+	// cutOffBeats is how many slow summaries a data centre may miss before it
+	// counts as cut off.
+	cutOffBeats = 3
+	// maxSenders bounds the senders of summaries that are told apart for each
+	// data centre.
+	maxSenders = 16
+)
+
+// Centre is another data centre as this host knows it.
+type Centre struct {
+	Place event.Place
+	// Hosts are its entry hosts by id, from its summary and the platform's
+	// list.
+	Hosts []event.Host
+	// Summary is its newest summary, as it came.
+	Summary    event.Summary
+	HasSummary bool
+
+	listed []event.Host
+	linked []event.Host
+	// made is when the newest summary was made as far as its age tells, since
+	// when the data centre came or came back.
+	made  ident.Time
+	since ident.Time
+	// slow is the pace of its summaries, by which silence is told.
+	slow    time.Duration
+	fresh   bool
+	senders []sender
+	given   []given
+	sentAt  ident.Time
+	sent    bool
+	sentKey uint64
+	tries   uint64
+}
+
+// sender is the newest summary of one host of a data centre.
+type sender struct {
+	id          ident.EntryID
+	incarnation ident.Incarnation
+	seq         uint64
+}
+
+// Age is how old the newest word of the data centre is.
+func (c *Centre) Age(now ident.Time) time.Duration { return now.Sub(c.made) }
+
+// CutOff reports whether the data centre has been silent for long, or was
+// never heard of.
+func (c *Centre) CutOff(now ident.Time) bool {
+	return !c.HasSummary || c.Age(now) > cutOffBeats*c.slow
+}
+
+// Pool returns the pool of the newest summary, nil for none.
+func (c *Centre) Pool(id PoolID) *event.Pool {
+	for i := range c.Summary.Pools {
+		p := &c.Summary.Pools[i]
+		if p.Serve == id.Serve && p.Service == id.Service {
+			return p
+		}
+	}
+	return nil
+}
+
+// ask returns the pool by which the data centre asks for one, nil for none. A
+// pool without a version asks for any version.
+func (c *Centre) ask(id PoolID) *event.Pool {
+	p := c.Pool(id)
+	if p == nil && id.Service == "" {
+		id.Serve.Version = ""
+		p = c.Pool(id)
+	}
+	if p == nil || !short(p.Free, p.Slots) {
+		return nil
+	}
+	return p
+}
+
+// Centres returns the other data centres by name. The slice is the table's.
+func (tb *Table) Centres(ident.Time) []*Centre { return tb.centres }
+
+func (tb *Table) findCentre(dc ident.DataCentre) (int, bool) {
+	return slices.BinarySearchFunc(tb.centres, dc, func(c *Centre, dc ident.DataCentre) int { return cmp.Compare(c.Place.DataCentre, dc) })
+}
+
+// centre returns a data centre, made if it is new.
+func (tb *Table) centre(place event.Place) *Centre {
+	i, ok := tb.findCentre(place.DataCentre)
+	if !ok {
+		tb.centres = slices.Insert(tb.centres, i, &Centre{Place: place, slow: slowEvery})
+		slow := tb.slowPace()
+		for _, c := range tb.centres {
+			c.slow = slow
+		}
+	}
+	return tb.centres[i]
+}
+
+// slowPace is the time between two summaries to a data centre that wants
+// nothing.
+func (tb *Table) slowPace() time.Duration {
+	return slowEvery + time.Duration(len(tb.centres))*slowEach
+}
+
+// SummaryReceived takes the state of another data centre, to be passed on to
+// the peers with the next digest.
+func (tb *Table) SummaryReceived(now ident.Time, s event.Summary) {
+	tb.Advance(now)
+	tb.takeSummary(now, s, true)
+}
+
+func (tb *Table) takeSummary(now ident.Time, s event.Summary, direct bool) {
+	if s.Place.DataCentre == tb.self.Place.DataCentre {
+		return
+	}
+	c := tb.centre(s.Place)
+	if !c.takeSender(s) {
+		return
+	}
+	made := now.Add(-s.Age)
+	if c.HasSummary && s.From != c.Summary.From && made < c.made {
+		return
+	}
+	if c.CutOff(now) {
+		c.since = now
+	}
+	asked := c.asks()
+	c.Place = s.Place
+	c.Summary = s
+	c.HasSummary = true
+	c.made = made
+	c.fresh = c.fresh || direct
+	c.mergeHosts()
+	if !slices.Equal(asked, c.asks()) {
+		tb.beat.asks = true
+	}
+}
+
+// takeSender tells whether a summary is newer than all before it of the same
+// sender. Late and doubled ones are not: an offer that was withdrawn since
+// would come back to life.
+func (c *Centre) takeSender(s event.Summary) bool {
+	i := slices.IndexFunc(c.senders, func(x sender) bool { return x.id == s.From })
+	if i < 0 {
+		if len(c.senders) == maxSenders {
+			c.senders = slices.Delete(c.senders, 0, 1)
+		}
+		c.senders = append(c.senders, sender{s.From, s.Incarnation, s.Seq})
+		return true
+	}
+	x := &c.senders[i]
+	if s.Incarnation < x.incarnation || s.Incarnation == x.incarnation && s.Seq <= x.seq {
+		return false
+	}
+	*x = sender{s.From, s.Incarnation, s.Seq}
+	return true
+}
+
+// asks returns the pools that the data centre is short of.
+func (c *Centre) asks() []PoolID {
+	var ids []PoolID
+	for _, p := range c.Summary.Pools {
+		if short(p.Free, p.Slots) {
+			ids = append(ids, PoolID{p.Serve, p.Service})
+		}
+	}
+	return ids
+}
+
+// aged returns the newest summary with the time that it was held.
+func (c *Centre) aged(now ident.Time) event.Summary {
+	s := c.Summary
+	s.Age = c.Age(now)
+	return s
+}
+
+// putHost takes a host that a link proved.
+func (c *Centre) putHost(h event.Host) {
+	i, ok := slices.BinarySearchFunc(c.linked, h, byHost)
+	if !ok {
+		c.linked = slices.Insert(c.linked, i, h)
+	} else if h.Incarnation >= c.linked[i].Incarnation {
+		c.linked[i] = h
+	}
+	c.mergeHosts()
+}
+
+// mergeHosts joins what the summary, the list and the links tell. A summary
+// names the live hosts of its data centre, so links only count until one has
+// come.
+func (c *Centre) mergeHosts() {
+	hs := slices.Concat(c.Summary.Hosts, c.listed)
+	if !c.HasSummary {
+		hs = append(hs, c.linked...)
+	} else {
+		c.linked = nil
+	}
+	slices.SortStableFunc(hs, func(a, b event.Host) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(b.Incarnation, a.Incarnation))
+	})
+	out := hs[:0]
+	for _, h := range hs {
+		if n := len(out); n > 0 && out[n-1].ID == h.ID {
+			same := out[n-1].Incarnation == h.Incarnation
+			out[n-1].Leaving = out[n-1].Leaving || same && h.Leaving
+			continue
+		}
+		out = append(out, h)
+	}
+	c.Hosts = out
+}
+
+func byHost(a, b event.Host) int { return cmp.Compare(a.ID, b.ID) }
+
+// HostFor picks the host that a request goes to, spread over the live hosts by
+// a hash of the request.
+func (c *Centre) HostFor(key uint64) (event.Host, bool) {
+	best, found := -1, uint64(0)
+	for i, h := range c.Summary.Hosts {
+		if h.Leaving {
+			continue
+		}
+		if s := rank.Join(key, rank.Hash(string(h.ID))); best < 0 || s > found {
+			best, found = i, s
+		}
+	}
+	if best < 0 {
+		return event.Host{}, false
+	}
+	return c.Summary.Hosts[best], true
+}
+
+// newSummaries returns those that came to this host since its last digest.
+func (tb *Table) newSummaries(now ident.Time) []event.Summary {
+	var ss []event.Summary
+	for _, c := range tb.centres {
+		if c.fresh {
+			c.fresh = false
+			ss = append(ss, c.aged(now))
+		}
+	}
+	return ss
+}
--- /dev/null
+++ b/internal/member/digest.go
@@ -0,0 +1,194 @@
+package member
+
+import (
+	"slices"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// DigestReceived takes the heartbeat of a host of the own data centre. A host
+// that no list names is taken in all the same: its link is authenticated, and
+// the list lags or the platform is away.
+func (tb *Table) DigestReceived(now ident.Time, d event.Digest) {
+	tb.Advance(now)
+	p := tb.putPeer(now, d.Host)
+	if p == nil || d.Seq <= p.seq {
+		return
+	}
+	p.seq = d.Seq
+	p.revision = d.Revision
+	p.blind = d.Blind
+	p.away = slices.Clone(d.Away)
+	tb.hear(now, p)
+	tb.takeWords(now, d)
+	tb.takeUse(p, d.Use)
+	for _, ld := range d.Loads {
+		tb.takeLoad(now, ld, false)
+	}
+	for _, s := range d.Summaries {
+		tb.takeSummary(now, s, false)
+	}
+}
+
+// takeWords takes the targets and the leaving words of a digest, the words
+// first: a target that leaves must not be usable for a moment in between.
+func (tb *Table) takeWords(now ident.Time, d event.Digest) {
+	for _, w := range d.Leaving {
+		tb.hearLeaving(now, w.Target, w.Incarnation)
+	}
+	if len(d.Targets) > 0 {
+		tb.listTargets(now, d.Targets)
+	}
+}
+
+// takeUse replaces the work that a peer has at the targets.
+func (tb *Table) takeUse(p *peer, use []event.TargetUse) {
+	for _, u := range p.use {
+		if t, ok := tb.byID[u.Target]; ok {
+			t.PeerSent -= u.Running
+			t.PeerTokens -= u.Tokens
+		}
+	}
+	p.use = p.use[:0]
+	for _, u := range use {
+		t, ok := tb.byID[u.Target]
+		if !ok || u.Running <= 0 || u.Tokens < 0 {
+			continue
+		}
+		t.PeerSent += u.Running
+		t.PeerTokens += u.Tokens
+		p.use = append(p.use, u)
+	}
+}
+
+// digest returns what every digest carries.
+func (tb *Table) digest(now ident.Time) event.Digest {
+	tb.beat.seq++
+	d := event.Digest{
+		Host: tb.self, Seq: tb.beat.seq, Revision: tb.own.Revision, Blind: tb.blind,
+		Accounts: tb.own.Accounts, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away),
+	}
+	for _, t := range tb.targets {
+		if t.Sent > 0 {
+			d.Use = append(d.Use, event.TargetUse{Target: t.ID, Running: t.Sent, Tokens: t.SentTokens})
+		}
+	}
+	return d
+}
+
+// beats returns the digests that are due. The first goes to all live peers,
+// with the news since the last; hosts that are silent get it now and then, so
+// that one that came back without the platform's list is found. The second
+// goes to new peers and holds all that this host knows.
+func (tb *Table) beats(now ident.Time, regular bool) []event.Effect {
+	var effs []event.Effect
+	if regular || tb.beat.words {
+		effs = tb.usualBeat(now, regular)
+	}
+	tb.beat.words = false
+	if tb.beat.peers {
+		effs = append(effs, tb.fullBeat(now)...)
+	}
+	tb.beat.peers = false
+	return effs
+}
+
+func (tb *Table) usualBeat(now ident.Time, regular bool) []event.Effect {
+	to := tb.Peers(now)
+	if regular {
+		to = append(to, tb.probes(now)...)
+	}
+	d := tb.digest(now)
+	if regular {
+		d.Loads = tb.newLoads(now)
+		d.Summaries = tb.newSummaries(now)
+		d.Targets = tb.newList(now)
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	return []event.Effect{event.SendDigest{To: to, Digest: d}}
+}
+
+// probes returns the silent hosts that a digest is due to.
+func (tb *Table) probes(now ident.Time) []event.Host {
+	var to []event.Host
+	for _, p := range tb.peers {
+		if p.live(now) || p.probedAt > 0 && now.Sub(p.probedAt) < probeEvery {
+			continue
+		}
+		p.probedAt = now
+		to = append(to, p.host)
+	}
+	return to
+}
+
+func (tb *Table) newLoads(now ident.Time) []event.Load {
+	loads := make([]event.Load, 0, len(tb.relay))
+	for _, ld := range tb.relay {
+		t, ok := tb.byID[ld.Target]
+		if !ok || ld.Incarnation != t.Incarnation || ld.Seq != t.Load.Seq {
+			continue // A newer one follows in the list, or came from a peer.
+		}
+		ld.Age = now.Sub(t.LoadAt)
+		loads = append(loads, ld)
+	}
+	tb.relay = tb.relay[:0]
+	return loads
+}
+
+func (tb *Table) newList(now ident.Time) []event.Target {
+	if !tb.list.changed {
+		return nil
+	}
+	tb.list.changed = false
+	if !tb.Watches(now) {
+		return nil
+	}
+	return tb.listedTargets()
+}
+
+func (tb *Table) listedTargets() []event.Target {
+	var ts []event.Target
+	for _, t := range tb.targets {
+		if !t.listed {
+			continue
+		}
+		d := t.Target
+		d.Leaving = t.Leaves
+		ts = append(ts, d)
+	}
+	return ts
+}
+
+// fullBeat sends new peers all that this host knows, so that a host that
+// restarts while the platform is away can serve.
+func (tb *Table) fullBeat(now ident.Time) []event.Effect {
+	var to []event.Host
+	for _, p := range tb.peers {
+		if p.fresh && p.live(now) {
+			p.fresh = false
+			to = append(to, p.host)
+		}
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	d := tb.digest(now)
+	d.Leaving = tb.leavingWords(now, true)
+	d.Targets = tb.listedTargets()
+	for _, t := range tb.targets {
+		if t.HasLoad {
+			ld := t.Load
+			ld.Age = now.Sub(t.LoadAt)
+			d.Loads = append(d.Loads, ld)
+		}
+	}
+	for _, c := range tb.centres {
+		if c.HasSummary {
+			d.Summaries = append(d.Summaries, c.aged(now))
+		}
+	}
+	return []event.Effect{event.SendDigest{To: to, Digest: d}}
+}
--- /dev/null
+++ b/internal/member/list.go
@@ -0,0 +1,134 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Times of reading the platform's list.
+const (
+	// watchEvery is the time between reads of the host that watches, idleEvery
+	// of the others, which read in case the one that watches is cut off in a
+	// way that no one notices.
+	watchEvery = 2 * time.Second
+	idleEvery  = 30 * time.Second
+	// idleSpread and firstSpread keep hosts that start or come back together
+	// from reading together: the store takes about two thousand reads a
+	// second from the whole fleet.
+	idleSpread  = 10 * time.Second
+	firstSpread = 250 * time.Millisecond
+	// versionHolds is how long an older version of the list is refused. After
+	// that the platform has lost its count, and its word is better than none.
+	versionHolds = time.Minute
+)
+
+// firstRead returns how long after its start a host reads the list.
+func firstRead(self event.Host) time.Duration {
+	return spread(rank.Join(rank.Hash("first", string(self.ID)), uint64(self.Incarnation)), firstSpread)
+}
+
+func spread(h uint64, width time.Duration) time.Duration {
+	return time.Duration(rank.Unit(h) * float64(width))
+}
+
+// HostsRead takes the platform's list. The list lags: what it lacks may live,
+// and what it holds may be gone.
+func (tb *Table) HostsRead(now ident.Time, ev event.HostsRead) {
+	tb.Advance(now)
+	stale := ev.Version < tb.list.version && now.Sub(tb.list.readAt) <= versionHolds
+	if tb.list.read && stale {
+		return
+	}
+	tb.list.changed = tb.list.changed || !tb.list.read || ev.Version != tb.list.version
+	tb.list.version = ev.Version
+	tb.list.read = true
+	tb.list.readAt = now
+	tb.listTargets(now, ev.Targets)
+	tb.listHosts(now, ev.Hosts)
+}
+
+func (tb *Table) listHosts(now ident.Time, hosts []event.Host) {
+	for _, p := range tb.peers {
+		p.listed = false
+	}
+	for _, c := range tb.centres {
+		c.listed = c.listed[:0]
+	}
+	for _, h := range sortedHosts(hosts) {
+		if h.Place.DataCentre != tb.self.Place.DataCentre {
+			c := tb.centre(h.Place)
+			c.listed = append(c.listed, h)
+			continue
+		}
+		if p := tb.listPeer(now, h); p != nil {
+			p.listed = true
+		}
+	}
+	for _, c := range tb.centres {
+		c.mergeHosts()
+	}
+}
+
+// listPeer takes a host of the own data centre from the list.
+func (tb *Table) listPeer(now ident.Time, h event.Host) *peer {
+	old, ok := tb.peer(h.ID)
+	if ok && h.Incarnation < old.host.Incarnation {
+		// The list lags behind a restart: the host is listed all the same.
+		return old
+	}
+	p := tb.putPeer(now, h)
+	if p != nil && p.heard == 0 {
+		p.heard = now
+	}
+	return p
+}
+
+// listTargets takes the targets of a list, read here or by a peer.
+func (tb *Table) listTargets(now ident.Time, targets []event.Target) {
+	for _, t := range tb.targets {
+		t.listed = false
+	}
+	for _, t := range targets {
+		if t.Place.DataCentre == tb.self.Place.DataCentre {
+			tb.putTarget(now, t)
+		}
+	}
+}
+
+// readHosts returns the read of the list that is due, and settles the next.
+func (tb *Table) readHosts(now ident.Time) []event.Effect {
+	if now < tb.list.nextRead {
+		return nil
+	}
+	tb.list.nextRead = now.Add(tb.readPause(now))
+	return []event.Effect{event.ReadHosts{}}
+}
+
+func (tb *Table) readPause(now ident.Time) time.Duration {
+	if tb.Watches(now) {
+		return watchEvery
+	}
+	h := rank.Hash("read", string(tb.self.ID))
+	return idleEvery + spread(rank.Join(h, uint64(now)), idleSpread)
+}
+
+// dutyRead brings the next read forward when this host takes the duty to
+// watch, spread so that a heal that makes many hosts watchers is no stampede.
+func (tb *Table) dutyRead(now ident.Time) {
+	if !tb.Watches(now) {
+		return
+	}
+	h := rank.Join(rank.Hash("duty", string(tb.self.ID)), uint64(now))
+	soon := now.Add(watchEvery + spread(h, Period))
+	tb.list.nextRead = min(tb.list.nextRead, soon)
+}
+
+func sortedHosts(hosts []event.Host) []event.Host {
+	hs := slices.Clone(hosts)
+	slices.SortStableFunc(hs, byHost)
+	return hs
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -1,171 +1,237 @@
-// Package member holds what one entry host knows of the others and of the
-// targets: who lives, who leaves, and how loaded each is.
+// Package member holds what one entry host knows of the others, of the targets
+// of its data centre and of the other data centres: who lives, who leaves, how
+// loaded each is, and what spare capacity was offered.
 //
 // # Usage
 //
+// The reducer feeds the table with what it hears and asks it when needed:
+//
 //	tb := member.New(self)
+//	tb.Advance(now)
 //	tb.HostsRead(now, ev)
-//	tb.LoadReported(now, ld)
-//	for _, t := range tb.Targets() { ... }
+//	tb.DigestReceived(now, digest)
+//	effs := tb.Tick(now, member.Own{Revision: rev})
+//	wake := tb.Next(now)
+//
+// Entry hosts of one data centre send each other a digest each second. Three
+// missed digests make a host suspect: its duties pass on. Duties that one host
+// does for its data centre go to the live host that ranks first by rendezvous
+// hashing, so they need no election, and two hosts that hold a duty for a
+// moment do no harm. Data centres send each other summaries, which carry the
+// spare capacity that each offers; see OfferLeft.
 //
-// The table belongs to the reducer. It is not safe for several goroutines and
-// reads no clock: each method is given the time.
+// No absolute time travels: what is relayed carries its age, and each host
+// adds the time that it held it. Everything held has a bound in age or number.
+//
+// The table belongs to the reducer. It is not safe for several goroutines,
+// reads no clock and no source of randomness, and iterates over sorted slices
+// only, so that the same calls give the same effects.
 package member
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// Target is a target of the own data centre as this host knows it.
-type Target struct {
-	event.Target
-	// Load is the newest report, LoadAt when this host got it; HasLoad tells
-	// whether there is one.
-	Load    event.Load
-	LoadAt  ident.Time
-	HasLoad bool
-	// Sent counts the requests that this host has sent and that have not
-	// ended, SentTokens their prefill work.
-	Sent       int
-	SentTokens ident.Tokens
-	// Fails counts failures in a row.
-	Fails int
-	// Leaves says that the target leaves, from the first word of it.
-	Leaves bool
+// Times of the membership.
+const (
+	// Period is the time between two digests and between two load reports of
+	// a target.
+	Period = time.Second
+	// suspectAfter is three missed digests and half a period for the link.
+	suspectAfter = 3*Period + Period/2
+	// brokenAfter replaces it while the link to the host is down.
+	brokenAfter = Period + Period/2
+	// deadAfter is the silence after which a lower incarnation is believed.
+	deadAfter = 10 * time.Second
+	// dropAfter is the silence after which what the platform does not list is
+	// dropped.
+	dropAfter = time.Minute
+	// probeEvery is the time between digests to a host that is silent.
+	probeEvery = 5 * time.Second
+	// jumpAfter is a gap between two steps that tells that this host was
+	// paused: Tick is due each period.
+	jumpAfter = 3 * Period
+)
+
+// Own is what the reducer tells the table of its host at each Tick.
+type Own struct {
+	// Revision is the revision in force at this host.
+	Revision ident.Revision
+	// Accounts is the demand at this host, for peers; CentreAccounts that of
+	// the whole data centre, for other data centres.
+	Accounts       []event.AccountUse
+	CentreAccounts []event.AccountUse
+	// After returns the last sequence number seen of the cache events of a
+	// target; nil is none.
+	After func(ident.TargetID) uint64
 }
 
-// failsToSuspect is how many failures in a row make a target suspect.
-const failsToSuspect = 3
+func (o Own) after(id ident.TargetID) uint64 {
+	if o.After == nil {
+		return 0
+	}
+	return o.After(id)
+}
 
-// Suspect reports whether the target does not answer.
-func (t *Target) Suspect() bool { return t.Fails >= failsToSuspect }
+// PoolID names a pool: the targets of one data centre that serve one model,
+// or one plain service.
+type PoolID struct {
+	Serve   rules.Serve
+	Service string
+}
 
 // Table is the state.
 type Table struct {
-	self    event.Host
+	self  event.Host
+	begun bool
+	// started is the first time that the table was given, last the newest.
+	started ident.Time
+	last    ident.Time
+	own     Own
+
+	peers   []*peer
 	targets []*Target
 	byID    map[ident.TargetID]*Target
+	left    map[ident.TargetID]leftWord
+	centres []*Centre
+	pools   []*pool
+	away    []event.AwayUse
+	blind   bool
+
+	list  listState
+	beat  beatState
+	relay []event.Load
+}
+
+// listState follows the platform's list of hosts.
+type listState struct {
 	version uint64
-	next    ident.Time
+	read    bool
+	readAt  ident.Time
+	// nextRead is when this host reads the list again.
+	nextRead ident.Time
+	// changed says that peers have not been told of the newest list.
+	changed bool
+}
+
+// beatState follows the digests and summaries that this host sends.
+type beatState struct {
+	due ident.Time
+	seq uint64
+	sum uint64
+	// words says that a leaving word waits that goes out at once, peers that a
+	// new peer waits for all that is known, asks that another data centre has
+	// changed what it asks for.
+	words bool
+	peers bool
+	asks  bool
 }
 
 // New returns an empty table.
 func New(self event.Host) *Table {
-	return &Table{self: self, byID: make(map[ident.TargetID]*Target)}
+	return &Table{
+		self: self,
+		byID: make(map[ident.TargetID]*Target),
+		left: make(map[ident.TargetID]leftWord),
+	}
 }
 
 // Self returns this host.
 func (tb *Table) Self() event.Host { return tb.self }
 
-// Targets returns the targets of the own data centre by id.
-func (tb *Table) Targets() []*Target { return tb.targets }
-
-// Target returns one target of the own data centre.
-func (tb *Table) Target(id ident.TargetID) (*Target, bool) {
-	t, ok := tb.byID[id]
-	return t, ok
-}
-
-// HostsRead takes the platform's list.
-func (tb *Table) HostsRead(_ ident.Time, ev event.HostsRead) {
-	if ev.Version < tb.version {
+// SetLeaving says that this host drains. Peers and other data centres are told
+// at the next Tick, which is due at once.
+func (tb *Table) SetLeaving() {
+	if tb.self.Leaving {
 		return
 	}
-	tb.version = ev.Version
-	for _, t := range ev.Targets {
-		if t.Place.DataCentre == tb.self.Place.DataCentre {
-			tb.put(t)
-		}
+	tb.self.Leaving = true
+	tb.beat.words = true
+	tb.beat.asks = true
+}
+
+// SetBlind says whether the platform leaves this host without an answer. A
+// blind host passes the duty to watch on, as long as another is not blind.
+//
+// Without it a host whose own link to the platform is cut, and whose links to
+// its peers stand, would keep the duty: changes of profiles would stop coming
+// to the whole data centre, with every host looking healthy.
+func (tb *Table) SetBlind(blind bool) {
+	if tb.blind != blind {
+		tb.blind = blind
+		tb.beat.words = true
 	}
 }
 
-func (tb *Table) put(t event.Target) {
-	old, ok := tb.byID[t.ID]
-	if !ok {
-		nt := &Target{Target: t, Leaves: t.Leaving}
-		tb.byID[t.ID] = nt
-		tb.targets = append(tb.targets, nt)
-		slices.SortFunc(tb.targets, func(a, b *Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+// Advance takes the time. The reducer calls it first at each step.
+//
+// A host that was paused wakes to find every peer and target silent. It would
+// refuse its callers and take every duty, on the evidence of its own sleep. So
+// the time of the pause does not count as silence of others. It does count for
+// everything that expires: loads, offers and summaries are as old as they are.
+func (tb *Table) Advance(now ident.Time) {
+	if !tb.begun {
+		tb.begun = true
+		tb.started, tb.last = now, now
+		tb.list.nextRead = now.Add(firstRead(tb.self))
 		return
 	}
-	if t.Incarnation < old.Incarnation {
+	gap := now.Sub(tb.last)
+	if gap <= 0 {
 		return
 	}
-	if t.Incarnation > old.Incarnation {
-		*old = Target{Target: t, Leaves: t.Leaving, Sent: old.Sent, SentTokens: old.SentTokens}
+	tb.last = now
+	if gap <= jumpAfter {
 		return
 	}
-	old.Target = t
-	old.Leaves = old.Leaves || t.Leaving
-}
-
-// LoadReported takes a load report.
-func (tb *Table) LoadReported(now ident.Time, ld event.Load) {
-	t, ok := tb.byID[ld.Target]
-	if !ok || ld.Incarnation < t.Incarnation {
-		return
+	for _, p := range tb.peers {
+		p.heard = p.heard.Add(gap)
 	}
-	t.Fails = 0
-	t.Leaves = t.Leaves || ld.Leaving
-	if t.HasLoad && ld.Incarnation == t.Load.Incarnation && ld.Seq <= t.Load.Seq {
-		return
+	for _, t := range tb.targets {
+		t.heard = t.heard.Add(gap)
 	}
-	t.Load = ld
-	t.LoadAt = now
-	t.HasLoad = true
 }
 
-// LoadFailed takes note of a report that did not come.
-func (tb *Table) LoadFailed(_ ident.Time, id ident.TargetID) {
-	if t, ok := tb.byID[id]; ok {
-		t.Fails++
-	}
+// Target returns one target of the own data centre.
+func (tb *Table) Target(id ident.TargetID) (*Target, bool) {
+	t, ok := tb.byID[id]
+	return t, ok
 }
 
-// MarkLeaving takes the word that a target leaves.
-func (tb *Table) MarkLeaving(_ ident.Time, id ident.TargetID, _ ident.Incarnation) {
-	if t, ok := tb.byID[id]; ok {
-		t.Leaves = true
-	}
-}
+// Targets returns the targets of the own data centre by id.
+func (tb *Table) Targets() []*Target { return tb.targets }
 
-// Sent takes note of a request sent to a target.
-func (tb *Table) Sent(id ident.TargetID, tokens, _ ident.Tokens) {
-	if t, ok := tb.byID[id]; ok {
-		t.Sent++
-		t.SentTokens += tokens
+// Host returns an entry host by id, of whichever data centre.
+func (tb *Table) Host(id ident.EntryID) (event.Host, bool) {
+	if id == tb.self.ID {
+		return tb.self, true
 	}
-}
-
-// Ended takes note of the end of a request at a target.
-func (tb *Table) Ended(id ident.TargetID, tokens, _ ident.Tokens, _ bool) {
-	if t, ok := tb.byID[id]; ok {
-		t.Sent--
-		t.SentTokens -= tokens
+	if p, ok := tb.peer(id); ok {
+		return p.host, true
+	}
+	for _, c := range tb.centres {
+		for _, h := range c.Hosts {
+			if h.ID == id {
+				return h, true
+			}
+		}
 	}
+	return event.Host{}, false
 }
 
-// Period is the time between two heartbeats and between two load reports of a
-// target.
-const Period = time.Second
-
-// Tick returns what is to be sent and read now.
-func (tb *Table) Tick(now ident.Time, _ Own) []event.Effect {
-	if now < tb.next {
-		return nil
-	}
-	tb.next = now.Add(Period)
-	effs := []event.Effect{event.ReadHosts{}}
-	for _, t := range tb.targets {
-		effs = append(effs, event.PollLoad{Target: t.Target})
+// Revisions returns the lowest and the highest revision of the live hosts of
+// the own data centre.
+func (tb *Table) Revisions(now ident.Time) (low, high ident.Revision) {
+	low, high = tb.own.Revision, tb.own.Revision
+	for _, p := range tb.peers {
+		if p.live(now) && p.seq > 0 {
+			low = min(low, p.revision)
+			high = max(high, p.revision)
+		}
 	}
-	return effs
+	return low, high
 }
-
-// Next returns when Tick is due.
-func (tb *Table) Next(_ ident.Time) ident.Time { return tb.next }
--- /dev/null
+++ b/internal/member/offer.go
@@ -0,0 +1,361 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Marks and times of offers. The marks are parts of the slots of a pool in
+// percent.
+//
+// The mark below which a data centre asks lies well under the one below which
+// it withdraws, and that under the one above which it begins to offer. So no
+// data centre asks and offers at once, and one whose load swings about a mark
+// does not flap.
+const (
+	askMark      = 10
+	reserveMark  = 20
+	withdrawMark = 25
+	offerMark    = 40
+	percent      = 100
+	// offerLife is how long an offer holds from when it was made.
+	offerLife = 5 * time.Second
+	// transit bounds the time that a summary is under way. A giver counts
+	// its offer as held for this much longer than its life.
+	transit = 2 * time.Second
+	// wantLife is how long a pool without a target is asked for after the
+	// last request for it, maxWants how many such pools there may be.
+	wantLife = 10 * time.Second
+	maxWants = 64
+)
+
+// pool is one pool of the own data centre.
+type pool struct {
+	event.Pool
+	id PoolID
+	// offering is the state of the hysteresis.
+	offering bool
+	wantedAt ident.Time
+	wanted   bool
+	prices   float64
+	targets  int
+}
+
+// given is an offer that may still be held by another data centre.
+type given struct {
+	id    PoolID
+	until ident.Time
+}
+
+// short reports whether a pool asks for help.
+func short(free, slots int) bool { return free*percent <= slots*askMark }
+
+// spare returns the slots that may be offered: those free beyond the reserve
+// for own and home-bound work.
+func spare(free, slots int) int {
+	reserve := (slots*reserveMark + percent - 1) / percent
+	return max(0, free-reserve)
+}
+
+// settle moves the hysteresis after a change of load or of own work sent away.
+func (p *pool) settle(away int) {
+	switch {
+	case away > 0 || p.Free*percent < p.Slots*withdrawMark:
+		p.offering = false
+	case p.Free*percent >= p.Slots*offerMark && p.Slots > 0:
+		p.offering = true
+	}
+}
+
+func byPool(a, b PoolID) int {
+	return cmp.Or(
+		strings.Compare(string(a.Serve.Model), string(b.Serve.Model)),
+		strings.Compare(string(a.Serve.Version), string(b.Serve.Version)),
+		strings.Compare(string(a.Serve.Adapter), string(b.Serve.Adapter)),
+		strings.Compare(a.Service, b.Service),
+	)
+}
+
+func (tb *Table) pool(id PoolID) (*pool, bool) {
+	i, ok := tb.poolIndex(id)
+	if !ok {
+		return nil, false
+	}
+	return tb.pools[i], true
+}
+
+func (tb *Table) poolIndex(id PoolID) (int, bool) {
+	return slices.BinarySearchFunc(tb.pools, id, func(p *pool, id PoolID) int { return byPool(p.id, id) })
+}
+
+func (tb *Table) needPool(id PoolID) *pool {
+	i, ok := tb.poolIndex(id)
+	if !ok {
+		p := &pool{id: id}
+		p.Serve, p.Service = id.Serve, id.Service
+		tb.pools = slices.Insert(tb.pools, i, p)
+	}
+	return tb.pools[i]
+}
+
+// Want says that a request asked for a pool that has no target here, so that
+// the data centre asks the others for it.
+func (tb *Table) Want(now ident.Time, id PoolID) {
+	p, ok := tb.pool(id)
+	if !ok {
+		if len(tb.pools) >= maxWants {
+			return
+		}
+		p = tb.needPool(id)
+		tb.beat.asks = true
+	}
+	p.wanted, p.wantedAt = true, now
+}
+
+// countPools works the pools out anew from the targets.
+func (tb *Table) countPools(now ident.Time) {
+	for _, p := range tb.pools {
+		*p = pool{
+			Pool: event.Pool{Serve: p.Serve, Service: p.Service},
+			id:   p.id, offering: p.offering, wantedAt: p.wantedAt, wanted: p.wanted,
+		}
+	}
+	for _, t := range tb.targets {
+		if t.Leaves || t.Suspect(now) {
+			continue
+		}
+		tb.countTarget(now, t)
+	}
+	tb.pools = slices.DeleteFunc(tb.pools, func(p *pool) bool {
+		return p.targets == 0 && (!p.wanted || now.Sub(p.wantedAt) > wantLife)
+	})
+	for _, p := range tb.pools {
+		if p.targets > 0 {
+			n := float64(p.targets)
+			p.PrefillRate /= n
+			p.DecodeRate /= n
+			p.Price = p.prices / n
+		}
+		p.settle(tb.awayFrom(now, p.id))
+	}
+}
+
+func (tb *Table) countTarget(now ident.Time, t *Target) {
+	if t.Kind == event.Service {
+		tb.needPool(PoolID{Service: t.Service}).count(now, t)
+		return
+	}
+	for _, sv := range t.Load.Serves {
+		tb.needPool(PoolID{Serve: sv}).count(now, t)
+	}
+}
+
+func (p *pool) count(now ident.Time, t *Target) {
+	out := t.Outstanding(now)
+	wait := t.Wait(now, out, 1)
+	if p.targets == 0 || wait < p.Wait {
+		p.Wait = wait
+	}
+	p.targets++
+	p.Slots += t.Slots()
+	p.Free += max(0, t.Slots()-out)
+	p.PrefillRate += t.Load.PrefillRate
+	p.DecodeRate += t.Load.DecodeRate
+	p.prices += t.Price
+}
+
+// awayFrom counts the requests of a pool that the hosts of the own data centre
+// have passed on to others. Such a pool offers nothing: two data centres that
+// each sent the other their work would pay for the way and gain nothing.
+func (tb *Table) awayFrom(now ident.Time, id PoolID) int {
+	n := countAway(tb.away, id)
+	for _, p := range tb.peers {
+		if !p.dead(now) {
+			n += countAway(p.away, id)
+		}
+	}
+	return n
+}
+
+func countAway(uses []event.AwayUse, id PoolID) int {
+	n := 0
+	for _, u := range uses {
+		if u.Serve == id.Serve && u.Service == id.Service {
+			n += u.Running
+		}
+	}
+	return n
+}
+
+// offers returns what each pool offers to each data centre, as a row for each
+// pool and a column for each data centre.
+func (tb *Table) offers(now ident.Time) [][]int {
+	rows := make([][]int, len(tb.pools))
+	for i, p := range tb.pools {
+		rows[i] = make([]int, len(tb.centres))
+		if !p.offering {
+			continue
+		}
+		askers := tb.askers(now, p.id)
+		for j, n := range split(spare(p.Free, p.Slots), len(askers)) {
+			rows[i][askers[j]] = n
+		}
+	}
+	return rows
+}
+
+// askers returns the data centres that ask for a pool, as indexes, in an order
+// of their own for each pool, so that small offers do not always go to the
+// same ones. One whose own offer is still held here is left out: it was rich a
+// moment ago, and both would hold an offer of the other.
+func (tb *Table) askers(now ident.Time, id PoolID) []int {
+	var is []int
+	for i, c := range tb.centres {
+		if c.CutOff(now) || c.ask(id) == nil {
+			continue
+		}
+		if p := c.Pool(id); p != nil && p.Offer > 0 && c.Age(now) <= offerLife {
+			continue
+		}
+		is = append(is, i)
+	}
+	salt := rank.Hash("askers", string(id.Serve.Model), string(id.Serve.Version), string(id.Serve.Adapter), id.Service)
+	slices.SortFunc(is, func(a, b int) int {
+		return cmp.Compare(tb.askRank(salt, a), tb.askRank(salt, b))
+	})
+	return is
+}
+
+func (tb *Table) askRank(salt uint64, i int) uint64 {
+	return rank.Join(salt, rank.Hash(string(tb.centres[i].Place.DataCentre)))
+}
+
+// split divides n into k parts that differ by one at most and sum up to n.
+func split(n, k int) []int {
+	parts := make([]int, k)
+	for i := range parts {
+		parts[i] = n / k
+		if i < n%k {
+			parts[i]++
+		}
+	}
+	return parts
+}
+
+func withOffers(pools []event.Pool, rows [][]int, column int) []event.Pool {
+	out := slices.Clone(pools)
+	for i := range out {
+		out[i].Offer = rows[i][column]
+	}
+	return out
+}
+
+// give takes note of the offers of a summary that is sent.
+func (c *Centre) give(now ident.Time, pools []event.Pool) {
+	c.given = slices.DeleteFunc(c.given, func(g given) bool { return g.until < now })
+	for _, p := range pools {
+		if p.Offer == 0 {
+			continue
+		}
+		id := PoolID{p.Serve, p.Service}
+		until := now.Add(offerLife + transit)
+		i := slices.IndexFunc(c.given, func(g given) bool { return g.id == id })
+		if i < 0 {
+			c.given = append(c.given, given{id, until})
+			continue
+		}
+		c.given[i].until = until
+	}
+}
+
+func (c *Centre) gave(now ident.Time, id PoolID) bool {
+	return slices.ContainsFunc(c.given, func(g given) bool { return g.id == id && g.until >= now })
+}
+
+// OfferLeft returns how many more requests this host may pass on to a data
+// centre: its share of an offer that has not expired, less those under way. It
+// is zero while the own data centre has spare capacity of its own, or while
+// the other may hold an offer of this one.
+func (tb *Table) OfferLeft(now ident.Time, dc ident.DataCentre, id PoolID) int {
+	i, ok := tb.findCentre(dc)
+	if !ok {
+		return 0
+	}
+	c := tb.centres[i]
+	p := c.Pool(id)
+	if p == nil || p.Offer <= 0 || c.Age(now) > offerLife || c.gave(now, id) {
+		return 0
+	}
+	if own, ok := tb.pool(id); ok && own.offering {
+		return 0
+	}
+	share := tb.ownShare(now, dc, p.Offer)
+	grown := int(ramp(now.Sub(c.since))*float64(share) + 0.999999)
+	return max(0, min(share, grown)-tb.underWay(dc, id))
+}
+
+// ownShare is this host's part of an offer to its data centre. The live hosts
+// split it, and the odd ones go by rank.
+func (tb *Table) ownShare(now ident.Time, dc ident.DataCentre, offer int) int {
+	mine := rank.Hash("offer", string(dc), string(tb.self.ID))
+	hosts, before := 1, 0
+	for _, p := range tb.peers {
+		if !p.live(now) || p.host.Leaving {
+			continue
+		}
+		hosts++
+		if rank.Hash("offer", string(dc), string(p.host.ID)) > mine {
+			before++
+		}
+	}
+	share := offer / hosts
+	if before < offer%hosts {
+		share++
+	}
+	return share
+}
+
+func (tb *Table) awayIndex(dc ident.DataCentre, id PoolID) (int, bool) {
+	return slices.BinarySearchFunc(tb.away, id, func(u event.AwayUse, id PoolID) int {
+		return cmp.Or(cmp.Compare(u.DataCentre, dc), byPool(PoolID{u.Serve, u.Service}, id))
+	})
+}
+
+func (tb *Table) underWay(dc ident.DataCentre, id PoolID) int {
+	i, ok := tb.awayIndex(dc, id)
+	if !ok {
+		return 0
+	}
+	return tb.away[i].Running
+}
+
+// OfferTake counts a request that is passed on to a data centre.
+func (tb *Table) OfferTake(dc ident.DataCentre, id PoolID) {
+	i, ok := tb.awayIndex(dc, id)
+	if !ok {
+		tb.away = slices.Insert(tb.away, i, event.AwayUse{DataCentre: dc, Serve: id.Serve, Service: id.Service})
+	}
+	tb.away[i].Running++
+	if p, ok := tb.pool(id); ok && p.offering {
+		p.offering = false
+		tb.beat.asks = true
+	}
+}
+
+// OfferGive counts the end of such a request.
+func (tb *Table) OfferGive(dc ident.DataCentre, id PoolID) {
+	i, ok := tb.awayIndex(dc, id)
+	if !ok {
+		return
+	}
+	tb.away[i].Running--
+	if tb.away[i].Running == 0 {
+		tb.away = slices.Delete(tb.away, i, i+1)
+	}
+}
--- /dev/null
+++ b/internal/member/peer.go
@@ -0,0 +1,192 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// peer is another entry host of the own data centre.
+type peer struct {
+	host event.Host
+	// heard is when the host was last heard of, met whether it ever was.
+	heard ident.Time
+	met   bool
+	// down says that the link to it broke and has not come back.
+	down   bool
+	listed bool
+	// seq is the number of the newest digest of this incarnation.
+	seq      uint64
+	revision ident.Revision
+	use      []event.TargetUse
+	away     []event.AwayUse
+	blind    bool
+	// fresh says that it is to be sent all that this host knows.
+	fresh    bool
+	probedAt ident.Time
+}
+
+// live reports whether the host was heard of lately. A broken link is a hint
+// and no proof: it makes the silence that is believed shorter.
+func (p *peer) live(now ident.Time) bool {
+	if !p.met {
+		return false
+	}
+	if p.down {
+		return now.Sub(p.heard) <= brokenAfter
+	}
+	return now.Sub(p.heard) <= suspectAfter
+}
+
+func (p *peer) dead(now ident.Time) bool { return !p.met || now.Sub(p.heard) > deadAfter }
+
+func (tb *Table) peer(id ident.EntryID) (*peer, bool) {
+	i, ok := tb.peerIndex(id)
+	if !ok {
+		return nil, false
+	}
+	return tb.peers[i], true
+}
+
+func (tb *Table) peerIndex(id ident.EntryID) (int, bool) {
+	return slices.BinarySearchFunc(tb.peers, id, func(p *peer, id ident.EntryID) int { return cmp.Compare(p.host.ID, id) })
+}
+
+// putPeer takes a description of a host of the own data centre. It returns nil
+// for one that is not believed: this host itself, or an incarnation that
+// another has followed.
+func (tb *Table) putPeer(now ident.Time, h event.Host) *peer {
+	if h.ID == tb.self.ID || h.Place.DataCentre != tb.self.Place.DataCentre {
+		return nil
+	}
+	i, ok := tb.peerIndex(h.ID)
+	if !ok {
+		p := &peer{host: h, fresh: true}
+		tb.peers = slices.Insert(tb.peers, i, p)
+		return p
+	}
+	p := tb.peers[i]
+	if h.Incarnation == p.host.Incarnation {
+		// The earliest word of leaving wins; a later description that lacks it
+		// was made before.
+		h.Leaving = h.Leaving || p.host.Leaving
+		p.host = h
+		return p
+	}
+	if h.Incarnation < p.host.Incarnation && !p.dead(now) {
+		return nil
+	}
+	tb.takeUse(p, nil)
+	*p = peer{host: h, fresh: true, listed: p.listed}
+	return p
+}
+
+// hear takes note that a host spoke.
+func (tb *Table) hear(now ident.Time, p *peer) {
+	if !p.live(now) {
+		// It may have restarted, or missed what was sent meanwhile.
+		p.fresh = true
+	}
+	p.met = true
+	p.down = false
+	p.heard = max(p.heard, now)
+	if p.fresh {
+		tb.beat.peers = true
+	}
+}
+
+// PeerUp says that a link to another entry host stands and that the host has
+// proved who it is.
+func (tb *Table) PeerUp(now ident.Time, h event.Host) {
+	tb.Advance(now)
+	if h.Place.DataCentre != tb.self.Place.DataCentre {
+		tb.centre(h.Place).putHost(h)
+		return
+	}
+	if p := tb.putPeer(now, h); p != nil {
+		tb.hear(now, p)
+	}
+}
+
+// PeerDown says that the link to another entry host broke.
+func (tb *Table) PeerDown(now ident.Time, id ident.EntryID) {
+	tb.Advance(now)
+	if p, ok := tb.peer(id); ok {
+		p.down = true
+	}
+}
+
+// Peers returns the live entry hosts of the own data centre but this one.
+func (tb *Table) Peers(now ident.Time) []event.Host {
+	var hs []event.Host
+	for _, p := range tb.peers {
+		if p.live(now) {
+			hs = append(hs, p.host)
+		}
+	}
+	return hs
+}
+
+// Watches reports whether this host watches the platform for its data centre.
+func (tb *Table) Watches(now ident.Time) bool {
+	return tb.watcher(now) == tb.self.ID
+}
+
+// Speaks reports whether this host speaks for its data centre to the others.
+func (tb *Table) Speaks(now ident.Time) bool { return tb.speaker(now) == tb.self.ID }
+
+func (tb *Table) watcher(now ident.Time) ident.EntryID {
+	return tb.first(now, "watch", true)
+}
+
+func (tb *Table) speaker(now ident.Time) ident.EntryID {
+	return tb.first(now, "speak", false)
+}
+
+// first returns the live host that ranks first for a duty. Hosts that leave,
+// and for some duties those that are blind, come after all others.
+func (tb *Table) first(now ident.Time, duty string, sight bool) ident.EntryID {
+	best := tb.self.ID
+	bestScore := dutyScore(duty, tb.self, sight && tb.blind)
+	for _, p := range tb.peers {
+		if !p.live(now) {
+			continue
+		}
+		if s := dutyScore(duty, p.host, sight && p.blind); s > bestScore {
+			best, bestScore = p.host.ID, s
+		}
+	}
+	return best
+}
+
+// dutyBits are the highest bits of a score: a host that is fit for a duty comes
+// before every host that is not, whatever their hashes.
+const dutyBits = 2
+
+func dutyScore(duty string, h event.Host, blind bool) uint64 {
+	s := rank.Hash(duty, string(h.ID)) >> dutyBits
+	if !h.Leaving {
+		s |= 1 << (64 - 1)
+	}
+	if !blind {
+		s |= 1 << (64 - dutyBits)
+	}
+	return s
+}
+
+// reapPeers drops what has been silent for long and is not listed, and forgets the
+// work of hosts that are dead.
+func (tb *Table) reapPeers(now ident.Time) {
+	for _, p := range tb.peers {
+		if p.dead(now) {
+			tb.takeUse(p, nil)
+			p.away = nil
+		}
+	}
+	tb.peers = slices.DeleteFunc(tb.peers, func(p *peer) bool {
+		return !p.listed && now.Sub(p.heard) > dropAfter
+	})
+}
--- /dev/null
+++ b/internal/member/recent.go
@@ -0,0 +1,127 @@
+package member
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// The window of own sends that is kept to correct a load report.
+const (
+	recentSlots = 16
+	recentWidth = 250 * time.Millisecond
+)
+
+// recent counts the sends and ends of the last four seconds in slots of a
+// quarter of a second. The zero value is empty.
+type recent struct {
+	// at is the number of the newest slot since time zero.
+	at     int64
+	net    [recentSlots]int
+	tokens [recentSlots]ident.Tokens
+}
+
+func slotOf(t ident.Time) int64 { return int64(t) / int64(recentWidth) }
+
+func (r *recent) add(now ident.Time, n int, tokens ident.Tokens) {
+	r.turn(slotOf(now))
+	i := r.at % recentSlots
+	r.net[i] += n
+	r.tokens[i] += tokens
+}
+
+// turn clears the slots between the newest and s.
+func (r *recent) turn(s int64) {
+	if s-r.at >= recentSlots {
+		*r = recent{at: s}
+		return
+	}
+	for r.at < s {
+		r.at++
+		r.net[r.at%recentSlots] = 0
+		r.tokens[r.at%recentSlots] = 0
+	}
+}
+
+// since returns the sends less the ends after a time, and the prefill work of
+// the sends. The slot of the time itself counts: to count a send twice makes a
+// target look a little fuller, to miss it lets a burst pile up.
+func (r *recent) since(now, from ident.Time) (int, ident.Tokens) {
+	net, tokens := 0, ident.Tokens(0)
+	newest := min(r.at, slotOf(now))
+	for s := max(slotOf(from), r.at-recentSlots+1, 0); s <= newest; s++ {
+		net += r.net[s%recentSlots]
+		tokens += r.tokens[s%recentSlots]
+	}
+	return net, tokens
+}
+
+// LoadReported takes a load report that this host read from the target or got
+// with an answer of it.
+func (tb *Table) LoadReported(now ident.Time, ld event.Load) {
+	tb.Advance(now)
+	t, ok := tb.takeLoad(now, ld, true)
+	if !ok {
+		return
+	}
+	if !sameLoad(t.relayed, ld) || now.Sub(t.relayedAt) >= relayEvery {
+		t.relayed, t.relayedAt = ld, now
+		tb.relay = append(tb.relay, ld)
+	}
+}
+
+// takeLoad takes a report and tells whether it was news.
+func (tb *Table) takeLoad(now ident.Time, ld event.Load, direct bool) (*Target, bool) {
+	if ld.Leaving {
+		tb.hearLeaving(now, ld.Target, ld.Incarnation)
+	}
+	t, ok := tb.byID[ld.Target]
+	if !ok || ld.Incarnation < t.Incarnation {
+		return nil, false
+	}
+	if ld.Incarnation > t.Incarnation {
+		d := t.Target
+		d.Incarnation = ld.Incarnation
+		d.Leaving = false
+		t.restart(now, d)
+		tb.settleLeaving(now, t)
+	}
+	if t.HasLoad && ld.Seq <= t.Load.Seq {
+		return nil, false
+	}
+	if direct {
+		t.answer(now)
+	} else {
+		t.hear(now.Add(-ld.Age))
+	}
+	t.Load = ld
+	t.LoadAt = now.Add(-ld.Age)
+	t.HasLoad = true
+	return t, true
+}
+
+// sameLoad reports whether a report says the same as another but for its
+// number and age.
+func sameLoad(a, b event.Load) bool {
+	if a.Incarnation != b.Incarnation || a.Slots != b.Slots || a.Running != b.Running || a.Queued != b.Queued {
+		return false
+	}
+	if a.QueuedTokens != b.QueuedTokens || a.Leaving != b.Leaving || len(a.Serves) != len(b.Serves) {
+		return false
+	}
+	for i := range a.Serves {
+		if a.Serves[i] != b.Serves[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// LoadFailed takes note of a report that did not come.
+func (tb *Table) LoadFailed(now ident.Time, id ident.TargetID) {
+	tb.Advance(now)
+	if t, ok := tb.byID[id]; ok {
+		t.Fails++
+	}
+}
--- /dev/null
+++ b/internal/member/target.go
@@ -0,0 +1,332 @@
+package member
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Bounds and times of targets.
+const (
+	// failsToSuspect is how many failures in a row make a target suspect.
+	failsToSuspect = 3
+	// silentAfter is the silence that makes a target suspect that has been
+	// heard of. It outlasts the handover of a poll from a dead host.
+	silentAfter = 12 * time.Second
+	// trustFull is the age up to which a load report counts in full, trustEnd
+	// that at which it counts no more. Past it only the work that the hosts
+	// know to have sent is left to go by.
+	trustFull = 2 * time.Second
+	trustEnd  = 10 * time.Second
+	// relayEvery is the longest time between two relays of a load report that
+	// has not changed.
+	relayEvery = 3 * time.Second
+	// rampTime is how long a cold target or a healed link grows to its full
+	// share, from rampStart.
+	rampTime  = 10 * time.Second
+	rampStart = 0.1
+	// startGrace is the time after the own start in which targets are taken
+	// for warm: it is this host that is new, not they.
+	startGrace = 5 * time.Second
+	// defaultSlots stands for targets that report no load.
+	defaultSlots = 4
+	// defaultDecode is the time of a request where nothing is known.
+	defaultDecode = 2 * time.Second
+)
+
+// Target is a target of the own data centre as this host knows it.
+type Target struct {
+	event.Target
+	// Load is the newest report, LoadAt when the target made it as far as its
+	// age tells; HasLoad tells whether there is one.
+	Load    event.Load
+	LoadAt  ident.Time
+	HasLoad bool
+	// Sent counts the requests that this host has sent and that have not
+	// ended, SentTokens their prefill work, SentGenerated the most that they
+	// may generate.
+	Sent          int
+	SentTokens    ident.Tokens
+	SentGenerated ident.Tokens
+	// PeerSent and PeerTokens are the same of the other hosts of the data
+	// centre, from their digests.
+	PeerSent   int
+	PeerTokens ident.Tokens
+	// Fails counts failures in a row.
+	Fails int
+	// Leaves says that the target leaves, from the first word of it.
+	Leaves bool
+
+	listed bool
+	heard  ident.Time
+	met    bool
+	// cold is when the target was first seen or came back; warm says that it
+	// needs no ramp.
+	cold ident.Time
+	warm bool
+
+	recent    recent
+	relayed   event.Load
+	relayedAt ident.Time
+}
+
+// Suspect reports whether the target does not answer: calls failed in a row,
+// or no one has heard of it for long.
+func (t *Target) Suspect(now ident.Time) bool {
+	if t.Fails >= failsToSuspect {
+		return true
+	}
+	return t.met && now.Sub(t.heard) > silentAfter
+}
+
+// Slots returns how many requests the target runs at once.
+func (t *Target) Slots() int {
+	if t.HasLoad && t.Load.Slots > 0 {
+		return t.Load.Slots
+	}
+	return defaultSlots
+}
+
+// Outstanding estimates the requests of all senders at the target now.
+//
+// A report lags, and this host's own work is known exactly. So the report is
+// used for the work of others only: what it counted less what this host had
+// there at the time. The digests of the peers bound it from below.
+func (t *Target) Outstanding(now ident.Time) int {
+	others := t.PeerSent
+	if t.HasLoad {
+		net, _ := t.recent.since(now, t.LoadAt)
+		reported := t.Load.Running + t.Load.Queued - (t.Sent - net)
+		if more := reported - others; more > 0 {
+			others += int(math.Ceil(t.trust(now) * float64(more)))
+		}
+	}
+	return t.Sent + others
+}
+
+// trust returns how far the newest report counts, from 1 to 0.
+func (t *Target) trust(now ident.Time) float64 {
+	age := now.Sub(t.LoadAt)
+	if age <= trustFull {
+		return 1
+	}
+	if age >= trustEnd {
+		return 0
+	}
+	return float64(trustEnd-age) / float64(trustEnd-trustFull)
+}
+
+// Share returns the part of its capacity that a cold target is used with, from
+// rampStart to 1.
+func (t *Target) Share(now ident.Time) float64 {
+	if t.warm {
+		return 1
+	}
+	return ramp(now.Sub(t.cold))
+}
+
+// ramp returns the share that something new may be used with at an age.
+func ramp(age time.Duration) float64 {
+	if age >= rampTime {
+		return 1
+	}
+	if age < 0 {
+		return rampStart
+	}
+	return rampStart + (1-rampStart)*float64(age)/float64(rampTime)
+}
+
+// Wait predicts the time until a new request starts, with the given number of
+// requests before it at the target and the given share of its slots.
+func (t *Target) Wait(now ident.Time, before int, share float64) time.Duration {
+	slots := max(1, int(math.Ceil(share*float64(t.Slots()))))
+	return max(t.prefillWait(now, before), t.slotWait(before, slots))
+}
+
+// slotWait is the time until a slot is free, with slots that free evenly.
+func (t *Target) slotWait(before, slots int) time.Duration {
+	if before < slots {
+		return 0
+	}
+	turns := float64(before-slots+1) / float64(slots)
+	return time.Duration(turns * float64(t.serviceTime()))
+}
+
+// serviceTime is the time that one request holds a slot. A request seldom
+// generates the most that it may; half is the guess.
+func (t *Target) serviceTime() time.Duration {
+	if t.Sent == 0 || t.Load.DecodeRate <= 0 {
+		return defaultDecode
+	}
+	each := float64(t.SentGenerated) / float64(t.Sent) / 2
+	return seconds(each / t.Load.DecodeRate)
+}
+
+// prefillWait is the time that the prefill work before a new request takes.
+func (t *Target) prefillWait(now ident.Time, before int) time.Duration {
+	if t.Load.PrefillRate <= 0 {
+		return 0
+	}
+	trust := t.trust(now)
+	_, sent := t.recent.since(now, t.LoadAt)
+	drained := now.Sub(t.LoadAt).Seconds() * t.Load.PrefillRate
+	reported := max(0, float64(t.Load.QueuedTokens)+float64(sent)-drained)
+	known := 0.0
+	if queued := before - t.Slots(); queued > 0 && before > 0 {
+		known = float64(t.SentTokens+t.PeerTokens) * float64(queued) / float64(before)
+	}
+	return seconds((trust*reported + (1-trust)*known) / t.Load.PrefillRate)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Sent takes note of a request sent to a target.
+func (tb *Table) Sent(id ident.TargetID, prefill, generated ident.Tokens) {
+	t, ok := tb.byID[id]
+	if !ok {
+		return
+	}
+	t.Sent++
+	t.SentTokens += prefill
+	t.SentGenerated += generated
+	t.recent.add(tb.last, 1, prefill)
+}
+
+// Ended takes note of the end of a request at a target. A failure counts
+// towards suspicion, and a success clears it.
+func (tb *Table) Ended(id ident.TargetID, prefill, generated ident.Tokens, ok bool) {
+	t, found := tb.byID[id]
+	if !found {
+		return
+	}
+	tb.drop(t, prefill, generated)
+	if !ok {
+		t.Fails++
+		return
+	}
+	t.answer(tb.last)
+}
+
+// Dropped takes note of the end of a request that tells nothing of the target,
+// such as when the caller left.
+func (tb *Table) Dropped(id ident.TargetID, prefill, generated ident.Tokens) {
+	if t, ok := tb.byID[id]; ok {
+		tb.drop(t, prefill, generated)
+	}
+}
+
+func (tb *Table) drop(t *Target, prefill, generated ident.Tokens) {
+	if t.Sent == 0 {
+		return
+	}
+	t.Sent--
+	t.SentTokens = max(0, t.SentTokens-prefill)
+	t.SentGenerated = max(0, t.SentGenerated-generated)
+	t.recent.add(tb.last, -1, 0)
+}
+
+// answer takes note that the target answered. One that was suspect is cold: its
+// cache may be gone, and the load that fled it must not come back at once.
+func (t *Target) answer(now ident.Time) {
+	if t.Suspect(now) {
+		t.cold = now
+		t.warm = false
+	}
+	t.Fails = 0
+	t.hear(now)
+}
+
+// hear takes note of a word of the target, heard here or by a peer. The word
+// that a peer heard ends a silence and no more: the failures seen from here may
+// be of the link between, and only an answer to this host tells that it is
+// whole.
+func (t *Target) hear(now ident.Time) {
+	if t.met && now.Sub(t.heard) > silentAfter {
+		t.cold = now
+		t.warm = false
+	}
+	t.met = true
+	t.heard = max(t.heard, now)
+}
+
+// putTarget takes a description of a target of the own data centre.
+func (tb *Table) putTarget(now ident.Time, d event.Target) {
+	t, ok := tb.byID[d.ID]
+	if !ok {
+		t = &Target{Target: d, listed: true, cold: now, heard: now, warm: now.Sub(tb.started) <= startGrace}
+		tb.byID[d.ID] = t
+		i, _ := slices.BinarySearchFunc(tb.targets, d.ID, func(t *Target, id ident.TargetID) int { return cmp.Compare(t.ID, id) })
+		tb.targets = slices.Insert(tb.targets, i, t)
+		tb.settleLeaving(now, t)
+		return
+	}
+	t.listed = true
+	switch {
+	case d.Incarnation == t.Incarnation:
+		d.Leaving = d.Leaving || t.Leaving
+		t.Target = d
+	case d.Incarnation > t.Incarnation:
+		t.restart(now, d)
+	case now.Sub(t.heard) > deadAfter:
+		// The clock of the target went back. Its old self is silent past
+		// doubt, and so is the word that the old self leaves.
+		delete(tb.left, d.ID)
+		t.restart(now, d)
+	}
+	tb.settleLeaving(now, t)
+}
+
+// restart begins a new incarnation. What this host has sent and what has not
+// ended still counts: the ends will be told.
+func (t *Target) restart(now ident.Time, d event.Target) {
+	*t = Target{
+		Target: d, listed: true, cold: now, heard: now,
+		Sent: t.Sent, SentTokens: t.SentTokens, SentGenerated: t.SentGenerated,
+		PeerSent: t.PeerSent, PeerTokens: t.PeerTokens, recent: t.recent,
+	}
+}
+
+// reapTargets drops targets that are silent and not listed.
+func (tb *Table) reapTargets(now ident.Time) {
+	tb.targets = slices.DeleteFunc(tb.targets, func(t *Target) bool {
+		gone := !t.listed && now.Sub(t.heard) > dropAfter && t.Sent == 0 && t.PeerSent == 0
+		if gone {
+			delete(tb.byID, t.ID)
+		}
+		return gone
+	})
+}
+
+// polls returns the load reports that this host reads now. Each target is read
+// by the live host that ranks first for it, which relays the report, so that
+// the reads of a target do not grow with the number of hosts. A suspect target
+// is probed by every host that suspects it, since the failure may be of the
+// link of one.
+func (tb *Table) polls(now ident.Time) []event.Effect {
+	var effs []event.Effect
+	for _, t := range tb.targets {
+		if t.Suspect(now) || tb.poller(now, t.ID) == tb.self.ID {
+			effs = append(effs, event.PollLoad{Target: t.Target, After: tb.own.after(t.ID)})
+		}
+	}
+	return effs
+}
+
+func (tb *Table) poller(now ident.Time, id ident.TargetID) ident.EntryID {
+	best := tb.self.ID
+	score := rank.Hash("poll", string(id), string(best))
+	for _, p := range tb.peers {
+		if !p.live(now) {
+			continue
+		}
+		if s := rank.Hash("poll", string(id), string(p.host.ID)); s > score {
+			best, score = p.host.ID, s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/route/cache.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Bounds of what is remembered of the caches of targets. With 2,048 blocks of
+// about a hundred bytes a target takes up to about 200 KB.
+const (
+	// maxBlocks bounds the blocks for each target; the oldest goes first.
+	maxBlocks = 2048
+	// maxCaches bounds the targets.
+	maxCaches = 1024
+	// maxHolders bounds the targets remembered for each block, the newest
+	// ones, and so the warm candidates of a decision.
+	maxHolders = 4
+	// maxLookups bounds the blocks of one prompt that are looked up.
+	maxLookups = 64
+	// learnLife is how long a block counts as held that no event has
+	// confirmed: the request that brought it may have failed, or the engine
+	// may have dropped it.
+	learnLife = 60 * time.Second
+)
+
+// caches is what is known of the prefix caches of the targets. The zero value
+// knows nothing.
+type caches struct {
+	byTarget map[ident.TargetID]*cache
+	holders  map[uint64][]ident.TargetID
+}
+
+// cache is what is known of one target's.
+type cache struct {
+	incarnation ident.Incarnation
+	seq         uint64
+	seen        bool
+	blocks      map[uint64]block
+	// ring holds the blocks in the order in which they came.
+	ring []uint64
+	next int
+}
+
+// block is one remembered block: confirmed by an event of the engine, or
+// learned from a request that was sent.
+type block struct {
+	confirmed bool
+	at        ident.Time
+}
+
+func (b block) holds(now ident.Time) bool { return b.confirmed || now.Sub(b.at) <= learnLife }
+
+// holder is a target that probably holds a part of a prompt.
+type holder struct {
+	target      ident.TargetID
+	incarnation ident.Incarnation
+	part        float64
+}
+
+// CacheChanged takes a cache event of an engine.
+//
+// Events come late and with gaps. What a lost event dropped is not known, so a
+// gap makes everything that was confirmed before untrue as far as one can
+// tell, and all of it is forgotten: to believe it would keep sending requests
+// to a target that finds nothing warm, which shows as cached tokens far below
+// the prediction. A late or doubled event is ignored.
+func (rt *Router) CacheChanged(now ident.Time, ev event.CacheChanged, tb *member.Table) {
+	t, ok := tb.Target(ev.Target)
+	if !ok || ev.Incarnation < t.Incarnation {
+		return
+	}
+	c := rt.caches.get(ev.Target)
+	if c == nil || ev.Incarnation < c.incarnation {
+		return
+	}
+	if ev.Incarnation > c.incarnation {
+		if c.seen {
+			rt.caches.clear(ev.Target, c)
+		}
+		c.incarnation, c.seq, c.seen = ev.Incarnation, 0, false
+	}
+	if c.seen && ev.Seq <= c.seq {
+		return
+	}
+	if c.seen && ev.Seq != c.seq+1 {
+		rt.caches.clear(ev.Target, c)
+	}
+	c.seq, c.seen = ev.Seq, true
+	for _, b := range ev.Stored {
+		rt.caches.put(ev.Target, c, b, block{confirmed: true, at: now})
+	}
+	for _, b := range ev.Dropped {
+		rt.caches.remove(ev.Target, c, b)
+	}
+}
+
+// CacheSeq returns the number of the last cache event of a target that was
+// taken.
+func (rt *Router) CacheSeq(id ident.TargetID) uint64 {
+	if c, ok := rt.caches.byTarget[id]; ok {
+		return c.seq
+	}
+	return 0
+}
+
+// Learn takes note of a prompt that was sent to a target.
+func (rt *Router) Learn(now ident.Time, id ident.TargetID, prefix []uint64) {
+	c := rt.caches.get(id)
+	if c == nil {
+		return
+	}
+	for _, b := range prefix {
+		if old, ok := c.blocks[b]; ok && old.confirmed {
+			continue
+		}
+		rt.caches.put(id, c, b, block{at: now})
+	}
+}
+
+// Forget drops what is known of the cache of a target, such as when it was
+// restarted.
+func (rt *Router) Forget(id ident.TargetID) {
+	if c, ok := rt.caches.byTarget[id]; ok {
+		rt.caches.clear(id, c)
+		delete(rt.caches.byTarget, id)
+	}
+}
+
+func (cs *caches) get(id ident.TargetID) *cache {
+	if c, ok := cs.byTarget[id]; ok {
+		return c
+	}
+	if len(cs.byTarget) >= maxCaches {
+		return nil
+	}
+	if cs.byTarget == nil {
+		cs.byTarget = make(map[ident.TargetID]*cache)
+		cs.holders = make(map[uint64][]ident.TargetID)
+	}
+	c := &cache{blocks: make(map[uint64]block)}
+	cs.byTarget[id] = c
+	return c
+}
+
+func (cs *caches) put(id ident.TargetID, c *cache, key uint64, b block) {
+	if _, ok := c.blocks[key]; ok {
+		c.blocks[key] = b
+		return
+	}
+	if hs := cs.holders[key]; len(hs) >= maxHolders {
+		cs.remove(hs[0], cs.byTarget[hs[0]], key)
+	}
+	if len(c.ring) < maxBlocks {
+		c.ring = append(c.ring, key)
+	} else {
+		cs.remove(id, c, c.ring[c.next])
+		c.ring[c.next] = key
+		c.next = (c.next + 1) % maxBlocks
+	}
+	c.blocks[key] = b
+	cs.holders[key] = append(cs.holders[key], id)
+}
+
+func (cs *caches) remove(id ident.TargetID, c *cache, key uint64) {
+	if _, ok := c.blocks[key]; !ok {
+		return
+	}
+	delete(c.blocks, key)
+	hs := slices.DeleteFunc(cs.holders[key], func(x ident.TargetID) bool { return x == id })
+	if len(hs) == 0 {
+		delete(cs.holders, key)
+		return
+	}
+	cs.holders[key] = hs
+}
+
+func (cs *caches) clear(id ident.TargetID, c *cache) {
+	for _, key := range c.ring {
+		cs.remove(id, c, key)
+	}
+	c.ring = c.ring[:0]
+	c.next = 0
+}
+
+// findWarm fills in the targets that probably hold the longest parts of the
+// prompt.
+func (rt *Router) findWarm(v *view) {
+	rt.warm = rt.warm[:0]
+	prefix := v.q.Request.Prefix
+	n := len(prefix)
+	step := max(1, (n+maxLookups-1)/maxLookups)
+	for i := n - 1; i >= 0 && len(rt.warm) < maxHolders; i -= step {
+		for _, id := range rt.caches.holders[prefix[i]] {
+			rt.addWarm(v, id, prefix[i], float64(i+1)/float64(n))
+		}
+	}
+}
+
+func (rt *Router) addWarm(v *view, id ident.TargetID, key uint64, part float64) {
+	if len(rt.warm) == maxHolders || slices.ContainsFunc(rt.warm, func(h holder) bool { return h.target == id }) {
+		return
+	}
+	c := rt.caches.byTarget[id]
+	if !c.blocks[key].holds(v.now) {
+		return
+	}
+	rt.warm = append(rt.warm, holder{target: id, incarnation: c.incarnation, part: part})
+}
--- /dev/null
+++ b/internal/route/cost.go
@@ -0,0 +1,135 @@
+package route
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// cost holds the weighted parts of a cost in seconds.
+type cost struct {
+	wait     float64
+	prefill  float64
+	decode   float64
+	price    float64
+	crossing float64
+}
+
+func (c *cost) sum() float64 { return c.wait + c.prefill + c.decode + c.price + c.crossing }
+
+// Guesses and bounds of costs.
+const (
+	// expectPart is the part of the tokens that a request may generate and is
+	// expected to.
+	expectPart = 0.5
+	// batchSlow is how much slower a full batch decodes than an empty one. It
+	// also spreads work over targets that all have free slots.
+	batchSlow = 0.25
+	// boundLoad is how much fuller than the mean a target may be and still
+	// draw work by its cache.
+	boundLoad = 1.25
+	// serviceTime stands for the time of a call of a plain service.
+	serviceTime = 0.2
+)
+
+// tailWeight is the weight of the time to the first token. Zero, which is what
+// a profile without weights has, counts as one: if waiting cost nothing, all
+// work would go to one target.
+func tailWeight(w rules.Weights) float64 {
+	if w.Tail == 0 {
+		return 1
+	}
+	return w.Tail
+}
+
+// price fills in the costs of the candidates.
+func (rt *Router) price(v *view) {
+	v.mean = 0
+	for i := range rt.cands {
+		v.mean += use(v, rt.cands[i].t)
+	}
+	if n := len(rt.cands); n > 0 {
+		v.mean /= float64(n)
+	}
+	for i := range rt.cands {
+		rt.fill(v, &rt.cands[i])
+	}
+}
+
+// priceOne returns the cost of one target outside the sample.
+func (rt *Router) priceOne(v *view, t *member.Target) *cand {
+	c := &cand{t: t}
+	rt.fill(v, c)
+	return c
+}
+
+// use is the part of its slots that a target has in use.
+func use(v *view, t *member.Target) float64 {
+	return float64(t.Outstanding(v.now)) / float64(t.Slots())
+}
+
+func (rt *Router) fill(v *view, c *cand) {
+	t, q := c.t, v.q
+	c.serve, _ = served(q.Profile, t.Load.Serves)
+	before := t.Outstanding(v.now)
+	u := float64(before) / float64(t.Slots())
+	prefill, decode := 0.0, serviceTime
+	if q.Profile.Service == "" {
+		cached := rt.cached(v, t, u)
+		prefill = span(float64(q.Request.Prompt+q.Resume)-cached, t.Load.PrefillRate)
+		decode = decodeTime(q, t.Load.DecodeRate) * (1 + batchSlow*u)
+	}
+	w := q.Profile.Weights
+	tail := tailWeight(w)
+	// A cold target counts as smaller than it is, for the cost only: the
+	// prediction that admission goes by is not inflated.
+	ramped := t.Wait(v.now, before, t.Share(v.now))
+	c.cost = cost{
+		wait:    tail * (ramped + q.Backlog).Seconds(),
+		prefill: tail * prefill,
+		decode:  decode,
+		price:   w.Cost * t.Price * (prefill + decode),
+	}
+	c.ready = t.Wait(v.now, before, 1) + q.Backlog + toTime(prefill)
+}
+
+// cached returns how many tokens of the prompt a target probably holds, none
+// for one above its bound.
+//
+// Without the bound a popular prefix would draw every request that shares it
+// to the one target that holds it, however long its queue; with it the
+// overflow goes elsewhere and warms a second target.
+func (rt *Router) cached(v *view, t *member.Target, u float64) float64 {
+	if u > boundLoad*v.mean+1/float64(t.Slots()) {
+		return 0
+	}
+	for _, h := range rt.warm {
+		if h.target == t.ID && (h.incarnation == 0 || h.incarnation == t.Incarnation) {
+			return h.part * float64(v.q.Request.Prompt)
+		}
+	}
+	return 0
+}
+
+func decodeTime(q *Query, rate float64) float64 {
+	return span(expectPart*float64(max(0, q.Request.MaxTokens-q.Resume)), rate)
+}
+
+// span is the time that tokens take at a rate, zero where the rate is unknown.
+func span(tokens, rate float64) float64 {
+	if rate <= 0 || tokens <= 0 {
+		return 0
+	}
+	return tokens / rate
+}
+
+func toTime(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// crossing is a use of an offer, for the hysteresis.
+type crossing struct {
+	centre ident.DataCentre
+	pool   member.PoolID
+	at     ident.Time
+}
--- /dev/null
+++ b/internal/route/cross.go
@@ -0,0 +1,128 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Times and bounds of passing on.
+const (
+	// farTrip and nearTrip are the times of a way there and back, between
+	// regions and within one.
+	farTrip  = 160 * time.Millisecond
+	nearTrip = 2 * time.Millisecond
+	// startFactor is how much more than the weight of a crossing must be
+	// gained to begin to cross; once begun the weight itself will do.
+	startFactor = 1.25
+	// minGain is what must be gained for any passing on, in seconds: less is
+	// within the error of the prediction.
+	minGain = 0.05
+	// crossHold is how long a crossing counts as begun.
+	crossHold = 5 * time.Second
+	// maxCrossed bounds the crossings remembered.
+	maxCrossed = 256
+)
+
+// abroad returns the best data centre to pass a request on to, if one is worth
+// it against the best local choice, which is nil where there is none.
+func (rt *Router) abroad(v *view, local *cand) (Decision, bool) {
+	limit := 0.0
+	if local != nil {
+		limit = local.cost.sum()
+		if limit <= minGain {
+			return Decision{}, false
+		}
+	}
+	var best *member.Centre
+	var pool *event.Pool
+	least := 0.0
+	for _, c := range v.tb.Centres(v.now) {
+		if _, out := centreRuledOut(v, c); out {
+			continue
+		}
+		p := offered(v, c)
+		k := rt.centreCost(v, c, p)
+		s := k.sum()
+		if local != nil && s+minGain >= limit {
+			continue
+		}
+		if best == nil || s < least {
+			best, pool, least = c, p, s
+		}
+	}
+	if best == nil {
+		return Decision{}, false
+	}
+	h, _ := best.HostFor(v.key)
+	return Decision{
+		Host: h, Centre: best.Place.DataCentre, Pool: poolID(pool),
+		Wait: readyAbroad(v, best, pool),
+	}, true
+}
+
+// centreCost is the cost of a request at another data centre. Nothing is warm
+// for it there.
+func (rt *Router) centreCost(v *view, c *member.Centre, p *event.Pool) cost {
+	q := v.q
+	w := q.Profile.Weights
+	tail := tailWeight(w)
+	prefill, decode := 0.0, serviceTime
+	if q.Profile.Service == "" {
+		prefill = span(float64(q.Request.Prompt+q.Resume), p.PrefillRate)
+		decode = decodeTime(q, p.DecodeRate)
+	}
+	k := cost{
+		wait:    tail * (p.Wait + trip(v, c)).Seconds(),
+		prefill: tail * prefill,
+		decode:  decode,
+		price:   w.Cost * p.Price * (prefill + decode),
+	}
+	if c.Place.Region == v.tb.Self().Place.Region {
+		return k
+	}
+	k.crossing = w.Crossing
+	if !rt.crossing(v.now, c.Place.DataCentre, poolID(p)) {
+		k.crossing *= startFactor
+	}
+	return k
+}
+
+func readyAbroad(v *view, c *member.Centre, p *event.Pool) time.Duration {
+	ready := p.Wait + trip(v, c)
+	if v.q.Profile.Service == "" {
+		ready += toTime(span(float64(v.q.Request.Prompt+v.q.Resume), p.PrefillRate))
+	}
+	return ready
+}
+
+func trip(v *view, c *member.Centre) time.Duration {
+	if c.Place.Region == v.tb.Self().Place.Region {
+		return nearTrip
+	}
+	return farTrip
+}
+
+// crossing reports whether requests of a pool went to a data centre lately.
+func (rt *Router) crossing(now ident.Time, dc ident.DataCentre, id member.PoolID) bool {
+	i := rt.crossedIndex(dc, id)
+	return i >= 0 && now.Sub(rt.crossed[i].at) <= crossHold
+}
+
+func (rt *Router) crossedIndex(dc ident.DataCentre, id member.PoolID) int {
+	return slices.IndexFunc(rt.crossed, func(x crossing) bool { return x.centre == dc && x.pool == id })
+}
+
+func (rt *Router) noteCrossing(now ident.Time, dc ident.DataCentre, id member.PoolID) {
+	if i := rt.crossedIndex(dc, id); i >= 0 {
+		rt.crossed[i].at = now
+		return
+	}
+	rt.crossed = slices.DeleteFunc(rt.crossed, func(x crossing) bool { return now.Sub(x.at) > crossHold })
+	if len(rt.crossed) < maxCrossed {
+		rt.crossed = append(rt.crossed, crossing{dc, id, now})
+	}
+}
--- /dev/null
+++ b/internal/route/explain.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Explain lists every choice, the targets first and then the other data
+// centres, and the index of the one that Choose would take, -1 for none. It
+// changes nothing.
+func (rt *Router) Explain(now ident.Time, q Query, tb *member.Table) ([]event.Choice, int) {
+	rt.q = q
+	v := view{now: now, q: &rt.q, tb: tb, key: rank.Hash(string(q.Request.ID))}
+	dec := rt.decide(&v)
+	var choices []event.Choice
+	chosen := -1
+	for _, t := range tb.Targets() {
+		if dec.Target == t {
+			chosen = len(choices)
+		}
+		choices = append(choices, rt.explainTarget(&v, t))
+	}
+	for _, c := range tb.Centres(now) {
+		if dec.Centre == c.Place.DataCentre {
+			chosen = len(choices)
+		}
+		choices = append(choices, rt.explainCentre(&v, c))
+	}
+	return choices, chosen
+}
+
+func (rt *Router) explainTarget(v *view, t *member.Target) event.Choice {
+	ch := event.Choice{Target: t.ID, DataCentre: t.Place.DataCentre}
+	if code, out := ruledOut(v, t); out {
+		ch.RuledOut = code
+		return ch
+	}
+	c := rt.priceOne(v, t)
+	return withCost(ch, c.cost)
+}
+
+func (rt *Router) explainCentre(v *view, c *member.Centre) event.Choice {
+	ch := event.Choice{DataCentre: c.Place.DataCentre}
+	if code, out := centreRuledOut(v, c); out {
+		ch.RuledOut = code
+		return ch
+	}
+	return withCost(ch, rt.centreCost(v, c, offered(v, c)))
+}
+
+func withCost(ch event.Choice, k cost) event.Choice {
+	ch.Cost = k.sum()
+	ch.Wait = k.wait
+	ch.Prefill = k.prefill
+	ch.Decode = k.decode
+	ch.Price = k.price
+	ch.Crossing = k.crossing
+	return ch
+}
--- /dev/null
+++ b/internal/route/filter.go
@@ -0,0 +1,197 @@
+package route
+
+import (
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// targetFilter is one declared reason to rule a target out.
+type targetFilter struct {
+	code codes.Code
+	out  func(v *view, t *member.Target) bool
+}
+
+// targetFilters is the table that each target goes through, in order. Room
+// comes last: a target that only lacks room is worth waiting for.
+var targetFilters = [...]targetFilter{
+	{codes.FilterKind, wrongKind},
+	{codes.FilterModel, lacksModel},
+	{codes.FilterResidency, targetOutside},
+	{codes.FilterLeaving, func(_ *view, t *member.Target) bool { return t.Leaves }},
+	{codes.FilterHealth, func(v *view, t *member.Target) bool { return t.Suspect(v.now) }},
+	{codes.FilterTried, func(v *view, t *member.Target) bool { return v.q.Tried.Has(t.ID) }},
+	{codes.FilterFull, full},
+}
+
+// centreFilter is one declared reason to rule another data centre out.
+type centreFilter struct {
+	code codes.Code
+	out  func(v *view, c *member.Centre) bool
+}
+
+// centreFilters is the table that each other data centre goes through, in
+// order.
+var centreFilters = [...]centreFilter{
+	{codes.FilterResidency, centreOutside},
+	{codes.FilterHops, hopsSpent},
+	{codes.FilterTried, func(v *view, c *member.Centre) bool { return v.q.TriedCentres.Has(c.Place.DataCentre) }},
+	{codes.FilterHealth, func(v *view, c *member.Centre) bool { return c.CutOff(v.now) || !hasHost(c) }},
+	{codes.FilterModel, func(v *view, c *member.Centre) bool { return !hasPool(v.q.Profile, c) }},
+	{codes.FilterOffer, noOffer},
+}
+
+func ruledOut(v *view, t *member.Target) (codes.ID, bool) {
+	for i := range targetFilters {
+		if targetFilters[i].out(v, t) {
+			return targetFilters[i].code.ID, true
+		}
+	}
+	return "", false
+}
+
+func centreRuledOut(v *view, c *member.Centre) (codes.ID, bool) {
+	for i := range centreFilters {
+		if centreFilters[i].out(v, c) {
+			return centreFilters[i].code.ID, true
+		}
+	}
+	return "", false
+}
+
+func wrongKind(v *view, t *member.Target) bool {
+	if v.q.Profile.Service != "" {
+		return t.Kind != event.Service || t.Service != v.q.Profile.Service
+	}
+	return t.Kind != event.Engine
+}
+
+func lacksModel(v *view, t *member.Target) bool {
+	if v.q.Profile.Service != "" {
+		return false
+	}
+	_, ok := served(v.q.Profile, t.Load.Serves)
+	return !ok
+}
+
+// served returns the first model of the profile among those that are loaded.
+func served(p rules.Profile, loaded []rules.Serve) (rules.Serve, bool) {
+	for _, want := range p.Models {
+		for _, have := range loaded {
+			if matches(want, have) {
+				return have, true
+			}
+		}
+	}
+	return rules.Serve{}, false
+}
+
+func matches(want, have rules.Serve) bool {
+	if want.Model != have.Model || want.Adapter != have.Adapter {
+		return false
+	}
+	return want.Version == "" || want.Version == have.Version
+}
+
+func targetOutside(v *view, t *member.Target) bool { return outside(v, t.Place.Region) }
+
+func centreOutside(v *view, c *member.Centre) bool { return outside(v, c.Place.Region) }
+
+func outside(v *view, r ident.Region) bool { return !v.q.Profile.Allows(v.q.Client, r) }
+
+// full tells whether a target has neither a slot nor a place in its queue.
+func full(v *view, t *member.Target) bool {
+	return t.Outstanding(v.now) >= roomFor(v.q, t.Slots())
+}
+
+// The queue that a target is allowed, as a part of its slots, and the reserve
+// that work from other regions may not take.
+const (
+	queuePart   = 4
+	reservePart = 5
+)
+
+// roomFor returns how many requests a target may have outstanding for a
+// request to be sent there.
+//
+// A small queue at the target keeps its slots busy while reports lag; a longer
+// one would bind work to a target that others could have begun earlier. Work
+// that came from another region gets no queue and leaves a reserve, since home
+// work has nowhere else to go: without it a flood from outside would hold up
+// requests that may not leave the region.
+func roomFor(q *Query, slots int) int {
+	if q.Crossings > 0 {
+		return slots - slots/reservePart
+	}
+	return slots + max(1, slots/queuePart)
+}
+
+// hopsSpent tells whether a request may not be passed on to a data centre. One
+// that another host passed on may only go to another region, and only while
+// its profile has crossings left, so that each passage uses up what is bounded
+// and no request circulates without end.
+func hopsSpent(v *view, c *member.Centre) bool {
+	if c.Place.Region == v.tb.Self().Place.Region {
+		return v.q.Forwarded
+	}
+	return v.q.Crossings >= v.q.Profile.MaxCrossings
+}
+
+func hasHost(c *member.Centre) bool {
+	for i := range c.Summary.Hosts {
+		if !c.Summary.Hosts[i].Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// poolMatches tells whether a pool serves a profile, and whether as a model of
+// the given rank in the profile's list.
+func poolMatches(p rules.Profile, pool *event.Pool, want int) bool {
+	if p.Service != "" {
+		return pool.Service == p.Service
+	}
+	return pool.Service == "" && matches(p.Models[want], pool.Serve)
+}
+
+// wants returns how many models a profile lists, one for a service.
+func wants(p rules.Profile) int {
+	if p.Service != "" {
+		return 1
+	}
+	return len(p.Models)
+}
+
+func hasPool(p rules.Profile, c *member.Centre) bool {
+	for want := range wants(p) {
+		for i := range c.Summary.Pools {
+			if poolMatches(p, &c.Summary.Pools[i], want) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func noOffer(v *view, c *member.Centre) bool { return offered(v, c) == nil }
+
+// offered returns the pool of a data centre whose offer the request may use.
+func offered(v *view, c *member.Centre) *event.Pool {
+	for want := range wants(v.q.Profile) {
+		for i := range c.Summary.Pools {
+			p := &c.Summary.Pools[i]
+			if p.Offer <= 0 || !poolMatches(v.q.Profile, p, want) {
+				continue
+			}
+			if v.tb.OfferLeft(v.now, c.Place.DataCentre, poolID(p)) > 0 {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
+func poolID(p *event.Pool) member.PoolID { return member.PoolID{Serve: p.Serve, Service: p.Service} }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,21 +1,40 @@
-// Package route chooses where a request runs.
+// Package route chooses where a request runs: at a target of the own data
+// centre, or at another data centre that has offered room.
 //
 // # Usage
 //
+//	rt := route.New()
 //	dec := rt.Choose(now, route.Query{...}, table)
-//	if dec.Target != nil { ... }
+//	switch {
+//	case dec.Centre != "":
+//		// pass on to dec.Host, and count it: table.OfferTake(dec.Centre, dec.Pool)
+//	case dec.Target != nil:
+//		// send to dec.Target
+//	case dec.Full:
+//		// only room is missing; dec.Wait predicts for how long
+//	}
 //
-// First the filters rule choices out, for good; then the cheapest of the rest
-// is taken. Explain lists every choice with the filter that ruled it out or
-// the parts of its cost.
+// First the filters rule choices out. A filter is hard: it is no cost that
+// could be outbid under load. Then the cheapest of the rest is taken, in
+// seconds of predicted time weighted by the profile. Explain lists every
+// choice with the filter that ruled it out or the parts of its cost.
+//
+// A decision looks at a bounded sample of the targets that remain, drawn by a
+// hash of the request, and at the few that probably hold its prefix. Load
+// reports lag, so a host that always took the single best of all would, with
+// every other host, send it all that comes until the next report. The sample
+// costs little against that and keeps the time of a decision small.
+//
+// A Router belongs to one goroutine. It reads no clock and no source of
+// randomness.
 package route
 
 import (
-	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
@@ -27,9 +46,9 @@
 	Request event.Request
 	Profile rules.Profile
 	Client  rules.Client
-	// Tried holds the targets that failed for this request.
-	Tried value.Set[ident.TargetID]
-	// TriedCentres holds the data centres that refused or failed it.
+	// Tried holds the targets that failed for this request, TriedCentres the
+	// data centres.
+	Tried        value.Set[ident.TargetID]
 	TriedCentres value.Set[ident.DataCentre]
 	// Crossings counts the passages between regions so far.
 	Crossings ident.Hops
@@ -37,9 +56,12 @@
 	Forwarded bool
 	// Resume is the number of tokens that have reached the caller.
 	Resume ident.Tokens
+	// Backlog is the predicted time that the request would wait in this
+	// host's own queue before a target is chosen.
+	Backlog time.Duration
 }
 
-// Decision is a choice. With no target, Code tells why.
+// Decision is a choice. With neither Target nor Centre, Code tells why.
 type Decision struct {
 	Target *member.Target
 	Serve  rules.Serve
@@ -56,105 +78,209 @@
 	Code codes.ID
 }
 
+// sampleSize is how many targets a decision compares, beside the warm ones.
+const sampleSize = 8
+
 // Router chooses. Its zero value is ready.
 type Router struct {
 	// Pick chooses among the targets that the filters leave; nil is the cost
-	// policy.
+	// policy. It is for comparing policies: with it no request crosses.
 	Pick func(now ident.Time, q Query, left []*member.Target) *member.Target
-}
-
-// New returns a router that knows no cache.
-func New() *Router { return &Router{} }
 
-// Explain lists every choice and the index of the one taken, -1 for none.
-func (rt *Router) Explain(ident.Time, Query, *member.Table) ([]event.Choice, int) { return nil, -1 }
+	caches  caches
+	crossed []crossing
 
-// CacheChanged takes a cache event.
-func (rt *Router) CacheChanged(ident.Time, event.CacheChanged, *member.Table) {}
+	// The rest is scratch space of one decision.
+	q     Query
+	cands []cand
+	warm  []holder
+	left  []*member.Target
+}
 
-// Learn takes note of a prompt that was sent to a target.
-func (rt *Router) Learn(ident.Time, ident.TargetID, []uint64) {}
+// cand is a target that remains, with its cost.
+type cand struct {
+	t     *member.Target
+	serve rules.Serve
+	cost  cost
+	// ready is the predicted time to the first token.
+	ready time.Duration
+}
 
-// Forget drops what is known of the cache of a target.
-func (rt *Router) Forget(ident.TargetID) {}
+// New returns a router that knows no cache.
+func New() *Router { return &Router{} }
 
-// filter is one declared reason to rule a target out.
-type filter struct {
-	code codes.Code
-	out  func(q Query, t *member.Target) bool
+// Choose returns the best choice.
+func (rt *Router) Choose(now ident.Time, q Query, tb *member.Table) Decision {
+	rt.q = q
+	v := view{now: now, q: &rt.q, tb: tb, key: rank.Hash(string(q.Request.ID))}
+	if rt.Pick != nil {
+		return rt.pick(&v)
+	}
+	dec := rt.decide(&v)
+	if dec.Centre != "" {
+		rt.noteCrossing(now, dec.Centre, dec.Pool)
+	}
+	if dec.Target == nil && !dec.Full && len(q.Profile.Models) > 0 {
+		tb.Want(now, member.PoolID{Serve: q.Profile.Models[0]})
+	}
+	if dec.Target == nil && !dec.Full && q.Profile.Service != "" {
+		tb.Want(now, member.PoolID{Service: q.Profile.Service})
+	}
+	return dec
 }
 
-// targetFilters is the table that each target goes through, in order.
-var targetFilters = []filter{
-	{codes.FilterKind, wrongKind},
-	{codes.FilterModel, lacksModel},
-	{codes.FilterResidency, outsideResidency},
-	{codes.FilterLeaving, func(_ Query, t *member.Target) bool { return t.Leaves }},
-	{codes.FilterHealth, func(_ Query, t *member.Target) bool { return t.Suspect() }},
-	{codes.FilterTried, func(q Query, t *member.Target) bool { return q.Tried.Has(t.ID) }},
+// view is what the filters and costs of one decision look at.
+type view struct {
+	now ident.Time
+	q   *Query
+	tb  *member.Table
+	// key is a hash of the request's id.
+	key uint64
+	// mean is the mean use of the slots of the sample.
+	mean float64
 }
 
-func wrongKind(q Query, t *member.Target) bool {
-	if q.Profile.Service != "" {
-		return t.Kind != event.Service || t.Service != q.Profile.Service
+// decide returns the choice.
+func (rt *Router) decide(v *view) Decision {
+	rt.findWarm(v)
+	full := rt.sample(v)
+	rt.price(v)
+	best := rt.cheapest(v)
+	if best == nil && full == nil {
+		dec, ok := rt.abroad(v, nil)
+		if !ok {
+			dec.Code = codes.NoTarget.ID
+		}
+		return dec
+	}
+	local := best
+	if local == nil {
+		local = rt.priceOne(v, full)
+	}
+	if dec, ok := rt.abroad(v, local); ok {
+		return dec
+	}
+	if best == nil {
+		return Decision{Wait: local.ready, Full: true, Code: codes.Overloaded.ID}
 	}
-	return t.Kind != event.Engine
+	return Decision{Target: best.t, Serve: best.serve, Wait: best.ready}
 }
 
-func lacksModel(q Query, t *member.Target) bool {
-	if q.Profile.Service != "" {
-		return false
+// strides are the steps by which the sample walks over the targets. A step
+// that does not divide their number reaches every one.
+var strides = [...]int{1, 3, 7, 11, 13, 17, 19, 23}
+
+// walk returns where the sample starts and by which step it goes on.
+func walk(key uint64, n int) (start, step int) {
+	step = strides[rank.Mix(key)%uint64(len(strides))]
+	if n%step == 0 {
+		step = 1
 	}
-	_, ok := served(q.Profile, t)
-	return !ok
+	return int(key % uint64(n)), step
 }
 
-// served returns the first model of the profile that the target has loaded.
-func served(p rules.Profile, t *member.Target) (rules.Serve, bool) {
-	for _, want := range p.Models {
-		for _, have := range t.Load.Serves {
-			if matches(want, have) {
-				return have, true
+// sample gathers the warm targets and a bounded number of others that the
+// filters leave. It goes on to the last target only while too few remain. Of
+// the targets that only lack room it returns the one with the shortest wait
+// among those that it passed.
+func (rt *Router) sample(v *view) *member.Target {
+	rt.cands = rt.cands[:0]
+	for _, h := range rt.warm {
+		if t, ok := v.tb.Target(h.target); ok {
+			rt.consider(v, t)
+		}
+	}
+	targets := v.tb.Targets()
+	n := len(targets)
+	if n == 0 {
+		return nil
+	}
+	var full *member.Target
+	var fullWait time.Duration
+	i, step := walk(v.key, n)
+	for range n {
+		t := targets[i]
+		i += step
+		if i >= n {
+			i -= n
+		}
+		code := rt.consider(v, t)
+		if code == codes.FilterFull.ID {
+			if w := t.Wait(v.now, t.Outstanding(v.now), 1); full == nil || w < fullWait {
+				full, fullWait = t, w
 			}
 		}
+		if len(rt.cands) >= sampleSize+len(rt.warm) {
+			break
+		}
 	}
-	return rules.Serve{}, false
+	return full
 }
 
-func matches(want, have rules.Serve) bool {
-	if want.Model != have.Model || want.Adapter != have.Adapter {
-		return false
+// consider takes a target into the sample unless a filter rules it out.
+func (rt *Router) consider(v *view, t *member.Target) codes.ID {
+	for i := range rt.cands {
+		if rt.cands[i].t == t {
+			return ""
+		}
+	}
+	if code, out := ruledOut(v, t); out {
+		return code
 	}
-	return want.Version == "" || want.Version == have.Version
+	rt.cands = append(rt.cands, cand{t: t})
+	return ""
 }
 
-func outsideResidency(q Query, t *member.Target) bool {
-	return !q.Profile.Allows(q.Client, t.Place.Region)
-}
+// Near-equal costs: those within a part of the best and a fixed time of it.
+const (
+	nearPart = 0.05
+	nearTime = 0.005
+)
 
-// Choose returns the best target.
-func (rt *Router) Choose(_ ident.Time, q Query, tb *member.Table) Decision {
-	var left []*member.Target
-	for _, t := range tb.Targets() {
-		if _, out := ruledOut(q, t); !out {
-			left = append(left, t)
-		}
+// cheapest returns one of the cheapest candidates. Among near-equal ones a hash
+// of the request decides, so that hosts with the same reports do not all run
+// to the same target.
+func (rt *Router) cheapest(v *view) *cand {
+	if len(rt.cands) == 0 {
+		return nil
 	}
-	if len(left) == 0 {
-		return Decision{Code: codes.NoTarget.ID}
+	least := rt.cands[0].cost.sum()
+	for i := range rt.cands {
+		least = min(least, rt.cands[i].cost.sum())
+	}
+	limit := least + nearPart*least + nearTime
+	var best *cand
+	var score uint64
+	for i := range rt.cands {
+		c := &rt.cands[i]
+		if c.cost.sum() > limit {
+			continue
+		}
+		if s := rank.Join(v.key, rank.Hash(string(c.t.ID))); best == nil || s > score {
+			best, score = c, s
+		}
 	}
-	best := slices.MinFunc(left, func(a, b *member.Target) int { return busy(a) - busy(b) })
-	sv, _ := served(q.Profile, best)
-	return Decision{Target: best, Serve: sv}
+	return best
 }
 
-func ruledOut(q Query, t *member.Target) (codes.ID, bool) {
-	for _, f := range targetFilters {
-		if f.out(q, t) {
-			return f.code.ID, true
+// pick lets the seam choose among all targets that the filters leave.
+func (rt *Router) pick(v *view) Decision {
+	rt.left = rt.left[:0]
+	full := false
+	for _, t := range v.tb.Targets() {
+		code, out := ruledOut(v, t)
+		full = full || code == codes.FilterFull.ID
+		if !out {
+			rt.left = append(rt.left, t)
 		}
 	}
-	return "", false
+	if len(rt.left) == 0 && full {
+		return Decision{Full: true, Code: codes.Overloaded.ID}
+	}
+	if len(rt.left) == 0 {
+		return Decision{Code: codes.NoTarget.ID}
+	}
+	t := rt.Pick(v.now, *v.q, rt.left)
+	sv, _ := served(v.q.Profile, t.Load.Serves)
+	return Decision{Target: t, Serve: sv, Wait: t.Wait(v.now, t.Outstanding(v.now), 1)}
 }
-
-func busy(t *member.Target) int { return max(t.Sent, t.Load.Running+t.Load.Queued) }
