--- /dev/null
+++ b/internal/member/member_fail_test.go
@@ -0,0 +1,278 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// The platform is away and a host is replaced. Its peers tell it the targets,
+// their loads and the other data centres, so that callers who come to it are
+// served within seconds.
+func TestRestartedHostLearnsFromPeers(t *testing.T) {
+	w := newWorld(1, 2, 3, 4)
+	w.run(10*time.Second, nil)
+	for _, n := range w.nodes {
+		n.blind = true
+	}
+	n := w.nodes[1]
+	want := ids(n.tb.Targets())
+	w.restart(n)
+	w.run(6*time.Second, nil)
+	if d := cmp.Diff(want, ids(n.tb.Targets())); d != "" {
+		t.Errorf("targets after the restart: %s", d)
+	}
+	for _, x := range n.tb.Targets() {
+		if !x.HasLoad || x.Suspect(w.now) {
+			t.Errorf("%s has load %v, suspect %v", x.ID, x.HasLoad, x.Suspect(w.now))
+		}
+	}
+	if cs := n.tb.Centres(w.now); len(cs) != 1 || cs[0].CutOff(w.now) {
+		t.Errorf("other data centres after the restart: %+v", cs)
+	}
+}
+
+func ids(ts []*Target) []ident.TargetID {
+	var out []ident.TargetID
+	for _, t := range ts {
+		out = append(out, t.ID)
+	}
+	return out
+}
+
+// The process of a host is stopped for a minute and goes on. It must not take
+// the silence of its own sleep for that of everyone else, or it would refuse
+// the callers that wait at its door. The offer that it held is gone.
+func TestPausedHostKeepsItsPeersAndDropsItsOffers(t *testing.T) {
+	w := newWorld(2, 2, 2, 2)
+	w.busy("dc1", 10)
+	w.run(30*time.Second, nil)
+	n := w.nodes[2]
+	if n.tb.OfferLeft(w.now, "dc0", scribe) == 0 {
+		t.Fatal("no offer before the pause")
+	}
+	n.tb.Advance(w.now)
+	now := w.now.Add(time.Minute)
+	n.tb.Advance(now)
+	if got := len(n.tb.Peers(now)); got != 1 {
+		t.Errorf("%d live peers after the pause", got)
+	}
+	for _, x := range n.tb.Targets() {
+		if x.Suspect(now) {
+			t.Errorf("%s is suspect after the pause", x.ID)
+		}
+	}
+	// The summary that waited through the pause comes first.
+	c := n.tb.Centres(now)[0]
+	s := c.Summary
+	s.Seq += 100
+	s.Age = 0
+	n.tb.SummaryReceived(now, s)
+	if left := n.tb.OfferLeft(now, "dc0", scribe); left != 0 {
+		t.Errorf("an offer of %d outlives the pause", left)
+	}
+}
+
+// The host that watches the platform loses its own way to it, while its peers
+// still hear it. If it kept the duty, no change of a profile would reach the
+// data centre, with every host looking healthy.
+func TestBlindWatcherHandsOver(t *testing.T) {
+	w := newWorld(3, 1, 3, 1)
+	w.run(5*time.Second, nil)
+	old := w.nodes[0].tb.watcher(w.now)
+	w.node(old).blind = true
+	w.run(2*time.Second, nil)
+	for _, n := range w.nodes {
+		if n.tb.watcher(w.now) == old {
+			t.Errorf("%s leaves the duty with %s", n.id, old)
+		}
+	}
+	for _, n := range w.nodes {
+		n.blind = true
+	}
+	w.run(3*time.Second, nil)
+	if got := w.nodes[0].tb.watcher(w.now); got != old {
+		t.Errorf("with all blind %s watches, want the first, %s", got, old)
+	}
+}
+
+// The host that watches and speaks dies. Within four seconds another has its
+// duties, so that a change is in force in time.
+func TestDutiesPassOnFromASilentHost(t *testing.T) {
+	w := newWorld(4, 2, 3, 1)
+	w.run(5*time.Second, nil)
+	for _, old := range []ident.EntryID{w.nodes[0].tb.watcher(w.now), w.nodes[0].tb.speaker(w.now)} {
+		w.node(old).cut = true
+	}
+	w.run(4*time.Second, nil)
+	held := 0
+	for _, n := range w.nodes[:3] {
+		if !n.cut && n.tb.Watches(w.now) {
+			held++
+		}
+	}
+	if held != 1 {
+		t.Errorf("%d live hosts watch", held)
+	}
+}
+
+// A target refuses because it leaves, and the platform's list does not know it
+// yet. Every host of the data centre must know at once, and an old list or
+// report must not take it back: callers would see refusals until it is gone.
+func TestLeavingIsToldAtOnceAndSticks(t *testing.T) {
+	w := newWorld(5, 1, 3, 2)
+	w.run(5050*time.Millisecond, nil)
+	w.nodes[0].tb.MarkLeaving(w.now, "dc0-t0", 1)
+	w.run(100*time.Millisecond, nil)
+	for _, n := range w.nodes {
+		n.tb.HostsRead(w.now, w.list)
+		if x, _ := n.tb.Target("dc0-t0"); !x.Leaves {
+			t.Errorf("%s does not know", n.id)
+		}
+		if x, _ := n.tb.Target("dc0-t1"); x.Leaves {
+			t.Errorf("%s takes the wrong target for leaving", n.id)
+		}
+	}
+	w.list.Version++
+	w.list.Targets[0].Incarnation = 2
+	w.engine("dc0-t0").Incarnation = 2
+	w.run(3*time.Second, nil)
+	if x, _ := w.nodes[2].tb.Target("dc0-t0"); x.Leaves || x.Incarnation != 2 {
+		t.Errorf("the next incarnation is taken for %+v", x.Target)
+	}
+}
+
+// A host drains. Its peers stop naming it to callers at once, and the other
+// data centre as soon as its relay has passed the word on, within two periods.
+// Named longer, it would turn callers away.
+func TestLeavingHostIsNotNamed(t *testing.T) {
+	w := newWorld(6, 2, 2, 1)
+	w.run(10*time.Second, nil)
+	n := w.nodes[0]
+	n.tb.SetLeaving()
+	all := func(event.Place) bool { return true }
+	w.run(100*time.Millisecond, nil)
+	if hs := w.nodes[1].tb.Entries(w.now, all, 1); hs[0].ID != w.nodes[1].id {
+		t.Errorf("the peer names %s first", hs[0].ID)
+	}
+	w.run(2*Period, nil)
+	for _, m := range w.nodes {
+		for _, h := range m.tb.Entries(w.now, all, 1) {
+			if h.ID == n.id {
+				t.Errorf("%s names %s", m.id, n.id)
+			}
+		}
+		if m.place == n.place && m.tb.watcher(w.now) == n.id {
+			t.Errorf("%s leaves the duty to watch with %s", m.id, n.id)
+		}
+	}
+}
+
+// An old report comes after a newer one, and a report of a run that has ended
+// after that of the next. Taken for true, they would draw work to a full
+// target.
+func TestOldReportsAreIgnored(t *testing.T) {
+	w := newWorld(7, 1, 1, 1)
+	w.run(2*time.Second, nil)
+	tb := w.nodes[0].tb
+	report := func(inc ident.Incarnation, seq uint64, running int) int {
+		tb.LoadReported(w.now, event.Load{Target: "dc0-t0", Incarnation: inc, Seq: seq, Slots: 10, Running: running})
+		x, _ := tb.Target("dc0-t0")
+		return x.Outstanding(w.now)
+	}
+	var got []int
+	got = append(got, report(1, 1000, 9), report(1, 999, 0), report(2, 1, 5), report(1, 2000, 0))
+	if d := cmp.Diff([]int{9, 9, 5, 5}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// Reports lag. What this host and its peers have sent since counts at once, so
+// that a burst does not all go to the target that was idle a second ago.
+func TestSendsSinceTheReportCount(t *testing.T) {
+	w := newWorld(8, 1, 2, 1)
+	w.run(3*time.Second, nil)
+	a, b := w.nodes[0].tb, w.nodes[1].tb
+	for range 4 {
+		a.Sent("dc0-t0", 100, 100)
+	}
+	x, _ := a.Target("dc0-t0")
+	if got := x.Outstanding(w.now); got != 4 {
+		t.Errorf("the sender counts %d", got)
+	}
+	w.run(1100*time.Millisecond, nil)
+	y, _ := b.Target("dc0-t0")
+	if got := y.Outstanding(w.now); got != 4 {
+		t.Errorf("the peer counts %d", got)
+	}
+	w.busy("dc0", 4)
+	w.run(5*time.Second, nil)
+	if got := x.Outstanding(w.now); got != 4 {
+		t.Errorf("the sender counts %d once they are reported, as if they were others'", got)
+	}
+	for range 4 {
+		a.Ended("dc0-t0", 100, 100, true)
+	}
+	w.busy("dc0", 0)
+	w.run(3*time.Second, nil)
+	if got := y.Outstanding(w.now); got != 0 {
+		t.Errorf("the peer counts %d after the end", got)
+	}
+}
+
+// A rack comes back and many hosts start together, or the platform comes back
+// for all. Their reads of the list spread out instead of coming as one burst.
+func TestReadsOfTheListAreSpread(t *testing.T) {
+	w := newWorld(9, 10, 6, 0)
+	w.run(300*time.Millisecond, nil)
+	if w.reads != len(w.nodes) {
+		t.Fatalf("%d hosts of %d have read the list", w.reads, len(w.nodes))
+	}
+	w.run(60*time.Second, nil)
+	before, most := w.reads, 0
+	for range 200 {
+		at := w.reads
+		w.run(50*time.Millisecond, nil)
+		most = max(most, w.reads-at)
+	}
+	// Ten watchers read every two seconds, and fifty others every 30 to 40.
+	if rate := float64(w.reads-before) / 10; rate > 10 {
+		t.Errorf("%v reads a second", rate)
+	}
+	if most > 20 {
+		t.Errorf("%d reads in 50 ms", most)
+	}
+}
+
+// A failure of the link between one host and a target must not be forgotten
+// because a peer still reaches it: this host would go on sending there, and
+// each caller would wait for a retry.
+func TestPeersReportsDoNotClearOwnFailures(t *testing.T) {
+	w := newWorld(10, 1, 2, 4)
+	w.run(3*time.Second, nil)
+	tb := w.nodes[0].tb
+	for _, x := range tb.Targets() {
+		for range 3 {
+			tb.Ended(x.ID, 0, 0, false)
+		}
+	}
+	d := event.Digest{Host: w.nodes[1].tb.Self(), Seq: 1000}
+	for _, x := range tb.Targets() {
+		d.Loads = append(d.Loads, event.Load{Target: x.ID, Incarnation: 1, Seq: 1000, Slots: 10})
+	}
+	tb.DigestReceived(w.now, d)
+	for _, x := range tb.Targets() {
+		if !x.Suspect(w.now) {
+			t.Errorf("%s is trusted again", x.ID)
+		}
+	}
+	tb.LoadReported(w.now, event.Load{Target: "dc0-t0", Incarnation: 1, Seq: 1001, Slots: 10})
+	x, _ := tb.Target("dc0-t0")
+	if x.Suspect(w.now) || x.Share(w.now) > 0.2 {
+		t.Errorf("after its own answer: suspect %v, share %v", x.Suspect(w.now), x.Share(w.now))
+	}
+}
--- /dev/null
+++ b/internal/route/bench_test.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// sizes are those that decisions are measured at. The full ones have every
+// target at its limit, so that the sample walks over all of them.
+var sizes = []struct {
+	targets, centres int
+	full             bool
+}{
+	{1, 3, false},
+	{40, 3, false},
+	{400, 3, false},
+	{1, 45, false},
+	{40, 45, false},
+	{400, 45, false},
+	{400, 45, true},
+}
+
+// loaded returns a table, a router that knows a part of the caches, and
+// requests of which every fourth is warm somewhere.
+func loaded(targets, centres int, full bool) (*member.Table, *Router, []Query) {
+	tb, r := fleet(targets, centres), New()
+	for i := range 7 {
+		id := ident.EntryID(fmt.Sprint("dc0-p", i))
+		tb.DigestReceived(start, event.Digest{Host: event.Host{ID: id, Incarnation: 1, Place: home}, Seq: 1})
+	}
+	if full {
+		for _, t := range tb.Targets() {
+			report(tb, start, t.ID, 2, 20)
+		}
+	}
+	qs := make([]Query, 1024)
+	for i := range qs {
+		qs[i] = ask(fmt.Sprint("request-", i))
+		qs[i].Request.Prefix = make([]uint64, 16)
+		for j := range qs[i].Request.Prefix {
+			qs[i].Request.Prefix[j] = uint64(i/4*100 + j)
+		}
+		if i%4 == 0 {
+			r.Learn(start, tb.Targets()[i%targets].ID, qs[i].Request.Prefix)
+		}
+		qs[i].Profile.Models = []rules.Serve{{Model: "absent"}, {Model: "scribe"}}
+	}
+	return tb, r, qs
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("targets=%d/centres=%d/full=%v", size.targets, size.centres, size.full), func(b *testing.B) {
+			tb, r, qs := loaded(size.targets, size.centres, size.full)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r.Choose(start, qs[i%len(qs)], tb)
+			}
+		})
+	}
+}
+
+// The time of a decision must not grow with the fleet, or callers of a large
+// one wait for the choice and not for the model. The times go to the log; the
+// bounds that fail the test are wide, since it runs beside others.
+func TestDecisionTimes(t *testing.T) {
+	const n, warmUp, perDecision = 20_000, 2_000, 500 * time.Microsecond
+	for _, size := range sizes {
+		tb, r, qs := loaded(size.targets, size.centres, size.full)
+		times := make([]time.Duration, 0, n)
+		var before, after runtime.MemStats
+		for i := range warmUp + n {
+			if i == warmUp {
+				runtime.ReadMemStats(&before)
+			}
+			at := time.Now()
+			r.Choose(start, qs[i%len(qs)], tb)
+			if i >= warmUp {
+				times = append(times, time.Since(at))
+			}
+		}
+		runtime.ReadMemStats(&after)
+		slices.Sort(times)
+		allocs := float64(after.Mallocs-before.Mallocs) / n
+		t.Logf("targets %3d, data centres %2d, full %-5v: p50 %6v p99 %6v p99.9 %6v, %.2f allocations",
+			size.targets, size.centres, size.full, times[n/2], times[n*99/100], times[n*999/1000], allocs)
+		if p := times[n/2]; p > perDecision {
+			t.Errorf("targets %d, data centres %d: the median is %v", size.targets, size.centres, p)
+		}
+		if allocs > 4 {
+			t.Errorf("targets %d, data centres %d: %v allocations", size.targets, size.centres, allocs)
+		}
+	}
+}
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -73,7 +73,7 @@
 	prefill, decode := 0.0, serviceTime
 	if q.Profile.Service == "" {
 		prefill = span(float64(q.Request.Prompt+q.Resume), p.PrefillRate)
-		decode = decodeTime(q, p.DecodeRate)
+		decode = decodeTime(q, p.DecodeRate) * (1 + batchSlow*poolUse(p))
 	}
 	k := cost{
 		wait:    tail * (p.Wait + trip(v, c)).Seconds(),
@@ -91,6 +91,14 @@
 	return k
 }
 
+// poolUse is the part of its slots that a pool has in use.
+func poolUse(p *event.Pool) float64 {
+	if p.Slots <= 0 {
+		return 1
+	}
+	return 1 - float64(p.Free)/float64(p.Slots)
+}
+
 func readyAbroad(v *view, c *member.Centre, p *event.Pool) time.Duration {
 	ready := p.Wait + trip(v, c)
 	if v.q.Profile.Service == "" {
--- /dev/null
+++ b/internal/route/fail_test.go
@@ -0,0 +1,306 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// fleet returns a table with idle engines of ten slots, and data centres that
+// each offer ten.
+func fleet(engines, centres int) *member.Table {
+	tb := member.New(self)
+	tb.Advance(start)
+	var list event.HostsRead
+	for i := range engines {
+		id := ident.TargetID(fmt.Sprintf("t%03d", i))
+		list.Targets = append(list.Targets, event.Target{ID: id, Incarnation: 1, Kind: event.Engine, Place: home, Price: 1})
+	}
+	tb.HostsRead(start, list)
+	for _, t := range list.Targets {
+		report(tb, start, t.ID, 1, 2)
+	}
+	for i := range centres {
+		place := event.Place{DataCentre: ident.DataCentre(fmt.Sprintf("far%02d", i)), Region: ident.Region(fmt.Sprint("r", i%12))}
+		h := event.Host{ID: ident.EntryID(place.DataCentre + "-e0"), Incarnation: 1, Place: place}
+		tb.SummaryReceived(start, event.Summary{
+			From: h.ID, Place: place, Incarnation: 1, Seq: 1, Hosts: []event.Host{h},
+			Pools: []event.Pool{
+				{Serve: clerk, Slots: 20, Free: 15, Offer: 10, PrefillRate: 1000, DecodeRate: 50, Price: 1},
+				{Serve: scribe, Slots: 20, Free: 15, Offer: 10, PrefillRate: 1000, DecodeRate: 50, Price: 1},
+			},
+		})
+	}
+	return tb
+}
+
+func report(tb *member.Table, now ident.Time, id ident.TargetID, seq uint64, running int) {
+	tb.LoadReported(now, event.Load{
+		Target: id, Incarnation: 1, Seq: seq, Slots: 10, Running: running,
+		PrefillRate: 1000, DecodeRate: 50, Serves: []rules.Serve{scribe},
+	})
+}
+
+// pass lets time go by as a host sees it that is not paused, with a report of
+// each target each second.
+func pass(tb *member.Table, from, to ident.Time) ident.Time {
+	for now := from; now <= to; now = now.Add(time.Second) {
+		for _, x := range tb.Targets() {
+			tb.LoadReported(now, event.Load{
+				Target: x.ID, Incarnation: x.Incarnation, Seq: uint64(now), Slots: 10, Running: 2,
+				PrefillRate: 1000, DecodeRate: 50, Serves: []rules.Serve{scribe},
+			})
+		}
+	}
+	return to
+}
+
+func ask(id string) Query {
+	return Query{
+		Request: event.Request{ID: ident.RequestID(id), Prompt: 1000, MaxTokens: 200, Prefix: []uint64{1, 2, 3, 4}},
+		Profile: rules.Profile{Models: []rules.Serve{{Model: "scribe"}}, MaxCrossings: 1, Weights: rules.Weights{Tail: 1, Cost: 0.1, Crossing: 0.5}},
+	}
+}
+
+// Cache events come late, doubled and with gaps. A naive follower that replays
+// what can be trusted tells which blocks may still be believed. If the router
+// believed more, it would send requests to targets that find nothing warm.
+func TestCacheAgreesWithTheNaiveFollower(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tb, r := fleet(1, 0), New()
+		held := make(map[uint64]bool)
+		last, seen, inc := uint64(0), false, ident.Incarnation(1)
+		for range rapid.IntRange(1, 40).Draw(rt, "events") {
+			ev := event.CacheChanged{
+				Target: "t000", Incarnation: ident.Incarnation(rapid.IntRange(1, 2).Draw(rt, "inc")),
+				Seq:     last + uint64(rapid.SampledFrom([]int{1, 1, 1, 1, 1, 1, 0, 3}).Draw(rt, "step")),
+				Stored:  rapid.SliceOfN(rapid.Uint64Range(1, 20), 0, 4).Draw(rt, "stored"),
+				Dropped: rapid.SliceOfN(rapid.Uint64Range(1, 20), 0, 4).Draw(rt, "dropped"),
+			}
+			r.CacheChanged(start, ev, tb)
+			if ev.Incarnation < inc || ev.Incarnation == inc && seen && ev.Seq <= last {
+				continue
+			}
+			if ev.Incarnation > inc || seen && ev.Seq > last+1 {
+				clear(held)
+			}
+			inc, last, seen = ev.Incarnation, ev.Seq, true
+			for _, b := range ev.Stored {
+				held[b] = true
+			}
+			for _, b := range ev.Dropped {
+				delete(held, b)
+			}
+			got := make(map[uint64]bool)
+			for b, hs := range r.caches.holders {
+				got[b] = len(hs) == 1
+			}
+			if d := cmp.Diff(held, got); d != "" {
+				rt.Fatal(d)
+			}
+		}
+	})
+}
+
+// A target caches far more blocks than are worth knowing. What is remembered
+// stays within its bound, and the newest is kept.
+func TestCacheMemoryIsBounded(t *testing.T) {
+	r := New()
+	for i := range uint64(3 * maxBlocks) {
+		r.Learn(start, "a", []uint64{i})
+	}
+	for id := range 2 * maxHolders {
+		r.Learn(start, ident.TargetID(fmt.Sprint("b", id)), []uint64{3*maxBlocks - 1})
+	}
+	if n := len(r.caches.byTarget["a"].blocks); n > maxBlocks || len(r.caches.holders) > maxBlocks {
+		t.Errorf("%d blocks, %d with holders", n, len(r.caches.holders))
+	}
+	if hs := r.caches.holders[3*maxBlocks-1]; len(hs) != maxHolders || hs[maxHolders-1] != "b7" {
+		t.Errorf("holders are %v", hs)
+	}
+	for id := range 2 * maxCaches {
+		r.Learn(start, ident.TargetID(fmt.Sprint("c", id)), []uint64{1})
+	}
+	if n := len(r.caches.byTarget); n != maxCaches {
+		t.Errorf("%d targets", n)
+	}
+	r.Forget("a")
+	for _, hs := range r.caches.holders {
+		for _, id := range hs {
+			if id == "a" {
+				t.Fatal("a forgotten target holds a block")
+			}
+		}
+	}
+}
+
+// A popular prefix is warm at one target. It draws the requests that share it
+// until it is above its bound; then they go elsewhere instead of queueing.
+func TestWarmTargetLosesItsBonusAboveTheBound(t *testing.T) {
+	tb, r := fleet(8, 0), New()
+	r.Learn(start, "t003", []uint64{1, 2, 3, 4})
+	share := func() int {
+		n := 0
+		for i := range 200 {
+			if r.Choose(start, ask(fmt.Sprint("q", i)), tb).Target.ID == "t003" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := share(); n != 200 {
+		t.Errorf("%d of 200 go to the warm target", n)
+	}
+	report(tb, start, "t003", 2, 6)
+	if n := share(); n != 0 {
+		t.Errorf("%d of 200 go to the warm target above its bound", n)
+	}
+	late := pass(tb, start, start.Add(learnLife+time.Second))
+	cold := 0
+	for i := range 200 {
+		if r.Choose(late, ask(fmt.Sprint("q", i)), tb).Target.ID != "t003" {
+			cold++
+		}
+	}
+	if cold < 100 {
+		t.Errorf("a block that no event confirmed still draws %d of 200", 200-cold)
+	}
+}
+
+// Many hosts see the same reports. If each took the single best target, all
+// would run to the one that was idle a second ago.
+func TestNearEqualTargetsShareTheWork(t *testing.T) {
+	tb, r := fleet(40, 0), New()
+	counts := make(map[ident.TargetID]int)
+	for i := range 4000 {
+		q := ask(fmt.Sprint("q", i))
+		q.Request.Prefix = nil
+		counts[r.Choose(start, q, tb).Target.ID]++
+	}
+	for _, x := range tb.Targets() {
+		if n := counts[x.ID]; n < 50 || n > 200 {
+			t.Errorf("%s gets %d of 4000, its share is 100", x.ID, n)
+		}
+	}
+}
+
+// A target restarts and comes back with an empty cache and a host of callers
+// before it. It takes a growing part of the work, not all of it at once.
+func TestRecoveredTargetRamps(t *testing.T) {
+	tb, r := fleet(4, 0), New()
+	back := pass(tb, start, start.Add(20*time.Second))
+	tb.HostsRead(back, event.HostsRead{Version: 1, Targets: []event.Target{
+		{ID: "t000", Incarnation: 1, Kind: event.Engine, Place: home, Price: 1},
+		{ID: "t001", Incarnation: 2, Kind: event.Engine, Place: home, Price: 1},
+	}})
+	// That the list lacks two targets is no reason to forget them.
+	part := func(now ident.Time) int {
+		for _, x := range tb.Targets() {
+			tb.LoadReported(now, event.Load{
+				Target: x.ID, Incarnation: x.Incarnation, Seq: uint64(now) + 1, Slots: 10, Running: 4,
+				PrefillRate: 1000, DecodeRate: 50, Serves: []rules.Serve{scribe},
+			})
+		}
+		n := 0
+		for i := range 400 {
+			if r.Choose(now, ask(fmt.Sprint("q", i)), tb).Target.ID == "t001" {
+				n++
+			}
+		}
+		return n
+	}
+	if n := part(pass(tb, back, back.Add(time.Second))); n != 0 {
+		t.Errorf("a cold target with work of its own gets %d of 400", n)
+	}
+	if n := part(pass(tb, back, back.Add(11*time.Second))); n < 50 {
+		t.Errorf("a target gets %d of 400 after the ramp", n)
+	}
+}
+
+// A request crosses at most as often as its profile says, whatever is offered,
+// and one that another host passed on is not passed on within the region: two
+// hosts that each take the other for idle would send it to and fro.
+func TestNoRequestCirculates(t *testing.T) {
+	for crossings := range ident.Hops(4) {
+		for _, forwarded := range []bool{false, true} {
+			tb, r := fleet(0, 24), New()
+			q := ask("q")
+			q.Crossings, q.Forwarded, q.Profile.MaxCrossings = crossings, forwarded, 2
+			dec := r.Choose(start, q, tb)
+			far := dec.Centre != "" && dec.Host.Place.Region != home.Region
+			near := dec.Centre != "" && !far
+			if far && crossings >= 2 || near && forwarded {
+				t.Errorf("after %d crossings, forwarded %v: passed on to %s", crossings, forwarded, dec.Centre)
+			}
+			if dec.Centre == "" && (crossings < 2 || !forwarded) {
+				t.Errorf("after %d crossings, forwarded %v: not passed on", crossings, forwarded)
+			}
+		}
+	}
+}
+
+// The own data centre is busy. Work crosses only when it gains more than the
+// weight of a crossing, goes on crossing at the weight itself, and stops when
+// the offer is used up.
+func TestCrossingNeedsAGainAndAnOffer(t *testing.T) {
+	tb, r := fleet(2, 2), New()
+	q := ask("q")
+	q.Request.Prefix = nil
+	if dec := r.Choose(start, q, tb); dec.Target == nil {
+		t.Fatalf("with idle targets: %+v", dec)
+	}
+	for _, x := range tb.Targets() {
+		report(tb, start, x.ID, 2, 20)
+	}
+	// Both data centres are new, so a tenth of each offer holds.
+	var went []ident.DataCentre
+	for {
+		dec := r.Choose(start, q, tb)
+		if dec.Centre == "" {
+			if !dec.Full || dec.Wait <= 0 {
+				t.Errorf("at the end: %+v", dec)
+			}
+			break
+		}
+		went = append(went, dec.Centre)
+		tb.OfferTake(dec.Centre, dec.Pool)
+	}
+	if d := cmp.Diff([]ident.DataCentre{"far00", "far01"}, went); d != "" {
+		t.Error(d)
+	}
+	tb.OfferGive("far00", member.PoolID{Serve: scribe})
+	if dec := r.Choose(start, q, tb); dec.Centre != "far00" {
+		t.Errorf("a place given back is not used: %+v", dec)
+	}
+	q.Profile.Weights.Crossing = 100
+	tb.OfferGive("far01", member.PoolID{Serve: scribe})
+	if dec := r.Choose(start, q, tb); dec.Centre == "far01" {
+		t.Error("a crossing that costs more than it gains is taken")
+	}
+}
+
+// Work from another region fills the targets. Work that may not leave the home
+// region still finds room.
+func TestSpillLeavesAReserveForHomeWork(t *testing.T) {
+	tb, r := fleet(1, 0), New()
+	spill, bound := ask("s"), ask("b")
+	spill.Crossings, spill.Forwarded = 1, true
+	bound.Profile.HomeOnly, bound.Client.Home = true, home.Region
+	for n := 2; n < 20; n++ {
+		report(tb, start, "t000", uint64(n), n)
+		if got, want := r.Choose(start, spill, tb).Target != nil, n < 8; got != want {
+			t.Errorf("with %d of 10 slots taken, spilled work is let in: %v", n, got)
+		}
+		if got, want := r.Choose(start, bound, tb).Target != nil, n < 12; got != want {
+			t.Errorf("with %d of 10 slots taken, home work is let in: %v", n, got)
+		}
+	}
+}
