ask offers only of data centres that undercut the best so far

A floor of the cost is cheap and needs no offer; profiles go by pointer; the residency rule is asked once for a run of one region.

--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -72,7 +72,7 @@
 
 func (rt *Router) fill(v *view, c *cand) {
 	t, q := c.t, v.q
-	c.serve, _ = served(q.Profile, t.Load.Serves)
+	c.serve, _ = served(&q.Profile, t.Load.Serves)
 	before := t.Outstanding(v.now)
 	u := float64(before) / float64(t.Slots())
 	prefill, decode := 0.0, serviceTime
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -30,7 +31,7 @@
 // abroad returns the best data centre to pass a request on to, if one is worth
 // it against the best local choice, which is nil where there is none.
 func (rt *Router) abroad(v *view, local *cand) (Decision, bool) {
-	limit := 0.0
+	limit := math.Inf(1)
 	if local != nil {
 		limit = local.cost.sum()
 		if limit <= minGain {
@@ -39,18 +40,20 @@
 	}
 	var best *member.Centre
 	var pool *event.Pool
-	least := 0.0
+	least := math.Inf(1)
 	for _, c := range v.tb.Centres(v.now) {
-		if _, out := centreRuledOut(v, c); out {
+		if _, out := centreRuledOut(v, c, cheapFilters); out {
+			continue
+		}
+		if f := floor(v, c); f+minGain >= limit || f >= least {
 			continue
 		}
 		p := offered(v, c)
-		k := rt.centreCost(v, c, p)
-		s := k.sum()
-		if local != nil && s+minGain >= limit {
+		if p == nil {
 			continue
 		}
-		if best == nil || s < least {
+		k := rt.begun(v, c, p, centreCost(v, c, p))
+		if s := k.sum(); s+minGain < limit && s < least {
 			best, pool, least = c, p, s
 		}
 	}
@@ -64,9 +67,9 @@
 	}, true
 }
 
-// centreCost is the cost of a request at another data centre. Nothing is warm
-// for it there.
-func (rt *Router) centreCost(v *view, c *member.Centre, p *event.Pool) cost {
+// centreCost is the cost of a request at another data centre, with the weight
+// of a crossing that goes on. Nothing is warm for it there.
+func centreCost(v *view, c *member.Centre, p *event.Pool) cost {
 	q := v.q
 	w := q.Profile.Weights
 	tail := tailWeight(w)
@@ -81,11 +84,15 @@
 		decode:  decode,
 		price:   w.Cost * p.Price * (prefill + decode),
 	}
-	if c.Place.Region == v.tb.Self().Place.Region {
-		return k
+	if c.Place.Region != v.home {
+		k.crossing = w.Crossing
 	}
-	k.crossing = w.Crossing
-	if !rt.crossing(v.now, c.Place.DataCentre, poolID(p)) {
+	return k
+}
+
+// begun adds what must be gained to begin to cross.
+func (rt *Router) begun(v *view, c *member.Centre, p *event.Pool, k cost) cost {
+	if k.crossing > 0 && !rt.crossing(v.now, c.Place.DataCentre, poolID(p)) {
 		k.crossing *= startFactor
 	}
 	return k
@@ -108,7 +115,7 @@
 }
 
 func trip(v *view, c *member.Centre) time.Duration {
-	if c.Place.Region == v.tb.Self().Place.Region {
+	if c.Place.Region == v.home {
 		return nearTrip
 	}
 	return farTrip
@@ -134,3 +141,21 @@
 		rt.crossed = append(rt.crossed, crossing{dc, id, now})
 	}
 }
+
+// floor returns a cost that no pool of a data centre undercuts.
+func floor(v *view, c *member.Centre) float64 {
+	least := math.Inf(1)
+	for want := range wants(&v.q.Profile) {
+		for i := range c.Summary.Pools {
+			p := &c.Summary.Pools[i]
+			if p.Offer <= 0 || !poolMatches(&v.q.Profile, p, want) {
+				continue
+			}
+			k := centreCost(v, c, p)
+			least = min(least, k.sum())
+		}
+	}
+	return least
+}
+
+func poolID(p *event.Pool) member.PoolID { return member.PoolID{Serve: p.Serve, Service: p.Service} }
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -3,7 +3,6 @@
 import (
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
-	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -11,8 +10,7 @@
 // centres, and the index of the one that Choose would take, -1 for none. It
 // changes nothing.
 func (rt *Router) Explain(now ident.Time, q Query, tb *member.Table) ([]event.Choice, int) {
-	rt.q = q
-	v := view{now: now, q: &rt.q, tb: tb, key: rank.Hash(string(q.Request.ID))}
+	v := rt.view(now, q, tb)
 	dec := rt.decide(&v)
 	var choices []event.Choice
 	chosen := -1
@@ -43,11 +41,12 @@
 
 func (rt *Router) explainCentre(v *view, c *member.Centre) event.Choice {
 	ch := event.Choice{DataCentre: c.Place.DataCentre}
-	if code, out := centreRuledOut(v, c); out {
+	if code, out := centreRuledOut(v, c, centreFilters[:]); out {
 		ch.RuledOut = code
 		return ch
 	}
-	return withCost(ch, rt.centreCost(v, c, offered(v, c)))
+	p := offered(v, c)
+	return withCost(ch, rt.begun(v, c, p, centreCost(v, c, p)))
 }
 
 func withCost(ch event.Choice, k cost) event.Choice {
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -39,10 +39,15 @@
 	{codes.FilterHops, hopsSpent},
 	{codes.FilterTried, func(v *view, c *member.Centre) bool { return v.q.TriedCentres.Has(c.Place.DataCentre) }},
 	{codes.FilterHealth, func(v *view, c *member.Centre) bool { return c.CutOff(v.now) || !hasHost(c) }},
-	{codes.FilterModel, func(v *view, c *member.Centre) bool { return !hasPool(v.q.Profile, c) }},
+	{codes.FilterModel, func(v *view, c *member.Centre) bool { return !hasPool(&v.q.Profile, c) }},
 	{codes.FilterOffer, noOffer},
 }
 
+// cheapFilters are those that look at nothing but the data centre itself. A
+// decision asks the rest, the offer, only of data centres that cost less than
+// the best so far.
+var cheapFilters = centreFilters[:len(centreFilters)-1]
+
 func ruledOut(v *view, t *member.Target) (codes.ID, bool) {
 	for i := range targetFilters {
 		if targetFilters[i].out(v, t) {
@@ -52,10 +57,10 @@
 	return "", false
 }
 
-func centreRuledOut(v *view, c *member.Centre) (codes.ID, bool) {
-	for i := range centreFilters {
-		if centreFilters[i].out(v, c) {
-			return centreFilters[i].code.ID, true
+func centreRuledOut(v *view, c *member.Centre, filters []centreFilter) (codes.ID, bool) {
+	for i := range filters {
+		if filters[i].out(v, c) {
+			return filters[i].code.ID, true
 		}
 	}
 	return "", false
@@ -72,23 +77,23 @@
 	if v.q.Profile.Service != "" {
 		return false
 	}
-	_, ok := served(v.q.Profile, t.Load.Serves)
+	_, ok := served(&v.q.Profile, t.Load.Serves)
 	return !ok
 }
 
 // served returns the first model of the profile among those that are loaded.
-func served(p rules.Profile, loaded []rules.Serve) (rules.Serve, bool) {
-	for _, want := range p.Models {
-		for _, have := range loaded {
-			if matches(want, have) {
-				return have, true
+func served(p *rules.Profile, loaded []rules.Serve) (rules.Serve, bool) {
+	for i := range p.Models {
+		for j := range loaded {
+			if matches(&p.Models[i], &loaded[j]) {
+				return loaded[j], true
 			}
 		}
 	}
 	return rules.Serve{}, false
 }
 
-func matches(want, have rules.Serve) bool {
+func matches(want, have *rules.Serve) bool {
 	if want.Model != have.Model || want.Adapter != have.Adapter {
 		return false
 	}
@@ -99,7 +104,14 @@
 
 func centreOutside(v *view, c *member.Centre) bool { return outside(v, c.Place.Region) }
 
-func outside(v *view, r ident.Region) bool { return !v.q.Profile.Allows(v.q.Client, r) }
+// outside asks the residency rule, once for each run of the same region: all
+// own targets stand in one.
+func outside(v *view, r ident.Region) bool {
+	if !v.asked || v.region != r {
+		v.asked, v.region, v.outside = true, r, !v.q.Profile.Allows(v.q.Client, r)
+	}
+	return v.outside
+}
 
 // full tells whether a target has neither a slot nor a place in its queue.
 func full(v *view, t *member.Target) bool {
@@ -133,7 +145,7 @@
 // its profile has crossings left, so that each passage uses up what is bounded
 // and no request circulates without end.
 func hopsSpent(v *view, c *member.Centre) bool {
-	if c.Place.Region == v.tb.Self().Place.Region {
+	if c.Place.Region == v.home {
 		return v.q.Forwarded
 	}
 	return v.q.Crossings >= v.q.Profile.MaxCrossings
@@ -150,22 +162,22 @@
 
 // poolMatches tells whether a pool serves a profile, and whether as a model of
 // the given rank in the profile's list.
-func poolMatches(p rules.Profile, pool *event.Pool, want int) bool {
+func poolMatches(p *rules.Profile, pool *event.Pool, want int) bool {
 	if p.Service != "" {
 		return pool.Service == p.Service
 	}
-	return pool.Service == "" && matches(p.Models[want], pool.Serve)
+	return pool.Service == "" && matches(&p.Models[want], &pool.Serve)
 }
 
 // wants returns how many models a profile lists, one for a service.
-func wants(p rules.Profile) int {
+func wants(p *rules.Profile) int {
 	if p.Service != "" {
 		return 1
 	}
 	return len(p.Models)
 }
 
-func hasPool(p rules.Profile, c *member.Centre) bool {
+func hasPool(p *rules.Profile, c *member.Centre) bool {
 	for want := range wants(p) {
 		for i := range c.Summary.Pools {
 			if poolMatches(p, &c.Summary.Pools[i], want) {
@@ -180,18 +192,13 @@
 
 // offered returns the pool of a data centre whose offer the request may use.
 func offered(v *view, c *member.Centre) *event.Pool {
-	for want := range wants(v.q.Profile) {
+	for want := range wants(&v.q.Profile) {
 		for i := range c.Summary.Pools {
 			p := &c.Summary.Pools[i]
-			if p.Offer <= 0 || !poolMatches(v.q.Profile, p, want) {
-				continue
-			}
-			if v.tb.OfferLeft(v.now, c.Place.DataCentre, poolID(p)) > 0 {
+			if p.Offer > 0 && poolMatches(&v.q.Profile, p, want) && v.tb.OfferLeft(v.now, c.Place.DataCentre, poolID(p)) > 0 {
 				return p
 			}
 		}
 	}
 	return nil
 }
-
-func poolID(p *event.Pool) member.PoolID { return member.PoolID{Serve: p.Serve, Service: p.Service} }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -111,8 +111,7 @@
 
 // Choose returns the best choice.
 func (rt *Router) Choose(now ident.Time, q Query, tb *member.Table) Decision {
-	rt.q = q
-	v := view{now: now, q: &rt.q, tb: tb, key: rank.Hash(string(q.Request.ID))}
+	v := rt.view(now, q, tb)
 	if rt.Pick != nil {
 		return rt.pick(&v)
 	}
@@ -136,8 +135,21 @@
 	tb  *member.Table
 	// key is a hash of the request's id.
 	key uint64
+	// home is the region of this host.
+	home ident.Region
 	// mean is the mean use of the slots of the sample.
 	mean float64
+	// asked, region and outside hold the last answer of the residency rule.
+	asked   bool
+	region  ident.Region
+	outside bool
+}
+
+func (rt *Router) view(now ident.Time, q Query, tb *member.Table) view {
+	rt.q = q
+	return view{
+		now: now, q: &rt.q, tb: tb, key: rank.Hash(string(q.Request.ID)), home: tb.Self().Place.Region,
+	}
 }
 
 // decide returns the choice.
@@ -281,6 +293,6 @@
 		return Decision{Code: codes.NoTarget.ID}
 	}
 	t := rt.Pick(v.now, *v.q, rt.left)
-	sv, _ := served(v.q.Profile, t.Load.Serves)
+	sv, _ := served(&v.q.Profile, t.Load.Serves)
 	return Decision{Target: t, Serve: sv, Wait: t.Wait(v.now, t.Outstanding(v.now), 1)}
 }
