--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -10,21 +10,21 @@
 // centres, and the index of the one that Choose would take, -1 for none. It
 // changes nothing.
 func (rt *Router) Explain(now ident.Time, q Query, tb *member.Table) ([]event.Choice, int) {
-	v := rt.view(now, q, tb)
-	dec := rt.decide(&v)
+	v := rt.look(now, q, tb)
+	dec := rt.decide(v)
 	var choices []event.Choice
 	chosen := -1
 	for _, t := range tb.Targets() {
 		if dec.Target == t {
 			chosen = len(choices)
 		}
-		choices = append(choices, rt.explainTarget(&v, t))
+		choices = append(choices, rt.explainTarget(v, t))
 	}
 	for _, c := range tb.Centres(now) {
 		if dec.Centre == c.Place.DataCentre {
 			chosen = len(choices)
 		}
-		choices = append(choices, rt.explainCentre(&v, c))
+		choices = append(choices, rt.explainCentre(v, c))
 	}
 	return choices, chosen
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -92,6 +92,7 @@
 
 	// The rest is scratch space of one decision.
 	q     Query
+	v     view
 	cands []cand
 	warm  []holder
 	left  []*member.Target
@@ -111,11 +112,11 @@
 
 // Choose returns the best choice.
 func (rt *Router) Choose(now ident.Time, q Query, tb *member.Table) Decision {
-	v := rt.view(now, q, tb)
+	v := rt.look(now, q, tb)
 	if rt.Pick != nil {
-		return rt.pick(&v)
+		return rt.pick(v)
 	}
-	dec := rt.decide(&v)
+	dec := rt.decide(v)
 	if dec.Centre != "" {
 		rt.noteCrossing(now, dec.Centre, dec.Pool)
 	}
@@ -145,11 +146,14 @@
 	outside bool
 }
 
-func (rt *Router) view(now ident.Time, q Query, tb *member.Table) view {
+// look fills in the view of a decision, which lies in the router so that none
+// is allocated.
+func (rt *Router) look(now ident.Time, q Query, tb *member.Table) *view {
 	rt.q = q
-	return view{
+	rt.v = view{
 		now: now, q: &rt.q, tb: tb, key: rank.Hash(string(q.Request.ID)), home: tb.Self().Place.Region,
 	}
+	return &rt.v
 }
 
 // decide returns the choice.
@@ -193,8 +197,8 @@
 
 // sample gathers the warm targets and a bounded number of others that the
 // filters leave. It goes on to the last target only while too few remain. Of
-// the targets that only lack room it returns the one with the shortest wait
-// among those that it passed.
+// the first targets that only lack room it returns the one with the shortest
+// wait.
 func (rt *Router) sample(v *view) *member.Target {
 	rt.cands = rt.cands[:0]
 	for _, h := range rt.warm {
@@ -209,6 +213,7 @@
 	}
 	var full *member.Target
 	var fullWait time.Duration
+	fulls := 0
 	i, step := walk(v.key, n)
 	for range n {
 		t := targets[i]
@@ -217,7 +222,8 @@
 			i -= n
 		}
 		code := rt.consider(v, t)
-		if code == codes.FilterFull.ID {
+		if code == codes.FilterFull.ID && fulls < sampleSize {
+			fulls++
 			if w := t.Wait(v.now, t.Outstanding(v.now), 1); full == nil || w < fullWait {
 				full, fullWait = t, w
 			}
