take loads and summaries of late digests by their own numbers

A generated run found a summary lost because the digest that relayed it came after a newer one. Loads and summaries carry numbers of their own and are now taken from late digests too. The guard against an asker whose own offer is held is gone: the summary that asks is the newest and cannot offer the same pool, so the guard could not fire. Tests for hysteresis, away work and held offers.

--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -17,6 +17,18 @@
 	for _, w := range d.Leaving {
 		tb.hearLeaving(now, w.Target, w.Incarnation)
 	}
+	tb.takeBeat(now, d)
+	// Loads and summaries have numbers of their own.
+	for _, ld := range d.Loads {
+		tb.takeLoad(now, ld, false)
+	}
+	for _, s := range d.Summaries {
+		tb.takeSummary(now, s, false)
+	}
+}
+
+// takeBeat takes what only the newest digest of the newest incarnation tells.
+func (tb *Table) takeBeat(now ident.Time, d event.Digest) {
 	p := tb.putPeer(now, d.Host)
 	if p == nil || d.Seq <= p.seq {
 		return
@@ -30,12 +42,6 @@
 		tb.listTargets(now, d.Targets)
 	}
 	tb.takeUse(p, d.Use)
-	for _, ld := range d.Loads {
-		tb.takeLoad(now, ld, false)
-	}
-	for _, s := range d.Summaries {
-		tb.takeSummary(now, s, false)
-	}
 }
 
 // takeUse replaces the work that a peer has at the targets.
--- a/internal/member/member_fail_test.go
+++ b/internal/member/member_fail_test.go
@@ -214,7 +214,21 @@
 	if got := x.Outstanding(w.now); got != 4 {
 		t.Errorf("the sender counts %d once they are reported, as if they were others'", got)
 	}
+	for range 3 {
+		a.Sent("dc0-t0", 100, 100)
+	}
+	if got := x.Outstanding(w.now); got != 7 {
+		t.Errorf("the sender counts %d after three more", got)
+	}
+	w.busy("dc0", 9)
+	w.run(time.Second, nil)
 	for range 4 {
+		a.Sent("dc0-t0", 100, 100)
+	}
+	if got := x.Outstanding(w.now); got != 13 {
+		t.Errorf("the sender counts %d with two of others", got)
+	}
+	for range 11 {
 		a.Ended("dc0-t0", 100, 100, true)
 	}
 	w.busy("dc0", 0)
@@ -228,12 +242,16 @@
 // for all. Their reads of the list spread out instead of coming as one burst.
 func TestReadsOfTheListAreSpread(t *testing.T) {
 	w := newWorld(9, 10, 6, 0)
-	w.run(300*time.Millisecond, nil)
-	if w.reads != len(w.nodes) {
-		t.Fatalf("%d hosts of %d have read the list", w.reads, len(w.nodes))
+	before, most := 0, 0
+	w.run(300*time.Millisecond, func() {
+		most = max(most, w.reads-before)
+		before = w.reads
+	})
+	if w.reads != len(w.nodes) || most > len(w.nodes)/2 {
+		t.Errorf("%d hosts of %d have read the list, %d at once", w.reads, len(w.nodes), most)
 	}
 	w.run(60*time.Second, nil)
-	before, most := w.reads, 0
+	before, most = w.reads, 0
 	for range 200 {
 		at := w.reads
 		w.run(50*time.Millisecond, nil)
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -213,17 +213,14 @@
 
 // askers returns the data centres that ask for a pool, as indexes, in an order
 // of their own for each pool, so that small offers do not always go to the
-// same ones. One whose own offer is still held here is left out: it was rich a
-// moment ago, and both would hold an offer of the other.
+// same ones. None of them offers the pool, since the summary that asks is the
+// newest and none asks and offers at once.
 func (tb *Table) askers(now ident.Time, id PoolID) []int {
 	var is []int
 	for i, c := range tb.centres {
 		if c.CutOff(now) || c.ask(id) == nil {
 			continue
 		}
-		if p := c.Pool(id); p != nil && p.Offer > 0 && c.Age(now) <= offerLife {
-			continue
-		}
 		is = append(is, i)
 	}
 	salt := rank.Hash("askers", string(id.Serve.Model), string(id.Serve.Version), string(id.Serve.Adapter), id.Service)
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -64,7 +64,7 @@
 	}
 	i, ok := tb.peerIndex(h.ID)
 	if !ok {
-		p := &peer{host: h, fresh: true}
+		p := &peer{host: h}
 		tb.peers = slices.Insert(tb.peers, i, p)
 		return p
 	}
@@ -80,7 +80,7 @@
 		return nil
 	}
 	tb.takeUse(p, nil)
-	*p = peer{host: h, fresh: true, listed: p.listed}
+	*p = peer{host: h, listed: p.listed}
 	return p
 }
 
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -19,7 +19,7 @@
 // centre to which no change of a profile comes any more.
 func TestWorldKeepsItsInvariants(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(rapid.Int64().Draw(rt, "seed"), 3, rapid.IntRange(1, 3).Draw(rt, "hosts"), 2)
+		w := newWorld(rapid.Int64().Draw(rt, "seed"), 3, rapid.IntRange(1, 3).Draw(rt, "hosts"), 3)
 		w.loss = rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(rt, "loss")
 		w.delay = rapid.SampledFrom([]time.Duration{10 * time.Millisecond, 300 * time.Millisecond, 1500 * time.Millisecond}).Draw(rt, "delay")
 		check := func() { w.check(rt) }
@@ -36,7 +36,7 @@
 func (w *world) disturb(rt *rapid.T) {
 	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(rt, "node")]
 	e := w.targets[rapid.IntRange(0, len(w.targets)-1).Draw(rt, "target")]
-	switch rapid.IntRange(0, 9).Draw(rt, "what") {
+	switch rapid.IntRange(0, 13).Draw(rt, "what") {
 	case 0:
 		w.restart(n)
 	case 1:
@@ -58,6 +58,14 @@
 			n.words[e.ID] = max(n.words[e.ID], e.Incarnation)
 			n.tb.MarkLeaving(w.now, e.ID, e.Incarnation)
 		}
+	case 8:
+		for range rapid.IntRange(1, 3).Draw(rt, "sent") {
+			n.tb.Sent(e.ID, 10, 10)
+		}
+	case 9:
+		n.tb.Ended(e.ID, 10, 10, true)
+	case 10:
+		e.running = rapid.IntRange(0, e.slots).Draw(rt, "running")
 	default:
 		w.busy(e.Place.DataCentre, rapid.IntRange(0, e.slots).Draw(rt, "running"))
 	}
@@ -73,7 +81,7 @@
 func (w *world) check(rt *rapid.T) {
 	for _, n := range w.nodes {
 		w.checkWords(rt, n)
-		w.checkUse(rt, n)
+		w.checkNewest(rt, n)
 		w.checkAges(rt, n)
 	}
 	w.checkOffers(rt)
@@ -88,19 +96,31 @@
 	}
 }
 
-// checkUse: what peers have at a target is the sum over their newest digests.
-func (w *world) checkUse(rt *rapid.T, n *node) {
+// checkNewest: of each sender the newest digest and summary that came counts,
+// in whatever order they came, and what peers have at a target is the sum over
+// those digests.
+func (w *world) checkNewest(rt *rapid.T, n *node) {
+	want := make(map[ident.TargetID]int)
+	for _, p := range n.tb.peers {
+		if got, want := p.seq, n.newest[fmt.Sprint("digest", p.host.ID, p.host.Incarnation)]; got != want {
+			rt.Fatalf("%v: %s goes by digest %d of %s, %d has come", w.now, n.id, got, p.host.ID, want)
+		}
+		if p.dead(w.now) {
+			return
+		}
+		for _, u := range w.uses[fmt.Sprint(p.host.ID, p.host.Incarnation, p.seq)] {
+			want[u.Target] += u.Running
+		}
+	}
 	for _, t := range n.tb.Targets() {
-		sum := 0
-		for _, p := range n.tb.peers {
-			for _, u := range p.use {
-				if u.Target == t.ID {
-					sum += u.Running
-				}
-			}
+		if t.PeerSent != want[t.ID] {
+			rt.Fatalf("%v: %s counts %d of peers at %s, want %d", w.now, n.id, t.PeerSent, t.ID, want[t.ID])
 		}
-		if t.PeerSent != sum {
-			rt.Fatalf("%v: %s counts %d of peers at %s, want %d", w.now, n.id, t.PeerSent, t.ID, sum)
+	}
+	for _, c := range n.tb.Centres(w.now) {
+		s := c.Summary
+		if want := n.newest[fmt.Sprint("summary", s.From, s.Incarnation)]; s.Seq != want {
+			rt.Fatalf("%v: %s goes by summary %d of %s, %d has come", w.now, n.id, s.Seq, s.From, want)
 		}
 	}
 }
@@ -131,22 +151,28 @@
 // two data centres hold offers of each other at once.
 func (w *world) checkOffers(rt *rapid.T) {
 	sums := make(map[string]int)
+	seen := make(map[string]bool)
 	for _, l := range w.sent {
 		s, ok := l.eff.(event.SendSummary)
 		if !ok {
 			continue
 		}
+		key := fmt.Sprint(l.from, s.Summary.Incarnation, l.sent)
+		to := fmt.Sprint(key, s.To.Place)
+		if seen[to] {
+			continue // A doubled letter.
+		}
+		seen[to] = true
 		for _, p := range s.Summary.Pools {
-			key := fmt.Sprint(l.from, " ", s.To.Place.DataCentre)
-			sums[key] = p.Offer
+			sums[key] += p.Offer
 			// The naive count: a fifth is kept, and below a quarter free
 			// nothing is offered at all.
 			kept := (p.Slots + 4) / 5
-			if p.Offer > 0 && (p.Offer > p.Free-kept || p.Free*4 < p.Slots) {
-				rt.Fatalf("%v: %s offers %d of %d free of %d", w.now, key, p.Offer, p.Free, p.Slots)
+			if p.Offer > 0 && (sums[key] > p.Free-kept || p.Free*4 < p.Slots) {
+				rt.Fatalf("%v: %s offers %d of %d free of %d", w.now, l.from, sums[key], p.Free, p.Slots)
 			}
 			if p.Offer > 0 && p.Free*10 <= p.Slots {
-				rt.Fatalf("%v: %s asks and offers", w.now, key)
+				rt.Fatalf("%v: %s asks and offers", w.now, l.from)
 			}
 		}
 	}
@@ -251,3 +277,94 @@
 		t.Errorf("the giver may send %d back", left)
 	}
 }
+
+// The free part of a pool swings about the marks. If it began and stopped to
+// offer at one mark, the other data centres would cross and turn back each
+// second, and each time find cold caches.
+func TestOfferHysteresisAgreesWithHistory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := &pool{}
+		var history []pool
+		for range rapid.IntRange(1, 20).Draw(rt, "steps") {
+			p.Slots = 40
+			p.Free = rapid.IntRange(0, 40).Draw(rt, "free")
+			away := rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(rt, "away")
+			p.settle(away)
+			history = append(history, pool{Pool: event.Pool{Free: p.Free}, targets: away})
+			// The naive rule looks back for the last moment at which a mark
+			// was passed.
+			want := false
+			for _, h := range slices.Backward(history) {
+				if h.targets > 0 || h.Free < 10 {
+					break
+				}
+				if h.Free >= 16 {
+					want = true
+					break
+				}
+			}
+			if p.offering != want {
+				rt.Fatalf("offering %v after %+v", p.offering, history)
+			}
+		}
+	})
+}
+
+// A data centre sends its own work away, as any of its hosts tells. If it took
+// in the work of others meanwhile, the two would swap work and pay both ways.
+func TestPoolThatSendsWorkAwayOffersNothing(t *testing.T) {
+	w := newWorld(11, 2, 2, 4)
+	w.busy("dc1", 10)
+	w.run(15*time.Second, nil)
+	giver := w.nodes[0]
+	if !giver.tb.Speaks(w.now) {
+		giver = w.nodes[1]
+	}
+	other := w.nodes[0]
+	if other == giver {
+		other = w.nodes[1]
+	}
+	held := func() int {
+		return w.nodes[2].tb.OfferLeft(w.now, "dc0", scribe) + w.nodes[3].tb.OfferLeft(w.now, "dc0", scribe)
+	}
+	if held() == 0 {
+		t.Fatal("no offer to begin with")
+	}
+	other.tb.OfferTake("dc9", scribe)
+	w.run(3*time.Second, nil)
+	if n := held(); n != 0 {
+		t.Errorf("%d are offered while a host sends work away", n)
+	}
+	other.tb.OfferGive("dc9", scribe)
+	w.run(5*time.Second, nil)
+	if held() == 0 {
+		t.Error("no offer after the end")
+	}
+}
+
+// An offer comes late, after this data centre has begun to offer itself or
+// while its own offer may still be held on the other side.
+func TestOfferIsNotUsedAgainstTheOwnOffer(t *testing.T) {
+	w := newWorld(12, 2, 1, 4)
+	w.busy("dc1", 10)
+	w.run(15*time.Second, nil)
+	a := w.nodes[0].tb
+	late := func() int {
+		s := a.Centres(w.now)[0].Summary
+		s.Seq += 1000
+		s.Pools = []event.Pool{{Serve: model, Slots: 40, Free: 40, Offer: 20}}
+		a.SummaryReceived(w.now, s)
+		return a.OfferLeft(w.now, "dc1", scribe)
+	}
+	if n := late(); n != 0 {
+		t.Errorf("%d may be sent away with room at home", n)
+	}
+	a.pools[0].offering = false
+	if n := late(); n != 0 {
+		t.Errorf("%d may be sent to where an own offer is held", n)
+	}
+	w.run(offerLife+transit+time.Second, func() { a.pools[0].offering = false })
+	if n := late(); n == 0 {
+		t.Error("none may be sent away once the own offer is gone")
+	}
+}
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -42,10 +42,14 @@
 	cut, blind bool
 	// words holds every leaving word that the node was told.
 	words map[ident.TargetID]ident.Incarnation
+	// newest holds the highest number of each sender's digests and summaries
+	// that reached the node.
+	newest map[string]uint64
 }
 
 type letter struct {
 	at   ident.Time
+	sent ident.Time
 	from ident.EntryID
 	to   ident.EntryID
 	eff  event.Effect
@@ -66,6 +70,7 @@
 	traced  bool
 	trace   []byte
 	made    map[string]ident.Time
+	uses    map[string][]event.TargetUse
 	froze   bool
 	sent    []letter
 }
@@ -79,7 +84,10 @@
 }
 
 func newWorld(seed int64, centres, hosts, engines int) *world {
-	w := &world{rng: rand.New(rand.NewSource(seed)), now: 1, delay: 20 * time.Millisecond, made: make(map[string]ident.Time)}
+	w := &world{
+		rng: rand.New(rand.NewSource(seed)), now: 1, delay: 20 * time.Millisecond, made: make(map[string]ident.Time),
+		uses: make(map[string][]event.TargetUse),
+	}
 	for c := range centres {
 		place := event.Place{DataCentre: ident.DataCentre(fmt.Sprint("dc", c)), Region: ident.Region(fmt.Sprint("r", c))}
 		for h := range hosts {
@@ -107,6 +115,7 @@
 	n.tb = New(event.Host{ID: n.id, Incarnation: inc, Place: n.place})
 	n.tb.Advance(w.now)
 	n.words = make(map[ident.TargetID]ident.Incarnation)
+	n.newest = make(map[string]uint64)
 }
 
 func (w *world) node(id ident.EntryID) *node {
@@ -148,13 +157,24 @@
 			for _, x := range e.Digest.Leaving {
 				to.words[x.Target] = max(to.words[x.Target], x.Incarnation)
 			}
+			h := e.Digest.Host
+			to.reached("digest", h.ID, h.Incarnation, e.Digest.Seq)
+			for _, s := range e.Digest.Summaries {
+				to.reached("summary", s.From, s.Incarnation, s.Seq)
+			}
 			to.tb.DigestReceived(w.now, e.Digest)
 		case event.SendSummary:
+			to.reached("summary", e.Summary.From, e.Summary.Incarnation, e.Summary.Seq)
 			to.tb.SummaryReceived(w.now, e.Summary)
 		}
 	}
 }
 
+func (n *node) reached(what string, from ident.EntryID, inc ident.Incarnation, seq uint64) {
+	key := fmt.Sprint(what, from, inc)
+	n.newest[key] = max(n.newest[key], seq)
+}
+
 func (w *world) carry(n *node, effs []event.Effect) {
 	for _, eff := range effs {
 		if w.traced {
@@ -163,6 +183,7 @@
 		}
 		switch e := eff.(type) {
 		case event.SendDigest:
+			w.uses[fmt.Sprint(n.id, e.Digest.Host.Incarnation, e.Digest.Seq)] = e.Digest.Use
 			for _, h := range e.To {
 				w.mail(n, h.ID, e)
 			}
@@ -190,7 +211,7 @@
 	}
 	for range times {
 		at := w.now.Add(time.Duration(w.rng.Int63n(int64(w.delay))))
-		l := letter{at: at, from: n.id, to: to, eff: eff}
+		l := letter{at: at, sent: w.now, from: n.id, to: to, eff: eff}
 		w.post = append(w.post, l)
 		w.sent = append(w.sent, l)
 	}
--- a/internal/route/fail_test.go
+++ b/internal/route/fail_test.go
@@ -22,7 +22,7 @@
 	var list event.HostsRead
 	for i := range engines {
 		id := ident.TargetID(fmt.Sprintf("t%03d", i))
-		list.Targets = append(list.Targets, event.Target{ID: id, Incarnation: 1, Kind: event.Engine, Place: home, Price: 1})
+		list.Targets = append(list.Targets, event.Target{ID: id, Incarnation: 1, Kind: event.Engine, Place: home, Price: 1 + float64(i)/10_000})
 	}
 	tb.HostsRead(start, list)
 	for _, t := range list.Targets {
@@ -176,7 +176,7 @@
 }
 
 // Many hosts see the same reports. If each took the single best target, all
-// would run to the one that was idle a second ago.
+// would run to the one that was idle a second ago, or is cheaper by a hair.
 func TestNearEqualTargetsShareTheWork(t *testing.T) {
 	tb, r := fleet(40, 0), New()
 	counts := make(map[ident.TargetID]int)
@@ -304,3 +304,39 @@
 		}
 	}
 }
+
+// The gain swings about the weight of a crossing. To begin takes a quarter
+// more than to go on; without the difference each small change of load would
+// turn the work round, onto cold caches.
+func TestCrossingHasHysteresis(t *testing.T) {
+	tb, r := fleet(1, 1), New()
+	tb.SummaryReceived(start, event.Summary{
+		From: "far-e0", Place: event.Place{DataCentre: "far", Region: "r9"}, Incarnation: 1, Seq: 1, Hosts: []event.Host{{ID: "far-e0"}},
+		Pools: []event.Pool{{Serve: scribe, Slots: 20, Free: 20, Offer: 10, PrefillRate: 1000, DecodeRate: 50, Price: 1}},
+	})
+	report(tb, start, "t000", 2, 30)
+	q := ask("q")
+	q.TriedCentres = map[ident.DataCentre]struct{}{"far00": {}}
+	// least returns the weight from which on no request crosses.
+	least := func() float64 {
+		low, high := 0.0, 1000.0
+		for high-low > 1e-6 {
+			q.Profile.Weights.Crossing = (low + high) / 2
+			if choices, i := r.Explain(start, q, tb); i >= 0 && choices[i].DataCentre == "far" {
+				low = q.Profile.Weights.Crossing
+			} else {
+				high = q.Profile.Weights.Crossing
+			}
+		}
+		return low
+	}
+	before := least()
+	q.Profile.Weights.Crossing = 0
+	if dec := r.Choose(start, q, tb); dec.Centre != "far" {
+		t.Fatalf("%+v", dec)
+	}
+	after := least()
+	if ratio := after / before; before <= 0 || ratio < 1.249 || ratio > 1.251 {
+		t.Errorf("crosses up to a weight of %v to begin and %v to go on", before, after)
+	}
+}
