--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,5 +1,6 @@
 // Package admin serves operators over HTTP, on an address apart from the
-// callers': health, status, profiles and their changes.
+// callers': health, status, profiles and their changes. docs/operators.md
+// describes it.
 //
 // # Usage
 //
@@ -7,22 +8,25 @@
 //	srv := &http.Server{Handler: ad}
 //
 // An operator sends a token as "Authorization: Bearer TOKEN"; the settings
-// hold its digest.
+// hold its digest. Reading needs a token too, since the accounts and the
+// places of targets are nobody else's business. Health, readiness and metrics
+// need none: they name no account and are asked by probes, which would
+// otherwise have to hold a token that may change profiles.
 package admin
 
 import (
-	"context"
+	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/uptrace/bunrouter"
 
+	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/config"
-	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/loop"
 	"verbenadale.example/verbenadale/internal/revlog"
@@ -32,12 +36,17 @@
 
 // Config is what the operators' address needs.
 type Config struct {
-	Loop      *loop.Loop
-	Log       logr.Logger
-	Level     *logs.Level
-	Revs      *revlog.Log
+	Loop  *loop.Loop
+	Clock *clock.Service
+	Log   logr.Logger
+	Level *logs.Level
+	Revs  *revlog.Log
+	// Book returns the configuration in force, nil before there is one.
 	Book      func() *rules.Book
 	Operators []config.Operator
+	Metrics   metrics.Registry
+	// Drain starts a graceful stop of the host.
+	Drain func()
 }
 
 // Admin is the handler for operators.
@@ -50,91 +59,104 @@
 func New(cfg Config) *Admin {
 	a := &Admin{cfg: cfg, router: bunrouter.New()}
 	a.router.GET("/healthz", a.health)
-	a.router.GET("/v1/status", a.status)
-	a.router.GET("/v1/book", a.book)
-	a.router.POST("/v1/changes", a.change)
+	a.router.GET("/readyz", a.ready)
+	a.router.GET("/metrics", a.metrics)
+	a.router.GET("/v1/status", a.known(a.status))
+	a.router.GET("/v1/inForce", a.known(a.inForce))
+	a.router.GET("/v1/book", a.known(a.book))
+	a.router.GET("/v1/profiles", a.known(a.profiles))
+	a.router.GET("/v1/accounts", a.known(a.accounts))
+	a.router.POST("/v1/changes", a.known(a.change))
+	a.router.GET("/v1/proposals", a.known(a.proposals))
+	a.router.POST("/v1/proposals", a.known(a.propose))
+	a.router.POST("/v1/proposals/:id/approve", a.known(a.approve))
+	a.router.GET("/v1/history", a.known(a.history))
+	a.router.POST("/v1/rollback", a.known(a.rollback))
+	a.router.POST("/v1/drain", a.known(a.drain))
+	a.router.POST("/v1/route", a.known(a.route))
+	a.router.GET("/v1/logLevel", a.known(a.level))
+	a.router.PUT("/v1/logLevel", a.known(a.setLevel))
 	return a
 }
 
 // ServeHTTP serves one request.
 func (a *Admin) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.router.ServeHTTP(w, r) }
 
+// health says that the process lives. A host without a configuration or with
+// its platform away is healthy: a restart would mend nothing.
 func (a *Admin) health(w http.ResponseWriter, _ bunrouter.Request) error {
 	w.WriteHeader(http.StatusNoContent)
 	return nil
 }
 
-// askTimeout bounds a question to the control thread, and writeTimeout a
-// change.
-const (
-	askTimeout   = 2 * time.Second
-	writeTimeout = 10 * time.Second
-)
+// ready says that there is a configuration to serve by.
+func (a *Admin) ready(w http.ResponseWriter, _ bunrouter.Request) error {
+	if a.cfg.Book().Rev() == 0 {
+		return fail(w, http.StatusServiceUnavailable, Fault{Message: "there is no configuration yet"})
+	}
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
 
-func (a *Admin) status(w http.ResponseWriter, r bunrouter.Request) error {
-	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
-	defer cancel()
-	eff, err := a.cfg.Loop.Ask(ctx, func(n event.Ask) event.Event { return event.StatusAsked{Ask: n} })
-	if err != nil {
-		return fail(w, http.StatusServiceUnavailable, err)
+func (a *Admin) metrics(w http.ResponseWriter, r bunrouter.Request) error {
+	reg := a.cfg.Metrics
+	if reg == nil {
+		reg = metrics.NewRegistry()
+	}
+	if r.URL.Query().Get("format") == "text" {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(reg, w)
+		return nil
 	}
-	return answer(w, http.StatusOK, eff)
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(reg, w)
+	return nil
 }
 
-func (a *Admin) book(w http.ResponseWriter, _ bunrouter.Request) error {
-	return answer(w, http.StatusOK, a.cfg.Book())
+// handler serves a request of a known operator.
+type handler func(w http.ResponseWriter, r *http.Request, op ident.Operator) error
+
+// maxBody bounds what an operator sends.
+const maxBody = 1 << 20
+
+// known lets only operators of the settings through and bounds the body.
+func (a *Admin) known(next handler) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		op, ok := a.operator(r.Request)
+		if !ok {
+			return fail(w, http.StatusUnauthorized, Fault{Message: "the operator's token is not known; give it with -token or VERBCTL_TOKEN"})
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		for name, v := range r.Params().Map() {
+			r.SetPathValue(name, v)
+		}
+		return next(w, r.Request, op)
+	}
 }
 
+// operator finds the operator of a token. Every digest is compared, and each
+// in the same time, so that the time of an answer tells nothing about them.
 func (a *Admin) operator(r *http.Request) (ident.Operator, bool) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return "", false
 	}
-	digest := rules.Digest(token)
+	digest := []byte(rules.Digest(token))
+	name, found := ident.Operator(""), false
 	for _, op := range a.cfg.Operators {
-		if op.TokenDigest == digest {
-			return op.Name, true
+		if subtle.ConstantTimeCompare([]byte(strings.ToLower(op.TokenDigest)), digest) == 1 {
+			name, found = op.Name, true
 		}
 	}
-	return "", false
-}
-
-// Fault is the answer to a change that was not accepted.
-type Fault struct {
-	Message string        `json:"message"`
-	Faults  []rules.Fault `json:"faults,omitempty"`
-}
-
-func (a *Admin) change(w http.ResponseWriter, r bunrouter.Request) error {
-	op, ok := a.operator(r.Request)
-	if !ok {
-		return fail(w, http.StatusUnauthorized, errors.New("the operator's token is not known"))
-	}
-	var c rules.Change
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20)).Decode(&c); err != nil {
-		return fail(w, http.StatusBadRequest, err)
-	}
-	if faults := rules.Check(c.Items); len(faults) > 0 {
-		return answer(w, http.StatusUnprocessableEntity, Fault{Message: "the change has faults", Faults: faults})
-	}
-	c.Operator = op
-	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
-	defer cancel()
-	done, err := a.cfg.Revs.Append(ctx, a.cfg.Book(), c)
-	switch {
-	case errors.Is(err, revlog.ErrConflict):
-		return fail(w, http.StatusConflict, err)
-	case errors.Is(err, revlog.ErrUnknown):
-		return fail(w, http.StatusGatewayTimeout, err)
-	case err != nil:
-		return fail(w, http.StatusServiceUnavailable, err)
-	}
-	a.cfg.Log.Info("change accepted", "revision", done.Revision, "change", done.ID, "operator", op)
-	return answer(w, http.StatusOK, done)
+	return name, found
 }
 
-func fail(w http.ResponseWriter, status int, err error) error {
-	return answer(w, status, Fault{Message: err.Error()})
+// decode reads a body. Unknown fields are faults, since a misspelt field would
+// silently do nothing.
+func decode(r *http.Request, v any) error {
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	return errors.Wrap(dec.Decode(v), "admin: the body can't be read")
 }
 
 func answer(w http.ResponseWriter, status int, v any) error {
--- /dev/null
+++ b/internal/admin/ask.go
@@ -0,0 +1,163 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Times of the questions to the control thread.
+const (
+	askTimeout = 2 * time.Second
+	// forceStep is the time between two looks at what is in force, and
+	// forceMost the longest wait of one request.
+	forceStep = 100 * time.Millisecond
+	forceMost = 30 * time.Second
+)
+
+func (a *Admin) ask(ctx context.Context, question func(n event.Ask) event.Event) (event.Effect, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	eff, err := a.cfg.Loop.Ask(ctx, question)
+	return eff, errors.Wrap(err, "admin: the host does not answer")
+}
+
+func (a *Admin) askStatus(ctx context.Context) (event.StatusAnswered, error) {
+	eff, err := a.ask(ctx, func(n event.Ask) event.Event { return event.StatusAsked{Ask: n} })
+	if err != nil {
+		return event.StatusAnswered{}, err
+	}
+	st, ok := eff.(event.StatusAnswered)
+	if !ok {
+		return event.StatusAnswered{}, errors.Errorf("admin: status was answered by %s", event.TypeName(eff))
+	}
+	return st, nil
+}
+
+func down(w http.ResponseWriter, err error) error {
+	return fail(w, http.StatusServiceUnavailable, Fault{Message: err.Error(), Kind: KindDown})
+}
+
+func (a *Admin) status(w http.ResponseWriter, r *http.Request, _ ident.Operator) error {
+	st, err := a.askStatus(r.Context())
+	if err != nil {
+		return down(w, err)
+	}
+	return answer(w, http.StatusOK, st)
+}
+
+// InForce tells which data centres have a revision in force, as far as the
+// host that was asked knows.
+type InForce struct {
+	Revision ident.Revision `json:"revision"`
+	// Everywhere says that every known data centre has it.
+	Everywhere bool            `json:"everywhere"`
+	Centres    []CentreInForce `json:"centres"`
+}
+
+// CentreInForce is the lowest revision in force in a data centre.
+type CentreInForce struct {
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Region     ident.Region     `json:"region"`
+	Lowest     ident.Revision   `json:"lowest"`
+	InForce    bool             `json:"inForce"`
+	// Age is how old the word of the data centre is.
+	Age    time.Duration `json:"age"`
+	CutOff bool          `json:"cutOff,omitempty"`
+}
+
+// inForce answers at once, or waits until the revision is in force everywhere
+// or waitMs is over.
+func (a *Admin) inForce(w http.ResponseWriter, r *http.Request, _ ident.Operator) error {
+	q := r.URL.Query()
+	rev, err := strconv.ParseUint(q.Get("revision"), 10, 64)
+	if err != nil {
+		return badRequest(w, errors.Errorf("revision=%q is no revision", q.Get("revision")))
+	}
+	ms, _ := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), min(max(0, time.Duration(ms)*time.Millisecond), forceMost))
+	defer cancel()
+	step := a.cfg.Clock.Every(forceStep)
+	defer step.Close()
+	for {
+		st, err := a.askStatus(r.Context())
+		if err != nil {
+			return down(w, err)
+		}
+		f := forceOf(ident.Revision(rev), st)
+		if f.Everywhere {
+			return answer(w, http.StatusOK, f)
+		}
+		select {
+		case <-step.C():
+		case <-ctx.Done():
+			return answer(w, http.StatusOK, f)
+		}
+	}
+}
+
+func forceOf(rev ident.Revision, st event.StatusAnswered) InForce {
+	f := InForce{Revision: rev, Everywhere: len(st.Centres) > 0}
+	for _, c := range st.Centres {
+		has := c.InForce >= rev
+		f.Everywhere = f.Everywhere && has
+		f.Centres = append(f.Centres, CentreInForce{
+			DataCentre: c.Place.DataCentre, Region: c.Place.Region, Lowest: c.InForce,
+			InForce: has, Age: c.Age, CutOff: c.CutOff,
+		})
+	}
+	return f
+}
+
+// drain starts a graceful stop of this host. It answers at once; the host
+// ends when its last request has.
+func (a *Admin) drain(w http.ResponseWriter, _ *http.Request, op ident.Operator) error {
+	a.cfg.Log.Info("drain asked", "operator", op)
+	a.cfg.Drain()
+	w.WriteHeader(http.StatusAccepted)
+	return nil
+}
+
+// route tells where a request would go, without sending it.
+func (a *Admin) route(w http.ResponseWriter, r *http.Request, _ ident.Operator) error {
+	var req event.Request
+	if err := decode(r, &req); err != nil {
+		return badRequest(w, err)
+	}
+	eff, err := a.ask(r.Context(), func(n event.Ask) event.Event { return event.RouteAsked{Ask: n, Request: req} })
+	if err != nil {
+		return down(w, err)
+	}
+	return answer(w, http.StatusOK, eff)
+}
+
+// Level is the verbosity of the log.
+type Level struct {
+	Level int `json:"level"`
+}
+
+// maxLevel is the highest verbosity that is used.
+const maxLevel = 4
+
+func (a *Admin) level(w http.ResponseWriter, _ *http.Request, _ ident.Operator) error {
+	return answer(w, http.StatusOK, Level{Level: a.cfg.Level.Get()})
+}
+
+func (a *Admin) setLevel(w http.ResponseWriter, r *http.Request, op ident.Operator) error {
+	var l Level
+	if err := decode(r, &l); err != nil {
+		return badRequest(w, err)
+	}
+	if l.Level < 0 || l.Level > maxLevel {
+		return badRequest(w, errors.Errorf("level %d is out of range; write 0 to %d", l.Level, maxLevel))
+	}
+	a.cfg.Level.Set(l.Level)
+	a.cfg.Log.Info("log level changed", "level", l.Level, "operator", op)
+	return answer(w, http.StatusOK, l)
+}
--- /dev/null
+++ b/internal/admin/fault.go
@@ -0,0 +1,125 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/revlog"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// FaultKind tells programs what an operator's request came to.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	KindConflict      FaultKind = "conflict"
+	KindUnknown       FaultKind = "unknown"
+	KindDown          FaultKind = "down"
+	KindNeedsApproval FaultKind = "needsApproval"
+	KindRefused       FaultKind = "refused"
+	KindNotFound      FaultKind = "notFound"
+	KindFaults        FaultKind = "faults"
+)
+
+// Fault is the answer to what was not done, or is not known to be done.
+type Fault struct {
+	Message string    `json:"message"`
+	Kind    FaultKind `json:"kind,omitempty"`
+	// Change is the id to send again after KindUnknown.
+	Change ident.ChangeID `json:"change,omitempty"`
+	// Faults lists what the checks found.
+	Faults []rules.Fault `json:"faults,omitempty"`
+	// Conflict tells what changed since.
+	Conflict *Conflict `json:"conflict,omitempty"`
+}
+
+// Conflict is an item that has changed since the operator read it.
+type Conflict struct {
+	Kind rules.Kind     `json:"kind"`
+	Name string         `json:"name"`
+	Base ident.Revision `json:"base"`
+	// By is the change that the item has now.
+	By rules.Change `json:"by"`
+	// Was and Now are the documents at the base and now. Was is absent where
+	// it is too long ago to look for.
+	Was json.RawMessage `json:"was,omitempty"`
+	Now json.RawMessage `json:"now,omitempty"`
+}
+
+func fail(w http.ResponseWriter, status int, f Fault) error { return answer(w, status, f) }
+
+func badRequest(w http.ResponseWriter, err error) error {
+	return fail(w, http.StatusBadRequest, Fault{Message: err.Error(), Kind: KindRefused})
+}
+
+// outcomes maps the errors of the log to what an operator is told.
+var outcomes = []struct {
+	err    error
+	kind   FaultKind
+	status int
+}{
+	{revlog.ErrConflict, KindConflict, http.StatusConflict},
+	{revlog.ErrUnknown, KindUnknown, http.StatusGatewayTimeout},
+	{revlog.ErrNeedsApproval, KindNeedsApproval, http.StatusForbidden},
+	{revlog.ErrSameOperator, KindNeedsApproval, http.StatusForbidden},
+	{revlog.ErrAbsent, KindNotFound, http.StatusNotFound},
+	{revlog.ErrRefused, KindRefused, http.StatusUnprocessableEntity},
+}
+
+// failLog answers with an error of the log.
+func (a *Admin) failLog(ctx context.Context, w http.ResponseWriter, id ident.ChangeID, err error) error {
+	f := Fault{Message: err.Error(), Kind: KindDown, Change: id}
+	status := http.StatusServiceUnavailable
+	for _, o := range outcomes {
+		if errors.Is(err, o.err) {
+			f.Kind, status = o.kind, o.status
+			break
+		}
+	}
+	var conflict *rules.ConflictError
+	if errors.As(err, &conflict) {
+		f.Conflict = a.conflict(ctx, conflict)
+	}
+	return fail(w, status, f)
+}
+
+// searchBack bounds the reads for the document that an operator started from.
+const searchBack = 64
+
+// conflict finds the documents for a diff. What can't be read is left out: the
+// conflict itself is certain.
+func (a *Admin) conflict(ctx context.Context, e *rules.ConflictError) *Conflict {
+	c := &Conflict{Kind: e.Kind, Name: e.Name, Base: e.Base}
+	by, err := a.cfg.Revs.Read(ctx, e.Changed)
+	if err != nil {
+		return c
+	}
+	c.By = by
+	c.Now, _ = document(by, e.Kind, e.Name)
+	for rev := e.Base; rev > 0 && e.Base-rev < searchBack; rev-- {
+		old, err := a.cfg.Revs.Read(ctx, rev)
+		if err != nil {
+			return c
+		}
+		if doc, ok := document(old, e.Kind, e.Name); ok {
+			c.Was = doc
+			return c
+		}
+	}
+	return c
+}
+
+// document returns what a change made of an item.
+func document(c rules.Change, kind rules.Kind, name string) (json.RawMessage, bool) {
+	for _, it := range c.Items {
+		if it.Kind == kind && it.Name == name {
+			return it.Doc, true
+		}
+	}
+	return nil, false
+}
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -70,9 +70,13 @@
 		return subcommands.ExitFailure
 	}
 	log.Info("serving", "entry", set.Entry, "callers", set.Callers.Listen, "operators", set.Operators.Listen)
-	<-signals
-	log.Info("draining")
-	d.Drain()
+	select {
+	case <-signals:
+		log.Info("draining")
+		d.Drain()
+	case <-d.Drained():
+		// An operator asked for it, and the last request has ended.
+	}
 	select {
 	case <-d.Drained():
 		d.Stop()
--- a/internal/daemon/carry.go
+++ b/internal/daemon/carry.go
@@ -4,19 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"verbenadale.example/verbenadale/internal/event"
-	"verbenadale.example/verbenadale/internal/revlog"
-	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// watchWait is how long one watch waits, and loadWait how long a load report
-// may take.
-const (
-	watchWait = 20 * time.Second
-	loadWait  = time.Second
-)
+// loadWait is how long a load report may take.
+const loadWait = time.Second
 
 // carry takes an effect from the control thread and must not block it.
 func (d *Daemon) carry(eff event.Effect) {
@@ -31,7 +23,9 @@
 	case event.Drained:
 		d.closeDrained()
 	default:
-		d.enqueue(eff)
+		if !d.platform.carry(eff) {
+			d.enqueue(eff)
+		}
 	}
 }
 
@@ -75,37 +69,11 @@
 }
 
 func (d *Daemon) do(ctx context.Context, eff event.Effect) {
-	switch e := eff.(type) {
-	case event.ReadHosts:
-		d.readHosts(ctx)
-	case event.WatchChange:
-		d.watch(ctx, e)
-	case event.PollLoad:
+	if e, ok := eff.(event.PollLoad); ok {
 		d.poll(ctx, e)
 	}
 }
 
-func (d *Daemon) readHosts(ctx context.Context) {
-	hs, err := d.store.Hosts(ctx)
-	if err != nil {
-		d.loop.Post(event.PlatformFailed{Op: event.OpReadHosts})
-		return
-	}
-	d.loop.Post(event.HostsRead{Version: hs.Version, Hosts: hs.Hosts, Targets: hs.Targets})
-}
-
-func (d *Daemon) watch(ctx context.Context, e event.WatchChange) {
-	c, err := d.revs.Next(ctx, e.After, watchWait)
-	switch {
-	case err == nil:
-		d.loop.Post(event.ChangesReceived{Changes: []rules.Change{c}})
-	case errors.Is(err, revlog.ErrIdle):
-		d.loop.Post(event.WatchIdle(e))
-	default:
-		d.loop.Post(event.PlatformFailed{Op: event.OpWatchChange})
-	}
-}
-
 func (d *Daemon) poll(ctx context.Context, e event.PollLoad) {
 	ctx, cancel := context.WithTimeout(ctx, loadWait)
 	defer cancel()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 	"gopkg.in/tomb.v2"
 
 	"verbenadale.example/verbenadale/internal/admin"
@@ -53,12 +54,15 @@
 	store   *store.Client
 	revs    *revlog.Log
 	targets *target.Client
-	book    atomic.Pointer[rules.Book]
-	outs    *serve.Outcomes
-	work    chan event.Effect
-	callers *http.Server
-	ops     *http.Server
-	drained chan struct{}
+	// platform is set before the loop starts, which calls it.
+	platform *platform
+	metrics  metrics.Registry
+	book     atomic.Pointer[rules.Book]
+	outs     *serve.Outcomes
+	work     chan event.Effect
+	callers  *http.Server
+	ops      *http.Server
+	drained  chan struct{}
 }
 
 // Sizes of the worker pool that carries out effects towards the platform and
@@ -73,14 +77,15 @@
 	set := cfg.Settings
 	d := &Daemon{
 		cfg: cfg, self: self(set), clock: clock.New(),
-		targets: target.New(), outs: &serve.Outcomes{},
+		targets: target.New(), outs: &serve.Outcomes{}, metrics: metrics.NewRegistry(),
 		work: make(chan event.Effect, workQueue), drained: make(chan struct{}),
 	}
 	d.store = store.New(store.Config{
 		URL: set.Platform.URL, Timeout: config.Millis(set.Platform.TimeoutMs),
-		CallsPerSecond: set.Platform.CallsPerSecond,
+		CallsPerSecond: set.Platform.CallsPerSecond, Metrics: d.metrics, Now: d.clock.Now,
 	})
 	d.revs = revlog.New(d.store)
+	d.platform = newPlatform(d)
 	step := cfg.Step
 	if step == nil {
 		step = core.New(d.self).Step
@@ -89,6 +94,7 @@
 	for range workers {
 		d.t.Go(d.run)
 	}
+	d.platform.start()
 	if err := d.listen(); err != nil {
 		d.Stop()
 		return nil, err
@@ -126,8 +132,9 @@
 		MaxHeaderBytes:    lim.MaxHeaderBytes,
 	}
 	ad := admin.New(admin.Config{
-		Loop: d.loop, Log: d.cfg.Log, Level: d.cfg.Level, Revs: d.revs,
+		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Level: d.cfg.Level, Revs: d.revs,
 		Book: d.book.Load, Operators: d.cfg.Settings.Operators.Known,
+		Metrics: d.metrics, Drain: d.Drain,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
 	if err := d.serve(d.callers, d.cfg.Settings.Callers.Listen); err != nil {
@@ -161,7 +168,10 @@
 }
 
 // Drain starts a graceful stop.
-func (d *Daemon) Drain() { d.loop.Post(event.DrainAsked{}) }
+func (d *Daemon) Drain() {
+	d.platform.reg.drain()
+	d.loop.Post(event.DrainAsked{})
+}
 
 // Drained is closed when the last request has ended after Drain.
 func (d *Daemon) Drained() <-chan struct{} { return d.drained }
--- /dev/null
+++ b/internal/dev/plat/fault.go
@@ -0,0 +1,190 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/store"
+)
+
+// Faults is what the service is told to do wrong. The zero value is none.
+type Faults struct {
+	// Down breaks the connection of every call before it takes effect, and
+	// those of the waiting watches.
+	Down bool `json:"down,omitempty"`
+	// DownAfter brings the service down after that many more calls.
+	DownAfter int `json:"downAfter,omitempty"`
+	// DelayMs holds every call up before it takes effect. A write whose
+	// caller has gone by then still lands.
+	DelayMs int64 `json:"delayMs,omitempty"`
+	// LoseNext breaks the connection of that many writes after they have
+	// taken effect.
+	LoseNext int `json:"loseNext,omitempty"`
+	// LoseShare does so to a share of all writes, drawn by Seed.
+	LoseShare float64 `json:"loseShare,omitempty"`
+	Seed      uint64  `json:"seed,omitempty"`
+	// HostsLagMs is the age of the list of hosts that is served.
+	HostsLagMs int64 `json:"hostsLagMs,omitempty"`
+	// Refuse lists the IP numbers of callers that are cut off.
+	Refuse []string `json:"refuse,omitempty"`
+}
+
+// Counts is the number of calls by operation. A watch counts once.
+type Counts map[string]int
+
+// losses draws which replies are lost.
+type losses struct {
+	left int
+	rng  *rand.Rand
+}
+
+func (l *losses) next(f Faults) bool {
+	if l.left > 0 {
+		l.left--
+		return true
+	}
+	return l.rng != nil && l.rng.Float64() < f.LoseShare
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.callsLeft = f.DownAfter
+	s.losses = losses{left: f.LoseNext, rng: rand.New(rand.NewPCG(f.Seed, f.Seed))}
+	s.notify()
+}
+
+// Counts returns the calls so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.counts)
+}
+
+// Lapse ends all leases at once.
+func (s *Server) Lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.drop(id)
+	}
+}
+
+// admit counts a call and applies the faults that come before its effect.
+func (s *Server) admit(r *http.Request, op string) {
+	s.mu.Lock()
+	s.counts[op]++
+	s.countDown()
+	delay := time.Duration(s.faults.DelayMs) * time.Millisecond
+	s.mu.Unlock()
+	s.refuse(r)
+	if delay > 0 {
+		// Not the request's context: a slow service does not notice that
+		// its caller has gone, and its write lands late.
+		await(context.Background(), nil, delay)
+		s.refuse(r)
+	}
+}
+
+// countDown brings the service down when the calls that it was left are used
+// up. The caller holds the lock.
+func (s *Server) countDown() {
+	if s.faults.DownAfter == 0 {
+		return
+	}
+	if s.callsLeft == 0 {
+		s.faults.Down = true
+		return
+	}
+	s.callsLeft--
+}
+
+// refuse breaks the connection of a caller that is cut off.
+func (s *Server) refuse(r *http.Request) {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	cut := s.faults.Down || slices.Contains(s.faults.Refuse, host)
+	s.mu.Unlock()
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// await waits for the channel and reports false if the time ran out first.
+func await(ctx context.Context, changed <-chan struct{}, left time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	select {
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) lapse(http.ResponseWriter, *http.Request) { s.Lapse() }
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Counts())
+}
+
+// hostList is a list of hosts and when it was set.
+type hostList struct {
+	store.Hosts
+	at time.Time
+}
+
+// SetHosts replaces the list of hosts. A service that lags goes on with the
+// older ones for its time.
+func (s *Server) SetHosts(hs store.Hosts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hs.Version = uint64(len(s.hosts)) + 1
+	s.hosts = append(s.hosts, hostList{Hosts: hs, at: s.Now()})
+}
+
+// visible returns the newest list that is as old as the lag.
+func (s *Server) visible() store.Hosts {
+	seen := s.Now().Add(-time.Duration(s.faults.HostsLagMs) * time.Millisecond)
+	for _, l := range slices.Backward(s.hosts) {
+		if !l.at.After(seen) {
+			return l.Hosts
+		}
+	}
+	return store.Hosts{}
+}
+
+func (s *Server) getHosts(w http.ResponseWriter, r *http.Request) {
+	s.admit(r, "hosts")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, http.StatusOK, s.visible())
+}
+
+func (s *Server) putHosts(w http.ResponseWriter, r *http.Request) {
+	var hs store.Hosts
+	if err := json.NewDecoder(r.Body).Decode(&hs); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetHosts(hs)
+}
--- a/internal/dev/plat/plat.go
+++ b/internal/dev/plat/plat.go
@@ -1,12 +1,17 @@
 // Package plat is a stand-in for the platform's service, for development and
 // tests: a small key-value store with compare-and-swap, watches and leases,
 // the list of hosts and the directory for clients, all in memory. It can be
-// told to fail.
+// told to fail. docs/platform.md describes both sides.
 //
 // # Usage
 //
 //	srv := plat.New()
 //	http.ListenAndServe(addr, srv)
+//
+// A test in the same process sets the faults directly, others with
+// PUT /dev/faults:
+//
+//	srv.SetFaults(plat.Faults{LoseNext: 1})
 package plat
 
 import (
@@ -18,114 +23,160 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// maxValue is the largest value that the service holds.
-const maxValue = 1 << 20
-
 // Server is the stand-in.
 type Server struct {
+	// Now reads the clock of leases and of the lag of the host list.
+	Now func() time.Time
 	mux *http.ServeMux
 
-	mu      sync.Mutex
-	values  map[string]store.Value
-	changed chan struct{}
-	hosts   store.Hosts
+	mu       sync.Mutex
+	seq      store.Version
+	values   map[string]value
+	leases   map[store.LeaseID]lease
+	fence    ident.Fence
+	listings map[string]listing
+	hosts    []hostList
+	changed  chan struct{}
+	faults   Faults
+	losses   losses
+	// callsLeft counts down to DownAfter.
+	callsLeft int
+	counts    Counts
+}
+
+// value is a value and the lease that it stands under, if any.
+type value struct {
+	store.Value
+	lease store.LeaseID
 }
 
 // New returns an empty service.
 func New() *Server {
 	s := &Server{
-		mux:     http.NewServeMux(),
-		values:  make(map[string]store.Value),
-		changed: make(chan struct{}),
+		Now:      time.Now,
+		mux:      http.NewServeMux(),
+		values:   make(map[string]value),
+		leases:   make(map[store.LeaseID]lease),
+		listings: make(map[string]listing),
+		changed:  make(chan struct{}),
+		counts:   Counts{},
 	}
 	s.mux.HandleFunc("GET /v1/kv/{key}", s.get)
-	s.mux.HandleFunc("PUT /v1/kv/{key}", s.put)
+	s.handleWrite("PUT /v1/kv/{key}", "put", s.put)
+	s.handleWrite("DELETE /v1/kv/{key}", "delete", s.remove)
+	s.handleWrite("POST /v1/leases", "grant", s.grant)
+	s.handleWrite("PUT /v1/leases/{id}", "keepAlive", s.keepAlive)
+	s.handleWrite("DELETE /v1/leases/{id}", "revoke", s.revoke)
+	s.handleWrite("PUT /v1/directory/{entry}", "register", s.register)
+	s.mux.HandleFunc("GET /v1/directory", s.directory)
 	s.mux.HandleFunc("GET /v1/hosts", s.getHosts)
 	s.mux.HandleFunc("PUT /dev/hosts", s.putHosts)
+	s.mux.HandleFunc("PUT /dev/faults", s.putFaults)
+	s.mux.HandleFunc("POST /dev/lapse", s.lapse)
+	s.mux.HandleFunc("GET /dev/counts", s.getCounts)
 	return s
 }
 
 // ServeHTTP serves one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// result is the answer to a write.
+type result struct {
+	status int
+	body   any
+}
+
+// handleWrite serves a write: it reads the body, applies the faults, does the
+// write under the lock, and loses the reply where it is told to.
+func (s *Server) handleWrite(pattern, op string, write func(r *http.Request, body []byte) result) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValue))
+		if err != nil {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
+		s.admit(r, op)
+		s.mu.Lock()
+		s.expire()
+		res := write(r, body)
+		s.notify()
+		lose := s.losses.next(s.faults)
+		s.mu.Unlock()
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		writeJSON(w, res.status, res.body)
+	})
+}
+
+// notify wakes the watches. The caller holds the lock.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	key := r.PathValue("key")
-	after := queryNumber(r, "after")
 	wait := time.Duration(queryNumber(r, "waitMs")) * time.Millisecond
+	op := "get"
+	if wait > 0 {
+		op = "watch"
+	}
+	s.admit(r, op)
+	after := store.Version(queryNumber(r, "after"))
 	deadline := time.Now().Add(wait)
 	for {
-		s.mu.Lock()
-		v, ok := s.values[key]
-		changed := s.changed
-		s.mu.Unlock()
-		if ok && uint64(v.Version) > after {
-			writeJSON(w, v)
+		v, ok, changed := s.look(r.PathValue("key"))
+		if ok && v.Version > after {
+			writeJSON(w, http.StatusOK, v)
 			return
 		}
 		if wait == 0 {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		if !s.await(r, changed, time.Until(deadline)) {
+		if !await(r.Context(), changed, time.Until(deadline)) {
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
+		s.refuse(r)
 	}
 }
 
-func (s *Server) await(r *http.Request, changed <-chan struct{}, left time.Duration) bool {
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return false
-	case <-r.Context().Done():
-		return false
-	}
-}
-
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
-	if err != nil {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
-	}
-	key := r.PathValue("key")
-	expect := store.Version(queryNumber(r, "expect"))
+// look returns the value of a key and the channel that is closed at the next
+// change.
+func (s *Server) look(key string) (store.Value, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.values[key]
-	if old.Version != expect {
-		w.WriteHeader(http.StatusConflict)
-		return
-	}
-	v := store.Value{Version: old.Version + 1, Body: body}
-	s.values[key] = v
-	close(s.changed)
-	s.changed = make(chan struct{})
-	writeJSON(w, store.Value{Version: v.Version})
+	s.expire()
+	v, ok := s.values[key]
+	return v.Value, ok, s.changed
 }
 
-func (s *Server) getHosts(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(w, s.hosts)
+func (s *Server) put(r *http.Request, body []byte) result {
+	key := r.PathValue("key")
+	id := store.LeaseID(r.URL.Query().Get("lease"))
+	if id != "" && !s.stands(id) {
+		return result{status: http.StatusGone}
+	}
+	if s.values[key].Version != store.Version(queryNumber(r, "expect")) {
+		return result{status: http.StatusConflict}
+	}
+	s.seq++
+	v := store.Value{Version: s.seq, Body: body}
+	s.values[key] = value{Value: v, lease: id}
+	return result{status: http.StatusOK, body: store.Value{Version: v.Version}}
 }
 
-func (s *Server) putHosts(w http.ResponseWriter, r *http.Request) {
-	var hs store.Hosts
-	if err := json.NewDecoder(r.Body).Decode(&hs); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+func (s *Server) remove(r *http.Request, _ []byte) result {
+	key := r.PathValue("key")
+	if s.values[key].Version != store.Version(queryNumber(r, "expect")) {
+		return result{status: http.StatusConflict}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	hs.Version = s.hosts.Version + 1
-	s.hosts = hs
+	delete(s.values, key)
+	return result{status: http.StatusOK, body: store.Value{}}
 }
 
 func queryNumber(r *http.Request, name string) uint64 {
@@ -133,7 +184,16 @@
 	return n
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
+func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// Peek returns a value without a call, for tests that compare.
+func (s *Server) Peek(key string) (store.Value, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.values[key]
+	return v.Value, ok
+}
--- a/internal/opctl/cmds.go
+++ b/internal/opctl/cmds.go
@@ -7,12 +7,21 @@
 	"fmt"
 	"io"
 	"os"
-	"time"
+	"strings"
+	"text/tabwriter"
 
 	"github.com/google/subcommands"
+	"github.com/pkg/errors"
 
+	"verbenadale.example/verbenadale/internal/admin"
 	"verbenadale.example/verbenadale/pkg/codes"
-	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// The exit statuses beside those of package subcommands.
+const (
+	exitConflict   subcommands.ExitStatus = 3
+	exitNotInForce subcommands.ExitStatus = 4
+	exitUnknown    subcommands.ExitStatus = 5
 )
 
 // Options are the flags that all commands share.
@@ -21,82 +30,184 @@
 	Token string
 	JSON  bool
 	Out   io.Writer
+	// Err is where messages go; nil is the standard error output.
+	Err io.Writer
 }
 
 // Register adds every command.
 func Register(cdr *subcommands.Commander, opts *Options) {
+	if opts.Err == nil {
+		opts.Err = os.Stderr
+	}
 	cdr.Register(cdr.HelpCommand(), "")
-	cdr.Register(&putCmd{opts: opts}, "configuration")
-	cdr.Register(&explainCmd{opts: opts}, "")
+	cdr.Register(explainCmd(opts), "")
+	cdr.Register(profilesCmd(opts), "configuration")
+	cdr.Register(accountsCmd(opts), "configuration")
+	cdr.Register(applyCmd(opts), "configuration")
+	cdr.Register(statusCmd(opts), "entry hosts")
+	cdr.Register(routeCmd(opts), "entry hosts")
+	cdr.Register(drainCmd(opts), "entry hosts")
+	cdr.Register(levelCmd(opts), "entry hosts")
 }
 
-func (o *Options) client() *Client { return &Client{URL: o.URL, Token: o.Token} }
+func (o *Options) client() *Client {
+	return &Client{URL: strings.TrimRight(o.URL, "/"), Token: o.Token}
+}
 
-// putCmd sends the items of a file as one change.
-type putCmd struct {
-	opts *Options
-	wait time.Duration
-	base uint64
+// command is one command, with its text and what it does.
+type command struct {
+	name     string
+	synopsis string
+	usage    string
+	opts     *Options
+	// args is the number of arguments; flags beyond -json are set by flags.
+	args  int
+	flags func(fs *flag.FlagSet)
+	do    func(ctx context.Context, args []string) error
 }
 
-func (*putCmd) Name() string     { return "apply" }
-func (*putCmd) Synopsis() string { return "apply the items of a file as one change" }
+// Name returns the word that calls the command.
+func (c *command) Name() string { return c.name }
 
-func (*putCmd) Usage() string {
-	return `apply [-wait 5s] FILE
-  Applies a JSON array of items: {"kind", "name", "doc"}.
+// Synopsis returns one line.
+func (c *command) Synopsis() string { return c.synopsis }
 
-  Example:
-    verbctl -entry http://127.1.1.1:9090 apply profiles.json
-`
+// Usage returns the page that -h shows.
+func (c *command) Usage() string { return c.usage }
+
+// SetFlags sets the flags.
+func (c *command) SetFlags(fs *flag.FlagSet) {
+	fs.BoolVar(&c.opts.JSON, "json", c.opts.JSON, "print JSON instead of tables")
+	if c.flags != nil {
+		c.flags(fs)
+	}
 }
 
-func (c *putCmd) SetFlags(fs *flag.FlagSet) {
-	fs.DurationVar(&c.wait, "wait", 0, "wait until the change is in force at the entry host")
-	fs.Uint64Var(&c.base, "base", 0, "the revision that the change is based on")
+// Execute runs the command and turns its error into the exit status.
+func (c *command) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != c.args {
+		fmt.Fprintf(c.opts.Err, "verbctl: %s takes %d arguments, not %d; -h shows examples\n", c.name, c.args, fs.NArg())
+		return subcommands.ExitUsageError
+	}
+	return c.opts.exit(c.do(ctx, fs.Args()))
 }
 
-func (c *putCmd) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	text, err := os.ReadFile(fs.Arg(0))
-	if err != nil {
-		return c.fail(err)
+// exit reports an error and returns its status.
+func (o *Options) exit(err error) subcommands.ExitStatus {
+	if err == nil {
+		return subcommands.ExitSuccess
 	}
-	var items []rules.Item
-	if err := json.Unmarshal(text, &items); err != nil {
-		return c.fail(err)
+	fmt.Fprintln(o.Err, "verbctl:", err)
+	var ce *CallError
+	var late *notInForceError
+	var unsure *unknownError
+	var usage *usageError
+	switch {
+	case errors.As(err, &unsure):
+		return exitUnknown
+	case errors.As(err, &late):
+		return exitNotInForce
+	case errors.As(err, &usage):
+		return subcommands.ExitUsageError
+	case errors.As(err, &ce):
+		o.explain(ce.Fault)
+		if ce.Fault.Kind == admin.KindConflict {
+			return exitConflict
+		}
 	}
-	cl := c.opts.client()
-	st, err := cl.Status(ctx)
-	if err != nil {
-		return c.fail(err)
+	return subcommands.ExitFailure
+}
+
+// explain prints what the entry host told beside the message.
+func (o *Options) explain(f admin.Fault) {
+	for _, one := range f.Faults {
+		fmt.Fprintln(o.Err, " ", one)
 	}
-	done, err := cl.Change(ctx, rules.Change{ID: NewChangeID(), Base: st.Revision, Items: items})
+	if f.Conflict != nil {
+		printConflict(o.Err, *f.Conflict)
+	}
+}
+
+// usageError is a wrong flag or argument.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+// print writes v as JSON, or as the table that the function makes.
+func (o *Options) print(v any, table func(w io.Writer)) error {
+	if o.JSON {
+		return printJSON(o.Out, v)
+	}
+	tw := tabwriter.NewWriter(o.Out, 0, 0, 2, ' ', 0)
+	table(tw)
+	return errors.Wrap(tw.Flush(), "opctl: print")
+}
+
+func printJSON(w io.Writer, v any) error {
+	text, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
-		return c.fail(err)
+		return errors.Wrap(err, "opctl: encode")
 	}
-	fmt.Fprintf(c.opts.Out, "accepted as revision %d\n", done.Revision)
-	return subcommands.ExitSuccess
+	fmt.Fprintf(w, "%s\n", text)
+	return nil
 }
 
-func (c *putCmd) fail(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "verbctl:", err)
-	return subcommands.ExitFailure
+// group is a command that has commands of its own.
+type group struct {
+	name     string
+	synopsis string
+	opts     *Options
+	cmds     []subcommands.Command
+}
+
+// Name returns the word that calls the group.
+func (g *group) Name() string { return g.name }
+
+// Synopsis returns one line.
+func (g *group) Synopsis() string { return g.synopsis }
+
+// Usage lists the commands of the group.
+func (g *group) Usage() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s COMMAND: %s\n", g.name, g.synopsis)
+	for _, c := range g.cmds {
+		fmt.Fprintf(&b, "  %-10s %s\n", c.Name(), c.Synopsis())
+	}
+	fmt.Fprintf(&b, "\n  Example:\n    verbctl %s %s -h\n", g.name, g.cmds[0].Name())
+	return b.String()
+}
+
+// SetFlags sets none; each command has its own.
+func (*group) SetFlags(*flag.FlagSet) {}
+
+// Execute runs one of the commands.
+func (g *group) Execute(ctx context.Context, fs *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	cdr := subcommands.NewCommander(fs, "verbctl "+g.name)
+	cdr.Output, cdr.Error = g.opts.Out, g.opts.Err
+	for _, c := range g.cmds {
+		cdr.Register(c, "")
+	}
+	return cdr.Execute(ctx, args...)
 }
 
 // explainCmd spells out a code.
-type explainCmd struct{ opts *Options }
-
-func (*explainCmd) Name() string           { return "explain" }
-func (*explainCmd) Synopsis() string       { return "spell out a code" }
-func (*explainCmd) Usage() string          { return "explain CODE\n" }
-func (*explainCmd) SetFlags(*flag.FlagSet) {}
-
-func (c *explainCmd) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	code, ok := codes.Find(codes.ID(fs.Arg(0)))
-	if !ok {
-		fmt.Fprintf(os.Stderr, "verbctl: the code %q is not known\n", fs.Arg(0))
-		return subcommands.ExitFailure
+func explainCmd(opts *Options) *command {
+	return &command{
+		name: "explain", synopsis: "spell out a code", opts: opts, args: 1,
+		usage: `explain CODE
+  Spells out a code of a refusal, a routing filter or a check.
+
+  Example:
+    verbctl explain VB1004
+`,
+		do: func(_ context.Context, args []string) error {
+			code, ok := codes.Find(codes.ID(args[0]))
+			if !ok {
+				return errors.Errorf("the code %q is not known; codes look like VB1004", args[0])
+			}
+			return opts.print(code, func(w io.Writer) {
+				fmt.Fprintf(w, "%s: %s\n\n%s\n", code.ID, code.Title, code.Text)
+			})
+		},
 	}
-	fmt.Fprintf(c.opts.Out, "%s: %s\n\n%s\n", code.ID, code.Title, code.Text)
-	return subcommands.ExitSuccess
 }
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -2,8 +2,13 @@
 //
 // # Usage
 //
-//	verbctl -entry http://127.1.1.1:9090 profiles put draft.json
+//	verbctl -entry http://127.1.1.1:9090 profiles get obituary > draft.jsonc
+//	verbctl -entry http://127.1.1.1:9090 profiles propose -wait 5s draft.jsonc
 //	verbctl -entry http://127.1.1.1:9090 status -json
+//
+// The exit status tells scripts what happened: 0 done, 1 failed, 2 wrong
+// usage, 3 conflict with another operator's change, 4 accepted but not in
+// force everywhere in time, 5 not known whether it was accepted.
 package opctl
 
 import (
@@ -12,13 +17,18 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/admin"
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/revlog"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
@@ -37,6 +47,37 @@
 	return ident.ChangeID(hex.EncodeToString(b[:]))
 }
 
+// CallError is a call that was not done, or is not known to be done.
+type CallError struct {
+	// Status is the HTTP status, zero where there was no answer.
+	Status int
+	// Fault is the entry host's answer.
+	Fault admin.Fault
+	cause error
+}
+
+// Error tells the entry host's message or why there is none.
+func (e *CallError) Error() string {
+	if e.cause != nil {
+		return "the entry host gave no answer: " + e.cause.Error()
+	}
+	return fmt.Sprintf("the entry host answers %d: %s", e.Status, e.Fault.Message)
+}
+
+// Unwrap returns what broke the call off.
+func (e *CallError) Unwrap() error { return e.cause }
+
+// unknown reports whether the call may have taken effect. A link that was
+// never made has carried nothing.
+func (e *CallError) unknown() bool {
+	if e.cause == nil {
+		return e.Fault.Kind == admin.KindUnknown
+	}
+	var op *net.OpError
+	unsent := errors.As(e.cause, &op) && op.Op == "dial"
+	return !unsent
+}
+
 // Change sends a change and returns it as accepted.
 func (c *Client) Change(ctx context.Context, ch rules.Change) (rules.Change, error) {
 	var done rules.Change
@@ -44,6 +85,63 @@
 	return done, err
 }
 
+// Propose stores a change for the approval by a second operator.
+func (c *Client) Propose(ctx context.Context, ch rules.Change) (revlog.Proposal, error) {
+	var p revlog.Proposal
+	err := c.call(ctx, http.MethodPost, "/v1/proposals", ch, &p)
+	return p, err
+}
+
+// Approve approves a proposal and returns its change as accepted.
+func (c *Client) Approve(ctx context.Context, id ident.ChangeID) (rules.Change, error) {
+	var done rules.Change
+	err := c.call(ctx, http.MethodPost, "/v1/proposals/"+url.PathEscape(string(id))+"/approve", nil, &done)
+	return done, err
+}
+
+// Rollback gives items an old content again, as a new change.
+func (c *Client) Rollback(ctx context.Context, rb admin.Rollback) (admin.RollbackDone, error) {
+	var done admin.RollbackDone
+	err := c.call(ctx, http.MethodPost, "/v1/rollback", rb, &done)
+	return done, err
+}
+
+// Proposals lists the recent proposals.
+func (c *Client) Proposals(ctx context.Context) ([]revlog.Proposal, error) {
+	var ps []revlog.Proposal
+	err := c.call(ctx, http.MethodGet, "/v1/proposals", nil, &ps)
+	return ps, err
+}
+
+// History lists the changes before a revision, of one item where name is set.
+func (c *Client) History(ctx context.Context, kind rules.Kind, name string, before ident.Revision, n int) (admin.History, error) {
+	q := url.Values{"n": {fmt.Sprint(n)}}
+	if before > 0 {
+		q.Set("before", fmt.Sprint(before))
+	}
+	if name != "" {
+		q.Set("kind", string(kind))
+		q.Set("name", name)
+	}
+	var h admin.History
+	err := c.call(ctx, http.MethodGet, "/v1/history?"+q.Encode(), nil, &h)
+	return h, err
+}
+
+// Profiles lists the profiles in force, or the one of the given name.
+func (c *Client) Profiles(ctx context.Context, name string) (admin.ProfileList, error) {
+	var l admin.ProfileList
+	err := c.call(ctx, http.MethodGet, "/v1/profiles?name="+url.QueryEscape(name), nil, &l)
+	return l, err
+}
+
+// Accounts lists the accounts in force, or the one of the given name.
+func (c *Client) Accounts(ctx context.Context, name string) (admin.AccountList, error) {
+	var l admin.AccountList
+	err := c.call(ctx, http.MethodGet, "/v1/accounts?name="+url.QueryEscape(name), nil, &l)
+	return l, err
+}
+
 // Status returns the state as the entry host knows it.
 func (c *Client) Status(ctx context.Context) (event.StatusAnswered, error) {
 	var st event.StatusAnswered
@@ -51,7 +149,39 @@
 	return st, err
 }
 
-// call sends a request and reads the answer into out.
+// InForce tells which data centres have a revision, waiting up to a time.
+func (c *Client) InForce(ctx context.Context, rev ident.Revision, wait time.Duration) (admin.InForce, error) {
+	var f admin.InForce
+	path := fmt.Sprintf("/v1/inForce?revision=%d&waitMs=%d", rev, wait.Milliseconds())
+	err := c.call(ctx, http.MethodGet, path, nil, &f)
+	return f, err
+}
+
+// Route tells where a request would go.
+func (c *Client) Route(ctx context.Context, r event.Request) (event.RouteAnswered, error) {
+	var ans event.RouteAnswered
+	err := c.call(ctx, http.MethodPost, "/v1/route", r, &ans)
+	return ans, err
+}
+
+// Drain starts a graceful stop of the entry host.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, "/v1/drain", nil, nil)
+}
+
+// Level returns the verbosity of the entry host's log.
+func (c *Client) Level(ctx context.Context) (admin.Level, error) {
+	var l admin.Level
+	err := c.call(ctx, http.MethodGet, "/v1/logLevel", nil, &l)
+	return l, err
+}
+
+// SetLevel changes the verbosity of the entry host's log.
+func (c *Client) SetLevel(ctx context.Context, l admin.Level) error {
+	return c.call(ctx, http.MethodPut, "/v1/logLevel", l, nil)
+}
+
+// call sends a request and reads the answer into out, where out is not nil.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
@@ -68,17 +198,22 @@
 	}
 	res, err := cl.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "opctl: call")
+		return &CallError{cause: err}
 	}
 	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
 	if err != nil {
-		return errors.Wrap(err, "opctl: read")
+		return &CallError{cause: err}
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		ce := &CallError{Status: res.StatusCode}
+		if json.Unmarshal(b, &ce.Fault) != nil {
+			ce.Fault.Message = string(bytes.TrimSpace(b))
+		}
+		return ce
 	}
-	if res.StatusCode != http.StatusOK {
-		var f admin.Fault
-		_ = json.Unmarshal(b, &f)
-		return errors.Errorf("the entry host answers %d: %s", res.StatusCode, f.Message)
+	if out == nil {
+		return nil
 	}
-	return json.Unmarshal(b, out)
+	return errors.Wrap(json.Unmarshal(b, out), "opctl: the answer can't be read")
 }
--- /dev/null
+++ b/internal/opctl/opctl_test.go
@@ -0,0 +1,240 @@
+package opctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/admin"
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/dev/plat"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/logs"
+	"verbenadale.example/verbenadale/internal/loop"
+	"verbenadale.example/verbenadale/internal/revlog"
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// host is the operators' address of an entry host with a platform behind it.
+// Its control thread is a plain function that answers questions.
+type host struct {
+	srv     *plat.Server
+	revs    *revlog.Log
+	book    atomic.Pointer[rules.Book]
+	drained atomic.Int32
+	url     string
+	// platform is the address of the stand-in.
+	platform string
+}
+
+// linkFault is how the system words a broken link, which differs by moment.
+var linkFault = regexp.MustCompile(`Get "(http://PLATFORM[^"]*)": [^)\n]*`)
+
+var operators = []config.Operator{
+	{Name: "anu", TokenDigest: rules.Digest("token-anu")},
+	{Name: "bold", TokenDigest: rules.Digest("token-bold")},
+}
+
+func newHost(t *testing.T) *host {
+	t.Helper()
+	h := &host{srv: plat.New()}
+	pl := httptest.NewServer(h.srv)
+	t.Cleanup(pl.Close)
+	h.platform = pl.URL
+	h.revs = revlog.New(store.New(store.Config{URL: pl.URL}))
+	h.revs.Now = func() time.Time { return time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC) }
+	svc := clock.New()
+	t.Cleanup(svc.Stop)
+	lp := loop.New(loop.Config{Step: h.step, Clock: svc, Log: logr.Discard(), Carry: func(event.Effect) {}})
+	t.Cleanup(lp.Stop)
+	ad := httptest.NewServer(admin.New(admin.Config{
+		Loop: lp, Clock: svc, Log: logr.Discard(), Level: logs.NewLevel(0), Revs: h.revs,
+		Book: h.book.Load, Operators: operators, Drain: func() { h.drained.Add(1) },
+	}))
+	t.Cleanup(ad.Close)
+	h.url = ad.URL
+	return h
+}
+
+// step answers for three data centres, of which khovd is cut off at revision 1.
+func (h *host) step(_ ident.Time, ev event.Event) []event.Effect {
+	h.catchUp()
+	rev := h.book.Load().Rev()
+	at := func(dc ident.DataCentre, in ident.Revision) event.CentreStatus {
+		return event.CentreStatus{Place: event.Place{DataCentre: dc, Region: ident.Region(dc)}, InForce: in}
+	}
+	switch e := ev.(type) {
+	case event.StatusAsked:
+		khovd := at("khovd", min(rev, 1))
+		khovd.CutOff = true
+		khovd.Age = 90 * time.Second
+		return []event.Effect{event.StatusAnswered{
+			Ask: e.Ask, Self: event.Host{ID: "uvs-1", Place: event.Place{DataCentre: "uvs", Region: "uvs"}},
+			Revision: rev, Ready: rev > 0, Requests: 3, PlatformAge: 200 * time.Millisecond,
+			Centres: []event.CentreStatus{at("uvs", rev), at("erdenet", rev), khovd},
+			Targets: []event.TargetStatus{
+				{Target: event.Target{ID: "uvs-e1", Kind: event.Engine, Place: event.Place{DataCentre: "uvs"}}, Load: event.Load{Slots: 8, Running: 2}, Sent: 1},
+				{Target: event.Target{ID: "uvs-e2", Kind: event.Engine, Place: event.Place{DataCentre: "uvs"}}, Leaving: true},
+			},
+		}}
+	case event.RouteAsked:
+		return []event.Effect{event.RouteAnswered{Ask: e.Ask, Chosen: 0, Choices: []event.Choice{
+			{Target: "uvs-e1", DataCentre: "uvs", Cost: 0.5, Wait: 0.2, Prefill: 0.1, Decode: 0.2},
+			{DataCentre: "khovd", RuledOut: codes.FilterResidency.ID},
+		}}}
+	}
+	return nil
+}
+
+// catchUp puts what the log holds into force at the host.
+func (h *host) catchUp() {
+	book, err := h.revs.Load(context.Background())
+	if err == nil && book.Rev() > h.book.Load().Rev() {
+		h.book.Store(book)
+	}
+}
+
+// run runs one command line and writes what it prints and its exit status.
+func (h *host) run(out *bytes.Buffer, dir, line string) {
+	args := strings.Fields(line)
+	token := "token-anu"
+	if args[0] == "bold:" {
+		token, args = "token-bold", args[1:]
+	}
+	for i, a := range args {
+		if strings.HasSuffix(a, ".jsonc") {
+			args[i] = filepath.Join(dir, a)
+		}
+	}
+	opts := &Options{URL: h.url, Token: token, Out: out, Err: out}
+	top := flag.NewFlagSet("verbctl", flag.ContinueOnError)
+	top.SetOutput(out)
+	cdr := subcommands.NewCommander(top, "verbctl")
+	cdr.Output, cdr.Error = out, out
+	Register(cdr, opts)
+	_ = top.Parse(args)
+	code := cdr.Execute(context.Background())
+	fmt.Fprintf(out, "exit %d\n\n", code)
+	h.catchUp()
+}
+
+// Each folder of testdata holds a script of commands and what an operator sees.
+// A line that begins with ! sets the platform's faults.
+func TestScripts(t *testing.T) {
+	dirs, err := filepath.Glob("testdata/*")
+	if err != nil || len(dirs) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, dir := range dirs {
+		t.Run(filepath.Base(dir), func(t *testing.T) { runScript(t, dir) })
+	}
+}
+
+func runScript(t *testing.T, dir string) {
+	script, err := os.ReadFile(filepath.Join(dir, "script.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := newHost(t)
+	var out bytes.Buffer
+	for line := range strings.Lines(string(script)) {
+		line = strings.TrimSpace(line)
+		fmt.Fprintf(&out, "$ %s\n", line)
+		if text, ok := strings.CutPrefix(line, "!"); ok {
+			var f plat.Faults
+			if err := json.Unmarshal([]byte(text), &f); err != nil {
+				t.Fatal(err)
+			}
+			h.srv.SetFaults(f)
+			continue
+		}
+		h.run(&out, dir, line)
+	}
+	got := strings.ReplaceAll(out.String(), dir+string(filepath.Separator), "")
+	got = strings.ReplaceAll(got, h.platform, "http://PLATFORM")
+	got = linkFault.ReplaceAllString(got, `Get "$1": the link broke`)
+	golden(t, filepath.Join(dir, "want.txt"), got)
+}
+
+func golden(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", path, diff)
+	}
+}
+
+// The entry host dies while it answers an operator. Whether the change was
+// accepted is not known, and the client must not claim either; where no
+// connection was made at all, nothing can have been accepted.
+func TestHostDies(t *testing.T) {
+	h := newHost(t)
+	h.srv.SetFaults(plat.Faults{Down: true})
+	cl := &Client{URL: "http://127.0.0.1:1", Token: "token-anu"}
+	_, err := cl.Change(context.Background(), rules.Change{ID: "c1"})
+	if got := doubt(err, "c1", ""); !errors.Is(got, err) || (&Options{Err: &bytes.Buffer{}}).exit(got) == exitUnknown {
+		t.Errorf("a change that was never sent is told as unknown: %v", got)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = (&Client{URL: h.url, Token: "token-anu"}).Change(ctx, rules.Change{ID: "c1"})
+	if diff := cmp.Diff(exitUnknown, (&Options{Err: &bytes.Buffer{}}).exit(doubt(err, "c1", "again"))); diff != "" {
+		t.Errorf("exit status of a call that broke off (-want +got):\n%s", diff)
+	}
+}
+
+// Every command explains itself with an example, so that an operator in a
+// hurry need not look for the page.
+func TestEveryCommandHasAnExample(t *testing.T) {
+	opts := &Options{Out: &bytes.Buffer{}, Err: &bytes.Buffer{}}
+	cdr := subcommands.NewCommander(flag.NewFlagSet("verbctl", flag.ContinueOnError), "verbctl")
+	Register(cdr, opts)
+	n := 0
+	check := func(c subcommands.Command) {
+		n++
+		if c.Name() != "help" && !strings.Contains(c.Usage(), "Example") {
+			t.Errorf("%s has no example", c.Name())
+		}
+	}
+	cdr.VisitCommands(func(_ *subcommands.CommandGroup, c subcommands.Command) {
+		check(c)
+		if g, ok := c.(*group); ok {
+			for _, sub := range g.cmds {
+				check(sub)
+			}
+		}
+	})
+	if n < 20 {
+		t.Errorf("only %d commands were looked at", n)
+	}
+}
--- /dev/null
+++ b/internal/opctl/send.go
@@ -0,0 +1,275 @@
+package opctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pmezard/go-difflib/difflib"
+	"github.com/tailscale/hujson"
+
+	"verbenadale.example/verbenadale/internal/admin"
+	"verbenadale.example/verbenadale/internal/revlog"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// sender holds the flags of the commands that change something.
+type sender struct {
+	opts *Options
+	// base is noBase until it is known.
+	base int64
+	id   string
+	note string
+	wait time.Duration
+	// second asks for a second operator, also where the profile does not.
+	second bool
+}
+
+func (s *sender) flags(fs *flag.FlagSet) {
+	fs.Int64Var(&s.base, "base", noBase, "revision that the change is based on; else that of the file, else the one in force")
+	fs.StringVar(&s.id, "id", "", "id of a change to send again after an unknown outcome")
+	fs.StringVar(&s.note, "note", "", "why, for the history")
+	fs.DurationVar(&s.wait, "wait", 0, "wait until every data centre reports it in force")
+	fs.BoolVar(&s.second, "second", false, "ask for the approval by a second operator")
+}
+
+// noBase stands for a base that the operator left out.
+const noBase = -1
+
+// unknownError is a change of which nobody knows whether it was accepted.
+type unknownError struct {
+	id    ident.ChangeID
+	again string
+	cause error
+}
+
+func (e *unknownError) Error() string {
+	return fmt.Sprintf("it is not known whether change %s was accepted (%v); ask again with: %s", e.id, e.cause, e.again)
+}
+
+// Unwrap returns the cause.
+func (e *unknownError) Unwrap() error { return e.cause }
+
+// notInForceError names the data centres that lack a revision.
+type notInForceError struct {
+	rev     ident.Revision
+	lacking []ident.DataCentre
+	// cause is why nobody could tell, where that is so.
+	cause error
+}
+
+func (e *notInForceError) Error() string {
+	if e.cause != nil {
+		return fmt.Sprintf("revision %d is accepted, but where it is in force can't be seen: %v", e.rev, e.cause)
+	}
+	names := make([]string, 0, len(e.lacking))
+	for _, n := range e.lacking {
+		names = append(names, string(n))
+	}
+	return fmt.Sprintf("revision %d is accepted, but not yet in force in: %s", e.rev, strings.Join(names, ", "))
+}
+
+// send sends items as one change, or proposes it where it needs approval.
+func (s *sender) send(ctx context.Context, items []rules.Item, name, file string) error {
+	cl := s.opts.client()
+	c, err := s.change(ctx, items)
+	if err != nil {
+		return err
+	}
+	again := fmt.Sprintf("verbctl %s -id %s -base %d %s", name, c.ID, c.Base, file)
+	if s.second {
+		return s.propose(ctx, c, again)
+	}
+	done, err := cl.Change(ctx, c)
+	var ce *CallError
+	if errors.As(err, &ce) && ce.Fault.Kind == admin.KindNeedsApproval {
+		return s.propose(ctx, c, again)
+	}
+	if err != nil {
+		return doubt(err, c.ID, again)
+	}
+	return s.accepted(ctx, done)
+}
+
+// change fills in what the operator left out.
+func (s *sender) change(ctx context.Context, items []rules.Item) (rules.Change, error) {
+	c := rules.Change{ID: ident.ChangeID(s.id), Note: s.note, Items: items}
+	if s.base >= 0 {
+		c.Base = ident.Revision(s.base)
+	}
+	if s.id != "" && s.base < 0 {
+		// With the revision in force as its base, a change that was accepted
+		// would not be recognised and would be made a second time.
+		return c, &usageError{text: "-id needs the -base that the change had; both stand in the message that told to ask again"}
+	}
+	if s.id == "" {
+		c.ID = NewChangeID()
+	}
+	if s.base >= 0 {
+		return c, nil
+	}
+	st, err := s.opts.client().Status(ctx)
+	c.Base = st.Revision
+	return c, err
+}
+
+// doubt turns an error of a call that may have taken effect.
+func doubt(err error, id ident.ChangeID, again string) error {
+	var ce *CallError
+	if errors.As(err, &ce) && ce.unknown() {
+		return &unknownError{id: id, again: again, cause: err}
+	}
+	return err
+}
+
+func (s *sender) propose(ctx context.Context, c rules.Change, again string) error {
+	p, err := s.opts.client().Propose(ctx, c)
+	if err != nil {
+		return doubt(err, c.ID, again)
+	}
+	return s.proposed(p)
+}
+
+func (s *sender) proposed(p revlog.Proposal) error {
+	return s.opts.print(p, func(w io.Writer) {
+		fmt.Fprintf(w, "proposed as %s; a second operator approves it with: verbctl profiles approve %s\n", p.Change.ID, p.Change.ID)
+	})
+}
+
+// accepted reports a change and follows it until it is in force.
+func (s *sender) accepted(ctx context.Context, done rules.Change) error {
+	err := s.opts.print(done, func(w io.Writer) {
+		fmt.Fprintf(w, "accepted as revision %d\n", done.Revision)
+	})
+	if err != nil || s.wait <= 0 {
+		return err
+	}
+	f, err := s.follow(ctx, done.Revision)
+	if err != nil || !f.Everywhere {
+		return &notInForceError{rev: done.Revision, lacking: lacking(f), cause: err}
+	}
+	if !s.opts.JSON {
+		fmt.Fprintf(s.opts.Out, "in force in %d of %d data centres\n", len(f.Centres), len(f.Centres))
+	}
+	return nil
+}
+
+// followStep is the longest wait of one question.
+const followStep = 20 * time.Second
+
+// follow asks until the revision is in force or the time is over.
+func (s *sender) follow(ctx context.Context, rev ident.Revision) (admin.InForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.wait+followStep)
+	defer cancel()
+	end := time.Now().Add(s.wait)
+	for {
+		left := time.Until(end)
+		f, err := s.opts.client().InForce(ctx, rev, min(max(left, 0), followStep))
+		if err != nil || f.Everywhere || time.Now().After(end) {
+			return f, err
+		}
+	}
+}
+
+func lacking(f admin.InForce) []ident.DataCentre {
+	var names []ident.DataCentre
+	for _, c := range f.Centres {
+		if !c.InForce {
+			names = append(names, c.DataCentre)
+		}
+	}
+	return names
+}
+
+// baseLine is the first line of a document that "get" printed.
+var baseLine = regexp.MustCompile(`(?m)^// base (\d+)$`)
+
+// read reads a file of JSON with comments and takes the base from it.
+func (s *sender) read(path string, v any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "opctl: read")
+	}
+	if m := baseLine.FindSubmatch(text); m != nil && s.base < 0 {
+		s.base, err = strconv.ParseInt(string(m[1]), 10, 64)
+		if err != nil {
+			return errors.Wrapf(err, "opctl: %s: the base is no revision", path)
+		}
+	}
+	std, err := hujson.Standardize(text)
+	if err != nil {
+		return errors.Wrapf(err, "opctl: %s", path)
+	}
+	return errors.Wrapf(json.Unmarshal(std, v), "opctl: %s", path)
+}
+
+// readDocs reads one document or an array of them as items of a kind.
+func (s *sender) readDocs(path string, kind rules.Kind) ([]rules.Item, error) {
+	var raw json.RawMessage
+	if err := s.read(path, &raw); err != nil {
+		return nil, err
+	}
+	docs := []json.RawMessage{raw}
+	if bytes.HasPrefix(bytes.TrimSpace(raw), []byte("[")) {
+		docs = nil
+		if err := json.Unmarshal(raw, &docs); err != nil {
+			return nil, errors.Wrapf(err, "opctl: %s", path)
+		}
+	}
+	items := make([]rules.Item, 0, len(docs))
+	for _, doc := range docs {
+		var head struct {
+			Name string `json:"name"`
+		}
+		if err := json.Unmarshal(doc, &head); err != nil {
+			return nil, errors.Wrapf(err, "opctl: %s", path)
+		}
+		items = append(items, rules.Item{Kind: kind, Name: head.Name, Doc: doc})
+	}
+	return items, nil
+}
+
+// diffContext is the number of unchanged lines around a difference.
+const diffContext = 3
+
+// diff returns a unified diff of two documents, empty for equal ones.
+func diff(from, to string, was, now json.RawMessage) string {
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: docLines(was), B: docLines(now), FromFile: from, ToFile: to, Context: diffContext,
+	})
+	if err != nil {
+		return err.Error()
+	}
+	return text
+}
+
+// docLines is a document with one field a line and its keys in order.
+func docLines(doc json.RawMessage) []string {
+	var v any
+	if err := json.Unmarshal(doc, &v); err != nil || v == nil {
+		return nil
+	}
+	text, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return nil
+	}
+	return difflib.SplitLines(string(text))
+}
+
+func printConflict(w io.Writer, c admin.Conflict) {
+	if c.By.Revision == 0 {
+		return
+	}
+	fmt.Fprintf(w, "%s %s was changed by %s in revision %d: %s\n", c.Kind, c.Name, c.By.Operator, c.By.Revision, c.By.Note)
+	fmt.Fprint(w, diff(fmt.Sprintf("revision %d", c.Base), fmt.Sprintf("revision %d", c.By.Revision), c.Was, c.Now))
+}
--- /dev/null
+++ b/internal/revlog/propose.go
@@ -0,0 +1,240 @@
+package revlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// State says how far a proposal has come.
+type State string
+
+// The states of a proposal.
+const (
+	// Open waits for a second operator.
+	Open State = "open"
+	// Approved has its second operator; the change may not be in the log yet.
+	Approved State = "approved"
+	// Accepted is in the log.
+	Accepted State = "accepted"
+	// Outdated was approved after one of its items had changed.
+	Outdated State = "outdated"
+)
+
+// Proposal is a change that waits for a second operator.
+type Proposal struct {
+	Change rules.Change `json:"change"`
+	State  State        `json:"state"`
+}
+
+// indexKey lists the ids of recent proposals, since the store lists no keys.
+const indexKey = "verbenadale/proposals"
+
+// indexMost bounds the index. A proposal that fell out of it is still found by
+// its id.
+const indexMost = 128
+
+// indexTries bounds the attempts to get into the index against other writers.
+const indexTries = 8
+
+func proposalKey(id ident.ChangeID) string { return indexKey + "/" + string(id) }
+
+// Propose stores a change for the approval by a second operator. The same
+// proposal can be sent again.
+func (l *Log) Propose(ctx context.Context, c rules.Change) (Proposal, error) {
+	if c.ID == "" || len(c.Items) == 0 {
+		return Proposal{}, turn(ErrRefused, errors.New("it has no id or no items"))
+	}
+	c.Approver = ""
+	c.At = l.Now().UTC()
+	p, ver, err := l.Proposal(ctx, c.ID)
+	switch {
+	case errors.Is(err, ErrAbsent):
+		p, err = l.putProposal(ctx, Proposal{Change: c, State: Open}, ver)
+	case err == nil && (p.Change.Base != c.Base || !sameChange(p.Change, c)):
+		return Proposal{}, turnf(ErrRefused, "the id %s belongs to another proposal", c.ID)
+	}
+	if err != nil {
+		return Proposal{}, err
+	}
+	if err := l.addToIndex(ctx, c.ID); err != nil {
+		return Proposal{}, turnf(ErrUnknown, "the proposal is stored, but not listed: %v", err)
+	}
+	return p, nil
+}
+
+// sameChange reports whether two sendings ask for the same.
+func sameChange(a, b rules.Change) bool {
+	return a.Operator == b.Operator && slices.EqualFunc(a.Items, b.Items, sameItem)
+}
+
+// sameItem compares two items. Storing a document drops its blanks.
+func sameItem(a, b rules.Item) bool {
+	return a.Kind == b.Kind && a.Name == b.Name && bytes.Equal(compact(a.Doc), compact(b.Doc))
+}
+
+func compact(doc json.RawMessage) []byte {
+	var b bytes.Buffer
+	if err := json.Compact(&b, doc); err != nil {
+		return doc
+	}
+	return b.Bytes()
+}
+
+// Proposal reads a proposal, or returns ErrAbsent.
+func (l *Log) Proposal(ctx context.Context, id ident.ChangeID) (Proposal, store.Version, error) {
+	v, err := l.cl.Get(ctx, proposalKey(id))
+	if errors.Is(err, store.ErrAbsent) {
+		return Proposal{}, store.Absent, ErrAbsent
+	}
+	if err != nil {
+		return Proposal{}, store.Absent, turn(ErrDown, err)
+	}
+	var p Proposal
+	if err := json.Unmarshal(v.Body, &p); err != nil {
+		return Proposal{}, store.Absent, turn(ErrRefused, err)
+	}
+	return p, v.Version, nil
+}
+
+// Proposals returns the recent proposals, newest first.
+func (l *Log) Proposals(ctx context.Context, n int) ([]Proposal, error) {
+	ids, _, err := l.index(ctx)
+	if err != nil {
+		return nil, err
+	}
+	slices.Reverse(ids)
+	ps := []Proposal{}
+	for _, id := range ids[:min(n, len(ids))] {
+		p, _, err := l.Proposal(ctx, id)
+		if err != nil {
+			return ps, err
+		}
+		ps = append(ps, p)
+	}
+	return ps, nil
+}
+
+// Approve records the second operator and puts the change into the log.
+// Approving twice does no harm: whoever comes later, or asks again after an
+// unknown outcome, carries on where the first stopped and gets the same
+// change.
+func (l *Log) Approve(ctx context.Context, book *rules.Book, id ident.ChangeID, op ident.Operator) (rules.Change, error) {
+	p, ver, err := l.Proposal(ctx, id)
+	if err != nil {
+		return rules.Change{}, err
+	}
+	if p.Change.Operator == op {
+		return rules.Change{}, ErrSameOperator
+	}
+	if p.State == Open {
+		p.Change.Approver = op
+		p.Change.At = l.Now().UTC()
+		p.State = Approved
+		// Only one approval can follow the version that was read.
+		p, err = l.putProposal(ctx, p, ver)
+		if err != nil {
+			return rules.Change{}, err
+		}
+	}
+	done, err := l.Append(ctx, book, p.Change)
+	l.settle(ctx, p, err)
+	return done, err
+}
+
+// settle notes in the proposal what became of it, for the lists. The log tells
+// the truth where this write is lost.
+func (l *Log) settle(ctx context.Context, p Proposal, err error) {
+	state := p.State
+	switch {
+	case err == nil:
+		state = Accepted
+	case errors.Is(err, ErrConflict):
+		state = Outdated
+	}
+	if state == p.State {
+		return
+	}
+	cur, ver, err := l.Proposal(ctx, p.Change.ID)
+	if err != nil || cur.State == Accepted {
+		return
+	}
+	cur.State = state
+	_, _ = l.putProposal(ctx, cur, ver)
+}
+
+// putProposal writes a proposal over the version that was read and returns
+// what stands there afterwards. A write that lost the race, or whose reply was
+// lost, is read back.
+func (l *Log) putProposal(ctx context.Context, p Proposal, ver store.Version) (Proposal, error) {
+	body, err := json.Marshal(p)
+	if err != nil {
+		return Proposal{}, turn(ErrRefused, err)
+	}
+	doubt := false
+	for range writeTries {
+		_, err = l.cl.Put(ctx, proposalKey(p.Change.ID), body, ver)
+		if err == nil {
+			return p, nil
+		}
+		doubt = doubt || errors.Is(err, store.ErrUnknown)
+		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
+			break
+		}
+		cur, at, readErr := l.Proposal(ctx, p.Change.ID)
+		if readErr == nil && at != ver {
+			return cur, nil
+		}
+		if readErr != nil && !errors.Is(readErr, ErrAbsent) {
+			err = readErr
+			break
+		}
+	}
+	return Proposal{}, failed(err, doubt)
+}
+
+func (l *Log) index(ctx context.Context) ([]ident.ChangeID, store.Version, error) {
+	v, err := l.cl.Get(ctx, indexKey)
+	if errors.Is(err, store.ErrAbsent) {
+		return nil, store.Absent, nil
+	}
+	if err != nil {
+		return nil, store.Absent, turn(ErrDown, err)
+	}
+	var ids []ident.ChangeID
+	if err := json.Unmarshal(v.Body, &ids); err != nil {
+		return nil, store.Absent, turn(ErrRefused, err)
+	}
+	return ids, v.Version, nil
+}
+
+func (l *Log) addToIndex(ctx context.Context, id ident.ChangeID) error {
+	for range indexTries {
+		ids, ver, err := l.index(ctx)
+		if err != nil || slices.Contains(ids, id) {
+			return err
+		}
+		ids = append(ids, id)
+		body, err := json.Marshal(ids[max(0, len(ids)-indexMost):])
+		if err != nil {
+			return turn(ErrRefused, err)
+		}
+		_, err = l.cl.Put(ctx, indexKey, body, ver)
+		if err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
+			return turn(ErrDown, err)
+		}
+		// A lost race or reply is told apart by the next read; a success
+		// costs one read more and nothing else.
+		if err == nil {
+			return nil
+		}
+	}
+	return turn(ErrDown, errors.New("the index of proposals is too busy"))
+}
--- a/internal/revlog/revlog.go
+++ b/internal/revlog/revlog.go
@@ -5,6 +5,7 @@
 // # Usage
 //
 //	lg := revlog.New(cl)
+//	book, err := lg.Load(ctx)
 //	change, err := lg.Append(ctx, book, proposal)
 //	change, err := lg.Next(ctx, book.Revision, 30*time.Second)
 //
@@ -12,12 +13,18 @@
 // key is created once. A writer whose reply was lost reads the key back and
 // knows its own change by its id. A revision is never written twice, so that
 // no reader can see the configuration go back.
+//
+// A change of a profile that asks for two operators is first a proposal:
+//
+//	p, err := lg.Propose(ctx, change)
+//	change, err := lg.Approve(ctx, book, p.Change.ID, "second")
 package revlog
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,81 +45,118 @@
 	ErrDown = errors.New("revlog: the store does not answer")
 	// ErrIdle says that there is no later change.
 	ErrIdle = errors.New("revlog: no later change")
+	// ErrAbsent says that no such change or proposal is known.
+	ErrAbsent = errors.New("revlog: not found")
+	// ErrNeedsApproval says that the change has to be proposed and approved by
+	// a second operator.
+	ErrNeedsApproval = errors.New("revlog: the change needs the approval of a second operator")
+	// ErrSameOperator says that the proposer tried to approve.
+	ErrSameOperator = errors.New("revlog: the operator who proposed a change may not approve it")
+	// ErrRefused says that the change can't be applied as it is.
+	ErrRefused = errors.New("revlog: the change can't be applied")
 )
 
-// Log is the log of changes in the store.
-type Log struct{ cl *store.Client }
+// turn makes an error of this layer from one below, which is told and no more.
+func turn(own, below error) error { return fmt.Errorf("%w: %s", own, below.Error()) }
+
+func turnf(own error, format string, args ...any) error {
+	return turn(own, errors.Errorf(format, args...))
+}
+
+// Log is the log of changes in the store. It is safe for several goroutines.
+type Log struct {
+	cl *store.Client
+	// Now reads the wall clock, for the times that people read.
+	Now func() time.Time
+
+	mu sync.Mutex
+	// recent holds changes that were read. A revision never changes once it
+	// is written, so that they can't be out of date.
+	recent map[ident.Revision]rules.Change
+}
+
+// maxRecent bounds the changes that are held in memory.
+const maxRecent = 512
 
 // New returns the log that cl's store holds.
-func New(cl *store.Client) *Log { return &Log{cl: cl} }
+func New(cl *store.Client) *Log {
+	return &Log{cl: cl, Now: time.Now, recent: make(map[ident.Revision]rules.Change)}
+}
 
 func changeKey(rev ident.Revision) string { return fmt.Sprintf("verbenadale/changes/%d", rev) }
 
 // Next waits for the change that follows a revision.
 func (l *Log) Next(ctx context.Context, after ident.Revision, wait time.Duration) (rules.Change, error) {
+	if c, ok := l.recall(after + 1); ok {
+		return c, nil
+	}
 	v, err := l.cl.Watch(ctx, changeKey(after+1), store.Absent, wait)
 	if errors.Is(err, store.ErrIdle) {
 		return rules.Change{}, ErrIdle
 	}
 	if err != nil {
-		return rules.Change{}, errors.Wrap(ErrDown, err.Error())
-	}
-	return decode(v)
-}
-
-// Append gives a change the revision after the book's and writes it. The
-// change's own revision is set by it. ErrConflict comes with the cause.
-func (l *Log) Append(ctx context.Context, book *rules.Book, c rules.Change) (rules.Change, error) {
-	for {
-		if err := book.Conflict(c); err != nil {
-			return rules.Change{}, errors.Wrap(ErrConflict, err.Error())
-		}
-		c.Revision = book.Rev() + 1
-		won, err := l.create(ctx, c)
-		if err != nil {
-			return rules.Change{}, err
-		}
-		if won.ID == c.ID {
-			return won, nil
-		}
-		book, err = book.Apply(won)
-		if err != nil {
-			return rules.Change{}, errors.Wrap(ErrConflict, err.Error())
-		}
+		return rules.Change{}, turn(ErrDown, err)
 	}
+	return l.decode(after+1, v)
 }
 
-// create writes the change under its revision and returns what stands there
-// afterwards: the change itself, or that of another operator.
-func (l *Log) create(ctx context.Context, c rules.Change) (rules.Change, error) {
-	body, err := json.Marshal(c)
-	if err != nil {
-		return rules.Change{}, errors.Wrap(err, "revlog: encode")
-	}
-	_, err = l.cl.Put(ctx, changeKey(c.Revision), body, store.Absent)
-	if err == nil {
+// Read returns the change that made a revision, or ErrAbsent.
+func (l *Log) Read(ctx context.Context, rev ident.Revision) (rules.Change, error) {
+	if c, ok := l.recall(rev); ok {
 		return c, nil
 	}
-	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnknown) {
-		// After a lost reply the key holds this change, another, or nothing
-		// yet. Only what is read from it is believed.
-		return l.readBack(ctx, c.Revision, err)
+	v, err := l.cl.Get(ctx, changeKey(rev))
+	if errors.Is(err, store.ErrAbsent) {
+		return rules.Change{}, ErrAbsent
 	}
-	return rules.Change{}, errors.Wrap(ErrDown, err.Error())
+	if err != nil {
+		return rules.Change{}, turn(ErrDown, err)
+	}
+	return l.decode(rev, v)
 }
 
-func (l *Log) readBack(ctx context.Context, rev ident.Revision, cause error) (rules.Change, error) {
-	v, err := l.cl.Get(ctx, changeKey(rev))
-	if err != nil {
-		return rules.Change{}, errors.Wrap(ErrUnknown, cause.Error())
+// History returns up to n changes before a revision, newest first.
+func (l *Log) History(ctx context.Context, before ident.Revision, n int) ([]rules.Change, error) {
+	cs := []rules.Change{}
+	for rev := before; rev > 1 && len(cs) < n; rev-- {
+		c, err := l.Read(ctx, rev-1)
+		if err != nil {
+			return cs, err
+		}
+		cs = append(cs, c)
 	}
-	return decode(v)
+	return cs, nil
 }
 
-func decode(v store.Value) (rules.Change, error) {
+func (l *Log) decode(rev ident.Revision, v store.Value) (rules.Change, error) {
 	var c rules.Change
 	if err := json.Unmarshal(v.Body, &c); err != nil {
-		return rules.Change{}, errors.Wrap(err, "revlog: decode")
+		return rules.Change{}, turn(ErrRefused, err)
+	}
+	if c.Revision != rev {
+		return rules.Change{}, turnf(ErrRefused, "revision %d stands under the key of %d", c.Revision, rev)
 	}
+	l.remember(c)
 	return c, nil
 }
+
+func (l *Log) recall(rev ident.Revision) (rules.Change, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.recent[rev]
+	return c, ok
+}
+
+func (l *Log) remember(c rules.Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recent[c.Revision] = c
+	if len(l.recent) <= maxRecent {
+		return
+	}
+	low := c.Revision
+	for rev := range l.recent {
+		low = min(low, rev)
+	}
+	delete(l.recent, low)
+}
--- /dev/null
+++ b/internal/store/kv.go
@@ -0,0 +1,67 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// Value is a value and its version.
+type Value struct {
+	Version Version `json:"version"`
+	Body    []byte  `json:"body"`
+}
+
+// Get reads a key.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	return c.read(ctx, request{op: opGet, method: http.MethodGet, path: kvPath(key)})
+}
+
+// Watch waits until the key has a version above after, or until wait is over
+// (ErrIdle). A waiting watch counts as one call.
+func (c *Client) Watch(ctx context.Context, key string, after Version, wait time.Duration) (Value, error) {
+	path := kvPath(key) + fmt.Sprintf("?after=%d&waitMs=%d", after, wait.Milliseconds())
+	return c.read(ctx, request{op: opWatch, method: http.MethodGet, path: path, wait: wait})
+}
+
+// Put writes a key that has the version expect, Absent for one without a
+// value, and returns the new version.
+func (c *Client) Put(ctx context.Context, key string, body []byte, expect Version) (Version, error) {
+	return c.put(ctx, request{op: opPut, method: http.MethodPut, path: expectPath(key, expect), body: body})
+}
+
+// PutUnder is Put of a key that is gone when the lease lapses. The service
+// refuses a lapsed lease with ErrLapsed.
+func (c *Client) PutUnder(ctx context.Context, l *Lease, key string, body []byte, expect Version) (Version, error) {
+	path := expectPath(key, expect) + "&lease=" + url.QueryEscape(string(l.ID))
+	return c.put(ctx, request{op: opPut, method: http.MethodPut, path: path, body: body})
+}
+
+// Delete removes a key that has the version expect.
+func (c *Client) Delete(ctx context.Context, key string, expect Version) error {
+	return c.do(ctx, request{op: opDelete, method: http.MethodDelete, path: expectPath(key, expect)}, nil)
+}
+
+func (c *Client) read(ctx context.Context, q request) (Value, error) {
+	var v Value
+	err := c.do(ctx, q, &v)
+	return v, err
+}
+
+func (c *Client) put(ctx context.Context, q request) (Version, error) {
+	if len(q.body) > MaxValue {
+		c.meter(q.op, ErrTooLarge, 0)
+		return Absent, ErrTooLarge
+	}
+	var v Value
+	err := c.do(ctx, q, &v)
+	return v.Version, err
+}
+
+func kvPath(key string) string { return "/v1/kv/" + url.PathEscape(key) }
+
+func expectPath(key string, expect Version) string {
+	return fmt.Sprintf("%s?expect=%d", kvPath(key), expect)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
 // Package store is the client of the platform's key-value service: get,
 // create or swap by version, watch, leases, the list of hosts and the
-// directory for clients.
+// directory for clients. docs/platform.md describes the service.
 //
 // # Usage
 //
@@ -8,9 +8,15 @@
 //	v, err := cl.Get(ctx, "verbenadale/changes/7")
 //	ver, err := cl.Put(ctx, "verbenadale/changes/8", body, store.Absent)
 //
-// Every call has a deadline and takes from a rate budget. A call whose reply
-// is lost may have taken effect: Put then returns ErrUnknown and never claims
-// either way.
+// Every call has a deadline, takes from a rate budget and is counted and timed
+// by operation and result. A call whose reply is lost may have taken effect:
+// Put then returns ErrUnknown and never claims either way. The caller reads
+// the key back before it believes anything.
+//
+// A lease is checked by its holder before each use, by the monotonic clock:
+//
+//	l, err := cl.Grant(ctx, time.Minute)
+//	if !l.Holds(now) { ... }
 package store
 
 import (
@@ -18,18 +24,21 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
-	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Version counts the writes to a key from 1. Absent stands for no value.
+// Version grows with every write to the service. A key that was deleted and
+// made again has a higher version than before, so that a writer with an old
+// version never succeeds by chance.
 type Version uint64
 
 // Absent is the version of a key without a value.
@@ -43,36 +52,42 @@
 	ErrConflict = errors.New("store: the key has another version")
 	// ErrUnknown says that a write may or may not have taken effect.
 	ErrUnknown = errors.New("store: the outcome of the write is not known")
-	// ErrDown says that the service gave no answer; a read has no effect.
+	// ErrDown says that the service gave no answer and nothing was written.
 	ErrDown = errors.New("store: the service does not answer")
 	// ErrIdle says that a watch ended without a change.
 	ErrIdle = errors.New("store: no change")
 	// ErrBudget says that the rate budget is used up; nothing was sent.
 	ErrBudget = errors.New("store: the call budget is used up")
-	// ErrLapsed says that the lease no longer stands.
+	// ErrLapsed says that the lease no longer stands; nothing was written.
 	ErrLapsed = errors.New("store: the lease has lapsed")
+	// ErrTooLarge says that the value is longer than the service holds.
+	ErrTooLarge = errors.New("store: the value is longer than one megabyte")
 )
 
-// Value is a value and its version.
-type Value struct {
-	Version Version `json:"version"`
-	Body    []byte  `json:"body"`
-}
+// turn makes an error of this layer from one below, which is told and no more.
+func turn(own, below error) error { return fmt.Errorf("%w: %s", own, below.Error()) }
 
-// Hosts is the platform's list of hosts.
-type Hosts struct {
-	Version uint64         `json:"version"`
-	Hosts   []event.Host   `json:"hosts"`
-	Targets []event.Target `json:"targets"`
-}
+// MaxValue is the longest value that the service holds.
+const MaxValue = 1 << 20
+
+// maxAnswer bounds an answer, with room for a value in base64 and for a list of
+// hosts of the target size.
+const maxAnswer = 8 << 20
+
+// defaultTimeout bounds a call where the configuration names no timeout.
+const defaultTimeout = 1500 * time.Millisecond
 
-// Config is what a client needs.
+// Config is what a client needs. Zero fields stand for defaults.
 type Config struct {
-	URL            string
-	Timeout        time.Duration
+	URL     string
+	Timeout time.Duration
+	// CallsPerSecond bounds the calls, with bursts of as many; zero is no
+	// bound. Claims of idempotency keys may use half of it in addition.
 	CallsPerSecond float64
-	// Count, where set, is told of each call by name.
-	Count func(op string, err error)
+	// Metrics receives platform.OP.RESULT counters and platform.OP timers.
+	Metrics metrics.Registry
+	// Now reads the monotonic clock that leases are measured by.
+	Now func() ident.Time
 }
 
 // Client calls the platform's service. It is safe for several goroutines.
@@ -80,128 +95,145 @@
 	cfg    Config
 	http   *http.Client
 	budget *rate.Limiter
+	claims *rate.Limiter
 }
 
 // New returns a client.
 func New(cfg Config) *Client {
-	if cfg.Count == nil {
-		cfg.Count = func(string, error) {}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.Now == nil {
+		cfg.Now = sinceStart(time.Now())
 	}
-	burst := max(int(cfg.CallsPerSecond), 1)
 	return &Client{
 		cfg:    cfg,
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
-		budget: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), burst),
+		budget: limiter(cfg.CallsPerSecond),
+		claims: limiter(cfg.CallsPerSecond / claimShare),
 	}
 }
 
-// Get reads a key.
-func (c *Client) Get(ctx context.Context, key string) (Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
-	v, err := c.read(ctx, kvPath(key))
-	c.cfg.Count("get", err)
-	return v, err
-}
+// claimShare is what the calls a second are divided by for the claims. They
+// come at the rate of the callers' requests. With one common budget a burst of
+// claims would hold up the watch, and a change would not come into force.
+const claimShare = 2
 
-// Watch waits until the key has a version above after, or until wait is over
-// (ErrIdle). A waiting watch counts as one call.
-func (c *Client) Watch(ctx context.Context, key string, after Version, wait time.Duration) (Value, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+c.cfg.Timeout)
-	defer cancel()
-	q := fmt.Sprintf("?after=%d&waitMs=%d", after, wait.Milliseconds())
-	v, err := c.read(ctx, kvPath(key)+q)
-	c.cfg.Count("watch", err)
-	return v, err
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
 }
 
-// Put writes a key that has the version expect, Absent for one without a
-// value, and returns the new version.
-func (c *Client) Put(ctx context.Context, key string, body []byte, expect Version) (Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
-	ver, err := c.put(ctx, key, body, expect)
-	c.cfg.Count("put", err)
-	return ver, err
+func sinceStart(start time.Time) func() ident.Time {
+	return func() ident.Time { return ident.Time(time.Since(start)) }
 }
 
-// Hosts reads the list of hosts.
-func (c *Client) Hosts(ctx context.Context) (Hosts, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-	defer cancel()
-	var hs Hosts
-	err := c.readJSON(ctx, "/v1/hosts", &hs)
-	c.cfg.Count("hosts", err)
-	return hs, err
+// Close drops the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// request is one call of the service.
+type request struct {
+	op     op
+	method string
+	path   string
+	body   []byte
+	// wait is how long the service may take beyond the timeout of a call.
+	wait time.Duration
+	// hasty fails at once where the budget is used up, and does not wait.
+	hasty bool
 }
 
-func kvPath(key string) string { return "/v1/kv/" + url.PathEscape(key) }
-
-func (c *Client) read(ctx context.Context, path string) (Value, error) {
-	var v Value
-	err := c.readJSON(ctx, path, &v)
-	return v, err
-}
+// writes reports whether the call may change something.
+func (q request) writes() bool { return q.method != http.MethodGet }
 
-func (c *Client) readJSON(ctx context.Context, path string, v any) error {
-	res, err := c.call(ctx, http.MethodGet, path, nil)
-	if err != nil {
+// do sends a request, reads the answer into out, where out is not nil, and
+// meters the call.
+func (c *Client) do(ctx context.Context, q request, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, q.wait+c.cfg.Timeout)
+	defer cancel()
+	if err := c.spend(ctx, q); err != nil {
+		c.meter(q.op, err, 0)
 		return err
 	}
-	defer res.Body.Close()
-	switch res.StatusCode {
-	case http.StatusOK:
-		if err := json.NewDecoder(res.Body).Decode(v); err != nil {
-			return errors.Wrap(ErrDown, err.Error())
+	start := c.cfg.Now()
+	err := c.send(ctx, q, out)
+	c.meter(q.op, err, c.cfg.Now().Sub(start))
+	return err
+}
+
+// spend takes one call from the budget. Control calls wait for their turn as
+// long as their deadline lets them; a claim stands between a caller and its
+// answer and is refused at once.
+func (c *Client) spend(ctx context.Context, q request) error {
+	if q.hasty {
+		if !c.claims.Allow() {
+			return ErrBudget
 		}
 		return nil
-	case http.StatusNotFound:
-		return ErrAbsent
-	case http.StatusNoContent:
-		return ErrIdle
 	}
-	return errors.Wrapf(ErrDown, "status %d", res.StatusCode)
+	if err := c.budget.Wait(ctx); err != nil {
+		return turn(ErrBudget, err)
+	}
+	return nil
 }
 
-func (c *Client) put(ctx context.Context, key string, body []byte, expect Version) (Version, error) {
-	path := kvPath(key) + "?expect=" + strconv.FormatUint(uint64(expect), 10)
-	res, err := c.call(ctx, http.MethodPut, path, body)
-	if errors.Is(err, ErrBudget) {
-		return 0, err
+func (c *Client) send(ctx context.Context, q request, out any) error {
+	req, err := http.NewRequestWithContext(ctx, q.method, c.cfg.URL+q.path, bytes.NewReader(q.body))
+	if err != nil {
+		return turn(ErrDown, err)
 	}
+	res, err := c.http.Do(req)
 	if err != nil {
-		// The request may have reached the service before the link broke, so
-		// the write may stand. Only a read of the key can tell.
-		return 0, errors.Wrap(ErrUnknown, err.Error())
+		return lost(q, err)
 	}
 	defer res.Body.Close()
-	switch res.StatusCode {
-	case http.StatusOK:
-		var v Value
-		if err := json.NewDecoder(res.Body).Decode(&v); err != nil {
-			return 0, errors.Wrap(ErrUnknown, err.Error())
-		}
-		return v.Version, nil
-	case http.StatusConflict:
-		return 0, ErrConflict
-	case http.StatusServiceUnavailable:
-		// The service says that it has not taken the write.
-		return 0, errors.Wrap(ErrDown, "the service refused the write")
+	if res.StatusCode != http.StatusOK {
+		return fromStatus(q, res.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxAnswer)).Decode(out); err != nil {
+		return lost(q, err)
 	}
-	return 0, errors.Wrapf(ErrUnknown, "status %d", res.StatusCode)
+	return nil
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
-	if !c.budget.Allow() {
-		return nil, ErrBudget
+// lost tells what a call without an answer means. A write may have reached the
+// service before the link broke, so it may stand, and only a read of the key
+// can tell. A link that was never made has carried nothing.
+func lost(q request, err error) error {
+	var op *net.OpError
+	unsent := errors.As(err, &op) && op.Op == "dial"
+	if unsent || !q.writes() {
+		return turn(ErrDown, err)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, errors.Wrap(ErrDown, err.Error())
+	return turn(ErrUnknown, err)
+}
+
+func fromStatus(q request, status int) error {
+	switch status {
+	case http.StatusNotFound:
+		return ErrAbsent
+	case http.StatusNoContent:
+		return ErrIdle
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusGone:
+		return ErrLapsed
+	case http.StatusRequestEntityTooLarge:
+		return ErrTooLarge
+	case http.StatusServiceUnavailable:
+		// The service says that it has not taken the call.
+		return turn(ErrDown, errors.New("the service refused the call"))
 	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return nil, errors.Wrap(ErrDown, err.Error())
+	if q.writes() {
+		return turn(ErrUnknown, errors.Errorf("status %d", status))
 	}
-	return res, nil
+	return turn(ErrDown, errors.Errorf("status %d", status))
 }
--- a/pkg/rules/book.go
+++ b/pkg/rules/book.go
@@ -216,7 +216,8 @@
 
 func (b *Book) putClient(it Item) error {
 	name := ident.Account(it.Name)
-	if old, ok := b.clients[name]; ok {
+	// Another item of the same change may have taken the old key over.
+	if old, ok := b.clients[name]; ok && b.byDigest[old.KeyDigest] == name {
 		delete(b.byDigest, old.KeyDigest)
 	}
 	if it.Deletes() {
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -1,8 +1,8 @@
 package rules
 
 import (
-	"encoding/hex"
 	"fmt"
+	"math"
 	"regexp"
 
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -12,6 +12,7 @@
 const (
 	maxCrossings  = 4
 	maxDeadlineMs = 3_600_000
+	maxPriority   = 100
 	digestBytes   = 32
 )
 
@@ -20,6 +21,8 @@
 // Fault is one fault found in a document.
 type Fault struct {
 	Code codes.ID `json:"code"`
+	// Item names the profile or account, such as "profile obituary".
+	Item string `json:"item"`
 	// Path names the field, such as weights.tail.
 	Path string `json:"path"`
 	// Message says what to write instead.
@@ -28,14 +31,15 @@
 
 // String writes the fault in one line.
 func (f Fault) String() string {
-	return fmt.Sprintf("%s: %s (%s)", f.Path, f.Message, f.Code)
+	return fmt.Sprintf("%s: %s: %s (%s)", f.Item, f.Path, f.Message, f.Code)
 }
 
-// check is one declared check of profiles and accounts.
+// check is one declared check. Each looks at one kind of thing; the context
+// is the configuration as it would be after the change.
 type check struct {
 	code    codes.Code
 	profile func(p Profile) []Fault
-	client  func(c Client) []Fault
+	client  func(after *Book, c Client) []Fault
 }
 
 // checks is the table that Check goes through.
@@ -43,60 +47,134 @@
 	{code: codes.ProfileName, profile: profileName, client: clientName},
 	{code: codes.ProfileServes, profile: profileServes},
 	{code: codes.ProfileRange, profile: profileRange, client: clientRange},
+	{code: codes.ProfileList, profile: profileLists, client: clientLists},
 	{code: codes.ProfileDigest, client: clientDigest},
+	{code: codes.ProfileShared, client: clientShared},
+	{code: codes.ProfileAbsent, client: clientAbsent},
+	{code: codes.ProfileNoHome, client: clientNoHome},
+	{code: codes.ProfileHome, client: clientHome},
 }
 
-// Check returns every fault of the items of a change.
-func Check(items []Item) []Fault {
+// Check returns every fault of the items of a change to the empty
+// configuration.
+func Check(items []Item) []Fault { return CheckWith(nil, items) }
+
+// CheckWith returns every fault of the items of a change to a configuration.
+func CheckWith(book *Book, items []Item) []Fault {
+	faults := repeats(items)
+	after := book.after(items)
+	for _, it := range items {
+		faults = append(faults, named(it, checkItem(after, it))...)
+	}
+	return append(faults, touched(after, items)...)
+}
+
+// after is the configuration with the items that can be read.
+func (b *Book) after(items []Item) *Book {
+	next := b.clone()
+	for _, it := range items {
+		// What can't be read is told by its own check.
+		_ = next.put(it, next.Revision+1)
+	}
+	return next
+}
+
+// touched checks the accounts that the change leaves alone, for what a changed
+// or deleted profile does to them.
+func touched(after *Book, items []Item) []Fault {
+	changed := make(map[itemKey]bool, len(items))
+	profiles := false
+	for _, it := range items {
+		changed[itemKey{it.Kind, it.Name}] = true
+		profiles = profiles || it.Kind == KindProfile
+	}
+	if !profiles {
+		return nil
+	}
+	var faults []Fault
+	for _, c := range after.Clients() {
+		if changed[itemKey{KindAccount, string(c.Name)}] {
+			continue
+		}
+		it := Item{Kind: KindAccount, Name: string(c.Name)}
+		for _, ck := range []check{
+			{code: codes.ProfileAbsent, client: clientAbsent},
+			{code: codes.ProfileNoHome, client: clientNoHome},
+			{code: codes.ProfileHome, client: clientHome},
+		} {
+			faults = append(faults, named(it, stamp(ck.code, ck.client(after, c)))...)
+		}
+	}
+	return faults
+}
+
+func repeats(items []Item) []Fault {
 	var faults []Fault
+	seen := make(map[itemKey]bool, len(items))
 	for _, it := range items {
-		faults = append(faults, checkItem(it)...)
+		key := itemKey{it.Kind, it.Name}
+		if seen[key] {
+			faults = append(faults, named(it, []Fault{{Code: codes.ProfileTwice.ID, Path: "name", Message: "it stands twice in the change; send it once"}})...)
+		}
+		seen[key] = true
 	}
 	return faults
 }
 
-func checkItem(it Item) []Fault {
-	if it.Deletes() {
-		return nil
+func named(it Item, faults []Fault) []Fault {
+	for i := range faults {
+		faults[i].Item = string(it.Kind) + " " + it.Name
 	}
+	return faults
+}
+
+func checkItem(after *Book, it Item) []Fault {
 	switch it.Kind {
 	case KindProfile:
+		if it.Deletes() {
+			return nil
+		}
 		p, err := it.Profile()
 		if err != nil {
-			return []Fault{{Code: codes.ProfileRange.ID, Path: it.Name, Message: err.Error()}}
+			return shapeFault(err)
 		}
 		return checkProfile(p)
 	case KindAccount:
+		if it.Deletes() {
+			return nil
+		}
 		c, err := it.Client()
 		if err != nil {
-			return []Fault{{Code: codes.ProfileRange.ID, Path: it.Name, Message: err.Error()}}
+			return shapeFault(err)
 		}
-		return checkClient(c)
+		return checkClient(after, c)
 	}
 	return []Fault{{
-		Code: codes.ProfileName.ID, Path: it.Name,
-		Message: fmt.Sprintf("the kind %q is neither profile nor account", it.Kind),
+		Code: codes.ProfileKind.ID, Path: "kind",
+		Message: fmt.Sprintf("the kind %q is not known; write profile or account", it.Kind),
 	}}
 }
 
+func shapeFault(err error) []Fault {
+	return []Fault{{Code: codes.ProfileShape.ID, Path: "doc", Message: err.Error()}}
+}
+
 func checkProfile(p Profile) []Fault {
 	var faults []Fault
 	for _, c := range checks {
-		if c.profile == nil {
-			continue
+		if c.profile != nil {
+			faults = append(faults, stamp(c.code, c.profile(p))...)
 		}
-		faults = append(faults, stamp(c.code, c.profile(p))...)
 	}
 	return faults
 }
 
-func checkClient(cl Client) []Fault {
+func checkClient(after *Book, cl Client) []Fault {
 	var faults []Fault
 	for _, c := range checks {
-		if c.client == nil {
-			continue
+		if c.client != nil {
+			faults = append(faults, stamp(c.code, c.client(after, cl))...)
 		}
-		faults = append(faults, stamp(c.code, c.client(cl))...)
 	}
 	return faults
 }
@@ -108,15 +186,15 @@
 	return faults
 }
 
-func profileName(p Profile) []Fault { return nameFault(string(p.Name)) }
+func profileName(p Profile) []Fault { return nameFault("name", string(p.Name)) }
 
-func clientName(c Client) []Fault { return nameFault(string(c.Name)) }
+func clientName(_ *Book, c Client) []Fault { return nameFault("name", string(c.Name)) }
 
-func nameFault(name string) []Fault {
+func nameFault(path, name string) []Fault {
 	if nameShape.MatchString(name) {
 		return nil
 	}
-	return []Fault{{Path: "name", Message: fmt.Sprintf("%q is no name; write 1 to 63 of a-z, 0-9, dot, dash and slash", name)}}
+	return []Fault{{Path: path, Message: fmt.Sprintf("%q is no name; write 1 to 63 of a-z, 0-9, dot, dash and slash, and begin with a letter or digit", name)}}
 }
 
 func profileServes(p Profile) []Fault {
@@ -129,45 +207,44 @@
 	return nil
 }
 
-func profileRange(p Profile) []Fault {
+// number is a value with its bounds.
+type number struct {
+	path    string
+	v       float64
+	low     float64
+	high    float64
+	message string
+}
+
+// outside returns a fault for each number out of its bounds. One that is not a
+// number at all is outside too.
+func outside(ns []number) []Fault {
 	var faults []Fault
-	if p.MaxCrossings < 0 || p.MaxCrossings > maxCrossings {
-		faults = append(faults, Fault{Path: "maxCrossings", Message: fmt.Sprintf("write 0 to %d", maxCrossings)})
-	}
-	if p.DeadlineMs < 0 || p.DeadlineMs > maxDeadlineMs {
-		faults = append(faults, Fault{Path: "deadlineMs", Message: fmt.Sprintf("write 1 to %d, or leave it out", maxDeadlineMs)})
-	}
-	weights := []struct {
-		path string
-		v    float64
-	}{
-		{"weights.tail", p.Weights.Tail},
-		{"weights.cost", p.Weights.Cost},
-		{"weights.crossing", p.Weights.Crossing},
-	}
-	for _, w := range weights {
-		if w.v < 0 {
-			faults = append(faults, Fault{Path: w.path, Message: "write zero or more"})
+	for _, n := range ns {
+		if n.v >= n.low && n.v <= n.high {
+			continue
 		}
+		faults = append(faults, Fault{Path: n.path, Message: n.message})
 	}
 	return faults
 }
 
-func clientRange(c Client) []Fault {
-	var faults []Fault
-	if c.RequestsPerMinute < 0 {
-		faults = append(faults, Fault{Path: "requestsPerMinute", Message: "write zero or more; zero is no limit"})
-	}
-	if c.TokensPerMinute < 0 {
-		faults = append(faults, Fault{Path: "tokensPerMinute", Message: "write zero or more; zero is no limit"})
-	}
-	return faults
+func profileRange(p Profile) []Fault {
+	const weight = "write zero or more"
+	return outside([]number{
+		{"maxCrossings", float64(p.MaxCrossings), 0, maxCrossings, fmt.Sprintf("write 0 to %d", maxCrossings)},
+		{"deadlineMs", float64(p.DeadlineMs), 0, maxDeadlineMs, fmt.Sprintf("write 1 to %d, or leave it out", maxDeadlineMs)},
+		{"priority", float64(p.Priority), -maxPriority, maxPriority, fmt.Sprintf("write %d to %d", -maxPriority, maxPriority)},
+		{"weights.tail", p.Weights.Tail, 0, math.MaxFloat64, weight},
+		{"weights.cost", p.Weights.Cost, 0, math.MaxFloat64, weight},
+		{"weights.crossing", p.Weights.Crossing, 0, math.MaxFloat64, weight},
+	})
 }
 
-func clientDigest(c Client) []Fault {
-	b, err := hex.DecodeString(c.KeyDigest)
-	if err == nil && len(b) == digestBytes {
-		return nil
-	}
-	return []Fault{{Path: "keyDigest", Message: "write the SHA-256 digest of the key as 64 hexadecimal digits; verbctl accounts digest prints it"}}
+func clientRange(_ *Book, c Client) []Fault {
+	const limit = "write zero or more; zero is no limit"
+	return outside([]number{
+		{"requestsPerMinute", float64(c.RequestsPerMinute), 0, math.MaxFloat64, limit},
+		{"tokensPerMinute", float64(c.TokensPerMinute), 0, math.MaxFloat64, limit},
+	})
 }
--- /dev/null
+++ b/pkg/rules/refer.go
@@ -0,0 +1,91 @@
+package rules
+
+import (
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// The checks of lists, and of what one document says about another.
+
+func profileLists(p Profile) []Fault {
+	var faults []Fault
+	for i, m := range p.Models {
+		path := fmt.Sprintf("models[%d]", i)
+		if m.Model == "" {
+			faults = append(faults, Fault{Path: path, Message: "name the model"})
+		}
+		if slices.Contains(p.Models[:i], m) {
+			faults = append(faults, Fault{Path: path, Message: "it stands twice; leave one out"})
+		}
+	}
+	return append(faults, listFaults("regions", p.Regions)...)
+}
+
+func clientLists(_ *Book, c Client) []Fault { return listFaults("profiles", c.Profiles) }
+
+func listFaults[T ~string](path string, vs []T) []Fault {
+	var faults []Fault
+	for i, v := range vs {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if strings.TrimSpace(string(v)) == "" {
+			faults = append(faults, Fault{Path: at, Message: "write a name, or leave the entry out"})
+			continue
+		}
+		if slices.Contains(vs[:i], v) {
+			faults = append(faults, Fault{Path: at, Message: fmt.Sprintf("%q stands twice; leave one out", v)})
+		}
+	}
+	return faults
+}
+
+func clientDigest(_ *Book, c Client) []Fault {
+	b, err := hex.DecodeString(c.KeyDigest)
+	if err == nil && len(b) == digestBytes && c.KeyDigest == strings.ToLower(c.KeyDigest) {
+		return nil
+	}
+	return []Fault{{Path: "keyDigest", Message: "write the SHA-256 digest of the key as 64 hexadecimal digits in lower case; verbctl accounts digest prints it"}}
+}
+
+func clientShared(after *Book, c Client) []Fault {
+	for _, other := range after.Clients() {
+		if other.Name != c.Name && other.KeyDigest == c.KeyDigest {
+			return []Fault{{Path: "keyDigest", Message: fmt.Sprintf("account %s has the same key; give this one its own", other.Name)}}
+		}
+	}
+	return nil
+}
+
+func clientAbsent(after *Book, c Client) []Fault {
+	var faults []Fault
+	for i, name := range c.Profiles {
+		if _, ok := after.Profile(name); !ok {
+			faults = append(faults, Fault{
+				Path:    fmt.Sprintf("profiles[%d]", i),
+				Message: fmt.Sprintf("there is no profile %q; create it in the same change, or leave it out", name),
+			})
+		}
+	}
+	return faults
+}
+
+func clientNoHome(after *Book, c Client) []Fault {
+	for _, name := range c.Profiles {
+		if p, ok := after.Profile(name); ok && p.HomeOnly && c.Home == "" {
+			return []Fault{{Path: "home", Message: fmt.Sprintf("write a region; profile %s is confined to the home of the account", name)}}
+		}
+	}
+	return nil
+}
+
+func clientHome(after *Book, c Client) []Fault {
+	for _, name := range c.Profiles {
+		p, ok := after.Profile(name)
+		if !ok || !p.HomeOnly || c.Home == "" || p.Allows(c, c.Home) {
+			continue
+		}
+		return []Fault{{Path: "home", Message: fmt.Sprintf("%s is no region of profile %s, which is confined to the home; add it there, or write another home", c.Home, name)}}
+	}
+	return nil
+}
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -19,6 +19,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -115,7 +116,10 @@
 	// Approver is the second operator, where a profile asks for one.
 	Approver ident.Operator `json:"approver,omitempty"`
 	Note     string         `json:"note,omitempty"`
-	Items    []Item         `json:"items"`
+	// At is the wall clock of the entry host that wrote the change. It is for
+	// people to read; nothing is decided by it.
+	At    time.Time `json:"at,omitzero"`
+	Items []Item    `json:"items"`
 }
 
 // May reports whether the account may use the profile.
