--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/dev/plat"
@@ -92,8 +93,8 @@
 	}
 }
 
-// eventually waits until ok reports true.
-func eventually(t *testing.T, what string, ok func() bool) {
+// until waits until ok reports true.
+func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !ok(); {
 		if time.Now().After(end) {
@@ -112,13 +113,14 @@
 	wantSame(t, "first change", event.Event(event.ChangesReceived{Changes: []rules.Change{c}}), r.next(t))
 
 	r.carry(event.WatchChange{After: 1})
-	eventually(t, "the watch waits", func() bool { return r.srv.Counts()["watch"] >= 2 })
+	until(t, "the watch waits", func() bool { return r.srv.Counts()["watch"] >= 2 })
 	r.carry(event.StopWatch{})
 	c = r.append(t, "c2", 1)
 	r.carry(event.ReadHosts{})
 	wantSame(t, "after StopWatch only the list comes", "hostsRead", event.TypeName(r.next(t)))
 	r.carry(event.WatchChange{After: 1})
 	wantSame(t, "a new watch", event.Event(event.ChangesReceived{Changes: []rules.Change{c}}), r.next(t))
+	wantSame(t, "watches counted as failures", int64(0), metrics.GetOrRegisterCounter("platform.watch.down", r.metrics).Count())
 }
 
 // The platform is down: each effect that waits for it is answered by a failure,
@@ -155,9 +157,9 @@
 		}
 		return ls
 	}
-	eventually(t, "listed", func() bool { return len(listed()) == 1 })
+	until(t, "listed", func() bool { return len(listed()) == 1 })
 	wantSame(t, "caller URL", "http://callers", listed()[0].CallerURL)
 	r.Drain()
 	r.Drain()
-	eventually(t, "gone", func() bool { return len(listed()) == 0 })
+	until(t, "gone", func() bool { return len(listed()) == 0 })
 }
--- a/internal/store/kv.go
+++ b/internal/store/kv.go
@@ -52,7 +52,7 @@
 
 func (c *Client) put(ctx context.Context, q request) (Version, error) {
 	if len(q.body) > MaxValue {
-		c.meter(q.op, ErrTooLarge, 0)
+		c.meter(q.op, resultName(ctx, ErrTooLarge), 0)
 		return Absent, ErrTooLarge
 	}
 	var v Value
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,10 +40,18 @@
 	{ErrDown, "down"},
 }
 
-func resultName(err error) string {
+// resultCancelled is the result of a call that its caller broke off, such as a
+// watch that another host takes over. As "down" it would raise an alarm about a
+// platform that is well.
+const resultCancelled = "cancelled"
+
+func resultName(caller context.Context, err error) string {
 	if err == nil {
 		return "ok"
 	}
+	if errors.Is(caller.Err(), context.Canceled) {
+		return resultCancelled
+	}
 	for _, r := range results {
 		if errors.Is(err, r.err) {
 			return r.name
@@ -51,12 +60,11 @@
 	return "other"
 }
 
-// meter counts a call by operation and result. A call that was never sent has
-// no time to report.
-func (c *Client) meter(o op, err error, took time.Duration) {
+// meter counts a call by operation and result, and times it where it was sent.
+func (c *Client) meter(o op, result string, took time.Duration) {
 	name := "platform." + string(o)
-	metrics.GetOrRegisterCounter(name+"."+resultName(err), c.cfg.Metrics).Inc(1)
-	if !errors.Is(err, ErrBudget) {
+	metrics.GetOrRegisterCounter(name+"."+result, c.cfg.Metrics).Inc(1)
+	if took > 0 {
 		metrics.GetOrRegisterTimer(name, c.cfg.Metrics).Update(took)
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -153,16 +153,16 @@
 
 // do sends a request, reads the answer into out, where out is not nil, and
 // meters the call.
-func (c *Client) do(ctx context.Context, q request, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, q.wait+c.cfg.Timeout)
+func (c *Client) do(caller context.Context, q request, out any) error {
+	ctx, cancel := context.WithTimeout(caller, q.wait+c.cfg.Timeout)
 	defer cancel()
 	if err := c.spend(ctx, q); err != nil {
-		c.meter(q.op, err, 0)
+		c.meter(q.op, resultName(caller, err), 0)
 		return err
 	}
 	start := c.cfg.Now()
 	err := c.send(ctx, q, out)
-	c.meter(q.op, err, c.cfg.Now().Sub(start))
+	c.meter(q.op, resultName(caller, err), c.cfg.Now().Sub(start))
 	return err
 }
 
