--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -79,7 +79,7 @@
 		log.Info("stopped")
 		return subcommands.ExitSuccess
 	case <-signals:
-		log.Info("stopped at once")
+		log.Info("stopped at once", "requestsCut", d.Requests())
 		return subcommands.ExitFailure
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,8 +92,15 @@
 	MaxHeaderBytes int         `json:"maxHeaderBytes"`
 	MaxConnections int         `json:"maxConnections"`
 	MaxRequests    int         `json:"maxRequests"`
-	HeaderMs       int64       `json:"headerMs"`
-	BodyMs         int64       `json:"bodyMs"`
+	// MaxHeldBytes bounds the memory of all bodies and held answers together.
+	MaxHeldBytes ident.Bytes `json:"maxHeldBytes"`
+	// HeaderMs and BodyMs are how long the headers and the body of a request
+	// may take to arrive, WriteMs how long a caller may take to accept a piece
+	// of its answer, IdleMs how long a connection may wait for a request.
+	HeaderMs int64 `json:"headerMs"`
+	BodyMs   int64 `json:"bodyMs"`
+	WriteMs  int64 `json:"writeMs"`
+	IdleMs   int64 `json:"idleMs"`
 }
 
 // Traces says where spans go.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -21,7 +21,10 @@
 	defaultConnections = 4096
 	defaultRequests    = 2048
 	defaultHeaderMs    = 5000
+	defaultHeld        = 256 << 20
 	defaultBodyMs      = 30000
+	defaultWriteMs     = 30000
+	defaultIdleMs      = 120000
 )
 
 // Fault is one fault of a settings file.
@@ -79,6 +82,9 @@
 			MaxRequests:    defaultRequests,
 			HeaderMs:       defaultHeaderMs,
 			BodyMs:         defaultBodyMs,
+			MaxHeldBytes:   defaultHeld,
+			WriteMs:        defaultWriteMs,
+			IdleMs:         defaultIdleMs,
 		},
 		Traces: Traces{Exporter: "none", Ratio: 1},
 	}
--- /dev/null
+++ b/internal/daemon/callers.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/netutil"
+
+	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/front"
+	"verbenadale.example/verbenadale/internal/meter"
+	"verbenadale.example/verbenadale/internal/trace"
+)
+
+func newTracer(set config.Settings) (*trace.Tracer, error) {
+	return trace.New(trace.Config{
+		Exporter: trace.Exporter(set.Traces.Exporter), Endpoint: set.Traces.Endpoint,
+		Ratio: set.Traces.Ratio, Entry: set.Entry,
+	})
+}
+
+// callerServer returns the server towards callers.
+func (d *Daemon) callerServer() *http.Server {
+	lim := d.cfg.Settings.Limits
+	reg := d.cfg.Metrics
+	if reg == nil {
+		reg = metrics.DefaultRegistry
+	}
+	fr := front.New(front.Config{
+		Self: d.self, Loop: d.loop, Runner: d.runner, Clock: d.clock, Log: d.cfg.Log, Book: d.book.Load,
+		MaxBody: lim.MaxBodyBytes, Budget: d.budget, MaxRequests: lim.MaxRequests,
+		BodyTime: config.Millis(lim.BodyMs), WriteTime: config.Millis(lim.WriteMs),
+		Trace: d.trace, Meter: meter.New(reg),
+	})
+	return &http.Server{
+		Handler:           fr,
+		ReadHeaderTimeout: config.Millis(lim.HeaderMs),
+		IdleTimeout:       config.Millis(lim.IdleMs),
+		MaxHeaderBytes:    lim.MaxHeaderBytes,
+	}
+}
+
+// serveCallers listens for callers, with TLS where the settings name a
+// certificate.
+func (d *Daemon) serveCallers() error {
+	set := d.cfg.Settings.Callers
+	ln, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return errors.Wrap(err, "daemon: listen for callers")
+	}
+	if most := d.cfg.Settings.Limits.MaxConnections; most > 0 {
+		// Connections above the limit wait in the kernel, where they cost
+		// this process nothing.
+		ln = netutil.LimitListener(ln, most)
+	}
+	l := &listener{srv: d.callers, ln: ln, certFile: set.CertFile, keyFile: set.KeyFile}
+	d.t.Go(l.run)
+	return nil
+}
+
+// Requests returns the number of requests that have not had their final
+// answer.
+func (d *Daemon) Requests() int { return d.runner.Running() }
--- a/internal/daemon/carry.go
+++ b/internal/daemon/carry.go
@@ -115,4 +115,16 @@
 		return
 	}
 	d.loop.Post(event.LoadReported{Load: ld})
+	if e.Target.Kind != event.Engine {
+		return
+	}
+	evs, err := d.targets.Cache(ctx, e.Target, e.After)
+	if err != nil {
+		// Cache events are hints. Without them an engine looks cold and is
+		// used all the same.
+		return
+	}
+	for _, ev := range evs {
+		d.loop.Post(ev)
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"gopkg.in/tomb.v2"
 
 	"verbenadale.example/verbenadale/internal/admin"
@@ -23,13 +24,13 @@
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/event"
-	"verbenadale.example/verbenadale/internal/front"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/loop"
 	"verbenadale.example/verbenadale/internal/revlog"
 	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/internal/store"
 	"verbenadale.example/verbenadale/internal/target"
+	"verbenadale.example/verbenadale/internal/trace"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
@@ -39,6 +40,8 @@
 	Settings config.Settings
 	Log      logr.Logger
 	Level    *logs.Level
+	// Metrics is where counters go; nil is metrics.DefaultRegistry.
+	Metrics metrics.Registry
 	// Step, where set, replaces the reducer, for comparisons.
 	Step func(now ident.Time, ev event.Event) []event.Effect
 }
@@ -59,6 +62,9 @@
 	callers *http.Server
 	ops     *http.Server
 	drained chan struct{}
+	runner  *serve.Runner
+	budget  *serve.Budget
+	trace   *trace.Tracer
 }
 
 // Sizes of the worker pool that carries out effects towards the platform and
@@ -76,6 +82,10 @@
 		targets: target.New(), outs: &serve.Outcomes{},
 		work: make(chan event.Effect, workQueue), drained: make(chan struct{}),
 	}
+	var err error
+	if d.trace, err = newTracer(set); err != nil {
+		return nil, err
+	}
 	d.store = store.New(store.Config{
 		URL: set.Platform.URL, Timeout: config.Millis(set.Platform.TimeoutMs),
 		CallsPerSecond: set.Platform.CallsPerSecond,
@@ -112,25 +122,18 @@
 
 func (d *Daemon) listen() error {
 	lim := d.cfg.Settings.Limits
-	rn := &serve.Runner{
+	d.budget = serve.NewBudget(lim.MaxHeldBytes)
+	d.runner = &serve.Runner{
 		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets,
-		Outcomes: d.outs, MaxAnswer: maxAnswer,
-	}
-	fr := front.New(front.Config{
-		Self: d.self, Loop: d.loop, Runner: rn, Clock: d.clock, Log: d.cfg.Log,
-		Book: d.book.Load, MaxBody: lim.MaxBodyBytes,
-	})
-	d.callers = &http.Server{
-		Handler:           fr,
-		ReadHeaderTimeout: config.Millis(lim.HeaderMs),
-		MaxHeaderBytes:    lim.MaxHeaderBytes,
+		Outcomes: d.outs, MaxAnswer: maxAnswer, Budget: d.budget, Trace: d.trace,
 	}
+	d.callers = d.callerServer()
 	ad := admin.New(admin.Config{
 		Loop: d.loop, Log: d.cfg.Log, Level: d.cfg.Level, Revs: d.revs,
 		Book: d.book.Load, Operators: d.cfg.Settings.Operators.Known,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
-	if err := d.serve(d.callers, d.cfg.Settings.Callers.Listen); err != nil {
+	if err := d.serveCallers(); err != nil {
 		return err
 	}
 	return d.serve(d.ops, d.cfg.Settings.Operators.Listen)
@@ -150,16 +153,25 @@
 type listener struct {
 	srv *http.Server
 	ln  net.Listener
+	// certFile and keyFile turn on TLS.
+	certFile, keyFile string
 }
 
 func (l *listener) run() error {
-	err := l.srv.Serve(l.ln)
+	err := l.serve()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "daemon: serve")
 }
 
+func (l *listener) serve() error {
+	if l.certFile == "" {
+		return l.srv.Serve(l.ln)
+	}
+	return l.srv.ServeTLS(l.ln, l.certFile, l.keyFile)
+}
+
 // Drain starts a graceful stop.
 func (d *Daemon) Drain() { d.loop.Post(event.DrainAsked{}) }
 
@@ -181,4 +193,5 @@
 	_ = d.t.Wait()
 	d.loop.Stop()
 	d.clock.Stop()
+	_ = d.trace.Stop(ctx)
 }
--- a/internal/front/complete.go
+++ b/internal/front/complete.go
@@ -1,13 +1,13 @@
 package front
 
 import (
+	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
+	"fmt"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/uptrace/bunrouter"
+	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/serve"
@@ -19,72 +19,116 @@
 // time of a prefill.
 const bytesPerToken = 4
 
-// body is what the front reads of a completion request; the target gets the
+// maxAskTokens bounds the length of an answer that a caller may ask for. More
+// is a slip of the caller, and would be predicted to take for ever.
+const maxAskTokens = 1 << 20
+
+// ask is what the front reads of a completion request; the target gets the
 // body as it came.
-type body struct {
+type ask struct {
 	Model               string          `json:"model"`
 	Stream              bool            `json:"stream"`
 	MaxTokens           ident.Tokens    `json:"max_tokens"`
 	MaxCompletionTokens ident.Tokens    `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
 	Messages            json.RawMessage `json:"messages"`
 	Prompt              json.RawMessage `json:"prompt"`
 }
 
-func (f *Front) complete(w http.ResponseWriter, r bunrouter.Request) error {
-	id := newRequestID()
-	w.Header().Set(HeaderRequest, string(id))
-	c, code, ok := f.client(r.Request)
-	if !ok {
-		refuse(w, event.Refuse{Request: id, Code: code.ID, Outcome: event.NotRun})
-		return nil
+func (a ask) tokens() ident.Tokens { return max(a.MaxTokens, a.MaxCompletionTokens) }
+
+// shape is what one of the two APIs demands.
+type shape struct {
+	field string
+	text  func(a ask) json.RawMessage
+	// first are the bytes that the value may start with.
+	first string
+}
+
+var (
+	chatShape       = shape{"messages", func(a ask) json.RawMessage { return a.Messages }, "["}
+	completionShape = shape{"prompt", func(a ask) json.RawMessage { return a.Prompt }, `["`}
+)
+
+func (x *exchange) chat() *event.Refuse { return x.complete(chatShape) }
+
+func (x *exchange) completion() *event.Refuse { return x.complete(completionShape) }
+
+func (x *exchange) complete(sh shape) *event.Refuse {
+	named := ident.Profile(x.r.Header.Get(HeaderProfile))
+	req, ref := x.head(named)
+	if ref != nil {
+		return ref
 	}
-	deadline, code, ok := f.deadline(r.Request)
-	if !ok {
-		refuse(w, event.Refuse{Request: id, Code: code.ID, Outcome: event.NotRun})
-		return nil
+	if ref := x.checkJSON(); ref != nil {
+		return ref
 	}
-	raw, b, code, ok := f.read(w, r.Request)
-	if !ok {
-		refuse(w, event.Refuse{Request: id, Code: code.ID, Outcome: event.NotRun})
-		return nil
+	if ref := x.read(); ref != nil {
+		return ref
+	}
+	a, err := parse(x.body, sh)
+	if err != nil {
+		return x.not(codes.BadRequest, err.Error())
 	}
-	profile := ident.Profile(r.Header.Get(HeaderProfile))
-	if profile == "" {
-		profile = ident.Profile(b.Model)
+	if named == "" {
+		if ref := x.allow(ident.Profile(a.Model)); ref != nil {
+			return ref
+		}
 	}
-	prompt := append([]byte(b.Messages), b.Prompt...)
-	req := event.Request{
-		ID: id, Account: c.Name, Profile: profile,
-		Prompt: ident.Tokens(len(prompt) / bytesPerToken), MaxTokens: max(b.MaxTokens, b.MaxCompletionTokens),
-		Prefix: prefixes(prompt), Deadline: deadline, Stream: b.Stream,
-		Ticket: r.Header.Get(HeaderTicket),
+	if x.profile.Service != "" {
+		return x.not(codes.BadRequest, "the profile is of a plain service; use "+servicePrefix)
 	}
+	x.run(req, a, sh)
+	return nil
+}
+
+func (x *exchange) run(req event.Request, a ask, sh shape) {
+	prompt := sh.text(a)
+	req.Profile = x.profile.Name
+	req.Prompt = ident.Tokens(len(prompt) / bytesPerToken)
+	req.MaxTokens = a.tokens()
+	req.Prefix = prefixes(prompt)
+	req.Stream = a.Stream
+	x.mark(&req)
 	call := serve.Call{
-		Method: http.MethodPost, Path: r.URL.Path, Body: raw, Stream: b.Stream, Engine: true,
-		Header: http.Header{"Content-Type": {"application/json"}},
+		Method: http.MethodPost, Path: x.r.URL.Path, Body: x.body, Stream: a.Stream, Engine: true,
+		Header: http.Header{"Content-Type": {"application/json"}, "Via": {x.via()}},
 	}
-	f.cfg.Runner.Run(r.Context(), call, req, f.sink(w, b.Stream))
-	return nil
+	x.cfg.Runner.Run(x.r.Context(), call, req, x.sink(true))
 }
 
-// read reads the body and judges its shape.
-func (f *Front) read(w http.ResponseWriter, r *http.Request) ([]byte, body, codes.Code, bool) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(f.cfg.MaxBody)))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, body{}, codes.TooLarge, false
+// parse reads a completion request and judges its shape.
+func parse(text []byte, sh shape) (ask, error) {
+	var a ask
+	if err := json.Unmarshal(text, &a); err != nil {
+		return ask{}, jsonFault(err)
 	}
-	if err != nil {
-		return nil, body{}, codes.BadRequest, false
+	if a.MaxTokens < 0 || a.MaxCompletionTokens < 0 || a.tokens() > maxAskTokens {
+		return ask{}, fmt.Errorf("max_tokens takes 1 to %d", maxAskTokens)
 	}
-	var b body
-	if err := json.Unmarshal(raw, &b); err != nil {
-		return nil, body{}, codes.BadRequest, false
+	if a.N != nil && *a.N != 1 {
+		return ask{}, errors.New("n takes 1 only: one request has one answer")
 	}
-	if len(b.Messages) == 0 && len(b.Prompt) == 0 {
-		return nil, body{}, codes.BadRequest, false
+	v := bytes.TrimSpace(sh.text(a))
+	const empty = 2
+	if len(v) <= empty || !bytes.ContainsAny(v[:1], sh.first) {
+		return ask{}, fmt.Errorf("write the field %s", sh.field)
 	}
-	return raw, b, codes.Code{}, true
+	return a, nil
+}
+
+// jsonFault tells a fault of the JSON without a word of the body, which could
+// be part of a prompt.
+func jsonFault(err error) error {
+	var typ *json.UnmarshalTypeError
+	if errors.As(err, &typ) {
+		return fmt.Errorf("the field %s can't be a JSON %s", clip(typ.Field), clip(typ.Value))
+	}
+	var syn *json.SyntaxError
+	if errors.As(err, &syn) {
+		return fmt.Errorf("the JSON is broken at byte %d", syn.Offset)
+	}
+	return errors.New("the JSON is broken")
 }
 
 // Blocks of a prompt whose digests are compared with cache events.
@@ -95,12 +139,15 @@
 
 // prefixes returns the chained digests of the whole blocks of a prompt.
 func prefixes(prompt []byte) []uint64 {
-	var ds []uint64
+	n := min(len(prompt)/blockBytes, maxBlocks)
+	if n == 0 {
+		return nil
+	}
+	ds := make([]uint64, 0, n)
 	h := xxhash.New()
-	for len(prompt) >= blockBytes && len(ds) < maxBlocks {
-		_, _ = h.Write(prompt[:blockBytes])
+	for i := range n {
+		_, _ = h.Write(prompt[i*blockBytes : (i+1)*blockBytes])
 		ds = append(ds, h.Sum64())
-		prompt = prompt[blockBytes:]
 	}
 	return ds
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,16 +8,15 @@
 //	srv := &http.Server{Handler: fr}
 //
 // Whatever can be judged from the headers is judged before the body is read,
-// so that a body whose place is elsewhere never enters this host.
+// so that a body whose place is elsewhere never enters this host. The reducer
+// judges all that depends on state; the front judges only shapes, and the
+// account and profile by the configuration in force.
 package front
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net/http"
-	"strconv"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -26,22 +25,14 @@
 	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/loop"
+	"verbenadale.example/verbenadale/internal/meter"
 	"verbenadale.example/verbenadale/internal/serve"
+	"verbenadale.example/verbenadale/internal/trace"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// The headers between callers and entry hosts.
-const (
-	HeaderProfile  = "Verbenadale-Profile"
-	HeaderTicket   = "Verbenadale-Ticket"
-	HeaderDeadline = "Verbenadale-Deadline-Ms"
-	HeaderRequest  = "Verbenadale-Request-Id"
-	HeaderOutcome  = "Verbenadale-Outcome"
-	HeaderKey      = "Idempotency-Key"
-)
-
 // Config is what the front needs.
 type Config struct {
 	Self   event.Host
@@ -50,143 +41,126 @@
 	Clock  *clock.Service
 	Log    logr.Logger
 	// Book returns the configuration in force.
-	Book    func() *rules.Book
+	Book func() *rules.Book
+	// MaxBody bounds one body, Budget all of them together.
 	MaxBody ident.Bytes
+	Budget  *serve.Budget
+	// MaxRequests bounds the requests in flight; zero is no bound.
+	MaxRequests int
+	// BodyTime is how long a body may take to arrive, WriteTime how long a
+	// caller may take to accept a piece of its answer. Zero is no bound.
+	BodyTime  time.Duration
+	WriteTime time.Duration
+	Trace     *trace.Tracer
+	Meter     *meter.Traffic
 }
 
 // Front is the handler for callers.
 type Front struct {
 	cfg    Config
 	router *bunrouter.Router
+	open   atomic.Int64
 }
 
 // New returns a handler.
 func New(cfg Config) *Front {
-	f := &Front{cfg: cfg, router: bunrouter.New()}
-	f.router.POST("/v1/chat/completions", f.complete)
-	f.router.POST("/v1/completions", f.complete)
-	f.router.GET("/v1/models", f.models)
-	f.router.GET("/v1/entries", f.entries)
+	f := &Front{cfg: cfg}
+	f.router = bunrouter.New(
+		bunrouter.WithNotFoundHandler(f.handle("unknown", (*exchange).unknownPath)),
+		bunrouter.WithMethodNotAllowedHandler(f.handle("unknown", (*exchange).wrongMethod)),
+	)
+	f.router.POST("/v1/chat/completions", f.handle("chat", (*exchange).chat))
+	f.router.POST("/v1/completions", f.handle("completion", (*exchange).completion))
+	f.router.GET("/v1/models", f.handle("models", (*exchange).models))
+	f.router.GET("/v1/entries", f.handle("entries", (*exchange).entries))
+	f.router.POST("/v1/tickets", f.handle("tickets", (*exchange).tickets))
+	for _, m := range serviceMethods {
+		f.router.Handle(m, servicePrefix+"*rest", f.handle("service", (*exchange).service))
+	}
 	return f
 }
 
 // ServeHTTP serves one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.router.ServeHTTP(w, r) }
 
-// newRequestID returns an id that no other host gives out.
-func newRequestID() ident.RequestID {
-	var b [16]byte
-	_, _ = rand.Read(b[:])
-	return ident.RequestID("req-" + hex.EncodeToString(b[:]))
+// Open returns the number of requests in flight.
+func (f *Front) Open() int { return int(f.open.Load()) }
+
+// exchange is one request and its answer.
+type exchange struct {
+	*Front
+	w     http.ResponseWriter
+	r     *http.Request
+	rc    *http.ResponseController
+	id    ident.RequestID
+	began ident.Time
+	span  trace.Span
+
+	client  rules.Client
+	profile rules.Profile
+	// body is held until the request is over.
+	body  []byte
+	taken int
+
+	outcome event.Outcome
+	status  int
+	code    codes.ID
+	// stream says that the answer is a stream.
+	stream bool
 }
 
-// client finds the account by the API key.
-func (f *Front) client(r *http.Request) (rules.Client, codes.Code, bool) {
-	book := f.cfg.Book()
-	if book == nil || book.Revision == 0 {
-		return rules.Client{}, codes.NotReady, false
-	}
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return rules.Client{}, codes.UnknownKey, false
-	}
-	c, ok := book.ClientByDigest(rules.Digest(key))
-	if !ok {
-		return rules.Client{}, codes.UnknownKey, false
-	}
-	return c, codes.Code{}, true
-}
-
-func (f *Front) models(w http.ResponseWriter, r bunrouter.Request) error {
-	c, code, ok := f.client(r.Request)
-	if !ok {
-		refuse(w, event.Refuse{Code: code.ID, Outcome: event.NotRun})
-		return nil
-	}
-	list := modelList{Object: "list"}
-	for _, p := range f.cfg.Book().Profiles() {
-		if p.Service == "" && c.May(p.Name) {
-			list.Data = append(list.Data, modelEntry{ID: string(p.Name), Object: "model", OwnedBy: "verbenadale"})
+// handle returns the handler of one path. A refusal that the function returns
+// is the answer.
+func (f *Front) handle(name string, do func(x *exchange) *event.Refuse) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		x := &exchange{
+			Front: f, w: w, rc: http.NewResponseController(w),
+			id: newRequestID(), began: f.cfg.Clock.Now(),
+		}
+		w.Header().Set(HeaderRequest, string(x.id))
+		n := f.open.Add(1)
+		f.cfg.Meter.Open(1)
+		defer f.done(x)
+		var ctx context.Context
+		ctx, x.span = f.cfg.Trace.Serve(r.Context(), r.Header, name)
+		x.r = r.WithContext(ctx).Request
+		x.limitBody()
+		if f.cfg.MaxRequests > 0 && n > int64(f.cfg.MaxRequests) {
+			x.refuse(x.not(codes.HostBusy, ""))
+			return nil
+		}
+		if ref := x.checkHead(); ref != nil {
+			x.refuse(ref)
+			return nil
+		}
+		if ref := do(x); ref != nil {
+			x.refuse(ref)
 		}
-	}
-	writeJSON(w, http.StatusOK, list)
-	return nil
-}
-
-type modelList struct {
-	Object string       `json:"object"`
-	Data   []modelEntry `json:"data"`
-}
-
-type modelEntry struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	OwnedBy string `json:"owned_by"`
-}
-
-// askTimeout bounds a question to the control thread.
-const askTimeout = 2 * time.Second
-
-func (f *Front) entries(w http.ResponseWriter, r bunrouter.Request) error {
-	c, code, ok := f.client(r.Request)
-	if !ok {
-		refuse(w, event.Refuse{Code: code.ID, Outcome: event.NotRun})
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
-	defer cancel()
-	profile := ident.Profile(r.URL.Query().Get("profile"))
-	eff, err := f.cfg.Loop.Ask(ctx, func(n event.Ask) event.Event {
-		return event.EntriesAsked{Ask: n, Account: c.Name, Profile: profile, Spread: spread()}
-	})
-	if err != nil {
-		refuse(w, event.Refuse{Code: codes.NotReady.ID, Outcome: event.NotRun})
-		return nil
-	}
-	ans := eff.(event.EntriesAnswered)
-	if ans.Code != "" {
-		refuse(w, event.Refuse{Code: ans.Code, Outcome: event.NotRun})
 		return nil
 	}
-	writeJSON(w, http.StatusOK, entryList{Entries: urls(ans.Entries), ValidForMs: ans.Valid.Milliseconds()})
-	return nil
-}
-
-type entryList struct {
-	Entries    []string `json:"entries"`
-	ValidForMs int64    `json:"validForMs"`
-}
-
-func urls(hs []event.Host) []string {
-	us := make([]string, 0, len(hs))
-	for _, h := range hs {
-		us = append(us, h.CallerURL)
-	}
-	return us
-}
-
-func spread() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	n := uint64(0)
-	for _, x := range b {
-		n = n<<8 | uint64(x)
-	}
-	return n
 }
 
-// deadline reads the caller's deadline.
-func (f *Front) deadline(r *http.Request) (ident.Time, codes.Code, bool) {
-	text := r.Header.Get(HeaderDeadline)
-	if text == "" {
-		return 0, codes.Code{}, true
+// done takes note of the end of an exchange. It runs also when the connection
+// is cut by a panic, which is how net/http cuts one.
+func (f *Front) done(x *exchange) {
+	f.open.Add(-1)
+	f.cfg.Meter.Open(-1)
+	f.cfg.Budget.Give(x.taken)
+	if x.stream {
+		f.cfg.Meter.Streams(-1)
 	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
-		return 0, codes.BadRequest, false
+	took := f.cfg.Clock.Now().Sub(x.began)
+	f.cfg.Meter.Took(took)
+	if x.profile.Name != "" && x.outcome != "" {
+		f.cfg.Meter.Ended(x.profile.Name, x.outcome)
 	}
-	if ms <= 0 {
-		return 0, codes.DeadlinePast, false
+	x.span.Set("request", string(x.id))
+	x.span.Set("profile", string(x.profile.Name))
+	x.span.Set("outcome", string(x.outcome))
+	x.span.Set("code", string(x.code))
+	x.span.End()
+	if log := f.cfg.Log.V(1); log.Enabled() {
+		log.Info("request", "request", x.id, "account", x.client.Name, "profile", x.profile.Name,
+			"status", x.status, "outcome", x.outcome, "code", x.code, "took", took)
 	}
-	return f.cfg.Clock.Now().Add(time.Duration(ms) * time.Millisecond), codes.Code{}, true
 }
--- /dev/null
+++ b/internal/front/head.go
@@ -0,0 +1,253 @@
+package front
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// The headers between callers and entry hosts.
+const (
+	HeaderProfile  = "Verbenadale-Profile"
+	HeaderTicket   = "Verbenadale-Ticket"
+	HeaderDeadline = "Verbenadale-Deadline-Ms"
+	HeaderRequest  = "Verbenadale-Request-Id"
+	HeaderOutcome  = "Verbenadale-Outcome"
+	HeaderKey      = "Idempotency-Key"
+)
+
+// ownPrefix starts the headers of this system.
+const ownPrefix = "Verbenadale-"
+
+// pseudonym stands for all entry hosts of the system in the header Via, which
+// gives no address away to targets.
+const pseudonym = "verbenadale"
+
+// Bounds of the values in headers. The longest deadline is that of profiles.
+const (
+	maxToken      = 255
+	maxDeadlineMs = 3_600_000
+)
+
+// newRequestID returns an id that no other host gives out.
+func newRequestID() ident.RequestID { return ident.RequestID("req-" + newSecret()) }
+
+// secretBytes is the length of a secret that can't be guessed.
+const secretBytes = 16
+
+func newSecret() string {
+	var b [secretBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func newSpread() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// checkHead judges the shape of the headers.
+func (x *exchange) checkHead() *event.Refuse {
+	for k, vs := range x.r.Header {
+		if forged(k) {
+			return x.not(codes.ForgedEnvelope, "leave out the header "+k)
+		}
+		if single(k) && len(vs) > 1 {
+			return x.not(codes.BadRequest, "send the header "+k+" once")
+		}
+	}
+	for _, k := range []string{HeaderTicket, HeaderKey, HeaderProfile} {
+		if v := x.r.Header.Get(k); !plain(v) {
+			return x.not(codes.BadRequest, fmt.Sprintf("the header %s takes 1 to %d visible ASCII characters", k, maxToken))
+		}
+	}
+	if x.r.Header.Get(HeaderTicket) != "" && x.r.Header.Get(HeaderKey) != "" {
+		return x.not(codes.BadRequest, "send either "+HeaderTicket+" or "+HeaderKey)
+	}
+	return nil
+}
+
+// forged reports whether a header is one that only entry hosts and targets
+// send. A caller that could set the hops or the attempt would lift the bound
+// on crossings or take the outcome of somebody else's request.
+func forged(key string) bool {
+	switch key {
+	case HeaderProfile, HeaderTicket, HeaderDeadline:
+		return false
+	}
+	return strings.HasPrefix(key, ownPrefix)
+}
+
+// single reports whether a header means something only once. Of two values
+// this host might judge by one and a proxy before it by the other.
+func single(key string) bool {
+	switch key {
+	case HeaderProfile, HeaderTicket, HeaderDeadline, HeaderKey, "Authorization", "Content-Type":
+		return true
+	}
+	return false
+}
+
+// plain reports whether a value that is present is short and visible ASCII.
+func plain(v string) bool {
+	if len(v) > maxToken {
+		return false
+	}
+	for i := range len(v) {
+		if v[i] <= ' ' || v[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// account finds the account by the API key.
+func (x *exchange) account() *event.Refuse {
+	book := x.cfg.Book()
+	if book.Rev() == 0 {
+		return x.not(codes.NotReady, "")
+	}
+	kind, key, _ := strings.Cut(x.r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(kind, "Bearer") || key == "" {
+		return x.not(codes.UnknownKey, "send the header Authorization: Bearer KEY")
+	}
+	c, ok := book.ClientByDigest(rules.Digest(strings.TrimSpace(key)))
+	if !ok {
+		return x.not(codes.UnknownKey, "")
+	}
+	x.client = c
+	return nil
+}
+
+// allow judges whether the account may use the profile at this host.
+func (x *exchange) allow(name ident.Profile) *event.Refuse {
+	p, ok := x.cfg.Book().Profile(name)
+	if !ok {
+		return x.not(codes.UnknownProfile, fmt.Sprintf("%q", clip(string(name))))
+	}
+	x.profile = p
+	if !x.client.May(p.Name) {
+		return x.not(codes.ProfileForbidden, "")
+	}
+	if !p.Allows(x.client, x.cfg.Self.Place.Region) {
+		ref := x.not(codes.OutsideResidency, "")
+		ref.Entries = x.allowedEntries()
+		return ref
+	}
+	return x.checkVia()
+}
+
+// clip keeps a caller's own words in a message short.
+func clip(s string) string {
+	const most = 64
+	if len(s) > most {
+		return s[:most] + "..."
+	}
+	return s
+}
+
+// checkVia guards against a proxy outside of the system that sends a request
+// back to an entry host. The envelope does not survive such a proxy, so the
+// request would go round until its deadline and take up a slot on each round.
+// Via, which proxies keep, counts the rounds.
+func (x *exchange) checkVia() *event.Refuse {
+	rounds := 0
+	for _, v := range x.r.Header.Values("Via") {
+		rounds += strings.Count(v, pseudonym)
+	}
+	if rounds > int(x.profile.MaxCrossings) {
+		return x.not(codes.TooManyHops, "a proxy has sent the request round")
+	}
+	return nil
+}
+
+// via returns the header Via towards targets.
+func (x *exchange) via() string {
+	vs := append(x.r.Header.Values("Via"), fmt.Sprintf("%d.%d %s", x.r.ProtoMajor, x.r.ProtoMinor, pseudonym))
+	return strings.Join(vs, ", ")
+}
+
+// deadline reads the caller's deadline, zero for none.
+func (x *exchange) deadline() (ident.Time, *event.Refuse) {
+	text := x.r.Header.Get(HeaderDeadline)
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms > maxDeadlineMs {
+		return 0, x.not(codes.BadRequest, fmt.Sprintf("the header %s takes 1 to %d", HeaderDeadline, maxDeadlineMs))
+	}
+	if ms <= 0 {
+		return 0, x.not(codes.DeadlinePast, "")
+	}
+	return x.began.Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// head judges all that the headers allow, with the profile where they name it.
+func (x *exchange) head(profile ident.Profile) (event.Request, *event.Refuse) {
+	if ref := x.account(); ref != nil {
+		return event.Request{}, ref
+	}
+	at, ref := x.deadline()
+	if ref != nil {
+		return event.Request{}, ref
+	}
+	if profile != "" {
+		if ref := x.allow(profile); ref != nil {
+			return event.Request{}, ref
+		}
+	}
+	if ref := x.checkLength(); ref != nil {
+		return event.Request{}, ref
+	}
+	return event.Request{ID: x.id, Account: x.client.Name, Deadline: at, Ticket: x.r.Header.Get(HeaderTicket)}, nil
+}
+
+// mark sets the digests that tell repeats of a request.
+func (x *exchange) mark(req *event.Request) {
+	key := x.r.Header.Get(HeaderKey)
+	if key == "" && req.Ticket == "" {
+		return
+	}
+	req.Print = digest(x.r.Method, x.r.URL.RequestURI(), string(x.body))
+	if key != "" {
+		req.Key = digest(string(req.Account), string(req.Profile), key)
+	}
+}
+
+// digest returns the SHA-256 digest of parts, each with its length, so that
+// no two lists of parts run together to the same text.
+func digest(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		fmt.Fprintf(h, "%d:", len(p))
+		_, _ = h.Write([]byte(p))
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (x *exchange) unknownPath() *event.Refuse { return x.not(codes.UnknownPath, "") }
+
+func (x *exchange) wrongMethod() *event.Refuse {
+	return x.not(codes.WrongMethod, "")
+}
+
+// statusOf returns the status of a code that the front gives.
+func statusOf(c codes.Code) int {
+	if c.Status == 0 {
+		return http.StatusInternalServerError
+	}
+	return c.Status
+}
--- /dev/null
+++ b/internal/front/service.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"net/http"
+	"net/url"
+	"strings"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/serve"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// servicePrefix starts the paths of plain services.
+const servicePrefix = "/v1/services/"
+
+// serviceMethods are the methods that go on to plain services.
+var serviceMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// serviceHeaders are the headers that go on to plain services. Keys, cookies
+// and addresses of callers stay here.
+var serviceHeaders = []string{
+	"Accept", "Accept-Language", "Content-Language", "Content-Type",
+	"If-Match", "If-Modified-Since", "If-None-Match", "If-Unmodified-Since",
+}
+
+func (x *exchange) service() *event.Refuse {
+	profile, path, ok := splitService(x.r.URL.EscapedPath())
+	if !ok {
+		return x.not(codes.BadRequest, "write the path as "+servicePrefix+"PROFILE/PATH")
+	}
+	if named := x.r.Header.Get(HeaderProfile); named != "" && ident.Profile(named) != profile {
+		return x.not(codes.BadRequest, "the path and "+HeaderProfile+" name different profiles")
+	}
+	req, ref := x.head(profile)
+	if ref != nil {
+		return ref
+	}
+	if x.profile.Service == "" {
+		return x.not(codes.BadRequest, "the profile is of a model; use /v1/chat/completions")
+	}
+	if ref := x.read(); ref != nil {
+		return ref
+	}
+	req.Profile = profile
+	req.Stream = strings.Contains(x.r.Header.Get("Accept"), "text/event-stream")
+	x.mark(&req)
+	if x.r.URL.RawQuery != "" {
+		path += "?" + x.r.URL.RawQuery
+	}
+	call := serve.Call{Method: x.r.Method, Path: path, Header: x.serviceHeader(), Body: x.body, Stream: req.Stream}
+	x.cfg.Runner.Run(x.r.Context(), call, req, x.sink(false))
+	return nil
+}
+
+func (x *exchange) serviceHeader() http.Header {
+	h := http.Header{"Via": {x.via()}}
+	for _, k := range serviceHeaders {
+		if vs := x.r.Header.Values(k); len(vs) > 0 {
+			h[k] = vs
+		}
+	}
+	return h
+}
+
+// splitService splits the escaped path of a service call into the profile and
+// the path at the service. The path goes on as it was written; one with dot
+// segments is refused, since whoever resolves them next may come out elsewhere.
+func splitService(path string) (ident.Profile, string, bool) {
+	rest, ok := strings.CutPrefix(path, servicePrefix)
+	if !ok {
+		return "", "", false
+	}
+	name, tail, _ := strings.Cut(rest, "/")
+	profile, err := url.PathUnescape(name)
+	if err != nil || profile == "" {
+		return "", "", false
+	}
+	for seg := range strings.SplitSeq(tail, "/") {
+		text, err := url.PathUnescape(seg)
+		if err != nil || text == "." || text == ".." || strings.ContainsAny(text, "/\\\x00") {
+			return "", "", false
+		}
+	}
+	return ident.Profile(profile), "/" + tail, true
+}
--- a/internal/serve/held.go
+++ b/internal/serve/held.go
@@ -27,6 +27,20 @@
 	return nil
 }
 
+// size is the memory that a kept answer is counted with. The fixed part
+// stands for the maps and the id, so that empty answers can't pile up.
+func (h *Held) size() int {
+	const fixed = 1 << 10
+	n := fixed + len(h.Body)
+	for k, vs := range h.Header {
+		n += len(k)
+		for _, v := range vs {
+			n += len(v)
+		}
+	}
+	return n
+}
+
 // maxKept bounds one kept answer, and keptBytes all of them.
 const (
 	maxKept   = 64 << 10
@@ -43,10 +57,14 @@
 
 // Keep stores an answer and reports whether there was room for it.
 func (o *Outcomes) Keep(id ident.RequestID, h Held) bool {
-	n := len(h.Body)
+	n := h.size()
+	if n > maxKept {
+		return false
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if n > maxKept || o.size+n > keptBytes {
+	o.forget(id)
+	if o.size+n > keptBytes {
 		return false
 	}
 	if o.kept == nil {
@@ -69,10 +87,14 @@
 func (o *Outcomes) Forget(id ident.RequestID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.forget(id)
+}
+
+func (o *Outcomes) forget(id ident.RequestID) {
 	h, ok := o.kept[id]
 	if !ok {
 		return
 	}
 	delete(o.kept, id)
-	o.size -= len(h.Body)
+	o.size -= h.size()
 }
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,63 +18,94 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// errCrossed says that the answer belongs to another attempt.
-var errCrossed = errors.New("serve: the answer belongs to another request")
-
-// errShort says that the answer ended before its end mark.
-var errShort = errors.New("serve: the answer is not whole")
+// Faults of an answer.
+var (
+	errCrossed = errors.New("serve: the answer belongs to another request")
+	errShort   = errors.New("serve: the answer is not whole")
+	errGone    = errors.New("serve: the caller has gone")
+)
 
 // send runs an attempt at a target.
-func (r *run) send(ctx context.Context, d event.Dispatch, sent func()) event.AttemptEnded {
-	begun := false
-	res, err := r.Targets.Send(ctx, r.order(d), func() {
-		begun = true
-		sent()
-	})
-	if err != nil && !begun {
+func (t *try) send(ctx context.Context, d event.Dispatch) event.AttemptEnded {
+	ctx, span := t.Trace.Hop(ctx, "target")
+	defer span.End()
+	span.Set("target", string(d.Target.ID))
+	res, err := t.Targets.Send(ctx, t.order(d), t.markSent)
+	if err != nil && !t.sent {
 		return event.AttemptEnded{Result: event.ResultNotRun}
 	}
 	if err != nil {
-		return event.AttemptEnded{Result: event.ResultBroken, Resumable: r.call.Stream}
+		t.Log.V(1).Info("attempt broke", "attempt", d.Attempt, "target", d.Target.ID, "error", err)
+		return event.AttemptEnded{Result: event.ResultBroken, Resumable: t.call.Stream && t.call.Engine, Delivered: t.upto}
 	}
 	defer res.Body.Close()
-	return r.receive(res, d)
+	end := t.receive(res, d)
+	span.Set("result", string(end.Result))
+	span.SetInt("status", end.Status)
+	return end
+}
+
+// markSent says once that bytes may have left. The transport may call it again
+// when it takes another connection.
+func (t *try) markSent() {
+	if t.sent {
+		return
+	}
+	t.sent = true
+	t.Loop.Post(event.AttemptSent{Attempt: t.id})
 }
 
-func (r *run) order(d event.Dispatch) target.Order {
+func (t *try) order(d event.Dispatch) target.Order {
 	return target.Order{
-		Target: d.Target, Attempt: d.Attempt, Request: r.req.ID,
-		Method: r.call.Method, Path: r.call.Path, Header: r.call.Header, Body: r.call.Body,
-		Priority: d.Priority, Resume: d.Resume, Left: r.left(d.Deadline), Once: d.Once,
+		Target: d.Target, Attempt: d.Attempt, Request: t.req.ID, Serve: d.Serve,
+		Method: t.call.Method, Path: t.call.Path, Header: t.call.Header, Body: t.call.Body,
+		Priority: d.Priority, Resume: d.Resume, Left: t.left(d.Deadline), Once: d.Once,
 	}
 }
 
 // receive reads the answer of a target and judges it.
-func (r *run) receive(res *http.Response, d event.Dispatch) event.AttemptEnded {
-	end := event.AttemptEnded{Status: res.StatusCode, RetryAfter: retryAfter(res.Header)}
+func (t *try) receive(res *http.Response, d event.Dispatch) event.AttemptEnded {
+	end := event.AttemptEnded{Status: res.StatusCode, RetryAfter: retryAfter(res.Header), Delivered: t.upto}
 	if said := res.Header.Get(target.HeaderNotRun); said != "" {
 		end.Result = event.ResultNotRun
-		end.Leaving = said == "leaving"
+		end.Leaving = said == target.NotRunLeaving
 		return end
 	}
-	if err := r.checkEcho(res, d.Attempt); err != nil {
-		end.Result = event.ResultBroken
-		end.Resumable = r.call.Stream
-		return end
+	if err := t.checkEcho(res, d.Attempt); err != nil {
+		return t.broken(end, err)
 	}
-	if r.call.Engine && res.StatusCode >= http.StatusInternalServerError {
+	if t.call.Engine && failed(res.StatusCode) {
 		end.Result = event.ResultFailed
 		return end
 	}
-	r.begin(res.StatusCode, answerHeader(res.Header))
-	err := r.copy(res)
-	end.Delivered = r.upto
-	end.Generated = r.upto - d.Resume
-	end.Result = event.ResultDone
+	t.begin(res.StatusCode, answerHeader(res.Header))
+	err := t.copy(res)
+	end.Delivered = t.upto
+	end.Generated = t.upto
+	if t.use.Completion > 0 {
+		end.Generated = t.use.Completion
+	}
+	end.Cached = t.use.Details.Cached
 	if err != nil {
-		end.Result = event.ResultBroken
-		end.Resumable = r.call.Stream
+		return t.broken(end, err)
 	}
+	end.Result = event.ResultDone
+	return end
+}
+
+// failed reports whether a status of an engine says that another one may do
+// better.
+func failed(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
+
+// broken ends an attempt whose answer is of no use. Only a stream that merely
+// stopped may be resumed: one that skipped or belonged to somebody else says
+// nothing true about where it stands.
+func (t *try) broken(end event.AttemptEnded, err error) event.AttemptEnded {
+	end.Result = event.ResultBroken
+	end.Resumable = t.call.Stream && t.call.Engine && errors.Is(err, errShort)
+	t.Log.V(1).Info("attempt broke", "attempt", t.id, "error", err)
 	return end
 }
 
@@ -82,9 +113,9 @@
 // that mixes up two connections would give one caller the text of another.
 // One would notice it only by reading the answer. The echo of the attempt
 // tells before a byte is passed on.
-func (r *run) checkEcho(res *http.Response, a ident.Attempt) error {
+func (t *try) checkEcho(res *http.Response, a ident.Attempt) error {
 	echo := res.Header.Get(target.HeaderAttempt)
-	if echo == "" && !r.call.Engine {
+	if echo == "" && !t.call.Engine {
 		return nil
 	}
 	if echo != a.String() {
@@ -93,11 +124,14 @@
 	return nil
 }
 
-func (r *run) copy(res *http.Response) error {
-	if isEventStream(res.Header) {
-		return r.copyStream(res.Body)
+func (t *try) copy(res *http.Response) error {
+	switch {
+	case !t.streaming:
+		return t.copyWhole(res.Body)
+	case t.call.Engine:
+		return t.copyStream(res.Body)
 	}
-	return r.copyWhole(res.Body)
+	return t.copyRaw(res.Body)
 }
 
 func isEventStream(h http.Header) bool {
@@ -105,99 +139,114 @@
 }
 
 // copyWhole reads an answer that is given on only when it is whole.
-func (r *run) copyWhole(body io.Reader) error {
-	b, err := io.ReadAll(io.LimitReader(body, int64(r.MaxAnswer)+1))
-	if err != nil {
-		return errors.Wrap(errShort, err.Error())
-	}
-	if err := r.held.add(b, r.MaxAnswer); err != nil {
-		return err
-	}
-	if r.call.Engine {
-		return r.checkWhole(b)
+func (t *try) copyWhole(body io.Reader) error {
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			t.first()
+			if err := t.hold(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return t.checkWhole()
+		}
+		if err != nil {
+			return errors.Wrap(errShort, err.Error())
+		}
 	}
-	return nil
+}
+
+// usage is what an engine says of the tokens of a request.
+type usage struct {
+	Completion ident.Tokens `json:"completion_tokens"`
+	Details    struct {
+		Cached ident.Tokens `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
 }
 
 // checkWhole guards against a short or crossed answer of an engine that closed
 // the connection properly all the same.
-func (r *run) checkWhole(b []byte) error {
-	if r.held.Status != http.StatusOK {
+func (t *try) checkWhole() error {
+	if !t.call.Engine || t.held.Status != http.StatusOK {
 		return nil
 	}
 	var head struct {
-		ID ident.RequestID `json:"id"`
+		ID    ident.RequestID `json:"id"`
+		Usage usage           `json:"usage"`
 	}
-	if err := json.Unmarshal(b, &head); err != nil {
+	if err := json.Unmarshal(t.held.Body, &head); err != nil {
 		return errors.Wrap(errShort, err.Error())
 	}
-	if head.ID != r.req.ID {
+	if head.ID != t.req.ID {
 		return errCrossed
 	}
+	t.use = head.Usage
 	return nil
 }
 
-// Sizes and marks of server-sent events.
-const (
-	streamBuffer = 16 << 10
-	dataField    = "data: "
-	idField      = "id: "
-	endMark      = "[DONE]"
-)
-
 // copyStream passes events on until the end mark, which is held back until
 // the reducer has taken note of the end.
-func (r *run) copyStream(body io.Reader) error {
-	br := bufio.NewReaderSize(body, streamBuffer)
-	own := []byte(`"` + string(r.req.ID) + `"`)
-	var ev []byte
-	upto := r.upto
+func (t *try) copyStream(body io.Reader) error {
+	s := &sse{
+		br:  bufio.NewReaderSize(body, streamBuffer),
+		own: []byte(`"` + string(t.req.ID) + `"`), upto: t.upto, resumed: t.upto > 0,
+	}
 	for {
-		line, err := br.ReadSlice('\n')
-		if err != nil {
-			return errors.Wrap(errShort, err.Error())
-		}
-		ev = append(ev, line...)
-		text := bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(text, []byte(idField)); ok {
-			upto = parseTokens(id, upto)
-		}
-		if data, ok := bytes.CutPrefix(text, []byte(dataField)); ok {
-			if string(data) == endMark {
-				return nil
-			}
-			if !bytes.Contains(data, own) {
-				return errCrossed
+		b, err := s.next()
+		if len(b) > 0 {
+			t.first()
+			if err := t.data(b, s.upto); err != nil {
+				return err
 			}
 		}
-		if len(text) > 0 {
-			continue
+		if errors.Is(err, io.EOF) {
+			return nil
 		}
-		if err := r.data(ev, upto); err != nil {
+		if err != nil {
 			return err
 		}
-		ev = ev[:0]
 	}
 }
 
-func parseTokens(b []byte, old ident.Tokens) ident.Tokens {
-	n, err := strconv.ParseInt(string(b), 10, 64)
-	if err != nil {
-		return old
+// copyRaw passes a stream of a plain service on as it comes. Its end is that
+// of the message, which chunked encoding or a length tells from a broken
+// connection.
+func (t *try) copyRaw(body io.Reader) error {
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			t.first()
+			if err := t.data(buf[:n], 0); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(errShort, err.Error())
+		}
 	}
-	return ident.Tokens(n)
 }
 
+// retryAfter reads a wait in seconds. A wait that a duration can't hold is
+// none.
 func retryAfter(h http.Header) time.Duration {
 	n, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || n < 0 {
+	if err != nil || n < 0 || n > math.MaxInt32 {
 		return 0
 	}
 	return time.Duration(n) * time.Second
 }
 
 // passedHeaders are the headers of an answer that go on to the caller.
-var passedHeaders = []string{"Content-Type", "Content-Language", "Location", "Etag", "Last-Modified", "Retry-After"}
+var passedHeaders = []string{
+	"Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language", "Content-Type",
+	"Etag", "Last-Modified", "Link", "Location", "Retry-After", "Vary",
+}
 
 func answerHeader(h http.Header) http.Header {
 	out := make(http.Header, len(passedHeaders))
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,21 +7,25 @@
 //	rn := &serve.Runner{Loop: lp, Clock: svc, Targets: cl, Forward: peers.Forward}
 //	rn.Run(ctx, call, req, sink)
 //
-// Run returns when the sink has had its one final call: Finish or Refuse.
+// Run returns when the sink has had its one final call, Finish or Refuse, or
+// when the caller has gone.
 // Bytes never pass through the control thread.
 package serve
 
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/loop"
 	"verbenadale.example/verbenadale/internal/target"
+	"verbenadale.example/verbenadale/internal/trace"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -40,8 +44,9 @@
 	Engine bool
 }
 
-// Sink takes the answer. Its functions are called by one goroutine: Begin at
-// most once and before Data, and at last either Finish or Refuse.
+// Sink takes the answer. Its functions are called by one goroutine at a time:
+// Begin at most once and before Data, and at last either Finish or Refuse, or
+// neither where the caller has gone.
 type Sink struct {
 	Begin func(status int, h http.Header)
 	// Data takes a piece of the answer and the number of tokens up to its
@@ -70,8 +75,18 @@
 	Outcomes *Outcomes
 	// MaxAnswer bounds an answer that is held until it is whole.
 	MaxAnswer ident.Bytes
+	// Budget bounds all held answers together; nil is no bound.
+	Budget *Budget
+	// Trace makes a span for each hop; nil makes none.
+	Trace *trace.Tracer
+
+	running atomic.Int64
 }
 
+// Running returns the number of requests that have not had their final
+// answer.
+func (rn *Runner) Running() int { return int(rn.running.Load()) }
+
 // Run runs a request. A caller that leaves ends ctx.
 func (rn *Runner) Run(ctx context.Context, call Call, req event.Request, sink Sink) {
 	box, ok := rn.Loop.Open(req.ID)
@@ -80,55 +95,153 @@
 		return
 	}
 	defer rn.Loop.Close(req.ID)
+	rn.running.Add(1)
+	defer rn.running.Add(-1)
 	r := &run{Runner: rn, call: call, req: req, sink: sink}
+	defer r.drop()
 	rn.Loop.Post(event.RequestArrived{Request: req})
+	r.follow(ctx, box)
+}
+
+// run is one request that runs.
+type run struct {
+	*Runner
+	call Call
+	req  event.Request
+	sink Sink
+	// live is the attempt that runs, nil for none.
+	live *try
+	// once says that an attempt that may not be repeated has begun.
+	once bool
+	// gone says that the caller takes no more.
+	gone bool
+	// begun says that the sink has been told to begin, streaming that what
+	// comes is passed on as it comes.
+	begun, streaming bool
+	// keep says that a stream is held for repeats beside being passed on.
+	keep bool
+	// upto counts the tokens that the sink has been given.
+	upto ident.Tokens
+	// held is the answer that waits until it is whole.
+	held  Held
+	taken int
+}
+
+// follow carries out what the reducer decides until the request is over.
+func (r *run) follow(ctx context.Context, box <-chan event.Effect) {
 	for {
 		select {
 		case eff := <-box:
 			if r.carry(ctx, eff) {
 				return
 			}
-		case <-ctx.Done():
-			rn.leave(req.ID)
+		case <-r.ended():
+			if r.settle() {
+				return
+			}
+		case <-r.callerLeft(ctx):
+			r.leave(box)
 			return
-		case <-rn.Loop.Done():
-			sink.Refuse(event.Refuse{Request: req.ID, Code: codes.OutcomeUnknown.ID, Outcome: event.Unknown})
+		case <-r.Loop.Done():
+			r.stop()
+			r.sink.Refuse(event.Refuse{Request: r.req.ID, Code: codes.OutcomeUnknown.ID, Outcome: event.Unknown})
 			return
 		}
 	}
 }
 
-func (rn *Runner) leave(id ident.RequestID) { rn.Loop.Post(event.CallerLeft{Request: id}) }
+// ended is closed when the live attempt has ended. It never is without one.
+func (r *run) ended() <-chan struct{} {
+	if r.live == nil {
+		return nil
+	}
+	return r.live.t.Dead()
+}
 
-// run is one request that runs.
-type run struct {
-	*Runner
-	call Call
-	req  event.Request
-	sink Sink
-	// begun says that the sink has been told to begin.
-	begun bool
-	// upto counts the tokens that the sink has been given.
-	upto ident.Tokens
-	// held is the answer that waits until it is whole.
-	held Held
+// callerLeft is closed when the caller has left and the request may be broken
+// off. A call that may not be repeated goes on once it has begun: to break it
+// off would leave nobody knowing whether it ran, while its outcome can still
+// be given to the caller's repeat.
+func (r *run) callerLeft(ctx context.Context) <-chan struct{} {
+	if r.once {
+		return nil
+	}
+	return ctx.Done()
+}
+
+// leave breaks the request off because its caller has gone.
+func (r *run) leave(box <-chan event.Effect) {
+	r.Loop.Post(event.CallerLeft{Request: r.req.ID})
+	r.stop()
+	for {
+		select {
+		case eff := <-box:
+			r.decline(eff)
+		default:
+			return
+		}
+	}
+}
+
+// decline says that an attempt that was decided before the caller left has
+// not been run, so that nothing waits for its end.
+func (r *run) decline(eff event.Effect) {
+	switch e := eff.(type) {
+	case event.Dispatch:
+		r.Loop.Post(event.AttemptEnded{Attempt: e.Attempt, Result: event.ResultNotRun})
+	case event.Forward:
+		r.Loop.Post(event.AttemptEnded{Attempt: e.Envelope.Attempt, Result: event.ResultNotRun})
+	}
+}
+
+// stop breaks off the live attempt and reports its end.
+func (r *run) stop() {
+	if r.live == nil {
+		return
+	}
+	r.live.t.Kill(nil)
+	_ = r.live.t.Wait()
+	r.Loop.Post(r.live.end)
+	r.live = nil
+}
+
+// settle reports the end of the live attempt. It reports true when that showed
+// that the caller has gone.
+func (r *run) settle() bool {
+	t := r.live
+	r.live = nil
+	if t.once && t.keep && t.end.Result == event.ResultDone {
+		t.end.Kept = r.Outcomes.Keep(r.req.ID, r.held)
+	}
+	r.Loop.Post(t.end)
+	if r.gone && !r.once {
+		r.Loop.Post(event.CallerLeft{Request: r.req.ID})
+		return true
+	}
+	return false
 }
 
 // carry carries out one effect and reports whether the request is over.
 func (r *run) carry(ctx context.Context, eff event.Effect) bool {
 	switch e := eff.(type) {
 	case event.Dispatch:
-		return r.attempt(ctx, e.Attempt, e.Deadline, e.Once, e.Keep, func(ctx context.Context, sent func()) event.AttemptEnded {
-			return r.send(ctx, e, sent)
-		})
+		t := &try{run: r, id: e.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
+		t.do = func(ctx context.Context) event.AttemptEnded { return t.send(ctx, e) }
+		r.start(ctx, t)
 	case event.Forward:
-		return r.attempt(ctx, e.Envelope.Attempt, e.Deadline, e.Once, e.Keep, func(ctx context.Context, sent func()) event.AttemptEnded {
-			return r.Forward(ctx, e, r.call, sent, r.relay())
-		})
+		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
+		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
+		r.start(ctx, t)
+	case event.Cancel:
+		if r.live != nil && r.live.id == e.Attempt {
+			r.stop()
+		}
 	case event.Replay:
+		r.stop()
 		r.replay(e)
 		return true
 	case event.Refuse:
+		r.stop()
 		r.sink.Refuse(e)
 		return true
 	case event.Finish:
@@ -139,58 +252,75 @@
 	return false
 }
 
-// attempt runs one attempt and reports how it ended.
-func (r *run) attempt(ctx context.Context, a ident.Attempt, deadline ident.Time, once, keep bool,
-	do func(ctx context.Context, sent func()) event.AttemptEnded,
-) bool {
-	r.held = Held{}
-	base := ctx
-	if once {
-		// A call that may not be repeated goes on when its caller leaves: to
-		// break it off would leave nobody knowing whether it ran, while its
-		// outcome can still be given to the caller's repeat.
-		base = context.WithoutCancel(ctx)
-	}
-	actx, cancel := context.WithTimeout(base, r.left(deadline))
-	defer cancel()
-	sent := func() { r.Loop.Post(event.AttemptSent{Attempt: a}) }
-	end := do(actx, sent)
-	end.Attempt = a
-	if base.Err() != nil {
-		r.leave(r.req.ID)
-		return true
+// start starts an attempt. One that still runs is broken off first, since two
+// would write to one caller.
+func (r *run) start(ctx context.Context, t *try) {
+	r.stop()
+	if !r.begun {
+		r.drop()
 	}
-	if keep && end.Result == event.ResultDone {
-		end.Kept = r.Outcomes.Keep(r.req.ID, r.held)
+	r.once = r.once || t.once
+	r.keep = t.keep
+	r.upto = max(r.upto, t.resume)
+	if t.once {
+		ctx = context.WithoutCancel(ctx)
 	}
-	r.Loop.Post(end)
-	return false
+	t.ctx = ctx
+	t.end = event.AttemptEnded{Attempt: t.id, Result: event.ResultBroken}
+	r.live = t
+	t.t.Go(t.loop)
 }
 
-func (r *run) left(deadline ident.Time) time.Duration {
-	return max(deadline.Sub(r.Clock.Now()), 0)
+// drop gives up a held answer and its share of the budget.
+func (r *run) drop() {
+	r.Budget.Give(r.taken)
+	r.taken = 0
+	r.held = Held{}
 }
 
-// relay returns a relay that passes a stream on and holds any other answer.
-func (r *run) relay() Relay {
-	return Relay{Begin: r.begin, Data: r.data}
+func (r *run) left(deadline ident.Time) time.Duration {
+	return max(deadline.Sub(r.Clock.Now()), 0)
 }
 
 func (r *run) begin(status int, h http.Header) {
 	r.held.Status = status
 	r.held.Header = h
+	r.streaming = r.call.Stream && status == http.StatusOK && isEventStream(h)
+}
+
+// hold adds to the held answer within the budget.
+func (r *run) hold(b []byte) error {
+	if !r.Budget.Take(len(b)) {
+		return errAnswerTooLarge
+	}
+	r.taken += len(b)
+	return r.held.add(b, r.MaxAnswer)
 }
 
 func (r *run) data(b []byte, upto ident.Tokens) error {
-	if !r.call.Stream || r.held.Status != http.StatusOK {
-		return r.held.add(b, r.MaxAnswer)
+	if !r.streaming {
+		return r.hold(b)
+	}
+	if r.keep && len(r.held.Body) <= maxKept {
+		// A body that grows past what may be kept stays too large, and
+		// Outcomes refuses it.
+		_ = r.hold(b)
+	}
+	if r.gone {
+		return nil
 	}
 	if !r.begun {
 		r.begun = true
 		r.sink.Begin(r.held.Status, r.held.Header)
 	}
-	r.upto = upto
-	return r.sink.Data(b, upto)
+	r.upto = max(r.upto, upto)
+	if err := r.sink.Data(b, upto); err != nil {
+		r.gone = true
+		if !r.once {
+			return errors.Wrap(errGone, err.Error())
+		}
+	}
+	return nil
 }
 
 // release gives the sink an answer that was held until it was whole.
--- /dev/null
+++ b/internal/serve/try.go
@@ -0,0 +1,73 @@
+package serve
+
+import (
+	"context"
+
+	"gopkg.in/tomb.v2"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// try is one attempt that runs beside the request's own goroutine, which can
+// therefore take the reducer's word to break it off. The request's answer
+// belongs to the attempt from start until t is dead.
+type try struct {
+	*run
+	t        tomb.Tomb
+	ctx      context.Context
+	id       ident.Attempt
+	deadline ident.Time
+	resume   ident.Tokens
+	once     bool
+	keep     bool
+	do       func(ctx context.Context) event.AttemptEnded
+	sent     bool
+	// answered says that the first byte of the answer has been told.
+	answered bool
+	use      usage
+	end      event.AttemptEnded
+}
+
+// loop runs the attempt to its end, its deadline or until it is killed.
+func (t *try) loop() error {
+	ctx, cancel := context.WithTimeout(t.t.Context(t.ctx), t.left(t.deadline))
+	defer cancel()
+	end := t.do(ctx)
+	end.Attempt = t.id
+	t.end = end
+	return nil
+}
+
+// forward runs an attempt at another entry host.
+func (t *try) forward(ctx context.Context, f event.Forward) event.AttemptEnded {
+	if t.Forward == nil {
+		return event.AttemptEnded{Result: event.ResultNotRun}
+	}
+	ctx, span := t.Trace.Hop(ctx, "entry")
+	defer span.End()
+	span.Set("entry.to", string(f.To.ID))
+	end := t.Forward(ctx, f, t.call, t.markSent, Relay{Begin: t.begin, Data: t.relayed})
+	span.Set("result", string(end.Result))
+	return end
+}
+
+// relayed takes a piece of the answer that another entry host passes on. That
+// host has checked that it goes on where the last piece ended; one that goes
+// back would reach the caller twice.
+func (t *try) relayed(b []byte, upto ident.Tokens) error {
+	if upto < t.upto {
+		return errGap
+	}
+	t.first()
+	return t.data(b, upto)
+}
+
+// first tells once that the answer has begun.
+func (t *try) first() {
+	if t.answered {
+		return
+	}
+	t.answered = true
+	t.Loop.Post(event.FirstToken{Attempt: t.id})
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -15,8 +15,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -26,7 +24,9 @@
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/trace"
 	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
 )
 
 // The headers between an entry host and a target.
@@ -43,11 +43,23 @@
 	HeaderPriority = "Verbenadale-Priority"
 	// HeaderDeadline is the remaining time in milliseconds.
 	HeaderDeadline = "Verbenadale-Deadline-Ms"
+	// HeaderModel, HeaderVersion and HeaderAdapter name what an engine is
+	// asked to run. The body names the profile, as the caller wrote it.
+	HeaderModel   = "Verbenadale-Model"
+	HeaderVersion = "Verbenadale-Model-Version"
+	HeaderAdapter = "Verbenadale-Adapter"
 	// HeaderNotRun on an answer says that the target has not run the request
-	// and never will: "true", or "leaving" where it is about to stop.
+	// and never will.
 	HeaderNotRun = "Verbenadale-Not-Run"
 )
 
+// The values of HeaderNotRun.
+const (
+	NotRunTrue = "true"
+	// NotRunLeaving says that the target is about to stop.
+	NotRunLeaving = "leaving"
+)
+
 // ErrLink says that the target was not reached or the link broke.
 var ErrLink = errors.New("target: the link broke")
 
@@ -62,6 +74,7 @@
 	Target   event.Target
 	Attempt  ident.Attempt
 	Request  ident.RequestID
+	Serve    rules.Serve
 	Method   string
 	Path     string
 	Header   http.Header
@@ -73,15 +86,23 @@
 	Once bool
 }
 
-// dialTimeout bounds the time to connect to a target of the same data centre.
-const dialTimeout = 2 * time.Second
+// Bounds of the connections to targets. The time to connect is that within a
+// data centre; idle connections are kept for the bursts of a peak.
+const (
+	dialTimeout   = 2 * time.Second
+	idleTimeout   = 90 * time.Second
+	idlePerTarget = 64
+	maxHead       = 64 << 10
+	connBuffer    = 4 << 10
+)
 
 // New returns a client.
 func New() *Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &Client{
 		reuse: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: 64, DisableCompression: true,
+			DialContext: dial, MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHead, WriteBufferSize: connBuffer, ReadBufferSize: connBuffer,
 		}, CheckRedirect: noRedirect},
 		// The library sends a request again by itself when a connection that
 		// it had used before turns out to be closed, even a POST if it
@@ -89,7 +110,8 @@
 		// then run twice and nobody would be told. It never does so on a new
 		// connection, so such calls get one each.
 		fresh: &http.Client{Transport: &http.Transport{
-			DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead,
+			WriteBufferSize: connBuffer, ReadBufferSize: connBuffer,
 		}, CheckRedirect: noRedirect},
 	}
 }
@@ -100,13 +122,14 @@
 
 // Send sends an attempt and returns once the head of the answer has come.
 func (c *Client) Send(ctx context.Context, o Order, sent func()) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent() }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	hook := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent() }}
+	ctx = httptrace.WithClientTrace(ctx, hook)
 	req, err := http.NewRequestWithContext(ctx, o.Method, o.Target.URL+o.Path, bytes.NewReader(o.Body))
 	if err != nil {
 		return nil, errors.Wrap(ErrLink, err.Error())
 	}
 	o.fill(req.Header)
+	trace.Inject(ctx, req.Header)
 	cl := c.reuse
 	if o.Once {
 		cl = c.fresh
@@ -126,31 +149,16 @@
 	h.Set(HeaderRequest, string(o.Request))
 	h.Set(HeaderPriority, strconv.Itoa(o.Priority))
 	h.Set(HeaderDeadline, strconv.FormatInt(o.Left.Milliseconds(), 10))
+	setNonEmpty(h, HeaderModel, string(o.Serve.Model))
+	setNonEmpty(h, HeaderVersion, string(o.Serve.Version))
+	setNonEmpty(h, HeaderAdapter, string(o.Serve.Adapter))
 	if o.Resume > 0 {
 		h.Set(HeaderResume, strconv.FormatInt(int64(o.Resume), 10))
 	}
 }
 
-// maxLoad bounds a load report.
-const maxLoad = 64 << 10
-
-// Load reads the load report of a target.
-func (c *Client) Load(ctx context.Context, t event.Target) (event.Load, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, t.URL+"/load", nil)
-	if err != nil {
-		return event.Load{}, errors.Wrap(ErrLink, err.Error())
-	}
-	res, err := c.reuse.Do(req)
-	if err != nil {
-		return event.Load{}, errors.Wrap(ErrLink, err.Error())
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return event.Load{}, errors.Wrapf(ErrLink, "status %d", res.StatusCode)
-	}
-	var ld event.Load
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxLoad)).Decode(&ld); err != nil {
-		return event.Load{}, errors.Wrap(ErrLink, err.Error())
+func setNonEmpty(h http.Header, key, val string) {
+	if val != "" {
+		h.Set(key, val)
 	}
-	return ld, nil
 }
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -16,6 +16,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 )
 
 // ID is the stable name of a code, such as VB1004. It is never given to
@@ -58,12 +59,18 @@
 	return all
 }
 
-// Find returns the code with the given id.
-func Find(id ID) (Code, bool) {
+// index holds every code by its id. It is made once: refusals look codes up at
+// the rate of a flood.
+var index = sync.OnceValue(func() map[ID]Code {
+	m := make(map[ID]Code)
 	for _, c := range All() {
-		if c.ID == id {
-			return c, true
-		}
+		m[c.ID] = c
 	}
-	return Code{}, false
+	return m
+})
+
+// Find returns the code with the given id.
+func Find(id ID) (Code, bool) {
+	c, ok := index()[id]
+	return c, ok
 }
--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -103,6 +103,26 @@
 		ID: "VB1024", Title: "the request ended, but its answer is no longer kept", Status: http.StatusGone, Since: firstVersion, Severity: Warning,
 		Text: "A repeat of a request that ran. The stored answer was dropped to bound memory, or was too large to keep. The request is not run again.",
 	}
+	HostBusy = Code{
+		ID: "VB1025", Title: "this entry host holds as much as its settings allow", Status: http.StatusServiceUnavailable, Since: firstVersion, Severity: Warning, Wait: true,
+		Text: "The requests in flight or the bodies of all callers together have reached the limits in the settings of the entry host. The request was not run. Come back later or use another entry host; an operator can raise limits.maxRequests or limits.maxHeldBytes.",
+	}
+	UnknownPath = Code{
+		ID: "VB1026", Title: "nothing is served at this path", Status: http.StatusNotFound, Since: firstVersion, Severity: Error,
+		Text: "Callers use /v1/chat/completions, /v1/completions, /v1/models, /v1/entries, /v1/tickets and /v1/services/PROFILE/PATH.",
+	}
+	WrongMethod = Code{
+		ID: "VB1027", Title: "the path doesn't take this method", Status: http.StatusMethodNotAllowed, Since: firstVersion, Severity: Error,
+		Text: "Completions and tickets are asked for with POST, models and entries with GET. Plain services take GET, HEAD, POST, PUT, PATCH, DELETE and OPTIONS.",
+	}
+	WrongType = Code{
+		ID: "VB1028", Title: "the body is of a type that is not taken", Status: http.StatusUnsupportedMediaType, Since: firstVersion, Severity: Error,
+		Text: "Completions take a body of application/json. No body may be compressed. Nothing was sent to a target.",
+	}
+	SlowBody = Code{
+		ID: "VB1029", Title: "the body did not arrive in time", Status: http.StatusRequestTimeout, Since: firstVersion, Severity: Error,
+		Text: "The body took longer than limits.bodyMs in the settings of the entry host. Nothing was sent to a target.",
+	}
 )
 
 // Refusals is the table of the refusals.
@@ -111,4 +131,5 @@
 	NoTarget, Overloaded, AccountLimit, DeadlinePast, BadTicket, ForeignTicket,
 	Draining, StoreDown, OutcomeUnknown, NeedsOnce, KeyReused, InProgress,
 	ForgedEnvelope, TargetFailed, DeadlineExceeded, ProfileForbidden, NotReady, NoOutcome,
+	HostBusy, UnknownPath, WrongMethod, WrongType, SlowBody,
 }
