link the entry hosts: sessions, control messages, forwarded requests

Cause: an entry host could neither hear of the others nor pass a request on.

Change: package wire holds the protobuf messages and their mapping, package peer the yamux sessions over mutual TLS (plain for development), bounded queues, pings and silence, and the passing on of requests, with the body kept back until the receiver has agreed. The daemon starts the links and carries the effects.

--- a/internal/daemon/carry.go
+++ b/internal/daemon/carry.go
@@ -31,7 +31,9 @@
 	case event.Drained:
 		d.closeDrained()
 	default:
-		d.enqueue(eff)
+		if !d.mesh.Send(eff) {
+			d.enqueue(eff)
+		}
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"verbenadale.example/verbenadale/internal/front"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/loop"
+	"verbenadale.example/verbenadale/internal/peer"
 	"verbenadale.example/verbenadale/internal/revlog"
 	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/internal/store"
@@ -55,6 +56,7 @@
 	targets *target.Client
 	book    atomic.Pointer[rules.Book]
 	outs    *serve.Outcomes
+	mesh    *peer.Mesh
 	work    chan event.Effect
 	callers *http.Server
 	ops     *http.Server
@@ -85,11 +87,21 @@
 	if step == nil {
 		step = core.New(d.self).Step
 	}
+	rn := &serve.Runner{
+		Clock: d.clock, Log: cfg.Log, Targets: d.targets, Outcomes: d.outs, MaxAnswer: maxAnswer,
+	}
+	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
+	if err != nil {
+		d.clock.Stop()
+		return nil, err
+	}
+	d.mesh = mesh
 	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
+	rn.Loop = d.loop
 	for range workers {
 		d.t.Go(d.run)
 	}
-	if err := d.listen(); err != nil {
+	if err := d.listen(rn); err != nil {
 		d.Stop()
 		return nil, err
 	}
@@ -110,12 +122,9 @@
 // maxAnswer bounds an answer that is held until it is whole.
 const maxAnswer = 16 << 20
 
-func (d *Daemon) listen() error {
+func (d *Daemon) listen(rn *serve.Runner) error {
 	lim := d.cfg.Settings.Limits
-	rn := &serve.Runner{
-		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets,
-		Outcomes: d.outs, MaxAnswer: maxAnswer,
-	}
+	rn.Forward = d.mesh.Forward
 	fr := front.New(front.Config{
 		Self: d.self, Loop: d.loop, Runner: rn, Clock: d.clock, Log: d.cfg.Log,
 		Book: d.book.Load, MaxBody: lim.MaxBodyBytes,
@@ -130,6 +139,9 @@
 		Book: d.book.Load, Operators: d.cfg.Settings.Operators.Known,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
+	if err := d.mesh.Start(d.loop.Post, rn.Run); err != nil {
+		return errors.Wrap(err, "daemon: peers")
+	}
 	if err := d.serve(d.callers, d.cfg.Settings.Callers.Listen); err != nil {
 		return err
 	}
@@ -161,7 +173,10 @@
 }
 
 // Drain starts a graceful stop.
-func (d *Daemon) Drain() { d.loop.Post(event.DrainAsked{}) }
+func (d *Daemon) Drain() {
+	d.mesh.Leave()
+	d.loop.Post(event.DrainAsked{})
+}
 
 // Drained is closed when the last request has ended after Drain.
 func (d *Daemon) Drained() <-chan struct{} { return d.drained }
@@ -177,6 +192,7 @@
 		_ = d.callers.Shutdown(ctx)
 		_ = d.ops.Shutdown(ctx)
 	}
+	d.mesh.Stop(ctx)
 	d.t.Kill(nil)
 	_ = d.t.Wait()
 	d.loop.Stop()
--- /dev/null
+++ b/internal/peer/carry.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/wire"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Send carries out an effect towards peers and reports whether it was one. It
+// does not block: the reducer's thread calls it.
+func (m *Mesh) Send(eff event.Effect) bool {
+	switch e := eff.(type) {
+	case event.SendDigest:
+		m.cast(e.To, &wire.Frame{Body: &wire.Frame_Digest{Digest: wire.FromDigest(e.Digest)}}, true)
+	case event.SendSummary:
+		m.cast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_Summary{Summary: wire.FromSummary(e.Summary)}}, true)
+	case event.SendChanges:
+		m.cast(e.To, &wire.Frame{Body: &wire.Frame_Changes{Changes: wire.FromChanges(e.Changes)}}, false)
+	case event.SendSnapshot:
+		m.sendBook(e)
+	case event.AskChanges:
+		ask := &wire.ChangesWanted{After: uint64(e.After)}
+		m.cast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_ChangesWanted{ChangesWanted: ask}}, false)
+	case event.AskBar:
+		m.askBar(e)
+	case event.AnswerBar:
+		m.answerBar(e)
+	default:
+		return false
+	}
+	return true
+}
+
+func (m *Mesh) sendBook(e event.SendSnapshot) {
+	snap, err := wire.FromBook(e.Book)
+	if err != nil {
+		m.cfg.Log.Error(err, "snapshot not sent", "entry", e.To.ID)
+		return
+	}
+	m.cast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_Snapshot{Snapshot: snap}}, false)
+}
+
+// askBar asks about an attempt and notes whom.
+func (m *Mesh) askBar(e event.AskBar) {
+	l := m.link(e.To.ID)
+	if l == nil || e.Attempt.Entry != m.cfg.Self.ID {
+		m.cnt.rejected.Inc(1)
+		return
+	}
+	l.ask(e.Attempt)
+	m.cast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_BarAsk{BarAsk: wire.FromBarAsk(e)}}, false)
+}
+
+// answerBar answers on the link that the question came by. The name is all
+// that the reducer knows of the asker.
+func (m *Mesh) answerBar(e event.AnswerBar) {
+	if e.Attempt.Entry != e.To {
+		m.cnt.rejected.Inc(1)
+		return
+	}
+	frame, ok := m.encode(&wire.Frame{Body: &wire.Frame_BarAnswer{BarAnswer: wire.FromBarAnswer(e)}})
+	if !ok {
+		return
+	}
+	if l := m.link(e.To); l != nil {
+		l.push(item{frame: frame})
+	}
+}
+
+// cast encodes a message once and queues it for each host.
+func (m *Mesh) cast(to []event.Host, f *wire.Frame, ages bool) {
+	frame, ok := m.encode(f)
+	if !ok {
+		return
+	}
+	for _, h := range to {
+		m.queue(h, item{frame: frame, ages: ages})
+	}
+}
+
+func (m *Mesh) queue(h event.Host, it item) {
+	l := m.link(h.ID)
+	if l == nil {
+		return
+	}
+	l.push(it)
+	l.want(h, false)
+}
+
+func (m *Mesh) encode(f *wire.Frame) ([]byte, bool) {
+	b, err := wire.Encode(f)
+	if err != nil || len(b) > wire.MaxFrame {
+		m.cfg.Log.Info("message not sent", "bytes", len(b), "reason", "it is malformed or too large")
+		m.cnt.messagesDropped.Inc(1)
+		return nil, false
+	}
+	return b, true
+}
+
+// take hands a message of a peer to the reducer. Who said it is the session's
+// word and never the message's.
+func (m *Mesh) take(from event.Host, f *wire.Frame) error {
+	switch b := f.GetBody().(type) {
+	case *wire.Frame_Ping:
+	case *wire.Frame_Digest:
+		m.takeDigest(from, b.Digest)
+	case *wire.Frame_Summary:
+		return m.takeSummary(from.ID, b.Summary.ToEvent())
+	case *wire.Frame_Changes:
+		m.post(event.ChangesReceived{From: from.ID, Changes: b.Changes.ToEvent()})
+	case *wire.Frame_Snapshot:
+		book, err := b.Snapshot.ToEvent()
+		if err != nil {
+			return err
+		}
+		m.post(event.SnapshotReceived{From: from.ID, Book: book})
+	case *wire.Frame_ChangesWanted:
+		m.post(event.ChangesWanted{From: from.ID, After: ident.Revision(b.ChangesWanted.GetAfter())})
+	case *wire.Frame_BarAsk:
+		m.post(b.BarAsk.ToEvent(from.ID))
+	case *wire.Frame_BarAnswer:
+		return m.takeBarAnswer(from.ID, b.BarAnswer)
+	default:
+		// A newer version may say what this one does not know.
+		m.cnt.rejected.Inc(1)
+	}
+	return nil
+}
+
+// takeDigest takes a digest of the own data centre only: the reducer counts
+// who sends one among the hosts that share its targets.
+func (m *Mesh) takeDigest(from event.Host, d *wire.Digest) {
+	if !m.near(from) {
+		m.cnt.rejected.Inc(1)
+		return
+	}
+	m.post(event.DigestReceived{Digest: d.ToEvent(from)})
+}
+
+func (m *Mesh) takeSummary(from ident.EntryID, s event.Summary) error {
+	if s.From != from {
+		m.cnt.rejected.Inc(1)
+		return nil
+	}
+	m.post(event.SummaryReceived{Summary: s})
+	return nil
+}
+
+// takeBarAnswer takes the answer only of the host that was asked. "Barred"
+// lets a request run elsewhere; said by a host that never had the request it
+// would let it run twice.
+func (m *Mesh) takeBarAnswer(from ident.EntryID, p *wire.BarAnswer) error {
+	ans, err := p.ToEvent(m.cfg.Self.ID)
+	if err != nil {
+		return err
+	}
+	l := m.link(from)
+	if l == nil || !l.answered(ans) {
+		m.cnt.rejected.Inc(1)
+		return nil
+	}
+	m.post(ans)
+	return nil
+}
--- /dev/null
+++ b/internal/peer/forward_test.go
@@ -0,0 +1,219 @@
+package peer
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/serve"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// echo answers with the body in two pieces.
+func echo(_ context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
+	b, err := c.ReadBody()
+	if err != nil {
+		sink.Refuse(event.Refuse{Code: codes.BadRequest.ID, Outcome: event.NotRun})
+		return
+	}
+	sink.Begin(200, nil)
+	_ = sink.Data(b[:len(b)/2], 1)
+	_ = sink.Data(b[len(b)/2:], 2)
+	sink.Finish(event.Done)
+}
+
+// A request that another host serves gets its whole answer, whatever the
+// length of its body.
+func TestForward(t *testing.T) {
+	var mu sync.Mutex
+	var got event.Request
+	var call serve.Call
+	x, y := pair(t, Config{}, Config{}, func(ctx context.Context, c serve.Call, r event.Request, s serve.Sink) {
+		mu.Lock()
+		got, call = r, c
+		mu.Unlock()
+		echo(ctx, c, r, s)
+	})
+	for _, n := range []int{2, 100_000, 3_000_000} {
+		body := strings.Repeat("x", n)
+		a, end := forward(t.Context(), x, y, body, nil)
+		want := event.AttemptEnded{Result: event.ResultDone, Delivered: 2, Generated: 2}
+		if diff := cmp.Diff(want, end); diff != "" {
+			t.Errorf("end with %d bytes (-want +got):\n%s", n, diff)
+		}
+		if a.body.String() != body || a.sent != 1 || a.status != 200 {
+			t.Errorf("%d bytes: got %d, sent %d times, status %d", n, a.body.Len(), a.sent, a.status)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if got.ID == "req-1" || call.Answer != "req-1" {
+		t.Errorf("runs as %q, answers as %q", got.ID, call.Answer)
+	}
+	if diff := cmp.Diff([]uint64(nil), got.Prefix); diff != "" {
+		t.Errorf("digests of the prompt have left their host (-want +got):\n%s", diff)
+	}
+	env, _ := got.Envelope.Get()
+	if diff := cmp.Diff(x.cfg.Self.Place, env.FromPlace); diff != "" {
+		t.Errorf("place of the sender (-want +got):\n%s", diff)
+	}
+}
+
+// The receiver refuses, since its newer configuration confines the profile to
+// other places. Had the sender put the body on the line at once, a family's
+// memories would already lie in the memory of a host abroad.
+func TestRefusedBodyIsNotSent(t *testing.T) {
+	const secret = "a long memory that may not leave its home"
+	x, y := pair(t, Config{}, Config{}, func(_ context.Context, _ serve.Call, _ event.Request, sink serve.Sink) {
+		sink.Refuse(event.Refuse{Code: codes.OutsideResidency.ID, Outcome: event.NotRun, RetryAfter: 2 * time.Second})
+	})
+	linked(t, x, y)
+	before := x.count("bytesOut")
+	body := strings.Repeat(secret, 1000)
+	_, end := forward(t.Context(), x, y, body, nil)
+	want := event.AttemptEnded{
+		Result: event.ResultNotRun, Code: codes.OutsideResidency.ID, Status: 421, RetryAfter: 2 * time.Second,
+	}
+	if diff := cmp.Diff(want, end); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+	if n := x.count("bytesOut") - before; n >= int64(len(body)) {
+		t.Errorf("%d bytes went out for a body of %d", n, len(body))
+	}
+}
+
+// The receiver's process ends in the middle of an answer. The caller would
+// get the first half of a notice and take it for the whole.
+func TestHalfAnswerIsNeverWhole(t *testing.T) {
+	half := func(_ context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
+		_, _ = c.ReadBody()
+		sink.Begin(200, nil)
+		_ = sink.Data([]byte("half"), 1)
+	}
+	x, y := pair(t, Config{}, Config{}, half)
+	a, end := forward(t.Context(), x, y, "body", nil)
+	want := event.AttemptEnded{Result: event.ResultBroken, Resumable: true, Delivered: 1, Generated: 1}
+	if diff := cmp.Diff(want, end); diff != "" {
+		t.Errorf("end after %q (-want +got):\n%s", a.body.String(), diff)
+	}
+}
+
+// The receiver says "not run" of a request whose answer has begun, by a fault
+// of its own. Believed, the request would be run again elsewhere.
+func TestNotRunAfterDataIsNotBelieved(t *testing.T) {
+	x, y := pair(t, Config{}, Config{}, func(_ context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
+		_, _ = c.ReadBody()
+		sink.Begin(200, nil)
+		sink.Refuse(event.Refuse{Code: codes.Draining.ID, Outcome: event.NotRun})
+	})
+	_, end := forward(t.Context(), x, y, "body", nil)
+	if diff := cmp.Diff(event.ResultBroken, end.Result); diff != "" {
+		t.Errorf("result (-want +got):\n%s", diff)
+	}
+}
+
+// No link to the host stands and none can be made. The request has not left,
+// which the caller must be told as such and soon.
+func TestNoLinkIsNotRun(t *testing.T) {
+	x := startNode(t, Config{
+		Self: hostAt("uvs-1", "uvs", freeAddr(t)), Times: Times{Link: 50 * time.Millisecond},
+	}, nil)
+	y := &node{Mesh: New(Config{Self: hostAt("uvs-2", "uvs", freeAddr(t))})}
+	a, end := forward(t.Context(), x, y, "body", nil)
+	want := event.AttemptEnded{Result: event.ResultNotRun, Code: codes.NoTarget.ID}
+	if diff := cmp.Diff(want, end); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+	if a.sent != 0 {
+		t.Error("sent was called")
+	}
+}
+
+// A host sends a request under an attempt of another host. "Run or bar" goes
+// by the attempt, so that the other host's own request could be barred by it
+// and the promise that it was not run would be false.
+func TestForeignAttemptIsRefused(t *testing.T) {
+	x, y := pair(t, Config{}, Config{}, echo)
+	a, end := forward(t.Context(), x, y, "body", func(p *serve.Passed) { p.Forward.Envelope.Attempt.Entry = "uvs-3" })
+	want := event.AttemptEnded{Result: event.ResultNotRun, Code: codes.ForgedEnvelope.ID}
+	if diff := cmp.Diff(want, end); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+	if a.body.Len() > 0 || y.count("rejected") != 1 {
+		t.Errorf("%d bytes of an answer, %d rejected", a.body.Len(), y.count("rejected"))
+	}
+}
+
+// The caller closes its connection. Its draft is wanted by nobody and must
+// not go on taking up an engine; a booking that may not be repeated runs to
+// its end, since nobody could tell afterwards whether it was made.
+func TestCallerLeaves(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		began, left := make(chan struct{}), make(chan bool, 1)
+		gate := make(chan struct{})
+		x, y := pair(t, Config{}, Config{}, func(ctx context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
+			_, _ = c.ReadBody()
+			close(began)
+			if !once {
+				<-ctx.Done()
+				left <- true
+				return
+			}
+			<-gate
+			sink.Begin(200, nil)
+			left <- ctx.Err() != nil || sink.Data([]byte("booked"), 1) != nil
+			sink.Finish(event.Done)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { <-began; cancel() }()
+		_, end := forward(ctx, x, y, "body", func(p *serve.Passed) { p.Forward.Once = once })
+		if diff := cmp.Diff(event.ResultBroken, end.Result); diff != "" {
+			t.Errorf("once %v: result (-want +got):\n%s", once, diff)
+		}
+		close(gate)
+		if diff := cmp.Diff(!once, <-left); diff != "" {
+			t.Errorf("once %v: broken off (-want +got):\n%s", once, diff)
+		}
+	}
+}
+
+// A peer sends a body longer than the limit. Taken in, a few such would end
+// the process by its memory.
+func TestHugeBodyIsRefused(t *testing.T) {
+	x, y := pair(t, Config{}, Config{Bounds: Bounds{Body: ident.Bytes(100_000)}}, echo)
+	_, end := forward(t.Context(), x, y, strings.Repeat("x", 200_000), nil)
+	if diff := cmp.Diff(event.ResultNotRun, end.Result); diff != "" {
+		t.Errorf("result (-want +got):\n%s", diff)
+	}
+}
+
+// A peer sends more requests at once than one session may hold. Each of them
+// beyond the bound ends at once as not run instead of waiting without end.
+func TestStreamsAreBounded(t *testing.T) {
+	gate, began := make(chan struct{}), make(chan struct{}, 1)
+	x, y := pair(t, Config{}, Config{Bounds: Bounds{Streams: 1}}, func(ctx context.Context, c serve.Call, r event.Request, s serve.Sink) {
+		began <- struct{}{}
+		<-gate
+		echo(ctx, c, r, s)
+	})
+	first := make(chan event.AttemptEnded, 1)
+	go func() {
+		_, end := forward(context.Background(), x, y, "body", nil)
+		first <- end
+	}()
+	<-began
+	_, end := forward(t.Context(), x, y, "body", nil)
+	if diff := cmp.Diff(event.ResultNotRun, end.Result); diff != "" {
+		t.Errorf("the second (-want +got):\n%s", diff)
+	}
+	close(gate)
+	if diff := cmp.Diff(event.ResultDone, (<-first).Result); diff != "" {
+		t.Errorf("the first (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/peer/take.go
@@ -0,0 +1,250 @@
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/serve"
+	"verbenadale.example/verbenadale/internal/wire"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/value"
+)
+
+// take is one request that a peer passes on to this host.
+type take struct {
+	m    *Mesh
+	s    *session
+	part *part
+	open *wire.Open
+
+	cancel context.CancelFunc
+	// watching says that a watch reads the stream, gone that the peer no
+	// longer wants the answer.
+	watching bool
+	gone     atomic.Bool
+	watched  chan struct{}
+
+	ended bool
+	bytes uint64
+}
+
+// run reads the head of the request and has it run. The body stays unread
+// until the reducer has let the request in.
+func (k *take) run() error {
+	defer k.m.taken.Add(-1)
+	defer k.s.streams.Add(-1)
+	defer k.s.inbound.Add(-1)
+	defer k.part.st.Close()
+	k.part.readWithin(k.m.cfg.Times.Hello)
+	msg, err := k.part.read()
+	if err != nil || msg.GetOpen() == nil {
+		k.m.cnt.rejected.Inc(1)
+		return nil
+	}
+	k.open = msg.GetOpen()
+	if !k.honest() {
+		k.m.cnt.rejected.Inc(1)
+		k.end(event.AttemptEnded{Result: event.ResultNotRun, Code: codes.ForgedEnvelope.ID})
+		k.linger()
+		return nil
+	}
+	k.serve()
+	k.linger()
+	return nil
+}
+
+// honest reports whether the attempt is the peer's own. "Run or bar" goes by
+// the attempt, so that one under another host's name could bar that one's.
+func (k *take) honest() bool {
+	a := k.open.GetEnvelope().ToEvent(k.s.host).Attempt
+	return a.Entry == k.s.host.ID && a.Incarnation == k.s.host.Incarnation && a.Number > 0
+}
+
+func (k *take) serve() {
+	ctx, cancel := context.WithCancel(k.m.t.Context(context.Background()))
+	defer cancel()
+	k.cancel = cancel
+	k.watched = make(chan struct{})
+	stop := context.AfterFunc(ctx, k.part.expire)
+	k.m.serve(ctx, k.call(), k.request(), serve.Sink{
+		Begin: k.begin, Data: k.data, Finish: k.finish, Refuse: k.refuse,
+	})
+	stop()
+}
+
+// linger waits until the peer has closed the stream. It does so once it has
+// the end frame, which is thus known to have arrived before a host that
+// drains goes on to stop.
+func (k *take) linger() {
+	k.part.readWithin(k.m.cfg.Times.Hello)
+	if k.watching {
+		<-k.watched
+		return
+	}
+	k.drain()
+}
+
+// drain reads until the peer closes the stream.
+func (k *take) drain() {
+	for {
+		if _, err := k.part.read(); err != nil {
+			return
+		}
+	}
+}
+
+// newID returns an id under which the request runs here. It is not that of
+// the caller's host: a request that comes back to a host which already has it
+// must not be taken for that one.
+func newID() ident.RequestID {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return ident.RequestID("fwd-" + hex.EncodeToString(b[:]))
+}
+
+func (k *take) request() event.Request {
+	o := k.open
+	return event.Request{
+		ID: newID(), Account: ident.Account(o.GetAccount()), Profile: ident.Profile(o.GetProfile()),
+		Prompt: ident.Tokens(o.GetPrompt()), MaxTokens: ident.Tokens(o.GetMaxTokens()),
+		Deadline: k.m.cfg.Clock.Now().Add(o.Left()), Stream: o.GetStream(),
+		Envelope: value.Some(o.GetEnvelope().ToEvent(k.s.host)),
+	}
+}
+
+func (k *take) call() serve.Call {
+	o := k.open
+	return serve.Call{
+		Method: o.GetMethod(), Path: o.GetPath(), Header: wire.ToHeader(o.GetHeader()),
+		ReadBody: k.readBody, Answer: ident.RequestID(o.GetRequest()), Resume: ident.Tokens(o.GetResume()),
+		Stream: o.GetStream(), Engine: o.GetEngine(),
+	}
+}
+
+// readBody asks for the body and reads it, and then watches the stream. Its
+// time and its length are bounded, so that a slow or huge sender holds this
+// host's memory no longer than that.
+func (k *take) readBody() ([]byte, error) {
+	if err := k.part.write(&wire.Part{Body: &wire.Part_GoOn{GoOn: &wire.GoOn{}}}); err != nil {
+		return nil, errors.Wrap(ErrLink, err.Error())
+	}
+	k.part.readWithin(k.m.cfg.Times.Body)
+	var body []byte
+	for {
+		msg, err := k.part.read()
+		if err != nil {
+			return nil, errors.Wrap(ErrLink, err.Error())
+		}
+		p := msg.GetPiece()
+		if p == nil {
+			return nil, errors.Wrap(ErrRefused, "no piece of a body")
+		}
+		if ident.Bytes(len(body)+len(p.GetBody())) > k.m.cfg.Bounds.Body {
+			return nil, errors.Wrap(ErrFull, "bytes of a body")
+		}
+		body = append(body, p.GetBody()...)
+		if p.GetLast() {
+			return body, k.watch()
+		}
+	}
+}
+
+func (k *take) watch() error {
+	k.part.readWithin(watchTime)
+	w := &watch{k: k}
+	if !k.m.start(w.run) {
+		return ErrLink
+	}
+	k.watching = true
+	return nil
+}
+
+// watchTime is longer than any request may run.
+const watchTime = 24 * time.Hour
+
+// watch notices that the peer closes the stream while the request runs.
+type watch struct{ k *take }
+
+func (w *watch) run() error {
+	defer close(w.k.watched)
+	w.k.drain()
+	w.k.gone.Store(true)
+	if !w.k.open.GetOnce() {
+		w.k.cancel()
+	}
+	return nil
+}
+
+func (k *take) begin(status int, h http.Header) {
+	_ = k.say(&wire.Part{Body: &wire.Part_Begin{Begin: &wire.Begin{
+		Status: uint32(status), Header: wire.FromHeader(h),
+	}}})
+}
+
+func (k *take) data(b []byte, upto ident.Tokens) error {
+	for _, p := range pieces(b) {
+		k.bytes += uint64(len(p))
+		msg := &wire.Part{Body: &wire.Part_Data{Data: &wire.Data{Body: p, Upto: int64(upto)}}}
+		if err := k.say(msg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// say sends a part of the answer. A call that may not be repeated goes on
+// when nobody takes its answer any longer: breaking it off would leave
+// unknown whether it ran.
+func (k *take) say(msg *wire.Part) error {
+	if k.gone.Load() && k.open.GetOnce() {
+		return nil
+	}
+	err := k.part.write(msg)
+	if err != nil && k.open.GetOnce() {
+		k.gone.Store(true)
+		return nil
+	}
+	return err
+}
+
+func (k *take) finish(outcome event.Outcome) {
+	end := event.AttemptEnded{Result: event.ResultBroken}
+	if outcome == event.Done {
+		end.Result = event.ResultDone
+	}
+	k.end(end)
+}
+
+// refuse passes a refusal on. One that says that the request ran, though its
+// answer is gone, ends the attempt as a failure and never as an answer.
+func (k *take) refuse(r event.Refuse) {
+	c, _ := codes.Find(r.Code)
+	end := event.AttemptEnded{Code: r.Code, Status: c.Status, RetryAfter: r.RetryAfter}
+	switch r.Outcome {
+	case event.NotRun:
+		end.Result = event.ResultNotRun
+		end.Leaving = r.Code == codes.Draining.ID
+	case event.Done:
+		end.Result = event.ResultFailed
+	default:
+		end.Result = event.ResultBroken
+		end.Resumable = k.open.GetStream()
+	}
+	k.end(end)
+}
+
+func (k *take) end(end event.AttemptEnded) {
+	if k.ended {
+		return
+	}
+	k.ended = true
+	_ = k.say(&wire.Part{Body: &wire.Part_End{End: wire.FromEnd(end, k.bytes)}})
+}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -43,9 +43,9 @@
 
 func (r *run) order(d event.Dispatch) target.Order {
 	return target.Order{
-		Target: d.Target, Attempt: d.Attempt, Request: r.req.ID,
+		Target: d.Target, Attempt: d.Attempt, Request: r.call.Answer,
 		Method: r.call.Method, Path: r.call.Path, Header: r.call.Header, Body: r.call.Body,
-		Priority: d.Priority, Resume: d.Resume, Left: r.left(d.Deadline), Once: d.Once,
+		Priority: d.Priority, Resume: max(d.Resume, r.upto), Left: r.left(d.Deadline), Once: d.Once,
 	}
 }
 
@@ -67,9 +67,10 @@
 		return end
 	}
 	r.begin(res.StatusCode, answerHeader(res.Header))
+	from := r.upto
 	err := r.copy(res)
 	end.Delivered = r.upto
-	end.Generated = r.upto - d.Resume
+	end.Generated = r.upto - from
 	end.Result = event.ResultDone
 	if err != nil {
 		end.Result = event.ResultBroken
@@ -131,7 +132,7 @@
 	if err := json.Unmarshal(b, &head); err != nil {
 		return errors.Wrap(errShort, err.Error())
 	}
-	if head.ID != r.req.ID {
+	if head.ID != r.call.Answer {
 		return errCrossed
 	}
 	return nil
@@ -149,7 +150,7 @@
 // the reducer has taken note of the end.
 func (r *run) copyStream(body io.Reader) error {
 	br := bufio.NewReaderSize(body, streamBuffer)
-	own := []byte(`"` + string(r.req.ID) + `"`)
+	own := []byte(`"` + string(r.call.Answer) + `"`)
 	var ev []byte
 	upto := r.upto
 	for {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -33,6 +33,15 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// ReadBody, where set, reads the body before the first attempt, once the
+	// reducer has let the request in. A body that may not enter this host is
+	// thus never read.
+	ReadBody func() ([]byte, error)
+	// Answer is the request id that the answer names, where another entry
+	// host gave it out; empty stands for the id of the request.
+	Answer ident.RequestID
+	// Resume is the number of tokens that the caller has been given before.
+	Resume ident.Tokens
 	// Stream says that the answer is a stream of server-sent events.
 	Stream bool
 	// Engine says that the answer is an engine's, which must name its request
@@ -57,6 +66,13 @@
 	Data  func(b []byte, upto ident.Tokens) error
 }
 
+// Passed is a request that is passed on to another entry host.
+type Passed struct {
+	Forward event.Forward
+	Request event.Request
+	Call    Call
+}
+
 // Runner runs requests.
 type Runner struct {
 	Loop    *loop.Loop
@@ -65,7 +81,7 @@
 	Targets *target.Client
 	// Forward runs an attempt at another entry host. It calls sent before the
 	// first byte can reach it.
-	Forward func(ctx context.Context, f event.Forward, c Call, sent func(), out Relay) event.AttemptEnded
+	Forward func(ctx context.Context, p Passed, sent func(), out Relay) event.AttemptEnded
 	// Outcomes keeps the answers that repeats are given again.
 	Outcomes *Outcomes
 	// MaxAnswer bounds an answer that is held until it is whole.
@@ -80,7 +96,10 @@
 		return
 	}
 	defer rn.Loop.Close(req.ID)
-	r := &run{Runner: rn, call: call, req: req, sink: sink}
+	r := &run{Runner: rn, call: call, req: req, sink: sink, upto: call.Resume}
+	if r.call.Answer == "" {
+		r.call.Answer = req.ID
+	}
 	rn.Loop.Post(event.RequestArrived{Request: req})
 	for {
 		select {
@@ -123,7 +142,7 @@
 		})
 	case event.Forward:
 		return r.attempt(ctx, e.Envelope.Attempt, e.Deadline, e.Once, e.Keep, func(ctx context.Context, sent func()) event.AttemptEnded {
-			return r.Forward(ctx, e, r.call, sent, r.relay())
+			return r.Forward(ctx, Passed{Forward: e, Request: r.req, Call: r.call}, sent, r.relay())
 		})
 	case event.Replay:
 		r.replay(e)
@@ -144,6 +163,9 @@
 	do func(ctx context.Context, sent func()) event.AttemptEnded,
 ) bool {
 	r.held = Held{}
+	if !r.readBody() {
+		return true
+	}
 	base := ctx
 	if once {
 		// A call that may not be repeated goes on when its caller leaves: to
@@ -167,6 +189,24 @@
 	return false
 }
 
+// readBody reads a body that was left unread until now and reports whether
+// the request can go on. Without its body the request has not run: no attempt
+// has been made.
+func (r *run) readBody() bool {
+	if r.call.ReadBody == nil {
+		return true
+	}
+	b, err := r.call.ReadBody()
+	if err != nil {
+		r.leave(r.req.ID)
+		r.sink.Refuse(event.Refuse{Request: r.req.ID, Code: codes.BadRequest.ID, Outcome: event.NotRun})
+		return false
+	}
+	r.call.Body = b
+	r.call.ReadBody = nil
+	return true
+}
+
 func (r *run) left(deadline ident.Time) time.Duration {
 	return max(deadline.Sub(r.Clock.Now()), 0)
 }
--- /dev/null
+++ b/internal/wire/call.go
@@ -0,0 +1,106 @@
+package wire
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// FromEnvelope maps an envelope. Who sends it and where that stands is told
+// by the session and not repeated.
+func FromEnvelope(e event.Envelope) *Envelope {
+	return &Envelope{
+		Attempt: fromAttempt(e.Attempt), To: uint64(e.To), Crossings: uint32(e.Crossings),
+		Seen: convert(e.Seen, func(id ident.EntryID) string { return string(id) }), Revision: uint64(e.Revision),
+	}
+}
+
+// ToEvent maps an envelope that came from an authenticated host.
+func (p *Envelope) ToEvent(from event.Host) event.Envelope {
+	return event.Envelope{
+		Attempt: toAttempt(p.GetAttempt()), To: ident.Incarnation(p.GetTo()),
+		From: from.ID, FromPlace: from.Place, Crossings: ident.Hops(p.GetCrossings()),
+		Seen:     convert(p.GetSeen(), func(id string) ident.EntryID { return ident.EntryID(id) }),
+		Revision: ident.Revision(p.GetRevision()),
+	}
+}
+
+func fromAttempt(a ident.Attempt) *Attempt {
+	return &Attempt{Entry: string(a.Entry), Incarnation: uint64(a.Incarnation), Number: a.Number}
+}
+
+func toAttempt(p *Attempt) ident.Attempt {
+	return ident.Attempt{
+		Entry: ident.EntryID(p.GetEntry()), Incarnation: ident.Incarnation(p.GetIncarnation()), Number: p.GetNumber(),
+	}
+}
+
+// FromHeader maps a header, in the order of the names.
+func FromHeader(h http.Header) []*Field {
+	fs := make([]*Field, 0, len(h))
+	for k, vs := range h {
+		fs = append(fs, &Field{Name: k, Values: vs})
+	}
+	slices.SortFunc(fs, func(x, y *Field) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	})
+	return fs
+}
+
+// ToHeader maps a header back.
+func ToHeader(fs []*Field) http.Header {
+	h := make(http.Header, len(fs))
+	for _, f := range fs {
+		for _, v := range f.GetValues() {
+			h.Add(f.GetName(), v)
+		}
+	}
+	return h
+}
+
+// FromRequest maps a request with the time that it has left. The digests of
+// its prompt, its ticket and its key stay here: the host that took the call
+// answers for it.
+func FromRequest(r event.Request, env event.Envelope, left time.Duration) *Open {
+	return &Open{
+		Envelope: FromEnvelope(env), Request: string(r.ID), Account: string(r.Account),
+		Profile: string(r.Profile), Prompt: int64(r.Prompt), MaxTokens: int64(r.MaxTokens),
+		Stream: r.Stream, LeftMs: millis(left),
+	}
+}
+
+// Left is the time that the request has left.
+func (p *Open) Left() time.Duration { return duration(p.GetLeftMs()) }
+
+var results = pairsOf([]event.Result{
+	"", event.ResultDone, event.ResultNotRun, event.ResultBroken, event.ResultFailed,
+})
+
+// FromEnd maps the end of an attempt, with the number of bytes of its answer.
+func FromEnd(e event.AttemptEnded, bytes uint64) *End {
+	return &End{
+		Result: Result(results.index(e.Result)), Code: string(e.Code), Status: uint32(e.Status),
+		RetryAfterMs: millis(e.RetryAfter), Generated: int64(e.Generated), Cached: int64(e.Cached),
+		Leaving: e.Leaving, Resumable: e.Resumable, Bytes: bytes,
+	}
+}
+
+// ToEvent maps the end of an attempt back.
+func (p *End) ToEvent() (event.AttemptEnded, error) {
+	res, err := results.at(int32(p.GetResult()))
+	if err != nil {
+		return event.AttemptEnded{}, err
+	}
+	return event.AttemptEnded{
+		Result: res, Code: codes.ID(p.GetCode()), Status: int(p.GetStatus()),
+		RetryAfter: duration(p.GetRetryAfterMs()), Generated: ident.Tokens(p.GetGenerated()),
+		Cached: ident.Tokens(p.GetCached()), Leaving: p.GetLeaving(), Resumable: p.GetResumable(),
+	}, nil
+}
--- /dev/null
+++ b/internal/wire/change.go
@@ -0,0 +1,121 @@
+package wire
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// FromChanges maps changes of the configuration.
+func FromChanges(cs []rules.Change) *Changes { return &Changes{Changes: convert(cs, fromChange)} }
+
+// ToEvent maps changes back.
+func (p *Changes) ToEvent() []rules.Change { return convert(p.GetChanges(), toChange) }
+
+func fromChange(c rules.Change) *Change {
+	return &Change{
+		Revision: uint64(c.Revision), Id: string(c.ID), Base: uint64(c.Base), Operator: string(c.Operator),
+		Approver: string(c.Approver), Note: c.Note, Items: convert(c.Items, fromItem),
+	}
+}
+
+func toChange(p *Change) rules.Change {
+	return rules.Change{
+		Revision: ident.Revision(p.GetRevision()), ID: ident.ChangeID(p.GetId()), Base: ident.Revision(p.GetBase()),
+		Operator: ident.Operator(p.GetOperator()), Approver: ident.Operator(p.GetApprover()),
+		Note: p.GetNote(), Items: convert(p.GetItems(), toItem),
+	}
+}
+
+func fromItem(it rules.Item) *Item {
+	return &Item{Kind: string(it.Kind), Name: it.Name, Doc: it.Doc}
+}
+
+func toItem(p *Item) rules.Item {
+	return rules.Item{Kind: rules.Kind(p.GetKind()), Name: p.GetName(), Doc: p.GetDoc()}
+}
+
+// FromBook maps a whole book.
+func FromBook(b *rules.Book) (*Snapshot, error) {
+	text, err := json.Marshal(b)
+	if err != nil {
+		return nil, errors.Wrap(ErrFormat, err.Error())
+	}
+	return &Snapshot{Book: text}, nil
+}
+
+// ToEvent maps a book back.
+func (p *Snapshot) ToEvent() (*rules.Book, error) {
+	b := &rules.Book{}
+	if err := json.Unmarshal(p.GetBook(), b); err != nil {
+		return nil, errors.Wrap(ErrFormat, err.Error())
+	}
+	return b, nil
+}
+
+var answers = pairsOf([]event.Answer{
+	"", event.Barred, event.Running, event.Ended, event.Refused, event.Forgotten,
+})
+
+// FromBarAsk maps the question about an attempt.
+func FromBarAsk(e event.AskBar) *BarAsk {
+	return &BarAsk{Incarnation: uint64(e.Attempt.Incarnation), Number: e.Attempt.Number, To: uint64(e.Incarnation)}
+}
+
+// ToEvent maps the question of a peer. It can only be about an attempt of the
+// peer, since the wire has no field for another's.
+func (p *BarAsk) ToEvent(from ident.EntryID) event.BarAsked {
+	return event.BarAsked{
+		From: from, To: ident.Incarnation(p.GetTo()),
+		Attempt: ident.Attempt{
+			Entry: from, Incarnation: ident.Incarnation(p.GetIncarnation()), Number: p.GetNumber(),
+		},
+	}
+}
+
+// FromBarAnswer maps an answer.
+func FromBarAnswer(e event.AnswerBar) *BarAnswer {
+	return &BarAnswer{
+		Incarnation: uint64(e.Attempt.Incarnation), Number: e.Attempt.Number, Answer: Answer(answers.index(e.Answer)),
+	}
+}
+
+// ToEvent maps an answer about an attempt of this host.
+func (p *BarAnswer) ToEvent(self ident.EntryID) (event.BarAnswered, error) {
+	ans, err := answers.at(int32(p.GetAnswer()))
+	if err != nil {
+		return event.BarAnswered{}, err
+	}
+	return event.BarAnswered{
+		Attempt: ident.Attempt{
+			Entry: self, Incarnation: ident.Incarnation(p.GetIncarnation()), Number: p.GetNumber(),
+		},
+		Answer: ans,
+	}, nil
+}
+
+// pairs numbers the values of a named string type. The value numbered zero
+// stands for none and is malformed.
+type pairs[T ~string] []T
+
+func pairsOf[T ~string](vs []T) pairs[T] { return vs }
+
+func (ps pairs[T]) index(v T) int32 {
+	for n, p := range ps {
+		if p == v {
+			return int32(n)
+		}
+	}
+	return 0
+}
+
+func (ps pairs[T]) at(n int32) (T, error) {
+	if n <= 0 || int(n) >= len(ps) {
+		return "", errors.Wrapf(ErrFormat, "no value has the number %d", n)
+	}
+	return ps[n], nil
+}
--- /dev/null
+++ b/internal/wire/digest.go
@@ -0,0 +1,114 @@
+package wire
+
+import (
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// FromDigest maps a digest. Of its host only the leaving mark travels.
+func FromDigest(d event.Digest) *Digest {
+	return &Digest{
+		Leaving: d.Host.Leaving, Seq: d.Seq, Revision: uint64(d.Revision),
+		Use: convert(d.Use, fromUse), Loads: convert(d.Loads, fromLoad),
+		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
+		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
+	}
+}
+
+// ToEvent maps a digest back. The host is the one that the hello named.
+func (p *Digest) ToEvent(host event.Host) event.Digest {
+	host.Leaving = p.GetLeaving()
+	return event.Digest{
+		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
+		Use: convert(p.GetUse(), toUse), Loads: convert(p.GetLoads(), toLoad),
+		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
+		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
+	}
+}
+
+// FromSummary maps a summary.
+func FromSummary(s event.Summary) *Summary {
+	return &Summary{
+		From: string(s.From), Place: fromPlace(s.Place), Incarnation: uint64(s.Incarnation), Seq: s.Seq,
+		AgeMs: millis(s.Age), InForce: uint64(s.InForce), Highest: uint64(s.Highest),
+		Hosts: convert(s.Hosts, FromHost), Pools: convert(s.Pools, fromPool),
+		Accounts: convert(s.Accounts, fromAccount),
+	}
+}
+
+// ToEvent maps a summary back.
+func (p *Summary) ToEvent() event.Summary {
+	return event.Summary{
+		From: ident.EntryID(p.GetFrom()), Place: toPlace(p.GetPlace()),
+		Incarnation: ident.Incarnation(p.GetIncarnation()), Seq: p.GetSeq(), Age: duration(p.GetAgeMs()),
+		InForce: ident.Revision(p.GetInForce()), Highest: ident.Revision(p.GetHighest()),
+		Hosts: convert(p.GetHosts(), (*Host).ToEvent), Pools: convert(p.GetPools(), toPool),
+		Accounts: convert(p.GetAccounts(), toAccount),
+	}
+}
+
+func fromUse(u event.TargetUse) *TargetUse {
+	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens)}
+}
+
+func toUse(p *TargetUse) event.TargetUse {
+	return event.TargetUse{
+		Target: ident.TargetID(p.GetTarget()), Running: int(p.GetRunning()), Tokens: ident.Tokens(p.GetTokens()),
+	}
+}
+
+func fromAccount(a event.AccountUse) *AccountUse {
+	return &AccountUse{Account: string(a.Account), Requests: float32(a.Requests), Tokens: float32(a.Tokens)}
+}
+
+func toAccount(p *AccountUse) event.AccountUse {
+	return event.AccountUse{
+		Account:  ident.Account(p.GetAccount()),
+		Requests: ident.PerMinute(p.GetRequests()), Tokens: ident.PerMinute(p.GetTokens()),
+	}
+}
+
+func fromLeaving(t event.LeavingTarget) *LeavingTarget {
+	return &LeavingTarget{Target: string(t.Target), Incarnation: uint64(t.Incarnation)}
+}
+
+func toLeaving(p *LeavingTarget) event.LeavingTarget {
+	return event.LeavingTarget{
+		Target: ident.TargetID(p.GetTarget()), Incarnation: ident.Incarnation(p.GetIncarnation()),
+	}
+}
+
+func fromLoad(l event.Load) *Load {
+	return &Load{
+		Target: string(l.Target), Incarnation: uint64(l.Incarnation), Seq: l.Seq, AgeMs: millis(l.Age),
+		Slots: int64(l.Slots), Running: int64(l.Running), Queued: int64(l.Queued),
+		QueuedTokens: int64(l.QueuedTokens), PrefillRate: float32(l.PrefillRate),
+		DecodeRate: float32(l.DecodeRate), Serves: convert(l.Serves, fromServe), Leaving: l.Leaving,
+	}
+}
+
+func toLoad(p *Load) event.Load {
+	return event.Load{
+		Target: ident.TargetID(p.GetTarget()), Incarnation: ident.Incarnation(p.GetIncarnation()),
+		Seq: p.GetSeq(), Age: duration(p.GetAgeMs()), Slots: int(p.GetSlots()), Running: int(p.GetRunning()),
+		Queued: int(p.GetQueued()), QueuedTokens: ident.Tokens(p.GetQueuedTokens()),
+		PrefillRate: float64(p.GetPrefillRate()), DecodeRate: float64(p.GetDecodeRate()),
+		Serves: convert(p.GetServes(), toServe), Leaving: p.GetLeaving(),
+	}
+}
+
+func fromPool(l event.Pool) *Pool {
+	return &Pool{
+		Serve: fromServe(l.Serve), Service: l.Service, Slots: int64(l.Slots), Free: int64(l.Free),
+		Offer: int64(l.Offer), WaitMs: millis(l.Wait), PrefillRate: float32(l.PrefillRate),
+		DecodeRate: float32(l.DecodeRate), Price: float32(l.Price),
+	}
+}
+
+func toPool(p *Pool) event.Pool {
+	return event.Pool{
+		Serve: toServe(p.GetServe()), Service: p.GetService(), Slots: int(p.GetSlots()), Free: int(p.GetFree()),
+		Offer: int(p.GetOffer()), Wait: duration(p.GetWaitMs()), PrefillRate: float64(p.GetPrefillRate()),
+		DecodeRate: float64(p.GetDecodeRate()), Price: float64(p.GetPrice()),
+	}
+}
--- /dev/null
+++ b/internal/wire/host.go
@@ -0,0 +1,72 @@
+package wire
+
+import (
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// FromHost maps a host.
+func FromHost(h event.Host) *Host {
+	return &Host{
+		Id: string(h.ID), Incarnation: uint64(h.Incarnation), Place: fromPlace(h.Place),
+		CallerUrl: h.CallerURL, PeerAddr: h.PeerAddr, Leaving: h.Leaving,
+	}
+}
+
+// ToEvent maps a host back.
+func (p *Host) ToEvent() event.Host {
+	return event.Host{
+		ID: ident.EntryID(p.GetId()), Incarnation: ident.Incarnation(p.GetIncarnation()),
+		Place: toPlace(p.GetPlace()), CallerURL: p.GetCallerUrl(), PeerAddr: p.GetPeerAddr(),
+		Leaving: p.GetLeaving(),
+	}
+}
+
+func fromPlace(p event.Place) *Place {
+	if p == (event.Place{}) {
+		return nil
+	}
+	return &Place{DataCentre: string(p.DataCentre), Region: string(p.Region)}
+}
+
+func toPlace(p *Place) event.Place {
+	return event.Place{DataCentre: ident.DataCentre(p.GetDataCentre()), Region: ident.Region(p.GetRegion())}
+}
+
+func fromServe(s rules.Serve) *Serve {
+	if s == (rules.Serve{}) {
+		return nil
+	}
+	return &Serve{Model: string(s.Model), Version: string(s.Version), Adapter: string(s.Adapter)}
+}
+
+func toServe(p *Serve) rules.Serve {
+	return rules.Serve{
+		Model: ident.Model(p.GetModel()), Version: ident.Version(p.GetVersion()),
+		Adapter: ident.Adapter(p.GetAdapter()),
+	}
+}
+
+func fromTarget(t event.Target) *Target {
+	kind := TargetKind_TARGET_KIND_ENGINE
+	if t.Kind == event.Service {
+		kind = TargetKind_TARGET_KIND_SERVICE
+	}
+	return &Target{
+		Id: string(t.ID), Incarnation: uint64(t.Incarnation), Kind: kind, Place: fromPlace(t.Place),
+		Url: t.URL, Service: t.Service, Leaving: t.Leaving, Price: float32(t.Price),
+	}
+}
+
+func toTarget(p *Target) event.Target {
+	kind := event.Engine
+	if p.GetKind() == TargetKind_TARGET_KIND_SERVICE {
+		kind = event.Service
+	}
+	return event.Target{
+		ID: ident.TargetID(p.GetId()), Incarnation: ident.Incarnation(p.GetIncarnation()), Kind: kind,
+		Place: toPlace(p.GetPlace()), URL: p.GetUrl(), Service: p.GetService(),
+		Leaving: p.GetLeaving(), Price: float64(p.GetPrice()),
+	}
+}
