test the links under failures, and keep them until a drain has ended

Cause: what the links do when a peer is frozen, slow, foreign, replaced or half done had not been shown.

A new run of a host is told to the reducer before the end of the old one, which a test found to be the other way round. A request that ended without an end frame closes its stream at once.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -192,7 +192,7 @@
 		_ = d.callers.Shutdown(ctx)
 		_ = d.ops.Shutdown(ctx)
 	}
-	d.mesh.Stop(ctx)
+	d.stopMesh()
 	d.t.Kill(nil)
 	_ = d.t.Wait()
 	d.loop.Stop()
--- a/internal/daemon/mesh.go
+++ b/internal/daemon/mesh.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/clock"
@@ -34,3 +36,11 @@
 	p, ok := d.book.Load().Profile(name)
 	return !ok || p.Confined()
 }
+
+// stopMesh ends the links, after the callers' side has ended: a request of a
+// caller may still run at a peer.
+func (d *Daemon) stopMesh() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	d.mesh.Stop(ctx)
+}
--- a/internal/dev/certs/certs.go
+++ b/internal/dev/certs/certs.go
@@ -116,3 +116,6 @@
 	}
 	return nil
 }
+
+// Signed reports whether a certificate is one of this authority.
+func (a *Authority) Signed(c *x509.Certificate) bool { return c.CheckSignatureFrom(a.cert) == nil }
--- /dev/null
+++ b/internal/peer/bench_test.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/serve"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// gap is the time between two tokens of a stream, short beside that of an
+// engine.
+const gap = 2 * time.Millisecond
+
+// BenchmarkForwardedToken measures the time from the moment that the serving
+// host has a token of a stream to the moment that the caller's host has it,
+// over TLS on the loopback interface.
+func BenchmarkForwardedToken(b *testing.B) {
+	given := make([]time.Time, b.N)
+	text := []byte(fmt.Sprintf("id: 1\ndata: %0160d\n\n", 0))
+	x, y := benchPair(b, func(_ context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
+		_, _ = c.ReadBody()
+		sink.Begin(200, nil)
+		for n := range given {
+			time.Sleep(gap)
+			given[n] = time.Now()
+			_ = sink.Data(text, ident.Tokens(n+1))
+		}
+		sink.Finish(event.Done)
+	})
+	p := someCall(y.cfg.Self, "body")
+	p.Forward.Envelope.Attempt.Incarnation = x.cfg.Self.Incarnation
+	late := make([]time.Duration, 0, b.N)
+	before := x.count("bytesIn")
+	b.ResetTimer()
+	end := x.Forward(b.Context(), p, func() {}, serve.Relay{
+		Begin: func(int, http.Header) {},
+		Data: func(_ []byte, upto ident.Tokens) error {
+			late = append(late, time.Since(given[upto-1]))
+			return nil
+		},
+	})
+	if end.Result != event.ResultDone || len(late) != b.N {
+		b.Fatalf("%+v after %d tokens", end, len(late))
+	}
+	slices.Sort(late)
+	b.ReportMetric(float64(late[len(late)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(late[len(late)*99/100].Microseconds()), "p99-µs")
+	b.ReportMetric(float64(x.count("bytesIn")-before)/float64(b.N), "wireB/token")
+}
+
+// BenchmarkDigest measures a digest from the effect to the event and its bytes
+// on the wire, with those that the session and TLS add.
+func BenchmarkDigest(b *testing.B) {
+	x, y := benchPair(b, nil)
+	dig := event.Digest{Host: x.cfg.Self, Revision: 8400}
+	for n := range 5 {
+		id := ident.TargetID(fmt.Sprintf("uvs-e%d", n))
+		dig.Use = append(dig.Use, event.TargetUse{Target: id, Running: 3, Tokens: 2100})
+		dig.Accounts = append(dig.Accounts, event.AccountUse{Account: ident.Account(fmt.Sprintf("account-%d", n)), Requests: 9, Tokens: 4096})
+	}
+	before := x.count("bytesOut")
+	b.ResetTimer()
+	for n := range b.N {
+		dig.Seq = uint64(n + 1)
+		x.Send(event.SendDigest{To: []event.Host{y.cfg.Self}, Digest: dig})
+		for !y.digest(dig.Seq) {
+			time.Sleep(20 * time.Microsecond)
+		}
+	}
+	b.ReportMetric(float64(x.count("bytesOut")-before)/float64(b.N), "wireB/digest")
+}
+
+// digest reports whether the newest event is the digest with a number, and
+// forgets the events.
+func (n *node) digest(seq uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.evs) == 0 {
+		return false
+	}
+	d, ok := n.evs[len(n.evs)-1].(event.DigestReceived)
+	n.evs = n.evs[:0]
+	return ok && d.Digest.Seq == seq
+}
+
+func benchPair(b *testing.B, run ServeFunc) (*node, *node) {
+	b.Helper()
+	ca := newCA(b)
+	keyed := func(id ident.EntryID) Config {
+		return Config{Self: hostAt(id, "uvs", freeAddr(b)), Keys: keysFor(b, ca, id)}
+	}
+	x, y := pair(b, keyed("uvs-1"), keyed("uvs-2"), run)
+	linked(b, x, y)
+	return x, y
+}
--- /dev/null
+++ b/internal/peer/fault_test.go
@@ -0,0 +1,218 @@
+package peer
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/wire"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+func hostCfg(t *testing.T, id ident.EntryID, dc ident.DataCentre, ts Times) Config {
+	t.Helper()
+	return Config{Self: hostAt(id, dc, freeAddr(t)), Times: ts}
+}
+
+// A process is frozen. Its kernel goes on to confirm what it is sent, so that
+// no write fails, and a caller whose request was passed to it would wait for
+// its whole deadline.
+func TestFrozenPeerIsNoticed(t *testing.T) {
+	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{
+		Tick: 20 * time.Millisecond, Ping: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
+	}), nil)
+	frozen := hostAt("uvs-2", "uvs", "127.0.0.1:1")
+	mustConnect(t, x, frozen)
+	eventually(t, "the link is up", func() bool { return x.has(isUp("uvs-2")) })
+	y := &node{Mesh: New(Config{Self: frozen})}
+	a, end := forward(t.Context(), x, y, "body", nil)
+	if diff := cmp.Diff(event.ResultNotRun, end.Result); diff != "" {
+		t.Errorf("result of a request whose body was not asked for (-want +got):\n%s", diff)
+	}
+	if a.sent != 1 {
+		t.Errorf("sent was called %d times", a.sent)
+	}
+	eventually(t, "the link is down", func() bool { return x.has(isDown("uvs-2")) })
+	if diff := cmp.Diff(int64(1), x.count("silent")); diff != "" {
+		t.Errorf("silent sessions (-want +got):\n%s", diff)
+	}
+}
+
+// Two hosts that have nothing to say must not take each other for frozen, or
+// links would break again and again in a quiet night.
+func TestQuietPeersStayLinked(t *testing.T) {
+	ts := Times{Tick: 20 * time.Millisecond, Ping: 100 * time.Millisecond, Silence: 2 * time.Second}
+	x, y := pair(t, hostCfg(t, "uvs-1", "uvs", ts), hostCfg(t, "uvs-2", "uvs", ts), nil)
+	linked(t, x, y)
+	before := y.count("bytesIn")
+	eventually(t, "several silence times of pings", func() bool { return y.count("bytesIn") >= before+30*15 })
+	if x.has(isDown("uvs-2")) || y.has(isDown("uvs-1")) {
+		t.Error("the link broke")
+	}
+}
+
+// A peer keeps its connection and reads nothing. If the control thread waited
+// for it, every decision of the host would stand still.
+func TestSlowPeerHoldsUpNobody(t *testing.T) {
+	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{}), nil)
+	slow := hostAt("uvs-2", "uvs", "127.0.0.1:1")
+	p := mustConnect(t, x, slow)
+	eventually(t, "the link is up", func() bool { return x.has(isUp("uvs-2")) })
+	dig := event.Digest{Host: x.cfg.Self}
+	for range 1000 {
+		dig.Use = append(dig.Use, event.TargetUse{Target: ident.TargetID(strings.Repeat("x", 100))})
+	}
+	for n := range 100 {
+		dig.Seq = uint64(n + 1)
+		x.Send(event.SendDigest{To: []event.Host{slow}, Digest: dig})
+	}
+	eventually(t, "old digests are dropped", func() bool { return x.count("digestsDropped") > 0 })
+
+	last := uint64(0)
+	for last != 100 {
+		f := &wire.Frame{}
+		if err := wire.Read(p.in, f, wire.MaxFrame); err != nil {
+			t.Fatalf("after digest %d: %v", last, err)
+		}
+		if d := f.GetDigest(); d != nil {
+			last = d.GetSeq()
+		}
+	}
+}
+
+// A queue that is full loses its oldest digest, which the next replaces, and
+// never a change of the configuration that is in it.
+func TestQueueDropsTheOldestDigest(t *testing.T) {
+	q := queue{most: 3}
+	name := func(s string, ages bool) item { return item{frame: []byte(s), ages: ages} }
+	var lost []string
+	for _, it := range []item{
+		name("change 1", false), name("digest 1", true), name("digest 2", true),
+		name("digest 3", true), name("change 2", false), name("change 3", false), name("change 4", false),
+	} {
+		if l, ok := q.push(it); ok {
+			lost = append(lost, string(l.frame))
+		}
+	}
+	if diff := cmp.Diff([]string{"digest 1", "digest 2", "digest 3", "change 4"}, lost); diff != "" {
+		t.Errorf("lost (-want +got):\n%s", diff)
+	}
+	first, _ := q.pop()
+	if diff := cmp.Diff("change 1", string(first.frame)); diff != "" {
+		t.Errorf("first (-want +got):\n%s", diff)
+	}
+}
+
+// Every host with a link to every other would not scale. A link to another
+// data centre goes when it is idle and comes back when it is needed, without
+// losing the message that needed it.
+func TestIdleFarLinkIsClosed(t *testing.T) {
+	ts := Times{Tick: 20 * time.Millisecond, Idle: 200 * time.Millisecond}
+	x, y := pair(t, hostCfg(t, "uvs-1", "uvs", ts), hostCfg(t, "khovd-1", "khovd", ts), nil)
+	linked(t, x, y)
+	eventually(t, "the link is closed", func() bool { return x.has(isDown("khovd-1")) && y.has(isDown("uvs-1")) })
+	sum := event.Summary{From: "uvs-1", Seq: 5}
+	x.Send(event.SendSummary{To: y.cfg.Self, Summary: sum})
+	want := event.Event(event.SummaryReceived{Summary: sum})
+	eventually(t, "the summary", func() bool {
+		return y.has(func(ev event.Event) bool { return cmp.Equal(want, ev) })
+	})
+}
+
+// A host is replaced under its name while the connection of its last run still
+// seems to stand. Messages must go to the new run, and the old one must not
+// come back.
+func TestNewerRunReplacesTheOlder(t *testing.T) {
+	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{}), nil)
+	old := hostAt("uvs-2", "uvs", "127.0.0.1:1")
+	p := mustConnect(t, x, old)
+	next := old
+	next.Incarnation++
+	q := mustConnect(t, x, next)
+	if err := wire.Read(p.in, &wire.Frame{}, wire.MaxFrame); err == nil {
+		t.Error("the session of the older run goes on")
+	}
+	x.Send(event.AskChanges{To: next, After: 3})
+	f := &wire.Frame{}
+	for f.GetChangesWanted() == nil {
+		f = &wire.Frame{}
+		if err := wire.Read(q.in, f, wire.MaxFrame); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stale, err := connect(t, dialNode(t, x), old)
+	if err == nil {
+		err = wire.Read(stale.in, &wire.Frame{}, wire.MaxFrame)
+	}
+	if err == nil {
+		t.Error("the older run came back")
+	}
+	if x.has(isDown("uvs-2")) {
+		t.Error("the host was told as down while one of its runs is linked")
+	}
+}
+
+// Somebody opens connections and says nothing. Were they kept, no entry host
+// could link any more once the places are taken.
+func TestSilentConnectionsHoldNoPlace(t *testing.T) {
+	cfg := hostCfg(t, "uvs-1", "uvs", Times{Hello: 300 * time.Millisecond})
+	cfg.Bounds.Handshakes = 1
+	x := startNode(t, cfg, nil)
+	for range 3 {
+		conn := dialNode(t, x)
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	eventually(t, "those beyond the bound are closed", func() bool { return x.count("full") > 0 })
+	b := hostCfg(t, "uvs-2", "uvs", Times{})
+	b.Seeds = append(b.Seeds, seedOf(x.cfg.Self))
+	startNode(t, b, nil)
+	eventually(t, "a host links", func() bool { return x.has(isUp("uvs-2")) })
+}
+
+// A peer announces a message of a gigabyte. The session ends, and the host
+// serves on.
+func TestHugeMessageEndsTheSession(t *testing.T) {
+	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{}), nil)
+	p := mustConnect(t, x, hostAt("uvs-2", "uvs", "127.0.0.1:1"))
+	if _, err := p.ctl.Write([]byte{0xff, 0xff, 0xff, 0xff, 0x0f}); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the link is down", func() bool { return x.has(isDown("uvs-2")) })
+}
+
+// A host of another data centre sends a digest. Taken for one of this data
+// centre's, it would be counted among those that share its targets.
+func TestFarDigestIsDropped(t *testing.T) {
+	x, y := pair(t, hostCfg(t, "uvs-1", "uvs", Times{}), hostCfg(t, "khovd-1", "khovd", Times{}), nil)
+	linked(t, x, y)
+	x.Send(event.SendDigest{To: []event.Host{y.cfg.Self}, Digest: event.Digest{Seq: 1}})
+	eventually(t, "the digest is counted as rejected", func() bool { return y.count("rejected") == 1 })
+	if y.has(func(ev event.Event) bool { _, ok := ev.(event.DigestReceived); return ok }) {
+		t.Error("the reducer was told")
+	}
+}
+
+// Hosts that all dial at the same moment after a partition would do so again
+// at each further moment, unless their waits are spread.
+func TestBackoffIsSpreadAndBounded(t *testing.T) {
+	ts := Times{Backoff: 100 * time.Millisecond, MaxBackoff: 5 * time.Second}
+	if diff := cmp.Diff(time.Duration(0), backoff(ts, 0)); diff != "" {
+		t.Errorf("first dial (-want +got):\n%s", diff)
+	}
+	for fails := 1; fails < 100; fails++ {
+		seen := make(map[time.Duration]bool)
+		for range 20 {
+			d := backoff(ts, fails)
+			if d <= 0 || d > ts.MaxBackoff {
+				t.Fatalf("wait %v after %d failures", d, fails)
+			}
+			seen[d] = true
+		}
+		if len(seen) < 2 {
+			t.Errorf("no spread after %d failures", fails)
+		}
+	}
+}
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -171,7 +171,8 @@
 			sink.Finish(event.Done)
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		go func() { <-began; cancel() }()
+		l := &leaver{began: began, cancel: cancel}
+		go l.run()
 		_, end := forward(ctx, x, y, "body", func(p *serve.Passed) { p.Forward.Once = once })
 		if diff := cmp.Diff(event.ResultBroken, end.Result); diff != "" {
 			t.Errorf("once %v: result (-want +got):\n%s", once, diff)
@@ -183,6 +184,17 @@
 	}
 }
 
+// leaver is a caller that leaves once its request runs.
+type leaver struct {
+	began  <-chan struct{}
+	cancel func()
+}
+
+func (l *leaver) run() {
+	<-l.began
+	l.cancel()
+}
+
 // A peer sends a body longer than the limit. Taken in, a few such would end
 // the process by its memory.
 func TestHugeBodyIsRefused(t *testing.T) {
@@ -202,18 +214,26 @@
 		<-gate
 		echo(ctx, c, r, s)
 	})
-	first := make(chan event.AttemptEnded, 1)
-	go func() {
-		_, end := forward(context.Background(), x, y, "body", nil)
-		first <- end
-	}()
+	first := &job{x: x, y: y, end: make(chan event.AttemptEnded, 1)}
+	go first.run()
 	<-began
 	_, end := forward(t.Context(), x, y, "body", nil)
 	if diff := cmp.Diff(event.ResultNotRun, end.Result); diff != "" {
 		t.Errorf("the second (-want +got):\n%s", diff)
 	}
 	close(gate)
-	if diff := cmp.Diff(event.ResultDone, (<-first).Result); diff != "" {
+	if diff := cmp.Diff(event.ResultDone, (<-first.end).Result); diff != "" {
 		t.Errorf("the first (-want +got):\n%s", diff)
 	}
 }
+
+// job is a request that is passed on beside others.
+type job struct {
+	x, y *node
+	end  chan event.AttemptEnded
+}
+
+func (j *job) run() {
+	_, end := forward(context.Background(), j.x, j.y, "body", nil)
+	j.end <- end
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		return err
 	}
+	// The reducer hears of the new session before the end of the old one, or
+	// a host that is there would be told as down for a moment.
+	s.up()
 	for _, old := range olds {
 		if old.host.Incarnation < s.host.Incarnation || old.dialled == s.dialled {
 			old.end("replaced")
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -77,7 +77,7 @@
 }
 
 // freeAddr returns an address of the loopback range with a port that was free.
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -88,7 +88,7 @@
 }
 
 // startNode starts a host that answers requests of peers with run.
-func startNode(t *testing.T, cfg Config, run ServeFunc) *node {
+func startNode(t testing.TB, cfg Config, run ServeFunc) *node {
 	t.Helper()
 	n := &node{reg: metrics.NewRegistry(), out: &lines{}}
 	svc := clock.New()
@@ -110,7 +110,7 @@
 	return n
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for !ok() {
@@ -140,7 +140,7 @@
 }
 
 // pair starts two hosts, the first of which dials the second.
-func pair(t *testing.T, a, b Config, run ServeFunc) (*node, *node) {
+func pair(t testing.TB, a, b Config, run ServeFunc) (*node, *node) {
 	t.Helper()
 	if b.Self.ID == "" {
 		b.Self = hostAt("uvs-2", "uvs", freeAddr(t))
@@ -154,7 +154,7 @@
 	return x, y
 }
 
-func linked(t *testing.T, x, y *node) {
+func linked(t testing.TB, x, y *node) {
 	t.Helper()
 	eventually(t, "both see the link", func() bool {
 		return x.has(isUp(y.cfg.Self.ID)) && y.has(isUp(x.cfg.Self.ID))
@@ -175,7 +175,8 @@
 	x.Send(event.AskChanges{To: to, After: 9})
 	x.Send(event.AskBar{To: to, Incarnation: to.Incarnation, Attempt: a})
 	for _, want := range []event.Event{
-		event.DigestReceived{Digest: dig}, event.SummaryReceived{Summary: sum},
+		event.DigestReceived{Digest: dig},
+		event.SummaryReceived{Summary: sum},
 		event.ChangesWanted{From: "uvs-1", After: 9},
 		event.BarAsked{From: "uvs-1", Attempt: a, To: to.Incarnation},
 	} {
@@ -204,7 +205,7 @@
 	}
 }
 
-func keysFor(t *testing.T, ca *certs.Authority, id ident.EntryID) *Keys {
+func keysFor(t testing.TB, ca *certs.Authority, id ident.EntryID) *Keys {
 	t.Helper()
 	fs, err := ca.Issue(t.TempDir(), string(id))
 	if err != nil {
@@ -217,7 +218,7 @@
 	return k
 }
 
-func newCA(t *testing.T) *certs.Authority {
+func newCA(t testing.TB) *certs.Authority {
 	t.Helper()
 	ca, err := certs.New()
 	if err != nil {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -32,6 +32,8 @@
 	in   *bufio.Reader
 	poke chan struct{}
 	once sync.Once
+	// reason is why it has ended.
+	reason string
 
 	// pingDue asks the sender for a ping.
 	pingDue atomic.Bool
@@ -103,6 +105,7 @@
 // end ends the session; its run does the rest.
 func (s *session) end(reason string) {
 	s.once.Do(func() {
+		s.reason = reason
 		s.m.cfg.Log.V(1).Info("peer session ends", "entry", s.host.ID, "reason", reason)
 		_ = s.raw.Close()
 	})
@@ -110,13 +113,12 @@
 
 // run reads the control messages until the session ends.
 func (s *session) run() error {
-	s.up()
 	err := s.read()
 	s.end(err.Error())
 	_ = s.mux.Close()
 	s.m.sessions.Add(-1)
 	s.l.drop(s)
-	s.down(err)
+	s.down()
 	return nil
 }
 
@@ -147,14 +149,14 @@
 }
 
 // down tells the reducer when the last session with the host has ended.
-func (s *session) down(err error) {
+func (s *session) down() {
 	s.l.upMu.Lock()
 	defer s.l.upMu.Unlock()
 	s.l.ups--
 	if s.l.ups > 0 {
 		return
 	}
-	s.m.cfg.Log.Info("peer link is down", "entry", s.host.ID, "reason", err.Error())
+	s.m.cfg.Log.Info("peer link is down", "entry", s.host.ID, "reason", s.reason)
 	s.m.post(event.PeerDown{Entry: s.host.ID})
 }
 
--- a/internal/peer/take.go
+++ b/internal/peer/take.go
@@ -84,6 +84,9 @@
 // the end frame, which is thus known to have arrived before a host that
 // drains goes on to stop.
 func (k *take) linger() {
+	if !k.ended {
+		return
+	}
 	k.part.readWithin(k.m.cfg.Times.Hello)
 	if k.watching {
 		<-k.watched
@@ -114,7 +117,7 @@
 	o := k.open
 	return event.Request{
 		ID: newID(), Account: ident.Account(o.GetAccount()), Profile: ident.Profile(o.GetProfile()),
-		Prompt: ident.Tokens(o.GetPrompt()), MaxTokens: ident.Tokens(o.GetMaxTokens()),
+		Prompt: ident.Tokens(max(o.GetPrompt(), 0)), MaxTokens: ident.Tokens(max(o.GetMaxTokens(), 0)),
 		Deadline: k.m.cfg.Clock.Now().Add(o.Left()), Stream: o.GetStream(),
 		Envelope: value.Some(o.GetEnvelope().ToEvent(k.s.host)),
 	}
@@ -124,7 +127,7 @@
 	o := k.open
 	return serve.Call{
 		Method: o.GetMethod(), Path: o.GetPath(), Header: wire.ToHeader(o.GetHeader()),
-		ReadBody: k.readBody, Answer: ident.RequestID(o.GetRequest()), Resume: ident.Tokens(o.GetResume()),
+		ReadBody: k.readBody, Answer: ident.RequestID(o.GetRequest()), Resume: ident.Tokens(max(o.GetResume(), 0)),
 		Stream: o.GetStream(), Engine: o.GetEngine(),
 	}
 }
--- /dev/null
+++ b/internal/proofs/peer_test.go
@@ -0,0 +1,77 @@
+package proofs
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+
+	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/dev/certs"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// keyed gives the settings of an entry host keys of its own.
+func keyed(t *testing.T, ca *certs.Authority, set config.Settings) config.Settings {
+	t.Helper()
+	fs, err := ca.Issue(t.TempDir(), string(set.Entry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Peers.Plain = false
+	set.Peers.CertFile, set.Peers.KeyFile, set.Peers.CAFile = fs.Cert, fs.Key, fs.CA
+	return set
+}
+
+// says reports whether an entry host has logged a line with all the parts.
+func (e *entry) says(parts ...string) func() bool {
+	return func() bool {
+		for line := range strings.Lines(e.out.String()) {
+			if containsAll(line, parts) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func containsAll(line string, parts []string) bool {
+	for _, p := range parts {
+		if !strings.Contains(line, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// The process of an entry host is frozen, as when its machine runs out of
+// memory, while its kernel keeps the connections. Its peers must notice, or
+// they would pass requests to it that nobody answers; and when it wakes, it is
+// linked again without a restart.
+func TestFrozenEntryIsNoticed(t *testing.T) {
+	ca, err := certs.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	platform := startPlatform(t)
+	place := event.Place{DataCentre: "uvs", Region: "uvs"}
+	second := keyed(t, ca, entrySettings(platform, "uvs-2", place))
+	first := keyed(t, ca, entrySettings(platform, "uvs-1", place))
+	first.Peers.Seeds = []config.Seed{{
+		Entry: ident.EntryID("uvs-2"), Addr: second.Peers.Listen, DataCentre: "uvs", Region: "uvs",
+	}}
+	b := startSettings(t, second)
+	a := startSettings(t, first)
+	eventually(t, "the link is up", a.says(`msg="peer link is up"`, "entry=uvs-2"))
+
+	if err := b.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the link is down", a.says(`msg="peer link is down"`, "entry=uvs-2", "reason=silent"))
+	if err := b.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the link is up again", func() bool {
+		return strings.Count(a.out.String(), `msg="peer link is up" entry=uvs-2`) >= 2
+	})
+}
--- a/internal/proofs/proc_test.go
+++ b/internal/proofs/proc_test.go
@@ -174,8 +174,12 @@
 
 func startEntry(t *testing.T, platform string, id ident.EntryID, place event.Place) *entry {
 	t.Helper()
+	return startSettings(t, entrySettings(platform, id, place))
+}
+
+func entrySettings(platform string, id ident.EntryID, place event.Place) config.Settings {
 	ip := newIP()
-	set := config.Settings{
+	return config.Settings{
 		Entry: id, DataCentre: place.DataCentre, Region: place.Region,
 		Callers:   config.Callers{Listen: fmt.Sprintf("%s:%d", ip, callersPort)},
 		Peers:     config.Peers{Listen: fmt.Sprintf("%s:%d", ip, peersPort), Plain: true},
@@ -184,6 +188,10 @@
 		Limits:    config.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 32 << 10, MaxConnections: 1000, MaxRequests: 500, HeaderMs: 5000, BodyMs: 5000},
 		Traces:    config.Traces{Exporter: "none"},
 	}
+}
+
+func startSettings(t *testing.T, set config.Settings) *entry {
+	t.Helper()
 	file := filepath.Join(t.TempDir(), "entry.json")
 	b, err := json.Marshal(set)
 	if err != nil {
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -53,7 +53,7 @@
 
 func toUse(p *TargetUse) event.TargetUse {
 	return event.TargetUse{
-		Target: ident.TargetID(p.GetTarget()), Running: int(p.GetRunning()), Tokens: ident.Tokens(p.GetTokens()),
+		Target: ident.TargetID(p.GetTarget()), Running: int(count(p.GetRunning())), Tokens: ident.Tokens(count(p.GetTokens())),
 	}
 }
 
@@ -64,7 +64,7 @@
 func toAccount(p *AccountUse) event.AccountUse {
 	return event.AccountUse{
 		Account:  ident.Account(p.GetAccount()),
-		Requests: ident.PerMinute(p.GetRequests()), Tokens: ident.PerMinute(p.GetTokens()),
+		Requests: ident.PerMinute(number(p.GetRequests())), Tokens: ident.PerMinute(number(p.GetTokens())),
 	}
 }
 
@@ -90,9 +90,9 @@
 func toLoad(p *Load) event.Load {
 	return event.Load{
 		Target: ident.TargetID(p.GetTarget()), Incarnation: ident.Incarnation(p.GetIncarnation()),
-		Seq: p.GetSeq(), Age: duration(p.GetAgeMs()), Slots: int(p.GetSlots()), Running: int(p.GetRunning()),
-		Queued: int(p.GetQueued()), QueuedTokens: ident.Tokens(p.GetQueuedTokens()),
-		PrefillRate: float64(p.GetPrefillRate()), DecodeRate: float64(p.GetDecodeRate()),
+		Seq: p.GetSeq(), Age: duration(p.GetAgeMs()), Slots: int(count(p.GetSlots())), Running: int(count(p.GetRunning())),
+		Queued: int(count(p.GetQueued())), QueuedTokens: ident.Tokens(count(p.GetQueuedTokens())),
+		PrefillRate: number(p.GetPrefillRate()), DecodeRate: number(p.GetDecodeRate()),
 		Serves: convert(p.GetServes(), toServe), Leaving: p.GetLeaving(),
 	}
 }
@@ -107,8 +107,8 @@
 
 func toPool(p *Pool) event.Pool {
 	return event.Pool{
-		Serve: toServe(p.GetServe()), Service: p.GetService(), Slots: int(p.GetSlots()), Free: int(p.GetFree()),
-		Offer: int(p.GetOffer()), Wait: duration(p.GetWaitMs()), PrefillRate: float64(p.GetPrefillRate()),
-		DecodeRate: float64(p.GetDecodeRate()), Price: float64(p.GetPrice()),
+		Serve: toServe(p.GetServe()), Service: p.GetService(), Slots: int(count(p.GetSlots())), Free: int(count(p.GetFree())),
+		Offer: int(count(p.GetOffer())), Wait: duration(p.GetWaitMs()), PrefillRate: number(p.GetPrefillRate()),
+		DecodeRate: number(p.GetDecodeRate()), Price: number(p.GetPrice()),
 	}
 }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -67,6 +67,6 @@
 	return event.Target{
 		ID: ident.TargetID(p.GetId()), Incarnation: ident.Incarnation(p.GetIncarnation()), Kind: kind,
 		Place: toPlace(p.GetPlace()), URL: p.GetUrl(), Service: p.GetService(),
-		Leaving: p.GetLeaving(), Price: float64(p.GetPrice()),
+		Leaving: p.GetLeaving(), Price: number(p.GetPrice()),
 	}
 }
