--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/loop"
+	"verbenadale.example/verbenadale/internal/peer"
 	"verbenadale.example/verbenadale/internal/revlog"
 	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/internal/store"
@@ -58,6 +59,7 @@
 	targets *target.Client
 	book    atomic.Pointer[rules.Book]
 	outs    *serve.Outcomes
+	mesh    *peer.Mesh
 	work    chan event.Effect
 	callers *http.Server
 	ops     *http.Server
@@ -96,12 +98,21 @@
 	if step == nil {
 		step = core.New(d.self).Step
 	}
+	rn := &serve.Runner{
+		Clock: d.clock, Log: cfg.Log, Targets: d.targets, Outcomes: d.outs, MaxAnswer: maxAnswer,
+	}
+	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
+	if err != nil {
+		d.clock.Stop()
+		return nil, err
+	}
+	d.mesh = mesh
 	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
+	rn.Loop = d.loop
 	for range workers {
 		d.t.Go(d.run)
 	}
-	d.platform.start()
-	if err := d.listen(); err != nil {
+	if err := d.listen(rn); err != nil {
 		d.Stop()
 		return nil, err
 	}
@@ -122,12 +133,17 @@
 // maxAnswer bounds an answer that is held until it is whole.
 const maxAnswer = 16 << 20
 
-func (d *Daemon) listen() error {
+func (d *Daemon) listen(rn *serve.Runner) error {
 	lim := d.cfg.Settings.Limits
-	d.budget = serve.NewBudget(lim.MaxHeldBytes)
-	d.runner = &serve.Runner{
-		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets,
-		Outcomes: d.outs, MaxAnswer: maxAnswer, Budget: d.budget, Trace: d.trace,
+	rn.Forward = d.mesh.Forward
+	fr := front.New(front.Config{
+		Self: d.self, Loop: d.loop, Runner: rn, Clock: d.clock, Log: d.cfg.Log,
+		Book: d.book.Load, MaxBody: lim.MaxBodyBytes,
+	})
+	d.callers = &http.Server{
+		Handler:           fr,
+		ReadHeaderTimeout: config.Millis(lim.HeaderMs),
+		MaxHeaderBytes:    lim.MaxHeaderBytes,
 	}
 	d.callers = d.callerServer()
 	ad := admin.New(admin.Config{
@@ -136,7 +152,10 @@
 		Metrics: d.metrics, Drain: d.Drain,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
-	if err := d.serveCallers(); err != nil {
+	if err := d.mesh.Start(d.loop.Post, rn.Run); err != nil {
+		return errors.Wrap(err, "daemon: peers")
+	}
+	if err := d.serve(d.callers, d.cfg.Settings.Callers.Listen); err != nil {
 		return err
 	}
 	return d.serve(d.ops, d.cfg.Settings.Operators.Listen)
@@ -177,7 +196,7 @@
 
 // Drain starts a graceful stop.
 func (d *Daemon) Drain() {
-	d.platform.reg.drain()
+	d.mesh.Leave()
 	d.loop.Post(event.DrainAsked{})
 }
 
@@ -195,6 +214,7 @@
 		_ = d.callers.Shutdown(ctx)
 		_ = d.ops.Shutdown(ctx)
 	}
+	d.stopMesh()
 	d.t.Kill(nil)
 	_ = d.t.Wait()
 	d.loop.Stop()
