put the links, the platform and the callers' side together in the daemon

Ruled out: letting either side's runner stand alone. The one that runs an attempt beside its request can be broken off; the one that leaves a body unread until the reducer lets it in keeps data in its place. Both are needed.

Change: one runner with both; the daemon carries effects to the platform, to peers and to targets.

Conclusion: entry hosts form a system; the reducer follows.

--- a/internal/daemon/carry.go
+++ b/internal/daemon/carry.go
@@ -23,7 +23,7 @@
 	case event.Drained:
 		d.closeDrained()
 	default:
-		if !d.mesh.Send(eff) {
+		if !d.platform.carry(eff) && !d.mesh.Send(eff) {
 			d.enqueue(eff)
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,16 +57,19 @@
 	store   *store.Client
 	revs    *revlog.Log
 	targets *target.Client
-	book    atomic.Pointer[rules.Book]
-	outs    *serve.Outcomes
-	mesh    *peer.Mesh
-	work    chan event.Effect
-	callers *http.Server
-	ops     *http.Server
-	drained chan struct{}
-	runner  *serve.Runner
-	budget  *serve.Budget
-	trace   *trace.Tracer
+	// platform is set before the loop starts, which calls it.
+	platform *platform
+	metrics  metrics.Registry
+	book     atomic.Pointer[rules.Book]
+	outs     *serve.Outcomes
+	mesh     *peer.Mesh
+	work     chan event.Effect
+	callers  *http.Server
+	ops      *http.Server
+	drained  chan struct{}
+	runner   *serve.Runner
+	budget   *serve.Budget
+	trace    *trace.Tracer
 }
 
 // Sizes of the worker pool that carries out effects towards the platform and
@@ -98,9 +101,6 @@
 	if step == nil {
 		step = core.New(d.self).Step
 	}
-	rn := &serve.Runner{
-		Clock: d.clock, Log: cfg.Log, Targets: d.targets, Outcomes: d.outs, MaxAnswer: maxAnswer,
-	}
 	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
 	if err != nil {
 		d.clock.Stop()
@@ -108,11 +108,11 @@
 	}
 	d.mesh = mesh
 	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
-	rn.Loop = d.loop
 	for range workers {
 		d.t.Go(d.run)
 	}
-	if err := d.listen(rn); err != nil {
+	d.platform.start()
+	if err := d.listen(); err != nil {
 		d.Stop()
 		return nil, err
 	}
@@ -133,17 +133,12 @@
 // maxAnswer bounds an answer that is held until it is whole.
 const maxAnswer = 16 << 20
 
-func (d *Daemon) listen(rn *serve.Runner) error {
+func (d *Daemon) listen() error {
 	lim := d.cfg.Settings.Limits
-	rn.Forward = d.mesh.Forward
-	fr := front.New(front.Config{
-		Self: d.self, Loop: d.loop, Runner: rn, Clock: d.clock, Log: d.cfg.Log,
-		Book: d.book.Load, MaxBody: lim.MaxBodyBytes,
-	})
-	d.callers = &http.Server{
-		Handler:           fr,
-		ReadHeaderTimeout: config.Millis(lim.HeaderMs),
-		MaxHeaderBytes:    lim.MaxHeaderBytes,
+	d.budget = serve.NewBudget(lim.MaxHeldBytes)
+	d.runner = &serve.Runner{
+		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.mesh.Forward,
+		Outcomes: d.outs, MaxAnswer: maxAnswer, Budget: d.budget, Trace: d.trace,
 	}
 	d.callers = d.callerServer()
 	ad := admin.New(admin.Config{
@@ -152,10 +147,10 @@
 		Metrics: d.metrics, Drain: d.Drain,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
-	if err := d.mesh.Start(d.loop.Post, rn.Run); err != nil {
+	if err := d.mesh.Start(d.loop.Post, d.runner.Run); err != nil {
 		return errors.Wrap(err, "daemon: peers")
 	}
-	if err := d.serve(d.callers, d.cfg.Settings.Callers.Listen); err != nil {
+	if err := d.serveCallers(); err != nil {
 		return err
 	}
 	return d.serve(d.ops, d.cfg.Settings.Operators.Listen)
@@ -196,6 +191,7 @@
 
 // Drain starts a graceful stop.
 func (d *Daemon) Drain() {
+	d.platform.reg.drain()
 	d.mesh.Leave()
 	d.loop.Post(event.DrainAsked{})
 }
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -67,7 +67,7 @@
 // settle moves the hysteresis after a change of load or of own work sent away.
 func (p *pool) settle(away int) {
 	switch {
-	case away > 0 || p.Free*percent < p.Slots*withdrawMark:
+	case away > 0 || p.Slots == 0 || p.Free*percent < p.Slots*withdrawMark:
 		p.offering = false
 	case p.Free*percent >= p.Slots*offerMark && p.Slots > 0:
 		p.offering = true
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -217,10 +217,7 @@
 	i, step := walk(v.key, n)
 	for range n {
 		t := targets[i]
-		i += step
-		if i >= n {
-			i -= n
-		}
+		i = (i + step) % n
 		code := rt.consider(v, t)
 		if code == codes.FilterFull.ID && fulls < sampleSize {
 			fulls++
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -57,9 +57,9 @@
 
 func (t *try) order(d event.Dispatch) target.Order {
 	return target.Order{
-		Target: d.Target, Attempt: d.Attempt, Request: r.call.Answer,
-		Method: r.call.Method, Path: r.call.Path, Header: r.call.Header, Body: r.call.Body,
-		Priority: d.Priority, Resume: max(d.Resume, r.upto), Left: r.left(d.Deadline), Once: d.Once,
+		Target: d.Target, Attempt: d.Attempt, Request: t.call.Answer, Serve: d.Serve,
+		Method: t.call.Method, Path: t.call.Path, Header: t.call.Header, Body: t.call.Body,
+		Priority: d.Priority, Resume: max(d.Resume, t.upto), Left: t.left(d.Deadline), Once: d.Once,
 	}
 }
 
@@ -78,15 +78,13 @@
 		end.Result = event.ResultFailed
 		return end
 	}
-	r.begin(res.StatusCode, answerHeader(res.Header))
-	from := r.upto
-	err := r.copy(res)
-	end.Delivered = r.upto
-	end.Generated = r.upto - from
-	end.Result = event.ResultDone
-	if err != nil {
-		end.Result = event.ResultBroken
-		end.Resumable = r.call.Stream
+	from := t.upto
+	t.begin(res.StatusCode, answerHeader(res.Header))
+	err := t.copy(res)
+	end.Delivered = t.upto
+	end.Generated = t.upto - from
+	if t.use.Completion > 0 {
+		end.Generated = t.use.Completion
 	}
 	end.Cached = t.use.Details.Cached
 	if err != nil {
@@ -182,7 +180,7 @@
 	if err := json.Unmarshal(t.held.Body, &head); err != nil {
 		return errors.Wrap(errShort, err.Error())
 	}
-	if head.ID != r.call.Answer {
+	if head.ID != t.call.Answer {
 		return errCrossed
 	}
 	t.use = head.Usage
@@ -191,11 +189,11 @@
 
 // copyStream passes events on until the end mark, which is held back until
 // the reducer has taken note of the end.
-func (r *run) copyStream(body io.Reader) error {
-	br := bufio.NewReaderSize(body, streamBuffer)
-	own := []byte(`"` + string(r.call.Answer) + `"`)
-	var ev []byte
-	upto := r.upto
+func (t *try) copyStream(body io.Reader) error {
+	s := &sse{
+		br:  bufio.NewReaderSize(body, streamBuffer),
+		own: []byte(`"` + string(t.call.Answer) + `"`), upto: t.upto, resumed: t.upto > 0,
+	}
 	for {
 		b, err := s.next()
 		if len(b) > 0 {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -111,10 +111,13 @@
 		return
 	}
 	defer rn.Loop.Close(req.ID)
+	rn.running.Add(1)
+	defer rn.running.Add(-1)
 	r := &run{Runner: rn, call: call, req: req, sink: sink, upto: call.Resume}
 	if r.call.Answer == "" {
 		r.call.Answer = req.ID
 	}
+	defer r.drop()
 	rn.Loop.Post(event.RequestArrived{Request: req})
 	r.follow(ctx, box)
 }
@@ -243,11 +246,15 @@
 	case event.Dispatch:
 		t := &try{run: r, id: e.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.send(ctx, e) }
-		r.start(ctx, t)
+		return r.start(ctx, t)
 	case event.Forward:
-		return r.attempt(ctx, e.Envelope.Attempt, e.Deadline, e.Once, e.Keep, func(ctx context.Context, sent func()) event.AttemptEnded {
-			return r.Forward(ctx, Passed{Forward: e, Request: r.req, Call: r.call}, sent, r.relay())
-		})
+		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
+		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
+		return r.start(ctx, t)
+	case event.Cancel:
+		if r.live != nil && r.live.id == e.Attempt {
+			r.stop()
+		}
 	case event.Replay:
 		r.stop()
 		r.replay(e)
@@ -265,9 +272,13 @@
 }
 
 // start starts an attempt. One that still runs is broken off first, since two
-// would write to one caller.
-func (r *run) start(ctx context.Context, t *try) {
+// would write to one caller. It reports true when the request is over because
+// its body did not come.
+func (r *run) start(ctx context.Context, t *try) bool {
 	r.stop()
+	if !r.readBody() {
+		return true
+	}
 	if !r.begun {
 		r.drop()
 	}
@@ -281,6 +292,7 @@
 	t.end = event.AttemptEnded{Attempt: t.id, Result: event.ResultBroken}
 	r.live = t
 	t.t.Go(t.loop)
+	return false
 }
 
 // drop gives up a held answer and its share of the budget.
@@ -288,30 +300,6 @@
 	r.Budget.Give(r.taken)
 	r.taken = 0
 	r.held = Held{}
-	if !r.readBody() {
-		return true
-	}
-	base := ctx
-	if once {
-		// A call that may not be repeated goes on when its caller leaves: to
-		// break it off would leave nobody knowing whether it ran, while its
-		// outcome can still be given to the caller's repeat.
-		base = context.WithoutCancel(ctx)
-	}
-	actx, cancel := context.WithTimeout(base, r.left(deadline))
-	defer cancel()
-	sent := func() { r.Loop.Post(event.AttemptSent{Attempt: a}) }
-	end := do(actx, sent)
-	end.Attempt = a
-	if base.Err() != nil {
-		r.leave(r.req.ID)
-		return true
-	}
-	if keep && end.Result == event.ResultDone {
-		end.Kept = r.Outcomes.Keep(r.req.ID, r.held)
-	}
-	r.Loop.Post(end)
-	return false
 }
 
 // readBody reads a body that was left unread until now and reports whether
@@ -323,7 +311,7 @@
 	}
 	b, err := r.call.ReadBody()
 	if err != nil {
-		r.leave(r.req.ID)
+		r.Loop.Post(event.CallerLeft{Request: r.req.ID})
 		r.sink.Refuse(event.Refuse{Request: r.req.ID, Code: codes.BadRequest.ID, Outcome: event.NotRun})
 		return false
 	}
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -47,7 +47,7 @@
 	ctx, span := t.Trace.Hop(ctx, "entry")
 	defer span.End()
 	span.Set("entry.to", string(f.To.ID))
-	end := t.Forward(ctx, f, t.call, t.markSent, Relay{Begin: t.begin, Data: t.relayed})
+	end := t.Forward(ctx, Passed{Forward: f, Request: t.req, Call: t.call}, t.markSent, Relay{Begin: t.begin, Data: t.relayed})
 	span.Set("result", string(end.Result))
 	return end
 }
