follow each request through admission, once-only, routing and run or bar

Cause: the first reducer sent each request to the least busy target and knew neither peers nor waiting nor that some calls may not be repeated.

Ruled out: deciding in the request's goroutine with locks around shared state; no order of events could then be replayed.

Change: the reducer follows a request through its judgement, its ticket or key, the account's limit, the choice, the queue, attempts and the question "run or bar".

Each of these breaks makes a test fail: repeating a once-only call after a broken attempt; taking "forgotten" or "ended" for not run; not asking the peer at all; letting a barred attempt run; calling a request not run after an earlier attempt may have run; leaving out the residency check or the check of hops at the receiver; refusing nothing while draining.

--- /dev/null
+++ b/internal/core/ask.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/value"
+)
+
+// entriesValid is how long callers may go by a list of entry hosts. It is
+// shorter than a drain is announced before a host stops answering.
+const entriesValid = 5 * time.Second
+
+// questions answers callers and operators who ask.
+func (rd *Reducer) questions(now ident.Time, ev event.Event) {
+	switch e := ev.(type) {
+	case event.TicketAsked:
+		rd.ticket(now, e)
+	case event.EntriesAsked:
+		rd.entries(now, e)
+	case event.RouteAsked:
+		rd.explain(now, e)
+	case event.StatusAsked:
+		rd.status(now, e)
+	}
+}
+
+func (rd *Reducer) entries(now ident.Time, e event.EntriesAsked) {
+	ans := event.EntriesAnswered{Ask: e.Ask, Valid: entriesValid}
+	p, okProfile := rd.spread.Book().Profile(e.Profile)
+	c, okClient := rd.spread.Book().Client(e.Account)
+	switch {
+	case !okClient:
+		ans.Code = codes.UnknownKey.ID
+	case !okProfile:
+		ans.Code = codes.UnknownProfile.ID
+	case !c.May(p.Name):
+		ans.Code = codes.ProfileForbidden.ID
+	default:
+		ans.Entries = rd.allowedEntries(now, p, c, e.Spread)
+	}
+	rd.emit(ans)
+}
+
+// explain tells where a request would go, by the same judgement as a real
+// one.
+func (rd *Reducer) explain(now ident.Time, e event.RouteAsked) {
+	ans := event.RouteAnswered{Ask: e.Ask, Chosen: -1}
+	r := &request{
+		Request: e.Request, arrived: now,
+		tried: value.SetOf[ident.TargetID](), triedCentres: value.SetOf[ident.DataCentre](),
+	}
+	if ref, ok := rd.judge(now, r); !ok {
+		ans.Code = ref.code
+		rd.emit(ans)
+		return
+	}
+	ans.Choices, ans.Chosen = rd.router.Explain(now, rd.query(r), rd.table)
+	if ans.Chosen < 0 {
+		ans.Code = codes.NoTarget.ID
+	}
+	rd.emit(ans)
+}
+
+func (rd *Reducer) status(now ident.Time, e event.StatusAsked) {
+	ans := event.StatusAnswered{
+		Ask: e.Ask, Self: rd.self, Revision: rd.spread.Revision(),
+		Ready: rd.spread.Book() != nil && !rd.draining, Requests: len(rd.requests),
+	}
+	ans.PlatformAge, _ = rd.spread.PlatformAge(now)
+	ans.Centres, ans.Targets = rd.table.Status(now)
+	rd.emit(ans)
+}
--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,245 @@
+package core
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/retry"
+	"verbenadale.example/verbenadale/internal/route"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+func (rd *Reducer) query(r *request) route.Query {
+	return route.Query{
+		Request: r.Request, Profile: r.profile, Client: r.client,
+		Tried: r.tried, TriedCentres: r.triedCentres,
+		Crossings: r.env.Crossings, Forwarded: r.forwarded, Resume: r.delivered,
+	}
+}
+
+// place sends a request to the best choice, has it wait for room, or refuses
+// it.
+func (rd *Reducer) place(now ident.Time, r *request) {
+	if now >= r.deadline {
+		rd.end(now, r, refuseAs(codes.DeadlineExceeded))
+		return
+	}
+	pl := rd.pools.of(r)
+	dec := rd.router.Choose(now, rd.query(r), rd.table)
+	switch {
+	case dec.Target == nil && dec.Centre == "" && !dec.Full:
+		rd.end(now, r, unplaced(r, dec.Code))
+	case dec.Full || pl.busy(r):
+		rd.enqueue(now, pl, r, dec)
+	case now.Add(dec.Wait) > r.deadline:
+		rd.end(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: dec.Wait})
+	default:
+		rd.send(now, r, dec)
+	}
+}
+
+// unplaced is the refusal of a request that no choice is left for.
+func unplaced(r *request, code codes.ID) refusal {
+	if r.mayHaveRun {
+		return refusal{code: codes.TargetFailed.ID, outcome: event.Unknown}
+	}
+	return refusal{code: code, outcome: event.NotRun}
+}
+
+// send starts an attempt.
+func (rd *Reducer) send(now ident.Time, r *request, dec route.Decision) {
+	rd.number++
+	a := &attempt{
+		id:  ident.Attempt{Entry: rd.self.ID, Incarnation: rd.self.Incarnation, Number: rd.number},
+		req: r, start: now, dec: dec, tokens: wanted(r),
+	}
+	rd.attempts[a.id] = a
+	r.live = a
+	r.tries++
+	if dec.Target == nil {
+		rd.forward(r, a)
+		return
+	}
+	a.target = dec.Target.ID
+	rd.table.Sent(a.target, r.Prompt, a.tokens)
+	rd.router.Learn(now, a.target, r.Prefix)
+	rd.emit(event.Dispatch{
+		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
+		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered,
+		Once: r.once, Keep: r.once && !r.forwarded,
+	})
+}
+
+// forward passes the request to an entry host of another data centre.
+func (rd *Reducer) forward(r *request, a *attempt) {
+	a.host = a.dec.Host
+	rd.table.OfferTake(a.dec.Centre, a.dec.Pool)
+	env := event.Envelope{
+		Attempt: a.id, To: a.host.Incarnation, From: rd.self.ID, FromPlace: rd.self.Place,
+		Crossings: r.env.Crossings, Seen: append(append([]ident.EntryID(nil), r.env.Seen...), rd.self.ID),
+		Revision: rd.spread.Revision(),
+	}
+	if a.host.Place.Region != rd.self.Place.Region {
+		env.Crossings++
+	}
+	rd.emit(event.Forward{
+		Request: r.ID, To: a.host, Envelope: env, Deadline: r.deadline, Resume: r.delivered,
+		Once: r.once, Keep: r.once,
+	})
+}
+
+func (rd *Reducer) attemptSent(e event.AttemptSent) {
+	if a, ok := rd.attempts[e.Attempt]; ok {
+		a.sent = true
+	}
+}
+
+// health is what the end of an attempt tells of its target.
+type health int
+
+// The kinds of health.
+const (
+	tellsNothing health = iota
+	answered
+	failedToAnswer
+)
+
+// forget drops an attempt and gives back what it held.
+func (rd *Reducer) forget(a *attempt, h health) {
+	delete(rd.attempts, a.id)
+	a.req.live = nil
+	switch {
+	case a.target == "":
+		rd.table.OfferGive(a.dec.Centre, a.dec.Pool)
+	case h == tellsNothing:
+		rd.table.Dropped(a.target, a.req.Prompt, a.tokens)
+	default:
+		rd.table.Ended(a.target, a.req.Prompt, a.tokens, h == answered)
+	}
+}
+
+// healthOf judges a target by the end of an attempt. One that breaks off in
+// time has failed; one that was not done when the caller's time was over may
+// be well.
+func healthOf(now ident.Time, a *attempt, e event.AttemptEnded) health {
+	switch {
+	case e.Result == event.ResultDone || e.Leaving:
+		return answered
+	case e.Result == event.ResultNotRun && a.sent:
+		return answered
+	case e.Result == event.ResultBroken && now >= a.req.deadline:
+		return tellsNothing
+	}
+	return failedToAnswer
+}
+
+// attemptEnded takes the end of an attempt. A second, late or crossed end of
+// one that is not live changes nothing: taken for news while the peer is being
+// asked about the attempt, it would start another try beside the one that the
+// peer's answer starts, and the job would run twice.
+func (rd *Reducer) attemptEnded(now ident.Time, e event.AttemptEnded) {
+	a, ok := rd.attempts[e.Attempt]
+	if !ok || a.req.live != a {
+		return
+	}
+	r := a.req
+	rd.forget(a, healthOf(now, a, e))
+	r.delivered = max(r.delivered, e.Delivered)
+	r.generated += e.Generated
+	if e.Leaving && a.target != "" {
+		rd.table.MarkLeaving(now, a.target, a.dec.Target.Incarnation)
+	}
+	switch e.Result {
+	case event.ResultDone:
+		r.kept = e.Kept
+		rd.pools.of(r).ran(now.Sub(a.start), e.Generated)
+		rd.close(now, r, event.Done)
+		rd.emit(event.Finish{Request: r.ID, Outcome: event.Done})
+	case event.ResultNotRun:
+		rd.again(now, r, a, refusal{code: codes.NoTarget.ID, outcome: event.NotRun, later: e.RetryAfter})
+	case event.ResultFailed, event.ResultBroken:
+		rd.broken(now, r, a, e)
+	}
+	rd.poolsMove(now)
+}
+
+// broken goes on after an attempt that may have run.
+func (rd *Reducer) broken(now ident.Time, r *request, a *attempt, e event.AttemptEnded) {
+	if r.once && a.target == "" && e.Result == event.ResultBroken {
+		r.barring = a
+		rd.askBar(now, r)
+		return
+	}
+	r.mayHaveRun = true
+	if r.once {
+		rd.end(now, r, refusal{code: codes.OutcomeUnknown.ID, outcome: event.Unknown})
+		return
+	}
+	ref := refusal{code: codes.TargetFailed.ID, outcome: event.Unknown}
+	if r.delivered > 0 && !e.Resumable {
+		rd.end(now, r, ref)
+		return
+	}
+	rd.again(now, r, a, ref)
+}
+
+// again tries a request elsewhere, after a pause and within the budget, or
+// ends it.
+func (rd *Reducer) again(now ident.Time, r *request, a *attempt, ref refusal) {
+	if a.target != "" {
+		r.tried.Add(a.target)
+	} else {
+		r.triedCentres.Add(a.dec.Centre)
+	}
+	if r.tries >= retry.MaxTries || !rd.budget.Spend(now) {
+		rd.end(now, r, ref)
+		return
+	}
+	at := now.Add(retry.Backoff(r.tries, r.ID))
+	if at >= r.deadline {
+		ref.code = codes.DeadlineExceeded.ID
+		rd.end(now, r, ref)
+		return
+	}
+	if at <= now {
+		rd.place(now, r)
+		return
+	}
+	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
+}
+
+// barPause is the time between two questions about one attempt.
+const barPause = 300 * time.Millisecond
+
+// askBar asks the peer what became of a broken attempt, until it answers or
+// the caller's time is over.
+func (rd *Reducer) askBar(now ident.Time, r *request) {
+	if r.barring == nil {
+		return
+	}
+	if now >= r.deadline {
+		rd.end(now, r, refusal{code: codes.OutcomeUnknown.ID, outcome: event.Unknown})
+		return
+	}
+	a := r.barring
+	rd.emit(event.AskBar{To: a.host, Incarnation: a.host.Incarnation, Attempt: a.id})
+	rd.agenda.add(appointment{at: min(now.Add(barPause), r.deadline), req: r, do: rd.askBar})
+	rd.attempts[a.id] = a
+}
+
+func (rd *Reducer) barAnswered(now ident.Time, e event.BarAnswered) {
+	a, ok := rd.attempts[e.Attempt]
+	if !ok || a.req.barring != a || e.Answer == event.Running {
+		return
+	}
+	r := a.req
+	delete(rd.attempts, a.id)
+	r.barring = nil
+	switch e.Answer {
+	case event.Barred, event.Refused:
+		rd.again(now, r, a, refusal{code: codes.NoTarget.ID, outcome: event.NotRun})
+	default:
+		rd.end(now, r, refusal{code: codes.OutcomeUnknown.ID, outcome: event.Unknown})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,9 +10,12 @@
 // events give the same effects, byte for byte. Several reducers fit into one
 // process and can be driven in virtual time.
 //
-// The state is split by decision: package member holds hosts, targets and
-// loads; package route chooses; this package follows each request through
-// them. A Reducer belongs to one goroutine.
+// The state is split by decision, one package each: member holds hosts,
+// targets and loads; route chooses where a request runs; admit holds requests
+// while there is no room; quota limits accounts; retry bounds second tries;
+// once keeps non-idempotent requests from running twice; spread holds the
+// configuration. This package follows each request through them. A Reducer
+// belongs to one goroutine.
 package core
 
 import (
@@ -20,71 +23,79 @@
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/once"
+	"verbenadale.example/verbenadale/internal/quota"
+	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/route"
-	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/internal/spread"
 	"verbenadale.example/verbenadale/pkg/ident"
-	"verbenadale.example/verbenadale/pkg/rules"
-	"verbenadale.example/verbenadale/pkg/value"
 )
 
-// Times and bounds of requests.
-const (
-	defaultDeadline = 60 * time.Second
-	retryLater      = time.Second
-	maxTries        = 3
-	entriesValid    = 5 * time.Second
-)
+// drainLeast is how long a drain lasts at least: long enough for the word of
+// it to reach the peers, and for callers that were told of this host a moment
+// ago to be told of others instead of meeting a closed port.
+const drainLeast = 1500 * time.Millisecond
 
 // Reducer is the state of one entry host.
 type Reducer struct {
+	self   event.Host
 	table  *member.Table
 	router *route.Router
-	book   *rules.Book
+	spread *spread.Spread
+	once   *once.Registry
+	quota  *quota.Ledger
+	budget retry.Budget
+	pools  pools
+	agenda agenda
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.Attempt]*attempt
 	number   uint64
+
 	draining bool
-	watching bool
+	drainAt  ident.Time
 	wakeAt   ident.Time
-
-	out []event.Effect
-}
-
-// request is one request that has not had its final answer.
-type request struct {
-	event.Request
-	profile   rules.Profile
-	client    rules.Client
-	deadline  ident.Time
-	tried     value.Set[ident.TargetID]
-	tries     int
-	live      *attempt
-	delivered ident.Tokens
-}
-
-// attempt is one try that has not ended.
-type attempt struct {
-	id     ident.Attempt
-	req    *request
-	target ident.TargetID
-	inc    ident.Incarnation
-	sent   bool
+	out      []event.Effect
 }
 
 // New returns the reducer of a host that knows nothing yet.
 func New(self event.Host) *Reducer {
-	return &Reducer{
+	rd := &Reducer{
+		self:     self,
 		table:    member.New(self),
-		router:   &route.Router{},
+		router:   route.New(),
+		spread:   spread.New(self),
+		once:     once.New(self.ID, self.Incarnation),
+		quota:    quota.New(self.ID, self.Place.DataCentre),
+		pools:    newPools(),
 		requests: make(map[ident.RequestID]*request),
 		attempts: make(map[ident.Attempt]*attempt),
 	}
+	rd.quota.Place(self.Place.DataCentre, self.Place.Region)
+	return rd
 }
 
-// Step takes one event and returns what is to be done.
+// Router returns the router, for comparisons of policies.
+func (rd *Reducer) Router() *route.Router { return rd.router }
+
+// Step takes one event and returns what is to be done. The effects belong to
+// the caller.
 func (rd *Reducer) Step(now ident.Time, ev event.Event) []event.Effect {
 	rd.out = nil
+	rd.table.Advance(now)
+	switch {
+	case rd.traffic(now, ev):
+	case rd.peers(now, ev):
+	case rd.outside(now, ev):
+	default:
+		rd.questions(now, ev)
+	}
+	rd.tick(now)
+	return rd.out
+}
+
+// traffic takes the events of requests.
+func (rd *Reducer) traffic(now ident.Time, ev event.Event) bool {
 	switch e := ev.(type) {
 	case event.RequestArrived:
 		rd.arrive(now, e.Request)
@@ -93,87 +104,162 @@
 	case event.AttemptEnded:
 		rd.attemptEnded(now, e)
 	case event.CallerLeft:
-		rd.drop(e.Request)
-	case event.HostsRead:
-		rd.table.HostsRead(now, e)
+		rd.callerLeft(now, e.Request)
+	case event.KeyClaimed:
+		rd.keyClaimed(now, e)
+	case event.BarAnswered:
+		rd.barAnswered(now, e)
+	default:
+		return false
+	}
+	return true
+}
+
+// peers takes the events of other entry hosts.
+func (rd *Reducer) peers(now ident.Time, ev event.Event) bool {
+	switch e := ev.(type) {
+	case event.PeerUp:
+		rd.table.PeerUp(now, e.Host)
+	case event.PeerDown:
+		rd.table.PeerDown(now, e.Entry)
+	case event.DigestReceived:
+		rd.digest(now, e.Digest)
+	case event.SummaryReceived:
+		rd.table.SummaryReceived(now, e.Summary)
+		rd.summary(now, e.Summary)
+	case event.ChangesReceived:
+		rd.emit(rd.spread.Changes(now, e, rd.table.Peers(now))...)
+	case event.SnapshotReceived:
+		rd.emit(rd.spread.Snapshot(now, e)...)
+	case event.ChangesWanted:
+		rd.changesWanted(e)
+	case event.BarAsked:
+		rd.emit(event.AnswerBar{To: e.From, Attempt: e.Attempt, Answer: rd.once.Bar(now, e.Attempt, e.To)})
+	default:
+		return false
+	}
+	return true
+}
+
+// outside takes the events of targets, the platform and the process.
+func (rd *Reducer) outside(now ident.Time, ev event.Event) bool {
+	switch e := ev.(type) {
 	case event.LoadReported:
 		rd.table.LoadReported(now, e.Load)
 	case event.LoadFailed:
 		rd.table.LoadFailed(now, e.Target)
-	case event.ChangesReceived:
-		rd.changes(e)
-	case event.WatchIdle:
-		rd.emit(event.WatchChange{After: rd.revision()})
+	case event.CacheChanged:
+		rd.router.CacheChanged(now, e, rd.table)
+	case event.HostsRead:
+		rd.table.HostsRead(now, e)
 	case event.PlatformFailed:
-		rd.platformFailed(e)
-	case event.EntriesAsked:
-		rd.emit(event.EntriesAnswered{Ask: e.Ask, Entries: []event.Host{rd.table.Self()}, Valid: entriesValid})
-	case event.StatusAsked:
-		rd.status(e)
+		rd.spread.Failed(now, e.Op)
+	case event.WatchIdle:
+		rd.spread.Idle(now)
 	case event.DrainAsked:
-		rd.draining = true
+		rd.drain(now)
+	case event.Tick:
+	default:
+		return false
 	}
-	rd.tick(now)
-	return rd.out
+	return true
 }
 
-func (rd *Reducer) emit(eff event.Effect) { rd.out = append(rd.out, eff) }
+func (rd *Reducer) emit(effs ...event.Effect) { rd.out = append(rd.out, effs...) }
 
-func (rd *Reducer) revision() ident.Revision {
-	if rd.book == nil {
-		return 0
+func (rd *Reducer) digest(now ident.Time, d event.Digest) {
+	rd.table.DigestReceived(now, d)
+	rd.quota.PeerDemand(now, d.Host.ID, d.Accounts)
+	rd.emit(rd.spread.Seen(now, d.Host, d.Revision)...)
+	for _, s := range d.Summaries {
+		rd.summary(now, s)
 	}
-	return rd.book.Revision
 }
 
-// tick does what is due by time.
-func (rd *Reducer) tick(now ident.Time) {
-	rd.out = append(rd.out, rd.table.Tick(now, member.Own{Revision: rd.revision()})...)
-	if !rd.watching {
-		rd.watching = true
-		rd.emit(event.WatchChange{After: rd.revision()})
+// summary takes what a summary tells beyond members and offers. Only the host
+// that speaks for its data centre asks another data centre for changes; the
+// rest hear from it.
+func (rd *Reducer) summary(now ident.Time, s event.Summary) {
+	rd.quota.Place(s.Place.DataCentre, s.Place.Region)
+	rd.quota.CentreReport(now, s.Place.DataCentre, s.Accounts)
+	if !rd.table.Speaks(now) {
+		return
 	}
-	if rd.draining && len(rd.requests) == 0 {
-		rd.emit(event.Drained{})
+	if h, ok := rd.table.Host(s.From); ok {
+		rd.emit(rd.spread.Seen(now, h, s.Highest)...)
 	}
-	if at := rd.table.Next(now); at != rd.wakeAt {
-		rd.wakeAt = at
-		rd.emit(event.Wake{At: at})
+}
+
+func (rd *Reducer) changesWanted(e event.ChangesWanted) {
+	if h, ok := rd.table.Host(e.From); ok {
+		rd.emit(rd.spread.Wanted(h, e.After)...)
 	}
 }
 
-func (rd *Reducer) platformFailed(e event.PlatformFailed) {
-	if e.Op == event.OpWatchChange {
-		rd.watching = false
+func (rd *Reducer) drain(now ident.Time) {
+	if rd.draining {
+		return
 	}
+	rd.draining = true
+	rd.drainAt = now
+	rd.self.Leaving = true
+	rd.table.SetLeaving()
 }
 
-func (rd *Reducer) changes(e event.ChangesReceived) {
-	for _, c := range e.Changes {
-		next, err := rd.book.Apply(c)
-		if err != nil {
-			continue
-		}
-		rd.book = next
-		rd.emit(event.InForceNow{Book: next})
+// tick does what is due by time, after each event.
+func (rd *Reducer) tick(now ident.Time) {
+	rd.table.SetBlind(rd.spread.Blind())
+	if now >= rd.table.Next(now) {
+		rd.emit(rd.withCache(rd.table.Tick(now, rd.own(now)))...)
+	}
+	rd.emit(rd.spread.Tick(now, rd.table.Watches(now))...)
+	rd.agendaDue(now)
+	rd.poolsDue(now)
+	for _, id := range rd.once.Expire(now) {
+		rd.emit(event.ForgetOutcome{Request: id})
 	}
-	if e.From == "" {
-		rd.emit(event.WatchChange{After: rd.revision()})
+	if rd.draining && len(rd.requests) == 0 && now.Sub(rd.drainAt) >= drainLeast {
+		rd.emit(event.Drained{})
 	}
+	rd.wake(now)
 }
 
-func (rd *Reducer) status(e event.StatusAsked) {
-	self := rd.table.Self()
-	rd.emit(event.StatusAnswered{
-		Ask: e.Ask, Self: self, Revision: rd.revision(), Ready: rd.book != nil, Requests: len(rd.requests),
-		Centres: []event.CentreStatus{{Place: self.Place, InForce: rd.revision(), Hosts: []event.Host{self}}},
-	})
+// withCache adds to the load reports that are asked for which cache events
+// have been taken.
+func (rd *Reducer) withCache(effs []event.Effect) []event.Effect {
+	for i, eff := range effs {
+		if e, ok := eff.(event.PollLoad); ok {
+			e.After = rd.router.CacheSeq(e.Target.ID)
+			effs[i] = e
+		}
+	}
+	return effs
 }
 
-func (rd *Reducer) refuse(id ident.RequestID, c codes.Code, outcome event.Outcome) {
-	ref := event.Refuse{Request: id, Code: c.ID, Outcome: outcome}
-	if c.Wait {
-		ref.RetryAfter = retryLater
+func (rd *Reducer) own(now ident.Time) member.Own {
+	return member.Own{
+		Revision:       rd.spread.Revision(),
+		Accounts:       rd.quota.Demand(now),
+		CentreAccounts: rd.quota.CentreDemand(now),
+	}
+}
+
+// wakeLate is the longest time without a tick.
+const wakeLate = time.Second
+
+// wake asks for the next tick.
+func (rd *Reducer) wake(now ident.Time) {
+	at := now.Add(wakeLate)
+	for _, t := range []ident.Time{
+		rd.table.Next(now), rd.spread.Next(now), rd.agenda.next(), rd.pools.next(now), rd.once.Next(),
+	} {
+		if t > now && t < at {
+			at = t
+		}
+	}
+	if rd.wakeAt > now && rd.wakeAt <= at {
+		return
 	}
-	rd.emit(ref)
+	rd.wakeAt = at
+	rd.emit(event.Wake{At: at})
 }
--- /dev/null
+++ b/internal/core/pool.go
@@ -0,0 +1,213 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/admit"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/route"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// pools holds the requests that wait for room, one queue for each set of
+// models or service, so that a full model does not hold up another.
+type pools struct {
+	byKey map[string]*pool
+	order []*pool
+}
+
+// pool is what is known of the requests for one set of models or service.
+type pool struct {
+	key   string
+	queue *admit.Queue
+	// head is the request that is next; it has left the queue and waits for
+	// room.
+	head *request
+	// tokenTime is the smoothed time for one generated token, runTime that of
+	// a whole request, gap that between two places that became free.
+	tokenTime time.Duration
+	runTime   time.Duration
+	gap       time.Duration
+	movedAt   ident.Time
+}
+
+func newPools() pools { return pools{byKey: make(map[string]*pool)} }
+
+// poolKey names what a profile can run on.
+func poolKey(p rules.Profile) string {
+	if p.Service != "" {
+		return "service " + p.Service
+	}
+	var b strings.Builder
+	for _, sv := range p.Models {
+		b.WriteString(string(sv.Model))
+		b.WriteByte('\x00')
+		b.WriteString(string(sv.Version))
+		b.WriteByte('\x00')
+		b.WriteString(string(sv.Adapter))
+		b.WriteByte('\x01')
+	}
+	return b.String()
+}
+
+func (ps *pools) of(r *request) *pool {
+	key := poolKey(r.profile)
+	if pl, ok := ps.byKey[key]; ok {
+		return pl
+	}
+	pl := &pool{key: key, queue: admit.New(admit.Config{})}
+	ps.byKey[key] = pl
+	i, _ := slices.BinarySearchFunc(ps.order, key, func(p *pool, k string) int { return strings.Compare(p.key, k) })
+	ps.order = slices.Insert(ps.order, i, pl)
+	return pl
+}
+
+func (ps *pools) remove(r *request) {
+	pl, ok := ps.byKey[poolKey(r.profile)]
+	if !ok {
+		return
+	}
+	if pl.head == r {
+		pl.head = nil
+	}
+	pl.queue.Remove(r.ID)
+}
+
+func (ps *pools) next(now ident.Time) ident.Time {
+	at := ident.Time(0)
+	for _, pl := range ps.order {
+		t := pl.queue.Next()
+		if pl.head != nil && (t == 0 || pl.head.deadline < t) {
+			t = pl.head.deadline
+		}
+		if t > now && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	return at
+}
+
+// busy reports whether others wait before a request.
+func (pl *pool) busy(r *request) bool {
+	return pl.head != r && (pl.head != nil || pl.queue.Len() > 0)
+}
+
+// smooth is the weight of a new value in the smoothed times.
+const smooth = 8
+
+func smoothed(old, v time.Duration) time.Duration {
+	if old == 0 {
+		return v
+	}
+	return old + (v-old)/smooth
+}
+
+// ran takes note of a request that ran to its end.
+func (pl *pool) ran(took time.Duration, generated ident.Tokens) {
+	pl.runTime = smoothed(pl.runTime, took)
+	if generated > 0 {
+		pl.tokenTime = smoothed(pl.tokenTime, took/time.Duration(generated))
+	}
+}
+
+// work predicts how long a request runs once it has a place.
+func (pl *pool) work(r *request) time.Duration {
+	if r.MaxTokens > 0 && pl.tokenTime > 0 {
+		return time.Duration(r.MaxTokens) * pl.tokenTime
+	}
+	return pl.runTime
+}
+
+// wait predicts the time until a new request gets a place.
+func (pl *pool) wait(dec route.Decision) time.Duration {
+	ahead := pl.queue.Len()
+	if pl.head != nil {
+		ahead++
+	}
+	return dec.Wait + time.Duration(ahead)*pl.gap
+}
+
+// enqueue has a request wait, or refuses it at once if it would wait in vain.
+func (rd *Reducer) enqueue(now ident.Time, pl *pool, r *request, dec route.Decision) {
+	wait := pl.wait(dec)
+	it := admit.Item{
+		ID: r.ID, Account: r.Account, Home: r.profile.Confined(), Priority: r.profile.Priority,
+		Deadline: r.deadline, Work: pl.work(r),
+	}
+	ok, shed, later := pl.queue.Push(now, it, wait)
+	rd.shed(now, shed, later)
+	if !ok {
+		rd.end(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: later})
+	}
+}
+
+// shed gives requests that can no longer be met their final answer now, not
+// when their time is over: the caller can do something else in the meantime.
+func (rd *Reducer) shed(now ident.Time, ids []ident.RequestID, later time.Duration) {
+	for _, id := range ids {
+		if r, ok := rd.requests[id]; ok {
+			rd.end(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: later})
+		}
+	}
+}
+
+// poolsDue sheds what has become hopeless and fills the places that are free.
+func (rd *Reducer) poolsDue(now ident.Time) {
+	for _, pl := range rd.pools.order {
+		if pl.head != nil && now >= pl.head.deadline {
+			rd.end(now, pl.head, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: pl.gap})
+		}
+		if pl.queue.Len() > 0 {
+			rd.shed(now, pl.queue.Shed(now, pl.gap), pl.queue.RetryAfter(now, pl.gap))
+		}
+	}
+	rd.poolsMove(now)
+}
+
+// poolsMove sends the requests that wait as far as there is room.
+func (rd *Reducer) poolsMove(now ident.Time) {
+	for _, pl := range rd.pools.order {
+		for rd.moveOne(now, pl) {
+		}
+	}
+}
+
+// moveOne sends the next request of a pool and reports whether it went.
+func (rd *Reducer) moveOne(now ident.Time, pl *pool) bool {
+	r := rd.headOf(now, pl)
+	if r == nil {
+		return false
+	}
+	dec := rd.router.Choose(now, rd.query(r), rd.table)
+	if dec.Full {
+		return false
+	}
+	pl.head = nil
+	if dec.Target == nil && dec.Centre == "" {
+		rd.end(now, r, unplaced(r, dec.Code))
+		return true
+	}
+	if pl.movedAt > 0 {
+		pl.gap = smoothed(pl.gap, now.Sub(pl.movedAt))
+	}
+	pl.movedAt = now
+	rd.send(now, r, dec)
+	return true
+}
+
+// headOf returns the request that is next, nil for none.
+func (rd *Reducer) headOf(now ident.Time, pl *pool) *request {
+	for pl.head == nil {
+		it, ok := pl.queue.Pop(now)
+		if !ok {
+			pl.movedAt = 0
+			return nil
+		}
+		pl.head = rd.requests[it.ID]
+	}
+	return pl.head
+}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -1,151 +1,235 @@
 package core
 
 import (
+	"time"
+
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/once"
 	"verbenadale.example/verbenadale/internal/route"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
 	"verbenadale.example/verbenadale/pkg/value"
 )
 
+// Defaults of requests.
+const (
+	defaultDeadline = 60 * time.Second
+	// defaultTokens is the length of an answer whose request names none.
+	defaultTokens = 256
+	// retryLater is when to come back where nothing better is known.
+	retryLater = time.Second
+)
+
+// request is one request that has not had its final answer.
+type request struct {
+	event.Request
+	profile rules.Profile
+	client  rules.Client
+	// once says that it may not be repeated: by its profile, or because it
+	// came with a ticket or key.
+	once bool
+	// env is set for a request from another entry host.
+	env       event.Envelope
+	forwarded bool
+
+	arrived  ident.Time
+	deadline ident.Time
+	// reserved is what was taken from the account's limit.
+	reserved ident.Tokens
+
+	tried        value.Set[ident.TargetID]
+	triedCentres value.Set[ident.DataCentre]
+	tries        int
+	live         *attempt
+	// barring is set while a peer is asked what became of an attempt.
+	barring   *attempt
+	delivered ident.Tokens
+	generated ident.Tokens
+	kept      bool
+	// mayHaveRun says that an attempt ended without proof that nothing ran.
+	mayHaveRun bool
+}
+
+// attempt is one try that has not ended.
+type attempt struct {
+	id     ident.Attempt
+	req    *request
+	start  ident.Time
+	tokens ident.Tokens
+	// target is set for an attempt at a target, host for one at another entry
+	// host.
+	target ident.TargetID
+	host   event.Host
+	dec    route.Decision
+	sent   bool
+}
+
+// arrive takes a new request.
 func (rd *Reducer) arrive(now ident.Time, req event.Request) {
-	r, code, ok := rd.judge(now, req)
-	if !ok {
-		rd.refuse(req.ID, code, event.NotRun)
+	if _, ok := rd.requests[req.ID]; ok {
+		return
+	}
+	env, forwarded := req.Envelope.Get()
+	if forwarded {
+		if v := rd.once.Arrive(now, env); v.Do != once.Run {
+			rd.refuse(now, &request{Request: req}, refusal{code: v.Code, outcome: v.Outcome})
+			return
+		}
+	}
+	r := &request{
+		Request: req, env: env, forwarded: forwarded, arrived: now,
+		tried: value.SetOf[ident.TargetID](), triedCentres: value.SetOf[ident.DataCentre](),
+	}
+	if ref, ok := rd.judge(now, r); !ok {
+		rd.refuse(now, r, ref)
 		return
 	}
 	rd.requests[req.ID] = r
-	rd.place(now, r)
+	rd.budget.Arrived(now)
+	rd.onceFirst(now, r)
 }
 
-// judge finds what a request asks for, or the reason to refuse it.
-func (rd *Reducer) judge(now ident.Time, req event.Request) (*request, codes.Code, bool) {
-	if rd.book == nil {
-		return nil, codes.NotReady, false
-	}
-	if rd.draining {
-		return nil, codes.Draining, false
-	}
-	p, ok := rd.book.Profile(req.Profile)
+// judge fills in what the request asks for, or tells why it is refused.
+// Nothing of the request has been sent on when it is.
+func (rd *Reducer) judge(now ident.Time, r *request) (refusal, bool) {
+	book := rd.spread.Book()
+	if book == nil {
+		return refuseAs(codes.NotReady), false
+	}
+	p, ok := book.Profile(r.Profile)
 	if !ok {
-		return nil, codes.UnknownProfile, false
+		return refuseAs(codes.UnknownProfile), false
 	}
-	c, ok := rd.book.Client(req.Account)
+	r.profile = p
+	c, ok := book.Client(r.Account)
 	if !ok {
-		return nil, codes.UnknownKey, false
+		return refuseAs(codes.UnknownKey), false
 	}
+	r.client = c
 	if !c.May(p.Name) {
-		return nil, codes.ProfileForbidden, false
+		return refuseAs(codes.ProfileForbidden), false
 	}
-	if !p.Allows(c, rd.table.Self().Place.Region) {
-		return nil, codes.OutsideResidency, false
+	// The host that sent the request has checked the same rule. It is checked
+	// again here, since a host with an older profile, or one that was led
+	// astray by a forged envelope, would otherwise bring data to a place where
+	// nobody looks for it.
+	if !p.Allows(c, rd.self.Place.Region) {
+		return rd.elsewhere(now, r, codes.OutsideResidency), false
 	}
-	deadline := req.Deadline
-	if deadline == 0 {
-		deadline = now.Add(defaultDeadline)
+	if r.forwarded && rd.circles(r) {
+		return refuseAs(codes.TooManyHops), false
 	}
-	if deadline <= now {
-		return nil, codes.DeadlinePast, false
+	if rd.draining && r.Ticket == "" {
+		return rd.elsewhere(now, r, codes.Draining), false
 	}
-	return &request{Request: req, profile: p, client: c, deadline: deadline, tried: value.SetOf[ident.TargetID]()}, codes.Code{}, true
+	r.once = p.Once || r.Ticket != "" || r.Key != ""
+	return rd.judgeTime(now, r)
 }
 
-// place sends a request to the best choice, or refuses it.
-func (rd *Reducer) place(now ident.Time, r *request) {
-	dec := rd.router.Choose(now, route.Query{Request: r.Request, Profile: r.profile, Client: r.client, Tried: r.tried}, rd.table)
-	if dec.Target == nil {
-		c, _ := codes.Find(dec.Code)
-		rd.end(r, c, event.NotRun)
-		return
+func (rd *Reducer) judgeTime(now ident.Time, r *request) (refusal, bool) {
+	r.deadline = r.Deadline
+	if r.deadline == 0 {
+		r.deadline = now.Add(profileDeadline(r.profile))
 	}
-	rd.number++
-	self := rd.table.Self()
-	a := &attempt{
-		id:  ident.Attempt{Entry: self.ID, Incarnation: self.Incarnation, Number: rd.number},
-		req: r, target: dec.Target.ID, inc: dec.Target.Incarnation,
-	}
-	rd.attempts[a.id] = a
-	r.live = a
-	r.tries++
-	rd.table.Sent(a.target, r.Prompt, r.MaxTokens)
-	rd.emit(event.Dispatch{
-		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
-		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered, Once: r.profile.Once,
-	})
+	if r.deadline <= now {
+		return refuseAs(codes.DeadlinePast), false
+	}
+	return refusal{}, true
 }
 
-func (rd *Reducer) attemptSent(e event.AttemptSent) {
-	if a, ok := rd.attempts[e.Attempt]; ok {
-		a.sent = true
+func profileDeadline(p rules.Profile) time.Duration {
+	if p.DeadlineMs > 0 {
+		return time.Duration(p.DeadlineMs) * time.Millisecond
 	}
+	return defaultDeadline
 }
 
-func (rd *Reducer) attemptEnded(now ident.Time, e event.AttemptEnded) {
-	a, ok := rd.attempts[e.Attempt]
-	if !ok {
-		return
-	}
-	rd.forget(a, e.Result != event.ResultBroken && e.Result != event.ResultFailed)
-	r := a.req
-	r.delivered = max(r.delivered, e.Delivered)
-	if e.Leaving {
-		rd.table.MarkLeaving(now, a.target, a.inc)
-	}
-	switch e.Result {
-	case event.ResultDone:
-		delete(rd.requests, r.ID)
-		rd.emit(event.Finish{Request: r.ID, Outcome: event.Done})
-	case event.ResultNotRun:
-		rd.again(now, r, a, codes.NoTarget, event.NotRun)
-	case event.ResultFailed, event.ResultBroken:
-		rd.failed(now, r, a, e)
-	}
+// circles guards against a request that goes round: two regions that each
+// believe the other idle would pass it to and fro until its deadline, and
+// load would rise with nobody new calling. The count and the hosts seen travel
+// with the request, so that no host needs to remember it.
+func (rd *Reducer) circles(r *request) bool {
+	if r.env.Crossings > r.profile.MaxCrossings {
+		return true
+	}
+	for _, id := range r.env.Seen {
+		if id == rd.self.ID {
+			return true
+		}
+	}
+	return false
 }
 
-func (rd *Reducer) failed(now ident.Time, r *request, a *attempt, e event.AttemptEnded) {
-	if r.profile.Once {
-		rd.end(r, codes.OutcomeUnknown, event.Unknown)
-		return
+// admitted takes a request that may run as far as once-only goes.
+func (rd *Reducer) admitted(now ident.Time, r *request) {
+	if !r.forwarded {
+		r.reserved = r.Prompt + wanted(r)
+		ok, later := rd.quota.Take(now, r.client, r.reserved)
+		if !ok {
+			r.reserved = 0
+			rd.end(now, r, refusal{code: codes.AccountLimit.ID, outcome: event.NotRun, later: later})
+			return
+		}
 	}
-	if r.delivered > 0 && !e.Resumable {
-		rd.end(r, codes.TargetFailed, event.Unknown)
-		return
+	rd.place(now, r)
+}
+
+func wanted(r *request) ident.Tokens {
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
 	}
-	rd.again(now, r, a, codes.TargetFailed, event.Unknown)
+	return defaultTokens
 }
 
-// again retries elsewhere, or ends the request.
-func (rd *Reducer) again(now ident.Time, r *request, a *attempt, c codes.Code, outcome event.Outcome) {
-	r.tried.Add(a.target)
-	if now >= r.deadline {
-		rd.end(r, codes.DeadlineExceeded, outcome)
+// callerLeft drops a request whose goroutine has ended. Nothing of it runs:
+// the goroutine ends only between attempts.
+func (rd *Reducer) callerLeft(now ident.Time, id ident.RequestID) {
+	r, ok := rd.requests[id]
+	if !ok {
 		return
 	}
-	if r.tries >= maxTries {
-		rd.end(r, c, outcome)
+	if r.barring != nil {
+		// The peer's answer still matters: it decides what the caller is told
+		// when it comes again.
 		return
 	}
-	rd.place(now, r)
-}
-
-func (rd *Reducer) forget(a *attempt, ok bool) {
-	delete(rd.attempts, a.id)
-	rd.table.Ended(a.target, a.req.Prompt, a.req.MaxTokens, ok)
-	a.req.live = nil
+	outcome := event.NotRun
+	if r.mayHaveRun || r.live != nil && r.live.sent {
+		outcome = event.Unknown
+	}
+	if r.live != nil {
+		rd.forget(r.live, tellsNothing)
+	}
+	rd.close(now, r, outcome)
 }
 
-func (rd *Reducer) end(r *request, c codes.Code, outcome event.Outcome) {
+// close settles the accounts of a request that is over.
+func (rd *Reducer) close(now ident.Time, r *request, outcome event.Outcome) {
+	if rd.requests[r.ID] != r {
+		return
+	}
 	delete(rd.requests, r.ID)
-	rd.refuse(r.ID, c, outcome)
+	rd.pools.remove(r)
+	if r.reserved > 0 {
+		used := r.Prompt + r.generated
+		if outcome == event.NotRun {
+			used = 0
+		}
+		rd.quota.Settle(now, r.Account, r.reserved, used)
+	}
+	if r.once && !r.forwarded {
+		rd.once.Ended(now, r.ID, outcome, r.kept)
+	}
+	if r.forwarded {
+		rd.once.PeerEnded(now, r.env.Attempt, answerOf(outcome))
+	}
 }
 
-func (rd *Reducer) drop(id ident.RequestID) {
-	r, ok := rd.requests[id]
-	if !ok {
-		return
-	}
-	if r.live != nil {
-		rd.forget(r.live, true)
+// answerOf tells a peer that asks "run or bar" what an outcome means.
+func answerOf(outcome event.Outcome) event.Answer {
+	if outcome == event.NotRun {
+		return event.Refused
 	}
-	delete(rd.requests, id)
+	return event.Ended
 }
