send an open-loop load that checks every answer

Cause: nothing could say what the system does to latency, or whether an answer is whole and its caller's own, under load.

Ruled out: a closed loop of clients; it slows down with the system and hides the tail.

Measured: nothing yet with it.

Conclusion: the measurements of the policy can be built on it.

--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -33,6 +33,7 @@
 	cdr.Register(&platformCmd{}, "stand-ins")
 	cdr.Register(&engineCmd{}, "stand-ins")
 	cdr.Register(&serviceCmd{}, "stand-ins")
+	cdr.Register(&loadCmd{}, "measurements")
 }
 
 type platformCmd struct{ listen string }
