refuse to listen for peers without an address; add make fuzz

Cause: an empty address made the host listen on any port of every address, and the fuzz targets had no command.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,9 @@
 proto:
 	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_VERSION)
 	protoc --plugin=protoc-gen-go=$(GOBIN)/protoc-gen-go --go_out=. --go_opt=module=verbenadale.example/verbenadale internal/wire/wire.proto
+
+# fuzz feeds the decoders with what no host would send.
+FUZZ_TIME = 20s
+fuzz:
+	go test ./internal/wire -run '^$$' -fuzz FuzzFrame -fuzztime $(FUZZ_TIME)
+	go test ./internal/wire -run '^$$' -fuzz FuzzPart -fuzztime $(FUZZ_TIME)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -124,6 +124,10 @@
 	if m.cfg.Keys == nil {
 		m.cfg.Log.Info("peer links are in plain text and trust any name, for development only")
 	}
+	if m.cfg.Listen == "" {
+		// The library would take any port on every address of the host.
+		return errors.Wrap(ErrLink, "no address to listen on")
+	}
 	ln, err := net.Listen("tcp", m.cfg.Listen)
 	if err != nil {
 		return errors.Wrap(ErrLink, err.Error())
