carry every field of digests and changes between hosts

Cause: digests had gained two fields, and changes one, that the wire form did not know. After an outage of the platform the two hosts of a data centre each took the other for the one that watches it, and none did; seen with six hosts as separate processes, never in virtual time.

Ruled out: a fault of the duties themselves; with the field carried the rule agrees on one host.

Change: the wire form carries the work sent away, the word that the platform does not answer, and the wall clock of a change. A test fills every field by reflection and compares what arrives.

Conclusion: a field forgotten in the wire form fails a test from now on.

--- a/internal/wire/change.go
+++ b/internal/wire/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,10 +17,26 @@
 // ToEvent maps changes back.
 func (p *Changes) ToEvent() []rules.Change { return convert(p.GetChanges(), toChange) }
 
+// fromWallClock keeps milliseconds, which is enough for people to read. Zero
+// stands for no time.
+func fromWallClock(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
+
+func toWallClock(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
+
 func fromChange(c rules.Change) *Change {
 	return &Change{
 		Revision: uint64(c.Revision), Id: string(c.ID), Base: uint64(c.Base), Operator: string(c.Operator),
-		Approver: string(c.Approver), Note: c.Note, Items: convert(c.Items, fromItem),
+		Approver: string(c.Approver), Note: c.Note, Items: convert(c.Items, fromItem), AtMs: fromWallClock(c.At),
 	}
 }
 
@@ -27,7 +44,7 @@
 	return rules.Change{
 		Revision: ident.Revision(p.GetRevision()), ID: ident.ChangeID(p.GetId()), Base: ident.Revision(p.GetBase()),
 		Operator: ident.Operator(p.GetOperator()), Approver: ident.Operator(p.GetApprover()),
-		Note: p.GetNote(), Items: convert(p.GetItems(), toItem),
+		Note: p.GetNote(), Items: convert(p.GetItems(), toItem), At: toWallClock(p.GetAtMs()),
 	}
 }
 
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -12,6 +12,7 @@
 		Use: convert(d.Use, fromUse), Loads: convert(d.Loads, fromLoad),
 		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
+		Away: convert(d.Away, fromAway), Blind: d.Blind,
 	}
 }
 
@@ -23,6 +24,7 @@
 		Use: convert(p.GetUse(), toUse), Loads: convert(p.GetLoads(), toLoad),
 		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
+		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(),
 	}
 }
 
@@ -57,6 +59,19 @@
 	}
 }
 
+func fromAway(u event.AwayUse) *AwayUse {
+	return &AwayUse{
+		DataCentre: string(u.DataCentre), Serve: fromServe(u.Serve), Service: u.Service, Running: int64(u.Running),
+	}
+}
+
+func toAway(p *AwayUse) event.AwayUse {
+	return event.AwayUse{
+		DataCentre: ident.DataCentre(p.GetDataCentre()), Serve: toServe(p.GetServe()),
+		Service: p.GetService(), Running: int(count(p.GetRunning())),
+	}
+}
+
 func fromAccount(a event.AccountUse) *AccountUse {
 	return &AccountUse{Account: string(a.Account), Requests: float32(a.Requests), Tokens: float32(a.Tokens)}
 }
--- /dev/null
+++ b/internal/wire/whole_test.go
@@ -0,0 +1,71 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// fill sets every field that can be reached from v to a value that is not
+// zero.
+func fill(v reflect.Value, n *int) {
+	*n++
+	if v.Type() == reflect.TypeOf(time.Time{}) {
+		v.Set(reflect.ValueOf(time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), n)
+		}
+	case reflect.Slice:
+		if v.Type().Elem().Kind() == reflect.Uint8 {
+			v.SetBytes([]byte(`"x"`))
+			return
+		}
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0), n)
+	case reflect.String:
+		v.SetString("s" + string(rune('a'+*n%26)))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Int, reflect.Int64:
+		if v.Type() == reflect.TypeOf(time.Duration(0)) {
+			v.SetInt(int64(*n) * int64(time.Millisecond))
+			return
+		}
+		v.SetInt(int64(*n))
+	case reflect.Uint64:
+		v.SetUint(uint64(*n))
+	case reflect.Float64:
+		v.SetFloat(float64(*n))
+	default:
+		panic("fill: " + v.Kind().String())
+	}
+}
+
+// A field is added to an event and forgotten in its wire form. Everything
+// works in one process and in virtual time, and between real hosts the field
+// is silently zero: the hosts of a data centre each take another for the one
+// that watches the platform, say, and none does.
+func TestNoFieldIsLost(t *testing.T) {
+	n := 0
+	var d event.Digest
+	fill(reflect.ValueOf(&d).Elem(), &n)
+	d.Targets[0].Kind = event.Service
+	if diff := cmp.Diff(d, sent(t, FromDigest(d), &Digest{}).ToEvent(d.Host)); diff != "" {
+		t.Errorf("digest (-want +got):\n%s", diff)
+	}
+	var c rules.Change
+	fill(reflect.ValueOf(&c).Elem(), &n)
+	cs := []rules.Change{c}
+	if diff := cmp.Diff(cs, sent(t, FromChanges(cs), &Changes{}).ToEvent()); diff != "" {
+		t.Errorf("change (-want +got):\n%s", diff)
+	}
+}
