tell peers what callers ask for in vain

Cause: a data centre without engines asked the others for them only if the host that its callers used happened to speak for it.

Ruled out: asking for every model that a profile names; offers would be split among data centres that need none.

Change: digests name what a host's callers ask for and no target of the data centre serves; a new want goes out at once. Links between hosts come from the IP number that a host listens on, and a host may advertise another address than the one it listens on. The plain service's stand-in takes the job from the body, since headers of callers are not all passed on.

Conclusion: what one host learns from its callers counts for its data centre.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,7 +44,10 @@
 
 // Peers is the address towards other entry hosts.
 type Peers struct {
+	// Listen is host:port. Links to other hosts come from its IP number too.
 	Listen string `json:"listen"`
+	// Advertise is what other hosts are told to dial; empty stands for Listen.
+	Advertise string `json:"advertise"`
 	// Seeds are hosts to try before the platform's list is known.
 	Seeds []Seed `json:"seeds"`
 	// CertFile, KeyFile and CAFile hold the keys for mutual TLS. They are
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,12 +121,16 @@
 }
 
 func self(set config.Settings) event.Host {
+	peerAddr := set.Peers.Advertise
+	if peerAddr == "" {
+		peerAddr = set.Peers.Listen
+	}
 	return event.Host{
 		ID:          set.Entry,
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		Place:       event.Place{DataCentre: set.DataCentre, Region: set.Region},
 		CallerURL:   set.Callers.URL,
-		PeerAddr:    set.Peers.Listen,
+		PeerAddr:    peerAddr,
 	}
 }
 
--- a/internal/dev/plain/plain.go
+++ b/internal/dev/plain/plain.go
@@ -22,8 +22,12 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// HeaderJob names a job in the ledger. It is the caller's, not the system's.
-const HeaderJob = "X-Job"
+// Call is the body of a call. Job names it in the ledger; it is the caller's
+// name and not the system's.
+type Call struct {
+	Job  string `json:"job"`
+	Text string `json:"text"`
+}
 
 // Config describes the service.
 type Config struct {
@@ -130,14 +134,15 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.work(faults)
-	job := r.Header.Get(HeaderJob)
-	runs := s.run(job)
+	var c Call
+	_ = json.Unmarshal(body, &c)
+	runs := s.run(c.Job)
 	if faults.DieAfterRun > 0 && n%faults.DieAfterRun == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Result{Job: job, Runs: runs, Size: len(body), By: string(s.cfg.ID)})
+	_ = json.NewEncoder(w).Encode(Result{Job: c.Job, Runs: runs, Size: len(body), By: string(s.cfg.ID)})
 }
 
 func (s *Service) enter() (int, Faults) {
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -112,6 +112,9 @@
 	// Away is the work that the sender has passed on to other data centres and
 	// that has not ended.
 	Away []AwayUse `json:"away,omitempty"`
+	// Wants names what the sender's callers ask for and no target of the data
+	// centre serves, so that the host that speaks for it asks the others.
+	Wants []Want `json:"wants,omitempty"`
 	// Blind says that the platform does not answer the sender, so that another
 	// host had better watch it.
 	Blind bool `json:"blind,omitempty"`
@@ -126,6 +129,12 @@
 	Running    int              `json:"running"`
 }
 
+// Want names a model or a plain service that is asked for.
+type Want struct {
+	Serve   rules.Serve `json:"serve"`
+	Service string      `json:"service,omitempty"`
+}
+
 // Pool is the state of one model or service in one data centre.
 type Pool struct {
 	// Serve names the model, or is empty for a plain service.
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -42,6 +42,9 @@
 		tb.listTargets(now, d.Targets)
 	}
 	tb.takeUse(p, d.Use)
+	for _, w := range d.Wants {
+		tb.want(now, PoolID{Serve: w.Serve, Service: w.Service})
+	}
 }
 
 // takeUse replaces the work that a peer has at the targets.
@@ -69,7 +72,7 @@
 	tb.beat.seq++
 	d := event.Digest{
 		Host: tb.self, Seq: tb.beat.seq, Revision: tb.own.Revision, Blind: tb.blind,
-		Accounts: tb.own.Accounts, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away),
+		Accounts: tb.own.Accounts, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
 	}
 	for _, t := range tb.targets {
 		if t.Sent > 0 {
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -44,8 +44,12 @@
 	offering bool
 	wantedAt ident.Time
 	wanted   bool
-	prices   float64
-	targets  int
+	// ownAt is when a request at this host last asked for it; a want that a
+	// peer told is not told on.
+	ownAt   ident.Time
+	own     bool
+	prices  float64
+	targets int
 }
 
 // given is an offer that may still be held by another data centre.
@@ -108,15 +112,41 @@
 // Want says that a request asked for a pool that has no target here, so that
 // the data centre asks the others for it.
 func (tb *Table) Want(now ident.Time, id PoolID) {
+	p, fresh := tb.want(now, id)
+	if p == nil {
+		return
+	}
+	if fresh || !p.own || now.Sub(p.ownAt) > wantLife {
+		// Another host may speak for the data centre and has to know at once.
+		tb.beat.words = true
+	}
+	p.own, p.ownAt = true, now
+}
+
+// want takes note of a want of this host or of a peer. It returns nil where
+// there are too many.
+func (tb *Table) want(now ident.Time, id PoolID) (p *pool, fresh bool) {
 	p, ok := tb.pool(id)
 	if !ok {
 		if len(tb.pools) >= maxWants {
-			return
+			return nil, false
 		}
 		p = tb.needPool(id)
 		tb.beat.asks = true
 	}
 	p.wanted, p.wantedAt = true, now
+	return p, !ok
+}
+
+// wants returns what requests at this host asked for of late in vain.
+func (tb *Table) wants(now ident.Time) []event.Want {
+	var ws []event.Want
+	for _, p := range tb.pools {
+		if p.targets == 0 && p.own && now.Sub(p.ownAt) <= wantLife {
+			ws = append(ws, event.Want{Serve: p.Serve, Service: p.Service})
+		}
+	}
+	return ws
 }
 
 // countPools works the pools out anew from the targets.
@@ -124,7 +154,7 @@
 	for _, p := range tb.pools {
 		*p = pool{
 			Pool: event.Pool{Serve: p.Serve, Service: p.Service},
-			id:   p.id, offering: p.offering, wantedAt: p.wantedAt, wanted: p.wanted,
+			id:   p.id, offering: p.offering, wantedAt: p.wantedAt, wanted: p.wanted, ownAt: p.ownAt, own: p.own,
 		}
 	}
 	for _, t := range tb.targets {
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -98,7 +98,7 @@
 func (d *dialler) dial(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, d.m.cfg.Times.Hello)
 	defer cancel()
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	raw, err := d.m.dialer().DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return errors.Wrap(ErrLink, err.Error())
 	}
@@ -322,3 +322,17 @@
 func (g muxLog) line(format string, v ...any) {
 	g.m.cfg.Log.V(1).Info("peer session library", "text", errors.Errorf(format, v...).Error())
 }
+
+// dialer dials from the IP number that the host listens on, so that the rules
+// of a network which tell hosts apart by their addresses hold both ways.
+func (m *Mesh) dialer() *net.Dialer {
+	host, _, err := net.SplitHostPort(m.cfg.Listen)
+	if err != nil {
+		return &net.Dialer{}
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() {
+		return &net.Dialer{}
+	}
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: ip}}
+}
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -12,7 +12,7 @@
 		Use: convert(d.Use, fromUse), Loads: convert(d.Loads, fromLoad),
 		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
-		Away: convert(d.Away, fromAway), Blind: d.Blind,
+		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant),
 	}
 }
 
@@ -24,7 +24,7 @@
 		Use: convert(p.GetUse(), toUse), Loads: convert(p.GetLoads(), toLoad),
 		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
-		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(),
+		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant),
 	}
 }
 
@@ -72,6 +72,12 @@
 	}
 }
 
+func fromWant(w event.Want) *Want { return &Want{Serve: fromServe(w.Serve), Service: w.Service} }
+
+func toWant(p *Want) event.Want {
+	return event.Want{Serve: toServe(p.GetServe()), Service: p.GetService()}
+}
+
 func fromAccount(a event.AccountUse) *AccountUse {
 	return &AccountUse{Account: string(a.Account), Requests: float32(a.Requests), Tokens: float32(a.Tokens)}
 }
