show a whole system with one command, and replay what its hosts decided

Cause: a newcomer had to start eight programs to see an answer, and a decision of a running host could not be looked into afterwards.

Change: verbdev demo runs platform, targets and six entry hosts in one process and shows four things a caller sees; -record writes the events and effects of each host, and verbdev replay steps a new reducer through them.

Conclusion: the reducer is deterministic in real hosts too.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,9 @@
 	Metrics metrics.Registry
 	// Step, where set, replaces the reducer, for comparisons.
 	Step func(now ident.Time, ev event.Event) []event.Effect
+	// Record, where set, is told who the host is and returns what sees each
+	// event and its effects, for replay.
+	Record func(self event.Host) func(now ident.Time, ev event.Event, effs []event.Effect)
 }
 
 // Daemon is a running entry host.
@@ -107,7 +110,11 @@
 		return nil, err
 	}
 	d.mesh = mesh
-	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
+	lcfg := loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry}
+	if cfg.Record != nil {
+		lcfg.Record = cfg.Record(d.self)
+	}
+	d.loop = loop.New(lcfg)
 	for range workers {
 		d.t.Go(d.run)
 	}
--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -33,6 +33,8 @@
 	cdr.Register(&platformCmd{}, "stand-ins")
 	cdr.Register(&engineCmd{}, "stand-ins")
 	cdr.Register(&serviceCmd{}, "stand-ins")
+	cdr.Register(&demoCmd{}, "")
+	cdr.Register(&replayCmd{}, "")
 	cdr.Register(&loadCmd{}, "measurements")
 }
 
--- /dev/null
+++ b/internal/dev/demo/demo.go
@@ -0,0 +1,289 @@
+// Package demo runs a whole small system in one process, on free ports of the
+// loopback range: the platform, engines and plain services as stand-ins, and
+// the entry hosts of three data centres. It shows what a caller sees.
+//
+// # Usage
+//
+//	err := demo.Run(ctx, demo.Config{Out: os.Stdout, Stay: false})
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/daemon"
+	"verbenadale.example/verbenadale/internal/dev/certs"
+	"verbenadale.example/verbenadale/internal/dev/engine"
+	"verbenadale.example/verbenadale/internal/dev/plain"
+	"verbenadale.example/verbenadale/internal/dev/plat"
+	"verbenadale.example/verbenadale/internal/dev/replay"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/logs"
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// ErrDemo says that the demonstration did not show what it is meant to.
+var ErrDemo = errors.New("demo: not as expected")
+
+// Config describes a demonstration.
+type Config struct {
+	Out io.Writer
+	// Log takes the logs of the entry hosts; the zero Logger drops them.
+	Log logr.Logger
+	// RecordDir, where set, takes a record of the decisions of each host.
+	RecordDir string
+	// Stay keeps the system up until the context ends.
+	Stay bool
+}
+
+// Size of the demonstration: what each data centre has.
+const (
+	entriesEach = 2
+	enginesEach = 2
+)
+
+// centres are the data centres, each a region of its own.
+var centres = []ident.DataCentre{"ulaanbaatar", "erdenet", "khovd"}
+
+const (
+	callerKey     = "demo-key"
+	operatorToken = "demo-operator"
+)
+
+// system is all that runs.
+type system struct {
+	t        tomb.Tomb
+	cfg      Config
+	dir      string
+	ca       *certs.Authority
+	platform string
+	targets  []event.Target
+	hosts    []config.Settings
+	daemons  []*daemon.Daemon
+	stops    []func()
+	// port is the next port to try.
+	port int
+}
+
+// Run runs a demonstration.
+func Run(ctx context.Context, cfg Config) error {
+	s := &system{cfg: cfg}
+	defer s.stop()
+	if err := s.start(); err != nil {
+		return err
+	}
+	if err := s.show(ctx); err != nil {
+		return err
+	}
+	s.printAddresses()
+	if cfg.Stay {
+		fmt.Fprintln(cfg.Out, "\nThe system stays up until it is interrupted.")
+		<-ctx.Done()
+	}
+	return nil
+}
+
+func (s *system) start() error {
+	dir, err := os.MkdirTemp("", "verbenadale-demo")
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	s.dir = dir
+	if s.ca, err = certs.New(); err != nil {
+		return err
+	}
+	if s.platform, err = s.serve(plat.New()); err != nil {
+		return err
+	}
+	for _, dc := range centres {
+		if err := s.startTargets(dc); err != nil {
+			return err
+		}
+	}
+	if err := putHosts(s.platform, store.Hosts{Targets: s.targets}); err != nil {
+		return err
+	}
+	return s.startEntries()
+}
+
+func placeOf(dc ident.DataCentre) event.Place {
+	return event.Place{DataCentre: dc, Region: ident.Region(dc)}
+}
+
+func (s *system) startTargets(dc ident.DataCentre) error {
+	for n := range enginesEach {
+		id := ident.TargetID(fmt.Sprintf("%s-engine-%d", dc, n+1))
+		eng := engine.New(engine.Config{
+			ID: id, Serves: []rules.Serve{{Model: "draft"}}, Slots: 8, TokenTime: 20 * time.Millisecond, PrefillRate: 20000,
+		})
+		s.stops = append(s.stops, eng.Stop)
+		url, err := s.serve(eng)
+		if err != nil {
+			return err
+		}
+		s.targets = append(s.targets, event.Target{ID: id, Kind: event.Engine, Place: placeOf(dc), URL: url, Price: 1})
+	}
+	id := ident.TargetID(string(dc) + "-publish-1")
+	svc := plain.New(plain.Config{ID: id, Service: "publish", Slots: 16, Work: 20 * time.Millisecond})
+	s.stops = append(s.stops, svc.Stop)
+	url, err := s.serve(svc)
+	if err != nil {
+		return err
+	}
+	s.targets = append(s.targets, event.Target{ID: id, Kind: event.Service, Service: "publish", Place: placeOf(dc), URL: url, Price: 1})
+	return nil
+}
+
+// serve serves a stand-in on a free port and returns its base URL.
+func (s *system) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "demo: listen")
+	}
+	srv := &server{http: &http.Server{Handler: h, ReadHeaderTimeout: time.Second}, ln: ln}
+	s.stops = append(s.stops, srv.stop)
+	s.t.Go(srv.run)
+	return "http://" + ln.Addr().String(), nil
+}
+
+// server serves one stand-in.
+type server struct {
+	http *http.Server
+	ln   net.Listener
+}
+
+func (s *server) run() error {
+	_ = s.http.Serve(s.ln)
+	return nil
+}
+
+func (s *server) stop() { _ = s.http.Close() }
+
+func (s *system) startEntries() error {
+	for _, dc := range centres {
+		for n := range entriesEach {
+			set, err := s.settings(ident.EntryID(fmt.Sprintf("%s-%d", dc, n+1)), dc)
+			if err != nil {
+				return err
+			}
+			s.hosts = append(s.hosts, set)
+		}
+	}
+	for i := range s.hosts {
+		s.hosts[i].Peers.Seeds = s.seeds(i)
+		dcfg := daemon.Config{Settings: s.hosts[i], Log: s.cfg.Log, Level: logs.NewLevel(0)}
+		if err := s.record(&dcfg); err != nil {
+			return err
+		}
+		d, err := daemon.Start(dcfg)
+		if err != nil {
+			return err
+		}
+		s.daemons = append(s.daemons, d)
+	}
+	return nil
+}
+
+// record has the decisions of a host written to a file of its name.
+func (s *system) record(cfg *daemon.Config) error {
+	if s.cfg.RecordDir == "" {
+		return nil
+	}
+	f, err := os.Create(filepath.Join(s.cfg.RecordDir, string(cfg.Settings.Entry)+".jsonl"))
+	if err != nil {
+		return errors.Wrap(err, "demo: record")
+	}
+	rec := replay.NewRecorder(f)
+	s.stops = append(s.stops, rec.Close)
+	cfg.Record = rec.Start
+	return nil
+}
+
+// settings makes the settings of one entry host, as its file would hold them.
+func (s *system) settings(id ident.EntryID, dc ident.DataCentre) (config.Settings, error) {
+	var addrs [3]string
+	for i := range addrs {
+		addr, err := s.freeAddr()
+		if err != nil {
+			return config.Settings{}, err
+		}
+		addrs[i] = addr
+	}
+	dir := filepath.Join(s.dir, string(id))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		return config.Settings{}, errors.Wrap(err, "demo")
+	}
+	files, err := s.ca.Issue(dir, string(id))
+	if err != nil {
+		return config.Settings{}, err
+	}
+	set, _ := config.Parse([]byte("{}"))
+	set.Entry, set.DataCentre, set.Region = id, dc, ident.Region(dc)
+	set.Callers = config.Callers{Listen: addrs[0], URL: "http://" + addrs[0]}
+	set.Peers = config.Peers{Listen: addrs[1], CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA}
+	set.Operators = config.Operators{
+		Listen: addrs[2],
+		Known:  []config.Operator{{Name: "demo", TokenDigest: rules.Digest(operatorToken)}},
+	}
+	set.Platform.URL = s.platform
+	return set, nil
+}
+
+func (s *system) seeds(i int) []config.Seed {
+	var seeds []config.Seed
+	for j, o := range s.hosts {
+		if j != i {
+			seeds = append(seeds, config.Seed{Entry: o.Entry, Addr: o.Peers.Listen, DataCentre: o.DataCentre, Region: o.Region})
+		}
+	}
+	return seeds
+}
+
+// Ports for entry hosts. They lie below those that systems give to outgoing
+// connections, one of which could otherwise take a port between the moment it
+// is found free and the moment it is listened on.
+const (
+	firstPort = 21000
+	lastPort  = 29999
+)
+
+// freeAddr returns an address that was free a moment ago.
+func (s *system) freeAddr() (string, error) {
+	for port := max(s.port, firstPort); port <= lastPort; port++ {
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		s.port = port + 1
+		return addr, errors.Wrap(ln.Close(), "demo: listen")
+	}
+	return "", errors.Wrap(ErrDemo, "no port is free")
+}
+
+func (s *system) stop() {
+	for _, d := range s.daemons {
+		d.Stop()
+	}
+	for i := len(s.stops) - 1; i >= 0; i-- {
+		s.stops[i]()
+	}
+	s.t.Kill(nil)
+	if s.t.Alive() && len(s.stops) > 0 {
+		_ = s.t.Wait()
+	}
+	_ = os.RemoveAll(s.dir)
+}
--- /dev/null
+++ b/internal/dev/demo/demo_test.go
@@ -0,0 +1,51 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/dev/replay"
+)
+
+// The reducer of a real host is given the same events again. If a clock, a
+// random number or the order of a map had found its way into a decision, a
+// recorded fault could not be looked into.
+func TestDemoShowsAndReplays(t *testing.T) {
+	dir := t.TempDir()
+	var out bytes.Buffer
+	if err := Run(context.Background(), Config{Out: &out, RecordDir: dir}); err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	for _, want := range []string{"[DONE]", "VB1005", "try 2: ulaanbaatar-publish-1 has run it 1 time(s)"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the demonstration does not show %q:\n%s", want, out.String())
+		}
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "*.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(len(centres)*entriesEach, len(files)); diff != "" {
+		t.Fatalf("records (-want +got):\n%s", diff)
+	}
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if sum, err := replay.Replay(bytes.NewReader(text)); err != nil || sum.Events == 0 {
+			t.Errorf("%s: %d events, %v", name, sum.Events, err)
+		}
+		altered := bytes.Replace(text, []byte(`"type":"wake","body":{"at":`), []byte(`"type":"wake","body":{"at":1`), 1)
+		if _, err := replay.Replay(bytes.NewReader(altered)); !errors.Is(err, replay.ErrDiffers) {
+			t.Errorf("%s: an altered record is taken: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dev/demo/show.go
@@ -0,0 +1,214 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/internal/dev/plain"
+	"verbenadale.example/verbenadale/internal/opctl"
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// patience is how long the system may take to be ready.
+const patience = 20 * time.Second
+
+// show shows what a caller sees, step by step.
+func (s *system) show(ctx context.Context) error {
+	steps := []struct {
+		title string
+		do    func(ctx context.Context) error
+	}{
+		{"An operator creates profiles and an account", s.configure},
+		{"A caller asks for a text, and the answer streams", s.stream},
+		{"A notice that must stay in Khovd is refused elsewhere", s.residency},
+		{"A notice is published once, though it is sent twice", s.twice},
+	}
+	for _, st := range steps {
+		fmt.Fprintf(s.cfg.Out, "\n== %s\n", st.title)
+		if err := st.do(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func item(kind rules.Kind, name string, doc any) rules.Item {
+	b, _ := json.Marshal(doc)
+	return rules.Item{Kind: kind, Name: name, Doc: b}
+}
+
+func (s *system) configure(ctx context.Context) error {
+	items := []rules.Item{
+		item(rules.KindProfile, "draft", rules.Profile{Models: []rules.Serve{{Model: "draft"}}, MaxCrossings: 1, Weights: rules.Weights{Tail: 1, Cost: 0.1, Crossing: 0.2}}),
+		item(rules.KindProfile, "khovd-only", rules.Profile{Models: []rules.Serve{{Model: "draft"}}, Regions: []ident.Region{"khovd"}}),
+		item(rules.KindProfile, "publish", rules.Profile{Service: "publish", Once: true, MaxCrossings: 1}),
+		item(rules.KindAccount, "demo", rules.Client{KeyDigest: rules.Digest(callerKey), RequestsPerMinute: 6000}),
+	}
+	cl := &opctl.Client{URL: "http://" + s.hosts[0].Operators.Listen, Token: operatorToken}
+	done, err := cl.Change(ctx, rules.Change{ID: opctl.NewChangeID(), Items: items})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.cfg.Out, "accepted as revision %d\n", done.Revision)
+	in, err := cl.InForce(ctx, done.Revision, patience)
+	if err != nil {
+		return err
+	}
+	for _, c := range in.Centres {
+		fmt.Fprintf(s.cfg.Out, "%s has revision %d in force\n", c.DataCentre, c.Lowest)
+	}
+	return nil
+}
+
+const askBody = `{"model":"%s","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"Help me with a notice."}]}`
+
+// stream sends a request until the hosts have learned of the engines.
+func (s *system) stream(ctx context.Context) error {
+	url := s.hosts[0].Callers.URL + "/v1/chat/completions"
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		res, err := s.post(ctx, url, fmt.Sprintf(askBody, "draft"), nil)
+		if err != nil {
+			return err
+		}
+		if res.StatusCode == http.StatusOK {
+			defer res.Body.Close()
+			return s.printStream(res)
+		}
+		res.Body.Close()
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.Wrap(ErrDemo, "no answer streamed")
+}
+
+func (s *system) printStream(res *http.Response) error {
+	sc := bufio.NewScanner(res.Body)
+	whole := false
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		whole = data == "[DONE]"
+		fmt.Fprintln(s.cfg.Out, data)
+	}
+	if !whole {
+		return errors.Wrap(ErrDemo, "the answer is not whole")
+	}
+	fmt.Fprintf(s.cfg.Out, "outcome: %s\n", res.Trailer.Get("Verbenadale-Outcome"))
+	return nil
+}
+
+// residency asks a host in Ulaanbaatar for what must stay in Khovd.
+func (s *system) residency(ctx context.Context) error {
+	header := map[string]string{"Verbenadale-Profile": "khovd-only"}
+	res, err := s.post(ctx, s.hosts[0].Callers.URL+"/v1/chat/completions", fmt.Sprintf(askBody, "khovd-only"), header)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	fmt.Fprintf(s.cfg.Out, "status %d, outcome %s\n%s", res.StatusCode, res.Header.Get("Verbenadale-Outcome"), b)
+	if res.StatusCode != http.StatusMisdirectedRequest {
+		return errors.Wrap(ErrDemo, "the request was not refused")
+	}
+	return nil
+}
+
+type ticketAnswer struct {
+	Ticket string `json:"ticket"`
+}
+
+// twice publishes one notice with one ticket, two times.
+func (s *system) twice(ctx context.Context) error {
+	base := s.hosts[0].Callers.URL
+	res, err := s.post(ctx, base+"/v1/tickets?profile=publish", "", nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	var tk ticketAnswer
+	if err := json.NewDecoder(res.Body).Decode(&tk); err != nil || tk.Ticket == "" {
+		return errors.Wrap(ErrDemo, "no ticket")
+	}
+	body, _ := json.Marshal(plain.Call{Job: "notice-1", Text: "A notice."})
+	for n := range 2 {
+		var out plain.Result
+		if err := s.publish(ctx, base, tk.Ticket, string(body), &out); err != nil {
+			return err
+		}
+		fmt.Fprintf(s.cfg.Out, "try %d: %s has run it %d time(s)\n", n+1, out.By, out.Runs)
+		if out.Runs != 1 {
+			return errors.Wrap(ErrDemo, "the notice was published twice")
+		}
+	}
+	return nil
+}
+
+func (s *system) publish(ctx context.Context, base, ticket, body string, out *plain.Result) error {
+	res, err := s.post(ctx, base+"/v1/services/publish/notices", body, map[string]string{"Verbenadale-Ticket": ticket})
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Wrapf(ErrDemo, "status %d", res.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(res.Body).Decode(out), "demo")
+}
+
+func (s *system) post(ctx context.Context, url, body string, header map[string]string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "demo")
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	return res, errors.Wrap(err, "demo")
+}
+
+// putHosts gives the platform its list of hosts.
+func putHosts(platform string, hs store.Hosts) error {
+	b, err := json.Marshal(hs)
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	req, err := http.NewRequest(http.MethodPut, platform+"/dev/hosts", bytes.NewReader(b))
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "demo")
+	}
+	return res.Body.Close()
+}
+
+func (s *system) printAddresses() {
+	w := s.cfg.Out
+	fmt.Fprintln(w, "\n== Addresses")
+	for _, set := range s.hosts {
+		fmt.Fprintf(w, "%-14s callers http://%s  operators http://%s\n", set.Entry, set.Callers.Listen, set.Operators.Listen)
+	}
+	fmt.Fprintf(w, "platform       %s\n", s.platform)
+	fmt.Fprintf(w, "\nGo on with\n\n  curl -N -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '%s' %s/v1/chat/completions\n  go run ./cmd/verbctl -entry http://%s -token %s status\n",
+		callerKey, fmt.Sprintf(askBody, "draft"), s.hosts[0].Callers.URL, s.hosts[0].Operators.Listen, operatorToken)
+}
