--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -52,15 +52,24 @@
 			t.PeerTokens -= u.Tokens
 		}
 	}
-	p.use = p.use[:0]
-	for _, u := range use {
-		t, ok := tb.byID[u.Target]
-		if !ok || u.Running <= 0 || u.Tokens < 0 {
-			continue
+	p.use = slices.Clone(use)
+	for _, u := range p.use {
+		if t, ok := tb.byID[u.Target]; ok {
+			t.PeerSent += u.Running
+			t.PeerTokens += u.Tokens
+		}
+	}
+}
+
+// sumUse adds up what the peers told of a target before it was known here.
+func (tb *Table) sumUse(t *Target) {
+	for _, p := range tb.peers {
+		for _, u := range p.use {
+			if u.Target == t.ID {
+				t.PeerSent += u.Running
+				t.PeerTokens += u.Tokens
+			}
 		}
-		t.PeerSent += u.Running
-		t.PeerTokens += u.Tokens
-		p.use = append(p.use, u)
 	}
 }
 
--- a/internal/member/member_fail_test.go
+++ b/internal/member/member_fail_test.go
@@ -294,3 +294,46 @@
 		t.Errorf("after its own answer: suspect %v, share %v", x.Suspect(w.now), x.Share(w.now))
 	}
 }
+
+// A host was restarted, and a digest of its former run, or an older copy of the
+// platform's list, comes late. Believed, they would bring back addresses and
+// states that are gone. After a long silence they are better than nothing: the
+// clock of the host, or the platform, has lost its count.
+func TestFormerRunsAndListsAreNotBelieved(t *testing.T) {
+	tb := New(event.Host{ID: "e0", Incarnation: 1, Place: event.Place{DataCentre: "dc0"}})
+	digest := func(now ident.Time, inc ident.Incarnation) ident.Incarnation {
+		h := event.Host{ID: "e1", Incarnation: inc, Place: event.Place{DataCentre: "dc0"}}
+		tb.DigestReceived(now, event.Digest{Host: h, Seq: uint64(now)})
+		got, _ := tb.Host("e1")
+		return got.Incarnation
+	}
+	list := func(now ident.Time, version uint64) string {
+		url := []string{"", "old", "new"}[version]
+		tb.HostsRead(now, event.HostsRead{Version: version, Targets: []event.Target{{ID: "t0", Incarnation: 1, Place: tb.self.Place, URL: url}}})
+		x, _ := tb.Target("t0")
+		return x.URL
+	}
+	var incs []ident.Incarnation
+	var urls []string
+	for _, step := range []struct {
+		at  time.Duration
+		old bool
+	}{{time.Second, false}, {2 * time.Second, true}, {70 * time.Second, true}} {
+		// The time goes by in steps, as for a host that is not paused.
+		for tb.last < ident.Time(step.at)-1 {
+			tb.Advance(min(tb.last.Add(Period), ident.Time(step.at)-1))
+		}
+		n := 2
+		if step.old {
+			n = 1
+		}
+		incs = append(incs, digest(ident.Time(step.at), ident.Incarnation(n)))
+		urls = append(urls, list(ident.Time(step.at), uint64(n)))
+	}
+	if d := cmp.Diff([]ident.Incarnation{2, 2, 1}, incs); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff([]string{"new", "new", "old"}, urls); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -262,6 +262,7 @@
 		tb.byID[d.ID] = t
 		i, _ := slices.BinarySearchFunc(tb.targets, d.ID, func(t *Target, id ident.TargetID) int { return cmp.Compare(t.ID, id) })
 		tb.targets = slices.Insert(tb.targets, i, t)
+		tb.sumUse(t)
 		tb.settleLeaving(now, t)
 		return
 	}
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -310,6 +310,28 @@
 	})
 }
 
+// Three data centres ask at once. The spare slots are split between them, and
+// each part between the hosts there; if each were offered the whole, all would
+// come at once and find queues.
+func TestOfferIsSplit(t *testing.T) {
+	w := newWorld(13, 4, 2, 4)
+	for _, dc := range []ident.DataCentre{"dc1", "dc2", "dc3"} {
+		w.busy(dc, 10)
+	}
+	w.run(30*time.Second, nil)
+	sum := 0
+	for _, n := range w.nodes[2:] {
+		left := n.tb.OfferLeft(w.now, "dc0", scribe)
+		sum += left
+		if left < 5 || left > 6 {
+			t.Errorf("%s may send %d", n.id, left)
+		}
+	}
+	if sum != 32 {
+		t.Errorf("%d may be sent, 32 are spare", sum)
+	}
+}
+
 // A data centre sends its own work away, as any of its hosts tells. If it took
 // in the work of others meanwhile, the two would swap work and pay both ways.
 func TestPoolThatSendsWorkAwayOffersNothing(t *testing.T) {
@@ -346,12 +368,14 @@
 // while its own offer may still be held on the other side.
 func TestOfferIsNotUsedAgainstTheOwnOffer(t *testing.T) {
 	w := newWorld(12, 2, 1, 4)
-	w.busy("dc1", 10)
 	w.run(15*time.Second, nil)
 	a := w.nodes[0].tb
+	seq := uint64(0)
 	late := func() int {
 		s := a.Centres(w.now)[0].Summary
-		s.Seq += 1000
+		s.From, s.Age = "dc1-x", 0
+		seq++
+		s.Seq = seq
 		s.Pools = []event.Pool{{Serve: model, Slots: 40, Free: 40, Offer: 20}}
 		a.SummaryReceived(w.now, s)
 		return a.OfferLeft(w.now, "dc1", scribe)
@@ -359,11 +383,14 @@
 	if n := late(); n != 0 {
 		t.Errorf("%d may be sent away with room at home", n)
 	}
+	w.busy("dc1", 10)
+	w.run(15*time.Second, nil)
 	a.pools[0].offering = false
 	if n := late(); n != 0 {
 		t.Errorf("%d may be sent to where an own offer is held", n)
 	}
-	w.run(offerLife+transit+time.Second, func() { a.pools[0].offering = false })
+	w.busy("dc0", 8)
+	w.run(offerLife+transit+2*time.Second, nil)
 	if n := late(); n == 0 {
 		t.Error("none may be sent away once the own offer is gone")
 	}
