test callers' bad input, floods and streams, and every failure of a target's answer

A refusal of a body that was still arriving waited for the rest of it, since the server reads on to keep the connection; found by the flood test. Such refusals now close the connection.

--- /dev/null
+++ b/internal/front/answer_test.go
@@ -0,0 +1,144 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/target"
+)
+
+// sender sends one call and gives its reply.
+type sender struct {
+	b    *bench
+	t    *testing.T
+	c    call
+	done chan reply
+}
+
+func (s *sender) run() { s.done <- s.b.send(s.t, s.c) }
+
+// flood holds connections that never end their body.
+type flood struct {
+	b       *bench
+	head    string
+	refused chan int
+	conns   []net.Conn
+}
+
+func (f *flood) start(t *testing.T) {
+	conn, br := f.b.raw(t, f.head)
+	f.conns = append(f.conns, conn)
+	w := &waiter{conn: conn, r: br, refused: f.refused}
+	go w.run()
+}
+
+func (f *flood) stop() {
+	for _, c := range f.conns {
+		c.Close()
+	}
+}
+
+// waiter waits for the answer on one connection.
+type waiter struct {
+	conn    net.Conn
+	r       io.Reader
+	refused chan int
+}
+
+func (w *waiter) run() {
+	var status int
+	if _, err := fmt.Fscanf(w.r, "HTTP/1.1 %d", &status); err == nil {
+		w.refused <- status
+	}
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	const tries = 2000
+	for range tries {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("it did not come about")
+}
+
+const streamChat = `{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+
+// A stream ends with its mark, and the outcome comes after it as a trailer
+// that was announced before.
+func TestStream(t *testing.T) {
+	b := newBench(t, streamed(3))
+	rep := b.send(t, call{"POST", chatPath, streamChat, nil})
+	check(t, "status", http.StatusOK, rep.status)
+	check(t, "end mark", true, strings.HasSuffix(rep.body, "data: [DONE]\n\n"))
+	check(t, "events", 4, strings.Count(rep.body, "data: "))
+	check(t, "trailer", "done", rep.trailer.Get(HeaderOutcome))
+	check(t, "no outcome before the end", "", rep.header.Get(HeaderOutcome))
+	check(t, "names the request", true, strings.Contains(rep.body, rep.header.Get(HeaderRequest)))
+}
+
+// The engine dies in the middle of a stream and no other may go on. The caller
+// gets an error event and a cut connection, and never the end mark: a client
+// that showed the part as the whole would publish half a notice.
+func TestStreamCut(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprintf(w, "id: 1\ndata: {\"id\":\"%s\"}\n\n", r.Header.Get(target.HeaderRequest))
+	})
+	rep := b.send(t, call{"POST", chatPath, streamChat, nil})
+	check(t, "cut", true, rep.err != nil)
+	check(t, "error event", true, strings.Contains(rep.body, "event: error\ndata: {\"error\""))
+	check(t, "no end mark", false, strings.Contains(rep.body, "[DONE]"))
+}
+
+// An engine answers a request for a stream with a refusal of its own. The
+// caller gets it as it is, with no end mark of a stream behind it.
+func TestStreamAnsweredPlain(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusBadRequest)
+		fmt.Fprint(w, `{"error":{}}`)
+	})
+	rep := b.send(t, call{"POST", chatPath, streamChat, nil})
+	check(t, "status", http.StatusBadRequest, rep.status)
+	check(t, "body", `{"error":{}}`, rep.body)
+	check(t, "outcome", "done", rep.header.Get(HeaderOutcome))
+}
+
+// Method, query, allowed headers and body of a service call pass through, and
+// so do status and allowed headers of its answer. Keys and cookies do not.
+func TestService(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Location", "/jobs/7")
+		w.Header().Set("Set-Cookie", "a=b")
+		w.WriteHeader(http.StatusCreated)
+		fmt.Fprintf(w, "%s %s %s|%s|%s|%s", r.Method, r.URL, body, r.Header.Get("Accept-Language"),
+			r.Header.Get("Authorization")+r.Header.Get("Cookie"), r.Header.Get("Via"))
+	})
+	rep := b.send(t, call{"PUT", "/v1/services/vans/a%20b/c?x=1&y=%2F", "text", []string{"Accept-Language: gd", "Cookie: c=d", "Via: 1.1 office"}})
+	check(t, "status", http.StatusCreated, rep.status)
+	check(t, "body", "PUT /a%20b/c?x=1&y=%2F text|gd||1.1 office, 1.1 verbenadale", rep.body)
+	check(t, "location", "/jobs/7", rep.header.Get("Location"))
+	check(t, "cookie", "", rep.header.Get("Set-Cookie"))
+	check(t, "outcome", "done", rep.header.Get(HeaderOutcome))
+}
+
+// The lists that callers start from.
+func TestLists(t *testing.T) {
+	b := newBench(t, plainAnswer)
+	few := []string{"Authorization: Bearer few"}
+	check(t, "models", `{"object":"list","data":[{"id":"draft","object":"model","created":0,"owned_by":"verbenadale"}]}`+"\n",
+		b.send(t, call{"GET", "/v1/models", "", few}).body)
+	check(t, "entries", `{"entries":["http://192.0.2.1:8080"],"validForMs":5000}`+"\n",
+		b.send(t, call{"GET", "/v1/entries?profile=far", "", nil}).body)
+	rep := b.send(t, call{"POST", "/v1/tickets?profile=vans", "", nil})
+	check(t, "ticket", true, strings.HasPrefix(rep.body, `{"ticket":"tk-`) && strings.Contains(rep.body, `"validForMs":60000`))
+}
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -15,6 +15,10 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
+// smallBody is what the server may read of a refused body to keep the
+// connection for the next request.
+const smallBody = 16 << 10
+
 // bodyStep is by how much a body's memory first grows, so that a sender that
 // announces much and sends nothing holds little.
 const bodyStep = 4 << 10
@@ -62,6 +66,7 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
+	x.reading = true
 	for {
 		if ref := x.grow(); ref != nil {
 			return ref
@@ -81,10 +86,23 @@
 	// The deadline must not outlive the body: it would break the connection
 	// off in the middle of a long answer.
 	_ = x.rc.SetReadDeadline(time.Time{})
+	x.whole = true
 	x.cfg.Meter.In(len(x.body))
 	return nil
 }
 
+// hangUp has the connection closed after a refusal where the body is not in
+// yet. The server would otherwise read the rest before it answers, and a sender
+// that is slow or waits for an answer would hear of the refusal late.
+func (x *exchange) hangUp() {
+	if x.whole || x.r.Body == nil || x.r.Body == http.NoBody {
+		return
+	}
+	if n := x.r.ContentLength; x.reading || n < 0 || n > smallBody {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // grow makes room for more of the body.
 func (x *exchange) grow() *event.Refuse {
 	if len(x.body) < cap(x.body) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -101,6 +101,9 @@
 	// body is held until the request is over.
 	body  []byte
 	taken int
+	// reading says that reading the body has begun, whole that it has come to
+	// its end.
+	reading, whole bool
 
 	outcome event.Outcome
 	status  int
--- a/internal/front/refuse.go
+++ b/internal/front/refuse.go
@@ -62,6 +62,7 @@
 	if c.Status == http.StatusUnauthorized {
 		x.w.Header().Set("Www-Authenticate", "Bearer")
 	}
+	x.hangUp()
 	x.answer(statusOf(c), r.Outcome, errorBody(r))
 }
 
--- /dev/null
+++ b/internal/front/refuse_test.go
@@ -0,0 +1,237 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/serve"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+const (
+	chatPath = "/v1/chat/completions"
+	goodChat = `{"model":"draft","messages":[{"role":"user","content":"hi"}]}`
+)
+
+// badCalls are requests that no target may see.
+var badCalls = []struct {
+	name string
+	call call
+}{
+	{"no key", call{"POST", chatPath, goodChat, []string{"Authorization: "}}},
+	{"unknown key", call{"POST", chatPath, goodChat, []string{"Authorization: Bearer nobody"}}},
+	{"key of another kind", call{"POST", chatPath, goodChat, []string{"Authorization: Basic key"}}},
+	{"broken json", call{"POST", chatPath, `{"model":`, nil}},
+	{"json with a tail", call{"POST", chatPath, goodChat + "{}", nil}},
+	{"no body", call{"POST", chatPath, "", nil}},
+	{"array", call{"POST", chatPath, "[]", nil}},
+	{"no messages", call{"POST", chatPath, `{"model":"draft"}`, nil}},
+	{"empty messages", call{"POST", chatPath, `{"model":"draft","messages":[]}`, nil}},
+	{"messages of a wrong type", call{"POST", chatPath, `{"model":"draft","messages":"hi"}`, nil}},
+	{"no prompt", call{"POST", "/v1/completions", goodChat, nil}},
+	{"model of a wrong type", call{"POST", chatPath, `{"model":7,"messages":[1]}`, nil}},
+	{"negative tokens", call{"POST", chatPath, `{"model":"draft","messages":[1],"max_tokens":-1}`, nil}},
+	{"absurd tokens", call{"POST", chatPath, `{"model":"draft","messages":[1],"max_tokens":99999999}`, nil}},
+	{"tokens past any number", call{"POST", chatPath, `{"model":"draft","messages":[1],"max_tokens":1e99}`, nil}},
+	{"two answers", call{"POST", chatPath, `{"model":"draft","messages":[1],"n":2}`, nil}},
+	{"long body", call{"POST", chatPath, strings.Repeat(" ", maxTestBody+1), nil}},
+	{"wrong content type", call{"POST", chatPath, goodChat, []string{"Content-Type: text/plain"}}},
+	{"compressed body", call{"POST", chatPath, goodChat, []string{"Content-Encoding: gzip"}}},
+	{"unknown model", call{"POST", chatPath, `{"model":"nope","messages":[1]}`, nil}},
+	{"unknown profile", call{"POST", chatPath, goodChat, []string{"Verbenadale-Profile: nope"}}},
+	{"forbidden profile", call{"POST", "/v1/services/vans/jobs", "", []string{"Authorization: Bearer few"}}},
+	{"outside by header", call{"POST", chatPath, goodChat, []string{"Verbenadale-Profile: far"}}},
+	{"outside by body", call{"POST", chatPath, `{"model":"far","messages":[1]}`, nil}},
+	{"service as a model", call{"POST", chatPath, `{"model":"vans","messages":[1]}`, nil}},
+	{"model as a service", call{"GET", "/v1/services/draft/x", "", nil}},
+	{"forged attempt", call{"POST", chatPath, goodChat, []string{"Verbenadale-Attempt: a/1/1"}}},
+	{"forged hops", call{"POST", chatPath, goodChat, []string{"verbenadale-hops: 0"}}},
+	{"forged envelope", call{"POST", chatPath, goodChat, []string{"Verbenadale-Envelope: {}"}}},
+	{"round by a proxy", call{"POST", chatPath, goodChat, []string{"Via: 1.1 verbenadale, 1.1 proxy", "Via: 1.1 verbenadale"}}},
+	{"deadline past", call{"POST", chatPath, goodChat, []string{"Verbenadale-Deadline-Ms: 0"}}},
+	{"negative deadline", call{"POST", chatPath, goodChat, []string{"Verbenadale-Deadline-Ms: -5"}}},
+	{"absurd deadline", call{"POST", chatPath, goodChat, []string{"Verbenadale-Deadline-Ms: 99999999999999"}}},
+	{"deadline of words", call{"POST", chatPath, goodChat, []string{"Verbenadale-Deadline-Ms: soon"}}},
+	{"ticket and key", call{"POST", chatPath, goodChat, []string{"Verbenadale-Ticket: t", "Idempotency-Key: k"}}},
+	{"two tickets", call{"POST", chatPath, goodChat, []string{"Verbenadale-Ticket: t", "Verbenadale-Ticket: u"}}},
+	{"long ticket", call{"POST", chatPath, goodChat, []string{"Verbenadale-Ticket: " + strings.Repeat("t", maxToken+1)}}},
+	{"key with a space", call{"POST", chatPath, goodChat, []string{"Idempotency-Key: a b"}}},
+	{"unknown path", call{"GET", "/v2/models", "", nil}},
+	{"wrong method", call{"DELETE", chatPath, "", nil}},
+	{"dot segments", call{"GET", "/v1/services/vans/%2e%2e/admin", "", nil}},
+	{"hidden slash", call{"GET", "/v1/services/vans/a%2Fb", "", nil}},
+	{"two profiles", call{"GET", "/v1/services/vans/a", "", []string{"Verbenadale-Profile: draft"}}},
+	{"entries without profile", call{"GET", "/v1/entries", "", nil}},
+	{"ticket outside", call{"POST", "/v1/tickets?profile=far", "", nil}},
+}
+
+// Callers send requests that are broken, forged or meant for elsewhere. Each
+// gets an answer that tells what to change, with a stable code, and no target
+// sees anything of it.
+func TestBadInput(t *testing.T) {
+	b := newBench(t, plainAnswer)
+	var out strings.Builder
+	for _, c := range badCalls {
+		rep := b.send(t, c.call)
+		if rep.err != nil {
+			t.Errorf("%s: %v", c.name, rep.err)
+			continue
+		}
+		var ans errorAnswer
+		if err := json.Unmarshal([]byte(rep.body), &ans); err != nil {
+			t.Errorf("%s: %v: %s", c.name, err, rep.body)
+		}
+		if rep.header.Get(HeaderRequest) == "" {
+			t.Errorf("%s: answer without %s", c.name, HeaderRequest)
+		}
+		check(t, c.name+": outcome", string(event.NotRun), rep.header.Get(HeaderOutcome))
+		fmt.Fprintf(&out, "%s: %d %s %s %s\n", c.name, rep.status, ans.Error.Code, ans.Error.Message, ans.Error.Entries)
+	}
+	goldie.New(t).Assert(t, "bad", []byte(out.String()))
+	check(t, "calls at the target", int32(0), b.hits.Load())
+	check(t, "requests that reached the reducer", 0, len(b.reqs))
+}
+
+// A caller in Ulaanbaatar asks a host that the profile confines its data away
+// from. With "Expect: 100-continue" it waits for leave to send the body, and
+// the host answers at once with the address to use: the memories of the family
+// never leave the caller's machine.
+func TestBodyNeverSent(t *testing.T) {
+	b := newBench(t, plainAnswer)
+	_, br := b.raw(t, "POST "+chatPath+" HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer key\r\n"+
+		"Verbenadale-Profile: far\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n")
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	check(t, "status", http.StatusMisdirectedRequest, res.StatusCode)
+	check(t, "names the entry to use", true, strings.Contains(string(text), "http://192.0.2.1:8080"))
+}
+
+// Senders that dribble their bodies hold requests open until the host takes no
+// more. Each is cut off after the time for bodies, and told why.
+func TestSlowBody(t *testing.T) {
+	b := newBench(t, plainAnswer, func(cfg *Config) { cfg.BodyTime = 50 * time.Millisecond })
+	_, br := b.raw(t, "POST "+chatPath+" HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer key\r\nContent-Length: 100\r\n\r\n{")
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	check(t, "status", http.StatusRequestTimeout, res.StatusCode)
+	check(t, "code", true, strings.Contains(string(text), string(codes.SlowBody.ID)))
+}
+
+// A long answer takes many times the limit for bodies. The limit must not cut
+// it off.
+func TestLongAnswerAfterBody(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(4 * limit)
+		plainAnswer(w, r)
+	}, func(cfg *Config) { cfg.BodyTime = limit })
+	check(t, "status", http.StatusOK, b.send(t, call{"POST", chatPath, goodChat, nil}).status)
+}
+
+// A flood of bodies, each allowed, comes at once and stays open. The memory
+// they take together is bounded: those beyond it are refused, and the host
+// serves again once the flood has gone.
+func TestFloodOfBodies(t *testing.T) {
+	const room = 16 << 10
+	b := newBench(t, plainAnswer, func(cfg *Config) {
+		cfg.Budget = serve.NewBudget(room)
+		cfg.Runner.Budget = cfg.Budget
+	})
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n", chatPath, maxTestBody)
+	refused := make(chan int, 64)
+	f := &flood{b: b, head: head + strings.Repeat(" ", maxTestBody-1), refused: refused}
+	const senders = 40
+	for range senders {
+		f.start(t)
+	}
+	over := senders - room/(maxTestBody+1)
+	for range over {
+		check(t, "status", http.StatusServiceUnavailable, <-refused)
+	}
+	check(t, "memory within the budget", true, b.fr.cfg.Budget.Taken() <= room)
+	f.stop()
+	eventually(t, func() bool { return b.fr.cfg.Budget.Taken() == 0 && b.fr.Open() == 0 })
+	check(t, "serves again", http.StatusOK, b.send(t, call{"POST", chatPath, goodChat, nil}).status)
+	check(t, "calls at the target", int32(1), b.hits.Load())
+}
+
+// More requests than the host may hold are in flight. One more is refused at
+// once with when to come back, and holds nothing.
+func TestTooManyRequests(t *testing.T) {
+	goOn := make(chan struct{})
+	arrived := make(chan struct{}, 1)
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-goOn
+		plainAnswer(w, r)
+	}, func(cfg *Config) { cfg.MaxRequests = 1 })
+	s := &sender{b: b, t: t, c: call{"POST", chatPath, goodChat, nil}, done: make(chan reply, 1)}
+	go s.run()
+	<-arrived
+	rep := b.send(t, s.c)
+	close(goOn)
+	check(t, "status", http.StatusServiceUnavailable, rep.status)
+	check(t, "wait", "1", rep.header.Get("Retry-After"))
+	check(t, "the first", http.StatusOK, (<-s.done).status)
+}
+
+// The reducer refuses with a wait of part of a second. Retry-After rounds up,
+// since coming back too early would meet the same refusal; the JSON has it in
+// milliseconds.
+func TestRetryAfter(t *testing.T) {
+	b := newBench(t, plainAnswer)
+	b.refuse = &event.Refuse{
+		Code: codes.Draining.ID, Outcome: event.NotRun, RetryAfter: 1200 * time.Millisecond,
+		Entries: []event.Host{{CallerURL: "http://192.0.2.9:1"}},
+	}
+	rep := b.send(t, call{"POST", chatPath, goodChat, nil})
+	check(t, "no wait on a code that waiting does not help", "", rep.header.Get("Retry-After"))
+	b.refuse.Code = codes.Overloaded.ID
+	rep = b.send(t, call{"POST", chatPath, goodChat, nil})
+	check(t, "wait", "2", rep.header.Get("Retry-After"))
+	var ans errorAnswer
+	if err := json.Unmarshal([]byte(rep.body), &ans); err != nil {
+		t.Fatal(err)
+	}
+	check(t, "wait in ms", int64(1200), ans.Error.RetryAfterMs)
+	check(t, "entries", []string{"http://192.0.2.9:1"}, ans.Error.Entries)
+}
+
+// A repeat must be told from another request under the same key. Account,
+// profile and key each make another key; method, path and body another print.
+func TestKeyDigests(t *testing.T) {
+	b := newBench(t, plainAnswer)
+	ask := func(path, key, body string) event.Request {
+		b.send(t, call{"POST", path, body, []string{"Idempotency-Key: " + key}})
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.reqs[len(b.reqs)-1]
+	}
+	const path = "/v1/services/vans/jobs"
+	first := ask(path, "k1", "a")
+	again := ask(path, "k1", "a")
+	check(t, "same key", first.Key, again.Key)
+	check(t, "same print", first.Print, again.Print)
+	check(t, "another body", true, ask(path, "k1", "b").Print != first.Print)
+	check(t, "another path", true, ask(path+"?x=1", "k1", "a").Print != first.Print)
+	check(t, "another key", true, ask(path, "k2", "a").Key != first.Key)
+	check(t, "digest", 64, len(first.Key))
+	check(t, "profile", ident.Profile("vans"), first.Profile)
+}
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,238 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/target"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+func check(t *testing.T, what string, want, have any) {
+	t.Helper()
+	if diff := cmp.Diff(want, have); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+// An engine dies in the middle of a stream and another goes on. The caller
+// sees one text, with no word twice and none missing.
+func TestResume(t *testing.T) {
+	b := newBench(t, says(tokens(1, 3)), func(w http.ResponseWriter, r *http.Request) {
+		check(t, "resume asked for", "3", r.Header.Get(target.HeaderResume))
+		says(tokens(4, 5)+endEvent)(w, r)
+	})
+	check(t, "caller", got{Status: 200, Body: tokens(1, 5), Outcome: event.Done}, b.run(t.Context(), streamCall))
+	check(t, "results", []event.Result{event.ResultBroken, event.ResultDone}, b.results())
+}
+
+// An engine that was asked to go on starts again from the front, or leaves a
+// gap. Passed on, the caller would read a sentence twice, or miss one. The
+// stream is cut instead, and the caller told that it is not whole.
+func TestResumeIgnored(t *testing.T) {
+	for name, second := range map[string]string{
+		"starts again": tokens(1, 5) + endEvent,
+		"skips":        tokens(5, 6) + endEvent,
+		"repeats":      tokens(3, 5) + endEvent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, says(tokens(1, 3)), says(second))
+			want := got{Status: 200, Body: tokens(1, 3), Outcome: event.Unknown, Code: codes.TargetFailed.ID}
+			check(t, "caller", want, b.run(t.Context(), streamCall))
+		})
+	}
+}
+
+// An engine sends events that add no token: one that opens the answer and one
+// with the counts at its end. When the stream breaks off after such an event,
+// the resumed one sends it again. The caller gets each of them once.
+func TestEventsWithoutToken(t *testing.T) {
+	role := fmt.Sprintf("data: {\"id\":\"%s\",\"role\":\"assistant\"}\n\n", testID)
+	counts := fmt.Sprintf("data: {\"id\":\"%s\",\"usage\":{}}\n\n", testID)
+	b := newBench(t, says(role+tokens(1, 2)+counts), says(role+tokens(3, 3)+counts+endEvent))
+	want := got{Status: 200, Body: role + tokens(1, 3) + counts, Outcome: event.Done}
+	check(t, "caller", want, b.run(t.Context(), streamCall))
+}
+
+// Engines and proxies before them write streams in ways of their own: CRLF,
+// comments to keep a connection alive, lines longer than a buffer. The caller
+// gets the events all the same.
+func TestStreamForms(t *testing.T) {
+	long := fmt.Sprintf("id: 1\ndata: {\"id\":\"%s\",\"t\":\"%s\"}\n\n", testID, strings.Repeat("x", 3*streamBuffer))
+	for name, c := range map[string]struct{ text, want string }{
+		"crlf":      {strings.ReplaceAll(tokens(1, 2)+endEvent, "\n", "\r\n"), tokens(1, 2)},
+		"comments":  {": ping\n\n" + token(1) + ": ping\n" + token(2) + endEvent, tokens(1, 2)},
+		"long line": {long + endEvent, long},
+		"no space":  {strings.ReplaceAll(token(1), ": ", ":") + endEvent, strings.ReplaceAll(token(1), ": ", ":")},
+		"empty":     {endEvent, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, says(c.text))
+			check(t, "caller", got{Status: 200, Body: c.want, Outcome: event.Done}, b.run(t.Context(), streamCall))
+		})
+	}
+}
+
+// Answers that are not this request's, not whole, or not bounded must not
+// reach the caller: it would read the text of somebody else, or take a part
+// for the whole. The next target answers in their place.
+func TestBadAnswers(t *testing.T) {
+	good := fmt.Sprintf(`{"id":"%s","usage":{"completion_tokens":7}}`, testID)
+	other := strings.ReplaceAll(token(1), string(testID), "req-0002")
+	for name, bad := range map[string]http.HandlerFunc{
+		"crossed body":    whole(200, `{"id":"req-0002"}`),
+		"cut json":        whole(200, good[:9]),
+		"empty":           whole(200, ""),
+		"too large":       whole(200, strings.Repeat(" ", 1<<20)+good),
+		"status 500":      whole(500, "{}"),
+		"status 429":      whole(429, "{}"),
+		"crossed stream":  says(other + endEvent),
+		"no echo":         func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, good) },
+		"short of length": short(good),
+		"not run":         notRun,
+		"endless line":    says("id: 1\ndata: " + string(testID) + strings.Repeat("x", maxEvent+1)),
+		"no end":          func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			call, want := plainCall, got{Status: 200, Body: good, Outcome: event.Done}
+			answer := whole(200, good)
+			if strings.Contains(name, "stream") || strings.Contains(name, "line") {
+				call, answer, want.Body = streamCall, says(tokens(1, 2)+endEvent), tokens(1, 2)
+			}
+			b := newBench(t, bad, answer)
+			check(t, "caller", want, b.run(t.Context(), call))
+			check(t, "attempts", 2, len(b.results()))
+		})
+	}
+}
+
+// A target says that it leaves and has not run the request. The reducer hears
+// both, so that nothing more goes there and the request may run elsewhere.
+func TestLeaving(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(target.HeaderNotRun, target.NotRunLeaving)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	b.run(t.Context(), serviceCall)
+	check(t, "result", event.ResultNotRun, b.ends[0].Result)
+	check(t, "leaving", true, b.ends[0].Leaving)
+}
+
+// Nobody listens at a target's address. No byte has left this host, so the
+// request may truthfully be called not run.
+func TestUnreachable(t *testing.T) {
+	b := newBench(t)
+	b.targets = []event.Target{{ID: "gone", URL: "http://127.0.0.1:1"}}
+	check(t, "caller", got{Code: codes.NoTarget.ID, Outcome: event.NotRun}, b.run(t.Context(), plainCall))
+	check(t, "results", []event.Result{event.ResultNotRun}, b.results())
+}
+
+// A target begins and then falls silent until after the deadline. The attempt
+// ends at the deadline, and what the target says later goes nowhere.
+func TestLateAnswer(t *testing.T) {
+	ended := make(chan struct{})
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		<-ended
+		whole(200, fmt.Sprintf(`{"id":"%s"}`, testID))(w, r)
+	})
+	b.once = true
+	b.deadline = 50 * time.Millisecond
+	check(t, "caller", got{Code: codes.TargetFailed.ID, Outcome: event.Unknown}, b.run(t.Context(), plainCall))
+	close(ended)
+	check(t, "results", []event.Result{event.ResultBroken}, b.results())
+}
+
+// The caller closes its connection while the engine generates. The engine
+// hears of it and frees the slot, instead of writing for nobody.
+func TestCallerLeaves(t *testing.T) {
+	freed := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		says(tokens(1, 2))(w, r)
+		_ = http.NewResponseController(w).Flush()
+		cancel()
+		<-r.Context().Done()
+		close(freed)
+	})
+	b.run(ctx, streamCall)
+	select {
+	case <-freed:
+	case <-time.After(patience):
+		t.Fatal("the engine still generates")
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	check(t, "caller left", true, b.left)
+}
+
+// The caller of a booking loses its connection while the booking runs. Broken
+// off, nobody would know whether the van comes. The call runs to its end and
+// its answer is kept, so that the caller's repeat gets it.
+func TestOnceOutlivesCaller(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
+		cancel()
+		w.Header().Set("Location", "/jobs/7")
+		w.WriteHeader(http.StatusCreated)
+		fmt.Fprint(w, "booked")
+	})
+	b.once = true
+	check(t, "caller", got{Status: 201, Body: "booked", Outcome: event.Done}, b.run(ctx, serviceCall))
+	kept, ok := b.rn.Outcomes.Get(testID)
+	check(t, "kept", true, ok && b.ends[0].Kept)
+	check(t, "kept body", "booked", string(kept.Body))
+	check(t, "kept status", http.StatusCreated, kept.Status)
+	check(t, "kept header", "/jobs/7", kept.Header.Get("Location"))
+}
+
+// A once-only stream is kept while it is passed on, so that a repeat is given
+// the whole of it.
+func TestOnceStreamKept(t *testing.T) {
+	b := newBench(t, says(tokens(1, 3)+endEvent))
+	b.once = true
+	b.run(t.Context(), streamCall)
+	kept, _ := b.rn.Outcomes.Get(testID)
+	check(t, "kept body", tokens(1, 3), string(kept.Body))
+	check(t, "memory given back", ident.Bytes(0), b.rn.Budget.Taken())
+}
+
+// Many answers wait to be whole at once, each within its own bound. Without a
+// bound on all of them the host would run out of memory and cut every request.
+func TestAnswersShareBudget(t *testing.T) {
+	b := newBench(t, whole(200, strings.Repeat(" ", 8<<10)+fmt.Sprintf(`{"id":"%s"}`, testID)))
+	b.rn.Budget = NewBudget(4 << 10)
+	b.once = true
+	check(t, "caller", got{Code: codes.TargetFailed.ID, Outcome: event.Unknown}, b.run(t.Context(), plainCall))
+	check(t, "memory given back", ident.Bytes(0), b.rn.Budget.Taken())
+}
+
+// A plain service streams a report that has no end mark. Pieces go on as they
+// come, and the end of the message is the end of the answer.
+func TestServiceStream(t *testing.T) {
+	call := serviceCall
+	call.Stream = true
+	text := "event: row\ndata: 1\n\n: note\n\ndata: 2\n\n"
+	b := newBench(t, says(text))
+	check(t, "caller", got{Status: 200, Body: text, Outcome: event.Done}, b.run(t.Context(), call))
+}
+
+// The stored answers of repeats are bounded in number and size.
+func TestOutcomesBounded(t *testing.T) {
+	var o Outcomes
+	check(t, "too large", false, o.Keep("big", Held{Body: make([]byte, maxKept+1)}))
+	n := 0
+	for o.Keep(ident.RequestID(fmt.Sprint(n)), Held{}) {
+		n++
+	}
+	check(t, "bounded", true, n > 0 && n <= keptBytes>>10)
+	o.Forget("0")
+	check(t, "room again", true, o.Keep("again", Held{}))
+}
