--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -26,6 +26,9 @@
 func Register(cdr *subcommands.Commander) {
 	cdr.Register(cdr.HelpCommand(), "")
 	cdr.Register(&serveCmd{}, "")
+	cdr.Register(&checkCmd{}, "")
+	cdr.Register(&explainCmd{}, "")
+	cdr.Register(&docsCmd{}, "")
 }
 
 // serveCmd runs an entry host.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"reflect"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
@@ -12,6 +14,9 @@
 	"verbenadale.example/verbenadale/pkg/codes"
 )
 
+// ErrRead says that the settings file can't be read.
+var ErrRead = errors.New("config: the settings file can't be read")
+
 // Defaults of the settings.
 const (
 	defaultTimeoutMs   = 1500
@@ -40,7 +45,8 @@
 
 // String writes the fault in one line.
 func (f Fault) String() string {
-	return fmt.Sprintf("line %d: %s: %s (%s)", f.Line, f.Path, f.Message, f.Code)
+	c, _ := codes.Find(f.Code)
+	return fmt.Sprintf("line %d: %s: %s: %s (%s)", f.Line, f.Path, c.Title, f.Message, f.Code)
 }
 
 // Load reads and checks a settings file. The settings are of use only without
@@ -48,28 +54,49 @@
 func Load(path string) (Settings, []Fault, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, nil, errors.Wrap(err, "settings")
+		return Settings{}, nil, errors.Wrap(ErrRead, err.Error())
 	}
 	set, faults := Parse(b)
 	return set, faults, nil
 }
 
-// Parse reads and checks the text of a settings file.
+// Parse reads and checks the text of a settings file. It lists every fault.
 func Parse(text []byte) (Settings, []Fault) {
-	std, err := hujson.Standardize(bytes.Clone(text))
+	val, err := hujson.Parse(bytes.Clone(text))
 	if err != nil {
-		return Settings{}, []Fault{{Code: codes.SettingUnknown.ID, Message: err.Error()}}
+		return Settings{}, []Fault{{Code: codes.SettingSyntax.ID, Path: "file", Line: syntaxLine(err), Message: err.Error()}}
 	}
+	s := &shape{text: text, lines: map[string]int{}, bad: map[string]bool{}}
 	set := defaults()
-	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&set); err != nil {
-		return Settings{}, []Fault{{Code: codes.SettingUnknown.ID, Message: err.Error()}}
+	if s.value(&val, reflect.TypeFor[Settings](), "") {
+		val.Standardize()
+		if err := json.Unmarshal(val.Pack(), &set); err != nil {
+			s.fault(codes.SettingType, "file", 1, "%s", err)
+		}
+	}
+	(&checker{shape: s, set: set}).check()
+	set.Callers.URL = set.Callers.BaseURL()
+	slices.SortStableFunc(s.faults, func(a, b Fault) int { return a.Line - b.Line })
+	return set, s.faults
+}
+
+func syntaxLine(err error) int {
+	var line, col int
+	if _, scan := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &col); scan != nil {
+		return 0
 	}
-	if set.Callers.URL == "" {
-		set.Callers.URL = "http://" + set.Callers.Listen
+	return line
+}
+
+// BaseURL returns what callers are told.
+func (c Callers) BaseURL() string {
+	switch {
+	case c.URL != "":
+		return c.URL
+	case c.CertFile != "":
+		return "https://" + c.Listen
 	}
-	return set, nil
+	return "http://" + c.Listen
 }
 
 func defaults() Settings {
@@ -80,9 +107,9 @@
 			MaxHeaderBytes: defaultHeader,
 			MaxConnections: defaultConnections,
 			MaxRequests:    defaultRequests,
+			MaxHeldBytes:   defaultHeld,
 			HeaderMs:       defaultHeaderMs,
 			BodyMs:         defaultBodyMs,
-			MaxHeldBytes:   defaultHeld,
 			WriteMs:        defaultWriteMs,
 			IdleMs:         defaultIdleMs,
 		},
--- /dev/null
+++ b/internal/config/shape.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"verbenadale.example/verbenadale/pkg/codes"
+)
+
+// shape walks a parsed file beside the type of the settings. It finds unknown
+// fields, fields that stand twice and values of another type, takes them out of
+// the tree so that the rest can still be read and checked, and notes the line
+// of each field.
+type shape struct {
+	text   []byte
+	lines  map[string]int
+	faults []Fault
+	// bad holds the paths that are out of the tree.
+	bad map[string]bool
+}
+
+func (s *shape) line(offset int) int {
+	return 1 + bytes.Count(s.text[:min(offset, len(s.text))], []byte("\n"))
+}
+
+func (s *shape) fault(c codes.Code, path string, line int, format string, args ...any) {
+	s.bad[path] = true
+	if path == "" {
+		path = "file"
+	}
+	s.faults = append(s.faults, Fault{Code: c.ID, Path: path, Line: line, Message: fmt.Sprintf(format, args...)})
+}
+
+// value walks one value and reports whether it may stay.
+func (s *shape) value(v *hujson.Value, t reflect.Type, path string) bool {
+	line := s.line(v.StartOffset)
+	s.lines[path] = line
+	if want := typeName(t); !fits(v, t) {
+		s.fault(codes.SettingType, path, line, "write %s", want)
+		return false
+	}
+	switch x := v.Value.(type) {
+	case *hujson.Object:
+		s.object(x, t, path)
+	case *hujson.Array:
+		for i := range x.Elements {
+			if !s.value(&x.Elements[i], t.Elem(), fmt.Sprintf("%s[%d]", path, i)) {
+				x.Elements[i].Value = hujson.Literal("null")
+			}
+		}
+	}
+	return true
+}
+
+func (s *shape) object(o *hujson.Object, t reflect.Type, path string) {
+	names := fieldNames(t)
+	seen := map[string]bool{}
+	keep := o.Members[:0]
+	for _, m := range o.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		at := join(path, name)
+		line := s.line(m.Name.StartOffset)
+		f, ok := names[name]
+		switch {
+		case !ok:
+			s.fault(codes.SettingUnknown, at, line, "%s", nearest(name, names))
+		case seen[name]:
+			s.fault(codes.SettingTwice, at, line, "leave one of the two out")
+		case s.value(&m.Value, f.Type, at):
+			keep = append(keep, m)
+		}
+		seen[name] = true
+	}
+	o.Members = keep
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func fieldNames(t reflect.Type) map[string]reflect.StructField {
+	names := make(map[string]reflect.StructField, t.NumField())
+	for i := range t.NumField() {
+		f := t.Field(i)
+		names[f.Tag.Get("json")] = f
+	}
+	return names
+}
+
+// typeName names what a field takes.
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	}
+	return "a whole number"
+}
+
+func fits(v *hujson.Value, t reflect.Type) bool {
+	k := v.Value.Kind()
+	switch t.Kind() {
+	case reflect.Struct:
+		return k == '{'
+	case reflect.Slice:
+		return k == '[' || k == 'n'
+	case reflect.String:
+		return k == '"'
+	case reflect.Bool:
+		return k == 't' || k == 'f'
+	case reflect.Float64:
+		return k == '0'
+	}
+	return k == '0' && !strings.ContainsAny(string(v.Value.(hujson.Literal)), ".eE") && len(v.Value.(hujson.Literal)) < maxDigits
+}
+
+// maxDigits keeps whole numbers within 64 bits.
+const maxDigits = 19
+
+// nearest says what to write in place of an unknown field.
+func nearest(name string, names map[string]reflect.StructField) string {
+	best, least := "", len(name)/2+1
+	known := make([]string, 0, len(names))
+	for n := range names {
+		known = append(known, n)
+	}
+	slices.Sort(known)
+	for _, n := range known {
+		if d := distance(strings.ToLower(name), strings.ToLower(n)); d < least {
+			best, least = n, d
+		}
+	}
+	if best != "" {
+		return "write " + best + ", or leave it out"
+	}
+	return "leave it out; the fields here are " + strings.Join(known, ", ")
+}
+
+// distance is the number of letters to insert, drop or change.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			change := diagonal
+			if a[i] != b[j] {
+				change++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(change, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/serve/fuzz_test.go
@@ -0,0 +1,48 @@
+package serve
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Whatever an engine sends, the tokens that go on to the caller follow one
+// another from the first, and an answer counts as whole only with its end mark.
+func FuzzStream(f *testing.F) {
+	f.Add([]byte(tokens(1, 3)+endEvent), int64(0))
+	f.Add([]byte(tokens(3, 5)+endEvent), int64(2))
+	f.Add([]byte(strings.ReplaceAll(tokens(1, 2), "\n", "\r\n")+": c\n\n"+endEvent), int64(0))
+	f.Add([]byte("id: x\ndata: 1\n\n"), int64(0))
+	f.Fuzz(func(t *testing.T, text []byte, resume int64) {
+		s := &sse{
+			br: bufio.NewReaderSize(bytes.NewReader(text), streamBuffer), own: []byte(testID),
+			upto: ident.Tokens(resume), resumed: resume > 0,
+		}
+		last := s.upto
+		for {
+			out, err := s.next()
+			if errors.Is(err, io.EOF) {
+				if !bytes.Contains(text, []byte(endMark)) {
+					t.Errorf("whole without its end mark: %q", text)
+				}
+				return
+			}
+			if err != nil {
+				return
+			}
+			if s.upto != last+1 {
+				t.Errorf("token %d after %d", s.upto, last)
+			}
+			if !bytes.Contains(out, []byte(testID)) || len(out) > 3*maxEvent {
+				t.Errorf("event that is not the request's own: %q", out)
+			}
+			last = s.upto
+		}
+	})
+}
