measure what control costs at growing sizes

Ruled out: many daemons as processes for this; 370 do not fit, and sockets would hide the slopes of the decisions.

Change: verbdev slopes runs the reducers of whole fleets in virtual time and counts messages by their parts, with the framing of session, TLS and TCP/IP.

--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -36,6 +36,7 @@
 	cdr.Register(&demoCmd{}, "")
 	cdr.Register(&replayCmd{}, "")
 	cdr.Register(&loadCmd{}, "measurements")
+	cdr.Register(&slopesCmd{}, "measurements")
 }
 
 type platformCmd struct{ listen string }
--- /dev/null
+++ b/internal/dev/cmds/slope.go
@@ -0,0 +1,86 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"verbenadale.example/verbenadale/internal/dev/slope"
+)
+
+type slopesCmd struct {
+	json bool
+	full bool
+	span time.Duration
+}
+
+func (*slopesCmd) Name() string     { return "slopes" }
+func (*slopesCmd) Synopsis() string { return "measure what control costs at growing sizes" }
+
+func (*slopesCmd) Usage() string {
+	return `slopes [-full] [-for 20s] [-json]
+  Runs the reducers of 6, 12, 24 and 48 hosts in virtual time and prints what
+  control costs each. With -full also 360 hosts in 45 data centres.
+`
+}
+
+func (c *slopesCmd) SetFlags(fs *flag.FlagSet) {
+	fs.BoolVar(&c.json, "json", false, "print JSON")
+	fs.BoolVar(&c.full, "full", false, "also the size that the design is made for")
+	fs.DurationVar(&c.span, "for", 20*time.Second, "virtual time that is counted")
+}
+
+// perHost is the load of each host at the size that the design is made for.
+const (
+	perHost     = 8000.0 / 370
+	changesADay = 8400
+)
+
+func (c *slopesCmd) sizes() []slope.Config {
+	sizes := []slope.Config{
+		{Centres: 3, Regions: 3, Hosts: 2, Targets: 10, Accounts: 15},
+		{Centres: 3, Regions: 3, Hosts: 4, Targets: 20, Accounts: 30},
+		{Centres: 6, Regions: 3, Hosts: 4, Targets: 20, Accounts: 60},
+		{Centres: 6, Regions: 3, Hosts: 8, Targets: 40, Accounts: 120},
+	}
+	if c.full {
+		sizes = append(sizes, slope.Config{Centres: 45, Regions: 12, Hosts: 8, Targets: 40, Accounts: 890})
+	}
+	for i := range sizes {
+		sizes[i].Rate, sizes[i].ChangesADay, sizes[i].For = perHost, changesADay, c.span
+	}
+	return sizes
+}
+
+func (c *slopesCmd) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var all []slope.Result
+	for _, cfg := range c.sizes() {
+		all = append(all, slope.Run(cfg))
+	}
+	if c.json {
+		_ = json.NewEncoder(os.Stdout).Encode(all)
+		return subcommands.ExitSuccess
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "hosts\tcentres\taccounts\tmessages/s\tB/s\tmost B/s\tpolls/s\tcontrol %\tcoding %\ttraffic %\tstate KB\tplatform calls/s\tin force p50\tmax\tdone\trefused")
+	for _, r := range all {
+		calls := 0.0
+		for _, k := range r.PlatformCalls {
+			calls += k
+		}
+		fmt.Fprintf(w, "%d\t%d\t%d\t%.1f\t%.0f\t%.0f\t%.2f\t%.3f\t%.3f\t%.3f\t%.0f\t%.2f\t%v\t%v\t%d\t%d\n",
+			r.Fleet, r.Config.Centres, r.Config.Accounts, r.MessagesEach, r.BytesEach, r.MostBytes, r.PollsEach,
+			100*r.Core, 100*r.Coding, 100*r.Traffic, r.StateKB, calls, r.InForceP50, r.InForceMax, r.Done, r.Refused)
+	}
+	_ = w.Flush()
+	for _, r := range all {
+		fmt.Printf("%d hosts, B/s by part: %v\n", r.Fleet, r.Parts)
+	}
+	return subcommands.ExitSuccess
+}
--- a/internal/dev/drive/drive.go
+++ b/internal/dev/drive/drive.go
@@ -43,8 +43,10 @@
 	// Revision is the revision in force, Drained whether a drain has ended.
 	Revision ident.Revision
 	Drained  bool
-	// Busy is the processor time of all its steps.
-	Busy time.Duration
+	// Busy is the processor time of the steps for control: all events but those
+	// of requests, whose time is Traffic.
+	Busy    time.Duration
+	Traffic time.Duration
 }
 
 // Answer is what a caller was told.
@@ -77,11 +79,15 @@
 	// call to the platform by name.
 	OnMessage func(from, to event.Host, eff event.Effect)
 	OnCall    func(from event.Host, op string)
+	// OnPoll, where set, sees each load report that is asked for.
+	OnPoll func(from event.Host)
 	// OnStep, where set, sees each step.
 	OnStep func(h *Host, ev event.Event, effs []event.Effect)
 	// NewReducer makes the reducer of a host.
 	NewReducer func(self event.Host) Reducer
 
+	byHost   map[ident.EntryID]*Host
+	byTarget map[ident.TargetID]*Target
 	queue    deliveries
 	order    uint64
 	platform platform
@@ -106,6 +112,8 @@
 		LoseClaim:    func() bool { return false },
 		Early:        func() (time.Duration, bool) { return 0, false },
 		NewReducer:   func(self event.Host) Reducer { return core.New(self) },
+		byHost:       make(map[ident.EntryID]*Host),
+		byTarget:     make(map[ident.TargetID]*Target),
 		platform:     newPlatform(),
 		passed:       make(map[ident.RequestID]passedOn),
 	}
@@ -115,6 +123,7 @@
 func (d *Driver) AddHost(self event.Host) *Host {
 	h := &Host{Host: self, red: d.NewReducer(self)}
 	d.Hosts = append(d.Hosts, h)
+	d.byHost[h.ID] = h
 	d.platform.hosts = append(d.platform.hosts, self)
 	d.platform.hostsVersion++
 	d.Post(h.ID, 0, event.Tick{})
@@ -122,14 +131,7 @@
 }
 
 // Host returns a host by id.
-func (d *Driver) Host(id ident.EntryID) *Host {
-	for _, h := range d.Hosts {
-		if h.ID == id {
-			return h
-		}
-	}
-	return nil
-}
+func (d *Driver) Host(id ident.EntryID) *Host { return d.byHost[id] }
 
 // Connect makes links between all hosts, as the seeds of the settings do.
 func (d *Driver) Connect() {
@@ -233,7 +235,7 @@
 	}
 	began := time.Now()
 	effs := h.red.Step(d.Now, dl.ev)
-	h.Busy += time.Since(began)
+	h.spent(dl.ev, time.Since(began))
 	if d.OnStep != nil {
 		d.OnStep(h, dl.ev, effs)
 	}
@@ -242,6 +244,16 @@
 	}
 }
 
+// spent adds the time of a step to what it was for.
+func (h *Host) spent(ev event.Event, took time.Duration) {
+	switch ev.(type) {
+	case event.RequestArrived, event.AttemptSent, event.FirstToken, event.AttemptEnded, event.CallerLeft:
+		h.Traffic += took
+	default:
+		h.Busy += took
+	}
+}
+
 // delivery is an event on its way.
 type delivery struct {
 	at          ident.Time
--- a/internal/dev/drive/outside.go
+++ b/internal/dev/drive/outside.go
@@ -47,19 +47,13 @@
 func (d *Driver) AddTarget(t event.Target, cfg TargetConfig) *Target {
 	tg := &Target{Target: t, TargetConfig: cfg, Runs: make(map[ident.RequestID]int)}
 	d.Targets = append(d.Targets, tg)
+	d.byTarget[t.ID] = tg
 	d.platform.hostsVersion++
 	return tg
 }
 
 // Target returns a target by id.
-func (d *Driver) Target(id ident.TargetID) *Target {
-	for _, t := range d.Targets {
-		if t.ID == id {
-			return t
-		}
-	}
-	return nil
-}
+func (d *Driver) Target(id ident.TargetID) *Target { return d.byTarget[id] }
 
 // origin is the caller's id of a request that may have been passed on.
 func origin(id ident.RequestID) ident.RequestID {
@@ -101,6 +95,9 @@
 }
 
 func (d *Driver) poll(h *Host, e event.PollLoad) {
+	if d.OnPoll != nil {
+		d.OnPoll(h.Host)
+	}
 	t := d.Target(e.Target.ID)
 	if t == nil || t.Dead {
 		d.Post(h.ID, downAfter, event.LoadFailed{Target: e.Target.ID})
