give nothing to a data centre whose own offer a host here may still hold

The speaker now remembers an offer for as long as any host of its data centre may hold it and gives nothing back until then.

--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -50,7 +50,10 @@
 	slow    time.Duration
 	fresh   bool
 	senders []sender
+	// given are the offers that the data centre may hold of this one, taken
+	// those that hosts of this one may hold of it.
 	given   []given
+	taken   []given
 	sentAt  ident.Time
 	sent    bool
 	sentKey uint64
@@ -150,6 +153,7 @@
 	c.Place = s.Place
 	c.Summary = s
 	c.HasSummary = true
+	c.taken = note(c.taken, now, s.Pools)
 	c.made = made
 	c.fresh = c.fresh || direct
 	c.mergeHosts()
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -213,12 +213,13 @@
 
 // askers returns the data centres that ask for a pool, as indexes, in an order
 // of their own for each pool, so that small offers do not always go to the
-// same ones. None of them offers the pool, since the summary that asks is the
-// newest and none asks and offers at once.
+// same ones. One whose own offer some host here may still hold is left out: it
+// was rich a moment ago, a peer may not have heard that it is not any more, and
+// the two would swap work.
 func (tb *Table) askers(now ident.Time, id PoolID) []int {
 	var is []int
 	for i, c := range tb.centres {
-		if c.CutOff(now) || c.ask(id) == nil {
+		if c.CutOff(now) || c.ask(id) == nil || holds(c.taken, now, id) {
 			continue
 		}
 		is = append(is, i)
@@ -254,26 +255,27 @@
 	return out
 }
 
-// give takes note of the offers of a summary that is sent.
-func (c *Centre) give(now ident.Time, pools []event.Pool) {
-	c.given = slices.DeleteFunc(c.given, func(g given) bool { return g.until < now })
+// note adds the offers among pools to those that may be held until a time.
+func note(held []given, now ident.Time, pools []event.Pool) []given {
+	held = slices.DeleteFunc(held, func(g given) bool { return g.until < now })
+	until := now.Add(offerLife + transit)
 	for _, p := range pools {
 		if p.Offer == 0 {
 			continue
 		}
 		id := PoolID{p.Serve, p.Service}
-		until := now.Add(offerLife + transit)
-		i := slices.IndexFunc(c.given, func(g given) bool { return g.id == id })
+		i := slices.IndexFunc(held, func(g given) bool { return g.id == id })
 		if i < 0 {
-			c.given = append(c.given, given{id, until})
+			held = append(held, given{id, until})
 			continue
 		}
-		c.given[i].until = until
+		held[i].until = until
 	}
+	return held
 }
 
-func (c *Centre) gave(now ident.Time, id PoolID) bool {
-	return slices.ContainsFunc(c.given, func(g given) bool { return g.id == id && g.until >= now })
+func holds(held []given, now ident.Time, id PoolID) bool {
+	return slices.ContainsFunc(held, func(g given) bool { return g.id == id && g.until >= now })
 }
 
 // OfferLeft returns how many more requests this host may pass on to a data
@@ -287,7 +289,7 @@
 	}
 	c := tb.centres[i]
 	p := c.Pool(id)
-	if p == nil || p.Offer <= 0 || c.Age(now) > offerLife || c.gave(now, id) {
+	if p == nil || p.Offer <= 0 || c.Age(now) > offerLife || holds(c.given, now, id) {
 		return 0
 	}
 	if own, ok := tb.pool(id); ok && own.offering {
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -36,7 +36,7 @@
 		c.tries++
 		tb.beat.sum++
 		s.Seq = tb.beat.sum
-		c.give(now, s.Pools)
+		c.given = note(c.given, now, s.Pools)
 		effs = append(effs, event.SendSummary{To: to, Summary: s})
 	}
 	return effs
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -278,6 +278,28 @@
 	}
 }
 
+// Two data centres are rich and poor in turn, over links that are slow and
+// lose. If each held an offer of the other, requests of both would cross at the
+// same time, and every caller would wait for two ways and a cold cache.
+func TestTwoDataCentresNeverSwapWork(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Int64().Draw(rt, "seed"), 2, rapid.IntRange(1, 2).Draw(rt, "hosts"), 2)
+		w.loss = rapid.SampledFrom([]float64{0, 0.2}).Draw(rt, "loss")
+		w.delay = rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 1500 * time.Millisecond}).Draw(rt, "delay")
+		rich := ident.DataCentre("dc0")
+		for range rapid.IntRange(4, 12).Draw(rt, "turns") {
+			poor := ident.DataCentre("dc1")
+			if rich == "dc1" {
+				poor = "dc0"
+			}
+			w.busy(rich, 0)
+			w.busy(poor, 10)
+			w.run(time.Duration(rapid.IntRange(10, 100).Draw(rt, "pause"))*100*time.Millisecond, func() { w.checkOffers(rt) })
+			rich = poor
+		}
+	})
+}
+
 // The free part of a pool swings about the marks. If it began and stopped to
 // offer at one mark, the other data centres would cross and turn back each
 // second, and each time find cold caches.
