--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -15,11 +15,15 @@
 // centre, so that the relaying is shared out.
 func (tb *Table) summaries(now ident.Time) []event.Effect {
 	tb.beat.asks = false
-	if !tb.Speaks(now) || len(tb.centres) == 0 {
+	if len(tb.centres) == 0 {
 		return nil
 	}
-	base := tb.summary(now)
 	offers := tb.offers(now)
+	if !tb.Speaks(now) {
+		tb.noteOffers(now, offers)
+		return nil
+	}
+	base := tb.summary(now)
 	var effs []event.Effect
 	for i, c := range tb.centres {
 		s := base
@@ -42,6 +46,19 @@
 	return effs
 }
 
+// noteOffers takes note of what the host that speaks probably offers now. Each
+// host works out the same from the same loads. Without it a host that does not
+// speak would use the offer of a data centre that holds one of its own.
+func (tb *Table) noteOffers(now ident.Time, offers [][]int) {
+	pools := make([]event.Pool, len(tb.pools))
+	for i, p := range tb.pools {
+		pools[i] = p.Pool
+	}
+	for i, c := range tb.centres {
+		c.given = note(c.given, now, withOffers(pools, offers, i))
+	}
+}
+
 // summaryDue tells whether a summary goes to a data centre now: on change,
 // often while it carries an offer, and seldom otherwise.
 func (tb *Table) summaryDue(now ident.Time, c *Centre, s event.Summary, key uint64) bool {
