tell peers of account demand less often where there are many accounts

Cause: each digest repeated the demand of every account; at 360 hosts with 74 accounts each that was 12.9 of 23.6 KB a second, where 4 are allowed for all of control. And the choice of accounts for summaries was made each second though summaries go out every few, so most of what counted as told was not.

Ruled out: telling only changes; with a few requests a second for an account its smoothed demand changes all the time, and a lost digest would leave a wrong share standing.

Change: the whole list goes out as often as comes to eight accounts a second; with eight or fewer nothing changes. The accounts for summaries are chosen when a round of them is made.

Conclusion: a shift of demand is known up to ten seconds later at 74 accounts a host; the bound of limits grows by that exchange period.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,7 +55,9 @@
 	draining bool
 	drainAt  ident.Time
 	wakeAt   ident.Time
-	out      []event.Effect
+	// tellAt is when the demand of the accounts is told next.
+	tellAt ident.Time
+	out    []event.Effect
 }
 
 // New returns the reducer of a host that knows nothing yet.
@@ -169,7 +171,9 @@
 
 func (rd *Reducer) digest(now ident.Time, d event.Digest) {
 	rd.table.DigestReceived(now, d)
-	rd.quota.PeerDemand(now, d.Host.ID, d.Accounts)
+	if d.AccountsTold {
+		rd.quota.PeerDemand(now, d.Host.ID, d.Accounts)
+	}
 	rd.emit(rd.spread.Seen(now, d.Host, d.Revision)...)
 	for _, s := range d.Summaries {
 		rd.summary(now, s)
@@ -236,12 +240,23 @@
 	return effs
 }
 
+// tellEach is how many accounts a host tells its peers of each second, on
+// average. With more of them the whole list goes out less often: at 74 accounts
+// and seven peers, telling all each second alone cost three times the 4 KB a
+// second that a host may spend on control.
+const tellEach = 8
+
 func (rd *Reducer) own(now ident.Time) member.Own {
-	return member.Own{
+	own := member.Own{
 		Revision:       rd.spread.Revision(),
-		Accounts:       rd.quota.Demand(now),
-		CentreAccounts: rd.quota.CentreDemand(now),
+		CentreAccounts: func() []event.AccountUse { return rd.quota.CentreDemand(now) },
+	}
+	if now >= rd.tellAt {
+		own.Accounts = rd.quota.Demand(now)
+		own.AccountsTold = true
+		rd.tellAt = now.Add(member.Period * time.Duration((len(own.Accounts)+tellEach-1)/tellEach))
 	}
+	return own
 }
 
 // wakeLate is the longest time without a tick.
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -97,12 +97,16 @@
 type Digest struct {
 	Host Host `json:"host"`
 	// Seq grows with each digest of one incarnation.
-	Seq      uint64          `json:"seq"`
-	Revision ident.Revision  `json:"revision"`
-	Use      []TargetUse     `json:"use,omitempty"`
-	Loads    []Load          `json:"loads,omitempty"`
-	Accounts []AccountUse    `json:"accounts,omitempty"`
-	Leaving  []LeavingTarget `json:"leaving,omitempty"`
+	Seq      uint64         `json:"seq"`
+	Revision ident.Revision `json:"revision"`
+	Use      []TargetUse    `json:"use,omitempty"`
+	Loads    []Load         `json:"loads,omitempty"`
+	// Accounts is the demand at the sender. It replaces what the sender told
+	// before, and is left out of most digests where there are many accounts;
+	// AccountsTold tells an empty list from one that is left out.
+	Accounts     []AccountUse    `json:"accounts,omitempty"`
+	AccountsTold bool            `json:"accountsTold,omitempty"`
+	Leaving      []LeavingTarget `json:"leaving,omitempty"`
 	// Summaries are those of other data centres that the sender has received
 	// since its last digest, so that one speaker serves its data centre.
 	Summaries []Summary `json:"summaries,omitempty"`
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -81,7 +81,7 @@
 	tb.beat.seq++
 	d := event.Digest{
 		Host: tb.self, Seq: tb.beat.seq, Revision: tb.own.Revision, Blind: tb.blind,
-		Accounts: tb.own.Accounts, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
+		Accounts: tb.own.Accounts, AccountsTold: tb.own.AccountsTold, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
 	}
 	for _, t := range tb.targets {
 		if t.Sent > 0 {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -65,8 +65,14 @@
 	Revision ident.Revision
 	// Accounts is the demand at this host, for peers; CentreAccounts that of
 	// the whole data centre, for other data centres.
-	Accounts       []event.AccountUse
-	CentreAccounts []event.AccountUse
+	Accounts []event.AccountUse
+	// AccountsTold says that Accounts is to be told now; it is left out
+	// otherwise.
+	AccountsTold bool
+	// CentreAccounts returns the demand of the data centre for a summary. It
+	// is asked once for each round of summaries, since what it returns counts
+	// as told. Nil stands for none.
+	CentreAccounts func() []event.AccountUse
 	// After returns the last sequence number seen of the cache events of a
 	// target; nil is none.
 	After func(ident.TargetID) uint64
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -24,6 +24,7 @@
 		return nil
 	}
 	base := tb.summary(now)
+	var accounts []event.AccountUse
 	var effs []event.Effect
 	for i, c := range tb.centres {
 		s := base
@@ -36,6 +37,10 @@
 		if !ok {
 			continue
 		}
+		if len(effs) == 0 && tb.own.CentreAccounts != nil {
+			accounts = tb.own.CentreAccounts()
+		}
+		s.Accounts = accounts
 		c.sentAt, c.sent, c.sentKey = now, true, key
 		c.tries++
 		tb.beat.sum++
@@ -104,7 +109,7 @@
 	low, high := tb.Revisions(now)
 	s := event.Summary{
 		From: tb.self.ID, Place: tb.self.Place, Incarnation: tb.self.Incarnation,
-		InForce: low, Highest: high, Hosts: tb.liveHosts(now), Accounts: tb.own.CentreAccounts,
+		InForce: low, Highest: high, Hosts: tb.liveHosts(now),
 	}
 	for _, p := range tb.pools {
 		s.Pools = append(s.Pools, p.Pool)
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -12,7 +12,7 @@
 		Use: convert(d.Use, fromUse), Loads: convert(d.Loads, fromLoad),
 		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
-		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant),
+		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
 	}
 }
 
@@ -24,7 +24,7 @@
 		Use: convert(p.GetUse(), toUse), Loads: convert(p.GetLoads(), toLoad),
 		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
-		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant),
+		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
 	}
 }
 
