--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { conn.Close() })
+	t.Cleanup(func() { _ = conn.Close() })
 	if _, err := conn.Write([]byte(text)); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -52,7 +52,7 @@
 		if !ok {
 			return
 		}
-		u, err := url.Parse(path)
+		u, err := url.Parse("http://vans" + path)
 		if err != nil || profile == "" {
 			t.Fatalf("path %q was taken as %q of %q: %v", tail, path, profile, err)
 		}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"unicode"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/serve"
@@ -80,10 +81,21 @@
 		return "", "", false
 	}
 	for seg := range strings.SplitSeq(tail, "/") {
-		text, err := url.PathUnescape(seg)
-		if err != nil || text == "." || text == ".." || strings.ContainsAny(text, "/\\\x00") {
+		if !plainSegment(seg) {
 			return "", "", false
 		}
 	}
 	return ident.Profile(profile), "/" + tail, true
 }
+
+// plainSegment reports whether a segment of an escaped path means the same to
+// whoever reads it next.
+func plainSegment(seg string) bool {
+	text, err := url.PathUnescape(seg)
+	if err != nil || text == "." || text == ".." || strings.ContainsAny(seg, "?#") {
+		return false
+	}
+	return !strings.ContainsFunc(text, func(r rune) bool {
+		return r == '/' || r == '\\' || unicode.IsControl(r)
+	})
+}
