--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/loop"
+	"verbenadale.example/verbenadale/internal/peer"
 	"verbenadale.example/verbenadale/internal/revlog"
 	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/internal/store"
@@ -44,6 +45,9 @@
 	Metrics metrics.Registry
 	// Step, where set, replaces the reducer, for comparisons.
 	Step func(now ident.Time, ev event.Event) []event.Effect
+	// Record, where set, is told who the host is and returns what sees each
+	// event and its effects, for replay.
+	Record func(self event.Host) func(now ident.Time, ev event.Event, effs []event.Effect)
 }
 
 // Daemon is a running entry host.
@@ -56,15 +60,19 @@
 	store   *store.Client
 	revs    *revlog.Log
 	targets *target.Client
-	book    atomic.Pointer[rules.Book]
-	outs    *serve.Outcomes
-	work    chan event.Effect
-	callers *http.Server
-	ops     *http.Server
-	drained chan struct{}
-	runner  *serve.Runner
-	budget  *serve.Budget
-	trace   *trace.Tracer
+	// platform is set before the loop starts, which calls it.
+	platform *platform
+	metrics  metrics.Registry
+	book     atomic.Pointer[rules.Book]
+	outs     *serve.Outcomes
+	mesh     *peer.Mesh
+	work     chan event.Effect
+	callers  *http.Server
+	ops      *http.Server
+	drained  chan struct{}
+	runner   *serve.Runner
+	budget   *serve.Budget
+	trace    *trace.Tracer
 }
 
 // Sizes of the worker pool that carries out effects towards the platform and
@@ -79,7 +87,7 @@
 	set := cfg.Settings
 	d := &Daemon{
 		cfg: cfg, self: self(set), clock: clock.New(),
-		targets: target.New(), outs: &serve.Outcomes{},
+		targets: target.New(), outs: &serve.Outcomes{}, metrics: metrics.NewRegistry(),
 		work: make(chan event.Effect, workQueue), drained: make(chan struct{}),
 	}
 	var err error
@@ -88,17 +96,29 @@
 	}
 	d.store = store.New(store.Config{
 		URL: set.Platform.URL, Timeout: config.Millis(set.Platform.TimeoutMs),
-		CallsPerSecond: set.Platform.CallsPerSecond,
+		CallsPerSecond: set.Platform.CallsPerSecond, Metrics: d.metrics, Now: d.clock.Now,
 	})
 	d.revs = revlog.New(d.store)
+	d.platform = newPlatform(d)
 	step := cfg.Step
 	if step == nil {
 		step = core.New(d.self).Step
 	}
-	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
+	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
+	if err != nil {
+		d.clock.Stop()
+		return nil, err
+	}
+	d.mesh = mesh
+	lcfg := loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry}
+	if cfg.Record != nil {
+		lcfg.Record = cfg.Record(d.self)
+	}
+	d.loop = loop.New(lcfg)
 	for range workers {
 		d.t.Go(d.run)
 	}
+	d.platform.start()
 	if err := d.listen(); err != nil {
 		d.Stop()
 		return nil, err
@@ -108,12 +128,16 @@
 }
 
 func self(set config.Settings) event.Host {
+	peerAddr := set.Peers.Advertise
+	if peerAddr == "" {
+		peerAddr = set.Peers.Listen
+	}
 	return event.Host{
 		ID:          set.Entry,
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		Place:       event.Place{DataCentre: set.DataCentre, Region: set.Region},
 		CallerURL:   set.Callers.URL,
-		PeerAddr:    set.Peers.Listen,
+		PeerAddr:    peerAddr,
 	}
 }
 
@@ -124,15 +148,19 @@
 	lim := d.cfg.Settings.Limits
 	d.budget = serve.NewBudget(lim.MaxHeldBytes)
 	d.runner = &serve.Runner{
-		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets,
+		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.mesh.Forward,
 		Outcomes: d.outs, MaxAnswer: maxAnswer, Budget: d.budget, Trace: d.trace,
 	}
 	d.callers = d.callerServer()
 	ad := admin.New(admin.Config{
-		Loop: d.loop, Log: d.cfg.Log, Level: d.cfg.Level, Revs: d.revs,
+		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Level: d.cfg.Level, Revs: d.revs,
 		Book: d.book.Load, Operators: d.cfg.Settings.Operators.Known,
+		Metrics: d.metrics, Drain: d.Drain,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
+	if err := d.mesh.Start(d.loop.Post, d.runner.Run); err != nil {
+		return errors.Wrap(err, "daemon: peers")
+	}
 	if err := d.serveCallers(); err != nil {
 		return err
 	}
@@ -173,7 +201,11 @@
 }
 
 // Drain starts a graceful stop.
-func (d *Daemon) Drain() { d.loop.Post(event.DrainAsked{}) }
+func (d *Daemon) Drain() {
+	d.platform.reg.drain()
+	d.mesh.Leave()
+	d.loop.Post(event.DrainAsked{})
+}
 
 // Drained is closed when the last request has ended after Drain.
 func (d *Daemon) Drained() <-chan struct{} { return d.drained }
@@ -189,6 +221,7 @@
 		_ = d.callers.Shutdown(ctx)
 		_ = d.ops.Shutdown(ctx)
 	}
+	d.stopMesh()
 	d.t.Kill(nil)
 	_ = d.t.Wait()
 	d.loop.Stop()
--- /dev/null
+++ b/internal/once/key_test.go
@@ -0,0 +1,87 @@
+package once
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// The store takes the record but its reply is lost, and the read back fails as
+// well, so the caller is told that nothing ran. Coming back with the same key
+// finds the record of the first try. A user whose booking was never made could
+// not make it with its key at all if that record counted as a run.
+func TestLateWriteDoesNoHarm(t *testing.T) {
+	rg := New("a", 5)
+	rg.keyForgotten = true // as at any host that has run for an hour
+	first := rg.Key(0, "k", "p", "r1")
+	got := []Verdict{
+		rg.Claimed(0, "r1", event.ClaimFailed, event.KeyRecord{}),
+		rg.Key(1, "k", "p", "r2"),
+		rg.Claimed(1, "r2", event.ClaimTaken, first.Record),
+	}
+	want := []Verdict{
+		refuse(codes.StoreDown, event.NotRun),
+		{Do: Claim, Record: event.KeyRecord{Entry: "a", Incarnation: 5, Request: "r1", Print: "p"}},
+		{Do: Run},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+// The key is on record for another run or host. A user would have the work
+// done twice if this host ran it, and be misled if it said "not run".
+func TestKeyTaken(t *testing.T) {
+	for name, tc := range map[string]struct {
+		rec  event.KeyRecord
+		want Verdict
+	}{
+		"other host":    {event.KeyRecord{Entry: "b", Incarnation: 3, Request: "x", Print: "p"}, owner("b", 3)},
+		"later run":     {event.KeyRecord{Entry: "a", Incarnation: 6, Request: "x", Print: "p"}, owner("a", 6)},
+		"earlier run":   {event.KeyRecord{Entry: "a", Incarnation: 4, Request: "x", Print: "p"}, refuse(codes.OutcomeUnknown, event.Unknown)},
+		"other content": {event.KeyRecord{Entry: "b", Incarnation: 3, Request: "x", Print: "q"}, refuse(codes.KeyReused, event.NotRun)},
+	} {
+		rg := New("a", 5)
+		rg.Key(0, "k", "p", "r1")
+		got := []Verdict{rg.Claimed(0, "r1", event.ClaimTaken, tc.rec), rg.Key(1, "k", "p", "r2")}
+		if diff := cmp.Diff([]Verdict{tc.want, tc.want}, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// Tickets are guessed, come to another host or account, or come too late. A
+// user whose ticket can be used by another finds its booking taken.
+func TestRedeemRefused(t *testing.T) {
+	const text = "a/5/1/s3cret"
+	late := ident.Time(0).Add(ticketValid)
+	for name, tc := range map[string]struct {
+		now     ident.Time
+		ticket  string
+		account ident.Account
+		profile ident.Profile
+		want    Verdict
+	}{
+		"no ticket":     {0, "nonsense", "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+		"never issued":  {0, "a/5/2/s3cret", "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+		"wrong secret":  {0, "a/5/1/guessed", "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+		"other account": {0, text, "other", "book", refuse(codes.BadTicket, event.NotRun)},
+		"other profile": {0, text, "acme", "other", refuse(codes.BadTicket, event.NotRun)},
+		"other host":    {0, "b/3/1/s3cret", "acme", "book", owner("b", 3)},
+		"later run":     {0, "a/6/1/s3cret", "acme", "book", owner("a", 6)},
+		"earlier run":   {0, "a/4/1/s3cret", "acme", "book", refuse(codes.OutcomeUnknown, event.Unknown)},
+		"expired":       {late, text, "acme", "book", refuse(codes.BadTicket, event.NotRun)},
+	} {
+		rg := New("a", 5)
+		if got, _, _ := rg.IssueTicket(0, "acme", "book", "s3cret"); got != text {
+			t.Fatalf("issued %s, want %s", got, text)
+		}
+		if diff := cmp.Diff(tc.want, rg.Redeem(tc.now, tc.ticket, tc.account, tc.profile, "r1", "p")); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -57,9 +57,9 @@
 
 func (t *try) order(d event.Dispatch) target.Order {
 	return target.Order{
-		Target: d.Target, Attempt: d.Attempt, Request: t.req.ID, Serve: d.Serve,
+		Target: d.Target, Attempt: d.Attempt, Request: t.call.Answer, Serve: d.Serve,
 		Method: t.call.Method, Path: t.call.Path, Header: t.call.Header, Body: t.call.Body,
-		Priority: d.Priority, Resume: d.Resume, Left: t.left(d.Deadline), Once: d.Once,
+		Priority: d.Priority, Resume: max(d.Resume, t.upto), Left: t.left(d.Deadline), Once: d.Once,
 	}
 }
 
@@ -78,10 +78,11 @@
 		end.Result = event.ResultFailed
 		return end
 	}
+	from := t.upto
 	t.begin(res.StatusCode, answerHeader(res.Header))
 	err := t.copy(res)
 	end.Delivered = t.upto
-	end.Generated = t.upto
+	end.Generated = t.upto - from
 	if t.use.Completion > 0 {
 		end.Generated = t.use.Completion
 	}
@@ -179,7 +180,7 @@
 	if err := json.Unmarshal(t.held.Body, &head); err != nil {
 		return errors.Wrap(errShort, err.Error())
 	}
-	if head.ID != t.req.ID {
+	if head.ID != t.call.Answer {
 		return errCrossed
 	}
 	t.use = head.Usage
@@ -191,7 +192,7 @@
 func (t *try) copyStream(body io.Reader) error {
 	s := &sse{
 		br:  bufio.NewReaderSize(body, streamBuffer),
-		own: []byte(`"` + string(t.req.ID) + `"`), upto: t.upto, resumed: t.upto > 0,
+		own: []byte(`"` + string(t.call.Answer) + `"`), upto: t.upto, resumed: t.upto > 0,
 	}
 	for {
 		b, err := s.next()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -37,6 +37,15 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// ReadBody, where set, reads the body before the first attempt, once the
+	// reducer has let the request in. A body that may not enter this host is
+	// thus never read.
+	ReadBody func() ([]byte, error)
+	// Answer is the request id that the answer names, where another entry
+	// host gave it out; empty stands for the id of the request.
+	Answer ident.RequestID
+	// Resume is the number of tokens that the caller has been given before.
+	Resume ident.Tokens
 	// Stream says that the answer is a stream of server-sent events.
 	Stream bool
 	// Engine says that the answer is an engine's, which must name its request
@@ -62,6 +71,13 @@
 	Data  func(b []byte, upto ident.Tokens) error
 }
 
+// Passed is a request that is passed on to another entry host.
+type Passed struct {
+	Forward event.Forward
+	Request event.Request
+	Call    Call
+}
+
 // Runner runs requests.
 type Runner struct {
 	Loop    *loop.Loop
@@ -70,7 +86,7 @@
 	Targets *target.Client
 	// Forward runs an attempt at another entry host. It calls sent before the
 	// first byte can reach it.
-	Forward func(ctx context.Context, f event.Forward, c Call, sent func(), out Relay) event.AttemptEnded
+	Forward func(ctx context.Context, p Passed, sent func(), out Relay) event.AttemptEnded
 	// Outcomes keeps the answers that repeats are given again.
 	Outcomes *Outcomes
 	// MaxAnswer bounds an answer that is held until it is whole.
@@ -97,7 +113,10 @@
 	defer rn.Loop.Close(req.ID)
 	rn.running.Add(1)
 	defer rn.running.Add(-1)
-	r := &run{Runner: rn, call: call, req: req, sink: sink}
+	r := &run{Runner: rn, call: call, req: req, sink: sink, upto: call.Resume}
+	if r.call.Answer == "" {
+		r.call.Answer = req.ID
+	}
 	defer r.drop()
 	rn.Loop.Post(event.RequestArrived{Request: req})
 	r.follow(ctx, box)
@@ -227,11 +246,11 @@
 	case event.Dispatch:
 		t := &try{run: r, id: e.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.send(ctx, e) }
-		r.start(ctx, t)
+		return r.start(ctx, t)
 	case event.Forward:
 		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
-		r.start(ctx, t)
+		return r.start(ctx, t)
 	case event.Cancel:
 		if r.live != nil && r.live.id == e.Attempt {
 			r.stop()
@@ -253,9 +272,13 @@
 }
 
 // start starts an attempt. One that still runs is broken off first, since two
-// would write to one caller.
-func (r *run) start(ctx context.Context, t *try) {
+// would write to one caller. It reports true when the request is over because
+// its body did not come.
+func (r *run) start(ctx context.Context, t *try) bool {
 	r.stop()
+	if !r.readBody() {
+		return true
+	}
 	if !r.begun {
 		r.drop()
 	}
@@ -269,6 +292,7 @@
 	t.end = event.AttemptEnded{Attempt: t.id, Result: event.ResultBroken}
 	r.live = t
 	t.t.Go(t.loop)
+	return false
 }
 
 // drop gives up a held answer and its share of the budget.
@@ -278,6 +302,24 @@
 	r.held = Held{}
 }
 
+// readBody reads a body that was left unread until now and reports whether
+// the request can go on. Without its body the request has not run: no attempt
+// has been made.
+func (r *run) readBody() bool {
+	if r.call.ReadBody == nil {
+		return true
+	}
+	b, err := r.call.ReadBody()
+	if err != nil {
+		r.Loop.Post(event.CallerLeft{Request: r.req.ID})
+		r.sink.Refuse(event.Refuse{Request: r.req.ID, Code: codes.BadRequest.ID, Outcome: event.NotRun})
+		return false
+	}
+	r.call.Body = b
+	r.call.ReadBody = nil
+	return true
+}
+
 func (r *run) left(deadline ident.Time) time.Duration {
 	return max(deadline.Sub(r.Clock.Now()), 0)
 }
--- /dev/null
+++ b/internal/store/meter.go
@@ -0,0 +1,70 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// op names an operation in the metrics.
+type op string
+
+const (
+	opGet       op = "get"
+	opWatch     op = "watch"
+	opPut       op = "put"
+	opDelete    op = "delete"
+	opGrant     op = "grant"
+	opKeepAlive op = "keepAlive"
+	opRevoke    op = "revoke"
+	opHosts     op = "hosts"
+	opDirectory op = "directory"
+	opRegister  op = "register"
+	opClaim     op = "claim"
+)
+
+// results names the errors in the metrics, in the order of the search.
+var results = []struct {
+	err  error
+	name string
+}{
+	{ErrAbsent, "absent"},
+	{ErrConflict, "conflict"},
+	{ErrUnknown, "unknown"},
+	{ErrIdle, "idle"},
+	{ErrBudget, "budget"},
+	{ErrLapsed, "lapsed"},
+	{ErrTooLarge, "tooLarge"},
+	{ErrDown, "down"},
+}
+
+// resultCancelled is the result of a call that its caller broke off, such as a
+// watch that another host takes over. As "down" it would raise an alarm about a
+// platform that is well.
+const resultCancelled = "cancelled"
+
+func resultName(caller context.Context, err error) string {
+	if err == nil {
+		return "ok"
+	}
+	if errors.Is(caller.Err(), context.Canceled) {
+		return resultCancelled
+	}
+	for _, r := range results {
+		if errors.Is(err, r.err) {
+			return r.name
+		}
+	}
+	return "other"
+}
+
+// meter counts a call by operation and result, and times it where it was sent.
+func (c *Client) meter(o op, result string, took time.Duration) {
+	name := "platform." + string(o)
+	metrics.GetOrRegisterCounter(name+"."+result, c.cfg.Metrics).Inc(1)
+	if took > 0 {
+		metrics.GetOrRegisterTimer(name, c.cfg.Metrics).Update(took)
+	}
+}
