--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -68,6 +68,7 @@
 	field("callers.certFile", "the certificate towards callers; turns TLS on", aFile),
 	field("callers.keyFile", "the key of the certificate towards callers", aFile),
 	required("peers.listen", "the address towards other entry hosts", anAddr),
+	field("peers.advertise", "the address that other entry hosts are told to dial; the listen address where empty", anAddr),
 	required("peers.seeds[].entry", "the name of a host to try before the platform's list is known", aName),
 	required("peers.seeds[].addr", "the address of the seed towards other entry hosts", anAddr),
 	required("peers.seeds[].dataCentre", "the data centre of the seed", aName),
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -67,7 +67,7 @@
 		return Settings{}, []Fault{{Code: codes.SettingSyntax.ID, Path: "file", Line: syntaxLine(err), Message: err.Error()}}
 	}
 	s := &shape{text: text, lines: map[string]int{}, bad: map[string]bool{}}
-	set := defaults()
+	set := Defaults()
 	if s.value(&val, reflect.TypeFor[Settings](), "") {
 		val.Standardize()
 		if err := json.Unmarshal(val.Pack(), &set); err != nil {
@@ -99,7 +99,8 @@
 	return "http://" + c.Listen
 }
 
-func defaults() Settings {
+// Defaults returns the settings that hold where a file names none.
+func Defaults() Settings {
 	return Settings{
 		Platform: Platform{TimeoutMs: defaultTimeoutMs, CallsPerSecond: defaultCalls},
 		Limits: Limits{
--- a/internal/config/pages.go
+++ b/internal/config/pages.go
@@ -35,7 +35,7 @@
 	if f.Required {
 		return "required"
 	}
-	v := reflect.ValueOf(defaults())
+	v := reflect.ValueOf(Defaults())
 	for name := range strings.SplitSeq(f.Path, ".") {
 		if strings.HasSuffix(name, "[]") {
 			return "none"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,7 +136,7 @@
 		ID:          set.Entry,
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		Place:       event.Place{DataCentre: set.DataCentre, Region: set.Region},
-		CallerURL:   set.Callers.URL,
+		CallerURL:   set.Callers.BaseURL(),
 		PeerAddr:    peerAddr,
 	}
 }
--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -129,10 +129,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	set, faults := config.Parse([]byte(fmt.Sprintf(`{"entry":%q,"dataCentre":"uvs","region":"uvs"}`, id)))
-	if len(faults) > 0 {
-		t.Fatal(faults)
-	}
+	set := config.Defaults()
+	set.Entry, set.DataCentre, set.Region = id, "uvs", "uvs"
 	set.Callers.Listen, set.Operators.Listen = freeAddr(t), freeAddr(t)
 	set.Peers = config.Peers{Listen: freeAddr(t), Seeds: seeds, CertFile: fs.Cert, KeyFile: fs.Key, CAFile: fs.CA}
 	r.attempts = make(map[ident.Attempt]ident.RequestID)
--- a/internal/dev/demo/demo.go
+++ b/internal/dev/demo/demo.go
@@ -230,7 +230,7 @@
 	if err != nil {
 		return config.Settings{}, err
 	}
-	set, _ := config.Parse([]byte("{}"))
+	set := config.Defaults()
 	set.Entry, set.DataCentre, set.Region = id, dc, ident.Region(dc)
 	set.Callers = config.Callers{Listen: addrs[0], URL: "http://" + addrs[0]}
 	set.Peers = config.Peers{Listen: addrs[1], CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA}
--- /dev/null
+++ b/internal/proofs/measure_test.go
@@ -0,0 +1,204 @@
+package proofs
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+var measure = flag.Bool("measure", false, "measure an entry host, which takes about a minute")
+
+// Loads of the measurement.
+const (
+	measureRate  = 500
+	measureTime  = 8 * time.Second
+	idleStreams  = 400
+	streamTokens = 8
+)
+
+// probe sends one request and notes how long its first byte or its whole
+// answer took.
+type probe struct {
+	url    string
+	key    string
+	stream bool
+
+	mu    sync.Mutex
+	wg    sync.WaitGroup
+	took  []time.Duration
+	fails int
+	cl    *http.Client
+}
+
+func (p *probe) body() string {
+	return fmt.Sprintf(`{"model":"measured","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, p.stream, streamTokens)
+}
+
+func (p *probe) run() {
+	defer p.wg.Done()
+	began := time.Now()
+	took, err := p.once(began)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.fails++
+		return
+	}
+	p.took = append(p.took, took)
+}
+
+func (p *probe) once(began time.Time) (time.Duration, error) {
+	req, err := http.NewRequest(http.MethodPost, p.url+"/v1/chat/completions", strings.NewReader(p.body()))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+p.key)
+	req.Header.Set("X-Request-Id", "direct")
+	res, err := p.cl.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	br := bufio.NewReader(res.Body)
+	_, err = br.ReadString('\n')
+	first := time.Since(began)
+	rest, ended := io.ReadAll(br)
+	switch {
+	case res.StatusCode != http.StatusOK:
+		return 0, fmt.Errorf("status %d", res.StatusCode)
+	case ended != nil:
+		return 0, ended
+	case p.stream && !strings.Contains(string(rest), "[DONE]"):
+		return 0, fmt.Errorf("no end mark")
+	case p.stream:
+		return first, err
+	}
+	return time.Since(began), nil
+}
+
+// load sends requests at a fixed rate, whether answers come or not.
+func (p *probe) load() {
+	p.cl = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	// Gaps at random keep the requests from falling into step with the engine.
+	at, rnd := time.Now(), rand.New(rand.NewPCG(1, 2))
+	const gap = time.Second / measureRate
+	for range int(measureTime / gap) {
+		at = at.Add(time.Duration(rnd.ExpFloat64() * float64(gap)))
+		time.Sleep(time.Until(at))
+		p.wg.Add(1)
+		go p.run()
+	}
+	p.wg.Wait()
+	p.cl.CloseIdleConnections()
+	slices.Sort(p.took)
+}
+
+func (p *probe) at(q float64) time.Duration { return p.took[int(float64(len(p.took)-1)*q)] }
+
+// TestMeasureEntry measures what one entry host adds to a call, at 500
+// requests a second over loopback, and its memory for an idle stream. It fails
+// where a goal is missed.
+func TestMeasureEntry(t *testing.T) {
+	if !*measure {
+		t.Skip("measures for about a minute; run with -measure")
+	}
+	place := event.Place{DataCentre: "uvs", Region: "uvs"}
+	platform := startPlatform(t)
+	eng := startEngine(t, "uvs-e1", place, "-model", "draft", "-slots", "512", "-tokenTime", "1ms", "-prefillRate", "1000000")
+	slow := startEngine(t, "uvs-e2", place, "-model", "slow", "-slots", "512", "-tokenTime", "5s", "-prefillRate", "1000000")
+	putHosts(t, platform, store.Hosts{Targets: []event.Target{eng, slow}})
+	en := startEntry(t, platform, "uvs-1", place)
+	applyItems(t, en,
+		item(t, rules.KindProfile, "measured", rules.Profile{Models: []rules.Serve{{Model: "draft"}}}),
+		item(t, rules.KindProfile, "idle", rules.Profile{Models: []rules.Serve{{Model: "slow"}}}),
+		item(t, rules.KindAccount, "foundation", rules.Client{KeyDigest: rules.Digest("key-1")}),
+	)
+	warm := &probe{url: en.callers(), key: "key-1", cl: http.DefaultClient}
+	eventually(t, "an answer comes", func() bool { _, err := warm.once(time.Now()); return err == nil })
+	t.Run("idle", func(t *testing.T) { measureIdle(t, en) })
+	for _, stream := range []bool{true, false} {
+		direct := &probe{url: eng.URL, key: "key-1", stream: stream}
+		direct.load()
+		through := &probe{url: en.callers(), key: "key-1", stream: stream}
+		through.load()
+		t.Logf("stream %t: direct median %v p99 %v (%d failed), through an entry host median %v p99 %v (%d failed)",
+			stream, direct.at(0.5), direct.at(0.99), direct.fails, through.at(0.5), through.at(0.99), through.fails)
+		median, tail := through.at(0.5)-direct.at(0.5), through.at(0.99)-direct.at(0.99)
+		t.Logf("stream %t: added median %v p99 %v", stream, median, tail)
+		if through.fails > 0 || median > time.Millisecond || tail > 3*time.Millisecond {
+			t.Errorf("stream %t: the goal of 1 ms and 3 ms with no failure is missed", stream)
+		}
+	}
+}
+
+func measureIdle(t *testing.T, en *entry) {
+	before := rss(t, en)
+	var open []*idle
+	for range idleStreams {
+		req, err := http.NewRequest(http.MethodPost, en.callers()+"/v1/chat/completions",
+			strings.NewReader(`{"model":"idle","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer key-1")
+		s := &idle{t: t, req: req, begun: make(chan struct{})}
+		go s.run()
+		open = append(open, s)
+	}
+	for _, s := range open {
+		<-s.begun
+	}
+	each := (rss(t, en) - before) / idleStreams
+	t.Logf("memory of an idle stream: %d bytes over %d streams", each, idleStreams)
+	if each > 64<<10 {
+		t.Errorf("the goal of 64 KB an idle stream is missed")
+	}
+}
+
+// idle is one stream that waits for its second token.
+type idle struct {
+	t     *testing.T
+	req   *http.Request
+	begun chan struct{}
+}
+
+func (s *idle) run() {
+	defer close(s.begun)
+	res, err := http.DefaultClient.Do(s.req)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	s.t.Cleanup(func() { _ = res.Body.Close() })
+	if _, err := bufio.NewReader(res.Body).ReadString('\n'); err != nil || res.StatusCode != http.StatusOK {
+		s.t.Errorf("status %d: %v", res.StatusCode, err)
+	}
+}
+
+// rss returns the resident memory of an entry host in bytes.
+func rss(t *testing.T, en *entry) int {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", en.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var kb int
+	_, tail, _ := strings.Cut(string(b), "VmRSS:")
+	if _, err := fmt.Sscan(tail, &kb); err != nil {
+		t.Fatal(err)
+	}
+	return kb << 10
+}
