--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	set := config.Default()
+	set := config.Defaults()
 	set.Entry, set.DataCentre, set.Region = id, "uvs", "uvs"
 	set.Callers.Listen, set.Operators.Listen = freeAddr(t), freeAddr(t)
 	set.Peers = config.Peers{Listen: freeAddr(t), Seeds: seeds, CertFile: fs.Cert, KeyFile: fs.Key, CAFile: fs.CA}
