have the engine stand-in tell cache events as the client reads them

Cause: the stand-in answered with a bare list, the client reads a report with the engine's incarnation; every cache event was lost without a word.

Ruled out: accepting both forms in the client; there is one protocol.

Conclusion: what was measured of cache hits until now rests on what hosts learned from their own sends.

--- a/internal/dev/engine/cache.go
+++ b/internal/dev/engine/cache.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strconv"
 
-	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/target"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -75,17 +75,16 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	evs := []event.CacheChanged{}
+	rep := target.CacheReport{Incarnation: e.cfg.Incarnation}
 	due := e.clock.Now().Add(-e.cfg.CacheLag)
 	for _, ev := range e.cache.log {
 		lost := e.cfg.CacheGap > 0 && ev.seq%e.cfg.CacheGap == 0
 		if ev.seq <= after || ev.at > due || lost {
 			continue
 		}
-		evs = append(evs, event.CacheChanged{
-			Target: e.cfg.ID, Incarnation: e.cfg.Incarnation, Seq: ev.seq,
-			Stored: slices.Clone(ev.stored), Dropped: slices.Clone(ev.dropped),
+		rep.Events = append(rep.Events, target.CacheEvent{
+			Seq: ev.seq, Stored: slices.Clone(ev.stored), Dropped: slices.Clone(ev.dropped),
 		})
 	}
-	_ = json.NewEncoder(w).Encode(evs)
+	_ = json.NewEncoder(w).Encode(rep)
 }
