run fleets through the loss and return of platform, data centre and region

Cause: a steady load does not show a stampede, which comes when something large returns.

Change: verbdev slopes -shocks counts calls to the platform and bytes second by second after an outage of the platform, the restart of a data centre and the cut of a region; a plain run also measures what one load report costs on the wire.

--- a/internal/dev/cmds/slope.go
+++ b/internal/dev/cmds/slope.go
@@ -18,13 +18,15 @@
 	json bool
 	full bool
 	span time.Duration
+	// shocks runs the fleet through large failures instead.
+	shocks bool
 }
 
 func (*slopesCmd) Name() string     { return "slopes" }
 func (*slopesCmd) Synopsis() string { return "measure what control costs at growing sizes" }
 
 func (*slopesCmd) Usage() string {
-	return `slopes [-full] [-for 20s] [-json]
+	return `slopes [-full] [-for 20s] [-shocks] [-json]
   Runs the reducers of 6, 12, 24 and 48 hosts in virtual time and prints what
   control costs each. With -full also 360 hosts in 45 data centres.
 `
@@ -33,6 +35,7 @@
 func (c *slopesCmd) SetFlags(fs *flag.FlagSet) {
 	fs.BoolVar(&c.json, "json", false, "print JSON")
 	fs.BoolVar(&c.full, "full", false, "also the size that the design is made for")
+	fs.BoolVar(&c.shocks, "shocks", false, "run through an outage of the platform, a restart of a data centre and a cut of a region instead")
 	fs.DurationVar(&c.span, "for", 20*time.Second, "virtual time that is counted")
 }
 
@@ -59,6 +62,12 @@
 }
 
 func (c *slopesCmd) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.shocks {
+		return c.shock()
+	}
+	if n, err := slope.PollBytes(); err == nil && !c.json {
+		fmt.Printf("one load report costs %d bytes on the wire\n", n)
+	}
 	var all []slope.Result
 	for _, cfg := range c.sizes() {
 		all = append(all, slope.Run(cfg))
@@ -84,3 +93,17 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// shock runs each size through large failures.
+func (c *slopesCmd) shock() subcommands.ExitStatus {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "hosts\tshock\tsteady calls/s\tpeak calls/s\tpeak B/s of a host\trecovered after\trefused\tof")
+	for _, cfg := range c.sizes() {
+		for _, s := range slope.Shocks(cfg) {
+			fmt.Fprintf(w, "%d\t%s\t%.2f\t%d\t%d\t%v\t%d\t%d\n",
+				s.Fleet, s.Name, s.SteadyCalls, s.PeakCalls, s.PeakBytes, s.Recovered, s.Refused, s.Requests)
+		}
+	}
+	_ = w.Flush()
+	return subcommands.ExitSuccess
+}
--- a/internal/dev/slope/slope.go
+++ b/internal/dev/slope/slope.go
@@ -101,11 +101,7 @@
 // Run runs a fleet of a size.
 func Run(cfg Config) Result {
 	before := heap()
-	r := &run{
-		Driver: drive.New(), cfg: cfg, bytes: make(map[ident.EntryID]int), calls: make(map[string]int),
-		parts: make(map[string]int), changed: make(map[ident.Revision]ident.Time), reached: make(map[ident.Revision]int),
-	}
-	r.build()
+	r := newRun(cfg)
 	r.Run(warmUp)
 	r.load(warmUp / 2)
 	r.count()
@@ -116,6 +112,23 @@
 	return res
 }
 
+func newRun(cfg Config) *run {
+	r := &run{
+		Driver: drive.New(), cfg: cfg, bytes: make(map[ident.EntryID]int), calls: make(map[string]int),
+		parts: make(map[string]int), changed: make(map[ident.Revision]ident.Time), reached: make(map[ident.Revision]int),
+	}
+	r.build()
+	return r
+}
+
+// delay is the time of a message: short in a region, long between regions.
+func delay(from, to event.Host) (time.Duration, bool) {
+	if from.Place.Region == to.Place.Region {
+		return time.Millisecond, false
+	}
+	return 80 * time.Millisecond, false
+}
+
 // heap returns the live heap.
 func heap() uint64 {
 	runtime.GC()
@@ -125,12 +138,7 @@
 }
 
 func (r *run) build() {
-	r.Delay = func(from, to event.Host) (time.Duration, bool) {
-		if from.Place.Region == to.Place.Region {
-			return time.Millisecond, false
-		}
-		return 80 * time.Millisecond, false
-	}
+	r.Delay = delay
 	r.OnMessage = r.message
 	r.OnPoll = func(event.Host) { r.polls++ }
 	r.OnCall = func(_ event.Host, op string) { r.calls[op]++ }
