relay a load report at once only when it changes what peers would do

Relayed reports are most of what a host sends. One whose requests differ by at most an eighth of the slots now waits for the three-second relay.

--- a/internal/member/recent.go
+++ b/internal/member/recent.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -101,21 +102,22 @@
 	return t, true
 }
 
-// sameLoad reports whether a report says the same as another but for its
-// number and age.
+// relayPart is the part of the slots by which the requests at a target must
+// change for its report to be relayed at once.
+const relayPart = 8
+
+// sameLoad reports whether a report tells peers nothing that they would act on:
+// it says the same as another, or the requests differ by little. Relays are
+// most of what a host sends, and peers know each other's sends besides.
 func sameLoad(a, b event.Load) bool {
-	if a.Incarnation != b.Incarnation || a.Slots != b.Slots || a.Running != b.Running || a.Queued != b.Queued {
+	if a.Incarnation != b.Incarnation || a.Slots != b.Slots || a.Leaving != b.Leaving {
 		return false
 	}
-	if a.QueuedTokens != b.QueuedTokens || a.Leaving != b.Leaving || len(a.Serves) != len(b.Serves) {
+	if (a.QueuedTokens == 0) != (b.QueuedTokens == 0) || !slices.Equal(a.Serves, b.Serves) {
 		return false
 	}
-	for i := range a.Serves {
-		if a.Serves[i] != b.Serves[i] {
-			return false
-		}
-	}
-	return true
+	change := a.Running + a.Queued - b.Running - b.Queued
+	return max(change, -change) <= a.Slots/relayPart
 }
 
 // LoadFailed takes note of a report that did not come.
