take one answer to each claim, and ask for cache events by the router's count

Cause: a second answer to the claim of a key would have been judged as a new one and refused a request that runs.

Change: an answer counts only while the request waits for it. The table asks for the cache events after those that the router has taken.

Conclusion: nothing outside a request's own wait can end it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -214,7 +214,7 @@
 func (rd *Reducer) tick(now ident.Time) {
 	rd.table.SetBlind(rd.spread.Blind())
 	if now >= rd.table.Next(now) {
-		rd.emit(rd.withCache(rd.table.Tick(now, rd.own(now)))...)
+		rd.emit(rd.table.Tick(now, rd.own(now))...)
 	}
 	rd.emit(rd.spread.Tick(now, rd.table.Watches(now))...)
 	rd.agendaDue(now)
@@ -228,18 +228,6 @@
 	rd.wake(now)
 }
 
-// withCache adds to the load reports that are asked for which cache events
-// have been taken.
-func (rd *Reducer) withCache(effs []event.Effect) []event.Effect {
-	for i, eff := range effs {
-		if e, ok := eff.(event.PollLoad); ok {
-			e.After = rd.router.CacheSeq(e.Target.ID)
-			effs[i] = e
-		}
-	}
-	return effs
-}
-
 // tellEach is how many accounts a host tells its peers of each second, on
 // average. With more of them the whole list goes out less often: at 74 accounts
 // and seven peers, telling all each second alone cost three times the 4 KB a
@@ -250,6 +238,7 @@
 	own := member.Own{
 		Revision:       rd.spread.Revision(),
 		CentreAccounts: func() []event.AccountUse { return rd.quota.CentreDemand(now) },
+		After:          rd.router.CacheSeq,
 	}
 	if now >= rd.tellAt {
 		own.Accounts = rd.quota.Demand(now)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -35,6 +35,8 @@
 
 	arrived  ident.Time
 	deadline ident.Time
+	// claiming says that the platform is asked for the key.
+	claiming bool
 	// reserved is what was taken from the account's limit.
 	reserved ident.Tokens
 
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -25,6 +25,11 @@
 
 func (rd *Reducer) keyClaimed(now ident.Time, e event.KeyClaimed) {
 	r, ok := rd.requests[e.Request]
+	if ok && !r.claiming {
+		// A second answer to one claim. Taken for news it would refuse a
+		// request that runs.
+		return
+	}
 	if !ok {
 		// The caller has left. The claim is settled all the same, so that a
 		// repeat with the key is judged by what is on record.
@@ -32,6 +37,7 @@
 		rd.once.Ended(now, e.Request, event.NotRun, false)
 		return
 	}
+	r.claiming = false
 	rd.verdict(now, r, rd.once.Claimed(now, e.Request, e.Claim, e.Owner))
 }
 
@@ -40,6 +46,7 @@
 	case once.Run:
 		rd.admitted(now, r)
 	case once.Claim:
+		r.claiming = true
 		rd.emit(event.ClaimKey{Request: r.ID, Key: r.Key, Record: v.Record, Deadline: r.deadline})
 	case once.Replay:
 		rd.drop(r)
