take smaller buffers for connections to targets

An idle stream took 81428 bytes of an entry host (400 streams, resident memory, TestMeasureEntry/idle), above the goal of 64 KB. Events of a token are a few hundred bytes, so the 4 KiB buffers of the connection and of the stream's reader were mostly empty.

--- a/internal/proofs/measure_test.go
+++ b/internal/proofs/measure_test.go
@@ -118,7 +118,7 @@
 	place := event.Place{DataCentre: "uvs", Region: "uvs"}
 	platform := startPlatform(t)
 	eng := startEngine(t, "uvs-e1", place, "-model", "draft", "-slots", "512", "-tokenTime", "1ms", "-prefillRate", "1000000")
-	slow := startEngine(t, "uvs-e2", place, "-model", "slow", "-slots", "512", "-tokenTime", "5s", "-prefillRate", "1000000")
+	slow := startEngine(t, "uvs-e2", place, "-model", "slow", "-slots", "512", "-tokenTime", "1s", "-prefillRate", "1000000")
 	putHosts(t, platform, store.Hosts{Targets: []event.Target{eng, slow}})
 	en := startEntry(t, platform, "uvs-1", place)
 	applyItems(t, en,
@@ -129,6 +129,10 @@
 	warm := &probe{url: en.callers(), key: "key-1", cl: http.DefaultClient}
 	eventually(t, "an answer comes", func() bool { _, err := warm.once(time.Now()); return err == nil })
 	t.Run("idle", func(t *testing.T) { measureIdle(t, en) })
+	t.Run("load", func(t *testing.T) { measureLoad(t, eng, en) })
+}
+
+func measureLoad(t *testing.T, eng event.Target, en *entry) {
 	for _, stream := range []bool{true, false} {
 		direct := &probe{url: eng.URL, key: "key-1", stream: stream}
 		direct.load()
@@ -149,7 +153,7 @@
 	var open []*idle
 	for range idleStreams {
 		req, err := http.NewRequest(http.MethodPost, en.callers()+"/v1/chat/completions",
-			strings.NewReader(`{"model":"idle","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`))
+			strings.NewReader(`{"model":"idle","stream":true,"max_tokens":1000,"messages":[{"role":"user","content":"hello"}]}`))
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/proofs/stop_test.go
@@ -0,0 +1,110 @@
+package proofs
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/store"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+const longAsk = `{"model":"obituary","stream":true,"max_tokens":100,"messages":[{"role":"user","content":"hello"}]}`
+
+// slowEntry starts an entry host before an engine that writes slowly, and a
+// stream that has begun.
+func slowEntry(t *testing.T) (*entry, *bufio.Reader) {
+	t.Helper()
+	place := event.Place{DataCentre: "uvs", Region: "uvs"}
+	platform := startPlatform(t)
+	eng := startEngine(t, "uvs-e1", place, "-model", "draft", "-tokenTime", "30ms")
+	putHosts(t, platform, store.Hosts{Targets: []event.Target{eng}})
+	en := startEntry(t, platform, "uvs-1", place)
+	applyItems(t, en,
+		item(t, rules.KindProfile, "obituary", rules.Profile{Models: []rules.Serve{{Model: "draft"}}}),
+		item(t, rules.KindAccount, "foundation", rules.Client{KeyDigest: rules.Digest("key-1")}),
+	)
+	var res *http.Response
+	eventually(t, "a stream begins", func() bool {
+		req, err := http.NewRequest(http.MethodPost, en.callers()+"/v1/chat/completions", strings.NewReader(longAsk))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer key-1")
+		res, err = http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res.StatusCode != http.StatusOK {
+			res.Body.Close()
+		}
+		return res.StatusCode == http.StatusOK
+	})
+	t.Cleanup(func() { _ = res.Body.Close() })
+	return en, bufio.NewReader(res.Body)
+}
+
+func signalProc(t *testing.T, p *proc) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func rest(r *bufio.Reader) string {
+	var b strings.Builder
+	_, _ = r.WriteTo(&b)
+	return b.String()
+}
+
+// An operator replaces an entry host while a notice is being written. The
+// family gets it to the end, others are sent elsewhere meanwhile, and the host
+// goes when the notice is done.
+func TestStopFinishesStreams(t *testing.T) {
+	en, r := slowEntry(t)
+	signalProc(t, en.proc)
+	eventually(t, "new work is refused", func() bool {
+		rep := post(t, en.callers()+"/v1/chat/completions", "key-1", longAsk)
+		return rep.status == http.StatusServiceUnavailable && strings.Contains(rep.body, "VB1013") &&
+			rep.header.Get("Verbenadale-Outcome") == "notRun"
+	})
+	text := rest(r)
+	if !strings.HasSuffix(text, "data: [DONE]\n\n") {
+		t.Errorf("the stream was cut: %q", text[max(len(text)-100, 0):])
+	}
+	eventually(t, "the host has stopped", en.stopped)
+	if diff := cmp.Diff(0, en.cmd.ProcessState.ExitCode()); diff != "" {
+		t.Errorf("exit code (-want +got):\n%s", diff)
+	}
+}
+
+// An operator cannot wait and sends a second signal. The host ends at once and
+// its log says how many requests it cut, so that somebody can look after them.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	en, r := slowEntry(t)
+	signalProc(t, en.proc)
+	eventually(t, "the host drains", func() bool { return strings.Contains(en.out.String(), "draining") })
+	signalProc(t, en.proc)
+	eventually(t, "the host has stopped", en.stopped)
+	if text := rest(r); strings.Contains(text, "[DONE]") {
+		t.Errorf("a cut stream has its end mark: %q", text)
+	}
+	if out := en.out.String(); !strings.Contains(out, "requestsCut=1") {
+		t.Errorf("the log does not tell what was cut: %s", out)
+	}
+}
+
+// stopped reports whether the process has ended.
+func (p *proc) stopped() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -19,7 +19,7 @@
 
 // Sizes and marks of server-sent events.
 const (
-	streamBuffer = 4 << 10
+	streamBuffer = 1 << 10
 	maxEvent     = 256 << 10
 	endMark      = "[DONE]"
 )
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -93,7 +93,7 @@
 	idleTimeout   = 90 * time.Second
 	idlePerTarget = 64
 	maxHead       = 64 << 10
-	connBuffer    = 4 << 10
+	connBuffer    = 1 << 10
 )
 
 // New returns a client.
