--- a/internal/proofs/measure_test.go
+++ b/internal/proofs/measure_test.go
@@ -25,7 +25,7 @@
 const (
 	measureRate  = 500
 	measureTime  = 8 * time.Second
-	idleStreams  = 400
+	idleStreams  = 2000
 	streamTokens = 8
 )
 
@@ -118,9 +118,11 @@
 	place := event.Place{DataCentre: "uvs", Region: "uvs"}
 	platform := startPlatform(t)
 	eng := startEngine(t, "uvs-e1", place, "-model", "draft", "-slots", "512", "-tokenTime", "1ms", "-prefillRate", "1000000")
-	slow := startEngine(t, "uvs-e2", place, "-model", "slow", "-slots", "512", "-tokenTime", "1s", "-prefillRate", "1000000")
+	slow := startEngine(t, "uvs-e2", place, "-model", "slow", "-slots", "4096", "-tokenTime", "500ms", "-prefillRate", "1000000")
 	putHosts(t, platform, store.Hosts{Targets: []event.Target{eng, slow}})
-	en := startEntry(t, platform, "uvs-1", place)
+	set := entrySettings(platform, "uvs-1", place)
+	set.Limits.MaxConnections, set.Limits.MaxRequests = 2*idleStreams, 2*idleStreams
+	en := startSettings(t, set)
 	applyItems(t, en,
 		item(t, rules.KindProfile, "measured", rules.Profile{Models: []rules.Serve{{Model: "draft"}}}),
 		item(t, rules.KindProfile, "idle", rules.Profile{Models: []rules.Serve{{Model: "slow"}}}),
