compare every step of a reducer with that of a twin

Cause: the replay of a demonstration shows that a record of a quiet system replays; nothing showed it for one under failure.

Change: two reducers of each host take the same events, the second by way of their recorded form, and must decide the same to the byte, over the generated failures, questions and crowds.

Conclusion: a recorded fault can be looked into.

--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -63,13 +63,19 @@
 
 func hostID(r ident.Region, n int) ident.EntryID { return ident.EntryID(fmt.Sprintf("%s-%d", r, n)) }
 
-func newWorld(fatal func(format string, args ...any)) *world {
+func newWorld(fatal func(format string, args ...any)) *world { return newWorldOf(fatal, nil) }
+
+// newWorldOf is newWorld with reducers of its own.
+func newWorldOf(fatal func(format string, args ...any), reducer func(self event.Host) drive.Reducer) *world {
 	w := &world{
 		Driver: drive.New(), fatal: fatal, down: value.SetOf[string](), platform: value.SetOf[ident.EntryID](),
 		jobs: make(map[ident.RequestID]string), sent: make(map[ident.RequestID]event.Request),
 		to: make(map[ident.RequestID]ident.EntryID), lowest: make(map[string]ident.Revision),
 		saw: make(map[string]int),
 	}
+	if reducer != nil {
+		w.NewReducer = reducer
+	}
 	w.Delay = func(from, to event.Host) (time.Duration, bool) {
 		cut := w.down.Has(string(from.Place.Region) + ">" + string(to.Place.Region))
 		if from.Place.Region == to.Place.Region {
@@ -102,6 +108,8 @@
 		profileItem(rules.Profile{Name: "bound", Models: []rules.Serve{{Model: "draft"}}, Regions: []ident.Region{"uvs"}, MaxCrossings: 1}),
 		profileItem(rules.Profile{Name: "publish", Service: "publish", Once: true, MaxCrossings: 1}),
 		clientItem(rules.Client{Name: "foundation", KeyDigest: rules.Digest("k")}),
+		clientItem(rules.Client{Name: "clydeside", KeyDigest: rules.Digest("c"), RequestsPerMinute: 60000}),
+		clientItem(rules.Client{Name: "third", KeyDigest: rules.Digest("t"), TokensPerMinute: 6000000}),
 	)
 	w.Run(3 * time.Second)
 	return w
@@ -126,6 +134,9 @@
 		ID: ident.RequestID(fmt.Sprint("r", w.n)), Account: "foundation", Profile: profile,
 		Prompt: 100, MaxTokens: 10, Deadline: w.Now.Add(within), Ticket: ticket, Key: key, Print: job,
 	}
+	if job == "" {
+		req.Account = []ident.Account{"foundation", "clydeside", "third"}[w.n%3]
+	}
 	w.sent[req.ID] = req
 	w.to[req.ID] = to
 	w.jobs[req.ID] = job
