--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -15,11 +15,16 @@
 // centre, so that the relaying is shared out.
 func (tb *Table) summaries(now ident.Time) []event.Effect {
 	tb.beat.asks = false
-	if !tb.Speaks(now) || len(tb.centres) == 0 {
+	if len(tb.centres) == 0 {
 		return nil
 	}
-	base := tb.summary(now)
 	offers := tb.offers(now)
+	if !tb.Speaks(now) {
+		tb.noteOffers(now, offers)
+		return nil
+	}
+	base := tb.summary(now)
+	var accounts []event.AccountUse
 	var effs []event.Effect
 	for i, c := range tb.centres {
 		s := base
@@ -32,16 +37,33 @@
 		if !ok {
 			continue
 		}
+		if len(effs) == 0 && tb.own.CentreAccounts != nil {
+			accounts = tb.own.CentreAccounts()
+		}
+		s.Accounts = accounts
 		c.sentAt, c.sent, c.sentKey = now, true, key
 		c.tries++
 		tb.beat.sum++
 		s.Seq = tb.beat.sum
-		c.give(now, s.Pools)
+		c.given = note(c.given, now, s.Pools)
 		effs = append(effs, event.SendSummary{To: to, Summary: s})
 	}
 	return effs
 }
 
+// noteOffers takes note of what the host that speaks probably offers now. Each
+// host works out the same from the same loads. Without it a host that does not
+// speak would use the offer of a data centre that holds one of its own.
+func (tb *Table) noteOffers(now ident.Time, offers [][]int) {
+	pools := make([]event.Pool, len(tb.pools))
+	for i, p := range tb.pools {
+		pools[i] = p.Pool
+	}
+	for i, c := range tb.centres {
+		c.given = note(c.given, now, withOffers(pools, offers, i))
+	}
+}
+
 // summaryDue tells whether a summary goes to a data centre now: on change,
 // often while it carries an offer, and seldom otherwise.
 func (tb *Table) summaryDue(now ident.Time, c *Centre, s event.Summary, key uint64) bool {
@@ -87,7 +109,7 @@
 	low, high := tb.Revisions(now)
 	s := event.Summary{
 		From: tb.self.ID, Place: tb.self.Place, Incarnation: tb.self.Incarnation,
-		InForce: low, Highest: high, Hosts: tb.liveHosts(now), Accounts: tb.own.CentreAccounts,
+		InForce: low, Highest: high, Hosts: tb.liveHosts(now),
 	}
 	for _, p := range tb.pools {
 		s.Pools = append(s.Pools, p.Pool)
