carry the trace of a request from one entry host to another

Cause: the hop between entry hosts made a span of its own, but its context stayed behind, so the trace ended at the first host.

Change: the trace travels in the headers of the passed call, and the receiver's spans join it.

Conclusion: one trace covers caller, entry hosts and target.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,7 +158,7 @@
 		Metrics: d.metrics, Drain: d.Drain,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
-	if err := d.mesh.Start(d.loop.Post, d.runner.Run); err != nil {
+	if err := d.mesh.Start(d.loop.Post, d.runPassed); err != nil {
 		return errors.Wrap(err, "daemon: peers")
 	}
 	if err := d.serveCallers(); err != nil {
--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -160,7 +160,12 @@
 // twoEntries starts a host for callers and, behind it, one with an engine.
 func twoEntries(t *testing.T, tokenTime time.Duration) (x, y *Daemon, ry *relay) {
 	t.Helper()
-	eng := httptest.NewServer(engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8, TokenTime: tokenTime}))
+	return twoEntriesBefore(t, engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8, TokenTime: tokenTime}))
+}
+
+func twoEntriesBefore(t *testing.T, h http.Handler) (x, y *Daemon, ry *relay) {
+	t.Helper()
+	eng := httptest.NewServer(h)
 	t.Cleanup(eng.Close)
 	ca, err := certs.New()
 	if err != nil {
--- /dev/null
+++ b/internal/daemon/passed_test.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"verbenadale.example/verbenadale/internal/dev/engine"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// traced keeps the trace of the last request to an engine.
+type traced struct {
+	*engine.Engine
+	mu     sync.Mutex
+	parent string
+}
+
+// ServeHTTP serves one call.
+func (e *traced) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		e.mu.Lock()
+		e.parent = r.Header.Get("Traceparent")
+		e.mu.Unlock()
+	}
+	e.Engine.ServeHTTP(w, r)
+}
+
+// An operator looks for the cause of a slow answer that another data centre
+// gave. If the trace ended at the first host, the slow half would be missing.
+func TestTraceCrossesEntryHosts(t *testing.T) {
+	eng := &traced{Engine: engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8})}
+	x, _, _ := twoEntriesBefore(t, eng)
+	const id = "4bf92f3577b34da6a3ce929d0e0e4736"
+	req, err := http.NewRequest(http.MethodPost, "http://"+x.cfg.Settings.Callers.Listen+"/v1/completions",
+		strings.NewReader(`{"model":"obituary","max_tokens":2,"prompt":"hello"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer key-1")
+	req.Header.Set("Traceparent", "00-"+id+"-00f067aa0ba902b7-01")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	eng.mu.Lock()
+	defer eng.mu.Unlock()
+	if res.StatusCode != http.StatusOK || !strings.Contains(eng.parent, id) {
+		t.Errorf("status %d, and the engine is told the trace %q, not %s", res.StatusCode, eng.parent, id)
+	}
+}
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -6,6 +6,7 @@
 	"gopkg.in/tomb.v2"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/trace"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -47,7 +48,10 @@
 	ctx, span := t.Trace.Hop(ctx, "entry")
 	defer span.End()
 	span.Set("entry.to", string(f.To.ID))
-	end := t.Forward(ctx, Passed{Forward: f, Request: t.req, Call: t.call}, t.markSent, Relay{Begin: t.begin, Data: t.relayed})
+	call := t.call
+	call.Header = t.call.Header.Clone()
+	trace.Inject(ctx, call.Header)
+	end := t.Forward(ctx, Passed{Forward: f, Request: t.req, Call: call}, t.markSent, Relay{Begin: t.begin, Data: t.relayed})
 	span.Set("result", string(end.Result))
 	return end
 }
