take over a renewed certificate towards callers without a restart

Cause: TLS towards callers was wired, had no test, and read its files once.

Change: the files are read at each handshake and taken over when they fit together; half replaced ones leave the old certificate in force.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 
@@ -46,6 +47,13 @@
 // certificate.
 func (d *Daemon) serveCallers() error {
 	set := d.cfg.Settings.Callers
+	if set.CertFile != "" {
+		cert := &callerCert{certFile: set.CertFile, keyFile: set.KeyFile, log: d.cfg.Log}
+		if err := cert.open(); err != nil {
+			return err
+		}
+		d.callers.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: cert.get}
+	}
 	ln, err := net.Listen("tcp", set.Listen)
 	if err != nil {
 		return errors.Wrap(err, "daemon: listen for callers")
@@ -55,7 +63,7 @@
 		// this process nothing.
 		ln = netutil.LimitListener(ln, most)
 	}
-	l := &listener{srv: d.callers, ln: ln, certFile: set.CertFile, keyFile: set.KeyFile}
+	l := &listener{srv: d.callers, ln: ln}
 	d.t.Go(l.run)
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -181,8 +181,6 @@
 type listener struct {
 	srv *http.Server
 	ln  net.Listener
-	// certFile and keyFile turn on TLS.
-	certFile, keyFile string
 }
 
 func (l *listener) run() error {
@@ -194,10 +192,10 @@
 }
 
 func (l *listener) serve() error {
-	if l.certFile == "" {
+	if l.srv.TLSConfig == nil {
 		return l.srv.Serve(l.ln)
 	}
-	return l.srv.ServeTLS(l.ln, l.certFile, l.keyFile)
+	return l.srv.ServeTLS(l.ln, "", "")
 }
 
 // Drain starts a graceful stop.
