show that a once-only call is sent once, whatever the HTTP library would do

Cause: the client of the targets had no test of its own; that a once-only call gets a new connection, and that redirects are not followed, was only claimed.

Change: three tests with targets that die after the run, are gone, or redirect.

--- /dev/null
+++ b/internal/target/target_test.go
@@ -0,0 +1,88 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+func order(url string, once bool) Order {
+	return Order{
+		Target: event.Target{ID: "uvs-p1", URL: url}, Attempt: ident.Attempt{Entry: "uvs-1", Incarnation: 1, Number: 1},
+		Request: "req-1", Method: http.MethodPost, Path: "/notices", Body: []byte("a notice"),
+		Header: http.Header{"Idempotency-Key": {"k"}}, Once: once,
+	}
+}
+
+// A service answers one call and keeps the connection. It runs the next call on
+// it and dies before the answer. The HTTP library takes the broken connection
+// for one that was closed while idle and sends a call that carries an
+// Idempotency-Key again by itself: the notice is published twice, and neither
+// the caller nor this host ever hears of the first run.
+func TestOnceCallIsSentOnce(t *testing.T) {
+	var calls atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			return
+		}
+		calls.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	defer srv.Close()
+	cl := New()
+	warm := order(srv.URL, false)
+	warm.Path = "/load"
+	res, err := cl.Send(context.Background(), warm, func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	sent := false
+	if _, err := cl.Send(context.Background(), order(srv.URL, true), func() { sent = true }); !errors.Is(err, ErrLink) {
+		t.Errorf("error %v, want %v", err, ErrLink)
+	}
+	if diff := cmp.Diff(int32(1), calls.Load()); diff != "" || !sent {
+		t.Errorf("sent %v, calls at the service (-want +got):\n%s", sent, diff)
+	}
+}
+
+// Nothing listens at the target's address. The function sent must not have been
+// called: the request is then known not to have run, and may go elsewhere.
+func TestNothingSentToAClosedPort(t *testing.T) {
+	srv := httptest.NewServer(http.NotFoundHandler())
+	url := srv.URL
+	srv.Close()
+	sent := false
+	_, err := New().Send(context.Background(), order(url, true), func() { sent = true })
+	if !errors.Is(err, ErrLink) || sent {
+		t.Errorf("error %v, sent %v", err, sent)
+	}
+}
+
+// A target redirects a call to a place that no filter has allowed. Followed,
+// the call would run there, and its data would have left its place.
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	var elsewhere atomic.Int32
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) }))
+	defer other.Close()
+	srv := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	defer srv.Close()
+	for _, once := range []bool{false, true} {
+		res, err := New().Send(context.Background(), order(srv.URL, once), func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != http.StatusTemporaryRedirect || elsewhere.Load() != 0 {
+			t.Errorf("once %v: status %d, %d calls elsewhere", once, res.StatusCode, elsewhere.Load())
+		}
+	}
+}
