--- a/internal/proofs/proc_test.go
+++ b/internal/proofs/proc_test.go
@@ -154,6 +154,9 @@
 func (e *entry) callers() string   { return "http://" + e.set.Callers.Listen }
 func (e *entry) operators() string { return "http://" + e.set.Operators.Listen }
 
+// testLimits are the bounds of the entry hosts of the tests.
+var testLimits = config.Limits{MaxHeldBytes: 64 << 20, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 32 << 10, MaxConnections: 1000, MaxRequests: 500, HeaderMs: 5000, BodyMs: 5000}
+
 const operatorToken = "operator-token"
 
 func startPlatform(t *testing.T) string {
@@ -185,7 +188,7 @@
 		Peers:     config.Peers{Listen: fmt.Sprintf("%s:%d", ip, peersPort), Plain: true},
 		Operators: config.Operators{Listen: fmt.Sprintf("%s:%d", ip, operatorsPort), Known: []config.Operator{{Name: "ops", TokenDigest: rules.Digest(operatorToken)}}},
 		Platform:  config.Platform{URL: platform, TimeoutMs: 1000, CallsPerSecond: 50},
-		Limits:    config.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 32 << 10, MaxConnections: 1000, MaxRequests: 500, HeaderMs: 5000, BodyMs: 5000},
+		Limits:    testLimits,
 		Traces:    config.Traces{Exporter: "none"},
 	}
 }
@@ -265,12 +268,20 @@
 }
 
 func post(t *testing.T, url, key, body string) reply {
+	t.Helper()
+	return postWith(t, url, key, body, nil)
+}
+
+func postWith(t *testing.T, url, key, body string, header map[string]string) reply {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
