reach a data centre whose hosts are cut off from the platform and half frozen

Cause: the sender's one summary with the new revision went to the frozen host, its link being silent but not yet told as down, and the next followed at the slow pace. The host that lived would also have kept still until it took over speaking, 3.5 s after the freeze.

A summary is sent again after 2 s while the other data centre has not told that it has the highest revision, each time to its next host, and the host that a summary comes to asks for changes whether it speaks or not. Where the first summary arrives, the answer is there before the 2 s, so that the usual change costs nothing more.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -126,7 +126,7 @@
 		rd.digest(now, e.Digest)
 	case event.SummaryReceived:
 		rd.table.SummaryReceived(now, e.Summary)
-		rd.summary(now, e.Summary)
+		rd.summary(now, e.Summary, true)
 	case event.ChangesReceived:
 		rd.emit(rd.spread.Changes(now, e, rd.table.Peers(now))...)
 	case event.SnapshotReceived:
@@ -172,17 +172,19 @@
 	rd.quota.PeerDemand(now, d.Host.ID, d.Accounts)
 	rd.emit(rd.spread.Seen(now, d.Host, d.Revision)...)
 	for _, s := range d.Summaries {
-		rd.summary(now, s)
+		rd.summary(now, s, false)
 	}
 }
 
-// summary takes what a summary tells beyond members and offers. Only the host
-// that speaks for its data centre asks another data centre for changes; the
-// rest hear from it.
-func (rd *Reducer) summary(now ident.Time, s event.Summary) {
+// summary takes what a summary tells beyond members and offers. Of the hosts
+// that hear of it from a peer, only the one that speaks for the data centre
+// asks for changes; the rest hear from it. The host that the summary came to
+// asks by itself: the one that speaks may be frozen and not yet missed, and in
+// a data centre that is cut off from the platform a change would wait for that.
+func (rd *Reducer) summary(now ident.Time, s event.Summary, direct bool) {
 	rd.quota.Place(s.Place.DataCentre, s.Place.Region)
 	rd.quota.CentreReport(now, s.Place.DataCentre, s.Accounts)
-	if !rd.table.Speaks(now) {
+	if !direct && !rd.table.Speaks(now) {
 		return
 	}
 	if h, ok := rd.table.Host(s.From); ok {
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -55,6 +55,9 @@
 	sent    bool
 	sentKey uint64
 	tries   uint64
+	// vain counts the summaries in a row that went out again because the data
+	// centre has not told that it has the highest revision.
+	vain int
 }
 
 // sender is the newest summary of one host of a data centre.
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"strconv"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -28,6 +29,7 @@
 		if !tb.summaryDue(now, c, s, key) {
 			continue
 		}
+		c.repeat(s, key)
 		to, ok := tb.recipient(now, c)
 		if !ok {
 			continue
@@ -55,6 +57,9 @@
 	if key != c.sentKey || age >= tb.slowPace() {
 		return true
 	}
+	if c.behind(s) && age >= fastEvery {
+		return true
+	}
 	for _, p := range s.Pools {
 		if p.Offer > 0 && age >= fastEvery {
 			return true
@@ -63,6 +68,24 @@
 	return false
 }
 
+// behind reports whether a data centre has not yet told that it has the highest
+// revision.
+func (c *Centre) behind(s event.Summary) bool {
+	return c.HasSummary && c.Summary.Highest < s.Highest
+}
+
+// repeat counts the summaries in vain. The host that a summary goes to may be
+// frozen and not yet missed; a change would then reach a data centre that is
+// cut off from the platform with the next summary but one. So a summary that is
+// sent again because no answer shows its revision goes to the next host.
+func (c *Centre) repeat(s event.Summary, key uint64) {
+	if !c.sent || key != c.sentKey || !c.behind(s) {
+		c.vain = 0
+		return
+	}
+	c.vain++
+}
+
 // newsOf returns a hash of what another data centre acts on at once: the
 // highest revision, the hosts, what is asked for, and the size of the offers by
 // powers of two, so that an offer that has lost half is sent anew. The lowest
@@ -113,10 +136,17 @@
 		return c.Hosts[c.tries%uint64(len(c.Hosts))], true
 	}
 	if h, ok := c.HostFor(salt); ok {
-		return h, true
+		return c.after(h, c.vain), true
 	}
 	if len(c.Hosts) == 0 {
 		return event.Host{}, false
 	}
 	return c.Hosts[0], true
 }
+
+// after returns the host n places after another one among those that live.
+func (c *Centre) after(h event.Host, n int) event.Host {
+	hs := c.Summary.Hosts
+	i := slices.IndexFunc(hs, func(x event.Host) bool { return x.ID == h.ID })
+	return hs[(i+n)%len(hs)]
+}
