prove residency: wrong hosts, forged requests, overload, and a search for a word

Processes: a platform, engines, a service and 4 to 5 entry hosts of two or three regions. A profile with regions and one that goes by the account's home are asked for at hosts outside (421 with the right hosts and no 100 Continue, so that the body is never sent), with forged headers, by a host with a valid certificate that passes requests on with their bodies unasked, and under an overload in which at least five requests that may leave do leave. Then the logs, spans, platform values and all bytes between regions are searched for a word of the bodies, and another word that may cross is found in them.

The platform stand-in gives all its values at /dev/values, the engine counts its attempts by request.

With the mechanism taken out: - the front's residency check: residency_test.go "confined at erdenet-1", and three more: the body was asked for; - the reducer's own check: "confined", "home" and "with another envelope" of the forged envelope; - that check and the router's residency filters: "the confined request ... ran outside" and "an engine outside got 3 forged requests". With the check and the filter of data centres alone the confined requests still did not run outside: the receiver's filter of targets held; - the body written to the log, and the key kept in place of its digest: marker_test.go "has printed a word of a body", "the platform keeps a word"; - the body set on the span: "has printed a word of a body".

--- a/internal/dev/engine/fault.go
+++ b/internal/dev/engine/fault.go
@@ -68,8 +68,10 @@
 	LeavingSince time.Time `json:"leavingSince"`
 	Late         int       `json:"late"`
 	LateMs       int64     `json:"lateMs"`
-	// Attempts counts the requests by attempt.
+	// Attempts counts the requests by attempt, Requests the attempts by
+	// request.
 	Attempts map[string]int `json:"attempts"`
+	Requests map[string]int `json:"requests"`
 }
 
 // maxAttempts bounds the attempts that are counted by name.
@@ -82,9 +84,11 @@
 	}
 	if l.Attempts == nil {
 		l.Attempts = make(map[string]int)
+		l.Requests = make(map[string]int)
 	}
 	if len(l.Attempts) < maxAttempts {
 		l.Attempts[r.Header.Get(target.HeaderAttempt)]++
+		l.Requests[r.Header.Get(target.HeaderRequest)]++
 	}
 }
 
--- a/internal/dev/plat/fault.go
+++ b/internal/dev/plat/fault.go
@@ -147,6 +147,18 @@
 	writeJSON(w, http.StatusOK, s.Counts())
 }
 
+// getValues answers with all keys and their values, for tests that search
+// what the system keeps.
+func (s *Server) getValues(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]store.Value, len(s.values))
+	for key, v := range s.values {
+		all[key] = v.Value
+	}
+	writeJSON(w, http.StatusOK, all)
+}
+
 // hostList is a list of hosts and when it was set.
 type hostList struct {
 	store.Hosts
--- a/internal/dev/plat/plat.go
+++ b/internal/dev/plat/plat.go
@@ -77,6 +77,7 @@
 	s.mux.HandleFunc("PUT /dev/faults", s.putFaults)
 	s.mux.HandleFunc("POST /dev/lapse", s.lapse)
 	s.mux.HandleFunc("GET /dev/counts", s.getCounts)
+	s.mux.HandleFunc("GET /dev/values", s.getValues)
 	return s
 }
 
--- a/internal/proofs/fleet_test.go
+++ b/internal/proofs/fleet_test.go
@@ -34,6 +34,10 @@
 	cut  map[string]bool
 	hush map[string]bool
 	open map[net.Conn]string
+	// knocks counts the connections, those that were refused among them. tape
+	// is given all bytes; nil for none.
+	knocks int
+	tape   func(sender string, b []byte)
 }
 
 // everyone stands for all senders.
@@ -50,7 +54,7 @@
 		ln: ln, to: to, cut: make(map[string]bool), hush: make(map[string]bool), open: make(map[net.Conn]string),
 	}
 	go r.run()
-	t.Cleanup(func() { ln.Close(); r.setCut(everyone, true) })
+	t.Cleanup(func() { _ = ln.Close(); r.setCut(everyone, true) })
 	return r
 }
 
@@ -62,6 +66,9 @@
 		if err != nil {
 			return
 		}
+		r.mu.Lock()
+		r.knocks++
+		r.mu.Unlock()
 		p := &pipe{relay: r, in: c, sender: ipOf(c)}
 		go p.run()
 	}
@@ -162,6 +169,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		if n > 0 {
+			c.relay.passed(c.sender, buf[:n])
 			if _, werr := c.to.Write(buf[:n]); werr != nil {
 				return
 			}
@@ -182,6 +190,7 @@
 	targets  []event.Target
 	procs    map[ident.TargetID]*proc
 	ca       *certs.Authority
+	tune     func(set *config.Settings)
 }
 
 // member is one entry host and the relays that lead to others from it.
@@ -203,6 +212,8 @@
 	entries  int
 	engines  int
 	services int
+	// args are more flags of the engines.
+	args []string
 }
 
 func siteOf(name string, entries, engines, services int) site {
@@ -215,15 +226,21 @@
 // startFleet starts a platform, the targets and the entry hosts of several
 // data centres, each in a region of its own.
 func startFleet(t *testing.T, sites ...site) *fleet {
+	t.Helper()
+	return startTuned(t, func(*config.Settings) {}, sites...)
+}
+
+// startTuned is startFleet with a change to the settings of every host.
+func startTuned(t *testing.T, tune func(set *config.Settings), sites ...site) *fleet {
 	t.Helper()
 	ca, err := certs.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, platform: startPlatform(t), procs: make(map[ident.TargetID]*proc), ca: ca}
+	f := &fleet{t: t, platform: startPlatform(t), procs: make(map[ident.TargetID]*proc), ca: ca, tune: tune}
 	for _, s := range sites {
 		for n := range s.engines {
-			f.addEngine(ident.TargetID(fmt.Sprintf("%s-e%d", s.place.DataCentre, n+1)), s.place)
+			f.addEngine(ident.TargetID(fmt.Sprintf("%s-e%d", s.place.DataCentre, n+1)), s.place, s.args...)
 		}
 		for n := range s.services {
 			f.addService(ident.TargetID(fmt.Sprintf("%s-p%d", s.place.DataCentre, n+1)), s.place)
@@ -300,6 +317,7 @@
 			Entry: o.id, Addr: o.before.addr(), DataCentre: o.place.DataCentre, Region: o.place.Region,
 		})
 	}
+	f.tune(&set)
 	m.file = filepath.Join(f.t.TempDir(), string(m.id)+".json")
 	m.entry = &entry{set: set}
 }
@@ -350,12 +368,8 @@
 		if platform && m.place.DataCentre == dc {
 			m.toPlatform.setCut(everyone, cut)
 		}
-		for _, o := range f.hosts {
-			if (m.place.DataCentre == dc) != (o.place.DataCentre == dc) {
-				f.cutLink(m, o, cut)
-			}
-		}
 	}
+	f.between(dc, func(from, to *member) { f.cutLink(from, to, cut) })
 }
 
 // cutLink cuts or heals the way from one host to another, but not back.
