test what a speaker tells of revisions, by the two failures that it missed

TestLowestRevisionIsToldAtOnce fails without the lowest revision among the news (speak.go, newsOf), TestNewRevisionIsToldToTheNextHost without the summary that goes out again, and without its going to the next host.

--- /dev/null
+++ b/internal/member/speak_test.go
@@ -0,0 +1,88 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// told is a summary that went out.
+type told struct {
+	After   time.Duration
+	To      ident.EntryID
+	InForce ident.Revision
+	Highest ident.Revision
+}
+
+// speech ticks a table for some seconds and returns what it tells the other
+// data centre.
+func speech(tb *Table, from ident.Time, seconds int, own Own) []told {
+	var out []told
+	for n := range seconds {
+		now := from.Add(time.Duration(n) * Period)
+		for _, eff := range tb.Tick(now, own) {
+			if e, ok := eff.(event.SendSummary); ok {
+				out = append(out, told{time.Duration(n) * Period, e.To.ID, e.Summary.InForce, e.Summary.Highest})
+			}
+		}
+	}
+	return out
+}
+
+// speaker returns a table that speaks for its data centre, with one peer and
+// another data centre of two hosts at revision 1.
+func speaker(now ident.Time) (*Table, func(at ident.Time, rev ident.Revision)) {
+	here := event.Place{DataCentre: "uvs", Region: "uvs"}
+	there := event.Place{DataCentre: "khovd", Region: "khovd"}
+	tb := New(event.Host{ID: "uvs-1", Incarnation: 1, Place: here})
+	tb.SummaryReceived(now, event.Summary{
+		From: "khovd-1", Place: there, Incarnation: 1, Seq: 1, InForce: 1, Highest: 1,
+		Hosts: []event.Host{{ID: "khovd-1", Incarnation: 1, Place: there}, {ID: "khovd-2", Incarnation: 1, Place: there}},
+	})
+	var seq uint64
+	return tb, func(at ident.Time, rev ident.Revision) {
+		seq++
+		tb.DigestReceived(at, event.Digest{Host: event.Host{ID: "uvs-0", Incarnation: 1, Place: here, Leaving: true}, Seq: seq, Revision: rev})
+	}
+}
+
+// The host of another data centre that a summary goes to is frozen, and the
+// data centre is cut off from the platform. A change would be in force there
+// only seconds later, with the next summary at the slow pace.
+func TestNewRevisionIsToldToTheNextHost(t *testing.T) {
+	start := ident.Time(time.Hour)
+	tb, _ := speaker(start)
+	got := speech(tb, start, 4, Own{Revision: 2})
+	if len(got) < 2 {
+		t.Fatalf("only told %v", got)
+	}
+	if diff := cmp.Diff([]time.Duration{0, fastEvery}, []time.Duration{got[0].After, got[1].After}); diff != "" {
+		t.Errorf("when it is told (-want +got):\n%s", diff)
+	}
+	if got[0].To == got[1].To {
+		t.Errorf("told to %s again and to no other host", got[0].To)
+	}
+}
+
+// A peer puts a change in force a moment after the host that speaks. An
+// operator who waits for it to be in force everywhere would wait for the next
+// summary at the slow pace.
+func TestLowestRevisionIsToldAtOnce(t *testing.T) {
+	start := ident.Time(time.Hour)
+	tb, peer := speaker(start)
+	peer(start, 1)
+	first := speech(tb, start, 1, Own{Revision: 2})
+	peer(start.Add(Period/2), 2)
+	second := speech(tb, start.Add(Period), 1, Own{Revision: 2})
+	got := [][2]ident.Revision{}
+	for _, x := range append(first, second...) {
+		got = append(got, [2]ident.Revision{x.InForce, x.Highest})
+	}
+	if diff := cmp.Diff([][2]ident.Revision{{1, 2}, {2, 2}}, got); diff != "" {
+		t.Errorf("revisions told (-want +got):\n%s", diff)
+	}
+}
