--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -5,7 +5,6 @@
 	"net/http"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
 
 	"verbenadale.example/verbenadale/internal/config"
@@ -24,15 +23,11 @@
 // callerServer returns the server towards callers.
 func (d *Daemon) callerServer() *http.Server {
 	lim := d.cfg.Settings.Limits
-	reg := d.cfg.Metrics
-	if reg == nil {
-		reg = metrics.DefaultRegistry
-	}
 	fr := front.New(front.Config{
 		Self: d.self, Loop: d.loop, Runner: d.runner, Clock: d.clock, Log: d.cfg.Log, Book: d.book.Load,
 		MaxBody: lim.MaxBodyBytes, Budget: d.budget, MaxRequests: lim.MaxRequests,
 		BodyTime: config.Millis(lim.BodyMs), WriteTime: config.Millis(lim.WriteMs),
-		Trace: d.trace, Meter: meter.New(reg),
+		Trace: d.trace, Meter: meter.New(d.metrics),
 	})
 	return &http.Server{
 		Handler:           fr,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,10 +41,12 @@
 	Settings config.Settings
 	Log      logr.Logger
 	Level    *logs.Level
-	// Metrics is where counters go; nil is metrics.DefaultRegistry.
+	// Metrics is where counters go, which the operators' address gives out;
+	// nil is a registry of the daemon's own.
 	Metrics metrics.Registry
-	// Step, where set, replaces the reducer, for comparisons.
-	Step func(now ident.Time, ev event.Event) []event.Effect
+	// Step, where set, steps the reducer, which it may set up before; for
+	// comparisons of policies. It runs on the control thread.
+	Step func(red *core.Reducer, now ident.Time, ev event.Event) []event.Effect
 }
 
 // Daemon is a running entry host.
@@ -84,9 +86,12 @@
 	set := cfg.Settings
 	d := &Daemon{
 		cfg: cfg, self: self(set), clock: clock.New(),
-		targets: target.New(), outs: &serve.Outcomes{}, metrics: metrics.NewRegistry(),
+		targets: target.New(), outs: &serve.Outcomes{}, metrics: cfg.Metrics,
 		work: make(chan event.Effect, workQueue), drained: make(chan struct{}),
 	}
+	if d.metrics == nil {
+		d.metrics = metrics.NewRegistry()
+	}
 	var err error
 	if d.trace, err = newTracer(set); err != nil {
 		return nil, err
@@ -97,17 +102,13 @@
 	})
 	d.revs = revlog.New(d.store)
 	d.platform = newPlatform(d)
-	step := cfg.Step
-	if step == nil {
-		step = core.New(d.self).Step
-	}
 	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
 	if err != nil {
 		d.clock.Stop()
 		return nil, err
 	}
 	d.mesh = mesh
-	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
+	d.loop = loop.New(loop.Config{Step: d.stepper(), Clock: d.clock, Log: cfg.Log, Carry: d.carry})
 	for range workers {
 		d.t.Go(d.run)
 	}
@@ -120,6 +121,15 @@
 	return d, nil
 }
 
+// stepper returns what steps the reducer.
+func (d *Daemon) stepper() func(ident.Time, event.Event) []event.Effect {
+	red := core.New(d.self)
+	if d.cfg.Step == nil {
+		return red.Step
+	}
+	return func(now ident.Time, ev event.Event) []event.Effect { return d.cfg.Step(red, now, ev) }
+}
+
 func self(set config.Settings) event.Host {
 	peerAddr := set.Peers.Advertise
 	if peerAddr == "" {
@@ -141,7 +151,7 @@
 	lim := d.cfg.Settings.Limits
 	d.budget = serve.NewBudget(lim.MaxHeldBytes)
 	d.runner = &serve.Runner{
-		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.mesh.Forward,
+		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.forward,
 		Outcomes: d.outs, MaxAnswer: maxAnswer, Budget: d.budget, Trace: d.trace,
 	}
 	d.callers = d.callerServer()
--- a/internal/daemon/mesh.go
+++ b/internal/daemon/mesh.go
@@ -4,10 +4,12 @@
 	"context"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/peer"
+	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -37,6 +39,18 @@
 	return !ok || p.Confined()
 }
 
+// forward passes a request on and counts it if it goes to another region, on
+// the operators' address as peers.crossings.
+func (d *Daemon) forward(ctx context.Context, p serve.Passed, sent func(), out serve.Relay) event.AttemptEnded {
+	if p.Forward.To.Place.Region != d.self.Place.Region {
+		metrics.GetOrRegisterCounter(crossingsName, d.metrics).Inc(1)
+	}
+	return d.mesh.Forward(ctx, p, sent, out)
+}
+
+// crossingsName is the counter of attempts at hosts of other regions.
+const crossingsName = "peers.crossings"
+
 // stopMesh ends the links, after the callers' side has ended: a request of a
 // caller may still run at a peer.
 func (d *Daemon) stopMesh() {
--- a/internal/dev/base/base.go
+++ b/internal/dev/base/base.go
@@ -46,6 +46,12 @@
 	return best
 }
 
+// Names are the names of the policies, the cost policy first.
+var Names = []string{Cost, "random", "roundRobin", "leastOutstanding"}
+
+// Cost is the name of the policy of the router itself.
+const Cost = "cost"
+
 // Policy returns the policy of a name: random, roundRobin or
 // leastOutstanding. It is nil, which is the cost policy, for any other.
 func Policy(name string) func(ident.Time, route.Query, []*member.Target) *member.Target {
--- /dev/null
+++ b/internal/dev/bench/count.go
@@ -0,0 +1,55 @@
+package bench
+
+import (
+	"context"
+	"net/http"
+
+	"verbenadale.example/verbenadale/internal/dev/engine"
+)
+
+// counts are sums over the whole fleet.
+type counts struct {
+	cost      float64
+	blocks    float64
+	hits      float64
+	sends     float64
+	crossings float64
+}
+
+func (n counts) less(old counts) counts {
+	return counts{
+		cost: n.cost - old.cost, blocks: n.blocks - old.blocks, hits: n.hits - old.hits,
+		sends: n.sends - old.sends, crossings: n.crossings - old.crossings,
+	}
+}
+
+// counter is a counter as the operators' address gives it out.
+type counter struct {
+	Count float64 `json:"count"`
+}
+
+// count reads the ledgers of the engines and the counters of the entry hosts.
+func (f *fleet) count(ctx context.Context) (counts, error) {
+	var n counts
+	for _, s := range f.sites {
+		for _, e := range s.engines {
+			var l engine.Ledger
+			if err := f.call(ctx, http.MethodGet, e.url+"/dev/ledger", nil, &l); err != nil {
+				return n, err
+			}
+			l = e.with(l)
+			n.cost += l.BusyMs / 1000 * s.price
+			n.blocks += float64(l.Blocks)
+			n.hits += float64(l.Hits)
+			n.sends += float64(l.Ran)
+		}
+		for _, h := range s.hosts {
+			ms := map[string]counter{}
+			if err := f.call(ctx, http.MethodGet, h.operators()+"/metrics", nil, &ms); err != nil {
+				return n, err
+			}
+			n.crossings += ms["peers.crossings"].Count
+		}
+	}
+	return n, nil
+}
--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -34,6 +34,8 @@
 	cdr.Register(&engineCmd{}, "stand-ins")
 	cdr.Register(&serviceCmd{}, "stand-ins")
 	cdr.Register(&loadCmd{}, "measurements")
+	cdr.Register(&entryCmd{}, "measurements")
+	cdr.Register(&benchCmd{}, "measurements")
 }
 
 type platformCmd struct{ listen string }
--- a/internal/dev/engine/engine.go
+++ b/internal/dev/engine/engine.go
@@ -164,12 +164,14 @@
 	if len(e.batch.running) == 0 {
 		return 0, false
 	}
+	taken := len(e.batch.running)
 	prefill := e.batch.prefill()
 	e.batch.decode()
 	took := e.cfg.TokenTime
 	if e.cfg.PrefillRate > 0 {
 		took += time.Duration(float64(prefill) / e.cfg.PrefillRate * float64(time.Second))
 	}
+	e.ledger.BusyMs += float64(taken) * took.Seconds() * 1000
 	// Steps are counted from when the last was due, so that a late timer does
 	// not slow the engine down.
 	due := e.batch.next
--- a/internal/dev/engine/fault.go
+++ b/internal/dev/engine/fault.go
@@ -63,6 +63,8 @@
 	Blocks int `json:"blocks"`
 	Hits   int `json:"hits"`
 	Orders int `json:"orders"`
+	// BusyMs is the time for which slots were taken, summed over the slots.
+	BusyMs float64 `json:"busyMs"`
 	// LeavingSince is when the engine began to leave; LateMs is how long after
 	// it the last new request came, and Late how many came.
 	LeavingSince time.Time `json:"leavingSince"`
--- a/internal/dev/load/load.go
+++ b/internal/dev/load/load.go
@@ -42,6 +42,9 @@
 	// Prefixes is the number of different beginnings that prompts share;
 	// zero makes every prompt new.
 	Prefixes int
+	// Salt tells the beginnings of one load from those of another, so that
+	// neither finds in a cache what the other left there.
+	Salt     string
 	Stream   bool
 	Deadline time.Duration
 	Seed     uint64
@@ -60,22 +63,34 @@
 	clock  *clock.Service
 	picker *picker
 	tally  *tally
+	ctx    context.Context
+	loads  *sync.WaitGroup
 	wg     sync.WaitGroup
 }
 
-// Run sends a load and returns what came of it.
-func Run(ctx context.Context, cfg Config) Result {
+// Run sends loads at the same time and returns what came of all of them.
+func Run(ctx context.Context, cfgs ...Config) Result {
 	svc := clock.New()
 	defer svc.Stop()
-	rn := &Runner{
-		cfg: cfg, clock: svc, tally: newTally(),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight, MaxConnsPerHost: maxInFlight}},
-	}
-	rn.picker = &picker{cfg: cfg, http: rn.http, clock: svc}
+	tl := newTally()
+	tr := &http.Transport{MaxIdleConnsPerHost: maxInFlight, MaxConnsPerHost: maxInFlight}
+	defer tr.CloseIdleConnections()
 	began := svc.Now()
-	rn.fire(ctx)
+	var loads sync.WaitGroup
+	for _, cfg := range cfgs {
+		rn := &Runner{cfg: cfg, clock: svc, tally: tl, ctx: ctx, loads: &loads, http: &http.Client{Transport: tr}}
+		rn.picker = &picker{cfg: cfg, http: rn.http, clock: svc}
+		loads.Add(1)
+		go rn.run()
+	}
+	loads.Wait()
+	return tl.result(svc.Now().Sub(began))
+}
+
+func (rn *Runner) run() {
+	defer rn.loads.Done()
+	rn.fire(rn.ctx)
 	rn.wg.Wait()
-	return rn.tally.result(svc.Now().Sub(began))
 }
 
 // fire starts the requests at their times.
--- a/internal/dev/load/shot.go
+++ b/internal/dev/load/shot.go
@@ -76,7 +76,7 @@
 // body makes the prompt: a shared beginning and an end of its own.
 func (s *shot) body() []byte {
 	var b strings.Builder
-	fmt.Fprintf(&b, "family %d ", s.prefix)
+	fmt.Fprintf(&b, "family %d%s ", s.prefix, s.cfg.Salt)
 	if s.cfg.Prefixes == 0 {
 		fmt.Fprintf(&b, "alone %d.%d ", s.cfg.Seed, s.n)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -84,7 +84,8 @@
 // Router chooses. Its zero value is ready.
 type Router struct {
 	// Pick chooses among the targets that the filters leave; nil is the cost
-	// policy. It is for comparing policies: with it no request crosses.
+	// policy. It is for comparing policies: with it a request crosses only
+	// when nothing local has room, on offers as ever.
 	Pick func(now ident.Time, q Query, left []*member.Target) *member.Target
 
 	caches  caches
@@ -289,6 +290,12 @@
 			rt.left = append(rt.left, t)
 		}
 	}
+	if len(rt.left) == 0 {
+		if dec, ok := rt.abroad(v, nil); ok {
+			rt.noteCrossing(v.now, dec.Centre, dec.Pool)
+			return dec
+		}
+	}
 	if len(rt.left) == 0 && full {
 		return Decision{Full: true, Code: codes.Overloaded.ID}
 	}
