count the own queue in the cost of a local choice

Cause: core never filled in Query.Backlog, so a request behind fifty others in the queue of its host looked as cheap to keep as the first. With one region at its peak, two data centres offered 10 and 14 slots (status of the hosts) while 35 to 59 requests waited at each host, and none crossed.

Ruled out: offers too small or too late: they stood at 7 to 14 slots, 0.3 to 2.4 s old, throughout.

Change: the backlog is the queue's length times the time between two places that become free; it is a part of the cost and of the prediction that admission goes by, which no longer adds it once more. A request that is to cross does not wait behind those that can't.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -15,6 +15,7 @@
 		Request: r.Request, Profile: r.profile, Client: r.client,
 		Tried: r.tried, TriedCentres: r.triedCentres,
 		Crossings: r.env.Crossings, Forwarded: r.forwarded, Resume: r.delivered,
+		Backlog: rd.pools.of(r).backlog(),
 	}
 }
 
@@ -30,7 +31,7 @@
 	switch {
 	case dec.Target == nil && dec.Centre == "" && !dec.Full:
 		rd.end(now, r, unplaced(r, dec.Code))
-	case dec.Full || pl.busy(r):
+	case dec.Full || pl.busy(r) && dec.Centre == "":
 		rd.enqueue(now, pl, r, dec)
 	case now.Add(dec.Wait) > r.deadline:
 		rd.end(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: dec.Wait})
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -122,23 +122,25 @@
 	return pl.runTime
 }
 
-// wait predicts the time until a new request gets a place.
-func (pl *pool) wait(dec route.Decision) time.Duration {
-	ahead := pl.queue.Len()
-	if pl.head != nil {
-		ahead++
-	}
-	return dec.Wait + time.Duration(ahead)*pl.gap
+// backlog predicts the time that the requests that wait here take to get a
+// place.
+//
+// It is a part of the cost of every local choice. Without it a request behind
+// fifty others looked as cheap to keep as the first, so that none crossed while
+// other data centres offered room, and the queue was refused its deadlines
+// instead. For the request that is next it stands for what those behind it
+// would gain if it went elsewhere.
+func (pl *pool) backlog() time.Duration {
+	return time.Duration(pl.queue.Len()) * pl.gap
 }
 
 // enqueue has a request wait, or refuses it at once if it would wait in vain.
 func (rd *Reducer) enqueue(now ident.Time, pl *pool, r *request, dec route.Decision) {
-	wait := pl.wait(dec)
 	it := admit.Item{
 		ID: r.ID, Account: r.Account, Home: r.profile.Confined(), Priority: r.profile.Priority,
 		Deadline: r.deadline, Work: pl.work(r),
 	}
-	ok, shed, later := pl.queue.Push(now, it, wait)
+	ok, shed, later := pl.queue.Push(now, it, dec.Wait)
 	rd.shed(now, shed, later)
 	if !ok {
 		rd.end(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: later})
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -297,12 +297,12 @@
 		}
 	}
 	if len(rt.left) == 0 && full {
-		return Decision{Full: true, Code: codes.Overloaded.ID}
+		return Decision{Wait: v.q.Backlog, Full: true, Code: codes.Overloaded.ID}
 	}
 	if len(rt.left) == 0 {
 		return Decision{Code: codes.NoTarget.ID}
 	}
 	t := rt.Pick(v.now, *v.q, rt.left)
 	sv, _ := served(&v.q.Profile, t.Load.Serves)
-	return Decision{Target: t, Serve: sv, Wait: t.Wait(v.now, t.Outstanding(v.now), 1)}
+	return Decision{Target: t, Serve: sv, Wait: t.Wait(v.now, t.Outstanding(v.now), 1) + v.q.Backlog}
 }
