keep what was sent of late when a cache event is lost

Cause: a gap in the cache events of an engine made the router forget all that it knew of the cache, also the prompts that it had itself sent there a moment ago. With one event in fifty lost and ten requests a second at an engine that was every few seconds.

Change: a gap takes back what events confirmed, and keeps what this host sent within the 60 s that a sent prompt counts for anyway.

--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -46,13 +46,19 @@
 }
 
 // block is one remembered block: confirmed by an event of the engine, or
-// learned from a request that was sent.
+// learned from a request that was sent, or both.
 type block struct {
 	confirmed bool
-	at        ident.Time
+	// learned says that this host sent a prompt with the block, the last time
+	// at sentAt.
+	learned bool
+	sentAt  ident.Time
 }
 
-func (b block) holds(now ident.Time) bool { return b.confirmed || now.Sub(b.at) <= learnLife }
+func (b block) holds(now ident.Time) bool { return b.confirmed || b.fresh(now) }
+
+// fresh reports whether the block was sent of late.
+func (b block) fresh(now ident.Time) bool { return b.learned && now.Sub(b.sentAt) <= learnLife }
 
 // holder is a target that probably holds a part of a prompt.
 type holder struct {
@@ -67,7 +73,10 @@
 // gap makes everything that was confirmed before untrue as far as one can
 // tell, and all of it is forgotten: to believe it would keep sending requests
 // to a target that finds nothing warm, which shows as cached tokens far below
-// the prediction. A late or doubled event is ignored.
+// the prediction. What this host itself sent there of late stays learned, for
+// no longer than if it had never been confirmed: with one event in fifty lost
+// a busy target would otherwise be forgotten every few seconds. A late or
+// doubled event is ignored.
 func (rt *Router) CacheChanged(now ident.Time, ev event.CacheChanged, tb *member.Table) {
 	t, ok := tb.Target(ev.Target)
 	if !ok || ev.Incarnation < t.Incarnation {
@@ -87,11 +96,13 @@
 		return
 	}
 	if c.seen && ev.Seq != c.seq+1 {
-		rt.caches.clear(ev.Target, c)
+		rt.caches.doubt(now, ev.Target, c)
 	}
 	c.seq, c.seen = ev.Seq, true
 	for _, b := range ev.Stored {
-		rt.caches.put(ev.Target, c, b, block{confirmed: true, at: now})
+		old := c.blocks[b]
+		old.confirmed = true
+		rt.caches.put(ev.Target, c, b, old)
 	}
 	for _, b := range ev.Dropped {
 		rt.caches.remove(ev.Target, c, b)
@@ -114,10 +125,7 @@
 		return
 	}
 	for _, b := range prefix {
-		if old, ok := c.blocks[b]; ok && old.confirmed {
-			continue
-		}
-		rt.caches.put(id, c, b, block{at: now})
+		rt.caches.put(id, c, b, block{confirmed: c.blocks[b].confirmed, learned: true, sentAt: now})
 	}
 }
 
@@ -178,6 +186,22 @@
 	cs.holders[key] = hs
 }
 
+// doubt takes back what events have confirmed.
+func (cs *caches) doubt(now ident.Time, id ident.TargetID, c *cache) {
+	for _, key := range c.ring {
+		b, ok := c.blocks[key]
+		if !ok || !b.confirmed {
+			continue
+		}
+		if !b.fresh(now) {
+			cs.remove(id, c, key)
+			continue
+		}
+		b.confirmed = false
+		c.blocks[key] = b
+	}
+}
+
 func (cs *caches) clear(id ident.TargetID, c *cache) {
 	for _, key := range c.ring {
 		cs.remove(id, c, key)
