charge an offer only with what was sent since it was made

Cause: an offer is made of free slots, and the slots that the asker's requests held were not free; the asker took those off once more. With 35 to 76 requests waiting at one host, the two other data centres stood with 8 to 14 of 18 slots free and offers of 4 to 10 (status of the hosts, every 0.4 s).

Ruled out: offers not renewed; they were 0.1 to 2.6 s old.

Change: an offer is charged with the sends less the ends since it was made, and with all under way once it is too old for that.

--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -51,6 +51,7 @@
 	fresh   bool
 	senders []sender
 	given   []given
+	passed  []*passed
 	sentAt  ident.Time
 	sent    bool
 	sentKey uint64
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -30,6 +30,10 @@
 	// whose pause was too short to be told. A giver counts its offer as held
 	// for this much longer than its life.
 	transit = 3 * time.Second
+	// wayLag bounds the time from when a request is sent to when an offer can
+	// know of it, beyond the time that the offer was under way: the ways of
+	// both.
+	wayLag = 200 * time.Millisecond
 	// wantLife is how long a pool without a target is asked for after the
 	// last request for it, maxWants how many such pools there may be.
 	wantLife = 10 * time.Second
@@ -307,9 +311,9 @@
 }
 
 // OfferLeft returns how many more requests this host may pass on to a data
-// centre: its share of an offer that has not expired, less those under way. It
-// is zero while the own data centre has spare capacity of its own, or while
-// the other may hold an offer of this one.
+// centre: its share of an offer that has not expired, less what it has sent
+// since the offer was made. It is zero while the own data centre has spare
+// capacity of its own, or while the other may hold an offer of this one.
 func (tb *Table) OfferLeft(now ident.Time, dc ident.DataCentre, id PoolID) int {
 	i, ok := tb.findCentre(dc)
 	if !ok {
@@ -325,7 +329,59 @@
 	}
 	share := tb.ownShare(now, dc, p.Offer)
 	grown := int(ramp(now.Sub(c.since))*float64(share) + 0.999999)
-	return max(0, min(share, grown)-tb.underWay(dc, id))
+	return max(0, min(share, grown)-tb.unseen(now, c, id))
+}
+
+// unseen returns how many requests of those under way to a data centre its
+// offer does not know of.
+//
+// The offer is made of slots that were free, and slots that requests from here
+// held at the time were not. To take those off once more would leave half of
+// the spare capacity idle: with 13 slots free, the work sent there and the
+// offer for more would meet at 5 each, while requests wait here. An offer that
+// is too old to tell is charged with everything under way.
+func (tb *Table) unseen(now ident.Time, c *Centre, id PoolID) int {
+	running := tb.underWay(c.Place.DataCentre, id)
+	from := c.made.Add(-wayLag)
+	p := c.passedOn(id)
+	if p == nil || now.Sub(from) > recentSpan {
+		return running
+	}
+	net, _ := p.recent.since(now, from)
+	return min(net, running)
+}
+
+// passed counts the requests of a pool passed on to a data centre of late.
+type passed struct {
+	id     PoolID
+	recent recent
+}
+
+func (c *Centre) passedOn(id PoolID) *passed {
+	i := slices.IndexFunc(c.passed, func(p *passed) bool { return p.id == id })
+	if i < 0 {
+		return nil
+	}
+	return c.passed[i]
+}
+
+// notePassed takes note of a request that is passed on, or, with -1, that has
+// ended.
+func (tb *Table) notePassed(dc ident.DataCentre, id PoolID, n int) {
+	i, ok := tb.findCentre(dc)
+	if !ok {
+		return
+	}
+	c := tb.centres[i]
+	p := c.passedOn(id)
+	if p == nil {
+		if len(c.passed) >= maxWants {
+			return
+		}
+		p = &passed{id: id}
+		c.passed = append(c.passed, p)
+	}
+	p.recent.add(tb.last, n, 0)
 }
 
 // ownShare is this host's part of an offer to its data centre. The live hosts
@@ -370,6 +426,7 @@
 		tb.away = slices.Insert(tb.away, i, event.AwayUse{DataCentre: dc, Serve: id.Serve, Service: id.Service})
 	}
 	tb.away[i].Running++
+	tb.notePassed(dc, id, 1)
 	if p, ok := tb.pool(id); ok && p.offering {
 		p.offering = false
 		tb.beat.asks = true
@@ -383,6 +440,7 @@
 		return
 	}
 	tb.away[i].Running--
+	tb.notePassed(dc, id, -1)
 	if tb.away[i].Running == 0 {
 		tb.away = slices.Delete(tb.away, i, i+1)
 	}
--- a/internal/member/recent.go
+++ b/internal/member/recent.go
@@ -11,6 +11,8 @@
 const (
 	recentSlots = 16
 	recentWidth = 250 * time.Millisecond
+	// recentSpan is the part of the window that is whole.
+	recentSpan = (recentSlots - 1) * recentWidth
 )
 
 // recent counts the sends and ends of the last four seconds in slots of a
