ask for help when requests begin to wait

Cause: at the beginning of a peak the offers came too late: a data centre asked at its next heartbeat, and of its hosts the one that got the answer told the others at its next. Status of the hosts: the first offer 2.4 s after the load began, at the other host after 3.3 s, with 41 requests waiting by then.

Ruled out: the sender's least time between summaries, 0.5 s.

Change: the first request that has to wait counts the pools anew and asks, at most each 0.5 s; a summary that changes what is asked or offered is relayed to the peers at once.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -145,6 +145,7 @@
 	if !ok {
 		rd.end(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: later})
 	}
+	rd.table.Crowded(now)
 }
 
 // shed gives requests that can no longer be met their final answer now, not
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -147,7 +147,7 @@
 	if c.CutOff(now) {
 		c.since = now
 	}
-	asked := c.asks()
+	asked, offers := c.asks(), c.offers()
 	c.Place = s.Place
 	c.Summary = s
 	c.HasSummary = true
@@ -157,6 +157,15 @@
 	if !slices.Equal(asked, c.asks()) {
 		tb.beat.asks = true
 	}
+	if direct && (!slices.Equal(asked, c.asks()) || offers != c.offers()) {
+		// The peers act on it too, and one of them may speak.
+		tb.beat.words = true
+	}
+}
+
+// offers reports whether the data centre offers anything.
+func (c *Centre) offers() bool {
+	return slices.ContainsFunc(c.Summary.Pools, func(p event.Pool) bool { return p.Offer > 0 })
 }
 
 // takeSender tells whether a summary is newer than all before it of the same
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -105,6 +105,8 @@
 	centres []*Centre
 	pools   []*pool
 	away    []event.AwayUse
+	// crowdedAt is when requests last began to wait here.
+	crowdedAt ident.Time
 	blind   bool
 
 	list  listState
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -127,6 +127,21 @@
 	p.own, p.ownAt = true, now
 }
 
+// Crowded says that requests wait here for room, so that the data centre asks
+// for help now and not at the next heartbeat. At the beginning of a peak each
+// second without offers leaves a queue that takes many to work off, and that
+// shows as a tail of seconds.
+func (tb *Table) Crowded(now ident.Time) {
+	if tb.crowdedAt > 0 && now.Sub(tb.crowdedAt) < minGap {
+		return
+	}
+	tb.crowdedAt = now
+	tb.countPools(now)
+	if slices.ContainsFunc(tb.pools, func(p *pool) bool { return p.Slots > 0 && short(p.Free, p.Slots) }) {
+		tb.beat.asks, tb.beat.words = true, true
+	}
+}
+
 // want takes note of a want of this host or of a peer. It returns nil where
 // there are too many.
 func (tb *Table) want(now ident.Time, id PoolID) (p *pool, fresh bool) {
