--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,9 +44,11 @@
 	// Metrics is where counters go, which the operators' address gives out;
 	// nil is a registry of the daemon's own.
 	Metrics metrics.Registry
-	// Step, where set, steps the reducer, which it may set up before; for
-	// comparisons of policies. It runs on the control thread.
-	Step func(red *core.Reducer, now ident.Time, ev event.Event) []event.Effect
+	// Step, where set, replaces the reducer, for comparisons.
+	Step func(now ident.Time, ev event.Event) []event.Effect
+	// Before, where set, is called with the reducer before each of its steps,
+	// on the control thread; it may change the router's policy.
+	Before func(red *core.Reducer)
 }
 
 // Daemon is a running entry host.
@@ -123,11 +125,17 @@
 
 // stepper returns what steps the reducer.
 func (d *Daemon) stepper() func(ident.Time, event.Event) []event.Effect {
+	if d.cfg.Step != nil {
+		return d.cfg.Step
+	}
 	red := core.New(d.self)
-	if d.cfg.Step == nil {
+	if d.cfg.Before == nil {
 		return red.Step
 	}
-	return func(now ident.Time, ev event.Event) []event.Effect { return d.cfg.Step(red, now, ev) }
+	return func(now ident.Time, ev event.Event) []event.Effect {
+		d.cfg.Before(red)
+		return red.Step(now, ev)
+	}
 }
 
 func self(set config.Settings) event.Host {
--- a/internal/dev/cmds/entry.go
+++ b/internal/dev/cmds/entry.go
@@ -19,9 +19,7 @@
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/daemon"
 	"verbenadale.example/verbenadale/internal/dev/base"
-	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/logs"
-	"verbenadale.example/verbenadale/pkg/ident"
 )
 
 // entryCmd runs an entry host whose routing policy can be another than the
@@ -59,7 +57,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	h := &compared{}
 	h.policy.Store(&c.policy)
-	d, err := daemon.Start(daemon.Config{Settings: set, Log: logs.New(os.Stderr, lvl), Level: lvl, Step: h.step})
+	d, err := daemon.Start(daemon.Config{Settings: set, Log: logs.New(os.Stderr, lvl), Level: lvl, Before: h.before})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "verbdev:", err)
 		return subcommands.ExitFailure
@@ -88,12 +86,11 @@
 	inUse  *string
 }
 
-func (h *compared) step(red *core.Reducer, now ident.Time, ev event.Event) []event.Effect {
+func (h *compared) before(red *core.Reducer) {
 	if want := h.policy.Load(); want != h.inUse {
 		h.inUse = want
 		red.Router().Pick = base.Policy(*want)
 	}
-	return red.Step(now, ev)
 }
 
 func (h *compared) listen(addr string) error {
--- a/internal/dev/relay/relay.go
+++ b/internal/dev/relay/relay.go
@@ -57,6 +57,9 @@
 	return r, nil
 }
 
+// Addr is the address that the relay listens on.
+func (r *Relay) Addr() string { return r.ln.Addr().String() }
+
 // Stop ends the relay and its connections.
 func (r *Relay) Stop() {
 	r.t.Kill(nil)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -107,7 +107,7 @@
 	away    []event.AwayUse
 	// crowdedAt is when requests last began to wait here.
 	crowdedAt ident.Time
-	blind   bool
+	blind     bool
 
 	list  listState
 	beat  beatState
