bring prompts with a shared beginning to the same target when none is warm

Cause: among near-equal targets the hash of the request decided, so two hosts that did not yet know of each other's sends, or one whose blocks had lapsed, put the same beginning into several caches.

Change: among near-equal targets a hash of the first half of the prompt decides.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -254,8 +254,10 @@
 )
 
 // cheapest returns one of the cheapest candidates. Among near-equal ones a hash
-// of the request decides, so that hosts with the same reports do not all run
-// to the same target.
+// decides, so that hosts with the same reports do not all run to the same
+// target: of the first half of the prompt, so that hosts which don't yet know
+// of each other's sends bring prompts with a shared beginning to the same
+// cache, and of the request where there is no prompt.
 func (rt *Router) cheapest(v *view) *cand {
 	if len(rt.cands) == 0 {
 		return nil
@@ -265,6 +267,10 @@
 		least = min(least, rt.cands[i].cost.sum())
 	}
 	limit := least + nearPart*least + nearTime
+	key := v.key
+	if p := v.q.Request.Prefix; len(p) > 0 {
+		key = p[(len(p)-1)/2]
+	}
 	var best *cand
 	var score uint64
 	for i := range rt.cands {
@@ -272,7 +278,7 @@
 		if c.cost.sum() > limit {
 			continue
 		}
-		if s := rank.Join(v.key, rank.Hash(string(c.t.ID))); best == nil || s > score {
+		if s := rank.Join(key, rank.Hash(string(c.t.ID))); best == nil || s > score {
 			best, score = c, s
 		}
 	}
