--- /dev/null
+++ b/internal/core/queue_test.go
@@ -0,0 +1,113 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/core"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// station is a reducer with one engine at home and one offer abroad.
+type station struct {
+	red   *core.Reducer
+	now   ident.Time
+	live  []ident.Attempt
+	sent  int
+	moved int
+}
+
+func newStation(t *testing.T) *station {
+	t.Helper()
+	s := &station{now: ident.Time(time.Minute)}
+	s.red = core.New(event.Host{ID: hostID("uvs", 0), Incarnation: 1, Place: placeOf("uvs")})
+	book, err := (*rules.Book)(nil).Apply(rules.Change{Revision: 1, ID: "c", Items: []rules.Item{
+		profileItem(rules.Profile{
+			Name: "draft", Models: []rules.Serve{{Model: "draft"}}, MaxCrossings: 1,
+			Weights: rules.Weights{Tail: 1, Crossing: 1},
+		}),
+		clientItem(rules.Client{Name: "foundation", KeyDigest: rules.Digest("k")}),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.step(event.SnapshotReceived{Book: book})
+	s.step(event.HostsRead{Version: 1, Targets: []event.Target{
+		{ID: "t", Incarnation: 1, Kind: event.Engine, Place: placeOf("uvs"), Price: 1},
+	}})
+	s.news(1)
+	return s
+}
+
+// news tells the load of the engine and an offer.
+func (s *station) news(seq uint64) {
+	serve := rules.Serve{Model: "draft"}
+	s.step(event.LoadReported{Load: event.Load{
+		Target: "t", Incarnation: 1, Seq: seq, Slots: 4, Running: len(s.live), PrefillRate: 10000, DecodeRate: 100,
+		Serves: []rules.Serve{serve},
+	}})
+	far := event.Host{ID: hostID("khovd", 0), Incarnation: 1, Place: placeOf("khovd")}
+	s.step(event.SummaryReceived{Summary: event.Summary{
+		From: far.ID, Place: far.Place, Incarnation: 1, Seq: seq, Hosts: []event.Host{far},
+		Pools: []event.Pool{{Serve: serve, Slots: 40, Free: 40, Offer: 20, PrefillRate: 10000, DecodeRate: 100, Price: 1}},
+	}})
+}
+
+func (s *station) step(ev event.Event) {
+	for _, eff := range s.red.Step(s.now, ev) {
+		switch e := eff.(type) {
+		case event.Dispatch:
+			s.live = append(s.live, e.Attempt)
+		case event.Forward:
+			s.moved++
+		}
+	}
+}
+
+func (s *station) send() {
+	s.sent++
+	s.step(event.RequestArrived{Request: event.Request{
+		ID: ident.RequestID(fmt.Sprint("q", s.sent)), Account: "foundation", Profile: "draft",
+		Prompt: 100, MaxTokens: 50, Deadline: s.now.Add(time.Minute),
+	}})
+}
+
+// end has the oldest request at the engine end.
+func (s *station) end() {
+	a := s.live[0]
+	s.live = s.live[1:]
+	s.step(event.AttemptSent{Attempt: a})
+	s.step(event.AttemptEnded{Attempt: a, Result: event.ResultDone, Delivered: 50, Generated: 50})
+}
+
+// The engine at home is full and requests wait here, while another data centre
+// offers room. A crossing is to gain a second. Callers behind a short queue
+// wait for it; behind a long one they cross, or they would be refused with
+// room known elsewhere.
+func TestLongQueueCrosses(t *testing.T) {
+	for _, tc := range []struct {
+		every time.Duration
+		cross bool
+	}{{100 * time.Millisecond, true}, {time.Second, false}} {
+		s := newStation(t)
+		for range 5 {
+			s.send()
+		}
+		for i := range 100 {
+			if i%2 == 0 {
+				s.now = s.now.Add(tc.every)
+				s.end()
+				s.news(uint64(i + 2))
+			}
+			if tc.cross || len(s.live) < 5 {
+				s.send()
+			}
+		}
+		if got := s.moved > 0; got != tc.cross {
+			t.Errorf("a place each %v: %d of %d crossed", tc.every, s.moved, s.sent)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/cache_test.go
@@ -0,0 +1,30 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+)
+
+// A cache event of an engine is lost. What only events told is forgotten, but
+// not what this host sent there a moment ago: a busy engine loses an event
+// every few seconds, and its callers would find their prompts computed anew.
+// A minute after the send nothing is left of it.
+func TestGapKeepsWhatWasSentOfLate(t *testing.T) {
+	tb, r := fleet(1, 0), New()
+	r.CacheChanged(start, event.CacheChanged{Target: "t000", Incarnation: 1, Seq: 1, Stored: []uint64{1, 2, 3}}, tb)
+	r.Learn(start, "t000", []uint64{2, 3, 4})
+	r.CacheChanged(start, event.CacheChanged{Target: "t000", Incarnation: 1, Seq: 2, Dropped: []uint64{3}}, tb)
+	r.CacheChanged(start, event.CacheChanged{Target: "t000", Incarnation: 1, Seq: 4}, tb)
+	c := r.caches.byTarget["t000"]
+	for key, want := range map[uint64]bool{1: false, 2: true, 3: false, 4: true} {
+		if got := c.blocks[key].holds(start); got != want {
+			t.Errorf("block %d is held: %v", key, got)
+		}
+	}
+	late := start.Add(learnLife + time.Second)
+	if c.blocks[2].holds(late) || c.blocks[4].holds(late) {
+		t.Error("a sent block outlives its time")
+	}
+}
