follow the prefill sent to a target from send to send

Cause: the wait for prefill was a report's, up to a second old, plus what was sent since, less what the target could have computed since; that is zero for any target that was idle for a part of the second. Two cold prompts sent in the same moment looked as good at one target as at two.

Change: each send adds the part of the prompt that is probably not cached to the work ahead at the target, which shrinks by its rate of prefill.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -64,6 +64,7 @@
 	}
 	a.target = dec.Target.ID
 	rd.table.Sent(a.target, r.Prompt, a.tokens)
+	rd.table.Prefill(a.target, dec.Prefill)
 	rd.router.Learn(now, a.target, r.Prefix)
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -71,6 +71,7 @@
 	warm bool
 
 	recent    recent
+	ahead     ahead
 	relayed   event.Load
 	relayedAt ident.Time
 }
@@ -180,11 +181,44 @@
 	if queued := before - t.Slots(); queued > 0 && before > 0 {
 		known = float64(t.SentTokens+t.PeerTokens) * float64(queued) / float64(before)
 	}
-	return seconds((trust*reported + (1-trust)*known) / t.Load.PrefillRate)
+	own := t.ahead.left(now, t.Load.PrefillRate)
+	return seconds(max(own, trust*reported+(1-trust)*known) / t.Load.PrefillRate)
+}
+
+// ahead is the prefill work that this host has sent and that is not done yet.
+//
+// A report is up to a second old, and a target that was idle for most of that
+// time could have done all that was sent since; so the report alone says that
+// nothing waits. Two prompts sent in the same moment would then look as good
+// at one target as at two, and the second's first token comes late by the
+// prefill of the first. This follows each send.
+type ahead struct {
+	tokens float64
+	at     ident.Time
+}
+
+func (a ahead) left(now ident.Time, rate float64) float64 {
+	return max(0, a.tokens-now.Sub(a.at).Seconds()*rate)
+}
+
+func (a *ahead) add(now ident.Time, tokens ident.Tokens, rate float64) {
+	if rate <= 0 {
+		return
+	}
+	a.tokens = a.left(now, rate) + float64(tokens)
+	a.at = now
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// Prefill takes note of the prefill that a request sent to a target makes
+// there: its prompt less what the cache probably holds.
+func (tb *Table) Prefill(id ident.TargetID, tokens ident.Tokens) {
+	if t, ok := tb.byID[id]; ok {
+		t.ahead.add(tb.last, tokens, t.Load.PrefillRate)
+	}
+}
+
 // Sent takes note of a request sent to a target.
 func (tb *Table) Sent(id ident.TargetID, prefill, generated ident.Tokens) {
 	t, ok := tb.byID[id]
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -77,8 +77,8 @@
 	u := float64(before) / float64(t.Slots())
 	prefill, decode := 0.0, serviceTime
 	if q.Profile.Service == "" {
-		cached := rt.cached(v, t, u)
-		prefill = span(float64(q.Request.Prompt+q.Resume)-cached, t.Load.PrefillRate)
+		c.prefill = q.Request.Prompt + q.Resume - ident.Tokens(rt.cached(v, t, u))
+		prefill = span(float64(c.prefill), t.Load.PrefillRate)
 		decode = decodeTime(q, t.Load.DecodeRate) * (1 + batchSlow*u)
 	}
 	w := q.Profile.Weights
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -65,6 +65,9 @@
 type Decision struct {
 	Target *member.Target
 	Serve  rules.Serve
+	// Prefill is the part of the prompt that the target probably does not
+	// hold.
+	Prefill ident.Tokens
 	// Centre is set when the request is to be passed to Host, an entry host
 	// of another data centre. Pool names the offer that it uses.
 	Centre ident.DataCentre
@@ -104,8 +107,10 @@
 	t     *member.Target
 	serve rules.Serve
 	cost  cost
-	// ready is the predicted time to the first token.
-	ready time.Duration
+	// ready is the predicted time to the first token, prefill the part of the
+	// prompt that is to be computed.
+	ready   time.Duration
+	prefill ident.Tokens
 }
 
 // New returns a router that knows no cache.
@@ -180,7 +185,7 @@
 	if best == nil {
 		return Decision{Wait: local.ready, Full: true, Code: codes.Overloaded.ID}
 	}
-	return Decision{Target: best.t, Serve: best.serve, Wait: best.ready}
+	return Decision{Target: best.t, Serve: best.serve, Prefill: best.prefill, Wait: best.ready}
 }
 
 // strides are the steps by which the sample walks over the targets. A prime
