--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -37,6 +37,8 @@
 	cdr.Register(&replayCmd{}, "")
 	cdr.Register(&loadCmd{}, "measurements")
 	cdr.Register(&slopesCmd{}, "measurements")
+	cdr.Register(&entryCmd{}, "measurements")
+	cdr.Register(&benchCmd{}, "measurements")
 }
 
 type platformCmd struct{ listen string }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -65,6 +65,9 @@
 type Decision struct {
 	Target *member.Target
 	Serve  rules.Serve
+	// Prefill is the part of the prompt that the target probably does not
+	// hold.
+	Prefill ident.Tokens
 	// Centre is set when the request is to be passed to Host, an entry host
 	// of another data centre. Pool names the offer that it uses.
 	Centre ident.DataCentre
@@ -84,7 +87,8 @@
 // Router chooses. Its zero value is ready.
 type Router struct {
 	// Pick chooses among the targets that the filters leave; nil is the cost
-	// policy. It is for comparing policies: with it no request crosses.
+	// policy. It is for comparing policies: with it a request crosses only
+	// when nothing local has room, on offers as ever.
 	Pick func(now ident.Time, q Query, left []*member.Target) *member.Target
 
 	caches  caches
@@ -103,8 +107,10 @@
 	t     *member.Target
 	serve rules.Serve
 	cost  cost
-	// ready is the predicted time to the first token.
-	ready time.Duration
+	// ready is the predicted time to the first token, prefill the part of the
+	// prompt that is to be computed.
+	ready   time.Duration
+	prefill ident.Tokens
 }
 
 // New returns a router that knows no cache.
@@ -179,7 +185,7 @@
 	if best == nil {
 		return Decision{Wait: local.ready, Full: true, Code: codes.Overloaded.ID}
 	}
-	return Decision{Target: best.t, Serve: best.serve, Wait: best.ready}
+	return Decision{Target: best.t, Serve: best.serve, Prefill: best.prefill, Wait: best.ready}
 }
 
 // strides are the steps by which the sample walks over the targets. A prime
@@ -253,8 +259,10 @@
 )
 
 // cheapest returns one of the cheapest candidates. Among near-equal ones a hash
-// of the request decides, so that hosts with the same reports do not all run
-// to the same target.
+// decides, so that hosts with the same reports do not all run to the same
+// target: of the first half of the prompt, so that hosts which don't yet know
+// of each other's sends bring prompts with a shared beginning to the same
+// cache, and of the request where there is no prompt.
 func (rt *Router) cheapest(v *view) *cand {
 	if len(rt.cands) == 0 {
 		return nil
@@ -264,6 +272,10 @@
 		least = min(least, rt.cands[i].cost.sum())
 	}
 	limit := least + nearPart*least + nearTime
+	key := v.key
+	if p := v.q.Request.Prefix; len(p) > 0 {
+		key = p[(len(p)-1)/2]
+	}
 	var best *cand
 	var score uint64
 	for i := range rt.cands {
@@ -271,7 +283,7 @@
 		if c.cost.sum() > limit {
 			continue
 		}
-		if s := rank.Join(v.key, rank.Hash(string(c.t.ID))); best == nil || s > score {
+		if s := rank.Join(key, rank.Hash(string(c.t.ID))); best == nil || s > score {
 			best, score = c, s
 		}
 	}
@@ -289,13 +301,19 @@
 			rt.left = append(rt.left, t)
 		}
 	}
+	if len(rt.left) == 0 {
+		if dec, ok := rt.abroad(v, nil); ok {
+			rt.noteCrossing(v.now, dec.Centre, dec.Pool)
+			return dec
+		}
+	}
 	if len(rt.left) == 0 && full {
-		return Decision{Full: true, Code: codes.Overloaded.ID}
+		return Decision{Wait: v.q.Backlog, Full: true, Code: codes.Overloaded.ID}
 	}
 	if len(rt.left) == 0 {
 		return Decision{Code: codes.NoTarget.ID}
 	}
 	t := rt.Pick(v.now, *v.q, rt.left)
 	sv, _ := served(&v.q.Profile, t.Load.Serves)
-	return Decision{Target: t, Serve: sv, Wait: t.Wait(v.now, t.Outstanding(v.now), 1)}
+	return Decision{Target: t, Serve: sv, Wait: t.Wait(v.now, t.Outstanding(v.now), 1) + v.q.Backlog}
 }
