--- a/internal/proofs/cutoff_test.go
+++ b/internal/proofs/cutoff_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"verbenadale.example/verbenadale/internal/dev/plat"
+	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -64,7 +65,7 @@
 // are served again once one other data centre is reached.
 func TestCutOffRegionServes(t *testing.T) {
 	f := startFleet(t, siteOf("uvs", 2, 1, 1), siteOf("erdenet", 2, 1, 1))
-	f.configure()
+	f.configure(confinedItems(t)...)
 	own, others := f.at("uvs"), f.at("erdenet")
 	f.serving(t, "at first", f.hosts...)
 
@@ -123,7 +124,7 @@
 			if diff := cmp.Diff(codes.NotReady.ID, got.Error.Code); diff != "" {
 				t.Fatalf("all restarted, at %s (-want +got):\n%s", m.id, diff)
 			}
-			if rep.header.Get("Retry-After") == "" || got.Error.Outcome != "notRun" {
+			if rep.header.Get("Retry-After") == "" || got.Error.Outcome != event.NotRun {
 				t.Errorf("%s does not say when to come back: %s", m.id, rep.body)
 			}
 		}
@@ -144,6 +145,12 @@
 	}
 	t.Logf("served %v after the first link healed, platform away", f.serving(t, "a data centre reached", own...))
 	f.steady(t, "a data centre reached", fewRounds, own...)
+	for _, m := range own {
+		got := refusalOf(post(t, m.callers()+"/v1/chat/completions", "key-1", chatBody("confined", "own work", 3))).Error
+		if diff := cmp.Diff([]any{codes.NoTarget.ID, event.NotRun}, []any{got.Code, got.Outcome}); diff != "" {
+			t.Errorf("confined work at %s (-want +got):\n%s", m.id, diff)
+		}
+	}
 	if diff := cmp.Diff(ran, f.engineLedger("uvs-e1").Ran); diff != "" {
 		t.Errorf("work at the engine that no list names (-want +got):\n%s", diff)
 	}
--- a/internal/proofs/residency_test.go
+++ b/internal/proofs/residency_test.go
@@ -110,9 +110,10 @@
 		site{place: placeOf("uvs"), entries: 2, engines: 1, args: []string{"-slots", "4", "-tokenTime", "10ms"}},
 		siteOf("erdenet", 2, 1, 0))
 	f.configure(confinedItems(t)...)
-	for _, m := range f.at("uvs") {
+	for _, m := range f.hosts {
+		profile := map[ident.DataCentre]string{"uvs": "confined", "erdenet": "draft"}[m.place.DataCentre]
 		eventually(t, "an answer at "+string(m.id), func() bool {
-			return post(t, m.callers()+"/v1/chat/completions", "key-home", chatBody("confined", "hello", 2)).status == http.StatusOK
+			return post(t, m.callers()+"/v1/chat/completions", "key-home", chatBody(profile, "hello", 2)).status == http.StatusOK
 		})
 	}
 	t.Run("wrong entry host", f.wrongEntry)
@@ -199,9 +200,11 @@
 // test believes that the confined ones could have.
 const minCrossed = 5
 
-// The home region has more work than it can do and the other is idle, so that
-// whatever may leave does. Confined requests wait or are refused.
+// The home region has more work than it can do and believes that the other has
+// room for all of it, so that whatever may leave does. Confined requests wait
+// or are refused.
 func (f *fleet) overload(t *testing.T) {
+	f.feign("uvs", "erdenet", rules.Serve{Model: "draft"})
 	var confined []ident.RequestID
 	before := len(f.engineLedger("erdenet-e1").Requests)
 	crossed := func() int {
