--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,9 @@
 	Metrics metrics.Registry
 	// Step, where set, replaces the reducer, for comparisons.
 	Step func(now ident.Time, ev event.Event) []event.Effect
+	// Record, where set, is told who the host is and returns what sees each
+	// event and its effects, for replay.
+	Record func(self event.Host) func(now ident.Time, ev event.Event, effs []event.Effect)
 }
 
 // Daemon is a running entry host.
@@ -107,7 +110,11 @@
 		return nil, err
 	}
 	d.mesh = mesh
-	d.loop = loop.New(loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry})
+	lcfg := loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry}
+	if cfg.Record != nil {
+		lcfg.Record = cfg.Record(d.self)
+	}
+	d.loop = loop.New(lcfg)
 	for range workers {
 		d.t.Go(d.run)
 	}
@@ -129,7 +136,7 @@
 		ID:          set.Entry,
 		Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		Place:       event.Place{DataCentre: set.DataCentre, Region: set.Region},
-		CallerURL:   set.Callers.URL,
+		CallerURL:   set.Callers.BaseURL(),
 		PeerAddr:    peerAddr,
 	}
 }
@@ -151,7 +158,7 @@
 		Metrics: d.metrics, Drain: d.Drain,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
-	if err := d.mesh.Start(d.loop.Post, d.runner.Run); err != nil {
+	if err := d.mesh.Start(d.loop.Post, d.runPassed); err != nil {
 		return errors.Wrap(err, "daemon: peers")
 	}
 	if err := d.serveCallers(); err != nil {
@@ -174,8 +181,6 @@
 type listener struct {
 	srv *http.Server
 	ln  net.Listener
-	// certFile and keyFile turn on TLS.
-	certFile, keyFile string
 }
 
 func (l *listener) run() error {
@@ -187,10 +192,10 @@
 }
 
 func (l *listener) serve() error {
-	if l.certFile == "" {
+	if l.srv.TLSConfig == nil {
 		return l.srv.Serve(l.ln)
 	}
-	return l.srv.ServeTLS(l.ln, l.certFile, l.keyFile)
+	return l.srv.ServeTLS(l.ln, "", "")
 }
 
 // Drain starts a graceful stop.
--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -65,7 +65,7 @@
 	r.attempts[a] = req.ID
 	deadline := now.Add(patience)
 	if _, passed := req.Envelope.Get(); passed {
-		return event.Dispatch{Request: req.ID, Attempt: a, Target: r.engine, Deadline: deadline}
+		return event.Dispatch{Request: req.ID, Serve: rules.Serve{Model: "draft"}, Attempt: a, Target: r.engine, Deadline: deadline}
 	}
 	env := event.Envelope{Attempt: a, To: r.peer.Incarnation, Seen: []ident.EntryID{r.self.ID}}
 	return event.Forward{Request: req.ID, To: r.peer, Envelope: env, Deadline: deadline}
@@ -129,10 +129,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	set, faults := config.Parse([]byte(fmt.Sprintf(`{"entry":%q,"dataCentre":"uvs","region":"uvs"}`, id)))
-	if len(faults) > 0 {
-		t.Fatal(faults)
-	}
+	set := config.Defaults()
+	set.Entry, set.DataCentre, set.Region = id, "uvs", "uvs"
 	set.Callers.Listen, set.Operators.Listen = freeAddr(t), freeAddr(t)
 	set.Peers = config.Peers{Listen: freeAddr(t), Seeds: seeds, CertFile: fs.Cert, KeyFile: fs.Key, CAFile: fs.CA}
 	r.attempts = make(map[ident.Attempt]ident.RequestID)
@@ -162,7 +160,12 @@
 // twoEntries starts a host for callers and, behind it, one with an engine.
 func twoEntries(t *testing.T, tokenTime time.Duration) (x, y *Daemon, ry *relay) {
 	t.Helper()
-	eng := httptest.NewServer(engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8, TokenTime: tokenTime}))
+	return twoEntriesBefore(t, engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8, TokenTime: tokenTime}))
+}
+
+func twoEntriesBefore(t *testing.T, h http.Handler) (x, y *Daemon, ry *relay) {
+	t.Helper()
+	eng := httptest.NewServer(h)
 	t.Cleanup(eng.Close)
 	ca, err := certs.New()
 	if err != nil {
--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -33,7 +33,10 @@
 	cdr.Register(&platformCmd{}, "stand-ins")
 	cdr.Register(&engineCmd{}, "stand-ins")
 	cdr.Register(&serviceCmd{}, "stand-ins")
+	cdr.Register(&demoCmd{}, "")
+	cdr.Register(&replayCmd{}, "")
 	cdr.Register(&loadCmd{}, "measurements")
+	cdr.Register(&slopesCmd{}, "measurements")
 }
 
 type platformCmd struct{ listen string }
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -55,15 +55,24 @@
 			t.PeerTokens -= u.Tokens
 		}
 	}
-	p.use = p.use[:0]
-	for _, u := range use {
-		t, ok := tb.byID[u.Target]
-		if !ok || u.Running <= 0 || u.Tokens < 0 {
-			continue
+	p.use = slices.Clone(use)
+	for _, u := range p.use {
+		if t, ok := tb.byID[u.Target]; ok {
+			t.PeerSent += u.Running
+			t.PeerTokens += u.Tokens
+		}
+	}
+}
+
+// sumUse adds up what the peers told of a target before it was known here.
+func (tb *Table) sumUse(t *Target) {
+	for _, p := range tb.peers {
+		for _, u := range p.use {
+			if u.Target == t.ID {
+				t.PeerSent += u.Running
+				t.PeerTokens += u.Tokens
+			}
 		}
-		t.PeerSent += u.Running
-		t.PeerTokens += u.Tokens
-		p.use = append(p.use, u)
 	}
 }
 
@@ -72,7 +81,7 @@
 	tb.beat.seq++
 	d := event.Digest{
 		Host: tb.self, Seq: tb.beat.seq, Revision: tb.own.Revision, Blind: tb.blind,
-		Accounts: tb.own.Accounts, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
+		Accounts: tb.own.Accounts, AccountsTold: tb.own.AccountsTold, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
 	}
 	for _, t := range tb.targets {
 		if t.Sent > 0 {
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -278,6 +278,28 @@
 	}
 }
 
+// Two data centres are rich and poor in turn, over links that are slow and
+// lose. If each held an offer of the other, requests of both would cross at the
+// same time, and every caller would wait for two ways and a cold cache.
+func TestTwoDataCentresNeverSwapWork(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rapid.Int64().Draw(rt, "seed"), 2, rapid.IntRange(1, 2).Draw(rt, "hosts"), 2)
+		w.loss = rapid.SampledFrom([]float64{0, 0.2}).Draw(rt, "loss")
+		w.delay = rapid.SampledFrom([]time.Duration{50 * time.Millisecond, 1500 * time.Millisecond}).Draw(rt, "delay")
+		rich := ident.DataCentre("dc0")
+		for range rapid.IntRange(4, 12).Draw(rt, "turns") {
+			poor := ident.DataCentre("dc1")
+			if rich == "dc1" {
+				poor = "dc0"
+			}
+			w.busy(rich, 0)
+			w.busy(poor, 10)
+			w.run(time.Duration(rapid.IntRange(10, 100).Draw(rt, "pause"))*100*time.Millisecond, func() { w.checkOffers(rt) })
+			rich = poor
+		}
+	})
+}
+
 // The free part of a pool swings about the marks. If it began and stopped to
 // offer at one mark, the other data centres would cross and turn back each
 // second, and each time find cold caches.
@@ -310,6 +332,28 @@
 	})
 }
 
+// Three data centres ask at once. The spare slots are split between them, and
+// each part between the hosts there; if each were offered the whole, all would
+// come at once and find queues.
+func TestOfferIsSplit(t *testing.T) {
+	w := newWorld(13, 4, 2, 4)
+	for _, dc := range []ident.DataCentre{"dc1", "dc2", "dc3"} {
+		w.busy(dc, 10)
+	}
+	w.run(30*time.Second, nil)
+	sum := 0
+	for _, n := range w.nodes[2:] {
+		left := n.tb.OfferLeft(w.now, "dc0", scribe)
+		sum += left
+		if left < 5 || left > 6 {
+			t.Errorf("%s may send %d", n.id, left)
+		}
+	}
+	if sum != 32 {
+		t.Errorf("%d may be sent, 32 are spare", sum)
+	}
+}
+
 // A data centre sends its own work away, as any of its hosts tells. If it took
 // in the work of others meanwhile, the two would swap work and pay both ways.
 func TestPoolThatSendsWorkAwayOffersNothing(t *testing.T) {
@@ -346,12 +390,14 @@
 // while its own offer may still be held on the other side.
 func TestOfferIsNotUsedAgainstTheOwnOffer(t *testing.T) {
 	w := newWorld(12, 2, 1, 4)
-	w.busy("dc1", 10)
 	w.run(15*time.Second, nil)
 	a := w.nodes[0].tb
+	seq := uint64(0)
 	late := func() int {
 		s := a.Centres(w.now)[0].Summary
-		s.Seq += 1000
+		s.From, s.Age = "dc1-x", 0
+		seq++
+		s.Seq = seq
 		s.Pools = []event.Pool{{Serve: model, Slots: 40, Free: 40, Offer: 20}}
 		a.SummaryReceived(w.now, s)
 		return a.OfferLeft(w.now, "dc1", scribe)
@@ -359,11 +405,14 @@
 	if n := late(); n != 0 {
 		t.Errorf("%d may be sent away with room at home", n)
 	}
+	w.busy("dc1", 10)
+	w.run(15*time.Second, nil)
 	a.pools[0].offering = false
 	if n := late(); n != 0 {
 		t.Errorf("%d may be sent to where an own offer is held", n)
 	}
-	w.run(offerLife+transit+time.Second, func() { a.pools[0].offering = false })
+	w.busy("dc0", 8)
+	w.run(offerLife+transit+2*time.Second, nil)
 	if n := late(); n == 0 {
 		t.Error("none may be sent away once the own offer is gone")
 	}
