--- a/internal/proofs/change_serves_test.go
+++ b/internal/proofs/change_serves_test.go
@@ -29,6 +29,8 @@
 	o.cutFromPlatform()
 	o.frozenHosts()
 	o.cutAndFrozen()
+	o.longFrozen()
+	o.cutFromAll()
 	o.killedHosts()
 	o.check()
 }
@@ -210,6 +212,54 @@
 	o.report("cut off and frozen")
 }
 
+// manyChanges is more than a host keeps to be sent one by one.
+const manyChanges = 70
+
+// longFrozen freezes a data centre for longer than the others keep changes, and
+// cuts it off from the platform, so that when it wakes it needs the whole
+// configuration from one of the others.
+func (o *office) longFrozen() {
+	o.t.Helper()
+	for _, m := range o.at("khovd") {
+		m.toPlatform.setCut(everyone, true)
+		m.signal(o.t, syscall.SIGSTOP)
+	}
+	live := o.but(o.at("khovd")...)
+	for n := range manyChanges {
+		rev, at := o.change(live[n%len(live)])
+		o.spread("khovd frozen", rev, at, live)
+	}
+	for _, m := range o.at("khovd") {
+		m.signal(o.t, syscall.SIGCONT)
+	}
+	o.spread("khovd woken", o.newest(), time.Now(), o.at("khovd"))
+	for _, m := range o.at("khovd") {
+		m.toPlatform.setCut(everyone, false)
+	}
+	o.report("frozen for many changes")
+}
+
+// cutFromAll cuts a data centre off from the platform and all others. It can't
+// know of a change before it is reached again, from when the time is taken.
+func (o *office) cutFromAll() {
+	o.t.Helper()
+	o.cutOff("uvs", true, true)
+	rev, at := o.change(o.host("erdenet-1"))
+	o.spread("uvs cut off", rev, at, o.but(o.at("uvs")...))
+	time.Sleep(cutFor)
+	for _, m := range o.at("uvs") {
+		if o.revision(m) >= rev {
+			o.t.Errorf("%s knows of a change that can't have reached it", m.id)
+		}
+	}
+	o.cutOff("uvs", true, false)
+	o.spread("uvs healed", rev, time.Now(), o.at("uvs"))
+	o.report("cut off from all")
+}
+
+// cutFor is how long a data centre is cut off from all.
+const cutFor = 4 * time.Second
+
 // killedHosts kills each host of a data centre in turn, makes a change while
 // it is gone and another when it is back.
 func (o *office) killedHosts() {
