prove that answers are whole, and resume broken streams outside the retry budget

The engine stand-in now sends a truly crossed answer (the text and names of the request before), one that turns into another's in the middle, and counts its faults; it can also begin to leave without refusing or without reporting it.

Two faults of the product came out.

An engine that was killed with more streams than a tenth of the recent arrivals left some of them cut, although another engine could go on. Cause: a resume took from the retry budget like a retry. Ruled out: the three tries, which were not used up. A stream that had given tokens now goes on outside the budget.

Cause: at the start of a load failures end before the first whole answers do, so that all engines are suspected for a moment, and a broken stream that finds no place was ended. It now waits for one, four times half a second.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -29,7 +29,7 @@
 	dec := rd.router.Choose(now, rd.query(r), rd.table)
 	switch {
 	case dec.Target == nil && dec.Centre == "" && !dec.Full:
-		rd.end(now, r, unplaced(r, dec.Code))
+		rd.noPlace(now, r, dec.Code)
 	case dec.Full || pl.busy(r):
 		rd.enqueue(now, pl, r, dec)
 	case now.Add(dec.Wait) > r.deadline:
@@ -39,6 +39,27 @@
 	}
 }
 
+// A stream that broke off looks for a place a few times, for as long as a
+// target that is wrongly suspected takes to be heard again.
+const (
+	resumeWaits = 4
+	resumePause = 500 * time.Millisecond
+)
+
+// noPlace ends a request that no choice is left for, or has it wait where its
+// caller has read the beginning of the answer. Targets are suspected together
+// when a burst of failures comes before the first whole answers; a caller that
+// is new is told to come back, but one with half an answer can't.
+func (rd *Reducer) noPlace(now ident.Time, r *request, code codes.ID) {
+	at := now.Add(resumePause)
+	if r.delivered == 0 || r.waits >= resumeWaits || at >= r.deadline {
+		rd.end(now, r, unplaced(r, code))
+		return
+	}
+	r.waits++
+	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
+}
+
 // unplaced is the refusal of a request that no choice is left for.
 func unplaced(r *request, code codes.ID) refusal {
 	if r.mayHaveRun {
@@ -181,21 +202,45 @@
 		rd.end(now, r, ref)
 		return
 	}
+	if e.Resumable && e.Generated > 0 {
+		rd.resume(now, r, a, ref)
+		return
+	}
 	rd.again(now, r, a, ref)
 }
 
 // again tries a request elsewhere, after a pause and within the budget, or
 // ends it.
 func (rd *Reducer) again(now ident.Time, r *request, a *attempt, ref refusal) {
+	if r.tries >= retry.MaxTries || !rd.budget.Spend(now) {
+		rd.end(now, r, ref)
+		return
+	}
+	rd.elsewhereSoon(now, r, a, ref)
+}
+
+// resume lets a stream that broke off go on elsewhere. It does not take from
+// the budget: a target that dies breaks all its streams at once, which are more
+// than a share of the recent arrivals where answers are long, and those past
+// the budget would stop in the middle of a sentence before callers who have
+// read the beginning. What the budget guards against, load that grows with the
+// failures, does not come about, as a resumed stream asks only for the tokens
+// that are left.
+func (rd *Reducer) resume(now ident.Time, r *request, a *attempt, ref refusal) {
+	if r.tries >= retry.MaxTries {
+		rd.end(now, r, ref)
+		return
+	}
+	rd.elsewhereSoon(now, r, a, ref)
+}
+
+// elsewhereSoon places a request again after a pause, but not where it failed.
+func (rd *Reducer) elsewhereSoon(now ident.Time, r *request, a *attempt, ref refusal) {
 	if a.target != "" {
 		r.tried.Add(a.target)
 	} else {
 		r.triedCentres.Add(a.dec.Centre)
 	}
-	if r.tries >= retry.MaxTries || !rd.budget.Spend(now) {
-		rd.end(now, r, ref)
-		return
-	}
 	at := now.Add(retry.Backoff(r.tries, r.ID))
 	if at >= r.deadline {
 		ref.code = codes.DeadlineExceeded.ID
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -41,7 +41,9 @@
 	tried        value.Set[ident.TargetID]
 	triedCentres value.Set[ident.DataCentre]
 	tries        int
-	live         *attempt
+	// waits counts how often a broken stream found no place to go on.
+	waits int
+	live  *attempt
 	// barring is set while a peer is asked what became of an attempt.
 	barring   *attempt
 	delivered ident.Tokens
--- a/internal/dev/engine/engine.go
+++ b/internal/dev/engine/engine.go
@@ -73,11 +73,15 @@
 	cache   *cache
 	faults  Faults
 	leaving bool
+	mute    bool
+	hidden  bool
 	served  int
-	ledger  Ledger
-	load    event.Load
-	loadAt  ident.Time
-	fence   ident.Fence
+	// former is the request that was taken before the last one.
+	former former
+	ledger Ledger
+	load   event.Load
+	loadAt ident.Time
+	fence  ident.Fence
 }
 
 // New starts an engine.
@@ -115,10 +119,14 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
 
 // Leave makes the engine refuse new requests and finish those that run.
-func (e *Engine) Leave() {
+func (e *Engine) Leave() { e.leaveAs(false, false) }
+
+// leaveAs begins to leave. A mute engine serves on and does not refuse, and
+// with hidden its load reports don't say that it leaves.
+func (e *Engine) leaveAs(mute, hidden bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leaving = true
+	e.leaving, e.mute, e.hidden = true, mute, hidden
 	e.ledger.LeavingSince = time.Now()
 }
 
@@ -129,7 +137,11 @@
 	return len(e.batch.running)+len(e.batch.waiting) == 0
 }
 
-func (e *Engine) leave(http.ResponseWriter, *http.Request) { e.Leave() }
+// leave takes mute and hidden from the query.
+func (e *Engine) leave(_ http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	e.leaveAs(q.Has("mute"), q.Has("hidden"))
+}
 
 // run steps the batch.
 func (e *Engine) run() error {
@@ -208,7 +220,7 @@
 		}
 	}
 	ld := e.load
-	ld.Leaving = e.leaving
+	ld.Leaving = e.leaving && !e.hidden
 	ld.Age = now.Sub(e.loadAt)
 	return ld
 }
--- a/internal/dev/engine/fault.go
+++ b/internal/dev/engine/fault.go
@@ -14,8 +14,10 @@
 	FaultCut = "cut"
 	// FaultShort ends the answer early as if it were whole.
 	FaultShort = "short"
-	// FaultCrossed sends the answer under the name of another attempt.
+	// FaultCrossed sends the answer that belongs to the request before.
 	FaultCrossed = "crossed"
+	// FaultMixed goes on with the answer of the request before in the middle.
+	FaultMixed = "mixed"
 	// FaultTwice sends one event twice.
 	FaultTwice = "twice"
 	// FaultError answers with status 500.
@@ -68,8 +70,9 @@
 	LeavingSince time.Time `json:"leavingSince"`
 	Late         int       `json:"late"`
 	LateMs       int64     `json:"lateMs"`
-	// Attempts counts the requests by attempt.
+	// Attempts counts the requests by attempt, Faults the answers by fault.
 	Attempts map[string]int `json:"attempts"`
+	Faults   map[string]int `json:"faults"`
 }
 
 // maxAttempts bounds the attempts that are counted by name.
@@ -88,6 +91,16 @@
 	}
 }
 
+func (l *Ledger) noteFault(kind string) {
+	if kind == "" {
+		return
+	}
+	if l.Faults == nil {
+		l.Faults = make(map[string]int)
+	}
+	l.Faults[kind]++
+}
+
 func (e *Engine) getLedger(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/dev/engine/serve.go
+++ b/internal/dev/engine/serve.go
@@ -50,18 +50,40 @@
 	if a.MaxTokens <= 0 {
 		a.MaxTokens = defaultTokens
 	}
+	own := former{
+		attempt: r.Header.Get(target.HeaderAttempt), id: ident.RequestID(r.Header.Get(target.HeaderRequest)), prompt: a.prompt(),
+	}
 	s, fault, ok := e.admit(r, a)
 	if !ok {
 		refuseNotRun(w, fault)
 		return
 	}
 	ans := &answer{
-		w: w, r: r, a: a, seq: s, fault: fault, eng: e,
-		id:    ident.RequestID(r.Header.Get(target.HeaderRequest)),
+		w: w, r: r, a: a, seq: s, fault: fault, eng: e, former: own, other: e.swap(own),
 		flush: http.NewResponseController(w),
 	}
 	defer e.gone(s)
-	ans.send(r.Header.Get(target.HeaderAttempt))
+	if fault == FaultCrossed {
+		ans.former = ans.other
+	}
+	ans.send()
+}
+
+// former is what an answer is made from. A faulty answer is made from that of
+// another request.
+type former struct {
+	attempt string
+	id      ident.RequestID
+	prompt  []byte
+}
+
+// swap keeps a request for the next faulty answer and returns the one before.
+func (e *Engine) swap(own former) former {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	other := e.former
+	e.former = own
+	return other
 }
 
 // admit takes a request into the batch. It returns the fault that its answer
@@ -70,7 +92,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ledger.note(r, e.leaving)
-	if e.leaving {
+	if e.leaving && !e.mute {
 		return nil, "leaving", false
 	}
 	if e.faults.Refuse {
@@ -92,7 +114,9 @@
 	s := &seq{priority: prio, left: ident.Tokens(tokens), next: from, last: max(a.MaxTokens, from+1), out: make(chan int, a.MaxTokens+1)}
 	e.batch.add(s)
 	e.wake()
-	return s, e.faults.of(e.served), true
+	fault := e.faults.of(e.served)
+	e.ledger.noteFault(fault)
+	return s, fault, true
 }
 
 // gone frees the slot of a request whose reader has left.
@@ -113,15 +137,13 @@
 	seq   *seq
 	fault string
 	eng   *Engine
-	id    ident.RequestID
+	former
+	other former
 	flush *http.ResponseController
 }
 
-func (s *answer) send(attempt string) {
-	if s.fault == FaultCrossed {
-		attempt += "0"
-	}
-	s.w.Header().Set(target.HeaderAttempt, attempt)
+func (s *answer) send() {
+	s.w.Header().Set(target.HeaderAttempt, s.attempt)
 	switch {
 	case s.fault == FaultError:
 		s.w.WriteHeader(http.StatusInternalServerError)
@@ -161,6 +183,9 @@
 		if s.fault == FaultShort && n >= s.cutAt() {
 			return
 		}
+		if s.fault == FaultMixed && n == s.cutAt() {
+			s.former = s.other
+		}
 		s.event(n)
 		if s.fault == FaultTwice && n == s.cutAt() {
 			s.event(n)
@@ -194,7 +219,7 @@
 
 func (s *answer) event(n int) {
 	c := chunkOf{ID: s.id, Object: "chat.completion.chunk", Model: s.a.Model}
-	c.Choices = []choice{{Delta: &message{Content: Word(s.a.prompt(), n)}}}
+	c.Choices = []choice{{Delta: &message{Content: Word(s.prompt, n)}}}
 	b, _ := json.Marshal(c)
 	fmt.Fprintf(s.w, "id: %d\ndata: %s\n\n", n+1, b)
 	_ = s.flush.Flush()
@@ -219,7 +244,7 @@
 		if !ok {
 			break
 		}
-		text.WriteString(Word(s.a.prompt(), n))
+		text.WriteString(Word(s.prompt, n))
 	}
 	if s.r.Context().Err() != nil {
 		return
--- a/internal/proofs/fleet_test.go
+++ b/internal/proofs/fleet_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -50,7 +51,7 @@
 		ln: ln, to: to, cut: make(map[string]bool), hush: make(map[string]bool), open: make(map[net.Conn]string),
 	}
 	go r.run()
-	t.Cleanup(func() { ln.Close(); r.setCut(everyone, true) })
+	t.Cleanup(func() { _ = ln.Close(); r.setCut(everyone, true) })
 	return r
 }
 
@@ -195,6 +196,7 @@
 	before     *relay
 	toPlatform *relay
 	file       string
+	limits     config.Limits
 }
 
 // site is one data centre to start.
@@ -203,6 +205,10 @@
 	entries  int
 	engines  int
 	services int
+	// engineArgs and serviceArgs go to the stand-ins; limits are those of the
+	// entry hosts, testLimits where none are set.
+	engineArgs, serviceArgs []string
+	limits                  config.Limits
 }
 
 func siteOf(name string, entries, engines, services int) site {
@@ -223,10 +229,10 @@
 	f := &fleet{t: t, platform: startPlatform(t), procs: make(map[ident.TargetID]*proc), ca: ca}
 	for _, s := range sites {
 		for n := range s.engines {
-			f.addEngine(ident.TargetID(fmt.Sprintf("%s-e%d", s.place.DataCentre, n+1)), s.place)
+			f.addEngine(ident.TargetID(fmt.Sprintf("%s-e%d", s.place.DataCentre, n+1)), s.place, s.engineArgs...)
 		}
 		for n := range s.services {
-			f.addService(ident.TargetID(fmt.Sprintf("%s-p%d", s.place.DataCentre, n+1)), s.place)
+			f.addService(ident.TargetID(fmt.Sprintf("%s-p%d", s.place.DataCentre, n+1)), s.place, s.serviceArgs...)
 		}
 	}
 	putHosts(t, f.platform, store.Hosts{Targets: f.targets})
@@ -236,6 +242,7 @@
 			ip := newIP()
 			f.hosts = append(f.hosts, &member{
 				id: id, place: s.place, ip: ip, before: startRelay(t, peersPort, fmt.Sprintf("%s:%d", ip, peersPort)),
+				limits: cmp.Or(s.limits, testLimits),
 			})
 		}
 	}
@@ -257,10 +264,11 @@
 	f.targets = append(f.targets, event.Target{ID: id, Kind: event.Engine, Place: place, URL: "http://" + addr, Price: 1})
 }
 
-func (f *fleet) addService(id ident.TargetID, place event.Place) {
+func (f *fleet) addService(id ident.TargetID, place event.Place, args ...string) {
 	f.t.Helper()
 	addr := fmt.Sprintf("%s:%d", newIP(), targetPort)
-	f.procs[id] = start(f.t, "verbdev", "service", "-listen", addr, "-id", string(id), "-service", "publish")
+	args = append([]string{"service", "-listen", addr, "-id", string(id), "-service", "publish"}, args...)
+	f.procs[id] = start(f.t, "verbdev", args...)
 	eventually(f.t, "the service answers", reachable("http://"+addr+"/load"))
 	f.targets = append(f.targets, event.Target{ID: id, Kind: event.Service, Service: "publish", Place: place, URL: "http://" + addr, Price: 1})
 }
@@ -288,7 +296,7 @@
 			},
 		},
 		Platform: config.Platform{URL: "http://" + m.toPlatform.addr(), TimeoutMs: 1000, CallsPerSecond: 50},
-		Limits:   testLimits,
+		Limits:   m.limits,
 		Traces:   config.Traces{Exporter: "none"},
 		Logs:     config.Logs{Level: 1},
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -13,7 +13,8 @@
 // MaxTries times, and the other regions see up to three times their load just
 // when capacity is short. With it, the sends of a window are at most its
 // arrivals times 1+Share, plus Floor. A retry that is refused is the final
-// answer at once.
+// answer at once. A stream that goes on elsewhere after it had given tokens is
+// bound by MaxTries alone, since it asks only for those that are left.
 //
 // # Bounds
 //
