prove that jobs run at most once, and answer repeats elsewhere as unknown

TestRunsOnce holds the ledgers of the services against every word that callers were told, first and repeated, with tickets and keys: the entry host killed at each step, the host that passed a job on or took it killed, the owner frozen, the platform losing replies, slow and down, the service breaking off or killed, the caller leaving, and links cut, cut one way, silent and delivering late. The service stand-in can hold its answer back after a run.

One fault of the product came out. A repeat at a host that is not the owner of the ticket or key was answered "not run", although the owner may have run it. Cause: the reducer made the refusal anew and dropped the outcome that internal/once gives, which decision 30 says is "unknown". The refusal now has that outcome.

Not covered, as decision 30 says: "the key can't be recorded" is said of the request in hand. Bursts above the rate of claims bring it about too, not only a store that is down; the test leaves that one answer out where an earlier request had no clear answer.

--- /dev/null
+++ b/internal/core/foreign_test.go
@@ -0,0 +1,44 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// A caller loses its connection while its job runs and sends the job again to
+// another host. That host knows from the record of the key who owns it, and
+// nothing of the run. Told "not run", the caller would do the work by other
+// means, and a notice would be out twice.
+func TestRepeatAtAnotherHostIsUnknown(t *testing.T) {
+	w := newWorld(t.Fatalf)
+	w.send("uvs-0", "publish", "notice", "", "key-1", 10*time.Second)
+	w.Run(time.Second)
+	again := w.send("uvs-1", "publish", "notice", "", "key-1", 10*time.Second)
+	w.Run(time.Second)
+	ans, ok := w.answerTo(again)
+	if !ok {
+		t.Fatal("no answer to the repeat")
+	}
+	ref, ok := ans.Effect.(event.Refuse)
+	if !ok {
+		t.Fatalf("the repeat was answered with %+v", ans)
+	}
+	var hosts []ident.EntryID
+	for _, h := range ref.Entries {
+		hosts = append(hosts, h.ID)
+	}
+	want := event.Refuse{Request: again, Code: codes.ForeignTicket.ID, Outcome: event.Unknown}
+	ref.Entries = nil
+	if diff := cmp.Diff(want, ref); diff != "" {
+		t.Errorf("answer to the repeat (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]ident.EntryID{"uvs-0"}, hosts); diff != "" {
+		t.Errorf("hosts that are named (-want +got):\n%s", diff)
+	}
+}
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -64,9 +64,9 @@
 	if !ok || h.Incarnation != v.Incarnation {
 		return refusal{code: codes.OutcomeUnknown.ID, outcome: event.Unknown}
 	}
-	ref := refuseAs(codes.ForeignTicket)
-	ref.entries = []event.Host{h}
-	return ref
+	// The outcome is unknown: the owner may have run the first request, and a
+	// caller that read "not run" would do the work again by other means.
+	return refusal{code: v.Code, outcome: v.Outcome, entries: []event.Host{h}}
 }
 
 func (rd *Reducer) ticket(now ident.Time, e event.TicketAsked) {
--- a/internal/dev/plain/plain.go
+++ b/internal/dev/plain/plain.go
@@ -49,6 +49,8 @@
 	Refuse bool `json:"refuse"`
 	// WorkMs replaces the time that a call takes.
 	WorkMs int64 `json:"workMs"`
+	// AnswerMs holds the answer of a call back after it has run.
+	AnswerMs int64 `json:"answerMs"`
 }
 
 // Ledger is what the service has run.
@@ -140,6 +142,7 @@
 	if faults.DieAfterRun > 0 && n%faults.DieAfterRun == 0 {
 		panic(http.ErrAbortHandler)
 	}
+	s.wait(time.Duration(faults.AnswerMs) * time.Millisecond)
 	w.Header().Set(target.HeaderAttempt, r.Header.Get(target.HeaderAttempt))
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Result{Job: c.Job, Runs: runs, Size: len(body), By: string(s.cfg.ID)})
@@ -180,6 +183,10 @@
 	if f.WorkMs > 0 {
 		d = time.Duration(f.WorkMs) * time.Millisecond
 	}
+	s.wait(d)
+}
+
+func (s *Service) wait(d time.Duration) {
 	if d <= 0 {
 		return
 	}
--- /dev/null
+++ b/internal/proofs/jobs_test.go
@@ -0,0 +1,191 @@
+package proofs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+
+	"verbenadale.example/verbenadale/internal/dev/plain"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+)
+
+// jobs holds what callers were told of each job against the ledgers of the
+// services.
+type jobs struct {
+	f  *fleet
+	wg sync.WaitGroup
+
+	mu   sync.Mutex
+	made int
+	all  []*job
+	lies []string
+}
+
+// job is one thing to do, such as one notice to publish. All its requests
+// carry the same ticket or key.
+type job struct {
+	name   string
+	header map[string]string
+	told   []told
+}
+
+// byTicket returns a new job with a ticket of a host.
+func (js *jobs) byTicket(t *testing.T, m *member) *job {
+	t.Helper()
+	return js.add("ticket", map[string]string{"Verbenadale-Ticket": takeTicket(t, m, "publish")})
+}
+
+// byKey returns a new job with a key of the caller's own.
+func (js *jobs) byKey() *job { return js.add("key", nil) }
+
+func (js *jobs) add(kind string, header map[string]string) *job {
+	js.mu.Lock()
+	defer js.mu.Unlock()
+	js.made++
+	j := &job{name: fmt.Sprintf("%s-%d", kind, js.made), header: header}
+	if header == nil {
+		j.header = map[string]string{"Idempotency-Key": j.name}
+	}
+	js.all = append(js.all, j)
+	return j
+}
+
+// mixed returns n new jobs with tickets of a host and n with keys.
+func (js *jobs) mixed(t *testing.T, m *member, n int) []*job {
+	t.Helper()
+	var out []*job
+	for range n {
+		out = append(out, js.byTicket(t, m), js.byKey())
+	}
+	return out
+}
+
+// send sends a job to a host and takes note of what is told.
+func (js *jobs) send(m *member, j *job) told {
+	return js.sendFor(context.Background(), m, j)
+}
+
+func (js *jobs) sendFor(ctx context.Context, m *member, j *job) told {
+	body, _ := json.Marshal(plain.Call{Job: j.name, Text: "a notice"})
+	ans := ask(ctx, m.callers(), "/v1/services/publish/notices", string(body), j.header)
+	ran := 0
+	if ans.outcome == event.NotRun && ans.code != codes.StoreDown.ID {
+		ran = js.f.jobs()[j.name]
+	}
+	js.mu.Lock()
+	defer js.mu.Unlock()
+	j.told = append(j.told, ans)
+	if ran > 0 {
+		js.lies = append(js.lies, fmt.Sprintf("%s had run when %s was told not to have (%s)", j.name, j.name, ans.code))
+	}
+	return ans
+}
+
+// sendAll sends jobs beside what the test does.
+func (js *jobs) sendAll(m *member, all []*job) {
+	for _, j := range all {
+		js.wg.Go(func() { js.send(m, j) })
+	}
+}
+
+// again repeats jobs at hosts, one after the other.
+func (js *jobs) again(all []*job, at ...*member) {
+	for _, m := range at {
+		var wg sync.WaitGroup
+		for _, j := range all {
+			wg.Go(func() { js.send(m, j) })
+		}
+		wg.Wait()
+	}
+}
+
+// last returns what was told last of a job.
+func (j *job) last() told {
+	if len(j.told) == 0 {
+		return told{}
+	}
+	return j.told[len(j.told)-1]
+}
+
+// check holds everything that was told against what ran.
+func (js *jobs) check(t *testing.T) {
+	t.Helper()
+	js.wg.Wait()
+	eventually(t, "the services are idle", js.f.servicesIdle)
+	runs := js.f.jobs()
+	ran := 0
+	outcomes := make(map[string]int)
+	for _, j := range js.all {
+		n := runs[j.name]
+		ran += n
+		if n > 1 {
+			t.Errorf("%s ran %d times", j.name, n)
+		}
+		if n > 0 && j.deniesRun() {
+			t.Errorf("%s was told not to have run (%s) and ran", j.name, j.last().code)
+		}
+		for _, ans := range j.told {
+			outcomes[string(ans.outcome)+" "+string(ans.code)]++
+			if ans.outcome == event.Done && ans.code == "" {
+				j.checkDone(t, ans, n)
+			}
+		}
+	}
+	for _, lie := range js.lies {
+		t.Error(lie)
+	}
+	t.Logf("%d jobs, %d runs; told %v", len(js.all), ran, outcomes)
+	js.all, js.lies = js.all[:0:0], nil
+}
+
+// deniesRun reports whether a caller must take a job not to have run. That the
+// key can't be recorded now is said of the request in hand, and says nothing of
+// an earlier one with the same key.
+func (j *job) deniesRun() bool {
+	earlier := false
+	for _, ans := range j.told {
+		earlier = earlier || ans.outcome != event.NotRun
+	}
+	last := j.last()
+	return last.outcome == event.NotRun && (!earlier || last.code != codes.StoreDown.ID)
+}
+
+// checkDone holds an answer against the ledger: it must be of this job and of
+// its one run, also when it is given for the second time.
+func (j *job) checkDone(t *testing.T, ans told, runs int) {
+	t.Helper()
+	var res plain.Result
+	if err := json.Unmarshal([]byte(ans.body), &res); err != nil || res.Job != j.name {
+		t.Errorf("%s was answered with %q", j.name, ans.body)
+	}
+	if runs != 1 {
+		t.Errorf("%s was told to be done and ran %d times", j.name, runs)
+	}
+}
+
+// count counts the jobs whose last word is one of an outcome.
+func count(all []*job, outcome event.Outcome) int {
+	n := 0
+	for _, j := range all {
+		if j.last().outcome == outcome {
+			n++
+		}
+	}
+	return n
+}
+
+// servicesIdle reports whether no service works on a call, so that the ledgers
+// are final.
+func (f *fleet) servicesIdle() bool {
+	for _, tg := range f.targets {
+		var ld event.Load
+		getJSON(f.t, tg.URL+"/load", &ld)
+		if tg.Kind == event.Service && ld.Running > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/proofs/once_test.go
@@ -0,0 +1,419 @@
+package proofs
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/dev/plain"
+	"verbenadale.example/verbenadale/internal/dev/plat"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// onceFleet is the system for the proofs of running once: a data centre of two
+// hosts and two services, one with one of each, and one without a service,
+// whose jobs all run elsewhere.
+type onceFleet struct {
+	*fleet
+	*jobs
+	here, sibling, away *member
+}
+
+func startOnceFleet(t *testing.T) *onceFleet {
+	t.Helper()
+	f := startFleet(t, siteOf("uvs", 2, 0, 2), siteOf("khovd", 1, 0, 1), siteOf("erdenet", 1, 0, 0))
+	f.configure()
+	o := &onceFleet{
+		fleet: f, jobs: &jobs{f: f},
+		here: f.host("uvs-1"), sibling: f.host("uvs-2"), away: f.host("erdenet-1"),
+	}
+	for _, m := range f.hosts {
+		o.ready(m)
+	}
+	o.check(t)
+	return o
+}
+
+// ready waits until a host serves jobs and knows its peers.
+func (o *onceFleet) ready(m *member) {
+	o.t.Helper()
+	eventually(o.t, "a job runs at "+string(m.id), func() bool {
+		return o.send(m, o.byKey()).outcome == event.Done
+	})
+	eventually(o.t, "callers are told of "+string(m.id), func() bool {
+		return len(askEntries(m.callers(), "publish")) == len(o.hosts)
+	})
+}
+
+// services tells all services what to do wrong.
+func (o *onceFleet) services(x plain.Faults) {
+	o.t.Helper()
+	for _, tg := range o.targets {
+		put(o.t, tg.URL+"/dev/faults", x)
+	}
+}
+
+// store tells the platform what to do wrong.
+func (o *onceFleet) store(x plat.Faults) {
+	o.t.Helper()
+	put(o.t, o.platform+"/dev/faults", x)
+}
+
+// calls counts the calls that reached a service of a data centre, all of them
+// for an empty name.
+func (o *onceFleet) calls(dc ident.DataCentre) int {
+	n := 0
+	for _, tg := range o.targets {
+		var l plain.Ledger
+		getJSON(o.t, tg.URL+"/dev/ledger", &l)
+		if dc == "" || tg.Place.DataCentre == dc {
+			n += l.Calls
+		}
+	}
+	return n
+}
+
+// puts counts the writes that reached the platform.
+func (o *onceFleet) puts() int {
+	var c plat.Counts
+	getJSON(o.t, o.platform+"/dev/counts", &c)
+	return c["put"]
+}
+
+// restart kills hosts without a word and starts them again.
+func (o *onceFleet) restart(ms ...*member) {
+	o.t.Helper()
+	for _, m := range ms {
+		m.kill(o.t)
+	}
+	for _, m := range ms {
+		o.boot(m)
+	}
+	o.wg.Wait()
+	for _, m := range ms {
+		o.ready(m)
+	}
+}
+
+func TestRunsOnce(t *testing.T) {
+	t.Parallel()
+	o := startOnceFleet(t)
+	t.Run("host dies before the claim", o.testBeforeClaim)
+	t.Run("host dies before it sends", o.testBeforeSend)
+	t.Run("host dies while the target runs", o.testWhileRunning)
+	t.Run("host dies before it answers", o.testBeforeAnswer)
+	t.Run("frozen owner", o.testFrozenOwner)
+	t.Run("frozen claim", o.testFrozenClaim)
+	t.Run("platform", o.testPlatform)
+	t.Run("caller leaves", o.testCallerLeaves)
+	t.Run("target dies", o.testTargetDies)
+	t.Run("forwarder dies", o.testForwarderDies)
+	t.Run("receiver dies", o.testReceiverDies)
+	t.Run("links are cut", o.testLinks)
+	t.Run("service is killed", o.testServiceKilled)
+}
+
+// The platform is slow, and the host dies while its claims of keys are on
+// their way. The writes land after its death, under the name of a run that no
+// longer exists. A caller that hears "not run" from anyone and takes a ticket
+// is safe only if the key can never run again.
+func (o *onceFleet) testBeforeClaim(t *testing.T) {
+	before, calls := o.puts(), o.calls("")
+	o.store(plat.Faults{DelayMs: 900})
+	all := []*job{o.byKey(), o.byKey(), o.byKey()}
+	o.sendAll(o.here, all)
+	eventually(t, "the claims are on their way", func() bool { return o.puts() >= before+len(all) })
+	o.here.kill(t)
+	o.wg.Wait()
+	time.Sleep(2 * time.Second) // The writes land.
+	o.store(plat.Faults{})
+	if n := o.calls("") - calls; n != 0 {
+		t.Fatalf("%d calls were sent before their key was on record", n)
+	}
+	o.again(all, o.sibling)
+	o.boot(o.here)
+	o.ready(o.here)
+	o.again(all, o.here, o.sibling, o.away)
+	if n := count(all, event.Unknown); n != len(all) {
+		t.Errorf("%d of %d keys of a dead host are unknown", n, len(all))
+	}
+	o.check(t)
+}
+
+// A host dies with jobs that are on record and wait for room at the service.
+// Nobody can tell any more that they have not run.
+func (o *onceFleet) testBeforeSend(t *testing.T) {
+	o.services(plain.Faults{WorkMs: 1500})
+	calls := o.calls("uvs")
+	all := o.mixed(t, o.here, 40)
+	o.sendAll(o.here, all)
+	eventually(t, "the service is full", func() bool { return o.calls("uvs")-calls >= 16 })
+	o.here.kill(t)
+	o.wg.Wait()
+	if n := o.calls("") - calls; n >= len(all) {
+		t.Fatalf("all %d jobs were sent, none waited", n)
+	}
+	o.services(plain.Faults{})
+	o.boot(o.here)
+	o.ready(o.here)
+	o.again(all, o.here, o.sibling)
+	o.check(t)
+}
+
+// A host dies while a service works on its jobs. The service finishes them,
+// and nobody is there to tell. A repeat anywhere must not run them again.
+func (o *onceFleet) testWhileRunning(t *testing.T) {
+	o.dieAt(t, o.here, plain.Faults{WorkMs: 1000}, []*member{o.here})
+}
+
+// A host dies after its jobs have run and before the answers are passed on.
+func (o *onceFleet) testBeforeAnswer(t *testing.T) {
+	o.dieAt(t, o.here, plain.Faults{AnswerMs: 1000}, []*member{o.here})
+}
+
+// dieAt sends jobs to a host, kills hosts while the services hold the jobs,
+// and repeats them everywhere.
+func (o *onceFleet) dieAt(t *testing.T, at *member, x plain.Faults, victims []*member) {
+	t.Helper()
+	o.services(x)
+	calls := o.calls("")
+	all := o.sendUntil(t, at, func() bool { return o.calls("")-calls >= 3 })
+	o.restart(victims...)
+	o.services(plain.Faults{})
+	o.again(all, at, o.sibling, o.away)
+	if n := count(all, event.Unknown); n < 3 {
+		t.Errorf("%d jobs are unknown after the death of a host, too few to have met it", n)
+	}
+	o.check(t)
+}
+
+// sendUntil sends jobs to a host until so many run that the proof can go on.
+// Those that are refused for want of room elsewhere are no help to it.
+func (o *onceFleet) sendUntil(t *testing.T, at *member, reached func() bool) []*job {
+	t.Helper()
+	var all []*job
+	eventually(t, "jobs run", func() bool {
+		if reached() {
+			return true
+		}
+		const most = 60
+		if len(all) < most {
+			js := o.mixed(t, at, 1)
+			o.sendAll(at, js)
+			all = append(all, js...)
+		}
+		time.Sleep(50 * time.Millisecond)
+		return reached()
+	})
+	return all
+}
+
+// A host is frozen while its jobs run, as under a hypervisor that moves it. Its
+// callers repeat elsewhere, and when it wakes it still believes that it owns
+// them. It does, and the others must know.
+func (o *onceFleet) testFrozenOwner(t *testing.T) {
+	o.services(plain.Faults{WorkMs: 600})
+	calls := o.calls("")
+	all := o.mixed(t, o.here, 3)
+	o.sendAll(o.here, all)
+	eventually(t, "jobs run", func() bool { return o.calls("")-calls >= len(all) })
+	o.here.signal(t, syscall.SIGSTOP)
+	o.services(plain.Faults{})
+	var elsewhere []told
+	for _, j := range all {
+		elsewhere = append(elsewhere, o.send(o.sibling, j))
+	}
+	o.here.signal(t, syscall.SIGCONT)
+	o.wg.Wait()
+	for _, ans := range elsewhere {
+		o.isForeign(t, ans)
+	}
+	o.again(all, o.here)
+	if n := count(all, event.Done); n != len(all) {
+		t.Errorf("%d of %d jobs are answered by their owner once it is awake", n, len(all))
+	}
+	o.check(t)
+}
+
+// isForeign checks the answer to a repeat at another host than the owner: it
+// names the owner and does not say that the job has not run.
+func (o *onceFleet) isForeign(t *testing.T, got told) {
+	t.Helper()
+	want := told{
+		status: http.StatusMisdirectedRequest, outcome: event.Unknown, code: codes.ForeignTicket.ID,
+		entries: []string{o.here.callers()},
+	}
+	got.body = ""
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(told{})); diff != "" {
+		t.Errorf("repeat at another host (-want +got):\n%s", diff)
+	}
+}
+
+// A host is frozen with its claims on their way and wakes long after its peers
+// have given it up. Its claims stand, and repeats elsewhere meanwhile must
+// leave the jobs to it.
+func (o *onceFleet) testFrozenClaim(t *testing.T) {
+	before := o.puts()
+	o.store(plat.Faults{DelayMs: 700})
+	all := []*job{o.byKey(), o.byKey(), o.byKey()}
+	o.sendAll(o.here, all)
+	eventually(t, "the claims are on their way", func() bool { return o.puts() >= before+len(all) })
+	o.here.signal(t, syscall.SIGSTOP)
+	time.Sleep(1500 * time.Millisecond) // The writes land.
+	o.store(plat.Faults{})
+	var during []*job
+	for _, j := range all {
+		if ans := o.send(o.sibling, j); ans.outcome == event.Unknown {
+			during = append(during, j)
+		}
+	}
+	if len(during) != len(all) {
+		t.Errorf("%d of %d repeats were told that it is unknown", len(during), len(all))
+	}
+	eventually(t, "the peers give the host up", func() bool {
+		return len(askEntries(o.sibling.callers(), "publish")) < len(o.hosts)
+	})
+	o.again(all, o.sibling, o.away)
+	o.here.signal(t, syscall.SIGCONT)
+	o.wg.Wait()
+	o.ready(o.here)
+	o.again(all, o.here, o.sibling)
+	o.check(t)
+}
+
+// The platform loses replies after the write, is slow, and is down. A lost
+// reply read as a failure would refuse a job that is on record; one read as a
+// success would run a job that another host owns.
+func (o *onceFleet) testPlatform(t *testing.T) {
+	keys := func() []*job { return []*job{o.byKey(), o.byKey(), o.byKey(), o.byKey()} }
+	lost := keys()
+	o.store(plat.Faults{LoseNext: len(lost)})
+	o.again(lost, o.here)
+	if n := count(lost, event.Done); n != len(lost) {
+		t.Errorf("%d of %d jobs are done though replies are lost", n, len(lost))
+	}
+	slow := keys()
+	o.store(plat.Faults{DelayMs: 200})
+	o.again(slow, o.here, o.sibling)
+	down, tickets := keys(), []*job{o.byTicket(t, o.here), o.byTicket(t, o.here)}
+	o.store(plat.Faults{Down: true})
+	o.again(down, o.here)
+	for _, j := range down {
+		if j.last().code != codes.StoreDown.ID || o.fleet.jobs()[j.name] != 0 {
+			t.Errorf("%s with the platform down: %+v", j.name, j.last())
+		}
+	}
+	o.again(tickets, o.here)
+	if n := count(tickets, event.Done); n != len(tickets) {
+		t.Errorf("%d of %d tickets run without the platform", n, len(tickets))
+	}
+	o.store(plat.Faults{})
+	o.again(down, o.here)
+	if n := count(down, event.Done); n != len(down) {
+		t.Errorf("%d of %d keys run once the platform is back", n, len(down))
+	}
+	o.again(append(lost, append(slow, down...)...), o.here, o.sibling, o.away)
+	o.check(t)
+}
+
+// A caller loses its connection while its job runs and sends the job again. It
+// gets the answer of the first run.
+func (o *onceFleet) testCallerLeaves(t *testing.T) {
+	o.services(plain.Faults{WorkMs: 500})
+	calls := o.calls("")
+	all := o.mixed(t, o.here, 3)
+	ctx, leave := context.WithCancel(context.Background())
+	for _, j := range all {
+		o.wg.Go(func() { o.sendFor(ctx, o.here, j) })
+	}
+	eventually(t, "jobs run", func() bool { return o.calls("")-calls >= len(all) })
+	leave()
+	o.wg.Wait()
+	for _, j := range all {
+		eventually(t, j.name+" is answered", func() bool { return o.send(o.here, j).outcome == event.Done })
+	}
+	o.services(plain.Faults{})
+	o.check(t)
+}
+
+// A service breaks the connection before it runs a job or after it has. Both
+// look the same from outside, so that the job may not be tried at another
+// service. First one service dies, so that another would run the job well, and
+// then all of them, before a host that passes its jobs on.
+func (o *onceFleet) testTargetDies(t *testing.T) {
+	var all []*job
+	for _, x := range []plain.Faults{{DieBeforeRun: 1}, {DieAfterRun: 1}} {
+		put(t, o.url("uvs-p1")+"/dev/faults", x)
+		all = append(all, o.untilUnknown(t, o.here)...)
+		o.services(x)
+		o.recovered(o.away, event.Unknown)
+		calls := o.calls("")
+		js := o.mixed(t, o.away, 2)
+		o.again(js, o.away)
+		if n := o.calls("") - calls; n > len(js) {
+			t.Errorf("%d calls for %d jobs", n, len(js))
+		}
+		all = append(all, js...)
+		o.services(plain.Faults{})
+		o.recovered(o.here, event.Done)
+		o.recovered(o.away, event.Done)
+	}
+	o.again(all, o.here, o.sibling, o.away)
+	o.check(t)
+}
+
+// untilUnknown sends jobs to a host until some meet the service that dies.
+func (o *onceFleet) untilUnknown(t *testing.T, m *member) []*job {
+	t.Helper()
+	var all []*job
+	calls := o.calls("uvs")
+	eventually(t, "jobs meet the fault", func() bool {
+		js := o.mixed(t, m, 1)
+		o.again(js, m)
+		all = append(all, js...)
+		return o.calls("uvs") > calls && count(all, event.Unknown) > 0
+	})
+	return all
+}
+
+// recovered waits until a host sends jobs again and they have an outcome.
+func (o *onceFleet) recovered(m *member, outcome event.Outcome) {
+	o.t.Helper()
+	eventually(o.t, "jobs are "+string(outcome)+" at "+string(m.id), func() bool {
+		return o.send(m, o.byKey()).outcome == outcome
+	})
+}
+
+// The process of a service dies with jobs in it, and its ledger with it. The
+// other service of the data centre is idle and would run them again.
+func (o *onceFleet) testServiceKilled(t *testing.T) {
+	const id = ident.TargetID("uvs-p1")
+	o.services(plain.Faults{WorkMs: 1000})
+	var ld event.Load
+	all := o.sendUntil(t, o.here, func() bool {
+		getJSON(t, o.url(id)+"/load", &ld)
+		return ld.Running >= 2
+	})
+	o.procs[id].kill(t)
+	o.targets = slices.DeleteFunc(o.targets, func(tg event.Target) bool { return tg.ID == id })
+	o.services(plain.Faults{})
+	o.wg.Wait()
+	if n := count(all, event.Unknown); n < 2 {
+		t.Errorf("%d jobs are unknown after the death of their service", n)
+	}
+	o.again(all, o.here, o.sibling, o.away)
+	runs := o.fleet.jobs()
+	for _, j := range all {
+		if j.told[0].outcome == event.Unknown && runs[j.name] != 0 {
+			t.Errorf("%s ran at another service after its own had died", j.name)
+		}
+	}
+	o.check(t)
+}
