--- a/internal/proofs/circulate_test.go
+++ b/internal/proofs/circulate_test.go
@@ -95,8 +95,8 @@
 func TestTwoRegionsDoNotSwapRequests(t *testing.T) {
 	slow := []string{"-slots", "4", "-tokenTime", "10ms"}
 	f := startTuned(t, telling,
-		site{place: placeOf("uvs"), entries: 2, engines: 1, args: slow},
-		site{place: placeOf("erdenet"), entries: 2, engines: 1, args: slow})
+		site{place: placeOf("uvs"), entries: 2, engines: 1, engineArgs: slow},
+		site{place: placeOf("erdenet"), entries: 2, engines: 1, engineArgs: slow})
 	tp := f.tapeRegions()
 	f.configure()
 	for _, m := range f.hosts {
--- a/internal/proofs/residency_test.go
+++ b/internal/proofs/residency_test.go
@@ -80,15 +80,6 @@
 	}
 }
 
-// refusalBody is what a refusal says.
-type refusalBody struct {
-	Error struct {
-		Code    codes.ID      `json:"code"`
-		Outcome event.Outcome `json:"outcome"`
-		Entries []string      `json:"entries"`
-	} `json:"error"`
-}
-
 func (in *interim) fill(b []byte) {
 	var r refusalBody
 	if json.Unmarshal(b, &r) == nil {
@@ -107,7 +98,7 @@
 // in a place that its rule forbids.
 func TestResidency(t *testing.T) {
 	f := startFleet(t,
-		site{place: placeOf("uvs"), entries: 2, engines: 1, args: []string{"-slots", "4", "-tokenTime", "10ms"}},
+		site{place: placeOf("uvs"), entries: 2, engines: 1, engineArgs: []string{"-slots", "4", "-tokenTime", "10ms"}},
 		siteOf("erdenet", 2, 1, 0))
 	f.configure(confinedItems(t)...)
 	for _, m := range f.hosts {
--- a/internal/proofs/stop_test.go
+++ b/internal/proofs/stop_test.go
@@ -77,7 +77,7 @@
 	if !strings.HasSuffix(text, "data: [DONE]\n\n") {
 		t.Errorf("the stream was cut: %q", text[max(len(text)-100, 0):])
 	}
-	eventually(t, "the host has stopped", en.stopped)
+	eventually(t, "the host has stopped", en.exited)
 	if diff := cmp.Diff(0, en.cmd.ProcessState.ExitCode()); diff != "" {
 		t.Errorf("exit code (-want +got):\n%s", diff)
 	}
@@ -85,12 +85,12 @@
 
 // An operator cannot wait and sends a second signal. The host ends at once and
 // its log says how many requests it cut, so that somebody can look after them.
-func TestSecondSignalEndsAtOnce(t *testing.T) {
+func TestSecondSignalCutsALoneStream(t *testing.T) {
 	en, r := slowEntry(t)
 	signalProc(t, en.proc)
 	eventually(t, "the host drains", func() bool { return strings.Contains(en.out.String(), "draining") })
 	signalProc(t, en.proc)
-	eventually(t, "the host has stopped", en.stopped)
+	eventually(t, "the host has stopped", en.exited)
 	if text := rest(r); strings.Contains(text, "[DONE]") {
 		t.Errorf("a cut stream has its end mark: %q", text)
 	}
@@ -98,13 +98,3 @@
 		t.Errorf("the log does not tell what was cut: %s", out)
 	}
 }
-
-// stopped reports whether the process has ended.
-func (p *proc) stopped() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
