wait no longer for the platform than a change may take to be in force

Cause: the host that watches waited up to 12 s between its tries, and nothing else could tell it.

The longest wait is now 3.75 s. One host of each data centre asks at that pace while the platform is away: at 45 data centres under 20 calls a second, by the bounds of the waits.

TestNoWaitOutlastsAChange fails with the old bound: "host 0 waits 5.891998794s after 6 failures".

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -34,9 +34,12 @@
 	// than the longest wait of a watch.
 	watchLost = 40 * time.Second
 	// backoffMin and backoffMax bound the wait after a failed call to the
-	// platform.
+	// platform. With the part that each host adds, the longest wait is one and
+	// a half times backoffMax. It has to stay under the time in which a change
+	// is to be in force: a data centre that the platform's return finds waiting
+	// has no other way to a change while it is cut off from the others.
 	backoffMin = 250 * time.Millisecond
-	backoffMax = 8 * time.Second
+	backoffMax = 2500 * time.Millisecond
 	// askAgain is the time between two questions to one peer.
 	askAgain = 500 * time.Millisecond
 )
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -131,3 +131,21 @@
 		}
 	}
 }
+
+// inForceWithin is the time in which an accepted change has to be in force.
+const inForceWithin = 4 * time.Second
+
+// The platform comes back after a long outage, and an operator changes a
+// profile at once. A data centre that is cut off from the others and has just
+// begun a long wait would go on by the old profile.
+func TestNoWaitOutlastsAChange(t *testing.T) {
+	for i := range 45 {
+		s := New(event.Host{ID: ident.EntryID(fmt.Sprint("host-", i))})
+		for fails := range 40 {
+			s.Failed(0, event.OpWatchChange)
+			if s.retryAt >= ident.Time(inForceWithin) {
+				t.Errorf("host %d waits %v after %d failures", i, time.Duration(s.retryAt), fails+1)
+			}
+		}
+	}
+}
