leave out of summaries what the receiver has

At the target size (360 hosts, 45 data centres, 12 regions, 890 accounts) the summaries that a host passed on in its digests were two thirds of what it sent: each named the eight hosts of a data centre, its pools and 16 accounts, and since the lowest revision counts as news, each change of the configuration sent all of that twice to every data centre.

Ruled out: sending the revisions less often, which the report that a change is in force everywhere needs.

A summary now leaves out the hosts unless they changed or 30 s have passed, the pools unless they changed or are due, and the accounts outside the slow round. It carries a hash of the hosts. A host that sees from it that it holds others says so in its digest, and the host that summaries come to passes them on again. A part that is left out is never taken for none; pools keep an age of their own, so that a summary without them does not renew an offer. A highest revision that the other data centre has itself told is no news. The hosts of a summary leave out their place where it is that of the summary. The version of the protocol is 2, since a host of version 1 would take a part that is left out for none.

Generated test: hosts, pools and their ages compared with what was told, under loss and restarts.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -185,7 +185,10 @@
 // rest hear from it.
 func (rd *Reducer) summary(now ident.Time, s event.Summary) {
 	rd.quota.Place(s.Place.DataCentre, s.Place.Region)
-	rd.quota.CentreReport(now, s.Place.DataCentre, s.Accounts)
+	rd.quota.CentreHeard(now, s.Place.DataCentre)
+	if !s.AccountsKept {
+		rd.quota.CentreReport(now, s.Place.DataCentre, s.Accounts)
+	}
 	if !rd.table.Speaks(now) {
 		return
 	}
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -119,6 +119,9 @@
 	// Wants names what the sender's callers ask for and no target of the data
 	// centre serves, so that the host that speaks for it asks the others.
 	Wants []Want `json:"wants,omitempty"`
+	// Lacks names the data centres whose hosts the sender does not hold as
+	// they are now, so that the host that got them sends them again.
+	Lacks []ident.DataCentre `json:"lacks,omitempty"`
 	// Blind says that the platform does not answer the sender, so that another
 	// host had better watch it.
 	Blind bool `json:"blind,omitempty"`
@@ -178,4 +181,16 @@
 	Hosts    []Host         `json:"hosts"`
 	Pools    []Pool         `json:"pools"`
 	Accounts []AccountUse   `json:"accounts,omitempty"`
+	// HostsKept, PoolsKept and AccountsKept say that a part is left out: the
+	// receiver keeps what it holds of it, and takes it for unknown, not for
+	// none, where it holds nothing.
+	HostsKept    bool `json:"hostsKept,omitempty"`
+	PoolsKept    bool `json:"poolsKept,omitempty"`
+	AccountsKept bool `json:"accountsKept,omitempty"`
+	// HostsHash is a hash of the hosts that the data centre has now, by which
+	// a receiver tells that those it keeps are not the same. Zero is no hash.
+	HostsHash uint64 `json:"hostsHash,omitempty"`
+	// PoolsAge is how much older the pools are than the summary, where a host
+	// relays pools of an earlier one.
+	PoolsAge time.Duration `json:"poolsAge,omitempty"`
 }
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -28,6 +28,9 @@
 	// maxSenders bounds the senders of summaries that are told apart for each
 	// data centre.
 	maxSenders = 16
+	// wholeEvery is the longest time between two summaries to a data centre
+	// that name the hosts.
+	wholeEvery = 30 * time.Second
 )
 
 // Centre is another data centre as this host knows it.
@@ -48,16 +51,29 @@
 	since ident.Time
 	// slow is the pace of its summaries, by which silence is told.
 	slow    time.Duration
-	fresh   bool
+	// madePools is the same of the newest pools. A summary without pools must
+	// not make an offer look new that it says nothing of.
+	madePools ident.Time
+	// held is the hash of the hosts that are held, zero for none.
+	held    uint64
+	relay   relay
 	senders []sender
 	// given are the offers that the data centre may hold of this one, taken
 	// those that hosts of this one may hold of it.
-	given   []given
-	taken   []given
-	sentAt  ident.Time
-	sent    bool
-	sentKey uint64
-	tries   uint64
+	given []given
+	taken []given
+	told  told
+	tries uint64
+}
+
+// relay is what the next digest passes on of a summary that came to this host.
+type relay struct {
+	due, hosts, pools, accounts bool
+	// direct says that the newest summary came to this host, inForce and
+	// hash what was last passed on.
+	direct  bool
+	inForce ident.Revision
+	hash    uint64
 }
 
 // sender is the newest summary of one host of a data centre.
@@ -70,6 +86,14 @@
 // Age is how old the newest word of the data centre is.
 func (c *Centre) Age(now ident.Time) time.Duration { return now.Sub(c.made) }
 
+// poolsAge is how old the newest pools are.
+func (c *Centre) poolsAge(now ident.Time) time.Duration { return now.Sub(c.madePools) }
+
+// lacks reports whether the hosts of the data centre are not known as they are.
+func (c *Centre) lacks() bool {
+	return c.HasSummary && c.Summary.HostsHash != 0 && c.Summary.HostsHash != c.held
+}
+
 // CutOff reports whether the data centre has been silent for long, or was
 // never heard of.
 func (c *Centre) CutOff(now ident.Time) bool {
@@ -151,17 +175,49 @@
 	}
 	asked := c.asks()
 	c.Place = s.Place
-	c.Summary = s
-	c.HasSummary = true
-	c.taken = note(c.taken, now, s.Pools)
 	c.made = made
-	c.fresh = c.fresh || direct
+	c.takeParts(now, s)
+	c.relay.direct = direct
+	if direct {
+		c.relay.take(s, tb.own.Revision)
+	}
 	c.mergeHosts()
 	if !slices.Equal(asked, c.asks()) {
 		tb.beat.asks = true
 	}
 }
 
+// takeParts takes the parts that a summary tells and keeps the others.
+func (c *Centre) takeParts(now ident.Time, s event.Summary) {
+	old := c.Summary
+	if s.HostsKept {
+		s.Hosts = old.Hosts
+	} else {
+		c.held = hashHosts(s.Hosts)
+	}
+	if s.PoolsKept {
+		s.Pools = old.Pools
+	} else {
+		c.taken = note(c.taken, now, s.Pools)
+		c.madePools = c.made.Add(-s.PoolsAge)
+	}
+	if s.AccountsKept {
+		s.Accounts = old.Accounts
+	}
+	s.HostsKept, s.PoolsKept, s.AccountsKept, s.PoolsAge = false, false, false, 0
+	c.Summary = s
+	c.HasSummary = true
+}
+
+// take notes what peers need of a summary. They hear of hosts only when these
+// have changed, and not of a revision that this data centre has already.
+func (r *relay) take(s event.Summary, own ident.Revision) {
+	r.hosts = r.hosts || !s.HostsKept && s.HostsHash != r.hash
+	r.pools = r.pools || !s.PoolsKept
+	r.accounts = r.accounts || !s.AccountsKept
+	r.due = r.due || r.hosts || r.pools || r.accounts || s.InForce != r.inForce || s.Highest > own
+}
+
 // takeSender tells whether a summary is newer than all before it of the same
 // sender. Late and doubled ones are not: an offer that was withdrawn since
 // would come back to life.
@@ -193,10 +249,19 @@
 	return ids
 }
 
-// aged returns the newest summary with the time that it was held.
+// aged returns the newest summary with the time that it was held. Hosts that
+// are not those of the data centre any more are no part of it, nor are pools
+// where none have come.
 func (c *Centre) aged(now ident.Time) event.Summary {
 	s := c.Summary
 	s.Age = c.Age(now)
+	if c.lacks() || c.held == 0 {
+		s.Hosts, s.HostsKept = nil, true
+	}
+	if c.madePools == 0 {
+		s.Pools, s.PoolsKept = nil, true
+	}
+	s.PoolsAge = c.made.Sub(c.madePools)
 	return s
 }
 
@@ -216,7 +281,7 @@
 // come.
 func (c *Centre) mergeHosts() {
 	hs := slices.Concat(c.Summary.Hosts, c.listed)
-	if !c.HasSummary {
+	if c.held == 0 {
 		hs = append(hs, c.linked...)
 	} else {
 		c.linked = nil
@@ -256,14 +321,58 @@
 	return c.Summary.Hosts[best], true
 }
 
-// newSummaries returns those that came to this host since its last digest.
+// newSummaries returns what came to this host since its last digest.
 func (tb *Table) newSummaries(now ident.Time) []event.Summary {
 	var ss []event.Summary
 	for _, c := range tb.centres {
-		if c.fresh {
-			c.fresh = false
-			ss = append(ss, c.aged(now))
+		if c.relay.due {
+			ss = append(ss, c.passOn(now))
 		}
 	}
 	return ss
 }
+
+// passOn returns what peers are to hear of the newest summary.
+func (c *Centre) passOn(now ident.Time) event.Summary {
+	r := &c.relay
+	s := c.aged(now)
+	if !r.hosts {
+		s.Hosts, s.HostsKept = nil, true
+	}
+	if !r.pools {
+		s.Pools, s.PoolsKept, s.PoolsAge = nil, true, 0
+	}
+	if !r.accounts {
+		s.Accounts, s.AccountsKept = nil, true
+	}
+	if !s.HostsKept {
+		r.hash = s.HostsHash
+	}
+	*r = relay{direct: r.direct, inForce: s.InForce, hash: r.hash}
+	return s
+}
+
+// lacking returns the data centres whose hosts are not known as they are now.
+// Peers that hold them send them with the next digest. Without it a digest that
+// was lost would leave this host with hosts that have gone: callers would be
+// told of them, and requests go there, until the hosts change again.
+func (tb *Table) lacking() []ident.DataCentre {
+	var dcs []ident.DataCentre
+	for _, c := range tb.centres {
+		if c.lacks() {
+			dcs = append(dcs, c.Place.DataCentre)
+		}
+	}
+	return dcs
+}
+
+// supply has the hosts that a peer lacks passed on once more, by the host that
+// the newest summary came to, so that not every peer answers.
+func (tb *Table) supply(dcs []ident.DataCentre) {
+	for _, dc := range dcs {
+		i, ok := tb.findCentre(dc)
+		if ok && tb.centres[i].relay.direct && !tb.centres[i].lacks() {
+			tb.centres[i].relay.due, tb.centres[i].relay.hosts = true, true
+		}
+	}
+}
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -42,6 +42,7 @@
 		tb.listTargets(now, d.Targets)
 	}
 	tb.takeUse(p, d.Use)
+	tb.supply(d.Lacks)
 	for _, w := range d.Wants {
 		tb.want(now, PoolID{Serve: w.Serve, Service: w.Service})
 	}
@@ -117,6 +118,7 @@
 	if regular {
 		d.Loads = tb.newLoads(now)
 		d.Summaries = tb.newSummaries(now)
+		d.Lacks = tb.lacking()
 		d.Targets = tb.newList(now)
 	}
 	if len(to) == 0 {
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -319,7 +319,7 @@
 	}
 	c := tb.centres[i]
 	p := c.Pool(id)
-	if p == nil || p.Offer <= 0 || c.Age(now) > offerLife || holds(c.given, now, id) {
+	if p == nil || p.Offer <= 0 || c.poolsAge(now) > offerLife || holds(c.given, now, id) {
 		return 0
 	}
 	if own, ok := tb.pool(id); ok && own.offering {
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -103,7 +103,12 @@
 func (tb *Table) PeerUp(now ident.Time, h event.Host) {
 	tb.Advance(now)
 	if h.Place.DataCentre != tb.self.Place.DataCentre {
-		tb.centre(h.Place).putHost(h)
+		c := tb.centre(h.Place)
+		c.putHost(h)
+		if c.told.to == h.ID && c.told.incarnation != h.Incarnation {
+			// It has restarted and holds nothing of what was told.
+			c.told = told{}
+		}
 		return
 	}
 	if p := tb.putPeer(now, h); p != nil {
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"strconv"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -21,27 +22,26 @@
 	offers := tb.offers(now)
 	if !tb.Speaks(now) {
 		tb.noteOffers(now, offers)
+		tb.forgetTold()
 		return nil
 	}
 	base := tb.summary(now)
 	var accounts []event.AccountUse
+	asked := false
 	var effs []event.Effect
 	for i, c := range tb.centres {
 		s := base
 		s.Pools = withOffers(base.Pools, offers, i)
-		key := newsOf(s)
-		if !tb.summaryDue(now, c, s, key) {
-			continue
-		}
 		to, ok := tb.recipient(now, c)
-		if !ok {
+		if !ok || !tb.leaveOut(now, c, to, &s) {
 			continue
 		}
-		if len(effs) == 0 && tb.own.CentreAccounts != nil {
-			accounts = tb.own.CentreAccounts()
+		if !s.AccountsKept && !asked && tb.own.CentreAccounts != nil {
+			accounts, asked = tb.own.CentreAccounts(), true
+		}
+		if !s.AccountsKept {
+			s.Accounts = accounts
 		}
-		s.Accounts = accounts
-		c.sentAt, c.sent, c.sentKey = now, true, key
 		c.tries++
 		tb.beat.sum++
 		s.Seq = tb.beat.sum
@@ -51,6 +51,14 @@
 	return effs
 }
 
+// forgetTold has a host that takes the duty to speak begin with all parts. What
+// it told when it last had the duty, another may have replaced since.
+func (tb *Table) forgetTold() {
+	for _, c := range tb.centres {
+		c.told = told{}
+	}
+}
+
 // noteOffers takes note of what the host that speaks probably offers now. Each
 // host works out the same from the same loads. Without it a host that does not
 // speak would use the offer of a data centre that holds one of its own.
@@ -64,40 +72,75 @@
 	}
 }
 
-// summaryDue tells whether a summary goes to a data centre now: on change,
-// often while it carries an offer, and seldom otherwise.
-func (tb *Table) summaryDue(now ident.Time, c *Centre, s event.Summary, key uint64) bool {
-	if !c.sent {
-		return true
-	}
-	age := now.Sub(c.sentAt)
-	if age < minGap {
+// told is what the newest summaries to a data centre have told.
+type told struct {
+	// at is when the last went out, and to whom. Another receiver may lack
+	// every part.
+	at          ident.Time
+	sent        bool
+	to          ident.EntryID
+	incarnation ident.Incarnation
+	inForce     ident.Revision
+	highest     ident.Revision
+	hosts       uint64
+	hostsAt     ident.Time
+	pools       uint64
+	poolsAt     ident.Time
+}
+
+// leaveOut takes the parts out of a summary that its receiver has, and tells
+// whether what is left is worth a message. The pools and accounts go out at
+// the slow pace, on change, and often while they carry an offer; the hosts on
+// change and each wholeEvery, which makes good a summary that was lost.
+func (tb *Table) leaveOut(now ident.Time, c *Centre, to event.Host, s *event.Summary) bool {
+	t := &c.told
+	if t.sent && now.Sub(t.at) < minGap {
 		return false
 	}
-	if key != c.sentKey || age >= tb.slowPace() {
-		return true
+	if t.to != to.ID || t.incarnation != to.Incarnation {
+		*t = told{at: t.at, to: to.ID, incarnation: to.Incarnation}
 	}
-	for _, p := range s.Pools {
-		if p.Offer > 0 && age >= fastEvery {
-			return true
-		}
+	news := poolNews(s.Pools)
+	slow := !t.sent || now.Sub(t.poolsAt) >= tb.slowPace()
+	pools := slow || news != t.pools || offers(s.Pools) && now.Sub(t.poolsAt) >= fastEvery
+	hosts := !t.sent || s.HostsHash != t.hosts || now.Sub(t.hostsAt) >= wholeEvery
+	if !pools && !hosts && !t.revisionNews(c, s) {
+		return false
+	}
+	s.HostsKept, s.PoolsKept, s.AccountsKept = !hosts, !pools, !slow
+	if hosts {
+		t.hosts, t.hostsAt = s.HostsHash, now
+	} else {
+		s.Hosts = nil
 	}
-	return false
+	if pools {
+		t.pools, t.poolsAt = news, now
+	} else {
+		s.Pools = nil
+	}
+	t.at, t.sent, t.inForce, t.highest = now, true, s.InForce, s.Highest
+	return true
 }
 
-// newsOf returns a hash of what another data centre acts on at once: the
-// highest revision, the hosts, what is asked for, and the size of the offers by
-// powers of two, so that an offer that has lost half is sent anew. The lowest
-// revision is news too: by it operators are told that a change is in force
+// revisionNews tells whether the revisions are worth a summary of their own. The
+// lowest is: by it operators are told that a change is in force
 // everywhere. Left to the slow pace, that word came up to 7 s late, and an
-// operator who waits for it took an accepted change for one that hangs.
-func newsOf(s event.Summary) uint64 {
-	h := rank.Join(uint64(s.Highest), uint64(s.InForce))
-	for _, x := range s.Hosts {
-		h = rank.Join(h, rank.Hash(string(x.ID), strconv.FormatBool(x.Leaving)))
-		h = rank.Join(h, uint64(x.Incarnation))
-	}
-	for _, p := range s.Pools {
+// operator who waits for it took an accepted change for one that hangs. The
+// highest is unless the other data centre has told of it itself.
+func (t *told) revisionNews(c *Centre, s *event.Summary) bool {
+	return s.InForce != t.inForce || s.Highest > t.highest && s.Highest > c.Summary.Highest
+}
+
+func offers(pools []event.Pool) bool {
+	return slices.ContainsFunc(pools, func(p event.Pool) bool { return p.Offer > 0 })
+}
+
+// poolNews returns a hash of what another data centre acts on at once: what is
+// asked for, and the size of the offers by powers of two, so that an offer that
+// has lost half is sent anew.
+func poolNews(pools []event.Pool) uint64 {
+	h := uint64(0)
+	for _, p := range pools {
 		h = rank.Join(h, rank.Hash(string(p.Serve.Model), string(p.Serve.Version), string(p.Serve.Adapter), p.Service))
 		h = rank.Join(h, rank.Hash(strconv.FormatBool(short(p.Free, p.Slots))))
 		h = rank.Join(h, uint64(bits.Len(uint(p.Offer))))
@@ -105,6 +148,16 @@
 	return h
 }
 
+// hashHosts returns a hash of hosts, never zero.
+func hashHosts(hosts []event.Host) uint64 {
+	h := uint64(1)
+	for _, x := range hosts {
+		h = rank.Join(h, rank.Hash(string(x.ID), x.CallerURL, x.PeerAddr, strconv.FormatBool(x.Leaving)))
+		h = rank.Join(h, uint64(x.Incarnation))
+	}
+	return max(h, 1)
+}
+
 // summary returns the state of the own data centre without offers.
 func (tb *Table) summary(now ident.Time) event.Summary {
 	low, high := tb.Revisions(now)
@@ -112,6 +165,7 @@
 		From: tb.self.ID, Place: tb.self.Place, Incarnation: tb.self.Incarnation,
 		InForce: low, Highest: high, Hosts: tb.liveHosts(now),
 	}
+	s.HostsHash = hashHosts(s.Hosts)
 	for _, p := range tb.pools {
 		s.Pools = append(s.Pools, p.Pool)
 	}
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -30,13 +30,15 @@
 		w.calm()
 		w.run(25*time.Second, check)
 		w.checkCalm(rt)
+		w.run(wholeEvery+5*time.Second-25*time.Second, check)
+		w.checkKept(rt)
 	})
 }
 
 func (w *world) disturb(rt *rapid.T) {
 	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(rt, "node")]
 	e := w.targets[rapid.IntRange(0, len(w.targets)-1).Draw(rt, "target")]
-	switch rapid.IntRange(0, 13).Draw(rt, "what") {
+	switch rapid.IntRange(0, 15).Draw(rt, "what") {
 	case 0:
 		w.restart(n)
 	case 1:
@@ -66,6 +68,8 @@
 		n.tb.Ended(e.ID, 10, 10, true)
 	case 10:
 		e.running = rapid.IntRange(0, e.slots).Draw(rt, "running")
+	case 11, 12:
+		w.revision++
 	default:
 		w.busy(e.Place.DataCentre, rapid.IntRange(0, e.slots).Draw(rt, "running"))
 	}
@@ -144,9 +148,27 @@
 		if got := c.Age(w.now); got > truth && !w.froze || got < truth-slack {
 			rt.Fatalf("%v: %s takes the summary of %s for %v old, it is %v", w.now, n.id, s.From, got, truth)
 		}
+		w.checkPools(rt, n, c, slack)
 	}
 }
 
+// checkPools: pools that are held are those of a summary that told them, and
+// look neither older nor newer than they are by more than the links explain,
+// however many summaries without pools have come since.
+func (w *world) checkPools(rt *rapid.T, n *node, c *Centre, slack time.Duration) {
+	if c.madePools == 0 {
+		return
+	}
+	got := c.poolsAge(w.now)
+	for _, t := range slices.Backward(w.told[fmt.Sprint(c.Place, n.place)]) {
+		truth := w.now.Sub(t.at)
+		if (got <= truth || w.froze) && got >= truth-slack && slices.Equal(t.pools, c.Summary.Pools) {
+			return
+		}
+	}
+	rt.Fatalf("%v: %s takes pools of %s for %v old that were not told then", w.now, n.id, c.Place.DataCentre, got)
+}
+
 // checkOffers: what a host sends offers no more than its spare slots, and no
 // two data centres hold offers of each other at once.
 func (w *world) checkOffers(rt *rapid.T) {
@@ -222,6 +244,33 @@
 	}
 }
 
+// checkKept: parts that summaries leave out are known all the same. A host that
+// missed the summary that told them has them from the next whole one at the
+// latest.
+func (w *world) checkKept(rt *rapid.T) {
+	for _, n := range w.nodes {
+		for _, m := range w.nodes {
+			if n.place == m.place {
+				continue
+			}
+			i, ok := n.tb.findCentre(m.place.DataCentre)
+			if !ok {
+				rt.Fatalf("%s does not know %s", n.id, m.place.DataCentre)
+			}
+			c := n.tb.centres[i]
+			if d := cmp.Diff(m.tb.liveHosts(w.now), c.Summary.Hosts); d != "" {
+				rt.Fatalf("%s holds other hosts of %s: %s", n.id, m.place.DataCentre, d)
+			}
+			if got, want := len(c.Summary.Pools), len(m.tb.pools); got != want {
+				rt.Fatalf("%s knows %d pools of %s, there are %d", n.id, got, m.place.DataCentre, want)
+			}
+			if age := c.poolsAge(w.now); age > n.tb.slowPace()+3*time.Second {
+				rt.Fatalf("%s knows the pools of %s as they were %v ago", n.id, m.place.DataCentre, age)
+			}
+		}
+	}
+}
+
 // A recorded run is replayed to find out why a request went where it did. If
 // the order of a map showed, the replay would tell another story.
 func TestSameInputsGiveSameEffects(t *testing.T) {
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -73,6 +73,16 @@
 	uses    map[string][]event.TargetUse
 	froze   bool
 	sent    []letter
+	// revision is that in force at every host, told what the summaries that
+	// tell pools have told, by the data centres from and to.
+	revision ident.Revision
+	told     map[string][]toldPools
+}
+
+// toldPools are the pools of one summary.
+type toldPools struct {
+	at    ident.Time
+	pools []event.Pool
 }
 
 // engine is a target with the truth about it.
@@ -86,7 +96,7 @@
 func newWorld(seed int64, centres, hosts, engines int) *world {
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), now: 1, delay: 20 * time.Millisecond, made: make(map[string]ident.Time),
-		uses: make(map[string][]event.TargetUse),
+		uses: make(map[string][]event.TargetUse), told: make(map[string][]toldPools), revision: 1,
 	}
 	for c := range centres {
 		place := event.Place{DataCentre: ident.DataCentre(fmt.Sprint("dc", c)), Region: ident.Region(fmt.Sprint("r", c))}
@@ -134,7 +144,7 @@
 		for _, n := range w.nodes {
 			if n.frozen <= w.now && n.tb.Next(w.now) <= w.now {
 				n.tb.SetBlind(n.blind)
-				w.carry(n, n.tb.Tick(w.now, Own{Revision: 1}))
+				w.carry(n, n.tb.Tick(w.now, Own{Revision: w.revision}))
 			}
 		}
 		if check != nil {
@@ -189,6 +199,9 @@
 			}
 		case event.SendSummary:
 			w.made[fmt.Sprint(e.Summary.From, e.Summary.Incarnation, e.Summary.Seq)] = w.now
+			if key := fmt.Sprint(n.place, e.To.Place); !e.Summary.PoolsKept {
+				w.told[key] = append(w.told[key], toldPools{w.now, e.Summary.Pools})
+			}
 			w.mail(n, e.To.ID, e)
 		case event.ReadHosts:
 			w.reads++
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -58,9 +58,10 @@
 	delete(l.peers, entry)
 }
 
-// CentreReport takes the demand of another data centre. An account that it
-// doesn't name keeps what was said of it before.
-func (l *Ledger) CentreReport(now ident.Time, dc ident.DataCentre, uses []event.AccountUse) {
+// CentreHeard takes note that another data centre was heard of, whether or not
+// it told its demand. Did only reports count, one whose reports are rare would
+// be taken for cut off.
+func (l *Ledger) CentreHeard(now ident.Time, dc ident.DataCentre) {
 	l.advance(now)
 	c, ok := l.centres[dc]
 	if dc == l.dc || (!ok && len(l.centres) >= maxCentres) {
@@ -71,8 +72,18 @@
 		l.centres[dc] = c
 	}
 	c.heard = l.now
-	c.reports++
 	l.listen()
+}
+
+// CentreReport takes the demand of another data centre. An account that it
+// doesn't name keeps what was said of it before.
+func (l *Ledger) CentreReport(now ident.Time, dc ident.DataCentre, uses []event.AccountUse) {
+	l.CentreHeard(now, dc)
+	c, ok := l.centres[dc]
+	if !ok {
+		return
+	}
+	c.reports++
 	for _, u := range uses[:min(len(uses), maxAccounts)] {
 		l.centreUse(dc, c, u)
 	}
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -13,6 +13,7 @@
 		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
+		Lacks: convert(d.Lacks, fromLack),
 	}
 }
 
@@ -25,6 +26,7 @@
 		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
+		Lacks: convert(p.GetLacks(), toLack),
 	}
 }
 
@@ -33,8 +35,9 @@
 	return &Summary{
 		From: string(s.From), Place: fromPlace(s.Place), Incarnation: uint64(s.Incarnation), Seq: s.Seq,
 		AgeMs: millis(s.Age), InForce: uint64(s.InForce), Highest: uint64(s.Highest),
-		Hosts: convert(s.Hosts, FromHost), Pools: convert(s.Pools, fromPool),
-		Accounts: convert(s.Accounts, fromAccount),
+		Hosts: convert(s.Hosts, hostFrom(s.Place)), Pools: convert(s.Pools, fromPool),
+		Accounts: convert(s.Accounts, fromAccount), Kept: keptOf(s),
+		HostsHash: s.HostsHash, PoolsAgeMs: millis(s.PoolsAge),
 	}
 }
 
@@ -44,11 +47,61 @@
 		From: ident.EntryID(p.GetFrom()), Place: toPlace(p.GetPlace()),
 		Incarnation: ident.Incarnation(p.GetIncarnation()), Seq: p.GetSeq(), Age: duration(p.GetAgeMs()),
 		InForce: ident.Revision(p.GetInForce()), Highest: ident.Revision(p.GetHighest()),
-		Hosts: convert(p.GetHosts(), (*Host).ToEvent), Pools: convert(p.GetPools(), toPool),
-		Accounts: convert(p.GetAccounts(), toAccount),
+		Hosts: convert(p.GetHosts(), hostTo(toPlace(p.GetPlace()))), Pools: convert(p.GetPools(), toPool),
+		Accounts:  convert(p.GetAccounts(), toAccount),
+		HostsKept: p.GetKept()&keptHosts != 0, PoolsKept: p.GetKept()&keptPools != 0,
+		AccountsKept: p.GetKept()&keptAccounts != 0,
+		HostsHash:    p.GetHostsHash(), PoolsAge: duration(p.GetPoolsAgeMs()),
 	}
 }
 
+// The parts that a summary may leave out.
+const (
+	keptHosts = 1 << iota
+	keptPools
+	keptAccounts
+)
+
+func keptOf(s event.Summary) uint32 {
+	kept := uint32(0)
+	if s.HostsKept {
+		kept |= keptHosts
+	}
+	if s.PoolsKept {
+		kept |= keptPools
+	}
+	if s.AccountsKept {
+		kept |= keptAccounts
+	}
+	return kept
+}
+
+// hostFrom maps the hosts of a summary. Nearly all stand where it says, and
+// their places were a quarter of their bytes.
+func hostFrom(place event.Place) func(event.Host) *Host {
+	return func(h event.Host) *Host {
+		p := FromHost(h)
+		if h.Place == place {
+			p.Place = nil
+		}
+		return p
+	}
+}
+
+func hostTo(place event.Place) func(*Host) event.Host {
+	return func(p *Host) event.Host {
+		h := p.ToEvent()
+		if p.GetPlace() == nil {
+			h.Place = place
+		}
+		return h
+	}
+}
+
+func fromLack(dc ident.DataCentre) string { return string(dc) }
+
+func toLack(dc string) ident.DataCentre { return ident.DataCentre(dc) }
+
 func fromUse(u event.TargetUse) *TargetUse {
 	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens)}
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -33,7 +33,7 @@
 )
 
 // Version is the version of the protocol, told in the hello.
-const Version = 1
+const Version = 2
 
 // Bounds of one message in bytes.
 const (
