name targets by a hash where a digest tells the work at them

The targets go by a hash of 32 bits, and the counts in columns. The hash is resolved once, when a digest comes or the target becomes known, so that what was added is taken back from the same target. Targets of one hash go by their ids.

Counting by an ambiguous hash, and not resolving the hash of a target that becomes known later, each break a test.

--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -71,10 +71,16 @@
 	Leaving     bool          `json:"leaving,omitempty"`
 }
 
+// TargetKey is a hash of the id of a target, which stands for it between hosts
+// that know the target. Where two targets have one hash they go by their ids.
+type TargetKey uint32
+
 // TargetUse is the work that one entry host has sent to one target and that
 // has not ended.
 type TargetUse struct {
-	Target ident.TargetID `json:"target"`
+	// Target is empty where Key names the target.
+	Target ident.TargetID `json:"target,omitempty"`
+	Key    TargetKey      `json:"key,omitempty"`
 	// Running counts requests, Tokens the prefill work among them.
 	Running int          `json:"running"`
 	Tokens  ident.Tokens `json:"tokens"`
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -50,7 +50,7 @@
 	made  ident.Time
 	since ident.Time
 	// slow is the pace of its summaries, by which silence is told.
-	slow    time.Duration
+	slow time.Duration
 	// madePools is the same of the newest pools. A summary without pools must
 	// not make an offer look new that it says nothing of.
 	madePools ident.Time
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -57,7 +57,9 @@
 		}
 	}
 	p.use = slices.Clone(use)
-	for _, u := range p.use {
+	for i := range p.use {
+		u := &p.use[i]
+		tb.nameUse(u)
 		if t, ok := tb.byID[u.Target]; ok {
 			t.PeerSent += u.Running
 			t.PeerTokens += u.Tokens
@@ -65,10 +67,25 @@
 	}
 }
 
+// nameUse gives a use that goes by a key the id of its target, if the target is
+// known. From then on it goes by the id: were the key looked up again when the
+// use is taken back, it might mean another target by then, and the first would
+// look busy for ever.
+func (tb *Table) nameUse(u *event.TargetUse) {
+	if u.Target != "" {
+		return
+	}
+	if t := tb.byKey[u.Key]; t != nil {
+		u.Target = t.ID
+	}
+}
+
 // sumUse adds up what the peers told of a target before it was known here.
 func (tb *Table) sumUse(t *Target) {
 	for _, p := range tb.peers {
-		for _, u := range p.use {
+		for i := range p.use {
+			u := &p.use[i]
+			tb.nameUse(u)
 			if u.Target == t.ID {
 				t.PeerSent += u.Running
 				t.PeerTokens += u.Tokens
@@ -86,7 +103,8 @@
 	}
 	for _, t := range tb.targets {
 		if t.Sent > 0 {
-			d.Use = append(d.Use, event.TargetUse{Target: t.ID, Running: t.Sent, Tokens: t.SentTokens})
+			id, key := tb.nameOf(t)
+			d.Use = append(d.Use, event.TargetUse{Target: id, Key: key, Running: t.Sent, Tokens: t.SentTokens})
 		}
 	}
 	return d
--- a/internal/member/kept_fail_test.go
+++ b/internal/member/kept_fail_test.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -34,6 +35,55 @@
 	}
 }
 
+// Two targets have the same key. If a host told of the work at one by it, peers
+// would count the work at the other, and send it nothing while it is idle.
+func TestTargetsOfOneKeyGoByTheirIDs(t *testing.T) {
+	first := make(map[event.TargetKey]ident.TargetID)
+	var one, two ident.TargetID
+	for n := 0; one == ""; n++ {
+		two = ident.TargetID(fmt.Sprint("engine-", n))
+		one = first[keyOf(two)]
+		first[keyOf(two)] = two
+	}
+	w := newWorld(24, 1, 2, 0)
+	for _, id := range []ident.TargetID{one, two} {
+		tg := event.Target{ID: id, Incarnation: 1, Kind: event.Engine, Place: w.nodes[0].place}
+		w.targets = append(w.targets, &engine{Target: tg, slots: 10})
+		w.list.Targets = append(w.list.Targets, tg)
+	}
+	w.run(3*time.Second, nil)
+	w.nodes[0].tb.Sent(two, 10, 10)
+	w.run(3*time.Second, nil)
+	var got []int
+	for _, id := range []ident.TargetID{one, two} {
+		tg, _ := w.nodes[1].tb.Target(id)
+		got = append(got, tg.PeerSent)
+	}
+	if d := cmp.Diff([]int{0, 1}, got); d != "" {
+		t.Errorf("work of peers (-want +got):\n%s", d)
+	}
+}
+
+// A digest tells of work at a target that this host learns of later. Were it
+// lost, the target would look idle and draw the work of every host that starts.
+func TestWorkAtATargetNotYetKnownCounts(t *testing.T) {
+	w := newWorld(25, 1, 2, 0)
+	tb, peer := w.nodes[0].tb, w.nodes[1].tb.Self()
+	d := event.Digest{Host: peer, Seq: 1, Use: []event.TargetUse{{Key: keyOf("late"), Running: 3}}}
+	tb.DigestReceived(w.now, d)
+	late := event.Target{ID: "late", Incarnation: 1, Kind: event.Engine, Place: peer.Place}
+	tb.HostsRead(w.now, event.HostsRead{Version: 1, Hosts: []event.Host{peer}, Targets: []event.Target{late}})
+	tg, _ := tb.Target("late")
+	if tg.PeerSent != 3 {
+		t.Errorf("%d count, 3 run", tg.PeerSent)
+	}
+	d.Seq, d.Use = 2, nil
+	tb.DigestReceived(w.now, d)
+	if tg.PeerSent != 0 {
+		t.Errorf("%d count, none run", tg.PeerSent)
+	}
+}
+
 // A data centre is heard of first by a summary that leaves its parts out: the
 // one before was lost. It must count as one whose hosts are not known, not as
 // one that has none, and peers must be asked for them.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -107,6 +107,7 @@
 	peers   []*peer
 	targets []*Target
 	byID    map[ident.TargetID]*Target
+	byKey   map[event.TargetKey]*Target
 	left    map[ident.TargetID]leftWord
 	centres []*Centre
 	pools   []*pool
@@ -145,9 +146,10 @@
 // New returns an empty table.
 func New(self event.Host) *Table {
 	return &Table{
-		self: self,
-		byID: make(map[ident.TargetID]*Target),
-		left: make(map[ident.TargetID]leftWord),
+		self:  self,
+		byID:  make(map[ident.TargetID]*Target),
+		byKey: make(map[event.TargetKey]*Target),
+		left:  make(map[ident.TargetID]leftWord),
 	}
 }
 
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -254,6 +254,35 @@
 	t.heard = max(t.heard, now)
 }
 
+func keyOf(id ident.TargetID) event.TargetKey { return event.TargetKey(rank.Hash(string(id))) }
+
+// rekey works out anew which target a key names. A key that two targets have
+// names none: the work at one would be counted at the other.
+func (tb *Table) rekey() {
+	tb.byKey = make(map[event.TargetKey]*Target, len(tb.targets))
+	for _, t := range tb.targets {
+		tb.addKey(t)
+	}
+}
+
+func (tb *Table) addKey(t *Target) {
+	key := keyOf(t.ID)
+	if _, twice := tb.byKey[key]; twice {
+		t = nil
+	}
+	tb.byKey[key] = t
+}
+
+// nameOf returns what a target goes by in a digest: its key, or its id where
+// another target has the same key.
+func (tb *Table) nameOf(t *Target) (ident.TargetID, event.TargetKey) {
+	key := keyOf(t.ID)
+	if tb.byKey[key] == nil {
+		return t.ID, 0
+	}
+	return "", key
+}
+
 // putTarget takes a description of a target of the own data centre.
 func (tb *Table) putTarget(now ident.Time, d event.Target) {
 	t, ok := tb.byID[d.ID]
@@ -262,6 +291,7 @@
 		tb.byID[d.ID] = t
 		i, _ := slices.BinarySearchFunc(tb.targets, d.ID, func(t *Target, id ident.TargetID) int { return cmp.Compare(t.ID, id) })
 		tb.targets = slices.Insert(tb.targets, i, t)
+		tb.addKey(t)
 		tb.sumUse(t)
 		tb.settleLeaving(now, t)
 		return
@@ -296,6 +326,7 @@
 
 // reapTargets drops targets that are silent and not listed.
 func (tb *Table) reapTargets(now ident.Time) {
+	before := len(tb.targets)
 	tb.targets = slices.DeleteFunc(tb.targets, func(t *Target) bool {
 		gone := !t.listed && now.Sub(t.heard) > dropAfter && t.Sent == 0 && t.PeerSent == 0
 		if gone {
@@ -303,6 +334,9 @@
 		}
 		return gone
 	})
+	if len(tb.targets) < before {
+		tb.rekey()
+	}
 }
 
 // polls returns the load reports that this host reads now. Each target is read
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -7,9 +7,10 @@
 
 // FromDigest maps a digest. Of its host only the leaving mark travels.
 func FromDigest(d event.Digest) *Digest {
+	named, keyed := splitUse(d.Use)
 	return &Digest{
 		Leaving: d.Host.Leaving, Seq: d.Seq, Revision: uint64(d.Revision),
-		Use: convert(d.Use, fromUse), Loads: convert(d.Loads, fromLoad),
+		Use: convert(named, fromUse), Keyed: keyed, Loads: convert(d.Loads, fromLoad),
 		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
@@ -22,7 +23,7 @@
 	host.Leaving = p.GetLeaving()
 	return event.Digest{
 		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
-		Use: convert(p.GetUse(), toUse), Loads: convert(p.GetLoads(), toLoad),
+		Use: append(convert(p.GetUse(), toUse), p.GetKeyed().toUses()...), Loads: convert(p.GetLoads(), toLoad),
 		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
@@ -103,12 +104,45 @@
 func toLack(dc string) ident.DataCentre { return ident.DataCentre(dc) }
 
 func fromUse(u event.TargetUse) *TargetUse {
-	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens)}
+	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens), Key: uint32(u.Key)}
+}
+
+// splitUse parts the uses that go by an id from those that go by a key. As
+// messages of their own the latter would cost twice the bytes.
+func splitUse(uses []event.TargetUse) (named []event.TargetUse, keyed *KeyedUse) {
+	for _, u := range uses {
+		if u.Target != "" {
+			named = append(named, u)
+			continue
+		}
+		if keyed == nil {
+			keyed = &KeyedUse{}
+		}
+		keyed.Keys = append(keyed.Keys, uint32(u.Key))
+		keyed.Running = append(keyed.Running, uint64(max(u.Running, 0)))
+		keyed.Tokens = append(keyed.Tokens, uint64(max(u.Tokens, 0)))
+	}
+	return named, keyed
+}
+
+// toUses maps the columns back. Columns of different lengths are of no host of
+// this version; what has no partner is left out.
+func (p *KeyedUse) toUses() []event.TargetUse {
+	n := min(len(p.GetKeys()), len(p.GetRunning()), len(p.GetTokens()))
+	var uses []event.TargetUse
+	for i := range n {
+		uses = append(uses, event.TargetUse{
+			Key:     event.TargetKey(p.GetKeys()[i]),
+			Running: int(count(int64(p.GetRunning()[i]))), Tokens: ident.Tokens(count(int64(p.GetTokens()[i]))),
+		})
+	}
+	return uses
 }
 
 func toUse(p *TargetUse) event.TargetUse {
 	return event.TargetUse{
 		Target: ident.TargetID(p.GetTarget()), Running: int(count(p.GetRunning())), Tokens: ident.Tokens(count(p.GetTokens())),
+		Key: event.TargetKey(p.GetKey()),
 	}
 }
 
