--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -49,7 +49,7 @@
 // change alters the config of a front under test.
 type change func(cfg *Config)
 
-func newBench(t *testing.T, answer http.HandlerFunc, changes ...change) *bench {
+func newBench(t testing.TB, answer http.HandlerFunc, changes ...change) *bench {
 	t.Helper()
 	b := &bench{}
 	tgt := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -82,7 +82,7 @@
 	return b
 }
 
-func testBook(t *testing.T) *rules.Book {
+func testBook(t testing.TB) *rules.Book {
 	t.Helper()
 	items := []rules.Item{
 		item(t, rules.KindProfile, "draft", rules.Profile{Models: []rules.Serve{{Model: "m"}}, MaxCrossings: 1}),
@@ -98,7 +98,7 @@
 	return book
 }
 
-func item(t *testing.T, kind rules.Kind, name string, doc any) rules.Item {
+func item(t testing.TB, kind rules.Kind, name string, doc any) rules.Item {
 	t.Helper()
 	b, err := json.Marshal(doc)
 	if err != nil {
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"math"
+
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -11,7 +13,7 @@
 	return &Digest{
 		Leaving: d.Host.Leaving, Seq: d.Seq, Revision: uint64(d.Revision),
 		Use: convert(named, fromUse), Keyed: keyed, Loads: convert(d.Loads, fromLoad),
-		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
+		Accounts: fromAccounts(d.Accounts), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
 		Lacks: convert(d.Lacks, fromLack),
@@ -24,7 +26,7 @@
 	return event.Digest{
 		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
 		Use: append(convert(p.GetUse(), toUse), p.GetKeyed().toUses()...), Loads: convert(p.GetLoads(), toLoad),
-		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
+		Accounts: p.GetAccounts().toAccounts(), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
 		Lacks: convert(p.GetLacks(), toLack),
@@ -37,7 +39,7 @@
 		From: string(s.From), Place: fromPlace(s.Place), Incarnation: uint64(s.Incarnation), Seq: s.Seq,
 		AgeMs: millis(s.Age), InForce: uint64(s.InForce), Highest: uint64(s.Highest),
 		Hosts: convert(s.Hosts, hostFrom(s.Place)), Pools: convert(s.Pools, fromPool),
-		Accounts: convert(s.Accounts, fromAccount), Kept: keptOf(s),
+		Accounts: fromAccounts(s.Accounts), Kept: keptOf(s),
 		HostsHash: s.HostsHash, PoolsAgeMs: millis(s.PoolsAge),
 	}
 }
@@ -49,7 +51,7 @@
 		Incarnation: ident.Incarnation(p.GetIncarnation()), Seq: p.GetSeq(), Age: duration(p.GetAgeMs()),
 		InForce: ident.Revision(p.GetInForce()), Highest: ident.Revision(p.GetHighest()),
 		Hosts: convert(p.GetHosts(), hostTo(toPlace(p.GetPlace()))), Pools: convert(p.GetPools(), toPool),
-		Accounts:  convert(p.GetAccounts(), toAccount),
+		Accounts:  p.GetAccounts().toAccounts(),
 		HostsKept: p.GetKept()&keptHosts != 0, PoolsKept: p.GetKept()&keptPools != 0,
 		AccountsKept: p.GetKept()&keptAccounts != 0,
 		HostsHash:    p.GetHostsHash(), PoolsAge: duration(p.GetPoolsAgeMs()),
@@ -165,17 +167,51 @@
 	return event.Want{Serve: toServe(p.GetServe()), Service: p.GetService()}
 }
 
-func fromAccount(a event.AccountUse) *AccountUse {
-	return &AccountUse{Account: string(a.Account), Requests: float32(a.Requests), Tokens: float32(a.Tokens)}
+// fromAccounts maps the demand of accounts. As messages of their own with
+// floats they cost 24 bytes each, of which ten were the name.
+func fromAccounts(as []event.AccountUse) *AccountUses {
+	if len(as) == 0 {
+		return nil
+	}
+	p := &AccountUses{}
+	for _, a := range as {
+		p.Accounts = append(p.Accounts, string(a.Account))
+		p.Requests = append(p.Requests, fromRate(a.Requests))
+		p.Tokens = append(p.Tokens, fromRate(a.Tokens))
+	}
+	return p
+}
+
+// toAccounts maps the columns back, as far as they have the same length.
+func (p *AccountUses) toAccounts() []event.AccountUse {
+	n := min(len(p.GetAccounts()), len(p.GetRequests()), len(p.GetTokens()))
+	var as []event.AccountUse
+	for i := range n {
+		as = append(as, event.AccountUse{
+			Account:  ident.Account(p.GetAccounts()[i]),
+			Requests: toRate(p.GetRequests()[i]), Tokens: toRate(p.GetTokens()[i]),
+		})
+	}
+	return as
 }
 
-func toAccount(p *AccountUse) event.AccountUse {
-	return event.AccountUse{
-		Account:  ident.Account(p.GetAccount()),
-		Requests: ident.PerMinute(number(p.GetRequests())), Tokens: ident.PerMinute(number(p.GetTokens())),
+const (
+	// rateParts are the parts of a rate that travel.
+	rateParts = 16
+	maxRate   = 1 << 52
+)
+
+// fromRate rounds up: a small demand that became none would have the share of
+// its account withdrawn while it lasts.
+func fromRate(r ident.PerMinute) uint64 {
+	if r > 0 && r < maxRate/rateParts {
+		return uint64(math.Ceil(float64(r) * rateParts))
 	}
+	return 0
 }
 
+func toRate(n uint64) ident.PerMinute { return ident.PerMinute(min(n, maxRate)) / rateParts }
+
 func fromLeaving(t event.LeavingTarget) *LeavingTarget {
 	return &LeavingTarget{Target: string(t.Target), Incarnation: uint64(t.Incarnation)}
 }
--- a/internal/wire/whole_test.go
+++ b/internal/wire/whole_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
@@ -74,3 +76,19 @@
 		t.Errorf("change (-want +got):\n%s", diff)
 	}
 }
+
+// The demand of an account is less than the smallest part of a rate that
+// travels. Told as none, it would lose its share of the limit while it lasts.
+func TestSmallDemandDoesNotBecomeNone(t *testing.T) {
+	for _, r := range []ident.PerMinute{1e-9, 0.01, 1.0 / 16, 12.53, 1e9} {
+		got := toRate(fromRate(r))
+		if got < r || got > r+1.0/16 {
+			t.Errorf("%v arrives as %v", r, got)
+		}
+	}
+	for _, r := range []ident.PerMinute{0, -1, ident.PerMinute(math.NaN()), ident.PerMinute(math.Inf(1))} {
+		if n := fromRate(r); n != 0 {
+			t.Errorf("%v travels as %d", r, n)
+		}
+	}
+}
