count both reads of a poll, and send no name of the library with them

The slopes counted the load report that a host reads from a target but not the cache events that it reads with it, and did not tell what is sent from what is received. They now do; and the reads leave out the name of the HTTP library.

--- a/internal/dev/cmds/slope.go
+++ b/internal/dev/cmds/slope.go
@@ -65,8 +65,8 @@
 	if c.shocks {
 		return c.shock()
 	}
-	if n, err := slope.PollBytes(); err == nil && !c.json {
-		fmt.Printf("one load report costs %d bytes on the wire\n", n)
+	if p, err := slope.Poll(); err == nil && !c.json {
+		fmt.Printf("one poll of a target costs %d bytes sent and %d received\n", p.Sent, p.Received)
 	}
 	var all []slope.Result
 	for _, cfg := range c.sizes() {
--- a/internal/dev/slope/event.go
+++ b/internal/dev/slope/event.go
@@ -145,14 +145,18 @@
 
 func (r *run) healLinks() { r.Delay = delay }
 
-// PollBytes measures what reading one load report costs on the wire, both
-// ways, with 40 bytes of TCP and IP for each of two packets.
-func PollBytes() (int, error) {
+// PollCost is the bytes on the wire of reading one load report and the cache
+// events since the last, by which way they go, with 40 bytes of TCP and IP for
+// each packet each way.
+type PollCost struct{ Sent, Received int }
+
+// Poll measures what reading one load report and no cache events costs.
+func Poll() (PollCost, error) {
 	eng := engine.New(engine.Config{ID: "centre-0-engine-1", Incarnation: 1_700_000_000_000_000_000, Serves: []rules.Serve{{Model: "draft"}}, Slots: 32, TokenTime: 10 * time.Millisecond, PrefillRate: 20000})
 	defer eng.Stop()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return 0, err
+		return PollCost{}, err
 	}
 	cl := &counter{Listener: ln}
 	srv := &httpServer{http: &http.Server{Handler: eng, ReadHeaderTimeout: time.Second}, ln: cl}
@@ -163,12 +167,18 @@
 	tc := target.New()
 	for range polls {
 		if _, err := tc.Load(context.Background(), tg); err != nil {
-			return 0, err
+			return PollCost{}, err
+		}
+		if _, err := tc.Cache(context.Background(), tg, 1_000_000); err != nil {
+			return PollCost{}, err
 		}
 	}
-	return int(cl.n.Load())/polls + 2*40, nil
+	return PollCost{Sent: int(cl.read.Load())/polls + 2*packet, Received: int(cl.written.Load())/polls + 2*packet}, nil
 }
 
+// packet is what TCP and IP add to a packet.
+const packet = 40
+
 type httpServer struct {
 	http *http.Server
 	ln   net.Listener
@@ -179,7 +189,7 @@
 // counter counts the bytes of the connections that it accepts.
 type counter struct {
 	net.Listener
-	n atomic.Int64
+	read, written atomic.Int64
 }
 
 // Accept waits for a connection.
@@ -188,22 +198,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: conn, n: &c.n}, nil
+	return &countedConn{Conn: conn, of: c}, nil
 }
 
 type countedConn struct {
 	net.Conn
-	n *atomic.Int64
+	of *counter
 }
 
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.n.Add(int64(n))
+	c.of.read.Add(int64(n))
 	return n, err
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
-	c.n.Add(int64(n))
+	c.of.written.Add(int64(n))
 	return n, err
 }
--- a/internal/target/report.go
+++ b/internal/target/report.go
@@ -72,6 +72,8 @@
 	if err != nil {
 		return 0, errors.Wrap(ErrLink, err.Error())
 	}
+	// The name of the library would be a quarter of the bytes of a poll.
+	req.Header["User-Agent"] = nil
 	res, err := c.reuse.Do(req)
 	if err != nil {
 		return 0, errors.Wrap(ErrLink, err.Error())
