spread the tries at the hosts of a data centre that is cut off

Ruled out by counting messages: a storm of questions for changes, and hosts that peers lack.

Each speaker now begins at a host by a hash of its own data centre.

--- a/internal/member/kept_fail_test.go
+++ b/internal/member/kept_fail_test.go
@@ -172,3 +172,28 @@
 		t.Errorf("%d slots, the whole report tells 4", tg.Load.Slots)
 	}
 }
+
+// A region was cut off, and the speakers of many data centres try the hosts of
+// one there in turn. If all tried the same host at a time, that host alone would
+// pass all their summaries on in the second after the heal.
+func TestSpeakersTryDifferentHostsOfACutOffDataCentre(t *testing.T) {
+	far := event.Place{DataCentre: "far", Region: "far"}
+	list := event.HostsRead{Version: 1}
+	for n := range 8 {
+		list.Hosts = append(list.Hosts, event.Host{ID: ident.EntryID(fmt.Sprint("far-", n)), Incarnation: 1, Place: far})
+	}
+	tried := make(map[ident.EntryID]int)
+	for n := range 40 {
+		place := event.Place{DataCentre: ident.DataCentre(fmt.Sprint("dc", n)), Region: "near"}
+		tb := New(event.Host{ID: ident.EntryID(fmt.Sprint("e", n)), Incarnation: 1, Place: place})
+		tb.Advance(1)
+		tb.HostsRead(1, list)
+		h, _ := tb.recipient(1, tb.Centres(1)[0])
+		tried[h.ID]++
+	}
+	for id, n := range tried {
+		if n > 20 {
+			t.Errorf("%d of 40 speakers try %s", n, id)
+		}
+	}
+}
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -191,7 +191,11 @@
 		if len(c.Hosts) == 0 {
 			return event.Host{}, false
 		}
-		return c.Hosts[c.tries%uint64(len(c.Hosts))], true
+		// The speakers of a region that is cut off all count the same tries. If
+		// they began at the same host, the summaries of every data centre
+		// would come to it in one second after the heal, and it would pass
+		// them all on.
+		return c.Hosts[(salt+c.tries)%uint64(len(c.Hosts))], true
 	}
 	if h, ok := c.HostFor(salt); ok {
 		return h, true
