--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -1,11 +1,11 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
 
 	"verbenadale.example/verbenadale/internal/config"
@@ -24,15 +24,11 @@
 // callerServer returns the server towards callers.
 func (d *Daemon) callerServer() *http.Server {
 	lim := d.cfg.Settings.Limits
-	reg := d.cfg.Metrics
-	if reg == nil {
-		reg = metrics.DefaultRegistry
-	}
 	fr := front.New(front.Config{
 		Self: d.self, Loop: d.loop, Runner: d.runner, Clock: d.clock, Log: d.cfg.Log, Book: d.book.Load,
 		MaxBody: lim.MaxBodyBytes, Budget: d.budget, MaxRequests: lim.MaxRequests,
 		BodyTime: config.Millis(lim.BodyMs), WriteTime: config.Millis(lim.WriteMs),
-		Trace: d.trace, Meter: meter.New(reg),
+		Trace: d.trace, Meter: meter.New(d.metrics),
 	})
 	return &http.Server{
 		Handler:           fr,
@@ -46,6 +42,13 @@
 // certificate.
 func (d *Daemon) serveCallers() error {
 	set := d.cfg.Settings.Callers
+	if set.CertFile != "" {
+		cert := &callerCert{certFile: set.CertFile, keyFile: set.KeyFile, log: d.cfg.Log}
+		if err := cert.open(); err != nil {
+			return err
+		}
+		d.callers.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: cert.get}
+	}
 	ln, err := net.Listen("tcp", set.Listen)
 	if err != nil {
 		return errors.Wrap(err, "daemon: listen for callers")
@@ -55,7 +58,7 @@
 		// this process nothing.
 		ln = netutil.LimitListener(ln, most)
 	}
-	l := &listener{srv: d.callers, ln: ln, certFile: set.CertFile, keyFile: set.KeyFile}
+	l := &listener{srv: d.callers, ln: ln}
 	d.t.Go(l.run)
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,13 +41,17 @@
 	Settings config.Settings
 	Log      logr.Logger
 	Level    *logs.Level
-	// Metrics is where counters go; nil is metrics.DefaultRegistry.
+	// Metrics is where counters go, which the operators' address gives out;
+	// nil is a registry of the daemon's own.
 	Metrics metrics.Registry
 	// Step, where set, replaces the reducer, for comparisons.
 	Step func(now ident.Time, ev event.Event) []event.Effect
 	// Record, where set, is told who the host is and returns what sees each
 	// event and its effects, for replay.
 	Record func(self event.Host) func(now ident.Time, ev event.Event, effs []event.Effect)
+	// Before, where set, is called with the reducer before each of its steps,
+	// on the control thread; it may change the router's policy.
+	Before func(red *core.Reducer)
 }
 
 // Daemon is a running entry host.
@@ -87,9 +91,12 @@
 	set := cfg.Settings
 	d := &Daemon{
 		cfg: cfg, self: self(set), clock: clock.New(),
-		targets: target.New(), outs: &serve.Outcomes{}, metrics: metrics.NewRegistry(),
+		targets: target.New(), outs: &serve.Outcomes{}, metrics: cfg.Metrics,
 		work: make(chan event.Effect, workQueue), drained: make(chan struct{}),
 	}
+	if d.metrics == nil {
+		d.metrics = metrics.NewRegistry()
+	}
 	var err error
 	if d.trace, err = newTracer(set); err != nil {
 		return nil, err
@@ -100,17 +107,13 @@
 	})
 	d.revs = revlog.New(d.store)
 	d.platform = newPlatform(d)
-	step := cfg.Step
-	if step == nil {
-		step = core.New(d.self).Step
-	}
 	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
 	if err != nil {
 		d.clock.Stop()
 		return nil, err
 	}
 	d.mesh = mesh
-	lcfg := loop.Config{Step: step, Clock: d.clock, Log: cfg.Log, Carry: d.carry}
+	lcfg := loop.Config{Step: d.stepper(), Clock: d.clock, Log: cfg.Log, Carry: d.carry}
 	if cfg.Record != nil {
 		lcfg.Record = cfg.Record(d.self)
 	}
@@ -127,6 +130,21 @@
 	return d, nil
 }
 
+// stepper returns what steps the reducer.
+func (d *Daemon) stepper() func(ident.Time, event.Event) []event.Effect {
+	if d.cfg.Step != nil {
+		return d.cfg.Step
+	}
+	red := core.New(d.self)
+	if d.cfg.Before == nil {
+		return red.Step
+	}
+	return func(now ident.Time, ev event.Event) []event.Effect {
+		d.cfg.Before(red)
+		return red.Step(now, ev)
+	}
+}
+
 func self(set config.Settings) event.Host {
 	peerAddr := set.Peers.Advertise
 	if peerAddr == "" {
@@ -148,7 +166,7 @@
 	lim := d.cfg.Settings.Limits
 	d.budget = serve.NewBudget(lim.MaxHeldBytes)
 	d.runner = &serve.Runner{
-		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.mesh.Forward,
+		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.forward,
 		Outcomes: d.outs, MaxAnswer: maxAnswer, Budget: d.budget, Trace: d.trace,
 	}
 	d.callers = d.callerServer()
@@ -158,7 +176,7 @@
 		Metrics: d.metrics, Drain: d.Drain,
 	})
 	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
-	if err := d.mesh.Start(d.loop.Post, d.runner.Run); err != nil {
+	if err := d.mesh.Start(d.loop.Post, d.runPassed); err != nil {
 		return errors.Wrap(err, "daemon: peers")
 	}
 	if err := d.serveCallers(); err != nil {
@@ -181,8 +199,6 @@
 type listener struct {
 	srv *http.Server
 	ln  net.Listener
-	// certFile and keyFile turn on TLS.
-	certFile, keyFile string
 }
 
 func (l *listener) run() error {
@@ -194,10 +210,10 @@
 }
 
 func (l *listener) serve() error {
-	if l.certFile == "" {
+	if l.srv.TLSConfig == nil {
 		return l.srv.Serve(l.ln)
 	}
-	return l.srv.ServeTLS(l.ln, l.certFile, l.keyFile)
+	return l.srv.ServeTLS(l.ln, "", "")
 }
 
 // Drain starts a graceful stop.
--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -65,7 +65,7 @@
 	r.attempts[a] = req.ID
 	deadline := now.Add(patience)
 	if _, passed := req.Envelope.Get(); passed {
-		return event.Dispatch{Request: req.ID, Attempt: a, Target: r.engine, Deadline: deadline}
+		return event.Dispatch{Request: req.ID, Serve: rules.Serve{Model: "draft"}, Attempt: a, Target: r.engine, Deadline: deadline}
 	}
 	env := event.Envelope{Attempt: a, To: r.peer.Incarnation, Seen: []ident.EntryID{r.self.ID}}
 	return event.Forward{Request: req.ID, To: r.peer, Envelope: env, Deadline: deadline}
@@ -160,7 +160,12 @@
 // twoEntries starts a host for callers and, behind it, one with an engine.
 func twoEntries(t *testing.T, tokenTime time.Duration) (x, y *Daemon, ry *relay) {
 	t.Helper()
-	eng := httptest.NewServer(engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8, TokenTime: tokenTime}))
+	return twoEntriesBefore(t, engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8, TokenTime: tokenTime}))
+}
+
+func twoEntriesBefore(t *testing.T, h http.Handler) (x, y *Daemon, ry *relay) {
+	t.Helper()
+	eng := httptest.NewServer(h)
 	t.Cleanup(eng.Close)
 	ca, err := certs.New()
 	if err != nil {
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -63,19 +63,24 @@
 	senders []sender
 	// given are the offers that the data centre may hold of this one, taken
 	// those that hosts of this one may hold of it.
-	given []given
-	taken []given
-	told  told
-	tries uint64
+	given  []given
+	taken  []given
+	passed []*passed
+	told   lastSent
+	tries  uint64
+	// vain counts the summaries in a row that went out again because the data
+	// centre has not told that it has the highest revision.
+	vain int
 }
 
 // relay is what the next digest passes on of a summary that came to this host.
 type relay struct {
 	due, hosts, pools, accounts bool
-	// direct says that the newest summary came to this host, inForce and
-	// hash what was last passed on.
+	// direct says that the newest summary came to this host; the others are
+	// what was last passed on.
 	direct  bool
 	inForce ident.Revision
+	highest ident.Revision
 	hash    uint64
 }
 
@@ -181,18 +186,27 @@
 	if c.CutOff(now) {
 		c.since = now
 	}
-	asked := c.asks()
+	asked, offers := c.asks(), c.offers()
 	c.Place = s.Place
 	c.made = made
 	c.takeParts(now, s)
 	c.relay.direct = direct
 	if direct {
-		c.relay.take(s, tb.own.Revision)
+		c.relay.take(s)
 	}
 	c.mergeHosts()
 	if !slices.Equal(asked, c.asks()) {
 		tb.beat.asks = true
 	}
+	if direct && (!slices.Equal(asked, c.asks()) || offers != c.offers()) {
+		// The peers act on it too, and one of them may speak.
+		tb.beat.words = true
+	}
+}
+
+// offers reports whether the data centre offers anything.
+func (c *Centre) offers() bool {
+	return offers(c.Summary.Pools)
 }
 
 // takeParts takes the parts that a summary tells and keeps the others.
@@ -218,12 +232,12 @@
 }
 
 // take notes what peers need of a summary. They hear of hosts only when these
-// have changed, and not of a revision that this data centre has already.
-func (r *relay) take(s event.Summary, own ident.Revision) {
+// have changed.
+func (r *relay) take(s event.Summary) {
 	r.hosts = r.hosts || !s.HostsKept && s.HostsHash != r.hash
 	r.pools = r.pools || !s.PoolsKept
 	r.accounts = r.accounts || !s.AccountsKept
-	r.due = r.due || r.hosts || r.pools || r.accounts || s.InForce != r.inForce || s.Highest > own
+	r.due = r.due || r.hosts || r.pools || r.accounts || s.InForce != r.inForce || s.Highest != r.highest
 }
 
 // takeSender tells whether a summary is newer than all before it of the same
@@ -356,7 +370,7 @@
 	if !s.HostsKept {
 		r.hash = s.HostsHash
 	}
-	*r = relay{direct: r.direct, inForce: s.InForce, hash: r.hash}
+	*r = relay{direct: r.direct, inForce: s.InForce, highest: s.Highest, hash: r.hash}
 	return s
 }
 
--- a/internal/member/kept_fail_test.go
+++ b/internal/member/kept_fail_test.go
@@ -120,7 +120,7 @@
 	c := tb.Centres(w.now)[0]
 	full := func(to event.Host) bool {
 		s := tb.summary(w.now)
-		return tb.leaveOut(w.now, c, to, &s) && !s.HostsKept && !s.PoolsKept && !s.AccountsKept
+		return tb.leaveOut(w.now, c, to, &s, false) && !s.HostsKept && !s.PoolsKept && !s.AccountsKept
 	}
 	far := w.nodes[1].tb.Self()
 	w.now = w.now.Add(minGap)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -112,7 +112,9 @@
 	centres []*Centre
 	pools   []*pool
 	away    []event.AwayUse
-	blind   bool
+	// crowdedAt is when requests last began to wait here.
+	crowdedAt ident.Time
+	blind     bool
 
 	list  listState
 	beat  beatState
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -107,7 +107,7 @@
 		c.putHost(h)
 		if c.told.to == h.ID && c.told.incarnation != h.Incarnation {
 			// It has restarted and holds nothing of what was told.
-			c.told = told{}
+			c.told = lastSent{}
 		}
 		return
 	}
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -32,8 +32,9 @@
 	for i, c := range tb.centres {
 		s := base
 		s.Pools = withOffers(base.Pools, offers, i)
+		repeat := c.repeat(now, s)
 		to, ok := tb.recipient(now, c)
-		if !ok || !tb.leaveOut(now, c, to, &s) {
+		if !ok || !tb.leaveOut(now, c, to, &s, repeat) {
 			continue
 		}
 		if !s.AccountsKept && !asked && tb.own.CentreAccounts != nil {
@@ -55,7 +56,7 @@
 // it told when it last had the duty, another may have replaced since.
 func (tb *Table) forgetTold() {
 	for _, c := range tb.centres {
-		c.told = told{}
+		c.told = lastSent{}
 	}
 }
 
@@ -72,8 +73,8 @@
 	}
 }
 
-// told is what the newest summaries to a data centre have told.
-type told struct {
+// lastSent is what the newest summaries to a data centre have told.
+type lastSent struct {
 	// at is when the last went out, and to whom. Another receiver may lack
 	// every part.
 	at          ident.Time
@@ -94,19 +95,19 @@
 // on change, and often while they carry an offer; the accounts at a pace of
 // their own; the hosts on change and each wholeEvery, which makes good a
 // summary that was lost.
-func (tb *Table) leaveOut(now ident.Time, c *Centre, to event.Host, s *event.Summary) bool {
+func (tb *Table) leaveOut(now ident.Time, c *Centre, to event.Host, s *event.Summary, repeat bool) bool {
 	t := &c.told
 	if t.sent && now.Sub(t.at) < minGap {
 		return false
 	}
 	if t.to != to.ID || t.incarnation != to.Incarnation {
-		*t = told{at: t.at, to: to.ID, incarnation: to.Incarnation}
+		*t = lastSent{at: t.at, to: to.ID, incarnation: to.Incarnation}
 	}
 	news := poolNews(s.Pools)
 	accounts := !t.sent || now.Sub(t.accountsAt) >= tb.accountsPace()
 	pools := !t.sent || now.Sub(t.poolsAt) >= tb.slowPace() || news != t.pools || offers(s.Pools) && now.Sub(t.poolsAt) >= fastEvery
 	hosts := !t.sent || s.HostsHash != t.hosts || now.Sub(t.hostsAt) >= wholeEvery
-	if !pools && !hosts && !accounts && !t.revisionNews(c, s) {
+	if !pools && !hosts && !accounts && !repeat && !t.revisionNews(s) {
 		return false
 	}
 	s.HostsKept, s.PoolsKept, s.AccountsKept = !hosts, !pools, !accounts
@@ -130,10 +131,34 @@
 // revisionNews tells whether the revisions are worth a summary of their own. The
 // lowest is: by it operators are told that a change is in force
 // everywhere. Left to the slow pace, that word came up to 7 s late, and an
-// operator who waits for it took an accepted change for one that hangs. The
-// highest is unless the other data centre has told of it itself.
-func (t *told) revisionNews(c *Centre, s *event.Summary) bool {
-	return s.InForce != t.inForce || s.Highest > t.highest && s.Highest > c.Summary.Highest
+// operator who waits for it took an accepted change for one that hangs. So is
+// the highest, which the other data centre may lack or wait to hear back.
+func (t *lastSent) revisionNews(s *event.Summary) bool {
+	return s.InForce != t.inForce || s.Highest != t.highest
+}
+
+// behind reports whether a data centre has not yet told that it has the highest
+// revision.
+func (c *Centre) behind(s event.Summary) bool {
+	return c.HasSummary && c.Summary.Highest < s.Highest
+}
+
+// repeat reports whether a summary goes out again because no answer shows its
+// revision, and counts those in vain. The host that a summary goes to may be
+// frozen and not yet missed; a change would then reach a data centre that is
+// cut off from the platform with the next summary but one. So each of these
+// goes to the next host.
+func (c *Centre) repeat(now ident.Time, s event.Summary) bool {
+	t := &c.told
+	if !t.sent || s.Highest != t.highest || !c.behind(s) {
+		c.vain = 0
+		return false
+	}
+	if now.Sub(t.at) < fastEvery {
+		return false
+	}
+	c.vain++
+	return true
 }
 
 func offers(pools []event.Pool) bool {
@@ -198,10 +223,17 @@
 		return c.Hosts[(salt+c.tries)%uint64(len(c.Hosts))], true
 	}
 	if h, ok := c.HostFor(salt); ok {
-		return h, true
+		return c.after(h, c.vain), true
 	}
 	if len(c.Hosts) == 0 {
 		return event.Host{}, false
 	}
 	return c.Hosts[0], true
 }
+
+// after returns the host n places after another one among those that live.
+func (c *Centre) after(h event.Host, n int) event.Host {
+	hs := c.Summary.Hosts
+	i := slices.IndexFunc(hs, func(x event.Host) bool { return x.ID == h.ID })
+	return hs[(i+n)%len(hs)]
+}
