--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -188,7 +188,10 @@
 // a data centre that is cut off from the platform a change would wait for that.
 func (rd *Reducer) summary(now ident.Time, s event.Summary, direct bool) {
 	rd.quota.Place(s.Place.DataCentre, s.Place.Region)
-	rd.quota.CentreReport(now, s.Place.DataCentre, s.Accounts)
+	rd.quota.CentreHeard(now, s.Place.DataCentre)
+	if !s.AccountsKept {
+		rd.quota.CentreReport(now, s.Place.DataCentre, s.Accounts)
+	}
 	if !direct && !rd.table.Speaks(now) {
 		return
 	}
@@ -235,7 +238,7 @@
 // average. With more of them the whole list goes out less often: at 74 accounts
 // and seven peers, telling all each second alone cost three times the 4 KB a
 // second that a host may spend on control.
-const tellEach = 8
+const tellEach = 4
 
 func (rd *Reducer) own(now ident.Time) member.Own {
 	own := member.Own{
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -52,7 +52,9 @@
 // Load is what a target reports of itself. It lags: AgeMs says by how much
 // the target itself knows.
 type Load struct {
-	Target      ident.TargetID    `json:"target"`
+	// Target is empty where Key names the target.
+	Target      ident.TargetID    `json:"target,omitempty"`
+	Key         TargetKey         `json:"key,omitempty"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 	// Seq grows with each report of one incarnation.
 	Seq   uint64        `json:"seq"`
@@ -69,12 +71,21 @@
 	DecodeRate  float64       `json:"decodeRate"`
 	Serves      []rules.Serve `json:"serves,omitempty"`
 	Leaving     bool          `json:"leaving,omitempty"`
+	// Kept says that Slots, the rates and Serves are left out: the receiver
+	// keeps those that it holds of this incarnation.
+	Kept bool `json:"kept,omitempty"`
 }
 
+// TargetKey is a hash of the id of a target, which stands for it between hosts
+// that know the target. Where two targets have one hash they go by their ids.
+type TargetKey uint32
+
 // TargetUse is the work that one entry host has sent to one target and that
 // has not ended.
 type TargetUse struct {
-	Target ident.TargetID `json:"target"`
+	// Target is empty where Key names the target.
+	Target ident.TargetID `json:"target,omitempty"`
+	Key    TargetKey      `json:"key,omitempty"`
 	// Running counts requests, Tokens the prefill work among them.
 	Running int          `json:"running"`
 	Tokens  ident.Tokens `json:"tokens"`
@@ -119,6 +130,9 @@
 	// Wants names what the sender's callers ask for and no target of the data
 	// centre serves, so that the host that speaks for it asks the others.
 	Wants []Want `json:"wants,omitempty"`
+	// Lacks names the data centres whose hosts the sender does not hold as
+	// they are now, so that the host that got them sends them again.
+	Lacks []ident.DataCentre `json:"lacks,omitempty"`
 	// Blind says that the platform does not answer the sender, so that another
 	// host had better watch it.
 	Blind bool `json:"blind,omitempty"`
@@ -178,4 +192,16 @@
 	Hosts    []Host         `json:"hosts"`
 	Pools    []Pool         `json:"pools"`
 	Accounts []AccountUse   `json:"accounts,omitempty"`
+	// HostsKept, PoolsKept and AccountsKept say that a part is left out: the
+	// receiver keeps what it holds of it, and takes it for unknown, not for
+	// none, where it holds nothing.
+	HostsKept    bool `json:"hostsKept,omitempty"`
+	PoolsKept    bool `json:"poolsKept,omitempty"`
+	AccountsKept bool `json:"accountsKept,omitempty"`
+	// HostsHash is a hash of the hosts that the data centre has now, by which
+	// a receiver tells that those it keeps are not the same. Zero is no hash.
+	HostsHash uint64 `json:"hostsHash,omitempty"`
+	// PoolsAge is how much older the pools are than the summary, where a host
+	// relays pools of an earlier one.
+	PoolsAge time.Duration `json:"poolsAge,omitempty"`
 }
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -338,7 +338,7 @@
 	}
 	c := tb.centres[i]
 	p := c.Pool(id)
-	if p == nil || p.Offer <= 0 || c.Age(now) > offerLife || holds(c.given, now, id) {
+	if p == nil || p.Offer <= 0 || c.poolsAge(now) > offerLife || holds(c.given, now, id) {
 		return 0
 	}
 	if own, ok := tb.pool(id); ok && own.offering {
@@ -359,7 +359,7 @@
 // is too old to tell is charged with everything under way.
 func (tb *Table) unseen(now ident.Time, c *Centre, id PoolID) int {
 	running := tb.underWay(c.Place.DataCentre, id)
-	from := c.made.Add(-wayLag)
+	from := c.madePools.Add(-wayLag)
 	p := c.passedOn(id)
 	if p == nil || now.Sub(from) > recentSpan {
 		return running
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -1,18 +1,22 @@
 package wire
 
 import (
+	"math"
+
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
 // FromDigest maps a digest. Of its host only the leaving mark travels.
 func FromDigest(d event.Digest) *Digest {
+	named, keyed := splitUse(d.Use)
 	return &Digest{
 		Leaving: d.Host.Leaving, Seq: d.Seq, Revision: uint64(d.Revision),
-		Use: convert(d.Use, fromUse), Loads: convert(d.Loads, fromLoad),
-		Accounts: convert(d.Accounts, fromAccount), LeavingTargets: convert(d.Leaving, fromLeaving),
+		Use: convert(named, fromUse), Keyed: keyed, Loads: convert(d.Loads, fromLoad),
+		Accounts: fromAccounts(d.Accounts), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
+		Lacks: convert(d.Lacks, fromLack),
 	}
 }
 
@@ -21,10 +25,11 @@
 	host.Leaving = p.GetLeaving()
 	return event.Digest{
 		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
-		Use: convert(p.GetUse(), toUse), Loads: convert(p.GetLoads(), toLoad),
-		Accounts: convert(p.GetAccounts(), toAccount), Leaving: convert(p.GetLeavingTargets(), toLeaving),
+		Use: append(convert(p.GetUse(), toUse), p.GetKeyed().toUses()...), Loads: convert(p.GetLoads(), toLoad),
+		Accounts: p.GetAccounts().toAccounts(), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
+		Lacks: convert(p.GetLacks(), toLack),
 	}
 }
 
@@ -33,8 +38,9 @@
 	return &Summary{
 		From: string(s.From), Place: fromPlace(s.Place), Incarnation: uint64(s.Incarnation), Seq: s.Seq,
 		AgeMs: millis(s.Age), InForce: uint64(s.InForce), Highest: uint64(s.Highest),
-		Hosts: convert(s.Hosts, FromHost), Pools: convert(s.Pools, fromPool),
-		Accounts: convert(s.Accounts, fromAccount),
+		Hosts: convert(s.Hosts, hostFrom(s.Place)), Pools: convert(s.Pools, fromPool),
+		Accounts: fromAccounts(s.Accounts), Kept: keptOf(s),
+		HostsHash: s.HostsHash, PoolsAgeMs: millis(s.PoolsAge),
 	}
 }
 
@@ -44,18 +50,101 @@
 		From: ident.EntryID(p.GetFrom()), Place: toPlace(p.GetPlace()),
 		Incarnation: ident.Incarnation(p.GetIncarnation()), Seq: p.GetSeq(), Age: duration(p.GetAgeMs()),
 		InForce: ident.Revision(p.GetInForce()), Highest: ident.Revision(p.GetHighest()),
-		Hosts: convert(p.GetHosts(), (*Host).ToEvent), Pools: convert(p.GetPools(), toPool),
-		Accounts: convert(p.GetAccounts(), toAccount),
+		Hosts: convert(p.GetHosts(), hostTo(toPlace(p.GetPlace()))), Pools: convert(p.GetPools(), toPool),
+		Accounts:  p.GetAccounts().toAccounts(),
+		HostsKept: p.GetKept()&keptHosts != 0, PoolsKept: p.GetKept()&keptPools != 0,
+		AccountsKept: p.GetKept()&keptAccounts != 0,
+		HostsHash:    p.GetHostsHash(), PoolsAge: duration(p.GetPoolsAgeMs()),
+	}
+}
+
+// The parts that a summary may leave out.
+const (
+	keptHosts = 1 << iota
+	keptPools
+	keptAccounts
+)
+
+func keptOf(s event.Summary) uint32 {
+	kept := uint32(0)
+	if s.HostsKept {
+		kept |= keptHosts
+	}
+	if s.PoolsKept {
+		kept |= keptPools
+	}
+	if s.AccountsKept {
+		kept |= keptAccounts
 	}
+	return kept
 }
 
+// hostFrom maps the hosts of a summary. Nearly all stand where it says, and
+// their places were a quarter of their bytes.
+func hostFrom(place event.Place) func(event.Host) *Host {
+	return func(h event.Host) *Host {
+		p := FromHost(h)
+		if h.Place == place {
+			p.Place = nil
+		}
+		return p
+	}
+}
+
+func hostTo(place event.Place) func(*Host) event.Host {
+	return func(p *Host) event.Host {
+		h := p.ToEvent()
+		if p.GetPlace() == nil {
+			h.Place = place
+		}
+		return h
+	}
+}
+
+func fromLack(dc ident.DataCentre) string { return string(dc) }
+
+func toLack(dc string) ident.DataCentre { return ident.DataCentre(dc) }
+
 func fromUse(u event.TargetUse) *TargetUse {
-	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens)}
+	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens), Key: uint32(u.Key)}
+}
+
+// splitUse parts the uses that go by an id from those that go by a key. As
+// messages of their own the latter would cost twice the bytes.
+func splitUse(uses []event.TargetUse) (named []event.TargetUse, keyed *KeyedUse) {
+	for _, u := range uses {
+		if u.Target != "" {
+			named = append(named, u)
+			continue
+		}
+		if keyed == nil {
+			keyed = &KeyedUse{}
+		}
+		keyed.Keys = append(keyed.Keys, uint32(u.Key))
+		keyed.Running = append(keyed.Running, uint64(max(u.Running, 0)))
+		keyed.Tokens = append(keyed.Tokens, uint64(max(u.Tokens, 0)))
+	}
+	return named, keyed
+}
+
+// toUses maps the columns back. Columns of different lengths are of no host of
+// this version; what has no partner is left out.
+func (p *KeyedUse) toUses() []event.TargetUse {
+	n := min(len(p.GetKeys()), len(p.GetRunning()), len(p.GetTokens()))
+	var uses []event.TargetUse
+	for i := range n {
+		uses = append(uses, event.TargetUse{
+			Key:     event.TargetKey(p.GetKeys()[i]),
+			Running: int(count(int64(p.GetRunning()[i]))), Tokens: ident.Tokens(count(int64(p.GetTokens()[i]))),
+		})
+	}
+	return uses
 }
 
 func toUse(p *TargetUse) event.TargetUse {
 	return event.TargetUse{
 		Target: ident.TargetID(p.GetTarget()), Running: int(count(p.GetRunning())), Tokens: ident.Tokens(count(p.GetTokens())),
+		Key: event.TargetKey(p.GetKey()),
 	}
 }
 
@@ -78,17 +167,51 @@
 	return event.Want{Serve: toServe(p.GetServe()), Service: p.GetService()}
 }
 
-func fromAccount(a event.AccountUse) *AccountUse {
-	return &AccountUse{Account: string(a.Account), Requests: float32(a.Requests), Tokens: float32(a.Tokens)}
+// fromAccounts maps the demand of accounts. As messages of their own with
+// floats they cost 24 bytes each, of which ten were the name.
+func fromAccounts(as []event.AccountUse) *AccountUses {
+	if len(as) == 0 {
+		return nil
+	}
+	p := &AccountUses{}
+	for _, a := range as {
+		p.Accounts = append(p.Accounts, string(a.Account))
+		p.Requests = append(p.Requests, fromRate(a.Requests))
+		p.Tokens = append(p.Tokens, fromRate(a.Tokens))
+	}
+	return p
 }
 
-func toAccount(p *AccountUse) event.AccountUse {
-	return event.AccountUse{
-		Account:  ident.Account(p.GetAccount()),
-		Requests: ident.PerMinute(number(p.GetRequests())), Tokens: ident.PerMinute(number(p.GetTokens())),
+// toAccounts maps the columns back, as far as they have the same length.
+func (p *AccountUses) toAccounts() []event.AccountUse {
+	n := min(len(p.GetAccounts()), len(p.GetRequests()), len(p.GetTokens()))
+	var as []event.AccountUse
+	for i := range n {
+		as = append(as, event.AccountUse{
+			Account:  ident.Account(p.GetAccounts()[i]),
+			Requests: toRate(p.GetRequests()[i]), Tokens: toRate(p.GetTokens()[i]),
+		})
 	}
+	return as
 }
 
+const (
+	// rateParts are the parts of a rate that travel.
+	rateParts = 16
+	maxRate   = 1 << 52
+)
+
+// fromRate rounds up: a small demand that became none would have the share of
+// its account withdrawn while it lasts.
+func fromRate(r ident.PerMinute) uint64 {
+	if r > 0 && r < maxRate/rateParts {
+		return uint64(math.Ceil(float64(r) * rateParts))
+	}
+	return 0
+}
+
+func toRate(n uint64) ident.PerMinute { return ident.PerMinute(min(n, maxRate)) / rateParts }
+
 func fromLeaving(t event.LeavingTarget) *LeavingTarget {
 	return &LeavingTarget{Target: string(t.Target), Incarnation: uint64(t.Incarnation)}
 }
@@ -105,6 +228,7 @@
 		Slots: int64(l.Slots), Running: int64(l.Running), Queued: int64(l.Queued),
 		QueuedTokens: int64(l.QueuedTokens), PrefillRate: float32(l.PrefillRate),
 		DecodeRate: float32(l.DecodeRate), Serves: convert(l.Serves, fromServe), Leaving: l.Leaving,
+		Key: uint32(l.Key), Kept: l.Kept,
 	}
 }
 
@@ -115,6 +239,7 @@
 		Queued: int(count(p.GetQueued())), QueuedTokens: ident.Tokens(count(p.GetQueuedTokens())),
 		PrefillRate: number(p.GetPrefillRate()), DecodeRate: number(p.GetDecodeRate()),
 		Serves: convert(p.GetServes(), toServe), Leaving: p.GetLeaving(),
+		Key: event.TargetKey(p.GetKey()), Kept: p.GetKept(),
 	}
 }
 
--- a/internal/wire/whole_test.go
+++ b/internal/wire/whole_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
@@ -41,7 +43,7 @@
 			return
 		}
 		v.SetInt(int64(*n))
-	case reflect.Uint64:
+	case reflect.Uint32, reflect.Uint64:
 		v.SetUint(uint64(*n))
 	case reflect.Float64:
 		v.SetFloat(float64(*n))
@@ -62,6 +64,11 @@
 	if diff := cmp.Diff(d, sent(t, FromDigest(d), &Digest{}).ToEvent(d.Host)); diff != "" {
 		t.Errorf("digest (-want +got):\n%s", diff)
 	}
+	// Uses without an id travel in a form of their own.
+	keyed := event.Digest{Use: []event.TargetUse{{Key: 1 << 31, Running: 2, Tokens: 3}, {Key: 4, Running: 5, Tokens: 6}}}
+	if diff := cmp.Diff(keyed, sent(t, FromDigest(keyed), &Digest{}).ToEvent(keyed.Host)); diff != "" {
+		t.Errorf("digest with keys (-want +got):\n%s", diff)
+	}
 	var c rules.Change
 	fill(reflect.ValueOf(&c).Elem(), &n)
 	cs := []rules.Change{c}
@@ -69,3 +76,19 @@
 		t.Errorf("change (-want +got):\n%s", diff)
 	}
 }
+
+// The demand of an account is less than the smallest part of a rate that
+// travels. Told as none, it would lose its share of the limit while it lasts.
+func TestSmallDemandDoesNotBecomeNone(t *testing.T) {
+	for _, r := range []ident.PerMinute{1e-9, 0.01, 1.0 / 16, 12.53, 1e9} {
+		got := toRate(fromRate(r))
+		if got < r || got > r+1.0/16 {
+			t.Errorf("%v arrives as %v", r, got)
+		}
+	}
+	for _, r := range []ident.PerMinute{0, -1, ident.PerMinute(math.NaN()), ident.PerMinute(math.Inf(1))} {
+		if n := fromRate(r); n != 0 {
+			t.Errorf("%v travels as %d", r, n)
+		}
+	}
+}
