give tests of links addresses that nothing else can take

Cause: TestDrainKeepsForwardedAnswersWhole failed once with "address already in use". Tests asked the system for a free port, closed it and listened on it later; an outgoing connection can take it in between.

Ruled out: trying again; a test that listens a second time hides a port that is really held.

Change: each address of the tests of daemon and peer has an IP number of its own and a port that outgoing connections do not get.

Conclusion: the cause is removed, not made rarer.

--- a/internal/daemon/cert_test.go
+++ b/internal/daemon/cert_test.go
@@ -12,6 +12,7 @@
 
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/dev/certs"
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/logs"
 )
 
@@ -42,9 +43,9 @@
 	}
 	set := config.Defaults()
 	set.Entry, set.DataCentre, set.Region = "uvs-1", "uvs", "uvs"
-	set.Callers = config.Callers{Listen: freeAddr(t), CertFile: fs.Cert, KeyFile: fs.Key}
-	set.Operators.Listen = freeAddr(t)
-	set.Peers = config.Peers{Listen: freeAddr(t), Plain: true}
+	set.Callers = config.Callers{Listen: ports.Next(), CertFile: fs.Cert, KeyFile: fs.Key}
+	set.Operators.Listen = ports.Next()
+	set.Peers = config.Peers{Listen: ports.Next(), Plain: true}
 	d, err := Start(Config{Settings: set, Log: logr.Discard(), Level: logs.NewLevel(0)})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/dev/certs"
 	"verbenadale.example/verbenadale/internal/dev/engine"
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -93,16 +93,6 @@
 	return len(r.attempts)
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func someBook(t *testing.T) *rules.Book {
 	t.Helper()
 	item := func(kind rules.Kind, name string, doc any) rules.Item {
@@ -131,8 +121,8 @@
 	}
 	set := config.Defaults()
 	set.Entry, set.DataCentre, set.Region = id, "uvs", "uvs"
-	set.Callers.Listen, set.Operators.Listen = freeAddr(t), freeAddr(t)
-	set.Peers = config.Peers{Listen: freeAddr(t), Seeds: seeds, CertFile: fs.Cert, KeyFile: fs.Key, CAFile: fs.CA}
+	set.Callers.Listen, set.Operators.Listen = ports.Next(), ports.Next()
+	set.Peers = config.Peers{Listen: ports.Next(), Seeds: seeds, CertFile: fs.Cert, KeyFile: fs.Key, CAFile: fs.CA}
 	r.attempts = make(map[ident.Attempt]ident.RequestID)
 	r.book = someBook(t)
 	d, err := Start(Config{Settings: set, Log: logr.Discard(), Level: logs.NewLevel(0), Step: r.step})
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -93,7 +94,7 @@
 	b.Helper()
 	ca := newCA(b)
 	keyed := func(id ident.EntryID) Config {
-		return Config{Self: hostAt(id, "uvs", freeAddr(b)), Keys: keysFor(b, ca, id)}
+		return Config{Self: hostAt(id, "uvs", ports.Next()), Keys: keysFor(b, ca, id)}
 	}
 	x, y := pair(b, keyed("uvs-1"), keyed("uvs-2"), run)
 	linked(b, x, y)
--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/wire"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -14,7 +15,7 @@
 
 func hostCfg(t *testing.T, id ident.EntryID, dc ident.DataCentre, ts Times) Config {
 	t.Helper()
-	return Config{Self: hostAt(id, dc, freeAddr(t)), Times: ts}
+	return Config{Self: hostAt(id, dc, ports.Next()), Times: ts}
 }
 
 // A process is frozen. Its kernel goes on to confirm what it is sent, so that
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/internal/wire"
@@ -133,9 +134,9 @@
 // which the caller must be told as such and soon.
 func TestNoLinkIsNotRun(t *testing.T) {
 	x := startNode(t, Config{
-		Self: hostAt("uvs-1", "uvs", freeAddr(t)), Times: Times{Link: 50 * time.Millisecond},
+		Self: hostAt("uvs-1", "uvs", ports.Next()), Times: Times{Link: 50 * time.Millisecond},
 	}, nil)
-	y := &node{Mesh: New(Config{Self: hostAt("uvs-2", "uvs", freeAddr(t))})}
+	y := &node{Mesh: New(Config{Self: hostAt("uvs-2", "uvs", ports.Next())})}
 	a, end := forward(t.Context(), x, y, "body", nil)
 	want := event.AttemptEnded{Result: event.ResultNotRun, Code: codes.NoTarget.ID}
 	if diff := cmp.Diff(want, end); diff != "" {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -16,6 +15,7 @@
 	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/dev/certs"
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/serve"
@@ -77,17 +77,6 @@
 	}
 }
 
-// freeAddr returns an address of the loopback range with a port that was free.
-func freeAddr(t testing.TB) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // startNode starts a host that answers requests of peers with run.
 func startNode(t testing.TB, cfg Config, run ServeFunc) *node {
 	t.Helper()
@@ -144,10 +133,10 @@
 func pair(t testing.TB, a, b Config, run ServeFunc) (*node, *node) {
 	t.Helper()
 	if b.Self.ID == "" {
-		b.Self = hostAt("uvs-2", "uvs", freeAddr(t))
+		b.Self = hostAt("uvs-2", "uvs", ports.Next())
 	}
 	if a.Self.ID == "" {
-		a.Self = hostAt("uvs-1", "uvs", freeAddr(t))
+		a.Self = hostAt("uvs-1", "uvs", ports.Next())
 	}
 	a.Seeds = []config.Seed{seedOf(b.Self)}
 	y := startNode(t, b, run)
