take the beginning of an answer for a sign of life

Cause: the reducer was told of first tokens and did nothing with them.

Change: the first token of a live attempt counts as an answer of its target.

Conclusion: suspicion goes by what was heard last.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// firstToken takes the beginning of an answer for a sign of life.
+func (rd *Reducer) firstToken(e event.FirstToken) {
+	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && a.target != "" {
+		rd.table.Answered(a.target)
+	}
+}
+
 // health is what the end of an attempt tells of its target.
 type health int
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,8 @@
 		rd.arrive(now, e.Request)
 	case event.AttemptSent:
 		rd.attemptSent(e)
+	case event.FirstToken:
+		rd.firstToken(e)
 	case event.AttemptEnded:
 		rd.attemptEnded(now, e)
 	case event.CallerLeft:
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -249,6 +249,16 @@
 	t.answer(tb.last)
 }
 
+// Answered takes note that a target has begun to answer a request of this
+// host. Long streams end late: were only their ends counted, a burst of
+// failures at the start of a load would make targets suspect that are at work
+// for hundreds of callers.
+func (tb *Table) Answered(id ident.TargetID) {
+	if t, ok := tb.byID[id]; ok {
+		t.answer(tb.last)
+	}
+}
+
 // Dropped takes note of the end of a request that tells nothing of the target,
 // such as when the caller left.
 func (tb *Table) Dropped(id ident.TargetID, prefill, generated ident.Tokens) {
