--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -185,7 +185,7 @@
 		key := fmt.Sprint(l.from, s.Summary.Incarnation, l.sent)
 		to := fmt.Sprint(key, s.To.Place)
 		if seen[to] {
-			continue // A doubled letter.
+			continue // A doubled message.
 		}
 		seen[to] = true
 		for _, p := range s.Summary.Pools {
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -47,7 +47,7 @@
 	newest map[string]uint64
 }
 
-type letter struct {
+type message struct {
 	at   ident.Time
 	sent ident.Time
 	from ident.EntryID
@@ -62,7 +62,7 @@
 	rng     *rand.Rand
 	nodes   []*node
 	targets []*engine
-	post    []letter
+	post    []message
 	loss    float64
 	delay   time.Duration
 	list    event.HostsRead
@@ -72,7 +72,7 @@
 	made    map[string]ident.Time
 	uses    map[string][]event.TargetUse
 	froze   bool
-	sent    []letter
+	sent    []message
 	// revision is that in force at every host, told what the summaries that
 	// tell pools have told, by the data centres from and to.
 	revision ident.Revision
@@ -121,7 +121,7 @@
 	inc := ident.Incarnation(uint64(w.now) + 1)
 	n.frozen = 0
 	// What was under way breaks off with its links.
-	w.post = slices.DeleteFunc(w.post, func(l letter) bool { return l.to == n.id })
+	w.post = slices.DeleteFunc(w.post, func(l message) bool { return l.to == n.id })
 	n.tb = New(event.Host{ID: n.id, Incarnation: inc, Place: n.place})
 	n.tb.Advance(w.now)
 	n.words = make(map[ident.TargetID]ident.Incarnation)
@@ -234,7 +234,7 @@
 	}
 	for range times {
 		at := w.now.Add(time.Duration(w.rng.Int63n(int64(w.delay))))
-		l := letter{at: at, sent: w.now, from: n.id, to: to, eff: eff}
+		l := message{at: at, sent: w.now, from: n.id, to: to, eff: eff}
 		w.post = append(w.post, l)
 		w.sent = append(w.sent, l)
 	}
