--- a/internal/proofs/measure_test.go
+++ b/internal/proofs/measure_test.go
@@ -44,7 +44,7 @@
 }
 
 func (p *probe) body() string {
-	return fmt.Sprintf(`{"model":"measured","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, p.stream, streamTokens)
+	return fmt.Sprintf(`{"model":"draft","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"hello"}]}`, p.stream, streamTokens)
 }
 
 func (p *probe) run() {
@@ -124,7 +124,7 @@
 	set.Limits.MaxConnections, set.Limits.MaxRequests = 2*idleStreams, 2*idleStreams
 	en := startSettings(t, set)
 	applyItems(t, en,
-		item(t, rules.KindProfile, "measured", rules.Profile{Models: []rules.Serve{{Model: "draft"}}}),
+		item(t, rules.KindProfile, "draft", rules.Profile{Models: []rules.Serve{{Model: "draft"}}}),
 		item(t, rules.KindProfile, "idle", rules.Profile{Models: []rules.Serve{{Model: "slow"}}}),
 		item(t, rules.KindAccount, "foundation", rules.Client{KeyDigest: rules.Digest("key-1")}),
 	)
