say of a key that can't be recorded what an earlier request may have done

Cause: the text of VB1014 told callers to take a ticket instead; one whose first request had run at another host would have had it run twice.

Conclusion: the advice holds for whoever reads it.

--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -61,7 +61,7 @@
 	}
 	StoreDown = Code{
 		ID: "VB1014", Title: "the idempotency key can't be recorded", Status: http.StatusServiceUnavailable, Since: firstVersion, Severity: Warning, Wait: true,
-		Text: "The platform's store did not confirm the record that keeps a second run away, so the request was not run. Come back later with the same key, or take a ticket, which needs no store.",
+		Text: "The platform's store did not confirm the record that keeps a second run away, so this request was not run. An earlier one with the same key may have run. Come back later with the same key; take a ticket, which needs no store, only if nothing was sent with this key before.",
 	}
 	OutcomeUnknown = Code{
 		ID: "VB1015", Title: "whether the request ran is not known", Status: http.StatusBadGateway, Since: firstVersion, Severity: Error,
