drop an effect that nothing asks for, and test the control thread

Cause: the effect to cancel an attempt had readers and no writer; refusals and ends break attempts off already. The control thread had no test of its own, and the driver's hosts were restarted but never stayed dead.

Change: the effect is gone; tests of the control thread hold that a mailbox that nobody reads holds up nobody, that events of one sender keep their order, and that a question gets its own answer; hosts of the generated failures die.

Measured: waiting for a full mailbox makes the test fail.

Conclusion: what is declared is used.

--- a/internal/core/promise_test.go
+++ b/internal/core/promise_test.go
@@ -151,6 +151,7 @@
 		w.Freeze(anyHost(rt), time.Duration(rapid.IntRange(1, 8).Draw(rt, "s"))*time.Second)
 	}},
 	{"restart", func(rt *rapid.T, w *world) { w.Restart(anyHost(rt)) }},
+	{"kill", func(rt *rapid.T, w *world) { w.Kill(anyHost(rt)) }},
 	{"break", func(rt *rapid.T, w *world) {
 		t := w.Targets[rapid.IntRange(0, len(w.Targets)-1).Draw(rt, "target")]
 		n := 0
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -72,13 +72,6 @@
 	Request ident.RequestID `json:"request"`
 }
 
-// Cancel asks to break off an attempt: the caller left, or another attempt
-// won.
-type Cancel struct {
-	Request ident.RequestID `json:"request"`
-	Attempt ident.Attempt   `json:"attempt"`
-}
-
 // Wake asks for a Tick at a time. A later Wake replaces the one before.
 type Wake struct {
 	At ident.Time `json:"at"`
@@ -270,7 +263,6 @@
 func (Finish) isEffect()          {}
 func (Replay) isEffect()          {}
 func (ForgetOutcome) isEffect()   {}
-func (Cancel) isEffect()          {}
 func (Wake) isEffect()            {}
 func (SendDigest) isEffect()      {}
 func (SendSummary) isEffect()     {}
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -29,7 +29,7 @@
 		HostsRead{}, PlatformFailed{}, WatchIdle{},
 	)
 	effectTypes = namesOf[Effect](
-		Dispatch{}, Forward{}, Refuse{}, Finish{}, Replay{}, ForgetOutcome{}, Cancel{}, Wake{},
+		Dispatch{}, Forward{}, Refuse{}, Finish{}, Replay{}, ForgetOutcome{}, Wake{},
 		SendDigest{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
 		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, ReadSnapshot{}, ReadHosts{}, PollLoad{},
 		InForceNow{}, TicketIssued{}, EntriesAnswered{}, RouteAnswered{}, StatusAnswered{}, Drained{},
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -185,8 +185,6 @@
 		l.deliver(e.Request, e)
 	case event.Replay:
 		l.deliver(e.Request, e)
-	case event.Cancel:
-		l.deliver(e.Request, e)
 	case event.TicketIssued:
 		l.answer(e.Ask, e)
 	case event.EntriesAnswered:
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,113 @@
+package loop
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+const patience = 20 * time.Second
+
+func start(t *testing.T, step func(now ident.Time, ev event.Event) []event.Effect) *Loop {
+	t.Helper()
+	svc := clock.New()
+	l := New(Config{Step: step, Clock: svc, Log: logr.Discard(), Carry: func(event.Effect) {}})
+	t.Cleanup(func() {
+		l.Stop()
+		svc.Stop()
+	})
+	return l
+}
+
+// The goroutine of one request has ended and reads its mailbox no more, while
+// the reducer goes on to send to it. If the loop waited for it, every other
+// caller of the host would wait too.
+func TestFullMailboxHoldsUpNobody(t *testing.T) {
+	l := start(t, func(_ ident.Time, ev event.Event) []event.Effect {
+		if e, ok := ev.(event.RequestArrived); ok {
+			return []event.Effect{event.Finish{Request: e.Request.ID}}
+		}
+		return nil
+	})
+	if _, ok := l.Open("stuck"); !ok {
+		t.Fatal("no mailbox")
+	}
+	for range 10 * boxSize {
+		l.Post(event.RequestArrived{Request: event.Request{ID: "stuck"}})
+	}
+	box, _ := l.Open("other")
+	l.Post(event.RequestArrived{Request: event.Request{ID: "other"}})
+	select {
+	case eff := <-box:
+		if diff := cmp.Diff(event.Effect(event.Finish{Request: "other"}), eff); diff != "" {
+			t.Errorf("effect (-want +got):\n%s", diff)
+		}
+	case <-time.After(patience):
+		t.Fatal("the loop waits for a mailbox that nobody reads")
+	}
+}
+
+// One goroutine tells that its request was sent and then that it ended. Taken
+// in another order, the end would be judged as that of a request never sent,
+// and "not run" would be said of one that ran.
+func TestEventsOfOneSenderKeepTheirOrder(t *testing.T) {
+	var seen []uint64
+	done := make(chan struct{})
+	l := start(t, func(_ ident.Time, ev event.Event) []event.Effect {
+		if e, ok := ev.(event.AttemptSent); ok {
+			seen = append(seen, e.Attempt.Number)
+			if len(seen) == 500 {
+				close(done)
+			}
+		}
+		return nil
+	})
+	var want []uint64
+	for n := range uint64(500) {
+		want = append(want, n)
+		l.Post(event.AttemptSent{Attempt: ident.Attempt{Number: n}})
+	}
+	select {
+	case <-done:
+	case <-time.After(patience):
+		t.Fatal("events were lost")
+	}
+	if diff := cmp.Diff(want, seen); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
+func TestAskGetsItsOwnAnswer(t *testing.T) {
+	l := start(t, func(_ ident.Time, ev event.Event) []event.Effect {
+		if e, ok := ev.(event.StatusAsked); ok {
+			return []event.Effect{event.StatusAnswered{Ask: e.Ask, Requests: int(e.Ask)}}
+		}
+		return nil
+	})
+	for range 5 {
+		asked := event.Ask(0)
+		eff, err := l.Ask(context.Background(), func(n event.Ask) event.Event {
+			asked = n
+			return event.StatusAsked{Ask: n}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(int(asked), eff.(event.StatusAnswered).Requests); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if eff, err := l.Ask(ctx, func(event.Ask) event.Event { return event.Tick{} }); err == nil {
+		t.Errorf("a question without an answer gets %s", fmt.Sprint(eff))
+	}
+}
