draw plots of loads that got no answer, or equal ones

Cause: verbdev load -plot ended in a panic when every request had failed, since a scale of logarithms around equal values reaches zero.

--- a/internal/dev/load/plot.go
+++ b/internal/dev/load/plot.go
@@ -10,6 +10,9 @@
 	"gonum.org/v1/plot/vg"
 )
 
+// least is the least time that is drawn, in milliseconds.
+const least = 0.001
+
 // Size of a plot.
 const (
 	plotWidth  = 18 * vg.Centimeter
@@ -38,6 +41,10 @@
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return errors.Wrap(err, "load: plot")
 	}
+	// A scale of logarithms ends in a panic where its range reaches zero, as it
+	// does around equal values: those of a load that got no answer.
+	p.Y.Min = max(p.Y.Min/2, least)
+	p.Y.Max = max(p.Y.Max*2, 10*least)
 	return errors.Wrap(p.Save(plotWidth, plotHeight, file), "load: plot")
 }
 
@@ -45,7 +52,7 @@
 	ys := []float64{q.P50Ms, q.P95Ms, q.P99Ms, q.P999Ms}
 	xys := make(plotter.XYs, len(ys))
 	for i, y := range ys {
-		xys[i] = plotter.XY{X: float64(i), Y: max(y, 0.001)}
+		xys[i] = plotter.XY{X: float64(i), Y: max(y, least)}
 	}
 	return xys
 }
