free the share of an account's limit that a host held which has gone

Cause: the ledger of limits was never told that a peer had gone.

Ruled out: forgetting a peer at the first missed heartbeat; a short silence would let two hosts use the same share.

Change: the demand of a peer that has sent no digest for 10 s counts no more.

Conclusion: a limit is used in full by the hosts that live.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,6 +56,8 @@
 	draining bool
 	drainAt  ident.Time
 	wakeAt   ident.Time
+	// heard is when each peer of the data centre last sent a digest.
+	heard map[ident.EntryID]ident.Time
 	// tellAt is when the demand of the accounts is told next.
 	tellAt ident.Time
 	out    []event.Effect
@@ -71,6 +73,7 @@
 		once:     once.New(self.ID, self.Incarnation),
 		quota:    quota.New(self.ID, self.Place.DataCentre),
 		pools:    newPools(),
+		heard:    make(map[ident.EntryID]ident.Time),
 		requests: make(map[ident.RequestID]*request),
 		attempts: make(map[ident.Attempt]*attempt),
 	}
@@ -174,6 +177,7 @@
 
 func (rd *Reducer) digest(now ident.Time, d event.Digest) {
 	rd.table.DigestReceived(now, d)
+	rd.heard[d.Host.ID] = now
 	if d.AccountsTold {
 		rd.quota.PeerDemand(now, d.Host.ID, d.Accounts)
 	}
@@ -242,7 +246,25 @@
 // second that a host may spend on control.
 const tellEach = 4
 
+// goneAfter is the silence of a peer after which its demand counts no more. It
+// is the time after which members count a host as dead.
+const goneAfter = 10 * time.Second
+
+// dropGone forgets the demand of peers that have gone. A host that is replaced
+// by one of another name never reports again: its last demand would keep its
+// share of every limit, and callers of the others would be refused below their
+// limits until these restart too. The order of the peers does not show.
+func (rd *Reducer) dropGone(now ident.Time) {
+	for id, at := range rd.heard {
+		if now.Sub(at) > goneAfter {
+			delete(rd.heard, id)
+			rd.quota.Drop(id)
+		}
+	}
+}
+
 func (rd *Reducer) own(now ident.Time) member.Own {
+	rd.dropGone(now)
 	own := member.Own{
 		Revision:       rd.spread.Revision(),
 		CentreAccounts: func() []event.AccountUse { return rd.quota.CentreDemand(now) },
