--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -13,6 +13,10 @@
 // shorter than a drain is announced before a host stops answering.
 const entriesValid = 5 * time.Second
 
+// nearbyValid is how long a caller may go by the hosts near it. It bounds how
+// long callers keep to a host that has gone.
+const nearbyValid = 2 * time.Second
+
 // questions answers callers and operators who ask.
 func (rd *Reducer) questions(now ident.Time, ev event.Event) {
 	switch e := ev.(type) {
@@ -20,6 +24,8 @@
 		rd.ticket(now, e)
 	case event.EntriesAsked:
 		rd.entries(now, e)
+	case event.NearbyAsked:
+		rd.emit(event.EntriesAnswered{Ask: e.Ask, Valid: nearbyValid, Entries: rd.table.Nearby(now, e.Near)})
 	case event.RouteAsked:
 		rd.explain(now, e)
 	case event.StatusAsked:
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -80,7 +80,7 @@
 	r.live = a
 	r.tries++
 	if dec.Target == nil {
-		rd.forward(r, a)
+		rd.forward(now, r, a)
 		return
 	}
 	a.target = dec.Target.ID
@@ -90,12 +90,12 @@
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
 		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered,
-		Once: r.once, Keep: r.once && !r.forwarded,
+		Once: r.finishes(), Keep: r.keeps() && !r.forwarded, Basis: rd.basis(now, r, dec),
 	})
 }
 
 // forward passes the request to an entry host of another data centre.
-func (rd *Reducer) forward(r *request, a *attempt) {
+func (rd *Reducer) forward(now ident.Time, r *request, a *attempt) {
 	a.host = a.dec.Host
 	rd.table.OfferTake(a.dec.Centre, a.dec.Pool)
 	env := event.Envelope{
@@ -108,7 +108,7 @@
 	}
 	rd.emit(event.Forward{
 		Request: r.ID, To: a.host, Envelope: env, Deadline: r.deadline, Resume: r.delivered,
-		Once: r.once, Keep: r.once,
+		Once: r.finishes(), Keep: r.keeps(), Basis: rd.basis(now, r, a.dec), Service: r.profile.Service,
 	})
 }
 
@@ -119,9 +119,10 @@
 }
 
 // firstToken takes the beginning of an answer for a sign of life.
-func (rd *Reducer) firstToken(e event.FirstToken) {
+func (rd *Reducer) firstToken(now ident.Time, e event.FirstToken) {
 	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && a.target != "" {
 		rd.table.Answered(a.target)
+		rd.table.Began(a.target, a.dec.Prefill, now.Sub(a.start))
 	}
 }
 
@@ -187,7 +188,7 @@
 		rd.close(now, r, event.Done)
 		rd.emit(event.Finish{Request: r.ID, Outcome: event.Done})
 	case event.ResultNotRun:
-		rd.again(now, r, a, refusal{code: codes.NoTarget.ID, outcome: event.NotRun, later: e.RetryAfter})
+		rd.again(now, r, a, e, shedBy(a, e))
 	case event.ResultFailed, event.ResultBroken:
 		rd.broken(now, r, a, e)
 	}
@@ -202,6 +203,15 @@
 		return
 	}
 	r.mayHaveRun = true
+	if e.Held && (r.once || !rd.mayTryAgain(now, r, a, e)) {
+		// The target's own word of its failure says more than any of ours.
+		rd.deliver(now, r)
+		return
+	}
+	if e.Held {
+		rd.elsewhereSoon(now, r, a, refusal{code: codes.TargetFailed.ID, outcome: event.Unknown})
+		return
+	}
 	if r.once {
 		rd.end(now, r, refusal{code: codes.OutcomeUnknown.ID, outcome: event.Unknown})
 		return
@@ -211,17 +221,24 @@
 		rd.end(now, r, ref)
 		return
 	}
-	if e.Resumable && e.Generated > 0 {
+	if e.Resumable && e.Generated > 0 && r.profile.Route == nil {
 		rd.resume(now, r, a, ref)
 		return
 	}
-	rd.again(now, r, a, ref)
+	rd.again(now, r, a, e, ref)
+}
+
+// deliver gives the caller the whole answer that is held, though it tells of a
+// failure.
+func (rd *Reducer) deliver(now ident.Time, r *request) {
+	rd.close(now, r, event.Done)
+	rd.emit(event.Finish{Request: r.ID, Outcome: event.Done})
 }
 
 // again tries a request elsewhere, after a pause and within the budget, or
 // ends it.
-func (rd *Reducer) again(now ident.Time, r *request, a *attempt, ref refusal) {
-	if r.tries >= retry.MaxTries || !rd.budget.Spend(now) {
+func (rd *Reducer) again(now ident.Time, r *request, a *attempt, e event.AttemptEnded, ref refusal) {
+	if !rd.mayTryAgain(now, r, a, e) {
 		rd.end(now, r, ref)
 		return
 	}
@@ -292,7 +309,7 @@
 	r.barring = nil
 	switch e.Answer {
 	case event.Barred, event.Refused:
-		rd.again(now, r, a, refusal{code: codes.NoTarget.ID, outcome: event.NotRun})
+		rd.again(now, r, a, event.AttemptEnded{Result: event.ResultNotRun}, refusal{code: codes.NoTarget.ID, outcome: event.NotRun})
 	default:
 		rd.end(now, r, refusal{code: codes.OutcomeUnknown.ID, outcome: event.Unknown})
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,7 +31,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// drainLeast is how long a drain lasts at least: long enough for the word of
+// drainLeast is how long a drain lasts at least where no bound is given: long enough for the word of
 // it to reach the peers, and for callers that were told of this host a moment
 // ago to be told of others instead of meeting a closed port. A caller may go by
 // its list for entriesValid.
@@ -46,7 +46,13 @@
 	once   *once.Registry
 	quota  *quota.Ledger
 	budget retry.Budget
-	pools  pools
+	// bounds and services hold what routes are served by: the bounds of all
+	// hosts together, and the budget of second tries of each service.
+	bounds   Bounds
+	services map[string]*retry.Budget
+	// hostsMost is the most entry hosts that were known at one time.
+	hostsMost int
+	pools     pools
 	agenda agenda
 
 	requests map[ident.RequestID]*request
@@ -64,20 +70,30 @@
 }
 
 // New returns the reducer of a host that knows nothing yet.
-func New(self event.Host) *Reducer {
+func New(self event.Host) *Reducer { return NewBounded(self, Bounds{}) }
+
+// NewBounded returns a reducer that keeps to bounds which hold for all hosts
+// together.
+func NewBounded(self event.Host, bounds Bounds) *Reducer {
 	rd := &Reducer{
+		bounds:   bounds.filled(),
+		services: make(map[string]*retry.Budget),
 		self:     self,
 		table:    member.New(self),
 		router:   route.New(),
 		spread:   spread.New(self),
 		once:     once.New(self.ID, self.Incarnation),
-		quota:    quota.New(self.ID, self.Place.DataCentre),
+		quota:    quota.New(self.ID, self.Place.Group()),
 		pools:    newPools(),
 		heard:    make(map[ident.EntryID]ident.Time),
 		requests: make(map[ident.RequestID]*request),
 		attempts: make(map[ident.Attempt]*attempt),
 	}
-	rd.quota.Place(self.Place.DataCentre, self.Place.Region)
+	rd.quota.Place(self.Place.Group(), self.Place.Region)
+	rd.table.SetCold(member.Cold{PerSecond: rd.coldPerSecond, Span: rd.coldSpan})
+	if bounds.Pace > 0 {
+		rd.table.SetPace(bounds.Pace)
+	}
 	return rd
 }
 
@@ -108,7 +124,7 @@
 	case event.AttemptSent:
 		rd.attemptSent(e)
 	case event.FirstToken:
-		rd.firstToken(e)
+		rd.firstToken(now, e)
 	case event.AttemptEnded:
 		rd.attemptEnded(now, e)
 	case event.CallerLeft:
@@ -154,6 +170,8 @@
 	switch e := ev.(type) {
 	case event.LoadReported:
 		rd.table.LoadReported(now, e.Load)
+	case event.LoadSeen:
+		rd.table.LoadSeen(now, e)
 	case event.LoadFailed:
 		rd.table.LoadFailed(now, e.Target)
 	case event.CacheChanged:
@@ -162,6 +180,9 @@
 		rd.table.HostsRead(now, e)
 	case event.PlatformFailed:
 		rd.spread.Failed(now, e.Op)
+		if e.Op == event.OpReadHosts {
+			rd.table.ListFailed(now)
+		}
 	case event.WatchIdle:
 		rd.spread.Idle(now)
 	case event.DrainAsked:
@@ -193,10 +214,10 @@
 // asks by itself: the one that speaks may be frozen and not yet missed, and in
 // a data centre that is cut off from the platform a change would wait for that.
 func (rd *Reducer) summary(now ident.Time, s event.Summary, direct bool) {
-	rd.quota.Place(s.Place.DataCentre, s.Place.Region)
-	rd.quota.CentreHeard(now, s.Place.DataCentre)
+	rd.quota.Place(s.Place.Group(), s.Place.Region)
+	rd.quota.CentreHeard(now, s.Place.Group())
 	if !s.AccountsKept {
-		rd.quota.CentreReport(now, s.Place.DataCentre, s.Accounts)
+		rd.quota.CentreReport(now, s.Place.Group(), s.Accounts)
 	}
 	if !direct && !rd.table.Speaks(now) {
 		return
@@ -234,7 +255,7 @@
 	for _, id := range rd.once.Expire(now) {
 		rd.emit(event.ForgetOutcome{Request: id})
 	}
-	if rd.draining && len(rd.requests) == 0 && now.Sub(rd.drainAt) >= drainLeast {
+	if rd.draining && len(rd.requests) == 0 && now.Sub(rd.drainAt) >= rd.bounds.DrainLeast {
 		rd.emit(event.Drained{})
 	}
 	rd.wake(now)
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -138,7 +138,7 @@
 func (rd *Reducer) enqueue(now ident.Time, pl *pool, r *request, dec route.Decision) {
 	it := admit.Item{
 		ID: r.ID, Account: r.Account, Home: r.profile.Confined(), Priority: r.profile.Priority,
-		Deadline: r.deadline, Work: pl.work(r),
+		Deadline: r.startBy(), Work: pl.work(r),
 	}
 	ok, shed, later := pl.queue.Push(now, it, dec.Wait)
 	rd.shed(now, shed, later)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -43,6 +43,8 @@
 	tried        value.Set[ident.TargetID]
 	triedCentres value.Set[ident.DataCentre]
 	tries        int
+	// unsent counts the tries of which nothing was sent to a target.
+	unsent int
 	// waits counts how often a broken stream found no place to go on.
 	waits int
 	live  *attempt
@@ -90,7 +92,7 @@
 		return
 	}
 	rd.requests[req.ID] = r
-	rd.budget.Arrived(now)
+	rd.arrived(now, r)
 	rd.onceFirst(now, r)
 }
 
@@ -118,16 +120,19 @@
 	// again here, since a host with an older profile, or one that was led
 	// astray by a forged envelope, would otherwise bring data to a place where
 	// nobody looks for it.
-	if !p.Allows(c, rd.self.Place.Region) {
+	// A request of a route may only stop here on its way to a region that is
+	// allowed; its caller was told of this host and knows no other.
+	if !p.Allows(c, rd.self.Place.Region) && (p.Route == nil || r.forwarded) {
 		return rd.elsewhere(now, r, codes.OutsideResidency), false
 	}
 	if r.forwarded && rd.circles(r) {
 		return refuseAs(codes.TooManyHops), false
 	}
-	if rd.draining && r.Ticket == "" {
+	if rd.draining && r.Ticket == "" && !rd.stillServes(now, p) {
 		return rd.elsewhere(now, r, codes.Draining), false
 	}
-	r.once = p.Once || r.Ticket != "" || r.Key != ""
+	r.once = p.Once || r.Ticket != "" || r.Key != "" || p.Route != nil && !p.Route.Repeatable()
+	rd.pickService(r)
 	return rd.judgeTime(now, r)
 }
 
--- /dev/null
+++ b/internal/core/routed.go
@@ -0,0 +1,198 @@
+package core
+
+import (
+	"cmp"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/internal/retry"
+	"verbenadale.example/verbenadale/internal/route"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// Bounds hold for all entry hosts of a deployment together. Zero fields stand
+// for the defaults.
+type Bounds struct {
+	// RetryRatio is the most second tries at a service for each of its
+	// requests, RetryFloor those that need no requests, both in one
+	// retry.Window.
+	RetryRatio float64
+	RetryFloor int
+	// ColdOvershoot and ColdSlack widen the rate of a cold target to what all
+	// hosts may send it in one second.
+	ColdOvershoot, ColdSlack float64
+	// DrainLeast is how long a drain lasts at least, DrainServe how long new
+	// requests of routes are still served in it.
+	DrainLeast, DrainServe time.Duration
+	// Pace is the fixed part of the time between summaries to data centres
+	// that want nothing.
+	Pace time.Duration
+}
+
+// filled returns the bounds with their defaults.
+func (b Bounds) filled() Bounds {
+	b.DrainLeast = cmp.Or(b.DrainLeast, drainLeast)
+	return b
+}
+
+// retryMargin is the part of the budget of second tries that is used. The rest
+// covers that each host counts in whole seconds, and tries that are under way
+// from one second to the next.
+const retryMargin = 0.8
+
+// service returns the budget of second tries of a service. The floor is split
+// evenly among the most hosts that were known at one time, so that the sum stays
+// within it whoever is cut off from whom; the ratio is of the requests that this
+// host took itself, which sum up by themselves.
+func (rd *Reducer) service(name string) *retry.Budget {
+	b, ok := rd.services[name]
+	if !ok {
+		b = &retry.Budget{}
+		rd.services[name] = b
+	}
+	rd.hostsMost = max(rd.hostsMost, rd.table.HostCount())
+	b.Share = retryMargin * rd.bounds.RetryRatio
+	b.Floor = int(retryMargin * float64(rd.bounds.RetryFloor) / float64(rd.hostsMost))
+	if b.Floor == 0 {
+		b.Floor = -1
+	}
+	if b.Share == 0 {
+		b.Share = -1
+	}
+	return b
+}
+
+// arrived counts a request for the budgets of second tries. One that another
+// host passed on was counted there.
+func (rd *Reducer) arrived(now ident.Time, r *request) {
+	if r.profile.Route == nil {
+		rd.budget.Arrived(now)
+		return
+	}
+	if !r.forwarded {
+		rd.service(r.profile.Service).Arrived(now)
+	}
+}
+
+// maxUnsent bounds the tries of one request of which no byte reached a target.
+// They cost the targets nothing, but each takes some of the caller's time.
+const maxUnsent = 4
+
+// mayTryAgain decides whether a request may be tried again after an attempt
+// ended, and takes what that costs from the budget.
+func (rd *Reducer) mayTryAgain(now ident.Time, r *request, a *attempt, e event.AttemptEnded) bool {
+	rt := r.profile.Route
+	if rt == nil {
+		return r.tries < retry.MaxTries && rd.budget.Spend(now)
+	}
+	if e.Result == event.ResultNotRun && !reached(a, e) {
+		r.tries--
+		r.unsent++
+		return r.unsent <= maxUnsent
+	}
+	// The host that passed a request on counts its tries.
+	return !r.forwarded && r.tries < max(rt.MaxAttempts, 1) && rd.service(r.profile.Service).Spend(now)
+}
+
+// reached reports whether a request that was not run has been seen by a target.
+func reached(a *attempt, e event.AttemptEnded) bool {
+	if a.target == "" {
+		return e.Code == codes.Overloaded.ID
+	}
+	return a.sent
+}
+
+// shedBy is the refusal of a request that a target or another host turned away.
+func shedBy(a *attempt, e event.AttemptEnded) refusal {
+	ref := refusal{code: codes.NoTarget.ID, outcome: event.NotRun, later: e.RetryAfter}
+	if reached(a, e) {
+		ref.code = codes.Overloaded.ID
+	}
+	return ref
+}
+
+// pickService settles the service of a request of a route. The host that passed
+// it on has picked already: its configuration may be another one, and one
+// request must not be counted at two services.
+func (rd *Reducer) pickService(r *request) {
+	rt := r.profile.Route
+	if rt == nil {
+		return
+	}
+	if r.Service == "" {
+		r.Service = rt.Pick(rank.Hash(string(r.ID)))
+	}
+	r.profile.Service = r.Service
+}
+
+// finishes reports whether an attempt goes on though its caller has left. Only
+// a plain call does that may not be repeated: its caller can still be told that
+// it ran. A stream is of no use to anyone else.
+func (r *request) finishes() bool {
+	rt := r.profile.Route
+	return r.once && (rt == nil || rt.Kind != rules.Streaming)
+}
+
+// keeps reports whether the answer is kept for repeats with the same ticket or
+// key, of which a request of a route has none.
+func (r *request) keeps() bool { return r.once && r.profile.Route == nil }
+
+// lateGoals is how many times its goal a request of a route may have waited
+// when it starts. Past that it is of little use to its caller, and the time that
+// it would take makes the next ones late too.
+const lateGoals = 2
+
+// startBy returns when a request that waits must have ended.
+func (r *request) startBy() ident.Time {
+	rt := r.profile.Route
+	if rt == nil || rt.GoalMs <= 0 {
+		return r.deadline
+	}
+	return min(r.deadline, r.arrived.Add(lateGoals*rt.Goal()))
+}
+
+// stillServes reports whether a host that drains takes a request all the same.
+// Callers keep to a host for as long as they were told of it, and a refusal
+// costs them a try.
+func (rd *Reducer) stillServes(now ident.Time, p rules.Profile) bool {
+	return p.Route != nil && now.Sub(rd.drainAt) < rd.bounds.DrainServe
+}
+
+// coldPerSecond is how many requests a second all hosts together may send to a
+// cold target of a service.
+func (rd *Reducer) coldPerSecond(service string) float64 {
+	s, ok := rd.spread.Book().Service(service)
+	if !ok || s.ColdPerSecond <= 0 {
+		return 0
+	}
+	return s.ColdPerSecond*max(rd.bounds.ColdOvershoot, 1) + rd.bounds.ColdSlack
+}
+
+func (rd *Reducer) coldSpan(service string) time.Duration {
+	s, _ := rd.spread.Book().Service(service)
+	return time.Duration(s.ColdMs) * time.Millisecond
+}
+
+// noLoad is the age of a load that is not known.
+const noLoad = -1
+
+// basis tells what a decision about a request of a route was made by.
+func (rd *Reducer) basis(now ident.Time, r *request, dec route.Decision) event.Basis {
+	if r.profile.Route == nil {
+		return event.Basis{}
+	}
+	b := event.Basis{Revision: rd.spread.Revision(), Try: r.tries, Wait: dec.Wait, LoadAge: noLoad}
+	if r.arrived > 0 {
+		b.Waited = now.Sub(r.arrived)
+	}
+	if t := dec.Target; t != nil {
+		b.Busy = t.Outstanding(now)
+		if t.HasLoad {
+			b.LoadAge = now.Sub(t.LoadAt)
+		}
+	}
+	return b
+}
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -12,7 +12,7 @@
 // settled it already.
 func (rd *Reducer) onceFirst(now ident.Time, r *request) {
 	switch {
-	case r.forwarded || !r.once:
+	case r.forwarded || !r.once || r.profile.Route != nil:
 		rd.admitted(now, r)
 	case r.Ticket != "":
 		rd.verdict(now, r, rd.once.Redeem(now, r.Ticket, r.Account, r.Profile, r.ID, r.Print))
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -25,6 +25,24 @@
 	Once bool `json:"once,omitempty"`
 	// Keep says that the answer is to be kept for repeats.
 	Keep bool `json:"keep,omitempty"`
+	// Basis is what the choice was made by.
+	Basis Basis `json:"basis"`
+}
+
+// Basis is what a decision about a request was made by, for the log.
+type Basis struct {
+	// Revision is the configuration that it was judged by.
+	Revision ident.Revision `json:"revision"`
+	// Try counts the tries of the request, this one included.
+	Try int `json:"try"`
+	// Waited is the time since the request arrived, Wait the predicted time to
+	// its first token.
+	Waited time.Duration `json:"waited"`
+	Wait   time.Duration `json:"wait"`
+	// Busy counts the requests that the target was taken to have, LoadAge is
+	// how old the word of it is, negative for none.
+	Busy    int           `json:"busy"`
+	LoadAge time.Duration `json:"loadAge"`
 }
 
 // Forward asks the request's goroutine to pass the request to another entry
@@ -37,6 +55,9 @@
 	Resume   ident.Tokens    `json:"resume,omitempty"`
 	Once     bool            `json:"once,omitempty"`
 	Keep     bool            `json:"keep,omitempty"`
+	// Service is the service that was picked for a request of a route.
+	Service string `json:"service,omitempty"`
+	Basis   Basis  `json:"basis"`
 }
 
 // Refuse gives a request its final answer, for a request of which nothing has
@@ -51,6 +72,8 @@
 	Entries []Host `json:"entries,omitempty"`
 	// Reason is one plain sentence for the answer and the log.
 	Reason string `json:"reason,omitempty"`
+	// Basis is what the refusal was decided by.
+	Basis Basis `json:"basis"`
 }
 
 // Finish says that the request is over and its answer was passed on whole.
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -11,6 +11,19 @@
 type Place struct {
 	DataCentre ident.DataCentre `json:"dataCentre"`
 	Region     ident.Region     `json:"region"`
+	// Reach names the group of data centres whose hosts send to the same
+	// targets, where that is more than the data centre: the region, where
+	// targets take connections from their whole region.
+	Reach ident.DataCentre `json:"reach,omitempty"`
+}
+
+// Group names the hosts and targets that belong together: those of one data
+// centre, or of one reach.
+func (p Place) Group() ident.DataCentre {
+	if p.Reach != "" {
+		return p.Reach
+	}
+	return p.DataCentre
 }
 
 // Host describes one entry host to its peers.
@@ -47,6 +60,17 @@
 	Leaving bool   `json:"leaving,omitempty"`
 	// Price is the cost of one second of one slot, in cost units.
 	Price float64 `json:"price,omitempty"`
+	// Capacity is how many requests it runs at once, zero where only its load
+	// report tells.
+	Capacity int `json:"capacity,omitempty"`
+	// Closed says that the operator has its data centre emptied: nothing more
+	// is sent there until that is taken back.
+	Closed bool `json:"closed,omitempty"`
+	// ColdFor is how long it stays cold from now on, during which it takes
+	// only a few requests a second.
+	ColdFor time.Duration `json:"coldFor,omitempty"`
+	// Loaded lists what it serves, where the list and not a load report tells.
+	Loaded []rules.Serve `json:"loaded,omitempty"`
 }
 
 // Load is what a target reports of itself. It lags: AgeMs says by how much
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -23,9 +23,9 @@
 var (
 	eventTypes = namesOf[Event](
 		RequestArrived{}, AttemptSent{}, FirstToken{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
-		TicketAsked{}, EntriesAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
+		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
-		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadFailed{}, CacheChanged{},
+		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, LoadFailed{}, CacheChanged{},
 		HostsRead{}, PlatformFailed{}, WatchIdle{},
 	)
 	effectTypes = namesOf[Effect](
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -48,6 +48,13 @@
 	// last, for cache affinity. They are compared with the cache events of
 	// engines and never leave the host.
 	Prefix []uint64 `json:"prefix,omitempty"`
+	// Shared is how many blocks of Prefix other requests probably begin with
+	// too, zero where that is unknown.
+	Shared int `json:"shared,omitempty"`
+	// Service is the service that was picked for a request of a route.
+	Service string `json:"service,omitempty"`
+	// Model is the model that a request of a route names.
+	Model ident.Model `json:"model,omitempty"`
 	// Deadline is when the caller stops waiting; zero stands for the
 	// profile's.
 	Deadline ident.Time `json:"deadline"`
@@ -137,6 +144,9 @@
 	Resumable bool `json:"resumable,omitempty"`
 	// Kept says that the outcome was kept for repeats by the traffic side.
 	Kept bool `json:"kept,omitempty"`
+	// Held says that a whole answer which tells of a failure is held and can
+	// be given to the caller.
+	Held bool `json:"held,omitempty"`
 }
 
 // CallerLeft says that the caller has closed its connection.
@@ -193,6 +203,12 @@
 	Spread uint64 `json:"spread"`
 }
 
+// NearbyAsked asks which entry hosts a caller at a place should use.
+type NearbyAsked struct {
+	Ask  Ask   `json:"ask"`
+	Near Place `json:"near"`
+}
+
 // RouteAsked asks where a request would go and why, without sending it.
 type RouteAsked struct {
 	Ask     Ask     `json:"ask"`
@@ -212,5 +228,6 @@
 func (KeyClaimed) isEvent()     {}
 func (TicketAsked) isEvent()    {}
 func (EntriesAsked) isEvent()   {}
+func (NearbyAsked) isEvent() {}
 func (RouteAsked) isEvent()     {}
 func (StatusAsked) isEvent()    {}
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -71,6 +71,15 @@
 	Load Load `json:"load"`
 }
 
+// LoadSeen brings what an answer of a target told of its load. It counts here
+// only and is not passed on: each host sees answers of its own.
+type LoadSeen struct {
+	Target  ident.TargetID `json:"target"`
+	Running int            `json:"running"`
+	Queued  int            `json:"queued"`
+	Slots   int            `json:"slots"`
+}
+
 // LoadFailed says that a target did not give its load report.
 type LoadFailed struct {
 	Target ident.TargetID `json:"target"`
@@ -91,6 +100,10 @@
 	Version uint64   `json:"version"`
 	Hosts   []Host   `json:"hosts"`
 	Targets []Target `json:"targets"`
+	// Complete says that the list is no older than a moment and names every
+	// host and target that the platform counts as there, so that what it lacks
+	// has gone.
+	Complete bool `json:"complete,omitempty"`
 }
 
 // PlatformOp names a call to the platform.
@@ -127,6 +140,7 @@
 func (BarAsked) isEvent()         {}
 func (BarAnswered) isEvent()      {}
 func (LoadReported) isEvent()     {}
+func (LoadSeen) isEvent()         {}
 func (LoadFailed) isEvent()       {}
 func (CacheChanged) isEvent()     {}
 func (HostsRead) isEvent()        {}
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -137,14 +137,14 @@
 func (tb *Table) Centres(ident.Time) []*Centre { return tb.centres }
 
 func (tb *Table) findCentre(dc ident.DataCentre) (int, bool) {
-	return slices.BinarySearchFunc(tb.centres, dc, func(c *Centre, dc ident.DataCentre) int { return cmp.Compare(c.Place.DataCentre, dc) })
+	return slices.BinarySearchFunc(tb.centres, dc, func(c *Centre, dc ident.DataCentre) int { return cmp.Compare(c.Place.Group(), dc) })
 }
 
 // centre returns a data centre, made if it is new.
 func (tb *Table) centre(place event.Place) *Centre {
-	i, ok := tb.findCentre(place.DataCentre)
+	i, ok := tb.findCentre(place.Group())
 	if !ok {
-		tb.centres = slices.Insert(tb.centres, i, &Centre{Place: place, slow: slowEvery})
+		tb.centres = slices.Insert(tb.centres, i, &Centre{Place: place, slow: tb.slow})
 		slow := tb.slowPace()
 		for _, c := range tb.centres {
 			c.slow = slow
@@ -156,12 +156,12 @@
 // slowPace is the time between two summaries to a data centre that wants
 // nothing.
 func (tb *Table) slowPace() time.Duration {
-	return slowEvery + time.Duration(len(tb.centres))*slowEach
+	return tb.slow + time.Duration(len(tb.centres))*slowEach
 }
 
 // accountsPace is the time between two summaries with the demand of accounts.
 func (tb *Table) accountsPace() time.Duration {
-	return slowEvery + time.Duration(len(tb.centres))*accountsEach
+	return tb.slow + time.Duration(len(tb.centres))*accountsEach
 }
 
 // SummaryReceived takes the state of another data centre, to be passed on to
@@ -172,7 +172,7 @@
 }
 
 func (tb *Table) takeSummary(now ident.Time, s event.Summary, direct bool) {
-	if s.Place.DataCentre == tb.self.Place.DataCentre {
+	if s.Place.Group() == tb.self.Place.Group() {
 		return
 	}
 	c := tb.centre(s.Place)
@@ -382,7 +382,7 @@
 	var dcs []ident.DataCentre
 	for _, c := range tb.centres {
 		if c.lacks() {
-			dcs = append(dcs, c.Place.DataCentre)
+			dcs = append(dcs, c.Place.Group())
 		}
 	}
 	return dcs
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -49,6 +49,9 @@
 	tb.list.readAt = now
 	tb.listTargets(now, ev.Targets)
 	tb.listHosts(now, ev.Hosts)
+	if ev.Complete {
+		tb.listComplete(now)
+	}
 }
 
 func (tb *Table) listHosts(now ident.Time, hosts []event.Host) {
@@ -59,7 +62,7 @@
 		c.listed = c.listed[:0]
 	}
 	for _, h := range sortedHosts(hosts) {
-		if h.Place.DataCentre != tb.self.Place.DataCentre {
+		if h.Place.Group() != tb.self.Place.Group() {
 			c := tb.centre(h.Place)
 			c.listed = append(c.listed, h)
 			continue
@@ -93,7 +96,7 @@
 		t.listed = false
 	}
 	for _, t := range targets {
-		if t.Place.DataCentre == tb.self.Place.DataCentre {
+		if t.Place.Group() == tb.self.Place.Group() {
 			tb.putTarget(now, t)
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -119,6 +119,10 @@
 	list  listState
 	beat  beatState
 	relay []event.Load
+	cold  Cold
+	// slow is the fixed part of the time between summaries to a data centre
+	// that wants nothing.
+	slow time.Duration
 }
 
 // listState follows the platform's list of hosts.
@@ -130,6 +134,9 @@
 	nextRead ident.Time
 	// changed says that peers have not been told of the newest list.
 	changed bool
+	// away says that the last read failed, backAt when one came after that.
+	away   bool
+	backAt ident.Time
 }
 
 // beatState follows the digests and summaries that this host sends.
@@ -152,9 +159,15 @@
 		byID:  make(map[ident.TargetID]*Target),
 		byKey: make(map[event.TargetKey]*Target),
 		left:  make(map[ident.TargetID]leftWord),
+		slow:  slowEvery,
 	}
 }
 
+// SetPace changes the fixed part of the time between summaries to a data centre
+// that wants nothing. A data centre counts as cut off after three of them, and
+// callers are sent to its hosts for that long after it has gone.
+func (tb *Table) SetPace(slow time.Duration) { tb.slow = slow }
+
 // Self returns this host.
 func (tb *Table) Self() event.Host { return tb.self }
 
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -177,7 +177,7 @@
 		}
 	}
 	for _, t := range tb.targets {
-		if t.Leaves || t.Suspect(now) {
+		if !t.Usable(now) || t.Cold(now) {
 			continue
 		}
 		tb.countTarget(now, t)
@@ -214,7 +214,7 @@
 	}
 	p.targets++
 	p.Slots += t.Slots()
-	p.Free += max(0, t.Slots()-out)
+	p.Free += t.free(now, out)
 	p.PrefillRate += t.Load.PrefillRate
 	p.DecodeRate += t.Load.DecodeRate
 	p.prices += t.Price
@@ -281,7 +281,7 @@
 }
 
 func (tb *Table) askRank(salt uint64, i int) uint64 {
-	return rank.Join(salt, rank.Hash(string(tb.centres[i].Place.DataCentre)))
+	return rank.Join(salt, rank.Hash(string(tb.centres[i].Place.Group())))
 }
 
 // split divides n into k parts that differ by one at most and sum up to n.
@@ -349,6 +349,32 @@
 	return max(0, min(share, grown)-tb.unseen(now, c, id))
 }
 
+// SpareLeft returns how many more requests this host may pass on to a data
+// centre without an offer: its share of what that centre counted as spare, less
+// what it has sent since.
+func (tb *Table) SpareLeft(now ident.Time, dc ident.DataCentre, id PoolID) int {
+	i, ok := tb.findCentre(dc)
+	if !ok {
+		return 0
+	}
+	c := tb.centres[i]
+	p := c.Pool(id)
+	if p == nil || c.CutOff(now) {
+		return 0
+	}
+	return max(0, tb.ownShare(now, dc, spare(p.Free, p.Slots))-tb.unseen(now, c, id))
+}
+
+// HostCount returns how many entry hosts there are as far as this one knows,
+// itself included.
+func (tb *Table) HostCount() int {
+	n := 1 + len(tb.peers)
+	for _, c := range tb.centres {
+		n += len(c.Hosts)
+	}
+	return n
+}
+
 // unseen returns how many requests of those under way to a data centre its
 // offer does not know of.
 //
@@ -358,7 +384,7 @@
 // offer for more would meet at 5 each, while requests wait here. An offer that
 // is too old to tell is charged with everything under way.
 func (tb *Table) unseen(now ident.Time, c *Centre, id PoolID) int {
-	running := tb.underWay(c.Place.DataCentre, id)
+	running := tb.underWay(c.Place.Group(), id)
 	from := c.madePools.Add(-wayLag)
 	p := c.passedOn(id)
 	if p == nil || now.Sub(from) > recentSpan {
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -59,7 +59,7 @@
 // for one that is not believed: this host itself, or an incarnation that
 // another has followed.
 func (tb *Table) putPeer(now ident.Time, h event.Host) *peer {
-	if h.ID == tb.self.ID || h.Place.DataCentre != tb.self.Place.DataCentre {
+	if h.ID == tb.self.ID || h.Place.Group() != tb.self.Place.Group() {
 		return nil
 	}
 	i, ok := tb.peerIndex(h.ID)
@@ -102,7 +102,7 @@
 // proved who it is.
 func (tb *Table) PeerUp(now ident.Time, h event.Host) {
 	tb.Advance(now)
-	if h.Place.DataCentre != tb.self.Place.DataCentre {
+	if h.Place.Group() != tb.self.Place.Group() {
 		c := tb.centre(h.Place)
 		c.putHost(h)
 		if c.told.to == h.ID && c.told.incarnation != h.Incarnation {
--- /dev/null
+++ b/internal/member/seen.go
@@ -0,0 +1,71 @@
+package member
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// LoadSeen takes what an answer of a target told of its load.
+func (tb *Table) LoadSeen(now ident.Time, ev event.LoadSeen) {
+	tb.Advance(now)
+	t, ok := tb.byID[ev.Target]
+	if !ok {
+		return
+	}
+	t.Load.Target = t.ID
+	t.Load.Incarnation = t.Incarnation
+	t.Load.Running, t.Load.Queued = ev.Running, ev.Queued
+	if ev.Slots > 0 {
+		t.Load.Slots = ev.Slots
+	}
+	t.LoadAt = now
+	t.HasLoad = true
+}
+
+// Learning of the rate at which a target reads prompts.
+const (
+	// leastPrompt is the shortest prompt whose time tells of the rate: below
+	// it the fixed part of the time to a first token weighs more.
+	leastPrompt = 1000
+	// rateUp and rateDown are the parts by which the rate follows a sample. A
+	// sample holds what waited before it, so that the true rate is among the
+	// highest; it is followed up at once and down slowly.
+	rateUp   = 2
+	rateDown = 32
+)
+
+// Began takes the time from sending a request to the first token of its
+// answer, and the tokens of its prompt that were probably read in it.
+func (tb *Table) Began(id ident.TargetID, prefill ident.Tokens, took time.Duration) {
+	t, ok := tb.byID[id]
+	if !ok || t.Capacity == 0 || prefill < leastPrompt || took <= 0 {
+		return
+	}
+	rate := float64(prefill) / took.Seconds()
+	switch old := t.Load.PrefillRate; {
+	case old == 0:
+		t.Load.PrefillRate = rate
+	case rate > old:
+		t.Load.PrefillRate += (rate - old) / rateUp
+	default:
+		t.Load.PrefillRate -= (old - rate) / rateDown
+	}
+}
+
+// busyWait is the wait for the first token at which a target counts as full
+// when spare capacity is counted. An engine with long prompts has free slots
+// long after its time to a first token has become that of an overload.
+const busyWait = 600 * time.Millisecond
+
+// free returns the places of a target that new work may take, with the given
+// number of requests there.
+func (t *Target) free(now ident.Time, out int) int {
+	n := max(0, t.Slots()-out)
+	if t.Capacity == 0 {
+		return n
+	}
+	wait := min(t.prefillWait(now, out), busyWait)
+	return int(float64(n) * (1 - float64(wait)/float64(busyWait)))
+}
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -211,7 +211,7 @@
 // recipient picks the host of a data centre that a summary goes to: a live one
 // that relays, or, where none is known to live, another at each try.
 func (tb *Table) recipient(now ident.Time, c *Centre) (event.Host, bool) {
-	salt := rank.Hash("recipient", string(tb.self.Place.DataCentre))
+	salt := rank.Hash("recipient", string(tb.self.Place.Group()))
 	if c.CutOff(now) {
 		if len(c.Hosts) == 0 {
 			return event.Host{}, false
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -59,11 +59,19 @@
 	PeerTokens ident.Tokens
 	// Fails counts failures in a row.
 	Fails int
-	// Leaves says that the target leaves, from the first word of it.
+	// Leaves says that the target leaves, from the first word of it; Gone that
+	// a complete list of the platform lacks it.
 	Leaves bool
+	Gone   bool
 
 	listed bool
-	heard  ident.Time
+	// missing says that the newest complete list lacks it.
+	missing bool
+	// coldUntil is when it is no longer cold by its own word, coldSends the
+	// times of the newest sends to it while it was.
+	coldUntil ident.Time
+	coldSends []ident.Time
+	heard     ident.Time
 	met    bool
 	// cold is when the target was first seen or came back; warm says that it
 	// needs no ramp.
@@ -85,7 +93,7 @@
 	if t.Fails >= failsToSuspect {
 		return true
 	}
-	return t.met && now.Sub(t.heard) > silentAfter
+	return t.Capacity == 0 && t.met && now.Sub(t.heard) > silentAfter
 }
 
 // Slots returns how many requests the target runs at once.
@@ -93,6 +101,9 @@
 	if t.HasLoad && t.Load.Slots > 0 {
 		return t.Load.Slots
 	}
+	if t.Capacity > 0 {
+		return t.Capacity
+	}
 	return defaultSlots
 }
 
@@ -232,6 +243,9 @@
 	t.SentTokens += prefill
 	t.SentGenerated += generated
 	t.recent.add(tb.last, 1, prefill)
+	if t.Cold(tb.last) {
+		t.coldSends = append(t.coldSends, tb.last)
+	}
 }
 
 // Ended takes note of the end of a request at a target. A failure counts
@@ -333,8 +347,11 @@
 // putTarget takes a description of a target of the own data centre.
 func (tb *Table) putTarget(now ident.Time, d event.Target) {
 	t, ok := tb.byID[d.ID]
+	if ok {
+		tb.relist(now, t, d)
+	}
 	if !ok {
-		t = &Target{Target: d, listed: true, cold: now, heard: now, warm: now.Sub(tb.started) <= startGrace}
+		t = &Target{coldUntil: now.Add(d.ColdFor), Target: d, listed: true, cold: now, heard: now, warm: now.Sub(tb.started) <= startGrace}
 		tb.byID[d.ID] = t
 		i, _ := slices.BinarySearchFunc(tb.targets, d.ID, func(t *Target, id ident.TargetID) int { return cmp.Compare(t.ID, id) })
 		tb.targets = slices.Insert(tb.targets, i, t)
@@ -386,7 +403,9 @@
 	}
 }
 
-// polls returns the load reports that this host reads now. Each target is read
+// polls returns the load reports that this host reads now. A target whose
+// capacity the platform's list tells is not read: its answers carry its load.
+// Of the others each is read
 // by the live host that ranks first for it, which relays the report, so that
 // the reads of a target do not grow with the number of hosts. A suspect target
 // is probed by every host that suspects it, since the failure may be of the
@@ -394,7 +413,7 @@
 func (tb *Table) polls(now ident.Time) []event.Effect {
 	var effs []event.Effect
 	for _, t := range tb.targets {
-		if t.Suspect(now) || tb.poller(now, t.ID) == tb.self.ID {
+		if t.Suspect(now) || t.Capacity == 0 && tb.poller(now, t.ID) == tb.self.ID {
 			effs = append(effs, event.PollLoad{Target: t.Target, After: tb.own.after(t.ID)})
 		}
 	}
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -37,6 +37,7 @@
 func (tb *Table) reap(now ident.Time) {
 	tb.reapPeers(now)
 	tb.reapTargets(now)
+	tb.settleGone(now)
 	tb.reapWords(now)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -247,7 +247,7 @@
 }
 
 // near reports whether a host stands in the data centre of this one.
-func (m *Mesh) near(h event.Host) bool { return h.Place.DataCentre == m.cfg.Self.Place.DataCentre }
+func (m *Mesh) near(h event.Host) bool { return h.Place.Group() == m.cfg.Self.Place.Group() }
 
 // loop looks after the sessions.
 func (m *Mesh) loop() error {
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -44,6 +44,10 @@
 	return w.Tail
 }
 
+// engine reports whether a request is for an engine: it has a model, or names a
+// service and brings a prompt.
+func (q *Query) engine() bool { return q.Profile.Service == "" || q.Request.Prompt > 0 }
+
 // price fills in the costs of the candidates.
 func (rt *Router) price(v *view) {
 	v.mean = 0
@@ -76,7 +80,7 @@
 	before := t.Outstanding(v.now)
 	u := float64(before) / float64(t.Slots())
 	prefill, decode := 0.0, serviceTime
-	if q.Profile.Service == "" {
+	if q.engine() {
 		c.prefill = q.Request.Prompt + q.Resume - ident.Tokens(rt.cached(v, t, u))
 		prefill = span(float64(c.prefill), t.Load.PrefillRate)
 		decode = decodeTime(q, t.Load.DecodeRate) * (1 + batchSlow*u)
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -74,7 +74,7 @@
 	w := q.Profile.Weights
 	tail := tailWeight(w)
 	prefill, decode := 0.0, serviceTime
-	if q.Profile.Service == "" {
+	if q.engine() {
 		prefill = span(float64(q.Request.Prompt+q.Resume), p.PrefillRate)
 		decode = decodeTime(q, p.DecodeRate) * (1 + batchSlow*poolUse(p))
 	}
@@ -92,7 +92,7 @@
 
 // begun adds what must be gained to begin to cross.
 func (rt *Router) begun(v *view, c *member.Centre, p *event.Pool, k cost) cost {
-	if k.crossing > 0 && !rt.crossing(v.now, c.Place.DataCentre, poolID(p)) {
+	if k.crossing > 0 && !rt.crossing(v.now, c.Place.Group(), poolID(p)) {
 		k.crossing *= startFactor
 	}
 	return k
@@ -108,7 +108,7 @@
 
 func readyAbroad(v *view, c *member.Centre, p *event.Pool) time.Duration {
 	ready := p.Wait + trip(v, c)
-	if v.q.Profile.Service == "" {
+	if v.q.engine() {
 		ready += toTime(span(float64(v.q.Request.Prompt+v.q.Resume), p.PrefillRate))
 	}
 	return ready
@@ -148,7 +148,7 @@
 	for want := range wants(&v.q.Profile) {
 		for i := range c.Summary.Pools {
 			p := &c.Summary.Pools[i]
-			if p.Offer <= 0 || !poolMatches(&v.q.Profile, p, want) {
+			if p.Offer <= 0 && !v.stranded || !poolMatches(&v.q.Profile, p, want) {
 				continue
 			}
 			k := centreCost(v, c, p)
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -21,7 +21,7 @@
 		choices = append(choices, rt.explainTarget(v, t))
 	}
 	for _, c := range tb.Centres(now) {
-		if dec.Centre == c.Place.DataCentre {
+		if dec.Centre == c.Place.Group() {
 			chosen = len(choices)
 		}
 		choices = append(choices, rt.explainCentre(v, c))
@@ -40,7 +40,7 @@
 }
 
 func (rt *Router) explainCentre(v *view, c *member.Centre) event.Choice {
-	ch := event.Choice{DataCentre: c.Place.DataCentre}
+	ch := event.Choice{DataCentre: c.Place.Group()}
 	if code, out := centreRuledOut(v, c, centreFilters[:]); out {
 		ch.RuledOut = code
 		return ch
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"time"
+
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -20,9 +22,11 @@
 	{codes.FilterKind, wrongKind},
 	{codes.FilterModel, lacksModel},
 	{codes.FilterResidency, targetOutside},
-	{codes.FilterLeaving, func(_ *view, t *member.Target) bool { return t.Leaves }},
+	{codes.FilterLeaving, func(_ *view, t *member.Target) bool { return t.Leaves || t.Gone }},
+	{codes.FilterClosed, func(_ *view, t *member.Target) bool { return t.Closed }},
 	{codes.FilterHealth, func(v *view, t *member.Target) bool { return t.Suspect(v.now) }},
 	{codes.FilterTried, func(v *view, t *member.Target) bool { return v.q.Tried.Has(t.ID) }},
+	{codes.FilterCold, func(v *view, t *member.Target) bool { return v.tb.ColdFull(v.now, t) }},
 	{codes.FilterFull, full},
 }
 
@@ -37,7 +41,7 @@
 var centreFilters = [...]centreFilter{
 	{codes.FilterResidency, centreOutside},
 	{codes.FilterHops, hopsSpent},
-	{codes.FilterTried, func(v *view, c *member.Centre) bool { return v.q.TriedCentres.Has(c.Place.DataCentre) }},
+	{codes.FilterTried, func(v *view, c *member.Centre) bool { return v.q.TriedCentres.Has(c.Place.Group()) }},
 	{codes.FilterHealth, func(v *view, c *member.Centre) bool { return c.CutOff(v.now) || !hasHost(c) }},
 	{codes.FilterModel, func(v *view, c *member.Centre) bool { return !hasPool(&v.q.Profile, c) }},
 	{codes.FilterOffer, noOffer},
@@ -113,9 +117,36 @@
 	return v.outside
 }
 
-// full tells whether a target has neither a slot nor a place in its queue.
+// full tells whether a target has neither a slot nor a place in its queue, or
+// whether a request would wait there for too much of its time.
 func full(v *view, t *member.Target) bool {
-	return t.Outstanding(v.now) >= roomFor(v.q, t.Slots())
+	out := t.Outstanding(v.now)
+	if out >= roomFor(v.q, t.Slots()) {
+		return true
+	}
+	hold := holdAt(v.q)
+	return hold > 0 && t.Wait(v.now, out, 1) > hold
+}
+
+// The part of the time to a first byte that a request of a route may be
+// predicted to wait at a target, and the least time that it may.
+//
+// An engine takes long prompts in the order of their coming, at most a few of
+// them a second. What is sent beyond that waits at the engine, where neither a
+// more urgent request passes it nor a better place that becomes free can draw
+// it away. So it waits here instead.
+const (
+	holdPart  = 0.5
+	holdLeast = 150 * time.Millisecond
+)
+
+// holdAt returns the wait at a target past which a request waits here, zero for
+// none.
+func holdAt(q *Query) time.Duration {
+	if q.Profile.Route == nil || q.Profile.Route.GoalMs <= 0 {
+		return 0
+	}
+	return max(holdLeast, time.Duration(holdPart*float64(q.Profile.Route.Goal())))
 }
 
 // The queue that a target is allowed, as a part of its slots, and the reserve
@@ -190,12 +221,37 @@
 
 func noOffer(v *view, c *member.Centre) bool { return offered(v, c) == nil }
 
+// unoffered returns the pool of a data centre that a request may use without an
+// offer: one of its home, which must take it as its own callers', or one with
+// spare capacity where the own data centre has no target for it at all. To wait
+// for an offer there would refuse a second of callers at the moment in which
+// the last target here is lost or emptied.
+func unoffered(v *view, c *member.Centre) *event.Pool {
+	if v.q.Profile.Route == nil || !v.stranded {
+		return nil
+	}
+	homeless := outside(v, v.home)
+	for i := range c.Summary.Pools {
+		p := &c.Summary.Pools[i]
+		if p.Slots == 0 || !poolMatches(&v.q.Profile, p, 0) {
+			continue
+		}
+		if homeless || v.tb.SpareLeft(v.now, c.Place.Group(), poolID(p)) > 0 {
+			return p
+		}
+	}
+	return nil
+}
+
 // offered returns the pool of a data centre whose offer the request may use.
 func offered(v *view, c *member.Centre) *event.Pool {
+	if p := unoffered(v, c); p != nil {
+		return p
+	}
 	for want := range wants(&v.q.Profile) {
 		for i := range c.Summary.Pools {
 			p := &c.Summary.Pools[i]
-			if p.Offer > 0 && poolMatches(&v.q.Profile, p, want) && v.tb.OfferLeft(v.now, c.Place.DataCentre, poolID(p)) > 0 {
+			if p.Offer > 0 && poolMatches(&v.q.Profile, p, want) && v.tb.OfferLeft(v.now, c.Place.Group(), poolID(p)) > 0 {
 				return p
 			}
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -150,6 +150,9 @@
 	asked   bool
 	region  ident.Region
 	outside bool
+	// stranded says that no target of the own data centre may serve the
+	// request, not even one that only lacks room.
+	stranded bool
 }
 
 // look fills in the view of a decision, which lies in the router so that none
@@ -169,6 +172,7 @@
 	rt.price(v)
 	best := rt.cheapest(v)
 	if best == nil && full == nil {
+		v.stranded = true
 		dec, ok := rt.abroad(v, nil)
 		if !ok {
 			dec.Code = codes.NoTarget.ID
@@ -225,9 +229,10 @@
 		t := targets[i]
 		i = (i + step) % n
 		code := rt.consider(v, t)
-		if code == codes.FilterFull.ID && fulls < sampleSize {
+		if lacksRoom(code) && fulls < sampleSize {
 			fulls++
-			if w := t.Wait(v.now, t.Outstanding(v.now), 1); full == nil || w < fullWait {
+			w := max(t.Wait(v.now, t.Outstanding(v.now), 1), v.tb.ColdWait(v.now, t))
+			if full == nil || w < fullWait {
 				full, fullWait = t, w
 			}
 		}
@@ -238,6 +243,10 @@
 	return full
 }
 
+// lacksRoom reports whether a target that a filter rules out is worth waiting
+// for.
+func lacksRoom(code codes.ID) bool { return code == codes.FilterFull.ID || code == codes.FilterCold.ID }
+
 // consider takes a target into the sample unless a filter rules it out.
 func (rt *Router) consider(v *view, t *member.Target) codes.ID {
 	for i := range rt.cands {
@@ -274,7 +283,11 @@
 	limit := least + nearPart*least + nearTime
 	key := v.key
 	if p := v.q.Request.Prefix; len(p) > 0 {
-		key = p[(len(p)-1)/2]
+		at := (len(p) - 1) / 2
+		if n := v.q.Request.Shared; n > 0 && n <= len(p) {
+			at = n - 1
+		}
+		key = p[at]
 	}
 	var best *cand
 	var score uint64
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -65,14 +65,13 @@
 	return h
 }
 
-// FromRequest maps a request with the time that it has left. The digests of
-// its prompt, its ticket and its key stay here: the host that took the call
-// answers for it.
+// FromRequest maps a request with the time that it has left. Its ticket and its
+// key stay here: the host that took the call answers for it.
 func FromRequest(r event.Request, env event.Envelope, left time.Duration) *Open {
 	return &Open{
 		Envelope: FromEnvelope(env), Request: string(r.ID), Account: string(r.Account),
 		Profile: string(r.Profile), Prompt: int64(r.Prompt), MaxTokens: int64(r.MaxTokens),
-		Stream: r.Stream, LeftMs: millis(left),
+		Stream: r.Stream, LeftMs: millis(left), Service: r.Service,
 	}
 }
 
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -27,11 +27,14 @@
 	if p == (event.Place{}) {
 		return nil
 	}
-	return &Place{DataCentre: string(p.DataCentre), Region: string(p.Region)}
+	return &Place{DataCentre: string(p.DataCentre), Region: string(p.Region), Reach: string(p.Reach)}
 }
 
 func toPlace(p *Place) event.Place {
-	return event.Place{DataCentre: ident.DataCentre(p.GetDataCentre()), Region: ident.Region(p.GetRegion())}
+	return event.Place{
+		DataCentre: ident.DataCentre(p.GetDataCentre()), Region: ident.Region(p.GetRegion()),
+		Reach: ident.DataCentre(p.GetReach()),
+	}
 }
 
 func fromServe(s rules.Serve) *Serve {
@@ -56,6 +59,7 @@
 	return &Target{
 		Id: string(t.ID), Incarnation: uint64(t.Incarnation), Kind: kind, Place: fromPlace(t.Place),
 		Url: t.URL, Service: t.Service, Leaving: t.Leaving, Price: float32(t.Price),
+		Capacity: uint32(max(t.Capacity, 0)), Closed: t.Closed, ColdMs: uint32(millis(t.ColdFor)), Loaded: convert(t.Loaded, fromServe),
 	}
 }
 
@@ -68,5 +72,6 @@
 		ID: ident.TargetID(p.GetId()), Incarnation: ident.Incarnation(p.GetIncarnation()), Kind: kind,
 		Place: toPlace(p.GetPlace()), URL: p.GetUrl(), Service: p.GetService(),
 		Leaving: p.GetLeaving(), Price: number(p.GetPrice()),
+		Capacity: int(p.GetCapacity()), Closed: p.GetClosed(), ColdFor: duration(uint64(p.GetColdMs())), Loaded: convert(p.GetLoaded(), toServe),
 	}
 }
--- a/pkg/codes/filter.go
+++ b/pkg/codes/filter.go
@@ -35,6 +35,14 @@
 		ID: "VB2008", Title: "the other data centre has offered no spare capacity", Since: firstVersion, Severity: Info,
 		Text: "Work goes to another data centre only on an offer that has not expired or been used up.",
 	}
+	FilterClosed = Code{
+		ID: "VB2010", Title: "the data centre of the target is being emptied", Since: secondVersion, Severity: Info,
+		Text: "The operator has asked that nothing more be sent there until that is taken back.",
+	}
+	FilterCold = Code{
+		ID: "VB2011", Title: "the target is cold and has had its share of requests", Since: secondVersion, Severity: Info,
+		Text: "A target that has just started takes only a few requests a second of all hosts together. One host sends them; the others wait until it is warm.",
+	}
 	FilterFull = Code{
 		ID: "VB2009", Title: "the target has no free slot", Since: firstVersion, Severity: Info,
 		Text: "The requests sent and not yet ended fill the target's slots and the queue it is allowed.",
@@ -44,5 +52,5 @@
 // Filters is the table of the routing filters.
 var Filters = []Code{
 	FilterKind, FilterModel, FilterResidency, FilterHops, FilterLeaving,
-	FilterHealth, FilterTried, FilterOffer, FilterFull,
+	FilterHealth, FilterTried, FilterOffer, FilterFull, FilterClosed, FilterCold,
 }
--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -5,6 +5,9 @@
 // firstVersion is the version that introduced the first set of codes.
 const firstVersion = "0.1.0"
 
+// secondVersion is the version that runs on a platform of routes.
+const secondVersion = "0.2.0"
+
 // The refusals, the final answers other than an answer of a target.
 var (
 	UnknownKey = Code{
--- a/pkg/rules/book.go
+++ b/pkg/rules/book.go
@@ -21,6 +21,10 @@
 	changed map[itemKey]ident.Revision
 	// lastID is the id of the change that made this revision.
 	lastID ident.ChangeID
+	// services, limits and routes come with a Sheet only.
+	services map[string]Service
+	limits   CallerLimits
+	routes   routeIndex
 }
 
 type itemKey struct {
@@ -53,6 +57,50 @@
 	return fmt.Sprintf("revision %d does not follow revision %d", e.Got, e.Have)
 }
 
+// FromSheet returns the book of a configuration that was written as a whole.
+func FromSheet(rev ident.Revision, sh Sheet) *Book {
+	b := (*Book)(nil).clone()
+	b.Revision = rev
+	for _, p := range sh.Profiles {
+		b.profiles[p.Name] = p
+	}
+	for _, c := range sh.Clients {
+		b.clients[c.Name] = c
+		b.byDigest[c.KeyDigest] = c.Name
+	}
+	for _, s := range sh.Services {
+		b.services[s.Name] = s
+	}
+	b.limits = sh.Limits
+	b.routes = indexRoutes(b.Profiles())
+	return b
+}
+
+// Match returns the profile whose route takes a request.
+func (b *Book) Match(host, path string) (Profile, bool) {
+	if b == nil {
+		return Profile{}, false
+	}
+	return b.routes.find(host, path)
+}
+
+// Service returns what the operator says of a service.
+func (b *Book) Service(name string) (Service, bool) {
+	if b == nil {
+		return Service{}, false
+	}
+	s, ok := b.services[name]
+	return s, ok
+}
+
+// Limits returns the limits of callers' connections.
+func (b *Book) Limits() CallerLimits {
+	if b == nil {
+		return CallerLimits{}
+	}
+	return b.limits
+}
+
 // Profile returns the profile of the given name.
 func (b *Book) Profile(name ident.Profile) (Profile, bool) {
 	if b == nil {
@@ -173,6 +221,9 @@
 		byDigest: maps.Clone(b.byDigest),
 		changed:  maps.Clone(b.changed),
 		lastID:   b.lastID,
+		services: b.services,
+		limits:   b.limits,
+		routes:   b.routes,
 	}
 	if next.profiles == nil {
 		next.profiles = make(map[ident.Profile]Profile)
@@ -186,6 +237,12 @@
 	if next.changed == nil {
 		next.changed = make(map[itemKey]ident.Revision)
 	}
+	if next.services == nil {
+		next.services = make(map[string]Service)
+	}
+	if next.routes == nil {
+		next.routes = make(routeIndex)
+	}
 	return next
 }
 
@@ -275,6 +332,8 @@
 	Profiles []Profile      `json:"profiles"`
 	Clients  []Client       `json:"clients"`
 	Changed  []changedItem  `json:"changed"`
+	Services []Service      `json:"services,omitempty"`
+	Limits   *CallerLimits  `json:"limits,omitempty"`
 }
 
 type changedItem struct {
@@ -294,6 +353,12 @@
 	for k, rev := range b.changed {
 		img.Changed = append(img.Changed, changedItem{k.kind, k.name, rev})
 	}
+	for _, name := range slices.Sorted(maps.Keys(b.services)) {
+		img.Services = append(img.Services, b.services[name])
+	}
+	if b.limits != (CallerLimits{}) {
+		img.Limits = &b.limits
+	}
 	slices.SortFunc(img.Changed, func(x, y changedItem) int {
 		if c := bytes.Compare([]byte(x.Kind), []byte(y.Kind)); c != 0 {
 			return c
@@ -309,16 +374,12 @@
 	if err := json.Unmarshal(data, &img); err != nil {
 		return err
 	}
-	next := (*Book)(nil).clone()
-	next.Revision = img.Revision
-	next.lastID = img.LastID
-	for _, p := range img.Profiles {
-		next.profiles[p.Name] = p
-	}
-	for _, c := range img.Clients {
-		next.clients[c.Name] = c
-		next.byDigest[c.KeyDigest] = c.Name
+	sh := Sheet{Profiles: img.Profiles, Clients: img.Clients, Services: img.Services}
+	if img.Limits != nil {
+		sh.Limits = *img.Limits
 	}
+	next := FromSheet(img.Revision, sh)
+	next.lastID = img.LastID
 	for _, it := range img.Changed {
 		next.changed[itemKey{it.Kind, it.Name}] = it.Revision
 	}
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -68,6 +68,9 @@
 	Priority int `json:"priority,omitempty"`
 	// TwoOperators says that a change needs the approval of a second one.
 	TwoOperators bool `json:"twoOperators,omitempty"`
+	// Route, where set, has the profile chosen by the host and path of a
+	// request instead of by name.
+	Route *Route `json:"route,omitempty"`
 }
 
 // Client is a client account.
