serve on the users' platform through the product's reducer

Ruled out: reading the platform's YAML with a library, as a template gives our own settings, checked by our own checker.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -38,6 +38,10 @@
 	next := v.FieldByIndex(fieldNames(v.Type())[name].Index)
 	at = join(at, name)
 	switch {
+	case !more && list && !c.bad[at]:
+		for i := range next.Len() {
+			c.one(next.Index(i), fmt.Sprintf("%s[%d]", at, i), f)
+		}
 	case !more:
 		c.one(next, at, f)
 	case list && !c.bad[at]:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,41 @@
 	Limits     Limits           `json:"limits"`
 	Traces     Traces           `json:"traces"`
 	Logs       Logs             `json:"logs"`
+	Fleet      Fleet            `json:"fleet"`
+}
+
+// Fleet is what a host needs to know where the platform names routes, targets
+// and the entry hosts to use. It is empty elsewhere.
+type Fleet struct {
+	// Directory is the address that callers ask which hosts to use, Ready the
+	// one where the platform asks whether this host is ready, and Metrics the
+	// one that gives out counters.
+	Directory string `json:"directory"`
+	Ready     string `json:"ready"`
+	Metrics   string `json:"metrics"`
+	// Seeds are the addresses of hosts to try before the platform's list is
+	// known.
+	Seeds []string `json:"seeds"`
+	// Places are all data centres of the deployment.
+	Places []FleetPlace `json:"places"`
+	// GraceSeconds is the time from SIGTERM to the end of the process.
+	GraceSeconds float64 `json:"graceSeconds"`
+	// RetryRatio and RetryFloor bound the second tries at a service over all
+	// hosts in ten seconds.
+	RetryRatio float64 `json:"retryRatio"`
+	RetryFloor int64   `json:"retryFloor"`
+	// ColdOvershoot and ColdSlack widen the rate of a cold target to what all
+	// hosts may send it in a second.
+	ColdOvershoot float64 `json:"coldOvershoot"`
+	ColdSlack     float64 `json:"coldSlack"`
+	// LeaseLeastMs is the shortest lease that the platform grants.
+	LeaseLeastMs int64 `json:"leaseLeastMs"`
+}
+
+// FleetPlace is one data centre and its region.
+type FleetPlace struct {
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	Region     ident.Region     `json:"region"`
 }
 
 // Callers is the address towards callers.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -30,6 +30,8 @@
 	defaultBodyMs      = 30000
 	defaultWriteMs     = 30000
 	defaultIdleMs      = 120000
+	defaultGrace       = 10
+	defaultLease       = 1000
 )
 
 // Fault is one fault of a settings file.
@@ -115,5 +117,6 @@
 			IdleMs:         defaultIdleMs,
 		},
 		Traces: Traces{Exporter: "none", Ratio: 1},
+		Fleet:  Fleet{GraceSeconds: defaultGrace, LeaseLeastMs: defaultLease},
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,7 +53,7 @@
 	// hostsMost is the most entry hosts that were known at one time.
 	hostsMost int
 	pools     pools
-	agenda agenda
+	agenda    agenda
 
 	requests map[ident.RequestID]*request
 	attempts map[ident.Attempt]*attempt
@@ -172,6 +172,8 @@
 		rd.table.LoadReported(now, e.Load)
 	case event.LoadSeen:
 		rd.table.LoadSeen(now, e)
+	case event.ProbeAnswered:
+		rd.table.Answered(e.Target)
 	case event.LoadFailed:
 		rd.table.LoadFailed(now, e.Target)
 	case event.CacheChanged:
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -25,7 +25,7 @@
 		RequestArrived{}, AttemptSent{}, FirstToken{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
-		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, LoadFailed{}, CacheChanged{},
+		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, LoadFailed{}, CacheChanged{},
 		HostsRead{}, PlatformFailed{}, WatchIdle{},
 	)
 	effectTypes = namesOf[Effect](
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -228,6 +228,6 @@
 func (KeyClaimed) isEvent()     {}
 func (TicketAsked) isEvent()    {}
 func (EntriesAsked) isEvent()   {}
-func (NearbyAsked) isEvent() {}
+func (NearbyAsked) isEvent()    {}
 func (RouteAsked) isEvent()     {}
 func (StatusAsked) isEvent()    {}
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -80,6 +80,12 @@
 	Slots   int            `json:"slots"`
 }
 
+// ProbeAnswered says that a target which had not answered requests has answered
+// a probe.
+type ProbeAnswered struct {
+	Target ident.TargetID `json:"target"`
+}
+
 // LoadFailed says that a target did not give its load report.
 type LoadFailed struct {
 	Target ident.TargetID `json:"target"`
@@ -141,6 +147,7 @@
 func (BarAnswered) isEvent()      {}
 func (LoadReported) isEvent()     {}
 func (LoadSeen) isEvent()         {}
+func (ProbeAnswered) isEvent()    {}
 func (LoadFailed) isEvent()       {}
 func (CacheChanged) isEvent()     {}
 func (HostsRead) isEvent()        {}
--- /dev/null
+++ b/internal/logs/writer.go
@@ -0,0 +1,91 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+
+	"gopkg.in/tomb.v2"
+)
+
+// Bounds of a Writer.
+const (
+	// queueBytes is what may wait to be written: some seconds of lines at a
+	// few hundred a second.
+	queueBytes = 256 << 10
+	// lineFormat tells of the lines that were left out.
+	lineFormat = "level=0 msg=\"log lines left out\" lines=%d reason=\"the output is slower than the lines come\"\n"
+)
+
+// Writer passes lines on to another writer without ever making the caller wait.
+//
+// Standard output is often a pipe. When nobody reads it a write blocks, and
+// with it whoever logs: a host would stop serving because of its log. Lines
+// that find no room are left out and counted, and the count is written as soon
+// as there is room again.
+type Writer struct {
+	t    tomb.Tomb
+	out  io.Writer
+	poke chan struct{}
+
+	mu      sync.Mutex
+	waiting bytes.Buffer
+	lost    int
+}
+
+// NewWriter returns a running writer.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, poke: make(chan struct{}, 1)}
+	w.t.Go(w.run)
+	return w
+}
+
+// Write queues one line.
+func (w *Writer) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	if w.waiting.Len()+len(line) > queueBytes {
+		w.lost++
+	} else {
+		w.waiting.Write(line)
+	}
+	w.mu.Unlock()
+	select {
+	case w.poke <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Stop writes what waits and ends the writer.
+func (w *Writer) Stop() {
+	w.t.Kill(nil)
+	_ = w.t.Wait()
+}
+
+func (w *Writer) run() error {
+	for {
+		select {
+		case <-w.poke:
+			w.flush()
+		case <-w.t.Dying():
+			w.flush()
+			return nil
+		}
+	}
+}
+
+func (w *Writer) flush() {
+	w.mu.Lock()
+	if w.lost > 0 {
+		fmt.Fprintf(&w.waiting, lineFormat, w.lost)
+		w.lost = 0
+	}
+	lines := bytes.Clone(w.waiting.Bytes())
+	w.waiting.Reset()
+	w.mu.Unlock()
+	if len(lines) > 0 {
+		// A log that can't be written has nobody to be told to.
+		_, _ = w.out.Write(lines)
+	}
+}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -72,7 +72,7 @@
 	coldUntil ident.Time
 	coldSends []ident.Time
 	heard     ident.Time
-	met    bool
+	met       bool
 	// cold is when the target was first seen or came back; warm says that it
 	// needs no ramp.
 	cold ident.Time
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -145,6 +145,7 @@
 	o.Once = c.Forward.Once
 	o.Method, o.Path, o.Header = c.Call.Method, c.Call.Path, wire.FromHeader(c.Call.Header)
 	o.Stream, o.Engine = c.Call.Stream, c.Call.Engine
+	o.Routed, o.Resumable, o.Service = c.Call.Routed, c.Call.Resumable, c.Forward.Service
 	return o
 }
 
--- a/internal/peer/take.go
+++ b/internal/peer/take.go
@@ -118,7 +118,7 @@
 	return event.Request{
 		ID: newID(), Account: ident.Account(o.GetAccount()), Profile: ident.Profile(o.GetProfile()),
 		Prompt: ident.Tokens(max(o.GetPrompt(), 0)), MaxTokens: ident.Tokens(max(o.GetMaxTokens(), 0)),
-		Deadline: k.m.cfg.Clock.Now().Add(o.Left()), Stream: o.GetStream(),
+		Deadline: k.m.cfg.Clock.Now().Add(o.Left()), Stream: o.GetStream(), Service: o.GetService(),
 		Envelope: value.Some(o.GetEnvelope().ToEvent(k.s.host)),
 	}
 }
@@ -128,7 +128,7 @@
 	return serve.Call{
 		Method: o.GetMethod(), Path: o.GetPath(), Header: wire.ToHeader(o.GetHeader()),
 		ReadBody: k.readBody, Answer: ident.RequestID(o.GetRequest()), Resume: ident.Tokens(max(o.GetResume(), 0)),
-		Stream: o.GetStream(), Engine: o.GetEngine(),
+		Stream: o.GetStream(), Engine: o.GetEngine(), Routed: o.GetRouted(), Resumable: o.GetResumable(),
 	}
 }
 
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -30,13 +30,17 @@
 	ctx, span := t.Trace.Hop(ctx, "target")
 	defer span.End()
 	span.Set("target", string(d.Target.ID))
-	res, err := t.Targets.Send(ctx, t.order(d), t.markSent)
+	send := t.Send
+	if send == nil {
+		send = t.Targets.Send
+	}
+	res, err := send(ctx, t.order(d), t.markSent)
 	if err != nil && !t.sent {
 		return event.AttemptEnded{Result: event.ResultNotRun}
 	}
 	if err != nil {
 		t.Log.V(1).Info("attempt broke", "attempt", d.Attempt, "target", d.Target.ID, "error", err)
-		return event.AttemptEnded{Result: event.ResultBroken, Resumable: t.call.Stream && t.call.Engine, Delivered: t.upto}
+		return event.AttemptEnded{Result: event.ResultBroken, Resumable: t.resumable(), Delivered: t.upto}
 	}
 	defer res.Body.Close()
 	end := t.receive(res, d)
@@ -83,7 +87,7 @@
 		return end
 	}
 	from := t.upto
-	t.begin(res.StatusCode, answerHeader(res.Header))
+	t.begin(res.StatusCode, t.answerHeader(res.Header))
 	err := t.copy(res)
 	end.Delivered = t.upto
 	end.Generated = t.upto - from
@@ -95,9 +99,17 @@
 		return t.broken(end, err)
 	}
 	end.Result = event.ResultDone
+	if t.call.Routed && res.StatusCode >= http.StatusInternalServerError {
+		end.Result, end.Held = event.ResultFailed, true
+	}
 	return end
 }
 
+// resumable reports whether another target may go on with a stream.
+func (t *try) resumable() bool {
+	return t.call.Stream && (t.call.Engine || t.call.Routed && t.call.Resumable)
+}
+
 // failed reports whether a status of an engine says that another one may do
 // better.
 func failed(status int) bool {
@@ -109,7 +121,7 @@
 // nothing true about where it stands.
 func (t *try) broken(end event.AttemptEnded, err error) event.AttemptEnded {
 	end.Result = event.ResultBroken
-	end.Resumable = t.call.Stream && t.call.Engine && errors.Is(err, errShort)
+	end.Resumable = t.resumable() && errors.Is(err, errShort)
 	t.Log.V(1).Info("attempt broke", "attempt", t.id, "error", err)
 	return end
 }
@@ -135,6 +147,8 @@
 		return t.copyWhole(res.Body)
 	case t.call.Engine:
 		return t.copyStream(res.Body)
+	case t.call.Routed:
+		return t.copyEvents(res.Body)
 	}
 	return t.copyRaw(res.Body)
 }
@@ -253,7 +267,10 @@
 	"Etag", "Last-Modified", "Link", "Location", "Retry-After", "Vary",
 }
 
-func answerHeader(h http.Header) http.Header {
+func (t *try) answerHeader(h http.Header) http.Header {
+	if t.call.Routed {
+		return h
+	}
 	out := make(http.Header, len(passedHeaders))
 	for _, k := range passedHeaders {
 		if vs := h.Values(k); len(vs) > 0 {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -51,6 +51,12 @@
 	// Engine says that the answer is an engine's, which must name its request
 	// and be whole JSON or a stream with its end mark.
 	Engine bool
+	// Routed says that the request came by a route: the answer of its target
+	// is passed on byte for byte with all of its headers, and a stream of
+	// events ends with its message.
+	Routed bool
+	// Resumable says that a stream of a route may go on at another target.
+	Resumable bool
 }
 
 // Sink takes the answer. Its functions are called by one goroutine at a time:
@@ -84,6 +90,8 @@
 	Clock   *clock.Service
 	Log     logr.Logger
 	Targets *target.Client
+	// Send, where set, sends attempts in place of Targets.
+	Send func(ctx context.Context, o target.Order, sent func()) (*http.Response, error)
 	// Forward runs an attempt at another entry host. It calls sent before the
 	// first byte can reach it.
 	Forward func(ctx context.Context, p Passed, sent func(), out Relay) event.AttemptEnded
--- /dev/null
+++ b/internal/trail/trail.go
@@ -0,0 +1,153 @@
+// Package trail writes a log line for each decision that touches a request or
+// changes what the host believes.
+//
+// # Usage
+//
+//	tr := trail.New(log, registry)
+//	lp := loop.New(loop.Config{Record: tr.Record, ...})
+//
+// The lines are made from the events and effects of the reducer themselves, so
+// that what a line says is what decided. Every line about a request carries its
+// id under "request". Lines are bounded in number: past a rate the rest of a
+// second is counted and left out, refusals and failures last.
+package trail
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Bounds of the lines.
+const (
+	// plainPerSecond bounds the lines of requests that go as they should. At
+	// three lines a request it leaves out nothing up to a hundred requests a
+	// second, which is several times what a host of half a core serves.
+	plainPerSecond = 300
+	// allPerSecond bounds all lines.
+	allPerSecond = 900
+	// maxAttempts bounds the attempts whose request is remembered.
+	maxAttempts = 1 << 14
+	sampleSize  = 1028
+)
+
+// Trail writes the lines. Its methods are called by the control thread.
+type Trail struct {
+	log logr.Logger
+	reg metrics.Registry
+
+	second  int64
+	written int
+	left    int
+
+	requests map[ident.Attempt]ident.RequestID
+	wait     metrics.Histogram
+}
+
+// New returns a trail.
+func New(log logr.Logger, reg metrics.Registry) *Trail {
+	return &Trail{
+		log: log, reg: reg, requests: make(map[ident.Attempt]ident.RequestID),
+		wait: metrics.GetOrRegisterHistogram("requests.placedAfterMicros", reg, metrics.NewUniformSample(sampleSize)),
+	}
+}
+
+// Record takes an event and its effects.
+func (tr *Trail) Record(now ident.Time, ev event.Event, effs []event.Effect) {
+	tr.turn(now)
+	switch e := ev.(type) {
+	case event.AttemptEnded:
+		tr.ended(e)
+	case event.CallerLeft:
+		tr.plain("caller left", "request", e.Request)
+	case event.LoadFailed:
+		tr.line("target did not answer a probe", "target", e.Target)
+	}
+	for _, eff := range effs {
+		tr.effect(eff)
+	}
+}
+
+func (tr *Trail) effect(eff event.Effect) {
+	switch e := eff.(type) {
+	case event.Dispatch:
+		tr.remember(e.Attempt, e.Request)
+		tr.wait.Update(e.Basis.Waited.Microseconds())
+		tr.count("requests.sent." + e.Target.Service)
+		tr.plain("sent to a target", "request", e.Request, "attempt", e.Attempt.Number, "target", e.Target.ID,
+			"service", e.Target.Service, "try", e.Basis.Try, "revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited),
+			"predictedMs", millis(e.Basis.Wait), "busy", e.Basis.Busy, "loadAgeMs", millis(e.Basis.LoadAge), "resume", e.Resume)
+	case event.Forward:
+		tr.remember(e.Envelope.Attempt, e.Request)
+		tr.count("requests.passedOn")
+		tr.plain("passed on", "request", e.Request, "attempt", e.Envelope.Attempt.Number, "to", e.To.ID,
+			"region", e.To.Place.Region, "service", e.Service, "try", e.Basis.Try, "revision", e.Basis.Revision,
+			"waitedMs", millis(e.Basis.Waited), "predictedMs", millis(e.Basis.Wait), "resume", e.Resume)
+	case event.Refuse:
+		c, _ := codes.Find(e.Code)
+		tr.count("requests.refused." + string(e.Code))
+		tr.line("refused", "request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "try", e.Basis.Try,
+			"revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited), "retryAfterMs", millis(e.RetryAfter))
+	case event.Finish:
+		tr.count("requests.finished")
+		tr.plain("answered", "request", e.Request, "outcome", e.Outcome)
+	case event.InForceNow:
+		tr.line("configuration in force", "revision", e.Book.Revision, "routes", len(e.Book.Profiles()))
+	}
+}
+
+func (tr *Trail) ended(e event.AttemptEnded) {
+	id := tr.requests[e.Attempt]
+	delete(tr.requests, e.Attempt)
+	if e.Result == event.ResultDone {
+		tr.plain("attempt ended", "request", id, "attempt", e.Attempt.Number, "result", e.Result, "status", e.Status,
+			"events", e.Delivered)
+		return
+	}
+	tr.count("attempts." + string(e.Result))
+	tr.line("attempt ended", "request", id, "attempt", e.Attempt.Number, "result", e.Result, "status", e.Status,
+		"code", e.Code, "events", e.Delivered, "leaving", e.Leaving)
+}
+
+func (tr *Trail) remember(a ident.Attempt, id ident.RequestID) {
+	if len(tr.requests) >= maxAttempts {
+		clear(tr.requests)
+	}
+	tr.requests[a] = id
+}
+
+func (tr *Trail) count(name string) { metrics.GetOrRegisterCounter(name, tr.reg).Inc(1) }
+
+// turn begins a new second, with a line on what the last one left out.
+func (tr *Trail) turn(now ident.Time) {
+	second := int64(now) / int64(time.Second)
+	if second == tr.second {
+		return
+	}
+	if tr.left > 0 {
+		tr.log.Info("decision lines left out", "lines", tr.left)
+		metrics.GetOrRegisterCounter("logs.linesLeftOut", tr.reg).Inc(int64(tr.left))
+	}
+	tr.second, tr.written, tr.left = second, 0, 0
+}
+
+// plain writes a line that goes first when there are too many.
+func (tr *Trail) plain(msg string, kv ...any) { tr.write(plainPerSecond, msg, kv) }
+
+func (tr *Trail) line(msg string, kv ...any) { tr.write(allPerSecond, msg, kv) }
+
+func (tr *Trail) write(most int, msg string, kv []any) {
+	if tr.written >= most {
+		tr.left++
+		return
+	}
+	tr.written++
+	tr.log.Info(msg, kv...)
+}
+
+func millis(d time.Duration) int64 { return d.Milliseconds() }
