let a stream that broke wait for a place until its deadline

A request that waited was given up two goals after its arrival, and a broken stream is always older than that. Ruled out: the budget of second tries (5 of some hundred used). Change: the bound holds for the first try only. Beside it the log tells the time to the first byte, the profile and whether a stream may go on.

--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -145,10 +145,12 @@
 // it would take makes the next ones late too.
 const lateGoals = 2
 
-// startBy returns when a request that waits must have ended.
+// startBy returns when a request that waits must have ended. One that has been
+// tried may wait until its deadline: its caller may have half an answer, and
+// whether it ran can't be taken back.
 func (r *request) startBy() ident.Time {
 	rt := r.profile.Route
-	if rt == nil || rt.GoalMs <= 0 {
+	if rt == nil || rt.GoalMs <= 0 || r.tries > 0 {
 		return r.deadline
 	}
 	return min(r.deadline, r.arrived.Add(lateGoals*rt.Goal()))
@@ -184,7 +186,7 @@
 	if r.profile.Route == nil {
 		return event.Basis{}
 	}
-	b := event.Basis{Revision: rd.spread.Revision(), Try: r.tries, Wait: dec.Wait, LoadAge: noLoad}
+	b := event.Basis{Profile: r.profile.Name, Revision: rd.spread.Revision(), Try: r.tries, Wait: dec.Wait, LoadAge: noLoad}
 	if r.arrived > 0 {
 		b.Waited = now.Sub(r.arrived)
 	}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -31,7 +31,9 @@
 
 // Basis is what a decision about a request was made by, for the log.
 type Basis struct {
-	// Revision is the configuration that it was judged by.
+	// Profile is what the request was judged by, Revision the configuration
+	// that it stands in.
+	Profile  ident.Profile  `json:"profile,omitempty"`
 	Revision ident.Revision `json:"revision"`
 	// Try counts the tries of the request, this one included.
 	Try int `json:"try"`
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -45,15 +45,26 @@
 	written int
 	left    int
 
-	requests map[ident.Attempt]ident.RequestID
+	attempts map[ident.Attempt]*attempt
 	wait     metrics.Histogram
+	first    metrics.Histogram
+}
+
+// attempt is what is remembered of one until its end.
+type attempt struct {
+	request ident.RequestID
+	target  ident.TargetID
+	sent    ident.Time
+	// first is when the first byte of its answer came, zero before.
+	first ident.Time
 }
 
 // New returns a trail.
 func New(log logr.Logger, reg metrics.Registry) *Trail {
 	return &Trail{
-		log: log, reg: reg, requests: make(map[ident.Attempt]ident.RequestID),
-		wait: metrics.GetOrRegisterHistogram("requests.placedAfterMicros", reg, metrics.NewUniformSample(sampleSize)),
+		log: log, reg: reg, attempts: make(map[ident.Attempt]*attempt),
+		wait:  metrics.GetOrRegisterHistogram("requests.placedAfterMicros", reg, metrics.NewUniformSample(sampleSize)),
+		first: metrics.GetOrRegisterHistogram("attempts.firstByteMicros", reg, metrics.NewUniformSample(sampleSize)),
 	}
 }
 
@@ -61,37 +72,39 @@
 func (tr *Trail) Record(now ident.Time, ev event.Event, effs []event.Effect) {
 	tr.turn(now)
 	switch e := ev.(type) {
+	case event.FirstToken:
+		tr.began(now, e)
 	case event.AttemptEnded:
-		tr.ended(e)
+		tr.ended(now, e)
 	case event.CallerLeft:
 		tr.plain("caller left", "request", e.Request)
 	case event.LoadFailed:
 		tr.line("target did not answer a probe", "target", e.Target)
 	}
 	for _, eff := range effs {
-		tr.effect(eff)
+		tr.effect(now, eff)
 	}
 }
 
-func (tr *Trail) effect(eff event.Effect) {
+func (tr *Trail) effect(now ident.Time, eff event.Effect) {
 	switch e := eff.(type) {
 	case event.Dispatch:
-		tr.remember(e.Attempt, e.Request)
+		tr.remember(e.Attempt, attempt{request: e.Request, target: e.Target.ID, sent: now})
 		tr.wait.Update(e.Basis.Waited.Microseconds())
 		tr.count("requests.sent." + e.Target.Service)
 		tr.plain("sent to a target", "request", e.Request, "attempt", e.Attempt.Number, "target", e.Target.ID,
-			"service", e.Target.Service, "try", e.Basis.Try, "revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited),
+			"service", e.Target.Service, "profile", e.Basis.Profile, "try", e.Basis.Try, "revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited),
 			"predictedMs", millis(e.Basis.Wait), "busy", e.Basis.Busy, "loadAgeMs", millis(e.Basis.LoadAge), "resume", e.Resume)
 	case event.Forward:
-		tr.remember(e.Envelope.Attempt, e.Request)
+		tr.remember(e.Envelope.Attempt, attempt{request: e.Request, target: ident.TargetID(e.To.ID), sent: now})
 		tr.count("requests.passedOn")
 		tr.plain("passed on", "request", e.Request, "attempt", e.Envelope.Attempt.Number, "to", e.To.ID,
-			"region", e.To.Place.Region, "service", e.Service, "try", e.Basis.Try, "revision", e.Basis.Revision,
+			"region", e.To.Place.Region, "service", e.Service, "profile", e.Basis.Profile, "try", e.Basis.Try, "revision", e.Basis.Revision,
 			"waitedMs", millis(e.Basis.Waited), "predictedMs", millis(e.Basis.Wait), "resume", e.Resume)
 	case event.Refuse:
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
-		tr.line("refused", "request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "try", e.Basis.Try,
+		tr.line("refused", "request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "profile", e.Basis.Profile, "try", e.Basis.Try,
 			"revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited), "retryAfterMs", millis(e.RetryAfter))
 	case event.Finish:
 		tr.count("requests.finished")
@@ -101,24 +114,44 @@
 	}
 }
 
-func (tr *Trail) ended(e event.AttemptEnded) {
-	id := tr.requests[e.Attempt]
-	delete(tr.requests, e.Attempt)
+func (tr *Trail) began(now ident.Time, e event.FirstToken) {
+	if a, ok := tr.attempts[e.Attempt]; ok {
+		a.first = now
+		tr.first.Update(now.Sub(a.sent).Microseconds())
+	}
+}
+
+func (tr *Trail) ended(now ident.Time, e event.AttemptEnded) {
+	a, ok := tr.attempts[e.Attempt]
+	if !ok {
+		a = &attempt{sent: now}
+	}
+	delete(tr.attempts, e.Attempt)
+	kv := []any{
+		"request", a.request, "attempt", e.Attempt.Number, "target", a.target, "result", e.Result, "status", e.Status,
+		"code", e.Code, "events", e.Delivered, "firstMs", firstMillis(a), "tookMs", millis(now.Sub(a.sent)),
+	}
 	if e.Result == event.ResultDone {
-		tr.plain("attempt ended", "request", id, "attempt", e.Attempt.Number, "result", e.Result, "status", e.Status,
-			"events", e.Delivered)
+		tr.plain("attempt ended", kv...)
 		return
 	}
 	tr.count("attempts." + string(e.Result))
-	tr.line("attempt ended", "request", id, "attempt", e.Attempt.Number, "result", e.Result, "status", e.Status,
-		"code", e.Code, "events", e.Delivered, "leaving", e.Leaving)
+	tr.line("attempt ended", append(kv, "leaving", e.Leaving, "resumable", e.Resumable)...)
+}
+
+// firstMillis is the time to the first byte, -1 where none came.
+func firstMillis(a *attempt) int64 {
+	if a.first == 0 {
+		return -1
+	}
+	return millis(a.first.Sub(a.sent))
 }
 
-func (tr *Trail) remember(a ident.Attempt, id ident.RequestID) {
-	if len(tr.requests) >= maxAttempts {
-		clear(tr.requests)
+func (tr *Trail) remember(id ident.Attempt, a attempt) {
+	if len(tr.attempts) >= maxAttempts {
+		clear(tr.attempts)
 	}
-	tr.requests[a] = id
+	tr.attempts[id] = &a
 }
 
 func (tr *Trail) count(name string) { metrics.GetOrRegisterCounter(name, tr.reg).Inc(1) }
