send callers whose region has no host to a home of their requests

The hosts of a region were replaced in turn, and a host elsewhere that was asked named itself. Ruled out: stale summaries, as the hosts named were live. Change: after the caller's own region come the regions where all its requests may be served.

--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -25,7 +25,7 @@
 	case event.EntriesAsked:
 		rd.entries(now, e)
 	case event.NearbyAsked:
-		rd.emit(event.EntriesAnswered{Ask: e.Ask, Valid: nearbyValid, Entries: rd.table.Nearby(now, e.Near)})
+		rd.emit(event.EntriesAnswered{Ask: e.Ask, Valid: nearbyValid, Entries: rd.table.Nearby(now, e.Near, rd.spread.Book().Homes(e.Host))})
 	case event.RouteAsked:
 		rd.explain(now, e)
 	case event.StatusAsked:
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -207,6 +207,9 @@
 type NearbyAsked struct {
 	Ask  Ask   `json:"ask"`
 	Near Place `json:"near"`
+	// Host is the name that the caller's requests go to, which tells the homes
+	// of their routes.
+	Host string `json:"host,omitempty"`
 }
 
 // RouteAsked asks where a request would go and why, without sending it.
--- a/internal/member/near.go
+++ b/internal/member/near.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -12,11 +13,13 @@
 const nearStale = 5 * time.Second
 
 // Nearby returns the entry hosts that a caller at a place should use: the live
-// ones of its data centre, else of its region, else of this host's group, else
-// any. A host that drains is left out, and so is one that was not heard of
+// ones of its data centre, else of its region, else of the homes, else of this
+// host's group, else any. The homes are the regions in which all requests of
+// the caller may be served: a body that is sent to a host anywhere else has left
+// the places that it is confined to. A host that drains is left out, and so is one that was not heard of
 // lately, since a caller that is sent to it waits for a connection that never
 // stands.
-func (tb *Table) Nearby(now ident.Time, near event.Place) []event.Host {
+func (tb *Table) Nearby(now ident.Time, near event.Place, homes []ident.Region) []event.Host {
 	var all []event.Host
 	for _, h := range tb.liveHosts(now) {
 		if !h.Leaving {
@@ -37,6 +40,7 @@
 	for _, fits := range []func(p event.Place) bool{
 		func(p event.Place) bool { return p.DataCentre == near.DataCentre },
 		func(p event.Place) bool { return p.Region == near.Region },
+		func(p event.Place) bool { return slices.Contains(homes, p.Region) },
 	} {
 		if hs := those(all, fits); len(hs) > 0 {
 			return hs
--- /dev/null
+++ b/internal/member/near_test.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+func reachPlace(dc, region string) event.Place {
+	return event.Place{DataCentre: ident.DataCentre(dc), Region: ident.Region(region), Reach: ident.DataCentre(region)}
+}
+
+func reachHost(id, dc, region string) event.Host {
+	return event.Host{ID: ident.EntryID(id), Incarnation: 1, Place: reachPlace(dc, region)}
+}
+
+// nearWorld is a host in the west that hears of another one in its data centre,
+// of one in another data centre of its region, and of one in the east.
+func nearWorld(at ident.Time) *Table {
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.Advance(at)
+	tb.PeerUp(at, reachHost("w2", "west-a", "west"))
+	tb.PeerUp(at, reachHost("w3", "west-b", "west"))
+	tb.SummaryReceived(at, event.Summary{
+		From: "e1", Place: reachPlace("east-a", "east"), Incarnation: 1, Seq: 1,
+		Hosts: []event.Host{reachHost("e1", "east-a", "east")}, HostsHash: 7,
+	})
+	return tb
+}
+
+func entryIDs(hs []event.Host) []ident.EntryID {
+	var out []ident.EntryID
+	for _, h := range hs {
+		out = append(out, h.ID)
+	}
+	return out
+}
+
+func TestNearbyGoesFromNearToFar(t *testing.T) {
+	at := ident.Time(time.Second)
+	for name, c := range map[string]struct {
+		near  event.Place
+		homes []ident.Region
+		want  []ident.EntryID
+	}{
+		"own data centre":     {reachPlace("west-a", "west"), nil, []ident.EntryID{"w1", "w2"}},
+		"own region":          {reachPlace("west-c", "west"), nil, []ident.EntryID{"w1", "w2", "w3"}},
+		"another region":      {reachPlace("east-b", "east"), nil, []ident.EntryID{"e1"}},
+		"region that is away": {reachPlace("north-a", "north"), nil, []ident.EntryID{"w1", "w2", "w3"}},
+	} {
+		if diff := cmp.Diff(c.want, entryIDs(nearWorld(at).Nearby(at, c.near, c.homes))); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// All hosts of the north are being replaced one after the other, and its
+// callers ask a host in the west where to connect. Some of their requests may
+// be served in the east only. Sent to the west, their bodies would come to a
+// region that is neither their home nor their callers' own.
+func TestNearbyKeepsToHomes(t *testing.T) {
+	at := ident.Time(time.Second)
+	got := nearWorld(at).Nearby(at, reachPlace("north-a", "north"), []ident.Region{"east"})
+	if diff := cmp.Diff([]ident.EntryID{"e1"}, entryIDs(got)); diff != "" {
+		t.Errorf("hosts (-want +got):\n%s", diff)
+	}
+}
+
+// The only host of the east has lost its power, and nothing more is heard of
+// it. Callers that are still sent there wait for connections that never stand.
+func TestNearbyLeavesOutTheSilent(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := nearWorld(at)
+	for range 8 {
+		at = at.Add(time.Second)
+		tb.PeerUp(at, reachHost("w2", "west-a", "west"))
+	}
+	if diff := cmp.Diff([]ident.EntryID{"w1", "w2"}, entryIDs(tb.Nearby(at, reachPlace("east-a", "east"), nil))); diff != "" {
+		t.Errorf("hosts (-want +got):\n%s", diff)
+	}
+}
--- a/pkg/rules/book.go
+++ b/pkg/rules/book.go
@@ -84,6 +84,25 @@
 	return b.routes.find(host, path)
 }
 
+// Homes returns the regions in which the requests of every route of a host may
+// be served, none where no route is confined.
+func (b *Book) Homes(host string) []ident.Region {
+	if b == nil {
+		return nil
+	}
+	var homes []ident.Region
+	for _, p := range b.routes[host] {
+		switch {
+		case !p.Confined():
+		case homes == nil:
+			homes = slices.Clone(p.Regions)
+		default:
+			homes = slices.DeleteFunc(homes, func(r ident.Region) bool { return !slices.Contains(p.Regions, r) })
+		}
+	}
+	return homes
+}
+
 // Service returns what the operator says of a service.
 func (b *Book) Service(name string) (Service, bool) {
 	if b == nil {
