break off an attempt that falls silent where another may follow

Ruled out: slow targets, as the runs had ended. Change: an attempt at a request that may be repeated has a patience, worked out from its goal, the predicted wait and the usual time of its service; past it it is broken off and tried elsewhere within the budget.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -90,7 +90,7 @@
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
 		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered,
-		Once: r.finishes(), Keep: r.keeps() && !r.forwarded, Basis: rd.basis(now, r, dec),
+		Once: r.finishes(), Keep: r.keeps() && !r.forwarded, Basis: rd.basis(now, r, dec), Patience: rd.patience(r, dec),
 	})
 }
 
@@ -109,6 +109,7 @@
 	rd.emit(event.Forward{
 		Request: r.ID, To: a.host, Envelope: env, Deadline: r.deadline, Resume: r.delivered,
 		Once: r.finishes(), Keep: r.keeps(), Basis: rd.basis(now, r, a.dec), Service: r.profile.Service,
+		Patience: rd.patience(r, a.dec),
 	})
 }
 
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -163,6 +163,46 @@
 	return p.Route != nil && now.Sub(rd.drainAt) < rd.bounds.DrainServe
 }
 
+// How long an attempt may be silent that another can be made after.
+const (
+	// firstPart is the part of the goal that the first byte may come later
+	// than predicted. The rest is left for the second try to meet the goal.
+	firstPart = 0.75
+	// waitFactor widens the predicted wait, which knows nothing of the work
+	// that others send in the same moment.
+	waitFactor = 1.5
+	// runFactor is how many times the usual time a call may take, and callPart
+	// the least part of its goal: below that the tail of a sound target would
+	// be asked twice.
+	runFactor = 6
+	callPart  = 1.0 / 3
+	// gapFactor is how many times the goal between two events a stream may
+	// pause, and gapLeast the least: an engine that reads a long prompt for
+	// somebody else, or puts a request back, pauses for a second.
+	gapFactor = 4
+	gapLeast  = 1200 * time.Millisecond
+)
+
+// patience returns how long an attempt may be silent.
+//
+// A target may run a request and its answer be lost on the way without a word:
+// the connection stands, and nothing comes. The caller would wait until its
+// deadline for what another target answers in a fraction of that. Where nothing
+// can be tried after it, there is nothing to gain by breaking it off.
+func (rd *Reducer) patience(r *request, dec route.Decision) event.Patience {
+	rt := r.profile.Route
+	if rt == nil || r.once || r.forwarded || rt.GoalMs <= 0 || r.tries >= rt.MaxAttempts {
+		return event.Patience{}
+	}
+	wait := time.Duration(waitFactor * float64(dec.Wait))
+	if rt.Kind != rules.Streaming {
+		usual := runFactor * rd.pools.of(r).runTime
+		return event.Patience{First: wait + max(usual, time.Duration(callPart*float64(rt.Goal())))}
+	}
+	gap := gapFactor * time.Duration(rt.GapMs) * time.Millisecond
+	return event.Patience{First: wait + time.Duration(firstPart*float64(rt.Goal())), Gap: max(gap, gapLeast)}
+}
+
 // coldPerSecond is how many requests a second all hosts together may send to a
 // cold target of a service.
 func (rd *Reducer) coldPerSecond(service string) float64 {
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -26,7 +26,17 @@
 	// Keep says that the answer is to be kept for repeats.
 	Keep bool `json:"keep,omitempty"`
 	// Basis is what the choice was made by.
-	Basis Basis `json:"basis"`
+	Basis    Basis    `json:"basis"`
+	Patience Patience `json:"patience"`
+}
+
+// Patience is how long an attempt may say nothing before it is broken off, so
+// that another can be made. Zero is until its deadline.
+type Patience struct {
+	// First bounds the time to the first byte, Gap the time between two pieces
+	// of a stream.
+	First time.Duration `json:"first,omitempty"`
+	Gap   time.Duration `json:"gap,omitempty"`
 }
 
 // Basis is what a decision about a request was made by, for the log.
@@ -58,8 +68,9 @@
 	Once     bool            `json:"once,omitempty"`
 	Keep     bool            `json:"keep,omitempty"`
 	// Service is the service that was picked for a request of a route.
-	Service string `json:"service,omitempty"`
-	Basis   Basis  `json:"basis"`
+	Service  string   `json:"service,omitempty"`
+	Basis    Basis    `json:"basis"`
+	Patience Patience `json:"patience"`
 }
 
 // Refuse gives a request its final answer, for a request of which nothing has
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -252,11 +252,11 @@
 func (r *run) carry(ctx context.Context, eff event.Effect) bool {
 	switch e := eff.(type) {
 	case event.Dispatch:
-		t := &try{run: r, id: e.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
+		t := &try{run: r, id: e.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume, patience: e.Patience}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.send(ctx, e) }
 		return r.start(ctx, t)
 	case event.Forward:
-		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume}
+		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume, patience: e.Patience}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
 		return r.start(ctx, t)
 	case event.Replay:
@@ -295,6 +295,7 @@
 	t.ctx = ctx
 	t.end = event.AttemptEnded{Attempt: t.id, Result: event.ResultBroken}
 	r.live = t
+	t.heard.Store(int64(r.Clock.Now()))
 	t.t.Go(t.loop)
 	return false
 }
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"gopkg.in/tomb.v2"
 
@@ -23,7 +24,12 @@
 	once     bool
 	keep     bool
 	do       func(ctx context.Context) event.AttemptEnded
+	patience event.Patience
 	sent     bool
+	// heard is when the last piece of the answer came, at first when the
+	// attempt began.
+	heard  atomic.Int64
+	begins atomic.Bool
 	// answered says that the first byte of the answer has been told.
 	answered bool
 	use      usage
@@ -34,6 +40,10 @@
 func (t *try) loop() error {
 	ctx, cancel := context.WithTimeout(t.t.Context(t.ctx), t.left(t.deadline))
 	defer cancel()
+	if t.patience != (event.Patience{}) {
+		w := &watch{try: t, ctx: ctx, cancel: cancel}
+		t.t.Go(w.run)
+	}
 	end := t.do(ctx)
 	end.Attempt = t.id
 	t.end = end
@@ -67,8 +77,49 @@
 	return t.data(b, upto)
 }
 
+// watch breaks off an attempt that is silent for longer than its patience.
+type watch struct {
+	*try
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func (w *watch) run() error {
+	sub := w.Clock.At(w.due())
+	defer sub.Close()
+	for {
+		select {
+		case now := <-sub.C():
+			if due := w.due(); due > now {
+				sub.Reset(due)
+				continue
+			}
+			w.Log.Info("attempt is silent and is broken off", "request", w.req.ID, "attempt", w.id.Number,
+				"silentMs", now.Sub(ident.Time(w.heard.Load())).Milliseconds(), "begun", w.begins.Load())
+			w.cancel()
+			return nil
+		case <-w.ctx.Done():
+			return nil
+		}
+	}
+}
+
+// due is when the patience ends if nothing more comes.
+func (w *watch) due() ident.Time {
+	most := w.patience.First
+	if w.begins.Load() {
+		most = w.patience.Gap
+	}
+	if most == 0 {
+		return w.deadline
+	}
+	return ident.Time(w.heard.Load()).Add(most)
+}
+
 // first tells once that the answer has begun.
 func (t *try) first() {
+	t.heard.Store(int64(t.Clock.Now()))
+	t.begins.Store(true)
 	if t.answered {
 		return
 	}
