name the platform's listed hosts to callers, and none outside their homes

Change: hosts of other regions are also known by the platform's list while it can be read; draining hosts of the region come before foreign ones; callers with homes are told of nobody rather than of a foreign region.

--- a/internal/member/near.go
+++ b/internal/member/near.go
@@ -6,6 +6,7 @@
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/value"
 )
 
 // nearStale is the age of the newest word of another data centre past which
@@ -13,43 +14,64 @@
 const nearStale = 5 * time.Second
 
 // Nearby returns the entry hosts that a caller at a place should use: the live
-// ones of its data centre, else of its region, else of the homes, else of this
-// host's group, else any. The homes are the regions in which all requests of
-// the caller may be served: a body that is sent to a host anywhere else has left
-// the places that it is confined to. A host that drains is left out, and so is one that was not heard of
-// lately, since a caller that is sent to it waits for a connection that never
-// stands.
+// ones of its data centre, else of its region, else of the homes, else those of
+// its region that drain, else, where it has no homes, any. The homes are the
+// regions in which all requests of the caller may be served: a body that is sent
+// to a host anywhere else has left the places that it is confined to. A caller
+// that gets no answer keeps to the hosts that it knows, which are back at the
+// same addresses after a replacement.
+//
+// A host that was not heard of lately is left out: a caller that is sent to it
+// waits for a connection that never stands.
 func (tb *Table) Nearby(now ident.Time, near event.Place, homes []ident.Region) []event.Host {
-	var all []event.Host
-	for _, h := range tb.liveHosts(now) {
-		if !h.Leaving {
-			all = append(all, h)
+	all, draining := tb.reachable(now)
+	here := func(p event.Place) bool { return p.Region == near.Region }
+	for _, c := range []struct {
+		hosts []event.Host
+		fits  func(p event.Place) bool
+	}{
+		{all, func(p event.Place) bool { return p.DataCentre == near.DataCentre }},
+		{all, here},
+		{all, func(p event.Place) bool { return slices.Contains(homes, p.Region) }},
+		{draining, here},
+		{all, func(p event.Place) bool { return len(homes) == 0 && p.Group() == tb.self.Place.Group() }},
+		{all, func(event.Place) bool { return len(homes) == 0 }},
+	} {
+		if hs := those(c.hosts, c.fits); len(hs) > 0 {
+			return hs
 		}
 	}
-	own := all
+	return nil
+}
+
+// reachable returns the hosts that are probably there, and apart those of them
+// that drain. Of another group they are known by its summaries, and by the
+// platform's list while that can be read: a host that was just replaced stands
+// there before any summary tells of it.
+func (tb *Table) reachable(now ident.Time) (all, draining []event.Host) {
+	hosts := tb.liveHosts(now)
 	for _, c := range tb.centres {
-		if !c.HasSummary || c.Age(now) > nearStale {
-			continue
+		seen := value.SetOf[ident.EntryID]()
+		if c.HasSummary && c.Age(now) <= nearStale {
+			for _, h := range c.Summary.Hosts {
+				seen.Add(h.ID)
+				hosts = append(hosts, h)
+			}
 		}
-		for _, h := range c.Summary.Hosts {
-			if !h.Leaving {
-				all = append(all, h)
+		for _, h := range c.listed {
+			if !tb.list.away && !seen.Has(h.ID) {
+				hosts = append(hosts, h)
 			}
 		}
 	}
-	for _, fits := range []func(p event.Place) bool{
-		func(p event.Place) bool { return p.DataCentre == near.DataCentre },
-		func(p event.Place) bool { return p.Region == near.Region },
-		func(p event.Place) bool { return slices.Contains(homes, p.Region) },
-	} {
-		if hs := those(all, fits); len(hs) > 0 {
-			return hs
+	for _, h := range hosts {
+		if h.Leaving {
+			draining = append(draining, h)
+			continue
 		}
+		all = append(all, h)
 	}
-	if len(own) > 0 {
-		return own
-	}
-	return all
+	return all, draining
 }
 
 func those(hosts []event.Host, fits func(p event.Place) bool) []event.Host {
--- a/internal/member/near_test.go
+++ b/internal/member/near_test.go
@@ -83,3 +83,39 @@
 		t.Errorf("hosts (-want +got):\n%s", diff)
 	}
 }
+
+// A host in the east was replaced a moment ago. The platform lists the new one,
+// and no summary tells of it yet. Its callers are led to it all the same.
+func TestNearbyKnowsTheListed(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := nearWorld(at)
+	tb.HostsRead(at, event.HostsRead{Version: 1, Complete: true, Hosts: []event.Host{reachHost("e2", "east-a", "east")}})
+	want := []ident.EntryID{"e1", "e2"}
+	if diff := cmp.Diff(want, entryIDs(tb.Nearby(at, reachPlace("east-a", "east"), nil))); diff != "" {
+		t.Errorf("hosts (-want +got):\n%s", diff)
+	}
+	tb.ListFailed(at)
+	if diff := cmp.Diff(want[:1], entryIDs(tb.Nearby(at, reachPlace("east-a", "east"), nil))); diff != "" {
+		t.Errorf("hosts with the platform away (-want +got):\n%s", diff)
+	}
+}
+
+// Every host of the east drains at the same time, and the homes of its callers
+// are cut off from the host that they ask. They are told of the draining ones,
+// which still serve, and never of a region that is no home of theirs.
+func TestNearbyPrefersDrainingToForeign(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := nearWorld(at)
+	leaving := reachHost("e1", "east-a", "east")
+	leaving.Leaving = true
+	tb.SummaryReceived(at, event.Summary{
+		From: "e1", Place: reachPlace("east-a", "east"), Incarnation: 1, Seq: 2, Hosts: []event.Host{leaving}, HostsHash: 8,
+	})
+	homes := []ident.Region{"east", "north"}
+	if diff := cmp.Diff([]ident.EntryID{"e1"}, entryIDs(tb.Nearby(at, reachPlace("east-a", "east"), homes))); diff != "" {
+		t.Errorf("hosts (-want +got):\n%s", diff)
+	}
+	if got := tb.Nearby(at, reachPlace("north-a", "north"), []ident.Region{"north"}); got != nil {
+		t.Errorf("callers of the north are led to %v, outside their homes", entryIDs(got))
+	}
+}
--- a/internal/member/seen.go
+++ b/internal/member/seen.go
@@ -57,7 +57,7 @@
 // busyWait is the wait for the first token at which a target counts as full
 // when spare capacity is counted. An engine with long prompts has free slots
 // long after its time to a first token has become that of an overload.
-const busyWait = 600 * time.Millisecond
+const busyWait = 300 * time.Millisecond
 
 // free returns the places of a target that new work may take, with the given
 // number of requests there.
