take a failed resume for no end of a stream

Ruled out: the reading of events, as no piece was missing or came twice. Change: an answer that can't go on with a stream never counts as held; the reducer gives a held answer only to callers that have had nothing.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -204,12 +204,12 @@
 		return
 	}
 	r.mayHaveRun = true
-	if e.Held && (r.once || !rd.mayTryAgain(now, r, a, e)) {
+	if e.Held && r.delivered == 0 && (r.once || !rd.mayTryAgain(now, r, a, e)) {
 		// The target's own word of its failure says more than any of ours.
 		rd.deliver(now, r)
 		return
 	}
-	if e.Held {
+	if e.Held && r.delivered == 0 {
 		rd.elsewhereSoon(now, r, a, refusal{code: codes.TargetFailed.ID, outcome: event.Unknown})
 		return
 	}
--- a/internal/serve/bench_test.go
+++ b/internal/serve/bench_test.go
@@ -32,6 +32,7 @@
 	targets  []event.Target
 	once     bool
 	deadline time.Duration
+	silence  event.Patience
 
 	mu   sync.Mutex
 	ends []event.AttemptEnded
@@ -95,7 +96,7 @@
 	b.num++
 	return []event.Effect{event.Dispatch{
 		Request: testID, Attempt: ident.Attempt{Entry: "e", Incarnation: 1, Number: b.num}, Target: b.targets[b.num-1],
-		Deadline: now.Add(b.deadline), Resume: resume, Once: b.once, Keep: b.once,
+		Deadline: now.Add(b.deadline), Resume: resume, Once: b.once, Keep: b.once, Patience: b.silence,
 	}}
 }
 
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -86,6 +86,10 @@
 		end.Result = event.ResultFailed
 		return end
 	}
+	if t.begun && !goesOn(res) {
+		end.Result, end.Resumable = event.ResultFailed, t.resumable()
+		return end
+	}
 	from := t.upto
 	t.begin(res.StatusCode, t.answerHeader(res.Header))
 	err := t.copy(res)
@@ -105,6 +109,13 @@
 	return end
 }
 
+// goesOn reports whether an answer can go on with a stream whose beginning the
+// caller has. Anything else is whole by itself: passed for the rest of the
+// stream, its end would make the beginning look complete.
+func goesOn(res *http.Response) bool {
+	return res.StatusCode == http.StatusOK && isEventStream(res.Header)
+}
+
 // resumable reports whether another target may go on with a stream.
 func (t *try) resumable() bool {
 	return t.call.Stream && (t.call.Engine || t.call.Routed && t.call.Resumable)
