--- /dev/null
+++ b/internal/dev/worker/worker.go
@@ -0,0 +1,288 @@
+// Package worker is a stand-in for the targets of the users' platform: model
+// engines that stream events and plain services, with the faults that the
+// platform's pages name.
+//
+// # Usage
+//
+//	wk := worker.New(worker.Config{ID: "i-1", Service: "writers", DataCentre: "a", Slots: 8, Events: 5})
+//	srv := httptest.NewServer(wk)
+//	store.Put(wk.Key(), wk.Entry(addr, "ready", 0))
+//	wk.Fault(worker.Crash, 1)
+//
+// It counts how often each request ran, so that a test can tell whether one ran
+// twice.
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is a way in which the next answers go wrong.
+type Fault string
+
+// The faults.
+const (
+	// Crash breaks the stream off in the middle of an event, Reset closes the
+	// connection before a byte of the answer, after the request ran.
+	Crash Fault = "crash"
+	Reset Fault = "reset"
+	// Lost runs the request and never answers.
+	Lost Fault = "lost"
+	// Errors answers 500, Shed 503 without running the request.
+	Errors Fault = "errors"
+	Shed   Fault = "shed"
+	// Unsigned answers without the signature, Crossed with another id.
+	Unsigned Fault = "unsigned"
+	Crossed  Fault = "crossed"
+	// Unframed answers without a length, Extra sends one more answer.
+	Unframed Fault = "unframed"
+	Extra    Fault = "extra"
+)
+
+// Config is what a worker is.
+type Config struct {
+	ID         string
+	Service    string
+	DataCentre string
+	Slots      int
+	// Events is the length of its streams, Pause the time between two.
+	Events int
+	Pause  time.Duration
+	// Work is the time of a plain call.
+	Work time.Duration
+}
+
+// Worker is one incarnation of a target.
+type Worker struct {
+	cfg Config
+
+	mu      sync.Mutex
+	running int
+	runs    map[string]int
+	heads   []http.Header
+	faults  []Fault
+	seq     int
+	gone    int
+}
+
+// New returns a worker.
+func New(cfg Config) *Worker { return &Worker{cfg: cfg, runs: make(map[string]int)} }
+
+// Key is where its entry stands in the store.
+func (k *Worker) Key() string { return "servers/" + k.cfg.ID }
+
+// Entry is its entry with a state and a cold time.
+func (k *Worker) Entry(addr, state string, cold time.Duration) []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.seq++
+	b, err := json.Marshal(map[string]any{
+		"Service": k.cfg.Service, "Address": addr, "Zone": k.cfg.DataCentre, "Version": "v1", "Slots": k.cfg.Slots,
+		"State": state, "ColdLeftMs": cold.Milliseconds(), "Seq": k.seq,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// Fault has the next n requests go wrong.
+func (k *Worker) Fault(f Fault, n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for range n {
+		k.faults = append(k.faults, f)
+	}
+}
+
+// Runs returns how often a request ran.
+func (k *Worker) Runs(id string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.runs[id]
+}
+
+// Total returns how many requests ran.
+func (k *Worker) Total() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := 0
+	for _, r := range k.runs {
+		n += r
+	}
+	return n
+}
+
+// Heads returns the headers of the requests that ran, in their order.
+func (k *Worker) Heads() []http.Header {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heads
+}
+
+// Gone returns how many callers left before their answer was whole.
+func (k *Worker) Gone() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.gone
+}
+
+// ServeHTTP answers one request.
+func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Verbenadale-Server-Load", k.load())
+	if r.URL.Path == "/healthz" {
+		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
+		return
+	}
+	id := r.Header.Get("Verbenadale-Request-Id")
+	if want := r.Header.Get("Verbenadale-Expect-Instance"); want != "" && want != k.cfg.ID {
+		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	f := k.begin()
+	if f == Shed || id == "" {
+		w.Header().Set("Verbenadale-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		k.end(r, false)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		k.end(r, false)
+		return
+	}
+	k.ran(id, r.Header)
+	defer k.end(r, true)
+	k.answer(w, r, f, id, body)
+}
+
+func (k *Worker) load() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return fmt.Sprintf("%d,0,%d", k.running, k.cfg.Slots)
+}
+
+func (k *Worker) begin() Fault {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.running++
+	if len(k.faults) == 0 {
+		return ""
+	}
+	f := k.faults[0]
+	k.faults = k.faults[1:]
+	return f
+}
+
+func (k *Worker) ran(id string, h http.Header) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.runs[id]++
+	k.heads = append(k.heads, h.Clone())
+}
+
+func (k *Worker) end(r *http.Request, ran bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.running--
+	if ran && r.Context().Err() != nil {
+		k.gone++
+	}
+}
+
+func (k *Worker) answer(w http.ResponseWriter, r *http.Request, f Fault, id string, body []byte) {
+	switch f {
+	case Reset:
+		panic(http.ErrAbortHandler)
+	case Lost:
+		<-r.Context().Done()
+		return
+	case Crossed:
+		id = "of-somebody-else"
+	case Unframed:
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set("Verbenadale-Request-Id", id)
+	if f != Unsigned {
+		w.Header().Set("Verbenadale-Response-Seal", "seal-of-"+id)
+	}
+	if f == Errors {
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "failed")
+		return
+	}
+	if k.cfg.Events > 0 {
+		k.stream(w, r, f)
+		return
+	}
+	if !sleep(r, k.cfg.Work) {
+		return
+	}
+	fmt.Fprintf(w, "%s %s %s by %s", r.Method, r.RequestURI, body, k.cfg.ID)
+	if f == Extra {
+		k.extra(w)
+	}
+}
+
+// extra sends one more answer behind a whole one.
+func (k *Worker) extra(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	one := "HTTP/1.1 200 OK\r\nVerbenadale-Request-Id: %s\r\nVerbenadale-Response-Seal: s\r\nContent-Length: 5\r\n\r\n%s"
+	_, _ = fmt.Fprintf(c, one, w.Header().Get("Verbenadale-Request-Id"), "first")
+	_, _ = fmt.Fprintf(c, one, "of-before", "extra")
+	time.Sleep(k.cfg.Pause)
+}
+
+// stream sends events after the one that the caller has.
+func (k *Worker) stream(w http.ResponseWriter, r *http.Request, f Fault) {
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	for n := from + 1; n <= k.cfg.Events; n++ {
+		if f == Crash && n == from+2 {
+			fmt.Fprintf(w, "id: %d\ndata: pie", n)
+			_ = rc.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, Event(n))
+		if rc.Flush() != nil || !sleep(r, k.cfg.Pause) {
+			return
+		}
+	}
+}
+
+// Event is the n-th event of each stream.
+func Event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
+// Stream is a whole stream of n events.
+func Stream(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(Event(i))
+	}
+	return b.String()
+}
+
+// sleep waits and reports false when the caller has left.
+func sleep(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), d)
+	defer cancel()
+	<-ctx.Done()
+	return r.Context().Err() == nil
+}
