let targets that fail part of their requests draw less work

Cause: three sealed failures in a row made a target suspect, which took the one target of a region out for a second at its usual rate of failures. Ruled out: a longer row, which would keep dead targets in. Change: a whole failure is a sign of life, and the part of requests that fail, forgotten by half in 4 s, is a part of a target's cost. Tests in virtual time: second tries, once only, unsent, half streams, refusal at once, draining, cold shares, lapsed entries.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -156,7 +156,7 @@
 // be well.
 func healthOf(now ident.Time, a *attempt, e event.AttemptEnded) health {
 	switch {
-	case e.Result == event.ResultDone || e.Leaving:
+	case e.Result == event.ResultDone || e.Leaving || e.Held:
 		return answered
 	case e.Result == event.ResultNotRun && a.sent:
 		return answered
@@ -177,6 +177,9 @@
 	}
 	r := a.req
 	rd.forget(a, healthOf(now, a, e))
+	if a.target != "" && e.Result != event.ResultNotRun {
+		rd.table.Outcome(now, a.target, e.Result == event.ResultDone)
+	}
 	r.delivered = max(r.delivered, e.Delivered)
 	r.generated += e.Generated
 	if e.Leaving && a.target != "" {
--- /dev/null
+++ b/internal/core/routed_test.go
@@ -0,0 +1,231 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/core"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// post is one host before targets of a route, stepped by hand.
+type post struct {
+	t   *testing.T
+	red *core.Reducer
+	now ident.Time
+	n   int
+}
+
+func routeProfile(name string, kind rules.RouteKind, attempts int) rules.Profile {
+	return rules.Profile{
+		Name: ident.Profile(name), MaxCrossings: 1, Weights: rules.Weights{Tail: 1},
+		Route: &rules.Route{
+			Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, TimeoutMs: 10000, GoalMs: 500, GapMs: 300,
+			Resumable: kind == rules.Streaming && attempts > 1, Shares: []rules.Share{{Service: "board", Weight: 1}},
+		},
+	}
+}
+
+func newPost(t *testing.T, targets int, bounds core.Bounds) *post {
+	t.Helper()
+	place := event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
+	p := &post{t: t, red: core.NewBounded(event.Host{ID: "w1", Incarnation: 1, Place: place}, bounds), now: ident.Time(time.Second)}
+	p.step(event.SnapshotReceived{Book: rules.FromSheet(1, rules.Sheet{
+		Profiles: []rules.Profile{
+			routeProfile("fetch", rules.Idempotent, 2), routeProfile("publish", rules.NonIdempotent, 1), routeProfile("draft", rules.Streaming, 2),
+		},
+		Clients: []rules.Client{{Name: "callers"}},
+	})})
+	var ts []event.Target
+	for i := range targets {
+		ts = append(ts, event.Target{
+			ID: ident.TargetID(fmt.Sprint("t", i)), Incarnation: 1, Kind: event.Service, Service: "board", Place: place, Capacity: 64,
+		})
+	}
+	p.step(event.HostsRead{Version: 1, Complete: true, Targets: ts})
+	return p
+}
+
+func (p *post) step(ev event.Event) []event.Effect {
+	p.now = p.now.Add(time.Millisecond)
+	return p.red.Step(p.now, ev)
+}
+
+// pick returns the first effect of a type.
+func pick[T event.Effect](effs []event.Effect) (T, bool) {
+	for _, eff := range effs {
+		if e, ok := eff.(T); ok {
+			return e, true
+		}
+	}
+	var zero T
+	return zero, false
+}
+
+func (p *post) send(profile string) event.Dispatch {
+	p.t.Helper()
+	p.n++
+	effs := p.step(event.RequestArrived{Request: event.Request{
+		ID: ident.RequestID(fmt.Sprint("r", p.n)), Account: "callers", Profile: ident.Profile(profile), Deadline: p.now.Add(10 * time.Second),
+	}})
+	d, ok := pick[event.Dispatch](effs)
+	if !ok {
+		p.t.Fatalf("%s is not sent: %v", profile, effs)
+	}
+	p.step(event.AttemptSent{Attempt: d.Attempt})
+	return d
+}
+
+// end ends an attempt and returns what was decided within a second.
+func (p *post) end(e event.AttemptEnded) []event.Effect {
+	effs := p.step(e)
+	for range 20 {
+		p.now = p.now.Add(50 * time.Millisecond)
+		effs = append(effs, p.red.Step(p.now, event.Tick{})...)
+	}
+	return effs
+}
+
+// A target fails half of its calls. Each failed one is tried once more within
+// the budget of the service, and past it callers get the target's own failure;
+// without the budget a target in trouble would get twice its load.
+func TestSecondTriesKeepToTheBudget(t *testing.T) {
+	p := newPost(t, 4, core.Bounds{RetryRatio: 0.2, RetryFloor: 10})
+	tries, held := 0, 0
+	const calls = 200
+	for range calls {
+		d := p.send("fetch")
+		effs := p.end2(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultFailed, Status: 500, Held: true})
+		if again, ok := pick[event.Dispatch](effs); ok {
+			tries++
+			if again.Target.ID == d.Target.ID {
+				t.Fatalf("tried again at %s, where it had failed", d.Target.ID)
+			}
+			p.step(event.AttemptEnded{Attempt: again.Attempt, Result: event.ResultDone})
+		} else if f, ok := pick[event.Finish](effs); ok && f.Outcome == event.Done {
+			held++
+		}
+	}
+	if most := calls/5 + 10; tries == 0 || tries > most {
+		t.Errorf("%d second tries of %d calls, at most %d are allowed", tries, calls, most)
+	}
+	if tries+held != calls {
+		t.Errorf("%d calls were tried again and %d got the failure, of %d", tries, held, calls)
+	}
+}
+
+// end2 is end within a tenth of a second.
+func (p *post) end2(e event.AttemptEnded) []event.Effect {
+	effs := p.step(e)
+	p.now = p.now.Add(60 * time.Millisecond)
+	return append(effs, p.red.Step(p.now, event.Tick{})...)
+}
+
+// A booking may have run when its target breaks off. It is never sent again,
+// and its caller hears nothing that promises it did not run.
+func TestRoutedOnceIsNeverRepeated(t *testing.T) {
+	for _, res := range []event.Result{event.ResultBroken, event.ResultFailed} {
+		p := newPost(t, 4, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+		d := p.send("publish")
+		if !d.Once || d.Patience != (event.Patience{}) {
+			t.Errorf("a call that may run once goes out as %+v", d)
+		}
+		effs := p.end(event.AttemptEnded{Attempt: d.Attempt, Result: res})
+		if _, ok := pick[event.Dispatch](effs); ok {
+			t.Errorf("%s: it is sent again", res)
+		}
+		if r, ok := pick[event.Refuse](effs); !ok || r.Outcome != event.Unknown {
+			t.Errorf("%s: the caller hears %+v", res, r)
+		}
+	}
+}
+
+// Nothing of a call reached its target, which could not be connected to. That
+// costs no target anything, so it is tried elsewhere whatever the budget.
+func TestUnsentGoesElsewhere(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{})
+	p.n++
+	effs := p.step(event.RequestArrived{Request: event.Request{ID: "r", Account: "callers", Profile: "publish", Deadline: p.now.Add(10 * time.Second)}})
+	d, _ := pick[event.Dispatch](effs)
+	effs = p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultNotRun})
+	again, ok := pick[event.Dispatch](effs)
+	if !ok || again.Target.ID == d.Target.ID {
+		t.Fatalf("not tried elsewhere: %v", effs)
+	}
+	effs = p.end(event.AttemptEnded{Attempt: again.Attempt, Result: event.ResultNotRun})
+	if _, ok := pick[event.Dispatch](effs); !ok {
+		t.Error("a third target is not tried")
+	}
+}
+
+// A stream breaks off in the middle and its caller has the beginning. The
+// target that goes on answers with a failure of its own, which must not be taken
+// for the end.
+func TestHeldFailureIsNotForHalfAStream(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+	d := p.send("draft")
+	if d.Patience.First == 0 || d.Patience.Gap == 0 {
+		t.Errorf("a stream that may be resumed is waited for without bound: %+v", d.Patience)
+	}
+	effs := p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 4, Generated: 4})
+	again, ok := pick[event.Dispatch](effs)
+	if !ok || again.Resume != 4 {
+		t.Fatalf("the stream does not go on after event 4: %v", effs)
+	}
+	p.step(event.AttemptSent{Attempt: again.Attempt})
+	effs = p.end(event.AttemptEnded{Attempt: again.Attempt, Result: event.ResultFailed, Status: 500, Held: true, Delivered: 4})
+	if f, ok := pick[event.Finish](effs); ok {
+		t.Errorf("the caller is told that half a stream is whole: %+v", f)
+	}
+}
+
+// All targets are too far behind for a request to start in time. It is refused
+// at once with when to come back, and not held until its deadline.
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	p := newPost(t, 1, core.Bounds{})
+	long := func(i int) []event.Effect {
+		return p.step(event.RequestArrived{Request: event.Request{
+			ID: ident.RequestID(fmt.Sprint("long", i)), Account: "callers", Profile: "draft", Prompt: 50000, MaxTokens: 400,
+			Deadline: p.now.Add(10 * time.Second),
+		}})
+	}
+	d, _ := pick[event.Dispatch](long(0))
+	p.step(event.AttemptSent{Attempt: d.Attempt})
+	p.now = p.now.Add(time.Second)
+	p.step(event.FirstToken{Attempt: d.Attempt})
+	refused := 0
+	for i := range 400 {
+		effs := long(i + 1)
+		r, ok := pick[event.Refuse](effs)
+		if !ok {
+			continue
+		}
+		refused++
+		if diff := cmp.Diff([]any{codes.Overloaded.ID, event.NotRun, true}, []any{r.Code, r.Outcome, r.RetryAfter > 0}); diff != "" {
+			t.Fatalf("refusal (-want +got):\n%s", diff)
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused")
+	}
+}
+
+// A host that drains serves callers that still come to it for a while and turns
+// them away after, saying that nothing ran.
+func TestDrainingServesForAWhile(t *testing.T) {
+	p := newPost(t, 1, core.Bounds{DrainServe: 2 * time.Second, DrainLeast: 3 * time.Second})
+	p.step(event.DrainAsked{})
+	d := p.send("fetch")
+	p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone})
+	p.now = p.now.Add(2 * time.Second)
+	effs := p.step(event.RequestArrived{Request: event.Request{ID: "late", Account: "callers", Profile: "fetch", Deadline: p.now.Add(time.Second)}})
+	if r, ok := pick[event.Refuse](effs); !ok || r.Code != codes.Draining.ID || r.Outcome != event.NotRun {
+		t.Errorf("a request late in a drain: %v", effs)
+	}
+}
--- /dev/null
+++ b/internal/member/gone_test.go
@@ -0,0 +1,135 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+func reachTarget(id string) event.Target {
+	return event.Target{
+		ID: ident.TargetID(id), Incarnation: 1, Kind: event.Service, Service: "writers",
+		Place: reachPlace("west-a", "west"), Capacity: 8,
+	}
+}
+
+func listOf(v uint64, ts ...event.Target) event.HostsRead {
+	return event.HostsRead{Version: v, Complete: true, Targets: ts}
+}
+
+func usable(t *testing.T, tb *Table, at ident.Time, id string) bool {
+	t.Helper()
+	tg, ok := tb.Target(ident.TargetID(id))
+	return ok && tg.Usable(at)
+}
+
+// Some targets never say that they leave: their entry goes and they stop a few
+// seconds later, with whatever was sent there meanwhile.
+func TestUnlistedTargetIsGone(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
+	tb.HostsRead(at, listOf(2, reachTarget("b")))
+	if usable(t, tb, at, "a") {
+		t.Error("a target that the list lacks is used")
+	}
+	tb.HostsRead(at, listOf(3, reachTarget("a"), reachTarget("b")))
+	if !usable(t, tb, at, "a") {
+		t.Error("a target that is listed again is not used")
+	}
+}
+
+// The platform was away and entries lapsed though the targets live. They are
+// written anew within two seconds of its return; dropped at once, a whole data
+// centre would have nothing to serve with for as long.
+func TestLapsedEntriesAreWaitedFor(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
+	tb.ListFailed(at)
+	at = at.Add(5 * time.Second)
+	tb.HostsRead(at, listOf(2, reachTarget("b")))
+	if !usable(t, tb, at, "a") {
+		t.Error("a target whose entry lapsed is dropped at the platform's return")
+	}
+	at = at.Add(returnGrace)
+	tb.Tick(at, Own{})
+	if usable(t, tb, at, "a") {
+		t.Error("a target that did not come back is still used")
+	}
+}
+
+// An operator has a data centre emptied and takes that back. Its targets are
+// mostly cold then, and crash under the load that waits for them.
+func TestTakenBackIsCold(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.SetCold(Cold{PerSecond: func(string) float64 { return 6 }, Span: func(string) time.Duration { return 3 * time.Second }})
+	closed := reachTarget("a")
+	closed.Closed = true
+	tb.HostsRead(at, listOf(1, reachTarget("a")))
+	tb.HostsRead(at, listOf(2, closed))
+	if usable(t, tb, at, "a") {
+		t.Error("a target of an emptied data centre is used")
+	}
+	tb.HostsRead(at, listOf(3, reachTarget("a")))
+	tg, _ := tb.Target("a")
+	if !tg.Cold(at) || tg.Cold(at.Add(3*time.Second)) {
+		t.Error("a target that was taken back is not cold for as long as its service says")
+	}
+}
+
+// Several hosts may send to a target that has just started, each with views of
+// its own of who is there. Whatever they believe, what they send in any second
+// stays under the bound; beyond it the target crashes with all it was sent.
+func TestColdTargetsGetTheirShare(t *testing.T) {
+	const bound = 6
+	for name, know := range map[string]bool{"hosts that know each other": true, "a host that has lost another": false} {
+		t.Run(name, func(t *testing.T) {
+			at := ident.Time(time.Second)
+			hosts := []event.Host{reachHost("w1", "west-a", "west"), reachHost("w2", "west-a", "west")}
+			var tables []*Table
+			for i, h := range hosts {
+				tb := New(h)
+				tb.SetCold(Cold{PerSecond: func(string) float64 { return bound }})
+				tb.Advance(at)
+				if know {
+					tb.PeerUp(at, hosts[1-i])
+				}
+				tables = append(tables, tb)
+			}
+			at = at.Add(coldStart)
+			cold := reachTarget("a")
+			cold.ColdFor = time.Minute
+			var sends []ident.Time
+			for range 500 {
+				at = at.Add(10 * time.Millisecond)
+				for i, tb := range tables {
+					tb.HostsRead(at, listOf(1, cold))
+					if know {
+						tb.PeerUp(at, hosts[1-i])
+					}
+					if tg, _ := tb.Target("a"); !tb.ColdFull(at, tg) {
+						tb.Sent("a", 0, 0)
+						sends = append(sends, at)
+					}
+				}
+			}
+			most := 0
+			for i := range sends {
+				n := 0
+				for _, s := range sends[i:] {
+					if s.Sub(sends[i]) < time.Second {
+						n++
+					}
+				}
+				most = max(most, n)
+			}
+			if most == 0 || most > bound {
+				t.Errorf("%d sends in one second, of %d allowed", most, bound)
+			}
+		})
+	}
+}
--- a/internal/member/seen.go
+++ b/internal/member/seen.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -69,3 +70,40 @@
 	wait := min(t.prefillWait(now, out), busyWait)
 	return int(float64(n) * (1 - float64(wait)/float64(busyWait)))
 }
+
+// Following of the part of requests that fail at a target.
+const (
+	// faultWeight is the weight of one outcome: a target that begins to fail
+	// half of its requests shows within eight of them.
+	faultWeight = 1.0 / 8
+	// faultHalf is how long it takes until half of what is held against a
+	// target is forgotten, though it gets no work that could prove it well.
+	faultHalf = 4 * time.Second
+)
+
+// Outcome takes note of whether a request at a target came to a good end.
+//
+// A target may fail part of its requests and answer its health check all the
+// while. It is not silent, so that suspicion never takes it out; by this it
+// draws less work than the others until it does better.
+func (tb *Table) Outcome(now ident.Time, id ident.TargetID, ok bool) {
+	t, found := tb.byID[id]
+	if !found {
+		return
+	}
+	t.faults = t.Faults(now)
+	t.faultsAt = now
+	sample := 1.0
+	if ok {
+		sample = 0
+	}
+	t.faults += faultWeight * (sample - t.faults)
+}
+
+// Faults returns the part of the newest requests at a target that failed.
+func (t *Target) Faults(now ident.Time) float64 {
+	if t.faults == 0 {
+		return 0
+	}
+	return t.faults * math.Exp2(-now.Sub(t.faultsAt).Seconds()/faultHalf.Seconds())
+}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -59,6 +59,10 @@
 	PeerTokens ident.Tokens
 	// Fails counts failures in a row.
 	Fails int
+	// faults is the part of the newest requests that failed, as it was at
+	// faultsAt.
+	faults   float64
+	faultsAt ident.Time
 	// Leaves says that the target leaves, from the first word of it; Gone that
 	// a complete list of the platform lacks it.
 	Leaves bool
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -32,6 +32,9 @@
 	boundLoad = 1.25
 	// serviceTime stands for the time of a call of a plain service.
 	serviceTime = 0.2
+	// faultCost is what a failure costs the caller of a route, in seconds: a
+	// second try elsewhere, or the answer.
+	faultCost = 1.0
 )
 
 // tailWeight is the weight of the time to the first token. Zero, which is what
@@ -96,6 +99,9 @@
 		decode:  decode,
 		price:   w.Cost * t.Price * (prefill + decode),
 	}
+	if q.Profile.Route != nil {
+		c.cost.wait += faultCost * t.Faults(v.now)
+	}
 	c.ready = t.Wait(v.now, before, 1) + q.Backlog + toTime(prefill)
 }
 
