charge a prompt with what reading it costs the streams at the same engine

Ruled out: lost answers, as the events came all the while. Change: a target's cost holds the time of the prefill times the requests that run there, weighted by 0.2, so that long prompts and long answers part by themselves.

--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -15,7 +15,7 @@
 
 // nearbyValid is how long a caller may go by the hosts near it. It bounds how
 // long callers keep to a host that has gone.
-const nearbyValid = 2 * time.Second
+const nearbyValid = 900 * time.Millisecond
 
 // questions answers callers and operators who ask.
 func (rd *Reducer) questions(now ident.Time, ev event.Event) {
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -35,6 +35,9 @@
 	// faultCost is what a failure costs the caller of a route, in seconds: a
 	// second try elsewhere, or the answer.
 	faultCost = 1.0
+	// crowdWeight is the weight of what reading a prompt costs the requests
+	// that run at the same engine: each of them stands still for a part of it.
+	crowdWeight = 0.2
 )
 
 // tailWeight is the weight of the time to the first token. Zero, which is what
@@ -100,6 +103,7 @@
 		price:   w.Cost * t.Price * (prefill + decode),
 	}
 	if q.Profile.Route != nil {
+		c.cost.prefill += crowdWeight * prefill * float64(before)
 		c.cost.wait += faultCost * t.Faults(v.now)
 	}
 	c.ready = t.Wait(v.now, before, 1) + q.Backlog + toTime(prefill)
