--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -34,6 +34,7 @@
 	cdr.Register(&engineCmd{}, "stand-ins")
 	cdr.Register(&serviceCmd{}, "stand-ins")
 	cdr.Register(&demoCmd{}, "")
+	cdr.Register(&routesCmd{}, "")
 	cdr.Register(&replayCmd{}, "")
 	cdr.Register(&loadCmd{}, "measurements")
 	cdr.Register(&slopesCmd{}, "measurements")
--- /dev/null
+++ b/internal/dev/cmds/routes.go
@@ -0,0 +1,62 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"verbenadale.example/verbenadale/internal/dev/ports"
+	"verbenadale.example/verbenadale/internal/dev/routes"
+	"verbenadale.example/verbenadale/internal/logs"
+)
+
+// routesCmd runs a deployment of the platform of routes.
+type routesCmd struct {
+	stay bool
+	logs bool
+}
+
+func (*routesCmd) Name() string     { return "routes" }
+func (*routesCmd) Synopsis() string { return "run a small deployment of the platform of routes" }
+
+func (*routesCmd) Usage() string {
+	return `routes [-stay] [-logs]
+  Starts a stand-in of the platform's store, workers in two regions and two
+  entry hosts in one process, and sends a few requests. With -stay it runs on
+  and prints lines to go on with.
+`
+}
+
+func (c *routesCmd) SetFlags(fs *flag.FlagSet) {
+	fs.BoolVar(&c.stay, "stay", false, "run until interrupted")
+	fs.BoolVar(&c.logs, "logs", false, "print the logs of the entry hosts to standard error")
+}
+
+func (c *routesCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	// Above every verbosity that is used, so that nothing is logged.
+	level := -1
+	if c.logs {
+		level = 0
+	}
+	f, err := routes.Start(routes.Config{Log: logs.New(os.Stderr, logs.NewLevel(level)), Addr: ports.Next})
+	if err == nil {
+		defer f.Stop()
+		err = f.Show(os.Stdout)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "verbdev:", err)
+		return subcommands.ExitFailure
+	}
+	if !c.stay {
+		return subcommands.ExitSuccess
+	}
+	sigs := make(chan os.Signal, 1)
+	signal.Notify(sigs, syscall.SIGINT, syscall.SIGTERM)
+	<-sigs
+	return subcommands.ExitSuccess
+}
