serve what is stranded: the last suspect target, and other regions within the goal

The zone of a region was emptied, so all of the region's work had to leave, and only what the others counted as spare was let go. Change: a request that no target of its region may serve goes to another one where it is predicted to start within its goal, and as the last resort to a suspect target.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -113,6 +113,9 @@
 		rd.questions(now, ev)
 	}
 	rd.tick(now)
+	for _, n := range rd.table.Notes() {
+		rd.emit(n)
+	}
 	return rd.out
 }
 
--- a/internal/member/gone.go
+++ b/internal/member/gone.go
@@ -40,11 +40,11 @@
 func (tb *Table) settleGone(now ident.Time) {
 	held := tb.list.away || tb.list.backAt > 0 && now.Sub(tb.list.backAt) < returnGrace
 	for _, t := range tb.targets {
-		if !t.missing {
-			t.Gone = false
-			continue
+		gone := t.missing && (t.Gone || !held)
+		if gone != t.Gone {
+			tb.note(t, map[bool]string{true: "target is gone", false: "target is there again"}[gone])
 		}
-		t.Gone = t.Gone || !held
+		t.Gone = gone
 	}
 }
 
--- a/internal/member/leave.go
+++ b/internal/member/leave.go
@@ -53,6 +53,7 @@
 	}
 	if ok {
 		t.Leaves = true
+		tb.note(t, "target leaves")
 	}
 	return true
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -120,6 +120,8 @@
 	beat  beatState
 	relay []event.Load
 	cold  Cold
+	// notes are the changes of belief since Notes was last asked.
+	notes []event.Note
 	// slow is the fixed part of the time between summaries to a data centre
 	// that wants nothing.
 	slow time.Duration
--- /dev/null
+++ b/internal/member/note.go
@@ -0,0 +1,35 @@
+package member
+
+import (
+	"strconv"
+
+	"verbenadale.example/verbenadale/internal/event"
+)
+
+// maxNotes bounds the notes of one step. A list that changes all at once, as
+// when a data centre goes, tells of its first targets.
+const maxNotes = 64
+
+// Notes returns what has changed in what this host believes of the targets whose
+// capacity the platform's list tells, since it was last asked.
+func (tb *Table) Notes() []event.Note {
+	ns := tb.notes
+	tb.notes = nil
+	return ns
+}
+
+// note tells of a change of belief about a target.
+func (tb *Table) note(t *Target, text string) {
+	if t.Capacity == 0 || len(tb.notes) >= maxNotes {
+		return
+	}
+	silent := "-1"
+	if t.met {
+		silent = strconv.FormatInt(tb.last.Sub(t.heard).Milliseconds(), 10)
+	}
+	tb.notes = append(tb.notes, event.Note{Text: text, Fields: []event.NotePair{
+		{Key: "target", Value: string(t.ID)}, {Key: "service", Value: t.Service},
+		{Key: "failsInARow", Value: strconv.Itoa(t.Fails)}, {Key: "silentMs", Value: silent},
+		{Key: "listVersion", Value: strconv.FormatUint(tb.list.version, 10)},
+	}})
+}
--- a/internal/member/recent.go
+++ b/internal/member/recent.go
@@ -181,6 +181,6 @@
 func (tb *Table) LoadFailed(now ident.Time, id ident.TargetID) {
 	tb.Advance(now)
 	if t, ok := tb.byID[id]; ok {
-		t.Fails++
+		tb.fail(t)
 	}
 }
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -261,10 +261,10 @@
 	}
 	tb.drop(t, prefill, generated)
 	if !ok {
-		t.Fails++
+		tb.fail(t)
 		return
 	}
-	t.answer(tb.last)
+	tb.answer(t)
 }
 
 // Answered takes note that a target has begun to answer a request of this
@@ -273,7 +273,7 @@
 // for hundreds of callers.
 func (tb *Table) Answered(id ident.TargetID) {
 	if t, ok := tb.byID[id]; ok {
-		t.answer(tb.last)
+		tb.answer(t)
 	}
 }
 
@@ -295,6 +295,23 @@
 	t.recent.add(tb.last, -1, 0)
 }
 
+// fail counts a failure of a target in a row.
+func (tb *Table) fail(t *Target) {
+	t.Fails++
+	if t.Fails == failsToSuspect {
+		tb.note(t, "target is suspected")
+	}
+}
+
+// answer takes note that a target answered this host.
+func (tb *Table) answer(t *Target) {
+	was := t.Fails >= failsToSuspect
+	t.answer(tb.last)
+	if was {
+		tb.note(t, "target answers again")
+	}
+}
+
 // answer takes note that the target answered. One that was suspect is cold: its
 // cache may be gone, and the load that fled it must not come back at once.
 func (t *Target) answer(now ident.Time) {
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -24,7 +24,7 @@
 	{codes.FilterResidency, targetOutside},
 	{codes.FilterLeaving, func(_ *view, t *member.Target) bool { return t.Leaves || t.Gone }},
 	{codes.FilterClosed, func(_ *view, t *member.Target) bool { return t.Closed }},
-	{codes.FilterHealth, func(v *view, t *member.Target) bool { return t.Suspect(v.now) }},
+	{codes.FilterHealth, func(v *view, t *member.Target) bool { return t.Suspect(v.now) && !v.desperate }},
 	{codes.FilterTried, func(v *view, t *member.Target) bool { return v.q.Tried.Has(t.ID) }},
 	{codes.FilterCold, func(v *view, t *member.Target) bool { return v.tb.ColdFull(v.now, t) }},
 	{codes.FilterFull, full},
@@ -236,13 +236,21 @@
 		if p.Slots == 0 || !poolMatches(&v.q.Profile, p, 0) {
 			continue
 		}
-		if homeless || v.tb.SpareLeft(v.now, c.Place.Group(), poolID(p)) > 0 {
+		if homeless || v.tb.SpareLeft(v.now, c.Place.Group(), poolID(p)) > 0 || inGoal(v, c, p) {
 			return p
 		}
 	}
 	return nil
 }
 
+// inGoal reports whether a request is predicted to start at another data centre
+// within its goal. A data centre that is emptied of all its targets brings more
+// work than the others count as spare; what they can begin in time is better
+// served than refused, and what they can't they refuse themselves.
+func inGoal(v *view, c *member.Centre, p *event.Pool) bool {
+	return p.Free > 0 && !c.CutOff(v.now) && readyAbroad(v, c, p) <= v.q.Profile.Route.Goal()
+}
+
 // offered returns the pool of a data centre whose offer the request may use.
 func offered(v *view, c *member.Centre) *event.Pool {
 	if p := unoffered(v, c); p != nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -153,6 +153,8 @@
 	// stranded says that no target of the own data centre may serve the
 	// request, not even one that only lacks room.
 	stranded bool
+	// desperate says that suspect targets are taken too.
+	desperate bool
 }
 
 // look fills in the view of a decision, which lies in the router so that none
@@ -172,12 +174,7 @@
 	rt.price(v)
 	best := rt.cheapest(v)
 	if best == nil && full == nil {
-		v.stranded = true
-		dec, ok := rt.abroad(v, nil)
-		if !ok {
-			dec.Code = codes.NoTarget.ID
-		}
-		return dec
+		return rt.strand(v)
 	}
 	local := best
 	if local == nil {
@@ -192,6 +189,26 @@
 	return Decision{Target: best.t, Serve: best.serve, Prefill: best.prefill, Wait: best.ready}
 }
 
+// strand decides for a request that no sound target of the own data centre may
+// serve: another data centre, or else, for a route, a suspect target.
+//
+// A target is suspected after a few failures in a row, and a probe lets it back
+// in within a second or so. Where it is the only one of its service, or all of
+// them fail part of their requests, to refuse everything meanwhile does more
+// harm than the failures: most of what is sent there may come to a good end, and
+// of a target that is dead nothing runs.
+func (rt *Router) strand(v *view) Decision {
+	v.stranded = true
+	if dec, ok := rt.abroad(v, nil); ok {
+		return dec
+	}
+	if v.q.Profile.Route != nil && !v.desperate {
+		v.desperate = true
+		return rt.decide(v)
+	}
+	return Decision{Code: codes.NoTarget.ID}
+}
+
 // strides are the steps by which the sample walks over the targets. A prime
 // that does not divide their number reaches every one.
 var strides = [...]int{1, 3, 7, 11, 13, 17, 19, 23}
