let requests of routes wait for a place, and notice callers that leave meanwhile

The queue took the most tokens that an answer may have, times the time of one event, for its work, so that almost nothing ever waited. Ruled out: the predicted wait, which was 0.3 s. Change: a request of a route may wait until its goal has passed, whatever its answer may be at most.

The stream is read from its first moment on now. Both have a test that failed first.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -140,6 +140,11 @@
 		ID: r.ID, Account: r.Account, Home: r.profile.Confined(), Priority: r.profile.Priority,
 		Deadline: r.startBy(), Work: pl.work(r),
 	}
+	if r.profile.Route != nil {
+		// What its answer may be at most says little of how long it will be,
+		// and a bound on the start is all that is wanted of the queue.
+		it.Work = 0
+	}
 	ok, shed, later := pl.queue.Push(now, it, dec.Wait)
 	rd.shed(now, shed, later)
 	if !ok {
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -143,7 +143,7 @@
 // lateGoals is how many times its goal a request of a route may have waited
 // when it starts. Past that it is of little use to its caller, and the time that
 // it would take makes the next ones late too.
-const lateGoals = 2
+const lateGoals = 1
 
 // startBy returns when a request that waits must have ended. One that has been
 // tried may wait until its deadline: its caller may have half an answer, and
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -229,3 +229,48 @@
 		t.Errorf("a request late in a drain: %v", effs)
 	}
 }
+
+// Every place of the only engine is taken by answers that take a second. The
+// next request waits for the first of them to end; it is refused neither at once
+// nor because its answer may be long, as most answers are not.
+func TestBriefWaitIsNoRefusal(t *testing.T) {
+	p := newPost(t, 1, core.Bounds{})
+	arrive := func(i int) []event.Effect {
+		return p.step(event.RequestArrived{Request: event.Request{
+			ID: ident.RequestID(fmt.Sprint("q", i)), Account: "callers", Profile: "draft", Prompt: 10, MaxTokens: 4000,
+			Deadline: p.now.Add(10 * time.Second),
+		}})
+	}
+	var first event.Dispatch
+	for i := range 200 {
+		effs := arrive(i)
+		d, ok := pick[event.Dispatch](effs)
+		if i == 0 {
+			first = d
+		}
+		if ok {
+			continue
+		}
+		if r, refused := pick[event.Refuse](effs); refused {
+			t.Fatalf("request %d is refused with %s", i, r.Code)
+		}
+		p.step(event.FirstToken{Attempt: first.Attempt})
+		p.now = p.now.Add(100 * time.Millisecond)
+		effs = p.step(event.AttemptEnded{Attempt: first.Attempt, Result: event.ResultDone, Generated: 5, Delivered: 5})
+		if d, ok := pick[event.Dispatch](effs); !ok || d.Request != ident.RequestID(fmt.Sprint("q", i)) {
+			t.Fatalf("the request that waits is not sent when a place is free: %v", effs)
+		}
+		if effs := arrive(1000); !waits(effs) {
+			t.Fatalf("after a whole answer the next one does not wait: %v", effs)
+		}
+		return
+	}
+	t.Fatal("the engine is never full")
+}
+
+// waits reports whether a request was neither sent nor refused.
+func waits(effs []event.Effect) bool {
+	_, sent := pick[event.Dispatch](effs)
+	_, refused := pick[event.Refuse](effs)
+	return !sent && !refused
+}
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -196,6 +196,30 @@
 	}
 }
 
+// A request waits at another host for a place, its body still unasked, and its
+// caller leaves. Were that noticed only with the body, the request would go to a
+// target for nobody as soon as there is a place.
+func TestCallerLeavesWhileItsRequestWaits(t *testing.T) {
+	for _, confined := range []bool{false, true} {
+		began, left := make(chan struct{}), make(chan struct{})
+		x, y := pair(t, Config{Confined: func(ident.Profile) bool { return confined }}, Config{}, func(ctx context.Context, _ serve.Call, _ event.Request, sink serve.Sink) {
+			close(began)
+			<-ctx.Done()
+			close(left)
+			sink.Refuse(event.Refuse{Code: codes.Overloaded.ID, Outcome: event.NotRun})
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		l := &leaver{began: began, cancel: cancel}
+		go l.run()
+		forward(ctx, x, y, "body", nil)
+		select {
+		case <-left:
+		case <-time.After(5 * time.Second):
+			t.Errorf("confined %v: the other host does not notice", confined)
+		}
+	}
+}
+
 // leaver is a caller that leaves once its request runs.
 type leaver struct {
 	began  <-chan struct{}
--- a/internal/peer/take.go
+++ b/internal/peer/take.go
@@ -26,11 +26,10 @@
 	open *wire.Open
 
 	cancel context.CancelFunc
-	// watching says that a watch reads the stream, gone that the peer no
+	// watch reads the stream, nil before it does. gone says that the peer no
 	// longer wants the answer.
-	watching bool
-	gone     atomic.Bool
-	watched  chan struct{}
+	watch *watch
+	gone  atomic.Bool
 
 	ended bool
 	bytes uint64
@@ -72,7 +71,9 @@
 	ctx, cancel := context.WithCancel(k.m.t.Context(context.Background()))
 	defer cancel()
 	k.cancel = cancel
-	k.watched = make(chan struct{})
+	if !k.startWatch() {
+		return
+	}
 	stop := context.AfterFunc(ctx, k.part.expire)
 	k.m.serve(ctx, k.call(), k.request(), serve.Sink{
 		Begin: k.begin, Data: k.data, Finish: k.finish, Refuse: k.refuse,
@@ -88,8 +89,8 @@
 		return
 	}
 	k.part.readWithin(k.m.cfg.Times.Hello)
-	if k.watching {
-		<-k.watched
+	if k.watch != nil {
+		<-k.watch.done
 		return
 	}
 	k.drain()
@@ -132,60 +133,87 @@
 	}
 }
 
-// readBody asks for the body and reads it, and then watches the stream. Its
-// time and its length are bounded, so that a slow or huge sender holds this
-// host's memory no longer than that.
+// readBody asks for the body and waits for it. Its time and its length are
+// bounded, so that a slow or huge sender holds this host's memory no longer than
+// that.
 func (k *take) readBody() ([]byte, error) {
 	if err := k.part.write(&wire.Part{Body: &wire.Part_GoOn{GoOn: &wire.GoOn{}}}); err != nil {
 		return nil, errors.Wrap(ErrLink, err.Error())
 	}
-	k.part.readWithin(k.m.cfg.Times.Body)
-	var body []byte
-	for {
-		msg, err := k.part.read()
-		if err != nil {
-			return nil, errors.Wrap(ErrLink, err.Error())
-		}
-		p := msg.GetPiece()
-		if p == nil {
-			return nil, errors.Wrap(ErrRefused, "no piece of a body")
-		}
-		if ident.Bytes(len(body)+len(p.GetBody())) > k.m.cfg.Bounds.Body {
-			return nil, errors.Wrap(ErrFull, "bytes of a body")
-		}
-		body = append(body, p.GetBody()...)
-		if p.GetLast() {
-			return body, k.watch()
-		}
+	late := k.m.cfg.Clock.At(k.m.cfg.Clock.Now().Add(k.m.cfg.Times.Body))
+	defer late.Close()
+	select {
+	case <-k.watch.whole:
+		return k.watch.body, nil
+	case <-k.watch.done:
+		return nil, k.watch.err
+	case <-late.C():
+		return nil, errors.Wrap(ErrLink, "the body does not come")
 	}
 }
 
-func (k *take) watch() error {
+// startWatch has the stream read from now on.
+func (k *take) startWatch() bool {
 	k.part.readWithin(watchTime)
-	w := &watch{k: k}
-	if !k.m.start(w.run) {
-		return ErrLink
+	k.watch = &watch{k: k, whole: make(chan struct{}), done: make(chan struct{})}
+	if !k.m.start(k.watch.run) {
+		k.watch = nil
+		return false
 	}
-	k.watching = true
-	return nil
+	return true
 }
 
 // watchTime is longer than any request may run.
 const watchTime = 24 * time.Hour
 
-// watch notices that the peer closes the stream while the request runs.
-type watch struct{ k *take }
+// watch reads what the peer sends: the body, and then the end of the stream,
+// which says that the answer is no longer wanted.
+//
+// It reads from the first moment on. A request may wait here for a place with
+// its body unasked, and its caller leave meanwhile: were the end of the stream
+// seen only after the body, the request would go to a target for nobody.
+type watch struct {
+	k *take
+	// whole is closed when the body has come, done when the stream has ended.
+	whole, done chan struct{}
+	body        []byte
+	err         error
+}
 
 func (w *watch) run() error {
-	defer close(w.k.watched)
-	w.k.drain()
+	defer close(w.done)
+	if w.err = w.read(); w.err == nil {
+		close(w.whole)
+		w.k.drain()
+	}
 	w.k.gone.Store(true)
-	if !w.k.open.GetOnce() {
+	if !w.k.open.GetOnce() || w.err != nil {
 		w.k.cancel()
 	}
 	return nil
 }
 
+// read reads the body.
+func (w *watch) read() error {
+	for {
+		msg, err := w.k.part.read()
+		if err != nil {
+			return errors.Wrap(ErrLink, err.Error())
+		}
+		p := msg.GetPiece()
+		if p == nil {
+			return errors.Wrap(ErrRefused, "no piece of a body")
+		}
+		if ident.Bytes(len(w.body)+len(p.GetBody())) > w.k.m.cfg.Bounds.Body {
+			return errors.Wrap(ErrFull, "bytes of a body")
+		}
+		w.body = append(w.body, p.GetBody()...)
+		if p.GetLast() {
+			return nil
+		}
+	}
+}
+
 func (k *take) begin(status int, h http.Header) {
 	_ = k.say(&wire.Part{Body: &wire.Part_Begin{Begin: &wire.Begin{
 		Status: uint32(status), Header: wire.FromHeader(h),
