--- /dev/null
+++ b/internal/target/pool.go
@@ -0,0 +1,357 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// ErrCrossed says that what came was the answer to another request.
+var ErrCrossed = errors.New("target: the answer belongs to another request")
+
+// Times and bounds of a pool.
+const (
+	// poolDial bounds the time to connect. Targets stand in the own region, a
+	// few milliseconds away; one without power never answers.
+	poolDial = time.Second
+	// poolIdle is how long an idle connection is kept where the target does
+	// not say how long it keeps it.
+	poolIdle = 20 * time.Second
+	// poolEarly is how much earlier than the target says a connection is no
+	// longer used, so that a request does not cross the target's close.
+	poolEarly = 700 * time.Millisecond
+	// poolMost bounds the idle connections to one target.
+	poolMost = 64
+	// poolSweep is the time between two looks for connections kept too long.
+	poolSweep = time.Second
+	// userTimeout is how long the kernel waits for sent bytes to be confirmed,
+	// and roughly how long a silent connection stands with its probes. A
+	// connection may go silent while new ones work; without this a request on
+	// it would wait until its deadline.
+	userTimeout  = 1500 * time.Millisecond
+	probeIdle    = time.Second
+	probeCount   = 2
+	tcpUserLimit = 18 // TCP_USER_TIMEOUT of Linux
+	// skipMost bounds the answers to other requests that are read past, and
+	// skipBytes the body of each.
+	skipMost  = 2
+	skipBytes = 1 << 20
+)
+
+// Pool sends requests on connections that it keeps, one at a time on each. It
+// never sends a request a second time by itself, which net/http does for some
+// when a kept connection turns out to be closed: whether a request may be
+// repeated is not known here.
+//
+//	p := target.NewPool(svc)
+//	res, err := p.Do(ctx, addr, req, own, sent)
+type Pool struct {
+	t     tomb.Tomb
+	clock *clock.Service
+	dial  *net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// Opened counts the connections that were made, for the metrics.
+	opened int64
+}
+
+// conn is one connection to a target.
+type conn struct {
+	net.Conn
+	p    *Pool
+	addr string
+	br   *bufio.Reader
+	// until is when it is no longer used.
+	until ident.Time
+	w     *writer
+}
+
+// NewPool returns an empty pool.
+func NewPool(svc *clock.Service) *Pool {
+	p := &Pool{clock: svc, idle: make(map[string][]*conn), dial: NewDialer(poolDial)}
+	p.t.Go(p.run)
+	return p
+}
+
+// NewDialer returns a dialer whose connections end when the other side falls
+// silent, though nobody closes them.
+func NewDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeIdle, Count: probeCount},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				// Where the system has no such limit the probes remain.
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserLimit, int(userTimeout.Milliseconds()))
+			})
+		},
+	}
+}
+
+// Stop closes the idle connections.
+func (p *Pool) Stop() {
+	p.t.Kill(nil)
+	_ = p.t.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, cs := range p.idle {
+		for _, c := range cs {
+			_ = c.Close()
+		}
+	}
+	clear(p.idle)
+}
+
+// Opened returns how many connections were made.
+func (p *Pool) Opened() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Do sends a request and returns once the head of its answer has come. own
+// tells whether an answer is the one to this request: a target may send one
+// more answer to an earlier request, where the next is expected. sent is called
+// before the first byte can leave. Closing the body before its end closes the
+// connection.
+func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, own func(*http.Response) bool, sent func()) (*http.Response, error) {
+	c, err := p.take(ctx, addr)
+	if err != nil {
+		return nil, errors.Wrap(ErrLink, err.Error())
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	sent()
+	c.w = &writer{c: c, req: req}
+	c.w.t.Go(c.w.run)
+	res, err := c.answer(req, own)
+	if err != nil {
+		stop()
+		_ = c.Close()
+		return nil, err
+	}
+	res.Body = &body{ReadCloser: res.Body, c: c, stop: stop, keep: keeps(res), most: keepFor(res.Header)}
+	return res, nil
+}
+
+// take returns a kept connection that still stands, or a new one.
+func (p *Pool) take(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			break
+		}
+		if c.fresh(p.clock.Now()) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	raw, err := p.dial.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return &conn{Conn: raw, p: p, addr: addr, br: bufio.NewReaderSize(raw, connBuffer)}, nil
+}
+
+func (p *Pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.idle[addr]
+	if len(cs) == 0 {
+		return nil
+	}
+	c := cs[len(cs)-1]
+	p.idle[addr] = cs[:len(cs)-1]
+	return c
+}
+
+// fresh reports whether an idle connection may be used: it has not been kept
+// too long, the other side has not closed it, and nothing has come on it that
+// nobody asked for.
+func (c *conn) fresh(now ident.Time) bool {
+	if now >= c.until || c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var b [1]byte
+	var got int
+	var readErr error
+	err = rc.Read(func(fd uintptr) bool {
+		got, readErr = syscall.Read(int(fd), b[:])
+		return true
+	})
+	return err == nil && got <= 0 && errors.Is(readErr, syscall.EAGAIN)
+}
+
+// writer writes the request beside the reading of its answer: a target may
+// answer before it has read a long body, and neither side would go on if this
+// one wrote first and read then.
+type writer struct {
+	t   tomb.Tomb
+	c   *conn
+	req *http.Request
+}
+
+func (w *writer) run() error {
+	bw := bufio.NewWriterSize(w.c, connBuffer)
+	if err := w.req.Write(bw); err != nil {
+		return errors.Wrap(ErrLink, err.Error())
+	}
+	return errors.Wrap(bw.Flush(), "target: write")
+}
+
+// done reports whether the whole request has been written.
+func (w *writer) done() bool {
+	select {
+	case <-w.t.Dead():
+		return w.t.Err() == nil
+	default:
+		return false
+	}
+}
+
+// answer reads answers up to the one to this request.
+func (c *conn) answer(req *http.Request, own func(*http.Response) bool) (*http.Response, error) {
+	for range skipMost {
+		res, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, errors.Wrap(ErrLink, err.Error())
+		}
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		if own(res) {
+			return res, nil
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, skipBytes))
+		if err != nil || n == skipBytes || res.Close {
+			return nil, ErrCrossed
+		}
+	}
+	return nil, ErrCrossed
+}
+
+func keeps(res *http.Response) bool { return !res.Close }
+
+// keepFor returns how long the target keeps the connection idle.
+func keepFor(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		val, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		n, err := strconv.Atoi(val)
+		if err == nil && n >= 0 && n < int(poolIdle/time.Second) {
+			return max(time.Duration(n)*time.Second-poolEarly, 0)
+		}
+	}
+	return poolIdle
+}
+
+// body gives the connection back when the answer has been read to its end.
+type body struct {
+	io.ReadCloser
+	c    *conn
+	stop func() bool
+	keep bool
+	most time.Duration
+	once sync.Once
+}
+
+func (b *body) Read(buf []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) {
+		b.end(b.keep && b.c.w.done())
+	} else if err != nil {
+		b.end(false)
+	}
+	return n, err
+}
+
+func (b *body) Close() error {
+	b.end(false)
+	return nil
+}
+
+func (b *body) end(keep bool) {
+	b.once.Do(func() {
+		// Where the context has ended meanwhile the deadline of the connection
+		// is past, and it is of no use.
+		keep = b.stop() && keep
+		if !keep || !b.c.p.put(b.c, b.most) {
+			_ = b.c.Close()
+		}
+	})
+}
+
+func (p *Pool) put(c *conn, most time.Duration) bool {
+	c.until = p.clock.Now().Add(most)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.t.Alive() || len(p.idle[c.addr]) >= poolMost {
+		return false
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+	return true
+}
+
+// run closes connections that were kept too long.
+func (p *Pool) run() error {
+	tick := p.clock.Every(poolSweep)
+	defer tick.Close()
+	for {
+		select {
+		case now := <-tick.C():
+			for _, c := range p.old(now) {
+				_ = c.Close()
+			}
+		case <-p.t.Dying():
+			return nil
+		}
+	}
+}
+
+func (p *Pool) old(now ident.Time) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var olds []*conn
+	for addr, cs := range p.idle {
+		kept := cs[:0]
+		for _, c := range cs {
+			if now >= c.until {
+				olds = append(olds, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+	return olds
+}
