--- a/Makefile
+++ b/Makefile
@@ -25,11 +25,11 @@
 	@$(GOBIN)/gofumpt -version 2>/dev/null | grep -qF "$(GOFUMPT_VERSION)" || go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 
 lint: tools
-	@out=$$($(GOBIN)/gofumpt -l cmd internal pkg); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	@out=$$($(GOBIN)/gofumpt -l cmd internal pkg platform); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 	$(GOBIN)/golangci-lint run ./...
 
 format: tools
-	$(GOBIN)/gofumpt -w cmd internal pkg
+	$(GOBIN)/gofumpt -w cmd internal pkg platform
 
 # proto regenerates the committed code. It needs protoc, which the build does
 # not.
@@ -42,7 +42,7 @@
 # committed with the repair.
 SOAK_CHECKS = 3000
 SOAK_SEED = $(shell date +%s)
-SOAK_PACKAGES = $(shell grep -rl 'pgregory.net/rapid' --include=*_test.go internal pkg | xargs -n1 dirname | sort -u | sed 's|^|./|')
+SOAK_PACKAGES = $(shell grep -rl 'pgregory.net/rapid' --include=*_test.go internal pkg platform | xargs -n1 dirname | sort -u | sed 's|^|./|')
 soak:
 	go test $(SOAK_PACKAGES) -timeout 60m -rapid.checks=$(SOAK_CHECKS) -rapid.seed=$(SOAK_SEED)
 
--- /dev/null
+++ b/internal/logs/writer_test.go
@@ -0,0 +1,61 @@
+package logs
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is an output that nobody reads until it is let go.
+type stuck struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	got  strings.Builder
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(b)
+}
+
+// Standard output is a pipe that nobody reads. Whoever logs must not wait for
+// it, or callers would wait for a log; what was left out is told afterwards.
+func TestWriterNeverBlocks(t *testing.T) {
+	out := &stuck{gate: make(chan struct{})}
+	w := NewWriter(out)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	began := time.Now()
+	for range 2000 {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("it took %s to log to an output that is stuck", took)
+	}
+	close(out.gate)
+	w.Stop()
+	text := out.got.String()
+	if !strings.Contains(text, "log lines left out") {
+		t.Error("nothing tells of the lines that were left out")
+	}
+	if n := strings.Count(text, "\n"); n < 100 || n > 2*queueBytes/len(line)+10 {
+		t.Errorf("%d lines were written", n)
+	}
+}
+
+func TestWriterKeepsTheOrder(t *testing.T) {
+	out := &stuck{gate: make(chan struct{})}
+	close(out.gate)
+	w := NewWriter(out)
+	for _, l := range []string{"a\n", "b\n", "c\n"} {
+		_, _ = w.Write([]byte(l))
+	}
+	w.Stop()
+	if out.got.String() != "a\nb\nc\n" {
+		t.Errorf("got %q", out.got.String())
+	}
+}
--- a/internal/member/note.go
+++ b/internal/member/note.go
@@ -28,8 +28,10 @@
 		silent = strconv.FormatInt(tb.last.Sub(t.heard).Milliseconds(), 10)
 	}
 	tb.notes = append(tb.notes, event.Note{Text: text, Fields: []event.NotePair{
-		{Key: "target", Value: string(t.ID)}, {Key: "service", Value: t.Service},
-		{Key: "failsInARow", Value: strconv.Itoa(t.Fails)}, {Key: "silentMs", Value: silent},
+		{Key: "target", Value: string(t.ID)},
+		{Key: "service", Value: t.Service},
+		{Key: "failsInARow", Value: strconv.Itoa(t.Fails)},
+		{Key: "silentMs", Value: silent},
 		{Key: "listVersion", Value: strconv.FormatUint(tb.list.version, 10)},
 	}})
 }
--- /dev/null
+++ b/internal/target/pool_test.go
@@ -0,0 +1,280 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/clock"
+)
+
+const waitMost = 10 * time.Second
+
+// peer is the other side of each connection, as a function of the bytes.
+type peer struct {
+	ln    net.Listener
+	conns atomic.Int32
+}
+
+func newPeer(t *testing.T, serve func(n int, c net.Conn, br *bufio.Reader)) *peer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	p := &peer{ln: ln}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n := int(p.conns.Add(1))
+			go func() {
+				defer c.Close()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return p
+}
+
+func newTestPool(t *testing.T) *Pool {
+	t.Helper()
+	svc := clock.New()
+	p := NewPool(svc)
+	t.Cleanup(svc.Stop)
+	t.Cleanup(p.Stop)
+	return p
+}
+
+// call sends one request with an id and returns the body of its answer.
+func call(ctx context.Context, p *Pool, addr, id, body string) (string, error) {
+	req := &http.Request{Method: http.MethodPost, URL: &url.URL{Opaque: "/x", Host: addr}, Host: "h", Header: http.Header{"Id": {id}}}
+	if body != "" {
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	}
+	res, err := p.Do(ctx, addr, req, func(r *http.Response) bool { return r.Header.Get("Id") == id }, func() {})
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return string(text), err
+}
+
+func reply(c net.Conn, id, text string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+}
+
+func next(br *bufio.Reader) (*http.Request, bool) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err == nil
+}
+
+func TestPoolKeepsConnections(t *testing.T) {
+	peer := newPeer(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := next(br)
+			if !ok {
+				return
+			}
+			reply(c, r.Header.Get("Id"), fmt.Sprint("conn ", n))
+		}
+	})
+	p := newTestPool(t)
+	for i := range 5 {
+		got, err := call(t.Context(), p, peer.ln.Addr().String(), fmt.Sprint(i), "body")
+		if diff := cmp.Diff("conn 1", got); diff != "" || err != nil {
+			t.Fatalf("answer %d, %v (-want +got):\n%s", i, err, diff)
+		}
+	}
+	if p.Opened() != 1 {
+		t.Errorf("%d connections were opened for five calls in a row", p.Opened())
+	}
+}
+
+// A target sends one more answer to an earlier request, at once or only where
+// the answer to the next is expected. The next caller must not get it.
+func TestExtraAnswersReachNobody(t *testing.T) {
+	for name, late := range map[string]bool{"at once": false, "before the next": true} {
+		t.Run(name, func(t *testing.T) {
+			peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				for first := true; ; first = false {
+					r, ok := next(br)
+					if !ok {
+						return
+					}
+					if late && !first {
+						reply(c, "0", "extra")
+					}
+					reply(c, r.Header.Get("Id"), "mine")
+					if !late && first {
+						reply(c, "0", "extra")
+					}
+				}
+			})
+			p := newTestPool(t)
+			for i := range 4 {
+				got, err := call(t.Context(), p, peer.ln.Addr().String(), fmt.Sprint(i), "")
+				if diff := cmp.Diff("mine", got); diff != "" || err != nil {
+					t.Fatalf("answer %d, %v (-want +got):\n%s", i, err, diff)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// A target closes a kept connection. The next request goes out on a new one
+// from the start: sent on the old one, nobody could tell whether it ran.
+func TestClosedConnectionsAreNotUsed(t *testing.T) {
+	var seen atomic.Int32
+	peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		r, ok := next(br)
+		if !ok {
+			return
+		}
+		seen.Add(1)
+		reply(c, r.Header.Get("Id"), "one")
+	})
+	p := newTestPool(t)
+	for i := range 3 {
+		if _, err := call(t.Context(), p, peer.ln.Addr().String(), fmt.Sprint(i), "b"); err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if seen.Load() != 3 || p.Opened() != 3 {
+		t.Errorf("%d requests on %d connections", seen.Load(), p.Opened())
+	}
+}
+
+// A target runs a request and its connection is reset before the answer. The
+// pool never sends it again by itself; a booking would be made twice.
+func TestPoolSendsOnce(t *testing.T) {
+	var seen atomic.Int32
+	peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := next(br)
+			if !ok {
+				return
+			}
+			if seen.Add(1) == 2 {
+				return
+			}
+			reply(c, r.Header.Get("Id"), "ok")
+		}
+	})
+	p := newTestPool(t)
+	if _, err := call(t.Context(), p, peer.ln.Addr().String(), "a", ""); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(t.Context(), p, peer.ln.Addr().String(), "b", ""); err == nil {
+		t.Error("a lost answer is no failure")
+	}
+	if seen.Load() != 2 {
+		t.Errorf("%d requests were sent for two calls", seen.Load())
+	}
+}
+
+// A target answers before it has read a long body and reads on later. The
+// connection may carry the next request only after the whole body, or the
+// target would take that request for the rest of it.
+func TestEarlyAnswer(t *testing.T) {
+	long := strings.Repeat("x", 4<<20)
+	peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			reply(c, r.Header.Get("Id"), "early")
+			time.Sleep(50 * time.Millisecond)
+			b, _ := io.ReadAll(r.Body)
+			if strings.Trim(string(b), "x") != "" {
+				t.Error("another request stands in the body")
+			}
+		}
+	})
+	p := newTestPool(t)
+	for i := range 3 {
+		got, err := call(t.Context(), p, peer.ln.Addr().String(), fmt.Sprint(i), long)
+		if diff := cmp.Diff("early", got); diff != "" || err != nil {
+			t.Fatalf("answer %d, %v (-want +got):\n%s", i, err, diff)
+		}
+	}
+}
+
+// An answer without a length ends with its connection. One that is reset on
+// the way is a failure, and never looks whole.
+func TestUnframedAnswers(t *testing.T) {
+	for name, reset := range map[string]bool{"whole": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				r, ok := next(br)
+				if !ok {
+					return
+				}
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\npart", r.Header.Get("Id"))
+				if reset {
+					time.Sleep(20 * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			got, err := call(t.Context(), newTestPool(t), peer.ln.Addr().String(), "a", "")
+			if reset != (err != nil) {
+				t.Errorf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
+// The caller of a request leaves. The target sees its connection close.
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	began := make(chan struct{})
+	peer := newPeer(t, func(_ int, _ net.Conn, br *bufio.Reader) {
+		if _, ok := next(br); !ok {
+			return
+		}
+		close(began)
+		_, _ = br.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-began; cancel() }()
+	if _, err := call(ctx, newTestPool(t), peer.ln.Addr().String(), "a", ""); err == nil {
+		t.Error("an answer came from nowhere")
+	}
+	select {
+	case <-closed:
+	case <-time.After(waitMost):
+		t.Error("the target does not notice")
+	}
+}
+
+func TestKeepAliveIsRespected(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=5": 5*time.Second - poolEarly, "max=3, timeout=2": 2*time.Second - poolEarly, "timeout=0": 0, "": poolIdle, "timeout=x": poolIdle,
+	} {
+		if diff := cmp.Diff(want, keepFor(http.Header{"Keep-Alive": {text}})); diff != "" {
+			t.Errorf("%q (-want +got):\n%s", text, diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/trail/trail_test.go
@@ -0,0 +1,64 @@
+package trail
+
+import (
+	"bytes"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sebdah/goldie/v2"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/logs"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+var stamp = regexp.MustCompile(`time=\S+ `)
+
+func attemptOf(n uint64) ident.Attempt { return ident.Attempt{Entry: "e", Incarnation: 1, Number: n} }
+
+// The life of three requests: one that is answered, one that is passed on and
+// breaks, one that is refused. docs/OPERATIONS.md explains these lines.
+func TestLines(t *testing.T) {
+	var out bytes.Buffer
+	tr := New(logs.New(&out, logs.NewLevel(0)), metrics.NewRegistry())
+	at := ident.Time(time.Second)
+	basis := event.Basis{Profile: "draft", Revision: 7, Try: 1, Waited: 3 * time.Millisecond, Wait: 40 * time.Millisecond, Busy: 2, LoadAge: 9 * time.Millisecond}
+	tr.Record(at, event.Tick{}, []event.Effect{
+		event.InForceNow{Book: rules.FromSheet(7, rules.Sheet{})},
+		event.Dispatch{Request: "a.1", Attempt: attemptOf(1), Target: event.Target{ID: "t", Service: "writers"}, Basis: basis},
+		event.Forward{Request: "b.2", To: event.Host{ID: "h", Place: event.Place{Region: "east"}}, Envelope: event.Envelope{Attempt: attemptOf(2)}, Service: "writers", Basis: basis},
+		event.Refuse{Request: "c.3", Code: codes.NoTarget.ID, Outcome: event.NotRun, RetryAfter: time.Second, Basis: basis},
+	})
+	tr.Record(at.Add(50*time.Millisecond), event.FirstToken{Attempt: attemptOf(1)}, nil)
+	tr.Record(at.Add(90*time.Millisecond), event.AttemptEnded{Attempt: attemptOf(1), Result: event.ResultDone, Status: 200, Delivered: 5}, []event.Effect{event.Finish{Request: "a.1", Outcome: event.Done}})
+	tr.Record(at.Add(95*time.Millisecond), event.AttemptEnded{Attempt: attemptOf(2), Result: event.ResultBroken}, nil)
+	tr.Record(at.Add(99*time.Millisecond), event.CallerLeft{Request: "b.2"}, nil)
+	goldie.New(t).Assert(t, "lines", stamp.ReplaceAll(out.Bytes(), nil))
+}
+
+// A flood of requests writes no more lines than the bound, and the count of
+// those left out stands in the log, so that nobody takes their absence for
+// silence. Refusals go last.
+func TestLinesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	tr := New(logs.New(&out, logs.NewLevel(0)), metrics.NewRegistry())
+	at := ident.Time(time.Second)
+	for n := range 5000 {
+		tr.Record(at, event.Tick{}, []event.Effect{event.Dispatch{Request: "a", Attempt: attemptOf(uint64(n))}})
+	}
+	tr.Record(at, event.Tick{}, []event.Effect{event.Refuse{Request: "r", Code: codes.NoTarget.ID}})
+	if n := bytes.Count(out.Bytes(), []byte("\n")); n != plainPerSecond+1 {
+		t.Errorf("%d lines in a second", n)
+	}
+	if !bytes.Contains(out.Bytes(), []byte("request=r")) {
+		t.Error("the refusal is left out")
+	}
+	tr.Record(at.Add(time.Second), event.Tick{}, nil)
+	if !bytes.Contains(out.Bytes(), []byte(`"decision lines left out" lines=4700`)) {
+		t.Error("nothing tells how many lines were left out")
+	}
+}
