bring prompts with a shared beginning to one target without a word

Ruled out: telling each other, which grows with the square of the hosts. Change: the target that ranks first for the last shared block counts as one that holds it.

--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -6,6 +6,7 @@
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -222,6 +223,36 @@
 			rt.addWarm(v, id, prefix[i], float64(i+1)/float64(n))
 		}
 	}
+	rt.addUsual(v)
+}
+
+// addUsual takes the target that ranks first for the shared beginning of a
+// prompt as one that holds it.
+//
+// A host knows only what it sent itself. With many hosts before the targets of a
+// region each would bring a beginning to a target of its own choice, and it would
+// be read once for each host. By rank they agree without a word; what is believed
+// too early becomes true with the first prompt that goes there.
+func (rt *Router) addUsual(v *view) {
+	n := v.q.Request.Shared
+	if n == 0 || n > len(v.q.Request.Prefix) {
+		return
+	}
+	key := v.q.Request.Prefix[n-1]
+	var best *member.Target
+	var score uint64
+	for _, t := range v.tb.Targets() {
+		if wrongKind(v, t) || !t.Usable(v.now) {
+			continue
+		}
+		if s := rank.Join(key, rank.Hash(string(t.ID))); best == nil || s > score {
+			best, score = t, s
+		}
+	}
+	if best == nil || slices.ContainsFunc(rt.warm, func(h holder) bool { return h.target == best.ID }) {
+		return
+	}
+	rt.warm = append(rt.warm, holder{target: best.ID, part: float64(n) / float64(len(v.q.Request.Prefix))})
 }
 
 func (rt *Router) addWarm(v *view, id ident.TargetID, key uint64, part float64) {
--- a/internal/route/strand_test.go
+++ b/internal/route/strand_test.go
@@ -45,3 +45,37 @@
 		}
 	}
 }
+
+// Twenty hosts before thirty engines each get a few prompts with the same long
+// beginning. Each has seen none of the others' prompts; still they bring them to
+// the same engine, which reads the beginning once.
+func TestHostsAgreeOnSharedBeginnings(t *testing.T) {
+	place := event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
+	now := ident.Time(time.Second)
+	chosen := make(map[ident.TargetID]int)
+	for h := range 20 {
+		tb := member.New(event.Host{ID: ident.EntryID(rune('a' + h)), Incarnation: 1, Place: place})
+		ev := event.HostsRead{Version: 1, Complete: true}
+		for i := range 30 {
+			ev.Targets = append(ev.Targets, event.Target{
+				ID: ident.TargetID(rune('A' + i)), Incarnation: 1, Kind: event.Service, Service: "writers", Place: place, Capacity: 64,
+			})
+		}
+		tb.HostsRead(now, ev)
+		for _, tg := range ev.Targets {
+			tb.Began(tg.ID, 10000, 200*time.Millisecond)
+		}
+		rt := New()
+		for r := range 5 {
+			own := uint64(1000 + 100*h + r)
+			dec := rt.Choose(now, Query{
+				Request: event.Request{ID: ident.RequestID(rune('a' + 5*h + r)), Prompt: 10000, Shared: 10, Prefix: []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, own, own + 50}},
+				Profile: rules.Profile{Service: "writers", MaxCrossings: 1, Route: &rules.Route{Kind: rules.Streaming}},
+			}, tb)
+			chosen[dec.Target.ID]++
+		}
+	}
+	if len(chosen) != 1 {
+		t.Errorf("prompts with one beginning went to %d engines: %v", len(chosen), chosen)
+	}
+}
