take an answer for lost only past what is usual for its service

Change: the bound is the usual time to the first byte plus four times its spread, at least a part of the goal. A test in virtual time.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -124,6 +124,7 @@
 	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && a.target != "" {
 		rd.table.Answered(a.target)
 		rd.table.Began(a.target, a.dec.Prefill, now.Sub(a.start))
+		rd.pools.of(a.req).began(now.Sub(a.start))
 	}
 }
 
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -165,16 +165,11 @@
 
 // How long an attempt may be silent that another can be made after.
 const (
-	// firstPart is the part of the goal that the first byte may come later
-	// than predicted. The rest is left for the second try to meet the goal.
+	// firstPart is the part of the goal that the first byte of a stream may
+	// take at the least, and callPart that of the answer to a call: below that
+	// the tail of a sound target would be asked twice. What is left of the goal
+	// is for the second try to meet it.
 	firstPart = 0.75
-	// waitFactor widens the predicted wait, which knows nothing of the work
-	// that others send in the same moment.
-	waitFactor = 1.5
-	// runFactor is how many times the usual time a call may take, and callPart
-	// the least part of its goal: below that the tail of a sound target would
-	// be asked twice.
-	runFactor = 6
 	callPart  = 1.0 / 3
 	// gapFactor is how many times the goal between two events a stream may
 	// pause, and gapLeast the least: an engine that reads a long prompt for
@@ -187,20 +182,24 @@
 //
 // A target may run a request and its answer be lost on the way without a word:
 // the connection stands, and nothing comes. The caller would wait until its
-// deadline for what another target answers in a fraction of that. Where nothing
-// can be tried after it, there is nothing to gain by breaking it off.
+// deadline for what another target answers in a fraction of that. Under load all
+// answers come late, and to ask twice then would make them later still; so the
+// bound follows the times that are usual for the service. Where nothing can be
+// tried after it, there is nothing to gain by breaking an attempt off.
 func (rd *Reducer) patience(r *request, dec route.Decision) event.Patience {
 	rt := r.profile.Route
 	if rt == nil || r.once || r.forwarded || rt.GoalMs <= 0 || r.tries >= rt.MaxAttempts {
 		return event.Patience{}
 	}
-	wait := time.Duration(waitFactor * float64(dec.Wait))
+	least := firstPart
 	if rt.Kind != rules.Streaming {
-		usual := runFactor * rd.pools.of(r).runTime
-		return event.Patience{First: wait + max(usual, time.Duration(callPart*float64(rt.Goal())))}
+		least = callPart
 	}
-	gap := gapFactor * time.Duration(rt.GapMs) * time.Millisecond
-	return event.Patience{First: wait + time.Duration(firstPart*float64(rt.Goal())), Gap: max(gap, gapLeast)}
+	p := event.Patience{First: dec.Wait + max(rd.pools.of(r).lateAfter(), time.Duration(least*float64(rt.Goal())))}
+	if rt.Kind == rules.Streaming {
+		p.Gap = max(gapFactor*time.Duration(rt.GapMs)*time.Millisecond, gapLeast)
+	}
+	return p
 }
 
 // coldPerSecond is how many requests a second all hosts together may send to a
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -274,3 +274,20 @@
 	_, refused := pick[event.Refuse](effs)
 	return !sent && !refused
 }
+
+// Under load every answer of a service comes late. An attempt is not taken for
+// lost before what is usual by then, or all of them would be made twice.
+func TestPatienceFollowsTheService(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+	before := p.send("draft").Patience.First
+	for range 20 {
+		d := p.send("draft")
+		p.now = p.now.Add(1500 * time.Millisecond)
+		p.step(event.FirstToken{Attempt: d.Attempt})
+		p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone})
+	}
+	after := p.send("draft").Patience.First
+	if before > time.Second || after < 1500*time.Millisecond {
+		t.Errorf("an attempt may be silent for %s at first and %s once answers take 1.5 s", before, after)
+	}
+}
