--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -33,6 +33,9 @@
 	// startGrace is the time after the own start in which targets are taken
 	// for warm: it is this host that is new, not they.
 	startGrace = 5 * time.Second
+	// seenFresh is the age up to which the load that came with an answer counts
+	// more than the digests of peers, which are half a second old on average.
+	seenFresh = 500 * time.Millisecond
 	// defaultSlots stands for targets that report no load.
 	defaultSlots = 4
 	// defaultDecode is the time of a request where nothing is known.
@@ -120,6 +123,13 @@
 // there at the time. The digests of the peers bound it from below.
 func (t *Target) Outstanding(now ident.Time) int {
 	others := t.PeerSent
+	if t.Capacity > 0 && t.HasLoad && now.Sub(t.LoadAt) <= seenFresh {
+		// What a target said with its last answer is newer than any digest. A
+		// call of milliseconds that a peer had there when it sent its digest
+		// would otherwise fill a place for a whole second.
+		net, _ := t.recent.since(now, t.LoadAt)
+		return t.Sent + max(0, t.Load.Running+t.Load.Queued-(t.Sent-net))
+	}
 	if t.HasLoad {
 		net, _ := t.recent.since(now, t.LoadAt)
 		reported := t.Load.Running + t.Load.Queued - (t.Sent - net)
