let the load of an answer fade at the pace of its service

Ruled out: the targets, which rejected nothing. Change: the usual time of a service is learned; what an answer told goes back to the usual number at that pace. Test in virtual time.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -188,6 +188,7 @@
 	}
 	switch e.Result {
 	case event.ResultDone:
+		rd.table.Ran(a.target, now.Sub(a.start))
 		r.kept = e.Kept
 		rd.pools.of(r).ran(now.Sub(a.start), e.Generated)
 		rd.close(now, r, event.Done)
--- a/internal/member/gone_test.go
+++ b/internal/member/gone_test.go
@@ -133,3 +133,31 @@
 		})
 	}
 }
+
+// Calls of a few milliseconds come to a target with six places from many hosts.
+// One answer happened to tell of six others; a moment later they are over. Taken
+// for there still, the target would get nothing until the next answer, and
+// callers would be refused before a target that is mostly idle.
+func TestBriefCallsAreNotCountedForLong(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	small := reachTarget("a")
+	small.Capacity = 6
+	tb.HostsRead(at, listOf(1, small))
+	seen := func(running int) {
+		at = at.Add(100 * time.Millisecond)
+		tb.Ran("a", 20*time.Millisecond)
+		tb.LoadSeen(at, event.LoadSeen{Target: "a", Running: running, Slots: 6})
+	}
+	for range 10 {
+		seen(1)
+	}
+	seen(6)
+	tg, _ := tb.Target("a")
+	if got := tg.Outstanding(at); got != 6 {
+		t.Errorf("%d requests at the target at once, 6 were told", got)
+	}
+	if got := tg.Outstanding(at.Add(100 * time.Millisecond)); got > 3 {
+		t.Errorf("%d requests of 20 ms are counted 100 ms later", got)
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -123,6 +123,8 @@
 	// rates are the rates at which the targets of each service usually read
 	// prompts, in tokens a second.
 	rates map[string]float64
+	// runs are the times that requests of each service usually take.
+	runs map[string]time.Duration
 	// notes are the changes of belief since Notes was last asked.
 	notes []event.Note
 	// slow is the fixed part of the time between summaries to a data centre
@@ -166,6 +168,7 @@
 		left:  make(map[ident.TargetID]leftWord),
 		slow:  slowEvery,
 		rates: make(map[string]float64),
+		runs:  make(map[string]time.Duration),
 	}
 }
 
--- a/internal/member/seen.go
+++ b/internal/member/seen.go
@@ -23,6 +23,61 @@
 	}
 	t.LoadAt = now
 	t.HasLoad = true
+	t.othersSeen = max(0, ev.Running+ev.Queued-t.Sent)
+	t.others += othersWeight * (float64(t.othersSeen) - t.others)
+}
+
+// Use of the load that comes with an answer.
+const (
+	// othersWeight is the weight of one answer in the smoothed number of
+	// requests of other hosts.
+	othersWeight = 0.25
+	// seenLong is the age up to which the load of an answer counts more than
+	// the digests of peers where requests take long, seenShort where the
+	// smoothed number does because they are over within brief.
+	seenLong  = 500 * time.Millisecond
+	seenShort = 3 * time.Second
+	brief     = 200 * time.Millisecond
+	// runWeight is the weight of one request in the usual time of its service.
+	runWeight = 8
+)
+
+// seenFor is how long the load that came with an answer is of use.
+func (t *Target) seenFor() time.Duration {
+	if t.run > 0 && t.run < brief {
+		return seenShort
+	}
+	return seenLong
+}
+
+// seenOthers estimates the requests of other hosts at a target by what its
+// answers told.
+//
+// What an answer told is true for as long as the requests that it counted take.
+// A call of milliseconds is over long before the next answer comes, and to count
+// it until then makes a target with few places look full for half a second; so
+// the estimate goes back to the usual number at the pace of the service.
+func (t *Target) seenOthers(now ident.Time) int {
+	if t.run <= 0 {
+		return t.othersSeen
+	}
+	left := math.Exp(-float64(now.Sub(t.LoadAt)) / float64(t.run))
+	return int(math.Round(t.others + left*(float64(t.othersSeen)-t.others)))
+}
+
+// Ran takes the time that a whole answer of a target took.
+func (tb *Table) Ran(id ident.TargetID, took time.Duration) {
+	t, ok := tb.byID[id]
+	if !ok || t.Capacity == 0 {
+		return
+	}
+	usual := tb.runs[t.Service]
+	if usual == 0 {
+		usual = took
+	}
+	usual += (took - usual) / runWeight
+	tb.runs[t.Service] = usual
+	t.run = usual
 }
 
 // Learning of the rate at which a target reads prompts.
@@ -66,13 +121,17 @@
 	return old - (old-sample)/rateDown
 }
 
-// supposeRates gives the targets that nothing was sent to yet the rate that is
-// usual for their service. With many targets before many hosts most pairs of the
+// supposeRates gives targets the times that are usual for their service, and the
+// rate of reading prompts where none was seen. With many targets before many hosts most pairs of the
 // two never meet in a minute, and a target whose rate is unknown looks as if it
 // read any prompt in no time.
 func (tb *Table) supposeRates() {
 	for _, t := range tb.targets {
-		if t.Capacity > 0 && !t.rated {
+		if t.Capacity == 0 {
+			continue
+		}
+		t.run = tb.runs[t.Service]
+		if !t.rated {
 			t.Load.PrefillRate = tb.rates[t.Service]
 		}
 	}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -33,9 +33,6 @@
 	// startGrace is the time after the own start in which targets are taken
 	// for warm: it is this host that is new, not they.
 	startGrace = 5 * time.Second
-	// seenFresh is the age up to which the load that came with an answer counts
-	// more than the digests of peers, which are half a second old on average.
-	seenFresh = 500 * time.Millisecond
 	// defaultSlots stands for targets that report no load.
 	defaultSlots = 4
 	// defaultDecode is the time of a request where nothing is known.
@@ -68,6 +65,12 @@
 	faultsAt ident.Time
 	// rated says that the rate at which it reads prompts was seen.
 	rated bool
+	// run is the usual time that a request of its service takes.
+	run time.Duration
+	// others is the smoothed number of requests of other hosts, as answers told,
+	// and othersSeen the newest.
+	others     float64
+	othersSeen int
 	// Leaves says that the target leaves, from the first word of it; Gone that
 	// a complete list of the platform lacks it.
 	Leaves bool
@@ -123,12 +126,8 @@
 // there at the time. The digests of the peers bound it from below.
 func (t *Target) Outstanding(now ident.Time) int {
 	others := t.PeerSent
-	if t.Capacity > 0 && t.HasLoad && now.Sub(t.LoadAt) <= seenFresh {
-		// What a target said with its last answer is newer than any digest. A
-		// call of milliseconds that a peer had there when it sent its digest
-		// would otherwise fill a place for a whole second.
-		net, _ := t.recent.since(now, t.LoadAt)
-		return t.Sent + max(0, t.Load.Running+t.Load.Queued-(t.Sent-net))
+	if t.Capacity > 0 && t.HasLoad && now.Sub(t.LoadAt) <= t.seenFor() {
+		return t.Sent + t.seenOthers(now)
 	}
 	if t.HasLoad {
 		net, _ := t.recent.since(now, t.LoadAt)
@@ -191,6 +190,9 @@
 // serviceTime is the time that one request holds a slot. A request seldom
 // generates the most that it may; half is the guess.
 func (t *Target) serviceTime() time.Duration {
+	if t.run > 0 {
+		return t.run
+	}
 	if t.Sent == 0 || t.Load.DecodeRate <= 0 {
 		return defaultDecode
 	}
