give up the request that is next like those behind it

The one that is next in a queue has left it and was held until its deadline, and a goal may be nearly all of the time. Ruled out: the shedding of those behind it. Change: a request waits for a place until its goal or half of its time has passed, also as the next one. The test failed first with 599 of 600 ms.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -84,8 +84,8 @@
 	at := ident.Time(0)
 	for _, pl := range ps.order {
 		t := pl.queue.Next()
-		if pl.head != nil && (t == 0 || pl.head.deadline < t) {
-			t = pl.head.deadline
+		if pl.head != nil && (t == 0 || pl.head.startBy() < t) {
+			t = pl.head.startBy()
 		}
 		if t > now && (at == 0 || t < at) {
 			at = t
@@ -186,7 +186,7 @@
 // poolsDue sheds what has become hopeless and fills the places that are free.
 func (rd *Reducer) poolsDue(now ident.Time) {
 	for _, pl := range rd.pools.order {
-		if pl.head != nil && now >= pl.head.deadline {
+		if pl.head != nil && now >= pl.head.startBy() {
 			rd.end(now, pl.head, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: pl.gap})
 		}
 		if pl.queue.Len() > 0 {
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -140,20 +140,24 @@
 // key, of which a request of a route has none.
 func (r *request) keeps() bool { return r.once && r.profile.Route == nil }
 
-// lateGoals is how many times its goal a request of a route may have waited
-// when it starts. Past that it is of little use to its caller, and the time that
-// it would take makes the next ones late too.
-const lateGoals = 1
-
-// startBy returns when a request that waits must have ended. One that has been
-// tried may wait until its deadline: its caller may have half an answer, and
-// whether it ran can't be taken back.
+// waitPart is the part of its time that a request of a route may wait for a
+// place before its first try. What is left must do for the answer, or for its
+// caller to come back.
+const waitPart = 0.5
+
+// startBy returns until when a request may wait for a place: until its goal has
+// passed or half of its time, whichever comes first. Past that it is of little
+// use to its caller, and the time that it would take makes the next ones late
+// too; held longer, a refusal leaves no time to come back. One that has been tried
+// may wait until its deadline: its caller may have half an answer, and whether it
+// ran can't be taken back.
 func (r *request) startBy() ident.Time {
 	rt := r.profile.Route
 	if rt == nil || rt.GoalMs <= 0 || r.tries > 0 {
 		return r.deadline
 	}
-	return min(r.deadline, r.arrived.Add(lateGoals*rt.Goal()))
+	half := time.Duration(waitPart * float64(r.deadline.Sub(r.arrived)))
+	return r.arrived.Add(min(rt.Goal(), half))
 }
 
 // stillServes reports whether a host that drains takes a request all the same.
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -284,3 +284,32 @@
 		t.Errorf("an attempt may be silent for %s at first and %s once answers take 1.5 s", before, after)
 	}
 }
+
+// A request whose goal is nearly all of its time waits for a place. It is given
+// up while there is time to come back, and not held to its deadline.
+func TestWaitLeavesTimeToComeBack(t *testing.T) {
+	p := newPost(t, 1, core.Bounds{})
+	for range 200 {
+		p.now = p.now.Add(-time.Millisecond)
+		effs := p.step(event.RequestArrived{Request: event.Request{
+			ID: ident.RequestID(fmt.Sprint("fill", p.n)), Account: "callers", Profile: "draft", Deadline: p.now.Add(600 * time.Millisecond),
+		}})
+		p.n++
+		if _, sent := pick[event.Dispatch](effs); sent {
+			continue
+		}
+		began := p.now
+		for range 600 {
+			for _, eff := range p.step(event.Tick{}) {
+				if r, ok := eff.(event.Refuse); ok {
+					if waited := p.now.Sub(began); waited > 350*time.Millisecond || r.Outcome != event.NotRun {
+						t.Errorf("refused after %s of 600 ms as %s", waited, r.Outcome)
+					}
+					return
+				}
+			}
+		}
+		t.Fatal("it is never given up")
+	}
+	t.Fatal("the engine is never full")
+}
