--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -10,6 +10,7 @@
 
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/front"
+	"verbenadale.example/verbenadale/internal/httpsv"
 	"verbenadale.example/verbenadale/internal/meter"
 	"verbenadale.example/verbenadale/internal/trace"
 )
@@ -58,8 +59,8 @@
 		// this process nothing.
 		ln = netutil.LimitListener(ln, most)
 	}
-	l := &listener{srv: d.callers, ln: ln}
-	d.t.Go(l.run)
+	l := &httpsv.Listener{Server: d.callers, Net: ln}
+	d.t.Go(l.Run)
 	return nil
 }
 
--- a/internal/daemon/carry.go
+++ b/internal/daemon/carry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/trail"
 )
 
 // loadWait is how long a load report may take.
@@ -19,7 +20,7 @@
 	case event.ForgetOutcome:
 		d.outs.Forget(e.Request)
 	case event.Note:
-		d.note(e)
+		trail.Note(d.cfg.Log, e)
 	case event.Drained:
 		d.closeDrained()
 	default:
@@ -29,14 +30,6 @@
 	}
 }
 
-func (d *Daemon) note(e event.Note) {
-	kv := []any{}
-	for _, p := range e.Fields {
-		kv = append(kv, p.Key, p.Value)
-	}
-	d.cfg.Log.Info(e.Text, kv...)
-}
-
 func (d *Daemon) closeDrained() {
 	select {
 	case <-d.drained:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -24,6 +23,7 @@
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/httpsv"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/loop"
 	"verbenadale.example/verbenadale/internal/peer"
@@ -186,36 +186,14 @@
 }
 
 func (d *Daemon) serve(srv *http.Server, addr string) error {
-	ln, err := net.Listen("tcp", addr)
+	l, err := httpsv.Listen(addr, srv)
 	if err != nil {
-		return errors.Wrap(err, "daemon: listen")
+		return errors.Wrap(err, "daemon")
 	}
-	l := &listener{srv: srv, ln: ln}
-	d.t.Go(l.run)
+	d.t.Go(l.Run)
 	return nil
 }
 
-// listener serves one address.
-type listener struct {
-	srv *http.Server
-	ln  net.Listener
-}
-
-func (l *listener) run() error {
-	err := l.serve()
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "daemon: serve")
-}
-
-func (l *listener) serve() error {
-	if l.srv.TLSConfig == nil {
-		return l.srv.Serve(l.ln)
-	}
-	return l.srv.ServeTLS(l.ln, "", "")
-}
-
 // Drain starts a graceful stop.
 func (d *Daemon) Drain() {
 	d.platform.reg.drain()
--- a/internal/dev/routes/routes.go
+++ b/internal/dev/routes/routes.go
@@ -25,6 +25,7 @@
 	"verbenadale.example/verbenadale/internal/config"
 	"verbenadale.example/verbenadale/internal/dev/kvstub"
 	"verbenadale.example/verbenadale/internal/dev/worker"
+	"verbenadale.example/verbenadale/internal/httpsv"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/platform"
 )
@@ -91,27 +92,14 @@
 	_ = f.t.Wait()
 }
 
-type server struct {
-	srv *http.Server
-	ln  net.Listener
-}
-
-func (s *server) run() error {
-	if err := s.srv.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "routes: serve")
-	}
-	return nil
-}
-
 func (f *Fleet) serve(h http.Handler) (string, error) {
-	ln, err := net.Listen("tcp", f.cfg.Addr())
+	l, err := httpsv.Listen(f.cfg.Addr(), &http.Server{Handler: h, ReadHeaderTimeout: time.Minute})
 	if err != nil {
-		return "", errors.Wrap(err, "routes: listen")
+		return "", errors.Wrap(err, "routes")
 	}
-	s := &server{srv: &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}, ln: ln}
-	f.servers = append(f.servers, s.srv)
-	f.t.Go(s.run)
-	return ln.Addr().String(), nil
+	f.servers = append(f.servers, l.Server)
+	f.t.Go(l.Run)
+	return l.Net.Addr().String(), nil
 }
 
 // configuration has a stream that may be resumed, a call that may not be
--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -238,7 +238,8 @@
 // many targets it is two, since by rank alone some of them come first for several
 // beginnings and others for none: the less loaded of two evens that out for one
 // more reading. Few targets each come first for many, and the reading would only
-// be lost (0.627 to 0.634 of worth with one, 0.625 with two, before nine targets).
+// be lost: before nine engines 0.840 of all requests were served with one and
+// 0.831 with two, over 15 runs of 50 s with failures each.
 func (rt *Router) addUsual(v *view) {
 	n := v.q.Request.Shared
 	if n == 0 || n > len(v.q.Request.Prefix) {
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -65,7 +65,7 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	// Opened counts the connections that were made, for the metrics.
+	// opened counts the connections that were made.
 	opened int64
 }
 
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -183,4 +183,13 @@
 	tr.log.Info(msg, kv...)
 }
 
+// Note writes a note of the reducer as one line.
+func Note(log logr.Logger, e event.Note) {
+	kv := make([]any, 0, 2*len(e.Fields))
+	for _, p := range e.Fields {
+		kv = append(kv, p.Key, p.Value)
+	}
+	log.Info(e.Text, kv...)
+}
+
 func millis(d time.Duration) int64 { return d.Milliseconds() }
