--- a/internal/dev/kvstub/kvstub.go
+++ b/internal/dev/kvstub/kvstub.go
@@ -85,6 +85,7 @@
 	hosts  map[string]Failure
 	slow   time.Duration
 	calls  map[string]int
+	muted  int
 	closed chan struct{}
 	done   sync.Once
 }
@@ -144,6 +145,13 @@
 	s.wake()
 }
 
+// Mute has the watches that wait now never be answered, while new calls are.
+func (s *Server) Mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted++
+}
+
 // Calls returns how often a path was called.
 func (s *Server) Calls(path string) int {
 	s.mu.Lock()
@@ -311,8 +319,16 @@
 	wait := min(time.Duration(number(q.Get("WaitMs")))*time.Millisecond, maxWait)
 	until, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
+	s.mu.Lock()
+	muted := s.muted
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if muted != s.muted {
+			s.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		if after < s.floor {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
