give a host that has just started no part of the floor of second tries

Cause: found by reading: a host that knows no other takes the whole floor of the budget of second tries for its part, and forgets what it spent before a restart; six hosts restarted together could make six times the floor. Change: for one window after its start a host tries again on the ratio alone. The test failed first in that a fresh host used the floor; tests that need the floor begin a window later.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,10 +31,10 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// drainLeast is how long a drain lasts at least where no bound is given: long enough for the word of
-// it to reach the peers, and for callers that were told of this host a moment
-// ago to be told of others instead of meeting a closed port. A caller may go by
-// its list for entriesValid.
+// drainLeast is how long a drain lasts at least where no bound is given: long
+// enough for the word of it to reach the peers, and for callers that were told of
+// this host a moment ago to be told of others instead of meeting a closed port. A
+// caller may go by its list for entriesValid.
 const drainLeast = entriesValid + time.Second
 
 // Reducer is the state of one entry host.
@@ -50,8 +50,10 @@
 	// hosts together, and the budget of second tries of each service.
 	bounds   Bounds
 	services map[string]*retry.Budget
-	// hostsMost is the most entry hosts that were known at one time.
+	// hostsMost is the most entry hosts that were known at one time, startedAt
+	// the time of the first step.
 	hostsMost int
+	startedAt ident.Time
 	pools     pools
 	agenda    agenda
 
@@ -104,6 +106,9 @@
 // the caller.
 func (rd *Reducer) Step(now ident.Time, ev event.Event) []event.Effect {
 	rd.out = nil
+	if rd.startedAt == 0 {
+		rd.startedAt = now
+	}
 	rd.table.Advance(now)
 	switch {
 	case rd.traffic(now, ev):
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -46,8 +46,11 @@
 // service returns the budget of second tries of a service. The floor is split
 // evenly among the most hosts that were known at one time, so that the sum stays
 // within it whoever is cut off from whom; the ratio is of the requests that this
-// host took itself, which sum up by themselves.
-func (rd *Reducer) service(name string) *retry.Budget {
+// host took itself, which sum up by themselves. A host that has just started knows
+// neither the others nor what it spent before it was restarted, so that for one
+// window it has no part of the floor: hosts that are restarted together would each
+// take the whole of it.
+func (rd *Reducer) service(now ident.Time, name string) *retry.Budget {
 	b, ok := rd.services[name]
 	if !ok {
 		b = &retry.Budget{}
@@ -56,7 +59,7 @@
 	rd.hostsMost = max(rd.hostsMost, rd.table.HostCount())
 	b.Share = retryMargin * rd.bounds.RetryRatio
 	b.Floor = int(retryMargin * float64(rd.bounds.RetryFloor) / float64(rd.hostsMost))
-	if b.Floor == 0 {
+	if b.Floor == 0 || now.Sub(rd.startedAt) < retry.Window {
 		b.Floor = -1
 	}
 	if b.Share == 0 {
@@ -73,7 +76,7 @@
 		return
 	}
 	if !r.forwarded {
-		rd.service(r.profile.Service).Arrived(now)
+		rd.service(now, r.profile.Service).Arrived(now)
 	}
 }
 
@@ -94,7 +97,7 @@
 		return r.unsent <= maxUnsent
 	}
 	// The host that passed a request on counts its tries.
-	return !r.forwarded && r.tries < max(rt.MaxAttempts, 1) && rd.service(r.profile.Service).Spend(now)
+	return !r.forwarded && r.tries < max(rt.MaxAttempts, 1) && rd.service(now, r.profile.Service).Spend(now)
 }
 
 // reached reports whether a request that was not run has been seen by a target.
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -9,6 +9,7 @@
 
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
@@ -97,6 +98,7 @@
 // without the budget a target in trouble would get twice its load.
 func TestSecondTriesKeepToTheBudget(t *testing.T) {
 	p := newPost(t, 4, core.Bounds{RetryRatio: 0.2, RetryFloor: 10})
+	p.now = p.now.Add(retry.Window)
 	tries, held := 0, 0
 	const calls = 200
 	for range calls {
@@ -169,6 +171,7 @@
 // for the end.
 func TestHeldFailureIsNotForHalfAStream(t *testing.T) {
 	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+	p.now = p.now.Add(retry.Window)
 	d := p.send("draft")
 	if d.Patience.First == 0 || d.Patience.Gap == 0 {
 		t.Errorf("a stream that may be resumed is waited for without bound: %+v", d.Patience)
@@ -313,3 +316,28 @@
 	}
 	t.Fatal("the engine is never full")
 }
+
+// All hosts are killed and start again at the same moment, before targets that
+// fail. None knows of the others yet, or of the second tries that it made before.
+// Each with the whole floor for itself, they would together make many times what
+// the service may get.
+func TestFreshHostHasNoPartOfTheFloor(t *testing.T) {
+	p := newPost(t, 4, core.Bounds{RetryRatio: 0.01, RetryFloor: 50})
+	tried := func() bool {
+		d := p.send("fetch")
+		again, ok := pick[event.Dispatch](p.end2(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultFailed, Status: 500, Held: true}))
+		if ok {
+			p.step(event.AttemptEnded{Attempt: again.Attempt, Result: event.ResultDone})
+		}
+		return ok
+	}
+	for range 20 {
+		if tried() {
+			t.Fatal("a host that has just started tries again on the floor")
+		}
+	}
+	p.now = p.now.Add(retry.Window)
+	if !tried() {
+		t.Error("a host that has run for a window has no part of the floor")
+	}
+}
