--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -101,12 +101,12 @@
 	field("fleet.seeds[]", "the address of a host to try before the platform's list is known", anAddr),
 	required("fleet.places[].dataCentre", "a data centre of the deployment", aName),
 	required("fleet.places[].region", "the region of that data centre", aName),
-	field("fleet.graceSeconds", "the time from SIGTERM to the end of the process, in seconds", between(0.5, 600)),
+	field("fleet.graceSeconds", "the time from SIGTERM to the end of the process, in seconds; 0 stands for 10", between(0, 600)),
 	field("fleet.retryRatio", "the most second tries at a service for each of its requests, over all hosts", between(0, 10)),
 	field("fleet.retryFloor", "the second tries at a service in ten seconds that need no requests, over all hosts", between(0, 1e6)),
 	field("fleet.coldOvershoot", "how many times its rate a cold target may be sent", between(0, 100)),
 	field("fleet.coldSlack", "the requests a second that a cold target may be sent beside", between(0, 1e6)),
-	field("fleet.leaseLeastMs", "the shortest lease that the platform grants, in milliseconds", between(1, 600_000)),
+	field("fleet.leaseLeastMs", "the shortest lease that the platform grants, in milliseconds", between(0, 600_000)),
 	field("logs.level", "what is logged: 0 for events, 1 for each request too", between(0, 9)),
 }
 
