give a fresh host half of its part of the floor of second tries

Ruled out: the stream itself, which was offered for resumption. Change: for one window a fresh host has half of its part, and none before it knows from the platform's list or a peer who the others are.

--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -47,9 +47,9 @@
 // evenly among the most hosts that were known at one time, so that the sum stays
 // within it whoever is cut off from whom; the ratio is of the requests that this
 // host took itself, which sum up by themselves. A host that has just started knows
-// neither the others nor what it spent before it was restarted, so that for one
-// window it has no part of the floor: hosts that are restarted together would each
-// take the whole of it.
+// neither the others nor what it spent before it was restarted: hosts that are
+// restarted together would each take the whole floor. So for one window it has half
+// of its part, and none before it has read who the others are.
 func (rd *Reducer) service(now ident.Time, name string) *retry.Budget {
 	b, ok := rd.services[name]
 	if !ok {
@@ -59,7 +59,10 @@
 	rd.hostsMost = max(rd.hostsMost, rd.table.HostCount())
 	b.Share = retryMargin * rd.bounds.RetryRatio
 	b.Floor = int(retryMargin * float64(rd.bounds.RetryFloor) / float64(rd.hostsMost))
-	if b.Floor == 0 || now.Sub(rd.startedAt) < retry.Window {
+	if now.Sub(rd.startedAt) < retry.Window {
+		b.Floor /= 2
+	}
+	if b.Floor == 0 || !rd.table.ListRead() {
 		b.Floor = -1
 	}
 	if b.Share == 0 {
--- a/internal/member/gone.go
+++ b/internal/member/gone.go
@@ -18,6 +18,10 @@
 	tb.list.away = true
 }
 
+// ListRead reports whether this host, or a peer for it, has read the platform's
+// list.
+func (tb *Table) ListRead() bool { return tb.list.read || len(tb.peers) > 0 }
+
 // listComplete takes note that the list which was just read lacks nothing.
 func (tb *Table) listComplete(now ident.Time) {
 	if tb.list.away {
