close a caller's connection only while no byte of a request was read

Ruled out: the caller leaving (it waited), the drain (none ran there), a broken target (it was still at work). TestRequestThatBeginsIsNotCut fails without it ('unexpected EOF').

--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -5,6 +5,7 @@
 //
 //	k := idle.New(svc, func() time.Duration { return book().Limits().Idle() })
 //	srv := &http.Server{ConnState: k.State}
+//	go srv.Serve(k.Listener(ln))
 //	defer k.Stop()
 //
 // net/http has a limit of its own, but one that is fixed when the server
@@ -16,6 +17,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -55,11 +57,14 @@
 func (k *Keeper) State(c net.Conn, st http.ConnState) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if st == http.StateIdle {
-		k.since[c] = k.clock.Now()
+	if st != http.StateIdle {
+		delete(k.since, c)
 		return
 	}
-	delete(k.since, c)
+	if w, ok := c.(*conn); ok {
+		w.use.Store(waits)
+	}
+	k.since[c] = k.clock.Now()
 }
 
 func (k *Keeper) run() error {
@@ -83,9 +88,64 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c, since := range k.since {
-		if now.Sub(since) >= limit {
-			delete(k.since, c)
-			_ = c.Close()
+		if now.Sub(since) < limit {
+			continue
+		}
+		delete(k.since, c)
+		if w, ok := c.(*conn); ok && !w.use.CompareAndSwap(waits, closed) {
+			continue
 		}
+		_ = c.Close()
+	}
+}
+
+// The uses of a connection.
+const (
+	reads int32 = iota
+	// waits says that no byte of another request has been read.
+	waits
+	// closed says that the keeper closes it, so that what comes is not read.
+	closed
+)
+
+// conn is a connection that its keeper closes only while no byte of a request
+// has been read.
+//
+// The server tells that a connection is in use only once it has read all
+// headers. On a slow host that is late: the request was read and sent to a
+// target, and the sweep closed the connection under it, so that its caller could
+// not know whether it ran. A byte that was read keeps the connection from being
+// closed, and what comes after the close is not read, so that its caller knows
+// that it did not run.
+type conn struct {
+	*net.TCPConn
+	use atomic.Int32
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && !c.use.CompareAndSwap(waits, reads) && c.use.Load() == closed {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// listener hands out connections that the keeper can close without a race.
+type listener struct{ net.Listener }
+
+// Listener returns a listener whose connections are closed only while no byte
+// of a request has been read from them.
+func (k *Keeper) Listener(l net.Listener) net.Listener { return listener{l} }
+
+// Accept passes errors on as they are: the server tries again after some of them.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
 	}
+	return &conn{TCPConn: tcp}, nil
 }
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -1,8 +1,12 @@
 package idle
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -36,3 +40,60 @@
 		t.Errorf("a connection that serves a request is closed: %v", err)
 	}
 }
+
+// A caller uses a connection again at the moment at which it has waited too
+// long, and its host is slow: a part of the headers has been read when the host
+// looks. Were the connection closed then, the request would be sent to a target
+// and its caller be left without an answer.
+func TestRequestThatBeginsIsNotCut(t *testing.T) {
+	svc := clock.New()
+	defer svc.Stop()
+	k := &Keeper{clock: svc, limit: func() time.Duration { return time.Second }, since: make(map[net.Conn]ident.Time)}
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") }))
+	srv.Config.ConnState = k.State
+	srv.Listener = k.Listener(srv.Listener)
+	srv.Start()
+	defer srv.Close()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	exchange := func(parts ...string) (string, error) {
+		for i, part := range parts {
+			if i > 0 {
+				time.Sleep(50 * time.Millisecond)
+				k.sweep(svc.Now().Add(time.Minute))
+			}
+			fmt.Fprint(c, part)
+		}
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return "", err
+		}
+		defer res.Body.Close()
+		b, err := io.ReadAll(res.Body)
+		return string(b), err
+	}
+	if got, err := exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil || got != "whole" {
+		t.Fatalf("first request: %q %v", got, err)
+	}
+	for {
+		k.mu.Lock()
+		n := len(k.since)
+		k.mu.Unlock()
+		if n == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got, err := exchange("GET / HTTP/1.1\r\nHo", "st: a\r\n\r\n"); err != nil || got != "whole" {
+		t.Errorf("a request that had begun: %q %v", got, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	k.sweep(svc.Now().Add(time.Minute))
+	if got, err := exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err == nil {
+		t.Errorf("a connection that has waited too long is still served: %q", got)
+	}
+}
