go by the newest list of targets, whoever read it

A host that had restarted while the store was away learned the targets from a peer that had not read it, and told them on; a peer's list was taken whatever its age, and opened the data centre again. Ruled out: a late read (all hosts that sent had logged 'emptied=true' at 27.0 s), the watch, requests that waited. Change: a digest with targets carries the version of their list, which on the platform is the revision of the store; an older one than the host goes by is dropped. TestOlderListOfAPeerOpensNothing. Conclusion: the word of an evacuation sticks by version, as that of a leaving target does by incarnation.

--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -148,6 +148,8 @@
 	// Targets and Hosts are what the sender last read from the platform, sent
 	// by the host that watches it when they change or a peer is new.
 	Targets []Target `json:"targets,omitempty"`
+	// ListVersion is the version of the platform's list that Targets come from.
+	ListVersion uint64 `json:"listVersion,omitempty"`
 	// Away is the work that the sender has passed on to other data centres and
 	// that has not ended.
 	Away []AwayUse `json:"away,omitempty"`
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -38,9 +38,7 @@
 	p.blind = d.Blind
 	p.away = slices.Clone(d.Away)
 	tb.hear(now, p)
-	if len(d.Targets) > 0 {
-		tb.listTargets(now, d.Targets)
-	}
+	tb.takeList(now, d)
 	tb.takeUse(p, d.Use)
 	tb.supply(d.Lacks)
 	for _, w := range d.Wants {
@@ -137,7 +135,7 @@
 		d.Loads = tb.newLoads(now)
 		d.Summaries = tb.newSummaries(now)
 		d.Lacks = tb.lacking()
-		d.Targets = tb.newList(now)
+		d.Targets, d.ListVersion = tb.newList(now), tb.list.version
 	}
 	if len(to) == 0 {
 		return nil
@@ -211,7 +209,7 @@
 	}
 	d := tb.digest(now)
 	d.Leaving = tb.leavingWords(now, true)
-	d.Targets = tb.listedTargets()
+	d.Targets, d.ListVersion = tb.listedTargets(), tb.list.version
 	for _, t := range tb.targets {
 		if t.HasLoad {
 			ld := t.Load
--- a/internal/member/gone_test.go
+++ b/internal/member/gone_test.go
@@ -41,6 +41,32 @@
 	}
 }
 
+// A host restarts while the platform is away and learns the targets from a peer
+// that has not yet heard that their data centre is emptied. It tells them to a
+// host that has. Callers of that one would be sent to emptied targets.
+func TestOlderListOfAPeerOpensNothing(t *testing.T) {
+	at := ident.Time(time.Second)
+	closed := reachTarget("a")
+	closed.Closed = true
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.HostsRead(at, listOf(5, closed))
+	tell := func(seq, version uint64, tg event.Target) {
+		tb.DigestReceived(at, event.Digest{Host: reachHost("w2", "west-a", "west"), Seq: seq, ListVersion: version, Targets: []event.Target{tg}})
+	}
+	tell(1, 4, reachTarget("a"))
+	if usable(t, tb, at, "a") {
+		t.Error("an older list of a peer opens an emptied data centre")
+	}
+	tell(2, 6, reachTarget("a"))
+	if !usable(t, tb, at, "a") {
+		t.Error("a newer list of a peer is not taken")
+	}
+	tb.HostsRead(at, listOf(5, closed))
+	if !usable(t, tb, at, "a") {
+		t.Error("an older list that this host reads replaces a newer one of a peer")
+	}
+}
+
 // The platform was away and entries lapsed though the targets live. They are
 // written anew within two seconds of its return; dropped at once, a whole data
 // centre would have nothing to serve with for as long.
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -39,8 +39,7 @@
 // and what it holds may be gone.
 func (tb *Table) HostsRead(now ident.Time, ev event.HostsRead) {
 	tb.Advance(now)
-	stale := ev.Version < tb.list.version && now.Sub(tb.list.readAt) <= versionHolds
-	if tb.list.read && stale {
+	if tb.older(now, ev.Version) {
 		return
 	}
 	tb.list.changed = tb.list.changed || !tb.list.read || ev.Version != tb.list.version
@@ -54,6 +53,29 @@
 	}
 }
 
+// older reports whether a list is older than the one that this host goes by.
+func (tb *Table) older(now ident.Time, version uint64) bool {
+	return version < tb.list.version && now.Sub(tb.list.readAt) <= versionHolds
+}
+
+// takeList takes the targets that a peer last read, unless this host has read of
+// newer ones.
+//
+// A host that has restarted while the platform was away learns its list from a
+// peer, and passes it on to others when it speaks for the data centre. Taken for
+// news, that list would open a data centre again that the operators have emptied
+// since, at every host that has read so itself, and for as long as the list does
+// not change: requests reached emptied targets 6 s and more after the operators'
+// word.
+func (tb *Table) takeList(now ident.Time, d event.Digest) {
+	if len(d.Targets) == 0 || tb.older(now, d.ListVersion) {
+		return
+	}
+	tb.list.version = d.ListVersion
+	tb.list.readAt = now
+	tb.listTargets(now, d.Targets)
+}
+
 func (tb *Table) listHosts(now ident.Time, hosts []event.Host) {
 	for _, p := range tb.peers {
 		p.listed = false
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -134,6 +134,8 @@
 
 // listState follows the platform's list of hosts.
 type listState struct {
+	// version is that of the list that this host goes by, readAt when it was read
+	// here or came from a peer; read says that this host has read one itself.
 	version uint64
 	read    bool
 	readAt  ident.Time
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -16,7 +16,7 @@
 		Accounts: fromAccounts(d.Accounts), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
-		Lacks: convert(d.Lacks, fromLack),
+		Lacks: convert(d.Lacks, fromLack), ListVersion: d.ListVersion,
 	}
 }
 
@@ -29,7 +29,7 @@
 		Accounts: p.GetAccounts().toAccounts(), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
-		Lacks: convert(p.GetLacks(), toLack),
+		Lacks: convert(p.GetLacks(), toLack), ListVersion: p.GetListVersion(),
 	}
 }
 
