ask one peer at a time for a newer configuration

The host had restarted while the store was away and heard of a newer revision from twenty peers within a second; each was asked and sent the whole book of 1,335 routes over a link of 10 Mbit/s, so that neither the store nor callers got through for ten seconds and links to peers broke down. Ruled out: the store (back at 26.0 s, read by the others by 28.3 s), a slow decoder. Change: another peer is asked only when the one before has not answered for 1, 2, then 4 s. TestOnePeerIsAskedAtATime. Conclusion: a start costs one book, whatever the number of peers.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -42,6 +42,12 @@
 	backoffMax = 2500 * time.Millisecond
 	// askAgain is the time between two questions to one peer.
 	askAgain = 500 * time.Millisecond
+	// askNext is how long an answer is waited for before another peer is asked,
+	// doubled with each question that brought none up to askMost. It is a part
+	// of the four seconds in which a change is to be in force, and longer than a
+	// whole book of 1,300 routes takes on an idle link of 10 Mbit/s (0.4 s).
+	askNext = time.Second
+	askMost = 4 * time.Second
 )
 
 // keepChanges is how many changes are kept to be sent one by one; a peer that
@@ -65,6 +71,10 @@
 	heardAt  ident.Time
 	heard    bool
 	asked    map[ident.EntryID]ident.Time
+	// askedAt is when any peer was last asked, unanswered how many questions
+	// since the last change in force brought none.
+	askedAt    ident.Time
+	unanswered int
 }
 
 // New returns the state of a host without a configuration.
@@ -105,6 +115,7 @@
 		fresh = append(fresh, c)
 	}
 	if len(fresh) > 0 {
+		s.unanswered = 0
 		effs = append(effs, event.InForceNow{Book: s.book})
 		effs = s.push(effs, ev.From, fresh, peers)
 	}
@@ -148,6 +159,7 @@
 	}
 	s.book = ev.Book
 	s.recent = nil
+	s.unanswered = 0
 	return []event.Effect{event.InForceNow{Book: s.book}}
 }
 
@@ -164,7 +176,12 @@
 	return []event.Effect{event.SendSnapshot{To: to, Book: s.book}}
 }
 
-// Seen takes the revision that another host is at.
+// Seen takes the revision that another host is at, and asks for what it lacks.
+//
+// One peer is asked at a time. A host that starts hears of a higher revision
+// from all its peers within a second; were all of them asked, each would send
+// the whole book, and twenty books of 1,300 routes keep a link of 10 Mbit/s busy
+// for ten seconds, in which neither callers nor the platform get through.
 func (s *Spread) Seen(now ident.Time, host event.Host, rev ident.Revision) []event.Effect {
 	if rev <= s.Revision() {
 		return nil
@@ -172,6 +189,11 @@
 	if at, ok := s.asked[host.ID]; ok && now.Sub(at) < askAgain {
 		return nil
 	}
+	if s.unanswered > 0 && now.Sub(s.askedAt) < min(askNext<<min(s.unanswered-1, 2), askMost) {
+		return nil
+	}
+	s.askedAt = now
+	s.unanswered++
 	if len(s.asked) >= maxAsked {
 		clear(s.asked)
 	}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -149,3 +149,27 @@
 		}
 	}
 }
+
+// A host starts on a narrow link and hears of a newer configuration from all its
+// peers at once. If each sent it whole, the link would be busy for seconds and
+// callers would be turned away meanwhile; if only one were asked for good, a
+// peer that is gone would keep the host on the old configuration.
+func TestOnePeerIsAskedAtATime(t *testing.T) {
+	sp := New(event.Host{ID: "e0"})
+	at := ident.Time(time.Second)
+	asked := func() int {
+		n := 0
+		for _, id := range []ident.EntryID{"e1", "e2", "e3", "e4"} {
+			n += len(sp.Seen(at, event.Host{ID: id}, 7))
+		}
+		return n
+	}
+	var got []int
+	for _, pause := range []time.Duration{0, askNext / 2, askNext / 2, askNext, askNext} {
+		at = at.Add(pause)
+		got = append(got, asked())
+	}
+	if diff := cmp.Diff([]int{1, 0, 1, 0, 1}, got); diff != "" {
+		t.Errorf("questions, with no answer (-want +got):\n%s", diff)
+	}
+}
