reserve the loopback network of a test run

What was found while looking: three places gave out addresses by the process id modulo 200, from two starting points, and one of them reaches the network of the commands on the operators' page, so that packages tested at the same time now and then share addresses and their hosts link to each other. Change: one place gives out addresses, and reserves its network by listening on it.

--- a/internal/dev/bench/fleet.go
+++ b/internal/dev/bench/fleet.go
@@ -13,6 +13,7 @@
 
 	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/dev/relay"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/store"
@@ -52,7 +53,6 @@
 	shape    shape
 	http     *http.Client
 	dir      string
-	ips      int
 	platform string
 	procs    []*proc
 	sites    []*site
@@ -95,20 +95,13 @@
 	}
 }
 
-// newIP returns an IP number of the loopback range that no other process of
-// this fleet has, nor one of a fleet of another process.
-func (f *fleet) newIP() string {
-	f.ips++
-	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, f.ips/250+1, f.ips%250+1)
-}
-
 // start starts everything and waits until every host serves.
 func (f *fleet) start(ctx context.Context) error {
 	var err error
 	if f.dir, err = os.MkdirTemp("", "bench"); err != nil {
 		return errors.Wrap(err, "bench: settings")
 	}
-	addr := fmt.Sprintf("%s:%d", f.newIP(), platformPort)
+	addr := fmt.Sprintf("%s:%d", ports.IP(), platformPort)
 	f.platform = "http://" + addr
 	if _, err := f.run(ctx, f.platform+"/v1/hosts", "platform", "-listen", addr); err != nil {
 		return err
@@ -167,14 +160,14 @@
 // plan gives the hosts of a data centre their addresses.
 func (f *fleet) plan(s *site) {
 	for n := range hostsPerSite {
-		ip := f.newIP()
+		ip := ports.IP()
 		f.regionOf[ip] = s.place.Region
 		s.hosts = append(s.hosts, &host{ip: ip, set: config.Settings{
 			Entry:      ident.EntryID(fmt.Sprintf("%s-%d", s.place.DataCentre, n+1)),
 			DataCentre: s.place.DataCentre, Region: s.place.Region,
 			Callers: config.Callers{Listen: fmt.Sprintf("%s:%d", ip, callersPort)},
 			Peers: config.Peers{
-				Listen: fmt.Sprintf("%s:%d", ip, peersPort), Advertise: fmt.Sprintf("%s:%d", f.newIP(), peersPort),
+				Listen: fmt.Sprintf("%s:%d", ip, peersPort), Advertise: fmt.Sprintf("%s:%d", ports.IP(), peersPort),
 				Plain: true,
 			},
 			Operators: config.Operators{
--- a/internal/dev/bench/proc.go
+++ b/internal/dev/bench/proc.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/dev/engine"
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -71,7 +72,7 @@
 
 func (f *fleet) startEngines(ctx context.Context, s *site) error {
 	for n := range s.centre.engines {
-		addr := fmt.Sprintf("%s:%d", f.newIP(), targetPort)
+		addr := fmt.Sprintf("%s:%d", ports.IP(), targetPort)
 		e := &engineProc{id: ident.TargetID(fmt.Sprintf("%s-e%d", s.place.DataCentre, n+1)), url: "http://" + addr}
 		e.args = []string{
 			"engine", "-listen", addr, "-id", string(e.id), "-model", string(model),
--- a/internal/dev/ports/ports.go
+++ b/internal/dev/ports/ports.go
@@ -1,19 +1,28 @@
 // Package ports gives out addresses of the loopback range for tests, each of
-// which no other one of the process gets.
+// which nothing else on the machine gets.
 //
 // # Usage
 //
 //	addr := ports.Next()
+//	addr = fmt.Sprintf("%s:%d", ports.IP(), port)
 //
 // A test that asks the system for a free port, closes it and listens on it
 // later now and then finds it taken: an outgoing connection of anything on the
 // machine may have got it in between. Here each address has an IP number of
 // its own, and a port below those that outgoing connections get.
+//
+// Tests of several packages run at once. The first IP number that a process
+// asks for reserves a sixteen-bit network for it, by listening on its last
+// address for as long as the process lives. Networks that went by the process id
+// alone were now and then those of two processes, or that of the operators' page,
+// and the hosts of one test then linked to those of another.
 package ports
 
 import (
 	"fmt"
+	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 )
 
@@ -23,10 +32,42 @@
 // perByte is how many values of a byte of an IP number are used.
 const perByte = 250
 
-var count atomic.Uint32
+// The networks 127.16 to 127.215 are given out. 127.81 is that of the commands on
+// the operators' page.
+const (
+	networks     = 200
+	firstNetwork = 16
+	pageNetwork  = 81
+)
 
-// Next returns an address, as host:port.
-func Next() string {
+var (
+	count   atomic.Uint32
+	network = sync.OnceValue(reserve)
+	// held is the listener that reserves the network.
+	held net.Listener
+)
+
+// reserve returns the second byte of a network that no other process has.
+func reserve() int {
+	for i := range networks {
+		n := firstNetwork + (os.Getpid()+i)%networks
+		if n == pageNetwork {
+			continue
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", n, port))
+		if err == nil {
+			held = ln
+			return n
+		}
+	}
+	panic("ports: all loopback networks are taken, end the test runs that are left over")
+}
+
+// IP returns an IP number.
+func IP() string {
 	n := count.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d:%d", 16+os.Getpid()%200, n/perByte%perByte+1, n%perByte+1, port)
+	return fmt.Sprintf("127.%d.%d.%d", network(), n/perByte%perByte+1, n%perByte+1)
 }
+
+// Next returns an address, as host:port.
+func Next() string { return fmt.Sprintf("%s:%d", IP(), port) }
--- a/internal/proofs/circulate_test.go
+++ b/internal/proofs/circulate_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/store"
@@ -249,7 +250,7 @@
 	for _, m := range f.hosts {
 		d.to = append(d.to, m.callers())
 	}
-	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", newIP(), targetPort))
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ports.IP(), targetPort))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proofs/fleet_test.go
+++ b/internal/proofs/fleet_test.go
@@ -18,6 +18,7 @@
 	"verbenadale.example/verbenadale/internal/dev/certs"
 	"verbenadale.example/verbenadale/internal/dev/engine"
 	"verbenadale.example/verbenadale/internal/dev/plain"
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/store"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -47,7 +48,7 @@
 // startRelay starts a relay on an address of its own.
 func startRelay(t *testing.T, port int, to string) *relay {
 	t.Helper()
-	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", newIP(), port))
+	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ports.IP(), port))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -254,7 +255,7 @@
 	for _, s := range sites {
 		for n := range s.entries {
 			id := ident.EntryID(fmt.Sprintf("%s-%d", s.place.DataCentre, n+1))
-			ip := newIP()
+			ip := ports.IP()
 			f.hosts = append(f.hosts, &member{
 				id: id, place: s.place, ip: ip, before: startRelay(t, peersPort, fmt.Sprintf("%s:%d", ip, peersPort)),
 				limits: cmp.Or(s.limits, testLimits),
@@ -272,7 +273,7 @@
 
 func (f *fleet) addEngine(id ident.TargetID, place event.Place, args ...string) {
 	f.t.Helper()
-	addr := fmt.Sprintf("%s:%d", newIP(), targetPort)
+	addr := fmt.Sprintf("%s:%d", ports.IP(), targetPort)
 	args = append([]string{"engine", "-listen", addr, "-id", string(id), "-model", "draft"}, args...)
 	f.procs[id] = start(f.t, "verbdev", args...)
 	eventually(f.t, "the engine answers", reachable("http://"+addr+"/load"))
@@ -281,7 +282,7 @@
 
 func (f *fleet) addService(id ident.TargetID, place event.Place, args ...string) {
 	f.t.Helper()
-	addr := fmt.Sprintf("%s:%d", newIP(), targetPort)
+	addr := fmt.Sprintf("%s:%d", ports.IP(), targetPort)
 	args = append([]string{"service", "-listen", addr, "-id", string(id), "-service", "publish"}, args...)
 	f.procs[id] = start(f.t, "verbdev", args...)
 	eventually(f.t, "the service answers", reachable("http://"+addr+"/load"))
@@ -298,13 +299,13 @@
 	m.toPlatform = startRelay(f.t, platformPort, f.platform[len("http://"):])
 	set := config.Settings{
 		Entry: m.id, DataCentre: m.place.DataCentre, Region: m.place.Region,
-		Callers: config.Callers{Listen: fmt.Sprintf("%s:%d", newIP(), callersPort)},
+		Callers: config.Callers{Listen: fmt.Sprintf("%s:%d", ports.IP(), callersPort)},
 		Peers: config.Peers{
 			Listen: fmt.Sprintf("%s:%d", m.ip, peersPort), Advertise: m.before.addr(),
 			CertFile: files.Cert, KeyFile: files.Key, CAFile: files.CA,
 		},
 		Operators: config.Operators{
-			Listen: fmt.Sprintf("%s:%d", newIP(), operatorsPort),
+			Listen: fmt.Sprintf("%s:%d", ports.IP(), operatorsPort),
 			Known: []config.Operator{
 				{Name: "ops", TokenDigest: rules.Digest(operatorToken)},
 				{Name: "second", TokenDigest: rules.Digest(secondToken)},
--- a/internal/proofs/forge_test.go
+++ b/internal/proofs/forge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/wire"
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -35,7 +36,7 @@
 // forge links a forger of a place to a host.
 func (f *fleet) forge(to *member, id ident.EntryID, place event.Place) *forger {
 	f.t.Helper()
-	g := &forger{t: f.t, host: event.Host{ID: id, Incarnation: ident.Incarnation(time.Now().UnixNano()), Place: place, PeerAddr: newIP() + ":1"}}
+	g := &forger{t: f.t, host: event.Host{ID: id, Incarnation: ident.Incarnation(time.Now().UnixNano()), Place: place, PeerAddr: ports.IP() + ":1"}}
 	conn, err := net.Dial("tcp", to.set.Peers.Listen)
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/proofs/proc_test.go
+++ b/internal/proofs/proc_test.go
@@ -13,11 +13,11 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/dev/ports"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/store"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -57,15 +57,6 @@
 	targetPort    = 8000
 )
 
-var ipCount atomic.Uint32
-
-// newIP returns an IP number of the loopback range that no other process of
-// this test run has.
-func newIP() string {
-	n := ipCount.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, n/250+1, n%250+1)
-}
-
 // lines collects what a process prints.
 type lines struct {
 	mu  sync.Mutex
@@ -161,7 +152,7 @@
 
 func startPlatform(t *testing.T) string {
 	t.Helper()
-	addr := fmt.Sprintf("%s:%d", newIP(), platformPort)
+	addr := fmt.Sprintf("%s:%d", ports.IP(), platformPort)
 	start(t, "verbdev", "platform", "-listen", addr)
 	eventually(t, "the platform answers", reachable("http://"+addr+"/v1/hosts"))
 	return "http://" + addr
@@ -169,7 +160,7 @@
 
 func startEngine(t *testing.T, id ident.TargetID, place event.Place, args ...string) event.Target {
 	t.Helper()
-	addr := fmt.Sprintf("%s:%d", newIP(), targetPort)
+	addr := fmt.Sprintf("%s:%d", ports.IP(), targetPort)
 	start(t, "verbdev", append([]string{"engine", "-listen", addr, "-id", string(id)}, args...)...)
 	eventually(t, "the engine answers", reachable("http://"+addr+"/load"))
 	return event.Target{ID: id, Kind: event.Engine, Place: place, URL: "http://" + addr}
@@ -181,7 +172,7 @@
 }
 
 func entrySettings(platform string, id ident.EntryID, place event.Place) config.Settings {
-	ip := newIP()
+	ip := ports.IP()
 	return config.Settings{
 		Entry: id, DataCentre: place.DataCentre, Region: place.Region,
 		Callers:   config.Callers{Listen: fmt.Sprintf("%s:%d", ip, callersPort)},
