--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -15,7 +15,7 @@
 		Request: r.Request, Profile: r.profile, Client: r.client,
 		Tried: r.tried, TriedCentres: r.triedCentres,
 		Crossings: r.env.Crossings, Forwarded: r.forwarded, Resume: r.delivered,
-		Backlog: rd.pools.of(r).backlog(),
+		Backlog: rd.pools.of(r).backlog(), Expect: rd.expected(r),
 	}
 }
 
@@ -191,6 +191,7 @@
 		rd.table.Ran(a.target, now.Sub(a.start))
 		r.kept = e.Kept
 		rd.pools.of(r).ran(now.Sub(a.start), e.Generated)
+		rd.streamed(r)
 		rd.close(now, r, event.Done)
 		rd.emit(event.Finish{Request: r.ID, Outcome: event.Done})
 	case event.ResultNotRun:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,6 +50,8 @@
 	// hosts together, and the budget of second tries of each service.
 	bounds   Bounds
 	services map[string]*retry.Budget
+	// lengths is the smoothed number of events in the streams of each route.
+	lengths map[ident.Profile]float64
 	// hostsMost is the most entry hosts that were known at one time, startedAt
 	// the time of the first step.
 	hostsMost int
@@ -80,6 +82,7 @@
 	rd := &Reducer{
 		bounds:   bounds.filled(),
 		services: make(map[string]*retry.Budget),
+		lengths:  make(map[ident.Profile]float64),
 		self:     self,
 		table:    member.New(self),
 		router:   route.New(),
@@ -133,6 +136,8 @@
 		rd.attemptSent(e)
 	case event.FirstToken:
 		rd.firstToken(now, e)
+	case event.StreamPaced:
+		rd.streamPaced(e)
 	case event.AttemptEnded:
 		rd.attemptEnded(now, e)
 	case event.CallerLeft:
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -212,6 +212,33 @@
 	return p
 }
 
+// lengthWeight is the weight of one stream in the usual length of its route's.
+const lengthWeight = 1.0 / 16
+
+// streamed takes note of the length of a whole stream.
+func (rd *Reducer) streamed(r *request) {
+	if rt := r.profile.Route; rt == nil || rt.Kind != rules.Streaming {
+		return
+	}
+	name := r.profile.Name
+	if old, ok := rd.lengths[name]; ok {
+		rd.lengths[name] = old + lengthWeight*(float64(r.delivered)-old)
+		return
+	}
+	rd.lengths[name] = float64(r.delivered)
+}
+
+// expected returns how many events the rest of a stream usually has.
+func (rd *Reducer) expected(r *request) float64 {
+	return max(0, rd.lengths[r.profile.Name]-float64(r.delivered))
+}
+
+func (rd *Reducer) streamPaced(e event.StreamPaced) {
+	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && a.target != "" {
+		rd.table.Paced(a.target, e.Gap)
+	}
+}
+
 // coldPerSecond is how many requests a second all hosts together may send to a
 // cold target of a service.
 func (rd *Reducer) coldPerSecond(service string) float64 {
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -22,7 +22,7 @@
 // notices.
 var (
 	eventTypes = namesOf[Event](
-		RequestArrived{}, AttemptSent{}, FirstToken{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
+		RequestArrived{}, AttemptSent{}, FirstToken{}, StreamPaced{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
 		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, LoadFailed{}, CacheChanged{},
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -118,6 +118,13 @@
 	Attempt ident.Attempt `json:"attempt"`
 }
 
+// StreamPaced says how long a stream of a route takes from one event to the next,
+// over the last few of them.
+type StreamPaced struct {
+	Attempt ident.Attempt `json:"attempt"`
+	Gap     time.Duration `json:"gap"`
+}
+
 // FirstToken says that the first byte of an answer has come.
 type FirstToken struct {
 	Attempt ident.Attempt `json:"attempt"`
@@ -226,6 +233,7 @@
 func (RequestArrived) isEvent() {}
 func (AttemptSent) isEvent()    {}
 func (FirstToken) isEvent()     {}
+func (StreamPaced) isEvent()    {}
 func (AttemptEnded) isEvent()   {}
 func (CallerLeft) isEvent()     {}
 func (KeyClaimed) isEvent()     {}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -125,6 +125,8 @@
 	rates map[string]float64
 	// runs are the times that requests of each service usually take.
 	runs map[string]time.Duration
+	// paces are the paces of streams of each service.
+	paces map[string]pace
 	// notes are the changes of belief since Notes was last asked.
 	notes []event.Note
 	// slow is the fixed part of the time between summaries to a data centre
@@ -171,6 +173,7 @@
 		slow:  slowEvery,
 		rates: make(map[string]float64),
 		runs:  make(map[string]time.Duration),
+		paces: make(map[string]pace),
 	}
 }
 
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -198,15 +198,15 @@
 
 func (tb *Table) countTarget(now ident.Time, t *Target) {
 	if t.Kind == event.Service {
-		tb.needPool(PoolID{Service: t.Service}).count(now, t)
+		tb.needPool(PoolID{Service: t.Service}).count(now, t, tb.paces[t.Service].room(now))
 		return
 	}
 	for _, sv := range t.Load.Serves {
-		tb.needPool(PoolID{Serve: sv}).count(now, t)
+		tb.needPool(PoolID{Serve: sv}).count(now, t, 1)
 	}
 }
 
-func (p *pool) count(now ident.Time, t *Target) {
+func (p *pool) count(now ident.Time, t *Target, room float64) {
 	out := t.Outstanding(now)
 	wait := t.Wait(now, out, 1)
 	if p.targets == 0 || wait < p.Wait {
@@ -214,7 +214,7 @@
 	}
 	p.targets++
 	p.Slots += t.Slots()
-	p.Free += t.free(now, out)
+	p.Free += t.free(now, out, room)
 	p.PrefillRate += t.Load.PrefillRate
 	p.DecodeRate += t.Load.DecodeRate
 	p.prices += t.Price
--- a/internal/member/seen.go
+++ b/internal/member/seen.go
@@ -131,6 +131,7 @@
 			continue
 		}
 		t.run = tb.runs[t.Service]
+		t.Load.DecodeRate = tb.DecodeRate(tb.last, t.Service)
 		if !t.rated {
 			t.Load.PrefillRate = tb.rates[t.Service]
 		}
@@ -144,13 +145,13 @@
 
 // free returns the places of a target that new work may take, with the given
 // number of requests there.
-func (t *Target) free(now ident.Time, out int) int {
+func (t *Target) free(now ident.Time, out int, room float64) int {
 	n := max(0, t.Slots()-out)
 	if t.Capacity == 0 {
 		return n
 	}
 	wait := min(t.prefillWait(now, out), busyWait)
-	return int(float64(n) * (1 - float64(wait)/float64(busyWait)))
+	return int(room * float64(n) * (1 - float64(wait)/float64(busyWait)))
 }
 
 // Following of the part of requests that fail at a target.
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -91,6 +91,9 @@
 		prefill = span(float64(c.prefill), t.Load.PrefillRate)
 		decode = decodeTime(q, t.Load.DecodeRate) * (1 + batchSlow*u)
 	}
+	if q.Profile.Route != nil && q.engine() {
+		decode = span(q.Expect, t.Load.DecodeRate)
+	}
 	w := q.Profile.Weights
 	tail := tailWeight(w)
 	// A cold target counts as smaller than it is, for the cost only: the
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -1,12 +1,14 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -29,11 +31,12 @@
 )
 
 // abroad returns the best data centre to pass a request on to, if one is worth
-// it against the best local choice, which is nil where there is none.
-func (rt *Router) abroad(v *view, local *cand) (Decision, bool) {
+// it against a part of the cost of the best local choice, which is nil where there
+// is none.
+func (rt *Router) abroad(v *view, local *cand, part float64) (Decision, bool) {
 	limit := math.Inf(1)
 	if local != nil {
-		limit = local.cost.sum()
+		limit = part * local.cost.sum()
 		if limit <= minGain {
 			return Decision{}, false
 		}
@@ -67,6 +70,21 @@
 	}, true
 }
 
+// part returns the part of the cost of the best local choice that another data
+// centre must undercut.
+//
+// Streams slow down where many prompts are read, and the loads that tell of it
+// are seconds old. If every request went where streams are fastest, all the work
+// of a region would go to another for some seconds and then come back. So a request
+// of a route with a place here goes by a chance that grows with what it gains: with
+// half the cost elsewhere one in two goes, with equal ones none.
+func (rt *Router) part(v *view, best *cand) float64 {
+	if best == nil || v.q.Profile.Route == nil || !v.q.engine() {
+		return 1
+	}
+	return rank.Unit(rank.Mix(v.key))
+}
+
 // centreCost is the cost of a request at another data centre, with the weight
 // of a crossing that goes on. Nothing is warm for it there.
 func centreCost(v *view, c *member.Centre, p *event.Pool) cost {
@@ -78,6 +96,9 @@
 		prefill = span(float64(q.Request.Prompt+q.Resume), p.PrefillRate)
 		decode = decodeTime(q, p.DecodeRate) * (1 + batchSlow*poolUse(p))
 	}
+	if q.Profile.Route != nil && q.engine() {
+		decode = span(q.Expect, cmp.Or(p.DecodeRate, v.tb.DecodeRate(v.now, q.Profile.Service)))
+	}
 	k := cost{
 		wait:    tail * (p.Wait + trip(v, c)).Seconds(),
 		prefill: tail * prefill,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -56,6 +56,9 @@
 	Forwarded bool
 	// Resume is the number of tokens that have reached the caller.
 	Resume ident.Tokens
+	// Expect is how many events the stream of a route usually has, zero where that
+	// is not known.
+	Expect float64
 	// Backlog is the predicted time that the request would wait in this
 	// host's own queue before a target is chosen.
 	Backlog time.Duration
@@ -180,7 +183,7 @@
 	if local == nil {
 		local = rt.priceOne(v, full)
 	}
-	if dec, ok := rt.abroad(v, local); ok {
+	if dec, ok := rt.abroad(v, local, rt.part(v, best)); ok {
 		return dec
 	}
 	if best == nil {
@@ -199,7 +202,7 @@
 // of a target that is dead nothing runs.
 func (rt *Router) strand(v *view) Decision {
 	v.stranded = true
-	if dec, ok := rt.abroad(v, nil); ok {
+	if dec, ok := rt.abroad(v, nil, 1); ok {
 		return dec
 	}
 	if v.q.Profile.Route != nil && !v.desperate {
@@ -332,7 +335,7 @@
 		}
 	}
 	if len(rt.left) == 0 {
-		if dec, ok := rt.abroad(v, nil); ok {
+		if dec, ok := rt.abroad(v, nil, 1); ok {
 			rt.noteCrossing(v.now, dec.Centre, dec.Pool)
 			return dec
 		}
--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -28,6 +28,7 @@
 			return err
 		}
 		t.first()
+		t.paced()
 		if err := t.data(ev, r.upto); err != nil {
 			return err
 		}
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -34,8 +34,16 @@
 	answered bool
 	use      usage
 	end      event.AttemptEnded
+	// events counts those since pacedAt.
+	events  int
+	pacedAt ident.Time
 }
 
+// paceEvents is over how many events the pace of a stream is told. Fewer cost the
+// control thread more, and some come two at a time; a stream of two hundred tokens
+// has a few dozen.
+const paceEvents = 6
+
 // loop runs the attempt to its end, its deadline or until it is killed.
 func (t *try) loop() error {
 	ctx, cancel := context.WithTimeout(t.t.Context(t.ctx), t.left(t.deadline))
@@ -116,6 +124,21 @@
 	return ident.Time(w.heard.Load()).Add(most)
 }
 
+// paced tells now and then how fast the events of a stream come.
+func (t *try) paced() {
+	now := t.Clock.Now()
+	if t.pacedAt == 0 {
+		t.pacedAt = now
+		return
+	}
+	t.events++
+	if t.events < paceEvents {
+		return
+	}
+	t.Loop.Post(event.StreamPaced{Attempt: t.id, Gap: now.Sub(t.pacedAt) / paceEvents})
+	t.events, t.pacedAt = 0, now
+}
+
 // first tells once that the answer has begun.
 func (t *try) first() {
 	t.heard.Store(int64(t.Clock.Now()))
