send work to other regions by the pace of streams

A third of the slots was taken, so that nothing counted as full, no help was asked for, and no choice knew that streams were slow. TestSlowStreamsBringAPartOfTheWorkElsewhere, TestSlowStreamsLeaveNoRoom, TestRegionThatWasHelpedHelps.

--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -192,13 +192,17 @@
 			p.DecodeRate /= n
 			p.Price = p.prices / n
 		}
-		p.settle(tb.awayFrom(now, p.id))
+		away := 0
+		if !tb.isPaced(p.id) {
+			away = tb.awayFrom(now, p.id)
+		}
+		p.settle(away)
 	}
 }
 
 func (tb *Table) countTarget(now ident.Time, t *Target) {
 	if t.Kind == event.Service {
-		tb.needPool(PoolID{Service: t.Service}).count(now, t, tb.paces[t.Service].room(now))
+		tb.needPool(PoolID{Service: t.Service}).count(now, t, tb.roomAt(now, t.Service))
 		return
 	}
 	for _, sv := range t.Load.Serves {
@@ -253,7 +257,11 @@
 			continue
 		}
 		askers := tb.askers(now, p.id)
-		for j, n := range split(spare(p.Free, p.Slots), len(askers)) {
+		n := spare(p.Free, p.Slots)
+		if tb.isPaced(p.id) {
+			n /= paceStep
+		}
+		for j, n := range split(n, len(askers)) {
 			rows[i][askers[j]] = n
 		}
 	}
@@ -268,7 +276,7 @@
 func (tb *Table) askers(now ident.Time, id PoolID) []int {
 	var is []int
 	for i, c := range tb.centres {
-		if c.CutOff(now) || c.ask(id) == nil || holds(c.taken, now, id) {
+		if c.CutOff(now) || c.ask(id) == nil || !tb.isPaced(id) && holds(c.taken, now, id) {
 			continue
 		}
 		is = append(is, i)
@@ -338,7 +346,7 @@
 	}
 	c := tb.centres[i]
 	p := c.Pool(id)
-	if p == nil || p.Offer <= 0 || c.poolsAge(now) > offerLife || holds(c.given, now, id) {
+	if p == nil || p.Offer <= 0 || c.poolsAge(now) > offerLife || !tb.isPaced(id) && holds(c.given, now, id) {
 		return 0
 	}
 	if own, ok := tb.pool(id); ok && own.offering {
--- a/internal/member/pace.go
+++ b/internal/member/pace.go
@@ -21,6 +21,10 @@
 	// crowdedPace is how many times the best pace streams may take until their
 	// targets count as having no room for work from elsewhere.
 	crowdedPace = 3
+	// paceStep is the part of its spare slots that a data centre offers at a time
+	// where streams have a pace. An offer is renewed within a second, before the
+	// pace shows what the last one has done.
+	paceStep = 4
 )
 
 // pace is how long the streams of a service take from one event to the next at the
@@ -40,15 +44,36 @@
 	return p.best + time.Duration(slow*math.Exp2(-now.Sub(p.at).Seconds()/paceHalf.Seconds()))
 }
 
-// room returns the part of the free slots that work from elsewhere may take.
-func (p pace) room(now ident.Time) float64 {
-	if p.best <= 0 {
+// roomAt returns the part of the free slots of a service that work from elsewhere
+// may take. The best pace is that of the data centre with the fastest streams: one
+// that has been busy since it started knows no other.
+func (tb *Table) roomAt(now ident.Time, service string) float64 {
+	p, ok := tb.paces[service]
+	if !ok {
 		return 1
 	}
-	slow := float64(p.now(now)) / float64(p.best)
+	best := p.best
+	for _, c := range tb.centres {
+		if far := c.Pool(PoolID{Service: service}); far != nil && far.DecodeRate > 0 {
+			best = min(best, seconds(1/far.DecodeRate))
+		}
+	}
+	slow := float64(p.now(now)) / float64(best)
 	return min(1, max(0, (crowdedPace-slow)/(crowdedPace-1)))
 }
 
+// isPaced reports whether the pace of the streams of a pool is known.
+//
+// Work of such a pool goes to another data centre by a chance that follows from
+// the paces of both, so that it needs no rule to keep two data centres from
+// swapping work: those that keep one from offering until all that it sent away has
+// ended left a region idle for ten seconds beside one that had helped it before and
+// was now at its own peak.
+func (tb *Table) isPaced(id PoolID) bool {
+	_, ok := tb.paces[id.Service]
+	return ok && id.Service != ""
+}
+
 // Paced takes the time between two events of a stream at a target.
 func (tb *Table) Paced(id ident.TargetID, gap time.Duration) {
 	t, ok := tb.byID[id]
--- /dev/null
+++ b/internal/member/pace_test.go
@@ -0,0 +1,61 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// The engines of a region have been busy since this host started: streams are
+// slow, and it has seen no others, while most slots are free. Another region
+// tells a pace four times as fast. Did this region still count its slots as room,
+// it would not ask for help, and would offer to help others.
+func TestSlowStreamsLeaveNoRoom(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := nearWorld(at)
+	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
+	id := PoolID{Service: "writers"}
+	free := func() int {
+		tb.countPools(at)
+		p, _ := tb.pool(id)
+		return p.Free
+	}
+	if got := free(); got != 16 {
+		t.Errorf("%d slots are free where no pace is known, want 16", got)
+	}
+	for range 50 {
+		tb.Paced("a", 120*time.Millisecond)
+	}
+	if got := free(); got != 16 {
+		t.Errorf("%d slots are free where no other pace is known, want 16", got)
+	}
+	tb.SummaryReceived(at, event.Summary{
+		From: "e1", Place: reachPlace("east-a", "east"), Incarnation: 1, Seq: 2,
+		Hosts: []event.Host{reachHost("e1", "east-a", "east")},
+		Pools: []event.Pool{{Service: "writers", Slots: 16, Free: 16, DecodeRate: 1 / 0.03}},
+	})
+	if got := free(); got != 0 {
+		t.Errorf("%d slots count as room where streams take four times as long as elsewhere", got)
+	}
+}
+
+// A region sent work to another at its own peak, and long streams of it still run
+// there when the other has its peak. It must be able to help in its turn before
+// the last of them has ended.
+func TestRegionThatWasHelpedHelps(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := nearWorld(at)
+	tb.HostsRead(at, listOf(1, reachTarget("a")))
+	id := PoolID{Service: "writers"}
+	tb.countPools(at)
+	tb.OfferTake("east", id)
+	for range 50 {
+		tb.Paced("a", 30*time.Millisecond)
+	}
+	tb.countPools(at)
+	if p, _ := tb.pool(id); !p.offering {
+		t.Error("a region with room offers none while its own work runs elsewhere")
+	}
+}
--- /dev/null
+++ b/internal/route/pace_test.go
@@ -0,0 +1,79 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// pacedTable is a host before engines with free slots whose streams take a time
+// from event to event, beside a region that offers room at another pace.
+func pacedTable(here, there time.Duration) (*member.Table, ident.Time) {
+	now := ident.Time(time.Second)
+	west := event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
+	east := event.Place{DataCentre: "east-a", Region: "east", Reach: "east"}
+	tb := member.New(event.Host{ID: "w1", Incarnation: 1, Place: west})
+	ev := event.HostsRead{Version: 1, Complete: true}
+	for i := range 10 {
+		ev.Targets = append(ev.Targets, event.Target{
+			ID: ident.TargetID(fmt.Sprint("t", i)), Incarnation: 1, Kind: event.Service, Service: "writers", Place: west, Capacity: 64,
+		})
+	}
+	tb.HostsRead(now, ev)
+	h := event.Host{ID: "e1", Incarnation: 1, Place: east}
+	for seq := range uint64(20) {
+		now = now.Add(time.Second)
+		for range 100 {
+			tb.Paced("t0", here)
+		}
+		tb.SummaryReceived(now, event.Summary{
+			From: h.ID, Place: east, Incarnation: 1, Seq: seq + 1, Hosts: []event.Host{h},
+			Pools: []event.Pool{{Service: "writers", Slots: 640, Free: 600, Offer: 10000, PrefillRate: 50000, DecodeRate: 1 / there.Seconds()}},
+		})
+		tb.Tick(now, member.Own{})
+	}
+	return tb, now
+}
+
+// The engines of a region have free slots, but they read so many prompts that
+// each stream there takes four times as long as in a region that idles: callers
+// see long pauses, and long answers run into their deadline. A part of the work
+// is to go there, and not all of it: the region that helps would be slow in its
+// turn a few seconds later, and the work come back.
+func TestSlowStreamsBringAPartOfTheWorkElsewhere(t *testing.T) {
+	const asked = 400
+	for name, c := range map[string]struct {
+		here, there time.Duration
+		least, most int
+	}{
+		"slow here":       {120 * time.Millisecond, 30 * time.Millisecond, asked / 2, asked * 9 / 10},
+		"slower here":     {120 * time.Millisecond, 45 * time.Millisecond, asked / 4, asked * 3 / 4},
+		"a little slower": {120 * time.Millisecond, 90 * time.Millisecond, 0, 0},
+		"alike":           {120 * time.Millisecond, 120 * time.Millisecond, 0, 0},
+		"slow there":      {30 * time.Millisecond, 120 * time.Millisecond, 0, 0},
+	} {
+		tb, now := pacedTable(c.here, c.there)
+		rt := New()
+		went := 0
+		for i := range asked {
+			dec := rt.Choose(now, Query{
+				Request: event.Request{ID: ident.RequestID(fmt.Sprint("r", i)), Prompt: 1000}, Expect: 40,
+				Profile: rules.Profile{
+					Service: "writers", MaxCrossings: 1, Weights: rules.Weights{Tail: 1, Crossing: 0.05},
+					Route: &rules.Route{Kind: rules.Streaming, GoalMs: 1000},
+				},
+			}, tb)
+			if dec.Centre != "" {
+				went++
+			}
+		}
+		if went < c.least || went > c.most {
+			t.Errorf("%s: %d of %d requests go to the other region, want %d to %d", name, went, asked, c.least, c.most)
+		}
+	}
+}
