run real hosts through faults at random and check the promises

Cause: the users ask for a fault soak of our own; faults were tried one at a time. Change: verbdev soak runs 'verbenadale edge' as processes behind loopback relays that delay, reset, refuse and silence connections, also one way; stops, kills, pauses and SIGHUP; a store that is busy, slow, silent, loses answers, drops its history; targets that crash, reset, lose, spoil and double answers; configurations, emptied data centres and replaced targets meanwhile. TestChecksBite gives each check what it must find.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PROTOC_GEN_VERSION = v1.36.12
 GOBIN = $(shell go env GOPATH)/bin
 
-.PHONY: all build test race lint format tools proto soak fuzz
+.PHONY: all build test race lint format tools proto soak faults fuzz
 
 all: lint test
 
@@ -46,6 +46,14 @@
 soak:
 	go test $(SOAK_PACKAGES) -timeout 60m -rapid.checks=$(SOAK_CHECKS) -rapid.seed=$(SOAK_SEED)
 
+# faults runs fifty fresh seeds of the fault soak: real hosts as processes that are
+# harmed from outside, for about seven minutes. A seed that breaks a promise is
+# printed with its plan; it joins the cases of internal/dev/soak with the repair.
+FAULT_SEEDS = 50
+faults:
+	go build -o bin/ ./cmd/...
+	bin/verbdev soak -seeds $(FAULT_SEEDS) -parallel 4 -for 15s
+
 # fuzz feeds the decoders with what no host would send.
 FUZZ_TIME = 20s
 fuzz:
--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -36,6 +36,7 @@
 	cdr.Register(&demoCmd{}, "")
 	cdr.Register(&routesCmd{}, "")
 	cdr.Register(&replayCmd{}, "")
+	cdr.Register(&soakCmd{}, "")
 	cdr.Register(&loadCmd{}, "measurements")
 	cdr.Register(&slopesCmd{}, "measurements")
 	cdr.Register(&entryCmd{}, "measurements")
--- a/internal/dev/relay/relay.go
+++ b/internal/dev/relay/relay.go
@@ -5,6 +5,7 @@
 //
 //	r, err := relay.Start(relay.Config{Listen: "127.1.0.9:7070", To: "127.1.0.1:7070", Delay: delayOf, Clock: svc})
 //	r.Cut("127.2.0.1", true)
+//	r.SetFault(relay.Fault{Silent: relay.Out})
 //	defer r.Stop()
 //
 // An entry host dials its peers from the IP number that it listens on, so the
@@ -31,6 +32,7 @@
 	// Listen and To are host:port.
 	Listen, To string
 	// Delay returns the delay of one way for a sender's IP number.
+	// Nil is none.
 	Delay func(sender string) time.Duration
 	Clock *clock.Service
 }
@@ -41,9 +43,63 @@
 	cfg Config
 	ln  net.Listener
 
-	mu   sync.Mutex
-	cut  map[string]bool
-	open map[net.Conn]string
+	mu    sync.Mutex
+	cut   map[string]bool
+	open  map[net.Conn]string
+	fault Fault
+}
+
+// Direction names the ways between a sender and the address behind a relay.
+type Direction int
+
+// The directions: Out leads to the address behind the relay.
+const (
+	Out Direction = 1 << iota
+	In
+)
+
+// Fault is how a relay harms what passes through it. The zero value harms
+// nothing.
+type Fault struct {
+	// Silent holds back what goes in these directions while connections stand, as
+	// a lost link does; what was held back passes once it is over.
+	Silent Direction
+	// Refuse ends connections that stand and takes no new ones.
+	Refuse bool
+	// Delay is added to that of each way.
+	Delay time.Duration
+}
+
+// SetFault replaces the fault.
+func (r *Relay) SetFault(f Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+	if f.Refuse {
+		r.reset()
+	}
+}
+
+// Reset resets all connections that stand.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reset()
+}
+
+func (r *Relay) reset() {
+	for c := range r.open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+func (r *Relay) faultNow() Fault {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fault
 }
 
 // Start starts a relay.
@@ -107,8 +163,11 @@
 		out.Close()
 		return
 	}
-	delay := r.cfg.Delay(sender)
-	for _, w := range []*way{newWay(r, in, out, delay), newWay(r, out, in, delay)} {
+	var delay time.Duration
+	if r.cfg.Delay != nil {
+		delay = r.cfg.Delay(sender)
+	}
+	for _, w := range []*way{newWay(r, Out, in, out, delay), newWay(r, In, out, in, delay)} {
 		r.t.Go(w.run)
 		r.t.Go(w.loop)
 	}
@@ -117,7 +176,7 @@
 func (r *Relay) keep(sender string, cs ...net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cut[sender] || !r.t.Alive() {
+	if r.cut[sender] || r.fault.Refuse || !r.t.Alive() {
 		return false
 	}
 	for _, c := range cs {
@@ -148,13 +207,35 @@
 // way is one direction of a connection.
 type way struct {
 	relay    *Relay
+	dir      Direction
 	from, to net.Conn
 	delay    time.Duration
 	pieces   chan piece
 }
 
-func newWay(r *Relay, from, to net.Conn, delay time.Duration) *way {
-	return &way{relay: r, from: from, to: to, delay: delay, pieces: make(chan piece, maxPieces)}
+func newWay(r *Relay, dir Direction, from, to net.Conn, delay time.Duration) *way {
+	return &way{relay: r, dir: dir, from: from, to: to, delay: delay, pieces: make(chan piece, maxPieces)}
+}
+
+// silentPoll is the time between two looks whether a silence is over.
+const silentPoll = 10 * time.Millisecond
+
+// pass waits until a piece is due and nothing holds it back.
+func (w *way) pass(sub *clock.Sub, due ident.Time) {
+	svc := w.relay.cfg.Clock
+	for w.relay.t.Alive() {
+		f := w.relay.faultNow()
+		now := svc.Now()
+		switch {
+		case due.Add(f.Delay) > now:
+			sub.Reset(due.Add(f.Delay))
+		case f.Silent&w.dir != 0:
+			sub.Reset(now.Add(silentPoll))
+		default:
+			return
+		}
+		<-sub.C()
+	}
 }
 
 // run reads.
@@ -180,10 +261,7 @@
 	defer sub.Close()
 	defer w.relay.drop(w.to)
 	for p := range w.pieces {
-		if p.due > svc.Now() {
-			sub.Reset(p.due)
-			<-sub.C()
-		}
+		w.pass(sub, p.due)
 		if _, err := w.to.Write(p.data); err != nil {
 			w.relay.drop(w.from)
 		}
--- /dev/null
+++ b/internal/dev/soak/soak_test.go
@@ -0,0 +1,114 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// program is the entry host's, built once.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(build(m))
+}
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "verbenadale")
+	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/verbenadale").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// Real hosts are stopped, killed, paused and cut off for some seconds, and every
+// promise that callers and targets can see holds. The whole soak takes longer and
+// is run by hand.
+func TestShortSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	for _, seed := range []uint64{1, 4} {
+		rep, err := Run(context.Background(), Config{Program: program, Seed: seed, For: 5 * time.Second, Hosts: 2, Callers: 2})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Log(rep)
+		if len(rep.Broken) > 0 {
+			t.Errorf("seed %d breaks promises", seed)
+		}
+		if rep.Outcome["200"] == 0 {
+			t.Errorf("seed %d: nothing was served", seed)
+		}
+	}
+}
+
+// A seed is kept as a case once it has failed. That is of use only if it draws
+// the same plan again.
+func TestPlanOfASeedStays(t *testing.T) {
+	s := &site{}
+	for n := range 4 {
+		s.hosts = append(s.hosts, &host{region: regions[n/2]})
+		s.workers = append(s.workers, &target{id: fmt.Sprint("t", n), region: regions[n/2]})
+	}
+	names := func(seed uint64) []string {
+		var out []string
+		for _, f := range draw(rand.New(rand.NewPCG(seed, seed)), 20*time.Second, s) {
+			out = append(out, f.String())
+		}
+		return out
+	}
+	if diff := cmp.Diff(names(7), names(7)); diff != "" {
+		t.Errorf("two plans of one seed differ:\n%s", diff)
+	}
+	if cmp.Equal(names(7), names(8)) {
+		t.Error("two seeds draw the same plan")
+	}
+}
+
+// The soak is worth nothing if it can't see a broken promise. Each check is given
+// what a caller and a target would have seen of one.
+func TestChecksBite(t *testing.T) {
+	at := time.Now()
+	for name, c := range map[string]struct {
+		a    asked
+		runs int
+		ran  *target
+		want int
+	}{
+		"fine":        {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 500}, runs: 1},
+		"twice":       {a: asked{id: "p", kind: kindPublish, route: kindPublish, status: 502}, runs: 2, want: 1},
+		"not run":     {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 503, header: map[string][]string{"Retry-After": {"1"}}}, runs: 1, want: 1},
+		"cut short":   {a: asked{id: "p", kind: kindDraft, route: kindDraft, status: 200, body: "id: 1", header: map[string][]string{"Verbenadale-Response-Seal": {"seal-of-p"}}}, runs: 1, want: 1},
+		"crossed":     {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 200, body: "of another", header: map[string][]string{"Verbenadale-Response-Seal": {"seal-of-q"}}}, runs: 1, want: 2},
+		"away":        {a: asked{id: "p", kind: kindHome, route: kindHome, status: 502}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
+		"left":        {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502, calm: true, began: at}, runs: 1, ran: &target{region: regions[0], service: "board", leftAt: at.Add(-2 * inForce)}, want: 1},
+		"emptied":     {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502, calm: true, began: at}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
+		"wrong place": {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502}, runs: 1, ran: &target{region: regions[0], service: "writers"}, want: 1},
+		"stop cuts":   {a: asked{id: "p", kind: kindFetch, route: kindFetch, err: context.DeadlineExceeded, calm: true, end: at, termAt: at.Add(-time.Second)}, runs: 1, want: 1},
+		"no route":    {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 404, calm: true}, want: 1},
+	} {
+		chk := &checker{site: &site{began: at, emptied: []emptied{{region: regions[1], from: at.Add(-2 * inForce)}}}, runs: map[string]int{"p": c.runs}, by: map[string][]*target{}}
+		if c.ran != nil {
+			chk.by["p"] = []*target{c.ran}
+		}
+		chk.one(c.a)
+		if len(chk.found) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.found, c.want)
+		}
+	}
+}
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -110,6 +111,13 @@
 	return k.runs[id]
 }
 
+// All returns how often each request ran.
+func (k *Worker) All() map[string]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return maps.Clone(k.runs)
+}
+
 // Total returns how many requests ran.
 func (k *Worker) Total() int {
 	k.mu.Lock()
