read the store all the time at two hosts of a data centre only

Ruled out: one reader (frozen, it is noticed too late for a leaving target); no reads at the others (a directory would name dead hosts, and both readers may be wrong). Who ranks is the reducer's decision (PaceReads).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,8 @@
 	attempts map[ident.Attempt]*attempt
 	number   uint64
 
+	// reads says that this host was last told to read the store all the time.
+	reads    bool
 	draining bool
 	drainAt  ident.Time
 	wakeAt   ident.Time
@@ -84,6 +86,7 @@
 		services: make(map[string]*retry.Budget),
 		lengths:  make(map[ident.Profile]float64),
 		self:     self,
+		reads:    true,
 		table:    member.New(self),
 		router:   route.New(),
 		spread:   spread.New(self),
@@ -96,6 +99,7 @@
 	}
 	rd.quota.Place(self.Place.Group(), self.Place.Region)
 	rd.table.SetCold(member.Cold{PerSecond: rd.coldPerSecond, Span: rd.coldSpan})
+	rd.spread.ReadFirst(bounds.SharedReads)
 	if bounds.Pace > 0 {
 		rd.table.SetPace(bounds.Pace)
 	}
@@ -265,6 +269,7 @@
 		rd.emit(rd.table.Tick(now, rd.own(now))...)
 	}
 	rd.emit(rd.spread.Tick(now, rd.table.Watches(now))...)
+	rd.paceReads(now)
 	rd.agendaDue(now)
 	rd.poolsDue(now)
 	for _, id := range rd.once.Expire(now) {
@@ -276,6 +281,16 @@
 	rd.wake(now)
 }
 
+// paceReads tells how often to read the platform's store, when that changes. A host
+// begins by reading it all the time, since it knows nothing.
+func (rd *Reducer) paceReads(now ident.Time) {
+	if !rd.bounds.SharedReads || rd.table.Reads(now) == rd.reads {
+		return
+	}
+	rd.reads = !rd.reads
+	rd.emit(event.PaceReads{Often: rd.reads})
+}
+
 // tellEach is how many accounts a host tells its peers of each second, on
 // average. With more of them the whole list goes out less often: at 74 accounts
 // and seven peers, telling all each second alone cost three times the 4 KB a
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -27,6 +27,9 @@
 	// DrainLeast is how long a drain lasts at least, DrainServe how long new
 	// requests of routes are still served in it.
 	DrainLeast, DrainServe time.Duration
+	// SharedReads says that the platform's store is read all the time by two hosts
+	// of a data centre only.
+	SharedReads bool
 	// Pace is the fixed part of the time between summaries to data centres
 	// that want nothing.
 	Pace time.Duration
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -176,6 +176,12 @@
 // StopWatch ends the watch: another host watches for the data centre.
 type StopWatch struct{}
 
+// PaceReads says how often this host reads the platform's store: all the time, or
+// now and then while others of its data centre do.
+type PaceReads struct {
+	Often bool `json:"often"`
+}
+
 // ReadSnapshot reads the newest snapshot of the configuration.
 type ReadSnapshot struct{}
 
@@ -310,6 +316,7 @@
 func (ClaimKey) isEffect()        {}
 func (WatchChange) isEffect()     {}
 func (StopWatch) isEffect()       {}
+func (PaceReads) isEffect()       {}
 func (ReadSnapshot) isEffect()    {}
 func (ReadHosts) isEffect()       {}
 func (PollLoad) isEffect()        {}
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -31,7 +31,7 @@
 	effectTypes = namesOf[Effect](
 		Dispatch{}, Forward{}, Refuse{}, Finish{}, Replay{}, ForgetOutcome{}, Wake{},
 		SendDigest{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
-		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, ReadSnapshot{}, ReadHosts{}, PollLoad{},
+		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadSnapshot{}, ReadHosts{}, PollLoad{},
 		InForceNow{}, TicketIssued{}, EntriesAnswered{}, RouteAnswered{}, StatusAnswered{}, Drained{},
 		Note{},
 	)
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/rank"
@@ -140,6 +141,33 @@
 	return tb.watcher(now) == tb.self.ID
 }
 
+// Hosts that read the platform's store all the time.
+const (
+	// readers is how many of a data centre do. With two, one that freezes holds
+	// nothing up.
+	readers = 2
+	// readFresh is the silence after which a host is not counted on to read: nearly
+	// two heartbeats. With both readers frozen a third one then reads within the
+	// four seconds in which a leaving target must be left alone.
+	readFresh = 1800 * time.Millisecond
+)
+
+// Reads reports whether this host reads the platform's store all the time. Those
+// that do tell the others of the data centre; more of them than needed do no harm.
+func (tb *Table) Reads(now ident.Time) bool {
+	mine := dutyScore("watch", tb.self, tb.blind)
+	before := 0
+	for _, p := range tb.peers {
+		if !p.met || p.down || now.Sub(p.heard) > readFresh {
+			continue
+		}
+		if dutyScore("watch", p.host, p.blind) > mine {
+			before++
+		}
+	}
+	return before < readers
+}
+
 // Speaks reports whether this host speaks for its data centre to the others.
 func (tb *Table) Speaks(now ident.Time) bool { return tb.speaker(now) == tb.self.ID }
 
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -75,8 +75,16 @@
 	// since the last change in force brought none.
 	askedAt    ident.Time
 	unanswered int
+	// readFirst says that the platform is asked before a peer.
+	readFirst bool
 }
 
+// ReadFirst has a higher revision be read from the platform, and from a peer only
+// if that brings nothing. Where two hosts read the platform for all others, these
+// would ask the two for every change, and a host on a link of 10 Mbit/s takes eight
+// seconds to send a book of 1,300 routes to twenty peers.
+func (s *Spread) ReadFirst(yes bool) { s.readFirst = yes }
+
 // New returns the state of a host without a configuration.
 func New(self event.Host) *Spread {
 	return &Spread{self: self, asked: make(map[ident.EntryID]ident.Time)}
@@ -186,6 +194,11 @@
 	if rev <= s.Revision() {
 		return nil
 	}
+	if s.readFirst && s.fails == 0 && s.unanswered == 0 {
+		s.askedAt = now
+		s.unanswered = 1
+		return []event.Effect{event.ReadSnapshot{}}
+	}
 	if at, ok := s.asked[host.ID]; ok && now.Sub(at) < askAgain {
 		return nil
 	}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -173,3 +173,33 @@
 		t.Errorf("questions, with no answer (-want +got):\n%s", diff)
 	}
 }
+
+// Most hosts of a data centre read the platform now and then only, and hear of a
+// new configuration from the two that read it all the time. If all asked these for
+// it, their links would be busy for seconds; if none could, a host that is cut off
+// from the platform would keep the old one.
+func TestPlatformIsReadBeforePeersAreAsked(t *testing.T) {
+	sp := New(event.Host{ID: "e0"})
+	sp.ReadFirst(true)
+	at := ident.Time(time.Second)
+	names := func() []string {
+		var out []string
+		for _, eff := range sp.Seen(at, event.Host{ID: "e1"}, 7) {
+			out = append(out, event.TypeName(eff))
+		}
+		return out
+	}
+	got := [][]string{names()}
+	at = at.Add(askNext)
+	got = append(got, names())
+	sp.Snapshot(at, event.SnapshotReceived{Book: bookAt(6)})
+	got = append(got, names())
+	sp.Snapshot(at, event.SnapshotReceived{Book: bookAt(6)})
+	sp.Failed(at, event.OpWatchChange)
+	sp.unanswered = 0
+	at = at.Add(askMost)
+	got = append(got, names())
+	if diff := cmp.Diff([][]string{{"readSnapshot"}, {"askChanges"}, {"readSnapshot"}, {"askChanges"}}, got); diff != "" {
+		t.Errorf("what is read and asked (-want +got):\n%s", diff)
+	}
+}
