--- a/internal/dev/soak/fault.go
+++ b/internal/dev/soak/fault.go
@@ -37,7 +37,7 @@
 	// in which bounds that hold without faults are checked.
 	faultsEach = 1200 * time.Millisecond
 	calmPart   = 8
-	calmFor    = 12 * time.Second
+	calmFor    = 20 * time.Second
 	shortest   = 300 * time.Millisecond
 	longest    = 4 * time.Second
 	// seriesOf is how often a fault comes again, one time in seriesPart.
@@ -50,6 +50,9 @@
 // maker makes one kind of fault from a source of chance.
 type maker func(rnd *rand.Rand, s *site) fault
 
+// planned is work that may cut nothing.
+var planned = []maker{stopHost, evacuate, leaveWorker, reconfigure}
+
 // draw makes the plan of a seed.
 func draw(rnd *rand.Rand, span time.Duration, s *site) []fault {
 	makers := []maker{stopHost, killHost, pauseHost, hupHost, harmStore, harmStore, linkStore, linkPeers, linkWorker, harmWorker, harmWorker, reconfigure, evacuate, leaveWorker}
@@ -63,10 +66,10 @@
 			times = seriesOf
 		}
 		if rnd.IntN(calmPart) == 0 {
-			// The word of the operators comes alone, and holds for long.
+			// Planned work comes alone, when all faults before it are forgotten.
 			at += calmFor
-			f = evacuate(rnd, s)
-			f.at, f.lasts, times = at-calmFor/2, calmFor/2+longest, 1
+			f = planned[rnd.IntN(len(planned))](rnd, s)
+			f.at, f.lasts, times = at-quiet, quiet+longest, 1
 		}
 		for n := range times {
 			again := f
--- a/internal/dev/soak/site.go
+++ b/internal/dev/soak/site.go
@@ -34,8 +34,8 @@
 
 // events and pauses of the streams, and the work of calls.
 const (
-	streamEvents = 8
-	streamPause  = 15 * time.Millisecond
+	streamEvents = 30
+	streamPause  = 30 * time.Millisecond
 	callWork     = 5 * time.Millisecond
 )
 
