--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -44,6 +44,9 @@
 			c.broken("unasked: target %s ran %s, which no caller sent", ws[0].id, id)
 		}
 	}
+	for _, e := range c.site.ended {
+		c.broken("ended by itself: %s", e)
+	}
 	c.reverted()
 }
 
--- a/internal/dev/soak/fault.go
+++ b/internal/dev/soak/fault.go
@@ -33,11 +33,8 @@
 // Sizes of a plan.
 const (
 	// faultsEach is the usual time between two faults. Each lasts up to longest,
-	// so that two or three are at work at once. One in calmPart is followed by a pause
-	// in which bounds that hold without faults are checked.
+	// so that two or three are at work at once.
 	faultsEach = 1200 * time.Millisecond
-	calmPart   = 8
-	calmFor    = 20 * time.Second
 	shortest   = 300 * time.Millisecond
 	longest    = 4 * time.Second
 	// seriesOf is how often a fault comes again, one time in seriesPart.
@@ -45,12 +42,15 @@
 	seriesPart = 4
 	// restartAfter is the pause before an ended process is started again.
 	restartAfter = 300 * time.Millisecond
+	// afterwards is when planned work comes alone in half of the plans: all faults
+	// are over and forgotten by then, so that bounds without faults are checked.
+	afterwards = 2*longest + longest + quiet
 )
 
 // maker makes one kind of fault from a source of chance.
 type maker func(rnd *rand.Rand, s *site) fault
 
-// planned is work that may cut nothing.
+// planned is work that may cut nothing, and that is in force everywhere in time.
 var planned = []maker{stopHost, evacuate, leaveWorker, reconfigure}
 
 // draw makes the plan of a seed.
@@ -65,18 +65,17 @@
 		if rnd.IntN(seriesPart) == 0 {
 			times = seriesOf
 		}
-		if rnd.IntN(calmPart) == 0 {
-			// Planned work comes alone, when all faults before it are forgotten.
-			at += calmFor
-			f = planned[rnd.IntN(len(planned))](rnd, s)
-			f.at, f.lasts, times = at-quiet, quiet+longest, 1
-		}
 		for n := range times {
 			again := f
 			again.at += time.Duration(n) * (f.lasts/2 + shortest)
 			plan = append(plan, again)
 		}
 	}
+	if rnd.IntN(2) == 0 {
+		f := planned[rnd.IntN(len(planned))](rnd, s)
+		f.at, f.lasts = span+afterwards, quiet+longest
+		plan = append(plan, f)
+	}
 	slices.SortStableFunc(plan, func(a, b fault) int { return int(a.at - b.at) })
 	return plan
 }
--- a/internal/dev/soak/site.go
+++ b/internal/dev/soak/site.go
@@ -60,6 +60,8 @@
 	// they had data centres emptied.
 	words   []word
 	emptied []emptied
+	// ended are the processes that ended by themselves.
+	ended []string
 }
 
 // target is one incarnation of a worker behind its relay.
@@ -265,9 +267,11 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// run counts its processes, termAt is when the newest was told to stop.
+	// run counts its processes, termAt is when the newest was told to stop, ending
+	// that it was told to end.
 	run    int
 	termAt time.Time
+	ending bool
 	over   bool
 }
 
@@ -327,21 +331,38 @@
 	}
 	h.cmd, h.done = cmd, make(chan struct{})
 	h.run++
-	h.termAt = time.Time{}
-	p := &process{cmd: cmd, done: h.done}
+	h.termAt, h.ending = time.Time{}, false
+	p := &process{host: h, cmd: cmd, done: h.done}
 	go p.run()
 	return nil
 }
 
 // process waits for the end of one process.
 type process struct {
+	host *host
 	cmd  *exec.Cmd
 	done chan struct{}
 }
 
+// run starts the host again where its process ended by itself, as the platform does.
 func (p *process) run() {
-	defer close(p.done)
-	_ = p.cmd.Wait()
+	err := p.cmd.Wait()
+	h := p.host
+	h.mu.Lock()
+	own := h.done == p.done && !h.ending && !h.over
+	h.mu.Unlock()
+	close(p.done)
+	if own {
+		h.site.endedByItself(h, err)
+		_ = h.boot()
+	}
+}
+
+// endedByItself takes note of a process that nobody had told to end.
+func (s *site) endedByItself(h *host, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = append(s.ended, fmt.Sprintf("host %s at %.2fs: %v", h.set.Entry, time.Since(s.began).Seconds(), err))
 }
 
 // signal sends a signal to the process of the host, by its id, and returns a
@@ -352,6 +373,7 @@
 	if sig == syscall.SIGTERM {
 		h.termAt = time.Now()
 	}
+	h.ending = h.ending || sig == syscall.SIGTERM || sig == syscall.SIGKILL
 	_ = h.cmd.Process.Signal(sig)
 	return h.done
 }
