--- /dev/null
+++ b/internal/member/pool.go
@@ -0,0 +1,201 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// pool is one pool of the own data centre.
+type pool struct {
+	event.Pool
+	id PoolID
+	// offering is the state of the hysteresis.
+	offering bool
+	wantedAt ident.Time
+	wanted   bool
+	// ownAt is when a request at this host last asked for it; a want that a
+	// peer told is not told on.
+	ownAt   ident.Time
+	own     bool
+	prices  float64
+	targets int
+}
+
+// settle moves the hysteresis after a change of load or of own work sent away.
+func (p *pool) settle(away int) {
+	switch {
+	case away > 0 || p.Slots == 0 || p.Free*percent < p.Slots*withdrawMark:
+		p.offering = false
+	case p.Free*percent >= p.Slots*offerMark && p.Slots > 0:
+		p.offering = true
+	}
+}
+
+func byPool(a, b PoolID) int {
+	return cmp.Or(
+		strings.Compare(string(a.Serve.Model), string(b.Serve.Model)),
+		strings.Compare(string(a.Serve.Version), string(b.Serve.Version)),
+		strings.Compare(string(a.Serve.Adapter), string(b.Serve.Adapter)),
+		strings.Compare(a.Service, b.Service),
+	)
+}
+
+func (tb *Table) pool(id PoolID) (*pool, bool) {
+	i, ok := tb.poolIndex(id)
+	if !ok {
+		return nil, false
+	}
+	return tb.pools[i], true
+}
+
+func (tb *Table) poolIndex(id PoolID) (int, bool) {
+	return slices.BinarySearchFunc(tb.pools, id, func(p *pool, id PoolID) int { return byPool(p.id, id) })
+}
+
+func (tb *Table) needPool(id PoolID) *pool {
+	i, ok := tb.poolIndex(id)
+	if !ok {
+		p := &pool{id: id}
+		p.Serve, p.Service = id.Serve, id.Service
+		tb.pools = slices.Insert(tb.pools, i, p)
+	}
+	return tb.pools[i]
+}
+
+// Want says that a request asked for a pool that has no target here, so that
+// the data centre asks the others for it.
+func (tb *Table) Want(now ident.Time, id PoolID) {
+	p, fresh := tb.want(now, id)
+	if p == nil {
+		return
+	}
+	if fresh || !p.own || now.Sub(p.ownAt) > wantLife {
+		// Another host may speak for the data centre and has to know at once.
+		tb.beat.words = true
+	}
+	p.own, p.ownAt = true, now
+}
+
+// Crowded says that requests wait here for room, so that the data centre asks
+// for help now and not at the next heartbeat. At the beginning of a peak each
+// second without offers leaves a queue that takes many to work off, and that
+// shows as a tail of seconds.
+func (tb *Table) Crowded(now ident.Time) {
+	if tb.crowdedAt > 0 && now.Sub(tb.crowdedAt) < minGap {
+		return
+	}
+	tb.crowdedAt = now
+	tb.countPools(now)
+	if slices.ContainsFunc(tb.pools, func(p *pool) bool { return p.Slots > 0 && short(p.Free, p.Slots) }) {
+		tb.beat.asks, tb.beat.words = true, true
+	}
+}
+
+// want takes note of a want of this host or of a peer. It returns nil where
+// there are too many.
+func (tb *Table) want(now ident.Time, id PoolID) (p *pool, fresh bool) {
+	p, ok := tb.pool(id)
+	if !ok {
+		if len(tb.pools) >= maxWants {
+			return nil, false
+		}
+		p = tb.needPool(id)
+		tb.beat.asks = true
+	}
+	p.wanted, p.wantedAt = true, now
+	return p, !ok
+}
+
+// wants returns what requests at this host asked for of late in vain.
+func (tb *Table) wants(now ident.Time) []event.Want {
+	var ws []event.Want
+	for _, p := range tb.pools {
+		if p.targets == 0 && p.own && now.Sub(p.ownAt) <= wantLife {
+			ws = append(ws, event.Want{Serve: p.Serve, Service: p.Service})
+		}
+	}
+	return ws
+}
+
+// countPools works the pools out anew from the targets.
+func (tb *Table) countPools(now ident.Time) {
+	for _, p := range tb.pools {
+		*p = pool{
+			Pool: event.Pool{Serve: p.Serve, Service: p.Service},
+			id:   p.id, offering: p.offering, wantedAt: p.wantedAt, wanted: p.wanted, ownAt: p.ownAt, own: p.own,
+		}
+	}
+	for _, t := range tb.targets {
+		if !t.Usable(now) || t.Cold(now) {
+			continue
+		}
+		tb.countTarget(now, t)
+	}
+	tb.pools = slices.DeleteFunc(tb.pools, func(p *pool) bool {
+		return p.targets == 0 && (!p.wanted || now.Sub(p.wantedAt) > wantLife)
+	})
+	for _, p := range tb.pools {
+		if p.targets > 0 {
+			n := float64(p.targets)
+			p.PrefillRate /= n
+			p.DecodeRate /= n
+			p.Price = p.prices / n
+		}
+		away := 0
+		if !tb.isPaced(p.id) {
+			away = tb.awayFrom(now, p.id)
+		}
+		p.settle(away)
+	}
+}
+
+func (tb *Table) countTarget(now ident.Time, t *Target) {
+	if t.Kind == event.Service {
+		tb.needPool(PoolID{Service: t.Service}).count(now, t, tb.roomAt(now, t.Service))
+		return
+	}
+	for _, sv := range t.Load.Serves {
+		tb.needPool(PoolID{Serve: sv}).count(now, t, 1)
+	}
+}
+
+func (p *pool) count(now ident.Time, t *Target, room float64) {
+	out := t.Outstanding(now)
+	wait := t.Wait(now, out, 1)
+	if p.targets == 0 || wait < p.Wait {
+		p.Wait = wait
+	}
+	p.targets++
+	p.Slots += t.Slots()
+	p.Free += t.free(now, out, room)
+	p.PrefillRate += t.Load.PrefillRate
+	p.DecodeRate += t.Load.DecodeRate
+	p.prices += t.Price
+}
+
+// awayFrom counts the requests of a pool that the hosts of the own data centre
+// have passed on to others. Such a pool offers nothing: two data centres that
+// each sent the other their work would pay for the way and gain nothing.
+func (tb *Table) awayFrom(now ident.Time, id PoolID) int {
+	n := countAway(tb.away, id)
+	for _, p := range tb.peers {
+		if !p.dead(now) {
+			n += countAway(p.away, id)
+		}
+	}
+	return n
+}
+
+func countAway(uses []event.AwayUse, id PoolID) int {
+	n := 0
+	for _, u := range uses {
+		if u.Serve == id.Serve && u.Service == id.Service {
+			n += u.Running
+		}
+	}
+	return n
+}
