serve an emptied region at a slow pace rather than refuse it

Change: a request that no target at home may serve goes where its stream is predicted to end within half of its time. TestEmptiedRegionIsServedAtASlowPace fails without it.

--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -248,7 +248,27 @@
 // work than the others count as spare; what they can begin in time is better
 // served than refused, and what they can't they refuse themselves.
 func inGoal(v *view, c *member.Centre, p *event.Pool) bool {
-	return p.Free > 0 && !c.CutOff(v.now) && readyAbroad(v, c, p) <= v.q.Profile.Route.Goal()
+	if c.CutOff(v.now) || readyAbroad(v, c, p) > v.q.Profile.Route.Goal() {
+		return false
+	}
+	return p.Free > 0 || endsInTime(v, p)
+}
+
+// endsPart is the part of a route's time that a stream may be predicted to take at
+// targets whose streams are slow, and that count as having no room for it. The rest
+// is for what the prediction misses: the pace gets slower with the work that comes.
+const endsPart = 0.5
+
+// endsInTime reports whether a stream is predicted to end well within its time,
+// though the pace of its targets leaves no room for work that has a place at home.
+// Counted by that room, a region whose only data centre was emptied was refused
+// callers by the hundred, whom the others would have served at a third of their pace.
+func endsInTime(v *view, p *event.Pool) bool {
+	if v.q.Expect <= 0 || p.DecodeRate <= 0 {
+		return false
+	}
+	most := endsPart * float64(v.q.Profile.Route.TimeoutMs) / 1000
+	return v.q.Expect/p.DecodeRate <= most
 }
 
 // offered returns the pool of a data centre whose offer the request may use.
--- a/internal/route/pace_test.go
+++ b/internal/route/pace_test.go
@@ -77,3 +77,40 @@
 		}
 	}
 }
+
+// The only data centre of a region is emptied while streams in the others are so
+// slow that they count as having no room. Callers whose answer would still come well
+// within its time are to be served there; refused, they come back to the same.
+func TestEmptiedRegionIsServedAtASlowPace(t *testing.T) {
+	for name, c := range map[string]struct {
+		there time.Duration
+		goes  bool
+	}{
+		"slow":     {100 * time.Millisecond, true},
+		"too slow": {400 * time.Millisecond, false},
+	} {
+		tb, now := pacedTable(30*time.Millisecond, c.there)
+		var emptied []event.Target
+		for _, x := range tb.Targets() {
+			d := x.Target
+			d.Closed = true
+			emptied = append(emptied, d)
+		}
+		tb.HostsRead(now, event.HostsRead{Version: 2, Complete: true, Targets: emptied})
+		place := event.Place{DataCentre: "east-a", Region: "east", Reach: "east"}
+		tb.SummaryReceived(now, event.Summary{
+			From: "e1", Place: place, Incarnation: 1, Seq: 100, Hosts: []event.Host{{ID: "e1", Incarnation: 1, Place: place}},
+			Pools: []event.Pool{{Service: "writers", Slots: 640, PrefillRate: 50000, DecodeRate: 1 / c.there.Seconds()}},
+		})
+		dec := New().Choose(now, Query{
+			Request: event.Request{ID: "r", Prompt: 1000}, Expect: 40,
+			Profile: rules.Profile{
+				Service: "writers", MaxCrossings: 1, Weights: rules.Weights{Tail: 1},
+				Route: &rules.Route{Kind: rules.Streaming, GoalMs: 1000, TimeoutMs: 12000},
+			},
+		}, tb)
+		if goes := dec.Centre != ""; goes != c.goes {
+			t.Errorf("%s: passed on %v, want %v (%+v)", name, goes, c.goes, dec)
+		}
+	}
+}
