--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -215,8 +215,14 @@
 	return p
 }
 
-// lengthWeight is the weight of one stream in the usual length of its route's.
-const lengthWeight = 1.0 / 16
+// Following of the length of streams.
+const (
+	// lengthWeight is the weight of one stream in the usual length of its route's.
+	lengthWeight = 1.0 / 16
+	// maxLengths bounds the routes whose lengths are known. Configurations add and
+	// drop routes thousands of times a day; past the bound all are learned anew.
+	maxLengths = 4096
+)
 
 // streamed takes note of the length of a whole stream.
 func (rd *Reducer) streamed(r *request) {
@@ -228,6 +234,9 @@
 		rd.lengths[name] = old + lengthWeight*(float64(r.delivered)-old)
 		return
 	}
+	if len(rd.lengths) >= maxLengths {
+		clear(rd.lengths)
+	}
 	rd.lengths[name] = float64(r.delivered)
 }
 
@@ -265,7 +274,10 @@
 	if r.profile.Route == nil {
 		return event.Basis{}
 	}
-	b := event.Basis{Profile: r.profile.Name, Revision: rd.spread.Revision(), Try: r.tries, Wait: dec.Wait, LoadAge: noLoad}
+	b := event.Basis{
+		Profile: r.profile.Name, Revision: rd.spread.Revision(), Try: r.tries, Wait: dec.Wait, LoadAge: noLoad,
+		Expect: rd.expected(r), Pace: rd.table.Pace(now, r.profile.Service), PaceThere: dec.Pace,
+	}
 	if r.arrived > 0 {
 		b.Waited = now.Sub(r.arrived)
 	}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -55,6 +55,12 @@
 	// how old the word of it is, negative for none.
 	Busy    int           `json:"busy"`
 	LoadAge time.Duration `json:"loadAge"`
+	// Expect is how many events the stream was taken to have, Pace how long one
+	// takes at the targets here, PaceThere where it was passed on to; zero where that
+	// is not known.
+	Expect    float64       `json:"expect,omitempty"`
+	Pace      time.Duration `json:"pace,omitempty"`
+	PaceThere time.Duration `json:"paceThere,omitempty"`
 }
 
 // Forward asks the request's goroutine to pass the request to another entry
--- a/internal/member/pace.go
+++ b/internal/member/pace.go
@@ -19,11 +19,14 @@
 	// one that was told by mistake is forgotten within minutes.
 	bestRise = 1.0 / 1024
 	// crowdedPace is how many times the best pace streams may take until their
-	// targets count as having no room for work from elsewhere.
+	// targets count as having no room for work from elsewhere. At 2.25 and 4 times
+	// 0.881 and 0.882 of the credit of callers was earned, at 3 times 0.885: six hosts
+	// before thirteen targets, 15 runs of a minute with failures each.
 	crowdedPace = 3
 	// paceStep is the part of its spare slots that a data centre offers at a time
 	// where streams have a pace. An offer is renewed within a second, before the
-	// pace shows what the last one has done.
+	// pace shows what the last one has done. With a quarter, and offers only when asked
+	// for, 0.877 of the credit was earned, with this 0.885, in the same runs.
 	paceStep = 12
 )
 
@@ -95,9 +98,19 @@
 // DecodeRate returns the events a second of one stream of a service here, zero
 // where that is not known.
 func (tb *Table) DecodeRate(now ident.Time, service string) float64 {
+	p := tb.Pace(now, service)
+	if p <= 0 {
+		return 0
+	}
+	return 1 / p.Seconds()
+}
+
+// Pace returns how long a stream of a service takes here from one event to the
+// next, zero where that is not known.
+func (tb *Table) Pace(now ident.Time, service string) time.Duration {
 	p, ok := tb.paces[service]
 	if !ok {
 		return 0
 	}
-	return 1 / p.now(now).Seconds()
+	return p.now(now)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -79,6 +79,9 @@
 	// Wait is the predicted time to the first token at the best choice, even
 	// when none has room.
 	Wait time.Duration
+	// Pace is how long a stream takes from event to event at Centre, zero where that
+	// is not known.
+	Pace time.Duration
 	// Full says that only room is missing.
 	Full bool
 	Code codes.ID
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -94,13 +94,15 @@
 		tr.count("requests.sent." + e.Target.Service)
 		tr.plain("sent to a target", "request", e.Request, "attempt", e.Attempt.Number, "target", e.Target.ID,
 			"service", e.Target.Service, "profile", e.Basis.Profile, "try", e.Basis.Try, "revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited),
-			"predictedMs", millis(e.Basis.Wait), "busy", e.Basis.Busy, "loadAgeMs", millis(e.Basis.LoadAge), "resume", e.Resume)
+			"predictedMs", millis(e.Basis.Wait), "busy", e.Basis.Busy, "loadAgeMs", millis(e.Basis.LoadAge),
+			"expectEvents", int(e.Basis.Expect), "paceMs", millis(e.Basis.Pace), "resume", e.Resume)
 	case event.Forward:
 		tr.remember(e.Envelope.Attempt, attempt{request: e.Request, target: ident.TargetID(e.To.ID), sent: now})
 		tr.count("requests.passedOn")
 		tr.plain("passed on", "request", e.Request, "attempt", e.Envelope.Attempt.Number, "to", e.To.ID,
 			"region", e.To.Place.Region, "service", e.Service, "profile", e.Basis.Profile, "try", e.Basis.Try, "revision", e.Basis.Revision,
-			"waitedMs", millis(e.Basis.Waited), "predictedMs", millis(e.Basis.Wait), "resume", e.Resume)
+			"waitedMs", millis(e.Basis.Waited), "predictedMs", millis(e.Basis.Wait),
+			"expectEvents", int(e.Basis.Expect), "paceMs", millis(e.Basis.Pace), "paceThereMs", millis(e.Basis.PaceThere), "resume", e.Resume)
 	case event.Refuse:
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
