--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -38,16 +38,18 @@
 
 // asked is one request as its caller saw it.
 type asked struct {
-	id, kind  string
+	id, kind string
+	// host is an index, run counts its processes.
 	host, run int
-	// host is an index, run the process of it; route is the path's first part.
+	// route is the first part of the path.
 	route      string
 	began, end time.Time
 	status     int
 	header     http.Header
 	body       string
-	// err says that there was no whole answer, dialled that a connection stood.
-	err    error
+	// err says that there was no whole answer.
+	err error
+	// calm says that no fault was near, termAt when the process was told to stop.
 	calm   bool
 	termAt time.Time
 }
