end no lease where none was taken

A host that was told to stop before it had a lease ended lease 0, and the stand-in of the store took every key without a lease for one of that lease: all targets were unlisted. Ruled out: load (the log has the removals in one moment, at a host's stop).

--- a/internal/dev/kvstub/kvstub.go
+++ b/internal/dev/kvstub/kvstub.go
@@ -205,7 +205,11 @@
 	}
 }
 
+// end ends a lease. One that is not there has no keys: those without a lease stay.
 func (s *Server) end(id uint64) {
+	if _, ok := s.leases[id]; !ok {
+		return
+	}
 	delete(s.leases, id)
 	for key, it := range s.items {
 		if it.Lease == id {
