spare cold targets where hosts don't know of each other

Change: a host sends cold targets nothing in its first three seconds; one that sees less than half of the hosts that may live has its even part of the bound, mostly nothing.

--- a/internal/member/cold.go
+++ b/internal/member/cold.go
@@ -27,8 +27,9 @@
 	// owns a cold target; for a moment after a host came or went two may
 	// believe that they do, and their sends must not add up past the bound.
 	coldOwners = 2
-	// coldStart is how long after its start a host that knows few of its peers
-	// sends a cold target next to nothing.
+	// coldStart is how long after its start a host sends cold targets nothing. It is
+	// the time within which hosts that start together link to each other, also slow
+	// ones with two hundred links to make.
 	coldStart = 3 * time.Second
 )
 
@@ -45,6 +46,12 @@
 // all hosts together, and asking a common counter would cost a round trip for
 // each request. So one host owns each cold target, by rank among those that
 // live, and the others leave it alone.
+//
+// Hosts that don't know of each other each take a cold target for their own. Where
+// all hosts of a region start at once, thirty of them each sent it one request
+// within the half second before they had met, 8 in one second of 6.9 allowed. So a
+// host that has just started sends nothing. One that has lost most of the others
+// can't tell whether they are gone or see it the same way; see coldShare.
 func (tb *Table) ColdFull(now ident.Time, t *Target) bool {
 	if !t.Cold(now) || tb.cold.PerSecond == nil {
 		return false
@@ -56,11 +63,33 @@
 	if tb.coldOwner(now, t.ID) != tb.self.ID {
 		return true
 	}
-	share := int(most / coldOwners)
+	return t.coldSent(now) >= tb.coldShare(now, most)
+}
+
+// coldShare returns how many of the requests that a cold target may get within
+// coldWindow are this host's, as the owner of the target by its own view.
+//
+// With most of the hosts that may live in sight at most one other group of hosts can
+// see as many, so there are coldOwners at the most. With fewer in sight each host
+// may be alone with its view, and has its even part of the bound; where that is
+// less than one request, it sends nothing.
+func (tb *Table) coldShare(now ident.Time, most float64) int {
 	if now.Sub(tb.started) < coldStart {
-		share = min(share, 1)
+		return 0
+	}
+	seen, all := 1, 1
+	for _, p := range tb.peers {
+		if p.live(now) {
+			seen++
+		}
+		if p.listed || !p.dead(now) {
+			all++
+		}
+	}
+	if coldOwners*seen >= all {
+		return int(most / coldOwners)
 	}
-	return t.coldSent(now) >= share
+	return int(most / float64(all))
 }
 
 // ColdWait predicts how long a request waits until this host may send it to a
--- /dev/null
+++ b/internal/member/cold_test.go
@@ -0,0 +1,101 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// coldBound is how many requests a second all hosts of these tests together may
+// send to a cold target.
+const coldBound = 6
+
+// coldFleet makes the tables of n hosts of one region that start at the same
+// moment, and that may send to one cold target.
+func coldFleet(at ident.Time, n int) ([]event.Host, []*Table) {
+	hosts := make([]event.Host, n)
+	tables := make([]*Table, n)
+	for i := range hosts {
+		hosts[i] = reachHost(fmt.Sprintf("w%02d", i), "west-a", "west")
+		tables[i] = New(hosts[i])
+		tables[i].SetCold(Cold{PerSecond: func(string) float64 { return coldBound }})
+		tables[i].Advance(at)
+	}
+	return hosts, tables
+}
+
+// coldPlay has every host send whatever it may for a time, and returns when it
+// sent. The platform lists the listed hosts; meet tells which hosts hear of each
+// other at a time after the start.
+func coldPlay(at ident.Time, span time.Duration, hosts, listed []event.Host, tables []*Table, meet func(since time.Duration, i, j int) bool) []ident.Time {
+	cold := reachTarget("a")
+	cold.ColdFor = time.Minute
+	list := listOf(1, cold)
+	list.Hosts = listed
+	var sends []ident.Time
+	for since := time.Duration(0); since < span; since += 20 * time.Millisecond {
+		now := at.Add(since)
+		for i, tb := range tables {
+			tb.HostsRead(now, list)
+			for j, h := range hosts {
+				if i != j && meet(since, i, j) {
+					tb.PeerUp(now, h)
+				}
+			}
+			if tg, _ := tb.Target("a"); !tb.ColdFull(now, tg) {
+				tb.Sent("a", 0, 0)
+				sends = append(sends, now)
+			}
+		}
+	}
+	return sends
+}
+
+// mostInOneSecond returns the most sends of any second.
+func mostInOneSecond(sends []ident.Time) int {
+	most := 0
+	for i := range sends {
+		n := 0
+		for _, s := range sends[i:] {
+			if s.Sub(sends[i]) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// A region comes back: all its hosts start within a moment and link to each other
+// over the next second, and its targets are cold. For that second each host knows
+// hardly anyone, and takes every target for its own. One request from each of
+// thirty crashes the target, and callers lose what it was sent.
+func TestHostsThatStartTogetherSpareColdTargets(t *testing.T) {
+	at := ident.Time(time.Second)
+	hosts, tables := coldFleet(at, 30)
+	sends := coldPlay(at, 6*time.Second, hosts, nil, tables, func(since time.Duration, i, j int) bool {
+		return since >= time.Duration((i*7+j*11)%20)*50*time.Millisecond
+	})
+	if most := mostInOneSecond(sends); most > coldBound {
+		t.Errorf("%d requests in one second at a cold target, of %d allowed", most, coldBound)
+	}
+	if len(sends) == 0 {
+		t.Error("a cold target is never used")
+	}
+}
+
+// The hosts of a region lose each other, and their links to the targets stand.
+// Each then finds nobody else alive. Taking a cold target for its own, each would
+// send it what one owner may.
+func TestHostsThatLoseEachOtherSpareColdTargets(t *testing.T) {
+	at := ident.Time(time.Second)
+	hosts, tables := coldFleet(at, 12)
+	const together = 5 * time.Second
+	sends := coldPlay(at, 25*time.Second, hosts, hosts, tables, func(since time.Duration, _, _ int) bool { return since < together })
+	if most := mostInOneSecond(sends); most == 0 || most > coldBound {
+		t.Errorf("%d requests in one second at a cold target, of %d allowed", most, coldBound)
+	}
+}
