share out the work between regions by what callers bring

Prompts of peers at an engine were not counted. Change: hosts tell in their digests what their callers bring, in tokens to read, and data centres their sums; each region works out the same even level. What is over it goes elsewhere at once; prompts with a long shared beginning have a region each, by rendezvous hash weighted by room, so that fewer regions read each. Digests tell the unread prompts at each engine, which count in the wait for it. The pace still decides for what the level leaves. Ruled out by a test that failed first: a level without the work that regions send away (it sent all of a region's work to one as large).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -85,12 +85,16 @@
 	}
 	a.target = dec.Target.ID
 	rd.table.Sent(a.target, r.Prompt, a.tokens)
-	rd.table.Prefill(a.target, dec.Prefill)
+	a.before = dec.Target.Unread + dec.Target.PeerUnread
+	a.unread = dec.Prefill
+	rd.table.Prefill(a.target, a.unread)
+	rd.table.Read(r.profile.Service, r.Prompt, dec.Prefill)
 	rd.router.Learn(now, a.target, r.Prefix)
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
 		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered,
-		Once: r.finishes(), Keep: r.keeps() && !r.forwarded, Basis: rd.basis(now, r, dec), Patience: rd.patience(r, dec),
+		Once: r.finishes(), Keep: r.keeps() && !r.forwarded,
+		Basis: rd.basis(now, r, dec), Patience: rd.patience(r, dec),
 	})
 }
 
@@ -123,11 +127,20 @@
 func (rd *Reducer) firstToken(now ident.Time, e event.FirstToken) {
 	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && a.target != "" {
 		rd.table.Answered(a.target)
-		rd.table.Began(a.target, a.dec.Prefill, now.Sub(a.start))
+		rd.table.Began(a.target, a.dec.Prefill, a.before, now.Sub(a.start))
+		rd.readDone(a)
 		rd.pools.of(a.req).began(now.Sub(a.start))
 	}
 }
 
+// readDone takes note that nothing of an attempt's prompt is left to read.
+func (rd *Reducer) readDone(a *attempt) {
+	if a.unread > 0 {
+		rd.table.ReadDone(a.target, a.unread)
+		a.unread = 0
+	}
+}
+
 // health is what the end of an attempt tells of its target.
 type health int
 
@@ -142,6 +155,7 @@
 func (rd *Reducer) forget(a *attempt, h health) {
 	delete(rd.attempts, a.id)
 	a.req.live = nil
+	rd.readDone(a)
 	switch {
 	case a.target == "":
 		rd.table.OfferGive(a.dec.Centre, a.dec.Pool)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -69,6 +69,10 @@
 	host   event.Host
 	dec    route.Decision
 	sent   bool
+	// unread is the part of the prompt that the target has to read and whose first
+	// token has not come, before what it had to read first when this was sent.
+	unread ident.Tokens
+	before ident.Tokens
 }
 
 // arrive takes a new request.
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -84,6 +84,20 @@
 	if !r.forwarded {
 		rd.service(now, r.profile.Service).Arrived(now)
 	}
+	if rd.isBrought(r) {
+		rd.table.Brought(now, &r.Request, rd.expected(r))
+	}
+}
+
+// isBrought reports whether a request of a route counts as work of the callers here:
+// it came from one, and may be served here, or it had to come, since the data centre
+// that took it may not serve it.
+func (rd *Reducer) isBrought(r *request) bool {
+	from := rd.self.Place.Region
+	if r.forwarded {
+		from = r.env.FromPlace.Region
+	}
+	return r.Prompt > 0 && r.profile.Allows(r.client, from) != r.forwarded
 }
 
 // maxUnsent bounds the tries of one request of which no byte reached a target.
@@ -277,6 +291,7 @@
 	b := event.Basis{
 		Profile: r.profile.Name, Revision: rd.spread.Revision(), Try: r.tries, Wait: dec.Wait, LoadAge: noLoad,
 		Expect: rd.expected(r), Pace: rd.table.Pace(now, r.profile.Service), PaceThere: dec.Pace,
+		Part: dec.Part, Room: dec.Room,
 	}
 	if r.arrived > 0 {
 		b.Waited = now.Sub(r.arrived)
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -61,6 +61,11 @@
 	Expect    float64       `json:"expect,omitempty"`
 	Pace      time.Duration `json:"pace,omitempty"`
 	PaceThere time.Duration `json:"paceThere,omitempty"`
+	// Part is which part of the work that callers bring went elsewhere, Room the tokens
+	// to read a second that the data centre has room for which the request was passed
+	// on to; zero where that did not decide.
+	Part float64 `json:"part,omitempty"`
+	Room float64 `json:"room,omitempty"`
 }
 
 // Forward asks the request's goroutine to pass the request to another entry
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -113,6 +113,8 @@
 	// Running counts requests, Tokens the prefill work among them.
 	Running int          `json:"running"`
 	Tokens  ident.Tokens `json:"tokens"`
+	// Unread is the part of Tokens whose requests have had no first token.
+	Unread ident.Tokens `json:"unread,omitempty"`
 }
 
 // AccountUse is the demand of one account at one place, as a smoothed rate.
@@ -153,6 +155,8 @@
 	// Away is the work that the sender has passed on to other data centres and
 	// that has not ended.
 	Away []AwayUse `json:"away,omitempty"`
+	// Flows is the work that the sender's callers bring for engines.
+	Flows []Flow `json:"flows,omitempty"`
 	// Wants names what the sender's callers ask for and no target of the data
 	// centre serves, so that the host that speaks for it asks the others.
 	Wants []Want `json:"wants,omitempty"`
@@ -173,6 +177,15 @@
 	Running    int              `json:"running"`
 }
 
+// Flow is the work that callers bring for the engines of a service.
+type Flow struct {
+	Service string `json:"service"`
+	// Alone is the work of prompts that share little with others, Shared that of those
+	// with a long beginning that others have too, both in tokens to read a second.
+	Alone  float64 `json:"alone"`
+	Shared float64 `json:"shared"`
+}
+
 // Want names a model or a plain service that is asked for.
 type Want struct {
 	Serve   rules.Serve `json:"serve"`
@@ -197,6 +210,11 @@
 	PrefillRate float64       `json:"prefillRate"`
 	DecodeRate  float64       `json:"decodeRate"`
 	Price       float64       `json:"price"`
+	// Targets counts the targets, Alone and Shared are the work that callers of the
+	// data centre bring for them; see Flow.
+	Targets int     `json:"targets,omitempty"`
+	Alone   float64 `json:"alone,omitempty"`
+	Shared  float64 `json:"shared,omitempty"`
 }
 
 // Summary is what a data centre tells another. The host that speaks for its
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -37,6 +37,7 @@
 	p.revision = d.Revision
 	p.blind = d.Blind
 	p.away = slices.Clone(d.Away)
+	p.flows = slices.Clone(d.Flows)
 	tb.hear(now, p)
 	tb.takeList(now, d)
 	tb.takeUse(p, d.Use)
@@ -52,6 +53,7 @@
 		if t, ok := tb.byID[u.Target]; ok {
 			t.PeerSent -= u.Running
 			t.PeerTokens -= u.Tokens
+			t.PeerUnread -= u.Unread
 		}
 	}
 	p.use = slices.Clone(use)
@@ -61,6 +63,7 @@
 		if t, ok := tb.byID[u.Target]; ok {
 			t.PeerSent += u.Running
 			t.PeerTokens += u.Tokens
+			t.PeerUnread += u.Unread
 		}
 	}
 }
@@ -87,6 +90,7 @@
 			if u.Target == t.ID {
 				t.PeerSent += u.Running
 				t.PeerTokens += u.Tokens
+				t.PeerUnread += u.Unread
 			}
 		}
 	}
@@ -98,11 +102,12 @@
 	d := event.Digest{
 		Host: tb.self, Seq: tb.beat.seq, Revision: tb.own.Revision, Blind: tb.blind,
 		Accounts: tb.own.Accounts, AccountsTold: tb.own.AccountsTold, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
+		Flows: tb.ownFlows(now),
 	}
 	for _, t := range tb.targets {
 		if t.Sent > 0 {
 			id, key := tb.nameOf(t)
-			d.Use = append(d.Use, event.TargetUse{Target: id, Key: key, Running: t.Sent, Tokens: t.SentTokens})
+			d.Use = append(d.Use, event.TargetUse{Target: id, Key: key, Running: t.Sent, Tokens: t.SentTokens, Unread: t.Unread})
 		}
 	}
 	return d
--- /dev/null
+++ b/internal/member/flow.go
@@ -0,0 +1,197 @@
+package member
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// Following of the work that callers bring, and sharing it out.
+const (
+	// flowSpan is the time that one sample of the work covers. Digests go out as
+	// often.
+	flowSpan = Period
+	// flowWeight is the weight of the newest sample.
+	flowWeight = 0.6
+	// missWeight is the weight of one prompt in the part of prompts that engines
+	// have to read.
+	missWeight = 1.0 / 64
+	// eventWork is the work of one event of a stream, in tokens to read.
+	eventWork = 50
+	// longShared is how many tokens a beginning has that is worth going to the
+	// engines that hold it, in whichever region.
+	longShared = 2048
+)
+
+// flow follows the work that the callers of this host bring for the engines of a
+// service, in tokens to read.
+type flow struct {
+	service string
+	// alone and shared are what came since from, by kind; rate is what came a second
+	// before.
+	alone, shared float64
+	from          ident.Time
+	rate          event.Flow
+}
+
+// turn closes the sample when its time is over.
+func (f *flow) turn(now ident.Time) {
+	span := now.Sub(f.from)
+	if span < flowSpan {
+		return
+	}
+	f.rate.Alone += flowWeight * (f.alone/span.Seconds() - f.rate.Alone)
+	f.rate.Shared += flowWeight * (f.shared/span.Seconds() - f.rate.Shared)
+	f.alone, f.shared, f.from = 0, 0, now
+}
+
+// Brought takes note of a prompt that a caller brought for the engines of a
+// service here, wherever it is then read, and of how many events its answer
+// probably has.
+func (tb *Table) Brought(now ident.Time, r *event.Request, events float64) {
+	miss, ok := tb.misses[r.Service]
+	if !ok {
+		miss = 1
+	}
+	work := miss*float64(r.Prompt) + eventWork*events
+	f := tb.flow(now, r.Service)
+	f.turn(now)
+	if SharesMuch(r) {
+		f.shared += work
+		return
+	}
+	f.alone += work
+}
+
+// SharesMuch reports whether a prompt has a long beginning that others have too.
+func SharesMuch(r *event.Request) bool {
+	n := len(r.Prefix)
+	return n > 0 && float64(r.Prompt)*float64(r.Shared)/float64(n) >= longShared
+}
+
+// Read takes note of how much of a prompt its engine probably has to read.
+func (tb *Table) Read(service string, prompt, read ident.Tokens) {
+	if prompt <= 0 || service == "" {
+		return
+	}
+	sample := min(1, float64(read)/float64(prompt))
+	miss, ok := tb.misses[service]
+	if !ok {
+		miss = 1
+	}
+	tb.misses[service] = miss + missWeight*(sample-miss)
+}
+
+func (tb *Table) flow(now ident.Time, service string) *flow {
+	i, ok := slices.BinarySearchFunc(tb.flows, service, func(f *flow, s string) int { return strings.Compare(f.service, s) })
+	if !ok {
+		tb.flows = slices.Insert(tb.flows, i, &flow{service: service, from: now, rate: event.Flow{Service: service}})
+	}
+	return tb.flows[i]
+}
+
+// ownFlows returns the work of this host for its peers.
+func (tb *Table) ownFlows(now ident.Time) []event.Flow {
+	var fs []event.Flow
+	for _, f := range tb.flows {
+		f.turn(now)
+		if f.rate.Alone+f.rate.Shared > 0 {
+			fs = append(fs, f.rate)
+		}
+	}
+	return fs
+}
+
+// demand returns the work a second that the callers of all live hosts of the own data
+// centre bring for a service.
+func (tb *Table) demand(now ident.Time, service string) (alone, shared float64) {
+	for _, f := range tb.flows {
+		if f.service == service {
+			f.turn(now)
+			alone += f.rate.Alone
+			shared += f.rate.Shared
+		}
+	}
+	for _, p := range tb.peers {
+		if !p.live(now) {
+			continue
+		}
+		for _, f := range p.flows {
+			if f.Service == service {
+				alone += f.Alone
+				shared += f.Shared
+			}
+		}
+	}
+	return alone, shared
+}
+
+// Room is the work a second that a data centre may get.
+type Room struct {
+	// Centre is nil for the own data centre.
+	Centre *Centre
+	Room   float64
+
+	engines, alone float64
+}
+
+// Spill returns the room of each data centre for prompts that share a long
+// beginning, and which part of the others that callers here bring goes elsewhere.
+//
+// Free slots and the pace of streams tell of load when it is there: by then prompts
+// wait, and what runs is slow for as long as it takes. So what is shared out is the
+// work that callers bring. All data centres know it of each other, and
+// each works out the same level to which engines are used where it is spread evenly.
+// What they send changes nothing in what callers bring, so that nothing swings.
+func (tb *Table) Spill(now ident.Time, service string, rooms []Room) (float64, []Room) {
+	rooms = rooms[:0]
+	id := PoolID{Service: service}
+	alone, shared := tb.demand(now, service)
+	own := Room{alone: alone}
+	if p, ok := tb.pool(id); ok {
+		own.engines = float64(p.Targets)
+	}
+	rooms = append(rooms, own)
+	for _, c := range tb.centres {
+		if p := c.Pool(id); p != nil && !c.CutOff(now) {
+			rooms = append(rooms, Room{Centre: c, engines: float64(p.Targets), alone: p.Alone})
+			shared += p.Shared
+		}
+	}
+	level := levelOf(rooms, shared)
+	for i := range rooms {
+		rooms[i].Room = max(0, level*rooms[i].engines-rooms[i].alone)
+	}
+	if alone <= 0 {
+		return 0, rooms
+	}
+	return max(0, 1-level*own.engines/alone), rooms
+}
+
+// levelOf returns the work of one engine where all of it is spread evenly.
+func levelOf(rooms []Room, shared float64) float64 {
+	work, engines := shared, 0.0
+	for _, r := range rooms {
+		work += r.alone
+		engines += r.engines
+	}
+	if engines == 0 {
+		return 0
+	}
+	return work / engines
+}
+
+// demandSteps is how finely a data centre tells others at once of a change of its
+// demand: by a factor of the eighth root of two, or nine parts in a hundred.
+const demandSteps = 8
+
+// demandStep returns the step that the demand of a pool is in.
+func demandStep(p *event.Pool) uint64 {
+	if p.Alone+p.Shared < 1 {
+		return 0
+	}
+	return uint64(demandSteps * math.Log2(p.Alone+p.Shared))
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -127,6 +127,10 @@
 	runs map[string]time.Duration
 	// paces are the paces of streams of each service.
 	paces map[string]pace
+	// flows is the work that the callers of this host bring, by service; misses the
+	// part of the prompts of a service that its engines have to read.
+	flows  []*flow
+	misses map[string]float64
 	// notes are the changes of belief since Notes was last asked.
 	notes []event.Note
 	// slow is the fixed part of the time between summaries to a data centre
@@ -174,6 +178,8 @@
 		rates: make(map[string]float64),
 		runs:  make(map[string]time.Duration),
 		paces: make(map[string]pace),
+
+		misses: make(map[string]float64),
 	}
 }
 
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -24,6 +24,7 @@
 	revision ident.Revision
 	use      []event.TargetUse
 	away     []event.AwayUse
+	flows    []event.Flow
 	blind    bool
 	// fresh says that it is to be sent all that this host knows.
 	fresh    bool
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -19,10 +19,9 @@
 	wanted   bool
 	// ownAt is when a request at this host last asked for it; a want that a
 	// peer told is not told on.
-	ownAt   ident.Time
-	own     bool
-	prices  float64
-	targets int
+	ownAt  ident.Time
+	own    bool
+	prices float64
 }
 
 // settle moves the hysteresis after a change of load or of own work sent away.
@@ -114,7 +113,7 @@
 func (tb *Table) wants(now ident.Time) []event.Want {
 	var ws []event.Want
 	for _, p := range tb.pools {
-		if p.targets == 0 && p.own && now.Sub(p.ownAt) <= wantLife {
+		if p.Targets == 0 && p.own && now.Sub(p.ownAt) <= wantLife {
 			ws = append(ws, event.Want{Serve: p.Serve, Service: p.Service})
 		}
 	}
@@ -136,15 +135,16 @@
 		tb.countTarget(now, t)
 	}
 	tb.pools = slices.DeleteFunc(tb.pools, func(p *pool) bool {
-		return p.targets == 0 && (!p.wanted || now.Sub(p.wantedAt) > wantLife)
+		return p.Targets == 0 && (!p.wanted || now.Sub(p.wantedAt) > wantLife)
 	})
 	for _, p := range tb.pools {
-		if p.targets > 0 {
-			n := float64(p.targets)
+		if p.Targets > 0 {
+			n := float64(p.Targets)
 			p.PrefillRate /= n
 			p.DecodeRate /= n
 			p.Price = p.prices / n
 		}
+		p.Alone, p.Shared = tb.demand(now, p.Service)
 		away := 0
 		if !tb.isPaced(p.id) {
 			away = tb.awayFrom(now, p.id)
@@ -166,10 +166,10 @@
 func (p *pool) count(now ident.Time, t *Target, room float64) {
 	out := t.Outstanding(now)
 	wait := t.Wait(now, out, 1)
-	if p.targets == 0 || wait < p.Wait {
+	if p.Targets == 0 || wait < p.Wait {
 		p.Wait = wait
 	}
-	p.targets++
+	p.Targets++
 	p.Slots += t.Slots()
 	p.Free += t.free(now, out, room)
 	p.PrefillRate += t.Load.PrefillRate
--- a/internal/member/seen.go
+++ b/internal/member/seen.go
@@ -85,40 +85,40 @@
 	// leastPrompt is the shortest prompt whose time tells of the rate: below
 	// it the fixed part of the time to a first token weighs more.
 	leastPrompt = 1000
-	// rateUp and rateDown are the parts by which the rate follows a sample. A
-	// sample holds what waited before it, so that the true rate is among the
-	// highest; it is followed up at once and down slowly.
-	rateUp   = 2
-	rateDown = 32
+	// rateStep is the part by which the rate follows the side on which a sample lies:
+	// it comes to rest where half of them are higher. What the others sent in the
+	// last second is not known, so that some samples are far too low, and some of what
+	// counts as waiting has been read, so that some are far too high.
+	rateStep = 1.0 / 16
 	// rateSpread bounds how far the rate of a target is believed to lie from
 	// what is usual for its service: a first sample that had to wait for a long
 	// queue would make a sound target look many times too slow.
 	rateSpread = 2
 )
 
-// Began takes the time from sending a request to the first token of its
-// answer, and the tokens of its prompt that were probably read in it.
-func (tb *Table) Began(id ident.TargetID, prefill ident.Tokens, took time.Duration) {
+// Began takes the time from sending a request to the first token of its answer, the
+// tokens of its prompt that were probably read in it, and those that waited before.
+func (tb *Table) Began(id ident.TargetID, prefill, before ident.Tokens, took time.Duration) {
 	t, ok := tb.byID[id]
 	if !ok || t.Capacity == 0 || prefill < leastPrompt || took <= 0 {
 		return
 	}
-	rate := float64(prefill) / took.Seconds()
+	rate := float64(prefill+before) / took.Seconds()
 	usual := follow(tb.rates[t.Service], rate)
 	tb.rates[t.Service] = usual
 	t.Load.PrefillRate = min(max(follow(t.Load.PrefillRate, rate), usual/rateSpread), usual*rateSpread)
 	t.rated = true
 }
 
-// follow moves a rate towards a sample of it.
+// follow moves a rate towards the side on which a sample of it lies.
 func follow(old, sample float64) float64 {
 	switch {
 	case old == 0:
 		return sample
 	case sample > old:
-		return old + (sample-old)/rateUp
+		return old * (1 + rateStep)
 	}
-	return old - (old-sample)/rateDown
+	return old * (1 - rateStep)
 }
 
 // supposeRates gives targets the times that are usual for their service, and the
--- a/internal/member/sent.go
+++ b/internal/member/sent.go
@@ -9,6 +9,15 @@
 func (tb *Table) Prefill(id ident.TargetID, tokens ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
 		t.ahead.add(tb.last, tokens, t.Load.PrefillRate)
+		t.Unread += tokens
+	}
+}
+
+// ReadDone takes back what Prefill noted of a request: its first token has come, or
+// it has ended without one.
+func (tb *Table) ReadDone(id ident.TargetID, tokens ident.Tokens) {
+	if t, ok := tb.byID[id]; ok {
+		t.Unread = max(0, t.Unread-tokens)
 	}
 }
 
--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -174,6 +174,7 @@
 		h = rank.Join(h, rank.Hash(string(p.Serve.Model), string(p.Serve.Version), string(p.Serve.Adapter), p.Service))
 		h = rank.Join(h, rank.Hash(strconv.FormatBool(short(p.Free, p.Slots))))
 		h = rank.Join(h, uint64(bits.Len(uint(p.Offer))))
+		h = rank.Join(h, demandStep(&p))
 	}
 	return h
 }
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -57,6 +57,10 @@
 	// centre, from their digests.
 	PeerSent   int
 	PeerTokens ident.Tokens
+	// Unread is the part of the prompts sent from here that the target has to read
+	// and whose first token has not come, PeerUnread the same of the other hosts.
+	Unread     ident.Tokens
+	PeerUnread ident.Tokens
 	// Fails counts failures in a row.
 	Fails int
 	// faults is the part of the newest requests that failed, as it was at
@@ -205,6 +209,9 @@
 	if t.Load.PrefillRate <= 0 {
 		return 0
 	}
+	if t.Capacity > 0 {
+		return seconds(float64(t.Unread+t.PeerUnread) / t.Load.PrefillRate)
+	}
 	trust := t.trust(now)
 	_, sent := t.recent.since(now, t.LoadAt)
 	drained := now.Sub(t.LoadAt).Seconds() * t.Load.PrefillRate
@@ -313,6 +320,7 @@
 		Target: d, listed: true, cold: now, heard: now,
 		Sent: t.Sent, SentTokens: t.SentTokens, SentGenerated: t.SentGenerated,
 		PeerSent: t.PeerSent, PeerTokens: t.PeerTokens, recent: t.recent,
+		Unread: t.Unread, PeerUnread: t.PeerUnread,
 	}
 }
 
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -378,12 +378,12 @@
 			p.Free = rapid.IntRange(0, 40).Draw(rt, "free")
 			away := rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(rt, "away")
 			p.settle(away)
-			history = append(history, pool{Pool: event.Pool{Free: p.Free}, targets: away})
+			history = append(history, pool{Pool: event.Pool{Free: p.Free, Targets: away}})
 			// The naive rule looks back for the last moment at which a mark
 			// was passed.
 			want := false
 			for _, h := range slices.Backward(history) {
-				if h.targets > 0 || h.Free < 10 {
+				if h.Targets > 0 || h.Free < 10 {
 					break
 				}
 				if h.Free >= 16 {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -82,6 +82,10 @@
 	// Pace is how long a stream takes from event to event at Centre, zero where that
 	// is not known.
 	Pace time.Duration
+	// Part is which part of the work that callers bring here goes elsewhere, Room what
+	// Centre has room for in tokens to read a second; zero where neither decided.
+	Part float64
+	Room float64
 	// Full says that only room is missing.
 	Full bool
 	Code codes.ID
@@ -106,6 +110,7 @@
 	cands []cand
 	warm  []holder
 	left  []*member.Target
+	rooms []member.Room
 }
 
 // cand is a target that remains, with its cost.
@@ -182,6 +187,9 @@
 	if best == nil && full == nil {
 		return rt.strand(v)
 	}
+	if v.q.Profile.Route != nil && v.q.engine() {
+		return rt.shareOut(v, best, full)
+	}
 	local := best
 	if local == nil {
 		local = rt.priceOne(v, full)
@@ -304,14 +312,7 @@
 		least = min(least, rt.cands[i].cost.sum())
 	}
 	limit := least + nearPart*least + nearTime
-	key := v.key
-	if p := v.q.Request.Prefix; len(p) > 0 {
-		at := (len(p) - 1) / 2
-		if n := v.q.Request.Shared; n > 0 && n <= len(p) {
-			at = n - 1
-		}
-		key = p[at]
-	}
+	key := v.beginning()
 	var best *cand
 	var score uint64
 	for i := range rt.cands {
@@ -326,6 +327,21 @@
 	return best
 }
 
+// beginning returns a hash of the first part of the prompt that other requests
+// probably share, of the first half where that is unknown, and of the request where
+// there is no prompt.
+func (v *view) beginning() uint64 {
+	p := v.q.Request.Prefix
+	if len(p) == 0 {
+		return v.key
+	}
+	at := (len(p) - 1) / 2
+	if n := v.q.Request.Shared; n > 0 && n <= len(p) {
+		at = n - 1
+	}
+	return p[at]
+}
+
 // pick lets the seam choose among all targets that the filters leave.
 func (rt *Router) pick(v *view) Decision {
 	rt.left = rt.left[:0]
--- /dev/null
+++ b/internal/route/spill_test.go
@@ -0,0 +1,124 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+var (
+	west = event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
+	east = event.Place{DataCentre: "east-a", Region: "east", Reach: "east"}
+)
+
+// writersTable is a host before ten engines, beside a region with as many, each of
+// which has callers that bring work; see event.Flow.
+func writersTable(here, there event.Flow) (*member.Table, ident.Time) {
+	now := ident.Time(time.Second)
+	tb := member.New(event.Host{ID: "w1", Incarnation: 1, Place: west})
+	ev := event.HostsRead{Version: 1, Complete: true}
+	for i := range 10 {
+		ev.Targets = append(ev.Targets, event.Target{
+			ID: ident.TargetID(fmt.Sprint("t", i)), Incarnation: 1, Kind: event.Service, Service: "writers", Place: west,
+			URL: fmt.Sprintf("10.0.0.%d:80", i), Capacity: 64,
+		})
+	}
+	tb.HostsRead(now, ev)
+	for _, tg := range ev.Targets {
+		tb.Began(tg.ID, 10000, 0, 200*time.Millisecond)
+	}
+	tb.DigestReceived(now, event.Digest{Host: event.Host{ID: "w2", Incarnation: 1, Place: west}, Seq: 1, Flows: []event.Flow{here}})
+	h := event.Host{ID: "e1", Incarnation: 1, Place: east}
+	tb.SummaryReceived(now, event.Summary{
+		From: h.ID, Place: east, Incarnation: 1, Seq: 1, Hosts: []event.Host{h},
+		Pools: []event.Pool{{Service: "writers", Slots: 640, Free: 640, PrefillRate: 50000, Targets: 10, Alone: there.Alone, Shared: there.Shared}},
+	})
+	tb.Tick(now, member.Own{})
+	return tb, now
+}
+
+// writersQuery is a request for an engine. Of its prompt others share the given blocks
+// of 512 tokens, which begin with begins.
+func writersQuery(id string, begins uint64, shared int) Query {
+	prefix := make([]uint64, 2*shared)
+	for i := range prefix {
+		prefix[i] = begins + uint64(i)
+	}
+	return Query{
+		Request: event.Request{
+			ID: ident.RequestID(id), Service: "writers", Prompt: ident.Tokens(2 * shared * 512), Shared: shared, Prefix: prefix,
+		},
+		Profile: rules.Profile{
+			Service: "writers", MaxCrossings: 1, Weights: rules.Weights{Tail: 1, Crossing: 0.05},
+			Route: &rules.Route{Kind: rules.Streaming, GoalMs: 1000},
+		},
+	}
+}
+
+// A region is at its peak and another idles. Streams are not slow yet, and slots are
+// free in both. Were the first to wait for slow streams, its callers would have them
+// for as long as those streams last; so the part that is too much goes at once. Work
+// that may not leave its region stays whatever the load.
+func TestPeakIsSharedOutBeforeStreamsAreSlow(t *testing.T) {
+	const asked = 400
+	for name, c := range map[string]struct {
+		here, there event.Flow
+		bound       bool
+		least, most int
+	}{
+		"idle there":        {here: event.Flow{Alone: 1e6}, least: asked * 4 / 10, most: asked * 6 / 10},
+		"half as much":      {here: event.Flow{Alone: 1e6}, there: event.Flow{Alone: 5e5}, least: asked * 15 / 100, most: asked * 35 / 100},
+		"as much":           {here: event.Flow{Alone: 1e6}, there: event.Flow{Alone: 1e6}},
+		"more there":        {here: event.Flow{Alone: 5e5}, there: event.Flow{Alone: 1e6}},
+		"bound to a region": {here: event.Flow{Alone: 1e6}, bound: true},
+	} {
+		c.here.Service = "writers"
+		tb, now := writersTable(c.here, c.there)
+		rt := New()
+		went := 0
+		for i := range asked {
+			q := writersQuery(fmt.Sprint("r", i), uint64(i)<<20, 1)
+			if c.bound {
+				q.Profile.Regions = []ident.Region{"west"}
+			}
+			if dec := rt.Choose(now, q, tb); dec.Centre != "" {
+				went++
+			}
+		}
+		if went < c.least || went > c.most {
+			t.Errorf("%s: %d of %d requests go to the other region, want %d to %d", name, went, asked, c.least, c.most)
+		}
+	}
+}
+
+// Callers of two regions bring the same long beginnings. If each region read them all,
+// the memory of its engines would not hold them, and most would be read again and
+// again. Each beginning has one region, whoever's callers bring it.
+func TestLongBeginningsHaveARegion(t *testing.T) {
+	tb, now := writersTable(event.Flow{Service: "writers", Shared: 5e5}, event.Flow{Shared: 5e5})
+	rt := New()
+	went := 0
+	for b := range 100 {
+		first := ident.DataCentre("")
+		for i := range 5 {
+			dec := rt.Choose(now, writersQuery(fmt.Sprint("r", b, "-", i), uint64(b)<<20, 10), tb)
+			if i == 0 {
+				first = dec.Centre
+			}
+			if dec.Centre != first {
+				t.Fatalf("requests with one beginning go to %q and %q", first, dec.Centre)
+			}
+		}
+		if first != "" {
+			went++
+		}
+	}
+	if went < 35 || went > 65 {
+		t.Errorf("%d of 100 beginnings have the other region, which has half of the engines", went)
+	}
+}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -13,6 +13,7 @@
 package trail
 
 import (
+	"math"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -102,7 +103,8 @@
 		tr.plain("passed on", "request", e.Request, "attempt", e.Envelope.Attempt.Number, "to", e.To.ID,
 			"region", e.To.Place.Region, "service", e.Service, "profile", e.Basis.Profile, "try", e.Basis.Try, "revision", e.Basis.Revision,
 			"waitedMs", millis(e.Basis.Waited), "predictedMs", millis(e.Basis.Wait),
-			"expectEvents", int(e.Basis.Expect), "paceMs", millis(e.Basis.Pace), "paceThereMs", millis(e.Basis.PaceThere), "resume", e.Resume)
+			"expectEvents", int(e.Basis.Expect), "paceMs", millis(e.Basis.Pace), "paceThereMs", millis(e.Basis.PaceThere), "resume", e.Resume,
+			"part", percent(e.Basis.Part), "roomThere", int(e.Basis.Room))
 	case event.Refuse:
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
@@ -194,4 +196,7 @@
 	log.Info(e.Text, kv...)
 }
 
+// percent rounds a part to hundredths, which is as fine as it is known.
+func percent(part float64) float64 { return math.Round(part*100) / 100 }
+
 func millis(d time.Duration) int64 { return d.Milliseconds() }
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -16,7 +16,7 @@
 		Accounts: fromAccounts(d.Accounts), LeavingTargets: convert(d.Leaving, fromLeaving),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
-		Lacks: convert(d.Lacks, fromLack), ListVersion: d.ListVersion,
+		Lacks: convert(d.Lacks, fromLack), ListVersion: d.ListVersion, Flows: convert(d.Flows, fromFlow),
 	}
 }
 
@@ -29,7 +29,7 @@
 		Accounts: p.GetAccounts().toAccounts(), Leaving: convert(p.GetLeavingTargets(), toLeaving),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
-		Lacks: convert(p.GetLacks(), toLack), ListVersion: p.GetListVersion(),
+		Lacks: convert(p.GetLacks(), toLack), ListVersion: p.GetListVersion(), Flows: convert(p.GetFlows(), toFlow),
 	}
 }
 
@@ -105,8 +105,16 @@
 
 func toLack(dc string) ident.DataCentre { return ident.DataCentre(dc) }
 
+func fromFlow(f event.Flow) *Flow {
+	return &Flow{Service: f.Service, Alone: float32(f.Alone), Shared: float32(f.Shared)}
+}
+
+func toFlow(p *Flow) event.Flow {
+	return event.Flow{Service: p.GetService(), Alone: number(p.GetAlone()), Shared: number(p.GetShared())}
+}
+
 func fromUse(u event.TargetUse) *TargetUse {
-	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens), Key: uint32(u.Key)}
+	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens), Key: uint32(u.Key), Unread: int64(u.Unread)}
 }
 
 // splitUse parts the uses that go by an id from those that go by a key. As
@@ -123,6 +131,7 @@
 		keyed.Keys = append(keyed.Keys, uint32(u.Key))
 		keyed.Running = append(keyed.Running, uint64(max(u.Running, 0)))
 		keyed.Tokens = append(keyed.Tokens, uint64(max(u.Tokens, 0)))
+		keyed.Unread = append(keyed.Unread, uint64(max(u.Unread, 0)))
 	}
 	return named, keyed
 }
@@ -136,6 +145,7 @@
 		uses = append(uses, event.TargetUse{
 			Key:     event.TargetKey(p.GetKeys()[i]),
 			Running: int(count(int64(p.GetRunning()[i]))), Tokens: ident.Tokens(count(int64(p.GetTokens()[i]))),
+			Unread: ident.Tokens(count(int64(at(p.GetUnread(), i)))),
 		})
 	}
 	return uses
@@ -144,8 +154,16 @@
 func toUse(p *TargetUse) event.TargetUse {
 	return event.TargetUse{
 		Target: ident.TargetID(p.GetTarget()), Running: int(count(p.GetRunning())), Tokens: ident.Tokens(count(p.GetTokens())),
-		Key: event.TargetKey(p.GetKey()),
+		Key: event.TargetKey(p.GetKey()), Unread: ident.Tokens(count(p.GetUnread())),
+	}
+}
+
+// at returns an entry of a column that hosts of an older version leave out.
+func at(column []uint64, i int) uint64 {
+	if i >= len(column) {
+		return 0
 	}
+	return column[i]
 }
 
 func fromAway(u event.AwayUse) *AwayUse {
@@ -248,6 +266,7 @@
 		Serve: fromServe(l.Serve), Service: l.Service, Slots: int64(l.Slots), Free: int64(l.Free),
 		Offer: int64(l.Offer), WaitMs: millis(l.Wait), PrefillRate: float32(l.PrefillRate),
 		DecodeRate: float32(l.DecodeRate), Price: float32(l.Price),
+		Targets: int64(l.Targets), Alone: float32(l.Alone), Shared: float32(l.Shared),
 	}
 }
 
@@ -256,5 +275,6 @@
 		Serve: toServe(p.GetServe()), Service: p.GetService(), Slots: int(count(p.GetSlots())), Free: int(count(p.GetFree())),
 		Offer: int(count(p.GetOffer())), Wait: duration(p.GetWaitMs()), PrefillRate: number(p.GetPrefillRate()),
 		DecodeRate: number(p.GetDecodeRate()), Price: number(p.GetPrice()),
+		Targets: int(count(p.GetTargets())), Alone: number(p.GetAlone()), Shared: number(p.GetShared()),
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -107,6 +107,11 @@
 		{ID: "uvs-e1", Incarnation: 5, Kind: event.Engine, Place: place, URL: "http://10.1.2.1:8000", Price: 1.5},
 		{ID: "uvs-s1", Kind: event.Service, Place: place, URL: "http://10.1.2.2:8000", Service: "publish", Leaving: true},
 	}
+	d.Use[0].Unread = 1200
+	d.Use = append(d.Use, event.TargetUse{Key: 77, Running: 2, Tokens: 900, Unread: 300})
+	d.Flows = []event.Flow{{Service: "writers", Alone: 1500, Shared: 250.5}}
+	pool := &d.Summaries[0].Pools[0]
+	pool.Targets, pool.Alone, pool.Shared = 12, 64000, 512
 	d.Loads[0].Serves = []rules.Serve{{Model: "draft", Version: "3", Adapter: "formal"}}
 	d.Host.Leaving = true
 	said := d.Host
