copy beginnings between engines, and keep long prompts from filling their memory

Streams that ran kept their prompts in memory and filled it, so that beginnings were dropped; reading them again made streams slower, so that more ran at once. Of 5,981 long prompts 27 of 100 met an engine that had had their beginning within 8 s. Change: a request names the engine that is usual for its beginning, and the one that runs it copies from there; such an engine may be three times as full as the mean. Engines are asked once for their memory; a long prompt waits while prompts take 0.35 of it.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/route"
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -93,11 +94,19 @@
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
 		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered,
-		Once: r.finishes(), Keep: r.keeps() && !r.forwarded,
+		Once: r.finishes(), Keep: r.keeps() && !r.forwarded, CopyFrom: holderOf(dec.CopyFrom),
 		Basis: rd.basis(now, r, dec), Patience: rd.patience(r, dec),
 	})
 }
 
+// holderOf names a target to copy from.
+func holderOf(t *member.Target) event.Holder {
+	if t == nil {
+		return event.Holder{}
+	}
+	return event.Holder{Target: t.ID, URL: t.URL}
+}
+
 // forward passes the request to an entry host of another data centre.
 func (rd *Reducer) forward(now ident.Time, r *request, a *attempt) {
 	a.host = a.dec.Host
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -191,6 +191,8 @@
 		rd.table.LoadSeen(now, e)
 	case event.ProbeAnswered:
 		rd.table.Answered(e.Target)
+	case event.MemoryTold:
+		rd.table.MemoryTold(e)
 	case event.LoadFailed:
 		rd.table.LoadFailed(now, e.Target)
 	case event.CacheChanged:
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -72,6 +72,7 @@
 	faults  []Fault
 	seq     int
 	gone    int
+	reports int
 }
 
 // New returns a worker.
@@ -136,6 +137,13 @@
 	return k.heads
 }
 
+// Reports returns how often it was asked for its report.
+func (k *Worker) Reports() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reports
+}
+
 // Gone returns how many callers left before their answer was whole.
 func (k *Worker) Gone() int {
 	k.mu.Lock()
@@ -143,6 +151,9 @@
 	return k.gone
 }
 
+// memory is how many tokens a worker says that it holds.
+const memory = 400_000
+
 // ServeHTTP answers one request.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Verbenadale-Server-Load", k.load())
@@ -150,6 +161,13 @@
 		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
 		return
 	}
+	if r.URL.Path == "/-/report" {
+		k.mu.Lock()
+		k.reports++
+		k.mu.Unlock()
+		_, _ = fmt.Fprintf(w, `{"KvTotal":%d}`, memory)
+		return
+	}
 	id := r.Header.Get("Verbenadale-Request-Id")
 	if want := r.Header.Get("Verbenadale-Expect-Instance"); want != "" && want != k.cfg.ID {
 		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -25,11 +25,20 @@
 	Once bool `json:"once,omitempty"`
 	// Keep says that the answer is to be kept for repeats.
 	Keep bool `json:"keep,omitempty"`
+	// CopyFrom is the target that probably holds the beginning of the prompt, which
+	// this one then copies and need not read; empty for none.
+	CopyFrom Holder `json:"copyFrom"`
 	// Basis is what the choice was made by.
 	Basis    Basis    `json:"basis"`
 	Patience Patience `json:"patience"`
 }
 
+// Holder is a target that holds something in its memory.
+type Holder struct {
+	Target ident.TargetID `json:"target,omitempty"`
+	URL    string         `json:"url,omitempty"`
+}
+
 // Patience is how long an attempt may say nothing before it is broken off, so
 // that another can be made. Zero is until its deadline.
 type Patience struct {
@@ -206,6 +215,11 @@
 	After uint64 `json:"after"`
 }
 
+// AskMemory asks an engine how much memory it has.
+type AskMemory struct {
+	Target Target `json:"target"`
+}
+
 // InForceNow says that a revision is in force at this host from now on. The
 // loop publishes the book for the traffic side to read.
 type InForceNow struct {
@@ -331,6 +345,7 @@
 func (ReadSnapshot) isEffect()    {}
 func (ReadHosts) isEffect()       {}
 func (PollLoad) isEffect()        {}
+func (AskMemory) isEffect()       {}
 func (InForceNow) isEffect()      {}
 func (TicketIssued) isEffect()    {}
 func (EntriesAnswered) isEffect() {}
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -25,13 +25,13 @@
 		RequestArrived{}, AttemptSent{}, FirstToken{}, StreamPaced{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
-		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, LoadFailed{}, CacheChanged{},
+		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryTold{}, LoadFailed{}, CacheChanged{},
 		HostsRead{}, PlatformFailed{}, WatchIdle{},
 	)
 	effectTypes = namesOf[Effect](
 		Dispatch{}, Forward{}, Refuse{}, Finish{}, Replay{}, ForgetOutcome{}, Wake{},
 		SendDigest{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
-		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadSnapshot{}, ReadHosts{}, PollLoad{},
+		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadSnapshot{}, ReadHosts{}, PollLoad{}, AskMemory{},
 		InForceNow{}, TicketIssued{}, EntriesAnswered{}, RouteAnswered{}, StatusAnswered{}, Drained{},
 		Note{},
 	)
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -86,6 +86,12 @@
 	Target ident.TargetID `json:"target"`
 }
 
+// MemoryTold brings the memory of an engine, in tokens.
+type MemoryTold struct {
+	Target ident.TargetID `json:"target"`
+	Tokens ident.Tokens   `json:"tokens"`
+}
+
 // LoadFailed says that a target did not give its load report.
 type LoadFailed struct {
 	Target ident.TargetID `json:"target"`
@@ -148,6 +154,7 @@
 func (LoadReported) isEvent()     {}
 func (LoadSeen) isEvent()         {}
 func (ProbeAnswered) isEvent()    {}
+func (MemoryTold) isEvent()       {}
 func (LoadFailed) isEvent()       {}
 func (CacheChanged) isEvent()     {}
 func (HostsRead) isEvent()        {}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -61,6 +61,10 @@
 	// and whose first token has not come, PeerUnread the same of the other hosts.
 	Unread     ident.Tokens
 	PeerUnread ident.Tokens
+	// Memory is how many tokens the target holds at once, zero where that is not
+	// known; askedAt is when it was last asked.
+	Memory  ident.Tokens
+	askedAt ident.Time
 	// Fails counts failures in a row.
 	Fails int
 	// faults is the part of the newest requests that failed, as it was at
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -29,6 +29,7 @@
 	}
 	if regular {
 		effs = append(effs, tb.polls(now)...)
+		effs = append(effs, tb.askMemory(now)...)
 	}
 	return effs
 }
--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -68,6 +68,10 @@
 	target      ident.TargetID
 	incarnation ident.Incarnation
 	part        float64
+	// learned says that this host sent the part there, first that the target ranks
+	// first for the shared beginning of the prompt.
+	learned bool
+	first   bool
 }
 
 // CacheChanged takes a cache event of an engine.
@@ -267,9 +271,15 @@
 	}
 	part := float64(n) / float64(len(v.q.Request.Prefix))
 	for _, t := range []*member.Target{first, second} {
-		if t != nil && !slices.ContainsFunc(rt.warm, func(h holder) bool { return h.target == t.ID }) {
+		if t == nil {
+			continue
+		}
+		i := slices.IndexFunc(rt.warm, func(h holder) bool { return h.target == t.ID })
+		if i < 0 {
+			i = len(rt.warm)
 			rt.warm = append(rt.warm, holder{target: t.ID, part: part})
 		}
+		rt.warm[i].first = t == first
 	}
 }
 
@@ -281,5 +291,5 @@
 	if !c.blocks[key].holds(v.now) {
 		return
 	}
-	rt.warm = append(rt.warm, holder{target: id, incarnation: c.incarnation, part: part})
+	rt.warm = append(rt.warm, holder{target: id, incarnation: c.incarnation, part: part, learned: true})
 }
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -30,6 +30,9 @@
 	// boundLoad is how much fuller than the mean a target may be and still
 	// draw work by its cache.
 	boundLoad = 1.25
+	// boundRouted is the same for routes, whose engines copy a beginning from the
+	// one that is usual for it: that one must get enough of its requests to hold it.
+	boundRouted = 3
 	// serviceTime stands for the time of a call of a plain service.
 	serviceTime = 0.2
 	// faultCost is what a failure costs the caller of a route, in seconds: a
@@ -88,6 +91,9 @@
 	prefill, decode := 0.0, serviceTime
 	if q.engine() {
 		c.prefill = q.Request.Prompt + q.Resume - ident.Tokens(rt.cached(v, t, u))
+		if q.Profile.Route != nil {
+			rt.copied(v, c)
+		}
 		prefill = span(float64(c.prefill), t.Load.PrefillRate)
 		decode = decodeTime(q, t.Load.DecodeRate) * (1 + batchSlow*u)
 	}
@@ -119,7 +125,11 @@
 // to the one target that holds it, however long its queue; with it the
 // overflow goes elsewhere and warms a second target.
 func (rt *Router) cached(v *view, t *member.Target, u float64) float64 {
-	if u > boundLoad*v.mean+1/float64(t.Slots()) {
+	bound := boundLoad
+	if v.q.Profile.Route != nil {
+		bound = boundRouted
+	}
+	if u > bound*v.mean+1/float64(t.Slots()) {
 		return 0
 	}
 	for _, h := range rt.warm {
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -124,10 +124,38 @@
 	if out >= roomFor(v.q, t.Slots()) {
 		return true
 	}
+	if crowdsOut(v, t) {
+		return true
+	}
 	hold := holdAt(v.q)
 	return hold > 0 && t.Wait(v.now, out, 1) > hold
 }
 
+// The memory of an engine that long prompts may take.
+const (
+	// memoryPart is the part of an engine's memory that the prompts of its requests
+	// may take before another long one waits. The rest is for what they generate, for
+	// short prompts, and for the beginnings that it keeps.
+	memoryPart = 0.35
+	// longPrompt is the length in tokens from which on a prompt counts as long.
+	longPrompt = 2048
+)
+
+// crowdsOut reports whether a long prompt would take memory that an engine needs.
+//
+// Streams that run keep their prompts in memory. At a region's peak they came to fill
+// it: beginnings that others share were dropped and read again, which made all streams
+// slower, so that yet more of them ran at once. Of callers of long answers one in four
+// had none within their deadline. Long prompts wait here instead until others have
+// ended, or are refused while they still can come back.
+func crowdsOut(v *view, t *member.Target) bool {
+	q := v.q
+	if q.Profile.Route == nil || t.Memory == 0 || q.Request.Prompt < longPrompt {
+		return false
+	}
+	return float64(t.Held()+q.Request.Prompt) > memoryPart*float64(t.Memory)
+}
+
 // The part of the time to a first byte that a request of a route may be
 // predicted to wait at a target, and the least time that it may.
 //
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -71,6 +71,9 @@
 	// Prefill is the part of the prompt that the target probably does not
 	// hold.
 	Prefill ident.Tokens
+	// CopyFrom is a target from which Target can copy the beginning of the prompt, nil
+	// for none.
+	CopyFrom *member.Target
 	// Centre is set when the request is to be passed to Host, an entry host
 	// of another data centre. Pool names the offer that it uses.
 	Centre ident.DataCentre
@@ -122,6 +125,8 @@
 	// prompt that is to be computed.
 	ready   time.Duration
 	prefill ident.Tokens
+	// from is a target to copy the beginning of the prompt from.
+	from *member.Target
 }
 
 // New returns a router that knows no cache.
--- a/internal/route/spill.go
+++ b/internal/route/spill.go
@@ -32,7 +32,7 @@
 	if best == nil {
 		return Decision{Wait: local.ready, Full: true, Code: codes.Overloaded.ID}
 	}
-	return Decision{Target: best.t, Serve: best.serve, Prefill: best.prefill, Wait: best.ready}
+	return Decision{Target: best.t, Serve: best.serve, Prefill: best.prefill, Wait: best.ready, CopyFrom: best.from}
 }
 
 // spill returns the data centre that a request goes to, of those with room, if it is
--- a/internal/route/spill_test.go
+++ b/internal/route/spill_test.go
@@ -122,3 +122,58 @@
 		t.Errorf("%d of 100 beginnings have the other region, which has half of the engines", went)
 	}
 }
+
+// The engine that is usual for a beginning is busy. Another one gets the request and
+// would read the beginning once more, which slows down the streams that run there; it
+// copies it from the usual one instead. One that leaves is not named: a copy from it
+// would wait for an engine that may be gone.
+func TestBusyEngineIsCopiedFrom(t *testing.T) {
+	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
+	q := writersQuery("first", 1<<20, 10)
+	usual := New().Choose(now, q, tb).Target
+	if usual == nil {
+		t.Fatal("no engine is chosen")
+	}
+	tb.Prefill(usual.ID, 200000)
+	rt := New()
+	for i := range 20 {
+		q.Request.ID = ident.RequestID(fmt.Sprint("r", i))
+		dec := rt.Choose(now, q, tb)
+		if dec.Target == nil || dec.Target == usual {
+			t.Fatalf("the busy engine gets the request: %+v", dec)
+		}
+		if dec.CopyFrom != usual {
+			t.Fatalf("engine %s copies from %v, want %s", dec.Target.ID, dec.CopyFrom, usual.ID)
+		}
+	}
+	tb.MarkLeaving(now, usual.ID, usual.Incarnation)
+	if dec := rt.Choose(now, q, tb); dec.CopyFrom == usual {
+		t.Error("a request copies from an engine that leaves")
+	}
+}
+
+// The prompts of streams that run have filled an engine's memory to a third. One more
+// long prompt has it drop beginnings that others share, and the streams that run get
+// slower for each that is read again. The prompt waits; a short one goes on.
+func TestLongPromptsLeaveMemory(t *testing.T) {
+	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
+	for _, tg := range tb.Targets() {
+		tb.MemoryTold(event.MemoryTold{Target: tg.ID, Tokens: 100000})
+		for range 3 {
+			tb.Sent(tg.ID, 10000, 300)
+		}
+	}
+	rt := New()
+	if dec := rt.Choose(now, writersQuery("long", 1<<20, 10), tb); !dec.Full {
+		t.Errorf("a long prompt goes to an engine whose memory is taken: %+v", dec)
+	}
+	if dec := rt.Choose(now, writersQuery("short", 1<<21, 1), tb); dec.Target == nil {
+		t.Errorf("a short prompt waits: %+v", dec)
+	}
+	for _, tg := range tb.Targets() {
+		tb.Ended(tg.ID, 10000, 300, true)
+	}
+	if dec := rt.Choose(now, writersQuery("long", 1<<20, 10), tb); dec.Target == nil {
+		t.Errorf("a long prompt waits where there is memory: %+v", dec)
+	}
+}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -68,6 +68,7 @@
 		Target: d.Target, Attempt: d.Attempt, Request: t.call.Answer, Serve: d.Serve,
 		Method: t.call.Method, Path: t.call.Path, Header: t.call.Header, Body: body,
 		Priority: d.Priority, Resume: max(d.Resume, t.upto), Left: t.left(d.Deadline), Once: d.Once,
+		CopyFrom: d.CopyFrom.URL,
 	}
 }
 
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -84,6 +84,9 @@
 	Left     time.Duration
 	// Once says that the call must not be sent a second time.
 	Once bool
+	// CopyFrom is where a target stands that probably holds the beginning of the
+	// prompt, empty for none.
+	CopyFrom string
 }
 
 // Bounds of the connections to targets. The time to connect is that within a
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -26,10 +26,10 @@
 	var out bytes.Buffer
 	tr := New(logs.New(&out, logs.NewLevel(0)), metrics.NewRegistry())
 	at := ident.Time(time.Second)
-	basis := event.Basis{Profile: "draft", Revision: 7, Try: 1, Waited: 3 * time.Millisecond, Wait: 40 * time.Millisecond, Busy: 2, LoadAge: 9 * time.Millisecond, Expect: 48, Pace: 120 * time.Millisecond, PaceThere: 30 * time.Millisecond, Part: 0.254, Room: 64000,}
+	basis := event.Basis{Profile: "draft", Revision: 7, Try: 1, Waited: 3 * time.Millisecond, Wait: 40 * time.Millisecond, Busy: 2, LoadAge: 9 * time.Millisecond, Expect: 48, Pace: 120 * time.Millisecond, PaceThere: 30 * time.Millisecond, Part: 0.254, Room: 64000}
 	tr.Record(at, event.Tick{}, []event.Effect{
 		event.InForceNow{Book: rules.FromSheet(7, rules.Sheet{})},
-		event.Dispatch{Request: "a.1", Attempt: attemptOf(1), Target: event.Target{ID: "t", Service: "writers"}, Basis: basis},
+		event.Dispatch{Request: "a.1", Attempt: attemptOf(1), Target: event.Target{ID: "t", Service: "writers"}, CopyFrom: event.Holder{Target: "u"}, Basis: basis},
 		event.Forward{Request: "b.2", To: event.Host{ID: "h", Place: event.Place{Region: "east"}}, Envelope: event.Envelope{Attempt: attemptOf(2)}, Service: "writers", Basis: basis},
 		event.Refuse{Request: "c.3", Code: codes.NoTarget.ID, Outcome: event.NotRun, RetryAfter: time.Second, Basis: basis},
 	})
