--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -107,7 +107,12 @@
 	for _, t := range tb.targets {
 		if t.Sent > 0 {
 			id, key := tb.nameOf(t)
-			d.Use = append(d.Use, event.TargetUse{Target: id, Key: key, Running: t.Sent, Tokens: t.SentTokens, Unread: t.Unread})
+			use := event.TargetUse{Target: id, Key: key, Running: t.Sent, Tokens: t.SentTokens}
+			if t.Capacity > 0 {
+				// The others tell of their queue in their load reports.
+				use.Unread = t.Unread
+			}
+			d.Use = append(d.Use, use)
 		}
 	}
 	return d
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -120,6 +121,7 @@
 // splitUse parts the uses that go by an id from those that go by a key. As
 // messages of their own the latter would cost twice the bytes.
 func splitUse(uses []event.TargetUse) (named []event.TargetUse, keyed *KeyedUse) {
+	unread := slices.ContainsFunc(uses, func(u event.TargetUse) bool { return u.Unread > 0 })
 	for _, u := range uses {
 		if u.Target != "" {
 			named = append(named, u)
@@ -131,7 +133,9 @@
 		keyed.Keys = append(keyed.Keys, uint32(u.Key))
 		keyed.Running = append(keyed.Running, uint64(max(u.Running, 0)))
 		keyed.Tokens = append(keyed.Tokens, uint64(max(u.Tokens, 0)))
-		keyed.Unread = append(keyed.Unread, uint64(max(u.Unread, 0)))
+		if unread {
+			keyed.Unread = append(keyed.Unread, uint64(max(u.Unread, 0)))
+		}
 	}
 	return named, keyed
 }
@@ -158,7 +162,7 @@
 	}
 }
 
-// at returns an entry of a column that hosts of an older version leave out.
+// at returns an entry of a column that is left out where it holds nothing.
 func at(column []uint64, i int) uint64 {
 	if i >= len(column) {
 		return 0
