--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -84,7 +84,7 @@
 		rd.forward(now, r, a)
 		return
 	}
-	a.target = dec.Target.ID
+	a.target, a.incarnation = dec.Target.ID, dec.Target.Incarnation
 	rd.table.Sent(a.target, r.Prompt, a.tokens)
 	a.before = dec.Target.Unread + dec.Target.PeerUnread
 	a.unread = dec.Prefill
@@ -134,7 +134,7 @@
 
 // firstToken takes the beginning of an answer for a sign of life.
 func (rd *Reducer) firstToken(now ident.Time, e event.FirstToken) {
-	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && a.target != "" {
+	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && rd.isCurrent(a) {
 		rd.table.Answered(a.target)
 		rd.table.Began(a.target, a.dec.Prefill, a.before, now.Sub(a.start))
 		rd.readDone(a)
@@ -144,10 +144,10 @@
 
 // readDone takes note that nothing of an attempt's prompt is left to read.
 func (rd *Reducer) readDone(a *attempt) {
-	if a.unread > 0 {
+	if a.unread > 0 && rd.isCurrent(a) {
 		rd.table.ReadDone(a.target, a.unread)
-		a.unread = 0
 	}
+	a.unread = 0
 }
 
 // health is what the end of an attempt tells of its target.
@@ -168,6 +168,7 @@
 	switch {
 	case a.target == "":
 		rd.table.OfferGive(a.dec.Centre, a.dec.Pool)
+	case !rd.isCurrent(a):
 	case h == tellsNothing:
 		rd.table.Dropped(a.target, a.req.Prompt, a.tokens)
 	default:
@@ -201,13 +202,13 @@
 	}
 	r := a.req
 	rd.forget(a, healthOf(now, a, e))
-	if a.target != "" && e.Result != event.ResultNotRun {
+	if rd.isCurrent(a) && e.Result != event.ResultNotRun {
 		rd.table.Outcome(now, a.target, e.Result == event.ResultDone)
 	}
 	r.delivered = max(r.delivered, e.Delivered)
 	r.generated += e.Generated
 	if e.Leaving && a.target != "" {
-		rd.table.MarkLeaving(now, a.target, a.dec.Target.Incarnation)
+		rd.table.MarkLeaving(now, a.target, a.incarnation)
 	}
 	switch e.Result {
 	case event.ResultDone:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -190,11 +190,11 @@
 	case event.LoadSeen:
 		rd.table.LoadSeen(now, e)
 	case event.ProbeAnswered:
-		rd.table.Answered(e.Target)
+		rd.probeAnswered(e)
 	case event.MemoryTold:
 		rd.table.MemoryTold(e)
 	case event.LoadFailed:
-		rd.table.LoadFailed(now, e.Target)
+		rd.table.LoadFailed(now, e.Target, e.Incarnation)
 	case event.CacheChanged:
 		rd.router.CacheChanged(now, e, rd.table)
 	case event.HostsRead:
@@ -272,6 +272,7 @@
 	}
 	rd.emit(rd.spread.Tick(now, rd.table.Watches(now))...)
 	rd.paceReads(now)
+	rd.targetsRestarted()
 	rd.agendaDue(now)
 	rd.poolsDue(now)
 	for _, id := range rd.once.Expire(now) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -66,9 +66,12 @@
 	// target is set for an attempt at a target, host for one at another entry
 	// host.
 	target ident.TargetID
-	host   event.Host
-	dec    route.Decision
-	sent   bool
+	// incarnation is the one of the target that it was sent to: the target may have
+	// started anew since.
+	incarnation ident.Incarnation
+	host        event.Host
+	dec         route.Decision
+	sent        bool
 	// unread is the part of the prompt that the target has to read and whose first
 	// token has not come, before what it had to read first when this was sent.
 	unread ident.Tokens
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -262,7 +262,7 @@
 }
 
 func (rd *Reducer) streamPaced(e event.StreamPaced) {
-	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && a.target != "" {
+	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && rd.isCurrent(a) {
 		rd.table.Paced(a.target, e.Gap)
 	}
 }
--- a/internal/daemon/carry.go
+++ b/internal/daemon/carry.go
@@ -21,6 +21,8 @@
 		d.outs.Forget(e.Request)
 	case event.Note:
 		trail.Note(d.cfg.Log, e)
+	case event.DropLinks:
+		// The library of the engines' client finds out by itself.
 	case event.Drained:
 		d.closeDrained()
 	default:
@@ -72,7 +74,7 @@
 	defer cancel()
 	ld, err := d.targets.Load(ctx, e.Target)
 	if err != nil {
-		d.loop.Post(event.LoadFailed{Target: e.Target.ID})
+		d.loop.Post(event.LoadFailed{Target: e.Target.ID, Incarnation: e.Target.Incarnation})
 		return
 	}
 	d.loop.Post(event.LoadReported{Load: ld})
--- a/internal/dev/drive/outside.go
+++ b/internal/dev/drive/outside.go
@@ -100,7 +100,7 @@
 	}
 	t := d.Target(e.Target.ID)
 	if t == nil || t.Dead {
-		d.Post(h.ID, downAfter, event.LoadFailed{Target: e.Target.ID})
+		d.Post(h.ID, downAfter, event.LoadFailed{Target: e.Target.ID, Incarnation: e.Target.Incarnation})
 		return
 	}
 	t.seq++
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -59,6 +59,9 @@
 	Pause  time.Duration
 	// Work is the time of a plain call.
 	Work time.Duration
+	// Born is the Unix millisecond of its start, which all that it says of itself tells,
+	// zero for a worker that does not tell it.
+	Born int64
 }
 
 // Worker is one incarnation of a target.
@@ -86,16 +89,30 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.seq++
-	b, err := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"Service": k.cfg.Service, "Address": addr, "Zone": k.cfg.DataCentre, "Version": "v1", "Slots": k.cfg.Slots,
 		"State": state, "ColdLeftMs": cold.Milliseconds(), "Seq": k.seq,
-	})
+	}
+	if k.cfg.Born > 0 {
+		entry["born"] = k.cfg.Born
+	}
+	b, err := json.Marshal(entry)
 	if err != nil {
 		panic(err)
 	}
 	return b
 }
 
+// Rebirth has the worker start again under its id while its network is broken: nothing
+// that it ran is answered, no connection is closed, and its counts start anew.
+func (k *Worker) Rebirth(born int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cfg.Born = born
+	k.seq, k.running = 0, 0
+	k.faults = nil
+}
+
 // Fault has the next n requests go wrong.
 func (k *Worker) Fault(f Fault, n int) {
 	k.mu.Lock()
@@ -165,7 +182,7 @@
 		k.mu.Lock()
 		k.reports++
 		k.mu.Unlock()
-		_, _ = fmt.Fprintf(w, `{"KvTotal":%d}`, memory)
+		_, _ = fmt.Fprintf(w, `{"born":%d,"KvTotal":%d}`, k.born(), memory)
 		return
 	}
 	id := r.Header.Get("Verbenadale-Request-Id")
@@ -191,6 +208,12 @@
 	k.answer(w, r, f, id, body)
 }
 
+func (k *Worker) born() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.cfg.Born
+}
+
 func (k *Worker) load() string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -219,7 +242,7 @@
 func (k *Worker) end(r *http.Request, ran bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.running--
+	k.running = max(0, k.running-1)
 	if ran && r.Context().Err() != nil {
 		k.gone++
 	}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -109,6 +109,20 @@
 	Basis Basis `json:"basis"`
 }
 
+// BreakOff asks the request's goroutine to break off an attempt, which ends as if its
+// target had closed the connection.
+type BreakOff struct {
+	Request ident.RequestID `json:"request"`
+	Attempt ident.Attempt   `json:"attempt"`
+}
+
+// DropLinks says that the idle connections to an address lead to a target that no
+// longer runs.
+type DropLinks struct {
+	Target ident.TargetID `json:"target"`
+	URL    string         `json:"url"`
+}
+
 // Finish says that the request is over and its answer was passed on whole.
 // The goroutine sends the final chunk or status only after it.
 type Finish struct {
@@ -328,6 +342,8 @@
 func (Forward) isEffect()         {}
 func (Refuse) isEffect()          {}
 func (Finish) isEffect()          {}
+func (BreakOff) isEffect()        {}
+func (DropLinks) isEffect()       {}
 func (Replay) isEffect()          {}
 func (ForgetOutcome) isEffect()   {}
 func (Wake) isEffect()            {}
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -29,7 +29,7 @@
 		HostsRead{}, PlatformFailed{}, WatchIdle{},
 	)
 	effectTypes = namesOf[Effect](
-		Dispatch{}, Forward{}, Refuse{}, Finish{}, Replay{}, ForgetOutcome{}, Wake{},
+		Dispatch{}, Forward{}, Refuse{}, Finish{}, BreakOff{}, DropLinks{}, Replay{}, ForgetOutcome{}, Wake{},
 		SendDigest{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
 		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadSnapshot{}, ReadHosts{}, PollLoad{}, AskMemory{},
 		InForceNow{}, TicketIssued{}, EntriesAnswered{}, RouteAnswered{}, StatusAnswered{}, Drained{},
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -74,27 +74,34 @@
 // LoadSeen brings what an answer of a target told of its load. It counts here
 // only and is not passed on: each host sees answers of its own.
 type LoadSeen struct {
-	Target  ident.TargetID `json:"target"`
-	Running int            `json:"running"`
-	Queued  int            `json:"queued"`
-	Slots   int            `json:"slots"`
+	Target ident.TargetID `json:"target"`
+	// Incarnation is that of the target which the question was for: an answer of a
+	// former start tells nothing of the one that followed.
+	Incarnation ident.Incarnation `json:"incarnation"`
+
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
+	Slots   int `json:"slots"`
 }
 
 // ProbeAnswered says that a target which had not answered requests has answered
 // a probe.
 type ProbeAnswered struct {
-	Target ident.TargetID `json:"target"`
+	Target      ident.TargetID    `json:"target"`
+	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
 // MemoryTold brings the memory of an engine, in tokens.
 type MemoryTold struct {
-	Target ident.TargetID `json:"target"`
-	Tokens ident.Tokens   `json:"tokens"`
+	Target      ident.TargetID    `json:"target"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Tokens      ident.Tokens      `json:"tokens"`
 }
 
 // LoadFailed says that a target did not give its load report.
 type LoadFailed struct {
-	Target ident.TargetID `json:"target"`
+	Target      ident.TargetID    `json:"target"`
+	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
 // CacheChanged brings cache events of an engine: prefix digests that were
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -183,6 +183,8 @@
 		l.deliver(e.Request, e)
 	case event.Finish:
 		l.deliver(e.Request, e)
+	case event.BreakOff:
+		l.deliver(e.Request, e)
 	case event.Replay:
 		l.deliver(e.Request, e)
 	case event.TicketIssued:
--- a/internal/member/gone_test.go
+++ b/internal/member/gone_test.go
@@ -173,7 +173,7 @@
 	seen := func(running int) {
 		at = at.Add(100 * time.Millisecond)
 		tb.Ran("a", 20*time.Millisecond)
-		tb.LoadSeen(at, event.LoadSeen{Target: "a", Running: running, Slots: 6})
+		tb.LoadSeen(at, event.LoadSeen{Target: "a", Incarnation: 1, Running: running, Slots: 6})
 	}
 	for range 10 {
 		seen(1)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -109,9 +109,11 @@
 	byID    map[ident.TargetID]*Target
 	byKey   map[event.TargetKey]*Target
 	left    map[ident.TargetID]leftWord
-	centres []*Centre
-	pools   []*pool
-	away    []event.AwayUse
+	// restarted holds the targets that have started anew since they were last asked for.
+	restarted []ident.TargetID
+	centres   []*Centre
+	pools     []*pool
+	away      []event.AwayUse
 	// crowdedAt is when requests last began to wait here.
 	crowdedAt ident.Time
 	blind     bool
--- a/internal/member/memory.go
+++ b/internal/member/memory.go
@@ -38,7 +38,7 @@
 
 // MemoryTold takes the memory of an engine.
 func (tb *Table) MemoryTold(e event.MemoryTold) {
-	if t, ok := tb.byID[e.Target]; ok {
+	if t, ok := tb.current(e.Target, e.Incarnation); ok {
 		t.Memory = e.Tokens
 	}
 }
--- a/internal/member/recent.go
+++ b/internal/member/recent.go
@@ -88,7 +88,7 @@
 		d := t.Target
 		d.Incarnation = ld.Incarnation
 		d.Leaving = false
-		t.restart(now, d)
+		tb.restart(now, t, d)
 		tb.settleLeaving(now, t)
 	}
 	if t.HasLoad && ld.Seq <= t.Load.Seq {
@@ -178,9 +178,9 @@
 }
 
 // LoadFailed takes note of a report that did not come.
-func (tb *Table) LoadFailed(now ident.Time, id ident.TargetID) {
+func (tb *Table) LoadFailed(now ident.Time, id ident.TargetID, inc ident.Incarnation) {
 	tb.Advance(now)
-	if t, ok := tb.byID[id]; ok {
+	if t, ok := tb.current(id, inc); ok {
 		tb.fail(t)
 	}
 }
--- a/internal/member/seen.go
+++ b/internal/member/seen.go
@@ -11,7 +11,7 @@
 // LoadSeen takes what an answer of a target told of its load.
 func (tb *Table) LoadSeen(now ident.Time, ev event.LoadSeen) {
 	tb.Advance(now)
-	t, ok := tb.byID[ev.Target]
+	t, ok := tb.current(ev.Target, ev.Incarnation)
 	if !ok {
 		return
 	}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -286,9 +286,6 @@
 // putTarget takes a description of a target of the own data centre.
 func (tb *Table) putTarget(now ident.Time, d event.Target) {
 	t, ok := tb.byID[d.ID]
-	if ok {
-		tb.relist(now, t, d)
-	}
 	if !ok {
 		t = &Target{coldUntil: now.Add(d.ColdFor), Target: d, listed: true, cold: now, heard: now, warm: now.Sub(tb.started) <= startGrace}
 		tb.byID[d.ID] = t
@@ -302,30 +299,60 @@
 	t.listed = true
 	switch {
 	case d.Incarnation == t.Incarnation:
+		tb.relist(now, t, d)
 		d.Leaving = d.Leaving || t.Leaving
 		t.Target = d
 	case d.Incarnation > t.Incarnation:
-		t.restart(now, d)
+		tb.restart(now, t, d)
 	case now.Sub(t.heard) > deadAfter:
 		// The clock of the target went back. Its old self is silent past
 		// doubt, and so is the word that the old self leaves.
 		if tb.left[d.ID].incarnation > d.Incarnation {
 			delete(tb.left, d.ID)
 		}
-		t.restart(now, d)
+		tb.restart(now, t, d)
 	}
 	tb.settleLeaving(now, t)
 }
 
-// restart begins a new incarnation. What this host has sent and what has not
-// ended still counts: the ends will be told.
-func (t *Target) restart(now ident.Time, d event.Target) {
+// restart begins a new incarnation.
+//
+// Nothing that the former one ran goes on, and it holds nothing of what it read. Were
+// its work still counted, a target that has just started would look full until the
+// deadlines of requests that nobody answers any more; the ends of these are not counted
+// a second time, since each names its incarnation. Two things stay: the times of the
+// sends while it was cold, whose bound is on the target and not on its start, and what is usual for
+// its service.
+func (tb *Table) restart(now ident.Time, t *Target, d event.Target) {
+	for _, p := range tb.peers {
+		p.use = slices.DeleteFunc(p.use, func(u event.TargetUse) bool { return u.Target == t.ID })
+	}
 	*t = Target{
 		Target: d, listed: true, cold: now, heard: now,
-		Sent: t.Sent, SentTokens: t.SentTokens, SentGenerated: t.SentGenerated,
-		PeerSent: t.PeerSent, PeerTokens: t.PeerTokens, recent: t.recent,
-		Unread: t.Unread, PeerUnread: t.PeerUnread,
+		coldUntil: now.Add(d.ColdFor), coldSends: t.coldSends, run: t.run,
 	}
+	tb.restarted = append(tb.restarted, t.ID)
+	tb.note(t, "target has started anew")
+}
+
+// Restarted returns the targets that have started anew since the last call.
+func (tb *Table) Restarted() []ident.TargetID {
+	ids := tb.restarted
+	tb.restarted = nil
+	return ids
+}
+
+// current returns a target if the incarnation that something is told of is the one that
+// runs.
+func (tb *Table) current(id ident.TargetID, inc ident.Incarnation) (*Target, bool) {
+	t, ok := tb.byID[id]
+	return t, ok && t.Incarnation == inc
+}
+
+// Runs reports whether an incarnation of a target is the newest one known.
+func (tb *Table) Runs(id ident.TargetID, inc ident.Incarnation) bool {
+	_, ok := tb.current(id, inc)
+	return ok
 }
 
 // reapTargets drops targets that are silent and not listed.
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -243,7 +243,7 @@
 func (w *world) poll(n *node, id ident.TargetID) {
 	e := w.engine(id)
 	if e.down {
-		n.tb.LoadFailed(w.now, id)
+		n.tb.LoadFailed(w.now, id, n.tb.byID[id].Incarnation)
 		return
 	}
 	e.seq++
--- a/internal/route/choose_test.go
+++ b/internal/route/choose_test.go
@@ -79,7 +79,7 @@
 	}
 	if rapid.IntRange(0, 5).Draw(rt, "fails") == 0 {
 		for range 3 {
-			tb.LoadFailed(start, id)
+			tb.LoadFailed(start, id, 1)
 		}
 	}
 }
--- a/internal/route/spill_test.go
+++ b/internal/route/spill_test.go
@@ -158,7 +158,7 @@
 func TestLongPromptsLeaveMemory(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
 	for _, tg := range tb.Targets() {
-		tb.MemoryTold(event.MemoryTold{Target: tg.ID, Tokens: 100000})
+		tb.MemoryTold(event.MemoryTold{Target: tg.ID, Incarnation: 1, Tokens: 100000})
 		for range 3 {
 			tb.Sent(tg.ID, 10000, 300)
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -259,6 +259,11 @@
 		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume, patience: e.Patience}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
 		return r.start(ctx, t)
+	case event.BreakOff:
+		if r.live != nil && r.live.id == e.Attempt {
+			r.Log.Info("attempt is broken off, its target has started anew", "request", r.req.ID, "attempt", e.Attempt)
+			r.stop()
+		}
 	case event.Replay:
 		r.stop()
 		r.replay(e)
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -307,6 +307,21 @@
 	})
 }
 
+// Drop closes the idle connections to an address.
+//
+// A target that starts anew behind a broken network closes none of those that its
+// former start had: they look whole, and each would lose the first request that is sent
+// on it, of which nobody can then tell whether it ran.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	cs := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range cs {
+		_ = c.Close()
+	}
+}
+
 func (p *Pool) put(c *conn, most time.Duration) bool {
 	c.until = p.clock.Now().Add(most)
 	p.mu.Lock()
