say in the line of a refusal what decided it

Cause: of 6,550 lines of refusals none bore the prediction, the queue or the time left, so that nobody could tell from the logs whether a refusal was right. Ruled out: logging the target's load beside it: a request that is refused for room has looked at several targets, and the prediction is of the best. Change: a refusal tells the time within which the request had to start, the predicted time to its first token, how many waited, whether only room was missing, and the pace of streams; a send tells the time left too.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -29,6 +29,7 @@
 	}
 	pl := rd.pools.of(r)
 	dec := rd.router.Choose(now, rd.query(r), rd.table)
+	r.looked = dec
 	switch {
 	case dec.Target == nil && dec.Centre == "" && !dec.Full:
 		rd.noPlace(now, r, dec.Code)
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -99,6 +99,15 @@
 	return pl.head != r && (pl.head != nil || pl.queue.Len() > 0)
 }
 
+// waiting counts the requests that wait.
+func (pl *pool) waiting() int {
+	n := pl.queue.Len()
+	if pl.head != nil {
+		n++
+	}
+	return n
+}
+
 // smooth is the weight of a new value in the smoothed times.
 const smooth = 8
 
@@ -211,6 +220,7 @@
 		return false
 	}
 	dec := rd.router.Choose(now, rd.query(r), rd.table)
+	r.looked = dec
 	if dec.Full {
 		return false
 	}
--- a/internal/core/refuse.go
+++ b/internal/core/refuse.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
-	"verbenadale.example/verbenadale/internal/route"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
@@ -52,7 +51,7 @@
 func (rd *Reducer) refuse(now ident.Time, r *request, ref refusal) {
 	eff := event.Refuse{
 		Request: r.ID, Code: ref.code, Outcome: ref.outcome, RetryAfter: ref.later, Entries: ref.entries,
-		Basis: rd.basis(now, r, route.Decision{Wait: ref.later}),
+		Basis: rd.basis(now, r, r.looked),
 	}
 	if c, ok := codes.Find(ref.code); ok && c.Wait && eff.RetryAfter <= 0 {
 		eff.RetryAfter = retryLater
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -48,6 +48,8 @@
 	// waits counts how often a broken stream found no place to go on.
 	waits int
 	live  *attempt
+	// looked is the last look for a place, which a refusal tells.
+	looked route.Decision
 	// barring is set while a peer is asked what became of an attempt.
 	barring   *attempt
 	delivered ident.Tokens
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -293,10 +293,12 @@
 	b := event.Basis{
 		Profile: r.profile.Name, Revision: rd.spread.Revision(), Try: r.tries, Wait: dec.Wait, LoadAge: noLoad,
 		Expect: rd.expected(r), Pace: rd.table.Pace(now, r.profile.Service), PaceThere: dec.Pace,
-		Part: dec.Part, Room: dec.Room,
+		Part: dec.Part, Room: dec.Room, Full: dec.Full,
 	}
 	if r.arrived > 0 {
 		b.Waited = now.Sub(r.arrived)
+		b.Left = r.startBy().Sub(now)
+		b.Queued = rd.pools.of(r).waiting()
 	}
 	if t := dec.Target; t != nil {
 		b.Busy = t.Outstanding(now)
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -75,6 +75,11 @@
 	// on to; zero where that did not decide.
 	Part float64 `json:"part,omitempty"`
 	Room float64 `json:"room,omitempty"`
+	// Left is the time within which it had to start, Queued how many requests waited
+	// for the same targets here, Full that only room was missing.
+	Left   time.Duration `json:"left,omitempty"`
+	Queued int           `json:"queued,omitempty"`
+	Full   bool          `json:"full,omitempty"`
 }
 
 // Forward asks the request's goroutine to pass the request to another entry
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -95,7 +95,7 @@
 		tr.count("requests.sent." + e.Target.Service)
 		tr.plain("sent to a target", "request", e.Request, "attempt", e.Attempt.Number, "target", e.Target.ID,
 			"service", e.Target.Service, "profile", e.Basis.Profile, "try", e.Basis.Try, "revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited),
-			"predictedMs", millis(e.Basis.Wait), "busy", e.Basis.Busy, "loadAgeMs", millis(e.Basis.LoadAge),
+			"leftMs", millis(e.Basis.Left), "predictedMs", millis(e.Basis.Wait), "busy", e.Basis.Busy, "loadAgeMs", millis(e.Basis.LoadAge),
 			"expectEvents", int(e.Basis.Expect), "paceMs", millis(e.Basis.Pace), "resume", e.Resume,
 			"copyFrom", e.CopyFrom.Target)
 	case event.Forward:
@@ -110,7 +110,9 @@
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
 		tr.line("refused", "request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "profile", e.Basis.Profile, "try", e.Basis.Try,
-			"revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited), "retryAfterMs", millis(e.RetryAfter))
+			"revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited), "leftMs", millis(e.Basis.Left),
+			"predictedMs", millis(e.Basis.Wait), "queued", e.Basis.Queued, "full", e.Basis.Full, "paceMs", millis(e.Basis.Pace),
+			"retryAfterMs", millis(e.RetryAfter))
 	case event.Finish:
 		tr.count("requests.finished")
 		tr.plain("answered", "request", e.Request, "outcome", e.Outcome)
