look up a region that was tried by the name that it is kept under

On the users' platform a region shares its targets and is kept by its group's name, but decisions named the data centre: what had turned a request away was never found in the list of the tried, and what was passed on was counted at no region's offer. And a pool that had lost its targets was told with the next summary only. Ruled out: that hosts there did not suspect their targets; they did, after three refusals. Change: decisions name the group; a change of a pool's targets is news. Tests that fail first: TestRegionThatTurnedAwayIsNotAskedAgain, TestLossOfTargetsIsNews.

--- a/internal/member/speak.go
+++ b/internal/member/speak.go
@@ -166,8 +166,9 @@
 }
 
 // poolNews returns a hash of what another data centre acts on at once: what is
-// asked for, and the size of the offers by powers of two, so that an offer that
-// has lost half is sent anew.
+// asked for, the size of the offers by powers of two, so that an offer that
+// has lost half is sent anew, and the targets: the work of a region is shared out by
+// them, and one whose targets have all gone was sent it for up to seconds.
 func poolNews(pools []event.Pool) uint64 {
 	h := uint64(0)
 	for _, p := range pools {
@@ -175,6 +176,7 @@
 		h = rank.Join(h, rank.Hash(strconv.FormatBool(short(p.Free, p.Slots))))
 		h = rank.Join(h, uint64(bits.Len(uint(p.Offer))))
 		h = rank.Join(h, demandStep(&p))
+		h = rank.Join(h, uint64(p.Targets))
 	}
 	return h
 }
--- a/internal/member/speak_test.go
+++ b/internal/member/speak_test.go
@@ -86,3 +86,13 @@
 		t.Errorf("revisions told (-want +got):\n%s", diff)
 	}
 }
+
+// Both targets of a region crash, and for some seconds the others pass it work that
+// nobody there can run. So the loss of a target is told at once.
+func TestLossOfTargetsIsNews(t *testing.T) {
+	two := []event.Pool{{Service: "writers", Targets: 2, Slots: 256, Free: 200}}
+	none := []event.Pool{{Service: "writers", Targets: 0, Slots: 256, Free: 200}}
+	if poolNews(two) == poolNews(none) {
+		t.Error("two targets and none are told as the same")
+	}
+}
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -65,7 +65,7 @@
 	}
 	h, _ := best.HostFor(v.key)
 	return Decision{
-		Host: h, Centre: best.Place.DataCentre, Pool: poolID(pool),
+		Host: h, Centre: best.Place.Group(), Pool: poolID(pool),
 		Wait: readyAbroad(v, best, pool), Pace: toTime(span(1, pool.DecodeRate)),
 	}, true
 }
--- a/internal/route/spill.go
+++ b/internal/route/spill.go
@@ -76,7 +76,7 @@
 	id := member.PoolID{Service: v.q.Profile.Service}
 	p := best.Pool(id)
 	return Decision{
-		Host: h, Centre: best.Place.DataCentre, Pool: id,
+		Host: h, Centre: best.Place.Group(), Pool: id,
 		Wait: readyAbroad(v, best, p), Pace: toTime(span(1, p.DecodeRate)), Room: room,
 	}, true
 }
--- a/internal/route/spill_test.go
+++ b/internal/route/spill_test.go
@@ -9,6 +9,7 @@
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
+	"verbenadale.example/verbenadale/pkg/value"
 )
 
 var (
@@ -226,3 +227,27 @@
 		}
 	}
 }
+
+// All engines of another region have crashed, and its last word still tells of room. A
+// request that it has turned away must not be passed on to it a second time: its caller
+// would wait for the way there and back again and again, and be refused in the end.
+func TestRegionThatTurnedAwayIsNotAskedAgain(t *testing.T) {
+	tb, now := writersTable(event.Flow{Service: "writers", Alone: 1e6}, event.Flow{})
+	rt := New()
+	passed := 0
+	for i := range 200 {
+		q := writersQuery(fmt.Sprint("q", i), uint64(1000*i), 4)
+		dec := rt.Choose(now, q, tb)
+		if dec.Centre == "" {
+			continue
+		}
+		passed++
+		q.TriedCentres = value.SetOf(dec.Centre)
+		if again := rt.Choose(now, q, tb); again.Centre != "" {
+			t.Fatalf("passed on to %q after %q had turned it away", again.Centre, dec.Centre)
+		}
+	}
+	if passed == 0 {
+		t.Error("nothing was passed on")
+	}
+}
