hold what has no place yet at a host that has just started

Ruled out: that the list of targets came late; it was read 10 ms after the start. Change: in the first 2 s a request without a place looks again each 50 ms for as long as it could be answered in time; after that it is refused at once as before. Test that fails first: TestFreshHostHoldsWhatHasNoPlaceYet.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -54,6 +54,10 @@
 // when a burst of failures comes before the first whole answers; a caller that
 // is new is told to come back, but one with half an answer can't.
 func (rd *Reducer) noPlace(now ident.Time, r *request, code codes.ID) {
+	if at := now.Add(learnPause); rd.learns(now, r) && at < rd.startBy(r) {
+		rd.agenda.add(appointment{at: at, req: r, do: rd.place})
+		return
+	}
 	at := now.Add(resumePause)
 	if r.delivered == 0 || r.waits >= resumeWaits || at >= r.deadline {
 		rd.end(now, r, unplaced(r, code))
@@ -63,6 +67,22 @@
 	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
 }
 
+// How long a host that has started learns who else is there, and the pause between two
+// looks for a place meanwhile. Links to all other regions stood 0.9 s after a start.
+const (
+	learnSpan  = 2 * time.Second
+	learnPause = 50 * time.Millisecond
+)
+
+// learns reports whether a place for a request may still show.
+//
+// After all hosts of a region have lost power, their callers come at once, and a host has
+// read the list of targets before it has heard of another region. What must run there was
+// refused by the hundred in that second, to come back when its goal had passed.
+func (rd *Reducer) learns(now ident.Time, r *request) bool {
+	return r.profile.Route != nil && r.delivered == 0 && r.tries == 0 && now.Sub(rd.startedAt) < learnSpan
+}
+
 // unplaced is the refusal of a request that no choice is left for.
 func unplaced(r *request, code codes.ID) refusal {
 	if r.mayHaveRun {
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -359,3 +359,29 @@
 		t.Errorf("a host that has run for a window makes %d second tries of 40", n)
 	}
 }
+
+// All hosts of a region have lost power, and one is back before it has heard of any other
+// region. A request that may only run elsewhere comes in that moment; refused, it would
+// come back when its goal has passed.
+func TestFreshHostHoldsWhatHasNoPlaceYet(t *testing.T) {
+	p := newPost(t, 0, core.Bounds{})
+	id := ident.RequestID("early")
+	effs := p.step(event.RequestArrived{Request: event.Request{
+		ID: id, Account: "callers", Profile: "draft", Deadline: p.now.Add(3 * time.Second),
+	}})
+	if r, refused := pick[event.Refuse](effs); refused {
+		t.Fatalf("refused with %s in the first moment", r.Code)
+	}
+	var refused bool
+	began := p.now
+	for range 40 {
+		p.now = p.now.Add(50 * time.Millisecond)
+		if _, ok := pick[event.Refuse](p.step(event.Tick{})); ok {
+			refused = true
+			break
+		}
+	}
+	if held := p.now.Sub(began); !refused || held > 600*time.Millisecond {
+		t.Errorf("refused: %v, after %s of a goal of 500 ms", refused, held)
+	}
+}
