leave a region alone for a moment that has turned a request away

Change: 300 ms after a region had no room for a service it is passed nothing more of it, by the host that heard so. Test: TestRegionThatTurnedAwayIsLeftAloneForAMoment.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -228,6 +228,9 @@
 	}
 	r.delivered = max(r.delivered, e.Delivered)
 	r.generated += e.Generated
+	if a.target == "" && e.Result == event.ResultNotRun && (e.Code == codes.Overloaded.ID || e.Code == codes.NoTarget.ID) {
+		rd.table.TurnAway(now, a.dec.Centre, r.profile.Service)
+	}
 	if e.Leaving && a.target != "" {
 		rd.table.MarkLeaving(now, a.target, a.incarnation)
 	}
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -66,8 +66,11 @@
 	given  []given
 	taken  []given
 	passed []*passed
-	told   lastSent
-	tries  uint64
+	// away is when the data centre last turned a request away for want of room, by
+	// service.
+	away  map[string]ident.Time
+	told  lastSent
+	tries uint64
 	// vain counts the summaries in a row that went out again because the data
 	// centre has not told that it has the highest revision.
 	vain int
--- a/internal/route/spill.go
+++ b/internal/route/spill.go
@@ -57,7 +57,7 @@
 		place := v.tb.Self().Place
 		if r.Centre != nil {
 			place = r.Centre.Place
-			if _, out := centreRuledOut(v, r.Centre, cheapFilters); out {
+			if _, out := centreRuledOut(v, r.Centre, cheapFilters); out || v.tb.TurnedAway(v.now, r.Centre, v.q.Profile.Service) {
 				continue
 			}
 		}
