tell peers four times a second what was sent, in small regions

Cause: an engine reads what it is sent in a few tenths of a second, and hosts knew of each other's sends by heartbeats, half a second old on average. The word is worth much; it comes late. Change: between heartbeats a host that has prompts unread tells what it has sent, each 250 ms to three peers, as 12 words a second at the most to all of them. From 12 peers on there are heartbeats only, so that the control bytes at 360 hosts stay as they were. Test: TestHostsTellWhatTheySentMoreOftenInSmallRegions.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -161,8 +161,10 @@
 // beatState follows the digests and summaries that this host sends.
 type beatState struct {
 	due ident.Time
-	seq uint64
-	sum uint64
+	// useDue is when peers are told again of what was sent to targets.
+	useDue ident.Time
+	seq    uint64
+	sum    uint64
 	// words says that a leaving word waits that goes out at once, peers that a
 	// new peer waits for all that is known, asks that another data centre has
 	// changed what it asks for.
