--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -164,44 +164,6 @@
 // key, of which a request of a route has none.
 func (r *request) keeps() bool { return r.once && r.profile.Route == nil }
 
-// waitPart is the part of its time that a request of a route may wait for a
-// place before its first try. What is left must do for the answer, or for its
-// caller to come back.
-const waitPart = 0.5
-
-// startBy returns until when a request may wait for a place: as long as it can then still
-// be answered within its goal, but no longer than half of its time. Past that it is of
-// little use to its caller, and the time that it would take makes the next ones late
-// too; held longer, a refusal leaves no time to come back. One that has been tried
-// may wait until its deadline: its caller may have half an answer, and whether it
-// ran can't be taken back.
-func (rd *Reducer) startBy(r *request) ident.Time {
-	rt := r.profile.Route
-	if rt == nil || rt.GoalMs <= 0 || r.tries > 0 {
-		return r.deadline
-	}
-	half := time.Duration(waitPart * float64(r.deadline.Sub(r.arrived)))
-	if rd.late(r) {
-		return r.arrived.Add(min(part(rt.Goal(), latePart), half))
-	}
-	return r.arrived.Add(min(max(rd.slack.Wait(r.profile.Name, rt.Goal(), r.age), leastWait), half))
-}
-
-// late reports whether a request came too late to be answered within its goal.
-func (rd *Reducer) late(r *request) bool {
-	rt := r.profile.Route
-	return rt != nil && r.age > 0 && rd.slack.Wait(r.profile.Name, rt.Goal(), r.age) <= 0
-}
-
-// latePart is the part of its goal that a request may wait which came too late to be
-// answered within it. As long as others come in time it goes behind them, and the longer
-// it is held the less its caller can do with a refusal.
-const latePart = 0.25
-
-// leastWait is what a request may wait at the least: the time in which a place that has just
-// become free is seen.
-const leastWait = 100 * time.Millisecond
-
 // stillServes reports whether a host that drains takes a request all the same.
 // Callers keep to a host for as long as they were told of it, and a refusal
 // costs them a try.
@@ -209,57 +171,6 @@
 	return p.Route != nil && now.Sub(rd.drainAt) < rd.bounds.DrainServe
 }
 
-// How long an attempt may be silent that another can be made after.
-const (
-	// firstPart is the part of the goal that the first byte of a stream may
-	// take at the least, and callPart that of the answer to a call: below that
-	// the tail of a sound target would be asked twice. What is left of the goal
-	// is for the second try to meet it.
-	firstPart = 0.75
-	callPart  = 1.0 / 3
-	// lostPart is how many goals the first byte of a stream may take where the second
-	// try could not meet the goal either. Callers bear at least four. In a burst of 1.6
-	// times the usual load 253 of 1,384 long prompts were broken off after 0.75 to 1.7 s
-	// though no answer was lost, and each was read a second time.
-	lostPart = 2.5
-	// gapFactor is how many times the goal between two events a stream may
-	// pause, and gapLeast the least: an engine that reads a long prompt for
-	// somebody else, or puts a request back, pauses for a second and more. Callers
-	// bear 4 s; of 130 streams broken off after 1.2 s in 34 s at 90 hosts, 58 were never
-	// whole.
-	gapFactor = 4
-	gapLeast  = 2 * time.Second
-)
-
-// patience returns how long an attempt may be silent.
-//
-// A target may run a request and its answer be lost on the way without a word:
-// the connection stands, and nothing comes. The caller would wait until its
-// deadline for what another target answers in a fraction of that. Under load all
-// answers come late, and to ask twice then would make them later still; so the
-// bound follows the times that are usual for the service. Where nothing can be
-// tried after it, there is nothing to gain by breaking an attempt off.
-func (rd *Reducer) patience(r *request, dec route.Decision) event.Patience {
-	rt := r.profile.Route
-	if rt == nil || r.once || r.forwarded || rt.GoalMs <= 0 || r.tries >= rt.MaxAttempts {
-		return event.Patience{}
-	}
-	late := rd.slack.LateAfter(r.profile.Name)
-	if rt.Kind != rules.Streaming {
-		return event.Patience{First: dec.Wait + max(late, part(rt.Goal(), callPart))}
-	}
-	first := part(rt.Goal(), firstPart)
-	if late > first {
-		first = max(late, part(rt.Goal(), lostPart))
-	}
-	return event.Patience{
-		First: dec.Wait + first,
-		Gap:   max(gapFactor*time.Duration(rt.GapMs)*time.Millisecond, gapLeast),
-	}
-}
-
-func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
-
 // Following of the length of streams.
 const (
 	// lengthWeight is the weight of one stream in the usual length of its route's.
--- /dev/null
+++ b/internal/core/wait.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// waitPart is the part of its time that a request of a route may wait for a
+// place before its first try. What is left must do for the answer, or for its
+// caller to come back.
+const waitPart = 0.5
+
+// startBy returns until when a request may wait for a place: as long as it can then still
+// be answered within its goal, but no longer than half of its time. Past that it is of
+// little use to its caller, and the time that it would take makes the next ones late
+// too; held longer, a refusal leaves no time to come back. One that has been tried
+// may wait until its deadline: its caller may have half an answer, and whether it
+// ran can't be taken back.
+func (rd *Reducer) startBy(r *request) ident.Time {
+	rt := r.profile.Route
+	if rt == nil || rt.GoalMs <= 0 || r.tries > 0 {
+		return r.deadline
+	}
+	half := time.Duration(waitPart * float64(r.deadline.Sub(r.arrived)))
+	if rd.late(r) {
+		return r.arrived.Add(min(part(rt.Goal(), latePart), half))
+	}
+	return r.arrived.Add(min(max(rd.slack.Wait(r.profile.Name, rt.Goal(), r.age), leastWait), half))
+}
+
+// late reports whether a request came too late to be answered within its goal.
+func (rd *Reducer) late(r *request) bool {
+	rt := r.profile.Route
+	return rt != nil && r.age > 0 && rd.slack.Wait(r.profile.Name, rt.Goal(), r.age) <= 0
+}
+
+// latePart is the part of its goal that a request may wait which came too late to be
+// answered within it. As long as others come in time it goes behind them, and the longer
+// it is held the less its caller can do with a refusal.
+const latePart = 0.25
+
+// leastWait is what a request may wait at the least: the time in which a place that has just
+// become free is seen.
+const leastWait = 100 * time.Millisecond
