--- a/internal/core/overload_test.go
+++ b/internal/core/overload_test.go
@@ -49,7 +49,6 @@
 	red  *core.Reducer
 	now  ident.Time
 	todo agenda
-	wake ident.Time
 	// busy is until when each engine reads what it was sent.
 	busy map[ident.TargetID]ident.Time
 	// first is when the caller of a request first asked.
