--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// Two planned stops of one host overlapped: the second SIGTERM had it end at once, in the
+// middle of a caller's stream.
+func TestOverlappingStopsCutNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for a quarter of a minute")
+	}
+	rep, err := Run(context.Background(), Config{Program: program, Seed: 1796274126, For: 12 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(rep)
+	if len(rep.Broken) > 0 {
+		t.Error("promises are broken")
+	}
+}
+
 // A seed is kept as a case once it has failed. That is of use only if it draws
 // the same plan again.
 func TestPlanOfASeedStays(t *testing.T) {
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -103,6 +103,13 @@
 	return b
 }
 
+// Slow sets the pause between two events of its streams.
+func (k *Worker) Slow(pause time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cfg.Pause = pause
+}
+
 // Rebirth has the worker start again under its id while its network is broken: nothing
 // that it ran is answered, no connection is closed, and its counts start anew.
 func (k *Worker) Rebirth(born int64) {
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -323,8 +323,8 @@
 // its work still counted, a target that has just started would look full until the
 // deadlines of requests that nobody answers any more; the ends of these are not counted
 // a second time, since each names its incarnation. Two things stay: the times of the
-// sends while it was cold, whose bound is on the target and not on its start, and what is usual for
-// its service.
+// sends while it was cold, whose bound is on the target and not on its start, and what is
+// usual for its service.
 func (tb *Table) restart(now ident.Time, t *Target, d event.Target) {
 	for _, p := range tb.peers {
 		p.use = slices.DeleteFunc(p.use, func(u event.TargetUse) bool { return u.Target == t.ID })
