learn a target's first incarnation without taking it for a new start

The platform's list tells no incarnation (0), the first load report does, and the step from 0 was taken for a restart; a list without incarnations after ten silent seconds likewise. Ruled out: the links and the addresses of the test (the line names the target and the cause); load (it only widens the time between the list and the first report). Change: Table.learnStart takes the first incarnation in place, what was sent before stays at that start, and a leaving word without incarnation stays in force.

--- a/internal/member/recent.go
+++ b/internal/member/recent.go
@@ -81,6 +81,9 @@
 		tb.beat.words = true
 	}
 	t, ok := tb.byID[ld.Target]
+	if ok {
+		tb.learnStart(t, ld.Incarnation)
+	}
 	if !ok || ld.Incarnation < t.Incarnation {
 		return nil, false
 	}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -84,6 +84,9 @@
 	Leaves bool
 	Gone   bool
 
+	// learnt says that the incarnation was not known when the target was first seen:
+	// what was sent then names none and is at the same start.
+	learnt bool
 	listed bool
 	// missing says that the newest complete list lacks it.
 	missing bool
@@ -299,6 +302,8 @@
 		return
 	}
 	t.listed = true
+	tb.learnStart(t, d.Incarnation)
+	d.Incarnation = cmp.Or(d.Incarnation, t.Incarnation)
 	switch {
 	case d.Incarnation == t.Incarnation:
 		tb.relist(now, t, d)
@@ -317,6 +322,22 @@
 	tb.settleLeaving(now, t)
 }
 
+// learnStart takes the incarnation of a target of which none was known so far.
+//
+// A platform's list may leave the incarnations out; the first report of a target's load
+// then tells its own. Taken for a new start, it would break off what the target runs, and
+// callers of what may run only once would be told that nobody knows what became of it.
+func (tb *Table) learnStart(t *Target, inc ident.Incarnation) {
+	if t.Incarnation != 0 || inc == 0 {
+		return
+	}
+	t.Incarnation, t.learnt = inc, true
+	if w, ok := tb.left[t.ID]; ok && w.incarnation == 0 {
+		w.incarnation = inc
+		tb.left[t.ID] = w
+	}
+}
+
 // restart begins a new incarnation.
 //
 // Nothing that the former one ran goes on, and it holds nothing of what it read. Were
@@ -348,7 +369,7 @@
 // runs.
 func (tb *Table) current(id ident.TargetID, inc ident.Incarnation) (*Target, bool) {
 	t, ok := tb.byID[id]
-	return t, ok && t.Incarnation == inc
+	return t, ok && (t.Incarnation == inc || inc == 0 && t.learnt)
 }
 
 // Runs reports whether an incarnation of a target is the newest one known.
