send nothing on for a peer that has left, and never an empty body in place of one

A case-close was passed on, its caller got a 502 after 2 s, and 1.8 s later the other host sent it to a target with an empty body. The body had come whole and the stream had ended since; both channels were ready, and select took the end with a nil error in half of the cases. A request that may run once was not broken off either, since it might have been running. Ruled out: buffers used twice (every message is encoded into memory of its own, yamux copies what it keeps); the link (TCP changes no bytes). Change: the stream's end breaks a request off until its body was asked for; after that a peer that has left means an error, and the request counts as not run.

--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -220,6 +220,33 @@
 	}
 }
 
+// A booking waits at another host for a place, its whole body there, and its caller is
+// told that it failed. Sent all the same once there is a place, it would run long after,
+// and with the body taken for missing the target would get an empty one.
+func TestCallerLeavesWhileItsBookingWaits(t *testing.T) {
+	for range 10 {
+		began, read := make(chan struct{}), make(chan error, 1)
+		x, y := pair(t, Config{Confined: func(ident.Profile) bool { return false }}, Config{}, func(ctx context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
+			close(began)
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Second):
+				t.Error("the other host does not notice that nobody wants the booking")
+			}
+			_, err := c.ReadBody()
+			read <- err
+			sink.Refuse(event.Refuse{Code: codes.BadRequest.ID, Outcome: event.NotRun})
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		l := &leaver{began: began, cancel: cancel}
+		go l.run()
+		forward(ctx, x, y, "body", func(p *serve.Passed) { p.Forward.Once = true })
+		if err := <-read; err == nil {
+			t.Fatal("a booking that nobody wants any more is sent")
+		}
+	}
+}
+
 // leaver is a caller that leaves once its request runs.
 type leaver struct {
 	began  <-chan struct{}
--- a/internal/peer/take.go
+++ b/internal/peer/take.go
@@ -30,6 +30,8 @@
 	// longer wants the answer.
 	watch *watch
 	gone  atomic.Bool
+	// asked says that the body was asked for: the request may be at a target from then on.
+	asked atomic.Bool
 
 	ended bool
 	bytes uint64
@@ -136,7 +138,12 @@
 // readBody asks for the body and waits for it. Its time and its length are
 // bounded, so that a slow or huge sender holds this host's memory no longer than
 // that.
+//
+// Of a peer that no longer wants the answer there is no body, also where all of it has come:
+// the request has reached no target yet, and need not any more. Without this a target was
+// given a call with an empty body 1.8 s after its caller had been told that it failed.
 func (k *take) readBody() ([]byte, error) {
+	k.asked.Store(true)
 	if err := k.part.write(&wire.Part{Body: &wire.Part_GoOn{GoOn: &wire.GoOn{}}}); err != nil {
 		return nil, errors.Wrap(ErrLink, err.Error())
 	}
@@ -144,12 +151,14 @@
 	defer late.Close()
 	select {
 	case <-k.watch.whole:
-		return k.watch.body, nil
 	case <-k.watch.done:
-		return nil, k.watch.err
 	case <-late.C():
 		return nil, errors.Wrap(ErrLink, "the body does not come")
 	}
+	if k.gone.Load() {
+		return nil, errors.Wrap(ErrLink, "the peer has left")
+	}
+	return k.watch.body, nil
 }
 
 // startWatch has the stream read from now on.
@@ -187,7 +196,9 @@
 		w.k.drain()
 	}
 	w.k.gone.Store(true)
-	if !w.k.open.GetOnce() || w.err != nil {
+	// What may not be repeated and may be at a target runs to its end: broken off, nobody
+	// could tell whether it ran.
+	if !w.k.open.GetOnce() || !w.k.asked.Load() || w.err != nil {
 		w.k.cancel()
 	}
 	return nil
