serve what ends in time for as long as a host drains

Ruled out: naming other regions' hosts. Two routes of one name have different homes, so that no region may be named to all of its callers. Change: past the time in which everything is served a request is taken if nearly all of its route have had their whole answer (mean and four deviations, half as much again) before the drain's end; who is refused while no other host of the region stays is told when the successor is there. TestDrainingServesWhatEndsInTime fails without it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -257,16 +257,6 @@
 	}
 }
 
-func (rd *Reducer) drain(now ident.Time) {
-	if rd.draining {
-		return
-	}
-	rd.draining = true
-	rd.drainAt = now
-	rd.self.Leaving = true
-	rd.table.SetLeaving()
-}
-
 // tick does what is due by time, after each event.
 func (rd *Reducer) tick(now ident.Time) {
 	rd.table.SetBlind(rd.spread.Blind())
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -139,8 +139,8 @@
 	if r.forwarded && rd.circles(r) {
 		return refuseAs(codes.TooManyHops), false
 	}
-	if rd.draining && r.Ticket == "" && !rd.stillServes(now, p) {
-		return rd.elsewhere(now, r, codes.Draining), false
+	if rd.draining && r.Ticket == "" && !rd.stillServes(now, r) {
+		return rd.refuseDraining(now, r), false
 	}
 	r.once = p.Once || r.Ticket != "" || r.Key != "" || p.Route != nil && !p.Route.Repeatable()
 	rd.pickService(r)
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -25,8 +25,9 @@
 	// hosts may send it in one second.
 	ColdOvershoot, ColdSlack float64
 	// DrainLeast is how long a drain lasts at least, DrainServe how long new
-	// requests of routes are still served in it.
-	DrainLeast, DrainServe time.Duration
+	// requests of routes are served in it whatever they take, DrainEnd when what
+	// still runs is cut.
+	DrainLeast, DrainServe, DrainEnd time.Duration
 	// SharedReads says that the platform's store is read all the time by two hosts
 	// of a data centre only.
 	SharedReads bool
@@ -164,13 +165,6 @@
 // key, of which a request of a route has none.
 func (r *request) keeps() bool { return r.once && r.profile.Route == nil }
 
-// stillServes reports whether a host that drains takes a request all the same.
-// Callers keep to a host for as long as they were told of it, and a refusal
-// costs them a try.
-func (rd *Reducer) stillServes(now ident.Time, p rules.Profile) bool {
-	return p.Route != nil && now.Sub(rd.drainAt) < rd.bounds.DrainServe
-}
-
 // Following of the length of streams.
 const (
 	// lengthWeight is the weight of one stream in the usual length of its route's.
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -233,6 +233,39 @@
 	}
 }
 
+// The only host of a region drains, and its callers know no other. Short calls that end
+// long before it does are served until then; refused, their callers had no answer at all.
+func TestDrainingServesWhatEndsInTime(t *testing.T) {
+	p := newPost(t, 1, core.Bounds{DrainServe: 2 * time.Second, DrainLeast: 4 * time.Second, DrainEnd: 6 * time.Second})
+	for range 4 {
+		d := p.send("fetch")
+		p.now = p.now.Add(50 * time.Millisecond)
+		p.step(event.FirstToken{Attempt: d.Attempt})
+		p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone})
+	}
+	p.step(event.DrainAsked{})
+	ask := func(after time.Duration) []event.Effect {
+		p.now = p.now.Add(after)
+		return p.step(event.RequestArrived{Request: event.Request{
+			ID: ident.RequestID(fmt.Sprint("late", p.now)), Account: "callers", Profile: "fetch", Deadline: p.now.Add(4 * time.Second),
+		}})
+	}
+	effs := ask(4 * time.Second)
+	d, ok := pick[event.Dispatch](effs)
+	if !ok {
+		t.Fatalf("a call that ends in time is not sent: %v", effs)
+	}
+	p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone})
+	effs = ask(1900 * time.Millisecond)
+	r, ok := pick[event.Refuse](effs)
+	if !ok || r.Code != codes.Draining.ID || r.Outcome != event.NotRun {
+		t.Fatalf("a call right before the end: %v", effs)
+	}
+	if r.RetryAfter < time.Second {
+		t.Errorf("the caller is told to come back after %v, when nobody is there", r.RetryAfter)
+	}
+}
+
 // Every place of the only engine is taken by answers that take a second. The
 // next request waits for the first of them to end; it is refused neither at once
 // nor because its answer may be long, as most answers are not.
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -137,6 +137,11 @@
 	return hs
 }
 
+// Relieved reports whether a live host of the own data centre is there to stay.
+func (tb *Table) Relieved(now ident.Time) bool {
+	return slices.ContainsFunc(tb.peers, func(p *peer) bool { return p.live(now) && !p.host.Leaving })
+}
+
 // Watches reports whether this host watches the platform for its data centre.
 func (tb *Table) Watches(now ident.Time) bool {
 	return tb.watcher(now) == tb.self.ID
--- a/internal/slack/slack.go
+++ b/internal/slack/slack.go
@@ -53,13 +53,33 @@
 	routes map[ident.Profile]*answers
 }
 
-// answers is the smoothed time to the first byte and its smoothed deviation.
+// answers is what is known of the answers of one route.
 type answers struct {
-	first, spread time.Duration
+	// first is the time from sending to the first byte, whole that from the arrival of a
+	// request to the end of its answer.
+	first, whole span
 	// usual is the longest time that callers gave of late.
 	usual time.Duration
 }
 
+// span is a smoothed time and its smoothed deviation. The zero value knows nothing.
+type span struct {
+	mean, spread time.Duration
+}
+
+func (s *span) add(took time.Duration) {
+	if s.mean == 0 {
+		s.mean, s.spread = took, took/2
+		return
+	}
+	off := took - s.mean
+	s.mean += time.Duration(weight * float64(off))
+	s.spread += time.Duration(weight * float64(off.Abs()-s.spread))
+}
+
+// within returns the time that is longer than the mean by a number of deviations.
+func (s span) within(deviations time.Duration) time.Duration { return s.mean + deviations*s.spread }
+
 // New returns an empty book.
 func New() *Book { return &Book{routes: make(map[ident.Profile]*answers)} }
 
@@ -89,35 +109,36 @@
 }
 
 // Began takes the time from sending a request to the first byte of its answer.
-func (b *Book) Began(name ident.Profile, took time.Duration) {
-	a := b.of(name)
-	if a.first == 0 {
-		a.first, a.spread = took, took/2
-		return
-	}
-	off := took - a.first
-	a.first += time.Duration(weight * float64(off))
-	a.spread += time.Duration(weight * float64(off.Abs()-a.spread))
-}
+func (b *Book) Began(name ident.Profile, took time.Duration) { b.of(name).first.add(took) }
+
+// Ended takes the time from the arrival of a request to the end of its whole answer.
+func (b *Book) Ended(name ident.Profile, took time.Duration) { b.of(name).whole.add(took) }
 
 // First returns the time to a first byte that most answers of a route stay below, zero
 // where none is known.
 func (b *Book) First(name ident.Profile) time.Duration {
-	a, ok := b.routes[name]
-	if !ok {
-		return 0
+	if a, ok := b.routes[name]; ok {
+		return a.first.within(deviations)
 	}
-	return a.first + deviations*a.spread
+	return 0
 }
 
 // LateAfter returns the time to a first byte past which an answer of a route is unusually
 // late, zero where none is known.
 func (b *Book) LateAfter(name ident.Profile) time.Duration {
-	a, ok := b.routes[name]
-	if !ok {
-		return 0
+	if a, ok := b.routes[name]; ok {
+		return a.first.within(lostDeviations)
+	}
+	return 0
+}
+
+// WholeAfter returns the time from its arrival within which nearly every request of a
+// route has had its whole answer, zero where none is known.
+func (b *Book) WholeAfter(name ident.Profile) time.Duration {
+	if a, ok := b.routes[name]; ok {
+		return a.whole.within(lostDeviations)
 	}
-	return a.first + lostDeviations*a.spread
+	return 0
 }
 
 // Wait returns how long a request of a route may wait for a place, where age is what it has
