copy a beginning from who was sent it, also to the engine that is usual for it

Change: Router.source takes an engine that this host has sent the beginning to before the usual one, and serves the usual one as well. TestUsualEngineCopiesWhatAnotherHolds fails without it.

--- a/internal/route/copy.go
+++ b/internal/route/copy.go
@@ -18,15 +18,10 @@
 // for one more request, another would read the beginning once more; engines hand it
 // to each other in milliseconds.
 func (rt *Router) copied(v *view, c *cand) {
-	h, ok := rt.usual()
-	if !ok || h.target == c.t.ID {
+	h, ok := rt.source(c.t.ID)
+	if !ok {
 		return
 	}
-	for _, w := range rt.warm {
-		if w.target == c.t.ID && w.part >= h.part && w.learned {
-			return
-		}
-	}
 	from, ok := v.tb.Target(h.target)
 	if !ok || !from.Usable(v.now) {
 		return
@@ -37,12 +32,22 @@
 	c.prefill = min(c.prefill, left)
 }
 
-// usual returns the target that ranks first for the shared beginning of a prompt.
-func (rt *Router) usual() (holder, bool) {
+// source returns the engine that another one best copies the beginning of a prompt from,
+// none where that one was sent as much of it by this host.
+//
+// What this host has sent is known, that the usual engine holds it is a guess: it may
+// have been too busy when the beginning was read elsewhere. The usual engine itself was
+// given 152 long beginnings a minute to read that another one nearby held.
+func (rt *Router) source(to ident.TargetID) (best holder, ok bool) {
+	held := 0.0
 	for _, h := range rt.warm {
-		if h.first {
-			return h, true
+		switch {
+		case h.target == to && h.learned:
+			held = h.part
+		case h.target == to:
+		case !ok || h.learned && !best.learned || h.learned == best.learned && h.part > best.part:
+			best, ok = h, true
 		}
 	}
-	return holder{}, false
+	return best, ok && best.part > held
 }
--- a/internal/route/spill_test.go
+++ b/internal/route/spill_test.go
@@ -153,6 +153,29 @@
 	}
 }
 
+// The engine that is usual for a beginning was full when it was first asked for, and
+// another one has read it. With room again the usual one would read it a second time,
+// which costs its streams as long as four short prompts; it copies it from the one that
+// this host has sent it to.
+func TestUsualEngineCopiesWhatAnotherHolds(t *testing.T) {
+	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
+	q := writersQuery("first", 1<<20, 10)
+	usual := New().Choose(now, q, tb).Target
+	rt := New()
+	tb.Prefill(usual.ID, 200000)
+	other := rt.Choose(now, q, tb).Target
+	rt.Learn(now, other.ID, q.Request.Prefix)
+	tb.ReadDone(usual.ID, 200000)
+	tb.Prefill(other.ID, 200000)
+	dec := rt.Choose(now, q, tb)
+	if dec.Target != usual {
+		t.Fatalf("engine %v gets the request, want %s", dec.Target, usual.ID)
+	}
+	if dec.CopyFrom != other {
+		t.Errorf("it copies from %v, want %s", dec.CopyFrom, other.ID)
+	}
+}
+
 // The prompts of streams that run have filled an engine's memory to a half. One more
 // long prompt has it drop beginnings that others share, and the streams that run get
 // slower for each that is read again. The prompt waits; a short one goes on.
