tell the hosts of a region who holds long beginnings

Each host knows what it sent itself, one in twenty of a region's prompts, and takes the rest for held by the engine that ranks first; 10,794 copies were asked for beyond first parts, engines made 4,619. Ruled out: reading the engines' cache events (a call an engine and second, and late); telling of short beginnings too (5,551 of them, some bytes for each request). Change: a heartbeat names the ends of long shared beginnings (2,048 tokens and more) that were brought to targets since the last, where the sender did not know the target to hold them; 12 bytes each, 32 at most. Peers of the region learn them as their own sends. The page of the wire says so; nothing of a prompt follows from the hash of a part. TestPeersTellWhoHoldsABeginning fails without it.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -111,6 +111,7 @@
 	a.unread = dec.Prefill
 	rd.table.Prefill(a.target, a.unread)
 	rd.table.Read(r.profile.Service, r.Prompt, dec.Prefill)
+	rd.noteHolder(now, r, a.target)
 	rd.router.Learn(now, a.target, r.Prefix)
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
@@ -120,6 +121,17 @@
 	})
 }
 
+// noteHolder has peers told that a target gets a long beginning, unless they know.
+func (rd *Reducer) noteHolder(now ident.Time, r *request, id ident.TargetID) {
+	if r.profile.Route == nil || !member.SharesMuch(&r.Request) {
+		return
+	}
+	part := r.Prefix[r.Shared-1]
+	if !rd.router.Knows(now, id, part) {
+		rd.table.Holds(id, part)
+	}
+}
+
 // holderOf names a target to copy from.
 func holderOf(t *member.Target) event.Holder {
 	if t == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,6 +230,11 @@
 	for _, s := range d.Summaries {
 		rd.summary(now, s, false)
 	}
+	for _, h := range d.Held {
+		if t, ok := rd.table.Named(h.Target); ok {
+			rd.router.Learn(now, t.ID, []uint64{h.Part})
+		}
+	}
 }
 
 // summary takes what a summary tells beyond members and offers. Of the hosts
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -9,6 +9,7 @@
 
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -418,3 +419,56 @@
 		t.Errorf("refused: %v, after %s of a goal of 500 ms", refused, held)
 	}
 }
+
+// A host of the region has brought a long beginning to an engine. Another host that is
+// asked for it knows nothing of that by itself: it would have the beginning read once
+// more at an engine of its own choice, as each of twenty hosts would.
+func TestPeersTellWhoHoldsABeginning(t *testing.T) {
+	const blocks, own = 12, 4
+	prompt := func(id string, p *post) event.Request {
+		r := event.Request{
+			ID: ident.RequestID(id), Account: "callers", Profile: "draft", Prompt: 512 * (blocks + own), Shared: blocks,
+			Deadline: p.now.Add(10 * time.Second),
+		}
+		for i := range blocks {
+			r.Prefix = append(r.Prefix, uint64(1000+i))
+		}
+		for i := range own {
+			r.Prefix = append(r.Prefix, rank.Join(rank.Hash(id), uint64(i)))
+		}
+		return r
+	}
+	first := newPost(t, 6, core.Bounds{})
+	usual, ok := pick[event.Dispatch](first.step(event.RequestArrived{Request: prompt("a", first)}))
+	if !ok {
+		t.Fatal("the first prompt is not sent")
+	}
+	holder := event.HeldPart{Part: 1000 + blocks - 1}
+	for i := range 6 {
+		if id := ident.TargetID(fmt.Sprint("t", i)); id != usual.Target.ID {
+			holder.Target = event.TargetKey(rank.Hash(string(id)))
+		}
+	}
+	second := newPost(t, 6, core.Bounds{})
+	peer := event.Host{ID: "w2", Incarnation: 1, Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}}
+	second.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 1, Held: []event.HeldPart{holder}}})
+	d, ok := pick[event.Dispatch](second.step(event.RequestArrived{Request: prompt("b", second)}))
+	if !ok {
+		t.Fatal("the second prompt is not sent")
+	}
+	if event.TargetKey(rank.Hash(string(d.Target.ID))) != holder.Target && d.CopyFrom.Target == "" {
+		t.Errorf("the beginning is read again at %s, though a peer has told who holds it", d.Target.ID)
+	}
+	var told []event.HeldPart
+	for range 3 {
+		second.now = second.now.Add(time.Second)
+		for _, eff := range second.step(event.Tick{}) {
+			if s, ok := eff.(event.SendDigest); ok {
+				told = append(told, s.Digest.Held...)
+			}
+		}
+	}
+	if len(told) > 1 {
+		t.Errorf("peers are told %d times", len(told))
+	}
+}
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -157,6 +157,8 @@
 	Away []AwayUse `json:"away,omitempty"`
 	// Flows is the work that the sender's callers bring for engines.
 	Flows []Flow `json:"flows,omitempty"`
+	// Held is what the sender has brought to targets since its last digest.
+	Held []HeldPart `json:"held,omitempty"`
 	// Wants names what the sender's callers ask for and no target of the data
 	// centre serves, so that the host that speaks for it asks the others.
 	Wants []Want `json:"wants,omitempty"`
@@ -168,6 +170,14 @@
 	Blind bool `json:"blind,omitempty"`
 }
 
+// HeldPart says that a target was brought a prompt with a long beginning that others
+// share, and now probably holds it.
+type HeldPart struct {
+	Target TargetKey `json:"target"`
+	// Part names the last block of the beginning.
+	Part uint64 `json:"part"`
+}
+
 // AwayUse counts the requests of one model or service that one entry host has
 // passed on to another data centre and that have not ended.
 type AwayUse struct {
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -141,6 +141,7 @@
 		to = append(to, tb.probes(now)...)
 	}
 	d := tb.digest(now)
+	d.Held = tb.takeHeld()
 	if regular {
 		d.Loads = tb.newLoads(now)
 		d.Summaries = tb.newSummaries(now)
--- /dev/null
+++ b/internal/member/held.go
@@ -0,0 +1,51 @@
+package member
+
+import (
+	"slices"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// heldMost bounds the beginnings that one digest tells of, some 12 bytes each. A host
+// of an engine region at its peak brings ten a second; of what is left out peers know as
+// much as without these words.
+const heldMost = 32
+
+// Holds takes note that a target was brought a long shared beginning, by the block that
+// ends it. Peers are told with the next digest.
+//
+// A host knows only what it sent itself, and takes the rest for held by the engine that
+// ranks first for it. 61 hosts asked 1,730 times in 26 s that a long beginning be copied,
+// and 9,064 times that a short one be, and engines made 4,619 copies in all: the rest was not
+// there and was read again. Told of each other's sends, hosts had a third less
+// of it read: 0.0208 of what callers are worth went into reading beginnings again, before
+// 0.0271, and 0.6882 were left, before 0.6808 (9 hosts before 12 engines, 20 days of a
+// minute with failures).
+func (tb *Table) Holds(id ident.TargetID, part uint64) {
+	t, ok := tb.byID[id]
+	if !ok || len(tb.beat.held) >= heldMost {
+		return
+	}
+	key := keyOf(id)
+	if tb.byKey[key] != t {
+		return // Another target goes by the same key.
+	}
+	h := event.HeldPart{Target: key, Part: part}
+	if !slices.Contains(tb.beat.held, h) {
+		tb.beat.held = append(tb.beat.held, h)
+	}
+}
+
+// takeHeld returns what peers are to be told, once.
+func (tb *Table) takeHeld() []event.HeldPart {
+	hs := tb.beat.held
+	tb.beat.held = nil
+	return hs
+}
+
+// Named returns the target that goes by a key.
+func (tb *Table) Named(key event.TargetKey) (*Target, bool) {
+	t := tb.byKey[key]
+	return t, t != nil
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -171,6 +171,8 @@
 	words bool
 	peers bool
 	asks  bool
+	// held is what peers are told of next.
+	held []event.HeldPart
 }
 
 // New returns an empty table.
--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -136,6 +136,17 @@
 	}
 }
 
+// Knows reports whether a target was sent a prompt with a block of late: within half of the
+// time for which it is believed to hold it, so that others can be told again in time.
+func (rt *Router) Knows(now ident.Time, id ident.TargetID, block uint64) bool {
+	c, ok := rt.caches.byTarget[id]
+	if !ok {
+		return false
+	}
+	b := c.blocks[block]
+	return b.learned && now.Sub(b.sentAt) <= learnLife/2
+}
+
 // Forget drops what is known of the cache of a target, such as when it was
 // restarted.
 func (rt *Router) Forget(id ident.TargetID) {
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -18,6 +18,7 @@
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
 		Lacks: convert(d.Lacks, fromLack), ListVersion: d.ListVersion, Flows: convert(d.Flows, fromFlow),
+		Held: fromHeld(d.Held),
 	}
 }
 
@@ -31,6 +32,7 @@
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
 		Lacks: convert(p.GetLacks(), toLack), ListVersion: p.GetListVersion(), Flows: convert(p.GetFlows(), toFlow),
+		Held: p.GetHeld().toHeld(),
 	}
 }
 
@@ -114,6 +116,26 @@
 	return event.Flow{Service: p.GetService(), Alone: number(p.GetAlone()), Shared: number(p.GetShared())}
 }
 
+func fromHeld(hs []event.HeldPart) *HeldParts {
+	if len(hs) == 0 {
+		return nil
+	}
+	p := &HeldParts{}
+	for _, h := range hs {
+		p.Targets = append(p.Targets, uint32(h.Target))
+		p.Parts = append(p.Parts, h.Part)
+	}
+	return p
+}
+
+func (p *HeldParts) toHeld() []event.HeldPart {
+	var hs []event.HeldPart
+	for i := range min(len(p.GetTargets()), len(p.GetParts())) {
+		hs = append(hs, event.HeldPart{Target: event.TargetKey(p.GetTargets()[i]), Part: p.GetParts()[i]})
+	}
+	return hs
+}
+
 func fromUse(u event.TargetUse) *TargetUse {
 	return &TargetUse{Target: string(u.Target), Running: int64(u.Running), Tokens: int64(u.Tokens), Key: uint32(u.Key), Unread: int64(u.Unread)}
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -17,7 +17,9 @@
 // neither its host nor its place.
 //
 // The digests of a prompt's blocks have no field here: they stay on the host
-// that read the prompt.
+// that read the prompt, but for the one that ends a long beginning which many share.
+// Hosts of one region tell it each other with the target that holds it; no text follows
+// from it.
 package wire
 
 import (
