have engines begin prompts by what is left to read, then by urgency

Cause: late long answers. Change: internal/order. Three lengths (2,048 and 8,192 tokens left to read), by urgency within.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -5,6 +5,7 @@
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/order"
 	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/route"
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -115,12 +116,21 @@
 	rd.router.Learn(now, a.target, r.Prefix)
 	rd.emit(event.Dispatch{
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
-		Priority: r.profile.Priority, Deadline: r.deadline, Resume: r.delivered,
+		Priority: level(r, dec), Deadline: r.deadline, Resume: r.delivered,
 		Once: r.finishes(), Keep: r.keeps() && !r.forwarded, CopyFrom: holderOf(dec.CopyFrom),
 		Basis: rd.basis(now, r, dec), Patience: rd.patience(r, dec),
 	})
 }
 
+// level returns the level at which an engine is to begin a request. Engines that report
+// their own queue know the urgency of profiles only.
+func level(r *request, dec route.Decision) int {
+	if r.profile.Route == nil {
+		return r.profile.Priority
+	}
+	return order.Level(r.profile.Priority, dec.Prefill)
+}
+
 // noteHolder has peers told that a target gets a long beginning, unless they know.
 func (rd *Reducer) noteHolder(now ident.Time, r *request, id ident.TargetID) {
 	if r.profile.Route == nil || !member.SharesMuch(&r.Request) {
--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,133 @@
+package order
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+func TestLevelGoesByLengthAndThenByUrgency(t *testing.T) {
+	var got []int
+	for _, unread := range []ident.Tokens{0, brief, brief + 1, medium, medium + 1, 1 << 20} {
+		for _, urgency := range []int{Top, Top - 1, 0, -3, Top + 2} {
+			got = append(got, Level(urgency, unread))
+		}
+	}
+	want := []int{
+		9, 8, 7, 7, 9, 9, 8, 7, 7, 9,
+		6, 5, 4, 4, 6, 6, 5, 4, 4, 6,
+		3, 2, 1, 1, 3, 3, 2, 1, 1, 3,
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("levels (-want +got):\n%s", diff)
+	}
+}
+
+// job is a prompt at the played engine.
+type job struct {
+	at      time.Duration
+	left    float64
+	level   int
+	long    bool
+	started time.Duration
+}
+
+// Figures of the played engine.
+const (
+	// reads is what it reads in a millisecond, chunk what it reads at one go.
+	reads = 70.0
+	chunk = 1024.0
+	// goal is that of both kinds of prompts.
+	goal = time.Second
+	// played is how long callers come.
+	played = 120 * time.Second
+)
+
+// play has an engine read prompts by level, those of one level in the order of their coming,
+// and returns which part of the short and of the long ones began within the goal.
+func play(load float64, level func(long bool, unread ident.Tokens) int) (short, long float64) {
+	rnd := rand.New(rand.NewPCG(7, 11))
+	var jobs []*job
+	const meanShort, meanLong, longPart = 1800, 6600, 0.2
+	each := (1-longPart)*meanShort + longPart*meanLong
+	for at := time.Duration(0); at < played; {
+		at += time.Duration(rnd.ExpFloat64() * each / (reads * load) * float64(time.Millisecond))
+		j := &job{at: at, long: rnd.Float64() < longPart}
+		mean := float64(meanShort)
+		if j.long {
+			mean = meanLong
+		}
+		const spread = 1.2
+		j.left = min(mean*math.Exp(spread*rnd.NormFloat64()-spread*spread/2), 50000)
+		j.level = level(j.long, ident.Tokens(j.left))
+		jobs = append(jobs, j)
+	}
+	var waiting []*job
+	now, next := time.Duration(0), 0
+	for next < len(jobs) || len(waiting) > 0 {
+		for next < len(jobs) && jobs[next].at <= now {
+			waiting = append(waiting, jobs[next])
+			next++
+		}
+		if len(waiting) == 0 {
+			now = jobs[next].at
+			continue
+		}
+		best := slices.IndexFunc(waiting, func(j *job) bool {
+			return !slices.ContainsFunc(waiting, func(o *job) bool { return o.level > j.level })
+		})
+		j := waiting[best]
+		n := min(chunk, j.left)
+		j.left -= n
+		now += time.Duration(n / reads * float64(time.Millisecond))
+		if j.left <= 0 {
+			j.started = now
+			waiting = slices.Delete(waiting, best, best+1)
+		}
+	}
+	return inTime(jobs, false), inTime(jobs, true)
+}
+
+func inTime(jobs []*job, long bool) float64 {
+	n, all := 0, 0
+	for _, j := range jobs {
+		if j.long != long {
+			continue
+		}
+		all++
+		if j.started-j.at <= goal {
+			n++
+		}
+	}
+	return float64(n) / float64(all)
+}
+
+// An engine reads prompts for nine tenths of its time, short ones of an urgent profile and
+// long ones of a less urgent one. By urgency alone the callers of long answers wait for all
+// of the short ones, though half of the long prompts have little to read.
+func TestLongPromptsAreNotAllLast(t *testing.T) {
+	byUrgency := func(long bool, _ ident.Tokens) int {
+		if long {
+			return Top - 1
+		}
+		return Top
+	}
+	byLength := func(long bool, unread ident.Tokens) int { return Level(byUrgency(long, unread), unread) }
+	for _, load := range []float64{0.7, 0.9, 0.97} {
+		s0, l0 := play(load, byUrgency)
+		s1, l1 := play(load, byLength)
+		t.Logf("load %.2f: begun in time by urgency short %.3f long %.3f, by length %.3f and %.3f", load, s0, l0, s1, l1)
+		if l1 < l0 {
+			t.Errorf("load %.2f: %.3f of long prompts begin in time, by urgency alone %.3f", load, l1, l0)
+		}
+		if s1 < s0-0.05 {
+			t.Errorf("load %.2f: %.3f of short prompts begin in time, by urgency alone %.3f", load, s1, s0)
+		}
+	}
+}
