give the starts of targets and the predicted wait files of their own

Cause: internal/member/target.go held 440 lines: what a target is, how it starts anew, and how long a request waits there. Ruled out: packages of their own: both read most of a target's fields. Change: start.go and wait.go, moved as they were.

--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -184,81 +183,6 @@
 	return rampStart + (1-rampStart)*float64(age)/float64(rampTime)
 }
 
-// Wait predicts the time until a new request starts, with the given number of
-// requests before it at the target and the given share of its slots.
-func (t *Target) Wait(now ident.Time, before int, share float64) time.Duration {
-	slots := max(1, int(math.Ceil(share*float64(t.Slots()))))
-	return max(t.prefillWait(now, before), t.slotWait(before, slots))
-}
-
-// slotWait is the time until a slot is free, with slots that free evenly.
-func (t *Target) slotWait(before, slots int) time.Duration {
-	if before < slots {
-		return 0
-	}
-	turns := float64(before-slots+1) / float64(slots)
-	return time.Duration(turns * float64(t.serviceTime()))
-}
-
-// serviceTime is the time that one request holds a slot. A request seldom
-// generates the most that it may; half is the guess.
-func (t *Target) serviceTime() time.Duration {
-	if t.run > 0 {
-		return t.run
-	}
-	if t.Sent == 0 || t.Load.DecodeRate <= 0 {
-		return defaultDecode
-	}
-	each := float64(t.SentGenerated) / float64(t.Sent) / 2
-	return seconds(each / t.Load.DecodeRate)
-}
-
-// prefillWait is the time that the prefill work before a new request takes.
-func (t *Target) prefillWait(now ident.Time, before int) time.Duration {
-	if t.Load.PrefillRate <= 0 {
-		return 0
-	}
-	if t.Capacity > 0 {
-		return seconds(float64(t.Unread+t.PeerUnread) / t.Load.PrefillRate)
-	}
-	trust := t.trust(now)
-	_, sent := t.recent.since(now, t.LoadAt)
-	drained := now.Sub(t.LoadAt).Seconds() * t.Load.PrefillRate
-	reported := max(0, float64(t.Load.QueuedTokens)+float64(sent)-drained)
-	known := 0.0
-	if queued := before - t.Slots(); queued > 0 && before > 0 {
-		known = float64(t.SentTokens+t.PeerTokens) * float64(queued) / float64(before)
-	}
-	own := t.ahead.left(now, t.Load.PrefillRate)
-	return seconds(max(own, trust*reported+(1-trust)*known) / t.Load.PrefillRate)
-}
-
-// ahead is the prefill work that this host has sent and that is not done yet.
-//
-// A report is up to a second old, and a target that was idle for most of that
-// time could have done all that was sent since; so the report alone says that
-// nothing waits. Two prompts sent in the same moment would then look as good
-// at one target as at two, and the second's first token comes late by the
-// prefill of the first. This follows each send.
-type ahead struct {
-	tokens float64
-	at     ident.Time
-}
-
-func (a ahead) left(now ident.Time, rate float64) float64 {
-	return max(0, a.tokens-now.Sub(a.at).Seconds()*rate)
-}
-
-func (a *ahead) add(now ident.Time, tokens ident.Tokens, rate float64) {
-	if rate <= 0 {
-		return
-	}
-	a.tokens = a.left(now, rate) + float64(tokens)
-	a.at = now
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 func keyOf(id ident.TargetID) event.TargetKey { return event.TargetKey(rank.Hash(string(id))) }
 
 // rekey works out anew which target a key names. A key that two targets have
@@ -288,96 +212,6 @@
 	return "", key
 }
 
-// putTarget takes a description of a target of the own data centre.
-func (tb *Table) putTarget(now ident.Time, d event.Target) {
-	t, ok := tb.byID[d.ID]
-	if !ok {
-		t = &Target{coldUntil: now.Add(d.ColdFor), Target: d, listed: true, cold: now, heard: now, warm: now.Sub(tb.started) <= startGrace}
-		tb.byID[d.ID] = t
-		i, _ := slices.BinarySearchFunc(tb.targets, d.ID, func(t *Target, id ident.TargetID) int { return cmp.Compare(t.ID, id) })
-		tb.targets = slices.Insert(tb.targets, i, t)
-		tb.addKey(t)
-		tb.sumUse(t)
-		tb.settleLeaving(now, t)
-		return
-	}
-	t.listed = true
-	tb.learnStart(t, d.Incarnation)
-	d.Incarnation = cmp.Or(d.Incarnation, t.Incarnation)
-	switch {
-	case d.Incarnation == t.Incarnation:
-		tb.relist(now, t, d)
-		d.Leaving = d.Leaving || t.Leaving
-		t.Target = d
-	case d.Incarnation > t.Incarnation:
-		tb.restart(now, t, d)
-	case now.Sub(t.heard) > deadAfter:
-		// The clock of the target went back. Its old self is silent past
-		// doubt, and so is the word that the old self leaves.
-		if tb.left[d.ID].incarnation > d.Incarnation {
-			delete(tb.left, d.ID)
-		}
-		tb.restart(now, t, d)
-	}
-	tb.settleLeaving(now, t)
-}
-
-// learnStart takes the incarnation of a target of which none was known so far.
-//
-// A platform's list may leave the incarnations out; the first report of a target's load
-// then tells its own. Taken for a new start, it would break off what the target runs, and
-// callers of what may run only once would be told that nobody knows what became of it.
-func (tb *Table) learnStart(t *Target, inc ident.Incarnation) {
-	if t.Incarnation != 0 || inc == 0 {
-		return
-	}
-	t.Incarnation, t.learnt = inc, true
-	if w, ok := tb.left[t.ID]; ok && w.incarnation == 0 {
-		w.incarnation = inc
-		tb.left[t.ID] = w
-	}
-}
-
-// restart begins a new incarnation.
-//
-// Nothing that the former one ran goes on, and it holds nothing of what it read. Were
-// its work still counted, a target that has just started would look full until the
-// deadlines of requests that nobody answers any more; the ends of these are not counted
-// a second time, since each names its incarnation. Two things stay: the times of the
-// sends while it was cold, whose bound is on the target and not on its start, and what is
-// usual for its service.
-func (tb *Table) restart(now ident.Time, t *Target, d event.Target) {
-	for _, p := range tb.peers {
-		p.use = slices.DeleteFunc(p.use, func(u event.TargetUse) bool { return u.Target == t.ID })
-	}
-	*t = Target{
-		Target: d, listed: true, cold: now, heard: now,
-		coldUntil: now.Add(d.ColdFor), coldSends: t.coldSends, run: t.run,
-	}
-	tb.restarted = append(tb.restarted, t.ID)
-	tb.note(t, "target has started anew")
-}
-
-// Restarted returns the targets that have started anew since the last call.
-func (tb *Table) Restarted() []ident.TargetID {
-	ids := tb.restarted
-	tb.restarted = nil
-	return ids
-}
-
-// current returns a target if the incarnation that something is told of is the one that
-// runs.
-func (tb *Table) current(id ident.TargetID, inc ident.Incarnation) (*Target, bool) {
-	t, ok := tb.byID[id]
-	return t, ok && (t.Incarnation == inc || inc == 0 && t.learnt)
-}
-
-// Runs reports whether an incarnation of a target is the newest one known.
-func (tb *Table) Runs(id ident.TargetID, inc ident.Incarnation) bool {
-	_, ok := tb.current(id, inc)
-	return ok
-}
-
 // reapTargets drops targets that are silent and not listed.
 func (tb *Table) reapTargets(now ident.Time) {
 	before := len(tb.targets)
