declare the mechanisms that answer a load, and let a build leave them out

Cause: each was measured by editing a scratch copy, and nothing listed them; what is worth nothing could stay unnoticed. Change: codes VB6001 to VB6011, internal/mech, a switch at each of the eleven places in builds with the tag ablate. In production On is true to the compiler; TestAllAreOnInProduction.

--- a/internal/config/pages.go
+++ b/internal/config/pages.go
@@ -60,7 +60,7 @@
 in ` + "`pkg/codes`" + `.
 
 VB1 are refusals, VB2 routing filters, VB3 checks of settings, VB4 checks of
-profiles and accounts, VB5 promises.
+profiles and accounts, VB5 promises, VB6 mechanisms that answer a load.
 
 `)
 	for _, c := range codes.All() {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/internal/order"
 	"verbenadale.example/verbenadale/internal/retry"
@@ -125,7 +126,7 @@
 // level returns the level at which an engine is to begin a request. Engines that report
 // their own queue know the urgency of profiles only.
 func level(r *request, dec route.Decision) int {
-	if r.profile.Route == nil {
+	if r.profile.Route == nil || !mech.On(codes.OrderByLength) {
 		return r.profile.Priority
 	}
 	return order.Level(r.profile.Priority, dec.Prefill)
@@ -133,7 +134,7 @@
 
 // noteHolder has peers told that a target gets a long beginning, unless they know.
 func (rd *Reducer) noteHolder(now ident.Time, r *request, id ident.TargetID) {
-	if r.profile.Route == nil || !member.SharesMuch(&r.Request) {
+	if r.profile.Route == nil || !member.SharesMuch(&r.Request) || !mech.On(codes.ToldHolders) {
 		return
 	}
 	part := r.Prefix[r.Shared-1]
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -41,7 +42,7 @@
 		return true
 	}
 	whole := rd.slack.WholeAfter(r.profile.Name)
-	return whole > 0 && since+part(whole, endMargin) <= rd.bounds.DrainEnd
+	return mech.On(codes.LateDrain) && whole > 0 && since+part(whole, endMargin) <= rd.bounds.DrainEnd
 }
 
 // refuseDraining sends a caller elsewhere. With nobody else in its region it is told when
--- a/internal/core/later.go
+++ b/internal/core/later.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -44,6 +46,9 @@
 // time allows.
 func (rd *Reducer) comeBack(now ident.Time, r *request) time.Duration {
 	lasted := rd.pools.of(r).overload.refused(now)
+	if !mech.On(codes.GrowingReturns) {
+		lasted = 0
+	}
 	left := r.deadline.Sub(now)
 	later := max(laterLeast, min(lasted, part(left, laterPart)))
 	spread := laterSpread * (rank.Unit(rank.Mix(rank.Hash(string(r.ID)))) - 0.5)
--- a/internal/core/patience.go
+++ b/internal/core/patience.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/internal/route"
+	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
@@ -48,7 +50,7 @@
 		return event.Patience{First: dec.Wait + max(late, part(rt.Goal(), callPart))}
 	}
 	first := part(rt.Goal(), firstPart)
-	if late > first {
+	if late > first && mech.On(codes.LatePatience) {
 		first = max(late, part(rt.Goal(), lostPart))
 	}
 	return event.Patience{
--- a/internal/core/wait.go
+++ b/internal/core/wait.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"verbenadale.example/verbenadale/internal/mech"
+	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -32,7 +34,7 @@
 // late reports whether a request came too late to be answered within its goal.
 func (rd *Reducer) late(r *request) bool {
 	rt := r.profile.Route
-	return rt != nil && r.age > 0 && rd.slack.Wait(r.profile.Name, rt.Goal(), r.age) <= 0
+	return mech.On(codes.LateBehind) && rt != nil && r.age > 0 && rd.slack.Wait(r.profile.Name, rt.Goal(), r.age) <= 0
 }
 
 // latePart is the part of its goal that a request may wait which came too late to be
--- /dev/null
+++ b/internal/mech/on_test.go
@@ -0,0 +1,18 @@
+//go:build !ablate
+
+package mech
+
+import (
+	"testing"
+
+	"verbenadale.example/verbenadale/pkg/codes"
+)
+
+func TestAllAreOnInProduction(t *testing.T) {
+	t.Setenv("VERBENADALE_OFF", "VB6001")
+	for _, c := range codes.Mechanisms {
+		if !On(c) {
+			t.Errorf("%s is off in a production build", c.ID)
+		}
+	}
+}
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/mech"
+	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -64,6 +66,9 @@
 
 // usePace returns the time between two words of what this host has sent.
 func (tb *Table) usePace(now ident.Time) time.Duration {
+	if !mech.On(codes.ToldSends) {
+		return Period
+	}
 	n := len(tb.Peers(now))
 	return min(max(useLeast, Period*time.Duration(n)/useWords), Period)
 }
--- a/internal/member/turned.go
+++ b/internal/member/turned.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"verbenadale.example/verbenadale/internal/mech"
+	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -28,5 +30,5 @@
 // TurnedAway reports whether a data centre has turned a request of a service away just now.
 func (tb *Table) TurnedAway(now ident.Time, c *Centre, service string) bool {
 	at, ok := c.away[service]
-	return ok && now.Sub(at) < turnedSpan
+	return ok && mech.On(codes.LeftAlone) && now.Sub(at) < turnedSpan
 }
--- a/internal/route/copy.go
+++ b/internal/route/copy.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"verbenadale.example/verbenadale/internal/mech"
+	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -19,7 +21,7 @@
 // to each other in milliseconds.
 func (rt *Router) copied(v *view, c *cand) {
 	h, ok := rt.source(c.t.ID)
-	if !ok {
+	if !ok || !mech.On(codes.CopiedBeginnings) {
 		return
 	}
 	from, ok := v.tb.Target(h.target)
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -154,7 +155,7 @@
 // ended, or are refused while they still can come back.
 func crowdsOut(v *view, t *member.Target) bool {
 	q := v.q
-	if q.Profile.Route == nil || t.Memory == 0 || q.Request.Prompt < longPrompt {
+	if !mech.On(codes.PromptMemory) || q.Profile.Route == nil || t.Memory == 0 || q.Request.Prompt < longPrompt {
 		return false
 	}
 	return float64(t.Held()+q.Request.Prompt) > memoryPart*float64(t.Memory)
@@ -209,7 +210,7 @@
 // days of a minute with failures, five and four runs).
 func roomFor(q *Query, t *member.Target) int {
 	slots := t.Slots()
-	if rt := q.Profile.Route; rt != nil && !q.engine() && t.Run() > 0 && rt.GoalMs > 0 {
+	if rt := q.Profile.Route; mech.On(codes.CallQueue) && rt != nil && !q.engine() && t.Run() > 0 && rt.GoalMs > 0 {
 		turns := callPart * float64(rt.Goal()) / float64(t.Run())
 		return slots + min(max(1, int(turns*float64(slots))), slots)
 	}
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -1,5 +1,5 @@
 // Package codes declares every code that verbenadale shows to callers and
-// operators: refusals, routing filters, settings checks and promises.
+// operators: refusals, routing filters, settings checks, promises and mechanisms.
 //
 // # Usage
 //
@@ -10,7 +10,7 @@
 //	fmt.Println(c.Title, c.Text)
 //
 // Families are told apart by the first digit: VB1 refusals, VB2 routing
-// filters, VB3 settings checks, VB4 profile checks, VB5 promises.
+// filters, VB3 settings checks, VB4 profile checks, VB5 promises, VB6 mechanisms.
 package codes
 
 import (
@@ -54,7 +54,7 @@
 
 // All returns every declared code in the order of the ids.
 func All() []Code {
-	all := slices.Concat(Refusals, Filters, Settings, Profiles, Promises)
+	all := slices.Concat(Refusals, Filters, Settings, Profiles, Promises, Mechanisms)
 	slices.SortFunc(all, func(a, b Code) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return all
 }
--- a/pkg/codes/codes_test.go
+++ b/pkg/codes/codes_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-var shape = regexp.MustCompile(`^VB[1-5][0-9]{3}$`)
+var shape = regexp.MustCompile(`^VB[1-6][0-9]{3}$`)
 
 func TestCodesAreWhole(t *testing.T) {
 	seen := make(map[ID]bool)
@@ -25,6 +25,13 @@
 			t.Errorf("%s: the title ends in a full stop", c.ID)
 		}
 	}
+	for family, table := range [][]Code{Refusals, Filters, Settings, Profiles, Promises, Mechanisms} {
+		for _, c := range table {
+			if want := byte('1' + family); c.ID[2] != want {
+				t.Errorf("%s: ids of its table begin with VB%c", c.ID, want)
+			}
+		}
+	}
 	for _, c := range Refusals {
 		if c.Status < 400 {
 			t.Errorf("%s: a refusal needs an HTTP status of 400 or more", c.ID)
