--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -40,8 +40,10 @@
 func (tb *Table) HostsRead(now ident.Time, ev event.HostsRead) {
 	tb.Advance(now)
 	if tb.older(now, ev.Version) {
+		tb.noteStaleList(ev.Version)
 		return
 	}
+	tb.list.source = tb.self.ID
 	tb.list.changed = tb.list.changed || !tb.list.read || ev.Version != tb.list.version
 	tb.list.version = ev.Version
 	tb.list.read = true
@@ -72,6 +74,7 @@
 		return
 	}
 	tb.list.version = d.ListVersion
+	tb.list.source = d.Host.ID
 	tb.list.readAt = now
 	tb.listTargets(now, d.Targets)
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -149,6 +149,8 @@
 	version uint64
 	read    bool
 	readAt  ident.Time
+	// source is the host that read the list in use from the store.
+	source ident.EntryID
 	// nextRead is when this host reads the list again.
 	nextRead ident.Time
 	// changed says that peers have not been told of the newest list.
--- a/internal/member/note.go
+++ b/internal/member/note.go
@@ -33,5 +33,18 @@
 		{Key: "failsInARow", Value: strconv.Itoa(t.Fails)},
 		{Key: "silentMs", Value: silent},
 		{Key: "listVersion", Value: strconv.FormatUint(tb.list.version, 10)},
+		{Key: "listSource", Value: string(tb.list.source)},
+	}})
+}
+
+// noteStaleList reports a list of the store that is older than the one in use.
+func (tb *Table) noteStaleList(version uint64) {
+	if len(tb.notes) >= maxNotes {
+		return
+	}
+	tb.notes = append(tb.notes, event.Note{Text: "stale target list ignored", Fields: []event.NotePair{
+		{Key: "version", Value: strconv.FormatUint(version, 10)},
+		{Key: "inUse", Value: strconv.FormatUint(tb.list.version, 10)},
+		{Key: "listSource", Value: string(tb.list.source)},
 	}})
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -36,12 +36,17 @@
 	bytesOut metrics.Counter
 }
 
+// Histogram returns the histogram of a registry with the given name.
+func Histogram(reg metrics.Registry, name string) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, reg, metrics.NewUniformSample(sampleSize))
+}
+
 // New returns the counters of a registry.
 func New(reg metrics.Registry) *Traffic {
 	return &Traffic{
 		reg:      reg,
-		first:    metrics.GetOrRegisterHistogram("callers.firstTokenMicros", reg, metrics.NewUniformSample(sampleSize)),
-		took:     metrics.GetOrRegisterHistogram("callers.requestMicros", reg, metrics.NewUniformSample(sampleSize)),
+		first:    Histogram(reg, "callers.firstTokenMicros"),
+		took:     Histogram(reg, "callers.requestMicros"),
 		streams:  metrics.GetOrRegisterCounter("callers.streamsOpen", reg),
 		open:     metrics.GetOrRegisterCounter("callers.requestsOpen", reg),
 		bytesIn:  metrics.GetOrRegisterCounter("callers.bytesIn", reg),
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -20,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/meter"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -34,7 +35,6 @@
 	allPerSecond = 900
 	// maxAttempts bounds the attempts whose request is remembered.
 	maxAttempts = 1 << 14
-	sampleSize  = 1028
 )
 
 // Trail writes the lines. Its methods are called by the control thread.
@@ -64,8 +64,8 @@
 func New(log logr.Logger, reg metrics.Registry) *Trail {
 	return &Trail{
 		log: log, reg: reg, attempts: make(map[ident.Attempt]*attempt),
-		wait:  metrics.GetOrRegisterHistogram("requests.placedAfterMicros", reg, metrics.NewUniformSample(sampleSize)),
-		first: metrics.GetOrRegisterHistogram("attempts.firstByteMicros", reg, metrics.NewUniformSample(sampleSize)),
+		wait:  meter.Histogram(reg, "requests.placedAfterMicros"),
+		first: meter.Histogram(reg, "attempts.firstByteMicros"),
 	}
 }
 
