--- /dev/null
+++ b/internal/member/stale_test.go
@@ -0,0 +1,87 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// digestTo returns the newest digest that a table sends at a tick.
+func digestTo(t *testing.T, tb *Table, now ident.Time) event.Digest {
+	t.Helper()
+	for _, eff := range tb.Tick(now, Own{}) {
+		if e, ok := eff.(event.SendDigest); ok {
+			return e.Digest
+		}
+	}
+	t.Fatal("no digest is sent")
+	return event.Digest{}
+}
+
+// pairOf returns two hosts of one data centre that know each other and have read a list
+// of the store with two targets.
+func pairOf(at ident.Time) (reader, follower *Table) {
+	tables := []*Table{New(reachHost("w1", "west-a", "west")), New(reachHost("w2", "west-a", "west"))}
+	for i, tb := range tables {
+		tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
+		tb.PeerUp(at, tables[1-i].Self())
+	}
+	for _, tb := range tables {
+		tb.Tick(at, Own{})
+	}
+	return tables[0], tables[1]
+}
+
+// A follower sends requests to a removed target until its next own read of the store.
+func TestRemovalObservedByAPeerIsApplied(t *testing.T) {
+	at := ident.Time(time.Second)
+	reader, follower := pairOf(at)
+	at = at.Add(4 * time.Second)
+	reader.HostsRead(at, listOf(2, reachTarget("b")))
+	follower.DigestReceived(at, digestTo(t, reader, at))
+	if usable(t, follower, at, "a") {
+		t.Error("a target that a peer has read as removed is used")
+	}
+	if !usable(t, follower, at, "b") {
+		t.Error("a target that is listed is not used")
+	}
+}
+
+// peerList is a digest that passes on a list of the store.
+func peerList(version uint64, ts ...event.Target) event.Digest {
+	return event.Digest{Host: reachHost("w9", "west-a", "west"), Seq: version, ListVersion: version, Targets: ts}
+}
+
+// An own read that is older than a peer's list is dropped with the removals in it.
+func TestStaleOwnReadLosesNoRemoval(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
+	at = at.Add(4 * time.Second)
+	tb.DigestReceived(at, peerList(3, reachTarget("b"), reachTarget("c")))
+	tb.HostsRead(at, listOf(2, reachTarget("b")))
+	if usable(t, tb, at, "a") {
+		t.Error("a target that the own read lacks is used")
+	}
+	if !usable(t, tb, at, "c") {
+		t.Error("a target that the newer list names is not used")
+	}
+}
+
+// A host whose first read after an outage is stale waits forever for removed targets to come back.
+func TestStaleOwnReadEndsTheOutage(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
+	at = at.Add(4 * time.Second)
+	tb.ListFailed(at)
+	tb.DigestReceived(at, peerList(3, reachTarget("a"), reachTarget("b")))
+	tb.HostsRead(at, listOf(2, reachTarget("a"), reachTarget("b")))
+	at = at.Add(returnGrace)
+	tb.HostsRead(at, listOf(4, reachTarget("b")))
+	if usable(t, tb, at, "a") {
+		t.Error("a removed target is used although the store has been back for long")
+	}
+}
