announce removed targets to the hosts of a region, and merge stale reads

Cause: a target whose entry is removed without draining before was known to a host by its own reads only. Peers passed on drain notices, and lists whose gaps meant nothing. A host reads the store each 3 s, and a read that carries a configuration of 770 KB takes seconds; meanwhile a peer's newer list arrives, so that the read was dropped as stale, as a whole, with the removals in it. The next one came 3 s later. The same drop left a host believe that the store is unreachable, and evacuations waited for the one host that sends lists.

Change: digests carry recent removals with the version of the list that lacks the target; a host that observes one sends it at once. Lists say whether they are complete, and only a host that has read the store for 2.2 s without a failure vouches for that. A stale read still tells of draining and removed targets, and that the store answers. Each host that reads the store all the time sends evacuations at once.

Why it works: what a host knows is now the newest of all paths by the store's revision, whichever way it came, and no path discards what another one lacks.

--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -130,6 +130,13 @@
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
 
+// RemovedTarget says that the platform's list names a target no longer, from a version
+// of the list on.
+type RemovedTarget struct {
+	Target  ident.TargetID `json:"target"`
+	Version uint64         `json:"version"`
+}
+
 // Digest is the heartbeat between the entry hosts of one data centre.
 type Digest struct {
 	Host Host `json:"host"`
@@ -152,6 +159,11 @@
 	Targets []Target `json:"targets,omitempty"`
 	// ListVersion is the version of the platform's list that Targets come from.
 	ListVersion uint64 `json:"listVersion,omitempty"`
+	// Complete says that Targets names every target of the data centre that the list
+	// names, so that what it lacks has been removed.
+	Complete bool `json:"complete,omitempty"`
+	// Removed holds the targets that were removed from the list lately.
+	Removed []RemovedTarget `json:"removed,omitempty"`
 	// Away is the work that the sender has passed on to other data centres and
 	// that has not ended.
 	Away []AwayUse `json:"away,omitempty"`
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -18,6 +18,7 @@
 		tb.hearLeaving(now, w.Target, w.Incarnation)
 	}
 	tb.takeBeat(now, d)
+	tb.removalsObserved(now, d.Removed)
 	// Loads and summaries have numbers of their own.
 	for _, ld := range d.Loads {
 		tb.takeRelayed(now, ld)
@@ -102,7 +103,7 @@
 	d := event.Digest{
 		Host: tb.self, Seq: tb.beat.seq, Revision: tb.own.Revision, Blind: tb.blind,
 		Accounts: tb.own.Accounts, AccountsTold: tb.own.AccountsTold, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
-		Flows: tb.ownFlows(now),
+		Flows: tb.ownFlows(now), Removed: tb.recentRemovals(now),
 	}
 	for _, t := range tb.targets {
 		if t.Sent > 0 {
@@ -146,7 +147,9 @@
 		d.Loads = tb.newLoads(now)
 		d.Summaries = tb.newSummaries(now)
 		d.Lacks = tb.lacking()
-		d.Targets, d.ListVersion = tb.newList(now), tb.list.version
+	}
+	if regular || tb.list.urgent {
+		tb.addList(now, &d)
 	}
 	if len(to) == 0 {
 		return nil
@@ -181,15 +184,19 @@
 	return loads
 }
 
-func (tb *Table) newList(now ident.Time) []event.Target {
-	if !tb.list.changed {
-		return nil
-	}
-	tb.list.changed = false
-	if !tb.Watches(now) {
-		return nil
+// addList adds the platform's list to a digest if it has changed. Of the hosts that read it
+// one sends it, and each of them an evacuation, so that none depends on a host that is frozen.
+func (tb *Table) addList(now ident.Time, d *event.Digest) {
+	changed, urgent := tb.list.changed, tb.list.urgent
+	tb.list.changed, tb.list.urgent = false, false
+	if changed && tb.Watches(now) || urgent && tb.Reads(now) {
+		tb.fillList(now, d)
 	}
-	return tb.listedTargets()
+}
+
+func (tb *Table) fillList(now ident.Time, d *event.Digest) {
+	d.Targets, d.ListVersion = tb.listedTargets(), tb.list.version
+	d.Complete = tb.list.read && tb.list.source == tb.self.ID && tb.steady(now)
 }
 
 func (tb *Table) listedTargets() []event.Target {
@@ -220,7 +227,7 @@
 	}
 	d := tb.digest(now)
 	d.Leaving = tb.leavingWords(now, true)
-	d.Targets, d.ListVersion = tb.listedTargets(), tb.list.version
+	tb.fillList(now, &d)
 	for _, t := range tb.targets {
 		if t.HasLoad {
 			ld := t.Load
--- a/internal/member/leave.go
+++ b/internal/member/leave.go
@@ -12,9 +12,9 @@
 
 // Times of leaving words.
 const (
-	// wordRepeats is how long digests repeat a leaving word, so that a lost
-	// digest or a peer that was silent does not miss it.
-	wordRepeats = 10 * time.Second
+	// noticeRepeats bounds how long digests repeat that a target drains or was
+	// removed, for peers that missed a digest.
+	noticeRepeats = 10 * time.Second
 	// wordHolds is how long the word about an unknown target or a former
 	// incarnation is kept. It covers a list that lags behind the target's own
 	// refusal.
@@ -72,7 +72,7 @@
 	var words []event.LeavingTarget
 	for _, id := range tb.leftIDs() {
 		w := tb.left[id]
-		if all || now.Sub(w.at) <= wordRepeats {
+		if all || now.Sub(w.at) <= noticeRepeats {
 			words = append(words, event.LeavingTarget{Target: id, Incarnation: w.incarnation})
 		}
 	}
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -39,15 +39,18 @@
 // and what it holds may be gone.
 func (tb *Table) HostsRead(now ident.Time, ev event.HostsRead) {
 	tb.Advance(now)
+	tb.readSucceeded(now)
 	if tb.older(now, ev.Version) {
 		tb.noteStaleList(ev.Version)
+		tb.mergeStale(now, ev)
 		return
 	}
 	tb.list.source = tb.self.ID
 	tb.list.changed = tb.list.changed || !tb.list.read || ev.Version != tb.list.version
-	tb.list.version = ev.Version
 	tb.list.read = true
-	tb.list.readAt = now
+	tb.useVersion(now, ev.Version)
+	tb.list.urgent = tb.list.urgent || tb.evacuationChanges(ev.Targets)
+	tb.beat.words = tb.beat.words || tb.list.urgent
 	tb.listTargets(now, ev.Targets)
 	tb.listHosts(now, ev.Hosts)
 	if ev.Complete {
@@ -70,13 +73,35 @@
 // not change: requests reached emptied targets 6 s and more after the operators'
 // word.
 func (tb *Table) takeList(now ident.Time, d event.Digest) {
-	if len(d.Targets) == 0 || tb.older(now, d.ListVersion) {
+	if len(d.Targets) == 0 && !d.Complete || tb.older(now, d.ListVersion) {
 		return
 	}
-	tb.list.version = d.ListVersion
 	tb.list.source = d.Host.ID
-	tb.list.readAt = now
+	tb.useVersion(now, d.ListVersion)
 	tb.listTargets(now, d.Targets)
+	if d.Complete {
+		tb.applyComplete(now)
+	}
+}
+
+// useVersion sets the version of the list in use. One that is lower than before comes from a
+// store that has lost its count, which makes all versions seen so far meaningless.
+func (tb *Table) useVersion(now ident.Time, version uint64) {
+	if version < tb.list.version {
+		for _, t := range tb.targets {
+			t.listedAt, t.removedAt = 0, 0
+		}
+	}
+	tb.list.version = version
+	tb.list.readAt = now
+}
+
+// evacuationChanges reports whether a list evacuates targets that are in use, or takes that back.
+func (tb *Table) evacuationChanges(targets []event.Target) bool {
+	return slices.ContainsFunc(targets, func(d event.Target) bool {
+		t, ok := tb.byID[d.ID]
+		return ok && t.Closed != d.Closed
+	})
 }
 
 func (tb *Table) listHosts(now ident.Time, hosts []event.Host) {
@@ -120,10 +145,15 @@
 	for _, t := range tb.targets {
 		t.listed = false
 	}
-	for _, t := range targets {
-		if t.Place.Group() == tb.self.Place.Group() {
-			tb.putTarget(now, t)
+	for _, d := range targets {
+		if d.Place.Group() != tb.self.Place.Group() {
+			continue
+		}
+		if t, ok := tb.byID[d.ID]; ok && tb.list.version < t.removedAt {
+			continue
 		}
+		tb.putTarget(now, d)
+		tb.byID[d.ID].named(tb.list.version)
 	}
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -155,9 +155,13 @@
 	nextRead ident.Time
 	// changed says that peers have not been told of the newest list.
 	changed bool
-	// away says that the last read failed, backAt when one came after that.
-	away   bool
-	backAt ident.Time
+	// away says that the last read failed, backAt when one came after that, steadyAt
+	// since when no own read has failed.
+	away     bool
+	backAt   ident.Time
+	steadyAt ident.Time
+	// urgent says that the newest own read changed which data centres are evacuated.
+	urgent bool
 }
 
 // beatState follows the digests and summaries that this host sends.
--- a/internal/member/stale_test.go
+++ b/internal/member/stale_test.go
@@ -85,3 +85,46 @@
 		t.Error("a removed target is used although the store has been back for long")
 	}
 }
+
+// A late notice takes out a target that has been listed again since.
+func TestLateRemovalNoticeIsIgnored(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.HostsRead(at, listOf(5, reachTarget("a")))
+	tb.DigestReceived(at, event.Digest{
+		Host: reachHost("w9", "west-a", "west"), Seq: 1, Removed: []event.RemovedTarget{{Target: "a", Version: 4}},
+	})
+	if !usable(t, tb, at, "a") {
+		t.Error("a target that a newer list names is not used")
+	}
+}
+
+// A list that was read before a removal brings the target back.
+func TestOlderListRevertsNoRemoval(t *testing.T) {
+	at := ident.Time(time.Second)
+	tb := New(reachHost("w1", "west-a", "west"))
+	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
+	tb.DigestReceived(at, event.Digest{
+		Host: reachHost("w9", "west-a", "west"), Seq: 1, Removed: []event.RemovedTarget{{Target: "a", Version: 4}},
+	})
+	tb.HostsRead(at, listOf(3, reachTarget("a"), reachTarget("b")))
+	if usable(t, tb, at, "a") {
+		t.Error("a target is used again by a list from before its removal")
+	}
+	tb.HostsRead(at, listOf(6, reachTarget("a"), reachTarget("b")))
+	if !usable(t, tb, at, "a") {
+		t.Error("a target that is listed again is not used")
+	}
+}
+
+// A host that starts just after an outage of the store has its peers drop targets that live.
+func TestFreshHostVouchesForNoRemoval(t *testing.T) {
+	at := ident.Time(time.Second)
+	fresh, peer := pairOf(at)
+	at = at.Add(returnGrace / 2)
+	fresh.HostsRead(at, listOf(2, reachTarget("b")))
+	peer.DigestReceived(at, digestTo(t, fresh, at))
+	if !usable(t, peer, at, "a") {
+		t.Error("a target is dropped because of a host that has just begun to read the store")
+	}
+}
--- a/internal/member/start.go
+++ b/internal/member/start.go
@@ -72,7 +72,7 @@
 	}
 	*t = Target{
 		Target: d, listed: true, cold: now, heard: now,
-		coldUntil: now.Add(d.ColdFor), coldSends: t.coldSends, run: t.run,
+		coldUntil: now.Add(d.ColdFor), coldSends: t.coldSends, run: t.run, listedAt: max(t.listedAt, tb.list.version),
 	}
 	tb.restarted = append(tb.restarted, t.ID)
 	tb.note(t, "target has started anew")
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -87,8 +87,13 @@
 	// what was sent then names none and is at the same start.
 	learnt bool
 	listed bool
-	// missing says that the newest complete list lacks it.
-	missing bool
+	// listedAt is the newest version of the platform's list that names it.
+	listedAt uint64
+	// missing says that the newest complete list lacks it; removedAt is the version
+	// of the list from which on it is gone, goneAt when this host learned that.
+	missing   bool
+	removedAt uint64
+	goneAt    ident.Time
 	// coldUntil is when it is no longer cold by its own word, coldSends the
 	// times of the newest sends to it while it was.
 	coldUntil ident.Time
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -18,7 +18,7 @@
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
 		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
 		Lacks: convert(d.Lacks, fromLack), ListVersion: d.ListVersion, Flows: convert(d.Flows, fromFlow),
-		Held: fromHeld(d.Held),
+		Held: fromHeld(d.Held), Complete: d.Complete, Removed: convert(d.Removed, fromRemoved),
 	}
 }
 
@@ -32,7 +32,7 @@
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
 		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
 		Lacks: convert(p.GetLacks(), toLack), ListVersion: p.GetListVersion(), Flows: convert(p.GetFlows(), toFlow),
-		Held: p.GetHeld().toHeld(),
+		Held: p.GetHeld().toHeld(), Complete: p.GetComplete(), Removed: convert(p.GetRemoved(), toRemoved),
 	}
 }
 
@@ -116,6 +116,14 @@
 	return event.Flow{Service: p.GetService(), Alone: number(p.GetAlone()), Shared: number(p.GetShared())}
 }
 
+func fromRemoved(r event.RemovedTarget) *RemovedTarget {
+	return &RemovedTarget{Target: string(r.Target), Version: r.Version}
+}
+
+func toRemoved(p *RemovedTarget) event.RemovedTarget {
+	return event.RemovedTarget{Target: ident.TargetID(p.GetTarget()), Version: p.GetVersion()}
+}
+
 func fromHeld(hs []event.HeldPart) *HeldParts {
 	if len(hs) == 0 {
 		return nil
