ask no peer for a configuration that is arriving from the store

Cause: a host that learns of a higher revision reads the store and, if a second later it has no newer configuration, asks a peer as well. 770 KB over a link between regions that 29 hosts share take 1.0 to 1.6 s, so that nearly all of them asked.

Evidence: in the incident each host of a region received twice the configuration (1,560 KB); in the second in which they asked, one host sent 14.8 MB to its peers.

Change: while an answer of the store goes on, the feed says so (readProgress), and no peer is asked until it has stalled for a second, has ended without a newer configuration, has failed, or four seconds have gone by.

TestArrivingAnswerAsksNoPeer fails without the change (a peer is asked after 1.5 s).

Why it works: what arrives is not sent a second time over the same links.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -209,6 +209,8 @@
 		}
 	case event.WatchIdle:
 		rd.spread.Idle(now)
+	case event.ReadProgress:
+		rd.spread.Progress(now)
 	case event.DrainAsked:
 		rd.drain(now)
 	case event.Tick:
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -26,7 +26,7 @@
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
 		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryTold{}, LoadFailed{}, CacheChanged{},
-		HostsRead{}, PlatformFailed{}, WatchIdle{},
+		HostsRead{}, PlatformFailed{}, WatchIdle{}, ReadProgress{},
 	)
 	effectTypes = namesOf[Effect](
 		Dispatch{}, Forward{}, Refuse{}, Finish{}, BreakOff{}, DropLinks{}, Replay{}, ForgetOutcome{}, Wake{},
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -129,6 +129,9 @@
 	Complete bool `json:"complete,omitempty"`
 }
 
+// ReadProgress says that a long answer of the platform is still arriving.
+type ReadProgress struct{}
+
 // PlatformOp names a call to the platform.
 type PlatformOp string
 
@@ -171,3 +174,4 @@
 func (HostsRead) isEvent()        {}
 func (PlatformFailed) isEvent()   {}
 func (WatchIdle) isEvent()        {}
+func (ReadProgress) isEvent()     {}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -75,6 +75,8 @@
 	// since the last change in force brought none.
 	askedAt    ident.Time
 	unanswered int
+	// progressAt is when an answer of the platform was last seen to arrive.
+	progressAt ident.Time
 	// readFirst says that the platform is asked before a peer.
 	readFirst bool
 }
@@ -199,6 +201,9 @@
 		s.unanswered = 1
 		return []event.Effect{event.ReadSnapshot{}}
 	}
+	if s.arriving(now) {
+		return nil
+	}
 	if at, ok := s.asked[host.ID]; ok && now.Sub(at) < askAgain {
 		return nil
 	}
@@ -214,6 +219,15 @@
 	return []event.Effect{event.AskChanges{To: host, After: s.Revision()}}
 }
 
+// Progress takes note that an answer of the platform is arriving.
+func (s *Spread) Progress(now ident.Time) { s.progressAt = now }
+
+// arriving reports whether an answer of the platform that may hold the newer book is still
+// arriving. Peers that sent the book beside it would slow it down.
+func (s *Spread) arriving(now ident.Time) bool {
+	return s.readFirst && s.progressAt > 0 && now.Sub(s.progressAt) < askNext && now.Sub(s.askedAt) < askMost
+}
+
 // Idle takes note of a watch that ended without a change.
 func (s *Spread) Idle(now ident.Time) {
 	s.answered(now)
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -203,3 +203,34 @@
 		t.Errorf("what is read and asked (-want +got):\n%s", diff)
 	}
 }
+
+// Hosts that are receiving a large configuration ask a peer for it as well and slow their links down.
+func TestArrivingAnswerAsksNoPeer(t *testing.T) {
+	sp := New(event.Host{ID: "e0"})
+	sp.ReadFirst(true)
+	at := ident.Time(time.Second)
+	seen := func(after time.Duration) string {
+		at = at.Add(after)
+		effs := sp.Seen(at, event.Host{ID: "e1"}, 7)
+		if len(effs) == 0 {
+			return ""
+		}
+		return event.TypeName(effs[0])
+	}
+	got := []string{seen(0)}
+	for range 3 {
+		sp.Progress(at.Add(askNext / 2))
+		got = append(got, seen(askNext))
+	}
+	got = append(got, seen(askNext/2))
+	if diff := cmp.Diff([]string{"readSnapshot", "", "", "", "askChanges"}, got); diff != "" {
+		t.Errorf("what is read and asked while an answer arrives (-want +got):\n%s", diff)
+	}
+	for end := at.Add(askMost); at <= end; {
+		sp.Progress(at)
+		if seen(askNext/2) != "" {
+			return
+		}
+	}
+	t.Error("no peer is asked however long the answer takes")
+}
