--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -119,7 +119,7 @@
 		Request: r.ID, Attempt: a.id, Target: dec.Target.Target, Serve: dec.Serve,
 		Priority: level(r, dec), Deadline: r.deadline, Resume: r.delivered,
 		Once: r.finishes(), Keep: r.keeps() && !r.forwarded, CopyFrom: holderOf(dec.CopyFrom),
-		Basis: rd.basis(now, r, dec), Patience: rd.patience(r, dec),
+		Basis: rd.basis(now, r, dec), IdleTimeouts: rd.idleTimeouts(r, dec),
 	})
 }
 
@@ -134,7 +134,7 @@
 
 // noteHolder has peers told that a target gets a long beginning, unless they know.
 func (rd *Reducer) noteHolder(now ident.Time, r *request, id ident.TargetID) {
-	if r.profile.Route == nil || !member.SharesMuch(&r.Request) || !mech.On(codes.ToldHolders) {
+	if r.profile.Route == nil || !member.SharesMuch(&r.Request) || !mech.On(codes.AnnouncedHolders) {
 		return
 	}
 	part := r.Prefix[r.Shared-1]
@@ -166,7 +166,7 @@
 	rd.emit(event.Forward{
 		Request: r.ID, To: a.host, Envelope: env, Deadline: r.deadline, Resume: r.delivered,
 		Once: r.finishes(), Keep: r.keeps(), Basis: rd.basis(now, r, a.dec), Service: r.profile.Service,
-		Patience: rd.patience(r, a.dec),
+		IdleTimeouts: rd.idleTimeouts(r, a.dec),
 	})
 }
 
@@ -225,7 +225,7 @@
 // be well.
 func healthOf(now ident.Time, a *attempt, e event.AttemptEnded) health {
 	switch {
-	case e.Result == event.ResultDone || e.Leaving || e.Held:
+	case e.Result == event.ResultDone || e.Draining || e.Held:
 		return answered
 	case e.Result == event.ResultNotRun && a.sent:
 		return answered
@@ -254,8 +254,8 @@
 	if a.target == "" && e.Result == event.ResultNotRun && noRoom(e.Code) {
 		rd.table.TurnAway(now, a.dec.Centre, r.profile.Service)
 	}
-	if e.Leaving && a.target != "" {
-		rd.table.MarkLeaving(now, a.target, a.incarnation)
+	if e.Draining && a.target != "" {
+		rd.table.MarkDraining(now, a.target, a.incarnation)
 	}
 	switch e.Result {
 	case event.ResultDone:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,10 +71,10 @@
 	drainAt  ident.Time
 	wakeAt   ident.Time
 	// heard is when each peer of the data centre last sent a digest.
-	heard map[ident.EntryID]ident.Time
-	// tellAt is when the demand of the accounts is told next.
-	tellAt ident.Time
-	out    []event.Effect
+	demandAt map[ident.EntryID]ident.Time
+	// announceAt is when the demand of the accounts is told next.
+	announceAt ident.Time
+	out        []event.Effect
 }
 
 // New returns the reducer of a host that knows nothing yet.
@@ -96,7 +96,7 @@
 		quota:    quota.New(self.ID, self.Place.Group()),
 		pools:    newPools(),
 		slack:    slack.New(),
-		heard:    make(map[ident.EntryID]ident.Time),
+		demandAt: make(map[ident.EntryID]ident.Time),
 		requests: make(map[ident.RequestID]*request),
 		attempts: make(map[ident.Attempt]*attempt),
 	}
@@ -194,8 +194,8 @@
 		rd.table.LoadSeen(now, e)
 	case event.ProbeAnswered:
 		rd.table.ProbeAnswered(now, e)
-	case event.MemoryTold:
-		rd.table.MemoryTold(e)
+	case event.MemoryReported:
+		rd.table.MemoryReported(e)
 	case event.LoadFailed:
 		rd.table.LoadFailed(now, e.Target, e.Incarnation)
 	case event.CacheChanged:
@@ -224,15 +224,15 @@
 
 func (rd *Reducer) digest(now ident.Time, d event.Digest) {
 	rd.table.DigestReceived(now, d)
-	rd.heard[d.Host.ID] = now
-	if d.AccountsTold {
+	rd.demandAt[d.Host.ID] = now
+	if d.AccountsIncluded {
 		rd.quota.PeerDemand(now, d.Host.ID, d.Accounts)
 	}
 	rd.emit(rd.spread.Seen(now, d.Host, d.Revision)...)
 	for _, s := range d.Summaries {
 		rd.summary(now, s, false)
 	}
-	for _, h := range d.Held {
+	for _, h := range d.Holders {
 		if t, ok := rd.table.Named(h.Target); ok {
 			rd.router.Learn(now, t.ID, []uint64{h.Part})
 		}
@@ -246,11 +246,11 @@
 // a data centre that is cut off from the platform a change would wait for that.
 func (rd *Reducer) summary(now ident.Time, s event.Summary, direct bool) {
 	rd.quota.Place(s.Place.Group(), s.Place.Region)
-	rd.quota.CentreHeard(now, s.Place.Group())
+	rd.quota.CentreSeen(now, s.Place.Group())
 	if !s.AccountsKept {
 		rd.quota.CentreReport(now, s.Place.Group(), s.Accounts)
 	}
-	if !direct && !rd.table.Speaks(now) {
+	if !direct && !rd.table.Represents(now) {
 		return
 	}
 	if h, ok := rd.table.Host(s.From); ok {
@@ -291,14 +291,14 @@
 		return
 	}
 	rd.reads = !rd.reads
-	rd.emit(event.PaceReads{Often: rd.reads})
+	rd.emit(event.PaceReads{Active: rd.reads})
 }
 
-// tellEach is how many accounts a host tells its peers of each second, on
+// accountsPerSecond is how many accounts a host tells its peers of each second, on
 // average. With more of them the whole list goes out less often: at 74 accounts
 // and seven peers, telling all each second alone cost three times the 4 KB a
 // second that a host may spend on control.
-const tellEach = 4
+const accountsPerSecond = 4
 
 // goneAfter is the silence of a peer after which its demand counts no more. It
 // is the time after which members count a host as dead.
@@ -309,9 +309,9 @@
 // share of every limit, and callers of the others would be refused below their
 // limits until these restart too. The order of the peers does not show.
 func (rd *Reducer) dropGone(now ident.Time) {
-	for id, at := range rd.heard {
+	for id, at := range rd.demandAt {
 		if now.Sub(at) > goneAfter {
-			delete(rd.heard, id)
+			delete(rd.demandAt, id)
 			rd.quota.Drop(id)
 		}
 	}
@@ -324,10 +324,10 @@
 		CentreAccounts: func() []event.AccountUse { return rd.quota.CentreDemand(now) },
 		After:          rd.router.CacheSeq,
 	}
-	if now >= rd.tellAt {
+	if now >= rd.announceAt {
 		own.Accounts = rd.quota.Demand(now)
-		own.AccountsTold = true
-		rd.tellAt = now.Add(member.Period * time.Duration((len(own.Accounts)+tellEach-1)/tellEach))
+		own.AccountsIncluded = true
+		rd.announceAt = now.Add(member.Period * time.Duration((len(own.Accounts)+accountsPerSecond-1)/accountsPerSecond))
 	}
 	return own
 }
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -14,8 +14,8 @@
 	}
 	rd.draining = true
 	rd.drainAt = now
-	rd.self.Leaving = true
-	rd.table.SetLeaving()
+	rd.self.Draining = true
+	rd.table.SetDraining()
 }
 
 const (
--- a/internal/core/patience.go
+++ b/internal/core/idle.go
@@ -40,20 +40,20 @@
 // answers come late, and to ask twice then would make them later still; so the
 // bound follows the times that are usual for the service. Where nothing can be
 // tried after it, there is nothing to gain by breaking an attempt off.
-func (rd *Reducer) patience(r *request, dec route.Decision) event.Patience {
+func (rd *Reducer) idleTimeouts(r *request, dec route.Decision) event.IdleTimeouts {
 	rt := r.profile.Route
 	if rt == nil || r.once || r.forwarded || rt.GoalMs <= 0 || r.tries >= rt.MaxAttempts {
-		return event.Patience{}
+		return event.IdleTimeouts{}
 	}
 	late := rd.slack.LateAfter(r.profile.Name)
 	if rt.Kind != rules.Streaming {
-		return event.Patience{First: dec.Wait + max(late, part(rt.Goal(), callPart))}
+		return event.IdleTimeouts{First: dec.Wait + max(late, part(rt.Goal(), callPart))}
 	}
 	first := part(rt.Goal(), firstPart)
-	if late > first && mech.On(codes.LatePatience) {
+	if late > first && mech.On(codes.LongIdleTimeout) {
 		first = max(late, part(rt.Goal(), lostPart))
 	}
-	return event.Patience{
+	return event.IdleTimeouts{
 		First: dec.Wait + first,
 		Gap:   max(gapFactor*time.Duration(rt.GapMs)*time.Millisecond, gapLeast),
 	}
--- a/internal/core/promise_test.go
+++ b/internal/core/promise_test.go
@@ -167,7 +167,7 @@
 		}
 	}},
 	{"leave", func(rt *rapid.T, w *world) {
-		w.Targets[rapid.IntRange(0, len(w.Targets)-1).Draw(rt, "target")].Leaving = true
+		w.Targets[rapid.IntRange(0, len(w.Targets)-1).Draw(rt, "target")].Draining = true
 	}},
 	{"change", func(_ *rapid.T, w *world) {
 		w.Change(clientItem(rules.Client{Name: "other", KeyDigest: rules.Digest(fmt.Sprint(w.Now))}))
@@ -244,7 +244,7 @@
 		w.send("uvs-0", "bound", "", "", "", 5*time.Second)
 		w.Run(50 * time.Millisecond)
 	}
-	tg.Leaving = true
+	tg.Draining = true
 	left := w.Now
 	for range 100 {
 		w.send(hostID("uvs", w.n%2), "bound", "", "", "", 5*time.Second)
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -137,7 +137,7 @@
 	for _, res := range []event.Result{event.ResultBroken, event.ResultFailed} {
 		p := newPost(t, 4, core.Bounds{RetryRatio: 1, RetryFloor: 100})
 		d := p.send("publish")
-		if !d.Once || d.Patience != (event.Patience{}) {
+		if !d.Once || d.IdleTimeouts != (event.IdleTimeouts{}) {
 			t.Errorf("a call that may run once goes out as %+v", d)
 		}
 		effs := p.end(event.AttemptEnded{Attempt: d.Attempt, Result: res})
@@ -175,8 +175,8 @@
 	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
 	p.now = p.now.Add(retry.Window)
 	d := p.send("draft")
-	if d.Patience.First == 0 || d.Patience.Gap == 0 {
-		t.Errorf("a stream that may be resumed is waited for without bound: %+v", d.Patience)
+	if d.IdleTimeouts.First == 0 || d.IdleTimeouts.Gap == 0 {
+		t.Errorf("a stream that may be resumed is waited for without bound: %+v", d.IdleTimeouts)
 	}
 	effs := p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 4, Generated: 4})
 	again, ok := pick[event.Dispatch](effs)
@@ -395,14 +395,14 @@
 // lost before what is usual by then, or all of them would be made twice.
 func TestPatienceFollowsTheService(t *testing.T) {
 	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
-	before := p.send("draft").Patience.First
+	before := p.send("draft").IdleTimeouts.First
 	for range 20 {
 		d := p.send("draft")
 		p.now = p.now.Add(1500 * time.Millisecond)
 		p.step(event.FirstToken{Attempt: d.Attempt})
 		p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone})
 	}
-	after := p.send("draft").Patience.First
+	after := p.send("draft").IdleTimeouts.First
 	if before > time.Second || after < 1500*time.Millisecond {
 		t.Errorf("an attempt may be silent for %s at first and %s once answers take 1.5 s", before, after)
 	}
@@ -419,7 +419,7 @@
 		p.step(event.FirstToken{Attempt: d.Attempt})
 		p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone})
 	}
-	if got := p.send("draft").Patience.First; got < time.Second {
+	if got := p.send("draft").IdleTimeouts.First; got < time.Second {
 		t.Errorf("an attempt may be silent for %s where answers begin after 0.9 s and the goal has passed by then", got)
 	}
 }
@@ -529,7 +529,7 @@
 	if !ok {
 		t.Fatal("the first prompt is not sent")
 	}
-	holder := event.HeldPart{Part: 1000 + blocks - 1}
+	holder := event.PrefixHolder{Part: 1000 + blocks - 1}
 	for i := range 6 {
 		if id := ident.TargetID(fmt.Sprint("t", i)); id != usual.Target.ID {
 			holder.Target = event.TargetKey(rank.Hash(string(id)))
@@ -537,7 +537,7 @@
 	}
 	second := newPost(t, 6, core.Bounds{})
 	peer := event.Host{ID: "w2", Incarnation: 1, Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}}
-	second.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 1, Held: []event.HeldPart{holder}}})
+	second.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 1, Holders: []event.PrefixHolder{holder}}})
 	d, ok := pick[event.Dispatch](second.step(event.RequestArrived{Request: prompt("b", second)}))
 	if !ok {
 		t.Fatal("the second prompt is not sent")
@@ -545,12 +545,12 @@
 	if event.TargetKey(rank.Hash(string(d.Target.ID))) != holder.Target && d.CopyFrom.Target == "" {
 		t.Errorf("the beginning is read again at %s, though a peer has told who holds it", d.Target.ID)
 	}
-	var told []event.HeldPart
+	var told []event.PrefixHolder
 	for range 3 {
 		second.now = second.now.Add(time.Second)
 		for _, eff := range second.step(event.Tick{}) {
 			if s, ok := eff.(event.SendDigest); ok {
-				told = append(told, s.Digest.Held...)
+				told = append(told, s.Digest.Holders...)
 			}
 		}
 	}
--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -25,7 +25,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-const patience = 20 * time.Second
+const waitLimit = 20 * time.Second
 
 // relay is a reducer that passes each request of a caller on to its one peer
 // and gives each of a peer to its one engine.
@@ -63,7 +63,7 @@
 	r.number++
 	a := ident.Attempt{Entry: r.self.ID, Incarnation: r.self.Incarnation, Number: r.number}
 	r.attempts[a] = req.ID
-	deadline := now.Add(patience)
+	deadline := now.Add(waitLimit)
 	if _, passed := req.Envelope.Get(); passed {
 		return event.Dispatch{Request: req.ID, Serve: rules.Serve{Model: "draft"}, Attempt: a, Target: r.engine, Deadline: deadline}
 	}
@@ -138,10 +138,10 @@
 
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitLimit)
 	for !ok() {
 		if time.Now().After(deadline) {
-			t.Fatalf("not within %v: %s", patience, what)
+			t.Fatalf("not within %v: %s", waitLimit, what)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/dev/bench/config.go
+++ b/internal/dev/bench/config.go
@@ -85,13 +85,13 @@
 
 // Times of waiting for a process.
 const (
-	patience = 20 * time.Second
-	lookStep = 50 * time.Millisecond
+	waitLimit = 20 * time.Second
+	lookStep  = 50 * time.Millisecond
 )
 
 // await waits until a URL answers well.
 func (f *fleet) await(ctx context.Context, url string) error {
-	end := f.clock.Now().Add(patience)
+	end := f.clock.Now().Add(waitLimit)
 	sub := f.clock.Every(lookStep)
 	defer sub.Close()
 	for f.clock.Now() < end && ctx.Err() == nil {
--- a/internal/dev/drive/outside.go
+++ b/internal/dev/drive/outside.go
@@ -32,9 +32,9 @@
 	Running int
 	Queued  int
 	seq     uint64
-	// Leaving makes it refuse new requests; Dead gives no answer.
-	Leaving bool
-	Dead    bool
+	// Draining makes it refuse new requests; Dead gives no answer.
+	Draining bool
+	Dead     bool
 	// Runs counts the runs of each request of a caller, Last is when the last
 	// new one came.
 	Runs map[ident.RequestID]int
@@ -73,8 +73,8 @@
 	}
 	d.Post(h.ID, 0, event.AttemptSent{Attempt: e.Attempt})
 	t.Last = d.Now
-	if t.Leaving {
-		d.Post(h.ID, callTime, event.AttemptEnded{Attempt: e.Attempt, Result: event.ResultNotRun, Leaving: true})
+	if t.Draining {
+		d.Post(h.ID, callTime, event.AttemptEnded{Attempt: e.Attempt, Result: event.ResultNotRun, Draining: true})
 		return
 	}
 	t.Runs[origin(e.Request)]++
@@ -107,7 +107,7 @@
 	ld := event.Load{
 		Target: t.ID, Incarnation: t.Incarnation, Seq: t.seq, Slots: t.Slots,
 		Running: min(t.Running, t.Slots), Queued: max(t.Running-t.Slots, 0),
-		PrefillRate: 20000, DecodeRate: 100, Serves: t.Serves, Leaving: t.Leaving,
+		PrefillRate: 20000, DecodeRate: 100, Serves: t.Serves, Draining: t.Draining,
 	}
 	d.Post(h.ID, callTime, event.LoadReported{Load: ld})
 }
--- a/internal/dev/engine/engine.go
+++ b/internal/dev/engine/engine.go
@@ -222,7 +222,7 @@
 		}
 	}
 	ld := e.load
-	ld.Leaving = e.leaving && !e.hidden
+	ld.Draining = e.leaving && !e.hidden
 	ld.Age = now.Sub(e.loadAt)
 	return ld
 }
--- a/internal/dev/plain/plain.go
+++ b/internal/dev/plain/plain.go
@@ -206,7 +206,7 @@
 	s.seq++
 	ld := event.Load{
 		Target: s.cfg.ID, Incarnation: s.cfg.Incarnation, Seq: s.seq,
-		Slots: s.cfg.Slots, Running: s.running, Leaving: s.leaving,
+		Slots: s.cfg.Slots, Running: s.running, Draining: s.leaving,
 	}
 	s.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(ld)
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -29,8 +29,8 @@
 	// this one then copies and need not read; empty for none.
 	CopyFrom Holder `json:"copyFrom"`
 	// Basis is what the choice was made by.
-	Basis    Basis    `json:"basis"`
-	Patience Patience `json:"patience"`
+	Basis        Basis        `json:"basis"`
+	IdleTimeouts IdleTimeouts `json:"idleTimeouts"`
 }
 
 // Holder is a target that holds something in its memory.
@@ -39,9 +39,9 @@
 	URL    string         `json:"url,omitempty"`
 }
 
-// Patience is how long an attempt may say nothing before it is broken off, so
+// IdleTimeouts is how long an attempt may say nothing before it is broken off, so
 // that another can be made. Zero is until its deadline.
-type Patience struct {
+type IdleTimeouts struct {
 	// First bounds the time to the first byte, Gap the time between two pieces
 	// of a stream.
 	First time.Duration `json:"first,omitempty"`
@@ -95,9 +95,9 @@
 	Once     bool            `json:"once,omitempty"`
 	Keep     bool            `json:"keep,omitempty"`
 	// Service is the service that was picked for a request of a route.
-	Service  string   `json:"service,omitempty"`
-	Basis    Basis    `json:"basis"`
-	Patience Patience `json:"patience"`
+	Service      string       `json:"service,omitempty"`
+	Basis        Basis        `json:"basis"`
+	IdleTimeouts IdleTimeouts `json:"idleTimeouts"`
 }
 
 // Refuse gives a request its final answer, for a request of which nothing has
@@ -220,7 +220,7 @@
 // PaceReads says how often this host reads the platform's store: all the time, or
 // now and then while others of its data centre do.
 type PaceReads struct {
-	Often bool `json:"often"`
+	Active bool `json:"active"`
 }
 
 // ReadSnapshot reads the newest snapshot of the configuration.
@@ -293,12 +293,12 @@
 
 // TargetStatus is one target as this host knows it.
 type TargetStatus struct {
-	Target  Target        `json:"target"`
-	Load    Load          `json:"load"`
-	LoadAge time.Duration `json:"loadAge"`
-	Sent    int           `json:"sent"`
-	Suspect bool          `json:"suspect"`
-	Leaving bool          `json:"leaving"`
+	Target   Target        `json:"target"`
+	Load     Load          `json:"load"`
+	LoadAge  time.Duration `json:"loadAge"`
+	Sent     int           `json:"sent"`
+	Suspect  bool          `json:"suspect"`
+	Draining bool          `json:"draining"`
 }
 
 // CentreStatus is one data centre as this host knows it.
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -35,7 +35,7 @@
 	CallerURL string `json:"callerURL"`
 	// PeerAddr is the address for other entry hosts, as host:port.
 	PeerAddr string `json:"peerAddr"`
-	Leaving  bool   `json:"leaving,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
 }
 
 // TargetKind tells model engines from plain services.
@@ -56,8 +56,8 @@
 	// URL is the base URL of the target.
 	URL string `json:"url"`
 	// Service names the plain service, for targets of that kind.
-	Service string `json:"service,omitempty"`
-	Leaving bool   `json:"leaving,omitempty"`
+	Service  string `json:"service,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
 	// Price is the cost of one second of one slot, in cost units.
 	Price float64 `json:"price,omitempty"`
 	// Capacity is how many requests it runs at once, zero where only its load
@@ -94,7 +94,7 @@
 	PrefillRate float64       `json:"prefillRate"`
 	DecodeRate  float64       `json:"decodeRate"`
 	Serves      []rules.Serve `json:"serves,omitempty"`
-	Leaving     bool          `json:"leaving,omitempty"`
+	Draining    bool          `json:"draining,omitempty"`
 	// Kept says that Slots, the rates and Serves are left out: the receiver
 	// keeps those that it holds of this incarnation.
 	Kept bool `json:"kept,omitempty"`
@@ -124,8 +124,8 @@
 	Tokens   ident.PerMinute `json:"tokens"`
 }
 
-// LeavingTarget passes on the word that a target leaves.
-type LeavingTarget struct {
+// DrainNotice passes on the word that a target leaves.
+type DrainNotice struct {
 	Target      ident.TargetID    `json:"target"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 }
@@ -147,10 +147,10 @@
 	Loads    []Load         `json:"loads,omitempty"`
 	// Accounts is the demand at the sender. It replaces what the sender told
 	// before, and is left out of most digests where there are many accounts;
-	// AccountsTold tells an empty list from one that is left out.
-	Accounts     []AccountUse    `json:"accounts,omitempty"`
-	AccountsTold bool            `json:"accountsTold,omitempty"`
-	Leaving      []LeavingTarget `json:"leaving,omitempty"`
+	// AccountsIncluded tells an empty list from one that is left out.
+	Accounts         []AccountUse  `json:"accounts,omitempty"`
+	AccountsIncluded bool          `json:"accountsIncluded,omitempty"`
+	Draining         []DrainNotice `json:"draining,omitempty"`
 	// Summaries are those of other data centres that the sender has received
 	// since its last digest, so that one speaker serves its data centre.
 	Summaries []Summary `json:"summaries,omitempty"`
@@ -170,7 +170,7 @@
 	// Flows is the work that the sender's callers bring for engines.
 	Flows []Flow `json:"flows,omitempty"`
 	// Held is what the sender has brought to targets since its last digest.
-	Held []HeldPart `json:"held,omitempty"`
+	Holders []PrefixHolder `json:"holders,omitempty"`
 	// Wants names what the sender's callers ask for and no target of the data
 	// centre serves, so that the host that speaks for it asks the others.
 	Wants []Want `json:"wants,omitempty"`
@@ -182,9 +182,9 @@
 	Blind bool `json:"blind,omitempty"`
 }
 
-// HeldPart says that a target was brought a prompt with a long beginning that others
+// PrefixHolder says that a target was brought a prompt with a long beginning that others
 // share, and now probably holds it.
-type HeldPart struct {
+type PrefixHolder struct {
 	Target TargetKey `json:"target"`
 	// Part names the last block of the beginning.
 	Part uint64 `json:"part"`
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -25,7 +25,7 @@
 		RequestArrived{}, AttemptSent{}, FirstToken{}, StreamPaced{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
-		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryTold{}, LoadFailed{}, CacheChanged{},
+		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryReported{}, LoadFailed{}, CacheChanged{},
 		HostsRead{}, PlatformFailed{}, WatchIdle{}, ReadProgress{},
 	)
 	effectTypes = namesOf[Effect](
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -148,8 +148,8 @@
 	Generated ident.Tokens `json:"generated,omitempty"`
 	// Cached counts prompt tokens that the engine found in its cache.
 	Cached ident.Tokens `json:"cached,omitempty"`
-	// Leaving says that the target refused because it leaves.
-	Leaving bool `json:"leaving,omitempty"`
+	// Draining says that the target refused because it leaves.
+	Draining bool `json:"draining,omitempty"`
 	// Resumable says that a new attempt may go on after the tokens delivered.
 	Resumable bool `json:"resumable,omitempty"`
 	// Kept says that the outcome was kept for repeats by the traffic side.
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -95,8 +95,8 @@
 	ColdFor time.Duration `json:"coldFor,omitempty"`
 }
 
-// MemoryTold brings the memory of an engine, in tokens.
-type MemoryTold struct {
+// MemoryReported brings the memory of an engine, in tokens.
+type MemoryReported struct {
 	Target      ident.TargetID    `json:"target"`
 	Incarnation ident.Incarnation `json:"incarnation"`
 	Tokens      ident.Tokens      `json:"tokens"`
@@ -168,7 +168,7 @@
 func (LoadReported) isEvent()     {}
 func (LoadSeen) isEvent()         {}
 func (ProbeAnswered) isEvent()    {}
-func (MemoryTold) isEvent()       {}
+func (MemoryReported) isEvent()   {}
 func (LoadFailed) isEvent()       {}
 func (CacheChanged) isEvent()     {}
 func (HostsRead) isEvent()        {}
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -44,7 +44,7 @@
 }
 
 func (s *callerSink) data(b []byte, _ ident.Tokens) error {
-	s.patience()
+	s.extendWriteDeadline()
 	if _, err := s.w.Write(b); err != nil {
 		return err
 	}
@@ -58,7 +58,7 @@
 // patience bounds the time that a write may wait. A caller that stops reading
 // without closing its connection would otherwise hold its slot at the target
 // for ever.
-func (s *callerSink) patience() {
+func (s *callerSink) extendWriteDeadline() {
 	if s.cfg.WriteTime > 0 {
 		_ = s.rc.SetWriteDeadline(time.Now().Add(s.cfg.WriteTime))
 	}
@@ -69,7 +69,7 @@
 	if !s.stream {
 		return
 	}
-	s.patience()
+	s.extendWriteDeadline()
 	if s.engine {
 		_, _ = s.w.Write([]byte("data: [DONE]\n\n"))
 	}
@@ -88,7 +88,7 @@
 	s.code = r.Code
 	s.cfg.Meter.Refused(r.Code)
 	if s.stream {
-		s.patience()
+		s.extendWriteDeadline()
 		b, _ := json.Marshal(errorBody(&r))
 		_, _ = s.w.Write([]byte("event: error\ndata: " + string(b) + "\n\n"))
 		_ = s.rc.Flush()
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -14,7 +14,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-const patience = 20 * time.Second
+const waitLimit = 20 * time.Second
 
 func start(t *testing.T, step func(now ident.Time, ev event.Event) []event.Effect) *Loop {
 	t.Helper()
@@ -50,7 +50,7 @@
 		if diff := cmp.Diff(event.Effect(event.Finish{Request: "other"}), eff); diff != "" {
 			t.Errorf("effect (-want +got):\n%s", diff)
 		}
-	case <-time.After(patience):
+	case <-time.After(waitLimit):
 		t.Fatal("the loop waits for a mailbox that nobody reads")
 	}
 }
@@ -77,7 +77,7 @@
 	}
 	select {
 	case <-done:
-	case <-time.After(patience):
+	case <-time.After(waitLimit):
 		t.Fatal("events were lost")
 	}
 	if diff := cmp.Diff(want, seen); diff != "" {
--- a/internal/mech/mech.go
+++ b/internal/mech/mech.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	if mech.On(codes.CopiedBeginnings) {
+//	if mech.On(codes.PrefixTransfer) {
 //
 // In production builds all are, and the question costs nothing: it is a constant to the
 // compiler. A mechanism stays only as long as a measurement shows what it is worth, and for
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -69,7 +69,7 @@
 	// away is when the data centre last turned a request away for want of room, by
 	// service.
 	away  map[string]ident.Time
-	told  lastSent
+	sent  lastSent
 	tries uint64
 	// vain counts the summaries in a row that went out again because the data
 	// centre has not told that it has the highest revision.
@@ -203,7 +203,7 @@
 	}
 	if direct && (!slices.Equal(asked, c.asks()) || offers != c.offers()) {
 		// The peers act on it too, and one of them may speak.
-		tb.beat.words = true
+		tb.beat.urgent = true
 	}
 }
 
@@ -318,7 +318,7 @@
 	for _, h := range hs {
 		if n := len(out); n > 0 && out[n-1].ID == h.ID {
 			same := out[n-1].Incarnation == h.Incarnation
-			out[n-1].Leaving = out[n-1].Leaving || same && h.Leaving
+			out[n-1].Draining = out[n-1].Draining || same && h.Draining
 			continue
 		}
 		out = append(out, h)
@@ -333,7 +333,7 @@
 func (c *Centre) HostFor(key uint64) (event.Host, bool) {
 	best, found := -1, uint64(0)
 	for i, h := range c.Summary.Hosts {
-		if h.Leaving {
+		if h.Draining {
 			continue
 		}
 		if s := rank.Join(key, rank.Hash(string(h.ID))); best < 0 || s > found {
--- a/internal/member/cold.go
+++ b/internal/member/cold.go
@@ -69,7 +69,7 @@
 	tb.answer(t)
 	if t.coldGuess {
 		t.coldUntil, t.coldGuess = now.Add(e.ColdFor), false
-		tb.note(t, map[bool]string{true: "target is cold by its own word", false: "target is warm by its own word"}[e.ColdFor > 0])
+		tb.note(t, map[bool]string{true: "target reports that it is cold", false: "target reports that it is warm"}[e.ColdFor > 0])
 	}
 }
 
@@ -160,7 +160,7 @@
 	best := tb.self.ID
 	score := rank.Hash("cold", string(id), string(best))
 	for _, p := range tb.peers {
-		if !p.live(now) || p.host.Leaving {
+		if !p.live(now) || p.host.Draining {
 			continue
 		}
 		if s := rank.Hash("cold", string(id), string(p.host.ID)); s > score {
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -14,8 +14,8 @@
 	tb.Advance(now)
 	// A leaving word is as true in a late digest as in a new one, and must
 	// come first: a target that leaves must not be usable in between.
-	for _, w := range d.Leaving {
-		tb.hearLeaving(now, w.Target, w.Incarnation)
+	for _, w := range d.Draining {
+		tb.observeDraining(now, w.Target, w.Incarnation)
 	}
 	tb.takeBeat(now, d)
 	tb.removalsObserved(now, d.Removed)
@@ -39,7 +39,7 @@
 	p.blind = d.Blind
 	p.away = slices.Clone(d.Away)
 	p.flows = slices.Clone(d.Flows)
-	tb.hear(now, p)
+	tb.observe(now, p)
 	tb.takeList(now, d)
 	tb.takeUse(p, d.Use)
 	tb.supply(d.Lacks)
@@ -102,7 +102,7 @@
 	tb.beat.seq++
 	d := event.Digest{
 		Host: tb.self, Seq: tb.beat.seq, Revision: tb.own.Revision, Blind: tb.blind,
-		Accounts: tb.own.Accounts, AccountsTold: tb.own.AccountsTold, Leaving: tb.leavingWords(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
+		Accounts: tb.own.Accounts, AccountsIncluded: tb.own.AccountsIncluded, Draining: tb.drainNotices(now, false), Away: slices.Clone(tb.away), Wants: tb.wants(now),
 		Flows: tb.ownFlows(now), Removed: tb.recentRemovals(now),
 	}
 	for _, t := range tb.targets {
@@ -125,10 +125,10 @@
 // goes to new peers and holds all that this host knows.
 func (tb *Table) beats(now ident.Time, regular bool) []event.Effect {
 	var effs []event.Effect
-	if regular || tb.beat.words {
+	if regular || tb.beat.urgent {
 		effs = tb.usualBeat(now, regular)
 	}
-	tb.beat.words = false
+	tb.beat.urgent = false
 	if tb.beat.peers {
 		effs = append(effs, tb.fullBeat(now)...)
 	}
@@ -142,7 +142,7 @@
 		to = append(to, tb.probes(now)...)
 	}
 	d := tb.digest(now)
-	d.Held = tb.takeHeld()
+	d.Holders = tb.nextHolders()
 	if regular {
 		d.Loads = tb.newLoads(now)
 		d.Summaries = tb.newSummaries(now)
@@ -206,7 +206,7 @@
 			continue
 		}
 		d := t.Target
-		d.Leaving = t.Leaves
+		d.Draining = t.Drains
 		ts = append(ts, d)
 	}
 	return ts
@@ -226,7 +226,7 @@
 		return nil
 	}
 	d := tb.digest(now)
-	d.Leaving = tb.leavingWords(now, true)
+	d.Draining = tb.drainNotices(now, true)
 	tb.fillList(now, &d)
 	for _, t := range tb.targets {
 		if t.HasLoad {
--- a/internal/member/gone.go
+++ b/internal/member/gone.go
@@ -69,8 +69,8 @@
 	named := value.SetOf[ident.TargetID]()
 	for _, d := range ev.Targets {
 		named.Add(d.ID)
-		if d.Leaving && tb.hearLeaving(now, d.ID, d.Incarnation) {
-			tb.beat.words = true
+		if d.Draining && tb.observeDraining(now, d.ID, d.Incarnation) {
+			tb.beat.urgent = true
 		}
 	}
 	if !ev.Complete {
@@ -110,7 +110,7 @@
 	}
 	var rs []event.RemovedTarget
 	for _, t := range tb.targets {
-		if t.Gone && !t.Leaves && now.Sub(t.goneAt) <= noticeRepeats {
+		if t.Gone && !t.Drains && now.Sub(t.goneAt) <= noticeRepeat {
 			rs = append(rs, event.RemovedTarget{Target: t.ID, Version: t.removedAt})
 		}
 	}
@@ -145,7 +145,7 @@
 		}
 		if gone {
 			tb.remove(now, t, t.removedAt)
-			tb.beat.words = tb.beat.words || !t.Leaves && tb.steady(now)
+			tb.beat.urgent = tb.beat.urgent || !t.Drains && tb.steady(now)
 			continue
 		}
 		t.Gone = false
@@ -168,5 +168,5 @@
 
 // Usable reports whether work may be sent to a target at all.
 func (t *Target) Usable(now ident.Time) bool {
-	return !t.Leaves && !t.Gone && !t.Closed && !t.Suspect(now)
+	return !t.Drains && !t.Gone && !t.Closed && !t.Suspect(now)
 }
--- a/internal/member/held.go
+++ b/internal/member/holders.go
@@ -7,10 +7,10 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// heldMost bounds the beginnings that one digest tells of, some 12 bytes each. A host of
+// maxHolders bounds the beginnings that one digest tells of, some 12 bytes each. A host of
 // 61 brings three long ones a second and seven at its region's peak (worked out from what
 // callers ask); of what is left out peers know as much as without these words.
-const heldMost = 32
+const maxHolders = 32
 
 // Holds takes note that a target was brought a long shared beginning, by the block that
 // ends it. Peers are told with the next digest.
@@ -24,23 +24,23 @@
 // minute with failures).
 func (tb *Table) Holds(id ident.TargetID, part uint64) {
 	t, ok := tb.byID[id]
-	if !ok || len(tb.beat.held) >= heldMost {
+	if !ok || len(tb.beat.holders) >= maxHolders {
 		return
 	}
 	key := keyOf(id)
 	if tb.byKey[key] != t {
 		return // Another target goes by the same key.
 	}
-	h := event.HeldPart{Target: key, Part: part}
-	if !slices.Contains(tb.beat.held, h) {
-		tb.beat.held = append(tb.beat.held, h)
+	h := event.PrefixHolder{Target: key, Part: part}
+	if !slices.Contains(tb.beat.holders, h) {
+		tb.beat.holders = append(tb.beat.holders, h)
 	}
 }
 
-// takeHeld returns what peers are to be told, once.
-func (tb *Table) takeHeld() []event.HeldPart {
-	hs := tb.beat.held
-	tb.beat.held = nil
+// nextHolders returns what peers are to be told, once.
+func (tb *Table) nextHolders() []event.PrefixHolder {
+	hs := tb.beat.holders
+	tb.beat.holders = nil
 	return hs
 }
 
--- a/internal/member/kept_fail_test.go
+++ b/internal/member/kept_fail_test.go
@@ -146,7 +146,7 @@
 	if !full(other) {
 		t.Error("a receiver whose link tells of a restart is not told all")
 	}
-	tb.forgetTold()
+	tb.forgetSent()
 	if !full(other) {
 		t.Error("after a loss of the duty the receiver is not told all")
 	}
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -50,7 +50,7 @@
 	tb.list.read = true
 	tb.useVersion(now, ev.Version)
 	tb.list.urgent = tb.list.urgent || tb.evacuationChanges(ev.Targets)
-	tb.beat.words = tb.beat.words || tb.list.urgent
+	tb.beat.urgent = tb.beat.urgent || tb.list.urgent
 	tb.listTargets(now, ev.Targets)
 	tb.listHosts(now, ev.Hosts)
 	if ev.Complete {
@@ -134,8 +134,8 @@
 		return old
 	}
 	p := tb.putPeer(now, h)
-	if p != nil && p.heard == 0 {
-		p.heard = now
+	if p != nil && p.lastSeen == 0 {
+		p.lastSeen = now
 	}
 	return p
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -66,9 +66,9 @@
 	// Accounts is the demand at this host, for peers; CentreAccounts that of
 	// the whole data centre, for other data centres.
 	Accounts []event.AccountUse
-	// AccountsTold says that Accounts is to be told now; it is left out
+	// AccountsIncluded says that Accounts is to be told now; it is left out
 	// otherwise.
-	AccountsTold bool
+	AccountsIncluded bool
 	// CentreAccounts returns the demand of the data centre for a summary. It
 	// is asked once for each round of summaries, since what it returns counts
 	// as told. Nil stands for none.
@@ -104,11 +104,11 @@
 	woke   ident.Time
 	paused time.Duration
 
-	peers   []*peer
-	targets []*Target
-	byID    map[ident.TargetID]*Target
-	byKey   map[event.TargetKey]*Target
-	left    map[ident.TargetID]leftWord
+	peers    []*peer
+	targets  []*Target
+	byID     map[ident.TargetID]*Target
+	byKey    map[event.TargetKey]*Target
+	draining map[ident.TargetID]drainNotice
 	// restarted holds the targets that have started anew since they were last asked for.
 	restarted []ident.TargetID
 	// probe holds the targets that are to be asked whether they are cold.
@@ -174,24 +174,24 @@
 	// words says that a leaving word waits that goes out at once, peers that a
 	// new peer waits for all that is known, asks that another data centre has
 	// changed what it asks for.
-	words bool
-	peers bool
-	asks  bool
+	urgent bool
+	peers  bool
+	asks   bool
 	// held is what peers are told of next.
-	held []event.HeldPart
+	holders []event.PrefixHolder
 }
 
 // New returns an empty table.
 func New(self event.Host) *Table {
 	return &Table{
-		self:  self,
-		byID:  make(map[ident.TargetID]*Target),
-		byKey: make(map[event.TargetKey]*Target),
-		left:  make(map[ident.TargetID]leftWord),
-		slow:  slowEvery,
-		rates: make(map[string]float64),
-		runs:  make(map[string]time.Duration),
-		paces: make(map[string]pace),
+		self:     self,
+		byID:     make(map[ident.TargetID]*Target),
+		byKey:    make(map[event.TargetKey]*Target),
+		draining: make(map[ident.TargetID]drainNotice),
+		slow:     slowEvery,
+		rates:    make(map[string]float64),
+		runs:     make(map[string]time.Duration),
+		paces:    make(map[string]pace),
 
 		misses: make(map[string]float64),
 	}
@@ -205,14 +205,14 @@
 // Self returns this host.
 func (tb *Table) Self() event.Host { return tb.self }
 
-// SetLeaving says that this host drains. Peers and other data centres are told
+// SetDraining says that this host drains. Peers and other data centres are told
 // at the next Tick, which is due at once.
-func (tb *Table) SetLeaving() {
-	if tb.self.Leaving {
+func (tb *Table) SetDraining() {
+	if tb.self.Draining {
 		return
 	}
-	tb.self.Leaving = true
-	tb.beat.words = true
+	tb.self.Draining = true
+	tb.beat.urgent = true
 	tb.beat.asks = true
 }
 
@@ -225,7 +225,7 @@
 func (tb *Table) SetBlind(blind bool) {
 	if tb.blind != blind {
 		tb.blind = blind
-		tb.beat.words = true
+		tb.beat.urgent = true
 	}
 }
 
@@ -252,10 +252,10 @@
 	}
 	tb.woke, tb.paused = now, gap
 	for _, p := range tb.peers {
-		p.heard = p.heard.Add(gap)
+		p.lastSeen = p.lastSeen.Add(gap)
 	}
 	for _, t := range tb.targets {
-		t.heard = t.heard.Add(gap)
+		t.lastSeen = t.lastSeen.Add(gap)
 	}
 }
 
--- a/internal/member/member_fail_test.go
+++ b/internal/member/member_fail_test.go
@@ -105,7 +105,7 @@
 func TestDutiesPassOnFromASilentHost(t *testing.T) {
 	w := newWorld(4, 2, 3, 1)
 	w.run(5*time.Second, nil)
-	for _, old := range []ident.EntryID{w.nodes[0].tb.watcher(w.now), w.nodes[0].tb.speaker(w.now)} {
+	for _, old := range []ident.EntryID{w.nodes[0].tb.watcher(w.now), w.nodes[0].tb.representative(w.now)} {
 		w.node(old).cut = true
 	}
 	w.run(4*time.Second, nil)
@@ -126,14 +126,14 @@
 func TestLeavingIsToldAtOnceAndSticks(t *testing.T) {
 	w := newWorld(5, 1, 3, 2)
 	w.run(5050*time.Millisecond, nil)
-	w.nodes[0].tb.MarkLeaving(w.now, "dc0-t0", 1)
+	w.nodes[0].tb.MarkDraining(w.now, "dc0-t0", 1)
 	w.run(100*time.Millisecond, nil)
 	for _, n := range w.nodes {
 		n.tb.HostsRead(w.now, w.list)
-		if x, _ := n.tb.Target("dc0-t0"); !x.Leaves {
+		if x, _ := n.tb.Target("dc0-t0"); !x.Drains {
 			t.Errorf("%s does not know", n.id)
 		}
-		if x, _ := n.tb.Target("dc0-t1"); x.Leaves {
+		if x, _ := n.tb.Target("dc0-t1"); x.Drains {
 			t.Errorf("%s takes the wrong target for leaving", n.id)
 		}
 	}
@@ -141,7 +141,7 @@
 	w.list.Targets[0].Incarnation = 2
 	w.engine("dc0-t0").Incarnation = 2
 	w.run(3*time.Second, nil)
-	if x, _ := w.nodes[2].tb.Target("dc0-t0"); x.Leaves || x.Incarnation != 2 {
+	if x, _ := w.nodes[2].tb.Target("dc0-t0"); x.Drains || x.Incarnation != 2 {
 		t.Errorf("the next incarnation is taken for %+v", x.Target)
 	}
 }
@@ -153,7 +153,7 @@
 	w := newWorld(6, 2, 2, 1)
 	w.run(10*time.Second, nil)
 	n := w.nodes[0]
-	n.tb.SetLeaving()
+	n.tb.SetDraining()
 	all := func(event.Place) bool { return true }
 	w.run(100*time.Millisecond, nil)
 	if hs := w.nodes[1].tb.Entries(w.now, all, 1); hs[0].ID != w.nodes[1].id {
--- a/internal/member/memory.go
+++ b/internal/member/memory.go
@@ -36,8 +36,8 @@
 	return effs
 }
 
-// MemoryTold takes the memory of an engine.
-func (tb *Table) MemoryTold(e event.MemoryTold) {
+// MemoryReported takes the memory of an engine.
+func (tb *Table) MemoryReported(e event.MemoryReported) {
 	if t, ok := tb.current(e.Target, e.Incarnation); ok {
 		t.Memory = e.Tokens
 	}
--- a/internal/member/near.go
+++ b/internal/member/near.go
@@ -65,7 +65,7 @@
 		}
 	}
 	for _, h := range hosts {
-		if h.Leaving {
+		if h.Draining {
 			draining = append(draining, h)
 			continue
 		}
--- a/internal/member/near_test.go
+++ b/internal/member/near_test.go
@@ -107,7 +107,7 @@
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
 	leaving := reachHost("e1", "east-a", "east")
-	leaving.Leaving = true
+	leaving.Draining = true
 	tb.SummaryReceived(at, event.Summary{
 		From: "e1", Place: reachPlace("east-a", "east"), Incarnation: 1, Seq: 2, Hosts: []event.Host{leaving}, HostsHash: 8,
 	})
--- a/internal/member/note.go
+++ b/internal/member/note.go
@@ -25,7 +25,7 @@
 	}
 	silent := "-1"
 	if t.met {
-		silent = strconv.FormatInt(tb.last.Sub(t.heard).Milliseconds(), 10)
+		silent = strconv.FormatInt(tb.last.Sub(t.lastSeen).Milliseconds(), 10)
 	}
 	tb.notes = append(tb.notes, event.Note{Text: text, Fields: []event.NotePair{
 		{Key: "target", Value: string(t.ID)},
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -259,7 +259,7 @@
 	mine := rank.Hash("offer", string(dc), string(tb.self.ID))
 	hosts, before := 1, 0
 	for _, p := range tb.peers {
-		if !p.live(now) || p.host.Leaving {
+		if !p.live(now) || p.host.Draining {
 			continue
 		}
 		hosts++
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -14,8 +14,8 @@
 type peer struct {
 	host event.Host
 	// heard is when the host was last heard of, met whether it ever was.
-	heard ident.Time
-	met   bool
+	lastSeen ident.Time
+	met      bool
 	// down says that the link to it broke and has not come back.
 	down   bool
 	listed bool
@@ -38,12 +38,12 @@
 		return false
 	}
 	if p.down {
-		return now.Sub(p.heard) <= brokenAfter
+		return now.Sub(p.lastSeen) <= brokenAfter
 	}
-	return now.Sub(p.heard) <= suspectAfter
+	return now.Sub(p.lastSeen) <= suspectAfter
 }
 
-func (p *peer) dead(now ident.Time) bool { return !p.met || now.Sub(p.heard) > deadAfter }
+func (p *peer) dead(now ident.Time) bool { return !p.met || now.Sub(p.lastSeen) > deadAfter }
 
 func (tb *Table) peer(id ident.EntryID) (*peer, bool) {
 	i, ok := tb.peerIndex(id)
@@ -74,7 +74,7 @@
 	if h.Incarnation == p.host.Incarnation {
 		// The earliest word of leaving wins; a later description that lacks it
 		// was made before.
-		h.Leaving = h.Leaving || p.host.Leaving
+		h.Draining = h.Draining || p.host.Draining
 		p.host = h
 		return p
 	}
@@ -87,14 +87,14 @@
 }
 
 // hear takes note that a host spoke.
-func (tb *Table) hear(now ident.Time, p *peer) {
+func (tb *Table) observe(now ident.Time, p *peer) {
 	if !p.live(now) {
 		// It may have restarted, or missed what was sent meanwhile.
 		p.fresh = true
 	}
 	p.met = true
 	p.down = false
-	p.heard = max(p.heard, now)
+	p.lastSeen = max(p.lastSeen, now)
 	if p.fresh {
 		tb.beat.peers = true
 	}
@@ -107,14 +107,14 @@
 	if h.Place.Group() != tb.self.Place.Group() {
 		c := tb.centre(h.Place)
 		c.putHost(h)
-		if c.told.to == h.ID && c.told.incarnation != h.Incarnation {
+		if c.sent.to == h.ID && c.sent.incarnation != h.Incarnation {
 			// It has restarted and holds nothing of what was told.
-			c.told = lastSent{}
+			c.sent = lastSent{}
 		}
 		return
 	}
 	if p := tb.putPeer(now, h); p != nil {
-		tb.hear(now, p)
+		tb.observe(now, p)
 	}
 }
 
@@ -139,7 +139,7 @@
 
 // Relieved reports whether a live host of the own data centre is there to stay.
 func (tb *Table) Relieved(now ident.Time) bool {
-	return slices.ContainsFunc(tb.peers, func(p *peer) bool { return p.live(now) && !p.host.Leaving })
+	return slices.ContainsFunc(tb.peers, func(p *peer) bool { return p.live(now) && !p.host.Draining })
 }
 
 // Watches reports whether this host watches the platform for its data centre.
@@ -164,7 +164,7 @@
 	mine := dutyScore("watch", tb.self, tb.blind)
 	before := 0
 	for _, p := range tb.peers {
-		if !p.met || p.down || now.Sub(p.heard) > readFresh {
+		if !p.met || p.down || now.Sub(p.lastSeen) > readFresh {
 			continue
 		}
 		if dutyScore("watch", p.host, p.blind) > mine {
@@ -174,14 +174,14 @@
 	return before < readers
 }
 
-// Speaks reports whether this host speaks for its data centre to the others.
-func (tb *Table) Speaks(now ident.Time) bool { return tb.speaker(now) == tb.self.ID }
+// Represents reports whether this host speaks for its data centre to the others.
+func (tb *Table) Represents(now ident.Time) bool { return tb.representative(now) == tb.self.ID }
 
 func (tb *Table) watcher(now ident.Time) ident.EntryID {
 	return tb.first(now, "watch", true)
 }
 
-func (tb *Table) speaker(now ident.Time) ident.EntryID {
+func (tb *Table) representative(now ident.Time) ident.EntryID {
 	return tb.first(now, "speak", false)
 }
 
@@ -207,7 +207,7 @@
 
 func dutyScore(duty string, h event.Host, blind bool) uint64 {
 	s := rank.Hash(duty, string(h.ID)) >> dutyBits
-	if !h.Leaving {
+	if !h.Draining {
 		s |= 1 << (64 - 1)
 	}
 	if !blind {
@@ -226,6 +226,6 @@
 		}
 	}
 	tb.peers = slices.DeleteFunc(tb.peers, func(p *peer) bool {
-		return !p.listed && now.Sub(p.heard) > dropAfter
+		return !p.listed && now.Sub(p.lastSeen) > dropAfter
 	})
 }
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -74,7 +74,7 @@
 	}
 	if fresh || !p.own || now.Sub(p.ownAt) > wantLife {
 		// Another host may speak for the data centre and has to know at once.
-		tb.beat.words = true
+		tb.beat.urgent = true
 	}
 	p.own, p.ownAt = true, now
 }
@@ -90,7 +90,7 @@
 	tb.crowdedAt = now
 	tb.countPools(now)
 	if slices.ContainsFunc(tb.pools, func(p *pool) bool { return p.Slots > 0 && short(p.Free, p.Slots) }) {
-		tb.beat.asks, tb.beat.words = true, true
+		tb.beat.asks, tb.beat.urgent = true, true
 	}
 }
 
--- a/internal/member/recent.go
+++ b/internal/member/recent.go
@@ -77,8 +77,8 @@
 
 // takeLoad takes a report and tells whether it was news.
 func (tb *Table) takeLoad(now ident.Time, ld event.Load, direct bool) (*Target, bool) {
-	if ld.Leaving && tb.hearLeaving(now, ld.Target, ld.Incarnation) && direct {
-		tb.beat.words = true
+	if ld.Draining && tb.observeDraining(now, ld.Target, ld.Incarnation) && direct {
+		tb.beat.urgent = true
 	}
 	t, ok := tb.byID[ld.Target]
 	if ok {
@@ -90,9 +90,9 @@
 	if ld.Incarnation > t.Incarnation {
 		d := t.Target
 		d.Incarnation = ld.Incarnation
-		d.Leaving = false
+		d.Draining = false
 		tb.restart(now, t, d)
-		tb.settleLeaving(now, t)
+		tb.updateDraining(now, t)
 	}
 	if t.HasLoad && ld.Seq <= t.Load.Seq {
 		return nil, false
@@ -116,7 +116,7 @@
 // it says the same as another, or the requests differ by little. Relays are
 // most of what a host sends, and peers know each other's sends besides.
 func sameLoad(a, b event.Load) bool {
-	if a.Incarnation != b.Incarnation || a.Slots != b.Slots || a.Leaving != b.Leaving {
+	if a.Incarnation != b.Incarnation || a.Slots != b.Slots || a.Draining != b.Draining {
 		return false
 	}
 	if (a.QueuedTokens == 0) != (b.QueuedTokens == 0) || !slices.Equal(a.Serves, b.Serves) {
@@ -137,7 +137,7 @@
 // of leaving goes whole, since it must be understood by a host that does not
 // know the target yet.
 func (tb *Table) shorten(now ident.Time, t *Target, ld event.Load) event.Load {
-	if ld.Leaving {
+	if ld.Draining {
 		return ld
 	}
 	ld.Target, ld.Key = tb.nameOf(t)
--- a/internal/member/sent.go
+++ b/internal/member/sent.go
@@ -112,10 +112,10 @@
 // be of the link between, and only an answer to this host tells that it is
 // whole.
 func (t *Target) hear(now ident.Time) {
-	if t.met && now.Sub(t.heard) > silentAfter {
+	if t.met && now.Sub(t.lastSeen) > silentAfter {
 		t.cold = now
 		t.warm = false
 	}
 	t.met = true
-	t.heard = max(t.heard, now)
+	t.lastSeen = max(t.lastSeen, now)
 }
--- a/internal/member/show.go
+++ b/internal/member/show.go
@@ -72,7 +72,7 @@
 }
 
 func add(cs []candidate, h event.Host, class int, weight float64, spread uint64) []candidate {
-	if h.Leaving {
+	if h.Draining {
 		return cs
 	}
 	score := rank.Score(rank.Join(spread, rank.Hash(string(h.ID))), weight)
@@ -85,7 +85,7 @@
 	own := tb.summary(now)
 	centres := []event.CentreStatus{{
 		Place: own.Place, InForce: own.InForce, Hosts: own.Hosts, Pools: own.Pools,
-		Speaker: tb.speaker(now), Watcher: tb.watcher(now),
+		Speaker: tb.representative(now), Watcher: tb.watcher(now),
 	}}
 	for _, c := range tb.centres {
 		st := event.CentreStatus{
@@ -99,7 +99,7 @@
 	}
 	targets := make([]event.TargetStatus, 0, len(tb.targets))
 	for _, t := range tb.targets {
-		st := event.TargetStatus{Target: t.Target, Load: t.Load, Sent: t.Sent, Suspect: t.Suspect(now), Leaving: t.Leaves}
+		st := event.TargetStatus{Target: t.Target, Load: t.Load, Sent: t.Sent, Suspect: t.Suspect(now), Draining: t.Drains}
 		if t.HasLoad {
 			st.LoadAge = now.Sub(t.LoadAt)
 		}
--- a/internal/member/start.go
+++ b/internal/member/start.go
@@ -12,13 +12,13 @@
 func (tb *Table) putTarget(now ident.Time, d event.Target) {
 	t, ok := tb.byID[d.ID]
 	if !ok {
-		t = &Target{coldUntil: now.Add(d.ColdFor), Target: d, listed: true, cold: now, heard: now, warm: now.Sub(tb.started) <= startGrace}
+		t = &Target{coldUntil: now.Add(d.ColdFor), Target: d, listed: true, cold: now, lastSeen: now, warm: now.Sub(tb.started) <= startGrace}
 		tb.byID[d.ID] = t
 		i, _ := slices.BinarySearchFunc(tb.targets, d.ID, func(t *Target, id ident.TargetID) int { return cmp.Compare(t.ID, id) })
 		tb.targets = slices.Insert(tb.targets, i, t)
 		tb.addKey(t)
 		tb.sumUse(t)
-		tb.settleLeaving(now, t)
+		tb.updateDraining(now, t)
 		return
 	}
 	t.listed = true
@@ -27,19 +27,19 @@
 	switch {
 	case d.Incarnation == t.Incarnation:
 		tb.relist(now, t, d)
-		d.Leaving = d.Leaving || t.Leaving
+		d.Draining = d.Draining || t.Draining
 		t.Target = d
 	case d.Incarnation > t.Incarnation:
 		tb.restart(now, t, d)
-	case now.Sub(t.heard) > deadAfter:
+	case now.Sub(t.lastSeen) > deadAfter:
 		// The clock of the target went back. Its old self is silent past
 		// doubt, and so is the word that the old self leaves.
-		if tb.left[d.ID].incarnation > d.Incarnation {
-			delete(tb.left, d.ID)
+		if tb.draining[d.ID].incarnation > d.Incarnation {
+			delete(tb.draining, d.ID)
 		}
 		tb.restart(now, t, d)
 	}
-	tb.settleLeaving(now, t)
+	tb.updateDraining(now, t)
 }
 
 // learnStart takes the incarnation of a target of which none was known so far.
@@ -52,9 +52,9 @@
 		return
 	}
 	t.Incarnation, t.learnt = inc, true
-	if w, ok := tb.left[t.ID]; ok && w.incarnation == 0 {
+	if w, ok := tb.draining[t.ID]; ok && w.incarnation == 0 {
 		w.incarnation = inc
-		tb.left[t.ID] = w
+		tb.draining[t.ID] = w
 	}
 }
 
@@ -71,7 +71,7 @@
 		p.use = slices.DeleteFunc(p.use, func(u event.TargetUse) bool { return u.Target == t.ID })
 	}
 	*t = Target{
-		Target: d, listed: true, cold: now, heard: now,
+		Target: d, listed: true, cold: now, lastSeen: now,
 		coldUntil: now.Add(d.ColdFor), coldSends: t.coldSends, run: t.run, listedAt: max(t.listedAt, tb.list.version),
 	}
 	tb.restarted = append(tb.restarted, t.ID)
--- a/internal/member/start_test.go
+++ b/internal/member/start_test.go
@@ -47,7 +47,7 @@
 func TestFirstWordOfAnIncarnationKeepsTheTargetLeaving(t *testing.T) {
 	at := ident.Time(time.Second)
 	leaving := unnamedTarget("a")
-	leaving.Leaving = true
+	leaving.Draining = true
 	tb := New(reachHost("w1", "west-a", "west"))
 	tb.HostsRead(at, listOf(1, leaving))
 	tb.LoadReported(at, event.Load{Target: "a", Incarnation: 7, Seq: 1, Slots: 8})
--- a/internal/member/speak.go
+++ b/internal/member/summary.go
@@ -20,9 +20,9 @@
 		return nil
 	}
 	offers := tb.offers(now)
-	if !tb.Speaks(now) {
+	if !tb.Represents(now) {
 		tb.noteOffers(now, offers)
-		tb.forgetTold()
+		tb.forgetSent()
 		return nil
 	}
 	base := tb.summary(now)
@@ -52,11 +52,11 @@
 	return effs
 }
 
-// forgetTold has a host that takes the duty to speak begin with all parts. What
+// forgetSent has a host that takes the duty to speak begin with all parts. What
 // it told when it last had the duty, another may have replaced since.
-func (tb *Table) forgetTold() {
+func (tb *Table) forgetSent() {
 	for _, c := range tb.centres {
-		c.told = lastSent{}
+		c.sent = lastSent{}
 	}
 }
 
@@ -96,7 +96,7 @@
 // their own; the hosts on change and each wholeEvery, which makes good a
 // summary that was lost.
 func (tb *Table) leaveOut(now ident.Time, c *Centre, to event.Host, s *event.Summary, repeat bool) bool {
-	t := &c.told
+	t := &c.sent
 	if t.sent && now.Sub(t.at) < minGap {
 		return false
 	}
@@ -149,7 +149,7 @@
 // cut off from the platform with the next summary but one. So each of these
 // goes to the next host.
 func (c *Centre) repeat(now ident.Time, s event.Summary) bool {
-	t := &c.told
+	t := &c.sent
 	if !t.sent || s.Highest != t.highest || !c.behind(s) {
 		c.vain = 0
 		return false
@@ -185,7 +185,7 @@
 func hashHosts(hosts []event.Host) uint64 {
 	h := uint64(1)
 	for _, x := range hosts {
-		h = rank.Join(h, rank.Hash(string(x.ID), x.CallerURL, x.PeerAddr, strconv.FormatBool(x.Leaving)))
+		h = rank.Join(h, rank.Hash(string(x.ID), x.CallerURL, x.PeerAddr, strconv.FormatBool(x.Draining)))
 		h = rank.Join(h, uint64(x.Incarnation))
 	}
 	return max(h, 1)
--- a/internal/member/speak_test.go
+++ b/internal/member/summary_test.go
@@ -46,7 +46,7 @@
 	var seq uint64
 	return tb, func(at ident.Time, rev ident.Revision) {
 		seq++
-		tb.DigestReceived(at, event.Digest{Host: event.Host{ID: "uvs-0", Incarnation: 1, Place: here, Leaving: true}, Seq: seq, Revision: rev})
+		tb.DigestReceived(at, event.Digest{Host: event.Host{ID: "uvs-0", Incarnation: 1, Place: here, Draining: true}, Seq: seq, Revision: rev})
 	}
 }
 
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -78,9 +78,9 @@
 	// and othersSeen the newest.
 	others     float64
 	othersSeen int
-	// Leaves says that the target leaves, from the first word of it; Gone that
+	// Drains says that the target leaves, from the first word of it; Gone that
 	// a complete list of the platform lacks it.
-	Leaves bool
+	Drains bool
 	Gone   bool
 
 	// learnt says that the incarnation was not known when the target was first seen:
@@ -100,7 +100,7 @@
 	coldSends []ident.Time
 	// coldGuess says that it counts as cold without a word of its own.
 	coldGuess bool
-	heard     ident.Time
+	lastSeen  ident.Time
 	met       bool
 	// cold is when the target was first seen or came back; warm says that it
 	// needs no ramp.
@@ -122,7 +122,7 @@
 	if t.Fails >= failsToSuspect {
 		return true
 	}
-	return t.Capacity == 0 && t.met && now.Sub(t.heard) > silentAfter
+	return t.Capacity == 0 && t.met && now.Sub(t.lastSeen) > silentAfter
 }
 
 // Slots returns how many requests the target runs at once.
@@ -221,7 +221,7 @@
 func (tb *Table) reapTargets(now ident.Time) {
 	before := len(tb.targets)
 	tb.targets = slices.DeleteFunc(tb.targets, func(t *Target) bool {
-		gone := !t.listed && now.Sub(t.heard) > dropAfter && t.Sent == 0 && t.PeerSent == 0
+		gone := !t.listed && now.Sub(t.lastSeen) > dropAfter && t.Sent == 0 && t.PeerSent == 0
 		if gone {
 			delete(tb.byID, t.ID)
 		}
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -17,7 +17,7 @@
 	tb.own = own
 	regular := now >= tb.beat.due
 	if regular || now >= tb.beat.useDue {
-		tb.beat.words = tb.beat.words || !regular && tb.reads()
+		tb.beat.urgent = tb.beat.urgent || !regular && tb.reads()
 		tb.beat.useDue = now.Add(tb.usePace(now))
 	}
 	if !regular && !tb.urgent() && now < tb.list.nextRead {
@@ -45,7 +45,7 @@
 }
 
 func (tb *Table) urgent() bool {
-	return tb.beat.words || tb.beat.peers || tb.beat.asks || len(tb.probe) > 0
+	return tb.beat.urgent || tb.beat.peers || tb.beat.asks || len(tb.probe) > 0
 }
 
 // How often hosts tell each other what they have sent to targets.
@@ -66,7 +66,7 @@
 
 // usePace returns the time between two words of what this host has sent.
 func (tb *Table) usePace(now ident.Time) time.Duration {
-	if !mech.On(codes.ToldSends) {
+	if !mech.On(codes.AnnouncedSends) {
 		return Period
 	}
 	n := len(tb.Peers(now))
@@ -82,7 +82,7 @@
 	tb.reapPeers(now)
 	tb.reapTargets(now)
 	tb.settleGone(now)
-	tb.reapWords(now)
+	tb.expireNotices(now)
 }
 
 // Next returns when Tick is due.
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -58,7 +58,7 @@
 	case 7:
 		if n.frozen <= w.now {
 			n.words[e.ID] = max(n.words[e.ID], e.Incarnation)
-			n.tb.MarkLeaving(w.now, e.ID, e.Incarnation)
+			n.tb.MarkDraining(w.now, e.ID, e.Incarnation)
 		}
 	case 8:
 		for range rapid.IntRange(1, 3).Draw(rt, "sent") {
@@ -97,7 +97,7 @@
 // checkWords: a word that a host was told holds for the incarnation.
 func (w *world) checkWords(rt *rapid.T, n *node) {
 	for _, t := range n.tb.Targets() {
-		if told, ok := n.words[t.ID]; ok && t.Incarnation == told && !t.Leaves {
+		if told, ok := n.words[t.ID]; ok && t.Incarnation == told && !t.Drains {
 			rt.Fatalf("%v: %s was told that %s/%d leaves and sends to it", w.now, n.id, t.ID, told)
 		}
 	}
@@ -227,7 +227,7 @@
 			if d := cmp.Diff(n.tb.watcher(w.now), m.tb.watcher(w.now)); d != "" {
 				rt.Fatalf("watchers differ: %s", d)
 			}
-			if d := cmp.Diff(n.tb.speaker(w.now), m.tb.speaker(w.now)); d != "" {
+			if d := cmp.Diff(n.tb.representative(w.now), m.tb.representative(w.now)); d != "" {
 				rt.Fatalf("speakers differ: %s", d)
 			}
 			if d := cmp.Diff(n.tb.liveHosts(w.now), m.tb.liveHosts(w.now)); d != "" {
@@ -235,7 +235,7 @@
 			}
 		}
 		for _, e := range w.targets {
-			if t, ok := n.tb.Target(e.ID); ok && e.leaving && !e.down && e.Incarnation == t.Incarnation && !t.Leaves {
+			if t, ok := n.tb.Target(e.ID); ok && e.leaving && !e.down && e.Incarnation == t.Incarnation && !t.Drains {
 				rt.Fatalf("%s does not know that %s leaves", n.id, e.ID)
 			}
 		}
@@ -427,7 +427,7 @@
 	w.busy("dc1", 10)
 	w.run(15*time.Second, nil)
 	giver := w.nodes[0]
-	if !giver.tb.Speaks(w.now) {
+	if !giver.tb.Represents(w.now) {
 		giver = w.nodes[1]
 	}
 	other := w.nodes[0]
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -164,7 +164,7 @@
 		}
 		switch e := l.eff.(type) {
 		case event.SendDigest:
-			for _, x := range e.Digest.Leaving {
+			for _, x := range e.Digest.Draining {
 				to.words[x.Target] = max(to.words[x.Target], x.Incarnation)
 			}
 			h := e.Digest.Host
@@ -252,7 +252,7 @@
 	}
 	n.tb.LoadReported(w.now, event.Load{
 		Target: id, Incarnation: e.Incarnation, Seq: e.seq, Age: 100 * time.Millisecond, Slots: e.slots, Running: e.running,
-		PrefillRate: 1000, DecodeRate: 50, Serves: []rules.Serve{model}, Leaving: e.leaving,
+		PrefillRate: 1000, DecodeRate: 50, Serves: []rules.Serve{model}, Draining: e.leaving,
 	})
 }
 
--- a/internal/opctl/hosts.go
+++ b/internal/opctl/hosts.go
@@ -68,7 +68,7 @@
 
 func targetState(t event.TargetStatus) string {
 	switch {
-	case t.Leaving:
+	case t.Draining:
 		return "leaving"
 	case t.Suspect:
 		return "does not answer"
--- a/internal/opctl/opctl_test.go
+++ b/internal/opctl/opctl_test.go
@@ -95,7 +95,7 @@
 			Centres: []event.CentreStatus{at("uvs", rev), at("erdenet", rev), khovd},
 			Targets: []event.TargetStatus{
 				{Target: event.Target{ID: "uvs-e1", Kind: event.Engine, Place: event.Place{DataCentre: "uvs"}}, Load: event.Load{Slots: 8, Running: 2}, Sent: 1},
-				{Target: event.Target{ID: "uvs-e2", Kind: event.Engine, Place: event.Place{DataCentre: "uvs"}}, Leaving: true},
+				{Target: event.Target{ID: "uvs-e2", Kind: event.Engine, Place: event.Place{DataCentre: "uvs"}}, Draining: true},
 			},
 		}}
 	case event.RouteAsked:
@@ -214,7 +214,7 @@
 }
 
 // Every command explains itself with an example, so that an operator in a
-// hurry need not look for the page.
+// pollNow need not look for the page.
 func TestEveryCommandHasAnExample(t *testing.T) {
 	opts := &Options{Out: &bytes.Buffer{}, Err: &bytes.Buffer{}}
 	cdr := subcommands.NewCommander(flag.NewFlagSet("verbctl", flag.ContinueOnError), "verbctl")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -154,7 +154,7 @@
 func (m *Mesh) Leave() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.self.Leaving = true
+	m.self.Draining = true
 }
 
 func (m *Mesh) host() event.Host {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -25,7 +25,7 @@
 
 // patience bounds every wait, long enough that no verdict hangs on a tight
 // timing.
-const patience = 20 * time.Second
+const waitLimit = 20 * time.Second
 
 // node is one entry host with a mesh and no reducer.
 type node struct {
@@ -108,10 +108,10 @@
 
 func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitLimit)
 	for !ok() {
 		if time.Now().After(deadline) {
-			t.Fatalf("not within %v: %s", patience, what)
+			t.Fatalf("not within %v: %s", waitLimit, what)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -49,14 +49,14 @@
 // pulse is a TCP connection that notes when it was last heard and written to.
 type pulse struct {
 	net.Conn
-	m           *Mesh
-	heard, said atomic.Int64
+	m                   *Mesh
+	lastRead, lastWrite atomic.Int64
 }
 
 func newPulse(m *Mesh, raw net.Conn) *pulse {
 	p := &pulse{Conn: raw, m: m}
-	p.heard.Store(int64(m.cfg.Clock.Now()))
-	p.said.Store(p.heard.Load())
+	p.lastRead.Store(int64(m.cfg.Clock.Now()))
+	p.lastWrite.Store(p.lastRead.Load())
 	return p
 }
 
@@ -64,7 +64,7 @@
 func (p *pulse) Read(b []byte) (int, error) {
 	n, err := p.Conn.Read(b)
 	if n > 0 {
-		p.heard.Store(int64(p.m.cfg.Clock.Now()))
+		p.lastRead.Store(int64(p.m.cfg.Clock.Now()))
 		p.m.cnt.bytesIn.Inc(int64(n))
 	}
 	return n, err
@@ -74,7 +74,7 @@
 func (p *pulse) Write(b []byte) (int, error) {
 	n, err := p.Conn.Write(b)
 	if n > 0 {
-		p.said.Store(int64(p.m.cfg.Clock.Now()))
+		p.lastWrite.Store(int64(p.m.cfg.Clock.Now()))
 		p.m.cnt.bytesOut.Inc(int64(n))
 	}
 	return n, err
@@ -173,7 +173,7 @@
 	if !near {
 		ping, silence = s.m.cfg.Times.FarPing, s.m.cfg.Times.FarSilence
 	}
-	if now.Sub(ident.Time(s.raw.heard.Load())) > silence {
+	if now.Sub(ident.Time(s.raw.lastRead.Load())) > silence {
 		s.m.cnt.silent.Inc(1)
 		s.end("silent")
 		return
@@ -185,7 +185,7 @@
 		s.end("idle")
 		return
 	}
-	if now.Sub(ident.Time(s.raw.said.Load())) >= ping {
+	if now.Sub(ident.Time(s.raw.lastWrite.Load())) >= ping {
 		s.pingDue.Store(true)
 		s.wake()
 	}
--- a/internal/peer/take.go
+++ b/internal/peer/take.go
@@ -273,7 +273,7 @@
 	switch r.Outcome {
 	case event.NotRun:
 		end.Result = event.ResultNotRun
-		end.Leaving = r.Code == codes.Draining.ID
+		end.Draining = r.Code == codes.Draining.ID
 	case event.Done:
 		end.Result = event.ResultFailed
 	default:
--- a/internal/proofs/caller_test.go
+++ b/internal/proofs/caller_test.go
@@ -36,7 +36,7 @@
 
 // callerHTTP is the client of the callers. It uses each connection once, so
 // that the death of a host is seen by the request in flight alone.
-var callerHTTP = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * patience}
+var callerHTTP = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * waitLimit}
 
 // ask sends one request and never fails the test: a connection that breaks is
 // an answer without a word.
--- a/internal/proofs/change_test.go
+++ b/internal/proofs/change_test.go
@@ -222,7 +222,7 @@
 // returns how long that took.
 func (o *office) reported(m *member, rev ident.Revision, from time.Time) time.Duration {
 	o.t.Helper()
-	req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/v1/inForce?revision=%d&waitMs=%d", m.operators(), rev, patience.Milliseconds()), nil)
+	req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/v1/inForce?revision=%d&waitMs=%d", m.operators(), rev, waitLimit.Milliseconds()), nil)
 	req.Header.Set("Authorization", "Bearer "+operatorToken)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/internal/proofs/circulate_test.go
+++ b/internal/proofs/circulate_test.go
@@ -254,7 +254,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := &http.Server{Handler: d, ReadHeaderTimeout: patience}
+	srv := &http.Server{Handler: d, ReadHeaderTimeout: waitLimit}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	putHosts(t, f.platform, store.Hosts{Targets: []event.Target{
--- a/internal/proofs/flood_test.go
+++ b/internal/proofs/flood_test.go
@@ -101,7 +101,7 @@
 
 // raw opens a connection and writes the head of a request with a long body.
 func (h *floodHost) raw(path string, length int) (net.Conn, error) {
-	c, err := net.DialTimeout("tcp", h.set.Callers.Listen, patience)
+	c, err := net.DialTimeout("tcp", h.set.Callers.Listen, waitLimit)
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +157,7 @@
 		return
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetDeadline(time.Now().Add(waitLimit))
 	if _, err := c.Write(bytes.Repeat([]byte(" "), 1<<20-1)); err != nil {
 		return
 	}
@@ -203,7 +203,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetDeadline(time.Now().Add(waitLimit))
 	b, _ := io.ReadAll(c)
 	if !strings.Contains(string(b), "VB10") || !strings.HasPrefix(string(b), "HTTP/1.1 408") {
 		t.Errorf("a body that never came was answered %q", b)
--- a/internal/proofs/forge_test.go
+++ b/internal/proofs/forge_test.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	_ = st.SetDeadline(time.Now().Add(patience))
+	_ = st.SetDeadline(time.Now().Add(waitLimit))
 	return st
 }
 
@@ -123,7 +123,7 @@
 	g.t.Helper()
 	st := g.stream()
 	defer st.Close()
-	o := wire.FromRequest(req, env, patience/2)
+	o := wire.FromRequest(req, env, waitLimit/2)
 	o.Method, o.Path, o.Stream, o.Engine = "POST", "/v1/chat/completions", true, true
 	for _, p := range []*wire.Part{
 		{Body: &wire.Part_Open{Open: o}},
@@ -169,7 +169,7 @@
 	for {
 		l.sum.Seq++
 		frame := &wire.Frame{Body: &wire.Frame_Summary{Summary: wire.FromSummary(l.sum)}}
-		_ = l.g.ctl.SetWriteDeadline(time.Now().Add(patience))
+		_ = l.g.ctl.SetWriteDeadline(time.Now().Add(waitLimit))
 		if wire.Write(l.g.ctl, frame) != nil {
 			return
 		}
--- a/internal/proofs/leave_test.go
+++ b/internal/proofs/leave_test.go
@@ -106,7 +106,7 @@
 		var ld event.Load
 		getJSON(f.t, tg.URL+"/load", &ld)
 		tg.Incarnation = ld.Incarnation
-		tg.Leaving = tg.ID == id
+		tg.Draining = tg.ID == id
 		ts = append(ts, tg)
 	}
 	putHosts(f.t, f.platform, store.Hosts{Targets: ts})
--- a/internal/proofs/pages_test.go
+++ b/internal/proofs/pages_test.go
@@ -26,7 +26,7 @@
 	if err := os.Symlink(bin, filepath.Join(dir, "bin")); err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 3*patience)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*waitLimit)
 	defer cancel()
 	cmd := exec.CommandContext(ctx, "bash", "-m", "-e", "-c", "trap 'kill $(jobs -p) 2>/dev/null || true' EXIT\n"+script)
 	cmd.Dir = dir
--- a/internal/proofs/proc_test.go
+++ b/internal/proofs/proc_test.go
@@ -111,15 +111,15 @@
 
 // patience bounds every wait of the tests. It is long, so that no verdict
 // hangs on a tight timing.
-const patience = 20 * time.Second
+const waitLimit = 20 * time.Second
 
 // eventually waits until ok reports true.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitLimit)
 	for !ok() {
 		if time.Now().After(deadline) {
-			t.Fatalf("not within %v: %s", patience, what)
+			t.Fatalf("not within %v: %s", waitLimit, what)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -228,7 +228,7 @@
 // verbctl runs the operators' client to its end.
 func verbctl(t *testing.T, e *entry, args ...string) (string, error) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	args = append([]string{"-entry", e.operators(), "-token", operatorToken}, args...)
 	out, err := exec.CommandContext(ctx, filepath.Join(bin, "verbctl"), args...).CombinedOutput()
--- a/internal/proofs/residency_test.go
+++ b/internal/proofs/residency_test.go
@@ -57,7 +57,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(patience))
+	_ = conn.SetDeadline(time.Now().Add(waitLimit))
 	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-home\r\n"+
 		"Content-Type: application/json\r\nVerbenadale-Profile: %s\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", profile, len(body))
 	br := bufio.NewReader(conn)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -127,7 +127,7 @@
 
 // centre is another data centre that has reported.
 type centre struct {
-	heard ident.Time
+	lastSeen ident.Time
 	// reports counts its reports, for the age of what each said.
 	reports uint64
 }
@@ -228,7 +228,7 @@
 // not have, and the data centres that are gone.
 func (l *Ledger) sweep() {
 	for dc, c := range l.centres {
-		if l.now.Sub(c.heard) >= silentForgotten {
+		if l.now.Sub(c.lastSeen) >= silentForgotten {
 			delete(l.centres, dc)
 			l.dropCentre(dc)
 		}
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -58,10 +58,10 @@
 	delete(l.peers, entry)
 }
 
-// CentreHeard takes note that another data centre was heard of, whether or not
+// CentreSeen takes note that another data centre was heard of, whether or not
 // it told its demand. Did only reports count, one whose reports are rare would
 // be taken for cut off.
-func (l *Ledger) CentreHeard(now ident.Time, dc ident.DataCentre) {
+func (l *Ledger) CentreSeen(now ident.Time, dc ident.DataCentre) {
 	l.advance(now)
 	c, ok := l.centres[dc]
 	if dc == l.dc || (!ok && len(l.centres) >= maxCentres) {
@@ -71,14 +71,14 @@
 		c = &centre{}
 		l.centres[dc] = c
 	}
-	c.heard = l.now
+	c.lastSeen = l.now
 	l.listen()
 }
 
 // CentreReport takes the demand of another data centre. An account that it
 // doesn't name keeps what was said of it before.
 func (l *Ledger) CentreReport(now ident.Time, dc ident.DataCentre, uses []event.AccountUse) {
-	l.CentreHeard(now, dc)
+	l.CentreSeen(now, dc)
 	c, ok := l.centres[dc]
 	if !ok {
 		return
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -171,7 +171,7 @@
 	l.listened = l.now
 	l.quiet = l.quiet[:0]
 	for dc, c := range l.centres {
-		if l.now.Sub(c.heard) >= silentAfter {
+		if l.now.Sub(c.lastSeen) >= silentAfter {
 			l.quiet = append(l.quiet, dc)
 		}
 	}
--- a/internal/route/choose_test.go
+++ b/internal/route/choose_test.go
@@ -52,8 +52,8 @@
 		kind := rapid.SampledFrom([]event.TargetKind{event.Engine, event.Engine, event.Engine, event.Service}).Draw(rt, "kind")
 		list.Targets = append(list.Targets, event.Target{
 			ID: ident.TargetID(fmt.Sprint("t", i)), Incarnation: 1, Kind: kind, Place: home, Price: 1,
-			Service: rapid.SampledFrom([]string{"booking", "mail"}).Draw(rt, "service"),
-			Leaving: rapid.IntRange(0, 7).Draw(rt, "leaving") == 0,
+			Service:  rapid.SampledFrom([]string{"booking", "mail"}).Draw(rt, "service"),
+			Draining: rapid.IntRange(0, 7).Draw(rt, "leaving") == 0,
 		})
 	}
 	tb.HostsRead(start, list)
@@ -91,7 +91,7 @@
 	}
 	host := event.Host{
 		ID: ident.EntryID(place.DataCentre + "-e0"), Incarnation: 1, Place: place,
-		Leaving: rapid.IntRange(0, 5).Draw(rt, "hostLeaves") == 0,
+		Draining: rapid.IntRange(0, 5).Draw(rt, "hostLeaves") == 0,
 	}
 	tb.SummaryReceived(start, event.Summary{
 		From: host.ID, Place: place, Incarnation: 1, Seq: 1, Hosts: []event.Host{host},
@@ -138,7 +138,7 @@
 			}
 		}
 	}
-	may = may && naiveRegion(q, t.Place.Region) && !t.Leaves && t.Fails < 3 && !q.Tried.Has(t.ID)
+	may = may && naiveRegion(q, t.Place.Region) && !t.Drains && t.Fails < 3 && !q.Tried.Has(t.ID)
 	slots := 4
 	if t.HasLoad {
 		slots = t.Load.Slots
@@ -161,7 +161,7 @@
 // naiveCentre tells by the plain rules whether a request may be passed on.
 func naiveCentre(q Query, c *member.Centre) bool {
 	s := c.Summary
-	if !naiveRegion(q, s.Place.Region) || s.Hosts[0].Leaving || s.Age > 5*time.Second || q.TriedCentres.Has(s.Place.DataCentre) {
+	if !naiveRegion(q, s.Place.Region) || s.Hosts[0].Draining || s.Age > 5*time.Second || q.TriedCentres.Has(s.Place.DataCentre) {
 		return false
 	}
 	if s.Place.Region == home.Region && q.Forwarded || s.Place.Region != home.Region && q.Crossings >= q.Profile.MaxCrossings {
@@ -227,7 +227,7 @@
 func checkDecision(rt *rapid.T, dec Decision, allowed, full []ident.TargetID, centres []ident.DataCentre) {
 	switch {
 	case dec.Centre != "":
-		if !slices.Contains(centres, dec.Centre) || dec.Host.Leaving || dec.Host.Place.DataCentre != dec.Centre {
+		if !slices.Contains(centres, dec.Centre) || dec.Host.Draining || dec.Host.Place.DataCentre != dec.Centre {
 			rt.Fatalf("passed on to %s, allowed are %v", dec.Centre, centres)
 		}
 	case dec.Target != nil:
--- a/internal/route/copy.go
+++ b/internal/route/copy.go
@@ -21,7 +21,7 @@
 // to each other in milliseconds.
 func (rt *Router) copied(v *view, c *cand) {
 	h, ok := rt.source(c.t.ID)
-	if !ok || !mech.On(codes.CopiedBeginnings) {
+	if !ok || !mech.On(codes.PrefixTransfer) {
 		return
 	}
 	from, ok := v.tb.Target(h.target)
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -23,7 +23,7 @@
 	{codes.FilterKind, wrongKind},
 	{codes.FilterModel, lacksModel},
 	{codes.FilterResidency, targetOutside},
-	{codes.FilterLeaving, func(_ *view, t *member.Target) bool { return t.Leaves || t.Gone }},
+	{codes.FilterLeaving, func(_ *view, t *member.Target) bool { return t.Drains || t.Gone }},
 	{codes.FilterClosed, func(_ *view, t *member.Target) bool { return t.Closed }},
 	{codes.FilterHealth, func(v *view, t *member.Target) bool { return t.Suspect(v.now) && !v.desperate }},
 	{codes.FilterTried, func(v *view, t *member.Target) bool { return v.q.Tried.Has(t.ID) }},
@@ -233,7 +233,7 @@
 
 func hasHost(c *member.Centre) bool {
 	for i := range c.Summary.Hosts {
-		if !c.Summary.Hosts[i].Leaving {
+		if !c.Summary.Hosts[i].Draining {
 			return true
 		}
 	}
--- a/internal/route/spill_test.go
+++ b/internal/route/spill_test.go
@@ -147,7 +147,7 @@
 			t.Fatalf("engine %s copies from %v, want %s", dec.Target.ID, dec.CopyFrom, usual.ID)
 		}
 	}
-	tb.MarkLeaving(now, usual.ID, usual.Incarnation)
+	tb.MarkDraining(now, usual.ID, usual.Incarnation)
 	if dec := rt.Choose(now, q, tb); dec.CopyFrom == usual {
 		t.Error("a request copies from an engine that leaves")
 	}
@@ -182,7 +182,7 @@
 func TestLongPromptsLeaveMemory(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
 	for _, tg := range tb.Targets() {
-		tb.MemoryTold(event.MemoryTold{Target: tg.ID, Incarnation: 1, Tokens: 100000})
+		tb.MemoryReported(event.MemoryReported{Target: tg.ID, Incarnation: 1, Tokens: 100000})
 		for range 5 {
 			tb.Sent(tg.ID, 10000, 300)
 		}
--- a/internal/serve/bench_test.go
+++ b/internal/serve/bench_test.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	testID   = ident.RequestID("req-0001")
-	patience = 20 * time.Second
+	testID    = ident.RequestID("req-0001")
+	waitLimit = 20 * time.Second
 )
 
 // bench runs one request before targets that the test makes up. Its step
@@ -32,7 +32,7 @@
 	targets  []event.Target
 	once     bool
 	deadline time.Duration
-	silence  event.Patience
+	silence  event.IdleTimeouts
 
 	mu   sync.Mutex
 	ends []event.AttemptEnded
@@ -51,7 +51,7 @@
 
 func newBench(t *testing.T, hs ...http.HandlerFunc) *bench {
 	t.Helper()
-	b := &bench{deadline: patience}
+	b := &bench{deadline: waitLimit}
 	for i, h := range hs {
 		srv := httptest.NewServer(h)
 		t.Cleanup(srv.Close)
@@ -96,7 +96,7 @@
 	b.num++
 	return []event.Effect{event.Dispatch{
 		Request: testID, Attempt: ident.Attempt{Entry: "e", Incarnation: 1, Number: b.num}, Target: b.targets[b.num-1],
-		Deadline: now.Add(b.deadline), Resume: resume, Once: b.once, Keep: b.once, Patience: b.silence,
+		Deadline: now.Add(b.deadline), Resume: resume, Once: b.once, Keep: b.once, IdleTimeouts: b.silence,
 	}}
 }
 
--- a/internal/serve/routed_test.go
+++ b/internal/serve/routed_test.go
@@ -104,15 +104,15 @@
 			}, func(w http.ResponseWriter, r *http.Request) {
 				says(routed(1+strings.Count(text, "id:"), 3))(w, r)
 			})
-			b.silence = event.Patience{First: 80 * time.Millisecond, Gap: 80 * time.Millisecond}
+			b.silence = event.IdleTimeouts{First: 80 * time.Millisecond, Gap: 80 * time.Millisecond}
 			began := time.Now()
 			check(t, "caller", got{Status: 200, Body: routed(1, 3), Outcome: event.Done}, b.run(t.Context(), routedStream))
-			if took := time.Since(began); took > patience/2 {
+			if took := time.Since(began); took > waitLimit/2 {
 				t.Errorf("the caller waited for %s", took)
 			}
 			select {
 			case <-freed:
-			case <-time.After(patience):
+			case <-time.After(waitLimit):
 				t.Error("the silent target still works")
 			}
 		})
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -77,7 +77,7 @@
 	end := event.AttemptEnded{Status: res.StatusCode, RetryAfter: retryAfter(res.Header), Delivered: t.upto}
 	if said := res.Header.Get(target.HeaderNotRun); said != "" {
 		end.Result = event.ResultNotRun
-		end.Leaving = said == target.NotRunLeaving
+		end.Draining = said == target.NotRunDraining
 		return end
 	}
 	if err := t.checkEcho(res, d.Attempt); err != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -252,11 +252,11 @@
 func (r *run) carry(ctx context.Context, eff event.Effect) bool {
 	switch e := eff.(type) {
 	case event.Dispatch:
-		t := &try{run: r, id: e.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume, patience: e.Patience}
+		t := &try{run: r, id: e.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume, idle: e.IdleTimeouts}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.send(ctx, e) }
 		return r.start(ctx, t)
 	case event.Forward:
-		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume, patience: e.Patience}
+		t := &try{run: r, id: e.Envelope.Attempt, once: e.Once, keep: e.Keep, deadline: e.Deadline, resume: e.Resume, idle: e.IdleTimeouts}
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
 		return r.start(ctx, t)
 	case event.BreakOff:
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -118,12 +118,12 @@
 // both, so that nothing more goes there and the request may run elsewhere.
 func TestLeaving(t *testing.T) {
 	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(target.HeaderNotRun, target.NotRunLeaving)
+		w.Header().Set(target.HeaderNotRun, target.NotRunDraining)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	b.run(t.Context(), serviceCall)
 	check(t, "result", event.ResultNotRun, b.ends[0].Result)
-	check(t, "leaving", true, b.ends[0].Leaving)
+	check(t, "draining", true, b.ends[0].Draining)
 }
 
 // Nobody listens at a target's address. No byte has left this host, so the
@@ -171,12 +171,12 @@
 	b.run(ctx, streamCall)
 	select {
 	case <-freed:
-	case <-time.After(patience):
+	case <-time.After(waitLimit):
 		t.Fatal("the engine still generates")
 	}
 	// The reducer hears of it on the control thread, maybe after the request's
 	// goroutine has ended.
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitLimit)
 	for !b.callerLeft() {
 		if time.Now().After(deadline) {
 			t.Fatal("the reducer does not hear that the caller left")
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -24,7 +24,7 @@
 	once     bool
 	keep     bool
 	do       func(ctx context.Context) event.AttemptEnded
-	patience event.Patience
+	idle     event.IdleTimeouts
 	sent     bool
 	// heard is when the last piece of the answer came, at first when the
 	// attempt began.
@@ -48,7 +48,7 @@
 func (t *try) loop() error {
 	ctx, cancel := context.WithTimeout(t.t.Context(t.ctx), t.left(t.deadline))
 	defer cancel()
-	if t.patience != (event.Patience{}) {
+	if t.idle != (event.IdleTimeouts{}) {
 		w := &watch{try: t, ctx: ctx, cancel: cancel}
 		t.t.Go(w.run)
 	}
@@ -114,9 +114,9 @@
 
 // due is when the patience ends if nothing more comes.
 func (w *watch) due() ident.Time {
-	most := w.patience.First
+	most := w.idle.First
 	if w.begins.Load() {
-		most = w.patience.Gap
+		most = w.idle.Gap
 	}
 	if most == 0 {
 		return w.deadline
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -63,14 +63,14 @@
 	book   *rules.Book
 	recent []rules.Change
 
-	watching bool
-	since    ident.Time
-	loaded   bool
-	fails    int
-	retryAt  ident.Time
-	heardAt  ident.Time
-	heard    bool
-	asked    map[ident.EntryID]ident.Time
+	watching   bool
+	since      ident.Time
+	loaded     bool
+	fails      int
+	retryAt    ident.Time
+	answeredAt ident.Time
+	hasAnswer  bool
+	asked      map[ident.EntryID]ident.Time
 	// askedAt is when any peer was last asked, unanswered how many questions
 	// since the last change in force brought none.
 	askedAt    ident.Time
@@ -100,7 +100,7 @@
 
 // PlatformAge returns the time since the platform last answered this host.
 func (s *Spread) PlatformAge(now ident.Time) (time.Duration, bool) {
-	return now.Sub(s.heardAt), s.heard
+	return now.Sub(s.answeredAt), s.hasAnswer
 }
 
 // Blind reports whether this host is meant to watch and has not been answered
@@ -246,8 +246,8 @@
 
 func (s *Spread) answered(now ident.Time) {
 	s.fails = 0
-	s.heard = true
-	s.heardAt = now
+	s.hasAnswer = true
+	s.answeredAt = now
 }
 
 // backoff returns the wait after the last failure. Each host adds a part of
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -56,8 +56,8 @@
 // The values of HeaderNotRun.
 const (
 	NotRunTrue = "true"
-	// NotRunLeaving says that the target is about to stop.
-	NotRunLeaving = "leaving"
+	// NotRunDraining says that the target is about to stop.
+	NotRunDraining = "leaving"
 )
 
 // ErrLink says that the target was not reached or the link broke.
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -143,7 +143,7 @@
 		return
 	}
 	tr.count("attempts." + string(e.Result))
-	tr.line("attempt ended", append(kv, "leaving", e.Leaving, "resumable", e.Resumable)...)
+	tr.line("attempt ended", append(kv, "draining", e.Draining, "resumable", e.Resumable)...)
 }
 
 // firstMillis is the time to the first byte, -1 where none came.
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -87,7 +87,7 @@
 	return &End{
 		Result: Result(results.index(e.Result)), Code: string(e.Code), Status: uint32(e.Status),
 		RetryAfterMs: millis(e.RetryAfter), Generated: int64(e.Generated), Cached: int64(e.Cached),
-		Leaving: e.Leaving, Resumable: e.Resumable, Bytes: bytes,
+		Draining: e.Draining, Resumable: e.Resumable, Bytes: bytes,
 	}
 }
 
@@ -100,6 +100,6 @@
 	return event.AttemptEnded{
 		Result: res, Code: codes.ID(p.GetCode()), Status: int(p.GetStatus()),
 		RetryAfter: duration(p.GetRetryAfterMs()), Generated: ident.Tokens(p.GetGenerated()),
-		Cached: ident.Tokens(p.GetCached()), Leaving: p.GetLeaving(), Resumable: p.GetResumable(),
+		Cached: ident.Tokens(p.GetCached()), Draining: p.GetDraining(), Resumable: p.GetResumable(),
 	}, nil
 }
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -12,27 +12,27 @@
 func FromDigest(d event.Digest) *Digest {
 	named, keyed := splitUse(d.Use)
 	return &Digest{
-		Leaving: d.Host.Leaving, Seq: d.Seq, Revision: uint64(d.Revision),
+		Draining: d.Host.Draining, Seq: d.Seq, Revision: uint64(d.Revision),
 		Use: convert(named, fromUse), Keyed: keyed, Loads: convert(d.Loads, fromLoad),
-		Accounts: fromAccounts(d.Accounts), LeavingTargets: convert(d.Leaving, fromLeaving),
+		Accounts: fromAccounts(d.Accounts), DrainNotices: convert(d.Draining, fromDrainNotice),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
-		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsTold: d.AccountsTold,
+		Away: convert(d.Away, fromAway), Blind: d.Blind, Wants: convert(d.Wants, fromWant), AccountsIncluded: d.AccountsIncluded,
 		Lacks: convert(d.Lacks, fromLack), ListVersion: d.ListVersion, Flows: convert(d.Flows, fromFlow),
-		Held: fromHeld(d.Held), Complete: d.Complete, Removed: convert(d.Removed, fromRemoved),
+		Holders: fromHolders(d.Holders), Complete: d.Complete, Removed: convert(d.Removed, fromRemoved),
 	}
 }
 
 // ToEvent maps a digest back. The host is the one that the hello named.
 func (p *Digest) ToEvent(host event.Host) event.Digest {
-	host.Leaving = p.GetLeaving()
+	host.Draining = p.GetDraining()
 	return event.Digest{
 		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
 		Use: append(convert(p.GetUse(), toUse), p.GetKeyed().toUses()...), Loads: convert(p.GetLoads(), toLoad),
-		Accounts: p.GetAccounts().toAccounts(), Leaving: convert(p.GetLeavingTargets(), toLeaving),
+		Accounts: p.GetAccounts().toAccounts(), Draining: convert(p.GetDrainNotices(), toDrainNotice),
 		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
-		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsTold: p.GetAccountsTold(),
+		Away: convert(p.GetAway(), toAway), Blind: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsIncluded: p.GetAccountsIncluded(),
 		Lacks: convert(p.GetLacks(), toLack), ListVersion: p.GetListVersion(), Flows: convert(p.GetFlows(), toFlow),
-		Held: p.GetHeld().toHeld(), Complete: p.GetComplete(), Removed: convert(p.GetRemoved(), toRemoved),
+		Holders: p.GetHolders().toHolders(), Complete: p.GetComplete(), Removed: convert(p.GetRemoved(), toRemoved),
 	}
 }
 
@@ -124,11 +124,11 @@
 	return event.RemovedTarget{Target: ident.TargetID(p.GetTarget()), Version: p.GetVersion()}
 }
 
-func fromHeld(hs []event.HeldPart) *HeldParts {
+func fromHolders(hs []event.PrefixHolder) *PrefixHolders {
 	if len(hs) == 0 {
 		return nil
 	}
-	p := &HeldParts{}
+	p := &PrefixHolders{}
 	for _, h := range hs {
 		p.Targets = append(p.Targets, uint32(h.Target))
 		p.Parts = append(p.Parts, h.Part)
@@ -136,10 +136,10 @@
 	return p
 }
 
-func (p *HeldParts) toHeld() []event.HeldPart {
-	var hs []event.HeldPart
+func (p *PrefixHolders) toHolders() []event.PrefixHolder {
+	var hs []event.PrefixHolder
 	for i := range min(len(p.GetTargets()), len(p.GetParts())) {
-		hs = append(hs, event.HeldPart{Target: event.TargetKey(p.GetTargets()[i]), Part: p.GetParts()[i]})
+		hs = append(hs, event.PrefixHolder{Target: event.TargetKey(p.GetTargets()[i]), Part: p.GetParts()[i]})
 	}
 	return hs
 }
@@ -264,12 +264,12 @@
 
 func toRate(n uint64) ident.PerMinute { return ident.PerMinute(min(n, maxRate)) / rateParts }
 
-func fromLeaving(t event.LeavingTarget) *LeavingTarget {
-	return &LeavingTarget{Target: string(t.Target), Incarnation: uint64(t.Incarnation)}
+func fromDrainNotice(t event.DrainNotice) *DrainNotice {
+	return &DrainNotice{Target: string(t.Target), Incarnation: uint64(t.Incarnation)}
 }
 
-func toLeaving(p *LeavingTarget) event.LeavingTarget {
-	return event.LeavingTarget{
+func toDrainNotice(p *DrainNotice) event.DrainNotice {
+	return event.DrainNotice{
 		Target: ident.TargetID(p.GetTarget()), Incarnation: ident.Incarnation(p.GetIncarnation()),
 	}
 }
@@ -279,7 +279,7 @@
 		Target: string(l.Target), Incarnation: uint64(l.Incarnation), Seq: l.Seq, AgeMs: millis(l.Age),
 		Slots: int64(l.Slots), Running: int64(l.Running), Queued: int64(l.Queued),
 		QueuedTokens: int64(l.QueuedTokens), PrefillRate: float32(l.PrefillRate),
-		DecodeRate: float32(l.DecodeRate), Serves: convert(l.Serves, fromServe), Leaving: l.Leaving,
+		DecodeRate: float32(l.DecodeRate), Serves: convert(l.Serves, fromServe), Draining: l.Draining,
 		Key: uint32(l.Key), Kept: l.Kept,
 	}
 }
@@ -290,7 +290,7 @@
 		Seq: p.GetSeq(), Age: duration(p.GetAgeMs()), Slots: int(count(p.GetSlots())), Running: int(count(p.GetRunning())),
 		Queued: int(count(p.GetQueued())), QueuedTokens: ident.Tokens(count(p.GetQueuedTokens())),
 		PrefillRate: number(p.GetPrefillRate()), DecodeRate: number(p.GetDecodeRate()),
-		Serves: convert(p.GetServes(), toServe), Leaving: p.GetLeaving(),
+		Serves: convert(p.GetServes(), toServe), Draining: p.GetDraining(),
 		Key: event.TargetKey(p.GetKey()), Kept: p.GetKept(),
 	}
 }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -10,7 +10,7 @@
 func FromHost(h event.Host) *Host {
 	return &Host{
 		Id: string(h.ID), Incarnation: uint64(h.Incarnation), Place: fromPlace(h.Place),
-		CallerUrl: h.CallerURL, PeerAddr: h.PeerAddr, Leaving: h.Leaving,
+		CallerUrl: h.CallerURL, PeerAddr: h.PeerAddr, Draining: h.Draining,
 	}
 }
 
@@ -19,7 +19,7 @@
 	return event.Host{
 		ID: ident.EntryID(p.GetId()), Incarnation: ident.Incarnation(p.GetIncarnation()),
 		Place: toPlace(p.GetPlace()), CallerURL: p.GetCallerUrl(), PeerAddr: p.GetPeerAddr(),
-		Leaving: p.GetLeaving(),
+		Draining: p.GetDraining(),
 	}
 }
 
@@ -58,7 +58,7 @@
 	}
 	return &Target{
 		Id: string(t.ID), Incarnation: uint64(t.Incarnation), Kind: kind, Place: fromPlace(t.Place),
-		Url: t.URL, Service: t.Service, Leaving: t.Leaving, Price: float32(t.Price),
+		Url: t.URL, Service: t.Service, Draining: t.Draining, Price: float32(t.Price),
 		Capacity: uint32(max(t.Capacity, 0)), Closed: t.Closed, ColdMs: uint32(millis(t.ColdFor)), Loaded: convert(t.Loaded, fromServe),
 	}
 }
@@ -71,7 +71,7 @@
 	return event.Target{
 		ID: ident.TargetID(p.GetId()), Incarnation: ident.Incarnation(p.GetIncarnation()), Kind: kind,
 		Place: toPlace(p.GetPlace()), URL: p.GetUrl(), Service: p.GetService(),
-		Leaving: p.GetLeaving(), Price: number(p.GetPrice()),
+		Draining: p.GetDraining(), Price: number(p.GetPrice()),
 		Capacity: int(p.GetCapacity()), Closed: p.GetClosed(), ColdFor: duration(uint64(p.GetColdMs())), Loaded: convert(p.GetLoaded(), toServe),
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -49,7 +49,7 @@
 	for n := range 4 {
 		d.Accounts = append(d.Accounts, event.AccountUse{Account: ident.Account(fmt.Sprintf("account-%d", n)), Requests: 12.5, Tokens: 4096})
 	}
-	d.Leaving = []event.LeavingTarget{{Target: "uvs-e9", Incarnation: 7}}
+	d.Draining = []event.DrainNotice{{Target: "uvs-e9", Incarnation: 7}}
 	return d
 }
 
@@ -105,7 +105,7 @@
 	d.Summaries = []event.Summary{someSummary()}
 	d.Targets = []event.Target{
 		{ID: "uvs-e1", Incarnation: 5, Kind: event.Engine, Place: place, URL: "http://10.1.2.1:8000", Price: 1.5},
-		{ID: "uvs-s1", Kind: event.Service, Place: place, URL: "http://10.1.2.2:8000", Service: "publish", Leaving: true},
+		{ID: "uvs-s1", Kind: event.Service, Place: place, URL: "http://10.1.2.2:8000", Service: "publish", Draining: true},
 	}
 	d.Use[0].Unread = 1200
 	d.Use = append(d.Use, event.TargetUse{Key: 77, Running: 2, Tokens: 900, Unread: 300})
@@ -113,9 +113,9 @@
 	pool := &d.Summaries[0].Pools[0]
 	pool.Targets, pool.Alone, pool.Shared = 12, 64000, 512
 	d.Loads[0].Serves = []rules.Serve{{Model: "draft", Version: "3", Adapter: "formal"}}
-	d.Host.Leaving = true
+	d.Host.Draining = true
 	said := d.Host
-	said.Leaving = false
+	said.Draining = false
 	got := sent(t, FromDigest(d), &Digest{}).ToEvent(said)
 	if diff := cmp.Diff(d, got); diff != "" {
 		t.Errorf("digest (-want +got):\n%s", diff)
@@ -168,7 +168,7 @@
 	}
 	end := event.AttemptEnded{
 		Result: event.ResultNotRun, Code: "VB1007", Status: 503, RetryAfter: time.Second, Generated: 5, Cached: 2,
-		Leaving: true, Resumable: true,
+		Draining: true, Resumable: true,
 	}
 	got, err := sent(t, FromEnd(end, 77), &End{}).ToEvent()
 	if err != nil {
--- a/pkg/codes/mechanism.go
+++ b/pkg/codes/mechanism.go
@@ -3,11 +3,11 @@
 // The mechanisms of placing, queueing, refusing and retrying that a load is answered with.
 // Each can be switched off in development builds, to measure what it is worth.
 var (
-	CopiedBeginnings = Code{
+	PrefixTransfer = Code{
 		ID: "VB6001", Title: "engines copy the beginnings of prompts from each other", Since: secondVersion, Severity: Info,
 		Text: "Where another engine holds the beginning of a prompt, the one that gets the request copies it and reads only the rest.",
 	}
-	ToldHolders = Code{
+	AnnouncedHolders = Code{
 		ID: "VB6002", Title: "hosts of a region tell who holds long beginnings", Since: secondVersion, Severity: Info,
 		Text: "A heartbeat names the engines that were brought a beginning of 2,048 tokens and more, so that a prompt that shares it goes there or is copied from there.",
 	}
@@ -19,7 +19,7 @@
 		ID: "VB6004", Title: "requests that are late go behind those in time", Since: secondVersion, Severity: Info,
 		Text: "In an overload a request that can't be answered within its goal any more waits behind those that can, and for a quarter of its goal at the most.",
 	}
-	LatePatience = Code{
+	LongIdleTimeout = Code{
 		ID: "VB6005", Title: "late streams are not asked for a second time", Since: secondVersion, Severity: Info,
 		Text: "Where first bytes are usually later than a goal, an answer counts as lost after 2.5 goals and not after three quarters of one.",
 	}
@@ -31,7 +31,7 @@
 		ID: "VB6007", Title: "calls queue at their target for a part of their goal", Since: secondVersion, Severity: Info,
 		Text: "Many hosts before few slots know little of each other's calls. Calls that are short beside their goal may queue at the target, so that no slot idles while callers wait.",
 	}
-	ToldSends = Code{
+	AnnouncedSends = Code{
 		ID: "VB6008", Title: "small regions tell their sends four times a second", Since: secondVersion, Severity: Info,
 		Text: "An engine reads what it is sent in a few tenths of a second; the word of a heartbeat is older than that.",
 	}
@@ -51,6 +51,6 @@
 
 // Mechanisms is the table of the mechanisms.
 var Mechanisms = []Code{
-	CopiedBeginnings, ToldHolders, OrderByLength, LateBehind, LatePatience, PromptMemory,
-	CallQueue, ToldSends, LeftAlone, GrowingReturns, LateDrain,
+	PrefixTransfer, AnnouncedHolders, OrderByLength, LateBehind, LongIdleTimeout, PromptMemory,
+	CallQueue, AnnouncedSends, LeftAlone, GrowingReturns, LateDrain,
 }
