--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -14,7 +14,7 @@
 const (
 	// slowEvery and slowEach give the time between summaries to a data centre
 	// that wants nothing: a fixed part and a part for each data centre known,
-	// so that the bytes of a speaker grow little with their number.
+	// so that the bytes of a representative grow little with their number.
 	slowEvery = 5 * time.Second
 	slowEach  = 250 * time.Millisecond
 	// accountsEach is the same part for the demand of accounts, the largest
@@ -28,7 +28,7 @@
 	// cutOffBeats is how many slow summaries a data centre may miss before it
 	// counts as cut off.
 	cutOffBeats = 3
-	// maxSenders bounds the senders of summaries that are told apart for each
+	// maxSenders bounds the senders of summaries that are distinguished for each
 	// data centre.
 	maxSenders = 16
 	// wholeEvery is the longest time between two summaries to a data centre
@@ -48,11 +48,11 @@
 
 	listed []event.Host
 	linked []event.Host
-	// made is when the newest summary was made as far as its age tells, since
+	// made is when the newest summary was made, by its age, since
 	// when the data centre came or came back.
 	made  ident.Time
 	since ident.Time
-	// slow is the pace of its summaries, by which silence is told.
+	// slow is the pace of its summaries, which bounds its silence.
 	slow time.Duration
 	// madePools is the same of the newest pools. A summary without pools must
 	// not make an offer look new that it says nothing of.
@@ -72,7 +72,7 @@
 	sent  lastSent
 	tries uint64
 	// vain counts the summaries in a row that went out again because the data
-	// centre has not told that it has the highest revision.
+	// centre has not confirmed the highest revision.
 	vain int
 }
 
@@ -94,7 +94,7 @@
 	seq         uint64
 }
 
-// Age is how old the newest word of the data centre is.
+// Age is the age of the newest summary.
 func (c *Centre) Age(now ident.Time) time.Duration { return now.Sub(c.made) }
 
 // poolsAge is how old the newest pools are.
@@ -105,8 +105,7 @@
 	return c.HasSummary && c.Summary.HostsHash != 0 && c.Summary.HostsHash != c.held
 }
 
-// CutOff reports whether the data centre has been silent for long, or was
-// never heard of.
+// CutOff reports whether no summary of the data centre has come for long, or ever.
 func (c *Centre) CutOff(now ident.Time) bool {
 	return !c.HasSummary || c.Age(now) > cutOffBeats*c.slow
 }
@@ -167,19 +166,19 @@
 	return tb.slow + time.Duration(len(tb.centres))*accountsEach
 }
 
-// SummaryReceived takes the state of another data centre, to be passed on to
-// the peers with the next digest.
+// SummaryReceived merges the state of another data centre and relays it with the next
+// digest.
 func (tb *Table) SummaryReceived(now ident.Time, s event.Summary) {
 	tb.Advance(now)
-	tb.takeSummary(now, s, true)
+	tb.mergeSummary(now, s, true)
 }
 
-func (tb *Table) takeSummary(now ident.Time, s event.Summary, direct bool) {
+func (tb *Table) mergeSummary(now ident.Time, s event.Summary, direct bool) {
 	if s.Place.Group() == tb.self.Place.Group() {
 		return
 	}
 	c := tb.centre(s.Place)
-	if !c.takeSender(s) {
+	if !c.newest(s) {
 		return
 	}
 	made := now.Add(-s.Age - tb.late(now))
@@ -192,17 +191,17 @@
 	asked, offers := c.asks(), c.offers()
 	c.Place = s.Place
 	c.made = made
-	c.takeParts(now, s)
+	c.mergeParts(now, s)
 	c.relay.direct = direct
 	if direct {
-		c.relay.take(s)
+		c.relay.add(s)
 	}
 	c.mergeHosts()
 	if !slices.Equal(asked, c.asks()) {
 		tb.beat.asks = true
 	}
 	if direct && (!slices.Equal(asked, c.asks()) || offers != c.offers()) {
-		// The peers act on it too, and one of them may speak.
+		// The peers act on it too, and one of them may be the representative.
 		tb.beat.urgent = true
 	}
 }
@@ -212,8 +211,8 @@
 	return offers(c.Summary.Pools)
 }
 
-// takeParts takes the parts that a summary tells and keeps the others.
-func (c *Centre) takeParts(now ident.Time, s event.Summary) {
+// mergeParts replaces the parts that a summary contains and keeps the others.
+func (c *Centre) mergeParts(now ident.Time, s event.Summary) {
 	old := c.Summary
 	if s.HostsKept {
 		s.Hosts = old.Hosts
@@ -234,19 +233,18 @@
 	c.HasSummary = true
 }
 
-// take notes what peers need of a summary. They hear of hosts only when these
+// add marks the parts of a summary that peers need. Hosts are relayed only when they
 // have changed.
-func (r *relay) take(s event.Summary) {
+func (r *relay) add(s event.Summary) {
 	r.hosts = r.hosts || !s.HostsKept && s.HostsHash != r.hash
 	r.pools = r.pools || !s.PoolsKept
 	r.accounts = r.accounts || !s.AccountsKept
 	r.due = r.due || r.hosts || r.pools || r.accounts || s.InForce != r.inForce || s.Highest != r.highest
 }
 
-// takeSender tells whether a summary is newer than all before it of the same
-// sender. Late and doubled ones are not: an offer that was withdrawn since
-// would come back to life.
-func (c *Centre) takeSender(s event.Summary) bool {
+// newest reports whether a summary is newer than all before it of the same sender, and
+// records it. Late and doubled ones would revive offers that were withdrawn.
+func (c *Centre) newest(s event.Summary) bool {
 	i := slices.IndexFunc(c.senders, func(x sender) bool { return x.id == s.From })
 	if i < 0 {
 		if len(c.senders) == maxSenders {
@@ -290,7 +288,7 @@
 	return s
 }
 
-// putHost takes a host that a link proved.
+// putHost adds a host that a link has authenticated.
 func (c *Centre) putHost(h event.Host) {
 	i, ok := slices.BinarySearchFunc(c.linked, h, byHost)
 	if !ok {
@@ -301,7 +299,7 @@
 	c.mergeHosts()
 }
 
-// mergeHosts joins what the summary, the list and the links tell. A summary
+// mergeHosts joins the hosts of the summary, the list and the links. A summary
 // names the live hosts of its data centre, so links only count until one has
 // come.
 func (c *Centre) mergeHosts() {
@@ -357,7 +355,7 @@
 	return ss
 }
 
-// passOn returns what peers are to hear of the newest summary.
+// passOn returns the parts of the newest summary that peers need.
 func (c *Centre) passOn(now ident.Time) event.Summary {
 	r := &c.relay
 	s := c.aged(now)
@@ -377,10 +375,8 @@
 	return s
 }
 
-// lacking returns the data centres whose hosts are not known as they are now.
-// Peers that hold them send them with the next digest. Without it a digest that
-// was lost would leave this host with hosts that have gone: callers would be
-// told of them, and requests go there, until the hosts change again.
+// lacking returns the data centres whose hosts are not known as they are now, as after a
+// lost digest. Peers that have them send them with the next digest.
 func (tb *Table) lacking() []ident.DataCentre {
 	var dcs []ident.DataCentre
 	for _, c := range tb.centres {
--- a/internal/member/cold.go
+++ b/internal/member/cold.go
@@ -37,16 +37,11 @@
 // SetCold sets the bounds of cold targets.
 func (tb *Table) SetCold(c Cold) { tb.cold = c }
 
-// Cold reports whether a target has told that it is cold.
+// Cold reports whether a target says that it is cold.
 func (t *Target) Cold(now ident.Time) bool { return now < t.coldUntil }
 
-// guessCold takes a target of an emptied data centre that is opened again for cold, and
-// has it asked.
-//
-// It has mostly become cold, and its own word of it may come after the first requests.
-// But where it has not, a region went without its engines for 3 s more while the others
-// refused its callers: 1,105 asked in 2 s, 320 of them answered in time. The answer of an
-// idle target to a probe comes within milliseconds.
+// guessCold treats a target as cold after the evacuation of its data centre has ended, and
+// probes it. Most have become cold and may say so only after the first requests.
 func (tb *Table) guessCold(now ident.Time, t *Target) {
 	if tb.cold.Span == nil {
 		return
@@ -59,7 +54,7 @@
 	tb.probe = append(tb.probe, t.ID)
 }
 
-// ProbeAnswered takes the answer of a target to a probe.
+// ProbeAnswered merges the answer of a target to a probe.
 func (tb *Table) ProbeAnswered(now ident.Time, e event.ProbeAnswered) {
 	tb.Advance(now)
 	t, ok := tb.current(e.Target, e.Incarnation)
@@ -87,17 +82,10 @@
 
 // ColdFull reports whether this host may send a cold target nothing now.
 //
-// A target that has just started crashes when it gets many requests at once,
-// and with it goes the work of everyone who was sent there. The bound is one of
-// all hosts together, and asking a common counter would cost a round trip for
-// each request. So one host owns each cold target, by rank among those that
-// live, and the others leave it alone.
-//
-// Hosts that don't know of each other each take a cold target for their own. Where
-// all hosts of a region start at once, thirty of them each sent it one request
-// within the half second before they had met, 8 in one second of 6.9 allowed. So a
-// host that has just started sends nothing. One that has lost most of the others
-// can't tell whether they are gone or see it the same way; see coldShare.
+// A cold target crashes when it gets many requests at once. The bound holds for all hosts
+// together, so that one host owns each cold target, by rank among the live ones, and the
+// others send it nothing. A host that has just started sends nothing either, since it may
+// not know of the others yet; one that has lost most of the others follows coldShare.
 func (tb *Table) ColdFull(now ident.Time, t *Target) bool {
 	if !t.Cold(now) || tb.cold.PerSecond == nil {
 		return false
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -7,29 +7,28 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// DigestReceived takes the heartbeat of a host of the own data centre. A host
-// that no list names is taken in all the same: its link is authenticated, and
-// the list lags or the platform is away.
+// DigestReceived merges the heartbeat of a host of the own data centre. A host that no list
+// names is added all the same: its link is authenticated, and the list lags.
 func (tb *Table) DigestReceived(now ident.Time, d event.Digest) {
 	tb.Advance(now)
-	// A leaving word is as true in a late digest as in a new one, and must
-	// come first: a target that leaves must not be usable in between.
+	// Drain notices hold in late digests too, and come first, so that a draining
+	// target is not usable in between.
 	for _, w := range d.Draining {
 		tb.observeDraining(now, w.Target, w.Incarnation)
 	}
-	tb.takeBeat(now, d)
+	tb.mergeBeat(now, d)
 	tb.removalsObserved(now, d.Removed)
 	// Loads and summaries have numbers of their own.
 	for _, ld := range d.Loads {
-		tb.takeRelayed(now, ld)
+		tb.mergeRelayed(now, ld)
 	}
 	for _, s := range d.Summaries {
-		tb.takeSummary(now, s, false)
+		tb.mergeSummary(now, s, false)
 	}
 }
 
-// takeBeat takes what only the newest digest of the newest incarnation tells.
-func (tb *Table) takeBeat(now ident.Time, d event.Digest) {
+// mergeBeat merges what only the newest digest of the newest incarnation says.
+func (tb *Table) mergeBeat(now ident.Time, d event.Digest) {
 	p := tb.putPeer(now, d.Host)
 	if p == nil || d.Seq <= p.seq {
 		return
@@ -40,16 +39,16 @@
 	p.away = slices.Clone(d.Away)
 	p.flows = slices.Clone(d.Flows)
 	tb.observe(now, p)
-	tb.takeList(now, d)
-	tb.takeUse(p, d.Use)
+	tb.mergeList(now, d)
+	tb.mergeUse(p, d.Use)
 	tb.supply(d.Lacks)
 	for _, w := range d.Wants {
 		tb.want(now, PoolID{Serve: w.Serve, Service: w.Service})
 	}
 }
 
-// takeUse replaces the work that a peer has at the targets.
-func (tb *Table) takeUse(p *peer, use []event.TargetUse) {
+// mergeUse replaces the work that a peer has at the targets.
+func (tb *Table) mergeUse(p *peer, use []event.TargetUse) {
 	for _, u := range p.use {
 		if t, ok := tb.byID[u.Target]; ok {
 			t.PeerSent -= u.Running
@@ -69,10 +68,8 @@
 	}
 }
 
-// nameUse gives a use that goes by a key the id of its target, if the target is
-// known. From then on it goes by the id: were the key looked up again when the
-// use is taken back, it might mean another target by then, and the first would
-// look busy for ever.
+// nameUse resolves the key of a use to the id of its target, if that is known. The key might
+// mean another target when the use is subtracted later.
 func (tb *Table) nameUse(u *event.TargetUse) {
 	if u.Target != "" {
 		return
@@ -82,7 +79,7 @@
 	}
 }
 
-// sumUse adds up what the peers told of a target before it was known here.
+// sumUse adds up the use that peers announced of a target before it was known here.
 func (tb *Table) sumUse(t *Target) {
 	for _, p := range tb.peers {
 		for i := range p.use {
@@ -110,7 +107,7 @@
 			id, key := tb.nameOf(t)
 			use := event.TargetUse{Target: id, Key: key, Running: t.Sent, Tokens: t.SentTokens}
 			if t.Capacity > 0 {
-				// The others tell of their queue in their load reports.
+				// The others report their queue with their load.
 				use.Unread = t.Unread
 			}
 			d.Use = append(d.Use, use)
@@ -119,10 +116,9 @@
 	return d
 }
 
-// beats returns the digests that are due. The first goes to all live peers,
-// with the news since the last; hosts that are silent get it now and then, so
-// that one that came back without the platform's list is found. The second
-// goes to new peers and holds all that this host knows.
+// beats returns the digests that are due. The first goes to all live peers, with the changes
+// since the last, and at intervals to silent hosts, to find those that have come back. The
+// second goes to new peers and is complete.
 func (tb *Table) beats(now ident.Time, regular bool) []event.Effect {
 	var effs []event.Effect
 	if regular || tb.beat.urgent {
@@ -184,8 +180,8 @@
 	return loads
 }
 
-// addList adds the platform's list to a digest if it has changed. Of the hosts that read it
-// one sends it, and each of them an evacuation, so that none depends on a host that is frozen.
+// addList adds the platform's list to a digest if it has changed. The watcher sends it, and
+// each active reader if an evacuation has changed, since the watcher may be frozen.
 func (tb *Table) addList(now ident.Time, d *event.Digest) {
 	changed, urgent := tb.list.changed, tb.list.urgent
 	tb.list.changed, tb.list.urgent = false, false
@@ -212,8 +208,8 @@
 	return ts
 }
 
-// fullBeat sends new peers all that this host knows, so that a host that
-// restarts while the platform is away can serve.
+// fullBeat sends new peers all that this host knows, so that a host that restarts while the
+// platform is unreachable can serve.
 func (tb *Table) fullBeat(now ident.Time) []event.Effect {
 	var to []event.Host
 	for _, p := range tb.peers {
--- a/internal/member/draining.go
+++ b/internal/member/draining.go
@@ -10,25 +10,24 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Times of leaving words.
+// Times of drain notices.
 const (
 	// noticeRepeat bounds how long digests repeat that a target drains or was
 	// removed, for peers that missed a digest.
 	noticeRepeat = 10 * time.Second
-	// noticeLifetime is how long the word about an unknown target or a former
-	// incarnation is kept. It covers a list that lags behind the target's own
-	// refusal.
+	// noticeLifetime bounds how long the notice of an unknown target or a former
+	// incarnation is kept.
 	noticeLifetime = 10 * time.Minute
 )
 
-// drainNotice is the word that an incarnation of a target leaves.
+// drainNotice says that an incarnation of a target drains.
 type drainNotice struct {
 	incarnation ident.Incarnation
 	at          ident.Time
 }
 
-// MarkDraining takes the word that a target leaves, such as from its refusal.
-// The word holds for that incarnation, and peers are told at once.
+// MarkDraining records that a target drains, as by its refusal. It holds for that
+// incarnation, and peers are notified at once.
 func (tb *Table) MarkDraining(now ident.Time, id ident.TargetID, inc ident.Incarnation) {
 	tb.Advance(now)
 	if tb.observeDraining(now, id, inc) {
@@ -36,12 +35,9 @@
 	}
 }
 
-// observeDraining keeps a leaving word and tells whether it was news.
-//
-// The word is kept apart from the target, by incarnation: it may come before
-// the target is listed, and an old list or an old report that lacks it must
-// not take it back. Otherwise a target that shuts down would be sent work
-// again until its list entry is gone, and callers would see refusals.
+// observeDraining stores a drain notice and reports whether it was new. Notices are kept apart
+// from targets, by incarnation: one may come before its target is listed, and an older list
+// or report must not revert it.
 func (tb *Table) observeDraining(now ident.Time, id ident.TargetID, inc ident.Incarnation) bool {
 	if old, ok := tb.draining[id]; ok && inc <= old.incarnation {
 		return false
@@ -58,7 +54,7 @@
 	return true
 }
 
-// updateDraining sets whether a target leaves after its description changed.
+// updateDraining updates whether a target drains after its description changed.
 func (tb *Table) updateDraining(now ident.Time, t *Target) {
 	if t.Draining && tb.observeDraining(now, t.ID, t.Incarnation) {
 		tb.beat.urgent = true
@@ -67,23 +63,23 @@
 	t.Drains = ok && w.incarnation >= t.Incarnation
 }
 
-// drainNotices returns the words that are to be told, all or the recent ones.
+// drainNotices returns all notices or the recent ones.
 func (tb *Table) drainNotices(now ident.Time, all bool) []event.DrainNotice {
-	var words []event.DrainNotice
+	var ns []event.DrainNotice
 	for _, id := range tb.drainingIDs() {
 		w := tb.draining[id]
 		if all || now.Sub(w.at) <= noticeRepeat {
-			words = append(words, event.DrainNotice{Target: id, Incarnation: w.incarnation})
+			ns = append(ns, event.DrainNotice{Target: id, Incarnation: w.incarnation})
 		}
 	}
-	return words
+	return ns
 }
 
 func (tb *Table) drainingIDs() []ident.TargetID {
 	return slices.SortedFunc(maps.Keys(tb.draining), cmp.Compare[ident.TargetID])
 }
 
-// expireNotices drops the words about targets that are gone.
+// expireNotices drops the notices of targets that are gone.
 func (tb *Table) expireNotices(now ident.Time) {
 	for id, w := range tb.draining {
 		t, ok := tb.byID[id]
--- a/internal/member/flow.go
+++ b/internal/member/flow.go
@@ -55,7 +55,7 @@
 	f.alone, f.shared, f.from = 0, 0, now
 }
 
-// Brought takes note of a request that a caller brought for a service here, wherever
+// Brought records a request that a caller brought for a service here, wherever
 // it then runs, and of how many events its answer probably has.
 func (tb *Table) Brought(now ident.Time, r *event.Request, events float64) {
 	if r.Prompt == 0 {
@@ -78,13 +78,13 @@
 	f.alone += work
 }
 
-// SharesMuch reports whether a prompt has a long beginning that others have too.
+// SharesMuch reports whether a prompt has a long prefix that other prompts share.
 func SharesMuch(r *event.Request) bool {
 	n := len(r.Prefix)
 	return n > 0 && r.Shared <= n && float64(r.Prompt)*float64(r.Shared)/float64(n) >= longShared
 }
 
-// Read takes note of how much of a prompt its engine probably has to read.
+// Read records how much of a prompt its engine probably has to prefill.
 func (tb *Table) Read(service string, prompt, read ident.Tokens) {
 	if prompt <= 0 || service == "" {
 		return
@@ -151,17 +151,15 @@
 	capacity, alone float64
 }
 
-// Spill returns the room of each data centre for prompts that share a long
-// beginning, and which part of the others that callers here bring goes elsewhere.
+// Spill returns the room of each data centre for prompts that share a long prefix, and the part
+// of the others that callers here bring which goes elsewhere.
 //
-// Free slots and the pace of streams tell of load when it is there: by then prompts
-// wait, and what runs is slow for as long as it takes. So what is shared out is the
-// work that callers bring. All data centres know it of each other, and
-// each works out the same level to which engines are used where it is spread evenly.
-// What they send changes nothing in what callers bring, so that nothing swings.
+// Free slots and the pace of streams lag behind the load, so that the demand of callers is
+// balanced instead. All data centres know it of each other and compute the same even level of
+// use. Forwarding does not change the demand, so that the balance does not oscillate.
 //
-// Below easyUse all stays here. From there on to twice as much, other data centres get
-// a growing part of the beginnings, so that no small change moves many of them.
+// Below easyUse all stays here. From there on to twice as much, other data centres get a growing
+// part of the prefixes, so that a small change moves few of them.
 func (tb *Table) Spill(now ident.Time, service string, prompts bool, rooms []Room) (float64, []Room) {
 	rooms = rooms[:0]
 	id := PoolID{Service: service}
@@ -216,8 +214,8 @@
 	return work / capacity
 }
 
-// demandSteps is how finely a data centre tells others at once of a change of its
-// demand: by a factor of the eighth root of two, or nine parts in a hundred.
+// demandSteps is the number of steps by which the demand doubles. A new step is sent to the
+// other data centres at once.
 const demandSteps = 8
 
 // demandStep returns the step that the demand of a pool is in.
--- a/internal/member/gone.go
+++ b/internal/member/gone.go
@@ -8,19 +8,18 @@
 	"verbenadale.example/verbenadale/pkg/value"
 )
 
-// returnGrace is how long after the platform's return a target that its list
-// lacks is still taken for there. Entries that lapsed while the platform was
-// away are written anew within two seconds of its return.
+// returnGrace is how long after an outage of the platform a target that its list lacks
+// stays in use: entries that expired meanwhile are written again.
 const returnGrace = 2200 * time.Millisecond
 
-// ListFailed takes note of a read of the platform's list that failed.
+// ListFailed records that a read of the platform's list has failed.
 func (tb *Table) ListFailed(now ident.Time) {
 	tb.Advance(now)
 	tb.list.away = true
 	tb.list.steadyAt = 0
 }
 
-// readSucceeded takes note of an own read that brought a list.
+// readSucceeded records that an own read has brought a list.
 func (tb *Table) readSucceeded(now ident.Time) {
 	if tb.list.away {
 		tb.list.away = false
@@ -32,8 +31,7 @@
 }
 
 // steady reports whether this host has read the platform's list for long enough without a
-// failure to vouch for removals. A host that starts just after an outage would take entries
-// that have lapsed in it for removed.
+// failure to announce removals. Just after an outage an expired entry looks like a removed one.
 func (tb *Table) steady(now ident.Time) bool {
 	return tb.list.steadyAt > 0 && now.Sub(tb.list.steadyAt) >= returnGrace
 }
@@ -42,29 +40,29 @@
 // list.
 func (tb *Table) ListRead() bool { return tb.list.read || len(tb.peers) > 0 }
 
-// listComplete takes note that the list which was just read lacks nothing.
+// listComplete marks the targets that the complete list just read lacks.
 func (tb *Table) listComplete(now ident.Time) {
 	for _, t := range tb.targets {
 		if !t.listed {
 			t.absent(tb.list.version)
 		}
 	}
-	tb.settleGone(now)
+	tb.updateGone(now)
 }
 
-// applyComplete takes what a complete list of a peer lacks for gone. The peer has vouched
-// for it, so that an outage of the store at this host does not matter.
+// applyComplete removes the targets that a complete list of a peer lacks, also during an
+// outage of the store at this host.
 func (tb *Table) applyComplete(now ident.Time) {
 	for _, t := range tb.targets {
 		if !t.listed {
 			tb.remove(now, t, tb.list.version)
 		}
 	}
-	tb.settleGone(now)
+	tb.updateGone(now)
 }
 
-// mergeStale takes from an own read that is older than the list in use what holds all the
-// same: which targets drain, and which it lacks that no newer list names.
+// mergeStale merges the parts of an own read that hold although a newer list is in use:
+// draining targets, and removed ones that no newer list names.
 func (tb *Table) mergeStale(now ident.Time, ev event.HostsRead) {
 	named := value.SetOf[ident.TargetID]()
 	for _, d := range ev.Targets {
@@ -81,7 +79,7 @@
 			t.absent(ev.Version)
 		}
 	}
-	tb.settleGone(now)
+	tb.updateGone(now)
 }
 
 // removalsObserved applies the removals that a peer has observed.
@@ -93,7 +91,7 @@
 	}
 }
 
-// remove has a target be gone from a version of the list on.
+// remove marks a target as gone from a version of the list on.
 func (tb *Table) remove(now ident.Time, t *Target, version uint64) {
 	t.absent(version)
 	if !t.Gone {
@@ -102,7 +100,7 @@
 	}
 }
 
-// recentRemovals returns the removals that digests repeat. A target that drains is not used
+// recentRemovals returns the removals that digests repeat. Draining targets are not used
 // anyway.
 func (tb *Table) recentRemovals(now ident.Time) []event.RemovedTarget {
 	if !tb.steady(now) {
@@ -117,26 +115,23 @@
 	return rs
 }
 
-// absent takes note that the list lacks the target from a version on.
+// absent records that the list lacks the target from a version on.
 func (t *Target) absent(version uint64) {
 	t.missing, t.listed = true, false
 	t.removedAt = max(t.removedAt, version)
 }
 
-// named takes note that a version of the list names the target.
+// named records that a version of the list names the target.
 func (t *Target) named(version uint64) {
 	t.listedAt = max(t.listedAt, version)
 	t.removedAt, t.missing = 0, false
 }
 
-// settleGone takes what a complete list lacks for gone.
-//
-// Some targets never say that they leave: their entry goes, and they stop a few
-// seconds later. Callers would see work cut off that was sent there meanwhile.
-// While the platform is away its entries may lapse though the targets live, and
-// to drop them all would leave nothing to serve with; so nothing goes then, nor
-// within returnGrace of its return. A target that is listed again is back.
-func (tb *Table) settleGone(now ident.Time) {
+// updateGone updates which targets are gone by the complete lists read so far. Some targets
+// never drain: their entry is removed, and they stop a few seconds later. During an outage
+// of the platform and returnGrace after it nothing is removed, since entries expire though
+// their targets live.
+func (tb *Table) updateGone(now ident.Time) {
 	held := tb.list.away || tb.list.backAt > 0 && now.Sub(tb.list.backAt) < returnGrace
 	for _, t := range tb.targets {
 		gone := t.missing && (t.Gone || !held)
@@ -153,9 +148,8 @@
 	}
 }
 
-// relist takes what a list says beside the description. Only a longer cold
-// time, or the word of the own list that it is over, is believed: a list that a
-// peer passes on is older.
+// relist merges the cold time and the evacuation of a target from a list. A list of a peer
+// is older, so that only a longer cold time counts.
 func (tb *Table) relist(now ident.Time, t *Target, d event.Target) {
 	until := now.Add(d.ColdFor)
 	if d.ColdFor > 0 && until > t.coldUntil {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -22,7 +22,7 @@
 	idleSpread  = 10 * time.Second
 	firstSpread = 250 * time.Millisecond
 	// versionHolds is how long an older version of the list is refused. After
-	// that the platform has lost its count, and its word is better than none.
+	// that the platform has lost its count.
 	versionHolds = time.Minute
 )
 
@@ -35,8 +35,7 @@
 	return time.Duration(rank.Unit(h) * float64(width))
 }
 
-// HostsRead takes the platform's list. The list lags: what it lacks may live,
-// and what it holds may be gone.
+// HostsRead merges a list that this host has read from the platform. The list lags.
 func (tb *Table) HostsRead(now ident.Time, ev event.HostsRead) {
 	tb.Advance(now)
 	tb.readSucceeded(now)
@@ -63,16 +62,9 @@
 	return version < tb.list.version && now.Sub(tb.list.readAt) <= versionHolds
 }
 
-// takeList takes the targets that a peer last read, unless this host has read of
-// newer ones.
-//
-// A host that has restarted while the platform was away learns its list from a
-// peer, and passes it on to others when it speaks for the data centre. Taken for
-// news, that list would open a data centre again that the operators have emptied
-// since, at every host that has read so itself, and for as long as the list does
-// not change: requests reached emptied targets 6 s and more after the operators'
-// word.
-func (tb *Table) takeList(now ident.Time, d event.Digest) {
+// mergeList merges a list that a peer has read, unless a newer one is in use. An older one
+// would revert evacuations.
+func (tb *Table) mergeList(now ident.Time, d event.Digest) {
 	if len(d.Targets) == 0 && !d.Complete || tb.older(now, d.ListVersion) {
 		return
 	}
@@ -126,7 +118,7 @@
 	}
 }
 
-// listPeer takes a host of the own data centre from the list.
+// listPeer merges a host of the own data centre from the list.
 func (tb *Table) listPeer(now ident.Time, h event.Host) *peer {
 	old, ok := tb.peer(h.ID)
 	if ok && h.Incarnation < old.host.Incarnation {
@@ -140,7 +132,7 @@
 	return p
 }
 
-// listTargets takes the targets of a list, read here or by a peer.
+// listTargets merges the targets of a list, read here or by a peer.
 func (tb *Table) listTargets(now ident.Time, targets []event.Target) {
 	for _, t := range tb.targets {
 		t.listed = false
@@ -174,8 +166,8 @@
 	return idleEvery + spread(rank.Join(h, uint64(now)), idleSpread)
 }
 
-// dutyRead brings the next read forward when this host takes the duty to
-// watch, spread so that a heal that makes many hosts watchers is no stampede.
+// dutyRead brings the next read forward when this host becomes the watcher, spread so that
+// many new watchers do not read at once.
 func (tb *Table) dutyRead(now ident.Time) {
 	if !tb.Watches(now) {
 		return
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -1,10 +1,10 @@
 // Package member holds what one entry host knows of the others, of the targets
-// of its data centre and of the other data centres: who lives, who leaves, how
+// of its data centre and of the other data centres: which are alive, which drain, how
 // loaded each is, and what spare capacity was offered.
 //
 // # Usage
 //
-// The reducer feeds the table with what it hears and asks it when needed:
+// The reducer passes events to the table and queries it:
 //
 //	tb := member.New(self)
 //	tb.Advance(now)
@@ -52,26 +52,26 @@
 	dropAfter = time.Minute
 	// probeEvery is the time between digests to a host that is silent.
 	probeEvery = 5 * time.Second
-	// jumpAfter is a gap between two steps that tells that this host was
+	// jumpAfter is the gap between two steps from which on this host counts as
 	// paused: Tick is due each period.
 	jumpAfter = Period + Period/2
 	// catchUp is how long after a pause messages may have waited through it.
 	catchUp = Period
 )
 
-// Own is what the reducer tells the table of its host at each Tick.
+// Own is the state of this host that the reducer passes at each Tick.
 type Own struct {
 	// Revision is the revision in force at this host.
 	Revision ident.Revision
 	// Accounts is the demand at this host, for peers; CentreAccounts that of
 	// the whole data centre, for other data centres.
 	Accounts []event.AccountUse
-	// AccountsIncluded says that Accounts is to be told now; it is left out
+	// AccountsIncluded says that Accounts goes into the next digest; it is left out
 	// otherwise.
 	AccountsIncluded bool
 	// CentreAccounts returns the demand of the data centre for a summary. It
-	// is asked once for each round of summaries, since what it returns counts
-	// as told. Nil stands for none.
+	// is called once for each round of summaries, since what it returns counts
+	// as sent. Nil stands for none.
 	CentreAccounts func() []event.AccountUse
 	// After returns the last sequence number seen of the cache events of a
 	// target; nil is none.
@@ -153,7 +153,7 @@
 	source ident.EntryID
 	// nextRead is when this host reads the list again.
 	nextRead ident.Time
-	// changed says that peers have not been told of the newest list.
+	// changed says that the newest list has not been sent to peers.
 	changed bool
 	// away says that the last read failed, backAt when one came after that, steadyAt
 	// since when no own read has failed.
@@ -167,17 +167,16 @@
 // beatState follows the digests and summaries that this host sends.
 type beatState struct {
 	due ident.Time
-	// useDue is when peers are told again of what was sent to targets.
+	// useDue is when the use of targets is next sent to peers.
 	useDue ident.Time
 	seq    uint64
 	sum    uint64
-	// words says that a leaving word waits that goes out at once, peers that a
-	// new peer waits for all that is known, asks that another data centre has
-	// changed what it asks for.
+	// urgent says that a digest is due at once, peers that a new peer waits for
+	// a full digest, asks that another data centre has changed its demand.
 	urgent bool
 	peers  bool
 	asks   bool
-	// held is what peers are told of next.
+	// holders are the prefix holders of the next digest.
 	holders []event.PrefixHolder
 }
 
@@ -205,8 +204,8 @@
 // Self returns this host.
 func (tb *Table) Self() event.Host { return tb.self }
 
-// SetDraining says that this host drains. Peers and other data centres are told
-// at the next Tick, which is due at once.
+// SetDraining marks this host as draining, and has the next Tick, which is due at once,
+// announce it.
 func (tb *Table) SetDraining() {
 	if tb.self.Draining {
 		return
@@ -216,12 +215,9 @@
 	tb.beat.asks = true
 }
 
-// SetBlind says whether the platform leaves this host without an answer. A
-// blind host passes the duty to watch on, as long as another is not blind.
-//
-// Without it a host whose own link to the platform is cut, and whose links to
-// its peers stand, would keep the duty: changes of profiles would stop coming
-// to the whole data centre, with every host looking healthy.
+// SetBlind says whether this host gets no answer from the platform. A blind host passes the
+// duty to watch on, as long as another host is not blind; otherwise a host that is cut off from
+// the platform only would keep it, and the whole data centre would miss changes.
 func (tb *Table) SetBlind(blind bool) {
 	if tb.blind != blind {
 		tb.blind = blind
@@ -231,10 +227,8 @@
 
 // Advance takes the time. The reducer calls it first at each step.
 //
-// A host that was paused wakes to find every peer and target silent. It would
-// refuse its callers and take every duty, on the evidence of its own sleep. So
-// the time of the pause does not count as silence of others. It does count for
-// everything that expires: loads, offers and summaries are as old as they are.
+// The time of a pause of this host does not count as silence of others. It counts for
+// all that expires: loads, offers and summaries.
 func (tb *Table) Advance(now ident.Time) {
 	if !tb.begun {
 		tb.begun = true
@@ -259,9 +253,8 @@
 	}
 }
 
-// late returns how old a message may be beyond the age that it tells. What a
-// host reads just after a pause may have waited for it all the while: an offer
-// or a load that is long gone would look new and draw work.
+// late returns how much older a message may be than its age says: just after a pause
+// of this host it may have waited in a socket.
 func (tb *Table) late(now ident.Time) time.Duration {
 	if tb.paused > 0 && now.Sub(tb.woke) <= catchUp {
 		return tb.paused
--- a/internal/member/near.go
+++ b/internal/member/near.go
@@ -9,7 +9,7 @@
 	"verbenadale.example/verbenadale/pkg/value"
 )
 
-// nearStale is the age of the newest word of another data centre past which
+// nearStale is the age of the newest summary of another data centre past which
 // its hosts are not named to callers: they may all have gone.
 const nearStale = 5 * time.Second
 
@@ -21,8 +21,7 @@
 // that gets no answer keeps to the hosts that it knows, which are back at the
 // same addresses after a replacement.
 //
-// A host that was not heard of lately is left out: a caller that is sent to it
-// waits for a connection that never stands.
+// Hosts that have been silent are left out.
 func (tb *Table) Nearby(now ident.Time, near event.Place, homes []ident.Region) []event.Host {
 	all, draining := tb.reachable(now)
 	here := func(p event.Place) bool { return p.Region == near.Region }
@@ -47,7 +46,7 @@
 // reachable returns the hosts that are probably there, and apart those of them
 // that drain. Of another group they are known by its summaries, and by the
 // platform's list while that can be read: a host that was just replaced stands
-// there before any summary tells of it.
+// there before any summary names it.
 func (tb *Table) reachable(now ident.Time) (all, draining []event.Host) {
 	hosts := tb.liveHosts(now)
 	for _, c := range tb.centres {
--- a/internal/member/note.go
+++ b/internal/member/note.go
@@ -6,19 +6,18 @@
 	"verbenadale.example/verbenadale/internal/event"
 )
 
-// maxNotes bounds the notes of one step. A list that changes all at once, as
-// when a data centre goes, tells of its first targets.
+// maxNotes bounds the notes of one step.
 const maxNotes = 64
 
 // Notes returns what has changed in what this host believes of the targets whose
-// capacity the platform's list tells, since it was last asked.
+// capacity the platform's list contains, since the last call.
 func (tb *Table) Notes() []event.Note {
 	ns := tb.notes
 	tb.notes = nil
 	return ns
 }
 
-// note tells of a change of belief about a target.
+// note records a change of belief about a target.
 func (tb *Table) note(t *Target, text string) {
 	if t.Capacity == 0 || len(tb.notes) >= maxNotes {
 		return
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -78,9 +78,8 @@
 
 // askers returns the data centres that ask for a pool, as indexes, in an order
 // of their own for each pool, so that small offers do not always go to the
-// same ones. One whose own offer some host here may still hold is left out: it
-// was rich a moment ago, a peer may not have heard that it is not any more, and
-// the two would swap work.
+// same ones. One whose own offer some host here may still hold is left out, so that
+// the two don't swap work.
 func (tb *Table) askers(now ident.Time, id PoolID) []int {
 	var is []int
 	for i, c := range tb.centres {
@@ -96,9 +95,8 @@
 	return is
 }
 
-// asked reports whether an offer of a pool is made to a data centre. Where streams
-// have a pace it need not ask: until it was heard and answered by way of both
-// speakers four seconds went by, in which its streams slowed down to a quarter.
+// asked reports whether an offer of a pool is made to a data centre. Where the pace of streams is
+// known it need not ask, which would take a round trip by way of both representatives.
 func (tb *Table) asked(now ident.Time, c *Centre, id PoolID) bool {
 	if tb.isPaced(id) {
 		return c.Pool(id) != nil
@@ -204,11 +202,8 @@
 // unseen returns how many requests of those under way to a data centre its
 // offer does not know of.
 //
-// The offer is made of slots that were free, and slots that requests from here
-// held at the time were not. To take those off once more would leave half of
-// the spare capacity idle: with 13 slots free, the work sent there and the
-// offer for more would meet at 5 each, while requests wait here. An offer that
-// is too old to tell is charged with everything under way.
+// Slots that requests from here held when the offer was made are not part of it. An offer that
+// is too old to know them is charged with everything under way.
 func (tb *Table) unseen(now ident.Time, c *Centre, id PoolID) int {
 	running := tb.underWay(c.Place.Group(), id)
 	from := c.madePools.Add(-wayLag)
@@ -220,7 +215,7 @@
 	return min(net, running)
 }
 
-// passed counts the requests of a pool passed on to a data centre of late.
+// passed counts the requests of a pool lately forwarded to a data centre.
 type passed struct {
 	id     PoolID
 	recent recent
@@ -234,8 +229,7 @@
 	return c.passed[i]
 }
 
-// notePassed takes note of a request that is passed on, or, with -1, that has
-// ended.
+// notePassed records a request that is forwarded, or, with -1, that has ended.
 func (tb *Table) notePassed(dc ident.DataCentre, id PoolID, n int) {
 	i, ok := tb.findCentre(dc)
 	if !ok {
--- a/internal/member/pace.go
+++ b/internal/member/pace.go
@@ -33,10 +33,8 @@
 // pace is how long the streams of a service take from one event to the next at the
 // targets here.
 //
-// Free slots say little of an engine's room. It reads prompts between the tokens of
-// the streams that run, and with a third of its slots taken each stream may take
-// four times as long as on an idle one: streams then run into their deadline, while
-// another region's engines idle. The pace shows this within seconds.
+// An engine prefills prompts between the tokens of its streams, so that free slots say little
+// about its room. The pace shows it within seconds.
 type pace struct {
 	gap, best time.Duration
 	at        ident.Time
@@ -69,15 +67,13 @@
 //
 // Work of such a pool goes to another data centre by a chance that follows from
 // the paces of both, so that it needs no rule to keep two data centres from
-// swapping work: those that keep one from offering until all that it sent away has
-// ended left a region idle for ten seconds beside one that had helped it before and
-// was now at its own peak.
+// swapping work.
 func (tb *Table) isPaced(id PoolID) bool {
 	_, ok := tb.paces[id.Service]
 	return ok && id.Service != ""
 }
 
-// Paced takes the time between two events of a stream at a target.
+// Paced records the time between two events of a stream at a target.
 func (tb *Table) Paced(id ident.TargetID, gap time.Duration) {
 	t, ok := tb.byID[id]
 	if !ok || t.Capacity == 0 || gap <= 0 {
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -13,7 +13,7 @@
 // peer is another entry host of the own data centre.
 type peer struct {
 	host event.Host
-	// heard is when the host was last heard of, met whether it ever was.
+	// lastSeen is when a message of the host last came, met whether one ever did.
 	lastSeen ident.Time
 	met      bool
 	// down says that the link to it broke and has not come back.
@@ -31,8 +31,8 @@
 	probedAt ident.Time
 }
 
-// live reports whether the host was heard of lately. A broken link is a hint
-// and no proof: it makes the silence that is believed shorter.
+// live reports whether the host was seen lately. A broken link shortens the time that it
+// may be silent.
 func (p *peer) live(now ident.Time) bool {
 	if !p.met {
 		return false
@@ -57,9 +57,8 @@
 	return slices.BinarySearchFunc(tb.peers, id, func(p *peer, id ident.EntryID) int { return cmp.Compare(p.host.ID, id) })
 }
 
-// putPeer takes a description of a host of the own data centre. It returns nil
-// for one that is not believed: this host itself, or an incarnation that
-// another has followed.
+// putPeer adds or updates a host of the own data centre. It returns nil for this host
+// itself and for an incarnation that another has followed.
 func (tb *Table) putPeer(now ident.Time, h event.Host) *peer {
 	if h.ID == tb.self.ID || h.Place.Group() != tb.self.Place.Group() {
 		return nil
@@ -72,8 +71,7 @@
 	}
 	p := tb.peers[i]
 	if h.Incarnation == p.host.Incarnation {
-		// The earliest word of leaving wins; a later description that lacks it
-		// was made before.
+		// Draining holds for the incarnation; a description without it is older.
 		h.Draining = h.Draining || p.host.Draining
 		p.host = h
 		return p
@@ -81,12 +79,12 @@
 	if h.Incarnation < p.host.Incarnation && !p.dead(now) {
 		return nil
 	}
-	tb.takeUse(p, nil)
+	tb.mergeUse(p, nil)
 	*p = peer{host: h, listed: p.listed}
 	return p
 }
 
-// hear takes note that a host spoke.
+// observe records a message of a host.
 func (tb *Table) observe(now ident.Time, p *peer) {
 	if !p.live(now) {
 		// It may have restarted, or missed what was sent meanwhile.
@@ -108,7 +106,7 @@
 		c := tb.centre(h.Place)
 		c.putHost(h)
 		if c.sent.to == h.ID && c.sent.incarnation != h.Incarnation {
-			// It has restarted and holds nothing of what was told.
+			// It has restarted and lost what was sent to it.
 			c.sent = lastSent{}
 		}
 		return
@@ -149,17 +147,14 @@
 
 // Hosts that read the platform's store all the time.
 const (
-	// readers is how many of a data centre do. With two, one that freezes holds
-	// nothing up.
+	// readers is how many hosts of a data centre do, so that one may freeze.
 	readers = 2
-	// readFresh is the silence after which a host is not counted on to read: nearly
-	// two heartbeats. With both readers frozen a third one then reads within the
-	// four seconds in which a leaving target must be left alone.
+	// readFresh bounds the silence of a host that is relied on to read.
 	readFresh = 1800 * time.Millisecond
 )
 
-// Reads reports whether this host reads the platform's store all the time. Those
-// that do tell the others of the data centre; more of them than needed do no harm.
+// Reads reports whether this host is an active reader of the platform's store. Active readers
+// announce what they read; more of them than needed do no harm.
 func (tb *Table) Reads(now ident.Time) bool {
 	mine := dutyScore("watch", tb.self, tb.blind)
 	before := 0
@@ -174,7 +169,7 @@
 	return before < readers
 }
 
-// Represents reports whether this host speaks for its data centre to the others.
+// Represents reports whether this host sends the summaries of its data centre.
 func (tb *Table) Represents(now ident.Time) bool { return tb.representative(now) == tb.self.ID }
 
 func (tb *Table) watcher(now ident.Time) ident.EntryID {
@@ -185,8 +180,8 @@
 	return tb.first(now, "speak", false)
 }
 
-// first returns the live host that ranks first for a duty. Hosts that leave,
-// and for some duties those that are blind, come after all others.
+// first returns the live host that ranks first for a duty. Hosts that drain, and for some
+// duties those that are blind, come after all others.
 func (tb *Table) first(now ident.Time, duty string, sight bool) ident.EntryID {
 	best := tb.self.ID
 	bestScore := dutyScore(duty, tb.self, sight && tb.blind)
@@ -221,7 +216,7 @@
 func (tb *Table) reapPeers(now ident.Time) {
 	for _, p := range tb.peers {
 		if p.dead(now) {
-			tb.takeUse(p, nil)
+			tb.mergeUse(p, nil)
 			p.away = nil
 		}
 	}
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -24,8 +24,8 @@
 	prices float64
 }
 
-// settle moves the hysteresis after a change of load or of own work sent away.
-func (p *pool) settle(away int) {
+// update moves the hysteresis after a change of load or of own work sent away.
+func (p *pool) update(away int) {
 	switch {
 	case away > 0 || p.Slots == 0 || p.Free*percent < p.Slots*withdrawMark:
 		p.offering = false
@@ -79,10 +79,8 @@
 	p.own, p.ownAt = true, now
 }
 
-// Crowded says that requests wait here for room, so that the data centre asks
-// for help now and not at the next heartbeat. At the beginning of a peak each
-// second without offers leaves a queue that takes many to work off, and that
-// shows as a tail of seconds.
+// Crowded says that requests are queued here for room, so that the data centre asks for help
+// now and not at the next heartbeat.
 func (tb *Table) Crowded(now ident.Time) {
 	if tb.crowdedAt > 0 && now.Sub(tb.crowdedAt) < minGap {
 		return
@@ -94,7 +92,7 @@
 	}
 }
 
-// want takes note of a want of this host or of a peer. It returns nil where
+// want records a demand of this host or of a peer. It returns nil where
 // there are too many.
 func (tb *Table) want(now ident.Time, id PoolID) (p *pool, fresh bool) {
 	p, ok := tb.pool(id)
@@ -109,7 +107,7 @@
 	return p, !ok
 }
 
-// wants returns what requests at this host asked for of late in vain.
+// wants returns what requests at this host asked for lately in vain.
 func (tb *Table) wants(now ident.Time) []event.Want {
 	var ws []event.Want
 	for _, p := range tb.pools {
@@ -149,7 +147,7 @@
 		if !tb.isPaced(p.id) {
 			away = tb.awayFrom(now, p.id)
 		}
-		p.settle(away)
+		p.update(away)
 	}
 }
 
@@ -178,8 +176,8 @@
 }
 
 // awayFrom counts the requests of a pool that the hosts of the own data centre
-// have passed on to others. Such a pool offers nothing: two data centres that
-// each sent the other their work would pay for the way and gain nothing.
+// have passed on to others. Such a pool offers nothing, so that no two data centres swap
+// work.
 func (tb *Table) awayFrom(now ident.Time, id PoolID) int {
 	n := countAway(tb.away, id)
 	for _, p := range tb.peers {
--- a/internal/member/recent.go
+++ b/internal/member/recent.go
@@ -61,11 +61,10 @@
 	return net, tokens
 }
 
-// LoadReported takes a load report that this host read from the target or got
-// with an answer of it.
+// LoadReported merges a load report that this host has polled or received with an answer.
 func (tb *Table) LoadReported(now ident.Time, ld event.Load) {
 	tb.Advance(now)
-	t, ok := tb.takeLoad(now, ld, true)
+	t, ok := tb.mergeLoad(now, ld, true)
 	if !ok {
 		return
 	}
@@ -75,8 +74,8 @@
 	}
 }
 
-// takeLoad takes a report and tells whether it was news.
-func (tb *Table) takeLoad(now ident.Time, ld event.Load, direct bool) (*Target, bool) {
+// mergeLoad merges a report and reports whether it was new.
+func (tb *Table) mergeLoad(now ident.Time, ld event.Load, direct bool) (*Target, bool) {
 	if ld.Draining && tb.observeDraining(now, ld.Target, ld.Incarnation) && direct {
 		tb.beat.urgent = true
 	}
@@ -100,7 +99,7 @@
 	if direct {
 		t.answer(now)
 	} else {
-		t.hear(now.Add(-ld.Age))
+		t.seen(now.Add(-ld.Age))
 	}
 	t.Load = ld
 	t.LoadAt = now.Add(-ld.Age - tb.late(now))
@@ -112,9 +111,7 @@
 // change for its report to be relayed at once.
 const relayPart = 8
 
-// sameLoad reports whether a report tells peers nothing that they would act on:
-// it says the same as another, or the requests differ by little. Relays are
-// most of what a host sends, and peers know each other's sends besides.
+// sameLoad reports whether two reports differ by too little to be worth a relay.
 func sameLoad(a, b event.Load) bool {
 	if a.Incarnation != b.Incarnation || a.Slots != b.Slots || a.Draining != b.Draining {
 		return false
@@ -133,9 +130,8 @@
 // ratePart is the part by which a rate must change to be relayed at once.
 const ratePart = 0.1
 
-// shorten leaves out of a report what peers have been told. A report that tells
-// of leaving goes whole, since it must be understood by a host that does not
-// know the target yet.
+// shorten leaves out the parts of a report that peers have. The report of a draining target
+// goes whole, for hosts that do not know the target yet.
 func (tb *Table) shorten(now ident.Time, t *Target, ld event.Load) event.Load {
 	if ld.Draining {
 		return ld
@@ -159,16 +155,15 @@
 
 func near(a, b float64) bool { return math.Abs(a-b) <= ratePart*a }
 
-// takeRelayed takes a report that a peer read. One that leaves out what this
-// host does not hold is not taken: as it stands it would tell of a target
-// without slots that serves nothing.
-func (tb *Table) takeRelayed(now ident.Time, ld event.Load) {
+// mergeRelayed merges a report that a peer has polled. One that leaves out parts which this
+// host does not have is ignored.
+func (tb *Table) mergeRelayed(now ident.Time, ld event.Load) {
 	if t := tb.byKey[ld.Key]; ld.Target == "" && t != nil {
 		ld.Target = t.ID
 	}
 	ld.Key = 0
 	if !ld.Kept {
-		tb.takeLoad(now, ld, false)
+		tb.mergeLoad(now, ld, false)
 		return
 	}
 	t, ok := tb.byID[ld.Target]
@@ -177,10 +172,10 @@
 	}
 	ld.Slots, ld.PrefillRate, ld.DecodeRate, ld.Serves = t.Load.Slots, t.Load.PrefillRate, t.Load.DecodeRate, t.Load.Serves
 	ld.Kept = false
-	tb.takeLoad(now, ld, false)
+	tb.mergeLoad(now, ld, false)
 }
 
-// LoadFailed takes note of a report that did not come.
+// LoadFailed records a report that did not come.
 func (tb *Table) LoadFailed(now ident.Time, id ident.TargetID, inc ident.Incarnation) {
 	tb.Advance(now)
 	if t, ok := tb.current(id, inc); ok {
--- a/internal/member/seen.go
+++ b/internal/member/seen.go
@@ -8,7 +8,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// LoadSeen takes what an answer of a target told of its load.
+// LoadSeen merges the load that an answer of a target carried.
 func (tb *Table) LoadSeen(now ident.Time, ev event.LoadSeen) {
 	tb.Advance(now)
 	t, ok := tb.current(ev.Target, ev.Incarnation)
@@ -50,13 +50,9 @@
 	return seenLong
 }
 
-// seenOthers estimates the requests of other hosts at a target by what its
-// answers told.
-//
-// What an answer told is true for as long as the requests that it counted take.
-// A call of milliseconds is over long before the next answer comes, and to count
-// it until then makes a target with few places look full for half a second; so
-// the estimate goes back to the usual number at the pace of the service.
+// seenOthers estimates the requests of other hosts at a target by the loads in its answers. The
+// newest one decays towards the usual number at the pace of the service, since short calls
+// end long before the next answer.
 func (t *Target) seenOthers(now ident.Time) int {
 	if t.run <= 0 {
 		return t.othersSeen
@@ -69,7 +65,7 @@
 // not known.
 func (t *Target) Run() time.Duration { return t.run }
 
-// Ran takes the time that a whole answer of a target took.
+// Ran records how long a whole answer of a target took.
 func (tb *Table) Ran(id ident.TargetID, took time.Duration) {
 	t, ok := tb.byID[id]
 	if !ok || t.Capacity == 0 {
@@ -86,21 +82,16 @@
 
 // Learning of the rate at which a target reads prompts.
 const (
-	// leastPrompt is the shortest prompt whose time tells of the rate: below
-	// it the fixed part of the time to a first token weighs more.
+	// leastPrompt is the shortest prompt whose prefill time is sampled.
 	leastPrompt = 1000
-	// rateStep is the part by which the rate follows the side on which a sample lies:
-	// it comes to rest where half of them are higher. What the others sent in the
-	// last second is not known, so that some samples are far too low, and some of what
-	// counts as waiting has been read, so that some are far too high.
+	// rateStep is the part by which the rate moves towards a sample. The rate tends to the
+	// median, since single samples are far off in both directions.
 	rateStep = 1.0 / 16
-	// rateSpread bounds how far the rate of a target is believed to lie from
-	// what is usual for its service: a first sample that had to wait for a long
-	// queue would make a sound target look many times too slow.
+	// rateSpread bounds the ratio of the rate of a target and that of its service.
 	rateSpread = 2
 )
 
-// Began takes the time from sending a request to the first token of its answer, the
+// Began records the time from sending a request to the first token of its answer, the
 // tokens of its prompt that were probably read in it, and those that waited before.
 func (tb *Table) Began(id ident.TargetID, prefill, before ident.Tokens, took time.Duration) {
 	t, ok := tb.byID[id]
@@ -163,16 +154,12 @@
 	// faultWeight is the weight of one outcome: a target that begins to fail
 	// half of its requests shows within eight of them.
 	faultWeight = 1.0 / 8
-	// faultHalf is how long it takes until half of what is held against a
-	// target is forgotten, though it gets no work that could prove it well.
+	// faultHalf is the half-life of the part of failed requests.
 	faultHalf = 4 * time.Second
 )
 
-// Outcome takes note of whether a request at a target came to a good end.
-//
-// A target may fail part of its requests and answer its health check all the
-// while. It is not silent, so that suspicion never takes it out; by this it
-// draws less work than the others until it does better.
+// Outcome records whether a request at a target succeeded. A target that fails part of its
+// requests while its health check passes gets less work by it.
 func (tb *Table) Outcome(now ident.Time, id ident.TargetID, ok bool) {
 	t, found := tb.byID[id]
 	if !found {
--- a/internal/member/sent.go
+++ b/internal/member/sent.go
@@ -4,8 +4,8 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Prefill takes note of the prefill that a request sent to a target makes
-// there: its prompt less what the cache probably holds.
+// Prefill records the prefill that a request adds to a target: its prompt less the
+// prefix that the target probably caches.
 func (tb *Table) Prefill(id ident.TargetID, tokens ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
 		t.ahead.add(tb.last, tokens, t.Load.PrefillRate)
@@ -13,15 +13,14 @@
 	}
 }
 
-// ReadDone takes back what Prefill noted of a request: its first token has come, or
-// it has ended without one.
+// ReadDone subtracts what Prefill recorded of a request, after its first token or its end.
 func (tb *Table) ReadDone(id ident.TargetID, tokens ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
 		t.Unread = max(0, t.Unread-tokens)
 	}
 }
 
-// Sent takes note of a request sent to a target.
+// Sent records a request sent to a target.
 func (tb *Table) Sent(id ident.TargetID, prefill, generated ident.Tokens) {
 	t, ok := tb.byID[id]
 	if !ok {
@@ -36,7 +35,7 @@
 	}
 }
 
-// Ended takes note of the end of a request at a target. A failure counts
+// Ended records the end of a request at a target. A failure counts
 // towards suspicion, and a success clears it.
 func (tb *Table) Ended(id ident.TargetID, prefill, generated ident.Tokens, ok bool) {
 	t, found := tb.byID[id]
@@ -51,18 +50,16 @@
 	tb.answer(t)
 }
 
-// Answered takes note that a target has begun to answer a request of this
-// host. Long streams end late: were only their ends counted, a burst of
-// failures at the start of a load would make targets suspect that are at work
-// for hundreds of callers.
+// Answered records that a target has begun to answer a request of this host. It ends a row of
+// failures, since long streams end late.
 func (tb *Table) Answered(id ident.TargetID) {
 	if t, ok := tb.byID[id]; ok {
 		tb.answer(t)
 	}
 }
 
-// Dropped takes note of the end of a request that tells nothing of the target,
-// such as when the caller left.
+// Dropped records the end of a request that says nothing about the target, such as when the
+// caller left.
 func (tb *Table) Dropped(id ident.TargetID, prefill, generated ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
 		tb.drop(t, prefill, generated)
@@ -87,7 +84,7 @@
 	}
 }
 
-// answer takes note that a target answered this host.
+// answer records that a target answered this host.
 func (tb *Table) answer(t *Target) {
 	was := t.Fails >= failsToSuspect
 	t.answer(tb.last)
@@ -96,22 +93,20 @@
 	}
 }
 
-// answer takes note that the target answered. One that was suspect is cold: its
-// cache may be gone, and the load that fled it must not come back at once.
+// answer records that the target answered. One that was suspect is cold: its cache may be
+// gone, and its load must not come back at once.
 func (t *Target) answer(now ident.Time) {
 	if t.Suspect(now) {
 		t.cold = now
 		t.warm = false
 	}
 	t.Fails = 0
-	t.hear(now)
+	t.seen(now)
 }
 
-// hear takes note of a word of the target, heard here or by a peer. The word
-// that a peer heard ends a silence and no more: the failures seen from here may
-// be of the link between, and only an answer to this host tells that it is
-// whole.
-func (t *Target) hear(now ident.Time) {
+// seen records a sign of life of the target, here or at a peer. It does not end a row of
+// failures, which may be of the link from here.
+func (t *Target) seen(now ident.Time) {
 	if t.met && now.Sub(t.lastSeen) > silentAfter {
 		t.cold = now
 		t.warm = false
--- a/internal/member/start.go
+++ b/internal/member/start.go
@@ -8,7 +8,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// putTarget takes a description of a target of the own data centre.
+// putTarget adds or updates a target of the own data centre.
 func (tb *Table) putTarget(now ident.Time, d event.Target) {
 	t, ok := tb.byID[d.ID]
 	if !ok {
@@ -32,8 +32,7 @@
 	case d.Incarnation > t.Incarnation:
 		tb.restart(now, t, d)
 	case now.Sub(t.lastSeen) > deadAfter:
-		// The clock of the target went back. Its old self is silent past
-		// doubt, and so is the word that the old self leaves.
+		// The clock of the target went back, and its former start is dead.
 		if tb.draining[d.ID].incarnation > d.Incarnation {
 			delete(tb.draining, d.ID)
 		}
@@ -42,11 +41,8 @@
 	tb.updateDraining(now, t)
 }
 
-// learnStart takes the incarnation of a target of which none was known so far.
-//
-// A platform's list may leave the incarnations out; the first report of a target's load
-// then tells its own. Taken for a new start, it would break off what the target runs, and
-// callers of what may run only once would be told that nobody knows what became of it.
+// learnStart sets the incarnation of a target whose list entry lacks it, from its first load
+// report. That is no new start, so that the attempts at the target go on.
 func (tb *Table) learnStart(t *Target, inc ident.Incarnation) {
 	if t.Incarnation != 0 || inc == 0 {
 		return
@@ -60,12 +56,8 @@
 
 // restart begins a new incarnation.
 //
-// Nothing that the former one ran goes on, and it holds nothing of what it read. Were
-// its work still counted, a target that has just started would look full until the
-// deadlines of requests that nobody answers any more; the ends of these are not counted
-// a second time, since each names its incarnation. Two things stay: the times of the
-// sends while it was cold, whose bound is on the target and not on its start, and what is
-// usual for its service.
+// The work and the cache of the former one are lost. Two things stay: the times of the sends
+// while it was cold, which are bounded by target, and what is usual for its service.
 func (tb *Table) restart(now ident.Time, t *Target, d event.Target) {
 	for _, p := range tb.peers {
 		p.use = slices.DeleteFunc(p.use, func(u event.TargetUse) bool { return u.Target == t.ID })
@@ -85,8 +77,7 @@
 	return ids
 }
 
-// current returns a target if the incarnation that something is told of is the one that
-// runs.
+// current returns a target if the given incarnation is the one that runs.
 func (tb *Table) current(id ident.TargetID, inc ident.Incarnation) (*Target, bool) {
 	t, ok := tb.byID[id]
 	return t, ok && (t.Incarnation == inc || inc == 0 && t.learnt)
--- a/internal/member/summary.go
+++ b/internal/member/summary.go
@@ -10,10 +10,9 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// summaries returns what this host sends to the other data centres, if it
-// speaks for its own. Each summary goes to one host there, which relays it to
-// its peers with its digests. The host differs from data centre to data
-// centre, so that the relaying is shared out.
+// summaries returns what this host sends to the other data centres, if it represents its
+// own. Each summary goes to one host there, which relays it to its peers with its
+// digests. The host differs between data centres, so that the relaying is shared.
 func (tb *Table) summaries(now ident.Time) []event.Effect {
 	tb.beat.asks = false
 	if len(tb.centres) == 0 {
@@ -52,17 +51,16 @@
 	return effs
 }
 
-// forgetSent has a host that takes the duty to speak begin with all parts. What
-// it told when it last had the duty, another may have replaced since.
+// forgetSent has a new representative begin with all parts: another one may have replaced what it
+// sent when it last was the representative.
 func (tb *Table) forgetSent() {
 	for _, c := range tb.centres {
 		c.sent = lastSent{}
 	}
 }
 
-// noteOffers takes note of what the host that speaks probably offers now. Each
-// host works out the same from the same loads. Without it a host that does not
-// speak would use the offer of a data centre that holds one of its own.
+// noteOffers records what the representative probably offers now, which each host computes from
+// the same loads, so that none uses the offer of a data centre that holds one of its own.
 func (tb *Table) noteOffers(now ident.Time, offers [][]int) {
 	pools := make([]event.Pool, len(tb.pools))
 	for i, p := range tb.pools {
@@ -73,7 +71,7 @@
 	}
 }
 
-// lastSent is what the newest summaries to a data centre have told.
+// lastSent is the state that the newest summaries to a data centre contained.
 type lastSent struct {
 	// at is when the last went out, and to whom. Another receiver may lack
 	// every part.
@@ -90,8 +88,8 @@
 	accountsAt  ident.Time
 }
 
-// leaveOut takes the parts out of a summary that its receiver has, and tells
-// whether what is left is worth a message. The pools go out at the slow pace,
+// leaveOut removes the parts of a summary that its receiver has, and reports whether
+// the rest is worth a message. The pools go out at the slow pace,
 // on change, and often while they carry an offer; the accounts at a pace of
 // their own; the hosts on change and each wholeEvery, which makes good a
 // summary that was lost.
@@ -128,26 +126,20 @@
 	return true
 }
 
-// revisionNews tells whether the revisions are worth a summary of their own. The
-// lowest is: by it operators are told that a change is in force
-// everywhere. Left to the slow pace, that word came up to 7 s late, and an
-// operator who waits for it took an accepted change for one that hangs. So is
-// the highest, which the other data centre may lack or wait to hear back.
+// revisionNews reports whether the revisions are worth a summary of their own. By the lowest
+// operators learn that a change is in force everywhere; the highest may be what the other
+// data centre lacks or waits for.
 func (t *lastSent) revisionNews(s *event.Summary) bool {
 	return s.InForce != t.inForce || s.Highest != t.highest
 }
 
-// behind reports whether a data centre has not yet told that it has the highest
-// revision.
+// behind reports whether a data centre has not yet confirmed the highest revision.
 func (c *Centre) behind(s event.Summary) bool {
 	return c.HasSummary && c.Summary.Highest < s.Highest
 }
 
-// repeat reports whether a summary goes out again because no answer shows its
-// revision, and counts those in vain. The host that a summary goes to may be
-// frozen and not yet missed; a change would then reach a data centre that is
-// cut off from the platform with the next summary but one. So each of these
-// goes to the next host.
+// repeat reports whether a summary goes out again because no answer shows its revision, and
+// counts those in vain. Each goes to the next host, since the last one may be frozen.
 func (c *Centre) repeat(now ident.Time, s event.Summary) bool {
 	t := &c.sent
 	if !t.sent || s.Highest != t.highest || !c.behind(s) {
@@ -165,10 +157,8 @@
 	return slices.ContainsFunc(pools, func(p event.Pool) bool { return p.Offer > 0 })
 }
 
-// poolNews returns a hash of what another data centre acts on at once: what is
-// asked for, the size of the offers by powers of two, so that an offer that
-// has lost half is sent anew, and the targets: the work of a region is shared out by
-// them, and one whose targets have all gone was sent it for up to seconds.
+// poolNews returns a hash of what another data centre acts on at once: the demand, the size of
+// the offers by powers of two, and the number of targets.
 func poolNews(pools []event.Pool) uint64 {
 	h := uint64(0)
 	for _, p := range pools {
@@ -211,18 +201,16 @@
 	return sortedHosts(append(tb.Peers(now), tb.self))
 }
 
-// recipient picks the host of a data centre that a summary goes to: a live one
-// that relays, or, where none is known to live, another at each try.
+// recipient picks the host of a data centre that a summary goes to: a live one that relays,
+// or, where none is known to be alive, another one at each try.
 func (tb *Table) recipient(now ident.Time, c *Centre) (event.Host, bool) {
 	salt := rank.Hash("recipient", string(tb.self.Place.Group()))
 	if c.CutOff(now) {
 		if len(c.Hosts) == 0 {
 			return event.Host{}, false
 		}
-		// The speakers of a region that is cut off all count the same tries. If
-		// they began at the same host, the summaries of every data centre
-		// would come to it in one second after the heal, and it would pass
-		// them all on.
+		// The salt spreads the summaries of several data centres over the hosts
+		// after a partition has healed.
 		return c.Hosts[(salt+c.tries)%uint64(len(c.Hosts))], true
 	}
 	if h, ok := c.HostFor(salt); ok {
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -15,7 +15,7 @@
 	// failsToSuspect is how many failures in a row make a target suspect.
 	failsToSuspect = 3
 	// silentAfter is the silence that makes a target suspect that has been
-	// heard of. It outlasts the handover of a poll from a dead host.
+	// polled before. It outlasts the handover of a poll from a dead host.
 	silentAfter = 12 * time.Second
 	// trustFull is the age up to which a load report counts in full, trustEnd
 	// that at which it counts no more. Past it only the work that the hosts
@@ -29,8 +29,8 @@
 	// share, from rampStart.
 	rampTime  = 10 * time.Second
 	rampStart = 0.1
-	// startGrace is the time after the own start in which targets are taken
-	// for warm: it is this host that is new, not they.
+	// startGrace is the time after the own start in which new targets count as
+	// warm.
 	startGrace = 5 * time.Second
 	// defaultSlots stands for targets that report no load.
 	defaultSlots = 4
@@ -42,7 +42,7 @@
 type Target struct {
 	event.Target
 	// Load is the newest report, LoadAt when the target made it as far as its
-	// age tells; HasLoad tells whether there is one.
+	// age says; HasLoad says whether there is one.
 	Load    event.Load
 	LoadAt  ident.Time
 	HasLoad bool
@@ -74,12 +74,12 @@
 	rated bool
 	// run is the usual time that a request of its service takes.
 	run time.Duration
-	// others is the smoothed number of requests of other hosts, as answers told,
+	// others is the smoothed number of requests of other hosts, as in answers,
 	// and othersSeen the newest.
 	others     float64
 	othersSeen int
-	// Drains says that the target leaves, from the first word of it; Gone that
-	// a complete list of the platform lacks it.
+	// Drains says that the target drains, by whichever source said so first; Gone
+	// that the platform has removed it from its list.
 	Drains bool
 	Gone   bool
 
@@ -94,11 +94,11 @@
 	missing   bool
 	removedAt uint64
 	goneAt    ident.Time
-	// coldUntil is when it is no longer cold by its own word, coldSends the
+	// coldUntil is when it says that it is no longer cold, coldSends the
 	// times of the newest sends to it while it was.
 	coldUntil ident.Time
 	coldSends []ident.Time
-	// coldGuess says that it counts as cold without a word of its own.
+	// coldGuess says that it counts as cold though it did not say so.
 	coldGuess bool
 	lastSeen  ident.Time
 	met       bool
@@ -117,7 +117,7 @@
 }
 
 // Suspect reports whether the target does not answer: calls failed in a row,
-// or no one has heard of it for long.
+// or it has been silent for long.
 func (t *Target) Suspect(now ident.Time) bool {
 	if t.Fails >= failsToSuspect {
 		return true
@@ -191,7 +191,7 @@
 func keyOf(id ident.TargetID) event.TargetKey { return event.TargetKey(rank.Hash(string(id))) }
 
 // rekey works out anew which target a key names. A key that two targets have
-// names none: the work at one would be counted at the other.
+// names none.
 func (tb *Table) rekey() {
 	tb.byKey = make(map[event.TargetKey]*Target, len(tb.targets))
 	for _, t := range tb.targets {
@@ -232,13 +232,11 @@
 	}
 }
 
-// polls returns the load reports that this host reads now. A target whose
-// capacity the platform's list tells is not read: its answers carry its load.
-// Of the others each is read
-// by the live host that ranks first for it, which relays the report, so that
-// the reads of a target do not grow with the number of hosts. A suspect target
-// is probed by every host that suspects it, since the failure may be of the
-// link of one.
+// polls returns the load reports to request now. Targets whose capacity the platform's
+// list contains are not polled: their answers carry their load. Each of the others is
+// polled by the live host that ranks first for it, which relays the report, so that
+// polls do not grow with the number of hosts. A suspect target is probed by every
+// host that suspects it, since the link of one may be at fault.
 func (tb *Table) polls(now ident.Time) []event.Effect {
 	var effs []event.Effect
 	for _, t := range tb.targets {
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -48,32 +48,25 @@
 	return tb.beat.urgent || tb.beat.peers || tb.beat.asks || len(tb.probe) > 0
 }
 
-// How often hosts tell each other what they have sent to targets.
-//
-// An engine reads what it is sent in a few tenths of a second. By the word of a heartbeat,
-// half a second old, hosts send to engines that others have filled since, and leave those
-// idle that have read it all. With four words a second 0.6725 of what callers are worth was
-// earned, with one 0.6637, and with ten 0.6733; taking the word for less than it says, by its
-// age, 0.6395 (9 hosts before 12 engines, 15 days of a minute with failures).
+// Intervals between two announcements of the use of targets.
 const (
-	// useLeast is the least time between two words of it, in a small region.
-	useLeast = 250 * time.Millisecond
-	// useWords bounds the words of a host to all peers in each Period. A word takes some
-	// 15 bytes for each target that it has sent to: from as many peers on there are only
-	// heartbeats, whose cost is kept in bounds at the largest region.
-	useWords = 12
+	// minUseInterval is the interval in a small region.
+	minUseInterval = 250 * time.Millisecond
+	// maxUseMessages bounds the announcements of a host to all peers in each Period. With
+	// more peers only heartbeats carry the use.
+	maxUseMessages = 12
 )
 
-// usePace returns the time between two words of what this host has sent.
+// usePace returns the interval between two announcements of the use of targets.
 func (tb *Table) usePace(now ident.Time) time.Duration {
 	if !mech.On(codes.AnnouncedSends) {
 		return Period
 	}
 	n := len(tb.Peers(now))
-	return min(max(useLeast, Period*time.Duration(n)/useWords), Period)
+	return min(max(minUseInterval, Period*time.Duration(n)/maxUseMessages), Period)
 }
 
-// reads reports whether a target has to read prompts of this host.
+// reads reports whether a target still has prompts of this host to prefill.
 func (tb *Table) reads() bool {
 	return slices.ContainsFunc(tb.targets, func(t *Target) bool { return t.Unread > 0 })
 }
@@ -81,7 +74,7 @@
 func (tb *Table) reap(now ident.Time) {
 	tb.reapPeers(now)
 	tb.reapTargets(now)
-	tb.settleGone(now)
+	tb.updateGone(now)
 	tb.expireNotices(now)
 }
 
--- a/internal/member/turned.go
+++ b/internal/member/turned.go
@@ -8,13 +8,11 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// turnedSpan is how long a data centre that has turned a request away gets no other of that
-// service which has a place elsewhere. Its next word of its load takes as long. Without it
-// 277 long prompts of a day were passed on to two regions one after the other, refused in
-// both, and then refused here.
+// turnedSpan is how long a data centre that has turned a request away gets no other one of that
+// service which can go elsewhere. Its next summary takes as long.
 const turnedSpan = 300 * time.Millisecond
 
-// TurnAway takes note that a data centre had no room for a request of a service.
+// TurnAway records that a data centre had no room for a request of a service.
 func (tb *Table) TurnAway(now ident.Time, dc ident.DataCentre, service string) {
 	i, ok := tb.findCentre(dc)
 	if !ok {
--- a/internal/member/wait.go
+++ b/internal/member/wait.go
@@ -23,8 +23,8 @@
 	return time.Duration(turns * float64(t.serviceTime()))
 }
 
-// serviceTime is the time that one request holds a slot. A request seldom
-// generates the most that it may; half is the guess.
+// serviceTime is the time that one request holds a slot. A request is estimated to generate half
+// of the most that it may.
 func (t *Target) serviceTime() time.Duration {
 	if t.run > 0 {
 		return t.run
@@ -58,11 +58,8 @@
 
 // ahead is the prefill work that this host has sent and that is not done yet.
 //
-// A report is up to a second old, and a target that was idle for most of that
-// time could have done all that was sent since; so the report alone says that
-// nothing waits. Two prompts sent in the same moment would then look as good
-// at one target as at two, and the second's first token comes late by the
-// prefill of the first. This follows each send.
+// A report is up to a second old and does not show what was sent since, so that this
+// follows each send.
 type ahead struct {
 	tokens float64
 	at     ident.Time
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -377,7 +377,7 @@
 			p.Slots = 40
 			p.Free = rapid.IntRange(0, 40).Draw(rt, "free")
 			away := rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(rt, "away")
-			p.settle(away)
+			p.update(away)
 			history = append(history, pool{Pool: event.Pool{Free: p.Free, Targets: away}})
 			// The naive rule looks back for the last moment at which a mark
 			// was passed.
