state the comments of core, peer and spread in the terms of the field

They now say what the code does and what a constant bounds. judge is resolveRequest, the mesh receives messages where it took them.

Behaviour stays: no statement changes but for names. Tests of core, peer and spread pass.

--- a/internal/core/ask.go
+++ b/internal/core/ask.go
@@ -50,15 +50,14 @@
 	rd.emit(ans)
 }
 
-// explain tells where a request would go, by the same judgement as a real
-// one.
+// explain returns where a request would go, by the same decision as for a real one.
 func (rd *Reducer) explain(now ident.Time, e event.RouteAsked) {
 	ans := event.RouteAnswered{Ask: e.Ask, Chosen: -1}
 	r := &request{
 		Request: e.Request, arrived: now,
 		tried: value.SetOf[ident.TargetID](), triedCentres: value.SetOf[ident.DataCentre](),
 	}
-	if ref, ok := rd.judge(now, r); !ok {
+	if ref, ok := rd.resolveRequest(now, r); !ok {
 		ans.Code = ref.code
 		rd.emit(ans)
 		return
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -44,17 +44,14 @@
 	}
 }
 
-// A stream that broke off looks for a place a few times, for as long as a
-// target that is wrongly suspected takes to be heard again.
+// Bounds of the search for a target to resume a stream at.
 const (
 	resumeWaits = 4
 	resumePause = 500 * time.Millisecond
 )
 
-// noPlace ends a request that no choice is left for, or has it wait where its
-// caller has read the beginning of the answer. Targets are suspected together
-// when a burst of failures comes before the first whole answers; a caller that
-// is new is told to come back, but one with half an answer can't.
+// noPlace ends a request that no target is left for. One whose caller has a part of the answer
+// is queued, since suspected targets may come back and its caller can not.
 func (rd *Reducer) noPlace(now ident.Time, r *request, code codes.ID) {
 	if at := now.Add(learnPause); rd.learns(now, r) && at < rd.startBy(r) {
 		rd.agenda.add(appointment{at: at, req: r, do: rd.place})
@@ -76,11 +73,8 @@
 	learnPause = 50 * time.Millisecond
 )
 
-// learns reports whether a place for a request may still show.
-//
-// After all hosts of a region have lost power, their callers come at once, and a host has
-// read the list of targets before it has heard of another region. What must run there was
-// refused by the hundred in that second, to come back when its goal had passed.
+// learns reports whether a target for a request may still become known: this host has read the
+// list of targets and has not seen another region yet, as after a loss of power.
 func (rd *Reducer) learns(now ident.Time, r *request) bool {
 	return r.profile.Route != nil && r.delivered == 0 && r.tries == 0 && now.Sub(rd.startedAt) < learnSpan
 }
@@ -123,8 +117,8 @@
 	})
 }
 
-// level returns the level at which an engine is to begin a request. Where a profile has no
-// route it is the urgency of the profile, as docs/targets.md tells engines.
+// level returns the priority level at an engine. Where a profile has no route it is the urgency
+// of the profile; see docs/targets.md.
 func level(r *request, dec route.Decision) int {
 	if r.profile.Route == nil || !mech.On(codes.OrderByLength) {
 		return r.profile.Priority
@@ -132,7 +126,7 @@
 	return order.Level(r.profile.Priority, dec.Prefill)
 }
 
-// noteHolder has peers told that a target gets a long beginning, unless they know.
+// noteHolder announces that a target gets a long prefix, unless that is known.
 func (rd *Reducer) noteHolder(now ident.Time, r *request, id ident.TargetID) {
 	if r.profile.Route == nil || !member.SharesMuch(&r.Request) || !mech.On(codes.AnnouncedHolders) {
 		return
@@ -176,7 +170,7 @@
 	}
 }
 
-// firstToken takes the beginning of an answer for a sign of life.
+// firstToken records the first token of an answer, which is a sign of life of its target.
 func (rd *Reducer) firstToken(now ident.Time, e event.FirstToken) {
 	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && rd.isCurrent(a) {
 		rd.table.Answered(a.target)
@@ -186,7 +180,7 @@
 	}
 }
 
-// readDone takes note that nothing of an attempt's prompt is left to read.
+// readDone records that the prompt of an attempt has been prefilled.
 func (rd *Reducer) readDone(a *attempt) {
 	if a.unread > 0 && rd.isCurrent(a) {
 		rd.table.ReadDone(a.target, a.unread)
@@ -194,7 +188,7 @@
 	a.unread = 0
 }
 
-// health is what the end of an attempt tells of its target.
+// health is what the end of an attempt says about its target.
 type health int
 
 // The kinds of health.
@@ -235,10 +229,9 @@
 	return failedToAnswer
 }
 
-// attemptEnded takes the end of an attempt. A second, late or crossed end of
-// one that is not live changes nothing: taken for news while the peer is being
-// asked about the attempt, it would start another try beside the one that the
-// peer's answer starts, and the job would run twice.
+// attemptEnded handles the end of an attempt. A second, late or crossed end of one that is not
+// live is ignored: it would start another try beside the one that the answer of a peer starts,
+// and the job would run twice.
 func (rd *Reducer) attemptEnded(now ident.Time, e event.AttemptEnded) {
 	a, ok := rd.attempts[e.Attempt]
 	if !ok || a.req.live != a {
@@ -282,7 +275,7 @@
 	}
 	r.mayHaveRun = true
 	if e.Held && r.delivered == 0 && (r.once || !rd.mayTryAgain(now, r, a, e)) {
-		// The target's own word of its failure says more than any of ours.
+		// The failure of the target itself says more than one of this host.
 		rd.deliver(now, r)
 		return
 	}
@@ -306,8 +299,7 @@
 	rd.again(now, r, a, e, ref)
 }
 
-// deliver gives the caller the whole answer that is held, though it tells of a
-// failure.
+// deliver sends the caller the whole answer that is buffered, though it is a failure.
 func (rd *Reducer) deliver(now ident.Time, r *request) {
 	rd.close(now, r, event.Done)
 	rd.emit(event.Finish{Request: r.ID, Outcome: event.Done})
@@ -323,13 +315,9 @@
 	rd.elsewhereSoon(now, r, a, ref)
 }
 
-// resume lets a stream that broke off go on elsewhere. It does not take from
-// the budget: a target that dies breaks all its streams at once, which are more
-// than a share of the recent arrivals where answers are long, and those past
-// the budget would stop in the middle of a sentence before callers who have
-// read the beginning. What the budget guards against, load that grows with the
-// failures, does not come about, as a resumed stream asks only for the tokens
-// that are left.
+// resume lets a broken stream go on at another target. It does not use the retry budget: a
+// target that dies breaks all its streams at once, and a resumed stream asks only for the
+// tokens that are left, so that load does not grow with failures.
 func (rd *Reducer) resume(now ident.Time, r *request, a *attempt, ref refusal) {
 	if r.tries >= retry.MaxTries {
 		rd.end(now, r, ref)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,10 +32,8 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// drainLeast is how long a drain lasts at least where no bound is given: long
-// enough for the word of it to reach the peers, and for callers that were told of
-// this host a moment ago to be told of others instead of meeting a closed port. A
-// caller may go by its list for entriesValid.
+// drainLeast is the minimum duration of a drain where no bound is given: callers may use a
+// directory answer for entriesValid.
 const drainLeast = entriesValid + time.Second
 
 // Reducer is the state of one entry host.
@@ -65,14 +63,14 @@
 	attempts map[ident.Attempt]*attempt
 	number   uint64
 
-	// reads says that this host was last told to read the store all the time.
+	// reads says that this host is an active reader of the store.
 	reads    bool
 	draining bool
 	drainAt  ident.Time
 	wakeAt   ident.Time
-	// heard is when each peer of the data centre last sent a digest.
+	// demandAt is when each peer of the data centre last sent a digest.
 	demandAt map[ident.EntryID]ident.Time
-	// announceAt is when the demand of the accounts is told next.
+	// announceAt is when the demand of the accounts is next sent.
 	announceAt ident.Time
 	out        []event.Effect
 }
@@ -239,11 +237,9 @@
 	}
 }
 
-// summary takes what a summary tells beyond members and offers. Of the hosts
-// that hear of it from a peer, only the one that speaks for the data centre
-// asks for changes; the rest hear from it. The host that the summary came to
-// asks by itself: the one that speaks may be frozen and not yet missed, and in
-// a data centre that is cut off from the platform a change would wait for that.
+// summary handles what a summary contains beyond members and offers. Of the hosts that receive
+// it from a peer only the representative asks for changes. The host that the summary was sent
+// to asks too, since the representative may be frozen.
 func (rd *Reducer) summary(now ident.Time, s event.Summary, direct bool) {
 	rd.quota.Place(s.Place.Group(), s.Place.Region)
 	rd.quota.CentreSeen(now, s.Place.Group())
@@ -284,8 +280,8 @@
 	rd.wake(now)
 }
 
-// paceReads tells how often to read the platform's store, when that changes. A host
-// begins by reading it all the time, since it knows nothing.
+// paceReads emits how to read the platform's store when that changes. A host begins as an
+// active reader.
 func (rd *Reducer) paceReads(now ident.Time) {
 	if !rd.bounds.SharedReads || rd.table.Reads(now) == rd.reads {
 		return
@@ -294,10 +290,8 @@
 	rd.emit(event.PaceReads{Active: rd.reads})
 }
 
-// accountsPerSecond is how many accounts a host tells its peers of each second, on
-// average. With more of them the whole list goes out less often: at 74 accounts
-// and seven peers, telling all each second alone cost three times the 4 KB a
-// second that a host may spend on control.
+// accountsPerSecond bounds how many accounts a host announces to its peers each second, on
+// average. With more of them the whole list goes out less often.
 const accountsPerSecond = 4
 
 // goneAfter is the silence of a peer after which its demand counts no more. It
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -25,14 +25,10 @@
 	replaceTime = time.Second
 )
 
-// stillServes reports whether a host that drains takes a request all the same.
-//
-// Callers keep to a host for as long as they were told of it, and a refusal costs them a
-// try. Where all hosts of a region drain at the same time they know no other: 152 of 424
-// callers of 2 s were refused by both hosts of a region, with 4 s left. So a request is
-// taken whose own time is over before the drain's. What it usually takes is no measure:
-// engines get slow under load, and a stream that was taken by that, for four deviations
-// and half as much again, was cut after 4.2 s.
+// stillServes reports whether a draining host takes a request. Callers keep using a host for as
+// long as its directory answer holds, and know no other where all hosts of a region drain. So a
+// request is taken if its deadline comes before the end of the drain; its usual duration is no
+// measure under load.
 func (rd *Reducer) stillServes(now ident.Time, r *request) bool {
 	if r.profile.Route == nil {
 		return false
@@ -43,9 +39,8 @@
 	return mech.On(codes.LateDrain) && r.Deadline > 0 && r.Deadline <= rd.drainAt.Add(rd.bounds.DrainEnd-lastAnswer)
 }
 
-// refuseDraining sends a caller elsewhere. With nobody else in its region it is told when
-// this host's successor is there: asked again at once, another draining host would refuse
-// it for good.
+// refuseDraining sends a caller elsewhere. Without another host in the region it is to come
+// back when the successor of this host has started.
 func (rd *Reducer) refuseDraining(now ident.Time, r *request) refusal {
 	ref := rd.elsewhere(now, r, codes.Draining)
 	if r.profile.Route != nil && !rd.table.Relieved(now) {
--- a/internal/core/later.go
+++ b/internal/core/later.go
@@ -29,7 +29,7 @@
 	since, last ident.Time
 }
 
-// refused takes note of a refusal, and returns how long they have been going on.
+// refused records a refusal and returns how long they have been going on.
 func (o *overload) refused(now ident.Time) time.Duration {
 	if o.last == 0 || now.Sub(o.last) > calm {
 		o.since = now
@@ -38,12 +38,9 @@
 	return now.Sub(o.since)
 }
 
-// comeBack tells a request of a route that is refused for want of room when to come back.
-//
-// Nobody knows how long an overload will last. What has been going on for some seconds
-// seldom ends within the next, so that who comes back after one is refused a second time
-// and for good. So the time grows with that of the overload, as far as the caller's own
-// time allows.
+// comeBack returns when the caller of a request that is refused for want of room is to come
+// back. An overload that has lasted for seconds rarely ends within the next one, so that the
+// time grows with its duration, within the time of the caller.
 func (rd *Reducer) comeBack(now ident.Time, r *request) time.Duration {
 	lasted := rd.pools.of(r).overload.refused(now)
 	if !mech.On(codes.GrowingReturns) {
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -116,7 +116,7 @@
 	return old + (v-old)/smooth
 }
 
-// ran takes note of a request that ran to its end.
+// ran records a request that ran to its end.
 func (pl *pool) ran(took time.Duration, generated ident.Tokens) {
 	pl.runTime = smoothed(pl.runTime, took)
 	if generated > 0 {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -33,7 +33,7 @@
 	env       event.Envelope
 	forwarded bool
 
-	// age is how long it has waited before it came here, as far as its deadline tells.
+	// age is how long it waited before it arrived here, by its deadline.
 	age      time.Duration
 	arrived  ident.Time
 	deadline ident.Time
@@ -50,7 +50,7 @@
 	// waits counts how often a broken stream found no place to go on.
 	waits int
 	live  *attempt
-	// looked is the last look for a place, which a refusal tells.
+	// looked is the last decision, which a refusal is logged with.
 	looked route.Decision
 	// barring is set while a peer is asked what became of an attempt.
 	barring   *attempt
@@ -98,7 +98,7 @@
 		Request: req, env: env, forwarded: forwarded, arrived: now,
 		tried: value.SetOf[ident.TargetID](), triedCentres: value.SetOf[ident.DataCentre](),
 	}
-	if ref, ok := rd.judge(now, r); !ok {
+	if ref, ok := rd.resolveRequest(now, r); !ok {
 		rd.refuse(now, r, ref)
 		return
 	}
@@ -107,9 +107,9 @@
 	rd.onceFirst(now, r)
 }
 
-// judge fills in what the request asks for, or tells why it is refused.
-// Nothing of the request has been sent on when it is.
-func (rd *Reducer) judge(now ident.Time, r *request) (refusal, bool) {
+// resolveRequest fills in what the request asks for, or returns why it is refused. Nothing of the
+// request has been sent by then.
+func (rd *Reducer) resolveRequest(now ident.Time, r *request) (refusal, bool) {
 	book := rd.spread.Book()
 	if book == nil {
 		return refuseAs(codes.NotReady), false
@@ -127,12 +127,9 @@
 	if !c.May(p.Name) {
 		return refuseAs(codes.ProfileForbidden), false
 	}
-	// The host that sent the request has checked the same rule. It is checked
-	// again here, since a host with an older profile, or one that was led
-	// astray by a forged envelope, would otherwise bring data to a place where
-	// nobody looks for it.
-	// A request of a route may only stop here on its way to a region that is
-	// allowed; its caller was told of this host and knows no other.
+	// The sender has checked the same rule, but may have an older profile. A request
+	// of a route may pass through here on its way to an allowed region, since its
+	// caller got this host from the directory.
 	if !p.Allows(c, rd.self.Place.Region) && (p.Route == nil || r.forwarded) {
 		return rd.elsewhere(now, r, codes.OutsideResidency), false
 	}
@@ -210,8 +207,7 @@
 		return
 	}
 	if r.barring != nil {
-		// The peer's answer still matters: it decides what the caller is told
-		// when it comes again.
+		// The answer of the peer still decides the outcome for a repeat.
 		return
 	}
 	outcome := event.NotRun
@@ -246,7 +242,7 @@
 	}
 }
 
-// answerOf tells a peer that asks "run or bar" what an outcome means.
+// answerOf maps an outcome to the answer for a peer that asks "run or bar".
 func answerOf(outcome event.Outcome) event.Answer {
 	if outcome == event.NotRun {
 		return event.Refused
--- a/internal/core/restart.go
+++ b/internal/core/restart.go
@@ -8,19 +8,15 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// isCurrent reports whether an attempt is at the incarnation of its target that runs
-// now. What becomes of an attempt at a former one tells nothing of the target, and its
-// place there is not held any more.
+// isCurrent reports whether an attempt is at the current incarnation of its target. One at a
+// former incarnation says nothing about the target and holds no slot there.
 func (rd *Reducer) isCurrent(a *attempt) bool {
 	return a.target != "" && rd.table.Runs(a.target, a.incarnation)
 }
 
-// targetsRestarted breaks off what was sent to the former starts of targets.
-//
-// A target may start anew under its id behind a broken network: no connection is reset,
-// and nothing comes any more. A caller would wait for its whole time for an answer that
-// nobody makes. Streams that can be resumed go on elsewhere, what may be repeated is
-// sent again, and who asked for something that may not be is told at once that nobody knows.
+// targetsRestarted ends the attempts at former starts of targets. A target may restart under
+// its id behind a partition, so that no connection is reset and nothing comes any more. Streams
+// are resumed elsewhere, idempotent requests are sent again, and others end as unknown.
 func (rd *Reducer) targetsRestarted() {
 	for _, id := range rd.table.Restarted() {
 		rd.router.Forget(id)
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -135,10 +135,8 @@
 	return code == codes.Overloaded.ID || code == codes.TurnedAway.ID || code == codes.NoTarget.ID
 }
 
-// untried reports whether a refusal is of a request that another host passed on, and that
-// no target here has seen. It takes no try then from a request that may have run, whose
-// caller may have the beginning of an answer. Of a new one it does: placed again, such
-// requests were refused later and no more of them served.
+// untried reports whether a refusal is of a forwarded request that no target has seen. It
+// counts as no try of a request that may have run, whose caller may have a part of the answer.
 func (r *request) untried(ref refusal) bool {
 	return r.forwarded && r.tries == 0 && ref.code == codes.Overloaded.ID && ref.outcome == event.NotRun
 }
@@ -166,9 +164,8 @@
 	r.profile.Service = r.Service
 }
 
-// finishes reports whether an attempt goes on though its caller has left. Only
-// a plain call does that may not be repeated: its caller can still be told that
-// it ran. A stream is of no use to anyone else.
+// finishes reports whether an attempt goes on though its caller has left: only a plain call
+// that is not idempotent, so that its outcome stays known.
 func (r *request) finishes() bool {
 	rt := r.profile.Route
 	return r.once && (rt == nil || rt.Kind != rules.Streaming)
@@ -187,7 +184,7 @@
 	maxLengths = 4096
 )
 
-// streamed takes note of the length of a whole stream.
+// streamed records the length of a whole stream.
 func (rd *Reducer) streamed(r *request) {
 	if rt := r.profile.Route; rt == nil || rt.Kind != rules.Streaming {
 		return
@@ -232,7 +229,7 @@
 // noLoad is the age of a load that is not known.
 const noLoad = -1
 
-// basis tells what a decision about a request of a route was made by.
+// basis returns the inputs of a decision about a request of a route.
 func (rd *Reducer) basis(now ident.Time, r *request, dec route.Decision) event.Basis {
 	if r.profile.Route == nil {
 		return event.Basis{}
--- a/internal/core/single.go
+++ b/internal/core/single.go
@@ -26,8 +26,7 @@
 func (rd *Reducer) keyClaimed(now ident.Time, e event.KeyClaimed) {
 	r, ok := rd.requests[e.Request]
 	if ok && !r.claiming {
-		// A second answer to one claim. Taken for news it would refuse a
-		// request that runs.
+		// A second answer to one claim.
 		return
 	}
 	if !ok {
@@ -60,8 +59,7 @@
 	}
 }
 
-// drop forgets a request that holds nothing and whose ticket or key belongs to
-// another one. Its end must not be taken for the end of that one.
+// drop forgets a request whose ticket or key belongs to another one, without ending that one.
 func (rd *Reducer) drop(r *request) { delete(rd.requests, r.ID) }
 
 // owned answers a request whose ticket or key belongs to another host. A host
@@ -94,5 +92,5 @@
 	r := &request{Request: event.Request{
 		ID: ident.RequestID("ticket"), Account: e.Account, Profile: e.Profile,
 	}, arrived: now}
-	return rd.judge(now, r)
+	return rd.resolveRequest(now, r)
 }
--- a/internal/core/wait.go
+++ b/internal/core/wait.go
@@ -13,14 +13,10 @@
 // caller to come back.
 const waitPart = 0.5
 
-// startBy returns until when a request may wait for a place: as long as it can then still
-// be answered within its goal, but no longer than half of its time. Past that it is of
-// little use to its caller, and the time that it would take makes the next ones late
-// too; held longer, a refusal leaves no time to come back. One that has been tried
-// may wait until its deadline: its caller may have half an answer, and whether it
-// ran can't be taken back. The same holds for a stream that another host passed on when it
-// broke off: held for the goal of a new request, it was refused after 0.2 to 0.4 s with 6 s
-// left, and its caller had an answer that ends in the middle.
+// startBy returns the queue deadline of a request: as long as it can then still be answered
+// within its goal, and at most half of its time, which leaves the caller time to come back
+// after a refusal. One that has been tried, or a forwarded stream that broke off, may be queued
+// until its deadline, since its caller may have a part of the answer.
 func (rd *Reducer) startBy(r *request) ident.Time {
 	rt := r.profile.Route
 	if rt == nil || rt.GoalMs <= 0 || r.tries > 0 || r.Begun {
--- a/internal/peer/bounds.go
+++ b/internal/peer/bounds.go
@@ -15,8 +15,8 @@
 	// Tick is how often the sessions are looked after, Keys how often the key
 	// files are read.
 	Tick, Keys time.Duration
-	// Ping is the longest time with nothing said on a session of the own data
-	// centre; after Silence with nothing heard it is ended.
+	// Ping is the longest time without a write on a session of the own data
+	// centre; after Silence without a read it is ended.
 	Ping, Silence time.Duration
 	// FarPing and FarSilence are the same towards other data centres.
 	FarPing, FarSilence time.Duration
@@ -35,10 +35,8 @@
 	Backoff, MaxBackoff time.Duration
 }
 
-// Defaults of the waits. A digest goes out each second, so four seconds of
-// silence are several lost in a row and no single late one. Between data
-// centres a speaker has dozens of links, and pings of each every second would
-// use up the bandwidth that control may take.
+// Defaults of the waits. Between data centres a representative has dozens of links, so that
+// pings are rarer there.
 const (
 	defaultTick       = 250 * time.Millisecond
 	defaultKeys       = 2 * time.Second
@@ -118,7 +116,7 @@
 	// the messages of a peer that spoke for another.
 	refused, rejected metrics.Counter
 	// full counts sessions and streams beyond the bounds, silent the sessions
-	// that were ended since nothing was heard.
+	// that were ended since nothing was read.
 	full, silent metrics.Counter
 }
 
--- a/internal/peer/carry.go
+++ b/internal/peer/carry.go
@@ -88,15 +88,15 @@
 	return b, true
 }
 
-// take hands a message of a peer to the reducer. Who said it is the session's
-// word and never the message's.
-func (m *Mesh) take(from event.Host, f *wire.Frame) error {
+// receive hands a message of a peer to the reducer. Its sender is that of the session, whatever
+// the message says.
+func (m *Mesh) receive(from event.Host, f *wire.Frame) error {
 	switch b := f.GetBody().(type) {
 	case *wire.Frame_Ping:
 	case *wire.Frame_Digest:
-		m.takeDigest(from, b.Digest)
+		m.receiveDigest(from, b.Digest)
 	case *wire.Frame_Summary:
-		return m.takeSummary(from.ID, b.Summary.ToEvent())
+		return m.receiveSummary(from.ID, b.Summary.ToEvent())
 	case *wire.Frame_Changes:
 		m.post(event.ChangesReceived{From: from.ID, Changes: b.Changes.ToEvent()})
 	case *wire.Frame_Snapshot:
@@ -110,7 +110,7 @@
 	case *wire.Frame_BarAsk:
 		m.post(b.BarAsk.ToEvent(from.ID))
 	case *wire.Frame_BarAnswer:
-		return m.takeBarAnswer(from.ID, b.BarAnswer)
+		return m.receiveBarAnswer(from.ID, b.BarAnswer)
 	default:
 		// A newer version may say what this one does not know.
 		m.cnt.rejected.Inc(1)
@@ -118,9 +118,9 @@
 	return nil
 }
 
-// takeDigest takes a digest of the own data centre only: the reducer counts
+// receiveDigest accepts a digest of the own data centre only: the reducer counts
 // who sends one among the hosts that share its targets.
-func (m *Mesh) takeDigest(from event.Host, d *wire.Digest) {
+func (m *Mesh) receiveDigest(from event.Host, d *wire.Digest) {
 	if !m.near(from) {
 		m.cnt.rejected.Inc(1)
 		return
@@ -128,7 +128,7 @@
 	m.post(event.DigestReceived{Digest: d.ToEvent(from)})
 }
 
-func (m *Mesh) takeSummary(from ident.EntryID, s event.Summary) error {
+func (m *Mesh) receiveSummary(from ident.EntryID, s event.Summary) error {
 	if s.From != from {
 		m.cnt.rejected.Inc(1)
 		return nil
@@ -137,10 +137,10 @@
 	return nil
 }
 
-// takeBarAnswer takes the answer only of the host that was asked. "Barred"
+// receiveBarAnswer accepts the answer only of the host that was asked. "Barred"
 // lets a request run elsewhere; said by a host that never had the request it
 // would let it run twice.
-func (m *Mesh) takeBarAnswer(from ident.EntryID, p *wire.BarAnswer) error {
+func (m *Mesh) receiveBarAnswer(from ident.EntryID, p *wire.BarAnswer) error {
 	ans, err := p.ToEvent(m.cfg.Self.ID)
 	if err != nil {
 		return err
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// next tells where to dial and how long to wait before it.
+// next returns where to dial and how long to wait before.
 func (d *dialler) next() (string, time.Duration, bool) {
 	l := d.l
 	l.mu.Lock()
@@ -323,8 +323,8 @@
 	g.m.cfg.Log.V(1).Info("peer session library", "text", errors.Errorf(format, v...).Error())
 }
 
-// dialer dials from the IP number that the host listens on, so that the rules
-// of a network which tell hosts apart by their addresses hold both ways.
+// dialer dials from the IP number that the host listens on, for networks whose rules identify
+// hosts by their addresses.
 func (m *Mesh) dialer() *net.Dialer {
 	host, _, err := net.SplitHostPort(m.cfg.Listen)
 	if err != nil {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -38,8 +38,7 @@
 	}
 	c := &pass{Passed: p, m: m, s: s, part: newPart(m, st), out: out, upto: p.Call.Resume}
 	c.upto = max(c.upto, p.Forward.Resume)
-	// Closing the stream before its end frame tells the peer that the caller
-	// has gone.
+	// Closing the stream before its end frame means that the caller has gone.
 	defer st.Close()
 	stop := context.AfterFunc(ctx, c.part.expire)
 	defer stop()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -21,7 +21,7 @@
 	m  *Mesh
 	id ident.EntryID
 
-	// upMu orders PeerUp and PeerDown; ups counts the sessions told as up.
+	// upMu orders PeerUp and PeerDown; ups counts the sessions reported as up.
 	// It is held while an event is posted, so that Send must never take it.
 	upMu sync.Mutex
 	ups  int
@@ -104,22 +104,17 @@
 	return slices.Clone(l.sessions)
 }
 
-// add takes in a session that has proved who it is with.
-//
-// A host that was replaced comes back under its old name with a higher
-// incarnation while the old connection may still seem to stand. The newer run
-// wins: messages for it must not go to the dead one, and what the dead one
-// still says must not be taken for the word of the new one.
-//
-// Two hosts may dial each other at once, so one session in each direction is
-// let be; tend ends the spare one.
+// add adds an authenticated session. A restarted host comes back under its name with a higher
+// incarnation while its old connection may still seem to stand: the newer one wins. Two hosts
+// may dial each other at once, so that one session in each direction is allowed; tend ends the
+// spare one.
 func (l *link) add(s *session) error {
 	olds, err := l.insert(s)
 	if err != nil {
 		return err
 	}
-	// The reducer hears of the new session before the end of the old one, or
-	// a host that is there would be told as down for a moment.
+	// The new session is reported before the end of the old one, so that the host is not
+	// down in between.
 	s.up()
 	for _, old := range olds {
 		if old.host.Incarnation < s.host.Incarnation || old.dialled == s.dialled {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -150,7 +150,7 @@
 // Addr is where the mesh listens.
 func (m *Mesh) Addr() string { return m.ln.Addr().String() }
 
-// Leave lets the hellos of new sessions say that this host is leaving.
+// Leave marks this host as draining in the hellos of new sessions.
 func (m *Mesh) Leave() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -46,7 +46,7 @@
 	inbound atomic.Int32
 }
 
-// pulse is a TCP connection that notes when it was last heard and written to.
+// pulse is a TCP connection that records when it was last read and written.
 type pulse struct {
 	net.Conn
 	m                   *Mesh
@@ -60,7 +60,7 @@
 	return p
 }
 
-// Read reads and notes that the peer was heard.
+// Read reads and records the time.
 func (p *pulse) Read(b []byte) (int, error) {
 	n, err := p.Conn.Read(b)
 	if n > 0 {
@@ -70,7 +70,7 @@
 	return n, err
 }
 
-// Write writes and notes that something was said.
+// Write writes and records the time.
 func (p *pulse) Write(b []byte) (int, error) {
 	n, err := p.Conn.Write(b)
 	if n > 0 {
@@ -131,7 +131,7 @@
 		if f.GetPing() == nil {
 			s.touch()
 		}
-		if err := s.m.take(s.host, f); err != nil {
+		if err := s.m.receive(s.host, f); err != nil {
 			return errors.Wrap(ErrRefused, err.Error())
 		}
 	}
@@ -139,7 +139,7 @@
 
 func (s *session) touch() { s.used.Store(int64(s.m.cfg.Clock.Now())) }
 
-// up tells the reducer of the link before anything that the peer says.
+// up notifies the reducer of the link before any message of the peer.
 func (s *session) up() {
 	s.l.upMu.Lock()
 	defer s.l.upMu.Unlock()
@@ -148,7 +148,7 @@
 	s.m.post(event.PeerUp{Host: s.host})
 }
 
-// down tells the reducer when the last session with the host has ended.
+// down notifies the reducer when the last session with the host has ended.
 func (s *session) down() {
 	s.l.upMu.Lock()
 	defer s.l.upMu.Unlock()
@@ -160,13 +160,9 @@
 	s.m.post(event.PeerDown{Entry: s.host.ID})
 }
 
-// tend ends a session that has fallen silent or idle, and asks for a ping on
-// one that has said nothing for a while.
-//
-// A frozen process keeps its sockets: its kernel goes on to confirm what it
-// is sent, so that no write ever fails. One would notice requests that are
-// passed on and never answered. A live peer always says something within the
-// ping time, so silence tells.
+// tend ends a session that has been silent or idle for too long, and requests a ping on one
+// without writes. The sockets of a frozen process stay open and its kernel confirms what it is
+// sent, so that only silence shows it.
 func (s *session) tend(now ident.Time) {
 	ping, silence := s.m.cfg.Times.Ping, s.m.cfg.Times.Silence
 	near := s.m.near(s.host)
--- a/internal/peer/take.go
+++ b/internal/peer/take.go
@@ -107,9 +107,8 @@
 	}
 }
 
-// newID returns an id under which the request runs here. It is not that of
-// the caller's host: a request that comes back to a host which already has it
-// must not be taken for that one.
+// newID returns an id for the request at this host. It differs from that of the sender, since a
+// request may come back to a host that has it already.
 func newID() ident.RequestID {
 	var b [16]byte
 	_, _ = rand.Read(b[:])
@@ -135,13 +134,8 @@
 	}
 }
 
-// readBody asks for the body and waits for it. Its time and its length are
-// bounded, so that a slow or huge sender holds this host's memory no longer than
-// that.
-//
-// Of a peer that no longer wants the answer there is no body, also where all of it has come:
-// the request has reached no target yet, and need not any more. Without this a target was
-// given a call with an empty body 1.8 s after its caller had been told that it failed.
+// readBody asks for the body and waits for it, within bounds of time and length. It fails if
+// the peer has gone, also after the whole body has come: nothing has reached a target yet.
 func (k *take) readBody() ([]byte, error) {
 	k.asked.Store(true)
 	if err := k.part.write(&wire.Part{Body: &wire.Part_GoOn{GoOn: &wire.GoOn{}}}); err != nil {
@@ -196,8 +190,8 @@
 		w.k.drain()
 	}
 	w.k.gone.Store(true)
-	// What may not be repeated and may be at a target runs to its end: broken off, nobody
-	// could tell whether it ran.
+	// A request that is not idempotent and may be at a target runs to its end, so that its
+	// outcome is known.
 	if !w.k.open.GetOnce() || !w.k.asked.Load() || w.err != nil {
 		w.k.cancel()
 	}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -8,12 +8,11 @@
 //	effs := sp.Changes(now, ev, peers)
 //	effs = append(effs, sp.Tick(now, watches)...)
 //
-// One host of a data centre watches the platform and pushes each change to
-// the others. Whoever hears of a higher revision than its own asks for what
-// it lacks, so a lost push is made good by the next heartbeat, and a data
-// centre that is cut off from the platform learns from another one. A book is
-// only ever replaced by one of a higher revision, whoever sends it: that alone
-// is why a change can't revert.
+// One host of a data centre watches the platform and pushes each change to the others. A host
+// that observes a higher revision than its own asks for what it lacks, so that the next
+// heartbeat repairs a lost push, and a data centre that is cut off from the platform
+// learns from another one. A book is only replaced by one of a higher revision, so that
+// no change reverts.
 //
 // The state belongs to the reducer and reads no clock.
 package spread
@@ -30,8 +29,8 @@
 
 // Times of the spreading.
 const (
-	// watchLost is after which silence a watch is taken for lost. It is longer
-	// than the longest wait of a watch.
+	// watchLost bounds the silence of a watch. It is longer than the longest wait of
+	// one.
 	watchLost = 40 * time.Second
 	// backoffMin and backoffMax bound the wait after a failed call to the
 	// platform. With the part that each host adds, the longest wait is one and
@@ -42,10 +41,8 @@
 	backoffMax = 2500 * time.Millisecond
 	// askAgain is the time between two questions to one peer.
 	askAgain = 500 * time.Millisecond
-	// askNext is how long an answer is waited for before another peer is asked,
-	// doubled with each question that brought none up to askMost. It is a part
-	// of the four seconds in which a change is to be in force, and longer than a
-	// whole book of 1,300 routes takes on an idle link of 10 Mbit/s (0.4 s).
+	// askNext is how long an answer is waited for before another peer is asked, doubled with
+	// each question in vain up to askMost.
 	askNext = time.Second
 	askMost = 4 * time.Second
 )
@@ -81,10 +78,9 @@
 	readFirst bool
 }
 
-// ReadFirst has a higher revision be read from the platform, and from a peer only
-// if that brings nothing. Where two hosts read the platform for all others, these
-// would ask the two for every change, and a host on a link of 10 Mbit/s takes eight
-// seconds to send a book of 1,300 routes to twenty peers.
+// ReadFirst has a higher revision be read from the platform, and from a peer only if that
+// fails. Where few hosts read the platform for all, their links could not carry the book to all
+// of them.
 func (s *Spread) ReadFirst(yes bool) { s.readFirst = yes }
 
 // New returns the state of a host without a configuration.
@@ -186,12 +182,9 @@
 	return []event.Effect{event.SendSnapshot{To: to, Book: s.book}}
 }
 
-// Seen takes the revision that another host is at, and asks for what it lacks.
-//
-// One peer is asked at a time. A host that starts hears of a higher revision
-// from all its peers within a second; were all of them asked, each would send
-// the whole book, and twenty books of 1,300 routes keep a link of 10 Mbit/s busy
-// for ten seconds, in which neither callers nor the platform get through.
+// Seen handles the revision of another host, and asks for what this one lacks. One peer is
+// asked at a time, since a host that starts observes a higher revision at all its peers and
+// each would send the whole book.
 func (s *Spread) Seen(now ident.Time, host event.Host, rev ident.Revision) []event.Effect {
 	if rev <= s.Revision() {
 		return nil
@@ -219,7 +212,7 @@
 	return []event.Effect{event.AskChanges{To: host, After: s.Revision()}}
 }
 
-// Progress takes note that an answer of the platform is arriving.
+// Progress records that an answer of the platform is arriving.
 func (s *Spread) Progress(now ident.Time) { s.progressAt = now }
 
 // arriving reports whether an answer of the platform that may hold the newer book is still
@@ -228,13 +221,13 @@
 	return s.readFirst && s.progressAt > 0 && now.Sub(s.progressAt) < askNext && now.Sub(s.askedAt) < askMost
 }
 
-// Idle takes note of a watch that ended without a change.
+// Idle records a watch that ended without a change.
 func (s *Spread) Idle(now ident.Time) {
 	s.answered(now)
 	s.watching = false
 }
 
-// Failed takes note of a call to the platform that brought no answer.
+// Failed records a call to the platform that brought no answer.
 func (s *Spread) Failed(now ident.Time, op event.PlatformOp) {
 	if op == event.OpReadHosts {
 		return
