--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -135,7 +135,7 @@
 }
 
 // operator finds the operator of a token. Every digest is compared, and each
-// in the same time, so that the time of an answer tells nothing about them.
+// in the same time, so that the time of an answer reveals nothing about them.
 func (a *Admin) operator(r *http.Request) (ident.Operator, bool) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
--- a/internal/admin/ask.go
+++ b/internal/admin/ask.go
@@ -52,7 +52,7 @@
 	return answer(w, http.StatusOK, st)
 }
 
-// InForce tells which data centres have a revision in force, as far as the
+// InForce holds which data centres have a revision in force, as far as the
 // host that was asked knows.
 type InForce struct {
 	Revision ident.Revision `json:"revision"`
@@ -67,7 +67,7 @@
 	Region     ident.Region     `json:"region"`
 	Lowest     ident.Revision   `json:"lowest"`
 	InForce    bool             `json:"inForce"`
-	// Age is how old the word of the data centre is.
+	// Age is the age of the newest summary of the data centre.
 	Age    time.Duration `json:"age"`
 	CutOff bool          `json:"cutOff,omitempty"`
 }
@@ -124,7 +124,7 @@
 	return nil
 }
 
-// route tells where a request would go, without sending it.
+// route answers where a request would go, without sending it.
 func (a *Admin) route(w http.ResponseWriter, r *http.Request, _ ident.Operator) error {
 	var req event.Request
 	if err := decode(r, &req); err != nil {
--- a/internal/admin/change.go
+++ b/internal/admin/change.go
@@ -198,7 +198,7 @@
 }
 
 // history lists changes, newest first, of all items or of one. With a name it
-// looks through the changes one page at a time and tells where to go on.
+// looks through the changes one page at a time and returns where to go on.
 func (a *Admin) history(w http.ResponseWriter, r *http.Request, _ ident.Operator) error {
 	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
 	defer cancel()
@@ -256,7 +256,7 @@
 }
 
 // rollback writes a new change with old content. The revision goes up: a host
-// that took an old revision again could not tell it from a stale one.
+// that took an old revision again could not distinguish it from a stale one.
 func (a *Admin) rollback(w http.ResponseWriter, r *http.Request, op ident.Operator) error {
 	var rb Rollback
 	if err := decode(r, &rb); err != nil {
--- a/internal/admin/fault.go
+++ b/internal/admin/fault.go
@@ -12,7 +12,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// FaultKind tells programs what an operator's request came to.
+// FaultKind is the outcome of an operator's request, for programs.
 type FaultKind string
 
 // The kinds of faults.
@@ -34,7 +34,7 @@
 	Change ident.ChangeID `json:"change,omitempty"`
 	// Faults lists what the checks found.
 	Faults []rules.Fault `json:"faults,omitempty"`
-	// Conflict tells what changed since.
+	// Conflict holds what changed since.
 	Conflict *Conflict `json:"conflict,omitempty"`
 }
 
@@ -57,7 +57,7 @@
 	return fail(w, http.StatusBadRequest, Fault{Message: err.Error(), Kind: KindRefused})
 }
 
-// outcomes maps the errors of the log to what an operator is told.
+// outcomes maps the errors of the log to the answers for operators.
 var outcomes = []struct {
 	err    error
 	kind   FaultKind
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -140,8 +140,8 @@
 // Work is the predicted work of all requests that wait.
 func (q *Queue) Work() time.Duration { return q.work }
 
-// Push lets an item wait that would start after the predicted wait. If it may
-// not, retryAfter tells when to come back. shed lists those that lost their
+// Push queues an item that would start after the predicted wait. If it may
+// not wait, retryAfter is when to come back. shed lists those that lost their
 // place to it.
 func (q *Queue) Push(now ident.Time, it Item, wait time.Duration) (ok bool, shed []ident.RequestID, retryAfter time.Duration) {
 	if late := now.Add(wait).Sub(q.latest(it)); late > 0 {
@@ -221,7 +221,7 @@
 	return next
 }
 
-// RetryAfter tells when a request may come back that finds no place now.
+// RetryAfter returns when a request that finds no place now may come back.
 func (q *Queue) RetryAfter(_ ident.Time, wait time.Duration) time.Duration {
 	return max(minRetryAfter, wait)
 }
--- a/internal/cmds/check.go
+++ b/internal/cmds/check.go
@@ -58,7 +58,7 @@
 
 func (*explainCmd) Usage() string {
 	return `explain CODE
-  Tells what a code means and what to do.
+  Explains what a code means and what to do.
 
   Example:
     verbenadale explain VB1004
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,7 +70,7 @@
 type Callers struct {
 	// Listen is host:port, with an IP number as the host.
 	Listen string `json:"listen"`
-	// URL is what callers are told; empty stands for http://LISTEN.
+	// URL is the base URL for callers; empty stands for http://LISTEN.
 	URL string `json:"url"`
 	// CertFile and KeyFile turn on TLS towards callers.
 	CertFile string `json:"certFile"`
@@ -81,7 +81,7 @@
 type Peers struct {
 	// Listen is host:port. Links to other hosts come from its IP number too.
 	Listen string `json:"listen"`
-	// Advertise is what other hosts are told to dial; empty stands for Listen.
+	// Advertise is the address that other hosts dial; empty stands for Listen.
 	Advertise string `json:"advertise"`
 	// Seeds are hosts to try before the platform's list is known.
 	Seeds []Seed `json:"seeds"`
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -90,7 +90,7 @@
 	return line
 }
 
-// BaseURL returns what callers are told.
+// BaseURL returns the base URL for callers.
 func (c Callers) BaseURL() string {
 	switch {
 	case c.URL != "":
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,7 @@
 	Metrics metrics.Registry
 	// Step, where set, replaces the reducer, for comparisons.
 	Step func(now ident.Time, ev event.Event) []event.Effect
-	// Record, where set, is told who the host is and returns what sees each
+	// Record, where set, gets the own host and returns what sees each
 	// event and its effects, for replay.
 	Record func(self event.Host) func(now ident.Time, ev event.Event, effs []event.Effect)
 	// Before, where set, is called with the reducer before each of its steps,
--- a/internal/dev/bench/bench.go
+++ b/internal/dev/bench/bench.go
@@ -13,7 +13,7 @@
 // All policies run in one fleet, one after the other and again in the next
 // round, each under the same load by the same seed, so that their figures are
 // ratios and a busy machine burdens all alike. The entry hosts change their
-// policy between two loads. Each load has prompts with beginnings of its own:
+// policy between two loads. Each load has prompts with prefixes of its own:
 // what one policy left in the caches is of no use to the next.
 package bench
 
--- a/internal/dev/bench/scene.go
+++ b/internal/dev/bench/scene.go
@@ -92,7 +92,7 @@
 	harm harm
 	// pause is the time between two loads on top of the usual.
 	pause time.Duration
-	// retry has callers come back when they were told to.
+	// retry has callers come back when the refusal says so.
 	retry bool
 }
 
--- a/internal/dev/cmds/load.go
+++ b/internal/dev/cmds/load.go
@@ -44,11 +44,11 @@
 	fs.DurationVar(&c.cfg.For, "for", 10*time.Second, "how long")
 	fs.IntVar(&c.cfg.Tokens, "tokens", 32, "length of an answer in tokens")
 	fs.IntVar(&c.cfg.Prompt, "prompt", 1000, "length of a prompt in bytes")
-	fs.IntVar(&c.cfg.Prefixes, "prefixes", 0, "different beginnings that prompts share, 0 for none")
+	fs.IntVar(&c.cfg.Prefixes, "prefixes", 0, "different prefixes that prompts share, 0 for none")
 	fs.BoolVar(&c.cfg.Stream, "stream", true, "ask for streams")
 	fs.DurationVar(&c.cfg.Deadline, "deadline", 0, "deadline of each request")
 	fs.Uint64Var(&c.cfg.Seed, "seed", 1, "seed of times and prompts")
-	fs.BoolVar(&c.cfg.Retry, "retry", false, "send refused requests again when told to come back")
+	fs.BoolVar(&c.cfg.Retry, "retry", false, "send refused requests again after Retry-After")
 	fs.StringVar(&c.plot, "plot", "", "write a plot to this file, .png or .svg")
 }
 
--- a/internal/dev/demo/show.go
+++ b/internal/dev/demo/show.go
@@ -20,8 +20,8 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// patience is how long the system may take to be ready.
-const waitLimit = 20 * time.Second
+// readyTimeout is how long the system may take to be ready.
+const readyTimeout = 20 * time.Second
 
 // show shows what a caller sees, step by step.
 func (s *system) show(ctx context.Context) error {
@@ -61,7 +61,7 @@
 		return err
 	}
 	fmt.Fprintf(s.cfg.Out, "accepted as revision %d\n", done.Revision)
-	in, err := cl.InForce(ctx, done.Revision, waitLimit)
+	in, err := cl.InForce(ctx, done.Revision, readyTimeout)
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 // stream sends a request until the hosts have learned of the engines.
 func (s *system) stream(ctx context.Context) error {
 	url := s.hosts[0].Callers.URL + "/v1/chat/completions"
-	deadline := time.Now().Add(waitLimit)
+	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
 		res, err := s.post(ctx, url, fmt.Sprintf(askBody, "draft"), nil)
 		if err != nil {
--- a/internal/dev/drive/drive.go
+++ b/internal/dev/drive/drive.go
@@ -49,7 +49,7 @@
 	Traffic time.Duration
 }
 
-// Answer is what a caller was told.
+// Answer is the answer to a caller.
 type Answer struct {
 	At      ident.Time
 	Host    ident.EntryID
@@ -68,11 +68,11 @@
 
 	// Delay gives the time that a message takes, and whether it is lost.
 	Delay func(from, to event.Host) (time.Duration, bool)
-	// PlatformDown tells whether a host is cut off from the platform.
+	// PlatformDown reports whether a host is cut off from the platform.
 	PlatformDown func(h event.Host) bool
-	// LoseClaim tells whether the reply to a claim is lost after the write.
+	// LoseClaim reports whether the reply to a claim is lost after the write.
 	LoseClaim func() bool
-	// Early tells whether the sender of a passed-on request sees its link
+	// Early reports whether the sender of a passed-on request sees its link
 	// break while the request still arrives, and how much later it arrives.
 	Early func() (time.Duration, bool)
 	// OnMessage, where set, sees each message between hosts, and OnCall each
--- a/internal/dev/drive/outside.go
+++ b/internal/dev/drive/outside.go
@@ -39,7 +39,7 @@
 	// new one came.
 	Runs map[ident.RequestID]int
 	Last ident.Time
-	// Break, where set, tells whether the link breaks after the run.
+	// Break, where set, reports whether the link breaks after the run.
 	Break func() bool
 }
 
--- a/internal/dev/engine/cache.go
+++ b/internal/dev/engine/cache.go
@@ -28,7 +28,7 @@
 	dropped []uint64
 }
 
-// maxLog bounds the cache events that are still to be told.
+// maxLog bounds the cache events that are kept.
 const maxLog = 4096
 
 func newCache(room int) *cache {
@@ -70,7 +70,7 @@
 	return hit
 }
 
-// getCache tells the cache events after a number, late and with gaps.
+// getCache returns the cache events after a number, late and with gaps.
 func (e *Engine) getCache(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	e.mu.Lock()
--- a/internal/dev/engine/engine.go
+++ b/internal/dev/engine/engine.go
@@ -1,8 +1,8 @@
 // Package engine is a stand-in for a model engine, for development and tests.
 // It batches continuously, caches prompt prefixes in limited memory, honours
 // priorities, resumes and cancels streams, publishes cache events late and
-// with gaps, reports load with a lag, and can be told to fail.
-// docs/targets.md describes what it speaks.
+// with gaps, reports load with a lag, and can be made to fail.
+// docs/targets.md describes its protocol.
 //
 // # Usage
 //
--- a/internal/dev/engine/fault.go
+++ b/internal/dev/engine/fault.go
@@ -24,7 +24,7 @@
 	FaultError = "error"
 )
 
-// Faults is what the engine is told to do wrong. The zero value is healthy.
+// Faults is the failures that the engine simulates. The zero value is healthy.
 type Faults struct {
 	// Every n-th answer has the next of the Kinds.
 	Every int      `json:"every"`
--- a/internal/dev/load/load.go
+++ b/internal/dev/load/load.go
@@ -39,16 +39,16 @@
 	// Tokens is the length of an answer, Prompt that of a prompt in bytes.
 	Tokens int
 	Prompt int
-	// Prefixes is the number of different beginnings that prompts share;
+	// Prefixes is the number of different prefixes that prompts share;
 	// zero makes every prompt new.
 	Prefixes int
-	// Salt tells the beginnings of one load from those of another, so that
+	// Salt distinguishes the prefixes of one load from those of another, so that
 	// neither finds in a cache what the other left there.
 	Salt     string
 	Stream   bool
 	Deadline time.Duration
 	Seed     uint64
-	// Retry sends a refused request again when it was told to come back.
+	// Retry sends a refused request again after its Retry-After.
 	Retry bool
 }
 
--- a/internal/dev/load/result.go
+++ b/internal/dev/load/result.go
@@ -9,7 +9,7 @@
 
 // outcome is what came of one request.
 type outcome struct {
-	// kind is done, refused, cut, wrong or error; code tells more.
+	// kind is done, refused, cut, wrong or error; code says more.
 	kind  string
 	code  string
 	first time.Duration
@@ -43,7 +43,7 @@
 	Errors  int            `json:"errors"`
 	Dropped int            `json:"dropped"`
 	Refused map[string]int `json:"refused"`
-	// Retries counts the requests sent again when they were told to.
+	// Retries counts the requests sent again after Retry-After.
 	Retries    int       `json:"retries"`
 	FirstToken Quantiles `json:"firstToken"`
 	Total      Quantiles `json:"total"`
--- a/internal/dev/load/shot.go
+++ b/internal/dev/load/shot.go
@@ -83,7 +83,7 @@
 	return s.due.Add(s.cfg.Deadline).Sub(s.clock.Now())
 }
 
-// body makes the prompt: a shared beginning and an end of its own.
+// body makes the prompt: a shared prefix and an end of its own.
 func (s *shot) body() []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, "family %d%s ", s.prefix, s.cfg.Salt)
--- a/internal/dev/plain/plain.go
+++ b/internal/dev/plain/plain.go
@@ -1,7 +1,7 @@
 // Package plain is a stand-in for a plain service, such as one that publishes
 // notices or books vans, for development and tests. It keeps a ledger of every
-// call that it ran, so that a test can count runs against what callers were
-// told.
+// call that it ran, so that a test can count runs against what callers
+// got.
 //
 // # Usage
 //
@@ -39,7 +39,7 @@
 	Work time.Duration
 }
 
-// Faults is what the service is told to do wrong.
+// Faults is the failures that the service simulates.
 type Faults struct {
 	// DieAfterRun breaks the connection of every n-th call after it has run,
 	// before the answer; DieBeforeRun before it runs.
--- a/internal/dev/plat/fault.go
+++ b/internal/dev/plat/fault.go
@@ -13,7 +13,7 @@
 	"verbenadale.example/verbenadale/internal/store"
 )
 
-// Faults is what the service is told to do wrong. The zero value is none.
+// Faults is the failures that the service simulates. The zero value is none.
 type Faults struct {
 	// Down breaks the connection of every call before it takes effect, and
 	// those of the waiting watches.
--- a/internal/dev/plat/plat.go
+++ b/internal/dev/plat/plat.go
@@ -1,7 +1,7 @@
 // Package plat is a stand-in for the platform's service, for development and
 // tests: a small key-value store with compare-and-swap, watches and leases,
 // the list of hosts and the directory for clients, all in memory. It can be
-// told to fail. docs/platform.md describes both sides.
+// made to fail. docs/platform.md describes both sides.
 //
 // # Usage
 //
@@ -91,7 +91,7 @@
 }
 
 // handleWrite serves a write: it reads the body, applies the faults, does the
-// write under the lock, and loses the reply where it is told to.
+// write under the lock, and loses the reply where the faults say so.
 func (s *Server) handleWrite(pattern, op string, write func(r *http.Request, body []byte) result) {
 	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValue))
--- a/internal/dev/relay/relay.go
+++ b/internal/dev/relay/relay.go
@@ -9,7 +9,7 @@
 //	defer r.Stop()
 //
 // An entry host dials its peers from the IP number that it listens on, so the
-// relay tells senders apart by their IP numbers. The delay is that of each way;
+// relay distinguishes senders by their IP numbers. The delay is that of each way;
 // the set-up of a connection is not delayed, since links between entry hosts
 // stand for long.
 package relay
--- a/internal/dev/slope/slope.go
+++ b/internal/dev/slope/slope.go
@@ -52,7 +52,7 @@
 	Fleet        int     `json:"fleet"`
 	MessagesEach float64 `json:"messagesEach"`
 	// BytesEach is bytes a second sent, MostBytes those of the host that sends
-	// the most: it speaks for its data centre.
+	// the most: it represents its data centre.
 	BytesEach float64 `json:"bytesEach"`
 	MostBytes float64 `json:"mostBytes"`
 	PollsEach float64 `json:"pollsEach"`
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -49,7 +49,7 @@
 	body       string
 	// err says that there was no whole answer.
 	err error
-	// calm says that no fault was near, termAt when the process was told to stop.
+	// calm says that no fault was near, termAt when the process got SIGTERM.
 	calm   bool
 	termAt time.Time
 }
@@ -217,7 +217,7 @@
 func (k *caller) send(ctx context.Context, h *host, a *asked) {
 	ctx, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
 	defer cancel()
-	// The body has no way back to its beginning, so that the library can't send a
+	// The body can not be rewound, so that the library can't send a
 	// request twice by itself.
 	body := io.MultiReader(strings.NewReader("body of " + a.id))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.set.Callers.Listen+"/"+a.route+"/x?of="+a.id, body)
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -62,7 +62,7 @@
 		c.broken("not run: %s was refused with %d and ran %d times", at, a.status, runs)
 	}
 	if refused && a.header.Get("Retry-After") == "" {
-		c.broken("not run: %s was refused with %d and not told when to come back", at, a.status)
+		c.broken("not run: %s was refused with %d and no Retry-After", at, a.status)
 	}
 	if a.status == http.StatusOK && a.err == nil {
 		c.success(a, at)
@@ -75,20 +75,20 @@
 			c.broken("route: %s ran at %s of %s", at, w.id, w.service)
 		}
 		if left := w.leftAt; !left.IsZero() && a.calm && a.began.Sub(left) > inForce {
-			c.broken("leaving: %s was sent to %s %.2fs after it was listed as leaving", at, w.id, a.began.Sub(left).Seconds())
+			c.broken("draining: %s was sent to %s %.2fs after it was listed as draining", at, w.id, a.began.Sub(left).Seconds())
 		}
-		c.emptied(a, w, at)
+		c.evacuated(a, w, at)
 	}
 	c.stopped(a, at)
 	c.late(a, at)
 }
 
-// emptied checks that an emptied region gets nothing.
-func (c *checker) emptied(a asked, w *target, at string) {
-	for _, e := range c.site.emptied {
+// evacuated checks that an evacuated region gets nothing.
+func (c *checker) evacuated(a asked, w *target, at string) {
+	for _, e := range c.site.evacuated {
 		over := !e.to.IsZero() && a.end.After(e.to)
 		if a.calm && e.region == w.region && !over && a.began.Sub(e.from) > inForce {
-			c.broken("emptied: %s was sent to %s %.2fs after its data centre was emptied", at, w.id, a.began.Sub(e.from).Seconds())
+			c.broken("evacuated: %s was sent to %s %.2fs after its data centre was evacuated", at, w.id, a.began.Sub(e.from).Seconds())
 		}
 	}
 }
@@ -106,7 +106,7 @@
 	}
 }
 
-// stopped checks that a host which is told to stop cuts no request that it has
+// stopped checks that a host that gets SIGTERM cuts no request that it has
 // read. One that it never read shows as a refused or reset connection, and has not
 // run.
 func (c *checker) stopped(a asked, at string) {
--- a/internal/dev/soak/site.go
+++ b/internal/dev/soak/site.go
@@ -56,10 +56,10 @@
 	servers []*http.Server
 	// harmedAt is when a fault last began or ended.
 	harmedAt time.Time
-	// words are the configurations that the operators have written, emptied when
-	// they had data centres emptied.
-	words   []word
-	emptied []emptied
+	// words are the configurations that the operators have written, evacuated when
+	// they evacuated data centres.
+	words     []word
+	evacuated []evacuation
 	// ended are the processes that ended by themselves.
 	ended []string
 }
@@ -73,14 +73,14 @@
 	leftAt time.Time
 }
 
-// emptied is a time in which a region was to get nothing; to is zero while it goes
+// evacuation is a time in which a region was to get nothing; to is zero while it goes
 // on.
-type emptied struct {
+type evacuation struct {
 	region   string
 	from, to time.Time
 }
 
-// empty has a region emptied or takes that back.
+// empty evacuates a region or ends that.
 func (s *site) empty(region string, yes bool) {
 	key := "op/evacuate/" + centreOf(region)
 	if yes {
@@ -90,13 +90,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.emptied {
-		if e := &s.emptied[i]; e.region == region && e.to.IsZero() {
+	for i := range s.evacuated {
+		if e := &s.evacuated[i]; e.region == region && e.to.IsZero() {
 			e.to = time.Now()
 		}
 	}
 	if yes {
-		s.emptied = append(s.emptied, emptied{region: region, from: time.Now()})
+		s.evacuated = append(s.evacuated, evacuation{region: region, from: time.Now()})
 	}
 }
 
@@ -244,7 +244,7 @@
 	return append([]*target(nil), s.workers...)
 }
 
-// harmed takes note that a fault begins or ends.
+// harmed records that a fault begins or ends.
 func (s *site) harmed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -267,8 +267,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	// run counts its processes, termAt is when the newest was told to stop, ending
-	// that it was told to end.
+	// run counts its processes, termAt is when the newest got SIGTERM, ending
+	// that it was made to end.
 	run    int
 	termAt time.Time
 	ending bool
@@ -358,7 +358,7 @@
 	}
 }
 
-// endedByItself takes note of a process that nobody had told to end.
+// endedByItself records a process that ended without a signal.
 func (s *site) endedByItself(h *host, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -378,7 +378,7 @@
 	return h.done
 }
 
-// state returns which process of the host runs and when it was told to stop.
+// state returns which process of the host runs and when it got SIGTERM.
 func (h *host) state() (run int, termAt time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -11,7 +11,7 @@
 //
 // Each host reaches the store, its peers and the targets through loopback relays
 // that can delay, reset, refuse or silence connections, also one way. Processes are
-// stopped, killed, paused and told to read their settings again. Faults come alone,
+// stopped, killed, paused and made to read their settings again. Faults come alone,
 // in series and at the same time. The plan of a seed is always the same; what it
 // meets depends on the machine, so that a seed which fails is run again a few times.
 //
@@ -64,7 +64,7 @@
 	// quiet is the time without a fault after which bounds hold again: the longest
 	// silence that a part bears before it takes another way.
 	quiet = 6 * time.Second
-	// inForce bounds the time until a leaving target, an emptied data centre or a
+	// inForce bounds the time until a draining target, an evacuated data centre or a
 	// new configuration counts everywhere, without faults.
 	inForce = 4 * time.Second
 )
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -115,12 +115,12 @@
 		"crossed":     {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 200, body: "of another", header: map[string][]string{"Verbenadale-Response-Seal": {"seal-of-q"}}}, runs: 1, want: 2},
 		"away":        {a: asked{id: "p", kind: kindHome, route: kindHome, status: 502}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
 		"left":        {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502, calm: true, began: at}, runs: 1, ran: &target{region: regions[0], service: "board", leftAt: at.Add(-2 * inForce)}, want: 1},
-		"emptied":     {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502, calm: true, began: at}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
+		"evacuated":   {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502, calm: true, began: at}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
 		"wrong place": {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502}, runs: 1, ran: &target{region: regions[0], service: "writers"}, want: 1},
 		"stop cuts":   {a: asked{id: "p", kind: kindFetch, route: kindFetch, err: context.DeadlineExceeded, calm: true, end: at, termAt: at.Add(-time.Second)}, runs: 1, want: 1},
 		"no route":    {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 404, calm: true}, want: 1},
 	} {
-		chk := &checker{site: &site{began: at, emptied: []emptied{{region: regions[1], from: at.Add(-2 * inForce)}}}, runs: map[string]int{"p": c.runs}, by: map[string][]*target{}}
+		chk := &checker{site: &site{began: at, evacuated: []evacuation{{region: regions[1], from: at.Add(-2 * inForce)}}}, runs: map[string]int{"p": c.runs}, by: map[string][]*target{}}
 		if c.ran != nil {
 			chk.by["p"] = []*target{c.ran}
 		}
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -9,7 +9,7 @@
 //	store.Put(wk.Key(), wk.Entry(addr, "ready", 0))
 //	wk.Fault(worker.Crash, 1)
 //
-// It counts how often each request ran, so that a test can tell whether one ran
+// It counts how often each request ran, so that a test can check whether one ran
 // twice.
 package worker
 
@@ -59,8 +59,8 @@
 	Pause  time.Duration
 	// Work is the time of a plain call.
 	Work time.Duration
-	// Born is the Unix millisecond of its start, which all that it says of itself tells,
-	// zero for a worker that does not tell it.
+	// Born is the Unix millisecond of its start, which its entry and reports contain, zero for
+	// a worker without it.
 	Born int64
 }
 
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -25,8 +25,8 @@
 	Once bool `json:"once,omitempty"`
 	// Keep says that the answer is to be kept for repeats.
 	Keep bool `json:"keep,omitempty"`
-	// CopyFrom is the target that probably holds the beginning of the prompt, which
-	// this one then copies and need not read; empty for none.
+	// CopyFrom is the target that probably caches a prefix of the prompt, which this one
+	// then copies; empty for none.
 	CopyFrom Holder `json:"copyFrom"`
 	// Basis is what the choice was made by.
 	Basis        Basis        `json:"basis"`
@@ -60,8 +60,8 @@
 	// its first token.
 	Waited time.Duration `json:"waited"`
 	Wait   time.Duration `json:"wait"`
-	// Busy counts the requests that the target was taken to have, LoadAge is
-	// how old the word of it is, negative for none.
+	// Busy counts the requests that the target was estimated to have, LoadAge is
+	// the age of its load, negative for none.
 	Busy    int           `json:"busy"`
 	LoadAge time.Duration `json:"loadAge"`
 	// Expect is how many events the stream was taken to have, Pace how long one
@@ -307,11 +307,11 @@
 	InForce ident.Revision `json:"inForce"`
 	Hosts   []Host         `json:"hosts"`
 	Pools   []Pool         `json:"pools"`
-	// Age is how old the newest word of it is.
-	Age     time.Duration `json:"age"`
-	CutOff  bool          `json:"cutOff"`
-	Speaker ident.EntryID `json:"speaker"`
-	Watcher ident.EntryID `json:"watcher,omitempty"`
+	// Age is the age of its newest summary.
+	Age            time.Duration `json:"age"`
+	CutOff         bool          `json:"cutOff"`
+	Representative ident.EntryID `json:"representative"`
+	Watcher        ident.EntryID `json:"watcher,omitempty"`
 }
 
 // StatusAnswered answers StatusAsked.
@@ -333,7 +333,7 @@
 
 // Note is one line for the log. It holds no text of a request.
 type Note struct {
-	// Code tells which declared thing happened, where one did.
+	// Code is the declared code of what happened, if any.
 	Code   codes.ID   `json:"code,omitempty"`
 	Text   string     `json:"text"`
 	Fields []NotePair `json:"fields,omitempty"`
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -38,7 +38,7 @@
 	Draining bool   `json:"draining,omitempty"`
 }
 
-// TargetKind tells model engines from plain services.
+// TargetKind distinguishes model engines and plain services.
 type TargetKind string
 
 // The kinds of targets.
@@ -61,15 +61,15 @@
 	// Price is the cost of one second of one slot, in cost units.
 	Price float64 `json:"price,omitempty"`
 	// Capacity is how many requests it runs at once, zero where only its load
-	// report tells.
+	// report says so.
 	Capacity int `json:"capacity,omitempty"`
-	// Closed says that the operator has its data centre emptied: nothing more
-	// is sent there until that is taken back.
+	// Closed says that its data centre is evacuated: nothing more is sent there
+	// until that ends.
 	Closed bool `json:"closed,omitempty"`
 	// ColdFor is how long it stays cold from now on, during which it takes
 	// only a few requests a second.
 	ColdFor time.Duration `json:"coldFor,omitempty"`
-	// Loaded lists what it serves, where the list and not a load report tells.
+	// Loaded lists what it serves, where the list and not a load report says so.
 	Loaded []rules.Serve `json:"loaded,omitempty"`
 }
 
@@ -124,7 +124,7 @@
 	Tokens   ident.PerMinute `json:"tokens"`
 }
 
-// DrainNotice passes on the word that a target leaves.
+// DrainNotice says that an incarnation of a target drains.
 type DrainNotice struct {
 	Target      ident.TargetID    `json:"target"`
 	Incarnation ident.Incarnation `json:"incarnation"`
@@ -145,14 +145,14 @@
 	Revision ident.Revision `json:"revision"`
 	Use      []TargetUse    `json:"use,omitempty"`
 	Loads    []Load         `json:"loads,omitempty"`
-	// Accounts is the demand at the sender. It replaces what the sender told
-	// before, and is left out of most digests where there are many accounts;
-	// AccountsIncluded tells an empty list from one that is left out.
+	// Accounts is the demand at the sender. It replaces the last one, and is left out of
+	// most digests where there are many accounts; AccountsIncluded distinguishes an empty
+	// list from one that is left out.
 	Accounts         []AccountUse  `json:"accounts,omitempty"`
 	AccountsIncluded bool          `json:"accountsIncluded,omitempty"`
 	Draining         []DrainNotice `json:"draining,omitempty"`
 	// Summaries are those of other data centres that the sender has received
-	// since its last digest, so that one speaker serves its data centre.
+	// since its last digest, so that one representative serves its data centre.
 	Summaries []Summary `json:"summaries,omitempty"`
 	// Targets and Hosts are what the sender last read from the platform, sent
 	// by the host that watches it when they change or a peer is new.
@@ -172,7 +172,7 @@
 	// Held is what the sender has brought to targets since its last digest.
 	Holders []PrefixHolder `json:"holders,omitempty"`
 	// Wants names what the sender's callers ask for and no target of the data
-	// centre serves, so that the host that speaks for it asks the others.
+	// centre serves, so that its representative asks the others.
 	Wants []Want `json:"wants,omitempty"`
 	// Lacks names the data centres whose hosts the sender does not hold as
 	// they are now, so that the host that got them sends them again.
@@ -182,11 +182,11 @@
 	Blind bool `json:"blind,omitempty"`
 }
 
-// PrefixHolder says that a target was brought a prompt with a long beginning that others
-// share, and now probably holds it.
+// PrefixHolder says that a target was sent a prompt with a long shared prefix, and now probably
+// caches it.
 type PrefixHolder struct {
 	Target TargetKey `json:"target"`
-	// Part names the last block of the beginning.
+	// Part names the last block of the prefix.
 	Part uint64 `json:"part"`
 }
 
@@ -203,7 +203,7 @@
 type Flow struct {
 	Service string `json:"service"`
 	// Alone is the work of prompts that share little with others, Shared that of those
-	// with a long beginning that others have too, both in tokens to read a second.
+	// with a long shared prefix, both in tokens to prefill a second.
 	Alone  float64 `json:"alone"`
 	Shared float64 `json:"shared"`
 }
@@ -220,7 +220,7 @@
 	Serve rules.Serve `json:"serve"`
 	// Service names the plain service.
 	Service string `json:"service,omitempty"`
-	// Slots counts the slots of all targets that are not leaving.
+	// Slots counts the slots of all targets that do not drain.
 	Slots int `json:"slots"`
 	// Free counts the slots expected to be free.
 	Free int `json:"free"`
@@ -239,9 +239,8 @@
 	Shared  float64 `json:"shared,omitempty"`
 }
 
-// Summary is what a data centre tells another. The host that speaks for its
-// data centre sends it; two that speak at once do no harm, since a summary
-// replaces the one before it and adds nothing to it.
+// Summary is the state of a data centre for another one. The representative sends it. Two
+// representatives at once do no harm, since a summary replaces the one before it.
 type Summary struct {
 	From  ident.EntryID `json:"from"`
 	Place Place         `json:"place"`
@@ -265,7 +264,7 @@
 	PoolsKept    bool `json:"poolsKept,omitempty"`
 	AccountsKept bool `json:"accountsKept,omitempty"`
 	// HostsHash is a hash of the hosts that the data centre has now, by which
-	// a receiver tells that those it keeps are not the same. Zero is no hash.
+	// a receiver notices that those it keeps are not the same. Zero is no hash.
 	HostsHash uint64 `json:"hostsHash,omitempty"`
 	// PoolsAge is how much older the pools are than the summary, where a host
 	// relays pools of an earlier one.
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -8,7 +8,7 @@
 	"verbenadale.example/verbenadale/pkg/value"
 )
 
-// Outcome is what a caller is told about whether its request ran.
+// Outcome says whether a request ran, as far as its caller can know.
 type Outcome string
 
 // The outcomes. NotRun is a promise; Unknown claims nothing.
@@ -59,11 +59,10 @@
 	// profile's.
 	Deadline ident.Time `json:"deadline"`
 	Stream   bool       `json:"stream,omitempty"`
-	// Begun says that the caller has the beginning of the answer, of a request that
-	// another host passed on.
+	// Begun says that the caller of a forwarded request has a part of the answer.
 	Begun bool `json:"begun,omitempty"`
 	// Ticket is the caller's ticket, Key the digest of its idempotency key,
-	// Print a digest of the request that tells a reused key.
+	// Print a digest of the request that detects a reused key.
 	Ticket string `json:"ticket,omitempty"`
 	Key    string `json:"key,omitempty"`
 	Print  string `json:"print,omitempty"`
@@ -92,7 +91,7 @@
 	ResultFailed Result = "failed"
 )
 
-// Answer tells what became of an attempt that was asked about by "run or
+// Answer says what became of an attempt that was asked about by "run or
 // bar".
 type Answer string
 
@@ -137,7 +136,7 @@
 type AttemptEnded struct {
 	Attempt ident.Attempt `json:"attempt"`
 	Result  Result        `json:"result"`
-	// Code and Status tell the peer's or target's refusal, where it gave one.
+	// Code and Status are those of a refusal of the peer or target.
 	Code   codes.ID `json:"code,omitempty"`
 	Status int      `json:"status,omitempty"`
 	// RetryAfter is the wait that the target or peer asked for.
@@ -148,14 +147,13 @@
 	Generated ident.Tokens `json:"generated,omitempty"`
 	// Cached counts prompt tokens that the engine found in its cache.
 	Cached ident.Tokens `json:"cached,omitempty"`
-	// Draining says that the target refused because it leaves.
+	// Draining says that the target refused because it drains.
 	Draining bool `json:"draining,omitempty"`
 	// Resumable says that a new attempt may go on after the tokens delivered.
 	Resumable bool `json:"resumable,omitempty"`
 	// Kept says that the outcome was kept for repeats by the traffic side.
 	Kept bool `json:"kept,omitempty"`
-	// Held says that a whole answer which tells of a failure is held and can
-	// be given to the caller.
+	// Held says that a whole answer with a failure is buffered and can be delivered.
 	Held bool `json:"held,omitempty"`
 }
 
@@ -217,8 +215,8 @@
 type NearbyAsked struct {
 	Ask  Ask   `json:"ask"`
 	Near Place `json:"near"`
-	// Host is the name that the caller's requests go to, which tells the homes
-	// of their routes.
+	// Host is the name that the caller's requests go to, by which the homes of their
+	// routes are found.
 	Host string `json:"host,omitempty"`
 }
 
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -73,12 +73,11 @@
 	Load Load `json:"load"`
 }
 
-// LoadSeen brings what an answer of a target told of its load. It counts here
-// only and is not passed on: each host sees answers of its own.
+// LoadSeen is the load that an answer of a target carried. It is not relayed: each host
+// has answers of its own.
 type LoadSeen struct {
 	Target ident.TargetID `json:"target"`
-	// Incarnation is that of the target which the question was for: an answer of a
-	// former start tells nothing of the one that followed.
+	// Incarnation is that of the target which was probed.
 	Incarnation ident.Incarnation `json:"incarnation"`
 
 	Running int `json:"running"`
@@ -91,7 +90,7 @@
 type ProbeAnswered struct {
 	Target      ident.TargetID    `json:"target"`
 	Incarnation ident.Incarnation `json:"incarnation"`
-	// ColdFor is how long it stays cold by its own word, zero for a warm one.
+	// ColdFor is how long it says that it stays cold, zero for a warm one.
 	ColdFor time.Duration `json:"coldFor,omitempty"`
 }
 
@@ -143,7 +142,7 @@
 )
 
 // PlatformFailed says that a call to the platform brought no answer. A watch
-// that ends without a change is no failure: it is told as WatchIdle.
+// that ends without a change is no failure but a WatchIdle.
 type PlatformFailed struct {
 	Op PlatformOp `json:"op"`
 }
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -39,7 +39,7 @@
 }
 
 // checkJSON judges the content type of a body that is to be JSON. None at all
-// is taken for JSON, since simple clients send none.
+// counts as JSON, since simple clients send none.
 func (x *exchange) checkJSON() *event.Refuse {
 	text := x.r.Header.Get("Content-Type")
 	if text == "" {
@@ -93,7 +93,7 @@
 
 // hangUp has the connection closed after a refusal where the body is not in
 // yet. The server would otherwise read the rest before it answers, and a sender
-// that is slow or waits for an answer would hear of the refusal late.
+// that is slow or waits for an answer would get the refusal late.
 func (x *exchange) hangUp() {
 	if x.whole || x.r.Body == nil || x.r.Body == http.NoBody {
 		return
--- a/internal/front/complete.go
+++ b/internal/front/complete.go
@@ -117,7 +117,7 @@
 	return a, nil
 }
 
-// jsonFault tells a fault of the JSON without a word of the body, which could
+// jsonFault describes a fault of the JSON without any text of the body, which could
 // be part of a prompt.
 func jsonFault(err error) error {
 	var typ *json.UnmarshalTypeError
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// done takes note of the end of an exchange. It runs also when the connection
+// done records the end of an exchange. It runs also when the connection
 // is cut by a panic, which is how net/http cuts one.
 func (f *Front) done(x *exchange) {
 	f.open.Add(-1)
--- a/internal/front/head.go
+++ b/internal/front/head.go
@@ -215,7 +215,7 @@
 	return event.Request{ID: x.id, Account: x.client.Name, Deadline: at, Ticket: x.r.Header.Get(HeaderTicket)}, nil
 }
 
-// mark sets the digests that tell repeats of a request.
+// mark sets the digests that identify repeats of a request.
 func (x *exchange) mark(req *event.Request) {
 	key := x.r.Header.Get(HeaderKey)
 	if key == "" && req.Ticket == "" {
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -22,7 +22,7 @@
 	// engine says that a stream ends with the end mark.
 	engine bool
 	// begun says that the status has been sent, so that only a trailer or a
-	// cut can tell the outcome.
+	// cut can show the outcome.
 	begun bool
 }
 
@@ -55,9 +55,8 @@
 	return s.rc.Flush()
 }
 
-// patience bounds the time that a write may wait. A caller that stops reading
-// without closing its connection would otherwise hold its slot at the target
-// for ever.
+// extendWriteDeadline bounds the time that a write may wait, since a caller that stops reading
+// without closing its connection would hold its slot at the target.
 func (s *callerSink) extendWriteDeadline() {
 	if s.cfg.WriteTime > 0 {
 		_ = s.rc.SetWriteDeadline(time.Now().Add(s.cfg.WriteTime))
--- a/internal/idle/idle.go
+++ b/internal/idle/idle.go
@@ -53,7 +53,7 @@
 	_ = k.t.Wait()
 }
 
-// State takes note of a connection's state. It fits http.Server.ConnState.
+// State records a connection's state. It fits http.Server.ConnState.
 func (k *Keeper) State(c net.Conn, st http.ConnState) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -108,15 +108,9 @@
 	closed
 )
 
-// conn is a connection that its keeper closes only while no byte of a request
-// has been read.
-//
-// The server tells that a connection is in use only once it has read all
-// headers. On a slow host that is late: the request was read and sent to a
-// target, and the sweep closed the connection under it, so that its caller could
-// not know whether it ran. A byte that was read keeps the connection from being
-// closed, and what comes after the close is not read, so that its caller knows
-// that it did not run.
+// conn is a connection that its keeper closes only while no byte of a request has been read.
+// The server reports a connection as in use only once it has read all headers, when the request
+// may have been sent to a target already.
 type conn struct {
 	*net.TCPConn
 	use atomic.Int32
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -14,7 +14,7 @@
 	// queueBytes is what may wait to be written: some seconds of lines at a
 	// few hundred a second.
 	queueBytes = 256 << 10
-	// lineFormat tells of the lines that were left out.
+	// lineFormat reports the lines that were left out.
 	lineFormat = "level=0 msg=\"log lines left out\" lines=%d reason=\"the output is slower than the lines come\"\n"
 )
 
@@ -85,7 +85,7 @@
 	w.waiting.Reset()
 	w.mu.Unlock()
 	if len(lines) > 0 {
-		// A log that can't be written has nobody to be told to.
+		// There is no other place to report this error.
 		_, _ = w.out.Write(lines)
 	}
 }
--- a/internal/mech/mech.go
+++ b/internal/mech/mech.go
@@ -1,4 +1,4 @@
-// Package mech tells which mechanisms of placing, queueing and refusing are on.
+// Package mech says which mechanisms of placing, queueing and refusing are on.
 //
 // # Usage
 //
--- a/internal/member/flow.go
+++ b/internal/member/flow.go
@@ -23,13 +23,10 @@
 	// eight or nine tokens takes a tenth of a millisecond each of the time of an engine
 	// that reads 57 tokens in one.
 	eventWork = 50
-	// easyUse is the part of their time that targets may work before any of it goes
-	// elsewhere: up to there hardly anything waits, and the way costs 160 ms. At a half,
-	// 0.531 of what callers are worth was earned in a day of 34 s at 64 hosts, at a
-	// quarter 0.538.
+	// easyUse is the part of their time that targets may work before any of it goes elsewhere.
 	easyUse = 0.25
-	// longShared is how many tokens a beginning has that is worth going to the
-	// engines that hold it, in whichever region.
+	// longShared is the number of tokens from which on a prefix is worth going to the
+	// engines that cache it, in whichever region.
 	longShared = 2048
 )
 
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -25,9 +25,8 @@
 	percent      = 100
 	// offerLife is how long an offer holds from when it was made.
 	offerLife = 5 * time.Second
-	// transit bounds the time that a summary is under way or waits for a host
-	// whose pause was too short to be told. A giver counts its offer as held
-	// for this much longer than its life.
+	// transit bounds the time that a summary is under way. A giver counts its offer as held for
+	// this much longer than its life.
 	transit = 3 * time.Second
 	// wayLag bounds the time from when a request is sent to when an offer can
 	// know of it, beyond the time that the offer was under way: the ways of
--- a/internal/member/pace.go
+++ b/internal/member/pace.go
@@ -12,21 +12,16 @@
 	// paceWeight is the weight of one sample. A host sees a few a second of each
 	// service, so that a change shows within about three seconds.
 	paceWeight = 1.0 / 16
-	// paceHalf is how long it takes until half of a slow pace is forgotten where no
-	// stream tells of it.
+	// paceHalf is the half-life of a slow pace without new samples.
 	paceHalf = 2 * time.Second
-	// bestRise is the part by which the best pace rises towards each sample, so that
-	// one that was told by mistake is forgotten within minutes.
+	// bestRise is the part by which the best pace rises towards each sample, so that a
+	// wrong one is forgotten within minutes.
 	bestRise = 1.0 / 1024
-	// crowdedPace is how many times the best pace streams may take until their
-	// targets count as having no room for work from elsewhere. At 2.25 and 4 times
-	// 0.881 and 0.882 of the credit of callers was earned, at 3 times 0.885: six hosts
-	// before thirteen targets, 15 runs of a minute with failures each.
+	// crowdedPace is the ratio to the best pace from which on targets have no room for work
+	// from elsewhere.
 	crowdedPace = 3
-	// paceStep is the part of its spare slots that a data centre offers at a time
-	// where streams have a pace. An offer is renewed within a second, before the
-	// pace shows what the last one has done. With a quarter, and offers only when asked
-	// for, 0.877 of the credit was earned, with this 0.885, in the same runs.
+	// paceStep is the part of its spare slots that a data centre offers at a time where the
+	// pace of streams is known. The pace shows the effect of an offer only after the next one.
 	paceStep = 12
 )
 
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -17,8 +17,8 @@
 	offering bool
 	wantedAt ident.Time
 	wanted   bool
-	// ownAt is when a request at this host last asked for it; a want that a
-	// peer told is not told on.
+	// ownAt is when a request at this host last asked for it; a demand of a peer is
+	// not relayed.
 	ownAt  ident.Time
 	own    bool
 	prices float64
@@ -73,7 +73,7 @@
 		return
 	}
 	if fresh || !p.own || now.Sub(p.ownAt) > wantLife {
-		// Another host may speak for the data centre and has to know at once.
+		// Another host may be the representative and has to know at once.
 		tb.beat.urgent = true
 	}
 	p.own, p.ownAt = true, now
--- a/internal/member/show.go
+++ b/internal/member/show.go
@@ -85,12 +85,12 @@
 	own := tb.summary(now)
 	centres := []event.CentreStatus{{
 		Place: own.Place, InForce: own.InForce, Hosts: own.Hosts, Pools: own.Pools,
-		Speaker: tb.representative(now), Watcher: tb.watcher(now),
+		Representative: tb.representative(now), Watcher: tb.watcher(now),
 	}}
 	for _, c := range tb.centres {
 		st := event.CentreStatus{
 			Place: c.Place, InForce: c.Summary.InForce, Hosts: c.Hosts, Pools: c.Summary.Pools,
-			CutOff: c.CutOff(now), Speaker: c.Summary.From,
+			CutOff: c.CutOff(now), Representative: c.Summary.From,
 		}
 		if c.HasSummary {
 			st.Age = c.Age(now)
--- a/internal/once/key.go
+++ b/internal/once/key.go
@@ -94,7 +94,7 @@
 	return rg.settle(r, rec)
 }
 
-// settle stores what the store's record tells: another host owns the key, or
+// settle applies the record of the store: another host owns the key, or
 // an incarnation whose memory is gone.
 func (rg *Registry) settle(r *record, rec event.KeyRecord) Verdict {
 	if rec.Entry == rg.self && rec.Incarnation <= rg.inc {
--- a/internal/once/ticket.go
+++ b/internal/once/ticket.go
@@ -45,8 +45,8 @@
 	return ticketText{entry: ident.EntryID(parts[0]), inc: ident.Incarnation(inc), number: n, secret: parts[3]}, true
 }
 
-// OwnerOf tells which incarnation of which entry host a ticket names. Any host
-// can read it; only the owner can tell whether it is genuine.
+// OwnerOf returns which incarnation of which entry host a ticket names. Any host can
+// read it; only the owner can verify it.
 func OwnerOf(ticket string) (ident.EntryID, ident.Incarnation, bool) {
 	t, ok := parseTicket(ticket)
 	return t.entry, t.inc, ok
@@ -54,7 +54,7 @@
 
 // IssueTicket gives a ticket for one request of an account with a profile. The
 // secret comes from outside, since the registry has no randomness. A code
-// tells that none is given.
+// says that none is given.
 func (rg *Registry) IssueTicket(
 	now ident.Time, account ident.Account, profile ident.Profile, secret string,
 ) (string, time.Duration, codes.ID) {
--- a/internal/opctl/cmds.go
+++ b/internal/opctl/cmds.go
@@ -118,7 +118,7 @@
 	return subcommands.ExitFailure
 }
 
-// explain prints what the entry host told beside the message.
+// explain prints what the entry host returned beside the message.
 func (o *Options) explain(f admin.Fault) {
 	for _, one := range f.Faults {
 		fmt.Fprintln(o.Err, " ", one)
--- a/internal/opctl/hosts.go
+++ b/internal/opctl/hosts.go
@@ -39,7 +39,7 @@
 	if !st.Ready {
 		ready = "not ready"
 	}
-	fmt.Fprintf(w, "entry host %s in %s, %s, revision %d, %d requests, platform heard %s ago\n\n",
+	fmt.Fprintf(w, "entry host %s in %s, %s, revision %d, %d requests, platform answered %s ago\n\n",
 		st.Self.ID, st.Self.Place.DataCentre, ready, st.Revision, st.Requests, age(st.PlatformAge))
 	fmt.Fprintln(w, "DATA CENTRE\tREGION\tIN FORCE\tHOSTS\tSLOTS\tFREE\tAGE\tSTATE")
 	for _, c := range st.Centres {
@@ -69,7 +69,7 @@
 func targetState(t event.TargetStatus) string {
 	switch {
 	case t.Draining:
-		return "leaving"
+		return "draining"
 	case t.Suspect:
 		return "does not answer"
 	}
@@ -82,7 +82,7 @@
 	var account, profile string
 	var prompt, most int64
 	return &command{
-		name: "route", synopsis: "tell where a request would go and why", opts: opts,
+		name: "route", synopsis: "show where a request would go and why", opts: opts,
 		flags: func(fs *flag.FlagSet) {
 			fs.StringVar(&account, "account", "", "account of the caller")
 			fs.StringVar(&profile, "profile", "", "profile of the request")
@@ -90,7 +90,7 @@
 			fs.Int64Var(&most, "maxTokens", 200, "most tokens to generate")
 		},
 		usage: `route -account ACCOUNT -profile PROFILE [-prompt 500] [-maxTokens 200]
-  Tells for a request which choices are ruled out, by which rule, and what the
+  Shows for a request which choices are ruled out, by which rule, and what the
   others cost. Nothing is sent.
 
   Example:
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -6,7 +6,7 @@
 //	verbctl -entry http://127.1.1.1:9090 profiles propose -wait 5s draft.jsonc
 //	verbctl -entry http://127.1.1.1:9090 status -json
 //
-// The exit status tells scripts what happened: 0 done, 1 failed, 2 wrong
+// The exit status is for scripts: 0 done, 1 failed, 2 wrong
 // usage, 3 conflict with another operator's change, 4 accepted but not in
 // force everywhere in time, 5 not known whether it was accepted.
 package opctl
@@ -56,7 +56,7 @@
 	cause error
 }
 
-// Error tells the entry host's message or why there is none.
+// Error returns the entry host's message or why there is none.
 func (e *CallError) Error() string {
 	if e.cause != nil {
 		return "the entry host gave no answer: " + e.cause.Error()
@@ -149,7 +149,7 @@
 	return st, err
 }
 
-// InForce tells which data centres have a revision, waiting up to a time.
+// InForce returns which data centres have a revision, waiting up to a time.
 func (c *Client) InForce(ctx context.Context, rev ident.Revision, wait time.Duration) (admin.InForce, error) {
 	var f admin.InForce
 	path := fmt.Sprintf("/v1/inForce?revision=%d&waitMs=%d", rev, wait.Milliseconds())
@@ -157,7 +157,7 @@
 	return f, err
 }
 
-// Route tells where a request would go.
+// Route returns where a request would go.
 func (c *Client) Route(ctx context.Context, r event.Request) (event.RouteAnswered, error) {
 	var ans event.RouteAnswered
 	err := c.call(ctx, http.MethodPost, "/v1/route", r, &ans)
--- a/internal/opctl/send.go
+++ b/internal/opctl/send.go
@@ -64,7 +64,7 @@
 type notInForceError struct {
 	rev     ident.Revision
 	lacking []ident.DataCentre
-	// cause is why nobody could tell, where that is so.
+	// cause is why the outcome is not known, where that is so.
 	cause error
 }
 
@@ -110,7 +110,7 @@
 	if s.id != "" && s.base < 0 {
 		// With the revision in force as its base, a change that was accepted
 		// would not be recognised and would be made a second time.
-		return c, &usageError{text: "-id needs the -base that the change had; both stand in the message that told to ask again"}
+		return c, &usageError{text: "-id needs the -base that the change had; both stand in the message that said to ask again"}
 	}
 	if s.id == "" {
 		c.ID = NewChangeID()
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -1,21 +1,13 @@
-// Package order says in which order engines begin the requests that they are sent.
+// Package order computes the order in which engines begin the requests that they are sent.
 //
 // # Usage
 //
 //	level := order.Level(profile.Priority, unread)
 //
-// Engines admit the request of the highest level first, and read its prompt before those of
-// the others. By the urgency of profiles alone every long prompt waited behind every short
-// one of a more urgent profile: of an engine that reads for nine tenths of its time the
-// first token of long prompts came after 2.5 s and later for one in ten, while the short
-// ones began in a quarter of their goal. So prompts go by what is left to read first, which
-// is the order that keeps most callers waiting least, and by urgency among those of about
-// one length.
-//
-// With it 0.6963 of what callers are worth was earned, by urgency alone 0.6882 (9 hosts
-// before 12 engines, 20 days of a minute with failures), and 0.749 of long answers were in
-// time, before 0.720. Without any order 0.770 of the long ones were, but only 0.866 of the
-// short ones, not 0.894.
+// Engines admit the request of the highest level first, and prefill its prompt before those of
+// the others. Levels go by the tokens that are left to prefill, and by the urgency of the
+// profile among prompts of about one length. By urgency alone every long prompt would wait
+// behind every short one of a more urgent profile; docs/under-load.md has the figures.
 package order
 
 import "verbenadale.example/verbenadale/pkg/ident"
--- a/internal/proofs/doc.go
+++ b/internal/proofs/doc.go
@@ -1,6 +1,6 @@
 // Package proofs holds tests that run the real programs as separate processes
 // against stand-ins, on addresses of the loopback range, and bring failures
-// about. docs/promises.md tells which test proves which promise.
+// about. docs/promises.md lists which test proves which promise.
 //
 // # Usage
 //
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -32,7 +32,7 @@
 // most L*(W+burst)/60 and one request for each active host, once the demand
 // has been exchanged. A data centre that becomes active with demand d beside a
 // known demand K adds (d+floor)/(d+K+2*floor) of L, at most 0.52 when K is the
-// whole limit, until the others have heard of it. In a partition the last
+// whole limit, until the others have received it. In a partition the last
 // known demand stands, so the others keep their shares and each newly active
 // part adds that much for as long as the partition lasts: k of them beside a
 // busy one admit at most 1+0.52*k times the limit. A data centre that is silent
@@ -45,7 +45,7 @@
 // others admit that much less, for one exchange and the decay of the demand
 // (half in 7 s), or after a loss of a whole data centre for silentForgotten at
 // most. A caller that moves with all its demand finds about half of its limit
-// at the new place at first. A host that has just started and has heard nothing yet admits up to
+// at the new place at first. A host that has just started and has received nothing yet admits up to
 // the whole limit, until the first digest and the first summaries.
 //
 // # Bounds
@@ -143,8 +143,8 @@
 	}
 }
 
-// Place tells which region a data centre lies in, the own one included. One
-// that is not told counts as away from every home.
+// Place sets the region of a data centre, the own one included. One without a region counts
+// as away from every home.
 func (l *Ledger) Place(dc ident.DataCentre, r ident.Region) {
 	if _, ok := l.regions[dc]; ok || len(l.regions) < maxCentres {
 		l.regions[dc] = r
@@ -152,7 +152,7 @@
 }
 
 // Take admits a request of an account that asks for a number of tokens, if the
-// own share of its limits allows it. Otherwise retryAfter tells when it will.
+// own share of its limits allows it. Otherwise retryAfter is when it will.
 func (l *Ledger) Take(now ident.Time, c rules.Client, tokens ident.Tokens) (ok bool, retryAfter time.Duration) {
 	l.advance(now)
 	if c.RequestsPerMinute <= 0 && c.TokensPerMinute <= 0 {
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// maxReport bounds the accounts in a summary. At 17 bytes each and 44
-	// other data centres, a summary each 31 s costs a speaker 0.4 KB a second.
+	// maxReport bounds the accounts in a summary, of 17 bytes each.
 	maxReport = 16
 	// staleReports is how many reports of a data centre what it said of an
 	// account outlives. It exceeds the rounds in which every account has its
@@ -58,9 +57,7 @@
 	delete(l.peers, entry)
 }
 
-// CentreSeen takes note that another data centre was heard of, whether or not
-// it told its demand. Did only reports count, one whose reports are rare would
-// be taken for cut off.
+// CentreSeen records that a message of another data centre came, with or without its demand.
 func (l *Ledger) CentreSeen(now ident.Time, dc ident.DataCentre) {
 	l.advance(now)
 	c, ok := l.centres[dc]
@@ -118,8 +115,8 @@
 }
 
 // CentreDemand returns the demand of the own data centre for a summary. It
-// takes note of what it returns: call it once a round and send the same to
-// all. One that is lost is made good by the turns that every account has.
+// records what it returns: call it once a round and send the same to all. The turns of
+// the accounts repair a lost one.
 func (l *Ledger) CentreDemand(now ident.Time) []event.AccountUse {
 	l.advance(now)
 	l.sweep()
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -82,7 +82,7 @@
 type place[T cmp.Ordered] struct {
 	id   T
 	rate rates
-	// report is the number of the report that told it.
+	// report is the number of the report that contained it.
 	report uint64
 }
 
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -44,7 +44,7 @@
 func Join(h, n uint64) uint64 { return Mix(h ^ Mix(n+offset64)) }
 
 // Mix spreads each bit of h over all others. FNV alone leaves the high bits of
-// keys alike that differ in their last letter, and the order goes by them.
+// keys alike that differ in their last letter.
 func Mix(h uint64) uint64 {
 	h ^= h >> 30
 	h *= 0xbf58476d1ce4e5b9
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -64,13 +64,13 @@
 	spent   [slots]int
 }
 
-// Arrived takes note of a request of a caller; retries don't count.
+// Arrived records a request of a caller; retries don't count.
 func (b *Budget) Arrived(now ident.Time) {
 	b.advance(now)
 	b.arrived[b.slot%slots]++
 }
 
-// Spend reports whether a request may be tried again, and takes note of it.
+// Spend reports whether a request may be tried again, and records the try.
 func (b *Budget) Spend(now ident.Time) bool {
 	b.advance(now)
 	if float64(sum(b.spent)+1) > b.allowed() {
--- a/internal/revlog/append.go
+++ b/internal/revlog/append.go
@@ -83,7 +83,7 @@
 // Conflict is an ErrConflict with the item that has changed.
 type Conflict struct{ Cause error }
 
-// Error tells the item.
+// Error names the item.
 func (e *Conflict) Error() string { return ErrConflict.Error() + ": " + e.Cause.Error() }
 
 // Is reports ErrConflict.
@@ -149,7 +149,7 @@
 	return rules.Change{}, failed(err, doubt)
 }
 
-// failed tells what a write that was given up means for the operator.
+// failed returns what a write that was given up means for the operator.
 func failed(err error, doubt bool) error {
 	if doubt {
 		return turn(ErrUnknown, err)
--- a/internal/revlog/propose.go
+++ b/internal/revlog/propose.go
@@ -149,7 +149,7 @@
 	return done, err
 }
 
-// settle notes in the proposal what became of it, for the lists. The log tells
+// settle notes in the proposal what became of it, for the lists. The log shows
 // the truth where this write is lost.
 func (l *Log) settle(ctx context.Context, p Proposal, err error) {
 	state := p.State
@@ -230,7 +230,7 @@
 		if err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
 			return turn(ErrDown, err)
 		}
-		// A lost race or reply is told apart by the next read; a success
+		// The next read distinguishes a lost race and a lost reply; a success
 		// costs one read more and nothing else.
 		if err == nil {
 			return nil
--- a/internal/revlog/revlog.go
+++ b/internal/revlog/revlog.go
@@ -9,7 +9,7 @@
 //	change, err := lg.Append(ctx, book, proposal)
 //	change, err := lg.Next(ctx, book.Revision, 30*time.Second)
 //
-// Several operators who race for one revision are told apart by the store: a
+// Several operators who race for one revision are distinguished by the store: a
 // key is created once. A writer whose reply was lost reads the key back and
 // knows its own change by its id. A revision is never written twice, so that
 // no reader can see the configuration go back.
@@ -56,7 +56,7 @@
 	ErrRefused = errors.New("revlog: the change can't be applied")
 )
 
-// turn makes an error of this layer from one below, which is told and no more.
+// turn makes an error of this layer from one below, which is kept as text only.
 func turn(own, below error) error { return fmt.Errorf("%w: %s", own, below.Error()) }
 
 func turnf(own error, format string, args ...any) error {
--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -26,7 +26,7 @@
 	// confirmed: the request that brought it may have failed, or the engine
 	// may have dropped it.
 	learnLife = 12 * time.Second
-	// twoUsual is from how many targets on two are usual for a beginning.
+	// twoUsual is the number of targets from which on two are preferred for a prefix.
 	twoUsual = 12
 )
 
@@ -69,21 +69,14 @@
 	incarnation ident.Incarnation
 	part        float64
 	// learned says that this host sent the part there, first that the target ranks
-	// first for the shared beginning of the prompt.
+	// first for the shared prefix of the prompt.
 	learned bool
 	first   bool
 }
 
-// CacheChanged takes a cache event of an engine.
-//
-// Events come late and with gaps. What a lost event dropped is not known, so a
-// gap makes everything that was confirmed before untrue as far as one can
-// tell, and all of it is forgotten: to believe it would keep sending requests
-// to a target that finds nothing warm, which shows as cached tokens far below
-// the prediction. What this host itself sent there of late stays learned, for
-// no longer than if it had never been confirmed: with one event in fifty lost
-// a busy target would otherwise be forgotten every few seconds. A late or
-// doubled event is ignored.
+// CacheChanged handles a cache event of an engine. Events come late and with gaps. A gap makes
+// everything that was confirmed before uncertain, so that it is forgotten, while what this host
+// itself sent there lately stays. Late and doubled events are ignored.
 func (rt *Router) CacheChanged(now ident.Time, ev event.CacheChanged, tb *member.Table) {
 	t, ok := tb.Target(ev.Target)
 	if !ok || ev.Incarnation < t.Incarnation {
@@ -125,7 +118,7 @@
 	return 0
 }
 
-// Learn takes note of a prompt that was sent to a target.
+// Learn records a prompt that was sent to a target.
 func (rt *Router) Learn(now ident.Time, id ident.TargetID, prefix []uint64) {
 	c := rt.caches.get(id)
 	if c == nil {
@@ -136,8 +129,8 @@
 	}
 }
 
-// Knows reports whether a target was sent a prompt with a block of late: within half of the
-// time for which it is believed to hold it, so that others can be told again in time.
+// Knows reports whether a target was lately sent a prompt with a block: within half of the time
+// for which it is assumed to cache it, so that it can be announced again in time.
 func (rt *Router) Knows(now ident.Time, id ident.TargetID, block uint64) bool {
 	c, ok := rt.caches.byTarget[id]
 	if !ok {
@@ -243,18 +236,10 @@
 	rt.addUsual(v)
 }
 
-// addUsual takes the two targets that rank first for the shared beginning of a
-// prompt as ones that hold it.
-//
-// A host knows only what it sent itself. With many hosts before the targets of a
-// region each would bring a beginning to a target of its own choice, and it would
-// be read once for each host. By rank they agree without a word; what is believed
-// too early becomes true with the first prompt that goes there. Where there are
-// many targets it is two, since by rank alone some of them come first for several
-// beginnings and others for none: the less loaded of two evens that out for one
-// more reading. Few targets each come first for many, and the reading would only
-// be lost: before nine engines 0.840 of all requests were served with one and
-// 0.831 with two, over 15 runs of 50 s with failures each.
+// addUsual treats the targets that rank first for the shared prefix of a prompt as ones that
+// cache it, so that hosts agree on them without messages. Where there are many targets it is
+// two, and the less loaded one is used, since by rank alone some targets come first for several
+// prefixes and others for none.
 func (rt *Router) addUsual(v *view) {
 	n := v.q.Request.Shared
 	if n == 0 || n > len(v.q.Request.Prefix) {
--- a/internal/route/copy.go
+++ b/internal/route/copy.go
@@ -6,19 +6,12 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// copyCost is what it costs to copy a token from another engine, as a part of what it
-// costs to read it. The copy itself takes a few hundredths of the time. But the engine
-// may have dropped the beginning, and it keeps what it is asked for: with 0.1 so many
-// requests went elsewhere that the usual engines held little, and 0.538 of what callers
-// are worth was earned, with 0.5 0.550 (64 hosts, a day of 34 s with failures).
+// copyCost is the cost of copying a token from another engine, as a part of that of prefilling
+// it. It covers copies of prefixes that the engine has evicted from its cache.
 const copyCost = 0.5
 
-// copied has a candidate copy the beginning of a prompt from the engine that is usual
-// for it, where that saves reading.
-//
-// Reading is what slows down all streams of an engine. Where the usual engine is too busy
-// for one more request, another would read the beginning once more; engines hand it
-// to each other in milliseconds.
+// copied has a candidate copy a prefix of the prompt from the engine that is preferred for it,
+// where that saves prefill.
 func (rt *Router) copied(v *view, c *cand) {
 	h, ok := rt.source(c.t.ID)
 	if !ok || !mech.On(codes.PrefixTransfer) {
@@ -34,12 +27,9 @@
 	c.prefill = min(c.prefill, left)
 }
 
-// source returns the engine that another one best copies the beginning of a prompt from,
-// none where that one was sent as much of it by this host.
-//
-// What this host has sent is known, that the usual engine holds it is a guess: it may
-// have been too busy when the beginning was read elsewhere. The usual engine itself was
-// given 152 long beginnings a minute to read that another one nearby held.
+// source returns the engine from which another one best copies a prefix of a prompt, none where
+// that one was sent as much of it by this host. That an engine was sent a prefix is known; that
+// the preferred engine caches it is a guess.
 func (rt *Router) source(to ident.TargetID) (best holder, ok bool) {
 	held := 0.0
 	for _, h := range rt.warm {
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -30,10 +30,8 @@
 	// boundLoad is how much fuller than the mean a target may be and still
 	// draw work by its cache.
 	boundLoad = 1.25
-	// boundRouted is the same for routes, whose engines copy a beginning from the
-	// one that is usual for it: that one must get enough of its requests to hold it.
-	// With 1.25 0.550 of what callers are worth was earned, with 3 0.567, with 30 0.553
-	// (64 hosts, a day of 34 s with failures, one run each).
+	// boundRouted is the same for routes, whose engines copy a prefix from the one that is
+	// preferred for it, which must get enough of its requests to cache it.
 	boundRouted = 3
 	// serviceTime stands for the time of a call of a plain service.
 	serviceTime = 0.2
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -70,14 +70,10 @@
 	}, true
 }
 
-// part returns the part of the cost of the best local choice that another data
-// centre must undercut.
-//
-// Streams slow down where many prompts are read, and the loads that tell of it
-// are seconds old. If every request went where streams are fastest, all the work
-// of a region would go to another for some seconds and then come back. So a request
-// of a route with a place here goes by a chance that grows with what it gains: with
-// half the cost elsewhere one in two goes, with equal ones none.
+// part returns the part of the cost of the best local choice that another data centre must
+// undercut. Loads lag, so that all work would swing to where streams are fastest and back;
+// instead a request of a route with a place here is forwarded by a chance that grows with its
+// gain: with half the cost elsewhere one in two, with equal costs none.
 func (rt *Router) part(v *view, best *cand) float64 {
 	if best == nil || v.q.Profile.Route == nil || !v.q.engine() {
 		return 1
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -118,7 +118,7 @@
 	return v.outside
 }
 
-// full tells whether a target has neither a slot nor a place in its queue, or
+// full reports whether a target has neither a slot nor a place in its queue, or
 // whether a request would wait there for too much of its time.
 func full(v *view, t *member.Target) bool {
 	out := t.Outstanding(v.now)
@@ -134,25 +134,17 @@
 
 // The memory of an engine that long prompts may take.
 const (
-	// memoryPart is the part of an engine's memory that the prompts of its requests
-	// may take before another long one waits. The rest is for what they generate, for
-	// short prompts, and for the beginnings that it keeps. Prompts are counted whole,
-	// though what they share is held once. With 0.35 long prompts were refused beside
-	// engines that began others after 0.2 s; with 0.6 0.660 of what callers are worth was
-	// earned, with 0.35 0.658 (9 hosts before 12 engines, 15 days of a minute with
-	// failures), and without a bound less at 64 hosts.
+	// memoryPart is the part of an engine's memory that the prompts of its requests may take
+	// before another long one is queued. The rest is for generated tokens, short prompts and
+	// cached prefixes. Prompts are counted whole, though shared prefixes are stored once.
 	memoryPart = 0.6
 	// longPrompt is the length in tokens from which on a prompt counts as long.
 	longPrompt = 2048
 )
 
-// crowdsOut reports whether a long prompt would take memory that an engine needs.
-//
-// Streams that run keep their prompts in memory. At a region's peak they came to fill
-// it: beginnings that others share were dropped and read again, which made all streams
-// slower, so that yet more of them ran at once. Of callers of long answers one in three
-// had none within their deadline. Long prompts wait here instead until others have
-// ended, or are refused while they still can come back.
+// crowdsOut reports whether a long prompt would take memory that an engine needs for cached
+// prefixes and running streams. Such prompts are queued here until others have ended, or
+// refused while they can still come back.
 func crowdsOut(v *view, t *member.Target) bool {
 	q := v.q
 	if !mech.On(codes.PromptMemory) || q.Profile.Route == nil || t.Memory == 0 || q.Request.Prompt < longPrompt {
@@ -191,23 +183,16 @@
 	callPart = 0.25
 )
 
-// roomFor returns how many requests a target may have outstanding for a
-// request to be sent there.
+// roomFor returns how many requests a target may have outstanding for a request to be sent
+// there.
 //
-// A small queue at the target keeps its slots busy while reports lag; a longer
-// one would bind work to a target that others could have begun earlier. Work
-// that came from another region gets no queue and leaves a reserve, since home
-// work has nowhere else to go: without it a flood from outside would hold up
-// requests that may not leave the region.
+// A small queue at the target keeps its slots busy while reports lag; a longer one would bind
+// work to it that others could begin earlier. Work from another region gets no queue and leaves
+// a reserve for home work, which has nowhere else to go.
 //
-// Calls that take a small part of their goal are different. Thirty hosts before a
-// target of six slots each know little of the others' calls, and none hears when a
-// slot gets free; at six or seven calls by each one's guess, half of the slots stood
-// idle while callers were refused after half a second. So a call may queue there for a
-// quarter of its goal, behind as many as have slots at the most. Allowed only to calls of an
-// eighth of their goal, the queue came and went as calls took 45 or 55 ms: 0.798 of bookings
-// were answered in time by it, 0.841 by the quarter (61 hosts before 6 targets of 6 slots,
-// days of a minute with failures, five and four runs).
+// Calls that are short beside their goal may queue at the target for a quarter of it, behind as
+// many as have slots at the most, since many hosts before few slots do not see when one gets
+// free.
 func roomFor(q *Query, t *member.Target) int {
 	slots := t.Slots()
 	if rt := q.Profile.Route; mech.On(codes.CallQueue) && rt != nil && !q.engine() && t.Run() > 0 && rt.GoalMs > 0 {
@@ -220,7 +205,7 @@
 	return slots + max(1, slots/queuePart)
 }
 
-// hopsSpent tells whether a request may not be passed on to a data centre. One
+// hopsSpent reports whether a request may not be passed on to a data centre. One
 // that another host passed on may only go to another region, and only while
 // its profile has crossings left, so that each passage uses up what is bounded
 // and no request circulates without end.
@@ -240,7 +225,7 @@
 	return false
 }
 
-// poolMatches tells whether a pool serves a profile, and whether as a model of
+// poolMatches reports whether a pool serves a profile, and whether as a model of
 // the given rank in the profile's list.
 func poolMatches(p *rules.Profile, pool *event.Pool, want int) bool {
 	if p.Service != "" {
@@ -270,11 +255,9 @@
 
 func noOffer(v *view, c *member.Centre) bool { return offered(v, c) == nil }
 
-// unoffered returns the pool of a data centre that a request may use without an
-// offer: one of its home, which must take it as its own callers', or one with
-// spare capacity where the own data centre has no target for it at all. To wait
-// for an offer there would refuse a second of callers at the moment in which
-// the last target here is lost or emptied.
+// unoffered returns the pool of a data centre that a request may use without an offer: one of
+// its home, which must accept it like its own callers', or one with spare capacity where the
+// own data centre has no target for it at all.
 func unoffered(v *view, c *member.Centre) *event.Pool {
 	if v.q.Profile.Route == nil || !v.stranded {
 		return nil
@@ -292,10 +275,9 @@
 	return nil
 }
 
-// inGoal reports whether a request is predicted to start at another data centre
-// within its goal. A data centre that is emptied of all its targets brings more
-// work than the others count as spare; what they can begin in time is better
-// served than refused, and what they can't they refuse themselves.
+// inGoal reports whether a request is predicted to start at another data centre within its
+// goal. An evacuated data centre brings more work than the others count as spare; they refuse
+// what they can't begin in time.
 func inGoal(v *view, c *member.Centre, p *event.Pool) bool {
 	if c.CutOff(v.now) || readyAbroad(v, c, p) > v.q.Profile.Route.Goal() {
 		return false
@@ -308,10 +290,9 @@
 // is for what the prediction misses: the pace gets slower with the work that comes.
 const endsPart = 0.5
 
-// endsInTime reports whether a stream is predicted to end well within its time,
-// though the pace of its targets leaves no room for work that has a place at home.
-// Counted by that room, a region whose only data centre was emptied was refused
-// callers by the hundred, whom the others would have served at a third of their pace.
+// endsInTime reports whether a stream without a place at home is predicted to end well within
+// its time at the pace of the targets of another data centre, though that leaves no room for
+// other work.
 func endsInTime(v *view, p *event.Pool) bool {
 	if v.q.Expect <= 0 || p.DecodeRate <= 0 {
 		return false
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -66,15 +66,15 @@
 	Backlog time.Duration
 }
 
-// Decision is a choice. With neither Target nor Centre, Code tells why.
+// Decision is a choice. With neither Target nor Centre, Code says why.
 type Decision struct {
 	Target *member.Target
 	Serve  rules.Serve
 	// Prefill is the part of the prompt that the target probably does not
 	// hold.
 	Prefill ident.Tokens
-	// CopyFrom is a target from which Target can copy the beginning of the prompt, nil
-	// for none.
+	// CopyFrom is a target from which Target can copy a prefix of the prompt, nil for
+	// none.
 	CopyFrom *member.Target
 	// Centre is set when the request is to be passed to Host, an entry host
 	// of another data centre. Pool names the offer that it uses.
@@ -127,7 +127,7 @@
 	// prompt that is to be computed.
 	ready   time.Duration
 	prefill ident.Tokens
-	// from is a target to copy the beginning of the prompt from.
+	// from is a target to copy a prefix of the prompt from.
 	from *member.Target
 }
 
@@ -305,11 +305,10 @@
 	nearTime = 0.005
 )
 
-// cheapest returns one of the cheapest candidates. Among near-equal ones a hash
-// decides, so that hosts with the same reports do not all run to the same
-// target: of the first half of the prompt, so that hosts which don't yet know
-// of each other's sends bring prompts with a shared beginning to the same
-// cache, and of the request where there is no prompt.
+// cheapest returns one of the cheapest candidates. Among near-equal ones a hash decides, so
+// that hosts with the same reports do not all choose the same target: that of the first half of
+// the prompt, so that prompts with a shared prefix come to the same cache, or that of the
+// request where there is no prompt.
 func (rt *Router) cheapest(v *view) *cand {
 	if len(rt.cands) == 0 {
 		return nil
@@ -319,7 +318,7 @@
 		least = min(least, rt.cands[i].cost.sum())
 	}
 	limit := least + nearPart*least + nearTime
-	key := v.beginning()
+	key := v.prefixHash()
 	var best *cand
 	var score uint64
 	for i := range rt.cands {
@@ -334,10 +333,9 @@
 	return best
 }
 
-// beginning returns a hash of the first part of the prompt that other requests
-// probably share, of the first half where that is unknown, and of the request where
-// there is no prompt.
-func (v *view) beginning() uint64 {
+// prefixHash returns a hash of the prefix that other requests probably share, of the first half
+// of the prompt where that is unknown, and of the request where there is no prompt.
+func (v *view) prefixHash() uint64 {
 	p := v.q.Request.Prefix
 	if len(p) == 0 {
 		return v.key
--- a/internal/route/spill.go
+++ b/internal/route/spill.go
@@ -6,14 +6,9 @@
 	"verbenadale.example/verbenadale/pkg/codes"
 )
 
-// shareOut decides for a request of a route that has a place here, or lacks only room:
-// another data centre by its part of the work, or the best target.
-//
-// A request that may have run and is tried again stays here, where it may wait for a
-// place until its deadline. Another data centre takes it for new and refuses it when no
-// place is free soon; its caller may have the beginning of an answer, which then ends in
-// the middle. 14 of 59,000 requests ended so in 34 s at 90 hosts, all of them passed on
-// for the second time.
+// shareOut decides for a request of a route that has a place here, or lacks only room: another
+// data centre by its part of the work, or the best target. A request that may have run and is
+// tried again stays here, where it may be queued until its deadline.
 func (rt *Router) shareOut(v *view, best *cand, full *member.Target) Decision {
 	part, rooms := v.tb.Spill(v.now, v.q.Profile.Service, v.q.engine(), rt.rooms)
 	rt.rooms = rooms
@@ -21,7 +16,7 @@
 	case v.q.Again:
 		rooms = nil
 	case member.SharesMuch(&v.q.Request):
-	case best == nil || rank.Unit(rank.Mix(v.beginning())) < part:
+	case best == nil || rank.Unit(rank.Mix(v.prefixHash())) < part:
 		rooms = rooms[1:]
 	default:
 		rooms = nil
@@ -45,11 +40,9 @@
 	return Decision{Target: best.t, Serve: best.serve, Prefill: best.prefill, Wait: best.ready, CopyFrom: best.from}
 }
 
-// spill returns the data centre that a request goes to, of those with room, if it is
-// not the own one.
-//
-// It goes by the beginning of the prompt, so that what shares one is read by the
-// same engines, and each data centre gets beginnings by its room.
+// spill returns the data centre that a request goes to, of those with room, if it is not the
+// own one. It goes by the shared prefix of the prompt, so that the same engines prefill it, and
+// each data centre gets prefixes by its room.
 func (rt *Router) spill(v *view, rooms []member.Room) (Decision, bool) {
 	var best *member.Centre
 	most, room := 0.0, 0.0
@@ -61,7 +54,7 @@
 				continue
 			}
 		}
-		score := rank.Score(rank.Join(v.beginning(), rank.Hash(string(place.Group()))), r.Room)
+		score := rank.Score(rank.Join(v.prefixHash(), rank.Hash(string(place.Group()))), r.Room)
 		if score > most {
 			best, most, room = r.Centre, score, r.Room
 		}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -110,9 +110,8 @@
 	return end
 }
 
-// goesOn reports whether an answer can go on with a stream whose beginning the
-// caller has. Anything else is whole by itself: passed for the rest of the
-// stream, its end would make the beginning look complete.
+// goesOn reports whether an answer can continue a stream of which the caller has a part. Any
+// other answer is whole by itself, and its end would make that part look complete.
 func goesOn(res *http.Response) bool {
 	return res.StatusCode == http.StatusOK && isEventStream(res.Header)
 }
@@ -138,10 +137,8 @@
 	return end
 }
 
-// checkEcho guards against a crossed answer: a target or something between
-// that mixes up two connections would give one caller the text of another.
-// One would notice it only by reading the answer. The echo of the attempt
-// tells before a byte is passed on.
+// checkEcho detects a crossed answer, of a target or proxy that mixes up two connections, by
+// the echo of the attempt, before a byte is forwarded.
 func (t *try) checkEcho(res *http.Response, a ident.Attempt) error {
 	echo := res.Header.Get(target.HeaderAttempt)
 	if echo == "" && !t.call.Engine {
@@ -242,7 +239,7 @@
 }
 
 // copyRaw passes a stream of a plain service on as it comes. Its end is that
-// of the message, which chunked encoding or a length tells from a broken
+// of the message, which chunked encoding or a length distinguishes from a broken
 // connection.
 func (t *try) copyRaw(body io.Reader) error {
 	buf := make([]byte, streamBuffer)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -1,5 +1,5 @@
-// Package serve runs one request from its arrival to its final answer: it
-// tells the reducer what happens and carries out what the reducer decides.
+// Package serve runs one request from its arrival to its final answer: it posts
+// what happens to the reducer and carries out what the reducer decides.
 // Requests of callers and those that other entry hosts pass on are run alike.
 //
 // # Usage
@@ -142,7 +142,7 @@
 	once bool
 	// gone says that the caller takes no more.
 	gone bool
-	// begun says that the sink has been told to begin, streaming that what
+	// begun says that the sink has begun, streaming that what
 	// comes is passed on as it comes.
 	begun, streaming bool
 	// keep says that a stream is held for repeats beside being passed on.
@@ -300,7 +300,7 @@
 	t.ctx = ctx
 	t.end = event.AttemptEnded{Attempt: t.id, Result: event.ResultBroken}
 	r.live = t
-	t.heard.Store(int64(r.Clock.Now()))
+	t.lastByte.Store(int64(r.Clock.Now()))
 	t.t.Go(t.loop)
 	return false
 }
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// field takes note of one line of an event.
+// field parses one line of an event.
 func (s *sse) field(f *frame, text []byte) error {
 	name, val, _ := bytes.Cut(text, []byte(":"))
 	val = bytes.TrimPrefix(val, []byte(" "))
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -12,7 +12,7 @@
 )
 
 // try is one attempt that runs beside the request's own goroutine, which can
-// therefore take the reducer's word to break it off. The request's answer
+// therefore break it off when the reducer decides so. The request's answer
 // belongs to the attempt from start until t is dead.
 type try struct {
 	*run
@@ -26,11 +26,11 @@
 	do       func(ctx context.Context) event.AttemptEnded
 	idle     event.IdleTimeouts
 	sent     bool
-	// heard is when the last piece of the answer came, at first when the
+	// lastByte is when the last piece of the answer came, at first when the
 	// attempt began.
-	heard  atomic.Int64
-	begins atomic.Bool
-	// answered says that the first byte of the answer has been told.
+	lastByte atomic.Int64
+	begins   atomic.Bool
+	// answered says that the first byte of the answer has been reported.
 	answered bool
 	use      usage
 	end      event.AttemptEnded
@@ -39,9 +39,7 @@
 	pacedAt ident.Time
 }
 
-// paceEvents is over how many events the pace of a stream is told. Fewer cost the
-// control thread more, and some come two at a time; a stream of two hundred tokens
-// has a few dozen.
+// paceEvents is the number of events over which the pace of a stream is averaged.
 const paceEvents = 6
 
 // loop runs the attempt to its end, its deadline or until it is killed.
@@ -85,7 +83,7 @@
 	return t.data(b, upto)
 }
 
-// watch breaks off an attempt that is silent for longer than its patience.
+// watch breaks off an attempt that is silent for longer than its idle timeout.
 type watch struct {
 	*try
 	ctx    context.Context
@@ -103,7 +101,7 @@
 				continue
 			}
 			w.Log.Info("attempt is silent and is broken off", "request", w.req.ID, "attempt", w.id.Number,
-				"silentMs", now.Sub(ident.Time(w.heard.Load())).Milliseconds(), "begun", w.begins.Load())
+				"silentMs", now.Sub(ident.Time(w.lastByte.Load())).Milliseconds(), "begun", w.begins.Load())
 			w.cancel()
 			return nil
 		case <-w.ctx.Done():
@@ -112,7 +110,7 @@
 	}
 }
 
-// due is when the patience ends if nothing more comes.
+// due is when the idle timeout ends.
 func (w *watch) due() ident.Time {
 	most := w.idle.First
 	if w.begins.Load() {
@@ -121,10 +119,10 @@
 	if most == 0 {
 		return w.deadline
 	}
-	return ident.Time(w.heard.Load()).Add(most)
+	return ident.Time(w.lastByte.Load()).Add(most)
 }
 
-// paced tells now and then how fast the events of a stream come.
+// paced reports the pace of a stream at intervals.
 func (t *try) paced() {
 	now := t.Clock.Now()
 	if t.pacedAt == 0 {
@@ -139,9 +137,9 @@
 	t.events, t.pacedAt = 0, now
 }
 
-// first tells once that the answer has begun.
+// first reports once that the answer has begun.
 func (t *try) first() {
-	t.heard.Store(int64(t.Clock.Now()))
+	t.lastByte.Store(int64(t.Clock.Now()))
 	t.begins.Store(true)
 	if t.answered {
 		return
--- a/internal/slack/slack.go
+++ b/internal/slack/slack.go
@@ -1,4 +1,4 @@
-// Package slack tells how long a request of a route may wait for a place and still be
+// Package slack computes how long a request of a route may be queued and still be
 // answered within its goal.
 //
 // # Usage
@@ -8,13 +8,8 @@
 //	age := b.Asked(profile, left)      // a request has come
 //	wait := b.Wait(profile, goal, age) // what it may wait
 //
-// The time to a first byte at the target comes on top of what a request waits here. At
-// an engine that reads prompts all the time it is half of the goal and more; a request
-// that was let wait until its goal, and then sent, was answered too late for certain, and
-// took the place of one that could have been in time. Of requests that engines began 5 s
-// long at 1.6 times what they could read, the median had waited 0.71 s here and 0.62 s at
-// the engine, for a goal of 1.2 s: nearly all of the work went into answers that came too
-// late.
+// The time to a first byte at the target comes on top of what a request waits here, so that a
+// request is queued only for what is left of its goal after it.
 //
 // A Book belongs to one goroutine. It reads no clock.
 package slack
@@ -33,14 +28,11 @@
 	// taken to be longer than usual. With one, some five of six answers of a steady load
 	// begin earlier.
 	deviations = 1
-	// lostDeviations is how many deviations an answer may be late before it is taken for
-	// lost, as for lost packets of TCP. It is of one route: long prompts begin seconds
-	// later than short ones of the same engines, and by the times of all 183 of 855 long
-	// ones were broken off in a day.
+	// lostDeviations is how many deviations an answer may be late before it counts as lost, as
+	// for packets of TCP. It is taken by route, since long prompts begin later than short ones.
 	lostDeviations = 4
-	// againBelow is the part of the time that callers usually give below which one has
-	// probably been refused before: those that ask for the first time were seen to give
-	// 0.85 to 1 of the longest.
+	// againBelow is the part of the time that callers usually give below which a request has
+	// probably been refused before.
 	againBelow = 0.8
 	// forget is the part by which the longest time is forgotten with each request.
 	forget = 1.0 / 2048
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -64,7 +64,7 @@
 	ErrTooLarge = errors.New("store: the value is longer than one megabyte")
 )
 
-// turn makes an error of this layer from one below, which is told and no more.
+// turn makes an error of this layer from one below, which is kept as text only.
 func turn(own, below error) error { return fmt.Errorf("%w: %s", own, below.Error()) }
 
 // MaxValue is the longest value that the service holds.
@@ -204,9 +204,9 @@
 	return nil
 }
 
-// lost tells what a call without an answer means. A write may have reached the
+// lost returns what a call without an answer means. A write may have reached the
 // service before the link broke, so it may stand, and only a read of the key
-// can tell. A link that was never made has carried nothing.
+// can know. A link that was never made has carried nothing.
 func lost(q request, err error) error {
 	var op *net.OpError
 	unsent := errors.As(err, &op) && op.Op == "dial"
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -129,7 +129,7 @@
 }
 
 // Do sends a request and returns once the head of its answer has come. own
-// tells whether an answer is the one to this request: a target may send one
+// reports whether an answer is the one to this request: a target may send one
 // more answer to an earlier request, where the next is expected. sent is called
 // before the first byte can leave. Closing the body before its end closes the
 // connection.
@@ -218,7 +218,7 @@
 	t   tomb.Tomb
 	c   *conn
 	req *http.Request
-	// read tells that the whole request has been read from its caller: what is
+	// read says that the whole request has been read from its caller: what is
 	// left is in the buffer.
 	read atomic.Bool
 }
@@ -232,13 +232,9 @@
 	return errors.Wrap(bw.Flush(), "target: write")
 }
 
-// done reports whether the whole request has been written.
-//
-// The target may have answered before this goroutine got to run again after its
-// last write, which happens beside busy processes. The connection was then closed
-// though all of it was whole, and the next request paid for a new one: in 4 of 40 plays
-// of five calls in a row. So it waits for that write, and no longer than writeRest: a
-// target that has answered early may never read the rest.
+// done reports whether the whole request has been written. The target may have answered before
+// this goroutine runs again after its last write, so that done waits for that write, for
+// writeRest at the most.
 func (w *writer) done() bool {
 	if !w.read.Load() {
 		return false
@@ -324,11 +320,8 @@
 	})
 }
 
-// Drop closes the idle connections to an address.
-//
-// A target that starts anew behind a broken network closes none of those that its
-// former start had: they look whole, and each would lose the first request that is sent
-// on it, of which nobody can then tell whether it ran.
+// Drop closes the idle connections to an address, as after a restart of the target behind a
+// partition, which closes none of them.
 func (p *Pool) Drop(addr string) {
 	p.mu.Lock()
 	cs := p.idle[addr]
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -1,5 +1,5 @@
 // Package target is the client of the targets: model engines and plain
-// services. It sends one attempt to one target and tells what is certain
+// services. It sends one attempt to one target and reports what is certain
 // about it. docs/targets.md describes the protocol.
 //
 // # Usage
@@ -84,8 +84,8 @@
 	Left     time.Duration
 	// Once says that the call must not be sent a second time.
 	Once bool
-	// CopyFrom is where a target stands that probably holds the beginning of the
-	// prompt, empty for none.
+	// CopyFrom is the address of a target that probably caches a prefix of the prompt,
+	// empty for none.
 	CopyFrom string
 }
 
@@ -107,11 +107,9 @@
 			DialContext: dial, MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true,
 			MaxResponseHeaderBytes: maxHead, WriteBufferSize: connBuffer, ReadBufferSize: connBuffer,
 		}, CheckRedirect: noRedirect},
-		// The library sends a request again by itself when a connection that
-		// it had used before turns out to be closed, even a POST if it
-		// carries an Idempotency-Key. A call that may not be repeated would
-		// then run twice and nobody would be told. It never does so on a new
-		// connection, so such calls get one each.
+		// The library repeats a request by itself when a reused connection turns out
+		// to be closed, even a POST with an Idempotency-Key. Calls that are not
+		// idempotent therefore get a new connection each.
 		fresh: &http.Client{Transport: &http.Transport{
 			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead,
 			WriteBufferSize: connBuffer, ReadBufferSize: connBuffer,
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -27,9 +27,7 @@
 
 // Bounds of the lines.
 const (
-	// plainPerSecond bounds the lines of requests that go as they should. At
-	// three lines a request it leaves out nothing up to a hundred requests a
-	// second, which is several times what a host of half a core serves.
+	// plainPerSecond bounds the lines of requests that end as they should.
 	plainPerSecond = 300
 	// allPerSecond bounds all lines.
 	allPerSecond = 900
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -10,7 +10,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// FromEnvelope maps an envelope. Who sends it and where that stands is told
+// FromEnvelope maps an envelope. Who sends it and where that stands is known
 // by the session and not repeated.
 func FromEnvelope(e event.Envelope) *Envelope {
 	return &Envelope{
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -17,8 +17,8 @@
 // neither its host nor its place.
 //
 // The digests of a prompt's blocks have no field here: they stay on the host
-// that read the prompt, but for the one that ends a long beginning which many share.
-// Hosts of one region tell it each other with the target that holds it; no text follows
+// that read the prompt, but for the one that ends a long shared prefix.
+// Hosts of one region exchange it with the target that caches it; no text follows
 // from it.
 package wire
 
@@ -34,7 +34,7 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Version is the version of the protocol, told in the hello.
+// Version is the version of the protocol, sent in the hello.
 const Version = 2
 
 // Bounds of one message in bytes.
@@ -91,7 +91,7 @@
 }
 
 // Read reads one message of at most the given number of bytes. The length is
-// judged before memory is taken for it: a sender that announces gigabytes
+// checked before memory is allocated for it: a sender that announces gigabytes
 // would otherwise end the process with one small packet.
 func Read(r Reader, m proto.Message, most int64) error {
 	err := protodelim.UnmarshalOptions{MaxSize: most}.UnmarshalFrom(r, m)
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -9,7 +9,7 @@
 //	c, ok := codes.Find("VB1004")
 //	fmt.Println(c.Title, c.Text)
 //
-// Families are told apart by the first digit: VB1 refusals, VB2 routing
+// The first digit is the family: VB1 refusals, VB2 routing
 // filters, VB3 settings checks, VB4 profile checks, VB5 promises, VB6 mechanisms.
 package codes
 
--- a/pkg/codes/filter.go
+++ b/pkg/codes/filter.go
@@ -20,7 +20,7 @@
 		Text: "The request has crossed between regions as often as the profile allows, or came from another entry host.",
 	}
 	FilterLeaving = Code{
-		ID: "VB2005", Title: "the target is leaving", Since: firstVersion, Severity: Info,
+		ID: "VB2005", Title: "the target is draining", Since: firstVersion, Severity: Info,
 		Text: "The platform's list, the target itself or a peer said so. It holds for the whole incarnation of the target.",
 	}
 	FilterHealth = Code{
@@ -36,7 +36,7 @@
 		Text: "Work goes to another data centre only on an offer that has not expired or been used up.",
 	}
 	FilterClosed = Code{
-		ID: "VB2010", Title: "the data centre of the target is being emptied", Since: secondVersion, Severity: Info,
+		ID: "VB2010", Title: "the data centre of the target is evacuated", Since: secondVersion, Severity: Info,
 		Text: "The operator has asked that nothing more be sent there until that is taken back.",
 	}
 	FilterCold = Code{
--- a/pkg/codes/mechanism.go
+++ b/pkg/codes/mechanism.go
@@ -4,15 +4,15 @@
 // Each can be switched off in development builds, to measure what it is worth.
 var (
 	PrefixTransfer = Code{
-		ID: "VB6001", Title: "engines copy the beginnings of prompts from each other", Since: secondVersion, Severity: Info,
-		Text: "Where another engine holds the beginning of a prompt, the one that gets the request copies it and reads only the rest.",
+		ID: "VB6001", Title: "engines copy cached prefixes from each other", Since: secondVersion, Severity: Info,
+		Text: "Where another engine caches a prefix of a prompt, the one that gets the request copies it and prefills only the rest.",
 	}
 	AnnouncedHolders = Code{
-		ID: "VB6002", Title: "hosts of a region tell who holds long beginnings", Since: secondVersion, Severity: Info,
-		Text: "A heartbeat names the engines that were brought a beginning of 2,048 tokens and more, so that a prompt that shares it goes there or is copied from there.",
+		ID: "VB6002", Title: "hosts of a region announce which engines cache long prefixes", Since: secondVersion, Severity: Info,
+		Text: "A heartbeat names the engines that were sent a prefix of 2,048 tokens and more, so that a prompt that shares it goes there or copies it from there.",
 	}
 	OrderByLength = Code{
-		ID: "VB6003", Title: "engines begin prompts by what is left to read", Since: secondVersion, Severity: Info,
+		ID: "VB6003", Title: "engines begin prompts by what is left to prefill", Since: secondVersion, Severity: Info,
 		Text: "At a peak a long prompt waits for all short ones of a more urgent profile. By length first, and by urgency among those of one length, most callers wait least.",
 	}
 	LateBehind = Code{
@@ -25,23 +25,23 @@
 	}
 	PromptMemory = Code{
 		ID: "VB6006", Title: "long prompts leave a part of an engine's memory", Since: secondVersion, Severity: Info,
-		Text: "Past 0.6 of an engine's memory a long prompt waits at its host, so that beginnings which others share are not dropped.",
+		Text: "Past 0.6 of an engine's memory a long prompt waits at its host, so that shared prefixes are not evicted.",
 	}
 	CallQueue = Code{
 		ID: "VB6007", Title: "calls queue at their target for a part of their goal", Since: secondVersion, Severity: Info,
 		Text: "Many hosts before few slots know little of each other's calls. Calls that are short beside their goal may queue at the target, so that no slot idles while callers wait.",
 	}
 	AnnouncedSends = Code{
-		ID: "VB6008", Title: "small regions tell their sends four times a second", Since: secondVersion, Severity: Info,
-		Text: "An engine reads what it is sent in a few tenths of a second; the word of a heartbeat is older than that.",
+		ID: "VB6008", Title: "small regions announce their use of targets four times a second", Since: secondVersion, Severity: Info,
+		Text: "An engine prefills what it is sent in a few tenths of a second; a heartbeat is older than that.",
 	}
 	LeftAlone = Code{
 		ID: "VB6009", Title: "a region that has turned a request away is left alone for a moment", Since: secondVersion, Severity: Info,
-		Text: "Until its next word of its load, a region at its peak would turn away each further request that is passed on to it.",
+		Text: "Until its next summary, a region at its peak would turn away each further request that is passed on to it.",
 	}
 	GrowingReturns = Code{
-		ID: "VB6010", Title: "callers are sent away for as long as an overload has lasted", Since: secondVersion, Severity: Info,
-		Text: "What has been going on for seconds seldom ends within the next; who comes back into it is refused a second time.",
+		ID: "VB6010", Title: "Retry-After grows with the duration of an overload", Since: secondVersion, Severity: Info,
+		Text: "An overload that has lasted for seconds rarely ends within the next one; a caller that comes back into it is refused a second time.",
 	}
 	LateDrain = Code{
 		ID: "VB6011", Title: "a draining host takes what ends in time", Since: secondVersion, Severity: Info,
--- a/pkg/codes/promise.go
+++ b/pkg/codes/promise.go
@@ -27,8 +27,8 @@
 		Text: "A ticket bound to one incarnation of one host, or a record in the platform's store before the first byte is sent.",
 	}
 	PromiseLeaving = Code{
-		ID: "VB5007", Title: "a leaving target receives no new work after a few seconds", Since: firstVersion, Severity: Error,
-		Text: "The earliest word of leaving wins, from whichever source, and holds for the incarnation.",
+		ID: "VB5007", Title: "a draining target receives no new work after a few seconds", Since: firstVersion, Severity: Error,
+		Text: "The earliest notice wins, from whichever source, and holds for the incarnation.",
 	}
 	PromiseDrain = Code{
 		ID: "VB5008", Title: "a planned stop cuts no request in flight", Since: firstVersion, Severity: Error,
--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -36,7 +36,7 @@
 	}
 	NoTarget = Code{
 		ID: "VB1007", Title: "no target may serve the request now", Status: http.StatusServiceUnavailable, Since: firstVersion, Severity: Error, Wait: true,
-		Text: "Each known target was ruled out. \"verbctl route\" tells by which filter. The request was not run.",
+		Text: "Each known target was ruled out. \"verbctl route\" shows by which filter. The request was not run.",
 	}
 	Overloaded = Code{
 		ID: "VB1008", Title: "the request can't be served before its deadline", Status: http.StatusServiceUnavailable, Since: firstVersion, Severity: Warning, Wait: true,
@@ -100,7 +100,7 @@
 	}
 	NotReady = Code{
 		ID: "VB1023", Title: "this entry host has no configuration yet", Status: http.StatusServiceUnavailable, Since: firstVersion, Severity: Warning, Wait: true,
-		Text: "The host has just started and has heard neither from the platform nor from a peer. The request was not run.",
+		Text: "The host has just started and has received nothing from the platform or a peer yet. The request was not run.",
 	}
 	NoOutcome = Code{
 		ID: "VB1024", Title: "the request ended, but its answer is no longer kept", Status: http.StatusGone, Since: firstVersion, Severity: Warning,
@@ -128,7 +128,7 @@
 	}
 	TurnedAway = Code{
 		ID: "VB1030", Title: "the data centre has no room for what another passed on", Status: http.StatusServiceUnavailable, Since: secondVersion, Severity: Warning, Wait: true,
-		Text: "Another entry host passed the request on, and no target here could begin it in time; none has seen it. The host that passed it on tells its caller, or places it again if its caller has the beginning of an answer.",
+		Text: "Another entry host passed the request on, and no target here could begin it in time; none has seen it. The host that passed it on answers its caller, or places it again if its caller has a part of the answer.",
 	}
 )
 
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -21,7 +21,7 @@
 	"time"
 )
 
-// Region names a region: a place that residency rules speak of.
+// Region names a region: a place that residency rules name.
 type Region string
 
 // DataCentre names a data centre. It lies in exactly one region.
@@ -58,7 +58,7 @@
 // it, so that it can recognise its own write after a lost reply.
 type ChangeID string
 
-// Incarnation tells two runs of one entry host or target apart. A later run
+// Incarnation distinguishes two runs of one entry host or target. A later run
 // has a higher number: it is the wall clock at the start in nanoseconds.
 type Incarnation uint64
 
--- a/pkg/rules/book.go
+++ b/pkg/rules/book.go
@@ -40,7 +40,7 @@
 	Changed ident.Revision
 }
 
-// Error tells which item to read again.
+// Error names the item to read again.
 func (e *ConflictError) Error() string {
 	return fmt.Sprintf("%s %s was changed in revision %d, after revision %d that the change is based on; read it again",
 		e.Kind, e.Name, e.Changed, e.Base)
@@ -52,7 +52,7 @@
 	Got  ident.Revision
 }
 
-// Error tells both revisions.
+// Error names both revisions.
 func (e *GapError) Error() string {
 	return fmt.Sprintf("revision %d does not follow revision %d", e.Got, e.Have)
 }
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -73,7 +73,7 @@
 func (b *Book) after(items []Item) *Book {
 	next := b.clone()
 	for _, it := range items {
-		// What can't be read is told by its own check.
+		// What can't be read has a check of its own.
 		_ = next.put(it, next.Revision+1)
 	}
 	return next
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -79,7 +79,7 @@
 	// KeyDigest is the SHA-256 digest of the API key in hexadecimal.
 	KeyDigest string `json:"keyDigest"`
 	// Home is the region of the account's data, for profiles that are
-	// confined to it. It also tells where the account's limits count first.
+	// confined to it. It also says where the account's limits count first.
 	Home ident.Region `json:"home,omitempty"`
 	// Profiles lists the profiles the account may use. Empty is all.
 	Profiles []ident.Profile `json:"profiles,omitempty"`
@@ -89,7 +89,7 @@
 	TokensPerMinute   ident.PerMinute `json:"tokensPerMinute,omitempty"`
 }
 
-// Kind tells profiles and accounts apart.
+// Kind distinguishes profiles and accounts.
 type Kind string
 
 // The kinds of items.
