keep 'leaving' in what engines, services and the platform's list send

Callers saw nothing; found by TestLeavingTargetGetsNoNewWork in the whole test run.

Change: the three JSON names and the stand-in's word are as before. TestLeavingTargetGetsNoNewWork failed before and passes, with the drain and stop tests of internal/proofs.

--- a/internal/dev/engine/fault.go
+++ b/internal/dev/engine/fault.go
@@ -69,7 +69,7 @@
 	BusyMs float64 `json:"busyMs"`
 	// LeavingSince is when the engine began to leave; LateMs is how long after
 	// it the last new request came, and Late how many came.
-	LeavingSince time.Time `json:"drainingSince"`
+	LeavingSince time.Time `json:"leavingSince"`
 	Late         int       `json:"late"`
 	LateMs       int64     `json:"lateMs"`
 	// Attempts counts the requests by attempt, Requests the attempts by request,
--- a/internal/dev/engine/serve.go
+++ b/internal/dev/engine/serve.go
@@ -105,7 +105,7 @@
 	defer e.mu.Unlock()
 	e.ledger.note(r, e.leaving)
 	if e.leaving && !e.mute {
-		return nil, "draining", false
+		return nil, "leaving", false
 	}
 	if e.faults.Refuse {
 		return nil, "true", false
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -35,7 +35,7 @@
 	CallerURL string `json:"callerURL"`
 	// PeerAddr is the address for other entry hosts, as host:port.
 	PeerAddr string `json:"peerAddr"`
-	Draining bool   `json:"draining,omitempty"`
+	Draining bool   `json:"leaving,omitempty"`
 }
 
 // TargetKind distinguishes model engines and plain services.
@@ -57,7 +57,7 @@
 	URL string `json:"url"`
 	// Service names the plain service, for targets of that kind.
 	Service  string `json:"service,omitempty"`
-	Draining bool   `json:"draining,omitempty"`
+	Draining bool   `json:"leaving,omitempty"`
 	// Price is the cost of one second of one slot, in cost units.
 	Price float64 `json:"price,omitempty"`
 	// Capacity is how many requests it runs at once, zero where only its load
@@ -94,7 +94,7 @@
 	PrefillRate float64       `json:"prefillRate"`
 	DecodeRate  float64       `json:"decodeRate"`
 	Serves      []rules.Serve `json:"serves,omitempty"`
-	Draining    bool          `json:"draining,omitempty"`
+	Draining    bool          `json:"leaving,omitempty"`
 	// Kept says that Slots, the rates and Serves are left out: the receiver
 	// keeps those that it holds of this incarnation.
 	Kept bool `json:"kept,omitempty"`
