let the world's check know of work that ended with its target

The check still counted that work by the newest digests. This is allowed: nothing of the former start goes on (restart in start.go).

Change: the check leaves out what the digest that was newest at that moment says of that target, and nothing else; it still asks for the exact sum.

--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -45,6 +45,11 @@
 	// newest holds the highest number of each sender's digests and summaries
 	// that reached the node.
 	newest map[string]uint64
+	// starts holds the incarnation of each target that the node last knew, dropped the number
+	// of the newest digest of each peer when it learned of a new one: what that digest says of
+	// the target concerns its former start.
+	starts  map[ident.TargetID]ident.Incarnation
+	dropped map[string]uint64
 }
 
 type message struct {
@@ -126,6 +131,24 @@
 	n.tb.Advance(w.now)
 	n.words = make(map[ident.TargetID]ident.Incarnation)
 	n.newest = make(map[string]uint64)
+	n.starts = make(map[ident.TargetID]ident.Incarnation)
+	n.dropped = make(map[string]uint64)
+}
+
+// noteStarts records which targets the node has learned to have started anew.
+func (n *node) noteStarts() {
+	for _, t := range n.tb.targets {
+		if old, ok := n.starts[t.ID]; ok && t.Incarnation != old {
+			for _, p := range n.tb.peers {
+				n.dropped[useKey(p, t.ID)] = p.seq
+			}
+		}
+		n.starts[t.ID] = t.Incarnation
+	}
+}
+
+func useKey(p *peer, id ident.TargetID) string {
+	return fmt.Sprint(p.host.ID, "/", p.host.Incarnation, "/", id)
 }
 
 func (w *world) node(id ident.EntryID) *node {
@@ -173,6 +196,7 @@
 				to.reached("summary", s.From, s.Incarnation, s.Seq)
 			}
 			to.tb.DigestReceived(w.now, e.Digest)
+			to.noteStarts()
 		case event.SendSummary:
 			to.reached("summary", e.Summary.From, e.Summary.Incarnation, e.Summary.Seq)
 			to.tb.SummaryReceived(w.now, e.Summary)
@@ -207,6 +231,7 @@
 			w.reads++
 			if !n.cut && !n.blind {
 				n.tb.HostsRead(w.now, w.list)
+				n.noteStarts()
 			}
 		case event.PollLoad:
 			w.poll(n, e.Target.ID)
@@ -254,6 +279,7 @@
 		Target: id, Incarnation: e.Incarnation, Seq: e.seq, Age: 100 * time.Millisecond, Slots: e.slots, Running: e.running,
 		PrefillRate: 1000, DecodeRate: 50, Serves: []rules.Serve{model}, Draining: e.leaving,
 	})
+	n.noteStarts()
 }
 
 // busy sets the requests running at each engine of a data centre.
