repeat a failed read of the list of targets within seconds

What callers would see: a host that starts while the platform does not answer, and misses the full digest of its peers, has no targets for half a minute.

Cause: only the host that watches read the list each two seconds. Any other one read it again after 30 to 40 s, whether the last read had failed or not. This concerns the project's own platform; the feed of platform/ retries by itself.

Change: a failed read brings the next one forward to 2 to 3 s, spread over hosts. In the world of the test a read that is cut off now fails, as it does in the daemon, where it was ignored.

--- a/internal/member/gone.go
+++ b/internal/member/gone.go
@@ -17,6 +17,7 @@
 	tb.Advance(now)
 	tb.list.away = true
 	tb.list.steadyAt = 0
+	tb.readSoon(now, "failed")
 }
 
 // readSucceeded records that an own read has brought a list.
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -172,9 +172,13 @@
 	if !tb.Watches(now) {
 		return
 	}
-	h := rank.Join(rank.Hash("duty", string(tb.self.ID)), uint64(now))
-	soon := now.Add(watchEvery + spread(h, Period))
-	tb.list.nextRead = min(tb.list.nextRead, soon)
+	tb.readSoon(now, "duty")
+}
+
+// readSoon brings the next read forward, spread over the hosts of a reason.
+func (tb *Table) readSoon(now ident.Time, reason string) {
+	h := rank.Join(rank.Hash(reason, string(tb.self.ID)), uint64(now))
+	tb.list.nextRead = min(tb.list.nextRead, now.Add(watchEvery+spread(h, Period)))
 }
 
 func sortedHosts(hosts []event.Host) []event.Host {
--- a/internal/member/stale_test.go
+++ b/internal/member/stale_test.go
@@ -128,3 +128,29 @@
 		t.Error("a target is dropped because of a host that has just begun to read the store")
 	}
 }
+
+// A host that does not watch has no targets for half a minute if its first read fails.
+func TestFailedReadIsRepeatedSoon(t *testing.T) {
+	at := ident.Time(time.Second)
+	a, b := pairOf(at)
+	if a.Watches(at) {
+		a, b = b, a
+	}
+	reads := 0
+	for end := at.Add(40 * time.Second); at < end; at = at.Add(100 * time.Millisecond) {
+		b.Tick(at, Own{})
+		a.DigestReceived(at, event.Digest{Host: b.Self(), Seq: uint64(at)})
+		for _, eff := range a.Tick(at, Own{}) {
+			if _, ok := eff.(event.ReadHosts); ok {
+				reads++
+				a.ListFailed(at)
+			}
+		}
+	}
+	if a.Watches(at) {
+		t.Fatal("the host is the watcher")
+	}
+	if least := int(30 * time.Second / (watchEvery + Period)); reads < least {
+		t.Errorf("%d reads in 40 s, want %d at least", reads, least)
+	}
+}
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -229,10 +229,12 @@
 			w.mail(n, e.To.ID, e)
 		case event.ReadHosts:
 			w.reads++
-			if !n.cut && !n.blind {
-				n.tb.HostsRead(w.now, w.list)
-				n.noteStarts()
+			if n.cut || n.blind {
+				n.tb.ListFailed(w.now)
+				continue
 			}
+			n.tb.HostsRead(w.now, w.list)
+			n.noteStarts()
 		case event.PollLoad:
 			w.poll(n, e.Target.ID)
 		}
