--- a/internal/member/ahead_test.go
+++ b/internal/member/ahead_test.go
@@ -8,10 +8,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Two long prompts are sent in the same moment, a second after the last load
-// report. A host that went by the report would think that the first is done
-// before it is sent, and put the second behind it; its caller would see the
-// first token late by the whole prefill of the other.
+// Two long prompts that are sent at once queue at one target.
 func TestPrefillAheadIsFollowedFromSendToSend(t *testing.T) {
 	const rate = 1000
 	tb := New(event.Host{ID: "dc0-0", Incarnation: 1, Place: event.Place{DataCentre: "dc0", Region: "r0"}})
--- a/internal/member/cold_test.go
+++ b/internal/member/cold_test.go
@@ -69,10 +69,7 @@
 	return most
 }
 
-// A region comes back: all its hosts start within a moment and link to each other
-// over the next second, and its targets are cold. For that second each host knows
-// hardly anyone, and takes every target for its own. One request from each of
-// thirty crashes the target, and callers lose what it was sent.
+// Hosts that start together overload a cold target.
 func TestHostsThatStartTogetherSpareColdTargets(t *testing.T) {
 	at := ident.Time(time.Second)
 	hosts, tables := coldFleet(at, 30)
@@ -87,9 +84,7 @@
 	}
 }
 
-// The hosts of a region lose each other, and their links to the targets stand.
-// Each then finds nobody else alive. Taking a cold target for its own, each would
-// send it what one owner may.
+// Hosts that are cut off from each other overload a cold target.
 func TestHostsThatLoseEachOtherSpareColdTargets(t *testing.T) {
 	at := ident.Time(time.Second)
 	hosts, tables := coldFleet(at, 12)
@@ -100,9 +95,7 @@
 	}
 }
 
-// A data centre was emptied and is opened again. Its targets have mostly become cold, and
-// a rush would crash them; but where they have not, its callers are refused for seconds
-// beside idle targets. So each is asked at once and its word decides.
+// Warm targets stay unused after an evacuation, or cold ones are overloaded.
 func TestReopenedTargetIsAskedWhetherItIsCold(t *testing.T) {
 	for name, c := range map[string]struct {
 		says time.Duration
--- a/internal/member/flow_test.go
+++ b/internal/member/flow_test.go
@@ -45,9 +45,7 @@
 	})
 }
 
-// A region's peak begins while another idles. Slots are free in both, and streams are
-// not slow yet: prompts pile up for some seconds before they are. By what callers
-// bring, a part of the work is known to be too much at once.
+// Prompts queue up at the start of a peak while another region is idle.
 func TestWorkIsSharedOutByWhatCallersBring(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -72,9 +70,7 @@
 	}
 }
 
-// Callers bring prompts with long shared beginnings. Their room follows the engines
-// that are left by the other work, so that each region reads the beginnings that it
-// has room for, whoever's callers bring them.
+// A region gets more shared prefixes than its engines have room for.
 func TestRoomForSharedBeginningsFollowsTheEngines(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -101,9 +97,7 @@
 	}
 }
 
-// Whatever the regions are like, the room for prompts that share beginnings and for
-// what regions above the level send away is as much as there is of both, so that all
-// regions end at the same level.
+// Regions end at different levels of use.
 func TestRoomIsWhatThereIsToGive(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		rooms := make([]Room, rapid.IntRange(1, 12).Draw(rt, "regions"))
@@ -124,8 +118,7 @@
 	})
 }
 
-// Twenty hosts send long prompts to the same engines. A host that counts its own only
-// takes an engine for idle that has seconds of reading before it.
+// A target with queued prompts of other hosts looks idle.
 func TestUnreadPromptsOfPeersCount(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -149,8 +142,7 @@
 	}
 }
 
-// Callers bring little, unevenly. What waits nowhere stays where it is: the way to
-// another region would cost each call 160 ms.
+// Requests cross regions at low load.
 func TestLittleWorkStays(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -165,9 +157,7 @@
 	}
 }
 
-// A region's only targets of a plain service have more calls than slots can run. By the
-// time that calls usually take, the part that is too much is known and goes where slots
-// are free, before callers wait.
+// Calls queue for slots while another region has free ones.
 func TestCallsAreSharedOutBySlots(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
--- a/internal/member/gone_test.go
+++ b/internal/member/gone_test.go
@@ -25,8 +25,7 @@
 	return ok && tg.Usable(at)
 }
 
-// Some targets never say that they leave: their entry goes and they stop a few
-// seconds later, with whatever was sent there meanwhile.
+// A target whose entry was removed is used.
 func TestUnlistedTargetIsGone(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := New(reachHost("w1", "west-a", "west"))
@@ -41,9 +40,7 @@
 	}
 }
 
-// A host restarts while the platform is away and learns the targets from a peer
-// that has not yet heard that their data centre is emptied. It tells them to a
-// host that has. Callers of that one would be sent to emptied targets.
+// An older list of a peer ends an evacuation.
 func TestOlderListOfAPeerOpensNothing(t *testing.T) {
 	at := ident.Time(time.Second)
 	closed := reachTarget("a")
@@ -67,9 +64,7 @@
 	}
 }
 
-// The platform was away and entries lapsed though the targets live. They are
-// written anew within two seconds of its return; dropped at once, a whole data
-// centre would have nothing to serve with for as long.
+// Targets whose entries expired in an outage are dropped on its end.
 func TestLapsedEntriesAreWaitedFor(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := New(reachHost("w1", "west-a", "west"))
@@ -87,8 +82,7 @@
 	}
 }
 
-// An operator has a data centre emptied and takes that back. Its targets are
-// mostly cold then, and crash under the load that waits for them.
+// A cold target is overloaded after an evacuation.
 func TestTakenBackIsCold(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := New(reachHost("w1", "west-a", "west"))
@@ -107,9 +101,7 @@
 	}
 }
 
-// Several hosts may send to a target that has just started, each with views of
-// its own of who is there. Whatever they believe, what they send in any second
-// stays under the bound; beyond it the target crashes with all it was sent.
+// Hosts with different views overload a cold target.
 func TestColdTargetsGetTheirShare(t *testing.T) {
 	const bound = 6
 	for name, know := range map[string]bool{"hosts that know each other": true, "a host that has lost another": false} {
@@ -160,10 +152,7 @@
 	}
 }
 
-// Calls of a few milliseconds come to a target with six places from many hosts.
-// One answer happened to tell of six others; a moment later they are over. Taken
-// for there still, the target would get nothing until the next answer, and
-// callers would be refused before a target that is mostly idle.
+// A target stays unused by a load that is over.
 func TestBriefCallsAreNotCountedForLong(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := New(reachHost("w1", "west-a", "west"))
--- a/internal/member/kept_fail_test.go
+++ b/internal/member/kept_fail_test.go
@@ -11,9 +11,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// The summary that withdraws an offer is lost, and summaries that leave the
-// pools out go on coming. If these made the offer look new, requests would go
-// on crossing to a data centre that has no room for them.
+// Summaries without pools extend an offer.
 func TestOfferExpiresUnderSummariesWithoutPools(t *testing.T) {
 	w := newWorld(21, 2, 1, 4)
 	w.busy("dc1", 10)
@@ -35,8 +33,7 @@
 	}
 }
 
-// Two targets have the same key. If a host told of the work at one by it, peers
-// would count the work at the other, and send it nothing while it is idle.
+// The work at one target is counted at another with the same key.
 func TestTargetsOfOneKeyGoByTheirIDs(t *testing.T) {
 	first := make(map[event.TargetKey]ident.TargetID)
 	var one, two ident.TargetID
@@ -66,8 +63,7 @@
 	}
 }
 
-// A digest tells of work at a target that this host learns of later. Were it
-// lost, the target would look idle and draw the work of every host that starts.
+// The work of peers at a target that becomes known later is lost.
 func TestWorkAtATargetNotYetKnownCounts(t *testing.T) {
 	w := newWorld(25, 1, 2, 0)
 	tb, peer := w.nodes[0].tb, w.nodes[1].tb.Self()
@@ -86,9 +82,7 @@
 	}
 }
 
-// A data centre is heard of first by a summary that leaves its parts out: the
-// one before was lost. It must count as one whose hosts are not known, not as
-// one that has none, and peers must be asked for them.
+// A summary without hosts makes a data centre look empty.
 func TestPartsLeftOutAreNotNone(t *testing.T) {
 	w := newWorld(22, 2, 1, 1)
 	tb := w.nodes[0].tb
@@ -110,9 +104,7 @@
 	}
 }
 
-// The host that summaries go to restarts, or another takes its place. It holds
-// nothing of what was told, and must be told all with the next summary, not
-// only what has changed since.
+// A new receiver of summaries misses parts that were sent to another one.
 func TestNewReceiverIsToldAll(t *testing.T) {
 	w := newWorld(23, 2, 1, 1)
 	w.run(20*time.Second, nil)
@@ -152,9 +144,7 @@
 	}
 }
 
-// A target restarts with other slots, and the whole report of its new life is
-// lost. The next one leaves the slots out. Taken with those of the old life it
-// would draw more requests than there are slots.
+// A short report is completed from that of a former start.
 func TestShortReportOfANewIncarnationIsNotFilledFromTheOld(t *testing.T) {
 	w := newWorld(26, 1, 2, 1)
 	w.run(5*time.Second, nil)
@@ -173,9 +163,7 @@
 	}
 }
 
-// A region was cut off, and the speakers of many data centres try the hosts of
-// one there in turn. If all tried the same host at a time, that host alone would
-// pass all their summaries on in the second after the heal.
+// All representatives send to the same host after a partition.
 func TestSpeakersTryDifferentHostsOfACutOffDataCentre(t *testing.T) {
 	far := event.Place{DataCentre: "far", Region: "far"}
 	list := event.HostsRead{Version: 1}
--- a/internal/member/member_fail_test.go
+++ b/internal/member/member_fail_test.go
@@ -10,9 +10,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// The platform is away and a host is replaced. Its peers tell it the targets,
-// their loads and the other data centres, so that callers who come to it are
-// served within seconds.
+// A host that restarts during an outage of the platform can't serve.
 func TestRestartedHostLearnsFromPeers(t *testing.T) {
 	w := newWorld(1, 2, 3, 4)
 	w.run(10*time.Second, nil)
@@ -44,9 +42,7 @@
 	return out
 }
 
-// The process of a host is stopped for a minute and goes on. It must not take
-// the silence of its own sleep for that of everyone else, or it would refuse
-// the callers that wait at its door. The offer that it held is gone.
+// A host takes its own pause for the silence of others.
 func TestPausedHostKeepsItsPeersAndDropsItsOffers(t *testing.T) {
 	w := newWorld(2, 2, 2, 2)
 	w.busy("dc1", 10)
@@ -77,9 +73,7 @@
 	}
 }
 
-// The host that watches the platform loses its own way to it, while its peers
-// still hear it. If it kept the duty, no change of a profile would reach the
-// data centre, with every host looking healthy.
+// A watcher without the platform keeps the duty.
 func TestBlindWatcherHandsOver(t *testing.T) {
 	w := newWorld(3, 1, 3, 1)
 	w.run(5*time.Second, nil)
@@ -100,8 +94,7 @@
 	}
 }
 
-// The host that watches and speaks dies. Within four seconds another has its
-// duties, so that a change is in force in time.
+// The duties of a dead host stay with it.
 func TestDutiesPassOnFromASilentHost(t *testing.T) {
 	w := newWorld(4, 2, 3, 1)
 	w.run(5*time.Second, nil)
@@ -120,9 +113,7 @@
 	}
 }
 
-// A target refuses because it leaves, and the platform's list does not know it
-// yet. Every host of the data centre must know at once, and an old list or
-// report must not take it back: callers would see refusals until it is gone.
+// A drain notice is late, or reverted by an old list or report.
 func TestLeavingIsToldAtOnceAndSticks(t *testing.T) {
 	w := newWorld(5, 1, 3, 2)
 	w.run(5050*time.Millisecond, nil)
@@ -146,9 +137,7 @@
 	}
 }
 
-// A host drains. Its peers stop naming it to callers at once, and the other
-// data centre as soon as its relay has passed the word on, within two periods.
-// Named longer, it would turn callers away.
+// A draining host is named to callers.
 func TestLeavingHostIsNotNamed(t *testing.T) {
 	w := newWorld(6, 2, 2, 1)
 	w.run(10*time.Second, nil)
@@ -172,9 +161,7 @@
 	}
 }
 
-// An old report comes after a newer one, and a report of a run that has ended
-// after that of the next. Taken for true, they would draw work to a full
-// target.
+// A late load report replaces a newer one.
 func TestOldReportsAreIgnored(t *testing.T) {
 	w := newWorld(7, 1, 1, 1)
 	w.run(2*time.Second, nil)
@@ -191,8 +178,7 @@
 	}
 }
 
-// Reports lag. What this host and its peers have sent since counts at once, so
-// that a burst does not all go to the target that was idle a second ago.
+// A burst goes to the target that was idle in the last report.
 func TestSendsSinceTheReportCount(t *testing.T) {
 	w := newWorld(8, 1, 2, 1)
 	w.run(3*time.Second, nil)
@@ -238,8 +224,7 @@
 	}
 }
 
-// A rack comes back and many hosts start together, or the platform comes back
-// for all. Their reads of the list spread out instead of coming as one burst.
+// Hosts that start together read the list at the same moment.
 func TestReadsOfTheListAreSpread(t *testing.T) {
 	w := newWorld(9, 10, 6, 0)
 	before, most := 0, 0
@@ -266,9 +251,7 @@
 	}
 }
 
-// A failure of the link between one host and a target must not be forgotten
-// because a peer still reaches it: this host would go on sending there, and
-// each caller would wait for a retry.
+// The report of a peer clears failures of the link from this host.
 func TestPeersReportsDoNotClearOwnFailures(t *testing.T) {
 	w := newWorld(10, 1, 2, 4)
 	w.run(3*time.Second, nil)
@@ -295,10 +278,7 @@
 	}
 }
 
-// A host was restarted, and a digest of its former run, or an older copy of the
-// platform's list, comes late. Believed, they would bring back addresses and
-// states that are gone. After a long silence they are better than nothing: the
-// clock of the host, or the platform, has lost its count.
+// A digest of a former start or an older list reverts newer state.
 func TestFormerRunsAndListsAreNotBelieved(t *testing.T) {
 	tb := New(event.Host{ID: "e0", Incarnation: 1, Place: event.Place{DataCentre: "dc0"}})
 	digest := func(now ident.Time, inc ident.Incarnation) ident.Incarnation {
--- a/internal/member/near_test.go
+++ b/internal/member/near_test.go
@@ -58,10 +58,7 @@
 	}
 }
 
-// All hosts of the north are being replaced one after the other, and its
-// callers ask a host in the west where to connect. Some of their requests may
-// be served in the east only. Sent to the west, their bodies would come to a
-// region that is neither their home nor their callers' own.
+// A caller is sent to a region that is none of its homes.
 func TestNearbyKeepsToHomes(t *testing.T) {
 	at := ident.Time(time.Second)
 	got := nearWorld(at).Nearby(at, reachPlace("north-a", "north"), []ident.Region{"east"})
@@ -70,8 +67,7 @@
 	}
 }
 
-// The only host of the east has lost its power, and nothing more is heard of
-// it. Callers that are still sent there wait for connections that never stand.
+// Callers are sent to hosts that are silent.
 func TestNearbyLeavesOutTheSilent(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -84,8 +80,7 @@
 	}
 }
 
-// A host in the east was replaced a moment ago. The platform lists the new one,
-// and no summary tells of it yet. Its callers are led to it all the same.
+// A new host that no summary names yet is not used.
 func TestNearbyKnowsTheListed(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -100,9 +95,7 @@
 	}
 }
 
-// Every host of the east drains at the same time, and the homes of its callers
-// are cut off from the host that they ask. They are told of the draining ones,
-// which still serve, and never of a region that is no home of theirs.
+// Callers of a draining region are sent to foreign regions.
 func TestNearbyPrefersDrainingToForeign(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
--- a/internal/member/offer_test.go
+++ b/internal/member/offer_test.go
@@ -5,10 +5,7 @@
 	"time"
 )
 
-// Work that was passed on holds slots at the other data centre, so that its
-// next offer is of fewer. A host that took its own work off that offer again
-// would leave half of the spare capacity idle while its callers wait. One that
-// forgot what it has sent since would send too much.
+// Forwarded work is subtracted twice from an offer, or never.
 func TestOfferIsChargedWithWhatItDoesNotKnow(t *testing.T) {
 	w := newWorld(3, 2, 1, 4)
 	w.busy("dc1", 10)
--- a/internal/member/pace_test.go
+++ b/internal/member/pace_test.go
@@ -8,10 +8,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// The engines of a region have been busy since this host started: streams are
-// slow, and it has seen no others, while most slots are free. Another region
-// tells a pace four times as fast. Did this region still count its slots as room,
-// it would not ask for help, and would offer to help others.
+// A region with slow streams offers its free slots.
 func TestSlowStreamsLeaveNoRoom(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -41,9 +38,7 @@
 	}
 }
 
-// A region sent work to another at its own peak, and long streams of it still run
-// there when the other has its peak. It must be able to help in its turn before
-// the last of them has ended.
+// A region offers nothing until all work that it forwarded has ended.
 func TestRegionThatWasHelpedHelps(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
@@ -60,10 +55,7 @@
 	}
 }
 
-// Another region has its peak in a few seconds. Only if it holds an offer by
-// then does it send work when its streams slow down; were it to ask first, they
-// would be four times as slow before the answer had come. And an offer is a small
-// part of the spare slots: what is sent by it shows in the pace only seconds later.
+// A region has no offer at the start of its peak.
 func TestOffersOfPacedPoolsStand(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
--- a/internal/member/reads_test.go
+++ b/internal/member/reads_test.go
@@ -9,9 +9,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Twenty hosts stand before the targets of a region. If each read the platform's
-// store all the time, calls to it would grow with the hosts. Two do, and when both
-// freeze others take over before callers of a leaving target would notice.
+// Calls to the store grow with the hosts, or none reads after both readers have frozen.
 func TestTwoHostsReadForTheOthers(t *testing.T) {
 	const n = 20
 	host := func(i int) event.Host { return reachHost(fmt.Sprint("w", i), "west-a", "west") }
--- a/internal/member/stale_test.go
+++ b/internal/member/stale_test.go
@@ -155,8 +155,7 @@
 	}
 }
 
-// Hosts of another data centre that were missing for a while are not relayed, so that peers never
-// learn that they are back.
+// Peers do not learn that hosts of another data centre are back.
 func TestReturnedHostsAreRelayed(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb, peer := pairOf(at)
--- a/internal/member/start_test.go
+++ b/internal/member/start_test.go
@@ -14,9 +14,7 @@
 	return tg
 }
 
-// The platform's list tells no incarnations, and the first load report of a target
-// tells its own while a request is there. Taken for a new start it breaks the request
-// off: a caller whose notice was being published is told that nobody knows whether it was.
+// The first incarnation of a target breaks off its requests.
 func TestFirstWordOfAnIncarnationIsNoNewStart(t *testing.T) {
 	at := ident.Time(time.Second)
 	tb := New(reachHost("w1", "west-a", "west"))
@@ -42,8 +40,7 @@
 	}
 }
 
-// The list says that a target leaves and tells no incarnation. Were its leaving
-// forgotten with the first report of its load, it would be sent work until it is gone.
+// The first incarnation of a target reverts its drain notice.
 func TestFirstWordOfAnIncarnationKeepsTheTargetLeaving(t *testing.T) {
 	at := ident.Time(time.Second)
 	leaving := unnamedTarget("a")
--- a/internal/member/summary_test.go
+++ b/internal/member/summary_test.go
@@ -50,9 +50,7 @@
 	}
 }
 
-// The host of another data centre that a summary goes to is frozen, and the
-// data centre is cut off from the platform. A change would be in force there
-// only seconds later, with the next summary at the slow pace.
+// A frozen receiver delays a change in a data centre that is cut off.
 func TestNewRevisionIsToldToTheNextHost(t *testing.T) {
 	start := ident.Time(time.Hour)
 	tb, _ := speaker(start)
@@ -68,9 +66,7 @@
 	}
 }
 
-// A peer puts a change in force a moment after the host that speaks. An
-// operator who waits for it to be in force everywhere would wait for the next
-// summary at the slow pace.
+// A change in force everywhere is reported seconds late.
 func TestLowestRevisionIsToldAtOnce(t *testing.T) {
 	start := ident.Time(time.Hour)
 	tb, peer := speaker(start)
@@ -87,8 +83,7 @@
 	}
 }
 
-// Both targets of a region crash, and for some seconds the others pass it work that
-// nobody there can run. So the loss of a target is told at once.
+// Work is forwarded to a region that has lost its targets.
 func TestLossOfTargetsIsNews(t *testing.T) {
 	two := []event.Pool{{Service: "writers", Targets: 2, Slots: 256, Free: 200}}
 	none := []event.Pool{{Service: "writers", Targets: 0, Slots: 256, Free: 200}}
--- a/internal/member/use_test.go
+++ b/internal/member/use_test.go
@@ -9,10 +9,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Hosts of a region send prompts to the same engines, which read them within a few tenths
-// of a second. Told once a second, each fills engines that the others have just filled.
-// In a small region they tell each other more often; in a large one the sum stays bounded,
-// and nothing is told where nothing is read.
+// Hosts of a small region fill engines that others have just filled.
 func TestHostsTellWhatTheySentMoreOftenInSmallRegions(t *testing.T) {
 	for _, c := range []struct {
 		peers       int
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -14,10 +14,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Hosts are paused, restarted and cut off while messages are lost, doubled and
-// crossed. A user would notice a fault here as work sent to a target that
-// leaves, as two data centres that send each other their work, or as a data
-// centre to which no change of a profile comes any more.
+// State of hosts diverges under pauses, restarts, partitions and lost messages.
 func TestWorldKeepsItsInvariants(t *testing.T) {
 	rapid.Check(t, playWorld)
 }
@@ -309,8 +306,7 @@
 	}
 }
 
-// A recorded run is replayed to find out why a request went where it did. If
-// the order of a map showed, the replay would tell another story.
+// A recorded run replays with other effects.
 func TestSameInputsGiveSameEffects(t *testing.T) {
 	play := func() []byte {
 		w := newWorld(7, 3, 3, 4)
@@ -329,8 +325,7 @@
 	}
 }
 
-// Both data centres were near full in turn. The one that is short gets an offer
-// from the other, which grows from a small share, and gives it back.
+// A data centre gets no offer after a partition, or keeps it.
 func TestOfferGrowsAfterAHeal(t *testing.T) {
 	w := newWorld(3, 2, 1, 4)
 	w.busy("dc1", 10)
@@ -365,9 +360,7 @@
 	}
 }
 
-// Two data centres are rich and poor in turn, over links that are slow and
-// lose. If each held an offer of the other, requests of both would cross at the
-// same time, and every caller would wait for two ways and a cold cache.
+// Two data centres hold offers of each other.
 func TestTwoDataCentresNeverSwapWork(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rapid.Int64().Draw(rt, "seed"), 2, rapid.IntRange(1, 2).Draw(rt, "hosts"), 2)
@@ -387,9 +380,7 @@
 	})
 }
 
-// The free part of a pool swings about the marks. If it began and stopped to
-// offer at one mark, the other data centres would cross and turn back each
-// second, and each time find cold caches.
+// Offers flap about a mark.
 func TestOfferHysteresisAgreesWithHistory(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		p := &pool{}
@@ -419,9 +410,7 @@
 	})
 }
 
-// Three data centres ask at once. The spare slots are split between them, and
-// each part between the hosts there; if each were offered the whole, all would
-// come at once and find queues.
+// Spare slots are offered to several data centres at once.
 func TestOfferIsSplit(t *testing.T) {
 	w := newWorld(13, 4, 2, 4)
 	for _, dc := range []ident.DataCentre{"dc1", "dc2", "dc3"} {
@@ -441,8 +430,7 @@
 	}
 }
 
-// A data centre sends its own work away, as any of its hosts tells. If it took
-// in the work of others meanwhile, the two would swap work and pay both ways.
+// A data centre that forwards work accepts that of others.
 func TestPoolThatSendsWorkAwayOffersNothing(t *testing.T) {
 	w := newWorld(11, 2, 2, 4)
 	w.busy("dc1", 10)
@@ -473,8 +461,7 @@
 	}
 }
 
-// An offer comes late, after this data centre has begun to offer itself or
-// while its own offer may still be held on the other side.
+// A late offer is used while the other side holds one of this one.
 func TestOfferIsNotUsedAgainstTheOwnOffer(t *testing.T) {
 	w := newWorld(12, 2, 1, 4)
 	w.run(15*time.Second, nil)
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -52,9 +52,7 @@
 	return b
 }
 
-// Changes and snapshots come late, doubled, out of order and with gaps, from
-// the platform and from peers. An operator whose change is reported as in
-// force and then reverts would approve by a state that no longer holds.
+// A late or doubled change reverts the configuration.
 func TestRevisionNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := New(event.Host{ID: "uvs-1"})
@@ -86,8 +84,7 @@
 	})
 }
 
-// A peer was away for longer than the changes that are kept one by one. If it
-// got only the newest of them, it would wait for the missing ones for ever.
+// A peer that lacks old changes waits for them forever.
 func TestLaggingPeerGetsTheWholeBook(t *testing.T) {
 	s := New(event.Host{ID: "uvs-1"})
 	for rev := ident.Revision(1); rev <= keepChanges+10; rev++ {
@@ -111,8 +108,7 @@
 	}
 }
 
-// The platform goes away and comes back. If every host asked again at the
-// same moments, the first answers would be followed by another outage.
+// All hosts retry the platform at the same moments.
 func TestRetriesOfHostsAreSpread(t *testing.T) {
 	at := make(map[ident.Time]int)
 	for i := range 45 {
@@ -135,9 +131,7 @@
 // inForceWithin is the time in which an accepted change has to be in force.
 const inForceWithin = 4 * time.Second
 
-// The platform comes back after a long outage, and an operator changes a
-// profile at once. A data centre that is cut off from the others and has just
-// begun a long wait would go on by the old profile.
+// A backoff delays a change beyond its bound.
 func TestNoWaitOutlastsAChange(t *testing.T) {
 	for i := range 45 {
 		s := New(event.Host{ID: ident.EntryID(fmt.Sprint("host-", i))})
@@ -150,10 +144,7 @@
 	}
 }
 
-// A host starts on a narrow link and hears of a newer configuration from all its
-// peers at once. If each sent it whole, the link would be busy for seconds and
-// callers would be turned away meanwhile; if only one were asked for good, a
-// peer that is gone would keep the host on the old configuration.
+// All peers send the whole configuration, or a dead one is asked forever.
 func TestOnePeerIsAskedAtATime(t *testing.T) {
 	sp := New(event.Host{ID: "e0"})
 	at := ident.Time(time.Second)
@@ -174,10 +165,7 @@
 	}
 }
 
-// Most hosts of a data centre read the platform now and then only, and hear of a
-// new configuration from the two that read it all the time. If all asked these for
-// it, their links would be busy for seconds; if none could, a host that is cut off
-// from the platform would keep the old one.
+// Active readers are asked by all hosts for each configuration.
 func TestPlatformIsReadBeforePeersAreAsked(t *testing.T) {
 	sp := New(event.Host{ID: "e0"})
 	sp.ReadFirst(true)
