--- a/internal/core/foreign_test.go
+++ b/internal/core/foreign_test.go
@@ -11,10 +11,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// A caller loses its connection while its job runs and sends the job again to
-// another host. That host knows from the record of the key who owns it, and
-// nothing of the run. Told "not run", the caller would do the work by other
-// means, and a notice would be out twice.
+// A repeat at another host is answered "not run" though the job runs.
 func TestRepeatAtAnotherHostIsUnknown(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	w.send("uvs-0", "publish", "notice", "", "key-1", 10*time.Second)
--- a/internal/core/limit_test.go
+++ b/internal/core/limit_test.go
@@ -11,9 +11,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// Two hosts share the limit of an account, and one is taken away for good. Its
-// callers go to the other. If its last demand kept its share, they would be
-// refused at half of their limit for as long as the other host lives.
+// The share of a removed host in a limit is never used again.
 func TestShareOfAGoneHostIsFree(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	const perSecond = 10
--- a/internal/core/overload_test.go
+++ b/internal/core/overload_test.go
@@ -168,11 +168,7 @@
 	}
 }
 
-// More and more callers ask at once, up to four times of what the engines can read, and
-// who is refused comes back. Were those served that have waited the longest, all would
-// be answered just too late; a host that serves as many as it can in time answers as many
-// at four times the load as at any other. And nobody is refused while an engine could
-// have begun the answer in time.
+// Goodput falls under overload, as all requests are answered just too late.
 func TestGoodputHoldsUnderOverload(t *testing.T) {
 	most := 0
 	for _, load := range []float64{0.5, 1, 1.5, 2, 4} {
--- a/internal/core/promise_test.go
+++ b/internal/core/promise_test.go
@@ -16,12 +16,7 @@
 	"verbenadale.example/verbenadale/pkg/value"
 )
 
-// Links between regions and to the platform are cut one way or both and heal,
-// hosts freeze, die and come back, targets break off after they have run or
-// leave, operators change the configuration, and callers send the same job
-// again, here and elsewhere. A user would notice a fault as a notice that is
-// out twice, a job told not to have run that did, data in the wrong region, or
-// no answer.
+// A promise is broken under partitions, freezes, restarts and changes.
 func TestPromisesUnderFailure(t *testing.T) {
 	saw := make(map[string]int)
 	rapid.Check(t, func(rt *rapid.T) {
@@ -52,11 +47,7 @@
 	}
 }
 
-// All services of one region are gone, so that its jobs go to other regions,
-// over links that break at any moment of the way: before the job arrives,
-// while it runs, or after it has run and before its answer is back. The host
-// there may freeze or restart meanwhile. A job that is sent again on a guess
-// runs twice, and one that is called not run on a guess is done again by hand.
+// A forwarded job runs twice, or is reported as not run after it has run.
 func TestOnceAcrossRegions(t *testing.T) {
 	saw := make(map[string]int)
 	rapid.Check(t, func(rt *rapid.T) {
@@ -192,9 +183,7 @@
 	return string(from) + ">" + string(to)
 }
 
-// A region loses its links to the others and to the platform, and one of its
-// two hosts is replaced meanwhile by one that knows nothing. Its callers would
-// notice a system that refuses them although their own targets are idle.
+// A region that is cut off refuses its own callers.
 func TestCutOffRegionServesOn(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	for _, r := range regions[1:] {
@@ -217,9 +206,7 @@
 	}
 }
 
-// An operator's change is accepted while a data centre is cut off from the
-// platform. If it learned of the change only after the heal, its callers would
-// be served by rules that no longer hold.
+// A data centre that is cut off from the platform misses a change.
 func TestChangeReachesACentreWithoutPlatform(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	for n := range hostsPerCentre {
@@ -235,8 +222,7 @@
 	}
 }
 
-// A target begins to leave while the platform's list still shows it as live.
-// Work that it gets after a few seconds would be cut when it stops.
+// A draining target gets new work while the list lags.
 func TestLeavingTargetGetsNothingNew(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	tg := w.Target("uvs-e0")
@@ -259,8 +245,7 @@
 	w.settle()
 }
 
-// A host is told to stop while requests run. Every one of them must end, and
-// what comes after must be sent elsewhere at once.
+// A drain cuts requests in flight or accepts new ones.
 func TestDrainCutsNothing(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	var before []ident.RequestID
@@ -286,9 +271,7 @@
 	}
 }
 
-// A request arrives with an envelope that was forged, or was made under an
-// older profile, or has come round. Served, data would stand in a region that
-// its rule forbids, or a request would go round until its deadline.
+// A forged or outdated envelope moves data out of its region or makes a request circulate.
 func TestEnvelopesAreCheckedAgain(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
@@ -318,9 +301,7 @@
 	}
 }
 
-// Two regions are both full, and each has heard a moment ago that the other is
-// idle. If each passed its work to the other, every request would cross, and
-// none would be served sooner.
+// Two full regions forward their work to each other.
 func TestFullRegionsDoNotSwapWork(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	for range 40 {
@@ -339,9 +320,7 @@
 	}
 }
 
-// The link to the peer that runs a job breaks, the peer is asked what became
-// of it, and meanwhile a second end of the same attempt comes in. If it were
-// taken for news, one try would start for it and one for the peer's answer.
+// A second end of an attempt starts a second try.
 func TestSecondEndOfAnAttemptIsIgnored(t *testing.T) {
 	w := newWorld(t.Fatalf)
 	for _, tg := range w.Targets {
--- a/internal/core/queue_test.go
+++ b/internal/core/queue_test.go
@@ -83,10 +83,7 @@
 	s.step(event.AttemptEnded{Attempt: a, Result: event.ResultDone, Delivered: 50, Generated: 50})
 }
 
-// The engine at home is full and requests wait here, while another data centre
-// offers room. A crossing is to gain a second. Callers behind a short queue
-// wait for it; behind a long one they cross, or they would be refused with
-// room known elsewhere.
+// A long queue waits though another data centre has offered room.
 func TestLongQueueCrosses(t *testing.T) {
 	for _, tc := range []struct {
 		every time.Duration
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -95,9 +95,7 @@
 	return effs
 }
 
-// A target fails half of its calls. Each failed one is tried once more within
-// the budget of the service, and past it callers get the target's own failure;
-// without the budget a target in trouble would get twice its load.
+// Retries exceed the budget of a failing target.
 func TestSecondTriesKeepToTheBudget(t *testing.T) {
 	p := newPost(t, 4, core.Bounds{RetryRatio: 0.2, RetryFloor: 10})
 	p.now = p.now.Add(retry.Window)
@@ -131,8 +129,7 @@
 	return append(effs, p.red.Step(p.now, event.Tick{})...)
 }
 
-// A booking may have run when its target breaks off. It is never sent again,
-// and its caller hears nothing that promises it did not run.
+// A call that is not idempotent is repeated, or promised not to have run.
 func TestRoutedOnceIsNeverRepeated(t *testing.T) {
 	for _, res := range []event.Result{event.ResultBroken, event.ResultFailed} {
 		p := newPost(t, 4, core.Bounds{RetryRatio: 1, RetryFloor: 100})
@@ -150,8 +147,7 @@
 	}
 }
 
-// Nothing of a call reached its target, which could not be connected to. That
-// costs no target anything, so it is tried elsewhere whatever the budget.
+// A request that was never sent is not tried elsewhere.
 func TestUnsentGoesElsewhere(t *testing.T) {
 	p := newPost(t, 3, core.Bounds{})
 	p.n++
@@ -168,9 +164,7 @@
 	}
 }
 
-// A stream breaks off in the middle and its caller has the beginning. The
-// target that goes on answers with a failure of its own, which must not be taken
-// for the end.
+// The failure of a second target ends a broken stream as complete.
 func TestHeldFailureIsNotForHalfAStream(t *testing.T) {
 	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
 	p.now = p.now.Add(retry.Window)
@@ -190,8 +184,7 @@
 	}
 }
 
-// All targets are too far behind for a request to start in time. It is refused
-// at once with when to come back, and not held until its deadline.
+// A request that can't start in time is held until its deadline.
 func TestHopelessIsRefusedAtOnce(t *testing.T) {
 	p := newPost(t, 1, core.Bounds{})
 	long := func(i int) []event.Effect {
@@ -221,8 +214,7 @@
 	}
 }
 
-// A host that drains serves callers that still come to it for a while and turns
-// them away after, saying that nothing ran.
+// A draining host refuses callers at once, or serves them for too long.
 func TestDrainingServesForAWhile(t *testing.T) {
 	p := newPost(t, 1, core.Bounds{DrainServe: 2 * time.Second, DrainLeast: 3 * time.Second})
 	p.step(event.DrainAsked{})
@@ -235,9 +227,7 @@
 	}
 }
 
-// A stream breaks off in the middle, and no target at home is left for its rest. The
-// region that gets it has no room and no target there has seen it. Counted as the last try,
-// its caller would have an answer that ends in the middle, with most of its time left.
+// The rest of a stream is dropped after another region has refused it.
 func TestRestOfAStreamThatIsTurnedAwayIsPlacedAgain(t *testing.T) {
 	p := newPost(t, 1, core.Bounds{RetryRatio: 1, RetryFloor: 100})
 	p.now = p.now.Add(retry.Window)
@@ -275,10 +265,7 @@
 	}
 }
 
-// The rest of a stream comes from another region while all places are taken for longer than
-// the goal of a new request. Its caller has the beginning, so that it is held until there is
-// a place; refused at its goal, the answer would end in the middle. One that is new is
-// refused then, and the host that passed it on is told that no target has seen it.
+// The rest of a stream is refused after the goal of a new request.
 func TestRestOfAStreamIsHeldForAPlace(t *testing.T) {
 	for _, begun := range []bool{true, false} {
 		p := newPost(t, 1, core.Bounds{})
@@ -315,10 +302,7 @@
 	}
 }
 
-// The only host of a region drains, and its callers know no other. What has its last time
-// before the drain's end is served until then; refused, its callers had no answer at all.
-// What may last longer is refused, however short such answers usually are: it would be cut
-// in the middle where its engine has become slow.
+// The only host of a region refuses callers while it drains, or cuts their requests.
 func TestDrainingServesWhatEndsInTime(t *testing.T) {
 	p := newPost(t, 1, core.Bounds{DrainServe: 2 * time.Second, DrainLeast: 4 * time.Second, DrainEnd: 6 * time.Second})
 	for range 4 {
@@ -353,9 +337,7 @@
 	}
 }
 
-// Every place of the only engine is taken by answers that take a second. The
-// next request waits for the first of them to end; it is refused neither at once
-// nor because its answer may be long, as most answers are not.
+// A request is refused though a slot is about to be free.
 func TestBriefWaitIsNoRefusal(t *testing.T) {
 	p := newPost(t, 1, core.Bounds{})
 	arrive := func(i int) []event.Effect {
@@ -391,8 +373,7 @@
 	t.Fatal("the engine is never full")
 }
 
-// Under load every answer of a service comes late. An attempt is not taken for
-// lost before what is usual by then, or all of them would be made twice.
+// Late answers under load are broken off and made twice.
 func TestPatienceFollowsTheService(t *testing.T) {
 	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
 	before := p.send("draft").IdleTimeouts.First
@@ -408,9 +389,7 @@
 	}
 }
 
-// Engines are so busy that answers begin after the goal, and none is lost. An attempt that
-// is broken off then is read a second time elsewhere, and its answer is late all the same:
-// its caller gains nothing, and all others wait longer.
+// Late streams are prefilled a second time without gain.
 func TestLateStreamsAreNotReadTwice(t *testing.T) {
 	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
 	for range 20 {
@@ -424,8 +403,7 @@
 	}
 }
 
-// A request whose goal is nearly all of its time waits for a place. It is given
-// up while there is time to come back, and not held to its deadline.
+// A request is queued until its caller has no time to come back.
 func TestWaitLeavesTimeToComeBack(t *testing.T) {
 	p := newPost(t, 1, core.Bounds{})
 	for range 200 {
@@ -453,10 +431,7 @@
 	t.Fatal("the engine is never full")
 }
 
-// All hosts are killed and start again at the same moment, before targets that
-// fail. None knows of the second tries that it made before. Each with its whole
-// part of the floor at once, they would together make twice what the service may
-// get in a window.
+// Hosts that restart together exceed the retry budget.
 func TestFreshHostHasHalfOfItsFloor(t *testing.T) {
 	p := newPost(t, 4, core.Bounds{RetryRatio: 0.001, RetryFloor: 50})
 	tries := func() int {
@@ -480,9 +455,7 @@
 	}
 }
 
-// All hosts of a region have lost power, and one is back before it has heard of any other
-// region. A request that may only run elsewhere comes in that moment; refused, it would
-// come back when its goal has passed.
+// A fresh host refuses what can run in a region that it has not seen yet.
 func TestFreshHostHoldsWhatHasNoPlaceYet(t *testing.T) {
 	p := newPost(t, 0, core.Bounds{})
 	id := ident.RequestID("early")
@@ -506,9 +479,7 @@
 	}
 }
 
-// A host of the region has brought a long beginning to an engine. Another host that is
-// asked for it knows nothing of that by itself: it would have the beginning read once
-// more at an engine of its own choice, as each of twenty hosts would.
+// A prefix that a peer has sent to an engine is prefilled by another one.
 func TestPeersTellWhoHoldsABeginning(t *testing.T) {
 	const blocks, own = 12, 4
 	prompt := func(id string, p *post) event.Request {
--- a/internal/core/same_test.go
+++ b/internal/core/same_test.go
@@ -70,9 +70,7 @@
 	}},
 }
 
-// A fault is reported from a running host, its record is replayed, and the
-// replay decides otherwise: the order of a map, a clock or a random number has
-// found its way into a decision, and the fault can't be looked into.
+// A replay of recorded events decides otherwise.
 func TestSameEventsGiveSameEffects(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorldOf(rt.Fatalf, func(self event.Host) drive.Reducer {
--- a/internal/core/sign_test.go
+++ b/internal/core/sign_test.go
@@ -13,10 +13,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// A load begins, some answers of an engine fail at once, and the others go on
-// streaming for a long time. Counted by ends alone, the engine is suspect after
-// three failures, and new callers are refused by a host whose engine is at
-// work for others.
+// An engine that streams is suspected after a burst of failures.
 func TestFirstTokensAreSignsOfLife(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
--- a/internal/front/answer_test.go
+++ b/internal/front/answer_test.go
@@ -71,8 +71,7 @@
 
 const streamChat = `{"model":"draft","stream":true,"messages":[{"role":"user","content":"hi"}]}`
 
-// A stream ends with its mark, and the outcome comes after it as a trailer
-// that was announced before.
+// A stream lacks its end mark or its trailer.
 func TestStream(t *testing.T) {
 	b := newBench(t, streamed(3))
 	rep := b.send(t, call{"POST", chatPath, streamChat, nil})
@@ -84,9 +83,7 @@
 	check(t, "names the request", true, strings.Contains(rep.body, rep.header.Get(HeaderRequest)))
 }
 
-// The engine dies in the middle of a stream and no other may go on. The caller
-// gets an error event and a cut connection, and never the end mark: a client
-// that showed the part as the whole would publish half a notice.
+// A broken stream gets an end mark.
 func TestStreamCut(t *testing.T) {
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -98,8 +95,7 @@
 	check(t, "no end mark", false, strings.Contains(rep.body, "[DONE]"))
 }
 
-// An engine answers a request for a stream with a refusal of its own. The
-// caller gets it as it is, with no end mark of a stream behind it.
+// A plain refusal of an engine gets the end mark of a stream.
 func TestStreamAnsweredPlain(t *testing.T) {
 	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -112,8 +108,7 @@
 	check(t, "outcome", "done", rep.header.Get(HeaderOutcome))
 }
 
-// Method, query, allowed headers and body of a service call pass through, and
-// so do status and allowed headers of its answer. Keys and cookies do not.
+// A service call loses its method, query, body or status, or leaks keys and cookies.
 func TestService(t *testing.T) {
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
--- a/internal/front/refuse_test.go
+++ b/internal/front/refuse_test.go
@@ -74,9 +74,7 @@
 	{"ticket outside", call{"POST", "/v1/tickets?profile=far", "", nil}},
 }
 
-// Callers send requests that are broken, forged or meant for elsewhere. Each
-// gets an answer that tells what to change, with a stable code, and no target
-// sees anything of it.
+// A malformed or forged request reaches a target.
 func TestBadInput(t *testing.T) {
 	b := newBench(t, plainAnswer)
 	var out strings.Builder
@@ -101,10 +99,7 @@
 	check(t, "requests that reached the reducer", 0, len(b.reqs))
 }
 
-// A caller in Ulaanbaatar asks a host that the profile confines its data away
-// from. With "Expect: 100-continue" it waits for leave to send the body, and
-// the host answers at once with the address to use: the memories of the family
-// never leave the caller's machine.
+// A body is read at a host where its profile forbids it.
 func TestBodyNeverSent(t *testing.T) {
 	b := newBench(t, plainAnswer)
 	_, br := b.raw(t, "POST "+chatPath+" HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer key\r\n"+
@@ -119,8 +114,7 @@
 	check(t, "names the entry to use", true, strings.Contains(string(text), "http://192.0.2.1:8080"))
 }
 
-// Senders that dribble their bodies hold requests open until the host takes no
-// more. Each is cut off after the time for bodies, and told why.
+// Slow bodies hold requests open without bound.
 func TestSlowBody(t *testing.T) {
 	b := newBench(t, plainAnswer, func(cfg *Config) { cfg.BodyTime = 50 * time.Millisecond })
 	_, br := b.raw(t, "POST "+chatPath+" HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer key\r\nContent-Length: 100\r\n\r\n{")
@@ -134,8 +128,7 @@
 	check(t, "code", true, strings.Contains(string(text), string(codes.SlowBody.ID)))
 }
 
-// A long answer takes many times the limit for bodies. The limit must not cut
-// it off.
+// The limit for bodies cuts a long answer.
 func TestLongAnswerAfterBody(t *testing.T) {
 	const limit = 50 * time.Millisecond
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
@@ -145,9 +138,7 @@
 	check(t, "status", http.StatusOK, b.send(t, call{"POST", chatPath, goodChat, nil}).status)
 }
 
-// A flood of bodies, each allowed, comes at once and stays open. The memory
-// they take together is bounded: those beyond it are refused, and the host
-// serves again once the flood has gone.
+// Bodies together exceed the memory of the host.
 func TestFloodOfBodies(t *testing.T) {
 	const room = 16 << 10
 	b := newBench(t, plainAnswer, func(cfg *Config) {
@@ -172,8 +163,7 @@
 	check(t, "calls at the target", int32(1), b.hits.Load())
 }
 
-// More requests than the host may hold are in flight. One more is refused at
-// once with when to come back, and holds nothing.
+// A request beyond the limit is held instead of refused.
 func TestTooManyRequests(t *testing.T) {
 	goOn := make(chan struct{})
 	arrived := make(chan struct{}, 1)
@@ -192,9 +182,7 @@
 	check(t, "the first", http.StatusOK, (<-s.done).status)
 }
 
-// The reducer refuses with a wait of part of a second. Retry-After rounds up,
-// since coming back too early would meet the same refusal; the JSON has it in
-// milliseconds.
+// Retry-After is rounded down.
 func TestRetryAfter(t *testing.T) {
 	b := newBench(t, plainAnswer)
 	b.refuse = &event.Refuse{
@@ -214,8 +202,7 @@
 	check(t, "entries", []string{"http://192.0.2.9:1"}, ans.Error.Entries)
 }
 
-// A repeat must be told from another request under the same key. Account,
-// profile and key each make another key; method, path and body another print.
+// A repeat is confused with another request under the same key.
 func TestKeyDigests(t *testing.T) {
 	b := newBench(t, plainAnswer)
 	ask := func(path, key, body string) event.Request {
--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -20,9 +20,7 @@
 	return Config{Self: hostAt(id, dc, ports.Next()), Times: ts}
 }
 
-// A process is frozen. Its kernel goes on to confirm what it is sent, so that
-// no write fails, and a caller whose request was passed to it would wait for
-// its whole deadline.
+// A forwarded request waits for a frozen host until its deadline.
 func TestFrozenPeerIsNoticed(t *testing.T) {
 	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{
 		Tick: 20 * time.Millisecond, Ping: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
@@ -44,8 +42,7 @@
 	}
 }
 
-// Two hosts that have nothing to say must not take each other for frozen, or
-// links would break again and again in a quiet night.
+// A link without traffic is closed as silent.
 func TestQuietPeersStayLinked(t *testing.T) {
 	ts := Times{Tick: 20 * time.Millisecond, Ping: 100 * time.Millisecond, Silence: 2 * time.Second}
 	x, y := pair(t, hostCfg(t, "uvs-1", "uvs", ts), hostCfg(t, "uvs-2", "uvs", ts), nil)
@@ -57,8 +54,7 @@
 	}
 }
 
-// A peer keeps its connection and reads nothing. If the control thread waited
-// for it, every decision of the host would stand still.
+// A peer that reads nothing blocks the control thread.
 func TestSlowPeerHoldsUpNobody(t *testing.T) {
 	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{}), nil)
 	slow := hostAt("uvs-2", "uvs", "127.0.0.1:1")
@@ -86,8 +82,7 @@
 	}
 }
 
-// A queue that is full loses its oldest digest, which the next replaces, and
-// never a change of the configuration that is in it.
+// A full queue drops a change of the configuration.
 func TestQueueDropsTheOldestDigest(t *testing.T) {
 	q := queue{most: 3}
 	name := func(s string, ages bool) item { return item{frame: []byte(s), ages: ages} }
@@ -109,9 +104,7 @@
 	}
 }
 
-// Every host with a link to every other would not scale. A link to another
-// data centre goes when it is idle and comes back when it is needed, without
-// losing the message that needed it.
+// An idle link to another data centre stays open, or loses the message that reopens it.
 func TestIdleFarLinkIsClosed(t *testing.T) {
 	ts := Times{Tick: 20 * time.Millisecond, Idle: 200 * time.Millisecond}
 	x, y := pair(t, hostCfg(t, "uvs-1", "uvs", ts), hostCfg(t, "khovd-1", "khovd", ts), nil)
@@ -125,9 +118,7 @@
 	})
 }
 
-// A host is replaced under its name while the connection of its last run still
-// seems to stand. Messages must go to the new run, and the old one must not
-// come back.
+// Messages for a restarted host go to its former start.
 func TestNewerRunReplacesTheOlder(t *testing.T) {
 	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{}), nil)
 	old := hostAt("uvs-2", "uvs", "127.0.0.1:1")
@@ -158,8 +149,7 @@
 	}
 }
 
-// Somebody opens connections and says nothing. Were they kept, no entry host
-// could link any more once the places are taken.
+// Silent connections use up all places.
 func TestSilentConnectionsHoldNoPlace(t *testing.T) {
 	cfg := hostCfg(t, "uvs-1", "uvs", Times{Hello: 300 * time.Millisecond})
 	cfg.Bounds.Handshakes = 1
@@ -175,8 +165,7 @@
 	eventually(t, "a host links", func() bool { return x.has(isUp("uvs-2")) })
 }
 
-// A peer announces a message of four gigabytes. The session ends for that reason, and the
-// host serves on. The peer's own write may already tell of the end that it brings about.
+// The announced length of a message is allocated.
 func TestHugeMessageEndsTheSession(t *testing.T) {
 	x := startNode(t, hostCfg(t, "uvs-1", "uvs", Times{}), nil)
 	p := mustConnect(t, x, hostAt("uvs-2", "uvs", "127.0.0.1:1"))
@@ -192,8 +181,7 @@
 	linked(t, x, startNode(t, b, nil))
 }
 
-// A host of another data centre sends a digest. Taken for one of this data
-// centre's, it would be counted among those that share its targets.
+// The digest of a host of another data centre is merged.
 func TestFarDigestIsDropped(t *testing.T) {
 	x, y := pair(t, hostCfg(t, "uvs-1", "uvs", Times{}), hostCfg(t, "khovd-1", "khovd", Times{}), nil)
 	linked(t, x, y)
@@ -204,8 +192,7 @@
 	}
 }
 
-// Hosts that all dial at the same moment after a partition would do so again
-// at each further moment, unless their waits are spread.
+// All hosts dial at the same moments after a partition.
 func TestBackoffIsSpreadAndBounded(t *testing.T) {
 	ts := Times{Backoff: 100 * time.Millisecond, MaxBackoff: 5 * time.Second}
 	if diff := cmp.Diff(time.Duration(0), backoff(ts, 0)); diff != "" {
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -30,8 +30,7 @@
 	sink.Finish(event.Done)
 }
 
-// A request that another host serves gets its whole answer, whatever the
-// length of its body.
+// A forwarded request loses a part of its body or answer.
 func TestForward(t *testing.T) {
 	var mu sync.Mutex
 	var got event.Request
@@ -67,9 +66,7 @@
 	}
 }
 
-// The receiver refuses, since its newer configuration confines the profile to
-// other places. Had the sender put the body on the line at once, a family's
-// memories would already lie in the memory of a host abroad.
+// The body of a request is sent to a host that refuses it.
 func TestRefusedBodyIsNotSent(t *testing.T) {
 	const secret = "a long memory that may not leave its home"
 	x, y := pair(t, Config{}, Config{}, func(_ context.Context, _ serve.Call, _ event.Request, sink serve.Sink) {
@@ -90,8 +87,7 @@
 	}
 }
 
-// The receiver's process ends in the middle of an answer. The caller would
-// get the first half of a notice and take it for the whole.
+// An answer that breaks off is delivered as whole.
 func TestHalfAnswerIsNeverWhole(t *testing.T) {
 	half := func(_ context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
 		_, _ = c.ReadBody()
@@ -106,8 +102,7 @@
 	}
 }
 
-// An end frame says "done" of more bytes than have come. A piece is missing,
-// and the caller must not be given the rest as the whole.
+// An answer that lacks a part is delivered as whole.
 func TestDoneOfMoreBytesIsBroken(t *testing.T) {
 	c := &pass{begun: true, bodySent: true, bytes: 3}
 	end := c.judge(wire.FromEnd(event.AttemptEnded{Result: event.ResultDone}, 4))
@@ -116,8 +111,7 @@
 	}
 }
 
-// The receiver says "not run" of a request whose answer has begun, by a fault
-// of its own. Believed, the request would be run again elsewhere.
+// A request is run again after a part of its answer has come.
 func TestNotRunAfterDataIsNotBelieved(t *testing.T) {
 	x, y := pair(t, Config{}, Config{}, func(_ context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
 		_, _ = c.ReadBody()
@@ -130,8 +124,7 @@
 	}
 }
 
-// No link to the host stands and none can be made. The request has not left,
-// which the caller must be told as such and soon.
+// A request without a link is not reported as not run.
 func TestNoLinkIsNotRun(t *testing.T) {
 	x := startNode(t, Config{
 		Self: hostAt("uvs-1", "uvs", ports.Next()), Times: Times{Link: 50 * time.Millisecond},
@@ -147,9 +140,7 @@
 	}
 }
 
-// A host sends a request under an attempt of another host. "Run or bar" goes
-// by the attempt, so that the other host's own request could be barred by it
-// and the promise that it was not run would be false.
+// A host bars an attempt of another host.
 func TestForeignAttemptIsRefused(t *testing.T) {
 	x, y := pair(t, Config{}, Config{}, echo)
 	a, end := forward(t.Context(), x, y, "body", func(p *serve.Passed) { p.Forward.Envelope.Attempt.Entry = "uvs-3" })
@@ -162,9 +153,7 @@
 	}
 }
 
-// The caller closes its connection. Its draft is wanted by nobody and must
-// not go on taking up an engine; a booking that may not be repeated runs to
-// its end, since nobody could tell afterwards whether it was made.
+// A forwarded request outlasts its caller, or a call that is not idempotent is broken off.
 func TestCallerLeaves(t *testing.T) {
 	for _, once := range []bool{false, true} {
 		began, left := make(chan struct{}), make(chan bool, 1)
@@ -196,9 +185,7 @@
 	}
 }
 
-// A request waits at another host for a place, its body still unasked, and its
-// caller leaves. Were that noticed only with the body, the request would go to a
-// target for nobody as soon as there is a place.
+// A queued request runs after its caller has left.
 func TestCallerLeavesWhileItsRequestWaits(t *testing.T) {
 	for _, confined := range []bool{false, true} {
 		began, left := make(chan struct{}), make(chan struct{})
@@ -220,9 +207,7 @@
 	}
 }
 
-// A booking waits at another host for a place, its whole body there, and its caller is
-// told that it failed. Sent all the same once there is a place, it would run long after,
-// and with the body taken for missing the target would get an empty one.
+// A queued call runs after its caller got a failure.
 func TestCallerLeavesWhileItsBookingWaits(t *testing.T) {
 	for range 10 {
 		began, read := make(chan struct{}), make(chan error, 1)
@@ -258,8 +243,7 @@
 	l.cancel()
 }
 
-// A peer sends a body longer than the limit. Taken in, a few such would end
-// the process by its memory.
+// A body beyond the limit fills the memory.
 func TestHugeBodyIsRefused(t *testing.T) {
 	x, y := pair(t, Config{}, Config{Bounds: Bounds{Body: ident.Bytes(100_000)}}, echo)
 	_, end := forward(t.Context(), x, y, strings.Repeat("x", 200_000), nil)
@@ -268,8 +252,7 @@
 	}
 }
 
-// A peer sends more requests at once than one session may hold. Each of them
-// beyond the bound ends at once as not run instead of waiting without end.
+// Requests beyond the bound of a session wait without end.
 func TestStreamsAreBounded(t *testing.T) {
 	gate, began := make(chan struct{}), make(chan struct{}, 1)
 	x, y := pair(t, Config{}, Config{Bounds: Bounds{Streams: 1}}, func(ctx context.Context, c serve.Call, r event.Request, s serve.Sink) {
--- a/internal/peer/keys_test.go
+++ b/internal/peer/keys_test.go
@@ -31,9 +31,7 @@
 	}
 }
 
-// Somebody on the network connects as an entry host with no certificate, with
-// one of another authority, or with that of another host. Let in, it could
-// send configuration of its own and receive the families' memories.
+// A foreign process links as an entry host.
 func TestPeerWithoutItsCertificateIsRefused(t *testing.T) {
 	ca := newCA(t)
 	foreign, other := keysFor(t, newCA(t), "uvs-2"), keysFor(t, ca, "uvs-3")
@@ -65,8 +63,7 @@
 	}
 }
 
-// Another host answers at the address of the one that was dialled, with a
-// certificate that is good for its own name only.
+// Another host answers at the address of the dialled one.
 func TestDialledHostMustHaveItsName(t *testing.T) {
 	ca := newCA(t)
 	b := keyedCfg(t, "uvs-3", keysFor(t, ca, "uvs-3"))
@@ -95,10 +92,7 @@
 	}
 }
 
-// An operator replaces the authority and all certificates by writing the
-// files, without a restart. Hosts that already have the new keys and those
-// that don't yet refuse each other, a session by the old keys ends, and once
-// both have the new ones they are linked again.
+// Replaced keys need a restart.
 func TestKeysAreReadAgain(t *testing.T) {
 	ca, next := newCA(t), newCA(t)
 	kx, ky := keysFor(t, ca, "uvs-1"), keysFor(t, ca, "uvs-2")
@@ -115,8 +109,7 @@
 	})
 }
 
-// A host sees the new certificate before its key, since the two files can't
-// be written at one moment. It must go on with the old pair.
+// A certificate without its key replaces the pair in use.
 func TestHalfWrittenKeysAreNotTaken(t *testing.T) {
 	ca := newCA(t)
 	k, next := keysFor(t, ca, "uvs-1"), keysFor(t, ca, "uvs-1")
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -157,8 +157,7 @@
 	})
 }
 
-// The messages of the control stream arrive as events, under the name of the
-// host that the session has proved.
+// A control message is lost, or attributed to another host.
 func TestControl(t *testing.T) {
 	x, y := pair(t, Config{}, Config{}, nil)
 	linked(t, x, y)
@@ -196,9 +195,7 @@
 	})
 }
 
-// A host answers "barred" about an attempt that it was never asked about. The
-// asker would run the request elsewhere while the host that has it still runs
-// it, and a notice would be published twice.
+// An unrequested "barred" makes a request run twice.
 func TestUnaskedBarAnswerIsDropped(t *testing.T) {
 	x, y := pair(t, Config{}, Config{}, nil)
 	linked(t, x, y)
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -68,9 +68,7 @@
 	}
 }
 
-// The time of a decision must not grow with the fleet, or callers of a large
-// one wait for the choice and not for the model. The times go to the log; the
-// bounds that fail the test are wide, since it runs beside others.
+// The time of a decision grows with the fleet.
 func TestDecisionTimes(t *testing.T) {
 	const n, warmUp, perDecision = 20_000, 2_000, 500 * time.Microsecond
 	for _, size := range sizes {
--- a/internal/route/cache_test.go
+++ b/internal/route/cache_test.go
@@ -7,10 +7,7 @@
 	"verbenadale.example/verbenadale/internal/event"
 )
 
-// A cache event of an engine is lost. What only events told is forgotten, but
-// not what this host sent there a moment ago: a busy engine loses an event
-// every few seconds, and its callers would find their prompts computed anew.
-// A minute after the send nothing is left of it.
+// A lost cache event drops what this host has sent lately.
 func TestGapKeepsWhatWasSentOfLate(t *testing.T) {
 	tb, r := fleet(1, 0), New()
 	r.CacheChanged(start, event.CacheChanged{Target: "t000", Incarnation: 1, Seq: 1, Stored: []uint64{1, 2, 3}}, tb)
--- a/internal/route/choose_test.go
+++ b/internal/route/choose_test.go
@@ -176,8 +176,7 @@
 	return false
 }
 
-// Whatever the load, a request goes only where the rules let it, and is refused
-// only where they leave no choice.
+// A request goes where the rules forbid it, or is refused though they allow it.
 func TestChooseAgreesWithTheNaiveRules(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		tb, q := genTable(rt), genQuery(rt)
@@ -245,8 +244,7 @@
 	}
 }
 
-// Up to the size of the sample every target is looked at, so the choice is
-// among the near-equal best of all.
+// A choice is far from the best target.
 func TestChooseTakesANearBest(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		tb, q := genTable(rt), genQuery(rt)
--- a/internal/route/fail_test.go
+++ b/internal/route/fail_test.go
@@ -70,9 +70,7 @@
 	}
 }
 
-// Cache events come late, doubled and with gaps. A naive follower that replays
-// what can be trusted tells which blocks may still be believed. If the router
-// believed more, it would send requests to targets that find nothing warm.
+// Blocks that were evicted from a cache are assumed to be there.
 func TestCacheAgreesWithTheNaiveFollower(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		tb, r := fleet(1, 0), New()
@@ -110,8 +108,7 @@
 	})
 }
 
-// A target caches far more blocks than are worth knowing. What is remembered
-// stays within its bound, and the newest is kept.
+// The state of a target's cache grows without bound.
 func TestCacheMemoryIsBounded(t *testing.T) {
 	r := New()
 	for i := range uint64(3 * maxBlocks) {
@@ -142,8 +139,7 @@
 	}
 }
 
-// A popular prefix is warm at one target. It draws the requests that share it
-// until it is above its bound; then they go elsewhere instead of queueing.
+// Requests with a popular prefix queue at one target.
 func TestWarmTargetLosesItsBonusAboveTheBound(t *testing.T) {
 	tb, r := fleet(8, 0), New()
 	r.Learn(start, "t003", []uint64{1, 2, 3, 4})
@@ -175,8 +171,7 @@
 	}
 }
 
-// Many hosts see the same reports. If each took the single best target, all
-// would run to the one that was idle a second ago, or is cheaper by a hair.
+// All hosts choose the target that was idle in the last report.
 func TestNearEqualTargetsShareTheWork(t *testing.T) {
 	tb, r := fleet(40, 0), New()
 	counts := make(map[ident.TargetID]int)
@@ -192,8 +187,7 @@
 	}
 }
 
-// A target restarts and comes back with an empty cache and a host of callers
-// before it. It takes a growing part of the work, not all of it at once.
+// A recovered target gets all work at once.
 func TestRecoveredTargetRamps(t *testing.T) {
 	tb, r := fleet(4, 0), New()
 	back := pass(tb, start, start.Add(20*time.Second))
@@ -228,9 +222,7 @@
 	}
 }
 
-// A request crosses at most as often as its profile says, whatever is offered,
-// and one that another host passed on is not passed on within the region: two
-// hosts that each take the other for idle would send it to and fro.
+// A request is forwarded more often than its profile allows.
 func TestNoRequestCirculates(t *testing.T) {
 	for crossings := range ident.Hops(4) {
 		for _, forwarded := range []bool{false, true} {
@@ -250,9 +242,7 @@
 	}
 }
 
-// The own data centre is busy. Work crosses only when it gains more than the
-// weight of a crossing, goes on crossing at the weight itself, and stops when
-// the offer is used up.
+// Work crosses without a gain or beyond the offer.
 func TestCrossingNeedsAGainAndAnOffer(t *testing.T) {
 	tb, r := fleet(2, 2), New()
 	q := ask("q")
@@ -290,8 +280,7 @@
 	}
 }
 
-// Work from another region fills the targets. Work that may not leave the home
-// region still finds room.
+// Work of other regions leaves no room for home work.
 func TestSpillLeavesAReserveForHomeWork(t *testing.T) {
 	tb, r := fleet(1, 0), New()
 	spill, bound := ask("s"), ask("b")
@@ -308,9 +297,7 @@
 	}
 }
 
-// The gain swings about the weight of a crossing. To begin takes a quarter
-// more than to go on; without the difference each small change of load would
-// turn the work round, onto cold caches.
+// Crossing flaps with small changes of load.
 func TestCrossingHasHysteresis(t *testing.T) {
 	tb, r := fleet(1, 1), New()
 	tb.SummaryReceived(start, event.Summary{
--- a/internal/route/pace_test.go
+++ b/internal/route/pace_test.go
@@ -40,11 +40,7 @@
 	return tb, now
 }
 
-// The engines of a region have free slots, but they read so many prompts that
-// each stream there takes four times as long as in a region that idles: callers
-// see long pauses, and long answers run into their deadline. A part of the work
-// is to go there, and not all of it: the region that helps would be slow in its
-// turn a few seconds later, and the work come back.
+// Streams of a busy region stay slow while another region is idle.
 func TestSlowStreamsBringAPartOfTheWorkElsewhere(t *testing.T) {
 	const asked = 400
 	for name, c := range map[string]struct {
@@ -78,9 +74,7 @@
 	}
 }
 
-// The only data centre of a region is emptied while streams in the others are so
-// slow that they count as having no room. Callers whose answer would still come well
-// within its time are to be served there; refused, they come back to the same.
+// Callers of an evacuated region are refused though others could serve them in time.
 func TestEmptiedRegionIsServedAtASlowPace(t *testing.T) {
 	for name, c := range map[string]struct {
 		there time.Duration
--- a/internal/route/spill_test.go
+++ b/internal/route/spill_test.go
@@ -61,10 +61,7 @@
 	}
 }
 
-// A region is at its peak and another idles. Streams are not slow yet, and slots are
-// free in both. Were the first to wait for slow streams, its callers would have them
-// for as long as those streams last; so the part that is too much goes at once. Work
-// that may not leave its region stays whatever the load.
+// A region at its peak keeps its work until its streams are slow.
 func TestPeakIsSharedOutBeforeStreamsAreSlow(t *testing.T) {
 	const asked = 400
 	for name, c := range map[string]struct {
@@ -97,9 +94,7 @@
 	}
 }
 
-// Callers of two regions bring the same long beginnings. If each region read them all,
-// the memory of its engines would not hold them, and most would be read again and
-// again. Each beginning has one region, whoever's callers bring it.
+// Each region prefills the same long prefixes.
 func TestLongBeginningsHaveARegion(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers", Shared: 5e5}, event.Flow{Shared: 5e5})
 	rt := New()
@@ -124,10 +119,7 @@
 	}
 }
 
-// The engine that is usual for a beginning is busy. Another one gets the request and
-// would read the beginning once more, which slows down the streams that run there; it
-// copies it from the usual one instead. One that leaves is not named: a copy from it
-// would wait for an engine that may be gone.
+// A prefix is prefilled again while the preferred engine is busy.
 func TestBusyEngineIsCopiedFrom(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
 	q := writersQuery("first", 1<<20, 10)
@@ -153,10 +145,7 @@
 	}
 }
 
-// The engine that is usual for a beginning was full when it was first asked for, and
-// another one has read it. With room again the usual one would read it a second time,
-// which costs its streams as long as four short prompts; it copies it from the one that
-// this host has sent it to.
+// The preferred engine prefills a prefix that another one caches.
 func TestUsualEngineCopiesWhatAnotherHolds(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
 	q := writersQuery("first", 1<<20, 10)
@@ -176,9 +165,7 @@
 	}
 }
 
-// The prompts of streams that run have filled an engine's memory to a half. One more
-// long prompt has it drop beginnings that others share, and the streams that run get
-// slower for each that is read again. The prompt waits; a short one goes on.
+// Long prompts evict shared prefixes.
 func TestLongPromptsLeaveMemory(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers"}, event.Flow{})
 	for _, tg := range tb.Targets() {
@@ -202,10 +189,7 @@
 	}
 }
 
-// A stream that was passed on to another region falls silent and is broken off. Its
-// caller has the beginning of the answer. Passed on once more it is taken for new there,
-// and refused when no place is free within its goal: the answer ends in the middle.
-// Here it may wait until its deadline.
+// The rest of a broken stream is forwarded a second time and refused.
 func TestWhatMayHaveRunIsNotPassedOnAgain(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers", Alone: 2e6, Shared: 1e5}, event.Flow{})
 	rt := New()
@@ -220,10 +204,7 @@
 	}
 }
 
-// Thirty hosts call a target of six slots. None knows much of the others' calls or hears
-// when a slot gets free. Were each to stop at six by its own guess, half of the slots
-// would idle while callers wait and are refused; calls that take a small part of their
-// goal may queue there. Long ones may not: they would start late.
+// Slots idle while short calls are refused.
 func TestBriefCallsMayQueueAtTheirTarget(t *testing.T) {
 	for name, c := range map[string]struct {
 		run  time.Duration
@@ -253,8 +234,7 @@
 	}
 }
 
-// A region is at its own peak and has turned a request away. Until it can have told of its
-// load, each further one would take the way there for nothing, and its caller wait for it.
+// Requests are forwarded to a region that has just refused one.
 func TestRegionThatTurnedAwayIsLeftAloneForAMoment(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers", Alone: 1e6}, event.Flow{})
 	passed := func(at ident.Time) int {
@@ -276,9 +256,7 @@
 	}
 }
 
-// All engines of another region have crashed, and its last word still tells of room. A
-// request that it has turned away must not be passed on to it a second time: its caller
-// would wait for the way there and back again and again, and be refused in the end.
+// A request is forwarded twice to a region that has refused it.
 func TestRegionThatTurnedAwayIsNotAskedAgain(t *testing.T) {
 	tb, now := writersTable(event.Flow{Service: "writers", Alone: 1e6}, event.Flow{})
 	rt := New()
--- a/internal/route/strand_test.go
+++ b/internal/route/strand_test.go
@@ -10,9 +10,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// The one target of a service in a region resets three calls in a row and
-// serves the rest. Taken for dead, it would get nothing until a probe, and every
-// caller of the region would be refused for that second.
+// The only target of a service gets nothing after three failures.
 func TestLastTargetIsUsedThoughSuspect(t *testing.T) {
 	place := event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
 	tb := member.New(event.Host{ID: "w1", Incarnation: 1, Place: place})
@@ -46,9 +44,7 @@
 	}
 }
 
-// Twenty hosts before thirty engines each get a few prompts with the same long
-// beginning. Each has seen none of the others' prompts; still they bring them to
-// the same two engines at most, which read the beginning once each.
+// Each host brings a shared prefix to another engine.
 func TestHostsAgreeOnSharedBeginnings(t *testing.T) {
 	place := event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
 	now := ident.Time(time.Second)
--- a/internal/serve/routed_test.go
+++ b/internal/serve/routed_test.go
@@ -28,8 +28,7 @@
 	return b.String()
 }
 
-// A target crashes in the middle of an event and another goes on after the last
-// whole one. The caller reads each event once, as it was written.
+// A resumed stream repeats, loses or splits an event.
 func TestRoutedStreamResumes(t *testing.T) {
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
 		says(routed(1, 2)+"id: 3\r\ndata: pie")(w, r)
@@ -42,9 +41,7 @@
 	check(t, "caller", got{Status: 200, Body: routed(1, 4), Outcome: event.Done}, b.run(t.Context(), routedStream))
 }
 
-// A stream breaks off, and the target that is to go on fails the request with a
-// whole answer of its own. Taken for the end of the stream it would make the
-// beginning look like the whole. A third target goes on, or the stream is cut.
+// A failed resume ends the stream as complete.
 func TestFailedResumeIsNoEnd(t *testing.T) {
 	for name, second := range map[string]http.HandlerFunc{
 		"failure":   whole(500, "{}"),
@@ -66,8 +63,7 @@
 	}
 }
 
-// A stream goes on where it did not stop. Nobody wrote the text that a caller
-// would read, so it gets no more of it.
+// A stream goes on with a gap.
 func TestRoutedGapIsCut(t *testing.T) {
 	for name, text := range map[string]string{"gap": routed(1, 2) + routed(4, 5), "twice": routed(1, 2) + routed(2, 3)} {
 		t.Run(name, func(t *testing.T) {
@@ -78,8 +74,7 @@
 	}
 }
 
-// A target fails a call with an answer of its own. It is held until the reducer
-// has decided whether another target is asked.
+// A failure of a target is delivered before a second try.
 func TestFailureIsHeld(t *testing.T) {
 	b := newBench(t, whole(500, "broken"))
 	b.once = true
@@ -88,8 +83,7 @@
 	check(t, "held", true, b.ends[0].Held)
 }
 
-// A target takes a call and nothing more is heard on a connection that stands.
-// The caller would wait until its deadline; another target answers at once.
+// A silent attempt waits until the deadline.
 func TestSilentAttemptIsBrokenOff(t *testing.T) {
 	for name, text := range map[string]string{"nothing": "", "an event": routed(1, 1)} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -23,8 +23,7 @@
 	}
 }
 
-// An engine dies in the middle of a stream and another goes on. The caller
-// sees one text, with no word twice and none missing.
+// A resumed stream repeats or loses tokens.
 func TestResume(t *testing.T) {
 	b := newBench(t, says(tokens(1, 3)), func(w http.ResponseWriter, r *http.Request) {
 		check(t, "resume asked for", "3", r.Header.Get(target.HeaderResume))
@@ -34,9 +33,7 @@
 	check(t, "results", []event.Result{event.ResultBroken, event.ResultDone}, b.results())
 }
 
-// An engine that was asked to go on starts again from the front, or leaves a
-// gap. Passed on, the caller would read a sentence twice, or miss one. The
-// stream is cut instead, and the caller told that it is not whole.
+// An engine that ignores the resume point repeats or skips text.
 func TestResumeIgnored(t *testing.T) {
 	for name, second := range map[string]string{
 		"starts again": tokens(1, 5) + endEvent,
@@ -51,9 +48,7 @@
 	}
 }
 
-// An engine sends events that add no token: one that opens the answer and one
-// with the counts at its end. When the stream breaks off after such an event,
-// the resumed one sends it again. The caller gets each of them once.
+// Events without tokens are repeated after a resume.
 func TestEventsWithoutToken(t *testing.T) {
 	role := fmt.Sprintf("data: {\"id\":\"%s\",\"role\":\"assistant\"}\n\n", testID)
 	counts := fmt.Sprintf("data: {\"id\":\"%s\",\"usage\":{}}\n\n", testID)
@@ -62,9 +57,7 @@
 	check(t, "caller", want, b.run(t.Context(), streamCall))
 }
 
-// Engines and proxies before them write streams in ways of their own: CRLF,
-// comments to keep a connection alive, lines longer than a buffer. The caller
-// gets the events all the same.
+// A valid form of a stream is rejected.
 func TestStreamForms(t *testing.T) {
 	long := fmt.Sprintf("id: 1\ndata: {\"id\":\"%s\",\"t\":\"%s\"}\n\n", testID, strings.Repeat("x", 3*streamBuffer))
 	for name, c := range map[string]struct{ text, want string }{
@@ -81,9 +74,7 @@
 	}
 }
 
-// Answers that are not this request's, not whole, or not bounded must not
-// reach the caller: it would read the text of somebody else, or take a part
-// for the whole. The next target answers in their place.
+// A crossed, incomplete or unbounded answer reaches the caller.
 func TestBadAnswers(t *testing.T) {
 	good := fmt.Sprintf(`{"id":"%s","usage":{"completion_tokens":7}}`, testID)
 	other := strings.ReplaceAll(token(1), string(testID), "req-0002")
@@ -114,8 +105,7 @@
 	}
 }
 
-// A target says that it leaves and has not run the request. The reducer hears
-// both, so that nothing more goes there and the request may run elsewhere.
+// The refusal of a draining target is not reported.
 func TestLeaving(t *testing.T) {
 	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(target.HeaderNotRun, target.NotRunDraining)
@@ -126,8 +116,7 @@
 	check(t, "draining", true, b.ends[0].Draining)
 }
 
-// Nobody listens at a target's address. No byte has left this host, so the
-// request may truthfully be called not run.
+// A request that was never sent is reported as unknown.
 func TestUnreachable(t *testing.T) {
 	b := newBench(t)
 	b.targets = []event.Target{{ID: "gone", URL: "http://127.0.0.1:1"}}
@@ -135,8 +124,7 @@
 	check(t, "results", []event.Result{event.ResultNotRun}, b.results())
 }
 
-// A target begins and then falls silent until after the deadline. The attempt
-// ends at the deadline, and what the target says later goes nowhere.
+// An attempt outlasts its deadline, or a late answer reaches the caller.
 func TestLateAnswer(t *testing.T) {
 	ended := make(chan struct{})
 	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
@@ -156,8 +144,7 @@
 	return b.left
 }
 
-// The caller closes its connection while the engine generates. The engine
-// hears of it and frees the slot, instead of writing for nobody.
+// An engine works on after its caller has left.
 func TestCallerLeaves(t *testing.T) {
 	freed := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -185,9 +172,7 @@
 	}
 }
 
-// The caller of a booking loses its connection while the booking runs. Broken
-// off, nobody would know whether the van comes. The call runs to its end and
-// its answer is kept, so that the caller's repeat gets it.
+// A call that is not idempotent is broken off with its caller, and its outcome is lost.
 func TestOnceOutlivesCaller(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -205,8 +190,7 @@
 	check(t, "kept header", "/jobs/7", kept.Header.Get("Location"))
 }
 
-// A once-only stream is kept while it is passed on, so that a repeat is given
-// the whole of it.
+// The repeat of a stream that ran once gets no answer.
 func TestOnceStreamKept(t *testing.T) {
 	b := newBench(t, says(tokens(1, 3)+endEvent))
 	b.once = true
@@ -216,8 +200,7 @@
 	check(t, "memory given back", ident.Bytes(0), b.rn.Budget.Taken())
 }
 
-// Many answers wait to be whole at once, each within its own bound. Without a
-// bound on all of them the host would run out of memory and cut every request.
+// Buffered answers exceed the memory of the host.
 func TestAnswersShareBudget(t *testing.T) {
 	b := newBench(t, whole(200, strings.Repeat(" ", 8<<10)+fmt.Sprintf(`{"id":"%s"}`, testID)))
 	b.rn.Budget = NewBudget(4 << 10)
@@ -226,8 +209,7 @@
 	check(t, "memory given back", ident.Bytes(0), b.rn.Budget.Taken())
 }
 
-// A plain service streams a report that has no end mark. Pieces go on as they
-// come, and the end of the message is the end of the answer.
+// A stream of a plain service is buffered, or ends early.
 func TestServiceStream(t *testing.T) {
 	call := serviceCall
 	call.Stream = true
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -112,9 +112,7 @@
 	}
 }
 
-// On a busy machine the goroutine that writes a request may get its next turn only
-// after the answer has been read to its end. Callers would wait for a new connection
-// at every such call.
+// A connection is dropped because its writer has not run again yet.
 func TestPoolKeepsConnectionsOfSlowWriters(t *testing.T) {
 	peer := newPeer(t, tellConn)
 	p := newTestPool(t)
@@ -136,8 +134,7 @@
 	}
 }
 
-// A target answers at once and reads the rest of a request never. Its caller waits no
-// longer for the end of its answer, and nobody gets that connection.
+// A target that reads no more holds up the end of an answer.
 func TestPoolWaitsBrieflyForTheRestOfARequest(t *testing.T) {
 	peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
 		r, err := http.ReadRequest(br)
@@ -170,8 +167,7 @@
 	return n, err
 }
 
-// A target sends one more answer to an earlier request, at once or only where
-// the answer to the next is expected. The next caller must not get it.
+// An extra answer of a target reaches the next caller.
 func TestExtraAnswersReachNobody(t *testing.T) {
 	for name, late := range map[string]bool{"at once": false, "before the next": true} {
 		t.Run(name, func(t *testing.T) {
@@ -202,8 +198,7 @@
 	}
 }
 
-// A target closes a kept connection. The next request goes out on a new one
-// from the start: sent on the old one, nobody could tell whether it ran.
+// A request is sent on a connection that the target has closed.
 func TestClosedConnectionsAreNotUsed(t *testing.T) {
 	var seen atomic.Int32
 	peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
@@ -226,8 +221,7 @@
 	}
 }
 
-// A target runs a request and its connection is reset before the answer. The
-// pool never sends it again by itself; a booking would be made twice.
+// The pool repeats a request after a reset.
 func TestPoolSendsOnce(t *testing.T) {
 	var seen atomic.Int32
 	peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
@@ -254,9 +248,7 @@
 	}
 }
 
-// A target answers before it has read a long body and reads on later. The
-// connection may carry the next request only after the whole body, or the
-// target would take that request for the rest of it.
+// The next request is read as the rest of a body.
 func TestEarlyAnswer(t *testing.T) {
 	long := strings.Repeat("x", 4<<20)
 	peer := newPeer(t, func(_ int, c net.Conn, br *bufio.Reader) {
@@ -282,8 +274,7 @@
 	}
 }
 
-// An answer without a length ends with its connection. One that is reset on
-// the way is a failure, and never looks whole.
+// An answer without a length that was reset looks whole.
 func TestUnframedAnswers(t *testing.T) {
 	for name, reset := range map[string]bool{"whole": false, "reset": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -22,11 +22,7 @@
 	}
 }
 
-// A service answers one call and keeps the connection. It runs the next call on
-// it and dies before the answer. The HTTP library takes the broken connection
-// for one that was closed while idle and sends a call that carries an
-// Idempotency-Key again by itself: the notice is published twice, and neither
-// the caller nor this host ever hears of the first run.
+// The HTTP library repeats a call that is not idempotent.
 func TestOnceCallIsSentOnce(t *testing.T) {
 	var calls atomic.Int32
 	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -54,8 +50,7 @@
 	}
 }
 
-// Nothing listens at the target's address. The function sent must not have been
-// called: the request is then known not to have run, and may go elsewhere.
+// A request that was never sent counts as sent.
 func TestNothingSentToAClosedPort(t *testing.T) {
 	srv := httptest.NewServer(http.NotFoundHandler())
 	url := srv.URL
@@ -67,8 +62,7 @@
 	}
 }
 
-// A target redirects a call to a place that no filter has allowed. Followed,
-// the call would run there, and its data would have left its place.
+// A redirect moves a call to a place that no filter has allowed.
 func TestRedirectsAreNotFollowed(t *testing.T) {
 	var elsewhere atomic.Int32
 	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) }))
