send a list as complete only if the platform's answer was

Callers would see refusals: on the project's own platform, whose list of targets lags and need not name all, peers of the host that watches would drop the targets that its list lacks.

Cause: a digest marked the list in use as complete if this host had read it and had been steady, whatever the answer said of itself.

Change: the list in use knows whether it is complete. TestIncompleteListRemovesNothingAtPeers failed before.

--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -192,7 +192,7 @@
 
 func (tb *Table) fillList(now ident.Time, d *event.Digest) {
 	d.Targets, d.ListVersion = tb.listedTargets(), tb.list.version
-	d.Complete = tb.list.read && tb.list.source == tb.self.ID && tb.steady(now)
+	d.Complete = tb.list.complete && tb.steady(now)
 }
 
 func (tb *Table) listedTargets() []event.Target {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -44,7 +44,7 @@
 		tb.mergeStale(now, ev)
 		return
 	}
-	tb.list.source = tb.self.ID
+	tb.list.source, tb.list.complete = tb.self.ID, ev.Complete
 	tb.list.changed = tb.list.changed || !tb.list.read || ev.Version != tb.list.version
 	tb.list.read = true
 	tb.useVersion(now, ev.Version)
@@ -68,7 +68,7 @@
 	if len(d.Targets) == 0 && !d.Complete || tb.older(now, d.ListVersion) {
 		return
 	}
-	tb.list.source = d.Host.ID
+	tb.list.source, tb.list.complete = d.Host.ID, false
 	tb.useVersion(now, d.ListVersion)
 	tb.listTargets(now, d.Targets)
 	if d.Complete {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -149,8 +149,10 @@
 	version uint64
 	read    bool
 	readAt  ident.Time
-	// source is the host that read the list in use from the store.
-	source ident.EntryID
+	// source is the host that read the list in use from the store; complete says that it
+	// was this host and that the list names all targets.
+	source   ident.EntryID
+	complete bool
 	// nextRead is when this host reads the list again.
 	nextRead ident.Time
 	// changed says that the newest list has not been sent to peers.
--- a/internal/member/stale_test.go
+++ b/internal/member/stale_test.go
@@ -187,3 +187,22 @@
 		t.Errorf("%d hosts are relayed after one is back, want 2", got)
 	}
 }
+
+// A list that lags and need not name all targets removes those of the peers that it is sent to.
+func TestIncompleteListRemovesNothingAtPeers(t *testing.T) {
+	at := ident.Time(time.Second)
+	reader, follower := pairOf(at)
+	if !reader.Watches(at) {
+		reader, follower = follower, reader
+	}
+	at = at.Add(returnGrace)
+	reader.HostsRead(at, event.HostsRead{Version: 2, Targets: []event.Target{reachTarget("b")}})
+	d := digestTo(t, reader, at)
+	if len(d.Targets) == 0 {
+		t.Fatal("the watcher does not send its list")
+	}
+	follower.DigestReceived(at, d)
+	if !usable(t, follower, at, "a") {
+		t.Error("a target that an incomplete list lacks is not used")
+	}
+}
