send a changed evacuation from the host that reads of it first

Cause: a removal is announced by whichever host reads of it first, an evacuation by the watcher and the active readers only. A follower that read of it 0.8 s before the slow readers kept it to itself.

Change: each host that is the first to read of a changed evacuation sends the list.

--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -181,11 +181,11 @@
 }
 
 // addList adds the platform's list to a digest if it has changed. The watcher sends it, and
-// each active reader if an evacuation has changed, since the watcher may be frozen.
+// each host that is the first to read of a changed evacuation, since the watcher may be late.
 func (tb *Table) addList(now ident.Time, d *event.Digest) {
 	changed, urgent := tb.list.changed, tb.list.urgent
 	tb.list.changed, tb.list.urgent = false, false
-	if changed && tb.Watches(now) || urgent && tb.Reads(now) {
+	if changed && tb.Watches(now) || urgent {
 		tb.fillList(now, d)
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,7 +23,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// patience bounds every wait, long enough that no verdict hangs on a tight
+// waitLimit bounds every wait, long enough that no verdict hangs on a tight
 // timing.
 const waitLimit = 20 * time.Second
 
--- a/internal/proofs/proc_test.go
+++ b/internal/proofs/proc_test.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// patience bounds every wait of the tests. It is long, so that no verdict
+// waitLimit bounds every wait of the tests. It is long, so that no verdict
 // hangs on a tight timing.
 const waitLimit = 20 * time.Second
 
