announce new targets by whichever host reads of them first

In the moment in which the platform came back to a data centre that had been cut off, a host refused jobs with VB1007 "no target" (503, not run), while another data centre counted 16 of 16 slots as free.

Cause, by a dump of the router's view at the refusal (6 of 6 alike): the refusing host knew no target of its own yet, and the other data centre had just withdrawn its offer (age of its summary 6 to 35 ms). The peer that is the representative had read its first list, so that its region had free slots of its own and no demand any more; but lists were announced by the watcher only, which had not read yet.

Change: an own read that names unknown targets of the own data centre is announced at once, as a changed evacuation was. The digest leaves before the summary of the same tick, so peers know the targets before the offer ends.

What remains: a digest inside the region must be faster than the way to the other data centre and back; nothing enforces it.

--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -181,7 +181,8 @@
 }
 
 // addList adds the platform's list to a digest if it has changed. The watcher sends it, and
-// each host that is the first to read of a changed evacuation, since the watcher may be late.
+// each host that is the first to read of new targets or a changed evacuation: the watcher may
+// be late, and the representative acts on its own list for the whole data centre.
 func (tb *Table) addList(now ident.Time, d *event.Digest) {
 	changed, urgent := tb.list.changed, tb.list.urgent
 	tb.list.changed, tb.list.urgent = false, false
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -48,7 +48,7 @@
 	tb.list.changed = tb.list.changed || !tb.list.read || ev.Version != tb.list.version
 	tb.list.read = true
 	tb.useVersion(now, ev.Version)
-	tb.list.urgent = tb.list.urgent || tb.evacuationChanges(ev.Targets)
+	tb.list.urgent = tb.list.urgent || tb.hasNews(ev.Targets)
 	tb.beat.urgent = tb.beat.urgent || tb.list.urgent
 	tb.listTargets(now, ev.Targets)
 	tb.listHosts(now, ev.Hosts)
@@ -88,11 +88,15 @@
 	tb.list.readAt = now
 }
 
-// evacuationChanges reports whether a list evacuates targets that are in use, or takes that back.
-func (tb *Table) evacuationChanges(targets []event.Target) bool {
+// hasNews reports whether a list names targets of the own data centre that are not known here,
+// evacuates targets that are in use, or takes that back.
+func (tb *Table) hasNews(targets []event.Target) bool {
 	return slices.ContainsFunc(targets, func(d event.Target) bool {
 		t, ok := tb.byID[d.ID]
-		return ok && t.Closed != d.Closed
+		if !ok {
+			return d.Place.Group() == tb.self.Place.Group()
+		}
+		return t.Closed != d.Closed
 	})
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -162,7 +162,7 @@
 	away     bool
 	backAt   ident.Time
 	steadyAt ident.Time
-	// urgent says that the newest own read changed which data centres are evacuated.
+	// urgent says that the newest own read has news for the peers.
 	urgent bool
 }
 
--- a/internal/member/stale_test.go
+++ b/internal/member/stale_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// A representative withdraws its region's demand when it reads of targets that its peers don't know.
+func TestFirstReaderAnnouncesNewTargets(t *testing.T) {
+	at := ident.Time(time.Second)
+	a, b := pairOf(at)
+	if a.Watches(at) {
+		a, b = b, a
+	}
+	at = at.Add(100 * time.Millisecond)
+	a.HostsRead(at, listOf(2, reachTarget("a"), reachTarget("b"), reachTarget("c")))
+	b.DigestReceived(at, digestTo(t, a, at))
+	if !usable(t, b, at, "c") {
+		t.Error("a target that a peer has read of is not known")
+	}
+	a.HostsRead(at, listOf(3, reachTarget("a"), reachTarget("b"), reachTarget("c")))
+	if a.Next(at) == at {
+		t.Error("a list without new targets is announced at once")
+	}
+}
+
 // A host that does not watch has no targets for half a minute if its first read fails.
 func TestFailedReadIsRepeatedSoon(t *testing.T) {
 	at := ident.Time(time.Second)
