try the rest of a stream again where it was turned away last

Its engine had broken it off (8.296 s); it was resumed at a second one, which shed it (8.374 s, 503, not run); both attempts of its route were used, so that the host closed the connection (8.381 s), with most of its time left.

Cause: MaxAttempts bounds the targets that see a request. A target that sheds the rest of a stream counts as one, and after the last the answer ended, though a shed only means "not now".

Change: where no other target may get it, the rest of a stream that was turned away is tried again at the target that did so, after its Retry-After or the usual backoff, within the budget of second tries and the deadline. It bypasses the queue of its pool: as its head it would hold up requests that other targets have room for. New filter VB2012 for "verbctl route".

Tests, each failed before (the first without the change, the second with the bound request in the queue): TestRestOfAStreamOutlastsAShedAtItsLastTarget ("not sent to the target that shed it": VB1008), TestBoundStreamHoldsUpNoOther ("a queued request is not sent to the target with room"); TestRestOfAStreamEndsWithItsDeadline holds the other side.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -16,7 +16,7 @@
 func (rd *Reducer) query(r *request) route.Query {
 	return route.Query{
 		Request: r.Request, Profile: r.profile, Client: r.client,
-		Tried: r.tried, TriedCentres: r.triedCentres,
+		Tried: r.tried, TriedCentres: r.triedCentres, Only: r.only,
 		Crossings: r.env.Crossings, Forwarded: r.forwarded, Resume: r.delivered, Again: r.mayHaveRun,
 		Backlog: rd.pools.of(r).backlog(), Expect: rd.expected(r),
 	}
@@ -35,7 +35,9 @@
 	switch {
 	case dec.Target == nil && dec.Centre == "" && !dec.Full:
 		rd.noPlace(now, r, dec.Code)
-	case dec.Full || pl.busy(r) && dec.Centre == "":
+	case dec.Full && r.only != "":
+		rd.placeLater(now, r)
+	case dec.Full || pl.busy(r) && dec.Centre == "" && r.only == "":
 		rd.enqueue(now, pl, r, dec)
 	case now.Add(dec.Wait) > r.deadline:
 		rd.end(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, later: dec.Wait})
@@ -66,6 +68,17 @@
 	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
 }
 
+// placeLater looks again for room at the one target that a request is bound to. In the queue it
+// would hold up requests that may go elsewhere.
+func (rd *Reducer) placeLater(now ident.Time, r *request) {
+	at := now.Add(resumePause)
+	if at >= r.deadline {
+		rd.end(now, r, refuseAs(codes.DeadlineExceeded))
+		return
+	}
+	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
+}
+
 // How long a host that has started learns who else is there, and the pause between two
 // looks for a place meanwhile. Links to all other regions stood 0.9 s after a start.
 const (
@@ -308,11 +321,30 @@
 // again tries a request elsewhere, after a pause and within the budget, or
 // ends it.
 func (rd *Reducer) again(now ident.Time, r *request, a *attempt, e event.AttemptEnded, ref refusal) {
-	if !rd.mayTryAgain(now, r, a, e) {
-		rd.end(now, r, ref)
+	if rd.mayTryAgain(now, r, a, e) {
+		rd.elsewhereSoon(now, r, a, ref)
 		return
 	}
-	rd.elsewhereSoon(now, r, a, ref)
+	if !rd.retryThere(now, r, a, e) {
+		rd.end(now, r, ref)
+	}
+}
+
+// retryThere tries the rest of a stream again at the target that turned it away, and reports
+// whether it does. MaxAttempts bounds the targets that see a request, so that no other may get
+// it, and to end it would cut the answer that its caller has a part of.
+func (rd *Reducer) retryThere(now ident.Time, r *request, a *attempt, e event.AttemptEnded) bool {
+	begun := r.delivered > 0 || r.Begun
+	if !begun || r.profile.Route == nil || e.Result != event.ResultNotRun || a.target == "" || !reached(a, e) || e.Draining {
+		return false
+	}
+	at := now.Add(max(retry.Backoff(r.tries, r.ID), e.RetryAfter))
+	if at >= r.deadline || !rd.service(now, r.profile.Service).Spend(now) {
+		return false
+	}
+	r.only = a.target
+	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
+	return true
 }
 
 // resume lets a broken stream go on at another target. It does not use the retry budget: a
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -45,6 +45,8 @@
 	tried        value.Set[ident.TargetID]
 	triedCentres value.Set[ident.DataCentre]
 	tries        int
+	// only is the target that the rest of a stream is bound to, empty for any.
+	only ident.TargetID
 	// unsent counts the tries of which nothing was sent to a target.
 	unsent int
 	// waits counts how often a broken stream found no place to go on.
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -258,6 +258,100 @@
 	}
 }
 
+// The rest of a stream is cut when the last target that may get it sheds it once.
+func TestRestOfAStreamOutlastsAShedAtItsLastTarget(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+	p.now = p.now.Add(retry.Window)
+	d := p.send("draft")
+	p.step(event.FirstToken{Attempt: d.Attempt})
+	effs := p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5})
+	rest, ok := pick[event.Dispatch](effs)
+	if !ok || rest.Target.ID == d.Target.ID {
+		t.Fatalf("the rest of the stream is not sent to another target: %v", effs)
+	}
+	for range 3 {
+		p.step(event.AttemptSent{Attempt: rest.Attempt})
+		effs = p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultNotRun, Delivered: 5, RetryAfter: 200 * time.Millisecond})
+		again, ok := pick[event.Dispatch](effs)
+		if !ok || again.Target.ID != rest.Target.ID || again.Resume != 5 {
+			t.Fatalf("the rest of the stream is not sent to the target that shed it: %v", effs)
+		}
+		rest = again
+	}
+	p.step(event.AttemptSent{Attempt: rest.Attempt})
+	effs = p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 6, Generated: 1})
+	if _, ok := pick[event.Dispatch](effs); ok {
+		t.Error("a stream that has broken off at as many targets as may get it is sent once more")
+	}
+}
+
+// A stream that is bound to a full target holds up requests that another target has room for.
+func TestBoundStreamHoldsUpNoOther(t *testing.T) {
+	p := newPost(t, 2, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+	p.now = p.now.Add(retry.Window)
+	d := p.send("draft")
+	p.step(event.FirstToken{Attempt: d.Attempt})
+	rest, ok := pick[event.Dispatch](p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5}))
+	if !ok {
+		t.Fatal("the rest of the stream is not sent")
+	}
+	p.step(event.AttemptSent{Attempt: rest.Attempt})
+	p.step(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultNotRun, Delivered: 5, RetryAfter: 2 * time.Second})
+	var there, elsewhere []event.Dispatch
+	for i := 0; ; i++ {
+		sent, ok := pick[event.Dispatch](p.step(event.RequestArrived{Request: event.Request{
+			ID: ident.RequestID(fmt.Sprint("fill", i)), Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second),
+		}}))
+		if !ok {
+			break
+		}
+		p.step(event.AttemptSent{Attempt: sent.Attempt})
+		if sent.Target.ID == rest.Target.ID {
+			there = append(there, sent)
+		} else {
+			elsewhere = append(elsewhere, sent)
+		}
+	}
+	p.now = p.now.Add(2 * time.Second)
+	p.step(event.Tick{})
+	p.step(event.RequestArrived{Request: event.Request{ID: "queued", Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second)}})
+	if next, ok := p.endUntilSent(elsewhere, "queued"); !ok {
+		t.Fatalf("a queued request is not sent to the target with room: %v", next)
+	}
+	if again, ok := p.endUntilSent(there, rest.Request); !ok || again.Target.ID != rest.Target.ID {
+		t.Errorf("the rest of the stream is not sent once its target has room: %v", again)
+	}
+}
+
+// endUntilSent ends attempts one after the other until a request is sent.
+func (p *post) endUntilSent(ds []event.Dispatch, id ident.RequestID) (event.Dispatch, bool) {
+	for _, d := range ds {
+		for _, eff := range p.end2(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone}) {
+			if sent, ok := eff.(event.Dispatch); ok && sent.Request == id {
+				return sent, true
+			}
+		}
+	}
+	return event.Dispatch{}, false
+}
+
+// The target of the rest of a stream is bound to it for longer than its caller waits.
+func TestRestOfAStreamEndsWithItsDeadline(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+	p.now = p.now.Add(retry.Window)
+	d := p.send("draft")
+	p.step(event.FirstToken{Attempt: d.Attempt})
+	rest, ok := pick[event.Dispatch](p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5}))
+	if !ok {
+		t.Fatal("the rest of the stream is not sent")
+	}
+	p.step(event.AttemptSent{Attempt: rest.Attempt})
+	effs := p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultNotRun, Delivered: 5, RetryAfter: 20 * time.Second})
+	if _, ok := pick[event.Refuse](effs); !ok {
+		t.Errorf("a stream whose target has no room before its deadline is not ended: %v", effs)
+	}
+}
+
 func boardTarget(id ident.TargetID) event.Target {
 	return event.Target{
 		ID: id, Incarnation: 1, Kind: event.Service, Service: "board", Capacity: 64,
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -27,6 +27,7 @@
 	{codes.FilterClosed, func(_ *view, t *member.Target) bool { return t.Closed }},
 	{codes.FilterHealth, func(v *view, t *member.Target) bool { return t.Suspect(v.now) && !v.desperate }},
 	{codes.FilterTried, func(v *view, t *member.Target) bool { return v.q.Tried.Has(t.ID) }},
+	{codes.FilterBound, func(v *view, t *member.Target) bool { return v.q.Only != "" && t.ID != v.q.Only }},
 	{codes.FilterCold, func(v *view, t *member.Target) bool { return v.tb.ColdFull(v.now, t) }},
 	{codes.FilterFull, full},
 }
@@ -43,6 +44,7 @@
 	{codes.FilterResidency, centreOutside},
 	{codes.FilterHops, hopsSpent},
 	{codes.FilterTried, func(v *view, c *member.Centre) bool { return v.q.TriedCentres.Has(c.Place.Group()) }},
+	{codes.FilterBound, func(v *view, _ *member.Centre) bool { return v.q.Only != "" }},
 	{codes.FilterHealth, func(v *view, c *member.Centre) bool { return c.CutOff(v.now) || !hasHost(c) }},
 	{codes.FilterModel, func(v *view, c *member.Centre) bool { return !hasPool(&v.q.Profile, c) }},
 	{codes.FilterOffer, noOffer},
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -50,6 +50,8 @@
 	// data centres.
 	Tried        value.Set[ident.TargetID]
 	TriedCentres value.Set[ident.DataCentre]
+	// Only is the one target that may get the request, empty for any.
+	Only ident.TargetID
 	// Crossings counts the passages between regions so far.
 	Crossings ident.Hops
 	// Forwarded says that the request came from another entry host.
--- a/pkg/codes/filter.go
+++ b/pkg/codes/filter.go
@@ -43,6 +43,10 @@
 		ID: "VB2011", Title: "the target is cold and has had its share of requests", Since: secondVersion, Severity: Info,
 		Text: "A target that has just started takes only a few requests a second of all hosts together. One host sends them; the others wait until it is warm.",
 	}
+	FilterBound = Code{
+		ID: "VB2012", Title: "the rest of the stream is bound to another target", Since: secondVersion, Severity: Info,
+		Text: "As many targets have seen the request as its route allows. The one that turned it away last is tried again until it has room.",
+	}
 	FilterFull = Code{
 		ID: "VB2009", Title: "the target has no free slot", Since: firstVersion, Severity: Info,
 		Text: "The requests sent and not yet ended fill the target's slots and the queue it is allowed.",
@@ -52,5 +56,5 @@
 // Filters is the table of the routing filters.
 var Filters = []Code{
 	FilterKind, FilterModel, FilterResidency, FilterHops, FilterLeaving,
-	FilterHealth, FilterTried, FilterOffer, FilterFull, FilterClosed, FilterCold,
+	FilterHealth, FilterTried, FilterOffer, FilterFull, FilterClosed, FilterCold, FilterBound,
 }
