move the load of targets out of membership into a package of its own

What a reader saw: internal/member held hosts, lists, targets' loads, offers and flows in 26 files of one package, and nothing of the estimate of a target's load could be read or tested without the table of hosts.

Change: internal/load has State (reports, own work, the peers' work, Outstanding, Wait, Free), Recent (the window of own sends) and Services (what is usual for a service: run time, prefill rate, pace). member.Target embeds State; the table's methods pass on to it.

Tried on paper: moving other data centres, offers, pools and flows out as well (a sketch of the imports).

--- a/internal/member/flow.go
+++ b/internal/member/flow.go
@@ -58,7 +58,7 @@
 	if r.Prompt == 0 {
 		f := tb.flow(now, r.Service)
 		f.turn(now)
-		f.alone += tb.runs[r.Service].Seconds()
+		f.alone += tb.usual.Run(r.Service).Seconds()
 		return
 	}
 	miss, ok := tb.misses[r.Service]
@@ -162,7 +162,7 @@
 	id := PoolID{Service: service}
 	size, easy := slotsOf, easyUse
 	if prompts {
-		size, easy = enginesOf, easyUse*tb.rates[service]
+		size, easy = enginesOf, easyUse*tb.usual.Rate(service)
 	}
 	alone, shared := tb.demand(now, service)
 	own := Room{alone: alone}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/load"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
@@ -124,13 +125,8 @@
 	beat  beatState
 	relay []event.Load
 	cold  Cold
-	// rates are the rates at which the targets of each service usually read
-	// prompts, in tokens a second.
-	rates map[string]float64
-	// runs are the times that requests of each service usually take.
-	runs map[string]time.Duration
-	// paces are the paces of streams of each service.
-	paces map[string]pace
+	// usual is what is usual for the targets of each service.
+	usual load.Services
 	// flows is the work that the callers of this host bring, by service; misses the
 	// part of the prompts of a service that its engines have to read.
 	flows  []*flow
@@ -190,11 +186,7 @@
 		byKey:    make(map[event.TargetKey]*Target),
 		draining: make(map[ident.TargetID]drainNotice),
 		slow:     slowEvery,
-		rates:    make(map[string]float64),
-		runs:     make(map[string]time.Duration),
-		paces:    make(map[string]pace),
-
-		misses: make(map[string]float64),
+		misses:   make(map[string]float64),
 	}
 }
 
--- a/internal/member/memory.go
+++ b/internal/member/memory.go
@@ -21,7 +21,7 @@
 func (tb *Table) askMemory(now ident.Time) []event.Effect {
 	var effs []event.Effect
 	for _, t := range tb.targets {
-		if t.Capacity == 0 || t.Memory > 0 || tb.rates[t.Service] == 0 || !t.Usable(now) {
+		if t.Capacity == 0 || t.Memory > 0 || tb.usual.Rate(t.Service) == 0 || !t.Usable(now) {
 			continue
 		}
 		if t.askedAt > 0 && now.Sub(t.askedAt) < askEvery {
@@ -42,7 +42,3 @@
 		t.Memory = e.Tokens
 	}
 }
-
-// Held returns the prompts of the requests at the target that have not ended, of all
-// hosts, in tokens.
-func (t *Target) Held() ident.Tokens { return t.SentTokens + t.PeerTokens }
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/load"
 	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -207,17 +208,17 @@
 	running := tb.underWay(c.Place.Group(), id)
 	from := c.madePools.Add(-wayLag)
 	p := c.passedOn(id)
-	if p == nil || now.Sub(from) > recentSpan {
+	if p == nil || now.Sub(from) > load.RecentSpan {
 		return running
 	}
-	net, _ := p.recent.since(now, from)
+	net, _ := p.recent.Since(now, from)
 	return min(net, running)
 }
 
 // passed counts the requests of a pool lately forwarded to a data centre.
 type passed struct {
 	id     PoolID
-	recent recent
+	recent load.Recent
 }
 
 func (c *Centre) passedOn(id PoolID) *passed {
@@ -243,7 +244,7 @@
 		p = &passed{id: id}
 		c.passed = append(c.passed, p)
 	}
-	p.recent.add(tb.last, n, 0)
+	p.recent.Add(tb.last, n, 0)
 }
 
 // ownShare is this host's part of an offer to its data centre. The live hosts
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -169,7 +169,7 @@
 	}
 	p.Targets++
 	p.Slots += t.Slots()
-	p.Free += t.free(now, out, room)
+	p.Free += t.Free(now, out, room)
 	p.PrefillRate += t.Load.PrefillRate
 	p.DecodeRate += t.Load.DecodeRate
 	p.prices += t.Price
--- a/internal/member/recent.go
+++ b/internal/member/report.go
@@ -9,58 +9,6 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// The window of own sends that is kept to correct a load report.
-const (
-	recentSlots = 16
-	recentWidth = 250 * time.Millisecond
-	// recentSpan is the part of the window that is whole.
-	recentSpan = (recentSlots - 1) * recentWidth
-)
-
-// recent counts the sends and ends of the last four seconds in slots of a
-// quarter of a second. The zero value is empty.
-type recent struct {
-	// at is the number of the newest slot since time zero.
-	at     int64
-	net    [recentSlots]int
-	tokens [recentSlots]ident.Tokens
-}
-
-func slotOf(t ident.Time) int64 { return int64(t) / int64(recentWidth) }
-
-func (r *recent) add(now ident.Time, n int, tokens ident.Tokens) {
-	r.turn(slotOf(now))
-	i := r.at % recentSlots
-	r.net[i] += n
-	r.tokens[i] += tokens
-}
-
-// turn clears the slots between the newest and s.
-func (r *recent) turn(s int64) {
-	if s-r.at >= recentSlots {
-		*r = recent{at: s}
-		return
-	}
-	for r.at < s {
-		r.at++
-		r.net[r.at%recentSlots] = 0
-		r.tokens[r.at%recentSlots] = 0
-	}
-}
-
-// since returns the sends less the ends after a time, and the prefill work of
-// the sends. The slot of the time itself counts: to count a send twice makes a
-// target look a little fuller, to miss it lets a burst pile up.
-func (r *recent) since(now, from ident.Time) (int, ident.Tokens) {
-	net, tokens := 0, ident.Tokens(0)
-	newest := min(r.at, slotOf(now))
-	for s := max(slotOf(from), r.at-recentSlots+1, 0); s <= newest; s++ {
-		net += r.net[s%recentSlots]
-		tokens += r.tokens[s%recentSlots]
-	}
-	return net, tokens
-}
-
 // LoadReported merges a load report that this host has polled or received with an answer.
 func (tb *Table) LoadReported(now ident.Time, ld event.Load) {
 	tb.Advance(now)
@@ -101,9 +49,7 @@
 	} else {
 		t.seen(now.Add(-ld.Age))
 	}
-	t.Load = ld
-	t.LoadAt = now.Add(-ld.Age - tb.late(now))
-	t.HasLoad = true
+	t.Report(ld, now.Add(-ld.Age-tb.late(now)))
 	return t, true
 }
 
--- a/internal/member/sent.go
+++ b/internal/member/sent.go
@@ -8,15 +8,14 @@
 // prefix that the target probably caches.
 func (tb *Table) Prefill(id ident.TargetID, tokens ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
-		t.ahead.add(tb.last, tokens, t.Load.PrefillRate)
-		t.Unread += tokens
+		t.Prefill(tb.last, tokens)
 	}
 }
 
 // ReadDone subtracts what Prefill recorded of a request, after its first token or its end.
 func (tb *Table) ReadDone(id ident.TargetID, tokens ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
-		t.Unread = max(0, t.Unread-tokens)
+		t.ReadDone(tokens)
 	}
 }
 
@@ -26,10 +25,7 @@
 	if !ok {
 		return
 	}
-	t.Sent++
-	t.SentTokens += prefill
-	t.SentGenerated += generated
-	t.recent.add(tb.last, 1, prefill)
+	t.Send(tb.last, prefill, generated)
 	if t.Cold(tb.last) {
 		t.coldSends = append(t.coldSends, tb.last)
 	}
@@ -42,7 +38,7 @@
 	if !found {
 		return
 	}
-	tb.drop(t, prefill, generated)
+	t.End(tb.last, prefill, generated)
 	if !ok {
 		tb.fail(t)
 		return
@@ -62,20 +58,10 @@
 // caller left.
 func (tb *Table) Dropped(id ident.TargetID, prefill, generated ident.Tokens) {
 	if t, ok := tb.byID[id]; ok {
-		tb.drop(t, prefill, generated)
+		t.End(tb.last, prefill, generated)
 	}
 }
 
-func (tb *Table) drop(t *Target, prefill, generated ident.Tokens) {
-	if t.Sent == 0 {
-		return
-	}
-	t.Sent--
-	t.SentTokens = max(0, t.SentTokens-prefill)
-	t.SentGenerated = max(0, t.SentGenerated-generated)
-	t.recent.add(tb.last, -1, 0)
-}
-
 // fail counts a failure of a target in a row.
 func (tb *Table) fail(t *Target) {
 	t.Fails++
--- a/internal/member/start.go
+++ b/internal/member/start.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/load"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -12,7 +13,7 @@
 func (tb *Table) putTarget(now ident.Time, d event.Target) {
 	t, ok := tb.byID[d.ID]
 	if !ok {
-		t = &Target{coldUntil: now.Add(d.ColdFor), Target: d, listed: true, cold: now, lastSeen: now, warm: now.Sub(tb.started) <= startGrace}
+		t = &Target{coldUntil: now.Add(d.ColdFor), State: load.State{Target: d}, listed: true, cold: now, lastSeen: now, warm: now.Sub(tb.started) <= startGrace}
 		tb.byID[d.ID] = t
 		i, _ := slices.BinarySearchFunc(tb.targets, d.ID, func(t *Target, id ident.TargetID) int { return cmp.Compare(t.ID, id) })
 		tb.targets = slices.Insert(tb.targets, i, t)
@@ -63,8 +64,8 @@
 		p.use = slices.DeleteFunc(p.use, func(u event.TargetUse) bool { return u.Target == t.ID })
 	}
 	*t = Target{
-		Target: d, listed: true, cold: now, lastSeen: now,
-		coldUntil: now.Add(d.ColdFor), coldSends: t.coldSends, run: t.run, listedAt: max(t.listedAt, tb.list.version),
+		State: t.Restarted(d), listed: true, cold: now, lastSeen: now,
+		coldUntil: now.Add(d.ColdFor), coldSends: t.coldSends, listedAt: max(t.listedAt, tb.list.version),
 	}
 	tb.restarted = append(tb.restarted, t.ID)
 	tb.note(t, "target has started anew")
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -1,11 +1,11 @@
 package member
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/load"
 	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -17,11 +17,6 @@
 	// silentAfter is the silence that makes a target suspect that has been
 	// polled before. It outlasts the handover of a poll from a dead host.
 	silentAfter = 12 * time.Second
-	// trustFull is the age up to which a load report counts in full, trustEnd
-	// that at which it counts no more. Past it only the work that the hosts
-	// know to have sent is left to go by.
-	trustFull = 2 * time.Second
-	trustEnd  = 10 * time.Second
 	// relayEvery is the longest time between two relays of a load report that
 	// has not changed.
 	relayEvery = 3 * time.Second
@@ -32,34 +27,11 @@
 	// startGrace is the time after the own start in which new targets count as
 	// warm.
 	startGrace = 5 * time.Second
-	// defaultSlots stands for targets that report no load.
-	defaultSlots = 4
-	// defaultDecode is the time of a request where nothing is known.
-	defaultDecode = 2 * time.Second
 )
 
 // Target is a target of the own data centre as this host knows it.
 type Target struct {
-	event.Target
-	// Load is the newest report, LoadAt when the target made it as far as its
-	// age says; HasLoad says whether there is one.
-	Load    event.Load
-	LoadAt  ident.Time
-	HasLoad bool
-	// Sent counts the requests that this host has sent and that have not
-	// ended, SentTokens their prefill work, SentGenerated the most that they
-	// may generate.
-	Sent          int
-	SentTokens    ident.Tokens
-	SentGenerated ident.Tokens
-	// PeerSent and PeerTokens are the same of the other hosts of the data
-	// centre, from their digests.
-	PeerSent   int
-	PeerTokens ident.Tokens
-	// Unread is the part of the prompts sent from here that the target has to read
-	// and whose first token has not come, PeerUnread the same of the other hosts.
-	Unread     ident.Tokens
-	PeerUnread ident.Tokens
+	load.State
 	// Memory is how many tokens the target holds at once, zero where that is not
 	// known; askedAt is when it was last asked.
 	Memory  ident.Tokens
@@ -70,14 +42,6 @@
 	// faultsAt.
 	faults   float64
 	faultsAt ident.Time
-	// rated says that the rate at which it reads prompts was seen.
-	rated bool
-	// run is the usual time that a request of its service takes.
-	run time.Duration
-	// others is the smoothed number of requests of other hosts, as in answers,
-	// and othersSeen the newest.
-	others     float64
-	othersSeen int
 	// Drains says that the target drains, by whichever source said so first; Gone
 	// that the platform has removed it from its list.
 	Drains bool
@@ -107,8 +71,6 @@
 	cold ident.Time
 	warm bool
 
-	recent    recent
-	ahead     ahead
 	relayed   event.Load
 	relayedAt ident.Time
 	// fixed is the last report that was relayed with its fixed part.
@@ -125,49 +87,6 @@
 	return t.Capacity == 0 && t.met && now.Sub(t.lastSeen) > silentAfter
 }
 
-// Slots returns how many requests the target runs at once.
-func (t *Target) Slots() int {
-	if t.HasLoad && t.Load.Slots > 0 {
-		return t.Load.Slots
-	}
-	if t.Capacity > 0 {
-		return t.Capacity
-	}
-	return defaultSlots
-}
-
-// Outstanding estimates the requests of all senders at the target now.
-//
-// A report lags, and this host's own work is known exactly. So the report is
-// used for the work of others only: what it counted less what this host had
-// there at the time. The digests of the peers bound it from below.
-func (t *Target) Outstanding(now ident.Time) int {
-	others := t.PeerSent
-	if t.Capacity > 0 && t.HasLoad && now.Sub(t.LoadAt) <= t.seenFor() {
-		return t.Sent + t.seenOthers(now)
-	}
-	if t.HasLoad {
-		net, _ := t.recent.since(now, t.LoadAt)
-		reported := t.Load.Running + t.Load.Queued - (t.Sent - net)
-		if more := reported - others; more > 0 {
-			others += int(math.Ceil(t.trust(now) * float64(more)))
-		}
-	}
-	return t.Sent + others
-}
-
-// trust returns how far the newest report counts, from 1 to 0.
-func (t *Target) trust(now ident.Time) float64 {
-	age := now.Sub(t.LoadAt)
-	if age <= trustFull {
-		return 1
-	}
-	if age >= trustEnd {
-		return 0
-	}
-	return float64(trustEnd-age) / float64(trustEnd-trustFull)
-}
-
 // Share returns the part of its capacity that a cold target is used with, from
 // rampStart to 1.
 func (t *Target) Share(now ident.Time) float64 {
