draw goodput and predicted times from the logs of hosts

What was missing: the account of deciding under load had tables only; whether goodput falls under overload, and how far predictions hold, took a look into logs by hand.

Change: verbdev plot reads the logs of one or more times (lines of several hosts mixed, other text between them) and writes goodput.svg (answers that began within a goal, by the requests offered) and predictions.svg (real time to a first byte by the predicted one, median and 90th percentile), with gonum plot. It says how many lines the hosts left out, since these are missing at peaks.

--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -41,6 +41,7 @@
 	cdr.Register(&slopesCmd{}, "measurements")
 	cdr.Register(&entryCmd{}, "measurements")
 	cdr.Register(&benchCmd{}, "measurements")
+	cdr.Register(&plotCmd{}, "measurements")
 }
 
 type platformCmd struct{ listen string }
