--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -89,9 +89,7 @@
 	}
 }
 
-// Someone reaches the operators' address without a token, or with one that was
-// taken away. Nothing but health, readiness and metrics may answer, and a drain
-// must not have begun.
+// A caller without a token, or with a revoked one, gets more than health, readiness and metrics.
 func TestOnlyOperators(t *testing.T) {
 	r := newRig(t)
 	paths := []struct{ method, path string }{
@@ -125,8 +123,7 @@
 	}
 }
 
-// A host that has just started lives and is not ready; a probe that took the
-// one for the other would restart it for ever while the platform is away.
+// A host that is not ready yet is restarted over and over by a liveness probe.
 func TestHealthIsNotReadiness(t *testing.T) {
 	r := newRig(t)
 	wantStatus(t, "health", http.StatusNoContent, r.call("GET", "/healthz", "", ""))
@@ -141,9 +138,7 @@
 	}
 }
 
-// An operator sends what can't be meant: a body without end, a misspelt field,
-// a change without an id, or one that claims to be approved. The last would let
-// one operator stand for two.
+// A malformed change is accepted, or one that claims to be approved lets one operator count as two.
 func TestBadChanges(t *testing.T) {
 	r := newRig(t)
 	big := `{"id":"c","note":"` + strings.Repeat("x", maxBody) + `"}`
@@ -166,9 +161,7 @@
 	}
 }
 
-// A change is in force in one data centre and comes later in the other. The
-// operator who waits is told when it is in force in both, and one who does not
-// wait is told which lacks it.
+// An operator is not shown which data centre a change is still missing in.
 func TestInForce(t *testing.T) {
 	r := newRig(t)
 	w := r.call("GET", "/v1/inForce?revision=5&waitMs=20000", "token-bold", "")
--- a/internal/admit/load_test.go
+++ b/internal/admit/load_test.go
@@ -144,9 +144,7 @@
 	}
 }
 
-// More is asked for than the places can serve, as when a region goes. With a
-// queue that takes everything each answer comes after its caller has left, and
-// nobody is served although every place is busy.
+// Under overload a queue accepts everything, and each answer comes after its caller has left.
 func TestOverloadKeepsGoodput(t *testing.T) {
 	var best, got goodput
 	for _, times := range []float64{1, 2, 10} {
--- a/internal/admit/order_test.go
+++ b/internal/admit/order_test.go
@@ -139,9 +139,7 @@
 	n.add(it)
 }
 
-// Requests of several accounts come, are served, given up by their callers or
-// shed, and time jumps. A user would notice a request that is never answered,
-// or an account that keeps all others waiting.
+// A request is never answered, or one account starves the others.
 func TestOrderAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := Config{Most: rapid.IntRange(6, 8).Draw(t, "most"), Lead: 2 * time.Second, Margin: 0.5, HomeShare: 0.5}
@@ -203,8 +201,7 @@
 	})
 }
 
-// Each request comes from another account, while one request waits for long.
-// Counts kept for each would fill the memory of the host.
+// Counters of ever new accounts fill the memory while one request waits.
 func TestAccountsBounded(t *testing.T) {
 	q := New(Config{Most: 4})
 	q.Push(0, Item{ID: "stays", Account: "stays", Priority: -1, Deadline: ident.Time(time.Hour)}, 0)
@@ -220,8 +217,7 @@
 	}
 }
 
-// One account sends far more than the others until the queue is full. The
-// others would be refused although they have asked for little.
+// An account that fills the queue has requests of the others refused.
 func TestFullQueueShares(t *testing.T) {
 	for _, tc := range []struct {
 		held, by string
@@ -267,8 +263,7 @@
 	}
 }
 
-// Places are short, and a request that is late already waits beside such that can still be
-// in time. Served first it would make one more late.
+// A request that is already late is served first and makes another one late.
 func TestLateGoesBehindWhatIsInTime(t *testing.T) {
 	q := New(Config{Margin: -1})
 	now := ident.Time(time.Minute)
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -40,8 +40,7 @@
 	}
 }
 
-// A process is frozen for many periods and wakes. If each missed period came
-// now, the host would send a burst of old heartbeats at once.
+// A process that wakes from a pause fires all missed periods at once.
 func TestMissedPeriodsAreSkipped(t *testing.T) {
 	at := ident.Time(100)
 	every := 10 * time.Nanosecond
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,9 +15,7 @@
 
 var update = flag.Bool("update", false, "write the golden files")
 
-// Each folder of testdata is a settings file that somebody might write, with
-// the faults that it is told. A fault that is missed would show only once the
-// host runs, and each run would show one.
+// A fault of a settings file is missed, or shown only one at a time.
 func TestFaults(t *testing.T) {
 	dirs, err := filepath.Glob("testdata/*/in.jsonc")
 	if err != nil {
@@ -61,8 +59,7 @@
 	}
 }
 
-// A field that is read but not declared would be unchecked and missing on the
-// page of the settings; one that is declared but not read would do nothing.
+// A settings field is read without a declaration, or declared and never read.
 func TestFieldsDeclared(t *testing.T) {
 	declared := map[string]bool{}
 	for _, f := range Fields {
--- a/internal/config/pages_test.go
+++ b/internal/config/pages_test.go
@@ -7,8 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// The pages are made from the declarations. One that was not written again
-// after a change tells operators of checks that are no longer so.
+// A generated page describes checks that have changed since.
 func TestPagesFresh(t *testing.T) {
 	for file, want := range map[string]string{"../../docs/settings.md": Page(), "../../docs/codes.md": CodesPage()} {
 		have, err := os.ReadFile(file)
--- a/internal/daemon/cert_test.go
+++ b/internal/daemon/cert_test.go
@@ -28,9 +28,7 @@
 	return conn.ConnectionState().PeerCertificates[0].SerialNumber.String()
 }
 
-// A certificate is renewed while the host runs, and for a moment its files do
-// not fit together. Callers would notice handshakes that fail, or a certificate
-// that has run out although a new one lies there.
+// Handshakes fail while the files of a renewed certificate do not match, or the old one stays in use.
 func TestCallerCertificateIsRenewed(t *testing.T) {
 	ca, err := certs.New()
 	if err != nil {
--- a/internal/daemon/forward_test.go
+++ b/internal/daemon/forward_test.go
@@ -198,8 +198,7 @@
 	return string(b)
 }
 
-// A caller's request is served by an engine that only another entry host can
-// reach, streamed and whole.
+// A request that only another entry host can serve is not streamed through it whole.
 func TestForwardedRequest(t *testing.T) {
 	x, _, _ := twoEntries(t, 0)
 	stream := ask(t, x, true, 20)
@@ -211,9 +210,7 @@
 	}
 }
 
-// A host is stopped for a planned replacement while it serves a request that
-// another has passed to it. Were its links closed first, the family would get
-// the notice without its end.
+// A draining host closes its peer links under a request that it serves for another host.
 func TestDrainKeepsForwardedAnswersWhole(t *testing.T) {
 	x, y, ry := twoEntries(t, 10*time.Millisecond)
 	s := &stopper{d: y, r: ry, done: make(chan struct{})}
--- a/internal/daemon/passed_test.go
+++ b/internal/daemon/passed_test.go
@@ -27,8 +27,7 @@
 	e.Engine.ServeHTTP(w, r)
 }
 
-// An operator looks for the cause of a slow answer that another data centre
-// gave. If the trace ended at the first host, the slow half would be missing.
+// A trace ends at the first entry host, without the slow part in another data centre.
 func TestTraceCrossesEntryHosts(t *testing.T) {
 	eng := &traced{Engine: engine.New(engine.Config{ID: "e1", Serves: []rules.Serve{{Model: "draft"}}, Slots: 8})}
 	x, _, _ := twoEntriesBefore(t, eng)
--- a/internal/daemon/platform_test.go
+++ b/internal/daemon/platform_test.go
@@ -103,8 +103,7 @@
 	}
 }
 
-// The host asks for a watch again while one waits, as after a burst of changes
-// from peers. Two watches would count as two calls and bring each change twice.
+// A second watch beside a waiting one counts as a call and delivers changes twice.
 func TestOneWatch(t *testing.T) {
 	r := newRig(t)
 	r.carry(event.WatchChange{After: 0})
@@ -123,8 +122,7 @@
 	wantSame(t, "watches counted as failures", int64(0), metrics.GetOrRegisterCounter("platform.watch.down", r.metrics).Count())
 }
 
-// The platform is down: each effect that waits for it is answered by a failure,
-// since the reducer would else wait for an answer that never comes.
+// An effect that waits for the store is never answered while the store is down.
 func TestPlatformDown(t *testing.T) {
 	r := newRig(t)
 	r.srv.SetFaults(plat.Faults{Down: true})
@@ -146,8 +144,7 @@
 	}
 }
 
-// A host tells the directory where callers reach it, and takes itself out when
-// it drains, so that new callers do not begin at a host that refuses them.
+// A draining host stays in the directory, and new callers begin at it.
 func TestDirectory(t *testing.T) {
 	r := newRig(t)
 	listed := func() []store.Listing {
--- a/internal/dev/bench/bench_test.go
+++ b/internal/dev/bench/bench_test.go
@@ -14,8 +14,7 @@
 	"verbenadale.example/verbenadale/internal/dev/bench"
 )
 
-// Two policies take turns in one small fleet of processes. The verdict is on
-// what the report holds and not on how fast a busy machine was.
+// The report of a bench mixes up the policies that took turns.
 func TestPoliciesTakeTurns(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
--- a/internal/dev/demo/demo_test.go
+++ b/internal/dev/demo/demo_test.go
@@ -14,9 +14,7 @@
 	"verbenadale.example/verbenadale/internal/dev/replay"
 )
 
-// The reducer of a real host is given the same events again. If a clock, a
-// random number or the order of a map had found its way into a decision, a
-// recorded fault could not be looked into.
+// A clock, random number or map order in a decision makes a recorded run impossible to replay.
 func TestDemoShowsAndReplays(t *testing.T) {
 	dir := t.TempDir()
 	var out bytes.Buffer
--- a/internal/dev/engine/engine_test.go
+++ b/internal/dev/engine/engine_test.go
@@ -14,9 +14,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// The client of the targets reads what the stand-in tells. A stand-in of
-// another form would leave every measurement of the cache blind, and nothing
-// else would show it.
+// The engine stand-in reports in a form that the client of targets does not read.
 func TestClientReadsReports(t *testing.T) {
 	eng := New(Config{ID: "uvs-e1", Incarnation: 7, Serves: []rules.Serve{{Model: "draft"}}, PrefillRate: 1000})
 	defer eng.Stop()
--- a/internal/dev/load/plot_test.go
+++ b/internal/dev/load/plot_test.go
@@ -6,8 +6,7 @@
 	"testing"
 )
 
-// Every request of a load failed, or all took the same time. The plot must not
-// end the program after a long run whose result it is the last step of.
+// A load whose requests all failed, or took the same time, ends the program while it plots.
 func TestPlotOfAnyResult(t *testing.T) {
 	for name, q := range map[string]Quantiles{
 		"nothing": {}, "equal": {5, 5, 5, 5, 5}, "usual": {1, 20, 300, 4000, 5000},
--- a/internal/dev/ports/ports_test.go
+++ b/internal/dev/ports/ports_test.go
@@ -2,9 +2,7 @@
 
 import "testing"
 
-// Two packages are tested at once and their process ids fall on the same
-// network. Hosts of one test then link to those of the other, and one of the two
-// fails now and then for no reason of its own.
+// Two test processes get the same loopback network, and hosts of one link to those of the other.
 func TestReservedNetworkIsNotGivenTwice(t *testing.T) {
 	first := reserve()
 	ln := held
--- a/internal/dev/relay/relay_test.go
+++ b/internal/dev/relay/relay_test.go
@@ -87,8 +87,7 @@
 	}
 }
 
-// A link that is cut must end what stands and take nothing new, or a bench of
-// a partition would measure a whole network.
+// A cut link lets traffic through, so that a partition is no partition.
 func TestRelayCutsAndHeals(t *testing.T) {
 	r := startRelay(t)
 	c, err := net.Dial("tcp", r.Addr())
--- a/internal/dev/routes/routes_test.go
+++ b/internal/dev/routes/routes_test.go
@@ -9,8 +9,7 @@
 	"verbenadale.example/verbenadale/internal/dev/ports"
 )
 
-// What a newcomer sees of the second command of the README: a whole stream, a
-// call, one that crosses to its home, and a path that no route takes.
+// The second command of the README shows a newcomer something that does not work.
 func TestShow(t *testing.T) {
 	f, err := Start(Config{Log: logr.Discard(), Addr: ports.Next})
 	if err != nil {
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -35,9 +35,7 @@
 	return m.Run()
 }
 
-// Real hosts are stopped, killed, paused and cut off for some seconds, and every
-// promise that callers and targets can see holds. The whole soak takes longer and
-// is run by hand.
+// A promise breaks while real hosts are stopped, killed, paused and cut off.
 func TestShortSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for half a minute")
@@ -59,8 +57,7 @@
 	}
 }
 
-// Two planned stops of one host overlapped: the second SIGTERM had it end at once, in the
-// middle of a caller's stream.
+// A second SIGTERM during a planned stop ends the host in the middle of a stream.
 func TestOverlappingStopsCutNothing(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for a quarter of a minute")
@@ -75,8 +72,7 @@
 	}
 }
 
-// A seed is kept as a case once it has failed. That is of use only if it draws
-// the same plan again.
+// A seed that is kept as a case draws another plan later.
 func TestPlanOfASeedStays(t *testing.T) {
 	s := &site{}
 	for n := range 4 {
@@ -98,8 +94,7 @@
 	}
 }
 
-// The soak is worth nothing if it can't see a broken promise. Each check is given
-// what a caller and a target would have seen of one.
+// A check of the soak misses the very violation that it is there for.
 func TestChecksBite(t *testing.T) {
 	at := time.Now()
 	for name, c := range map[string]struct {
--- a/internal/event/record_test.go
+++ b/internal/event/record_test.go
@@ -15,8 +15,7 @@
 	"verbenadale.example/verbenadale/pkg/value"
 )
 
-// A type that is missing from the tables would make a recorded run stop in
-// the middle of its replay, long after the run is over.
+// A type that is missing from the tables stops a replay half way.
 func TestEveryTypeIsRecorded(t *testing.T) {
 	want := markedTypes(t)
 	got := value.SetOf[string]()
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -9,8 +9,7 @@
 
 func quick() error { return nil }
 
-// The first goroutine returns before the second is started, as a listener does whose
-// address is taken. On a bare tomb the second start panics and the process ends.
+// A goroutine that is started after the first has returned panics.
 func TestStartsAfterTheFirstHasReturned(t *testing.T) {
 	var g Group
 	for range 100 {
--- a/internal/idle/idle_test.go
+++ b/internal/idle/idle_test.go
@@ -14,9 +14,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// An operator shortens the time that a connection may wait while connections
-// stand. Those that wait longer are closed; one that serves a request is not,
-// however long that takes.
+// A shorter idle limit is ignored by standing connections, or closes one that serves a request.
 func TestLimitHoldsForStandingConnections(t *testing.T) {
 	svc := clock.New()
 	defer svc.Stop()
@@ -41,10 +39,7 @@
 	}
 }
 
-// A caller uses a connection again at the moment at which it has waited too
-// long, and its host is slow: a part of the headers has been read when the host
-// looks. Were the connection closed then, the request would be sent to a target
-// and its caller be left without an answer.
+// A connection is closed as idle while the headers of a request are being read.
 func TestRequestThatBeginsIsNotCut(t *testing.T) {
 	svc := clock.New()
 	defer svc.Stop()
--- a/internal/logs/writer_test.go
+++ b/internal/logs/writer_test.go
@@ -21,8 +21,7 @@
 	return s.got.Write(b)
 }
 
-// Standard output is a pipe that nobody reads. Whoever logs must not wait for
-// it, or callers would wait for a log; what was left out is told afterwards.
+// A log that nobody reads blocks whoever writes to it.
 func TestWriterNeverBlocks(t *testing.T) {
 	out := &stuck{gate: make(chan struct{})}
 	w := NewWriter(out)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -27,9 +27,7 @@
 	return l
 }
 
-// The goroutine of one request has ended and reads its mailbox no more, while
-// the reducer goes on to send to it. If the loop waited for it, every other
-// caller of the host would wait too.
+// The loop waits for a mailbox that is no longer read, and all other callers with it.
 func TestFullMailboxHoldsUpNobody(t *testing.T) {
 	l := start(t, func(_ ident.Time, ev event.Event) []event.Effect {
 		if e, ok := ev.(event.RequestArrived); ok {
@@ -55,9 +53,7 @@
 	}
 }
 
-// One goroutine tells that its request was sent and then that it ended. Taken
-// in another order, the end would be judged as that of a request never sent,
-// and "not run" would be said of one that ran.
+// The end of a request overtakes its sending, and a request that ran is reported as not run.
 func TestEventsOfOneSenderKeepTheirOrder(t *testing.T) {
 	var seen []uint64
 	done := make(chan struct{})
--- a/internal/mech/ablate_test.go
+++ b/internal/mech/ablate_test.go
@@ -20,8 +20,7 @@
 	}
 }
 
-// A run names a mechanism by a slip of the finger. Taken for one that is off, it would be
-// found to be worth nothing.
+// A misspelt mechanism counts as switched off and looks worthless.
 func TestUnknownMechanismIsNoted(t *testing.T) {
 	defer func() {
 		if recover() == nil {
--- a/internal/once/key_test.go
+++ b/internal/once/key_test.go
@@ -10,10 +10,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// The store takes the record but its reply is lost, and the read back fails as
-// well, so the caller is told that nothing ran. Coming back with the same key
-// finds the record of the first try. A user whose booking was never made could
-// not make it with its key at all if that record counted as a run.
+// A record whose write was lost and lands late blocks the key of a request that never ran.
 func TestLateWriteDoesNoHarm(t *testing.T) {
 	rg := New("a", 5)
 	rg.keyForgotten = true // as at any host that has run for an hour
@@ -33,8 +30,7 @@
 	}
 }
 
-// The key is on record for another run or host. A user would have the work
-// done twice if this host ran it, and be misled if it said "not run".
+// A request whose key is on record for another run is run again, or reported as not run.
 func TestKeyTaken(t *testing.T) {
 	for name, tc := range map[string]struct {
 		rec  event.KeyRecord
@@ -54,8 +50,7 @@
 	}
 }
 
-// Tickets are guessed, come to another host or account, or come too late. A
-// user whose ticket can be used by another finds its booking taken.
+// A ticket is redeemed by guessing, by another account, at another host or too late.
 func TestRedeemRefused(t *testing.T) {
 	const text = "a/5/1/s3cret"
 	late := ident.Time(0).Add(ticketValid)
--- a/internal/once/peer_test.go
+++ b/internal/once/peer_test.go
@@ -13,10 +13,7 @@
 // naivePeers remembers every attempt for ever.
 type naivePeers map[ident.Attempt]event.Answer
 
-// Envelopes arrive late, twice and after the question about them, senders
-// restart, and history is dropped. If "barred" were said of an attempt that
-// had run, the sender would send the request to another target, and a user
-// would find two notices in the paper.
+// An attempt that has run is barred and sent to another target.
 func TestRunOrBar(t *testing.T) {
 	small := bounds{senders: 2, attempts: 5, senderAttempts: 4}
 	for name, b := range map[string]bounds{"full": New("", 0).bounds, "small": small} {
@@ -103,9 +100,7 @@
 	})
 }
 
-// A peer asks about an attempt that it sent to the run of this host before
-// the restart. The attempt may have run there. A user would find the job
-// booked twice if the new run barred it.
+// A restarted host bars an attempt that its former run may have run.
 func TestBarOtherIncarnation(t *testing.T) {
 	rg := New("me", 8)
 	a := ident.Attempt{Entry: "a", Incarnation: 1, Number: 1}
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -273,16 +273,12 @@
 	})
 }
 
-// Requests, answers of the store and ends of runs come late, twice and
-// crossed, writes land after their claim was given up, hosts restart and time
-// jumps. A user would notice two vans for one booking, or be told that a
-// booking was not made and make it again.
+// Late, doubled and crossed messages make a request run twice, or report one as not run that ran.
 func TestOnceOnly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { newWorld(nil).check(t) })
 }
 
-// The memory is full, so that records go before their time. A user would
-// notice the same as above if a dropped record were taken for one never made.
+// A record dropped for want of memory counts as a request that was never made.
 func TestOnceOnlyFull(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		newWorld(&bounds{records: 2, tickets: 2, accountTickets: 2}).check(t)
--- a/internal/opctl/opctl_test.go
+++ b/internal/opctl/opctl_test.go
@@ -139,8 +139,7 @@
 	h.catchUp()
 }
 
-// Each folder of testdata holds a script of commands and what an operator sees.
-// A line that begins with ! sets the platform's faults.
+// A command of verbctl prints something else than its golden script; a line with ! sets a fault.
 func TestScripts(t *testing.T) {
 	dirs, err := filepath.Glob("testdata/*")
 	if err != nil || len(dirs) == 0 {
@@ -194,9 +193,7 @@
 	}
 }
 
-// The entry host dies while it answers an operator. Whether the change was
-// accepted is not known, and the client must not claim either; where no
-// connection was made at all, nothing can have been accepted.
+// The client claims to know the outcome of a change whose host died while answering.
 func TestHostDies(t *testing.T) {
 	h := newHost(t)
 	h.srv.SetFaults(plat.Faults{Down: true})
@@ -213,8 +210,7 @@
 	}
 }
 
-// Every command explains itself with an example, so that an operator in a
-// pollNow need not look for the page.
+// A command explains itself without an example.
 func TestEveryCommandHasAnExample(t *testing.T) {
 	opts := &Options{Out: &bytes.Buffer{}, Err: &bytes.Buffer{}}
 	cdr := subcommands.NewCommander(flag.NewFlagSet("verbctl", flag.ContinueOnError), "verbctl")
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -108,9 +108,7 @@
 	return float64(n) / float64(all)
 }
 
-// An engine reads prompts for nine tenths of its time, short ones of an urgent profile and
-// long ones of a less urgent one. By urgency alone the callers of long answers wait for all
-// of the short ones, though half of the long prompts have little to read.
+// Long prompts with little left to read wait behind all urgent short ones.
 func TestLongPromptsAreNotAllLast(t *testing.T) {
 	byUrgency := func(long bool, _ ident.Tokens) int {
 		if long {
--- a/internal/proofs/change_serves_test.go
+++ b/internal/proofs/change_serves_test.go
@@ -15,10 +15,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// Operators change a profile while the platform, the hosts and the links fail
-// in turn and in pairs. An operator who was told that a change is accepted
-// would notice a data centre that goes on by the old one, or one that comes
-// back to it.
+// An accepted change does not reach a data centre, or is reverted there by faults.
 func TestChangeInForceAndNeverReverts(t *testing.T) {
 	o := openOffice(t)
 	o.quiet()
--- a/internal/proofs/circulate_test.go
+++ b/internal/proofs/circulate_test.go
@@ -89,10 +89,7 @@
 	return ns, away
 }
 
-// Each of two regions believes that the other is idle, by summaries that say
-// so, and both have more work than they can do. Callers would notice requests
-// that go to and fro until their deadline, and engines load with nobody new
-// calling.
+// Two full regions that believe each other idle send requests to and fro.
 func TestTwoRegionsDoNotSwapRequests(t *testing.T) {
 	slow := []string{"-slots", "4", "-tokenTime", "10ms"}
 	f := startTuned(t, telling,
@@ -146,10 +143,7 @@
 	t.Logf("%d requests, %d crossed; at most %d attempts at engines and %d crossings of one request", len(tr.from), len(crossed), tries, hops)
 }
 
-// A region without engines holds the word of another that it has room. A host
-// gone wrong passes requests to it that have crossed as often as they may, or
-// have been there before. Without the bound they would be passed on, and with
-// two such regions for ever.
+// A request that has crossed as often as it may is passed on again.
 func TestPassedOnNoFurther(t *testing.T) {
 	f := startFleet(t, siteOf("uvs", 1, 1, 0), siteOf("khovd", 1, 0, 0))
 	f.configure()
@@ -241,9 +235,7 @@
 	return n
 }
 
-// A target turns out to be a proxy that leads back to the entry hosts, so that
-// what they know of a request is lost on each round. The caller would wait for
-// its whole deadline, and the hosts would fill up with one request.
+// A target that is a proxy to the entry hosts makes a request go round until its deadline.
 func TestLoopThroughAProxyEnds(t *testing.T) {
 	f := startFleet(t, siteOf("uvs", 2, 0, 0))
 	d := &detour{codes: make(map[codes.ID]int)}
--- a/internal/proofs/cutoff_test.go
+++ b/internal/proofs/cutoff_test.go
@@ -59,10 +59,7 @@
 	fewRounds  = 10
 )
 
-// A region loses its links to the others and to the platform, and then its
-// hosts one after the other and all at once. Its callers notice nothing as
-// long as one host lives; with all gone they are told that nothing ran, and
-// are served again once one other data centre is reached.
+// A region that is cut off from all others and the platform stops serving its callers.
 func TestCutOffRegionServes(t *testing.T) {
 	f := startFleet(t, siteOf("uvs", 2, 1, 1), siteOf("erdenet", 2, 1, 1))
 	f.configure(confinedItems(t)...)
--- a/internal/proofs/fleet_serves_test.go
+++ b/internal/proofs/fleet_serves_test.go
@@ -44,9 +44,7 @@
 	return postWith(t, m.callers()+"/v1/services/publish/notices", "key-1", string(body), h)
 }
 
-// Three data centres of two hosts each. One has no engine and no service of
-// its own, so that its work goes to the others. Callers notice nothing but the
-// distance.
+// Work of a region without targets is not served by the others.
 func TestFleetServes(t *testing.T) {
 	f := startFleet(t, siteOf("uvs", 2, 2, 1), siteOf("erdenet", 2, 2, 1), siteOf("khovd", 2, 0, 0))
 	f.configure()
--- a/internal/proofs/flood_test.go
+++ b/internal/proofs/flood_test.go
@@ -169,10 +169,7 @@
 	}
 }
 
-// Callers, broken or hostile, send bodies a byte at a time, bodies without end,
-// and more connections than a host may have. Others would find that the host
-// answers nobody, or that it has been ended for want of memory. It runs beside
-// no other test, whose callers would share this process with the senders.
+// Slow, endless or too many connections exhaust a host; runs alone since senders share the process.
 func TestFloodIsBounded(t *testing.T) {
 	h := startFloodHost(t)
 	t.Run("dripping bodies", func(t *testing.T) {
--- a/internal/proofs/leave_test.go
+++ b/internal/proofs/leave_test.go
@@ -20,12 +20,7 @@
 	listLag        = 1500 * time.Millisecond
 )
 
-// Four engines serve two hosts of their data centre and one of another that
-// passes its requests on. Three begin to leave, each told by one source alone:
-// the platform's list, which lags, the engine's refusals, and its load report.
-// The others say nothing, or even that the engine stays. A caller would notice
-// a host that goes on sending as refusals and as streams that end when the
-// engine does.
+// A target that one source alone reports as draining still gets new work.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, siteOf("uvs", 2, 4, 0), siteOf("erdenet", 1, 0, 0))
--- a/internal/proofs/links_test.go
+++ b/internal/proofs/links_test.go
@@ -6,8 +6,7 @@
 	"testing"
 )
 
-// A stand-in that is linked into a production program could be switched on
-// there, with its faults.
+// A production program links a stand-in with its faults.
 func TestProductionLinksNoStandIn(t *testing.T) {
 	out, err := exec.Command("go", "list", "-deps", "../../cmd/verbenadale", "../../cmd/verbctl").Output()
 	if err != nil {
--- a/internal/proofs/marker_test.go
+++ b/internal/proofs/marker_test.go
@@ -20,10 +20,7 @@
 	openMarker = "Bataar-20b66e0d-marker"
 )
 
-// Confined requests of every kind are answered, refused and broken off, and
-// then all that the system has said anywhere is searched for a word of their
-// bodies. A family would notice nothing, and the word would lie in a log, a
-// trace or another region for whoever reads there.
+// A word of a confined body shows up in a log, trace, metric or another region.
 func TestNoWordOfABodyLeaves(t *testing.T) {
 	f := startTuned(t, telling, siteOf("uvs", 2, 1, 1), siteOf("erdenet", 2, 1, 0), siteOf("khovd", 1, 0, 0))
 	tp := f.tapeRegions()
--- a/internal/proofs/measure_test.go
+++ b/internal/proofs/measure_test.go
@@ -108,9 +108,7 @@
 
 func (p *probe) at(q float64) time.Duration { return p.took[int(float64(len(p.took)-1)*q)] }
 
-// TestMeasureEntry measures what one entry host adds to a call, at 500
-// requests a second over loopback, and its memory for an idle stream. It fails
-// where a goal is missed.
+// The overhead of an entry host or the memory of an idle stream misses its goal.
 func TestMeasureEntry(t *testing.T) {
 	if !*measure {
 		t.Skip("measures for about a minute; run with -measure")
--- a/internal/proofs/pages_test.go
+++ b/internal/proofs/pages_test.go
@@ -10,9 +10,7 @@
 	"time"
 )
 
-// An operator follows the page and a command of it fails, since the program
-// has changed and the page has not. The commands are run in their order, as
-// written, but for the build, which the tests have made already.
+// A command of the operators' page no longer works as written.
 func TestOperatorsPageRunsAsWritten(t *testing.T) {
 	page, err := os.ReadFile("../../docs/operators.md")
 	if err != nil {
--- a/internal/proofs/peer_test.go
+++ b/internal/proofs/peer_test.go
@@ -44,10 +44,7 @@
 	return true
 }
 
-// The process of an entry host is frozen, as when its machine runs out of
-// memory, while its kernel keeps the connections. Its peers must notice, or
-// they would pass requests to it that nobody answers; and when it wakes, it is
-// linked again without a restart.
+// Peers keep forwarding to a frozen host, or do not link it again when it wakes.
 func TestFrozenEntryIsNoticed(t *testing.T) {
 	ca, err := certs.New()
 	if err != nil {
--- a/internal/proofs/residency_test.go
+++ b/internal/proofs/residency_test.go
@@ -93,9 +93,7 @@
 	return r
 }
 
-// Data may be in uvs only, and callers, peers and load press for it to go
-// elsewhere. A family would notice nothing: its notice would be read and kept
-// in a place that its rule forbids.
+// Data that must stay in one region is sent to another under pressure.
 func TestResidency(t *testing.T) {
 	f := startFleet(t,
 		site{place: placeOf("uvs"), entries: 2, engines: 1, engineArgs: []string{"-slots", "4", "-tokenTime", "10ms"}},
--- a/internal/proofs/rolling_test.go
+++ b/internal/proofs/rolling_test.go
@@ -17,12 +17,7 @@
 // listHolds is for how long callers may go by a list of hosts.
 const listHolds = 5 * time.Second
 
-// Every entry host and every target is stopped and started again, one after
-// the other in each data centre, while callers read streams of two seconds.
-// Callers ask which hosts to use and go by the answer, and follow a refusal
-// that names other hosts. One that was cut off would read half a text, and one
-// that was sent to a closed port would have to guess whether it had been
-// heard.
+// A rolling replacement cuts streams or sends callers to closed ports.
 func TestRollingReplacement(t *testing.T) {
 	t.Parallel()
 	a, b := siteOf("uvs", 2, 2, 0), siteOf("erdenet", 2, 2, 0)
@@ -161,8 +156,7 @@
 	}
 }
 
-// An operator sends the signal to stop twice, because the host has to go now.
-// It ends at once, and the log tells how many requests that cut.
+// A second signal does not end the host at once, or its log hides what that cut.
 func TestSecondSignalEndsAtOnce(t *testing.T) {
 	t.Parallel()
 	s := siteOf("uvs", 1, 1, 0)
--- a/internal/proofs/stop_test.go
+++ b/internal/proofs/stop_test.go
@@ -62,9 +62,7 @@
 	return b.String()
 }
 
-// An operator replaces an entry host while a notice is being written. The
-// family gets it to the end, others are sent elsewhere meanwhile, and the host
-// goes when the notice is done.
+// A planned stop cuts a running stream, or the host stays after its end.
 func TestStopFinishesStreams(t *testing.T) {
 	en, r := slowEntry(t)
 	signalProc(t, en.proc)
@@ -83,8 +81,7 @@
 	}
 }
 
-// An operator cannot wait and sends a second signal. The host ends at once and
-// its log says how many requests it cut, so that somebody can look after them.
+// A second signal does not end the host at once, or its log hides the stream that it cut.
 func TestSecondSignalCutsALoneStream(t *testing.T) {
 	en, r := slowEntry(t)
 	signalProc(t, en.proc)
--- a/internal/proofs/thin_test.go
+++ b/internal/proofs/thin_test.go
@@ -12,9 +12,7 @@
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
-// An operator creates a profile and an account. A caller gets a streamed
-// answer with its end mark, and a caller with a key that nobody knows is
-// refused with the code that the operators' client explains.
+// A new profile and account serve no streamed answer, or an unknown key is not refused by its code.
 func TestThinPath(t *testing.T) {
 	place := event.Place{DataCentre: "uvs", Region: "uvs"}
 	platform := startPlatform(t)
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -114,10 +114,7 @@
 	}
 }
 
-// A caller sends twice its limit at one place, then at another. The hosts of
-// the new place don't know of the old demand's end, nor the old ones of the
-// new demand. A user would notice a limit that is passed by far, or a service
-// that is refused after it has moved.
+// An account that moves passes its limit by far, or is refused after it has moved.
 func TestErrorBound(t *testing.T) {
 	for _, tc := range []struct {
 		name                   string
@@ -152,10 +149,7 @@
 	}
 }
 
-// Every data centre is cut off from the others, and then an account that none
-// knew of becomes active at each. Each would admit the whole limit if it took
-// its silence for rest. After a while the silent ones count as gone, and a
-// caller who is left with one data centre has all of its limit there.
+// Data centres that are cut off each admit the whole limit, or never get it when left alone.
 func TestCutOffAndNothingKnown(t *testing.T) {
 	f := newFleet(3, 2)
 	f.run(limited, time.Minute)
@@ -174,9 +168,7 @@
 	}
 }
 
-// Two data centres ask for more than the limit, one of them the home. After an
-// exchange every host must hold the share that one who sees all would give it.
-// Shares that add up to more let an account pass its limit day and night.
+// The shares of two data centres add up to more than the limit.
 func TestSharesAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(3, 3)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -39,9 +39,7 @@
 	return sum
 }
 
-// Digests and summaries come late, twice and from hosts that have gone, and
-// accounts fall out of them. A user would notice a share that never comes back
-// after its account has moved.
+// Late or doubled reports leave a share that never comes back.
 func TestReportsAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := New("me", "here")
@@ -105,8 +103,7 @@
 	})
 }
 
-// Many accounts are active, and two summaries in a row are lost. An account
-// that never had its turn would be admitted in full at every data centre.
+// After lost summaries an account never has its turn and is admitted in full everywhere.
 func TestSummariesReachAll(t *testing.T) {
 	from, to := New("f", "from"), New("t", "to")
 	now := ident.Time(0)
@@ -147,9 +144,7 @@
 	}
 }
 
-// The word that an account has become inactive is lost each time it is sent.
-// Without an end to what was said before, the account would stay short of its
-// limit for as long as both data centres live.
+// A lost report of inactivity keeps an account short of its limit for good.
 func TestOldReportLapses(t *testing.T) {
 	l := New("me", "here")
 	l.CentreReport(0, "x", []event.AccountUse{{Account: "acme", Requests: 600}})
@@ -164,8 +159,7 @@
 	}
 }
 
-// A host is told to come back later, and does. One that is refused again, or
-// that could have come sooner, waits for nothing.
+// A caller that returns after Retry-After is refused again, or could have returned sooner.
 func TestRetryAfterHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := New("me", "here")
@@ -202,8 +196,7 @@
 	})
 }
 
-// An answer takes less than was reserved for it. The caller would find its
-// limit used up by tokens that it never had.
+// Tokens that were reserved and not used stay charged.
 func TestSettleGivesBack(t *testing.T) {
 	l := New("me", "here")
 	c := rules.Client{Name: "acme", TokensPerMinute: 600}
@@ -217,8 +210,7 @@
 	}
 }
 
-// An account is silent for an hour and then sends all at once. What it did not
-// use then must not be let through now, or the targets are flooded.
+// An account that was idle for long sends all that it saved up at once.
 func TestRestSavesUpOneBurst(t *testing.T) {
 	l := New("me", "here")
 	l.Take(0, limited, 0)
@@ -231,8 +223,7 @@
 	}
 }
 
-// An account has no limit for a day and is then given one. Its callers would
-// be shut out for hours if what they used before counted against it.
+// Use from before a limit was set counts against it.
 func TestNewLimitStartsAfresh(t *testing.T) {
 	l := New("me", "here")
 	c := rules.Client{Name: "acme", RequestsPerMinute: 1e6}
@@ -245,8 +236,7 @@
 	}
 }
 
-// Reports hold rates that are none, more accounts than there is room for, or
-// data centres without number. Memory would grow, or every share be spoilt.
+// Reports with invalid rates or without number spoil the shares or fill the memory.
 func TestLedgerBounded(t *testing.T) {
 	l := New("me", "here")
 	nan := ident.PerMinute(0)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -63,9 +63,7 @@
 	})
 }
 
-// A region goes and every send fails, for a minute at 1,000 requests a second.
-// Without a budget the rest of the system would see three sends for each
-// request, and users elsewhere would wait behind them.
+// Retries multiply the load of a region that fails.
 func TestNoRetryStorm(t *testing.T) {
 	var b Budget
 	arrivals, sends := 0, 0
@@ -85,8 +83,7 @@
 	}
 }
 
-// Requests that fail together would come back together, and hit the target
-// that just recovered at one moment.
+// Requests that failed together are retried at the same moment.
 func TestBackoffSpreads(t *testing.T) {
 	seen := map[time.Duration]bool{}
 	for _, id := range []ident.RequestID{"a", "b", "c", "d"} {
--- a/internal/revlog/measure_test.go
+++ b/internal/revlog/measure_test.go
@@ -32,8 +32,7 @@
 	return nil
 }
 
-// One change costs one write, and one watch for each data centre, however many
-// hosts it has. Run it with -v for the figures of docs/measurements.md.
+// A change costs more than one write and one watch a data centre; -v prints the figures.
 func TestPlatformCalls(t *testing.T) {
 	const changes = 10
 	for _, watchers := range []int{1, 3, 45} {
@@ -63,8 +62,7 @@
 	}
 }
 
-// The snapshot of the target size has to stay well under the megabyte that the
-// store holds, or no host could start from it.
+// The snapshot of the target size does not fit into a value of the store.
 func TestSizes(t *testing.T) {
 	const accounts, profiles = 890, 30
 	var items []rules.Item
--- a/internal/revlog/model_test.go
+++ b/internal/revlog/model_test.go
@@ -154,11 +154,7 @@
 	return c, true
 }
 
-// Three hosts write, read, start anew and repeat what they are unsure of, while
-// replies get lost and the store goes away and comes back. Whatever happens, a
-// change that was told accepted stands once at the revision that was told, and
-// every host shows exactly what a plain list of the changes gives: an operator
-// never sees an accepted change undone.
+// Lost replies and outages undo an accepted change, or make it twice.
 func TestLogAgainstList(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		f := newFixture(t)
--- a/internal/revlog/propose_test.go
+++ b/internal/revlog/propose_test.go
@@ -16,10 +16,7 @@
 	return rules.Change{ID: id, Base: base, Operator: "anu", Items: []rules.Item{profileItem(t, p)}}
 }
 
-// One operator tries to get past the second: by writing a guarded profile
-// directly, by approving the own proposal, and by taking the demand away in
-// the same change. Each must be stopped by the log itself, also at a host whose
-// book is behind, or the second pair of eyes would be a habit and no rule.
+// One operator alone changes what needs two.
 func TestOneOperatorIsNotTwo(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
@@ -42,8 +39,7 @@
 	wantSame(t, "log", []ident.ChangeID{"c1"}, f.ids(t))
 }
 
-// Two operators approve at once, and one asks again. The change is made once
-// and names one approver.
+// Two approvals at once make a change twice.
 func TestApproveTwice(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
@@ -76,10 +72,7 @@
 	return ss
 }
 
-// The store goes down in the middle of an approval, at each of its calls in
-// turn, with and without the reply of the last write lost. When it is back, the
-// operator approves again. The change must be in force once, whatever was done
-// before; an approval that got stuck half way would block the profile.
+// An outage in the middle of an approval blocks the profile or makes the change twice.
 func TestStoreDownDuringApproval(t *testing.T) {
 	for calls := 1; calls <= 6; calls++ {
 		for lose := range 3 {
@@ -102,8 +95,7 @@
 	}
 }
 
-// The profile changes while a proposal waits. Approving it would undo a change
-// that neither operator had seen.
+// Approving an outdated proposal undoes a change that nobody has seen.
 func TestApproveOutdated(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
--- a/internal/revlog/revlog_test.go
+++ b/internal/revlog/revlog_test.go
@@ -108,8 +108,7 @@
 	}
 }
 
-// The reply to the write of a change is lost. The operator must be told that
-// it was accepted, and it must be in the log once.
+// A change whose write reply is lost is reported as failed, or made twice.
 func TestLostReply(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
@@ -120,10 +119,7 @@
 	wantSame(t, "log", []ident.ChangeID{"c1"}, f.ids(t))
 }
 
-// The store takes the write and goes down before it can be read back. The
-// operator is told that nothing is known, sends the same change again when the
-// store is back, and has made it once. Told "failed", two versions of one rule
-// could follow each other.
+// A change of unknown outcome that is sent again is made twice.
 func TestUnknownThenAgain(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
@@ -145,8 +141,7 @@
 	wantSame(t, "log", []ident.ChangeID{"c1", "c2"}, f.ids(t))
 }
 
-// The write is held up on its way and lands after the writer gave up. The
-// change may stand once, at the revision where it was first tried.
+// A write that lands after its writer gave up makes the change twice.
 func TestWriteLandsLate(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
@@ -162,8 +157,7 @@
 	wantSame(t, "log", []ident.ChangeID{"c1"}, f.ids(t))
 }
 
-// The store is down from the start: nothing was accepted, and the operator may
-// be told so.
+// A change during an outage is reported as of unknown outcome though nothing was sent.
 func TestDown(t *testing.T) {
 	f := newFixture(t)
 	f.srv.SetFaults(plat.Faults{Refuse: []string{"127.0.0.1"}})
@@ -201,10 +195,7 @@
 	return rs
 }
 
-// Operators at different hosts race with changes based on the same revision.
-// Those of the same profile: one wins, and every other sees the conflict
-// instead of silently undoing the winner's. Those of different profiles all
-// pass, each with a revision of its own.
+// Of racing changes to one profile a later one silently undoes the first.
 func TestOperatorsRace(t *testing.T) {
 	f := newFixture(t)
 	won, lost := 0, 0
@@ -236,9 +227,7 @@
 	}
 }
 
-// Two hosts write a snapshot at once, and the slower one has the older. If it
-// replaced the newer, a host that starts would serve by old rules until it has
-// read the changes again.
+// A slow writer replaces a snapshot by an older one.
 func TestSnapshotNeverGoesBack(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
@@ -276,8 +265,7 @@
 	wantSame(t, "snapshot after an older one alone", newer.Rev(), rev)
 }
 
-// A host that was replaced reads the snapshot and what follows it, and gets
-// the same book as one that was there all the time.
+// A host that starts from a snapshot has another book than one that was there all the time.
 func TestLoadFromSnapshot(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t)
--- a/internal/slack/slack_test.go
+++ b/internal/slack/slack_test.go
@@ -12,8 +12,7 @@
 
 const goal = time.Second
 
-// Answers of a route begin later and later. What a request may wait here shrinks by as
-// much, and is nothing once the engines alone take up the goal.
+// Requests are queued for longer than slower answers leave of their goal.
 func TestWaitFollowsTheAnswers(t *testing.T) {
 	b := New()
 	if got := b.Wait("r", goal, 0); got != goal {
@@ -36,8 +35,7 @@
 	}
 }
 
-// A caller that comes back after a refusal gives what is left of its time. It is told from
-// one that gives somewhat less than others.
+// A caller that returns late is not distinguished from one with a shorter time.
 func TestWhoComesBackIsTold(t *testing.T) {
 	b := New()
 	var got []time.Duration
@@ -50,8 +48,7 @@
 	}
 }
 
-// The operator shortens the time of a route. Callers that now all give less are not taken
-// for such that come back for ever.
+// After an operator shortens a route's time all callers count as late for good.
 func TestShorterTimesAreLearned(t *testing.T) {
 	b := New()
 	b.Asked("r", 10*time.Second)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -58,9 +58,7 @@
 	}
 }
 
-// The link breaks after the service has taken the write. An operator who was
-// told "failed" would repeat a change that stands; one who was told "done"
-// after a write that was lost on its way would miss one that does not.
+// A write whose reply is lost is reported as failed or done.
 func TestPutLostReply(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t, store.Config{})
@@ -76,8 +74,7 @@
 	wantSame(t, "metric of the conflict", int64(1), f.counter("put.conflict"))
 }
 
-// Nothing listens at the service's address. Nothing was sent, so that the
-// operator may be told for certain that nothing was written.
+// A write that was never sent is reported as of unknown outcome.
 func TestPutNotSent(t *testing.T) {
 	cl := store.New(store.Config{URL: "http://127.0.0.1:1"})
 	_, err := cl.Put(context.Background(), "k", nil, store.Absent)
@@ -87,8 +84,7 @@
 	}
 }
 
-// A key is deleted and made again between the read and the write of a slow
-// writer. With versions that begin again, its old version would fit.
+// A key that is deleted and made again fits the old version of a slow writer.
 func TestVersionsNeverBeginAgain(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t, store.Config{})
@@ -107,9 +103,7 @@
 	return err
 }
 
-// A claim must end in "won" for exactly the request that the store holds. Each
-// case is a way in which the store can leave the claimant in doubt; a caller
-// would notice a mistake as a booking made twice, or as a key that is blocked.
+// A claim in doubt runs a request twice, or blocks its key.
 func TestClaim(t *testing.T) {
 	mine := event.KeyRecord{Entry: "uvs-1", Incarnation: 7, Request: "req-1", Print: "p"}
 	other := event.KeyRecord{Entry: "uvs-2", Incarnation: 3, Request: "req-2", Print: "p"}
@@ -144,9 +138,7 @@
 	}
 }
 
-// The service is slow: the claimant gives up, the request is refused as not
-// run, and the write lands afterwards. The record then names a request that
-// never ran, which the owner's registry has to know.
+// A claim that lands after its request was refused counts as a run.
 func TestClaimLandsLate(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t, store.Config{Timeout: 50 * time.Millisecond})
@@ -166,8 +158,7 @@
 	wantSame(t, "claim of the same request afterwards", event.ClaimWon, claim)
 }
 
-// Callers send so many keyed requests that the claims use up their budget. A
-// watch that had to wait behind them would bring changes late.
+// Many claims use up the budget of calls that the watch needs.
 func TestClaimsLeaveTheWatchAlone(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t, store.Config{CallsPerSecond: 4, Timeout: 200 * time.Millisecond})
@@ -184,8 +175,7 @@
 	wantErr(t, "a control call", store.ErrAbsent, err)
 }
 
-// The holder of a lease is paused, the lease lapses and another one gets it.
-// Without a look at the clock the first would wake and go on as the owner.
+// A holder that wakes after its lease has lapsed goes on as the owner.
 func TestLeaseLapsesDuringPause(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t, store.Config{})
@@ -215,8 +205,7 @@
 	wantSame(t, "a lease that nobody has", false, (*store.Lease)(nil).Holds(0))
 }
 
-// The platform's list of hosts lags: a target that was taken away stays in
-// the list for a while, and the stand-in must really show the old list.
+// The stand-in's list of hosts does not lag as the platform's does.
 func TestHostListLags(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t, store.Config{})
@@ -235,8 +224,7 @@
 	}
 }
 
-// A host that dies leaves the directory when its lease ends, so that callers
-// are not sent to it for ever.
+// A host that died stays in the directory.
 func TestDirectoryEndsWithTheLease(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture(t, store.Config{})
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -21,8 +21,7 @@
 	}
 }
 
-// A request passes two entry hosts and a target. Each hop is a span of the
-// caller's trace, under the hop before it.
+// A hop of a request is missing from the caller's trace, or stands under the wrong one.
 func TestHops(t *testing.T) {
 	exp := tracetest.NewInMemoryExporter()
 	tr := newTracer(Config{Ratio: 0, Entry: "e"}, sdk.NewSimpleSpanProcessor(exp))
@@ -50,8 +49,7 @@
 	check(t, "out", true, strings.HasPrefix(h.Get("Traceparent"), "00-0af7651916cd43dd8448eb211c80319c-"))
 }
 
-// A host that exports no spans still passes the caller's trace on. Cut here,
-// the spans of the caller and of the target would be two traces.
+// A host that exports no spans cuts the caller's trace in two.
 func TestOffPassesOn(t *testing.T) {
 	tr, err := New(Config{Exporter: None})
 	if err != nil {
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -20,8 +20,7 @@
 
 func attemptOf(n uint64) ident.Attempt { return ident.Attempt{Entry: "e", Incarnation: 1, Number: n} }
 
-// The life of three requests: one that is answered, one that is passed on and
-// breaks, one that is refused. docs/OPERATIONS.md explains these lines.
+// A log line differs from what docs/OPERATIONS.md explains.
 func TestLines(t *testing.T) {
 	var out bytes.Buffer
 	tr := New(logs.New(&out, logs.NewLevel(0)), metrics.NewRegistry())
@@ -40,9 +39,7 @@
 	goldie.New(t).Assert(t, "lines", stamp.ReplaceAll(out.Bytes(), nil))
 }
 
-// A flood of requests writes no more lines than the bound, and the count of
-// those left out stands in the log, so that nobody takes their absence for
-// silence. Refusals go last.
+// A flood of requests writes lines without bound, or drops them uncounted or refusals first.
 func TestLinesAreBounded(t *testing.T) {
 	var out bytes.Buffer
 	tr := New(logs.New(&out, logs.NewLevel(0)), metrics.NewRegistry())
--- a/internal/wire/whole_test.go
+++ b/internal/wire/whole_test.go
@@ -52,10 +52,7 @@
 	}
 }
 
-// A field is added to an event and forgotten in its wire form. Everything
-// works in one process and in virtual time, and between real hosts the field
-// is silently zero: the hosts of a data centre each take another for the one
-// that watches the platform, say, and none does.
+// A field that is missing from the wire form is zero between real hosts only.
 func TestNoFieldIsLost(t *testing.T) {
 	n := 0
 	var d event.Digest
@@ -77,8 +74,7 @@
 	}
 }
 
-// The demand of an account is less than the smallest part of a rate that
-// travels. Told as none, it would lose its share of the limit while it lasts.
+// A demand below the smallest part of a rate arrives as none and loses its share.
 func TestSmallDemandDoesNotBecomeNone(t *testing.T) {
 	for _, r := range []ident.PerMinute{1e-9, 0.01, 1.0 / 16, 12.53, 1e9} {
 		got := toRate(fromRate(r))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -179,9 +179,7 @@
 	}
 }
 
-// A target's rate arrives as not-a-number, by a fault of the sender. Each
-// comparison of costs with it would come out false, and requests would go
-// anywhere with no error to be seen.
+// A rate that is not a number makes every comparison of costs false.
 func TestOddNumbersCountAsNotKnown(t *testing.T) {
 	in := &Load{PrefillRate: float32(math.NaN()), DecodeRate: float32(math.Inf(1)), Running: -4}
 	if diff := cmp.Diff(event.Load{}, toLoad(in)); diff != "" {
@@ -189,8 +187,7 @@
 	}
 }
 
-// A peer announces a message of a gigabyte and sends four bytes of it. Were
-// the memory taken at once, a few such packets would end the process.
+// The memory for a message is taken by its announced length alone.
 func TestHugeMessageIsRefusedUnread(t *testing.T) {
 	b := append(protowire.AppendVarint(nil, 1<<30), 1, 2, 3, 4)
 	var before, after runtime.MemStats
--- a/pkg/rules/check_test.go
+++ b/pkg/rules/check_test.go
@@ -21,8 +21,7 @@
 	Items []Item `json:"items"`
 }
 
-// Each folder of testdata holds a change and the faults that an operator is
-// shown. All declared checks must show up in one of them.
+// A declared check is shown by no golden case, or another one than it declares.
 func TestChecks(t *testing.T) {
 	dirs, err := filepath.Glob("testdata/*")
 	if err != nil || len(dirs) == 0 {
@@ -74,9 +73,7 @@
 	return b.String()
 }
 
-// Two accounts exchange their keys in one change. Each key must lead to its
-// new account: were it lost on the way, its callers would be refused as
-// unknown although the change was accepted.
+// Two accounts that exchange their keys in one change lose them.
 func TestKeysExchanged(t *testing.T) {
 	text, err := os.ReadFile("testdata/swapped/in.json")
 	if err != nil {
@@ -102,9 +99,7 @@
 	}
 }
 
-// A book that went through a snapshot is the book that was: a host that starts
-// must not differ from one that was there all the time, also in which revision
-// changed what, or it would miss conflicts.
+// A book loses its revisions in a snapshot, and conflicts are missed.
 func TestSnapshotKeepsAll(t *testing.T) {
 	book, err := (*Book)(nil).Apply(Change{Revision: 1, ID: "c1", Items: []Item{
 		{Kind: KindProfile, Name: "obituary", Doc: json.RawMessage(`{"models":[{"model":"draft"}],"twoOperators":true}`)},
@@ -130,8 +125,7 @@
 	}
 }
 
-// A profile asks for two operators when it does in force, or does in the
-// change. Deleting it counts as a change of it.
+// A change that takes away or deletes the need for two operators needs only one.
 func TestNeedsApproval(t *testing.T) {
 	guarded := Item{Kind: KindProfile, Name: "p", Doc: json.RawMessage(`{"service":"s","twoOperators":true}`)}
 	plain := Item{Kind: KindProfile, Name: "p", Doc: json.RawMessage(`{"service":"s"}`)}
