--- a/internal/admit/order_test.go
+++ b/internal/admit/order_test.go
@@ -97,7 +97,7 @@
 	return it, true
 }
 
-// full tells whether a full queue must refuse an account.
+// full reports whether a full queue must refuse an account.
 func (n *naive) full(a ident.Account) bool {
 	accounts, most := []ident.Account{a}, 0
 	for _, it := range n.list {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -86,7 +86,7 @@
 	return map[string]bool{path: true}
 }
 
-// Whatever stands in a settings file, it is told as a fault or taken, and the
+// Whatever stands in a settings file, it is shown as a fault or accepted, and the
 // host that reads it does not fall over.
 func FuzzParse(f *testing.F) {
 	files, err := filepath.Glob("testdata/*/in.jsonc")
--- a/internal/core/overload_test.go
+++ b/internal/core/overload_test.go
@@ -14,7 +14,7 @@
 
 // The load of these tests: short prompts before three engines that read one after the
 // other, as many as their callers ask for. A caller that is refused comes back once, when
-// it was told to.
+// it was asked to.
 const (
 	loadEngines  = 3
 	loadPrompt   = 2400
--- a/internal/core/queue_test.go
+++ b/internal/core/queue_test.go
@@ -42,7 +42,7 @@
 	return s
 }
 
-// news tells the load of the engine and an offer.
+// news reports the load of the engine and an offer.
 func (s *station) news(seq uint64) {
 	serve := rules.Serve{Model: "draft"}
 	s.step(event.LoadReported{Load: event.Load{
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -142,7 +142,7 @@
 			t.Errorf("%s: it is sent again", res)
 		}
 		if r, ok := pick[event.Refuse](effs); !ok || r.Outcome != event.Unknown {
-			t.Errorf("%s: the caller hears %+v", res, r)
+			t.Errorf("%s: the caller gets %+v", res, r)
 		}
 	}
 }
@@ -180,7 +180,7 @@
 	p.step(event.AttemptSent{Attempt: again.Attempt})
 	effs = p.end(event.AttemptEnded{Attempt: again.Attempt, Result: event.ResultFailed, Status: 500, Held: true, Delivered: 4})
 	if f, ok := pick[event.Finish](effs); ok {
-		t.Errorf("the caller is told that half a stream is whole: %+v", f)
+		t.Errorf("half a stream is sent to the caller as a whole one: %+v", f)
 	}
 }
 
@@ -233,14 +233,14 @@
 	p.now = p.now.Add(retry.Window)
 	p.step(event.HostsRead{Version: 2, Complete: true, Targets: []event.Target{boardTarget("t0")}})
 	east := event.Place{DataCentre: "east-a", Region: "east", Reach: "east"}
-	tell := func(seq uint64) {
+	report := func(seq uint64) {
 		p.step(event.SummaryReceived{Summary: event.Summary{
 			From: "e1", Place: east, Incarnation: 1, Seq: seq, HostsHash: 7,
 			Hosts: []event.Host{{ID: "e1", Incarnation: 1, Place: east}},
 			Pools: []event.Pool{{Service: "board", Targets: 1, Slots: 64, Free: 64, Offer: 64}},
 		}})
 	}
-	tell(1)
+	report(1)
 	d := p.send("draft")
 	p.step(event.FirstToken{Attempt: d.Attempt})
 	effs := p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5})
@@ -426,7 +426,7 @@
 			t.Fatalf("a stream that may outlast the drain, after %v: %v", since, effs)
 		}
 		if r.RetryAfter < time.Second {
-			t.Errorf("the caller is told to come back after %v, when nobody is there", r.RetryAfter)
+			t.Errorf("the caller is asked to come back after %v, when nobody is there", r.RetryAfter)
 		}
 	}
 }
@@ -608,18 +608,18 @@
 		t.Fatal("the second prompt is not sent")
 	}
 	if event.TargetKey(rank.Hash(string(d.Target.ID))) != holder.Target && d.CopyFrom.Target == "" {
-		t.Errorf("the beginning is read again at %s, though a peer has told who holds it", d.Target.ID)
+		t.Errorf("the prefix is read again at %s, though a peer has announced who holds it", d.Target.ID)
 	}
-	var told []event.PrefixHolder
+	var announced []event.PrefixHolder
 	for range 3 {
 		second.now = second.now.Add(time.Second)
 		for _, eff := range second.step(event.Tick{}) {
 			if s, ok := eff.(event.SendDigest); ok {
-				told = append(told, s.Digest.Holders...)
+				announced = append(announced, s.Digest.Holders...)
 			}
 		}
 	}
-	if len(told) > 1 {
-		t.Errorf("peers are told %d times", len(told))
+	if len(announced) > 1 {
+		t.Errorf("announced to peers %d times", len(announced))
 	}
 }
--- a/internal/core/same_test.go
+++ b/internal/core/same_test.go
@@ -50,7 +50,7 @@
 	return out
 }
 
-// asking are acts that bring about what the others do seldom: questions, and
+// asking are acts that bring about what the others rarely do: questions, and
 // requests of several kinds that wait at once.
 var asking = []act{
 	{"status", func(rt *rapid.T, w *world) { w.Post(anyHost(rt), 0, event.StatusAsked{Ask: 1}) }},
--- a/internal/core/sign_test.go
+++ b/internal/core/sign_test.go
@@ -21,7 +21,7 @@
 		want  string
 	}{
 		{"a stream has begun", true, "dispatch"},
-		{"nothing was heard", false, "refuse"},
+		{"nothing was received", false, "refuse"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			red, now := oneEngine(t)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -215,17 +215,17 @@
 // settle lets everything end and holds the answers against what ran.
 func (w *world) settle() {
 	w.Run(40 * time.Second)
-	told := make(map[ident.RequestID]int)
+	answers := make(map[ident.RequestID]int)
 	for _, a := range w.Answers {
-		told[a.Request]++
+		answers[a.Request]++
 		if a.Outcome == event.NotRun && w.runs(a.Request) > 0 {
-			w.fatal("request %s was told not to have run and ran %d times: %+v", a.Request, w.runs(a.Request), a.Effect)
+			w.fatal("request %s was reported as not run and ran %d times: %+v", a.Request, w.runs(a.Request), a.Effect)
 		}
 	}
 	byJob := make(map[string]int)
 	for id, job := range w.jobs {
-		if told[id] > 1 {
-			w.fatal("request %s got %d final answers: %+v", id, told[id], w.answersTo(id))
+		if answers[id] > 1 {
+			w.fatal("request %s got %d final answers: %+v", id, answers[id], w.answersTo(id))
 		}
 		if job != "" {
 			byJob[job] += w.runs(id)
--- a/internal/daemon/passed_test.go
+++ b/internal/daemon/passed_test.go
@@ -47,6 +47,6 @@
 	eng.mu.Lock()
 	defer eng.mu.Unlock()
 	if res.StatusCode != http.StatusOK || !strings.Contains(eng.parent, id) {
-		t.Errorf("status %d, and the engine is told the trace %q, not %s", res.StatusCode, eng.parent, id)
+		t.Errorf("status %d, and the engine gets the trace %q, not %s", res.StatusCode, eng.parent, id)
 	}
 }
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -65,7 +65,7 @@
 }
 
 // What is taken as a completion request is JSON of the expected shape, with
-// numbers in their range, and a fault tells no word of the body.
+// numbers in their range, and a fault shows no word of the body.
 func FuzzParse(f *testing.F) {
 	for _, s := range []string{goodChat, streamChat, `{"messages":[1],"max_tokens":1e3}`, `{"MESSAGES":[1],"n":null}`, "{", "[]"} {
 		f.Add([]byte(s))
--- a/internal/logs/writer_test.go
+++ b/internal/logs/writer_test.go
@@ -39,7 +39,7 @@
 	w.Stop()
 	text := out.got.String()
 	if !strings.Contains(text, "log lines left out") {
-		t.Error("nothing tells of the lines that were left out")
+		t.Error("nothing counts the lines that were left out")
 	}
 	if n := strings.Count(text, "\n"); n < 100 || n > 2*queueBytes/len(line)+10 {
 		t.Errorf("%d lines were written", n)
--- a/internal/member/cold_test.go
+++ b/internal/member/cold_test.go
@@ -28,7 +28,7 @@
 }
 
 // coldPlay has every host send whatever it may for a time, and returns when it
-// sent. The platform lists the listed hosts; meet tells which hosts hear of each
+// sent. The platform lists the listed hosts; meet says which hosts know of each
 // other at a time after the start.
 func coldPlay(at ident.Time, span time.Duration, hosts, listed []event.Host, tables []*Table, meet func(since time.Duration, i, j int) bool) []ident.Time {
 	cold := reachTarget("a")
@@ -128,7 +128,7 @@
 			}
 			tg, _ := tb.Target("a")
 			if !tg.Cold(at) {
-				t.Error("taken for warm before it was heard")
+				t.Error("counts as warm before it was seen")
 			}
 			tb.ProbeAnswered(at, event.ProbeAnswered{Target: "a", Incarnation: 1, ColdFor: c.says})
 			if tg.Cold(at.Add(time.Second)) != c.full {
--- a/internal/member/flow_test.go
+++ b/internal/member/flow_test.go
@@ -36,8 +36,8 @@
 	return at
 }
 
-// tellWork has the other region tell of its engines and of what its callers bring.
-func tellWork(tb *Table, at ident.Time, seq uint64, targets int, alone, shared float64) {
+// reportWork has the other region report its engines and what its callers bring.
+func reportWork(tb *Table, at ident.Time, seq uint64, targets int, alone, shared float64) {
 	tb.SummaryReceived(at, event.Summary{
 		From: "e1", Place: reachPlace("east-a", "east"), Incarnation: 1, Seq: seq,
 		Hosts: []event.Host{reachHost("e1", "east-a", "east")},
@@ -50,9 +50,9 @@
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
 	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
-	tellWork(tb, at, 10, 2, 0, 0)
+	reportWork(tb, at, 10, 2, 0, 0)
 	at = bring(tb, at, 10, 0, 100)
-	tellWork(tb, at, 11, 2, 0, 0)
+	reportWork(tb, at, 11, 2, 0, 0)
 	part, rooms := tb.Spill(at, "writers", true, nil)
 	if math.Abs(part-0.5) > 0.02 {
 		t.Errorf("%.2f of the work goes to a region that idles and is as large, want half", part)
@@ -60,13 +60,13 @@
 	if len(rooms) != 2 || rooms[0].Centre != nil || rooms[1].Room < 45000 || rooms[1].Room > 52000 {
 		t.Errorf("rooms %+v, want about 50,000 tokens a second at the other", rooms)
 	}
-	tellWork(tb, at, 12, 2, 100000, 0)
+	reportWork(tb, at, 12, 2, 100000, 0)
 	if part, _ := tb.Spill(at, "writers", true, nil); part > 0.02 {
 		t.Errorf("%.2f of the work goes to a region that has as much", part)
 	}
-	tellWork(tb, at, 13, 2, 0, 100000)
+	reportWork(tb, at, 13, 2, 0, 100000)
 	if part, _ := tb.Spill(at, "writers", true, nil); part > 0.02 {
-		t.Errorf("%.2f of the work goes to a region while prompts that share beginnings even it out", part)
+		t.Errorf("%.2f of the work goes to a region while prompts that share prefixes even it out", part)
 	}
 }
 
@@ -75,9 +75,9 @@
 	at := ident.Time(time.Second)
 	tb := nearWorld(at)
 	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
-	tellWork(tb, at, 10, 6, 0, 0)
+	reportWork(tb, at, 10, 6, 0, 0)
 	at = bring(tb, at, 10, 10, 0)
-	tellWork(tb, at, 11, 6, 0, 0)
+	reportWork(tb, at, 11, 6, 0, 0)
 	_, rooms := tb.Spill(at, "writers", true, nil)
 	if ratio := rooms[1].Room / rooms[0].Room; math.Abs(ratio-3) > 0.01 {
 		t.Errorf("six engines have %.2f times the room of two", ratio)
@@ -125,17 +125,17 @@
 	tb.HostsRead(at, listOf(1, reachTarget("a")))
 	tb.Began("a", 10000, 0, time.Second)
 	tb.Prefill("a", 5000)
-	tell := func(seq uint64, unread ident.Tokens) {
+	report := func(seq uint64, unread ident.Tokens) {
 		tb.DigestReceived(at, event.Digest{
 			Host: reachHost("w9", "west-a", "west"), Seq: seq, Use: []event.TargetUse{{Target: "a", Running: 3, Tokens: 90000, Unread: unread}},
 		})
 	}
 	tg, _ := tb.Target("a")
-	tell(1, 20000)
+	report(1, 20000)
 	if got := tg.Wait(at, 4, 1); got != 2500*time.Millisecond {
 		t.Errorf("a wait of %v before 25,000 tokens at 10,000 a second", got)
 	}
-	tell(2, 0)
+	report(2, 0)
 	tb.ReadDone("a", 5000)
 	if got := tg.Wait(at, 4, 1); got != 0 {
 		t.Errorf("a wait of %v where all has been read", got)
@@ -148,9 +148,9 @@
 	tb := nearWorld(at)
 	tb.HostsRead(at, listOf(1, reachTarget("a"), reachTarget("b")))
 	tb.Began("a", 50000, 0, time.Second)
-	tellWork(tb, at, 10, 2, 0, 0)
+	reportWork(tb, at, 10, 2, 0, 0)
 	at = bring(tb, at, 10, 1, 1)
-	tellWork(tb, at, 11, 2, 0, 0)
+	reportWork(tb, at, 11, 2, 0, 0)
 	part, rooms := tb.Spill(at, "writers", true, nil)
 	if part > 0 || rooms[1].Room > 0 {
 		t.Errorf("%.2f of the work goes elsewhere, and there is room for %v there", part, rooms[1].Room)
--- a/internal/member/gone_test.go
+++ b/internal/member/gone_test.go
@@ -47,14 +47,14 @@
 	closed.Closed = true
 	tb := New(reachHost("w1", "west-a", "west"))
 	tb.HostsRead(at, listOf(5, closed))
-	tell := func(seq, version uint64, tg event.Target) {
+	announce := func(seq, version uint64, tg event.Target) {
 		tb.DigestReceived(at, event.Digest{Host: reachHost("w2", "west-a", "west"), Seq: seq, ListVersion: version, Targets: []event.Target{tg}})
 	}
-	tell(1, 4, reachTarget("a"))
+	announce(1, 4, reachTarget("a"))
 	if usable(t, tb, at, "a") {
-		t.Error("an older list of a peer opens an emptied data centre")
+		t.Error("an older list of a peer opens an evacuated data centre")
 	}
-	tell(2, 6, reachTarget("a"))
+	announce(2, 6, reachTarget("a"))
 	if !usable(t, tb, at, "a") {
 		t.Error("a newer list of a peer is not taken")
 	}
@@ -92,7 +92,7 @@
 	tb.HostsRead(at, listOf(1, reachTarget("a")))
 	tb.HostsRead(at, listOf(2, closed))
 	if usable(t, tb, at, "a") {
-		t.Error("a target of an emptied data centre is used")
+		t.Error("a target of an evacuated data centre is used")
 	}
 	tb.HostsRead(at, listOf(3, reachTarget("a")))
 	tg, _ := tb.Target("a")
@@ -170,7 +170,7 @@
 	seen(6)
 	tg, _ := tb.Target("a")
 	if got := tg.Outstanding(at); got != 6 {
-		t.Errorf("%d requests at the target at once, 6 were told", got)
+		t.Errorf("%d requests at the target at once, 6 were announced", got)
 	}
 	if got := tg.Outstanding(at.Add(100 * time.Millisecond)); got > 3 {
 		t.Errorf("%d requests of 20 ms are counted 100 ms later", got)
--- a/internal/member/kept_fail_test.go
+++ b/internal/member/kept_fail_test.go
@@ -117,30 +117,30 @@
 	far := w.nodes[1].tb.Self()
 	w.now = w.now.Add(minGap)
 	if full(far) {
-		t.Error("a receiver that has all is told all")
+		t.Error("a receiver that has all gets all")
 	}
 	next := far
 	next.Incarnation++
 	w.now = w.now.Add(minGap)
 	if !full(next) {
-		t.Error("a receiver that restarted is not told all")
+		t.Error("a receiver that restarted does not get all")
 	}
 	other := next
 	other.ID = "dc1-x"
 	w.now = w.now.Add(minGap)
 	if !full(other) {
-		t.Error("another receiver is not told all")
+		t.Error("another receiver does not get all")
 	}
 	w.now = w.now.Add(minGap)
 	newer := other
 	newer.Incarnation++
 	tb.PeerUp(w.now, newer)
 	if !full(other) {
-		t.Error("a receiver whose link tells of a restart is not told all")
+		t.Error("a receiver whose link shows a restart does not get all")
 	}
 	tb.forgetSent()
 	if !full(other) {
-		t.Error("after a loss of the duty the receiver is not told all")
+		t.Error("after a loss of the duty the receiver does not get all")
 	}
 }
 
@@ -154,12 +154,12 @@
 	ld := event.Load{Key: keyOf(tg.ID), Incarnation: tg.Incarnation + 1, Seq: 1, Running: 1, Kept: true}
 	tb.DigestReceived(w.now, event.Digest{Host: peer, Seq: 1 << 20, Loads: []event.Load{ld}})
 	if tg.Load.Incarnation > 1 {
-		t.Errorf("%d slots are taken for those of incarnation %d", tg.Load.Slots, tg.Load.Incarnation)
+		t.Errorf("%d slots count as those of incarnation %d", tg.Load.Slots, tg.Load.Incarnation)
 	}
 	ld.Kept, ld.Slots = false, 4
 	tb.DigestReceived(w.now, event.Digest{Host: peer, Seq: 1<<20 + 1, Loads: []event.Load{ld}})
 	if tg.Load.Slots != 4 {
-		t.Errorf("%d slots, the whole report tells 4", tg.Load.Slots)
+		t.Errorf("%d slots, the whole report says 4", tg.Load.Slots)
 	}
 }
 
--- a/internal/member/member_fail_test.go
+++ b/internal/member/member_fail_test.go
@@ -133,7 +133,7 @@
 	w.engine("dc0-t0").Incarnation = 2
 	w.run(3*time.Second, nil)
 	if x, _ := w.nodes[2].tb.Target("dc0-t0"); x.Drains || x.Incarnation != 2 {
-		t.Errorf("the next incarnation is taken for %+v", x.Target)
+		t.Errorf("the next incarnation counts as %+v", x.Target)
 	}
 }
 
--- a/internal/member/near_test.go
+++ b/internal/member/near_test.go
@@ -18,7 +18,7 @@
 	return event.Host{ID: ident.EntryID(id), Incarnation: 1, Place: reachPlace(dc, region)}
 }
 
-// nearWorld is a host in the west that hears of another one in its data centre,
+// nearWorld is a host in the west that knows of another one in its data centre,
 // of one in another data centre of its region, and of one in the east.
 func nearWorld(at ident.Time) *Table {
 	tb := New(reachHost("w1", "west-a", "west"))
--- a/internal/member/summary_test.go
+++ b/internal/member/summary_test.go
@@ -10,32 +10,32 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// told is a summary that went out.
-type told struct {
+// sentSummary is a summary that went out.
+type sentSummary struct {
 	After   time.Duration
 	To      ident.EntryID
 	InForce ident.Revision
 	Highest ident.Revision
 }
 
-// speech ticks a table for some seconds and returns what it tells the other
+// summariesOf ticks a table for some seconds and returns its summaries to the other
 // data centre.
-func speech(tb *Table, from ident.Time, seconds int, own Own) []told {
-	var out []told
+func summariesOf(tb *Table, from ident.Time, seconds int, own Own) []sentSummary {
+	var out []sentSummary
 	for n := range seconds {
 		now := from.Add(time.Duration(n) * Period)
 		for _, eff := range tb.Tick(now, own) {
 			if e, ok := eff.(event.SendSummary); ok {
-				out = append(out, told{time.Duration(n) * Period, e.To.ID, e.Summary.InForce, e.Summary.Highest})
+				out = append(out, sentSummary{time.Duration(n) * Period, e.To.ID, e.Summary.InForce, e.Summary.Highest})
 			}
 		}
 	}
 	return out
 }
 
-// speaker returns a table that speaks for its data centre, with one peer and
+// representative returns a table that represents its data centre, with one peer and
 // another data centre of two hosts at revision 1.
-func speaker(now ident.Time) (*Table, func(at ident.Time, rev ident.Revision)) {
+func representative(now ident.Time) (*Table, func(at ident.Time, rev ident.Revision)) {
 	here := event.Place{DataCentre: "uvs", Region: "uvs"}
 	there := event.Place{DataCentre: "khovd", Region: "khovd"}
 	tb := New(event.Host{ID: "uvs-1", Incarnation: 1, Place: here})
@@ -53,33 +53,33 @@
 // A frozen receiver delays a change in a data centre that is cut off.
 func TestNewRevisionIsToldToTheNextHost(t *testing.T) {
 	start := ident.Time(time.Hour)
-	tb, _ := speaker(start)
-	got := speech(tb, start, 4, Own{Revision: 2})
+	tb, _ := representative(start)
+	got := summariesOf(tb, start, 4, Own{Revision: 2})
 	if len(got) < 2 {
-		t.Fatalf("only told %v", got)
+		t.Fatalf("only sent %v", got)
 	}
 	if diff := cmp.Diff([]time.Duration{0, fastEvery}, []time.Duration{got[0].After, got[1].After}); diff != "" {
-		t.Errorf("when it is told (-want +got):\n%s", diff)
+		t.Errorf("times of the summaries (-want +got):\n%s", diff)
 	}
 	if got[0].To == got[1].To {
-		t.Errorf("told to %s again and to no other host", got[0].To)
+		t.Errorf("sent to %s again and to no other host", got[0].To)
 	}
 }
 
 // A change in force everywhere is reported seconds late.
 func TestLowestRevisionIsToldAtOnce(t *testing.T) {
 	start := ident.Time(time.Hour)
-	tb, peer := speaker(start)
+	tb, peer := representative(start)
 	peer(start, 1)
-	first := speech(tb, start, 1, Own{Revision: 2})
+	first := summariesOf(tb, start, 1, Own{Revision: 2})
 	peer(start.Add(Period/2), 2)
-	second := speech(tb, start.Add(Period), 1, Own{Revision: 2})
+	second := summariesOf(tb, start.Add(Period), 1, Own{Revision: 2})
 	got := [][2]ident.Revision{}
 	for _, x := range append(first, second...) {
 		got = append(got, [2]ident.Revision{x.InForce, x.Highest})
 	}
 	if diff := cmp.Diff([][2]ident.Revision{{1, 2}, {2, 2}}, got); diff != "" {
-		t.Errorf("revisions told (-want +got):\n%s", diff)
+		t.Errorf("revisions sent (-want +got):\n%s", diff)
 	}
 }
 
@@ -88,6 +88,6 @@
 	two := []event.Pool{{Service: "writers", Targets: 2, Slots: 256, Free: 200}}
 	none := []event.Pool{{Service: "writers", Targets: 0, Slots: 256, Free: 200}}
 	if poolNews(two) == poolNews(none) {
-		t.Error("two targets and none are told as the same")
+		t.Error("two targets and none are reported as the same")
 	}
 }
--- a/internal/member/world_fail_test.go
+++ b/internal/member/world_fail_test.go
@@ -73,7 +73,7 @@
 		e.down = !e.down
 	case 7:
 		if n.frozen <= w.now {
-			n.words[e.ID] = max(n.words[e.ID], e.Incarnation)
+			n.notices[e.ID] = max(n.notices[e.ID], e.Incarnation)
 			n.tb.MarkDraining(w.now, e.ID, e.Incarnation)
 		}
 	case 8:
@@ -103,18 +103,18 @@
 
 func (w *world) check(rt *rapid.T) {
 	for _, n := range w.nodes {
-		w.checkWords(rt, n)
+		w.checkNotices(rt, n)
 		w.checkNewest(rt, n)
 		w.checkAges(rt, n)
 	}
 	w.checkOffers(rt)
 }
 
-// checkWords: a word that a host was told holds for the incarnation.
-func (w *world) checkWords(rt *rapid.T, n *node) {
+// checkNotices: a drain notice that a host has received holds for the incarnation.
+func (w *world) checkNotices(rt *rapid.T, n *node) {
 	for _, t := range n.tb.Targets() {
-		if told, ok := n.words[t.ID]; ok && t.Incarnation == told && !t.Drains {
-			rt.Fatalf("%v: %s was told that %s/%d leaves and sends to it", w.now, n.id, t.ID, told)
+		if drained, ok := n.notices[t.ID]; ok && t.Incarnation == drained && !t.Drains {
+			rt.Fatalf("%v: %s has a drain notice of %s/%d and sends to it", w.now, n.id, t.ID, drained)
 		}
 	}
 }
@@ -152,7 +152,7 @@
 
 // checkAges: a summary never looks older than it is, and at most as much
 // younger as the links can hold it up: that between the data centres, the
-// relay's, and one more where a host that restarted hears it from a third. A host that was paused can't tell how
+// relay's, and one more where a host that restarted gets it from a third. A host that was paused can't know how
 // long a message waited for it, and may take it for older; a
 // short pause it does not notice.
 func (w *world) checkAges(rt *rapid.T, n *node) {
@@ -173,7 +173,7 @@
 	}
 }
 
-// checkPools: pools that are held are those of a summary that told them, and
+// checkPools: pools that are held are those of a summary that contained them, and
 // look neither older nor newer than they are by more than the links explain,
 // however many summaries without pools have come since.
 func (w *world) checkPools(rt *rapid.T, n *node, c *Centre, slack time.Duration) {
@@ -181,13 +181,13 @@
 		return
 	}
 	got := c.poolsAge(w.now)
-	for _, t := range slices.Backward(w.told[fmt.Sprint(c.Place, n.place)]) {
+	for _, t := range slices.Backward(w.sentPools[fmt.Sprint(c.Place, n.place)]) {
 		truth := w.now.Sub(t.at)
 		if (got <= truth || w.froze) && got >= truth-slack && slices.Equal(t.pools, c.Summary.Pools) {
 			return
 		}
 	}
-	rt.Fatalf("%v: %s takes pools of %s for %v old that were not told then", w.now, n.id, c.Place.DataCentre, got)
+	rt.Fatalf("%v: %s takes pools of %s for %v old that were not sent then", w.now, n.id, c.Place.DataCentre, got)
 }
 
 // checkOffers: what a host sends offers no more than its spare slots, and no
@@ -266,7 +266,7 @@
 }
 
 // checkKept: parts that summaries leave out are known all the same. A host that
-// missed the summary that told them has them from the next whole one at the
+// missed the summary that contained them has them from the next whole one at the
 // latest.
 func (w *world) checkKept(rt *rapid.T) {
 	for _, n := range w.nodes {
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -40,8 +40,8 @@
 	frozen ident.Time
 	// cut nodes reach no one, blind ones not the platform.
 	cut, blind bool
-	// words holds every leaving word that the node was told.
-	words map[ident.TargetID]ident.Incarnation
+	// notices holds every drain notice that the node has received.
+	notices map[ident.TargetID]ident.Incarnation
 	// newest holds the highest number of each sender's digests and summaries
 	// that reached the node.
 	newest map[string]uint64
@@ -78,14 +78,14 @@
 	uses    map[string][]event.TargetUse
 	froze   bool
 	sent    []message
-	// revision is that in force at every host, told what the summaries that
-	// tell pools have told, by the data centres from and to.
-	revision ident.Revision
-	told     map[string][]toldPools
+	// revision is that in force at every host, sentPools the pools of the
+	// summaries that contain them, by the data centres from and to.
+	revision  ident.Revision
+	sentPools map[string][]sentPools
 }
 
-// toldPools are the pools of one summary.
-type toldPools struct {
+// sentPools are the pools of one summary.
+type sentPools struct {
 	at    ident.Time
 	pools []event.Pool
 }
@@ -101,7 +101,7 @@
 func newWorld(seed int64, centres, hosts, engines int) *world {
 	w := &world{
 		rng: rand.New(rand.NewSource(seed)), now: 1, delay: 20 * time.Millisecond, made: make(map[string]ident.Time),
-		uses: make(map[string][]event.TargetUse), told: make(map[string][]toldPools), revision: 1,
+		uses: make(map[string][]event.TargetUse), sentPools: make(map[string][]sentPools), revision: 1,
 	}
 	for c := range centres {
 		place := event.Place{DataCentre: ident.DataCentre(fmt.Sprint("dc", c)), Region: ident.Region(fmt.Sprint("r", c))}
@@ -129,7 +129,7 @@
 	w.post = slices.DeleteFunc(w.post, func(l message) bool { return l.to == n.id })
 	n.tb = New(event.Host{ID: n.id, Incarnation: inc, Place: n.place})
 	n.tb.Advance(w.now)
-	n.words = make(map[ident.TargetID]ident.Incarnation)
+	n.notices = make(map[ident.TargetID]ident.Incarnation)
 	n.newest = make(map[string]uint64)
 	n.starts = make(map[ident.TargetID]ident.Incarnation)
 	n.dropped = make(map[string]uint64)
@@ -188,7 +188,7 @@
 		switch e := l.eff.(type) {
 		case event.SendDigest:
 			for _, x := range e.Digest.Draining {
-				to.words[x.Target] = max(to.words[x.Target], x.Incarnation)
+				to.notices[x.Target] = max(to.notices[x.Target], x.Incarnation)
 			}
 			h := e.Digest.Host
 			to.reached("digest", h.ID, h.Incarnation, e.Digest.Seq)
@@ -224,7 +224,7 @@
 		case event.SendSummary:
 			w.made[fmt.Sprint(e.Summary.From, e.Summary.Incarnation, e.Summary.Seq)] = w.now
 			if key := fmt.Sprint(n.place, e.To.Place); !e.Summary.PoolsKept {
-				w.told[key] = append(w.told[key], toldPools{w.now, e.Summary.Pools})
+				w.sentPools[key] = append(w.sentPools[key], sentPools{w.now, e.Summary.Pools})
 			}
 			w.mail(n, e.To.ID, e)
 		case event.ReadHosts:
@@ -275,7 +275,7 @@
 	}
 	e.seq++
 	if e.leaving {
-		n.words[id] = max(n.words[id], e.Incarnation)
+		n.notices[id] = max(n.notices[id], e.Incarnation)
 	}
 	n.tb.LoadReported(w.now, event.Load{
 		Target: id, Incarnation: e.Incarnation, Seq: e.seq, Age: 100 * time.Millisecond, Slots: e.slots, Running: e.running,
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -144,7 +144,7 @@
 }
 
 // overtaken reports whether a later ticket has run and been forgotten, so that
-// the host can't tell the two apart.
+// the host can't distinguish the two.
 func (w *world) overtaken(j *job) bool {
 	t, _ := parseTicket(j.ticket)
 	return slices.ContainsFunc(w.jobs, func(o *job) bool {
--- a/internal/opctl/opctl_test.go
+++ b/internal/opctl/opctl_test.go
@@ -200,7 +200,7 @@
 	cl := &Client{URL: "http://127.0.0.1:1", Token: "token-anu"}
 	_, err := cl.Change(context.Background(), rules.Change{ID: "c1"})
 	if got := doubt(err, "c1", ""); !errors.Is(got, err) || (&Options{Err: &bytes.Buffer{}}).exit(got) == exitUnknown {
-		t.Errorf("a change that was never sent is told as unknown: %v", got)
+		t.Errorf("a change that was never sent is reported as unknown: %v", got)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -145,7 +145,7 @@
 		t.Error("the older run came back")
 	}
 	if x.has(isDown("uvs-2")) {
-		t.Error("the host was told as down while one of its runs is linked")
+		t.Error("the host was reported as down while one of its runs is linked")
 	}
 }
 
@@ -188,7 +188,7 @@
 	x.Send(event.SendDigest{To: []event.Host{y.cfg.Self}, Digest: event.Digest{Seq: 1}})
 	eventually(t, "the digest is counted as rejected", func() bool { return y.count("rejected") == 1 })
 	if y.has(func(ev event.Event) bool { _, ok := ev.(event.DigestReceived); return ok }) {
-		t.Error("the reducer was told")
+		t.Error("the reducer was notified")
 	}
 }
 
--- a/internal/peer/keys_test.go
+++ b/internal/peer/keys_test.go
@@ -57,7 +57,7 @@
 			}
 			eventually(t, "it is counted as refused", func() bool { return x.count("refused") == 1 })
 			if x.has(isUp("uvs-2")) {
-				t.Error("the reducer was told of it")
+				t.Error("the reducer was notified of it")
 			}
 		})
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -203,7 +203,7 @@
 	y.Send(event.AnswerBar{To: "uvs-1", Attempt: a, Answer: event.Barred})
 	eventually(t, "the answer is counted as rejected", func() bool { return x.count("rejected") == 1 })
 	if x.has(func(ev event.Event) bool { _, ok := ev.(event.BarAnswered); return ok }) {
-		t.Error("the reducer was told")
+		t.Error("the reducer was notified")
 	}
 }
 
--- a/internal/proofs/caller_test.go
+++ b/internal/proofs/caller_test.go
@@ -15,8 +15,8 @@
 	"verbenadale.example/verbenadale/pkg/codes"
 )
 
-// told is what a caller was told of one request.
-type told struct {
+// result is what a caller got for one request.
+type result struct {
 	status int
 	// outcome is empty where the connection broke without a word.
 	outcome event.Outcome
@@ -40,10 +40,10 @@
 
 // ask sends one request and never fails the test: a connection that breaks is
 // an answer without a word.
-func ask(ctx context.Context, base, path, body string, header map[string]string) told {
+func ask(ctx context.Context, base, path, body string, header map[string]string) result {
 	res, err := openAsk(ctx, base, path, body, header)
 	if err != nil {
-		return told{}
+		return result{}
 	}
 	return finish(res)
 }
@@ -63,15 +63,15 @@
 }
 
 // finish reads an answer to its end.
-func finish(res *http.Response) told {
+func finish(res *http.Response) result {
 	defer res.Body.Close()
 	b, err := io.ReadAll(res.Body)
 	if err != nil {
-		return told{}
+		return result{}
 	}
 	// The outcome of a stream comes after it.
 	said := cmp.Or(res.Header.Get("Verbenadale-Outcome"), res.Trailer.Get("Verbenadale-Outcome"))
-	ans := told{status: res.StatusCode, outcome: event.Outcome(said), body: string(b)}
+	ans := result{status: res.StatusCode, outcome: event.Outcome(said), body: string(b)}
 	var ref refusalBody
 	if json.Unmarshal(b, &ref) == nil {
 		ans.code, ans.entries = ref.Error.Code, ref.Error.Entries
--- a/internal/proofs/change_serves_test.go
+++ b/internal/proofs/change_serves_test.go
@@ -53,7 +53,7 @@
 }
 
 // races has two operators send different changes of one item, read at one
-// revision, through two data centres at once. One wins and the other is told.
+// revision, through two data centres at once. One wins and the other gets the conflict.
 func (o *office) races() {
 	o.t.Helper()
 	for range 6 {
@@ -79,7 +79,7 @@
 }
 
 // lostReplies loses the reply of the write that makes a change. The operator
-// is told that it was accepted all the same, and it is there once.
+// learns that it was accepted all the same, and it is there once.
 func (o *office) lostReplies() {
 	o.t.Helper()
 	for _, id := range []ident.EntryID{"uvs-1", "erdenet-2", "khovd-1"} {
@@ -194,7 +194,7 @@
 }
 
 // cutAndFrozen freezes each host of a data centre that is cut off from the
-// platform, so that the other one hears of changes from other data centres
+// platform, so that the other one learns of changes from other data centres
 // alone, and not at once by the host that spoke to them.
 func (o *office) cutAndFrozen() {
 	o.t.Helper()
--- a/internal/proofs/change_test.go
+++ b/internal/proofs/change_test.go
@@ -22,7 +22,7 @@
 // inForceWithin is the time in which an accepted change has to be in force.
 const inForceWithin = 4 * time.Second
 
-// reading is what one host has told of the profile that the tests change.
+// reading is what one host reports of the profile that the tests change.
 type reading struct {
 	at      time.Time
 	rev     ident.Revision
@@ -90,7 +90,7 @@
 	r.life++
 }
 
-// since returns when the process that runs first told of a revision.
+// since returns when the process that runs first reported a revision.
 func (r *reader) since(rev ident.Revision) (time.Time, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -131,12 +131,12 @@
 // firstNotice numbers the content that the profile begins with.
 const firstNotice = 1000
 
-// notice is a profile whose deadline tells which change made it.
+// notice is a profile whose deadline shows which change made it.
 func notice(n int) rules.Profile {
 	return rules.Profile{Name: "notice", Models: []rules.Serve{{Model: "draft"}}, DeadlineMs: int64(n)}
 }
 
-// verdict is what an operator is told.
+// verdict is the answer that an operator gets.
 type verdict struct {
 	status int
 	change rules.Change
--- a/internal/proofs/circulate_test.go
+++ b/internal/proofs/circulate_test.go
@@ -92,7 +92,7 @@
 // Two full regions that believe each other idle send requests to and fro.
 func TestTwoRegionsDoNotSwapRequests(t *testing.T) {
 	slow := []string{"-slots", "4", "-tokenTime", "10ms"}
-	f := startTuned(t, telling,
+	f := startTuned(t, verbose,
 		site{place: placeOf("uvs"), entries: 2, engines: 1, engineArgs: slow},
 		site{place: placeOf("erdenet"), entries: 2, engines: 1, engineArgs: slow})
 	tp := f.tapeRegions()
@@ -260,7 +260,7 @@
 	began := time.Now()
 	rep := post(t, f.host("uvs-1").callers()+"/v1/chat/completions", "key-1", chatBody("round", "x", 2))
 	if diff := cmp.Diff(codes.TargetFailed.ID, refusalOf(rep).Error.Code); diff != "" {
-		t.Errorf("what the caller is told (-want +got):\n%s", diff)
+		t.Errorf("what the caller gets (-want +got):\n%s", diff)
 	}
 	if diff := cmp.Diff(1, d.codes[codes.TooManyHops.ID]); diff != "" {
 		t.Errorf("rounds refused for their hops (-want +got):\n%s", diff)
--- a/internal/proofs/cutoff_test.go
+++ b/internal/proofs/cutoff_test.go
@@ -53,7 +53,7 @@
 }
 
 // Rounds of steady work. The long one outlasts what hosts believe of each
-// other without being told.
+// other without a message.
 const (
 	longRounds = 40
 	fewRounds  = 10
--- a/internal/proofs/forge_test.go
+++ b/internal/proofs/forge_test.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// liar tells a host again and again, in the name of another region, that the
+// liar reports to a host again and again, in the name of another region, that the
 // region is idle.
 type liar struct {
 	g    *forger
--- a/internal/proofs/jobs_test.go
+++ b/internal/proofs/jobs_test.go
@@ -12,7 +12,7 @@
 	"verbenadale.example/verbenadale/pkg/codes"
 )
 
-// jobs holds what callers were told of each job against the ledgers of the
+// jobs compares the results of each job with the ledgers of the
 // services.
 type jobs struct {
 	f  *fleet
@@ -27,9 +27,9 @@
 // job is one thing to do, such as one notice to publish. All its requests
 // carry the same ticket or key.
 type job struct {
-	name   string
-	header map[string]string
-	told   []told
+	name    string
+	header  map[string]string
+	results []result
 }
 
 // byTicket returns a new job with a ticket of a host.
@@ -63,12 +63,12 @@
 	return out
 }
 
-// send sends a job to a host and takes note of what is told.
-func (js *jobs) send(m *member, j *job) told {
+// send sends a job to a host and records the result.
+func (js *jobs) send(m *member, j *job) result {
 	return js.sendFor(context.Background(), m, j)
 }
 
-func (js *jobs) sendFor(ctx context.Context, m *member, j *job) told {
+func (js *jobs) sendFor(ctx context.Context, m *member, j *job) result {
 	body, _ := json.Marshal(plain.Call{Job: j.name, Text: "a notice"})
 	ans := ask(ctx, m.callers(), "/v1/services/publish/notices", string(body), j.header)
 	ran := 0
@@ -77,9 +77,9 @@
 	}
 	js.mu.Lock()
 	defer js.mu.Unlock()
-	j.told = append(j.told, ans)
+	j.results = append(j.results, ans)
 	if ran > 0 {
-		js.lies = append(js.lies, fmt.Sprintf("%s had run when %s was told not to have (%s)", j.name, j.name, ans.code))
+		js.lies = append(js.lies, fmt.Sprintf("%s had run when %s was reported as not run (%s)", j.name, j.name, ans.code))
 	}
 	return ans
 }
@@ -102,15 +102,15 @@
 	}
 }
 
-// last returns what was told last of a job.
-func (j *job) last() told {
-	if len(j.told) == 0 {
-		return told{}
+// last returns the newest result of a job.
+func (j *job) last() result {
+	if len(j.results) == 0 {
+		return result{}
 	}
-	return j.told[len(j.told)-1]
+	return j.results[len(j.results)-1]
 }
 
-// check holds everything that was told against what ran.
+// check compares all results with what ran.
 func (js *jobs) check(t *testing.T) {
 	t.Helper()
 	js.wg.Wait()
@@ -125,9 +125,9 @@
 			t.Errorf("%s ran %d times", j.name, n)
 		}
 		if n > 0 && j.deniesRun() {
-			t.Errorf("%s was told not to have run (%s) and ran", j.name, j.last().code)
+			t.Errorf("%s was reported as not run (%s) and ran", j.name, j.last().code)
 		}
-		for _, ans := range j.told {
+		for _, ans := range j.results {
 			outcomes[string(ans.outcome)+" "+string(ans.code)]++
 			if ans.outcome == event.Done && ans.code == "" {
 				j.checkDone(t, ans, n)
@@ -137,7 +137,7 @@
 	for _, lie := range js.lies {
 		t.Error(lie)
 	}
-	t.Logf("%d jobs, %d runs; told %v", len(js.all), ran, outcomes)
+	t.Logf("%d jobs, %d runs; results %v", len(js.all), ran, outcomes)
 	js.all, js.lies = js.all[:0:0], nil
 }
 
@@ -146,7 +146,7 @@
 // an earlier one with the same key.
 func (j *job) deniesRun() bool {
 	earlier := false
-	for _, ans := range j.told {
+	for _, ans := range j.results {
 		earlier = earlier || ans.outcome != event.NotRun
 	}
 	last := j.last()
@@ -155,14 +155,14 @@
 
 // checkDone holds an answer against the ledger: it must be of this job and of
 // its one run, also when it is given for the second time.
-func (j *job) checkDone(t *testing.T, ans told, runs int) {
+func (j *job) checkDone(t *testing.T, ans result, runs int) {
 	t.Helper()
 	var res plain.Result
 	if err := json.Unmarshal([]byte(ans.body), &res); err != nil || res.Job != j.name {
 		t.Errorf("%s was answered with %q", j.name, ans.body)
 	}
 	if runs != 1 {
-		t.Errorf("%s was told to be done and ran %d times", j.name, runs)
+		t.Errorf("%s was reported as done and ran %d times", j.name, runs)
 	}
 }
 
--- a/internal/proofs/marker_test.go
+++ b/internal/proofs/marker_test.go
@@ -22,7 +22,7 @@
 
 // A word of a confined body shows up in a log, trace, metric or another region.
 func TestNoWordOfABodyLeaves(t *testing.T) {
-	f := startTuned(t, telling, siteOf("uvs", 2, 1, 1), siteOf("erdenet", 2, 1, 0), siteOf("khovd", 1, 0, 0))
+	f := startTuned(t, verbose, siteOf("uvs", 2, 1, 1), siteOf("erdenet", 2, 1, 0), siteOf("khovd", 1, 0, 0))
 	tp := f.tapeRegions()
 	f.configure(append(confinedItems(t), item(t, rules.KindProfile, "notices", rules.Profile{
 		Name: "notices", Service: "publish", Once: true, Regions: []ident.Region{"uvs"}, MaxCrossings: 1,
--- a/internal/proofs/once_link_test.go
+++ b/internal/proofs/once_link_test.go
@@ -50,7 +50,7 @@
 // Links break while jobs that were passed on run, each way alone and both, and
 // some go silent and then deliver late what they had taken, as does a host that
 // is frozen for a moment. The sender can't
-// tell a job that runs from one that never arrived. It asks until the link is
+// distinguish a job that runs from one that never arrived. It asks until the link is
 // back, and the other side answers, or bars what has not come.
 func (o *onceFleet) testLinks(t *testing.T) {
 	briefly := func() { time.Sleep(1500 * time.Millisecond) }
--- a/internal/proofs/once_test.go
+++ b/internal/proofs/once_test.go
@@ -47,12 +47,12 @@
 	eventually(o.t, "a job runs at "+string(m.id), func() bool {
 		return o.send(m, o.byKey()).outcome == event.Done
 	})
-	eventually(o.t, "callers are told of "+string(m.id), func() bool {
+	eventually(o.t, "callers learn of "+string(m.id), func() bool {
 		return len(askEntries(m.callers(), "publish")) == len(o.hosts)
 	})
 }
 
-// services tells all services what to do wrong.
+// services sets the faults of all services.
 func (o *onceFleet) services(x plain.Faults) {
 	o.t.Helper()
 	for _, tg := range o.targets {
@@ -60,7 +60,7 @@
 	}
 }
 
-// store tells the platform what to do wrong.
+// store sets the faults of the platform.
 func (o *onceFleet) store(x plat.Faults) {
 	o.t.Helper()
 	put(o.t, o.platform+"/dev/faults", x)
@@ -122,7 +122,7 @@
 
 // The platform is slow, and the host dies while its claims of keys are on
 // their way. The writes land after its death, under the name of a run that no
-// longer exists. A caller that hears "not run" from anyone and takes a ticket
+// longer exists. A caller that gets "not run" from anyone and takes a ticket
 // is safe only if the key can never run again.
 func (o *onceFleet) testBeforeClaim(t *testing.T) {
 	before, calls := o.puts(), o.calls("")
@@ -148,7 +148,7 @@
 }
 
 // A host dies with jobs that are on record and wait for room at the service.
-// Nobody can tell any more that they have not run.
+// Nobody knows any more that they have not run.
 func (o *onceFleet) testBeforeSend(t *testing.T) {
 	o.services(plain.Faults{WorkMs: 1500})
 	calls := o.calls("uvs")
@@ -168,7 +168,7 @@
 }
 
 // A host dies while a service works on its jobs. The service finishes them,
-// and nobody is there to tell. A repeat anywhere must not run them again.
+// and nobody is left who knows. A repeat anywhere must not run them again.
 func (o *onceFleet) testWhileRunning(t *testing.T) {
 	o.dieAt(t, o.here, plain.Faults{WorkMs: 1000}, []*member{o.here})
 }
@@ -226,7 +226,7 @@
 	eventually(t, "jobs run", func() bool { return o.calls("")-calls >= len(all) })
 	o.here.signal(t, syscall.SIGSTOP)
 	o.services(plain.Faults{})
-	var elsewhere []told
+	var elsewhere []result
 	for _, j := range all {
 		elsewhere = append(elsewhere, o.send(o.sibling, j))
 	}
@@ -244,14 +244,14 @@
 
 // isForeign checks the answer to a repeat at another host than the owner: it
 // names the owner and does not say that the job has not run.
-func (o *onceFleet) isForeign(t *testing.T, got told) {
+func (o *onceFleet) isForeign(t *testing.T, got result) {
 	t.Helper()
-	want := told{
+	want := result{
 		status: http.StatusMisdirectedRequest, outcome: event.Unknown, code: codes.ForeignTicket.ID,
 		entries: []string{o.here.callers()},
 	}
 	got.body = ""
-	if diff := cmp.Diff(want, got, cmp.AllowUnexported(told{})); diff != "" {
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(result{})); diff != "" {
 		t.Errorf("repeat at another host (-want +got):\n%s", diff)
 	}
 }
@@ -275,7 +275,7 @@
 		}
 	}
 	if len(during) != len(all) {
-		t.Errorf("%d of %d repeats were told that it is unknown", len(during), len(all))
+		t.Errorf("%d of %d repeats were reported as unknown", len(during), len(all))
 	}
 	eventually(t, "the peers give the host up", func() bool {
 		return len(askEntries(o.sibling.callers(), "publish")) < len(o.hosts)
@@ -411,7 +411,7 @@
 	o.again(all, o.here, o.sibling, o.away)
 	runs := o.fleet.jobs()
 	for _, j := range all {
-		if j.told[0].outcome == event.Unknown && runs[j.name] != 0 {
+		if j.results[0].outcome == event.Unknown && runs[j.name] != 0 {
 			t.Errorf("%s ran at another service after its own had died", j.name)
 		}
 	}
--- a/internal/proofs/residency_test.go
+++ b/internal/proofs/residency_test.go
@@ -115,7 +115,7 @@
 	return event.Place{DataCentre: ident.DataCentre(name), Region: ident.Region(name)}
 }
 
-// A caller asks a host in the wrong region. It is told the right ones before
+// A caller asks a host in the wrong region. It learns the right ones before
 // it has sent a byte of the body; the right one asks for the body.
 func (f *fleet) wrongEntry(t *testing.T) {
 	right := []string{f.host("uvs-1").callers(), f.host("uvs-2").callers()}
--- a/internal/proofs/rolling_test.go
+++ b/internal/proofs/rolling_test.go
@@ -31,7 +31,7 @@
 		eventually(t, "answers at "+string(m.id), func() bool {
 			return ask(context.Background(), m.callers(), "/v1/chat/completions", chatBody("draft", "hello", 4), nil).outcome == event.Done
 		})
-		eventually(t, "callers are told of all hosts", func() bool { return len(askEntries(m.callers(), "draft")) == len(f.hosts) })
+		eventually(t, "callers learn of all hosts", func() bool { return len(askEntries(m.callers(), "draft")) == len(f.hosts) })
 	}
 	loads := []*crowd{startCrowd(urls[:2], 1), startCrowd(urls[2:], 2)}
 	began := time.Now()
@@ -97,7 +97,7 @@
 	f.t.Helper()
 	const streams = 5
 	listed := time.Now()
-	got := make(chan told, streams*len(ms))
+	got := make(chan result, streams*len(ms))
 	for _, m := range ms {
 		for range streams {
 			res, err := openAsk(context.Background(), m.callers(), "/v1/chat/completions", chatBody("draft", "a memory", tokens), nil)
@@ -122,7 +122,7 @@
 		f.boot(m)
 	}
 	for _, m := range f.hosts {
-		eventually(f.t, "callers are told of all hosts", func() bool { return len(askEntries(m.callers(), "draft")) == len(f.hosts) })
+		eventually(f.t, "callers learn of all hosts", func() bool { return len(askEntries(m.callers(), "draft")) == len(f.hosts) })
 	}
 }
 
@@ -168,7 +168,7 @@
 		return ask(context.Background(), m.callers(), "/v1/chat/completions", chatBody("draft", "hello", 1), nil).outcome == event.Done
 	})
 	const streams = 3
-	got := make(chan told, streams)
+	got := make(chan result, streams)
 	for range streams {
 		go func() {
 			got <- ask(context.Background(), m.callers(), "/v1/chat/completions", chatBody("draft", "a long memory", 300), nil)
@@ -186,7 +186,7 @@
 		t.Error("the host ended as if nothing had been cut")
 	}
 	if !m.says(`msg="stopped at once"`, "requestsCut=3")() {
-		t.Errorf("the log does not tell what was cut:\n%s", m.out)
+		t.Errorf("the log does not show what was cut:\n%s", m.out)
 	}
 	for range streams {
 		if ans := <-got; strings.Contains(ans.body, "[DONE]") {
--- a/internal/proofs/stop_test.go
+++ b/internal/proofs/stop_test.go
@@ -92,6 +92,6 @@
 		t.Errorf("a cut stream has its end mark: %q", text)
 	}
 	if out := en.out.String(); !strings.Contains(out, "requestsCut=1") {
-		t.Errorf("the log does not tell what was cut: %s", out)
+		t.Errorf("the log does not show what was cut: %s", out)
 	}
 }
--- a/internal/proofs/tape_test.go
+++ b/internal/proofs/tape_test.go
@@ -69,9 +69,9 @@
 	return n
 }
 
-// telling makes hosts tell all that they can: every request in the log, a span
+// verbose makes hosts log all that they can: every request in the log, a span
 // for each hop, and links that can be read.
-func telling(set *config.Settings) {
+func verbose(set *config.Settings) {
 	set.Logs.Level = 4
 	set.Traces = config.Traces{Exporter: "stdout", Ratio: 1}
 	set.Peers.Plain = true
--- a/internal/proofs/whole_test.go
+++ b/internal/proofs/whole_test.go
@@ -55,7 +55,7 @@
 	return us
 }
 
-// faults tells every engine what to do wrong.
+// faults sets the faults of every engine.
 func (f *wholeFleet) faults(x engine.Faults) {
 	f.t.Helper()
 	for _, tg := range f.targets {
@@ -200,7 +200,7 @@
 }
 
 // Streams break off, and the engines that are asked to go on begin again from
-// the first token. A caller would read the beginning twice, with the end mark
+// the first token. A caller would read the start twice, with the end mark
 // under it. Such a stream is cut instead.
 func (f *wholeFleet) testNoResume(t *testing.T) {
 	before := f.faulty(engine.FaultCut)
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -31,7 +31,7 @@
 type fleet struct {
 	now   ident.Time
 	hosts [][]*Ledger
-	// cut tells which data centres hear of no other.
+	// cut says which data centres reach no other.
 	cut map[int]bool
 	// asked is the demand at each host in requests a minute.
 	asked    [][]float64
--- a/internal/revlog/model_test.go
+++ b/internal/revlog/model_test.go
@@ -25,7 +25,7 @@
 	os.Exit(m.Run())
 }
 
-// model is the naive version: a list of the changes that were told accepted,
+// model is the naive version: a list of the changes that were reported as accepted,
 // without a store, hosts or failures.
 type model struct {
 	f     *fixture
@@ -60,14 +60,14 @@
 	switch {
 	case err == nil:
 		if old, ok := m.bound[c.ID]; ok && old.Revision != done.Revision {
-			t.Fatalf("change %s told as revision %d and as %d", c.ID, old.Revision, done.Revision)
+			t.Fatalf("change %s reported as revision %d and as %d", c.ID, old.Revision, done.Revision)
 		}
 		m.bound[c.ID] = done
 	case errors.Is(err, ErrUnknown):
 		m.doubt = append(m.doubt, c)
 	case errors.Is(err, ErrConflict), errors.Is(err, ErrDown):
 		if _, ok := m.bound[c.ID]; ok {
-			t.Fatalf("change %s told accepted, then: %v", c.ID, err)
+			t.Fatalf("change %s reported as accepted, then: %v", c.ID, err)
 		}
 	default:
 		t.Fatalf("change %s: %v", c.ID, err)
@@ -131,7 +131,7 @@
 	}
 	for id, c := range m.bound {
 		if seen[id] != c.Revision {
-			t.Fatalf("change %s was told as revision %d and stands at %d", id, c.Revision, seen[id])
+			t.Fatalf("change %s was reported as revision %d and stands at %d", id, c.Revision, seen[id])
 		}
 	}
 	for h, b := range m.books {
--- a/internal/revlog/propose_test.go
+++ b/internal/revlog/propose_test.go
@@ -85,7 +85,7 @@
 			_, first := lg.Approve(ctx, nil, "c1", "bold")
 			f.srv.SetFaults(plat.Faults{})
 			if inLog := len(f.ids(t)) == 1; first == nil && !inLog {
-				t.Errorf("down after %d calls, %d replies lost: told accepted, and the log is empty", calls, lose)
+				t.Errorf("down after %d calls, %d replies lost: reported as accepted, and the log is empty", calls, lose)
 			}
 			done, err := f.log().Approve(ctx, nil, "c1", "bold")
 			wantErr(t, "approve again", nil, err)
--- a/internal/revlog/revlog_test.go
+++ b/internal/revlog/revlog_test.go
@@ -167,7 +167,7 @@
 	_, err = New(store.New(store.Config{URL: "http://127.0.0.1:1"})).Append(context.Background(), nil, change(t, "c1", 0, "obituary", 1))
 	wantErr(t, "append with no link", ErrDown, err)
 	if errors.Is(err, ErrUnknown) {
-		t.Error("a change that was never sent is told as unknown")
+		t.Error("a change that was never sent is reported as unknown")
 	}
 }
 
--- a/internal/route/choose_test.go
+++ b/internal/route/choose_test.go
@@ -42,7 +42,7 @@
 )
 
 // genTable draws a table with targets and other data centres in every state
-// that the filters tell apart.
+// that the filters distinguish.
 func genTable(rt *rapid.T) *member.Table {
 	tb := member.New(self)
 	tb.Advance(start)
@@ -127,7 +127,7 @@
 	return q
 }
 
-// naiveTarget tells by the plain rules whether a target may have a request,
+// naiveTarget reports by the plain rules whether a target may have a request,
 // and whether it only lacks room.
 func naiveTarget(q Query, t *member.Target) (may, lacksRoom bool) {
 	may = t.Kind == event.Service && t.Service == q.Profile.Service
@@ -158,7 +158,7 @@
 	return q.Profile.Regions == nil || slices.Contains(q.Profile.Regions, r)
 }
 
-// naiveCentre tells by the plain rules whether a request may be passed on.
+// naiveCentre reports by the plain rules whether a request may be passed on.
 func naiveCentre(q Query, c *member.Centre) bool {
 	s := c.Summary
 	if !naiveRegion(q, s.Place.Region) || s.Hosts[0].Draining || s.Age > 5*time.Second || q.TriedCentres.Has(s.Place.DataCentre) {
@@ -235,7 +235,7 @@
 		}
 	case dec.Full:
 		if len(allowed) > 0 || len(full) == 0 || dec.Code != codes.Overloaded.ID {
-			rt.Fatalf("told full with %v allowed and %v full", allowed, full)
+			rt.Fatalf("reported full with %v allowed and %v full", allowed, full)
 		}
 	default:
 		if len(allowed)+len(full)+len(centres) > 0 || dec.Code != codes.NoTarget.ID {
--- a/internal/route/pace_test.go
+++ b/internal/route/pace_test.go
@@ -84,13 +84,13 @@
 		"too slow": {400 * time.Millisecond, false},
 	} {
 		tb, now := pacedTable(30*time.Millisecond, c.there)
-		var emptied []event.Target
+		var evacuated []event.Target
 		for _, x := range tb.Targets() {
 			d := x.Target
 			d.Closed = true
-			emptied = append(emptied, d)
+			evacuated = append(evacuated, d)
 		}
-		tb.HostsRead(now, event.HostsRead{Version: 2, Complete: true, Targets: emptied})
+		tb.HostsRead(now, event.HostsRead{Version: 2, Complete: true, Targets: evacuated})
 		place := event.Place{DataCentre: "east-a", Region: "east", Reach: "east"}
 		tb.SummaryReceived(now, event.Summary{
 			From: "e1", Place: place, Incarnation: 1, Seq: 100, Hosts: []event.Host{{ID: "e1", Incarnation: 1, Place: place}},
--- a/internal/route/spill_test.go
+++ b/internal/route/spill_test.go
@@ -107,7 +107,7 @@
 				first = dec.Centre
 			}
 			if dec.Centre != first {
-				t.Fatalf("requests with one beginning go to %q and %q", first, dec.Centre)
+				t.Fatalf("requests with one prefix go to %q and %q", first, dec.Centre)
 			}
 		}
 		if first != "" {
@@ -115,7 +115,7 @@
 		}
 	}
 	if went < 35 || went > 65 {
-		t.Errorf("%d of 100 beginnings have the other region, which has half of the engines", went)
+		t.Errorf("%d of 100 prefixes have the other region, which has half of the engines", went)
 	}
 }
 
--- a/internal/route/strand_test.go
+++ b/internal/route/strand_test.go
@@ -72,6 +72,6 @@
 		}
 	}
 	if len(chosen) > 2 {
-		t.Errorf("prompts with one beginning went to %d engines: %v", len(chosen), chosen)
+		t.Errorf("prompts with one prefix went to %d engines: %v", len(chosen), chosen)
 	}
 }
--- a/internal/serve/routed_test.go
+++ b/internal/serve/routed_test.go
@@ -58,7 +58,7 @@
 			b.got, b.num, b.targets = got{}, 0, b.targets[:2]
 			cut := b.run(t.Context(), routedStream)
 			check(t, "body", routed(1, 2), cut.Body)
-			check(t, "not taken for whole", false, cut.Outcome == event.Done)
+			check(t, "does not count as whole", false, cut.Outcome == event.Done)
 		})
 	}
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -161,12 +161,12 @@
 	case <-time.After(waitLimit):
 		t.Fatal("the engine still generates")
 	}
-	// The reducer hears of it on the control thread, maybe after the request's
+	// The reducer learns of it on the control thread, maybe after the request's
 	// goroutine has ended.
 	deadline := time.Now().Add(waitLimit)
 	for !b.callerLeft() {
 		if time.Now().After(deadline) {
-			t.Fatal("the reducer does not hear that the caller left")
+			t.Fatal("the reducer does not learn that the caller left")
 		}
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/slack/slack_test.go
+++ b/internal/slack/slack_test.go
@@ -56,7 +56,7 @@
 		b.Asked("r", 3*time.Second)
 	}
 	if got := b.Asked("r", 3*time.Second); got != 0 {
-		t.Errorf("taken for one that waited %s", got)
+		t.Errorf("counts as one that waited %s", got)
 	}
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -80,7 +80,7 @@
 	_, err := cl.Put(context.Background(), "k", nil, store.Absent)
 	wantErr(t, "refused connection", store.ErrDown, err)
 	if errors.Is(err, store.ErrUnknown) {
-		t.Error("a write that was never sent is told as unknown")
+		t.Error("a write that was never sent is reported as unknown")
 	}
 }
 
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -56,6 +56,6 @@
 	}
 	tr.Record(at.Add(time.Second), event.Tick{}, nil)
 	if !bytes.Contains(out.Bytes(), []byte(`"decision lines left out" lines=4700`)) {
-		t.Error("nothing tells how many lines were left out")
+		t.Error("nothing says how many lines were left out")
 	}
 }
