write a page on a time under load, and count a forwarded request once

What was missing: what a time under load was like by profile, reason and target took reading logs by hand.

Change: verbdev report writes one self-contained HTML page from the logs of hosts: goodput, predicted against real times, times by profile, refusals by code, work by target. Store calls are in the metrics, not in the logs, and are not on the page.

Found on the way: verbdev plot, of today, counted a forwarded request twice, since the host that helps has a suffix of its own on the request's id, and counted the first half as not in time. The golden log has such a request now.

Tests: golden page of a small log, a name is escaped, a log that is too short for a plot gives a page without it. The page was not looked at in a browser, since there is none here; its plots were, as pictures.

--- a/internal/dev/chart/chart.go
+++ b/internal/dev/chart/chart.go
@@ -14,6 +14,7 @@
 import (
 	"bufio"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,6 +28,10 @@
 	Name    string
 	Seconds []Second
 	Waits   []Wait
+	// Kinds, Refusals and Targets are sorted by name.
+	Kinds    []Kind
+	Refusals []Refusal
+	Targets  []Target
 	// LeftOut counts the lines that hosts have left out, so that what is counted is too low.
 	LeftOut int
 }
@@ -45,6 +50,42 @@
 	Real      time.Duration
 }
 
+// Kind is what became of the requests of one profile.
+type Kind struct {
+	Profile string
+	Sent    int
+	Refused int
+	// First and Whole are the times from sending a request to the first and to the last byte of
+	// its answer, of the attempts that were answered whole.
+	First Quantiles
+	Whole Quantiles
+}
+
+// Refusal counts the refusals of one code.
+type Refusal struct {
+	Code  string
+	Title string
+	Count int
+}
+
+// Target is the work that was sent to one target.
+type Target struct {
+	ID   string
+	Sent int
+	// Done, Failed and Shed count the attempts that were answered whole, broke off or failed, and
+	// were not run.
+	Done   int
+	Failed int
+	Shed   int
+	// MostBusy is the largest number of requests that a host believed to be there.
+	MostBusy int
+}
+
+// Quantiles are quantiles of a time.
+type Quantiles struct {
+	P50, P95, P99 time.Duration
+}
+
 // request is what is known of one request.
 type request struct {
 	came   time.Time
@@ -56,11 +97,26 @@
 
 // reader gathers the lines of a series.
 type reader struct {
-	goal      time.Duration
-	requests  map[string]*request
-	predicted map[attempt]time.Duration
-	waits     []Wait
-	leftOut   int
+	goal     time.Duration
+	requests map[string]*request
+	open     map[attempt]sent
+	waits    []Wait
+	leftOut  int
+	kinds    map[string]*kind
+	refusals map[string]*Refusal
+	targets  map[string]*Target
+}
+
+// sent is an attempt that has not ended.
+type sent struct {
+	predicted time.Duration
+	profile   string
+}
+
+// kind gathers the times of a Kind.
+type kind struct {
+	Kind
+	first, whole []time.Duration
 }
 
 // maxLine is the longest line that is read, in bytes.
@@ -69,7 +125,7 @@
 // Read returns the series of the logs in r. An answer is in time if its first byte came within
 // goal of its request.
 func Read(r io.Reader, name string, goal time.Duration) (Series, error) {
-	rd := &reader{goal: goal, requests: make(map[string]*request), predicted: make(map[attempt]time.Duration)}
+	rd := &reader{goal: goal, requests: make(map[string]*request), open: make(map[attempt]sent), kinds: make(map[string]*kind), refusals: make(map[string]*Refusal), targets: make(map[string]*Target)}
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, maxLine)
 	for sc.Scan() {
@@ -81,12 +137,17 @@
 	if len(rd.requests) == 0 {
 		return Series{}, errors.Errorf("chart: %s has no line of a request; log at level 0 or higher", name)
 	}
-	return Series{Name: name, Seconds: rd.seconds(), Waits: rd.waits, LeftOut: rd.leftOut}, nil
+	return Series{
+		Name: name, Seconds: rd.seconds(), Waits: rd.waits, LeftOut: rd.leftOut,
+		Kinds: rd.sortedKinds(), Refusals: sorted(rd.refusals), Targets: sorted(rd.targets),
+	}, nil
 }
 
 // line counts one line.
 func (rd *reader) line(s string) {
 	f := fields(s)
+	// Hosts add a suffix of their own to the id of a request.
+	f["request"], _, _ = strings.Cut(f["request"], ".")
 	if f["msg"] == "decision lines left out" {
 		n, _ := strconv.Atoi(f["lines"])
 		rd.leftOut += n
@@ -97,42 +158,107 @@
 		return
 	}
 	switch f["msg"] {
-	case "sent to a target", "passed on", "refused":
-		rd.request(f["request"], at.Add(-millis(f["waitedMs"])))
-		if p, ok := f["predictedMs"]; ok && f["msg"] == "sent to a target" {
-			rd.predicted[attempt{f["request"], f["target"]}] = millis(p)
-		}
+	case "sent to a target":
+		rd.came(f["request"], at.Add(-millis(f["waitedMs"])))
+		rd.sent(f)
+	case "passed on":
+		rd.came(f["request"], at.Add(-millis(f["waitedMs"])))
+	case "refused":
+		rd.came(f["request"], at.Add(-millis(f["waitedMs"])))
+		entry(rd.refusals, f["code"], Refusal{Code: f["code"], Title: f["title"]}).Count++
+		entry(rd.kinds, f["profile"], kind{Kind: Kind{Profile: f["profile"]}}).Refused++
 	case "attempt ended":
 		rd.ended(f, at)
 	}
 }
 
-// request returns the record of a request, made with the time at which it came if it is new.
-func (rd *reader) request(id string, came time.Time) *request {
-	r, ok := rd.requests[id]
+// entry returns the entry of a key, made from first if it is new.
+func entry[T any](m map[string]*T, key string, first T) *T {
+	v, ok := m[key]
 	if !ok {
-		r = &request{came: came}
-		rd.requests[id] = r
+		v = &first
+		m[key] = v
+	}
+	return v
+}
+
+// sorted returns the values of a map by key.
+func sorted[T any](m map[string]*T) []T {
+	var out []T
+	for _, key := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, *m[key])
+	}
+	return out
+}
+
+// sent counts an attempt at a target.
+func (rd *reader) sent(f map[string]string) {
+	rd.open[attempt{f["request"], f["target"]}] = sent{millis(f["predictedMs"]), f["profile"]}
+	entry(rd.kinds, f["profile"], kind{Kind: Kind{Profile: f["profile"]}}).Sent++
+	t := entry(rd.targets, f["target"], Target{ID: f["target"]})
+	t.Sent++
+	busy, _ := strconv.Atoi(f["busy"])
+	t.MostBusy = max(t.MostBusy, busy)
+}
+
+// came records when a request came, by the first line that names it.
+func (rd *reader) came(id string, at time.Time) {
+	if _, ok := rd.requests[id]; !ok {
+		rd.requests[id] = &request{came: at}
 	}
-	return r
 }
 
 // ended counts the end of an attempt at a target.
 func (rd *reader) ended(f map[string]string, at time.Time) {
 	key := attempt{f["request"], f["target"]}
-	predicted, sent := rd.predicted[key]
-	first := millis(f["firstMs"])
-	if !sent || first < 0 || f["firstMs"] == "" {
+	s, ok := rd.open[key]
+	if !ok {
 		return
 	}
-	delete(rd.predicted, key)
-	rd.waits = append(rd.waits, Wait{Predicted: predicted, Real: first})
-	began := at.Add(first - millis(f["tookMs"]))
-	if r := rd.requests[key.request]; f["result"] == "done" && began.Sub(r.came) <= rd.goal {
+	delete(rd.open, key)
+	t := rd.targets[key.target]
+	switch f["result"] {
+	case "done":
+		t.Done++
+	case "notRun":
+		t.Shed++
+	default:
+		t.Failed++
+	}
+	first, took := millis(f["firstMs"]), millis(f["tookMs"])
+	if first < 0 || f["firstMs"] == "" {
+		return
+	}
+	rd.waits = append(rd.waits, Wait{Predicted: s.predicted, Real: first})
+	if f["result"] != "done" {
+		return
+	}
+	k := rd.kinds[s.profile]
+	k.first, k.whole = append(k.first, first), append(k.whole, took)
+	if r := rd.requests[key.request]; at.Add(first-took).Sub(r.came) <= rd.goal {
 		r.inTime = true
 	}
 }
 
+// sortedKinds returns the kinds by profile.
+func (rd *reader) sortedKinds() []Kind {
+	var out []Kind
+	for _, k := range sorted(rd.kinds) {
+		k.First, k.Whole = quantiles(k.first), quantiles(k.whole)
+		out = append(out, k.Kind)
+	}
+	return out
+}
+
+func quantiles(ds []time.Duration) Quantiles {
+	if len(ds) == 0 {
+		return Quantiles{}
+	}
+	slices.Sort(ds)
+	at := func(part int) time.Duration { return ds[min(len(ds)-1, len(ds)*part/100)] }
+	return Quantiles{P50: at(50), P95: at(95), P99: at(99)}
+}
+
 // seconds counts the requests by the second in which they came.
 func (rd *reader) seconds() []Second {
 	var start time.Time
--- a/internal/dev/chart/chart_test.go
+++ b/internal/dev/chart/chart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,23 +12,37 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// Requests that were forwarded or tried twice count twice, or as late by one attempt only.
-func TestReadCountsEachRequestOnce(t *testing.T) {
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func readLog(t *testing.T) Series {
+	t.Helper()
 	f, err := os.Open(filepath.Join("testdata", "hosts.log"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	got, err := Read(f, "day", 300*time.Millisecond)
+	s, err := Read(f, "day", 300*time.Millisecond)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return s
+}
+
+// Requests that were forwarded or tried twice count twice, or as late by one attempt only.
+func TestReadCountsEachRequestOnce(t *testing.T) {
+	got := readLog(t)
 	ms := time.Millisecond
 	want := Series{
 		Name:    "day",
 		Seconds: []Second{{Offered: 3, InTime: 1}, {Offered: 2, InTime: 1}},
 		Waits:   []Wait{{40 * ms, 30 * ms}, {60 * ms, 500 * ms}, {0, 20 * ms}, {0, 50 * ms}},
-		LeftOut: 7,
+		Kinds: []Kind{
+			{Profile: "book", Sent: 2, First: Quantiles{500 * ms, 500 * ms, 500 * ms}, Whole: Quantiles{550 * ms, 550 * ms, 550 * ms}},
+			{Profile: "draft", Sent: 3, Refused: 1, First: Quantiles{50 * ms, 50 * ms, 50 * ms}, Whole: Quantiles{100 * ms, 100 * ms, 100 * ms}},
+		},
+		Refusals: []Refusal{{Code: "VB1009", Title: "no room, a=b", Count: 1}},
+		Targets:  []Target{{ID: "t1", Sent: 3, Done: 1, Failed: 1, Shed: 1, MostBusy: 2}, {ID: "t2", Sent: 2, Done: 2, MostBusy: 4}},
+		LeftOut:  7,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("series (-want +got):\n%s", diff)
@@ -87,3 +102,30 @@
 		}
 	}
 }
+
+// A name from a log changes the page, or a small log gives none.
+func TestPageOfASmallLog(t *testing.T) {
+	s := readLog(t)
+	s.Name = "day <script>"
+	var b bytes.Buffer
+	if err := Page(&b, []Series{s}); err != nil {
+		t.Fatal(err)
+	}
+	_, tables, _ := strings.Cut(b.String(), "<h2>")
+	golden := filepath.Join("testdata", "page.golden")
+	if *update {
+		if err := os.WriteFile(golden, []byte(tables), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), tables); diff != "" {
+		t.Errorf("page (-want +got):\n%s", diff)
+	}
+	if strings.Contains(b.String(), "<script>") {
+		t.Error("a name of a series is not escaped")
+	}
+}
--- a/internal/dev/chart/draw.go
+++ b/internal/dev/chart/draw.go
@@ -10,6 +10,8 @@
 	"gonum.org/v1/plot/vg"
 )
 
+var errTooFew = errors.New("chart: too few requests to draw")
+
 // Size of a plot.
 const (
 	width  = 18 * vg.Centimeter
@@ -19,6 +21,14 @@
 // Goodput draws the goodput of each series by the offered load, as a PNG or SVG by the ending of
 // the file. The dashed line is what an unbounded system would answer.
 func Goodput(file string, ss []Series) error {
+	p, err := goodput(ss)
+	if err != nil {
+		return err
+	}
+	return save(p, file)
+}
+
+func goodput(ss []Series) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = "goodput by offered load"
 	p.X.Label.Text = "requests a second"
@@ -33,12 +43,20 @@
 		}
 		lines = append(lines, s.Name, xys)
 	}
-	return save(p, file, lines, most)
+	return p, finish(p, lines, most)
 }
 
 // Predictions draws the real time to a first byte of each series by the predicted one, its median
 // and its 90th percentile. The dashed line is a prediction that always holds.
 func Predictions(file string, ss []Series) error {
+	p, err := predictions(ss)
+	if err != nil {
+		return err
+	}
+	return save(p, file)
+}
+
+func predictions(ss []Series) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = "time to the first byte by its prediction"
 	p.X.Label.Text = "predicted, ms"
@@ -57,7 +75,7 @@
 			lines = append(lines, s.Name+", median", mid, s.Name+", 90th percentile", high)
 		}
 	}
-	return save(p, file, lines, most)
+	return p, finish(p, lines, most)
 }
 
 func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -65,10 +83,10 @@
 // headroom is how much higher than the highest goodput the dashed line goes.
 const headroom = 1.3
 
-// save adds the lines and the diagonal up to most, and writes the file.
-func save(p *plot.Plot, file string, lines []any, most float64) error {
+// finish adds the lines and the diagonal up to most.
+func finish(p *plot.Plot, lines []any, most float64) error {
 	if len(lines) == 0 {
-		return errors.Errorf("chart: nothing to draw in %s: too few requests", file)
+		return errors.Wrap(errTooFew, p.Title.Text)
 	}
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return errors.Wrap(err, "chart: draw")
@@ -81,5 +99,9 @@
 	p.Add(same)
 	p.X.Min, p.Y.Min = 0, 0
 	p.Legend.Top, p.Legend.Left = true, true
+	return nil
+}
+
+func save(p *plot.Plot, file string) error {
 	return errors.Wrap(p.Save(width, height, file), "chart: save")
 }
--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -42,6 +42,7 @@
 	cdr.Register(&entryCmd{}, "measurements")
 	cdr.Register(&benchCmd{}, "measurements")
 	cdr.Register(&plotCmd{}, "measurements")
+	cdr.Register(&reportCmd{}, "measurements")
 	cdr.Register(&ablateCmd{}, "measurements")
 }
 
--- a/internal/dev/cmds/plot.go
+++ b/internal/dev/cmds/plot.go
@@ -52,25 +52,34 @@
 }
 
 func (c *plotCmd) draw(args []string) error {
+	ss, err := readAll(args, c.goal)
+	if err != nil {
+		return err
+	}
+	if err := chart.Goodput(filepath.Join(c.dir, "goodput.svg"), ss); err != nil {
+		return err
+	}
+	return chart.Predictions(filepath.Join(c.dir, "predictions.svg"), ss)
+}
+
+// readAll reads the series that arguments of the form NAME=LOG name.
+func readAll(args []string, goal time.Duration) ([]chart.Series, error) {
 	var ss []chart.Series
 	for _, arg := range args {
 		name, file, ok := strings.Cut(arg, "=")
 		if !ok {
-			return fmt.Errorf("%q is no NAME=LOG", arg)
+			return nil, fmt.Errorf("%q is no NAME=LOG", arg)
 		}
-		s, err := readSeries(file, name, c.goal)
+		s, err := readSeries(file, name, goal)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if s.LeftOut > 0 {
-			fmt.Fprintf(os.Stderr, "verbdev: %s: hosts left out %d lines, goodput at peaks is drawn too low\n", name, s.LeftOut)
+			fmt.Fprintf(os.Stderr, "verbdev: %s: hosts left out %d lines, what is counted at peaks is too low\n", name, s.LeftOut)
 		}
 		ss = append(ss, s)
 	}
-	if err := chart.Goodput(filepath.Join(c.dir, "goodput.svg"), ss); err != nil {
-		return err
-	}
-	return chart.Predictions(filepath.Join(c.dir, "predictions.svg"), ss)
+	return ss, nil
 }
 
 func readSeries(file, name string, goal time.Duration) (chart.Series, error) {
