--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -258,9 +258,11 @@
 	}
 }
 
-// The rest of a stream is cut when the last target that may get it sheds it once.
-func TestRestOfAStreamOutlastsAShedAtItsLastTarget(t *testing.T) {
-	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+// newRest returns a host before some targets, one of which has broken off a stream, and the rest of
+// the stream as it is sent to a second one, the last that may get it.
+func newRest(t *testing.T, targets int) (*post, event.Dispatch) {
+	t.Helper()
+	p := newPost(t, targets, core.Bounds{RetryRatio: 1, RetryFloor: 100})
 	p.now = p.now.Add(retry.Window)
 	d := p.send("draft")
 	p.step(event.FirstToken{Attempt: d.Attempt})
@@ -269,9 +271,15 @@
 	if !ok || rest.Target.ID == d.Target.ID {
 		t.Fatalf("the rest of the stream is not sent to another target: %v", effs)
 	}
+	return p, rest
+}
+
+// The rest of a stream is cut when the last target that may get it sheds it once.
+func TestRestOfAStreamOutlastsAShedAtItsLastTarget(t *testing.T) {
+	p, rest := newRest(t, 3)
 	for range 3 {
 		p.step(event.AttemptSent{Attempt: rest.Attempt})
-		effs = p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultNotRun, Delivered: 5, RetryAfter: 200 * time.Millisecond})
+		effs := p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultNotRun, Delivered: 5, RetryAfter: 200 * time.Millisecond})
 		again, ok := pick[event.Dispatch](effs)
 		if !ok || again.Target.ID != rest.Target.ID || again.Resume != 5 {
 			t.Fatalf("the rest of the stream is not sent to the target that shed it: %v", effs)
@@ -279,7 +287,7 @@
 		rest = again
 	}
 	p.step(event.AttemptSent{Attempt: rest.Attempt})
-	effs = p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 6, Generated: 1})
+	effs := p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 6, Generated: 1})
 	if _, ok := pick[event.Dispatch](effs); ok {
 		t.Error("a stream that has broken off at as many targets as may get it is sent once more")
 	}
@@ -287,14 +295,7 @@
 
 // A stream that is bound to a full target holds up requests that another target has room for.
 func TestBoundStreamHoldsUpNoOther(t *testing.T) {
-	p := newPost(t, 2, core.Bounds{RetryRatio: 1, RetryFloor: 100})
-	p.now = p.now.Add(retry.Window)
-	d := p.send("draft")
-	p.step(event.FirstToken{Attempt: d.Attempt})
-	rest, ok := pick[event.Dispatch](p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5}))
-	if !ok {
-		t.Fatal("the rest of the stream is not sent")
-	}
+	p, rest := newRest(t, 2)
 	p.step(event.AttemptSent{Attempt: rest.Attempt})
 	p.step(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultNotRun, Delivered: 5, RetryAfter: 2 * time.Second})
 	var there, elsewhere []event.Dispatch
@@ -337,14 +338,7 @@
 
 // The target of the rest of a stream is bound to it for longer than its caller waits.
 func TestRestOfAStreamEndsWithItsDeadline(t *testing.T) {
-	p := newPost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
-	p.now = p.now.Add(retry.Window)
-	d := p.send("draft")
-	p.step(event.FirstToken{Attempt: d.Attempt})
-	rest, ok := pick[event.Dispatch](p.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5}))
-	if !ok {
-		t.Fatal("the rest of the stream is not sent")
-	}
+	p, rest := newRest(t, 3)
 	p.step(event.AttemptSent{Attempt: rest.Attempt})
 	effs := p.end(event.AttemptEnded{Attempt: rest.Attempt, Result: event.ResultNotRun, Delivered: 5, RetryAfter: 20 * time.Second})
 	if _, ok := pick[event.Refuse](effs); !ok {
