name the condition that denied another attempt in the line of a refusal

Callers saw streams cut in the middle, and the line of the cut couldn't say why: the number of attempts, the retry budget of the service and a forwarded request all looked alike.

The reducer now returns the denial as data, with the figures that it was judged by, and the line of the refusal carries it. No decision changes.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -7,7 +7,6 @@
 	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/internal/order"
-	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/route"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -110,6 +109,7 @@
 	rd.attempts[a.id] = a
 	r.live = a
 	r.tries++
+	r.denied = event.Denial{}
 	if dec.Target == nil {
 		rd.forward(now, r, a)
 		return
@@ -318,66 +318,6 @@
 	rd.emit(event.Finish{Request: r.ID, Outcome: event.Done})
 }
 
-// again tries a request elsewhere, after a pause and within the budget, or
-// ends it.
-func (rd *Reducer) again(now ident.Time, r *request, a *attempt, e event.AttemptEnded, ref refusal) {
-	if rd.mayTryAgain(now, r, a, e) {
-		rd.elsewhereSoon(now, r, a, ref)
-		return
-	}
-	if !rd.retryThere(now, r, a, e) {
-		rd.end(now, r, ref)
-	}
-}
-
-// retryThere tries the rest of a stream again at the target that turned it away, and reports
-// whether it does. MaxAttempts bounds the targets that see a request, so that no other may get
-// it, and to end it would cut the answer that its caller has a part of.
-func (rd *Reducer) retryThere(now ident.Time, r *request, a *attempt, e event.AttemptEnded) bool {
-	begun := r.delivered > 0 || r.Begun
-	if !begun || r.profile.Route == nil || e.Result != event.ResultNotRun || a.target == "" || !reached(a, e) || e.Draining {
-		return false
-	}
-	at := now.Add(max(retry.Backoff(r.tries, r.ID), e.RetryAfter))
-	if at >= r.deadline || !rd.service(now, r.profile.Service).Spend(now) {
-		return false
-	}
-	r.only = a.target
-	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
-	return true
-}
-
-// resume lets a broken stream go on at another target. It does not use the retry budget: a
-// target that dies breaks all its streams at once, and a resumed stream asks only for the
-// tokens that are left, so that load does not grow with failures.
-func (rd *Reducer) resume(now ident.Time, r *request, a *attempt, ref refusal) {
-	if r.tries >= retry.MaxTries {
-		rd.end(now, r, ref)
-		return
-	}
-	rd.elsewhereSoon(now, r, a, ref)
-}
-
-// elsewhereSoon places a request again after a pause, but not where it failed.
-func (rd *Reducer) elsewhereSoon(now ident.Time, r *request, a *attempt, ref refusal) {
-	if a.target != "" {
-		r.tried.Add(a.target)
-	} else {
-		r.triedCentres.Add(a.dec.Centre)
-	}
-	at := now.Add(retry.Backoff(r.tries, r.ID))
-	if at >= r.deadline {
-		ref.code = codes.DeadlineExceeded.ID
-		rd.end(now, r, ref)
-		return
-	}
-	if at <= now {
-		rd.place(now, r)
-		return
-	}
-	rd.agenda.add(appointment{at: at, req: r, do: rd.place})
-}
-
 // barPause is the time between two questions about one attempt.
 const barPause = 300 * time.Millisecond
 
--- a/internal/core/refuse.go
+++ b/internal/core/refuse.go
@@ -54,7 +54,7 @@
 	}
 	eff := event.Refuse{
 		Request: r.ID, Code: ref.code, Outcome: ref.outcome, RetryAfter: ref.later, Entries: ref.entries,
-		Basis: rd.basis(now, r, r.looked),
+		Basis: rd.basis(now, r, r.looked), Denial: r.denied,
 	}
 	if c, ok := codes.Find(ref.code); ok && c.Wait && eff.RetryAfter <= 0 {
 		eff.RetryAfter = retryLater
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -52,8 +52,9 @@
 	// waits counts how often a broken stream found no place to go on.
 	waits int
 	live  *attempt
-	// looked is the last decision, which a refusal is logged with.
+	// looked is the last decision and denied the last denial, which a refusal is logged with.
 	looked route.Decision
+	denied event.Denial
 	// barring is set while a peer is asked what became of an attempt.
 	barring   *attempt
 	delivered ident.Tokens
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -106,22 +106,6 @@
 // They cost the targets nothing, but each takes some of the caller's time.
 const maxUnsent = 4
 
-// mayTryAgain decides whether a request may be tried again after an attempt
-// ended, and takes what that costs from the budget.
-func (rd *Reducer) mayTryAgain(now ident.Time, r *request, a *attempt, e event.AttemptEnded) bool {
-	rt := r.profile.Route
-	if rt == nil {
-		return r.tries < retry.MaxTries && rd.budget.Spend(now)
-	}
-	if e.Result == event.ResultNotRun && !reached(a, e) && (r.mayHaveRun || e.Code != codes.TurnedAway.ID) {
-		r.tries--
-		r.unsent++
-		return r.unsent <= maxUnsent
-	}
-	// The host that passed a request on counts its tries.
-	return !r.forwarded && r.tries < max(rt.MaxAttempts, 1) && rd.service(now, r.profile.Service).Spend(now)
-}
-
 // reached reports whether a request that was not run has been seen by a target.
 func reached(a *attempt, e event.AttemptEnded) bool {
 	if a.target == "" {
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -114,6 +114,35 @@
 	Reason string `json:"reason,omitempty"`
 	// Basis is what the refusal was decided by.
 	Basis Basis `json:"basis"`
+	// Denial says why no other attempt was made, for a request that had one.
+	Denial Denial `json:"denial"`
+}
+
+// DenialReason names the condition that rules out another attempt.
+type DenialReason string
+
+// The reasons of a denial.
+const (
+	// DeniedAttempts says that as many targets have seen the request as may.
+	DeniedAttempts DenialReason = "attempts"
+	// DeniedBudget says that the retry budget of the service is used up.
+	DeniedBudget DenialReason = "budget"
+	// DeniedForwarded says that the host which forwarded the request decides.
+	DeniedForwarded DenialReason = "forwarded"
+	// DeniedUnsent says that too many attempts ended before anything was sent.
+	DeniedUnsent DenialReason = "unsent"
+)
+
+// Denial is why a request gets no other attempt and what that was judged by. The zero Denial
+// denies nothing.
+type Denial struct {
+	Reason DenialReason `json:"reason,omitempty"`
+	// Tries is the number of attempts so far, MaxTries the most.
+	Tries    int `json:"tries,omitempty"`
+	MaxTries int `json:"maxTries,omitempty"`
+	// Spent is the number of retries in the window of the budget, Allowed the most.
+	Spent   int     `json:"spent,omitempty"`
+	Allowed float64 `json:"allowed,omitempty"`
 }
 
 // BreakOff asks the request's goroutine to break off an attempt, which ends as if its
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -80,6 +80,12 @@
 	return true
 }
 
+// Use returns the retries of the window and the most that are allowed.
+func (b *Budget) Use(now ident.Time) (spent int, allowed float64) {
+	b.advance(now)
+	return sum(b.spent), b.allowed()
+}
+
 func (b *Budget) allowed() float64 {
 	share, floor := b.Share, b.Floor
 	if share == 0 {
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -107,10 +107,13 @@
 	case event.Refuse:
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
-		tr.line("refused", "request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "profile", e.Basis.Profile, "try", e.Basis.Try,
+		kv := []any{
+			"request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "profile", e.Basis.Profile, "try", e.Basis.Try,
 			"revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited), "leftMs", millis(e.Basis.Left),
 			"predictedMs", millis(e.Basis.Wait), "queued", e.Basis.Queued, "full", e.Basis.Full, "paceMs", millis(e.Basis.Pace),
-			"retryAfterMs", millis(e.RetryAfter))
+			"retryAfterMs", millis(e.RetryAfter),
+		}
+		tr.line("refused", append(kv, denial(e.Denial)...)...)
 	case event.Finish:
 		tr.count("requests.finished")
 		tr.plain("answered", "request", e.Request, "outcome", e.Outcome)
@@ -119,6 +122,14 @@
 	}
 }
 
+// denial returns the fields of a denial, none where nothing was denied.
+func denial(d event.Denial) []any {
+	if d.Reason == "" {
+		return nil
+	}
+	return []any{"denied", d.Reason, "tries", d.Tries, "maxTries", d.MaxTries, "retriesSpent", d.Spent, "retriesAllowed", percent(d.Allowed)}
+}
+
 func (tr *Trail) began(now ident.Time, e event.FirstToken) {
 	if a, ok := tr.attempts[e.Attempt]; ok {
 		a.first = now
