break a silent attempt off only once another one is certain to follow

Cause: the goroutine that watches an attempt for silence cancelled it by itself, and only then did the reducer look whether another attempt may follow. Where none could, to break off was to end the answer.

Ruled out: the number of attempts (first of two), a forwarded request (it came from the caller), a dead target (its events went on).

Change: silence is an event. The reducer looks for a place that the time left allows, takes the retry from the budget, and only then breaks the attempt off; what follows is sent at once and isn't judged a second time. Otherwise the attempt goes on, the reason is logged, and the silence is reported again each 0.5 s. An attempt that has brought a piece meanwhile isn't broken off.

The stand-in of serve's tests answers the new event as the reducer does; its check of a silent attempt is unchanged.

--- a/internal/core/again.go
+++ b/internal/core/again.go
@@ -57,7 +57,10 @@
 	} else {
 		r.triedCentres.Add(a.dec.Centre)
 	}
-	at := now.Add(retry.Backoff(r.tries, r.ID))
+	at := now
+	if !a.follows {
+		at = now.Add(retry.Backoff(r.tries, r.ID))
+	}
 	if at >= r.deadline {
 		ref.code = codes.DeadlineExceeded.ID
 		rd.end(now, r, ref)
@@ -78,6 +81,9 @@
 }
 
 func (rd *Reducer) denyRetry(now ident.Time, r *request, a *attempt, e event.AttemptEnded) event.Denial {
+	if a.follows {
+		return event.Denial{}
+	}
 	rt := r.profile.Route
 	if rt == nil {
 		return spendTry(now, r, retry.MaxTries, &rd.budget)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -143,6 +143,8 @@
 		rd.firstToken(now, e)
 	case event.StreamPaced:
 		rd.streamPaced(e)
+	case event.AttemptSilent:
+		rd.attemptSilent(now, e)
 	case event.AttemptEnded:
 		rd.attemptEnded(now, e)
 	case event.CallerLeft:
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -7,6 +7,7 @@
 	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/internal/route"
 	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
 
@@ -49,4 +50,47 @@
 	}
 }
 
+// attemptSilent breaks a silent attempt off if another one can follow: the connection may be
+// dead. Otherwise it goes on, since its target may be paused and the caller may have a part of
+// the answer.
+func (rd *Reducer) attemptSilent(now ident.Time, e event.AttemptSilent) {
+	a, ok := rd.attempts[e.Attempt]
+	if !ok || a.req.live != a || a.follows || a.req.profile.Route == nil {
+		return
+	}
+	s := event.Silence{Since: e.Since, Lasted: now.Sub(e.Since), Begun: e.Begun}
+	if d := rd.denyFollowing(now, a.req, a); d.Reason != "" {
+		rd.emit(event.KeepAttempt{Request: a.req.ID, Attempt: a.id, Silence: s, Denial: d})
+		return
+	}
+	a.follows = true
+	rd.emit(event.BreakOff{Request: a.req.ID, Attempt: a.id, Silence: s})
+}
+
+// followLeast is what the next attempt takes at the least beyond its predicted wait.
+const followLeast = 250 * time.Millisecond
+
+// denyFollowing takes a retry from the budget for the attempt that is to follow a silent one,
+// or says why none can.
+func (rd *Reducer) denyFollowing(now ident.Time, r *request, a *attempt) event.Denial {
+	if r.forwarded {
+		return event.Denial{Reason: event.DeniedForwarded, Tries: r.tries}
+	}
+	q := rd.query(r)
+	q.Again = true
+	if a.target != "" {
+		q.Tried = r.tried.With(a.target)
+	} else {
+		q.TriedCentres = r.triedCentres.With(a.dec.Centre)
+	}
+	dec := rd.router.Preview(now, q, rd.table)
+	if rd.pools.of(r).busy(r) || dec.Target == nil && dec.Centre == "" {
+		return event.Denial{Reason: event.DeniedPlace, Tries: r.tries}
+	}
+	if now.Add(dec.Wait+followLeast) >= r.deadline {
+		return event.Denial{Reason: event.DeniedTime, Tries: r.tries, Wait: dec.Wait, Left: r.deadline.Sub(now)}
+	}
+	return spendTry(now, r, max(r.profile.Route.MaxAttempts, 1), rd.service(now, r.profile.Service))
+}
+
 func part(d time.Duration, p float64) time.Duration { return time.Duration(p * float64(d)) }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -79,6 +79,9 @@
 	host        event.Host
 	dec         route.Decision
 	sent        bool
+	// follows says that the attempt is broken off for a silence, and that the retry which
+	// follows has been taken from the budget.
+	follows bool
 	// unread is the part of the prompt that the target has to read and whose first
 	// token has not come, before what it had to read first when this was sent.
 	unread ident.Tokens
--- /dev/null
+++ b/internal/core/silent_test.go
@@ -0,0 +1,97 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/core"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/retry"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+var plenty = core.Bounds{RetryRatio: 1, RetryFloor: 100}
+
+// begin sends a stream whose first events come, and then nothing.
+func (p *post) begin() event.Dispatch {
+	p.t.Helper()
+	d := p.send("draft")
+	p.step(event.FirstToken{Attempt: d.Attempt})
+	p.now = p.now.Add(2 * time.Second)
+	return d
+}
+
+func (p *post) silent(a ident.Attempt) []event.Effect {
+	return p.step(event.AttemptSilent{Attempt: a, Since: p.now.Add(-2 * time.Second), Begun: true})
+}
+
+// A stream is cut for a silence although no other attempt can follow.
+func TestSilentStreamIsKeptWhereNoAttemptCanFollow(t *testing.T) {
+	for _, tc := range []struct {
+		reason  event.DenialReason
+		targets int
+		bounds  core.Bounds
+		before  func(p *post)
+	}{
+		{event.DeniedPlace, 1, plenty, func(*post) {}},
+		{event.DeniedBudget, 3, core.Bounds{RetryRatio: 0.001}, func(*post) {}},
+		{event.DeniedTime, 3, plenty, func(p *post) { p.now = p.now.Add(7990 * time.Millisecond) }},
+	} {
+		t.Run(string(tc.reason), func(t *testing.T) {
+			p := newPost(t, tc.targets, tc.bounds)
+			p.now = p.now.Add(retry.Window)
+			d := p.begin()
+			tc.before(p)
+			effs := p.silent(d.Attempt)
+			if _, ok := pick[event.BreakOff](effs); ok {
+				t.Fatal("it is broken off")
+			}
+			kept, ok := pick[event.KeepAttempt](effs)
+			if diff := cmp.Diff(tc.reason, kept.Denial.Reason); !ok || diff != "" {
+				t.Errorf("reason (-want +got):\n%s", diff)
+			}
+			effs = p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone, Delivered: 5})
+			if f, ok := pick[event.Finish](effs); !ok || f.Outcome != event.Done {
+				t.Errorf("its end is not delivered: %v", effs)
+			}
+		})
+	}
+}
+
+// A stream at its last attempt is cut for a silence.
+func TestSilentStreamIsKeptAtItsLastAttempt(t *testing.T) {
+	p, rest := newRest(t, 4)
+	p.step(event.AttemptSent{Attempt: rest.Attempt})
+	p.step(event.FirstToken{Attempt: rest.Attempt})
+	p.now = p.now.Add(2 * time.Second)
+	kept, ok := pick[event.KeepAttempt](p.silent(rest.Attempt))
+	if !ok || kept.Denial.Reason != event.DeniedAttempts {
+		t.Errorf("at its last attempt: %+v", kept)
+	}
+}
+
+// The retry that a silent stream was broken off for is denied to it, or taken twice from the budget.
+func TestSilentStreamIsBrokenOffWithItsRetryTaken(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 0.001, RetryFloor: 2})
+	p.now = p.now.Add(retry.Window)
+	first, second := p.begin(), p.begin()
+	if _, ok := pick[event.BreakOff](p.silent(first.Attempt)); !ok {
+		t.Fatal("it is kept although another target can go on")
+	}
+	if effs := p.silent(first.Attempt); len(effs) > 0 {
+		if _, ok := pick[event.BreakOff](effs); ok {
+			t.Error("it is broken off twice")
+		}
+	}
+	kept, _ := pick[event.KeepAttempt](p.silent(second.Attempt))
+	if diff := cmp.Diff(event.DeniedBudget, kept.Denial.Reason); diff != "" {
+		t.Errorf("the other stream, with the budget used up (-want +got):\n%s", diff)
+	}
+	effs := p.step(event.AttemptEnded{Attempt: first.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5})
+	next, ok := pick[event.Dispatch](effs)
+	if !ok || next.Resume != 5 || next.Target.ID == first.Target.ID {
+		t.Errorf("it does not go on elsewhere at once: %v", effs)
+	}
+}
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -46,8 +46,13 @@
 	// Unframed answers without a length, Extra sends one more answer.
 	Unframed Fault = "unframed"
 	Extra    Fault = "extra"
+	// Paused brings nothing for PausedFor after the second event of a stream.
+	Paused Fault = "paused"
 )
 
+// PausedFor is the time that a stream with the fault Paused brings nothing.
+const PausedFor = 2500 * time.Millisecond
+
 // Config is what a worker is.
 type Config struct {
 	ID         string
@@ -314,7 +319,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprint(w, Event(n))
-		if rc.Flush() != nil || !sleep(r, k.cfg.Pause) {
+		pause := k.cfg.Pause
+		if f == Paused && n == from+2 {
+			pause = PausedFor
+		}
+		if rc.Flush() != nil || !sleep(r, pause) {
 			return
 		}
 	}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -39,8 +39,8 @@
 	URL    string         `json:"url,omitempty"`
 }
 
-// IdleTimeouts is how long an attempt may say nothing before it is broken off, so
-// that another can be made. Zero is until its deadline.
+// IdleTimeouts is how long an attempt may bring nothing before AttemptSilent reports it. Zero
+// is until its deadline.
 type IdleTimeouts struct {
 	// First bounds the time to the first byte, Gap the time between two pieces
 	// of a stream.
@@ -131,6 +131,10 @@
 	DeniedForwarded DenialReason = "forwarded"
 	// DeniedUnsent says that too many attempts ended before anything was sent.
 	DeniedUnsent DenialReason = "unsent"
+	// DeniedTime says that too little time is left.
+	DeniedTime DenialReason = "time"
+	// DeniedPlace says that no other target or data centre has room.
+	DeniedPlace DenialReason = "noPlace"
 )
 
 // Denial is why a request gets no other attempt and what that was judged by. The zero Denial
@@ -140,6 +144,9 @@
 	// Tries is the number of attempts so far, MaxTries the most.
 	Tries    int `json:"tries,omitempty"`
 	MaxTries int `json:"maxTries,omitempty"`
+	// Wait is the predicted time to the first token, Left the time to the deadline.
+	Wait time.Duration `json:"wait,omitempty"`
+	Left time.Duration `json:"left,omitempty"`
 	// Spent is the number of retries in the window of the budget, Allowed the most.
 	Spent   int     `json:"spent,omitempty"`
 	Allowed float64 `json:"allowed,omitempty"`
@@ -150,6 +157,27 @@
 type BreakOff struct {
 	Request ident.RequestID `json:"request"`
 	Attempt ident.Attempt   `json:"attempt"`
+	// Silence is set for an attempt that is broken off for it. Its goroutine ignores the effect
+	// if a piece has come since.
+	Silence Silence `json:"silence"`
+}
+
+// Silence is what is known of an attempt that brings nothing.
+type Silence struct {
+	// Since is when the last piece of the answer came, zero for no silence.
+	Since ident.Time `json:"since,omitempty"`
+	// Lasted is the duration of the silence.
+	Lasted time.Duration `json:"lasted,omitempty"`
+	// Begun says that a piece of the answer has come.
+	Begun bool `json:"begun,omitempty"`
+}
+
+// KeepAttempt says, for the log, why a silent attempt is not broken off.
+type KeepAttempt struct {
+	Request ident.RequestID `json:"request"`
+	Attempt ident.Attempt   `json:"attempt"`
+	Silence Silence         `json:"silence"`
+	Denial  Denial          `json:"denial"`
 }
 
 // DropLinks says that the idle connections to an address lead to a target that no
@@ -379,6 +407,7 @@
 func (Refuse) isEffect()          {}
 func (Finish) isEffect()          {}
 func (BreakOff) isEffect()        {}
+func (KeepAttempt) isEffect()     {}
 func (DropLinks) isEffect()       {}
 func (Replay) isEffect()          {}
 func (ForgetOutcome) isEffect()   {}
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -22,14 +22,14 @@
 // notices.
 var (
 	eventTypes = namesOf[Event](
-		RequestArrived{}, AttemptSent{}, FirstToken{}, StreamPaced{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
+		RequestArrived{}, AttemptSent{}, FirstToken{}, StreamPaced{}, AttemptSilent{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
 		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryReported{}, LoadFailed{}, CacheChanged{},
 		HostsRead{}, PlatformFailed{}, WatchIdle{}, ReadProgress{},
 	)
 	effectTypes = namesOf[Effect](
-		Dispatch{}, Forward{}, Refuse{}, Finish{}, BreakOff{}, DropLinks{}, Replay{}, ForgetOutcome{}, Wake{},
+		Dispatch{}, Forward{}, Refuse{}, Finish{}, BreakOff{}, KeepAttempt{}, DropLinks{}, Replay{}, ForgetOutcome{}, Wake{},
 		SendDigest{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
 		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadSnapshot{}, ReadHosts{}, PollLoad{}, AskMemory{},
 		InForceNow{}, TicketIssued{}, EntriesAnswered{}, RouteAnswered{}, StatusAnswered{}, Drained{},
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -132,6 +132,16 @@
 	Attempt ident.Attempt `json:"attempt"`
 }
 
+// AttemptSilent says that an attempt has brought nothing for its idle timeout. It is repeated
+// while the silence goes on.
+type AttemptSilent struct {
+	Attempt ident.Attempt `json:"attempt"`
+	// Since is when the last piece of the answer came, or the attempt began.
+	Since ident.Time `json:"since"`
+	// Begun says that a piece of the answer has come.
+	Begun bool `json:"begun,omitempty"`
+}
+
 // AttemptEnded says how an attempt ended.
 type AttemptEnded struct {
 	Attempt ident.Attempt `json:"attempt"`
@@ -235,6 +245,7 @@
 func (AttemptSent) isEvent()    {}
 func (FirstToken) isEvent()     {}
 func (StreamPaced) isEvent()    {}
+func (AttemptSilent) isEvent()  {}
 func (AttemptEnded) isEvent()   {}
 func (CallerLeft) isEvent()     {}
 func (KeyClaimed) isEvent()     {}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -185,6 +185,8 @@
 		l.deliver(e.Request, e)
 	case event.BreakOff:
 		l.deliver(e.Request, e)
+	case event.KeepAttempt:
+		// The log has it.
 	case event.Replay:
 		l.deliver(e.Request, e)
 	case event.TicketIssued:
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -155,6 +155,11 @@
 	return dec
 }
 
+// Preview returns what Choose would decide and records nothing.
+func (rt *Router) Preview(now ident.Time, q Query, tb *member.Table) Decision {
+	return rt.decide(rt.look(now, q, tb))
+}
+
 // view is what the filters and costs of one decision look at.
 type view struct {
 	now ident.Time
--- a/internal/serve/bench_test.go
+++ b/internal/serve/bench_test.go
@@ -33,6 +33,9 @@
 	once     bool
 	deadline time.Duration
 	silence  event.IdleTimeouts
+	// keeps says that silent attempts are not broken off, silences counts their reports.
+	keeps    bool
+	silences int
 
 	mu   sync.Mutex
 	ends []event.AttemptEnded
@@ -76,6 +79,14 @@
 		return b.next(now, 0)
 	case event.CallerLeft:
 		b.left = true
+	case event.AttemptSilent:
+		b.silences++
+		if b.keeps {
+			return nil
+		}
+		return []event.Effect{event.BreakOff{
+			Request: testID, Attempt: e.Attempt, Silence: event.Silence{Since: e.Since, Begun: e.Begun},
+		}}
 	case event.AttemptEnded:
 		b.ends = append(b.ends, e)
 		switch {
--- a/internal/serve/routed_test.go
+++ b/internal/serve/routed_test.go
@@ -113,6 +113,31 @@
 	}
 }
 
+// A silent attempt is ended although the reducer keeps it.
+func TestKeptSilentAttemptGoesOn(t *testing.T) {
+	b := newBench(t, func(w http.ResponseWriter, r *http.Request) {
+		says(routed(1, 1))(w, r)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(3 * silentAgain)
+		_, _ = w.Write([]byte(routed(2, 3)))
+	})
+	b.silence = event.IdleTimeouts{First: 80 * time.Millisecond, Gap: 80 * time.Millisecond}
+	b.keeps = true
+	check(t, "caller", got{Status: 200, Body: routed(1, 3), Outcome: event.Done}, b.run(t.Context(), routedStream))
+	if b.silences < 2 || b.silences > 4 {
+		t.Errorf("the silence was reported %d times", b.silences)
+	}
+}
+
+// An attempt is broken off although its answer has gone on since the silence was reported.
+func TestAttemptThatGoesOnIsNotBrokenOff(t *testing.T) {
+	tr := &try{}
+	tr.lastByte.Store(100)
+	for since, want := range map[ident.Time]bool{0: false, 99: true, 100: false} {
+		check(t, fmt.Sprint("silent since ", since), want, tr.spoke(event.Silence{Since: since}))
+	}
+}
+
 // Headers of a target's answer go on as they came, with its status.
 func TestRoutedAnswerIsUnchanged(t *testing.T) {
 	b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -260,8 +260,7 @@
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
 		return r.start(ctx, t)
 	case event.BreakOff:
-		if r.live != nil && r.live.id == e.Attempt {
-			r.Log.Info("attempt is broken off, its target has started anew", "request", r.req.ID, "attempt", e.Attempt)
+		if r.live != nil && r.live.id == e.Attempt && !r.live.spoke(e.Silence) {
 			r.stop()
 		}
 	case event.Replay:
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"gopkg.in/tomb.v2"
 
@@ -47,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(t.t.Context(t.ctx), t.left(t.deadline))
 	defer cancel()
 	if t.idle != (event.IdleTimeouts{}) {
-		w := &watch{try: t, ctx: ctx, cancel: cancel}
+		w := &watch{try: t, ctx: ctx}
 		t.t.Go(w.run)
 	}
 	end := t.do(ctx)
@@ -83,11 +84,14 @@
 	return t.data(b, upto)
 }
 
-// watch breaks off an attempt that is silent for longer than its idle timeout.
+// silentAgain is the time between two reports of an attempt that stays silent.
+const silentAgain = 500 * time.Millisecond
+
+// watch reports an attempt that is silent for longer than its idle timeout. To break it off is
+// the reducer's decision, which knows whether another attempt can follow.
 type watch struct {
 	*try
-	ctx    context.Context
-	cancel context.CancelFunc
+	ctx context.Context
 }
 
 func (w *watch) run() error {
@@ -100,16 +104,19 @@
 				sub.Reset(due)
 				continue
 			}
-			w.Log.Info("attempt is silent and is broken off", "request", w.req.ID, "attempt", w.id.Number,
-				"silentMs", now.Sub(ident.Time(w.lastByte.Load())).Milliseconds(), "begun", w.begins.Load())
-			w.cancel()
-			return nil
+			w.Loop.Post(event.AttemptSilent{Attempt: w.id, Since: ident.Time(w.lastByte.Load()), Begun: w.begins.Load()})
+			sub.Reset(now.Add(silentAgain))
 		case <-w.ctx.Done():
 			return nil
 		}
 	}
 }
 
+// spoke reports whether a piece of the answer has come since a silence was reported.
+func (t *try) spoke(s event.Silence) bool {
+	return s.Since > 0 && ident.Time(t.lastByte.Load()) > s.Since
+}
+
 // due is when the idle timeout ends.
 func (w *watch) due() ident.Time {
 	most := w.idle.First
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -114,6 +114,12 @@
 			"retryAfterMs", millis(e.RetryAfter),
 		}
 		tr.line("refused", append(kv, denial(e.Denial)...)...)
+	case event.BreakOff:
+		tr.brokenOff(e)
+	case event.KeepAttempt:
+		tr.count("attempts.silentKept." + string(e.Denial.Reason))
+		kv := append(silence(e.Request, e.Attempt, e.Silence), denial(e.Denial)...)
+		tr.line("attempt is silent and is kept", kv...)
 	case event.Finish:
 		tr.count("requests.finished")
 		tr.plain("answered", "request", e.Request, "outcome", e.Outcome)
@@ -127,7 +133,25 @@
 	if d.Reason == "" {
 		return nil
 	}
-	return []any{"denied", d.Reason, "tries", d.Tries, "maxTries", d.MaxTries, "retriesSpent", d.Spent, "retriesAllowed", percent(d.Allowed)}
+	kv := []any{"denied", d.Reason, "tries", d.Tries, "maxTries", d.MaxTries, "retriesSpent", d.Spent, "retriesAllowed", percent(d.Allowed)}
+	if d.Reason == event.DeniedTime {
+		kv = append(kv, "nextMs", millis(d.Wait), "deadlineMs", millis(d.Left))
+	}
+	return kv
+}
+
+func (tr *Trail) brokenOff(e event.BreakOff) {
+	if e.Silence.Since == 0 {
+		tr.count("attempts.targetRestarted")
+		tr.line("attempt is broken off, its target has started anew", "request", e.Request, "attempt", e.Attempt.Number)
+		return
+	}
+	tr.count("attempts.silentBrokenOff")
+	tr.line("attempt is silent and is broken off", silence(e.Request, e.Attempt, e.Silence)...)
+}
+
+func silence(req ident.RequestID, a ident.Attempt, s event.Silence) []any {
+	return []any{"request", req, "attempt", a.Number, "silentMs", millis(s.Lasted), "begun", s.Begun}
 }
 
 func (tr *Trail) began(now ident.Time, e event.FirstToken) {
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -33,6 +33,12 @@
 		event.Refuse{Request: "c.3", Code: codes.NoTarget.ID, Outcome: event.NotRun, RetryAfter: time.Second, Basis: basis},
 		event.Refuse{Request: "d.4", Code: codes.TargetFailed.ID, Outcome: event.Unknown, Basis: basis, Denial: event.Denial{Reason: event.DeniedBudget, Tries: 1, MaxTries: 2, Spent: 3, Allowed: 3.25}},
 	})
+	quiet := event.Silence{Since: 1, Lasted: 2 * time.Second, Begun: true}
+	tr.Record(at, event.Tick{}, []event.Effect{
+		event.BreakOff{Request: "e.5", Attempt: attemptOf(5)},
+		event.BreakOff{Request: "e.5", Attempt: attemptOf(6), Silence: quiet},
+		event.KeepAttempt{Request: "e.6", Attempt: attemptOf(7), Silence: quiet, Denial: event.Denial{Reason: event.DeniedTime, Tries: 1, Wait: 854 * time.Millisecond, Left: 677 * time.Millisecond}},
+	})
 	tr.Record(at.Add(50*time.Millisecond), event.FirstToken{Attempt: attemptOf(1)}, nil)
 	tr.Record(at.Add(90*time.Millisecond), event.AttemptEnded{Attempt: attemptOf(1), Result: event.ResultDone, Status: 200, Delivered: 5}, []event.Effect{event.Finish{Request: "a.1", Outcome: event.Done}})
 	tr.Record(at.Add(95*time.Millisecond), event.AttemptEnded{Attempt: attemptOf(2), Result: event.ResultBroken}, nil)
--- a/pkg/value/value.go
+++ b/pkg/value/value.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 )
 
@@ -37,6 +38,14 @@
 // Add puts v into s, which must not be nil.
 func (s Set[T]) Add(v T) { s[v] = struct{}{} }
 
+// With returns a copy of the set that has v too.
+func (s Set[T]) With(v T) Set[T] {
+	out := make(Set[T], len(s)+1)
+	maps.Copy(out, s)
+	out.Add(v)
+	return out
+}
+
 // Sorted returns the values in ascending order.
 func (s Set[T]) Sorted() []T {
 	vs := make([]T, 0, len(s))
