--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -167,9 +167,46 @@
 	Held bool `json:"held,omitempty"`
 }
 
-// CallerLeft says that the caller has closed its connection.
+// CallerLeft says that the connection of the caller, or of the host that forwarded its request,
+// has ended before the answer.
 type CallerLeft struct {
 	Request ident.RequestID `json:"request"`
+	// Ending is which side ended it, zero where that is not known.
+	Ending Ending `json:"ending"`
+}
+
+// Side is who ended a connection or an answer.
+type Side string
+
+// The sides.
+const (
+	SideCaller   Side = "caller"
+	SideHost     Side = "host"
+	SideTarget   Side = "target"
+	SidePeer     Side = "peer"
+	SideDeadline Side = "deadline"
+)
+
+// Reason is why a side ended a connection or an answer.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonClosed says that the side closed its connection, ReasonReset that it reset it.
+	ReasonClosed Reason = "closed"
+	ReasonReset  Reason = "reset"
+	// ReasonFailed says that the connection failed otherwise.
+	ReasonFailed Reason = "failed"
+	// ReasonWriteTimeout says that the other side took nothing for too long.
+	ReasonWriteTimeout Reason = "writeTimeout"
+	// ReasonStopped says that the process ended.
+	ReasonStopped Reason = "stopped"
+)
+
+// Ending is which side ended a connection or an answer, and why.
+type Ending struct {
+	Side   Side   `json:"side,omitempty"`
+	Reason Reason `json:"reason,omitempty"`
 }
 
 // KeyClaimed answers ClaimKey.
--- a/internal/peer/take.go
+++ b/internal/peer/take.go
@@ -131,6 +131,19 @@
 		Method: o.GetMethod(), Path: o.GetPath(), Header: wire.ToHeader(o.GetHeader()),
 		ReadBody: k.readBody, Answer: ident.RequestID(o.GetRequest()), Resume: ident.Tokens(max(o.GetResume(), 0)),
 		Stream: o.GetStream(), Engine: o.GetEngine(), Routed: o.GetRouted(), Resumable: o.GetResumable(),
+		Ending: k.ending,
+	}
+}
+
+// ending returns why the answer is no longer wanted.
+func (k *take) ending() event.Ending {
+	select {
+	case <-k.m.t.Dying():
+		return event.Ending{Side: event.SideHost, Reason: event.ReasonStopped}
+	case <-k.s.mux.CloseChan():
+		return event.Ending{Side: event.SidePeer, Reason: event.ReasonFailed}
+	default:
+		return event.Ending{Side: event.SidePeer, Reason: event.ReasonClosed}
 	}
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -57,6 +57,9 @@
 	Routed bool
 	// Resumable says that a stream of a route may go on at another target.
 	Resumable bool
+	// Ending returns which side ended the connection that the request came on, once it has
+	// ended; nil where that is not known.
+	Ending func() event.Ending
 }
 
 // Sink takes the answer. Its functions are called by one goroutine at a time:
@@ -198,7 +201,7 @@
 
 // leave breaks the request off because its caller has gone.
 func (r *run) leave(box <-chan event.Effect) {
-	r.Loop.Post(event.CallerLeft{Request: r.req.ID})
+	r.Loop.Post(r.callerGone())
 	r.stop()
 	for {
 		select {
@@ -210,6 +213,14 @@
 	}
 }
 
+func (r *run) callerGone() event.CallerLeft {
+	e := event.CallerLeft{Request: r.req.ID}
+	if r.call.Ending != nil {
+		e.Ending = r.call.Ending()
+	}
+	return e
+}
+
 // decline says that an attempt that was decided before the caller left has
 // not been run, so that nothing waits for its end.
 func (r *run) decline(eff event.Effect) {
@@ -242,7 +253,7 @@
 	}
 	r.Loop.Post(t.end)
 	if r.gone && !r.once {
-		r.Loop.Post(event.CallerLeft{Request: r.req.ID})
+		r.Loop.Post(r.callerGone())
 		return true
 	}
 	return false
@@ -320,7 +331,7 @@
 	}
 	b, err := r.call.ReadBody()
 	if err != nil {
-		r.Loop.Post(event.CallerLeft{Request: r.req.ID})
+		r.Loop.Post(r.callerGone())
 		r.sink.Refuse(event.Refuse{Request: r.req.ID, Code: codes.BadRequest.ID, Outcome: event.NotRun})
 		return false
 	}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -76,7 +76,8 @@
 	case event.AttemptEnded:
 		tr.ended(now, e)
 	case event.CallerLeft:
-		tr.plain("caller left", "request", e.Request)
+		tr.count("answers.unfinished." + side(e.Ending))
+		tr.plain("caller left", "request", e.Request, "endedBy", side(e.Ending), "reason", e.Ending.Reason)
 	case event.LoadFailed:
 		tr.line("target did not answer a probe", "target", e.Target)
 	}
@@ -179,6 +180,14 @@
 	tr.line("attempt ended", append(kv, "draining", e.Draining, "resumable", e.Resumable)...)
 }
 
+// side names the side of an ending.
+func side(e event.Ending) string {
+	if e.Side == "" {
+		return "unknown"
+	}
+	return string(e.Side)
+}
+
 // firstMillis is the time to the first byte, -1 where none came.
 func firstMillis(a *attempt) int64 {
 	if a.first == 0 {
