end a host in one ordered sequence that gives each request its answer

Callers: at the end of the grace, requests at their targets ended with a closed connection; the last request on a kept connection was dropped while the process ended; and a host took requests that had 0.4 s to run before it was gone. The log denied it: 'caller left' for what the host closed, requestsCut=0 at each stop, counted after the connections were closed.

Cause: three servers shared 0.4 s in the order of a map, in http.Server.Shutdown, which closes connections whose request is being read, and then Close cut the rest with no decision of the reducer. After Drained the reducer went on to take what was due before the end of the grace.

Change: package halt is the one sequence of both front ends: take what fits, take nothing (the reducer refuses after the end of the drain), give what still runs its final answer (VB1031 where it may have run, VB1013 not run where nothing has), wait for the answers to leave, close the listeners, retire idle connections without a race, close the rest with a count. 'stopped requestsCut' is taken before anything is closed. HTTP/2 connections are still ended by the server, which announces it.

TestDrainExpiredEndsEachRequest and the tests of halt are of the new parts.

Open: over TLS with HTTP/1.1 the first byte of a request that the server has read ahead in its TLS buffer isn't known to the keeper.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -15,7 +15,7 @@
 // # Closing an idle connection
 //
 // net/http reports a connection as active only once it has read all headers, so that its own
-// state can't tell whether a request has begun to arrive; its Shutdown closes such connections.
+// state doesn't show whether a request has begun to arrive; its Shutdown closes such connections.
 // A Keeper never closes an idle connection itself. It expires the read that waits for the next
 // request, and the connection's goroutine closes it if that read has brought nothing. A byte
 // that was read before is always served.
@@ -23,6 +23,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -100,6 +101,19 @@
 	}
 }
 
+// plain returns the keeper's connection below one with TLS, nil for none and for one of HTTP/2,
+// which serves several requests at a time and is ended by the server.
+func plain(nc net.Conn) *conn {
+	if t, ok := nc.(*tls.Conn); ok {
+		if t.ConnectionState().NegotiatedProtocol == "h2" {
+			return nil
+		}
+		nc = t.NetConn()
+	}
+	c, _ := nc.(*conn)
+	return c
+}
+
 // Cut closes the connections that are still open and returns their number.
 func (k *Keeper) Cut(why event.Reason) int {
 	cs := k.all()
@@ -127,8 +141,8 @@
 
 // State records a connection's state. It fits http.Server.ConnState.
 func (k *Keeper) State(nc net.Conn, st http.ConnState) {
-	c, ok := nc.(*conn)
-	if !ok {
+	c := plain(nc)
+	if c == nil {
 		return
 	}
 	switch st {
@@ -209,9 +223,12 @@
 // EndingOf returns which side ended the connection of a request, by the request's context. It is
 // zero for a connection that no keeper knows.
 func EndingOf(ctx context.Context) event.Ending {
-	c, ok := ctx.Value(contextKey{}).(*conn)
-	if !ok {
-		return event.Ending{}
+	nc, _ := ctx.Value(contextKey{}).(net.Conn)
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	if c, ok := nc.(*conn); ok {
+		return c.ending()
 	}
-	return c.ending()
+	return event.Ending{}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,7 +67,9 @@
 	reads    bool
 	draining bool
 	drainAt  ident.Time
-	wakeAt   ident.Time
+	// closed says that the drain has ended and that the process is about to.
+	closed bool
+	wakeAt ident.Time
 	// demandAt is when each peer of the data centre last sent a digest.
 	demandAt map[ident.EntryID]ident.Time
 	// announceAt is when the demand of the accounts is next sent.
@@ -213,6 +215,8 @@
 		rd.spread.Progress(now)
 	case event.DrainAsked:
 		rd.drain(now)
+	case event.DrainExpired:
+		rd.drainExpired(now)
 	case event.Tick:
 	default:
 		return false
@@ -276,7 +280,8 @@
 	for _, id := range rd.once.Expire(now) {
 		rd.emit(event.ForgetOutcome{Request: id})
 	}
-	if rd.draining && len(rd.requests) == 0 && now.Sub(rd.drainAt) >= rd.bounds.DrainLeast {
+	if rd.draining && !rd.closed && len(rd.requests) == 0 && now.Sub(rd.drainAt) >= rd.bounds.DrainLeast {
+		rd.closed = true
 		rd.emit(event.Drained{})
 	}
 	rd.wake(now)
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -18,6 +21,24 @@
 	rd.table.SetDraining()
 }
 
+// drainExpired gives what still runs its final answer. Of a request at a target or host it isn't
+// known whether it ran.
+func (rd *Reducer) drainExpired(now ident.Time) {
+	rd.closed = true
+	ids := slices.Sorted(maps.Keys(rd.requests))
+	for _, id := range ids {
+		r := rd.requests[id]
+		ref := rd.refuseDraining(now, r)
+		if r.live != nil || r.barring != nil || r.mayHaveRun {
+			ref = refusal{code: codes.HostStopped.ID, outcome: event.Unknown}
+		}
+		if r.live != nil {
+			rd.forget(r.live, tellsNothing)
+		}
+		rd.end(now, r, ref)
+	}
+}
+
 const (
 	// lastAnswer is the time before the end of a drain in which its last answers leave.
 	lastAnswer = 200 * time.Millisecond
@@ -30,7 +51,7 @@
 // request is taken if its deadline comes before the end of the drain; its usual duration is no
 // measure under load.
 func (rd *Reducer) stillServes(now ident.Time, r *request) bool {
-	if r.profile.Route == nil {
+	if r.profile.Route == nil || rd.closed {
 		return false
 	}
 	if now.Sub(rd.drainAt) < rd.bounds.DrainServe {
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -227,6 +227,40 @@
 	}
 }
 
+// A request is sent to a target after the drain has ended, and is cut with the process.
+func TestNothingIsTakenAfterTheDrain(t *testing.T) {
+	p := newPost(t, 1, core.Bounds{DrainServe: time.Second, DrainLeast: 2 * time.Second, DrainEnd: 9 * time.Second})
+	p.step(event.DrainAsked{})
+	p.now = p.now.Add(3 * time.Second)
+	if _, ok := pick[event.Drained](p.step(event.Tick{})); !ok {
+		t.Fatal("the drain does not end")
+	}
+	effs := p.step(event.RequestArrived{Request: event.Request{ID: "late", Account: "callers", Profile: "fetch", Deadline: p.now.Add(time.Second)}})
+	if r, ok := pick[event.Refuse](effs); !ok || r.Code != codes.Draining.ID || r.Outcome != event.NotRun {
+		t.Errorf("a request after the drain: %v", effs)
+	}
+	if _, ok := pick[event.Drained](p.step(event.Tick{})); ok {
+		t.Error("the end of the drain is reported twice")
+	}
+}
+
+// At the end of the grace a request that may have run is said not to have run, or one is forgotten.
+func TestDrainExpiredEndsEachRequest(t *testing.T) {
+	p := newPost(t, 1, core.Bounds{DrainServe: time.Second, DrainEnd: 9 * time.Second})
+	d := p.send("publish")
+	p.step(event.DrainAsked{})
+	effs := p.step(event.DrainExpired{})
+	r, ok := pick[event.Refuse](effs)
+	if diff := cmp.Diff([]any{true, d.Request, codes.HostStopped.ID, event.Unknown}, []any{ok, r.Request, r.Code, r.Outcome}); diff != "" {
+		t.Errorf("a call at its target (-want +got):\n%s", diff)
+	}
+	if effs := p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone}); len(effs) > 0 {
+		if f, ok := pick[event.Finish](effs); ok {
+			t.Errorf("it is answered twice: %+v", f)
+		}
+	}
+}
+
 // The rest of a stream is dropped after another region has refused it.
 func TestRestOfAStreamThatIsTurnedAwayIsPlacedAgain(t *testing.T) {
 	p := newPost(t, 1, core.Bounds{RetryRatio: 1, RetryFloor: 100})
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -42,13 +42,13 @@
 // serveCallers listens for callers, with TLS where the settings name a
 // certificate.
 func (d *Daemon) serveCallers() error {
-	set := d.cfg.Settings.Callers
+	set, srv := d.cfg.Settings.Callers, d.callerServer()
 	if set.CertFile != "" {
 		cert := &callerCert{certFile: set.CertFile, keyFile: set.KeyFile, log: d.cfg.Log}
 		if err := cert.open(); err != nil {
 			return err
 		}
-		d.callers.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: cert.get}
+		srv.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: cert.get}
 	}
 	ln, err := net.Listen("tcp", set.Listen)
 	if err != nil {
@@ -59,8 +59,7 @@
 		// this process nothing.
 		ln = netutil.LimitListener(ln, most)
 	}
-	l := &httpsv.Listener{Server: d.callers, Net: ln}
-	d.t.Go(l.Run)
+	d.serve(&httpsv.Listener{Server: srv, Net: ln})
 	return nil
 }
 
--- a/internal/daemon/carry.go
+++ b/internal/daemon/carry.go
@@ -24,7 +24,7 @@
 	case event.DropLinks:
 		// The library of the engines' client finds out by itself.
 	case event.Drained:
-		d.closeDrained()
+		d.halt.Drained()
 	default:
 		if !d.platform.carry(eff) && !d.mesh.Send(eff) {
 			d.enqueue(eff)
@@ -32,14 +32,6 @@
 	}
 }
 
-func (d *Daemon) closeDrained() {
-	select {
-	case <-d.drained:
-	default:
-		close(d.drained)
-	}
-}
-
 func (d *Daemon) enqueue(eff event.Effect) {
 	select {
 	case d.work <- eff:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,9 +20,11 @@
 	"verbenadale.example/verbenadale/internal/admin"
 	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/config"
+	"verbenadale.example/verbenadale/internal/conns"
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/group"
+	"verbenadale.example/verbenadale/internal/halt"
 	"verbenadale.example/verbenadale/internal/httpsv"
 	"verbenadale.example/verbenadale/internal/logs"
 	"verbenadale.example/verbenadale/internal/loop"
@@ -71,9 +73,9 @@
 	outs     *serve.Outcomes
 	mesh     *peer.Mesh
 	work     chan event.Effect
-	callers  *http.Server
-	ops      *http.Server
-	drained  chan struct{}
+	conns    *conns.Keeper
+	halt     *halt.Sequence
+	servers  []*httpsv.Listener
 	runner   *serve.Runner
 	budget   *serve.Budget
 	trace    *trace.Tracer
@@ -92,11 +94,13 @@
 	d := &Daemon{
 		cfg: cfg, self: self(set), clock: clock.New(),
 		targets: target.New(), outs: &serve.Outcomes{}, metrics: cfg.Metrics,
-		work: make(chan event.Effect, workQueue), drained: make(chan struct{}),
+		work: make(chan event.Effect, workQueue),
 	}
 	if d.metrics == nil {
 		d.metrics = metrics.NewRegistry()
 	}
+	d.conns = conns.New(conns.Config{Clock: d.clock, Limit: noLimit, Metrics: d.metrics})
+	d.halt = &halt.Sequence{Clock: d.clock, Log: cfg.Log, Last: lastAnswers, Running: d.Requests, Post: d.post, Conns: d.conns}
 	var err error
 	if d.trace, err = newTracer(set); err != nil {
 		return nil, err
@@ -109,6 +113,7 @@
 	d.platform = newPlatform(d)
 	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
 	if err != nil {
+		d.conns.Stop()
 		d.clock.Stop()
 		return nil, err
 	}
@@ -130,6 +135,11 @@
 	return d, nil
 }
 
+func (d *Daemon) post(ev event.Event) { d.loop.Post(ev) }
+
+// noLimit leaves idle connections to the servers, whose settings bound them.
+func noLimit() time.Duration { return 0 }
+
 // stepper returns what steps the reducer.
 func (d *Daemon) stepper() func(ident.Time, event.Event) []event.Effect {
 	if d.cfg.Step != nil {
@@ -169,56 +179,67 @@
 		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.forward,
 		Outcomes: d.outs, MaxAnswer: maxAnswer, Budget: d.budget, Trace: d.trace,
 	}
-	d.callers = d.callerServer()
 	ad := admin.New(admin.Config{
 		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Level: d.cfg.Level, Revs: d.revs,
 		Book: d.book.Load, Operators: d.cfg.Settings.Operators.Known,
 		Metrics: d.metrics, Drain: d.Drain,
 	})
-	d.ops = &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
+	ops := &http.Server{Handler: ad, ReadHeaderTimeout: config.Millis(lim.HeaderMs)}
 	if err := d.mesh.Start(d.loop.Post, d.runPassed); err != nil {
 		return errors.Wrap(err, "daemon: peers")
 	}
 	if err := d.serveCallers(); err != nil {
 		return err
 	}
-	return d.serve(d.ops, d.cfg.Settings.Operators.Listen)
-}
-
-func (d *Daemon) serve(srv *http.Server, addr string) error {
-	l, err := httpsv.Listen(addr, srv)
+	l, err := httpsv.Listen(d.cfg.Settings.Operators.Listen, ops)
 	if err != nil {
 		return errors.Wrap(err, "daemon")
 	}
-	d.t.Go(l.Run)
+	d.serve(l)
 	return nil
 }
 
+// serve has the keeper know the connections of a server and runs it.
+func (d *Daemon) serve(l *httpsv.Listener) {
+	l.Server.ConnState, l.Server.ConnContext = d.conns.State, d.conns.Context
+	l.Net = d.conns.Listener(l.Net)
+	d.servers = append(d.servers, l)
+	d.t.Go(l.Run)
+}
+
 // Drain starts a graceful stop.
 func (d *Daemon) Drain() {
 	d.platform.reg.drain()
 	d.mesh.Leave()
 	d.loop.Post(event.DrainAsked{})
+	d.t.Go(d.runHalt)
+}
+
+func (d *Daemon) runHalt() error {
+	d.halt.Run(d.t.Context(context.Background()))
+	return nil
 }
 
 // Drained is closed when the last request has ended after Drain.
-func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+func (d *Daemon) Drained() <-chan struct{} { return d.halt.Done() }
 
-// closeWait bounds the time for the last answers to leave the sockets.
-const closeWait = 5 * time.Second
+// lastAnswers bounds the time for the last answers to leave, and again for connections to end;
+// stopWait that for the links to other hosts.
+const (
+	lastAnswers = 2 * time.Second
+	stopWait    = 5 * time.Second
+)
 
 // Stop ends the host.
 func (d *Daemon) Stop() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+	ctx, cancel := context.WithTimeout(context.Background(), stopWait)
 	defer cancel()
-	if d.callers != nil {
-		_ = d.callers.Shutdown(ctx)
-		_ = d.ops.Shutdown(ctx)
-	}
-	d.stopMesh()
+	d.halt.Close(d.servers...)
+	d.mesh.Stop(ctx)
 	d.t.Kill(nil)
 	_ = d.t.Wait()
 	d.loop.Stop()
+	d.conns.Stop()
 	d.clock.Stop()
 	_ = d.trace.Stop(ctx)
 }
--- a/internal/daemon/mesh.go
+++ b/internal/daemon/mesh.go
@@ -50,11 +50,3 @@
 
 // crossingsName is the counter of attempts at hosts of other regions.
 const crossingsName = "peers.crossings"
-
-// stopMesh ends the links, after the callers' side has ended: a request of a
-// caller may still run at a peer.
-func (d *Daemon) stopMesh() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeWait)
-	defer cancel()
-	d.mesh.Stop(ctx)
-}
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -23,7 +23,7 @@
 var (
 	eventTypes = namesOf[Event](
 		RequestArrived{}, AttemptSent{}, FirstToken{}, StreamPaced{}, AttemptSilent{}, AttemptEnded{}, CallerLeft{}, KeyClaimed{},
-		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, PeerUp{},
+		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, DrainExpired{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
 		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryReported{}, LoadFailed{}, CacheChanged{},
 		HostsRead{}, PlatformFailed{}, WatchIdle{}, ReadProgress{},
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -13,6 +13,10 @@
 // DrainAsked starts a graceful stop.
 type DrainAsked struct{}
 
+// DrainExpired says that the time to drain is over: what still runs gets its final answer, and
+// nothing new is taken.
+type DrainExpired struct{}
+
 // PeerUp says that a link to another entry host stands and that the host has
 // proved who it is.
 type PeerUp struct {
@@ -155,6 +159,7 @@
 
 func (Tick) isEvent()             {}
 func (DrainAsked) isEvent()       {}
+func (DrainExpired) isEvent()     {}
 func (PeerUp) isEvent()           {}
 func (PeerDown) isEvent()         {}
 func (DigestReceived) isEvent()   {}
--- a/internal/front/complete.go
+++ b/internal/front/complete.go
@@ -93,6 +93,7 @@
 	call := serve.Call{
 		Method: http.MethodPost, Path: x.r.URL.Path, Body: x.body, Stream: a.Stream, Engine: true,
 		Header: http.Header{"Content-Type": {"application/json"}, "Via": {x.via()}},
+		Ending: x.ending,
 	}
 	x.cfg.Runner.Run(x.r.Context(), call, req, x.sink(true))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/conns"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/loop"
 	"verbenadale.example/verbenadale/internal/meter"
@@ -112,6 +113,9 @@
 	stream bool
 }
 
+// ending returns which side ended the connection of the request.
+func (x *exchange) ending() event.Ending { return conns.EndingOf(x.r.Context()) }
+
 // handle returns the handler of one path. A refusal that the function returns
 // is the answer.
 func (f *Front) handle(name string, do func(x *exchange) *event.Refuse) bunrouter.HandlerFunc {
--- /dev/null
+++ b/internal/halt/halt_test.go
@@ -0,0 +1,91 @@
+package halt
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/event"
+)
+
+const waitLimit = 10 * time.Second
+
+// host is a host with some requests, which end when the reducer is told that the drain is over.
+type host struct {
+	*Sequence
+	running atomic.Int64
+	posted  chan event.Event
+}
+
+func newHost(t *testing.T, grace time.Duration, running int) *host {
+	t.Helper()
+	svc := clock.New()
+	t.Cleanup(svc.Stop)
+	h := &host{posted: make(chan event.Event, 4)}
+	h.running.Store(int64(running))
+	h.Sequence = &Sequence{
+		Clock: svc, Log: logr.Discard(), Grace: grace, Last: waitLimit,
+		Running: func() int { return int(h.running.Load()) },
+		Post:    func(ev event.Event) { h.posted <- ev },
+	}
+	return h
+}
+
+func (h *host) over(wait time.Duration) bool {
+	select {
+	case <-h.Done():
+		return true
+	case <-time.After(wait):
+		return false
+	}
+}
+
+// A host ends before its last answers have left, or counts none of those that it cut.
+func TestGraceIsOver(t *testing.T) {
+	h := newHost(t, 50*time.Millisecond, 3)
+	go h.Run(t.Context())
+	if diff := cmp.Diff(event.Event(event.DrainExpired{}), <-h.posted); diff != "" {
+		t.Errorf("event (-want +got):\n%s", diff)
+	}
+	if h.over(50 * time.Millisecond) {
+		t.Error("it is done with requests that run")
+	}
+	h.running.Store(0)
+	if !h.over(waitLimit) {
+		t.Error("it is never done")
+	}
+	if diff := cmp.Diff(3, h.Cut()); diff != "" {
+		t.Errorf("cut (-want +got):\n%s", diff)
+	}
+}
+
+// A drain that ends by itself is counted as cut, or waits for the end of the grace.
+func TestDrainEndsByItself(t *testing.T) {
+	h := newHost(t, time.Hour, 0)
+	go h.Run(t.Context())
+	h.Drained()
+	h.Drained()
+	if !h.over(waitLimit) {
+		t.Error("it is never done")
+	}
+	if diff := cmp.Diff([]int{0, 0}, []int{h.Cut(), len(h.posted)}); diff != "" {
+		t.Errorf("cut and posted (-want +got):\n%s", diff)
+	}
+}
+
+// A process that ends without a drain waits for one.
+func TestRunEndsWithItsContext(t *testing.T) {
+	h := newHost(t, 0, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	h.Run(ctx)
+	h.Run(ctx)
+	if !h.over(waitLimit) {
+		t.Error("it is never done")
+	}
+}
--- a/internal/httpsv/httpsv.go
+++ b/internal/httpsv/httpsv.go
@@ -5,12 +5,14 @@
 //	l, err := httpsv.Listen(addr, &http.Server{Handler: h})
 //	t.Go(l.Run)
 //
-// A server that was shut down has not failed: Run returns nil for it.
+// A server that was shut down, or whose listener was closed, has not failed: Run returns nil
+// for it.
 package httpsv
 
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -26,6 +28,14 @@
 type Listener struct {
 	Server *http.Server
 	Net    net.Listener
+
+	closed atomic.Bool
+}
+
+// Close takes no more connections and leaves the open ones alone.
+func (l *Listener) Close() error {
+	l.closed.Store(true)
+	return errors.Wrap(l.Net.Close(), "httpsv: close")
 }
 
 // Listen listens on an address.
@@ -41,7 +51,7 @@
 // configuration for it.
 func (l *Listener) Run() error {
 	err := l.serve()
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || l.closed.Load() {
 		return nil
 	}
 	return errors.Wrap(ErrServe, err.Error())
--- a/internal/serve/routed_test.go
+++ b/internal/serve/routed_test.go
@@ -134,7 +134,7 @@
 	tr := &try{}
 	tr.lastByte.Store(100)
 	for since, want := range map[ident.Time]bool{0: false, 99: true, 100: false} {
-		check(t, fmt.Sprint("silent since ", since), want, tr.spoke(event.Silence{Since: since}))
+		check(t, fmt.Sprint("silent since ", since), want, tr.progressed(event.Silence{Since: since}))
 	}
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -271,7 +271,7 @@
 		t.do = func(ctx context.Context) event.AttemptEnded { return t.forward(ctx, e) }
 		return r.start(ctx, t)
 	case event.BreakOff:
-		if r.live != nil && r.live.id == e.Attempt && !r.live.spoke(e.Silence) {
+		if r.live != nil && r.live.id == e.Attempt && !r.live.progressed(e.Silence) {
 			r.stop()
 		}
 	case event.Replay:
--- a/internal/serve/try.go
+++ b/internal/serve/try.go
@@ -112,8 +112,8 @@
 	}
 }
 
-// spoke reports whether a piece of the answer has come since a silence was reported.
-func (t *try) spoke(s event.Silence) bool {
+// progressed reports whether a piece of the answer has come since a silence was reported.
+func (t *try) progressed(s event.Silence) bool {
 	return s.Since > 0 && ident.Time(t.lastByte.Load()) > s.Since
 }
 
--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -130,6 +130,10 @@
 		ID: "VB1030", Title: "the data centre has no room for what another passed on", Status: http.StatusServiceUnavailable, Since: secondVersion, Severity: Warning, Wait: true,
 		Text: "Another entry host passed the request on, and no target here could begin it in time; none has seen it. The host that passed it on answers its caller, or places it again if its caller has a part of the answer.",
 	}
+	HostStopped = Code{
+		ID: "VB1031", Title: "the entry host stopped before the answer was whole", Status: http.StatusBadGateway, Since: secondVersion, Severity: Warning,
+		Text: "The host was asked to stop, and its time to drain was over while the request was at a target. The request may have run. A stream that had begun was cut.",
+	}
 )
 
 // Refusals is the table of the refusals.
@@ -139,5 +143,5 @@
 	Draining, StoreDown, OutcomeUnknown, NeedsOnce, KeyReused, InProgress,
 	ForgedEnvelope, TargetFailed, DeadlineExceeded, ProfileForbidden, NotReady, NoOutcome,
 	HostBusy, UnknownPath, WrongMethod, WrongType, SlowBody,
-	TurnedAway,
+	TurnedAway, HostStopped,
 }
