queue the rest of a stream on where its targets can't be used for a moment

Callers: a stream whose rest was queued for a place was cut when no target was left at the moment of its turn, though a target came back within the second. A rest that isn't queued is placed again four times within 2 s.

Cause: the queue ended a request without a choice by itself; placing one has noPlace for it. Found by reading, in the search for the class of the silent streams: an answer that has begun is ended before it is known that nothing can follow.

Change: the queue uses noPlace.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -222,7 +222,7 @@
 	}
 	pl.head = nil
 	if dec.Target == nil && dec.Centre == "" {
-		rd.end(now, r, unplaced(r, dec.Code))
+		rd.noPlace(now, r, dec.Code)
 		return true
 	}
 	if pl.movedAt > 0 {
--- a/internal/core/silent_test.go
+++ b/internal/core/silent_test.go
@@ -95,3 +95,39 @@
 		t.Errorf("it does not go on elsewhere at once: %v", effs)
 	}
 }
+// A begun stream that is queued is cut while its targets can't be used for a moment.
+func TestQueuedRestWaitsForATarget(t *testing.T) {
+	p := newPost(t, 2, plenty)
+	p.now = p.now.Add(retry.Window)
+	var fill []event.Dispatch
+	d := p.begin()
+	for {
+		p.n++
+		sent, ok := pick[event.Dispatch](p.step(event.RequestArrived{Request: event.Request{
+			ID: ident.RequestID("fill"+string(rune('a'+p.n))), Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second),
+		}}))
+		if !ok {
+			break
+		}
+		fill = append(fill, sent)
+	}
+	p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5})
+	p.now = p.now.Add(100 * time.Millisecond)
+	p.step(event.Tick{})
+	var none []event.Target
+	effs := p.step(event.HostsRead{Version: 2, Complete: true, Targets: none})
+	for _, f := range fill {
+		effs = append(effs, p.step(event.AttemptEnded{Attempt: f.Attempt, Result: event.ResultDone})...)
+	}
+	for _, eff := range effs {
+		if r, ok := eff.(event.Refuse); ok && r.Request == d.Request {
+			t.Fatalf("the rest is cut: %+v", r)
+		}
+	}
+	p.step(event.HostsRead{Version: 3, Complete: true, Targets: []event.Target{boardTarget("t8")}})
+	p.now = p.now.Add(time.Second)
+	if next, ok := pick[event.Dispatch](p.step(event.Tick{})); !ok || next.Request != d.Request || next.Resume != 5 {
+		t.Errorf("the rest is not sent to the target that is back: %+v", next)
+	}
+}
+
