wait for the retry budget with the rest of a stream

Callers: a stream that broke off at its target was cut at once when the retry budget of its service was used up at that moment, with seconds left.

Cause: a denial for the budget ended the request like one for the number of attempts, though the budget grows with each request that arrives.

Change: the rest of a stream asks again each 0.5 s, four times, as it does where no target is left. The budget itself is unchanged. TestRestOfAStreamWaitsForTheBudget failed before (refused with 8 s left); TestRestOfAStreamWithoutBudgetIsCutWithinSeconds bounds the wait.

--- a/internal/core/again.go
+++ b/internal/core/again.go
@@ -14,9 +14,22 @@
 		rd.elsewhereSoon(now, r, a, ref)
 		return
 	}
-	if !rd.retryThere(now, r, a, e) {
-		rd.end(now, r, ref)
+	if rd.retryThere(now, r, a, e) || rd.retryLater(now, r, a, e, ref) {
+		return
 	}
+	rd.end(now, r, ref)
+}
+
+// retryLater asks for the rest of a stream again when only the budget denies it: the budget grows
+// with each request that arrives, and to end the stream would cut the part that its caller has.
+func (rd *Reducer) retryLater(now ident.Time, r *request, a *attempt, e event.AttemptEnded, ref refusal) bool {
+	at := now.Add(resumePause)
+	if r.delivered == 0 || r.denied.Reason != event.DeniedBudget || r.waits >= resumeWaits || at >= r.deadline {
+		return false
+	}
+	r.waits++
+	rd.agenda.add(appointment{at: at, req: r, do: func(now ident.Time, r *request) { rd.again(now, r, a, e, ref) }})
+	return true
 }
 
 // retryThere tries the rest of a stream again at the target that turned it away, and reports
--- a/internal/core/silent_test.go
+++ b/internal/core/silent_test.go
@@ -95,6 +95,7 @@
 		t.Errorf("it does not go on elsewhere at once: %v", effs)
 	}
 }
+
 // A begun stream that is queued is cut while its targets can't be used for a moment.
 func TestQueuedRestWaitsForATarget(t *testing.T) {
 	p := newPost(t, 2, plenty)
@@ -104,7 +105,7 @@
 	for {
 		p.n++
 		sent, ok := pick[event.Dispatch](p.step(event.RequestArrived{Request: event.Request{
-			ID: ident.RequestID("fill"+string(rune('a'+p.n))), Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second),
+			ID: ident.RequestID("fill" + string(rune('a'+p.n))), Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second),
 		}}))
 		if !ok {
 			break
@@ -131,3 +132,40 @@
 	}
 }
 
+// A stream that broke off is cut at once because the retry budget is used up for a moment.
+func TestRestOfAStreamWaitsForTheBudget(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 0.25})
+	p.now = p.now.Add(retry.Window)
+	d := p.begin()
+	effs := p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5})
+	if r, ok := pick[event.Refuse](effs); ok {
+		t.Fatalf("it is cut with 8 s left: %+v", r)
+	}
+	for range 8 {
+		next := p.send("fetch")
+		p.step(event.AttemptEnded{Attempt: next.Attempt, Result: event.ResultDone})
+	}
+	p.now = p.now.Add(600 * time.Millisecond)
+	effs = p.step(event.Tick{})
+	p.now = p.now.Add(100 * time.Millisecond)
+	effs = append(effs, p.step(event.Tick{})...)
+	if next, ok := pick[event.Dispatch](effs); !ok || next.Request != d.Request || next.Resume != 5 {
+		t.Errorf("it does not go on when the budget allows it: %v", effs)
+	}
+}
+
+// A stream that may never go on is held until its deadline.
+func TestRestOfAStreamWithoutBudgetIsCutWithinSeconds(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 0.001})
+	p.now = p.now.Add(retry.Window)
+	d := p.begin()
+	effs := p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: 5, Generated: 5})
+	for range 30 {
+		p.now = p.now.Add(100 * time.Millisecond)
+		effs = append(effs, p.step(event.Tick{})...)
+	}
+	r, ok := pick[event.Refuse](effs)
+	if diff := cmp.Diff([]any{true, event.DeniedBudget}, []any{ok, r.Denial.Reason}); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+}
