rank a draining host like the other draining ones for cold targets

Cause: a host left draining hosts out when it looked for the owner of a cold target, but not itself. While all hosts of a region drain, each is the owner by its own view.

Ruled out: hosts that don't know each other (their links stood), a restart (the first host ended at 5.18 s), the even part of hosts that lost the others.

Change: a host that doesn't drain owns the target, if one is known; else the first of those that drain, this host like the others.

--- a/internal/member/cold.go
+++ b/internal/member/cold.go
@@ -144,16 +144,36 @@
 	return len(t.coldSends)
 }
 
+// coldOwner returns the host that may send to a cold target. It is one that doesn't drain, if this
+// host knows of one. A host that drains is ranked like the others that do: each would own the
+// target by its own view otherwise.
 func (tb *Table) coldOwner(now ident.Time, id ident.TargetID) ident.EntryID {
-	best := tb.self.ID
-	score := rank.Hash("cold", string(id), string(best))
+	best := coldRank(id, tb.self)
 	for _, p := range tb.peers {
-		if !p.live(now) || p.host.Draining {
+		if !p.live(now) {
 			continue
 		}
-		if s := rank.Hash("cold", string(id), string(p.host.ID)); s > score {
-			best, score = p.host.ID, s
+		if c := coldRank(id, p.host); c.before(best) {
+			best = c
 		}
 	}
-	return best
+	return best.host
+}
+
+// coldCandidate is a host that may own a cold target.
+type coldCandidate struct {
+	host     ident.EntryID
+	draining bool
+	score    uint64
+}
+
+func coldRank(id ident.TargetID, h event.Host) coldCandidate {
+	return coldCandidate{host: h.ID, draining: h.Draining, score: rank.Hash("cold", string(id), string(h.ID))}
+}
+
+func (c coldCandidate) before(o coldCandidate) bool {
+	if c.draining != o.draining {
+		return o.draining
+	}
+	return c.score > o.score
 }
--- a/internal/member/cold_test.go
+++ b/internal/member/cold_test.go
@@ -20,13 +20,18 @@
 	tables := make([]*Table, n)
 	for i := range hosts {
 		hosts[i] = reachHost(fmt.Sprintf("w%02d", i), "west-a", "west")
-		tables[i] = New(hosts[i])
-		tables[i].SetCold(Cold{PerSecond: func(string) float64 { return coldBound }})
-		tables[i].Advance(at)
+		tables[i] = coldTable(hosts[i], at)
 	}
 	return hosts, tables
 }
 
+func coldTable(h event.Host, at ident.Time) *Table {
+	tb := New(h)
+	tb.SetCold(Cold{PerSecond: func(string) float64 { return coldBound }})
+	tb.Advance(at)
+	return tb
+}
+
 // coldPlay has every host send whatever it may for a time, and returns when it
 // sent. The platform lists the listed hosts; meet says which hosts know of each
 // other at a time after the start.
@@ -95,6 +100,89 @@
 	}
 }
 
+// life is when a host of a rolling restart drains, ends and starts again.
+type life struct{ drains, ends, starts time.Duration }
+
+// as returns the host as it is at a time, and whether it runs.
+func (l life) as(h event.Host, at time.Duration) (event.Host, bool) {
+	if at >= l.starts {
+		h.Incarnation++
+		return h, true
+	}
+	h.Draining = at >= l.drains
+	return h, at < l.ends
+}
+
+// rollingPlay has hosts drain and start again, so many at a time, and returns the sends to a cold
+// target. Each host learns of the state of another up to a second late.
+func rollingPlay(n, together int, gap time.Duration) []ident.Time {
+	const (
+		step  = 20 * time.Millisecond
+		drain = 4 * time.Second
+		down  = 500 * time.Millisecond
+	)
+	at := ident.Time(time.Second)
+	hosts, tables := coldFleet(at, n)
+	lives := make([]life, n)
+	for i := range lives {
+		drains := 5*time.Second + time.Duration(i/together)*gap
+		lives[i] = life{drains, drains + drain, drains + drain + down}
+	}
+	cold := reachTarget("a")
+	cold.ColdFor = time.Hour
+	list := listOf(1, cold)
+	list.Hosts = hosts
+	var sends []ident.Time
+	for since := time.Duration(0); since < lives[n-1].starts+5*time.Second; since += step {
+		now := at.Add(since)
+		for i := range tables {
+			h, runs := lives[i].as(hosts[i], since)
+			if !runs {
+				continue
+			}
+			if h.Incarnation != tables[i].self.Incarnation {
+				tables[i] = coldTable(h, now)
+			}
+			tb := tables[i]
+			if h.Draining {
+				tb.SetDraining()
+			}
+			tb.HostsRead(now, list)
+			for j := range hosts {
+				late := time.Duration((i*7+j*11)%20) * 50 * time.Millisecond
+				if p, runs := lives[j].as(hosts[j], since-late); i != j && runs && since > late {
+					tb.PeerUp(now, p)
+				}
+			}
+			if tg, _ := tb.Target("a"); !tb.ColdFull(now, tg) {
+				tb.Sent("a", 0, 0)
+				sends = append(sends, now)
+			}
+		}
+	}
+	return sends
+}
+
+// Each host of a rolling restart takes a cold target for its own while all of them drain.
+func TestHostsThatDrainTogetherSpareColdTargets(t *testing.T) {
+	for _, tc := range []struct {
+		hosts, together int
+		gap             time.Duration
+	}{
+		{2, 1, time.Second},
+		{2, 2, time.Second},
+		{4, 2, 1200 * time.Millisecond},
+		{9, 2, 500 * time.Millisecond},
+		{9, 9, time.Second},
+		{90, 12, 400 * time.Millisecond},
+	} {
+		sends := rollingPlay(tc.hosts, tc.together, tc.gap)
+		if most := mostInOneSecond(sends); most == 0 || most > coldBound {
+			t.Errorf("%+v: %d requests in one second at a cold target, of %d allowed", tc, most, coldBound)
+		}
+	}
+}
+
 // Warm targets stay unused after an evacuation, or cold ones are overloaded.
 func TestReopenedTargetIsAskedWhetherItIsCold(t *testing.T) {
 	for name, c := range map[string]struct {
