soak planned work alone, beside long streams that pause

verbdev soak -planned plays overlapping series of stops, reloads, configurations and replaced targets, beside streams of several seconds on kept connections, some of which pause for longer than a host waits for an event. No request that has run may be cut, at whichever host.

--- a/internal/dev/cmds/soak.go
+++ b/internal/dev/cmds/soak.go
@@ -27,7 +27,7 @@
 func (*soakCmd) Synopsis() string { return "harm real hosts at random and check the promises" }
 
 func (*soakCmd) Usage() string {
-	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-logs DIR]
+	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-logs DIR]
   Runs entry hosts as processes before stand-ins of the platform's store and
   of targets, harms them from outside in an order drawn from the seed, and checks
   what callers and targets see. Without -seed it begins with a fresh one, which it
@@ -51,6 +51,7 @@
 	fs.DurationVar(&c.cfg.For, "for", 20*time.Second, "how long faults begin")
 	fs.IntVar(&c.cfg.Hosts, "hosts", 2, "entry hosts of each of the two regions")
 	fs.IntVar(&c.cfg.Callers, "callers", 3, "callers in each region")
+	fs.BoolVar(&c.cfg.Planned, "planned", false, "overlapping series of planned work alone, beside long streams that pause")
 	fs.StringVar(&c.logs, "logs", os.TempDir(), "folder for the logs of seeds that break a promise")
 }
 
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -31,9 +31,8 @@
 
 // Times of callers.
 const (
-	callerPause    = 20 * time.Millisecond
-	callerDeadline = 3 * time.Second
-	listFor        = time.Second
+	callerPause = 20 * time.Millisecond
+	listFor     = time.Second
 )
 
 // asked is one request as its caller saw it.
@@ -215,7 +214,8 @@
 }
 
 func (k *caller) send(ctx context.Context, h *host, a *asked) {
-	ctx, cancel := context.WithTimeout(ctx, callerDeadline+time.Second)
+	deadline := k.crowd.site.cfg.tempo().deadline
+	ctx, cancel := context.WithTimeout(ctx, deadline+time.Second)
 	defer cancel()
 	// The body can not be rewound, so that the library can't send a
 	// request twice by itself.
@@ -227,7 +227,7 @@
 	}
 	req.Host = hostName
 	req.Header.Set("Verbenadale-Request-Id", a.id)
-	req.Header.Set("Verbenadale-Request-Deadline", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	req.Header.Set("Verbenadale-Request-Deadline", strconv.FormatInt(deadline.Milliseconds(), 10))
 	res, err := k.http.Do(req)
 	if err != nil {
 		a.err = err
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -79,7 +79,11 @@
 		}
 		c.evacuated(a, w, at)
 	}
-	c.stopped(a, at)
+	if c.site.cfg.Planned {
+		c.uncut(a, at)
+	} else {
+		c.stopped(a, at)
+	}
 	c.late(a, at)
 }
 
@@ -106,15 +110,26 @@
 	}
 }
 
+// unread reports whether a request never was read: its connection was refused, reset or closed,
+// and it has not run.
+func (c *checker) unread(a asked) bool {
+	closed := errors.Is(a.err, syscall.ECONNREFUSED) || errors.Is(a.err, syscall.ECONNRESET) || errors.Is(a.err, io.EOF)
+	return closed && c.runs[a.id] == 0
+}
+
+// uncut checks that planned work cuts no request, at whichever host.
+func (c *checker) uncut(a asked, at string) {
+	if a.err == nil || c.unread(a) {
+		return
+	}
+	c.broken("planned work: %s was cut (%v) and ran %d times", at, a.err, c.runs[a.id])
+}
+
 // stopped checks that a host that gets SIGTERM cuts no request that it has
 // read. One that it never read shows as a refused or reset connection, and has not
 // run.
 func (c *checker) stopped(a asked, at string) {
-	if !a.calm || a.err == nil || a.termAt.IsZero() || a.end.Before(a.termAt) {
-		return
-	}
-	unread := errors.Is(a.err, syscall.ECONNREFUSED) || errors.Is(a.err, syscall.ECONNRESET) || errors.Is(a.err, io.EOF)
-	if unread && c.runs[a.id] == 0 {
+	if !a.calm || a.err == nil || a.termAt.IsZero() || a.end.Before(a.termAt) || c.unread(a) {
 		return
 	}
 	c.broken("graceful stop: %s was cut (%v) and ran %d times", at, a.err, c.runs[a.id])
--- a/internal/dev/soak/fault.go
+++ b/internal/dev/soak/fault.go
@@ -80,6 +80,37 @@
 	return plan
 }
 
+// plannedEach is the usual time between two series of planned work.
+const plannedEach = 900 * time.Millisecond
+
+// drawPlanned makes a plan of overlapping series of planned work.
+func drawPlanned(rnd *rand.Rand, span time.Duration, s *site) []fault {
+	makers := []maker{stopHost, stopHost, hupHost, reconfigure, leaveWorker, pauseStreams, pauseStreams}
+	var plan []fault
+	for at := time.Duration(0); at < span; at += time.Duration(rnd.Int64N(int64(2 * plannedEach))) {
+		f := makers[rnd.IntN(len(makers))](rnd, s)
+		for n := range 1 + rnd.IntN(seriesOf) {
+			again := f
+			again.at, again.lasts = at+time.Duration(n)*shortest, longest
+			plan = append(plan, again)
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b fault) int { return int(a.at - b.at) })
+	return plan
+}
+
+// pauseStreams has the next streams at a target pause for longer than hosts wait for an event.
+func pauseStreams(rnd *rand.Rand, s *site) fault {
+	var ws []*target
+	for _, w := range s.targets() {
+		if w.service == "writers" {
+			ws = append(ws, w)
+		}
+	}
+	w, n := ws[rnd.IntN(len(ws))], 1+rnd.IntN(4)
+	return fault{name: fmt.Sprintf("target %s: next %d pause", w.id, n), planned: true, begin: func(context.Context) { w.Fault(worker.Paused, n) }}
+}
+
 // play plays a plan and returns when all is mended.
 func (s *site) play(ctx context.Context, plan []fault) {
 	var t tomb.Tomb
--- a/internal/dev/soak/site.go
+++ b/internal/dev/soak/site.go
@@ -32,10 +32,9 @@
 
 func centreOf(region string) string { return region + "-a" }
 
-// events and pauses of the streams, and the work of calls.
+// events of the streams, and the work of calls.
 const (
 	streamEvents = 30
-	streamPause  = 30 * time.Millisecond
 	callWork     = 5 * time.Millisecond
 )
 
@@ -185,7 +184,7 @@
 	s.mu.Unlock()
 	route := func(name, kind, service string, homes ...string) map[string]any {
 		return map[string]any{
-			"Name": "r-" + name, "Host": hostName, "Prefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 4000, "TargetLatencyMs": 500,
+			"Name": "r-" + name, "Host": hostName, "Prefix": "/" + name + "/", "Kind": kind, "TimeoutMs": s.cfg.tempo().timeoutMs, "TargetLatencyMs": 500,
 			"GapTargetMs": 300, "Service": service, "MaxAttempts": 2, "Resumable": kind == "streaming", "HomeRegions": homes,
 		}
 	}
@@ -213,7 +212,7 @@
 func (s *site) addWorker(id, service, region string) error {
 	cfg := worker.Config{ID: id, Service: service, DataCentre: centreOf(region), Slots: 16, Work: callWork}
 	if service == "writers" {
-		cfg.Events, cfg.Pause = streamEvents, streamPause
+		cfg.Events, cfg.Pause = streamEvents, s.cfg.tempo().pause
 	}
 	w := &target{Worker: worker.New(cfg), id: id, service: service, region: region}
 	addr, err := s.serve(w.Worker)
@@ -298,7 +297,7 @@
 	h.set.Operators.Listen = ports.Next()
 	h.set.Platform.URL = "http://" + h.toStore.Addr()
 	h.set.Fleet.Directory, h.set.Fleet.Ready, h.set.Fleet.Metrics = ports.Next(), ports.Next(), ports.Next()
-	h.set.Fleet.GraceSeconds = 4
+	h.set.Fleet.GraceSeconds = s.cfg.tempo().graceSeconds
 	for _, r := range regions {
 		h.set.Fleet.Places = append(h.set.Fleet.Places, config.FleetPlace{DataCentre: ident.DataCentre(centreOf(r)), Region: ident.Region(r)})
 	}
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -43,6 +43,9 @@
 	For time.Duration
 	// Hosts and Callers are those of each region.
 	Hosts, Callers int
+	// Planned draws overlapping series of planned work alone, beside streams of several seconds
+	// that pause at their targets. No request that has run may then be cut.
+	Planned bool
 	// Log takes what the hosts print; nil drops it.
 	Log io.Writer
 }
@@ -69,6 +72,23 @@
 	inForce = 4 * time.Second
 )
 
+// tempo is how long requests and stops take.
+type tempo struct {
+	// pause is the time between two events of a stream, deadline what a caller waits.
+	pause, deadline time.Duration
+	timeoutMs       int
+	graceSeconds    float64
+}
+
+// tempo returns the times of a run. With planned work the grace is longer than a stream that
+// pauses at both of its targets.
+func (cfg Config) tempo() tempo {
+	if cfg.Planned {
+		return tempo{pause: 60 * time.Millisecond, deadline: 7 * time.Second, timeoutMs: 8000, graceSeconds: 14}
+	}
+	return tempo{pause: 30 * time.Millisecond, deadline: 3 * time.Second, timeoutMs: 4000, graceSeconds: 4}
+}
+
 // Run runs one seed.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	if cfg.Hosts == 0 {
@@ -90,7 +110,7 @@
 		return Report{Seed: cfg.Seed}, errors.Wrap(ErrStart, "the hosts do not serve")
 	}
 	c.start()
-	plan := draw(rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), cfg.For, s)
+	plan := cfg.plan(s)
 	s.play(ctx, plan)
 	healed := c.served(ctx, recovery)
 	c.stop()
@@ -106,6 +126,15 @@
 	return rep, nil
 }
 
+// plan makes the plan of the seed.
+func (cfg Config) plan(s *site) []fault {
+	rnd := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
+	if cfg.Planned {
+		return drawPlanned(rnd, cfg.For, s)
+	}
+	return draw(rnd, cfg.For, s)
+}
+
 // rest waits for a time and reports false when ctx ended first.
 func rest(ctx context.Context, d time.Duration) bool {
 	ctx2, cancel := context.WithTimeout(ctx, d)
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -72,6 +73,24 @@
 	}
 }
 
+// Planned work, or a target that pauses, cuts a stream that could go on.
+func TestPlannedWorkCutsNothing(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	rep, err := Run(context.Background(), Config{Program: program, Seed: 3, For: 10 * time.Second, Planned: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(rep)
+	if len(rep.Broken) > 0 {
+		t.Error("promises are broken")
+	}
+	if rep.Outcome["200"] == 0 {
+		t.Error("nothing was served")
+	}
+}
+
 // A seed that is kept as a case draws another plan later.
 func TestPlanOfASeedStays(t *testing.T) {
 	s := &site{}
@@ -102,6 +121,8 @@
 		runs int
 		ran  *target
 		want int
+		// planned says that the run is one of planned work.
+		planned bool
 	}{
 		"fine":        {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 500}, runs: 1},
 		"twice":       {a: asked{id: "p", kind: kindPublish, route: kindPublish, status: 502}, runs: 2, want: 1},
@@ -113,9 +134,10 @@
 		"evacuated":   {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502, calm: true, began: at}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
 		"wrong place": {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 502}, runs: 1, ran: &target{region: regions[0], service: "writers"}, want: 1},
 		"stop cuts":   {a: asked{id: "p", kind: kindFetch, route: kindFetch, err: context.DeadlineExceeded, calm: true, end: at, termAt: at.Add(-time.Second)}, runs: 1, want: 1},
+		"planned cut": {a: asked{id: "p", kind: kindDraft, route: kindDraft, status: 200, err: io.ErrUnexpectedEOF}, runs: 1, planned: true, want: 1},
 		"no route":    {a: asked{id: "p", kind: kindFetch, route: kindFetch, status: 404, calm: true}, want: 1},
 	} {
-		chk := &checker{site: &site{began: at, evacuated: []evacuation{{region: regions[1], from: at.Add(-2 * inForce)}}}, runs: map[string]int{"p": c.runs}, by: map[string][]*target{}}
+		chk := &checker{site: &site{cfg: Config{Planned: c.planned}, began: at, evacuated: []evacuation{{region: regions[1], from: at.Add(-2 * inForce)}}}, runs: map[string]int{"p": c.runs}, by: map[string][]*target{}}
 		if c.ran != nil {
 			chk.by["p"] = []*target{c.ran}
 		}
