name the side that ended an answer in the line of its refusal

On call, a stream that was cut after it had begun could be told apart neither by target, by peer, by host nor by deadline; 'caller left' says it since the connections are known, and the line of the refusal did not.

The reducer keeps which side ended the last attempt that may have run, with the reason, and the refusal carries it; the counters answers.unfinished.SIDE count both kinds of end. No decision changes.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -287,6 +287,7 @@
 		return
 	}
 	r.mayHaveRun = true
+	r.broke = brokeBy(now, a, e)
 	if e.Held && r.delivered == 0 && (r.once || !rd.mayTryAgain(now, r, a, e)) {
 		// The failure of the target itself says more than one of this host.
 		rd.deliver(now, r)
@@ -312,6 +313,21 @@
 	rd.again(now, r, a, e, ref)
 }
 
+// brokeBy returns which side ended an attempt that may have run.
+func brokeBy(now ident.Time, a *attempt, e event.AttemptEnded) event.Ending {
+	switch {
+	case now >= a.req.deadline:
+		return event.Ending{Side: event.SideDeadline, Reason: event.ReasonOver}
+	case a.follows:
+		return event.Ending{Side: event.SideHost, Reason: event.ReasonSilent}
+	case a.target == "":
+		return event.Ending{Side: event.SidePeer, Reason: event.ReasonClosed}
+	case e.Result == event.ResultFailed:
+		return event.Ending{Side: event.SideTarget, Reason: event.ReasonFailed}
+	}
+	return event.Ending{Side: event.SideTarget, Reason: event.ReasonClosed}
+}
+
 // deliver sends the caller the whole answer that is buffered, though it is a failure.
 func (rd *Reducer) deliver(now ident.Time, r *request) {
 	rd.close(now, r, event.Done)
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -31,6 +31,7 @@
 		ref := rd.refuseDraining(now, r)
 		if r.live != nil || r.barring != nil || r.mayHaveRun {
 			ref = refusal{code: codes.HostStopped.ID, outcome: event.Unknown}
+			r.broke = event.Ending{Side: event.SideHost, Reason: event.ReasonStopped}
 		}
 		if r.live != nil {
 			rd.forget(r.live, tellsNothing)
--- a/internal/core/refuse.go
+++ b/internal/core/refuse.go
@@ -56,6 +56,9 @@
 		Request: r.ID, Code: ref.code, Outcome: ref.outcome, RetryAfter: ref.later, Entries: ref.entries,
 		Basis: rd.basis(now, r, r.looked), Denial: r.denied,
 	}
+	if ref.outcome == event.Unknown {
+		eff.Ending = r.broke
+	}
 	if c, ok := codes.Find(ref.code); ok && c.Wait && eff.RetryAfter <= 0 {
 		eff.RetryAfter = retryLater
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -55,6 +55,8 @@
 	// looked is the last decision and denied the last denial, which a refusal is logged with.
 	looked route.Decision
 	denied event.Denial
+	// broke is which side ended the last attempt that may have run.
+	broke event.Ending
 	// barring is set while a peer is asked what became of an attempt.
 	barring   *attempt
 	delivered ident.Tokens
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -251,7 +251,8 @@
 	p.step(event.DrainAsked{})
 	effs := p.step(event.DrainExpired{})
 	r, ok := pick[event.Refuse](effs)
-	if diff := cmp.Diff([]any{true, d.Request, codes.HostStopped.ID, event.Unknown}, []any{ok, r.Request, r.Code, r.Outcome}); diff != "" {
+	host := event.Ending{Side: event.SideHost, Reason: event.ReasonStopped}
+	if diff := cmp.Diff([]any{true, d.Request, codes.HostStopped.ID, event.Unknown, host}, []any{ok, r.Request, r.Code, r.Outcome, r.Ending}); diff != "" {
 		t.Errorf("a call at its target (-want +got):\n%s", diff)
 	}
 	if effs := p.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone}); len(effs) > 0 {
--- a/internal/core/silent_test.go
+++ b/internal/core/silent_test.go
@@ -165,7 +165,8 @@
 		effs = append(effs, p.step(event.Tick{})...)
 	}
 	r, ok := pick[event.Refuse](effs)
-	if diff := cmp.Diff([]any{true, event.DeniedBudget}, []any{ok, r.Denial.Reason}); diff != "" {
+	broke := event.Ending{Side: event.SideTarget, Reason: event.ReasonClosed}
+	if diff := cmp.Diff([]any{true, event.DeniedBudget, broke}, []any{ok, r.Denial.Reason, r.Ending}); diff != "" {
 		t.Errorf("refusal (-want +got):\n%s", diff)
 	}
 }
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -116,6 +116,8 @@
 	Basis Basis `json:"basis"`
 	// Denial says why no other attempt was made, for a request that had one.
 	Denial Denial `json:"denial"`
+	// Ending is which side ended an answer that may have run and does not reach its end.
+	Ending Ending `json:"ending"`
 }
 
 // DenialReason names the condition that rules out another attempt.
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -201,6 +201,10 @@
 	ReasonWriteTimeout Reason = "writeTimeout"
 	// ReasonStopped says that the process ended.
 	ReasonStopped Reason = "stopped"
+	// ReasonSilent says that an answer brought nothing for its idle timeout.
+	ReasonSilent Reason = "silent"
+	// ReasonOver says that the time of the request was over.
+	ReasonOver Reason = "over"
 )
 
 // Ending is which side ended a connection or an answer, and why.
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -114,7 +114,12 @@
 			"predictedMs", millis(e.Basis.Wait), "queued", e.Basis.Queued, "full", e.Basis.Full, "paceMs", millis(e.Basis.Pace),
 			"retryAfterMs", millis(e.RetryAfter),
 		}
-		tr.line("refused", append(kv, denial(e.Denial)...)...)
+		kv = append(kv, denial(e.Denial)...)
+		if e.Ending.Side != "" {
+			tr.count("answers.unfinished." + side(e.Ending))
+			kv = append(kv, "endedBy", e.Ending.Side, "reason", e.Ending.Reason)
+		}
+		tr.line("refused", kv...)
 	case event.BreakOff:
 		tr.brokenOff(e)
 	case event.KeepAttempt:
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -31,7 +31,7 @@
 		event.Dispatch{Request: "a.1", Attempt: attemptOf(1), Target: event.Target{ID: "t", Service: "writers"}, CopyFrom: event.Holder{Target: "u"}, Basis: basis},
 		event.Forward{Request: "b.2", To: event.Host{ID: "h", Place: event.Place{Region: "east"}}, Envelope: event.Envelope{Attempt: attemptOf(2)}, Service: "writers", Basis: basis},
 		event.Refuse{Request: "c.3", Code: codes.NoTarget.ID, Outcome: event.NotRun, RetryAfter: time.Second, Basis: basis},
-		event.Refuse{Request: "d.4", Code: codes.TargetFailed.ID, Outcome: event.Unknown, Basis: basis, Denial: event.Denial{Reason: event.DeniedBudget, Tries: 1, MaxTries: 2, Spent: 3, Allowed: 3.25}},
+		event.Refuse{Request: "d.4", Code: codes.TargetFailed.ID, Outcome: event.Unknown, Basis: basis, Denial: event.Denial{Reason: event.DeniedBudget, Tries: 1, MaxTries: 2, Spent: 3, Allowed: 3.25}, Ending: event.Ending{Side: event.SideTarget, Reason: event.ReasonClosed}},
 	})
 	quiet := event.Silence{Since: 1, Lasted: 2 * time.Second, Begun: true}
 	tr.Record(at, event.Tick{}, []event.Effect{
