break a stream off again when it fell silent a second time

A stream whose piece came between the report of its silence and the order to break it off went on, as it should, but was never judged again: on a connection that went dead later its caller would wait until the deadline.

The reducer keeps since when the attempt is silent; a later silence is judged anew, with the retry that was taken before. An attempt's end says by itself whether it was broken off for a silence. TestStreamThatWentOnIsBrokenOffLater fails without it.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -318,7 +318,7 @@
 	switch {
 	case now >= a.req.deadline:
 		return event.Ending{Side: event.SideDeadline, Reason: event.ReasonOver}
-	case a.follows:
+	case e.Silent:
 		return event.Ending{Side: event.SideHost, Reason: event.ReasonSilent}
 	case a.target == "":
 		return event.Ending{Side: event.SidePeer, Reason: event.ReasonClosed}
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -55,7 +55,7 @@
 // the answer.
 func (rd *Reducer) attemptSilent(now ident.Time, e event.AttemptSilent) {
 	a, ok := rd.attempts[e.Attempt]
-	if !ok || a.req.live != a || a.follows || a.req.profile.Route == nil {
+	if !ok || a.req.live != a || a.req.profile.Route == nil || a.follows && a.silentSince == e.Since {
 		return
 	}
 	s := event.Silence{Since: e.Since, Lasted: now.Sub(e.Since), Begun: e.Begun}
@@ -63,7 +63,7 @@
 		rd.emit(event.KeepAttempt{Request: a.req.ID, Attempt: a.id, Silence: s, Denial: d})
 		return
 	}
-	a.follows = true
+	a.follows, a.silentSince = true, e.Since
 	rd.emit(event.BreakOff{Request: a.req.ID, Attempt: a.id, Silence: s})
 }
 
@@ -90,6 +90,9 @@
 	if now.Add(dec.Wait+followLeast) >= r.deadline {
 		return event.Denial{Reason: event.DeniedTime, Tries: r.tries, Wait: dec.Wait, Left: r.deadline.Sub(now)}
 	}
+	if a.follows {
+		return event.Denial{}
+	}
 	return spendTry(now, r, max(r.profile.Route.MaxAttempts, 1), rd.service(now, r.profile.Service))
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -81,9 +81,10 @@
 	host        event.Host
 	dec         route.Decision
 	sent        bool
-	// follows says that the attempt is broken off for a silence, and that the retry which
-	// follows has been taken from the budget.
-	follows bool
+	// follows says that the attempt was to be broken off for the silence since silentSince, and
+	// that the retry which follows has been taken from the budget.
+	follows     bool
+	silentSince ident.Time
 	// unread is the part of the prompt that the target has to read and whose first
 	// token has not come, before what it had to read first when this was sent.
 	unread ident.Tokens
--- a/internal/core/routed_test.go
+++ b/internal/core/routed_test.go
@@ -23,6 +23,8 @@
 	red *core.Reducer
 	now ident.Time
 	n   int
+	// quiet is when the last event of the streams came.
+	quiet ident.Time
 }
 
 func routeProfile(name string, kind rules.RouteKind, attempts int) rules.Profile {
--- a/internal/core/silent_test.go
+++ b/internal/core/silent_test.go
@@ -19,12 +19,13 @@
 	p.t.Helper()
 	d := p.send("draft")
 	p.step(event.FirstToken{Attempt: d.Attempt})
+	p.quiet = p.now
 	p.now = p.now.Add(2 * time.Second)
 	return d
 }
 
 func (p *post) silent(a ident.Attempt) []event.Effect {
-	return p.step(event.AttemptSilent{Attempt: a, Since: p.now.Add(-2 * time.Second), Begun: true})
+	return p.step(event.AttemptSilent{Attempt: a, Since: p.quiet, Begun: true})
 }
 
 // A stream is cut for a silence although no other attempt can follow.
@@ -96,6 +97,21 @@
 	}
 }
 
+// A stream that went on after it was to be broken off is never broken off again, or takes a second
+// retry from the budget.
+func TestStreamThatWentOnIsBrokenOffLater(t *testing.T) {
+	p := newPost(t, 3, core.Bounds{RetryRatio: 0.001, RetryFloor: 2})
+	p.now = p.now.Add(retry.Window)
+	d := p.begin()
+	for range 2 {
+		if _, ok := pick[event.BreakOff](p.silent(d.Attempt)); !ok {
+			t.Fatal("it is not broken off")
+		}
+		p.quiet = p.now
+		p.now = p.now.Add(3 * time.Second)
+	}
+}
+
 // A begun stream that is queued is cut while its targets can't be used for a moment.
 func TestQueuedRestWaitsForATarget(t *testing.T) {
 	p := newPost(t, 2, plenty)
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -163,6 +163,8 @@
 	Resumable bool `json:"resumable,omitempty"`
 	// Kept says that the outcome was kept for repeats by the traffic side.
 	Kept bool `json:"kept,omitempty"`
+	// Silent says that the attempt was broken off for a silence.
+	Silent bool `json:"silent,omitempty"`
 	// Held says that a whole answer with a failure is buffered and can be delivered.
 	Held bool `json:"held,omitempty"`
 }
--- a/internal/halt/halt_test.go
+++ b/internal/halt/halt_test.go
@@ -15,7 +15,7 @@
 
 const waitLimit = 10 * time.Second
 
-// host is a host with some requests, which end when the reducer is told that the drain is over.
+// host is a host with some requests, which a test ends.
 type host struct {
 	*Sequence
 	running atomic.Int64
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -233,12 +233,16 @@
 }
 
 // stop breaks off the live attempt and reports its end.
-func (r *run) stop() {
+func (r *run) stop() { r.breakOff(false) }
+
+// breakOff is stop with the reason, which may be a silence.
+func (r *run) breakOff(silent bool) {
 	if r.live == nil {
 		return
 	}
 	r.live.t.Kill(nil)
 	_ = r.live.t.Wait()
+	r.live.end.Silent = silent
 	r.Loop.Post(r.live.end)
 	r.live = nil
 }
@@ -272,7 +276,7 @@
 		return r.start(ctx, t)
 	case event.BreakOff:
 		if r.live != nil && r.live.id == e.Attempt && !r.live.progressed(e.Silence) {
-			r.stop()
+			r.breakOff(e.Silence.Since > 0)
 		}
 	case event.Replay:
 		r.stop()
