--- /dev/null
+++ b/internal/core/post_test.go
@@ -0,0 +1,106 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/core"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+)
+
+// post is one host before targets of a route, stepped by hand.
+type post struct {
+	t   *testing.T
+	red *core.Reducer
+	now ident.Time
+	n   int
+	// quiet is when the last event of the streams came.
+	quiet ident.Time
+}
+
+func routeProfile(name string, kind rules.RouteKind, attempts int) rules.Profile {
+	return rules.Profile{
+		Name: ident.Profile(name), MaxCrossings: 1, Weights: rules.Weights{Tail: 1},
+		Route: &rules.Route{
+			Host: "h", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: attempts, TimeoutMs: 10000, GoalMs: 500, GapMs: 300,
+			Resumable: kind == rules.Streaming && attempts > 1, Shares: []rules.Share{{Service: "board", Weight: 1}},
+		},
+	}
+}
+
+func newPost(t *testing.T, targets int, bounds core.Bounds) *post {
+	t.Helper()
+	place := event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
+	p := &post{t: t, red: core.NewBounded(event.Host{ID: "w1", Incarnation: 1, Place: place}, bounds), now: ident.Time(time.Second)}
+	p.step(event.SnapshotReceived{Book: rules.FromSheet(1, rules.Sheet{
+		Profiles: []rules.Profile{
+			routeProfile("fetch", rules.Idempotent, 2), routeProfile("publish", rules.NonIdempotent, 1), routeProfile("draft", rules.Streaming, 2),
+		},
+		Clients: []rules.Client{{Name: "callers"}},
+	})})
+	var ts []event.Target
+	for i := range targets {
+		ts = append(ts, event.Target{
+			ID: ident.TargetID(fmt.Sprint("t", i)), Incarnation: 1, Kind: event.Service, Service: "board", Place: place, Capacity: 64,
+		})
+	}
+	p.step(event.HostsRead{Version: 1, Complete: true, Targets: ts})
+	return p
+}
+
+func (p *post) step(ev event.Event) []event.Effect {
+	p.now = p.now.Add(time.Millisecond)
+	return p.red.Step(p.now, ev)
+}
+
+// pick returns the first effect of a type.
+func pick[T event.Effect](effs []event.Effect) (T, bool) {
+	for _, eff := range effs {
+		if e, ok := eff.(T); ok {
+			return e, true
+		}
+	}
+	var zero T
+	return zero, false
+}
+
+func (p *post) send(profile string) event.Dispatch {
+	p.t.Helper()
+	p.n++
+	effs := p.step(event.RequestArrived{Request: event.Request{
+		ID: ident.RequestID(fmt.Sprint("r", p.n)), Account: "callers", Profile: ident.Profile(profile), Deadline: p.now.Add(10 * time.Second),
+	}})
+	d, ok := pick[event.Dispatch](effs)
+	if !ok {
+		p.t.Fatalf("%s is not sent: %v", profile, effs)
+	}
+	p.step(event.AttemptSent{Attempt: d.Attempt})
+	return d
+}
+
+// end ends an attempt and returns what was decided within a second.
+func (p *post) end(e event.AttemptEnded) []event.Effect {
+	effs := p.step(e)
+	for range 20 {
+		p.now = p.now.Add(50 * time.Millisecond)
+		effs = append(effs, p.red.Step(p.now, event.Tick{})...)
+	}
+	return effs
+}
+
+// end2 is end within a tenth of a second.
+func (p *post) end2(e event.AttemptEnded) []event.Effect {
+	effs := p.step(e)
+	p.now = p.now.Add(60 * time.Millisecond)
+	return append(effs, p.red.Step(p.now, event.Tick{})...)
+}
+
+func boardTarget(id ident.TargetID) event.Target {
+	return event.Target{
+		ID: id, Incarnation: 1, Kind: event.Service, Service: "board", Capacity: 64,
+		Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"},
+	}
+}
