queue a silent request whose answer has not begun

Callers of short requests got fewer answers in time: a request whose target had brought nothing for its idle timeout stayed there while all other targets were full, where it was queued for one before.

To break such an attempt off ends no answer, and the queue holds the request until its deadline. So only an attempt whose answer has begun needs a place at once. TestSilentAttemptWithoutAnAnswerIsQueued failed before.

--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -59,7 +59,7 @@
 		return
 	}
 	s := event.Silence{Since: e.Since, Lasted: now.Sub(e.Since), Begun: e.Begun}
-	if d := rd.denyFollowing(now, a.req, a); d.Reason != "" {
+	if d := rd.denyFollowing(now, a, e.Begun); d.Reason != "" {
 		rd.emit(event.KeepAttempt{Request: a.req.ID, Attempt: a.id, Silence: s, Denial: d})
 		return
 	}
@@ -71,8 +71,10 @@
 const followLeast = 250 * time.Millisecond
 
 // denyFollowing takes a retry from the budget for the attempt that is to follow a silent one,
-// or says why none can.
-func (rd *Reducer) denyFollowing(now ident.Time, r *request, a *attempt) event.Denial {
+// or says why none can. A request whose answer has begun needs a place at once, another one may
+// be queued.
+func (rd *Reducer) denyFollowing(now ident.Time, a *attempt, begun bool) event.Denial {
+	r := a.req
 	if r.forwarded {
 		return event.Denial{Reason: event.DeniedForwarded, Tries: r.tries}
 	}
@@ -84,10 +86,11 @@
 		q.TriedCentres = r.triedCentres.With(a.dec.Centre)
 	}
 	dec := rd.router.Preview(now, q, rd.table)
-	if rd.pools.of(r).busy(r) || dec.Target == nil && dec.Centre == "" {
+	free := dec.Target != nil || dec.Centre != ""
+	if !free && (begun || !dec.Full) || begun && rd.pools.of(r).busy(r) {
 		return event.Denial{Reason: event.DeniedPlace, Tries: r.tries}
 	}
-	if now.Add(dec.Wait+followLeast) >= r.deadline {
+	if free && now.Add(dec.Wait+followLeast) >= r.deadline {
 		return event.Denial{Reason: event.DeniedTime, Tries: r.tries, Wait: dec.Wait, Left: r.deadline.Sub(now)}
 	}
 	if a.follows {
--- a/internal/core/silent_test.go
+++ b/internal/core/silent_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,6 +98,26 @@
 	}
 }
 
+// A request whose answer has not begun stays at a silent target although it could be queued.
+func TestSilentAttemptWithoutAnAnswerIsQueued(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		p := newPost(t, 2, plenty)
+		p.now = p.now.Add(retry.Window)
+		d := p.send("draft")
+		for i := 0; ; i++ {
+			if _, ok := pick[event.Dispatch](p.step(event.RequestArrived{Request: event.Request{
+				ID: ident.RequestID(fmt.Sprint("fill", i)), Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second),
+			}})); !ok {
+				break
+			}
+		}
+		_, off := pick[event.BreakOff](p.step(event.AttemptSilent{Attempt: d.Attempt, Since: p.now.Add(-time.Second), Begun: begun}))
+		if diff := cmp.Diff(!begun, off); diff != "" {
+			t.Errorf("begun %v: broken off with all targets full (-want +got):\n%s", begun, diff)
+		}
+	}
+}
+
 // A stream that went on after it was to be broken off is never broken off again, or takes a second
 // retry from the budget.
 func TestStreamThatWentOnIsBrokenOffLater(t *testing.T) {
@@ -121,7 +142,7 @@
 	for {
 		p.n++
 		sent, ok := pick[event.Dispatch](p.step(event.RequestArrived{Request: event.Request{
-			ID: ident.RequestID("fill" + string(rune('a'+p.n))), Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second),
+			ID: ident.RequestID(fmt.Sprint("fill", p.n)), Account: "callers", Profile: "draft", Deadline: p.now.Add(10 * time.Second),
 		}}))
 		if !ok {
 			break
