soak: start one process after overlapping stops and leave none behind

Cause: restartAfterExit compared the host's process under the lock and started the next one after it had released the lock. Two stops of one host that ended together both found the old process and both started one. The second found the addresses in use, ended with status 1 and was started again for ever; the first was tracked by nobody and outlived the test. Comparison and start are one critical section now.

A test binary that panics or is killed can't shut its hosts down. The kernel now kills each process with the thread that started it, which is kept until the process has ended.

Tests: TestOverlappingStopsStartOneProcess holds the lock until all stops wait for it, so that the old code fails each time (before: the first process was followed by more than one); TestHostsEndWithTheTestBinary kills a test binary with SIGKILL (before: "processes [12644] outlive the test binary").

--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -317,37 +318,67 @@
 	return h.startProcess()
 }
 
-// startProcess starts a process of the host.
+// startProcess starts the first process of the host.
 func (h *host) startProcess() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.startLocked()
+}
+
+// restart starts a process of the host in place of the one whose end closed done. It does nothing
+// if the host has a later process already, as when two stops of one host end together.
+func (h *host) restart(done <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.done != done {
+		return
+	}
+	if err := h.startLocked(); err != nil {
+		h.deployment.recordSelfExit(h, err)
+	}
+}
+
+// startLocked starts a process and makes it the current one. h.mu is held.
+func (h *host) startLocked() error {
 	if h.closed {
 		return nil
 	}
 	cmd := exec.Command(h.deployment.cfg.Program, "edge", "-settings", h.file)
 	cmd.Stdout, cmd.Stderr = h.deployment.cfg.Log, h.deployment.cfg.Log
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p := &process{host: h, cmd: cmd, started: make(chan error, 1), done: make(chan struct{})}
+	go p.run()
+	if err := <-p.started; err != nil {
 		return errors.Wrap(ErrStart, err.Error())
 	}
-	h.cmd, h.done = cmd, make(chan struct{})
+	h.cmd, h.done = cmd, p.done
 	h.processes++
 	h.termAt, h.stopping = time.Time{}, false
-	p := &process{host: h, cmd: cmd, done: h.done}
-	go p.run()
 	return nil
 }
 
-// process watches one process of a host.
+// process starts and watches one process of a host.
 type process struct {
-	host *host
-	cmd  *exec.Cmd
-	done chan struct{}
+	host    *host
+	cmd     *exec.Cmd
+	started chan error
+	done    chan struct{}
 }
 
-// run waits for the process to end and restarts the host if it ended without a signal, as the
-// platform does.
+// run starts the process, waits for it to end and restarts the host if it ended without a signal,
+// as the platform does.
+//
+// The kernel sends the death signal of a process when the thread that started it ends, so the
+// thread is kept until the process has ended. The process is thus killed with the test binary,
+// also when that panics or times out.
 func (p *process) run() {
-	err := p.cmd.Wait()
+	runtime.LockOSThread()
+	err := p.cmd.Start()
+	p.started <- err
+	if err != nil {
+		return
+	}
+	err = p.cmd.Wait()
 	h := p.host
 	h.mu.Lock()
 	unexpected := h.done == p.done && !h.stopping && !h.closed
@@ -355,7 +386,7 @@
 	close(p.done)
 	if unexpected {
 		h.deployment.recordSelfExit(h, err)
-		_ = h.startProcess()
+		h.restart(p.done)
 	}
 }
 
--- a/internal/dev/soak/fault.go
+++ b/internal/dev/soak/fault.go
@@ -165,12 +165,7 @@
 		return
 	}
 	sleep(ctx, restartDelay)
-	h.mu.Lock()
-	same := h.done == done
-	h.mu.Unlock()
-	if same {
-		_ = h.startProcess()
-	}
+	h.restart(done)
 }
 
 func stopHost(rnd *rand.Rand, s *deployment) fault {
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -8,10 +8,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"gopkg.in/tomb.v2"
 )
 
 // program is the path of the entry host executable, which TestMain builds.
@@ -94,6 +98,112 @@
 	}
 }
 
+// sleepingHost starts a host whose processes sleep for a minute and returns it with the file to which
+// each of them appends its id. The first process has done so.
+func sleepingHost(t *testing.T) (h *host, ids string) {
+	t.Helper()
+	dir := t.TempDir()
+	script := filepath.Join(dir, "host")
+	ids = filepath.Join(dir, "ids")
+	text := fmt.Sprintf("#!/bin/sh\necho $$ >> %s\nexec sleep 60\n", ids)
+	if err := os.WriteFile(script, []byte(text), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	h = &host{deployment: &deployment{cfg: Config{Program: script, Log: io.Discard}, began: time.Now()}}
+	if err := h.startProcess(); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		if b, err := os.ReadFile(ids); err == nil && len(b) > 0 {
+			return h, ids
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the host did not start")
+		}
+	}
+}
+
+// Guards against two stops of one host that end together and start it twice, so that the second
+// process finds the addresses in use for ever and outlives the run.
+func TestOverlappingStopsStartOneProcess(t *testing.T) {
+	h, ids := sleepingHost(t)
+	defer h.shutdown()
+	done := h.signal(syscall.SIGKILL)
+	<-done
+	// All stops reach the lock before the first of them gets it.
+	h.mu.Lock()
+	var stops tomb.Tomb
+	for range 8 {
+		stops.Go(func() error {
+			h.restartAfterExit(context.Background(), done)
+			return nil
+		})
+	}
+	time.Sleep(2 * restartDelay)
+	h.mu.Unlock()
+	if err := stops.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if n, _ := h.state(); n != 2 {
+		t.Errorf("%d processes were started, want 2", n)
+	}
+	h.shutdown()
+	if left := running(t, ids); len(left) > 0 {
+		t.Errorf("processes %v are still running after the shutdown of their host", left)
+	}
+}
+
+// running returns the ids in a file that belong to running processes.
+func running(t *testing.T, ids string) []int {
+	t.Helper()
+	b, err := os.ReadFile(ids)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var left []int
+	for _, text := range strings.Fields(string(b)) {
+		id, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if syscall.Kill(id, 0) == nil {
+			left = append(left, id)
+		}
+	}
+	return left
+}
+
+// Guards against hosts that keep running after a test binary that panics or is killed, which can't
+// shut them down.
+func TestHostsEndWithTheTestBinary(t *testing.T) {
+	if file := os.Getenv("SOAK_ORPHAN_IDS"); file != "" {
+		_, ids := sleepingHost(t)
+		if err := os.Rename(ids, file); err != nil {
+			t.Fatal(err)
+		}
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
+	ids := filepath.Join(t.TempDir(), "orphans")
+	cmd := exec.Command(os.Args[0], "-test.run=^TestHostsEndWithTheTestBinary$")
+	cmd.Env = append(os.Environ(), "SOAK_ORPHAN_IDS="+ids)
+	out, err := cmd.CombinedOutput()
+	if err == nil {
+		t.Fatalf("the test binary was not killed:\n%s", out)
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		left := running(t, ids)
+		if len(left) == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			for _, id := range left {
+				_ = syscall.Kill(id, syscall.SIGKILL)
+			}
+			t.Fatalf("processes %v outlive the test binary", left)
+		}
+	}
+}
+
 // Guards against a seed that draws different plans from run to run, so that a failure cannot be
 // replayed.
 func TestPlanOfASeedIsDeterministic(t *testing.T) {
