serve: store no answer that lacks a piece

Cause: the error of buffering a piece of a stream that is also kept for repeats was ignored.

Class: calls that keep or pass on an answer and whose error was ignored (all "_ =" of serve, peer, front, platform were read): - deliver, above: the copy is dropped once a piece is missing, its memory is released, and the outcome is reported as not stored. - an attempt that resumes a stream of its caller stored the rest of the answer as the whole. - the buffered answer: an error of the sink was ignored and the answer reported as finished. The sink is not given the end of it now, and the failure is logged. Ruled out: sendBegin and sendEnd of peer fail only with their stream, which the other side counts as an attempt without an end; the end marker of front fails only with the caller's connection.

Tests failed before: stored true for false (budget full for one piece, and resumed), outcome done for none.

--- a/internal/serve/fixture_test.go
+++ b/internal/serve/fixture_test.go
@@ -35,6 +35,8 @@
 	// ignoreSilence is set if silent attempts are not aborted; silences counts their reports.
 	ignoreSilence bool
 	silences      int
+	// resumeFirst is the token from which the first attempt resumes the answer.
+	resumeFirst ident.Tokens
 
 	mu            sync.Mutex
 	ends          []event.AttemptEnded
@@ -75,7 +77,7 @@
 	defer f.mu.Unlock()
 	switch e := ev.(type) {
 	case event.RequestArrived:
-		return f.dispatchNext(now, 0)
+		return f.dispatchNext(now, f.resumeFirst)
 	case event.CallerLeft:
 		f.callerHasLeft = true
 	case event.AttemptSilent:
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -143,8 +143,9 @@
 	// sinkBegun is set once the sink has been given the status, streaming if the answer is relayed
 	// as it arrives.
 	sinkBegun, streaming bool
-	// keepCopy is set if a stream is also buffered for repeats while it is relayed.
-	keepCopy bool
+	// keepCopy is set if a stream is also buffered for repeats while it is relayed. copyIncomplete is
+	// set once a piece of it is missing from the buffer, so that it may not be stored.
+	keepCopy, copyIncomplete bool
 	// delivered is the number of tokens that the sink has been given.
 	delivered ident.Tokens
 	// buffered is the answer that is kept until it is complete or for repeats; reserved is its share
@@ -250,7 +251,7 @@
 func (r *run) finishAttempt() bool {
 	a := r.current
 	r.current = nil
-	if a.atMostOnce && a.keepOutcome && a.end.Result == event.ResultDone {
+	if a.atMostOnce && a.keepOutcome && a.end.Result == event.ResultDone && !r.copyIncomplete {
 		a.end.OutcomeStored = r.Answers.Put(r.req.ID, r.buffered)
 	}
 	r.Loop.Post(a.end)
@@ -285,8 +286,7 @@
 		r.sink.Refuse(e)
 		return true
 	case event.Finish:
-		r.flushBuffered()
-		r.sink.Finish(e.Outcome)
+		r.finish(e.Outcome)
 		return true
 	}
 	return false
@@ -301,6 +301,8 @@
 	}
 	if !r.sinkBegun {
 		r.discardBuffer()
+		// An attempt that resumes a stream brings only the rest of the answer.
+		r.copyIncomplete = a.resume > 0
 	}
 	r.atMostOnceStarted = r.atMostOnceStarted || a.atMostOnce
 	r.keepCopy = a.keepOutcome
@@ -363,9 +365,8 @@
 	if !r.streaming {
 		return r.buffer(b)
 	}
-	if r.keepCopy && len(r.buffered.Body) <= maxStoredAnswer {
-		// Buffering stops once the body exceeds maxStoredAnswer, and the cache rejects the answer.
-		_ = r.buffer(b)
+	if r.keepCopy && !r.copyIncomplete {
+		r.copyPiece(b)
 	}
 	if r.sinkFailed {
 		return nil
@@ -384,16 +385,44 @@
 	return nil
 }
 
-// flushBuffered gives the buffered answer to the sink unless the sink has begun.
-func (r *run) flushBuffered() {
-	if r.sinkBegun {
+// copyPiece adds a piece of a relayed stream to the copy for repeats. Once the copy lacks a piece
+// it is dropped: a repeat would be given what remains of it as the whole answer.
+func (r *run) copyPiece(b []byte) {
+	var err error
+	if len(r.buffered.Body)+len(b) > maxStoredAnswer {
+		err = errAnswerTooLarge
+	} else {
+		err = r.buffer(b)
+	}
+	if err == nil {
 		return
 	}
-	r.sinkBegun = true
-	r.sink.Begin(r.buffered.Status, r.buffered.Header)
-	if len(r.buffered.Body) > 0 {
-		_ = r.sink.Data(r.buffered.Body, r.delivered)
+	r.Log.V(1).Info("answer is not stored for repeats", "request", r.req.ID, "bytes", len(r.buffered.Body)+len(b), "reason", err.Error())
+	r.copyIncomplete = true
+	r.Budget.Release(r.reserved)
+	r.reserved = 0
+	r.buffered.Body = nil
+}
+
+// finish gives the sink what it has not been given of the answer, and its end. A sink that did not
+// accept all of the answer is not given its end.
+func (r *run) finish(outcome event.Outcome) {
+	if !r.sinkBegun {
+		r.sinkBegun = true
+		r.sink.Begin(r.buffered.Status, r.buffered.Header)
+		if err := r.writeBuffered(); err != nil {
+			r.Log.Info("caller did not accept its answer", "request", r.req.ID, "bytes", len(r.buffered.Body), "reason", err.Error())
+			return
+		}
+	}
+	r.sink.Finish(outcome)
+}
+
+func (r *run) writeBuffered() error {
+	if len(r.buffered.Body) == 0 {
+		return nil
 	}
+	return r.sink.Data(r.buffered.Body, r.delivered)
 }
 
 func (r *run) replay(e event.Replay) {
@@ -403,6 +432,5 @@
 		return
 	}
 	r.buffered = answer
-	r.flushBuffered()
-	r.sink.Finish(event.Done)
+	r.finish(event.Done)
 }
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -231,3 +231,81 @@
 	c.Delete("0")
 	check(t, "room again", true, c.Put("again", BufferedAnswer{}))
 }
+
+// Guards against a stored answer that lacks the piece for which the memory budget was full, and that
+// a repeat of the request gets as the whole answer.
+func TestIncompleteCopyIsNotStored(t *testing.T) {
+	for name, c := range map[string]struct {
+		full   bool
+		stored bool
+	}{
+		"budget full for one piece": {full: true},
+		"control":                   {stored: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			received, proceed := make(chan struct{}), make(chan struct{})
+			f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				openStream(w, r)
+				for n := 1; n <= 3; n++ {
+					fmt.Fprint(w, token(n))
+					w.(http.Flusher).Flush()
+					<-proceed
+				}
+				fmt.Fprint(w, doneEvent)
+			})
+			f.atMostOnce = true
+			s := f.sink()
+			data := s.Data
+			s.Data = func(b []byte, tokens ident.Tokens) error {
+				defer func() { received <- struct{}{} }()
+				return data(b, tokens)
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				f.rn.Run(t.Context(), streamCall, event.Request{ID: testID}, s)
+			}()
+			<-received
+			filler := 0
+			if c.full {
+				filler = int(f.rn.Budget.limit - f.rn.Budget.Used())
+				f.rn.Budget.Reserve(filler)
+			}
+			proceed <- struct{}{}
+			<-received
+			f.rn.Budget.Release(filler)
+			proceed <- struct{}{}
+			<-received
+			proceed <- struct{}{}
+			<-done
+			check(t, "caller", callerResult{Status: 200, Body: tokens(1, 3), Outcome: event.Done}, f.result)
+			answer, stored := f.rn.Answers.Get(testID)
+			check(t, "stored", c.stored, stored)
+			if c.stored {
+				check(t, "stored body", tokens(1, 3), string(answer.Body))
+			}
+			check(t, "reported as stored", c.stored, f.ends[0].OutcomeStored)
+		})
+	}
+}
+
+// Guards against storing the rest of a stream, which its caller resumes, as the whole answer.
+func TestResumedCopyIsNotStored(t *testing.T) {
+	f := newFixture(t, streamAnswer(tokens(3, 5)+doneEvent))
+	f.atMostOnce = true
+	call := streamCall
+	call.Resume = 2
+	f.resumeFirst = 2
+	check(t, "caller", callerResult{Status: 200, Body: tokens(3, 5), Outcome: event.Done}, f.run(t.Context(), call))
+	_, stored := f.rn.Answers.Get(testID)
+	check(t, "stored", false, stored)
+}
+
+// Guards against reporting an answer as delivered although its caller did not accept it.
+func TestUnacceptedAnswerIsNotFinished(t *testing.T) {
+	f := newFixture(t, jsonAnswer(200, fmt.Sprintf(`{"id":"%s"}`, testID)))
+	s := f.sink()
+	s.Data = func([]byte, ident.Tokens) error { return http.ErrHandlerTimeout }
+	f.rn.Run(t.Context(), plainCall, event.Request{ID: testID}, s)
+	check(t, "outcome", event.Outcome(""), f.result.Outcome)
+}
