spread: end a platform failure on a host that stops watching

Found by reading, shown by a test: PlatformFailing stayed true on a host that stopped watching after a failed call, since it makes no further call that could succeed. It then reported the platform as unreachable and read changes from peers only, for as long as it lived. A failure of a host that doesn't watch now ends when its retry would be due; one that is fresher still counts.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -102,7 +102,8 @@
 }
 
 // PlatformFailing reports whether the last call of this host to the platform failed,
-// other than a read of the host list. Stopping an active watch resets it.
+// other than a read of the host list. On a host that doesn't watch the platform it is
+// reset after the delay of a retry.
 func (s *Distributor) PlatformFailing() bool { return s.failures > 0 }
 
 // ApplyChanges applies changes from the platform or a peer and pushes the new ones to
@@ -260,12 +261,7 @@
 // platform.
 func (s *Distributor) Tick(now ident.Time, isWatcher bool) []event.Effect {
 	if !isWatcher {
-		if !s.watching {
-			return nil
-		}
-		s.watching = false
-		s.failures = 0
-		return []event.Effect{event.StopWatch{}}
+		return s.tickFollower(now)
 	}
 	if s.watching && now.Sub(s.watchStart) < watchTimeout {
 		return nil
@@ -281,6 +277,19 @@
 	return []event.Effect{event.WatchChange{After: s.Revision()}}
 }
 
+// tickFollower stops the watch of a host that no longer watches the platform. Such a host makes no
+// further call that would end a failure, so a failure ends when its retry would be due.
+func (s *Distributor) tickFollower(now ident.Time) []event.Effect {
+	if s.watching || now >= s.retryAt {
+		s.failures = 0
+	}
+	if !s.watching {
+		return nil
+	}
+	s.watching = false
+	return []event.Effect{event.StopWatch{}}
+}
+
 // NextTick returns the latest time for the next call of Tick.
 func (s *Distributor) NextTick(now ident.Time) ident.Time {
 	if s.watching {
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -226,3 +226,26 @@
 	}
 	t.Error("no peer is asked however long the answer takes")
 }
+
+// Guards against a host that counts the platform as unreachable for ever because it stopped watching
+// it after a failed call.
+func TestFailureEndsOnHostThatStopsWatching(t *testing.T) {
+	for name, failed := range map[string]event.PlatformOp{"watch": event.OpWatchChange, "snapshot": event.OpReadSnapshot} {
+		s := New(event.Host{ID: "uvs-1"})
+		now := ident.Time(time.Second)
+		s.Tick(now, true)
+		s.PlatformFailed(now, failed)
+		s.Tick(now, false)
+		if !s.PlatformFailing() {
+			t.Errorf("%s: the failure of a moment ago is forgotten", name)
+		}
+		if next := s.NextTick(now); next > now.Add(2*maxBackoff) {
+			t.Errorf("%s: the next tick is %v after the failure", name, next.Sub(now))
+		}
+		now = now.Add(2 * maxBackoff)
+		s.Tick(now, false)
+		if s.PlatformFailing() {
+			t.Errorf("%s: the platform counts as unreachable %v after the last call", name, 2*maxBackoff)
+		}
+	}
+}
