rules: make the regions of a host independent of the order of profiles

Found by reading, shown by a test: a profile that is confined to the home regions of accounts names no regions. In front of others it changed nothing, behind others it deleted all regions, which lookups take for "any region". Such a profile no longer narrows the regions of its host.

Test failed before in three of five orders (want west, got none).

--- a/pkg/rules/book.go
+++ b/pkg/rules/book.go
@@ -87,7 +87,8 @@
 }
 
 // HostRegions returns the regions in which requests to a host may be served
-// whatever route they match. It returns nil if no route of the host is confined.
+// whatever route they match. It returns nil if no route of the host names regions; a
+// route that is confined to the home regions of accounts names none.
 func (b *Book) HostRegions(host string) []ident.Region {
 	if b == nil {
 		return nil
@@ -95,7 +96,7 @@
 	var regions []ident.Region
 	for _, p := range b.routes[host] {
 		switch {
-		case !p.Confined():
+		case len(p.Regions) == 0:
 		case regions == nil:
 			regions = slices.Clone(p.Regions)
 		default:
