quota: keep entries of data centres with more accounts than 256 reports hold

Found by reading, shown by a test: an entry expired after 256 reports that don't repeat it. Half of a report goes to the accounts whose demand changed most, so 8 accounts a report are repeated in turn, 2,048 in 256 reports. With 3,200 active accounts a third of them expired and would have been admitted in full. The number of reports now follows from the accounts that the data centre has reported. Ruled out: steady demand, for which all 16 places of a report go round and 4,096 accounts, the bound of the ledger, are repeated.

Test before: 2,064 of 3,200 accounts have demand from the other data centre. The constant that TestStaleReportExpires checks is renamed, its value is as before.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -130,6 +130,8 @@
 	lastSeen ident.Time
 	// reportCount numbers the reports, so that the age of an entry can be computed.
 	reportCount uint64
+	// entries is the number of accounts with demand from this data centre at the last sweep.
+	entries int
 }
 
 // New returns a ledger without any known demand.
@@ -241,6 +243,21 @@
 			delete(l.accounts, name)
 		}
 	}
+	l.countEntries()
+}
+
+// countEntries counts the accounts with demand from each data centre.
+func (l *Ledger) countEntries() {
+	for _, c := range l.centres {
+		c.entries = 0
+	}
+	for _, a := range l.accounts {
+		for _, p := range a.centres {
+			if c, ok := l.centres[p.id]; ok {
+				c.entries++
+			}
+		}
+	}
 }
 
 func (l *Ledger) removeCentre(dc ident.DataCentre) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -151,13 +151,34 @@
 	l := New("me", "here")
 	l.MergeCentreReport(0, "x", []event.AccountUse{{Account: "acme", Requests: 600}})
 	var got []bool
-	for range maxReportsSince + 1 {
+	for range minReportsSince + 1 {
 		l.MergeCentreReport(0, "x", nil)
 		l.Take(0, limitedClient, 0)
 		got = append(got, l.shares(l.accounts["acme"]).requests == 1)
 	}
-	if first := slices.Index(got, true); first != maxReportsSince {
-		t.Errorf("stale demand expires after %d reports, want %d", first, maxReportsSince)
+	if first := slices.Index(got, true); first != minReportsSince {
+		t.Errorf("stale demand expires after %d reports, want %d", first, minReportsSince)
+	}
+}
+
+// Guards against entries of a data centre with many active accounts that expire before its reports
+// repeat them, so that these accounts are admitted in full.
+func TestEntriesOfManyAccountsAreRepeatedInTime(t *testing.T) {
+	// Accounts whose demand changes all the time take half of each report.
+	const accounts, perReport = 3200, maxSummaryAccounts / 2
+	l := New("me", "here")
+	now := ident.Time(0)
+	for round := range 3 * accounts / perReport {
+		now = now.Add(time.Second)
+		uses := make([]event.AccountUse, perReport)
+		for i := range uses {
+			uses[i] = event.AccountUse{Account: ident.Account(fmt.Sprint((round*perReport + i) % accounts)), Requests: 600}
+		}
+		l.MergeCentreReport(now, "x", uses)
+		l.SummaryDemand(now)
+		if got := l.centres["x"].entries; round > accounts/perReport && got != accounts {
+			t.Fatalf("round %d: %d of %d accounts have demand from the other data centre", round, got, accounts)
+		}
 	}
 }
 
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -12,12 +12,14 @@
 const (
 	// maxSummaryAccounts bounds the accounts in a summary, of 17 bytes each.
 	maxSummaryAccounts = 16
-	// An entry of a data centre's report expires after maxReportsSince later reports
-	// that don't repeat it. Half of each summary goes to the accounts that were sent
-	// longest ago, so with up to 2,048 active accounts each is repeated in time.
-	// Reports are counted rather than time so that entries persist while the data
-	// centre is unreachable.
-	maxReportsSince = 256
+	// An entry of a data centre's report expires after minReportsSince later reports
+	// that don't repeat it, or more if the data centre has more accounts than it can
+	// repeat in these. Reports are counted rather than time so that entries persist
+	// while the data centre is unreachable.
+	minReportsSince = 256
+	// minRepeatsPerReport is the number of accounts in each summary that were sent longest
+	// ago.
+	minRepeatsPerReport = maxSummaryAccounts / 2
 	// inactiveRepeats is the number of summaries that report an account as inactive.
 	inactiveRepeats = 3
 	// tokensPerRequest is the weight of a change in tokens relative to one in requests.
@@ -104,7 +106,15 @@
 // isCurrent reports whether an entry from a data centre's report still counts.
 func (l *Ledger) isCurrent(p *remoteDemand[ident.DataCentre]) bool {
 	c, ok := l.centres[p.id]
-	return ok && c.reportCount-p.reportNumber <= maxReportsSince
+	return ok && c.reportCount-p.reportNumber <= c.maxReportsSince()
+}
+
+// maxReportsSince returns after how many reports an entry expires that they don't repeat: twice
+// the number in which each entry of the data centre is repeated, so that the loss of one of them
+// expires nothing.
+func (c *centre) maxReportsSince() uint64 {
+	const repeats = 2
+	return max(minReportsSince, repeats*uint64(c.entries)/minRepeatsPerReport)
 }
 
 // summaryCandidate is an account that may be included in a summary.
