slope: await the change that is written at the end of a disruption

Found by reading, shown by a test: the change that Disruptions writes just before the end of a disruption was never entered as the newest revision, so every host counted as recovered at once. Test with the entry left out: "revision 0, written while the platform is unreachable, is not awaited".

--- a/internal/dev/slope/event.go
+++ b/internal/dev/slope/event.go
@@ -63,7 +63,7 @@
 		r.Answers = nil
 		k.begin(r)
 		r.generateLoad(disruptionTime)
-		r.Change(r.account(0))
+		r.changeAccount(0)
 		k.end(r)
 		r.observe(&d)
 		out = append(out, d)
--- a/internal/dev/slope/slope.go
+++ b/internal/dev/slope/slope.go
@@ -213,12 +213,17 @@
 		r.Run(gap)
 		if r.cfg.ChangesPerDay > 0 && r.Now >= next {
 			next = next.Add(changeGap)
-			rev := r.Change(r.account(n % max(r.cfg.Accounts, 1)))
-			r.changedAt[rev] = r.Now
+			r.changeAccount(n % max(r.cfg.Accounts, 1))
 		}
 	}
 }
 
+// changeAccount writes a change of an account to the platform and records when.
+func (r *run) changeAccount(n int) {
+	rev := r.Change(r.account(n))
+	r.changedAt[rev] = r.Now
+}
+
 // accountAt returns an account that calls hosts in the region of h.
 func (r *run) accountAt(h *drive.Host, n uint64) ident.Account {
 	var region int
