--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -72,8 +72,6 @@
 	// cached reports that the prefix was sent there recently or confirmed by a cache
 	// event. It is false for a target that was added only because of its rank.
 	cached bool
-	// preferred reports that the target ranks first for the shared prefix of the prompt.
-	preferred bool
 }
 
 // CacheChanged handles a cache event of an engine. Events arrive late and may be lost. A gap in the
@@ -272,12 +270,9 @@
 		if t == nil {
 			continue
 		}
-		i := slices.IndexFunc(rt.warm, func(h holder) bool { return h.target == t.ID })
-		if i < 0 {
-			i = len(rt.warm)
+		if !slices.ContainsFunc(rt.warm, func(h holder) bool { return h.target == t.ID }) {
 			rt.warm = append(rt.warm, holder{target: t.ID, fraction: fraction})
 		}
-		rt.warm[i].preferred = t == first
 	}
 }
 
