config, platform: read the platform's numbers in each form it may write

Cause: the small twins of the large deployment scale a bound to 18.4, and every host refused to start: "fleet.retryFloor: the value is of another type: write a whole number (VB3003)". The type and the form of each number were decided where it was declared, and one number that a host can't read left all data centres without hosts, since all get the same settings.

A value that can't be used (true, text, negative, too large) is a warning with line, value used and remedy (VB3015), not a refusal: the default, or the end of the range, allows no more than the platform does. Faults in all other settings still stop the host, as before.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -60,7 +60,7 @@
 	for _, f := range faults {
 		fmt.Fprintln(os.Stderr, "verbenadale:", f)
 	}
-	if len(faults) > 0 {
+	if !config.Usable(faults) {
 		return subcommands.ExitUsageError
 	}
 	lvl := logs.NewLevel(set.Logs.Level)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,19 +47,19 @@
 	// Places lists all data centres of the deployment.
 	Places []FleetPlace `json:"places"`
 	// GraceSeconds is the time from SIGTERM to the end of the process.
-	GraceSeconds float64 `json:"graceSeconds"`
+	GraceSeconds Bound `json:"graceSeconds"`
 	// RetryRatio bounds the retries at a service as a fraction of its requests,
 	// and RetryFloor is the number of retries allowed regardless of the requests.
 	// Both apply to all hosts together and to ten seconds.
-	RetryRatio float64 `json:"retryRatio"`
-	RetryFloor int64   `json:"retryFloor"`
+	RetryRatio Bound `json:"retryRatio"`
+	RetryFloor Bound `json:"retryFloor"`
 	// ColdOvershoot and ColdSlack limit the requests that all hosts together may
 	// send to a cold target in a second: its rate times ColdOvershoot (at least
 	// 1), plus ColdSlack.
-	ColdOvershoot float64 `json:"coldOvershoot"`
-	ColdSlack     float64 `json:"coldSlack"`
+	ColdOvershoot Bound `json:"coldOvershoot"`
+	ColdSlack     Bound `json:"coldSlack"`
 	// MinLeaseMs is the shortest lease that the platform grants.
-	MinLeaseMs int64 `json:"leaseLeastMs"`
+	MinLeaseMs Bound `json:"leaseLeastMs"`
 }
 
 // FleetPlace is one data centre and its region.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -114,3 +114,36 @@
 		}
 	})
 }
+
+// Guards against a host that doesn't start, or ignores a bound, because the platform writes the
+// number in another form.
+func TestBoundForms(t *testing.T) {
+	const head = `{"entry": "a", "dataCentre": "a", "region": "a", "callers": {"listen": "127.0.0.1:1"}, "peers": {"listen": "127.0.0.1:2", "plain": true},
+		"operators": {"listen": "127.0.0.1:3"}, "platform": {"url": "http://127.0.0.1:4"}, "fleet": {"retryFloor": `
+	type result struct {
+		Value  Bound
+		Faults int
+		Usable bool
+	}
+	for text, want := range map[string]result{
+		"230": {230, 0, true}, "18.4": {18.4, 0, true}, "2.3e2": {230, 0, true}, "2E1": {20, 0, true}, "0": {0, 0, true}, "-0": {0, 0, true},
+		`"230"`: {230, 0, true}, `"18.4"`: {18.4, 0, true}, `"2.3e+02"`: {230, 0, true}, `" 7 "`: {7, 0, true}, `".5"`: {.5, 0, true},
+		"null": {0, 0, true}, `""`: {0, 0, true},
+		"123456789012345678901234567890": {1e6, 1, true}, "1e999": {1e6, 1, true}, `"Infinity"`: {1e6, 1, true}, "1000000": {1e6, 0, true},
+		"-1": {0, 1, true}, "-1e999": {0, 1, true}, `"NaN"`: {0, 1, true}, "true": {0, 1, true}, `"many"`: {0, 1, true}, "{}": {0, 1, true}, "[1]": {0, 1, true},
+	} {
+		set, faults := Parse([]byte(head + text + "}}"))
+		got := result{set.Fleet.RetryFloor, len(faults), Usable(faults)}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s%v", text, diff, faults)
+		}
+	}
+}
+
+// Guards against a fault outside the bounds that no longer stops a host.
+func TestOtherFaultsAreFatal(t *testing.T) {
+	_, faults := Parse([]byte(`{"fleet": {"retryFloor": true}}`))
+	if Usable(faults) {
+		t.Errorf("settings without a name and addresses are usable: %v", faults)
+	}
+}
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -24,6 +24,8 @@
 	Accepts string
 	code    codes.Code
 	ok      func(v reflect.Value) bool
+	// bound is the range of a number that the platform fills in.
+	bound boundRange
 }
 
 // rule describes and checks the accepted values of a field.
@@ -43,6 +45,27 @@
 	return f
 }
 
+// bound declares a number that the platform fills in.
+func bound(path, text string, r boundRange) Field {
+	f := optional(path, text, inRange(r.low, r.high))
+	f.code = codes.SettingBound
+	f.bound = r
+	return f
+}
+
+// boundRanges holds the range of each bound by its path.
+var boundRanges = rangesOf(Fields)
+
+func rangesOf(fields []Field) map[string]boundRange {
+	ranges := make(map[string]boundRange)
+	for _, f := range fields {
+		if f.bound != (boundRange{}) {
+			ranges[f.Path] = f.bound
+		}
+	}
+	return ranges
+}
+
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
 const digestBytes = 32
@@ -101,12 +124,12 @@
 	optional("fleet.seeds[]", "the address of a host to try before the platform's list is known", addrRule),
 	required("fleet.places[].dataCentre", "a data centre of the deployment", nameRule),
 	required("fleet.places[].region", "the region of that data centre", nameRule),
-	optional("fleet.graceSeconds", "the time from SIGTERM to the end of the process, in seconds; 0 means 10", inRange(0, 600)),
-	optional("fleet.retryRatio", "the maximum number of retries at a service per request to it, over all hosts", inRange(0, 10)),
-	optional("fleet.retryFloor", "the number of retries at a service in ten seconds that are allowed regardless of its requests, over all hosts", inRange(0, 1e6)),
-	optional("fleet.coldOvershoot", "the factor by which the requests to a cold target may exceed its rate", inRange(0, 100)),
-	optional("fleet.coldSlack", "requests per second that all hosts together may send to a cold target in addition to its own rate", inRange(0, 1e6)),
-	optional("fleet.leaseLeastMs", "the shortest lease that the platform grants, in milliseconds", inRange(0, 600_000)),
+	bound("fleet.graceSeconds", "the time from SIGTERM to the end of the process, in seconds; 0 means 10", boundRange{0, 600}),
+	bound("fleet.retryRatio", "the maximum number of retries at a service per request to it, over all hosts", boundRange{0, 10}),
+	bound("fleet.retryFloor", "the number of retries at a service in ten seconds that are allowed regardless of its requests, over all hosts", boundRange{0, 1e6}),
+	bound("fleet.coldOvershoot", "the factor by which the requests to a cold target may exceed its rate", boundRange{0, 100}),
+	bound("fleet.coldSlack", "requests per second that all hosts together may send to a cold target in addition to its own rate", boundRange{0, 1e6}),
+	bound("fleet.leaseLeastMs", "the shortest lease that the platform grants, in milliseconds", boundRange{0, 600_000}),
 	optional("logs.level", "the log verbosity: 0 for events, 1 for each request too", inRange(0, 9)),
 }
 
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -51,8 +51,17 @@
 	return fmt.Sprintf("line %d: %s: %s: %s (%s)", f.Line, f.Path, c.Title, f.Message, f.Code)
 }
 
-// Load reads and checks a settings file. The settings are valid only if there
-// are no faults. It fails with ErrRead if the file cannot be read.
+// Fatal reports whether a host can't start with the fault.
+func (f Fault) Fatal() bool {
+	c, _ := codes.Find(f.Code)
+	return c.Severity == codes.Error
+}
+
+// Usable reports whether a host can start with settings that have these faults.
+func Usable(faults []Fault) bool { return !slices.ContainsFunc(faults, Fault.Fatal) }
+
+// Load reads and checks a settings file. The settings are valid only if Usable
+// holds for the faults. It fails with ErrRead if the file cannot be read.
 func Load(path string) (Settings, []Fault, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/config/structure.go
+++ b/internal/config/structure.go
@@ -39,6 +39,9 @@
 // walkValue checks a value and those within it, and reports whether it stays in
 // the tree.
 func (s *structure) walkValue(v *hujson.Value, t reflect.Type, path string) bool {
+	if t == reflect.TypeFor[Bound]() {
+		return s.walkBound(v, path)
+	}
 	line := s.lineAt(v.StartOffset)
 	s.lines[path] = line
 	if want := typeName(t); !matchesType(v, t) {
--- a/internal/dev/cmds/entry.go
+++ b/internal/dev/cmds/entry.go
@@ -47,7 +47,7 @@
 
 func (c *entryCmd) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	set, faults, err := config.Load(c.settings)
-	if err != nil || len(faults) > 0 || !slices.Contains(base.Names, c.policy) {
+	if err != nil || !config.Usable(faults) || !slices.Contains(base.Names, c.policy) {
 		fmt.Fprintln(os.Stderr, "verbdev: invalid settings or policy:", err, faults, c.policy)
 		return subcommands.ExitUsageError
 	}
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -299,7 +299,7 @@
 	h.settings.Operators.Listen = ports.Next()
 	h.settings.Platform.URL = "http://" + h.storeRelay.Addr()
 	h.settings.Fleet.Directory, h.settings.Fleet.Ready, h.settings.Fleet.Metrics = ports.Next(), ports.Next(), ports.Next()
-	h.settings.Fleet.GraceSeconds = s.cfg.timing().graceSeconds
+	h.settings.Fleet.GraceSeconds = config.Bound(s.cfg.timing().graceSeconds)
 	for _, r := range regions {
 		h.settings.Fleet.Places = append(h.settings.Fleet.Places, config.FleetPlace{DataCentre: ident.DataCentre(centreOf(r)), Region: ident.Region(r)})
 	}
--- a/pkg/codes/setting.go
+++ b/pkg/codes/setting.go
@@ -50,6 +50,10 @@
 		ID: "VB3012", Title: "the number is out of its range", Since: firstVersion, Severity: Error,
 		Text: "Each number has a range in which the host can work.",
 	}
+	SettingBound = Code{
+		ID: "VB3015", Title: "the platform's bound can't be used", Since: firstVersion, Severity: Warning,
+		Text: "The platform fills in the bounds of the field group fleet, alike on all hosts. A host that refused to start for one of them would leave its data centre without any host, so it starts with the value that the message names, which allows no more than the platform does.",
+	}
 	SettingChoice = Code{
 		ID: "VB3013", Title: "the value is none of those to choose from", Since: firstVersion, Severity: Error,
 		Text: "The field takes one of a few words.",
@@ -63,5 +67,5 @@
 // Settings lists the settings checks.
 var Settings = []Code{
 	SettingUnknown, SettingSyntax, SettingType, SettingTwice, SettingMissing, SettingName, SettingAddress,
-	SettingURL, SettingFile, SettingTLS, SettingDigest, SettingRange, SettingChoice, SettingClash,
+	SettingURL, SettingFile, SettingTLS, SettingDigest, SettingRange, SettingChoice, SettingClash, SettingBound,
 }
