spread: keep the failure of a host that reads the platform first until an answer

It would have announced the platform as reachable each time, and the duty to read for the region would have passed to it and away again while it is cut off. Test fails on the commit before: "the platform counts as reachable although no read has succeeded".

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -102,8 +102,8 @@
 }
 
 // PlatformFailing reports whether the last call of this host to the platform failed,
-// other than a read of the host list. On a host that doesn't watch the platform it is
-// reset after the delay of a retry.
+// other than a read of the host list. On a host that neither watches the platform
+// nor reads it first, it is reset after the delay of a retry.
 func (s *Distributor) PlatformFailing() bool { return s.failures > 0 }
 
 // ApplyChanges applies changes from the platform or a peer and pushes the new ones to
@@ -277,10 +277,11 @@
 	return []event.Effect{event.WatchChange{After: s.Revision()}}
 }
 
-// tickFollower stops the watch of a host that no longer watches the platform. Such a host makes no
-// further call that would end a failure, so a failure ends when its retry would be due.
+// tickFollower stops the watch of a host that no longer watches the platform. Unless such a host
+// reads the platform first, it makes no further call that would end a failure, so a failure ends
+// when its retry would be due.
 func (s *Distributor) tickFollower(now ident.Time) []event.Effect {
-	if s.watching || now >= s.retryAt {
+	if s.watching || !s.platformFirst && now >= s.retryAt {
 		s.failures = 0
 	}
 	if !s.watching {
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -249,3 +249,21 @@
 		}
 	}
 }
+
+// Guards against a host that reads the platform first and takes it for reachable between two failed
+// reads, so that duties that need the platform pass to it again and again.
+func TestFailureOfHostThatReadsFirstEndsWithAnAnswer(t *testing.T) {
+	s := New(event.Host{ID: "uvs-1"})
+	s.SetPlatformFirst(true)
+	now := ident.Time(time.Second)
+	s.PlatformFailed(now, event.OpWatchChange)
+	now = now.Add(2 * maxBackoff)
+	s.Tick(now, false)
+	if !s.PlatformFailing() {
+		t.Error("the platform counts as reachable although no read has succeeded")
+	}
+	s.WatchIdle(now)
+	if s.PlatformFailing() {
+		t.Error("the platform counts as unreachable after a read has succeeded")
+	}
+}
