member: hosts read the store only when no peer confirms their list

What grows: calls to the platform with the number of hosts.

Mechanism: each regular digest of a host that has just read says how old that read is and which version it showed. A host whose list has that version or a newer one takes it as confirmed up to then; one whose list is older than the watcher's reads at once. A list that was not confirmed for 3 s is read, so the age of what a host knows has the same bound by every path as before, by whichever hosts freeze or are cut off. One host a region reads continuously; the second one is not needed any more, since all others notice within the bound. A follower still reads every 15 s, within the store's history, so that a new configuration doesn't cost it a read of all keys.

Lists that this host has not read for 5 s name no hosts of other regions to callers: a follower's list is older now, and would name hosts that have stopped.

Bound: TestKnowledgeOfTargetsIsBounded, worst 3.69 s of 4 s before, 3.89 s after.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -211,6 +211,8 @@
 		}
 	case event.WatchIdle:
 		rd.spread.WatchIdle(now)
+	case event.ListRead:
+		rd.table.ListRead(now, e.Age)
 	case event.ReadProgress:
 		rd.spread.PlatformProgress(now)
 	case event.DrainAsked:
@@ -291,11 +293,17 @@
 // updateReadPace emits PaceReads when this host starts or stops reading the platform's store
 // continuously. A host starts as an active reader.
 func (rd *Reducer) updateReadPace(now ident.Time) {
-	if !rd.bounds.SharedReads || rd.table.IsActiveReader(now) == rd.activeReader {
+	if !rd.bounds.SharedReads {
 		return
 	}
-	rd.activeReader = !rd.activeReader
-	rd.emit(event.PaceReads{Active: rd.activeReader})
+	if rd.table.IsActiveReader(now) != rd.activeReader {
+		rd.activeReader = !rd.activeReader
+		rd.emit(event.PaceReads{Active: rd.activeReader})
+	}
+	if !rd.activeReader && now >= rd.table.NextListRead(now) {
+		rd.table.ListReadAsked(now)
+		rd.emit(event.ReadList{})
+	}
 }
 
 // announcedAccountsPerSecond bounds how many accounts a host announces to its peers per second,
@@ -340,6 +348,9 @@
 // scheduleWake requests the next tick, unless one is pending at that time or earlier.
 func (rd *Reducer) scheduleWake(now ident.Time) {
 	at := now.Add(maxTickInterval)
+	if rd.bounds.SharedReads && !rd.activeReader {
+		at = min(at, rd.table.NextListRead(now))
+	}
 	for _, t := range []ident.Time{
 		rd.table.Next(now), rd.spread.NextTick(now), rd.timers.next(), rd.pools.next(now, rd.queueDeadline), rd.once.Next(),
 	} {
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -27,7 +27,7 @@
 	// requests of routes are accepted whatever their deadline. DrainTimeout is the time from the
 	// start of a drain to event.DrainExpired, which ends the remaining requests.
 	MinDrain, DrainAccept, DrainTimeout time.Duration
-	// SharedReads limits continuous reads of the platform's store to two hosts of each data
+	// SharedReads limits continuous reads of the platform's store to one host of each data
 	// centre.
 	SharedReads bool
 	// SummaryInterval is the fixed part of the interval between summaries to data centres that
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -287,11 +287,15 @@
 type StopWatch struct{}
 
 // PaceReads sets how often this host reads the platform's store: continuously if Active,
-// or occasionally while other hosts of its data centre read it.
+// or when ReadList asks for it while other hosts of its data centre read it.
 type PaceReads struct {
 	Active bool `json:"active"`
 }
 
+// ReadList reads the platform's store once, because no peer has confirmed for long that this
+// host's list is current.
+type ReadList struct{}
+
 // ReadSnapshot reads the newest snapshot of the configuration.
 type ReadSnapshot struct{}
 
@@ -437,6 +441,7 @@
 func (WatchChange) isEffect()     {}
 func (StopWatch) isEffect()       {}
 func (PaceReads) isEffect()       {}
+func (ReadList) isEffect()        {}
 func (ReadSnapshot) isEffect()    {}
 func (ReadHosts) isEffect()       {}
 func (PollLoad) isEffect()        {}
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -159,8 +159,13 @@
 	// Targets is the list that the sender last read from the platform. The host that
 	// watches the platform sends it when the list changes or a peer is new.
 	Targets []Target `json:"targets,omitempty"`
-	// ListVersion is the version of the platform's list from which Targets was read.
+	// ListVersion is the version of the platform's list from which Targets was read, and
+	// of the sender's list if ListConfirmed.
 	ListVersion uint64 `json:"listVersion,omitempty"`
+	// ListConfirmed means that the sender has read the platform ListAge ago and that its
+	// list contains all changes up to then.
+	ListConfirmed bool          `json:"listConfirmed,omitempty"`
+	ListAge       time.Duration `json:"listAge,omitempty"`
 	// Complete means that Targets contains every listed target of the data centre, so
 	// that a missing target has been removed.
 	Complete bool `json:"complete,omitempty"`
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -24,12 +24,12 @@
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, DrainExpired{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
 		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryReported{}, LoadFailed{}, CacheChanged{},
-		HostsRead{}, PlatformFailed{}, WatchIdle{}, ReadProgress{},
+		HostsRead{}, PlatformFailed{}, WatchIdle{}, ReadProgress{}, ListRead{},
 	)
 	effectTypes = typesByName[Effect](
 		Dispatch{}, Forward{}, Refuse{}, Finish{}, BreakOff{}, KeepAttempt{}, DropLinks{}, Replay{}, ForgetOutcome{}, Wake{},
 		SendDigest{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
-		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadSnapshot{}, ReadHosts{}, PollLoad{}, AskMemory{},
+		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadList{}, ReadSnapshot{}, ReadHosts{}, PollLoad{}, AskMemory{},
 		InForceNow{}, TicketIssued{}, EntriesAnswered{}, RouteAnswered{}, StatusAnswered{}, Drained{},
 		Note{},
 	)
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -132,6 +132,13 @@
 	Complete bool `json:"complete,omitempty"`
 }
 
+// ListRead reports that a read of the platform's list has succeeded. Its changes, if there were
+// any, were reported before it.
+type ListRead struct {
+	// Age is the time since the platform answered.
+	Age time.Duration `json:"age"`
+}
+
 // ReadProgress reports that a long answer of the platform is still arriving.
 type ReadProgress struct{}
 
@@ -179,3 +186,4 @@
 func (PlatformFailed) isEvent()   {}
 func (WatchIdle) isEvent()        {}
 func (ReadProgress) isEvent()     {}
+func (ListRead) isEvent()         {}
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -41,6 +41,7 @@
 	p.demands = slices.Clone(d.Demand)
 	tb.markPeerSeen(now, p)
 	tb.mergeList(now, d)
+	tb.mergeConfirmation(now, d)
 	tb.mergeUse(p, d.Use)
 	tb.resendHosts(d.StaleCentres)
 	for _, w := range d.Wants {
@@ -148,6 +149,7 @@
 	if regular || tb.list.urgent {
 		tb.addListIfDue(now, &d)
 	}
+	tb.addConfirmation(now, &d)
 	if len(to) == 0 {
 		return nil
 	}
@@ -225,6 +227,7 @@
 	}
 	d := tb.digest(now)
 	d.Draining = tb.drainNotices(now, true)
+	tb.addConfirmation(now, &d)
 	tb.addList(now, &d)
 	for _, t := range tb.targets {
 		if t.HasLoad {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -101,6 +101,7 @@
 }
 
 func (tb *Table) mergeListedHosts(now ident.Time, hosts []event.Host) {
+	tb.list.fresh.hostsReadAt = now
 	for _, p := range tb.peers {
 		p.listed = false
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -161,6 +161,7 @@
 	stableSince ident.Time
 	// urgent reports whether the newest read of this host has changes that peers need at once.
 	urgent bool
+	fresh  freshness
 }
 
 // heartbeatState tracks the digests and summaries that this host sends.
--- a/internal/member/nearby.go
+++ b/internal/member/nearby.go
@@ -45,10 +45,11 @@
 }
 
 // reachable returns the hosts that are probably reachable, those that drain separately. Hosts of
-// other data centres come from their summaries and, while the platform's list is readable, from
-// that list: it names a new host before any summary does.
+// other data centres come from their summaries and, if this host has just read it, from the
+// platform's list: it names a new host before any summary does.
 func (tb *Table) reachable(now ident.Time) (active, draining []event.Host) {
 	hosts := tb.liveHosts(now)
+	useList := !tb.list.readFailed && now.Sub(tb.list.fresh.hostsReadAt) <= maxNearbyAge
 	for _, c := range tb.centres {
 		seen := value.SetOf[ident.EntryID]()
 		if c.HasSummary && c.Age(now) <= maxNearbyAge {
@@ -58,7 +59,7 @@
 			}
 		}
 		for _, h := range c.listed {
-			if !tb.list.readFailed && !seen.Has(h.ID) {
+			if useList && !seen.Has(h.ID) {
 				hosts = append(hosts, h)
 			}
 		}
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -148,9 +148,9 @@
 
 // Hosts that read the platform's store continuously.
 const (
-	// activeReaderCount is the number of active readers in a data centre. The second one covers for
-	// the first if that freezes.
-	activeReaderCount = 2
+	// activeReaderCount is the number of active readers in a data centre. If its confirmations end,
+	// the other hosts read for themselves until the next in line has taken over.
+	activeReaderCount = 1
 	// maxReaderSilence is the longest silence of a host that still counts as an active reader.
 	maxReaderSilence = 1800 * time.Millisecond
 )
--- a/internal/member/reads_test.go
+++ b/internal/member/reads_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against store reads that grow with the number of hosts, and against no host reading
-// after both active readers have frozen.
+// after the active reader and the one that takes over have frozen.
 func TestActiveReadersAreBounded(t *testing.T) {
 	const n = 20
 	host := func(i int) event.Host { return newHost(fmt.Sprint("w", i), "west-a", "west") }
@@ -50,10 +50,16 @@
 	if len(first) != activeReaderCount {
 		t.Fatalf("hosts %v are active readers, want %d of them", first, activeReaderCount)
 	}
-	frozen := map[int]bool{first[0]: true, first[1]: true}
-	nextHeartbeat(frozen)
-	second := nextHeartbeat(frozen)
-	if len(second) != activeReaderCount {
-		t.Errorf("hosts %v are active readers two seconds after both readers froze, want %d of them", second, activeReaderCount)
+	frozen := map[int]bool{}
+	reading := first
+	for range 2 {
+		for _, i := range reading {
+			frozen[i] = true
+		}
+		nextHeartbeat(frozen)
+		reading = nextHeartbeat(frozen)
+		if len(reading) != activeReaderCount {
+			t.Errorf("hosts %v are active readers two seconds after hosts %v froze, want %d of them", reading, frozen, activeReaderCount)
+		}
 	}
 }
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -11,8 +11,13 @@
 // FromDigest converts a digest. Of the host, only its draining flag is sent.
 func FromDigest(d event.Digest) *Digest {
 	named, keyed := splitUse(d.Use)
+	var listAge *uint64
+	if d.ListConfirmed {
+		listAge = new(millis(d.ListAge))
+	}
 	return &Digest{
-		Draining: d.Host.Draining, Seq: d.Seq, Revision: uint64(d.Revision),
+		ListAgeMs: listAge,
+		Draining:  d.Host.Draining, Seq: d.Seq, Revision: uint64(d.Revision),
 		Use: convert(named, fromUse), Keyed: keyed, Loads: convert(d.Loads, fromLoad),
 		Accounts: fromAccounts(d.Accounts), DrainNotices: convert(d.Draining, fromDrainNotice),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
@@ -26,6 +31,7 @@
 func (p *Digest) ToEvent(host event.Host) event.Digest {
 	host.Draining = p.GetDraining()
 	return event.Digest{
+		ListConfirmed: p != nil && p.ListAgeMs != nil, ListAge: duration(p.GetListAgeMs()),
 		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
 		Use: append(convert(p.GetUse(), toUse), p.GetKeyed().toUses()...), Loads: convert(p.GetLoads(), toLoad),
 		Accounts: p.GetAccounts().toAccounts(), Draining: convert(p.GetDrainNotices(), toDrainNotice),
