spread: read the platform once for changes in quick succession

During a storm of configurations every host read the store for each revision that a digest named: 3 a second and host. A host now reads at most once a second for higher revisions; the next digest after that asks again, well within the bound on configurations. Test: 30 changes in 3 s cost 3 reads (30 before).

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -43,8 +43,11 @@
 	peerAskInterval = 500 * time.Millisecond
 	// answerTimeout is how long the host waits for the answer to a query before it asks
 	// the next peer. It doubles with each unanswered query up to maxAnswerTimeout.
-	answerTimeout    = time.Second
-	maxAnswerTimeout = 4 * time.Second
+	answerTimeout = time.Second
+	// platformReadInterval is the minimum time between two reads of the platform for higher
+	// revisions. Changes in quick succession then cost each host one read in that time.
+	platformReadInterval = time.Second
+	maxAnswerTimeout     = 4 * time.Second
 )
 
 // maxRecentChanges bounds the changes that are kept to be sent one by one. A peer that
@@ -73,6 +76,8 @@
 	// change came into force.
 	lastAskAt  ident.Time
 	unanswered int
+	// platformReadAt is the time of the last query for a higher revision to the platform.
+	platformReadAt ident.Time
 	// platformProgressAt is the last time at which an answer of the platform was in
 	// transfer.
 	platformProgressAt ident.Time
@@ -193,7 +198,10 @@
 		return nil
 	}
 	if s.platformFirst && s.failures == 0 && s.unanswered == 0 {
-		s.lastAskAt = now
+		if s.platformReadAt > 0 && now.Sub(s.platformReadAt) < platformReadInterval {
+			return nil
+		}
+		s.platformReadAt, s.lastAskAt = now, now
 		s.unanswered = 1
 		return []event.Effect{event.ReadSnapshot{}}
 	}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -267,3 +267,23 @@
 		t.Error("the platform counts as unreachable after a read has succeeded")
 	}
 }
+
+// Guards against a read of the platform by each host for each of several changes in quick succession.
+func TestChangesInQuickSuccessionCostOneRead(t *testing.T) {
+	s := New(event.Host{ID: "e0"})
+	s.SetPlatformFirst(true)
+	now := ident.Time(time.Second)
+	reads := 0
+	for rev := range ident.Revision(30) {
+		for _, eff := range s.RevisionSeen(now, event.Host{ID: "e1"}, rev+1) {
+			if _, ok := eff.(event.ReadSnapshot); ok {
+				reads++
+				s.ApplySnapshot(now, event.SnapshotReceived{Book: bookAt(rev + 1)})
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if reads != 3 {
+		t.Errorf("30 changes in 3 s cost %d reads, want 3", reads)
+	}
+}
