admit, core: the rest of an answer that has begun goes first

Among requests of one priority the queue takes the earliest deadline first; a new request may wait for a second, the rest of an answer for as long as its deadline, so it came last, behind all new requests of higher priority too, and its caller saw a pause of seconds. Such a request is taken before all others now, and placed at once where a target has capacity, without joining the queue.

Ruled out: the retry budget (the request was allowed) and its past goal.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -13,7 +13,8 @@
 //
 // # Order
 //
-// Home-bound requests, whose regions are restricted by the residency rule, go first
+// The rest of an answer that has begun goes first: the work done for it would be lost,
+// and its caller notices each pause. Among all others, home-bound requests, whose regions are restricted by the residency rule, go first
 // until they have received HomeShare of the work served since both kinds began to
 // wait. Requests that could run elsewhere thus can't crowd them out, and they can't
 // starve the rest. Within each kind, requests past their goal go last. Next, a
@@ -86,6 +87,8 @@
 	Priority  int
 	// PastGoal reports that the request can no longer be answered within its goal.
 	PastGoal bool
+	// Begun reports that the caller has a part of the answer already.
+	Begun    bool
 	Deadline ident.Time
 	// Work is the predicted time from the start of the request to its full answer.
 	Work time.Duration
--- a/internal/admit/order.go
+++ b/internal/admit/order.go
@@ -10,6 +10,13 @@
 // Pop removes and returns the request to serve next. It skips requests that can no
 // longer meet their deadlines; Shed removes those.
 func (q *Queue) Pop(now ident.Time) (Item, bool) {
+	if i := q.firstBegun(now); i >= 0 {
+		e := &q.entries[i]
+		e.account.served += e.Work
+		it := e.Item
+		q.remove(i)
+		return it, true
+	}
 	home, other := q.countServable(now)
 	if home == 0 && other == 0 {
 		return Item{}, false
@@ -28,6 +35,19 @@
 	return e.Item, true
 }
 
+// firstBegun returns the index of the request with the earliest deadline among those
+// whose answer has begun, -1 if there is none.
+func (q *Queue) firstBegun(now ident.Time) int {
+	best := -1
+	for i := range q.entries {
+		e := &q.entries[i]
+		if e.Begun && now <= e.latestStart && (best < 0 || e.Deadline < q.entries[best].Deadline) {
+			best = i
+		}
+	}
+	return best
+}
+
 // countServable counts the home-bound and the other requests that can still meet
 // their deadlines.
 func (q *Queue) countServable(now ident.Time) (home, other int) {
--- a/internal/admit/order_test.go
+++ b/internal/admit/order_test.go
@@ -290,3 +290,25 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against the rest of an answer that waits behind new requests until its deadline, because
+// it may wait longer than they may.
+func TestBegunAnswersGoFirst(t *testing.T) {
+	q := New(Config{})
+	now := ident.Time(time.Second)
+	for i := range 5 {
+		q.Push(now, Item{ID: ident.RequestID(fmt.Sprint("new", i)), Account: "a", HomeBound: i%2 == 0, Priority: 9, Deadline: now.Add(time.Second)}, 0)
+	}
+	q.Push(now, Item{ID: "late", Account: "a", Begun: true, Deadline: now.Add(8 * time.Second)}, 0)
+	q.Push(now, Item{ID: "soon", Account: "a", Begun: true, Deadline: now.Add(5 * time.Second)}, 0)
+	q.Push(now, Item{ID: "over", Account: "a", Begun: true, Deadline: now.Add(50 * time.Millisecond)}, 0)
+	now = now.Add(100 * time.Millisecond)
+	var got []ident.RequestID
+	for range 3 {
+		it, _ := q.Pop(now)
+		got = append(got, it.ID)
+	}
+	if diff := cmp.Diff([]ident.RequestID{"soon", "late", "new0"}, got); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -36,7 +36,7 @@
 		rd.handleNoTarget(now, r, dec.Code)
 	case dec.Full && r.boundTarget != "":
 		rd.schedulePlace(now, r)
-	case dec.Full || pl.hasOthersWaiting(r) && dec.Centre == "" && r.boundTarget == "":
+	case dec.Full || pl.hasOthersWaiting(r) && dec.Centre == "" && r.boundTarget == "" && !r.hasBegun():
 		rd.enqueue(now, pl, r, dec)
 	case now.Add(dec.Wait) > r.deadline:
 		rd.endRefused(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, retryAfter: dec.Wait})
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -144,7 +144,7 @@
 // queueItem returns the queue item of a request.
 func (rd *Reducer) queueItem(pl *pool, r *request) admit.Item {
 	it := admit.Item{
-		ID: r.ID, Account: r.Account, HomeBound: r.profile.Confined(), Priority: r.profile.Priority, PastGoal: rd.isPastGoal(r),
+		ID: r.ID, Account: r.Account, HomeBound: r.profile.Confined(), Priority: r.profile.Priority, PastGoal: rd.isPastGoal(r), Begun: r.hasBegun(),
 		Deadline: rd.queueDeadline(r), Work: pl.expectedRunTime(r),
 	}
 	if r.profile.Route != nil {
@@ -166,9 +166,9 @@
 	rd.shed(now, shed, retryAfter)
 	if !ok {
 		rd.endRefused(now, r, refusal{code: codes.Overloaded.ID, outcome: event.NotRun, retryAfter: retryAfter})
-	} else if pl.head != nil && !it.PastGoal && rd.isPastGoal(pl.head) {
-		// The head is past its goal already, and waiting behind it could make this request miss
-		// its goal too.
+	} else if pl.head != nil && (it.Begun && !pl.head.hasBegun() || !it.PastGoal && rd.isPastGoal(pl.head)) {
+		// Behind the head, the rest of an answer would pause, and a request that can still meet
+		// its goal could miss it.
 		pl.queue.PutBack(rd.queueItem(pl, pl.head))
 		pl.head = nil
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -70,6 +70,9 @@
 	mayHaveRun bool
 }
 
+// hasBegun reports whether the caller has a part of the answer.
+func (r *request) hasBegun() bool { return r.delivered > 0 || r.AnswerBegan }
+
 // attempt is one dispatch or forwarding of a request that has not ended.
 type attempt struct {
 	id     ident.Attempt
@@ -86,7 +89,10 @@
 	sent        bool
 	// retryTaken is set once this host has decided to abort the attempt, which had been silent
 	// since silentSince, and has taken its retry from the budget.
-	retryTaken  bool
+	retryTaken bool
+	// unreachable is set once the attempt has ended because the host that it was to be
+	// forwarded to could not be reached.
+	unreachable bool
 	silentSince ident.Time
 	// prefillTokens is the part of the prompt that the target has to prefill, zero after the
 	// first token. prefillAhead is what the target had to prefill before it when the attempt was
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -38,8 +38,7 @@
 // receive the rest, and ending the request would truncate an answer that the caller has a part
 // of.
 func (rd *Reducer) retrySameTarget(now ident.Time, r *request, a *attempt, e event.AttemptEnded) bool {
-	begun := r.delivered > 0 || r.AnswerBegan
-	if !begun || r.profile.Route == nil || e.Result != event.ResultNotRun || a.target == "" || !reachedTarget(a, e) || e.Draining {
+	if !r.hasBegun() || r.profile.Route == nil || e.Result != event.ResultNotRun || a.target == "" || !reachedTarget(a, e) || e.Draining {
 		return false
 	}
 	at := now.Add(max(retry.Backoff(r.attemptCount, r.ID), e.RetryAfter))
