member: don't probe targets that have gone

An answer would not have made such a target usable. One that is listed again is probed again.

Test before: "a removed target is probed 5 times".

--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -321,3 +321,38 @@
 		t.Error(d)
 	}
 }
+
+// Guards against probes of targets that have gone, by each host every second until the end of its
+// process.
+func TestRemovedTargetsAreNotProbed(t *testing.T) {
+	now := ident.Time(time.Second)
+	tb := New(newHost("h", "west-a", "west"))
+	target := event.Target{ID: "t", Incarnation: 1, Kind: event.Service, Service: "writers", Capacity: 8, Place: tb.self.Place}
+	tb.HostsRead(now, event.HostsRead{Version: 1, Complete: true, Targets: []event.Target{target}})
+	probes := func() int {
+		n := 0
+		for range 5 {
+			now = now.Add(HeartbeatInterval)
+			for _, eff := range tb.Tick(now, LocalState{}) {
+				if _, ok := eff.(event.PollLoad); ok {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for range 5 {
+		tb.LoadFailed(now, target.ID, target.Incarnation)
+	}
+	if n := probes(); n == 0 {
+		t.Fatal("a suspect target is not probed")
+	}
+	tb.HostsRead(now, event.HostsRead{Version: 2, Complete: true})
+	if n := probes(); n > 0 {
+		t.Errorf("a removed target is probed %d times", n)
+	}
+	tb.HostsRead(now, event.HostsRead{Version: 3, Complete: true, Targets: []event.Target{target}})
+	if n := probes(); n == 0 {
+		t.Error("a target that is listed again is not probed")
+	}
+}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -157,7 +157,7 @@
 func (tb *Table) loadPolls(now ident.Time) []event.Effect {
 	var effs []event.Effect
 	for _, t := range tb.targets {
-		if t.Suspect(now) || t.Capacity == 0 && tb.poller(now, t.ID) == tb.self.ID {
+		if t.Suspect(now) && !t.Removed && !t.KnownDraining || t.Capacity == 0 && tb.poller(now, t.ID) == tb.self.ID {
 			effs = append(effs, event.PollLoad{Target: t.Target, After: tb.local.lastCacheEvent(t.ID)})
 		}
 	}
