member, route: forward to a few partners of a region, and replace one that is gone

Each host has four partners in each other region now, chosen by rank, so that all together use all hosts there.

Cause of refusals around restarts: if the link to the chosen host could not be made, the request was not sent, but its region counted as having refused it and was left out for this request. The next partner is tried at once now, and a host whose link failed is left out for 3 s or until its link is up.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -263,7 +263,11 @@
 	}
 	r.delivered = max(r.delivered, e.Delivered)
 	r.generated += e.Generated
-	if a.target == "" && e.Result == event.ResultNotRun && lacksCapacity(e.Code) {
+	switch {
+	case a.hostUnreachable(e):
+		a.unreachable = true
+		rd.table.HostUnreachable(now, a.dec.Centre, a.host)
+	case a.target == "" && e.Result == event.ResultNotRun && lacksCapacity(e.Code):
 		rd.table.RecordRefusal(now, a.dec.Centre, r.profile.Service)
 	}
 	if e.Draining && a.target != "" {
@@ -319,6 +323,12 @@
 	rd.retryOrEnd(now, r, a, e, ref)
 }
 
+// hostUnreachable reports whether an attempt ended because there was no link to the host of another
+// data centre: nothing was sent, so that another host of that data centre may serve the request.
+func (a *attempt) hostUnreachable(e event.AttemptEnded) bool {
+	return a.target == "" && !a.sent && e.Result == event.ResultNotRun && e.Code == codes.NoTarget.ID
+}
+
 // endingOf returns which side ended an attempt that may have run.
 func endingOf(now ident.Time, a *attempt, e event.AttemptEnded) event.Ending {
 	switch {
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -67,13 +67,14 @@
 // retryElsewhere places a request again after a backoff, excluding the target or data centre
 // where it failed.
 func (rd *Reducer) retryElsewhere(now ident.Time, r *request, a *attempt, ref refusal) {
-	if a.target != "" {
+	switch {
+	case a.target != "":
 		r.triedTargets.Add(a.target)
-	} else {
+	case !a.unreachable:
 		r.triedCentres.Add(a.dec.Centre)
 	}
 	at := now
-	if !a.retryTaken {
+	if !a.retryTaken && !a.unreachable {
 		at = now.Add(retry.Backoff(r.attemptCount, r.ID))
 	}
 	if at >= r.deadline {
--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -70,7 +70,9 @@
 	offersReceived []heldOffer
 	forwarded      []*forwardWindow
 	// refusedAt is when the data centre last refused a request for lack of capacity, by service.
-	refusedAt    map[string]ident.Time
+	refusedAt map[string]ident.Time
+	// unreachable holds the hosts that this host could not reach recently.
+	unreachable  []unreachableHost
 	lastSent     lastSent
 	sendAttempts uint64
 	// unconfirmedRepeats counts the consecutive repeated summaries since the data centre last
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -106,6 +106,7 @@
 	if h.Place.Group() != tb.self.Place.Group() {
 		c := tb.ensureCentre(h.Place)
 		c.putHost(h)
+		c.hostReachable(h.ID)
 		if c.lastSent.to == h.ID && c.lastSent.incarnation != h.Incarnation {
 			// The host has restarted and lost the parts that were sent to it.
 			c.lastSent = lastSent{}
@@ -122,6 +123,12 @@
 	tb.Advance(now)
 	if p, ok := tb.peer(id); ok {
 		p.linkDown = true
+		return
+	}
+	for _, c := range tb.centres {
+		if i, ok := slices.BinarySearchFunc(c.Hosts, event.Host{ID: id}, compareHosts); ok {
+			tb.HostUnreachable(now, c.Place.Group(), c.Hosts[i])
+		}
 	}
 }
 
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -64,7 +64,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	h, _ := best.HostFor(v.key)
+	h, _ := v.tb.ForwardHost(v.now, best, v.key)
 	return Decision{
 		Host: h, Centre: best.Place.Group(), Pool: poolID(pool),
 		Wait: remoteTTFT(v, best, pool), EventInterval: toDuration(secondsFor(1, pool.DecodeRate)),
--- a/internal/route/spill.go
+++ b/internal/route/spill.go
@@ -64,7 +64,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	h, ok := best.HostFor(v.key)
+	h, ok := v.tb.ForwardHost(v.now, best, v.key)
 	if !ok {
 		return Decision{}, false
 	}
