member, load: a host that starts takes the rates of services from its peers

The digest that a new peer gets of everything now has the rates of services too; what a host has measured itself is not replaced.

--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -185,11 +185,27 @@
 	// StaleCentres lists the data centres whose current hosts the sender does not know,
 	// so that the host which received their list sends it again.
 	StaleCentres []ident.DataCentre `json:"lacks,omitempty"`
+	// Rates are the typical rates of services at the sender, for a peer that has just
+	// started and has measured none.
+	Rates []ServiceRates `json:"rates,omitempty"`
 	// PlatformUnreachable means that the platform does not answer the sender, so that
 	// another host should watch it.
 	PlatformUnreachable bool `json:"blind,omitempty"`
 }
 
+// ServiceRates holds what a host has measured at the targets of a service. Each value is
+// zero if it is unknown.
+type ServiceRates struct {
+	Service string `json:"service"`
+	// PrefillRate is in prompt tokens a second of one target.
+	PrefillRate float64 `json:"prefillRate,omitempty"`
+	// RequestTime is the typical duration of a request.
+	RequestTime time.Duration `json:"requestTime,omitempty"`
+	// EventGap is the time between two events of a stream, MinEventGap the shortest one.
+	EventGap    time.Duration `json:"eventGap,omitempty"`
+	MinEventGap time.Duration `json:"minEventGap,omitempty"`
+}
+
 // PrefixHolder is a target that was sent a prompt with a long shared prefix and now
 // probably caches that prefix.
 type PrefixHolder struct {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -72,6 +72,9 @@
 	smoothedOthers float64
 	lastOthers     int
 
+	// pace is the pace of the streams that this host has at the target.
+	pace Pace
+
 	sends   SendWindow
 	backlog prefillBacklog
 }
--- a/internal/load/services.go
+++ b/internal/load/services.go
@@ -1,9 +1,13 @@
 package load
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
+	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -22,9 +26,15 @@
 	// paceWeight is the weight of one sample. A host takes a few samples a second for each service,
 	// so that a change shows within about three seconds.
 	paceWeight = 1.0 / 16
+	// targetPaceWeight is the same for the pace of one target, of which a host has few streams.
+	// targetPaceTTL is the age up to which that pace is used.
+	targetPaceWeight = 1.0 / 4
+	targetPaceTTL    = 1500 * time.Millisecond
 	// paceHalfLife is the time in which the excess over the shortest gap halves without new
 	// samples.
 	paceHalfLife = 2 * time.Second
+	// maxServices bounds the services whose rates are taken over from other hosts.
+	maxServices = 256
 	// minGapRise is the fraction by which the shortest gap moves up towards each sample, so that a
 	// wrong one is corrected within minutes.
 	minGapRise = 1.0 / 1024
@@ -57,6 +67,33 @@
 	return st
 }
 
+// Rates returns what is known of each service, sorted by name.
+func (sv *Services) Rates(now ident.Time) []event.ServiceRates {
+	var rates []event.ServiceRates
+	for _, name := range slices.Sorted(maps.Keys(sv.byName)) {
+		st := sv.byName[name]
+		rates = append(rates, event.ServiceRates{
+			Service: name, PrefillRate: st.prefillRate, RequestTime: st.requestTime, EventGap: st.pace.GapAt(now), MinEventGap: st.pace.MinGap,
+		})
+	}
+	return rates
+}
+
+// AdoptRates takes over what another host has measured, where nothing was measured here yet.
+func (sv *Services) AdoptRates(now ident.Time, rates []event.ServiceRates) {
+	for _, r := range rates {
+		if _, ok := sv.byName[r.Service]; !ok && len(sv.byName) >= maxServices {
+			return
+		}
+		st := sv.stats(r.Service)
+		st.prefillRate = cmp.Or(st.prefillRate, r.PrefillRate)
+		st.requestTime = cmp.Or(st.requestTime, r.RequestTime)
+		if st.pace.MinGap == 0 && r.MinEventGap > 0 {
+			st.pace = Pace{gap: max(r.EventGap, r.MinEventGap), MinGap: r.MinEventGap, at: now}
+		}
+	}
+}
+
 // RequestTime returns the typical duration of a request, zero if unknown.
 func (sv *Services) RequestTime(name string) time.Duration {
 	if st, ok := sv.byName[name]; ok {
@@ -125,11 +162,22 @@
 		return
 	}
 	st := sv.stats(s.Service)
-	if st.pace.MinGap == 0 {
-		st.pace = Pace{gap: gap, MinGap: gap, at: now}
-		return
+	st.pace.sample(now, gap, paceWeight)
+	s.pace.sample(now, gap, targetPaceWeight)
+}
+
+// EventGap returns the time between two events of a stream at the target: that of this host's
+// streams there if they are recent, otherwise the typical one of its service. It is zero if neither
+// is known.
+func (s *State) EventGap(now ident.Time) time.Duration {
+	typical := time.Duration(0)
+	if s.Load.DecodeRate > 0 {
+		typical = time.Duration(float64(time.Second) / s.Load.DecodeRate)
 	}
-	st.pace.sample(now, gap)
+	if s.pace.MinGap == 0 || now.Sub(s.pace.at) > targetPaceTTL {
+		return typical
+	}
+	return (s.pace.gap + typical) / 2
 }
 
 // ApplyTypical sets the typical values of its service in a target, and the prefill rate if this
@@ -177,9 +225,14 @@
 	return 0
 }
 
-func (p *Pace) sample(now ident.Time, gap time.Duration) {
+// sample merges a measured gap with the given weight. The first sample becomes the pace.
+func (p *Pace) sample(now ident.Time, gap time.Duration, weight float64) {
+	if p.MinGap == 0 {
+		*p = Pace{gap: gap, MinGap: gap, at: now}
+		return
+	}
 	p.gap = p.GapAt(now)
-	p.gap += time.Duration(paceWeight * float64(gap-p.gap))
+	p.gap += time.Duration(weight * float64(gap-p.gap))
 	p.MinGap = min(p.MinGap+time.Duration(minGapRise*float64(gap-p.MinGap)), p.gap)
 	p.at = now
 }
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -44,6 +44,7 @@
 	tb.mergeConfirmation(now, d)
 	tb.mergeUse(p, d.Use)
 	tb.resendHosts(d.StaleCentres)
+	tb.serviceStats.AdoptRates(now, d.Rates)
 	for _, w := range d.Wants {
 		tb.recordPoolRequest(now, PoolID{Serve: w.Serve, Service: w.Service})
 	}
@@ -229,6 +230,7 @@
 	d.Draining = tb.drainNotices(now, true)
 	tb.addConfirmation(now, &d)
 	tb.addList(now, &d)
+	d.Rates = tb.serviceStats.Rates(now)
 	for _, t := range tb.targets {
 		if t.HasLoad {
 			ld := t.Load
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -16,8 +16,8 @@
 		listAge = new(millis(d.ListAge))
 	}
 	return &Digest{
-		ListAgeMs: listAge,
-		Draining:  d.Host.Draining, Seq: d.Seq, Revision: uint64(d.Revision),
+		ListAgeMs: listAge, Rates: convert(d.Rates, fromRates),
+		Draining: d.Host.Draining, Seq: d.Seq, Revision: uint64(d.Revision),
 		Use: convert(named, fromUse), Keyed: keyed, Loads: convert(d.Loads, fromLoad),
 		Accounts: fromAccounts(d.Accounts), DrainNotices: convert(d.Draining, fromDrainNotice),
 		Summaries: convert(d.Summaries, FromSummary), Targets: convert(d.Targets, fromTarget),
@@ -31,6 +31,7 @@
 func (p *Digest) ToEvent(host event.Host) event.Digest {
 	host.Draining = p.GetDraining()
 	return event.Digest{
+		Rates:         convert(p.GetRates(), toRates),
 		ListConfirmed: p != nil && p.ListAgeMs != nil, ListAge: duration(p.GetListAgeMs()),
 		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
 		Use: append(convert(p.GetUse(), toUse), p.GetKeyed().toUses()...), Loads: convert(p.GetLoads(), toLoad),
@@ -123,6 +124,20 @@
 	return event.PrefillDemand{Service: p.GetService(), UnsharedPrefill: finiteOrZero(p.GetAlone()), SharedPrefill: finiteOrZero(p.GetShared())}
 }
 
+func fromRates(r event.ServiceRates) *ServiceRates {
+	return &ServiceRates{
+		Service: r.Service, PrefillRate: float32(r.PrefillRate), RequestTimeUs: micros(r.RequestTime),
+		EventGapUs: micros(r.EventGap), MinEventGapUs: micros(r.MinEventGap),
+	}
+}
+
+func toRates(p *ServiceRates) event.ServiceRates {
+	return event.ServiceRates{
+		Service: p.GetService(), PrefillRate: finiteOrZero(p.GetPrefillRate()), RequestTime: durationOfMicros(p.GetRequestTimeUs()),
+		EventGap: durationOfMicros(p.GetEventGapUs()), MinEventGap: durationOfMicros(p.GetMinEventGapUs()),
+	}
+}
+
 func fromRemoved(r event.RemovedTarget) *RemovedTarget {
 	return &RemovedTarget{Target: string(r.Target), Version: r.Version}
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -109,6 +109,12 @@
 // zero: no time remains after a deadline has passed.
 func millis(d time.Duration) uint64 { return uint64(max(d.Milliseconds(), 0)) }
 
+func micros(d time.Duration) uint64 { return uint64(max(d.Microseconds(), 0)) }
+
+func durationOfMicros(us uint64) time.Duration {
+	return time.Duration(min(us, uint64(maxDuration.Microseconds()))) * time.Microsecond
+}
+
 // maxDuration limits the durations that are read, so that sums do not overflow.
 const maxDuration = 24 * time.Hour
 
