member: forward to the incarnation of a host that is connected

A host that restarts is connected under its new incarnation before a summary names it. The link shows the new incarnation, which replaces that of the summary now.

--- a/internal/member/centre.go
+++ b/internal/member/centre.go
@@ -299,8 +299,13 @@
 	return s
 }
 
-// putHost adds a host that was authenticated on a link.
+// putHost adds a host that was authenticated on a link. A later incarnation than that in the
+// summary replaces it, since nothing can be forwarded to the earlier one any more.
 func (c *Centre) putHost(h event.Host) {
+	if i := slices.IndexFunc(c.Summary.Hosts, func(o event.Host) bool { return o.ID == h.ID && o.Incarnation < h.Incarnation }); i >= 0 {
+		c.Summary.Hosts = slices.Clone(c.Summary.Hosts)
+		c.Summary.Hosts[i] = h
+	}
 	i, ok := slices.BinarySearchFunc(c.linked, h, compareHosts)
 	if !ok {
 		c.linked = slices.Insert(c.linked, i, h)
--- a/internal/member/partner_test.go
+++ b/internal/member/partner_test.go
@@ -86,3 +86,24 @@
 		t.Error("no host is tried after each has failed once")
 	}
 }
+
+// Guards against requests to the earlier incarnation of a host that has restarted and is connected
+// again, until the next summary of its data centre.
+func TestRestartedPartnerIsUsed(t *testing.T) {
+	now := ident.Time(time.Second)
+	tb, c := withRemoteHosts(now, "w", 5)
+	key := rank.Hash("request")
+	h, _ := tb.ForwardHost(now, c, key)
+	tb.HostUnreachable(now, c.Place.Group(), h)
+	h.Incarnation++
+	tb.PeerUp(now, h)
+	if got, _ := tb.ForwardHost(now, c, key); got.ID != h.ID || got.Incarnation != h.Incarnation {
+		t.Errorf("a request is forwarded to %s, incarnation %d, want %s, incarnation %d", got.ID, got.Incarnation, h.ID, h.Incarnation)
+	}
+	old := h
+	old.Incarnation--
+	tb.PeerUp(now, old)
+	if got, _ := tb.ForwardHost(now, c, key); got.Incarnation != h.Incarnation {
+		t.Errorf("incarnation %d replaces %d", got.Incarnation, h.Incarnation)
+	}
+}
