route, length: place streams by the risk that they don't end in time

What a request declares of its length wasn't used, all engines of a region counted as equally fast, and costs within a twentieth of the whole cost counted as equal: with answers of 5 to 14 s that is half a second, so that waits and pace hardly mattered and a hash chose the engine.

Change: internal/length estimates the events of an answer from its route and from what the request declares, each weighed by its learned error. A candidate costs two seconds times the probability that the stream is still running at its deadline there, at the pace of this host's streams at that engine. Nearly equal costs are those within a twentieth of what engines differ by.

Not done: refusing what is predicted not to end. More than half of the streams that did not end had been predicted to need less than half of their time, and those refused would be the longest, which are served least.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -17,7 +17,7 @@
 		Request: r.Request, Profile: r.profile, Client: r.client,
 		TriedTargets: r.triedTargets, TriedCentres: r.triedCentres, OnlyTarget: r.boundTarget,
 		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.delivered, MayHaveRun: r.mayHaveRun,
-		Backlog: rd.pools.of(r).backlog(), ExpectedEvents: rd.expectedEvents(r),
+		Backlog: rd.pools.of(r).backlog(), ExpectedEvents: rd.expectedEvents(r), Length: rd.expectedLength(r), Deadline: r.deadline,
 	}
 }
 
@@ -298,6 +298,7 @@
 	}
 	r.mayHaveRun = true
 	r.lastEnding = endingOf(now, a, e)
+	rd.recordUnfinishedStream(now, r)
 	if e.AnswerBuffered && r.delivered == 0 && (r.atMostOnce || !rd.takeRetry(now, r, a, e)) {
 		// The target's own failure is more informative to the caller than a refusal by this host.
 		rd.deliverBuffered(now, r)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/length"
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/internal/once"
 	"verbenadale.example/verbenadale/internal/quota"
@@ -49,8 +50,8 @@
 	// bounds holds the limits that all hosts share.
 	bounds       Bounds
 	retryBudgets map[string]*retry.Budget
-	// streamLengths is the smoothed number of events in the streams of each route.
-	streamLengths map[ident.Profile]float64
+	// lengths estimates the number of events in the streams of each route.
+	lengths *length.Book
 	// maxHosts is the highest number of entry hosts known at one time, and startedAt the time of
 	// the first step.
 	maxHosts  int
@@ -83,21 +84,21 @@
 // NewBounded returns a reducer with limits that apply to all hosts together.
 func NewBounded(self event.Host, bounds Bounds) *Reducer {
 	rd := &Reducer{
-		bounds:        bounds.withDefaults(),
-		retryBudgets:  make(map[string]*retry.Budget),
-		streamLengths: make(map[ident.Profile]float64),
-		self:          self,
-		activeReader:  true,
-		table:         member.New(self),
-		router:        route.New(),
-		spread:        spread.New(self),
-		once:          once.New(self.ID, self.Incarnation),
-		quota:         quota.New(self.ID, self.Place.Group()),
-		pools:         newPools(),
-		slack:         slack.New(),
-		lastDigestAt:  make(map[ident.EntryID]ident.Time),
-		requests:      make(map[ident.RequestID]*request),
-		attempts:      make(map[ident.Attempt]*attempt),
+		bounds:       bounds.withDefaults(),
+		retryBudgets: make(map[string]*retry.Budget),
+		lengths:      length.New(),
+		self:         self,
+		activeReader: true,
+		table:        member.New(self),
+		router:       route.New(),
+		spread:       spread.New(self),
+		once:         once.New(self.ID, self.Incarnation),
+		quota:        quota.New(self.ID, self.Place.Group()),
+		pools:        newPools(),
+		slack:        slack.New(),
+		lastDigestAt: make(map[ident.EntryID]ident.Time),
+		requests:     make(map[ident.RequestID]*request),
+		attempts:     make(map[ident.Attempt]*attempt),
 	}
 	rd.quota.SetRegion(self.Place.Group(), self.Place.Region)
 	rd.table.SetColdLimits(member.ColdLimits{PerSecond: rd.coldPerSecond, Duration: rd.coldDuration})
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/length"
 	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/route"
@@ -157,35 +158,37 @@
 // request of a route has neither.
 func (r *request) storesAnswer() bool { return r.atMostOnce && r.profile.Route == nil }
 
-// Estimation of stream lengths.
-const (
-	// lengthWeight is the weight of one stream in the smoothed length of the streams of its
-	// route.
-	lengthWeight = 1.0 / 16
-	// maxStreamLengths bounds the routes whose lengths are stored. Configurations add and drop
-	// routes thousands of times a day; at the bound all lengths are dropped and learned again.
-	maxStreamLengths = 4096
-)
-
 // recordStreamLength records the length of a complete stream.
 func (rd *Reducer) recordStreamLength(r *request) {
-	if rt := r.profile.Route; rt == nil || rt.Kind != rules.Streaming {
-		return
+	if r.isRoutedStream() {
+		rd.lengths.Complete(r.profile.Name, r.LengthHint, float64(r.delivered))
 	}
-	name := r.profile.Name
-	if old, ok := rd.streamLengths[name]; ok {
-		rd.streamLengths[name] = old + lengthWeight*(float64(r.delivered)-old)
-		return
+}
+
+// recordUnfinishedStream records a stream that its deadline broke off.
+func (rd *Reducer) recordUnfinishedStream(now ident.Time, r *request) {
+	if r.isRoutedStream() && now >= r.deadline {
+		rd.lengths.Broken(r.profile.Name, r.LengthHint, float64(r.delivered))
 	}
-	if len(rd.streamLengths) >= maxStreamLengths {
-		clear(rd.streamLengths)
+}
+
+func (r *request) isRoutedStream() bool {
+	rt := r.profile.Route
+	return rt != nil && rt.Kind == rules.Streaming
+}
+
+// expectedLength estimates the number of events of a stream.
+func (rd *Reducer) expectedLength(r *request) length.Estimate {
+	if !r.isRoutedStream() {
+		return length.Estimate{}
 	}
-	rd.streamLengths[name] = float64(r.delivered)
+	est, _ := rd.lengths.Estimate(r.profile.Name, r.LengthHint)
+	return est
 }
 
 // expectedEvents predicts how many events the rest of a stream has.
 func (rd *Reducer) expectedEvents(r *request) float64 {
-	return max(0, rd.streamLengths[r.profile.Name]-float64(r.delivered))
+	return rd.expectedLength(r).Remaining(r.delivered)
 }
 
 func (rd *Reducer) streamPaced(e event.StreamPaced) {
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -47,6 +47,9 @@
 	// tokens to generate.
 	Prompt    ident.Tokens `json:"prompt"`
 	MaxTokens ident.Tokens `json:"maxTokens"`
+	// LengthHint is the caller's estimate of the number of tokens to generate, zero if it
+	// gives none. It is often wrong by a factor of two.
+	LengthHint ident.Tokens `json:"lengthHint,omitempty"`
 	// Prefix holds chained digests of the prompt's blocks, the longest prefix last, for
 	// cache affinity. They are compared with the cache events of engines. Only the
 	// digest that ends a long shared prefix leaves the host; see PrefixHolder.
--- a/internal/route/cost.go
+++ b/internal/route/cost.go
@@ -10,14 +10,18 @@
 
 // cost holds the weighted components of a cost in seconds.
 type cost struct {
-	wait     float64
-	prefill  float64
-	decode   float64
-	price    float64
-	crossing float64
+	wait    float64
+	prefill float64
+	decode  float64
+	// unfinished is the risk that a stream is broken off at its deadline.
+	unfinished float64
+	price      float64
+	crossing   float64
 }
 
-func (c *cost) sum() float64 { return c.wait + c.prefill + c.decode + c.price + c.crossing }
+func (c *cost) sum() float64 {
+	return c.wait + c.prefill + c.decode + c.unfinished + c.price + c.crossing
+}
 
 // Estimates and bounds used by costs.
 const (
@@ -116,6 +120,7 @@
 		c.cost.wait += failureCostSeconds * t.FailureRate(v.now)
 	}
 	c.ttft = t.Wait(v.now, outstanding, 1) + q.Backlog + toDuration(prefill)
+	c.cost.unfinished = unfinishedCostSeconds * endRisk(v, c.ttft, t.EventGap(v.now))
 }
 
 // cachedTokens returns how many tokens of the prompt a target probably caches. It
--- a/internal/route/cross.go
+++ b/internal/route/cross.go
@@ -107,6 +107,7 @@
 	if c.Place.Region != v.localRegion {
 		k.crossing = w.Crossing
 	}
+	k.unfinished = unfinishedCostSeconds * endRisk(v, remoteTTFT(v, c, p), toDuration(secondsFor(1, p.DecodeRate)))
 	return k
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -34,6 +34,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/length"
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -64,6 +65,10 @@
 	// ExpectedEvents is the typical number of events in a stream of this route, zero
 	// if unknown.
 	ExpectedEvents float64
+	// Length is the estimated number of events in the whole stream, and Deadline when the
+	// caller stops waiting; zero for none.
+	Length   length.Estimate
+	Deadline ident.Time
 	// Backlog is the predicted time that the request would wait in the queue of
 	// this host before a target is chosen.
 	Backlog time.Duration
@@ -318,7 +323,8 @@
 }
 
 // Costs count as nearly equal if they exceed the least by no more than a fraction of it plus a
-// fixed time.
+// fixed time. The time that the answer takes is not part of that fraction: for answers of
+// several seconds it is much larger than the waits that targets differ by.
 const (
 	nearCostFraction = 0.05
 	nearCostSeconds  = 0.005
@@ -336,7 +342,11 @@
 	for i := range rt.cands {
 		least = min(least, rt.cands[i].cost.sum())
 	}
-	limit := least + nearCostFraction*least + nearCostSeconds
+	shortest := rt.cands[0].cost.decode
+	for i := range rt.cands {
+		shortest = min(shortest, rt.cands[i].cost.decode)
+	}
+	limit := least + nearCostFraction*max(0, least-shortest) + nearCostSeconds
 	key := v.prefixHash()
 	var best *candidate
 	var score uint64
