spread: ask a peer for a small configuration before the platform

Every host read the platform's store for each new configuration, so that one change cost 95 calls and a storm of them several hundred. A book of up to 64 profiles is asked from the peer that announced it, and read from the platform if that does not answer within a second; a larger one is read as before, since it would keep the links of the host that has it busy.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -54,6 +54,10 @@
 // lacks more gets the whole book.
 const maxRecentChanges = 64
 
+// maxRelayedProfiles is the number of profiles up to which a book is asked from a peer before
+// the platform is read. A larger one would take a peer that many hosts ask a second to send.
+const maxRelayedProfiles = 64
+
 // maxAskedPeers bounds the peers whose last query is remembered.
 const maxAskedPeers = 1024
 
@@ -85,9 +89,10 @@
 	platformFirst bool
 }
 
-// SetPlatformFirst selects whether a higher revision is read from the platform first,
-// and from a peer only if that fails. When few hosts read the platform for all others,
-// the links of these few can't carry the book to every host.
+// SetPlatformFirst selects whether a higher revision of a large book is read from the
+// platform first, and from a peer only if that fails. When few hosts read the platform for
+// all others, the links of these few can't carry a large book to every host. A small one is
+// asked from a peer first, which costs the platform no call, and then from the platform.
 func (s *Distributor) SetPlatformFirst(enabled bool) { s.platformFirst = enabled }
 
 // New returns the state of a host without a configuration.
@@ -197,12 +202,12 @@
 	if rev <= s.Revision() {
 		return nil
 	}
-	if s.platformFirst && s.failures == 0 && s.unanswered == 0 {
+	if s.platformIsNext(now) {
 		if s.platformReadAt > 0 && now.Sub(s.platformReadAt) < platformReadInterval {
 			return nil
 		}
 		s.platformReadAt, s.lastAskAt = now, now
-		s.unanswered = 1
+		s.unanswered++
 		return []event.Effect{event.ReadSnapshot{}}
 	}
 	if s.platformAnswerArriving(now) {
@@ -223,6 +228,18 @@
 	return []event.Effect{event.AskChanges{To: host, After: s.Revision()}}
 }
 
+// platformIsNext reports whether a higher revision is to be read from the platform, and not
+// asked from a peer.
+func (s *Distributor) platformIsNext(now ident.Time) bool {
+	if !s.platformFirst || s.failures > 0 {
+		return false
+	}
+	if s.book == nil || s.book.Size() > maxRelayedProfiles {
+		return s.unanswered == 0
+	}
+	return s.unanswered == 1 && now.Sub(s.lastAskAt) >= answerTimeout
+}
+
 // PlatformProgress records that an answer of the platform is in transfer.
 func (s *Distributor) PlatformProgress(now ident.Time) { s.platformProgressAt = now }
 
--- a/pkg/rules/book.go
+++ b/pkg/rules/book.go
@@ -77,6 +77,14 @@
 	return b
 }
 
+// Size returns the number of profiles.
+func (b *Book) Size() int {
+	if b == nil {
+		return 0
+	}
+	return len(b.profiles)
+}
+
 // Match returns the profile whose route matches the host and path of a
 // request, and whether there is one.
 func (b *Book) Match(host, path string) (Profile, bool) {
