member: announce sends between heartbeats in large regions too

From 12 peers on a host announced what it had sent by heartbeats only, which are half a second old on average, while engines read a prompt in a fifth of that.

The bound of 12 messages a second and host came from the control bytes at 370 hosts. The test's figures follow from the bound as before.

--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -124,10 +124,13 @@
 // those that have come back. A full digest goes to new peers.
 func (tb *Table) dueDigests(now ident.Time, regular bool) []event.Effect {
 	var effs []event.Effect
-	if regular || tb.heartbeat.urgent {
+	switch {
+	case regular || tb.heartbeat.urgent:
 		effs = tb.incrementalDigest(now, regular)
+	case tb.heartbeat.useDue:
+		effs = tb.useDigest(now)
 	}
-	tb.heartbeat.urgent = false
+	tb.heartbeat.urgent, tb.heartbeat.useDue = false, false
 	if tb.heartbeat.fullDigestDue {
 		effs = append(effs, tb.fullDigest(now)...)
 	}
@@ -157,6 +160,18 @@
 	return []event.Effect{event.SendDigest{To: to, Digest: d}}
 }
 
+// useDigest returns a digest that announces the use of targets between two heartbeats. It leaves out
+// the notices that each heartbeat repeats.
+func (tb *Table) useDigest(now ident.Time) []event.Effect {
+	to := tb.Peers(now)
+	if len(to) == 0 {
+		return nil
+	}
+	d := tb.digest(now)
+	d.Draining, d.Removed, d.Wants = nil, nil, nil
+	return []event.Effect{event.SendDigest{To: to, Digest: d}}
+}
+
 // hostsToProbe returns the silent hosts that are due a digest.
 func (tb *Table) hostsToProbe(now ident.Time) []event.Host {
 	var to []event.Host
--- a/internal/member/tick.go
+++ b/internal/member/tick.go
@@ -17,7 +17,7 @@
 	tb.local = local
 	regular := now >= tb.heartbeat.nextDigest
 	if regular || now >= tb.heartbeat.nextUse {
-		tb.heartbeat.urgent = tb.heartbeat.urgent || !regular && tb.hasPendingPrefill()
+		tb.heartbeat.useDue = !regular && tb.hasPendingPrefill()
 		tb.heartbeat.nextUse = now.Add(tb.useInterval(now))
 	}
 	if !regular && !tb.urgent() && now < tb.list.nextRead {
@@ -45,7 +45,7 @@
 }
 
 func (tb *Table) urgent() bool {
-	return tb.heartbeat.urgent || tb.heartbeat.fullDigestDue || tb.heartbeat.summaryDue || len(tb.coldProbeQueue) > 0
+	return tb.heartbeat.urgent || tb.heartbeat.useDue || tb.heartbeat.fullDigestDue || tb.heartbeat.summaryDue || len(tb.coldProbeQueue) > 0
 }
 
 // Limits of the announcements of the use of targets.
@@ -54,7 +54,7 @@
 	minUseInterval = 250 * time.Millisecond
 	// maxUseMessages bounds the announcements of a host to all peers in each HeartbeatInterval.
 	// With that many peers or more, the use is announced only by heartbeats.
-	maxUseMessages = 12
+	maxUseMessages = 60
 )
 
 // useInterval returns the interval between two announcements of the use of targets.
