--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -301,7 +301,7 @@
 		rd.activeReader = !rd.activeReader
 		rd.emit(event.PaceReads{Active: rd.activeReader})
 	}
-	if !rd.activeReader && now >= rd.table.NextListRead(now) {
+	if !rd.activeReader && now >= rd.table.NextListRead() {
 		rd.table.ListReadAsked(now)
 		rd.emit(event.ReadList{})
 	}
@@ -350,7 +350,7 @@
 func (rd *Reducer) scheduleWake(now ident.Time) {
 	at := now.Add(maxTickInterval)
 	if rd.bounds.SharedReads && !rd.activeReader {
-		at = min(at, rd.table.NextListRead(now))
+		at = min(at, rd.table.NextListRead())
 	}
 	for _, t := range []ident.Time{
 		rd.table.Next(now), rd.spread.NextTick(now), rd.timers.next(), rd.pools.next(now, rd.queueDeadline), rd.once.Next(),
--- a/internal/member/fresh.go
+++ b/internal/member/fresh.go
@@ -69,7 +69,7 @@
 
 // NextListRead returns when this host has to read the list itself. Active readers read it
 // continuously.
-func (tb *Table) NextListRead(now ident.Time) ident.Time {
+func (tb *Table) NextListRead() ident.Time {
 	f := &tb.list.fresh
 	if f.behind {
 		return f.askedAt.Add(minReadGap)
--- a/internal/member/fresh_test.go
+++ b/internal/member/fresh_test.go
@@ -68,7 +68,7 @@
 			exchange(now, tb, tables)
 		}
 		for _, tb := range tables[1:] {
-			if now >= tb.NextListRead(now) {
+			if now >= tb.NextListRead() {
 				reads++
 				tb.ListReadAsked(now)
 			}
@@ -94,7 +94,7 @@
 					exchange(now, tb, tables)
 				}
 			}
-			if now >= follower.NextListRead(now) {
+			if now >= follower.NextListRead() {
 				break
 			}
 		}
@@ -102,7 +102,7 @@
 			t.Errorf("%s: the list is read %v after its last confirmation, want %v", name, age, maxListAge)
 		}
 		follower.ListReadAsked(now)
-		if next := follower.NextListRead(now); next != now.Add(maxListAge) {
+		if next := follower.NextListRead(); next != now.Add(maxListAge) {
 			t.Errorf("%s: the next read is asked for %v after this one, want %v", name, next.Sub(now), maxListAge)
 		}
 	}
@@ -118,12 +118,12 @@
 	follower.ListReadAsked(now)
 	d := event.Digest{Host: watcher.self, Seq: 1 << 20, ListConfirmed: true, ListVersion: 2}
 	follower.DigestReceived(now, d)
-	if next := follower.NextListRead(now); next > now.Add(minReadGap) {
+	if next := follower.NextListRead(); next > now.Add(minReadGap) {
 		t.Errorf("a host whose list is outdated reads after %v, want %v", next.Sub(now), minReadGap)
 	}
 	follower.HostsRead(now, event.HostsRead{Version: 2, Complete: true})
 	follower.ListRead(now, 0)
-	if next := follower.NextListRead(now); next < now.Add(maxListAge) {
+	if next := follower.NextListRead(); next < now.Add(maxListAge) {
 		t.Errorf("a host that has just read reads again after %v", next.Sub(now))
 	}
 }
@@ -164,7 +164,7 @@
 	watcher.ListRead(now, 0)
 	watcher.MarkDraining(now, "some-target", 1)
 	exchange(now, watcher, tables)
-	if next := follower.NextListRead(now); next <= now.Add(HeartbeatInterval) {
+	if next := follower.NextListRead(); next <= now.Add(HeartbeatInterval) {
 		t.Errorf("a host reads the list %v after it has been read for it", next.Sub(now))
 	}
 	now = now.Add(HeartbeatInterval)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -177,8 +177,8 @@
 	urgent        bool
 	fullDigestDue bool
 	// useDue reports whether the use of targets is due to be announced between two heartbeats.
-	useDue bool
-	summaryDue    bool
+	useDue     bool
+	summaryDue bool
 	// holders are the prefix holders for the next digest.
 	holders []event.PrefixHolder
 }
