spread: read the platform when the peer that announced a revision is gone

The question to a peer has a timeout of its own now, after which the platform is read: 1.6 s, 1 s and one read.

Test before: no read of the platform within five seconds.

--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -80,6 +80,8 @@
 	// change came into force.
 	lastAskAt  ident.Time
 	unanswered int
+	// highestSeen is the highest revision that another host has announced.
+	highestSeen ident.Revision
 	// platformReadAt is the time of the last query for a higher revision to the platform.
 	platformReadAt ident.Time
 	// platformProgressAt is the last time at which an answer of the platform was in
@@ -202,13 +204,9 @@
 	if rev <= s.Revision() {
 		return nil
 	}
+	s.highestSeen = max(s.highestSeen, rev)
 	if s.platformIsNext(now) {
-		if s.platformReadAt > 0 && now.Sub(s.platformReadAt) < platformReadInterval {
-			return nil
-		}
-		s.platformReadAt, s.lastAskAt = now, now
-		s.unanswered++
-		return []event.Effect{event.ReadSnapshot{}}
+		return s.readPlatform(now)
 	}
 	if s.platformAnswerArriving(now) {
 		return nil
@@ -228,6 +226,22 @@
 	return []event.Effect{event.AskChanges{To: host, After: s.Revision()}}
 }
 
+// readPlatform reads the platform for a higher revision, at most once in platformReadInterval.
+func (s *Distributor) readPlatform(now ident.Time) []event.Effect {
+	if s.platformReadAt > 0 && now.Sub(s.platformReadAt) < platformReadInterval {
+		return nil
+	}
+	s.platformReadAt, s.lastAskAt = now, now
+	s.unanswered++
+	return []event.Effect{event.ReadSnapshot{}}
+}
+
+// peerIsOverdue reports whether a peer was asked for a higher revision and has not answered in
+// time. It may have stopped just after it had announced the revision, as the only host that has it.
+func (s *Distributor) peerIsOverdue(now ident.Time) bool {
+	return s.highestSeen > s.Revision() && s.unanswered == 1 && s.platformIsNext(now)
+}
+
 // platformIsNext reports whether a higher revision is to be read from the platform, and not
 // asked from a peer.
 func (s *Distributor) platformIsNext(now ident.Time) bool {
@@ -285,6 +299,11 @@
 // Tick starts or stops the watch, depending on whether this host has to watch the
 // platform.
 func (s *Distributor) Tick(now ident.Time, isWatcher bool) []event.Effect {
+	if s.peerIsOverdue(now) {
+		if effs := s.readPlatform(now); len(effs) > 0 {
+			return effs
+		}
+	}
 	if !isWatcher {
 		return s.tickFollower(now)
 	}
@@ -318,6 +337,9 @@
 
 // NextTick returns the latest time for the next call of Tick.
 func (s *Distributor) NextTick(now ident.Time) ident.Time {
+	if s.platformFirst && s.unanswered == 1 && s.highestSeen > s.Revision() && s.lastAskAt.Add(answerTimeout) > now {
+		return s.lastAskAt.Add(answerTimeout)
+	}
 	if s.watching {
 		return s.watchStart.Add(watchTimeout)
 	}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -324,3 +324,31 @@
 		t.Errorf("the revision in force is asked for: %v", effs)
 	}
 }
+
+// Guards against a host that waits for a configuration which its peer announced just before it
+// stopped, and which no other host can announce.
+func TestPlatformIsReadWhenTheAnnouncingPeerIsGone(t *testing.T) {
+	s := New(event.Host{ID: "e0"})
+	s.SetPlatformFirst(true)
+	now := ident.Time(time.Second)
+	s.ApplySnapshot(now, event.SnapshotReceived{Book: bookAt(6)})
+	s.RevisionSeen(now, event.Host{ID: "e1"}, 7)
+	if next := s.NextTick(now); next != now.Add(answerTimeout) {
+		t.Errorf("the next tick is due after %v, want %v", next.Sub(now), answerTimeout)
+	}
+	reads := 0
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		for _, eff := range s.Tick(now, false) {
+			if _, ok := eff.(event.ReadSnapshot); ok {
+				reads++
+			}
+		}
+		if now == ident.Time(time.Second).Add(answerTimeout) && reads != 1 {
+			t.Fatalf("%d reads of the platform %v after the question", reads, answerTimeout)
+		}
+	}
+	if reads != 1 {
+		t.Errorf("%d reads of the platform for one revision, want 1", reads)
+	}
+}
