codes: say exactly what a bound that can't be used is replaced by

Found on rereading: the text claimed that the value used never allows more than the platform does. That holds for the limits of retries and of cold targets, whose defaults are the strictest; a grace period that can't be read becomes the default of 10 s, which may be longer than the platform's.

--- a/internal/config/bound.go
+++ b/internal/config/bound.go
@@ -33,6 +33,7 @@
 	r := boundRanges[path]
 	x, err := strconv.ParseFloat(text, 64)
 	if errors.Is(err, strconv.ErrRange) {
+		// x is infinite and thus out of the range of the bound too.
 		err = nil
 	}
 	switch {
--- a/pkg/codes/setting.go
+++ b/pkg/codes/setting.go
@@ -52,7 +52,7 @@
 	}
 	SettingBound = Code{
 		ID: "VB3015", Title: "the platform's bound can't be used", Since: firstVersion, Severity: Warning,
-		Text: "The platform fills in the bounds of the field group fleet, alike on all hosts. A host that refused to start for one of them would leave its data centre without any host, so it starts with the value that the message names, which allows no more than the platform does.",
+		Text: "The platform fills in the bounds of the field group fleet, alike on all hosts. A host that refused to start for one of them would leave its data centre without any host, so it starts with the value that the message names. Limits then allow no more than the platform does; the grace period and the shortest lease take their defaults.",
 	}
 	SettingChoice = Code{
 		ID: "VB3013", Title: "the value is none of those to choose from", Since: firstVersion, Severity: Error,
