rules, platform: client accounts with several keys, homes, priorities and bursts

Ruled out: a model of accounts in platform/ alone.

A request of a route counts what it states, whether or not it used it; credit comes back for what did not run.

--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -144,7 +144,7 @@
 // queueItem returns the queue item of a request.
 func (rd *Reducer) queueItem(pl *pool, r *request) admit.Item {
 	it := admit.Item{
-		ID: r.ID, Account: r.Account, HomeBound: r.profile.Confined(), Priority: r.profile.Priority, PastGoal: rd.isPastGoal(r), Begun: r.hasBegun(),
+		ID: r.ID, Account: r.Account, HomeBound: r.profile.Confined(r.client), Priority: r.profile.Priority, PastGoal: rd.isPastGoal(r), Begun: r.hasBegun(),
 		Deadline: rd.queueDeadline(r), Work: pl.expectedRunTime(r),
 	}
 	if r.profile.Route != nil {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -142,7 +142,11 @@
 	if !ok {
 		return refuseAs(codes.UnknownKey), false
 	}
+	if r.Account == rules.Anonymous && book.NeedsKey(p) {
+		return refuseAs(codes.UnknownKey), false
+	}
 	r.client = c
+	r.profile.Priority = c.Priority.Or(p.Priority)
 	if !c.MayUse(p.Name) {
 		return refuseAs(codes.ProfileForbidden), false
 	}
@@ -201,7 +205,7 @@
 // checkOnce has allowed it to run at that point.
 func (rd *Reducer) reserveAndPlace(now ident.Time, r *request) {
 	if !r.forwarded {
-		r.reservedTokens = r.Prompt + answerTokens(r)
+		r.reservedTokens = limitTokens(r)
 		ok, retryAfter := rd.quota.Take(now, r.client, r.reservedTokens)
 		if !ok {
 			r.reservedTokens = 0
@@ -212,6 +216,26 @@
 	rd.place(now, r)
 }
 
+// limitTokens returns the tokens that a request counts against the limit of its account.
+func limitTokens(r *request) ident.Tokens {
+	if r.Prompt+r.MaxTokens == 0 && r.client.UnstatedTokens > 0 {
+		return r.client.UnstatedTokens
+	}
+	return r.Prompt + answerTokens(r)
+}
+
+// usedTokens returns the part of the reserved tokens that a request has used. A request of a route
+// states its tokens, and the statement counts; others count the length of the answer.
+func usedTokens(r *request, outcome event.Outcome) ident.Tokens {
+	switch {
+	case outcome == event.NotRun:
+		return 0
+	case r.profile.Route != nil:
+		return r.reservedTokens
+	}
+	return r.Prompt + r.generated
+}
+
 func answerTokens(r *request) ident.Tokens {
 	if r.MaxTokens > 0 {
 		return r.MaxTokens
@@ -248,11 +272,7 @@
 	delete(rd.requests, r.ID)
 	rd.pools.remove(r)
 	if r.reservedTokens > 0 {
-		used := r.Prompt + r.generated
-		if outcome == event.NotRun {
-			used = 0
-		}
-		rd.quota.Settle(now, r.Account, r.reservedTokens, used)
+		rd.quota.Settle(now, r.Account, r.reservedTokens, usedTokens(r, outcome))
 	}
 	if r.atMostOnce && !r.forwarded {
 		rd.once.Ended(now, r.ID, outcome, r.answerStored)
--- a/internal/daemon/mesh.go
+++ b/internal/daemon/mesh.go
@@ -14,7 +14,7 @@
 )
 
 // newMesh returns the links to the other entry hosts without starting them.
-func newMesh(cfg Config, self event.Host, svc *clock.Service, confined func(ident.Profile) bool) (*peer.Mesh, error) {
+func newMesh(cfg Config, self event.Host, svc *clock.Service, confined func(ident.Profile, ident.Account) bool) (*peer.Mesh, error) {
 	set := cfg.Settings
 	var keys *peer.Keys
 	if !set.Peers.Plain {
@@ -32,11 +32,10 @@
 	}), nil
 }
 
-// confined reports whether residency rules confine the data of a profile to
-// certain places. A profile that is unknown to this host counts as confined.
-func (d *Daemon) confined(name ident.Profile) bool {
-	p, ok := d.book.Load().Profile(name)
-	return !ok || p.Confined()
+// confined reports whether residency rules confine the data of an account's
+// requests with a profile.
+func (d *Daemon) confined(p ident.Profile, a ident.Account) bool {
+	return d.book.Load().Confined(p, a)
 }
 
 // forward forwards a request to another entry host and counts it in
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -154,7 +154,7 @@
 // round trip. The body of a confined profile waits until the peer has accepted the request: the
 // peer's configuration may be newer and forbid what this host's still allows.
 func (c *outboundRequest) sendsBodyEagerly() bool {
-	if c.m.cfg.Confined == nil || c.m.cfg.Confined(c.Request.Profile) {
+	if c.m.cfg.Confined == nil || c.m.cfg.Confined(c.Request.Profile, c.Request.Account) {
 		return false
 	}
 	return len(c.Call.Body) <= maxEagerBody
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -194,7 +194,7 @@
 func TestCallerLeavesWhileQueued(t *testing.T) {
 	for _, confined := range []bool{false, true} {
 		began, cancelled := make(chan struct{}), make(chan struct{})
-		x, y := startPair(t, Config{Confined: func(ident.Profile) bool { return confined }}, Config{}, func(ctx context.Context, _ serve.Call, _ event.Request, sink serve.Sink) {
+		x, y := startPair(t, Config{Confined: func(ident.Profile, ident.Account) bool { return confined }}, Config{}, func(ctx context.Context, _ serve.Call, _ event.Request, sink serve.Sink) {
 			close(began)
 			<-ctx.Done()
 			close(cancelled)
@@ -217,7 +217,7 @@
 func TestCallerLeavesWhileOnceCallQueued(t *testing.T) {
 	for range 10 {
 		began, read := make(chan struct{}), make(chan error, 1)
-		x, y := startPair(t, Config{Confined: func(ident.Profile) bool { return false }}, Config{}, func(ctx context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
+		x, y := startPair(t, Config{Confined: func(ident.Profile, ident.Account) bool { return false }}, Config{}, func(ctx context.Context, c serve.Call, _ event.Request, sink serve.Sink) {
 			close(began)
 			select {
 			case <-ctx.Done():
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,10 +62,10 @@
 	Log   logr.Logger
 	// Metrics receives the counters; nil means the default registry.
 	Metrics metrics.Registry
-	// Confined reports whether the data of a profile is restricted to some places. The body of
-	// such a request is sent only after the receiver has accepted the request. Nil means that
-	// every profile is confined.
-	Confined func(p ident.Profile) bool
+	// Confined reports whether the data of an account's requests with a profile is restricted to
+	// some places. The body of such a request is sent only after the receiver has accepted the
+	// request. Nil means that all data is confined.
+	Confined func(p ident.Profile, a ident.Account) bool
 	// Keys authenticates both sides. If it is nil, the links are unencrypted and
 	// unauthenticated, for development only.
 	Keys *Keys
--- a/pkg/rules/book.go
+++ b/pkg/rules/book.go
@@ -21,10 +21,11 @@
 	changed map[itemKey]ident.Revision
 	// lastID is the id of the change that created this revision.
 	lastID ident.ChangeID
-	// services, limits and routes are set only from a StaticConfig, not by
+	// services, limits, open and routes are set only from a StaticConfig, not by
 	// changes.
 	services map[string]Service
 	limits   CallerLimits
+	open     bool
 	routes   routeIndex
 }
 
@@ -65,14 +66,16 @@
 	for _, p := range static.Profiles {
 		b.profiles[p.Name] = p
 	}
-	for _, c := range static.Clients {
+	// If several accounts have the same key, it belongs to the first of them.
+	for _, c := range slices.Backward(static.Clients) {
 		b.clients[c.Name] = c
-		b.byDigest[c.KeyDigest] = c.Name
+		b.addDigests(c)
 	}
 	for _, s := range static.Services {
 		b.services[s.Name] = s
 	}
 	b.limits = static.Limits
+	b.open = static.Open
 	b.routes = indexRoutes(b.Profiles())
 	return b
 }
@@ -131,6 +134,12 @@
 	return b.limits
 }
 
+// Open reports whether no request needs an API key.
+func (b *Book) Open() bool { return b != nil && b.open }
+
+// NeedsKey reports whether requests with a profile need an API key.
+func (b *Book) NeedsKey(p Profile) bool { return !b.Open() && !p.Public }
+
 // Profile returns the profile of the given name.
 func (b *Book) Profile(name ident.Profile) (Profile, bool) {
 	if b == nil {
@@ -158,6 +167,9 @@
 	if b == nil {
 		return Client{}, false
 	}
+	if name == Anonymous {
+		return Client{}, true
+	}
 	c, ok := b.clients[name]
 	return c, ok
 }
@@ -187,6 +199,15 @@
 	return b.Client(name)
 }
 
+// Confined reports whether the residency rule limits the regions that the data
+// of an account's requests with a profile may enter. If the profile or the
+// account is not known, it counts as confined.
+func (b *Book) Confined(profile ident.Profile, account ident.Account) bool {
+	p, okProfile := b.Profile(profile)
+	c, okClient := b.Client(account)
+	return !okProfile || !okClient || p.Confined(c)
+}
+
 // ChangedAt returns the revision that last changed an item, or zero if no change
 // contained it.
 func (b *Book) ChangedAt(kind Kind, name string) ident.Revision {
@@ -254,6 +275,7 @@
 		lastID:   b.lastID,
 		services: b.services,
 		limits:   b.limits,
+		open:     b.open,
 		routes:   b.routes,
 	}
 	if next.profiles == nil {
@@ -304,10 +326,12 @@
 
 func (b *Book) putClient(it Item) error {
 	name := ident.Account(it.Name)
-	// Another item of the same change may already have moved the old key to
-	// its own account.
-	if old, ok := b.clients[name]; ok && b.byDigest[old.KeyDigest] == name {
-		delete(b.byDigest, old.KeyDigest)
+	for _, digest := range b.clients[name].KeyDigests() {
+		// Another item of the same change may already have moved the old key to
+		// its own account.
+		if b.byDigest[digest] == name {
+			delete(b.byDigest, digest)
+		}
 	}
 	if it.Deletes() {
 		delete(b.clients, name)
@@ -318,10 +342,16 @@
 		return err
 	}
 	b.clients[name] = c
-	b.byDigest[c.KeyDigest] = name
+	b.addDigests(c)
 	return nil
 }
 
+func (b *Book) addDigests(c Client) {
+	for _, digest := range c.KeyDigests() {
+		b.byDigest[digest] = c.Name
+	}
+}
+
 // Deletes reports whether the item deletes the profile or account it names.
 func (it Item) Deletes() bool {
 	doc := bytes.TrimSpace(it.Doc)
@@ -366,6 +396,7 @@
 	Changed  []changedItem  `json:"changed"`
 	Services []Service      `json:"services,omitempty"`
 	Limits   *CallerLimits  `json:"limits,omitempty"`
+	Open     bool           `json:"open,omitempty"`
 }
 
 type changedItem struct {
@@ -381,6 +412,7 @@
 		LastID:   b.LastID(),
 		Profiles: b.Profiles(),
 		Clients:  b.Clients(),
+		Open:     b.Open(),
 	}
 	for k, rev := range b.changed {
 		snap.Changed = append(snap.Changed, changedItem{k.kind, k.name, rev})
@@ -406,7 +438,7 @@
 	if err := json.Unmarshal(data, &snap); err != nil {
 		return err
 	}
-	static := StaticConfig{Profiles: snap.Profiles, Clients: snap.Clients, Services: snap.Services}
+	static := StaticConfig{Profiles: snap.Profiles, Clients: snap.Clients, Services: snap.Services, Open: snap.Open}
 	if snap.Limits != nil {
 		static.Limits = *snap.Limits
 	}
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -249,5 +249,9 @@
 	return outOfRange([]boundedNumber{
 		{"requestsPerMinute", float64(c.RequestsPerMinute), 0, math.MaxFloat64, limit},
 		{"tokensPerMinute", float64(c.TokensPerMinute), 0, math.MaxFloat64, limit},
+		{"requestBurst", float64(c.RequestBurst.Or(0)), 0, math.MaxInt64, "write zero or more, or leave it out"},
+		{"tokenBurst", float64(c.TokenBurst.Or(0)), 0, math.MaxInt64, "write zero or more, or leave it out"},
+		{"unstatedTokens", float64(c.UnstatedTokens), 0, math.MaxInt64, "write zero or more; zero is an estimate"},
+		{"priority", float64(c.Priority.Or(0)), -maxPriority, maxPriority, fmt.Sprintf("write %d to %d, or leave it out", -maxPriority, maxPriority)},
 	})
 }
--- a/pkg/rules/refer.go
+++ b/pkg/rules/refer.go
@@ -23,7 +23,9 @@
 	return append(faults, listFaults("regions", p.Regions)...)
 }
 
-func clientLists(_ *Book, c Client) []Fault { return listFaults("profiles", c.Profiles) }
+func clientLists(_ *Book, c Client) []Fault {
+	return append(listFaults("profiles", c.Profiles), listFaults("regions", c.Regions)...)
+}
 
 func listFaults[T ~string](path string, vs []T) []Fault {
 	var faults []Fault
@@ -41,20 +43,45 @@
 }
 
 func clientDigest(_ *Book, c Client) []Fault {
-	b, err := hex.DecodeString(c.KeyDigest)
-	if err == nil && len(b) == digestBytes && c.KeyDigest == strings.ToLower(c.KeyDigest) {
+	faults := digestFault("keyDigest", c.KeyDigest)
+	for i, digest := range c.MoreKeyDigests {
+		path := moreKeysPath(i)
+		faults = append(faults, digestFault(path, digest)...)
+		if digest == c.KeyDigest || slices.Contains(c.MoreKeyDigests[:i], digest) {
+			faults = append(faults, Fault{Path: path, Message: "the account has this key already; leave one out"})
+		}
+	}
+	return faults
+}
+
+func moreKeysPath(i int) string { return fmt.Sprintf("moreKeyDigests[%d]", i) }
+
+func digestFault(path, digest string) []Fault {
+	b, err := hex.DecodeString(digest)
+	if err == nil && len(b) == digestBytes && digest == strings.ToLower(digest) {
 		return nil
 	}
-	return []Fault{{Path: "keyDigest", Message: "write the SHA-256 digest of the key as 64 hexadecimal digits in lower case; verbctl accounts digest prints it"}}
+	return []Fault{{Path: path, Message: "write the SHA-256 digest of the key as 64 hexadecimal digits in lower case; verbctl accounts digest prints it"}}
 }
 
 func clientSharedKey(after *Book, c Client) []Fault {
+	var faults []Fault
 	for _, other := range after.Clients() {
-		if other.Name != c.Name && other.KeyDigest == c.KeyDigest {
-			return []Fault{{Path: "keyDigest", Message: fmt.Sprintf("account %s has the same key; give this one its own", other.Name)}}
+		if other.Name == c.Name {
+			continue
+		}
+		for i, digest := range c.KeyDigests() {
+			if !slices.Contains(other.KeyDigests(), digest) {
+				continue
+			}
+			path := "keyDigest"
+			if digest != c.KeyDigest {
+				path = moreKeysPath(i - 1)
+			}
+			faults = append(faults, Fault{Path: path, Message: fmt.Sprintf("account %s has the same key; give this one its own", other.Name)})
 		}
 	}
-	return nil
+	return faults
 }
 
 func clientUnknownProfiles(after *Book, c Client) []Fault {
@@ -85,6 +112,9 @@
 		if !ok || !p.HomeOnly || c.Home == "" || p.Allows(c, c.Home) {
 			continue
 		}
+		if !c.inRegions(c.Home) {
+			return []Fault{{Path: "home", Message: fmt.Sprintf("%s is not among the regions of the account; add it there, or write another home", c.Home)}}
+		}
 		return []Fault{{Path: "home", Message: fmt.Sprintf("%s is not a region of profile %s, which is confined to the home; add it there, or write another home", c.Home, name)}}
 	}
 	return nil
--- a/pkg/rules/route.go
+++ b/pkg/rules/route.go
@@ -120,6 +120,8 @@
 	Clients  []Client
 	Services []Service
 	Limits   CallerLimits
+	// Open is set if no request needs an API key.
+	Open bool
 }
 
 // routeIndex maps each host to the profiles with a route for it, those with
--- a/pkg/rules/rules.go
+++ b/pkg/rules/rules.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/value"
 )
 
 // Serve is a model that a target must have loaded to serve a profile. An empty
@@ -73,24 +74,60 @@
 	// Route, if set, selects the profile by the host and path of a request
 	// instead of by name.
 	Route *Route `json:"route,omitempty"`
+	// Public is set if requests need no API key. Those without a known key
+	// belong to the account Anonymous.
+	Public bool `json:"public,omitempty"`
 }
 
+// Anonymous is the account of the requests without an API key at public
+// profiles. It has no limits.
+const Anonymous ident.Account = ""
+
 // Client is a client account.
 type Client struct {
 	Name ident.Account `json:"name"`
 	// KeyDigest is the SHA-256 digest of the API key in hexadecimal.
 	KeyDigest string `json:"keyDigest"`
+	// MoreKeyDigests are the digests of further keys of the account. A key is
+	// replaced without a gap by adding the new one before the old one is removed.
+	MoreKeyDigests []string `json:"moreKeyDigests,omitempty"`
 	// Home is the region that HomeOnly profiles confine the account's data to.
 	// Data centres in it also get a larger share of the account's limits.
 	Home ident.Region `json:"home,omitempty"`
+	// Regions lists the regions that the account's data may enter, in addition
+	// to the restrictions of the profile. Empty means any region.
+	Regions []ident.Region `json:"regions,omitempty"`
+	// Priority replaces the priority of the profile.
+	Priority value.Option[int] `json:"priority,omitzero"`
 	// Profiles lists the profiles that the account may use. Empty means all.
 	Profiles []ident.Profile `json:"profiles,omitempty"`
 	// RequestsPerMinute and TokensPerMinute limit the account over all entry
 	// hosts together. Zero means no limit.
 	RequestsPerMinute ident.PerMinute `json:"requestsPerMinute,omitempty"`
 	TokensPerMinute   ident.PerMinute `json:"tokensPerMinute,omitempty"`
+	// RequestBurst and TokenBurst are what may be used at once after a pause, in
+	// addition to the rate. Absent means DefaultBurst of the rate.
+	RequestBurst value.Option[int64]        `json:"requestBurst,omitzero"`
+	TokenBurst   value.Option[ident.Tokens] `json:"tokenBurst,omitzero"`
+	// UnstatedTokens is what a request that doesn't state its tokens counts
+	// against the limit. Zero means an estimate.
+	UnstatedTokens ident.Tokens `json:"unstatedTokens,omitempty"`
+}
+
+// DefaultBurst is the time in which the rate of a limit yields the default burst.
+const DefaultBurst = 10 * time.Second
+
+// KeyDigests returns the digests of all keys of the account.
+func (c Client) KeyDigests() []string {
+	if c.KeyDigest == "" {
+		return c.MoreKeyDigests
+	}
+	return append([]string{c.KeyDigest}, c.MoreKeyDigests...)
 }
 
+// Limited reports whether the account has a limit.
+func (c Client) Limited() bool { return c.RequestsPerMinute > 0 || c.TokensPerMinute > 0 }
+
 // Kind is the kind of an item.
 type Kind string
 
@@ -127,6 +164,11 @@
 	Items []Item    `json:"items"`
 }
 
+// inRegions reports whether the account's own regions allow its data in a region.
+func (c Client) inRegions(r ident.Region) bool {
+	return len(c.Regions) == 0 || slices.Contains(c.Regions, r)
+}
+
 // MayUse reports whether the account may use the profile.
 func (c Client) MayUse(p ident.Profile) bool {
 	return len(c.Profiles) == 0 || slices.Contains(c.Profiles, p)
@@ -136,15 +178,17 @@
 // account in a region. It is the only implementation of the rule; both the
 // sending and the receiving host call it.
 func (p Profile) Allows(c Client, r ident.Region) bool {
-	if p.HomeOnly && r != c.Home {
+	if p.HomeOnly && r != c.Home || !c.inRegions(r) {
 		return false
 	}
 	return len(p.Regions) == 0 || slices.Contains(p.Regions, r)
 }
 
-// Confined reports whether the residency rule limits the regions that the data
-// may enter.
-func (p Profile) Confined() bool { return p.HomeOnly || len(p.Regions) > 0 }
+// Confined reports whether the residency rule limits the regions that data of
+// the account may enter.
+func (p Profile) Confined(c Client) bool {
+	return p.HomeOnly || len(p.Regions) > 0 || len(c.Regions) > 0
+}
 
 // Digest returns the SHA-256 digest of an API key or an operator's token in
 // hexadecimal, as in Client.KeyDigest.
--- a/pkg/value/value.go
+++ b/pkg/value/value.go
@@ -13,6 +13,7 @@
 	"cmp"
 	"encoding/json"
 	"maps"
+	"reflect"
 	"slices"
 )
 
@@ -90,6 +91,9 @@
 	return o.v
 }
 
+// Equal reports whether both are absent or hold deeply equal values.
+func (o Option[T]) Equal(p Option[T]) bool { return o.ok == p.ok && reflect.DeepEqual(o.v, p.v) }
+
 // MarshalJSON encodes the value or null.
 func (o Option[T]) MarshalJSON() ([]byte, error) {
 	if !o.ok {
