quota, core, wire: hosts of a region share one bucket and announce what they admit

Hypothesis: a limit in tokens that is split among 77 hosts refuses most of what is below it, since one request is many times a host's share, and lets too much through when hosts start or regions are cut off.

Ruled out: hard parts of the bucket for each host between announcements (refuses below the limit where demand is uneven); counters with a base for each peer instead of differences (a host that starts would have to know what each had counted); an owner for each account that hands out lots (not built: in a partition its successor needs the same reservations, and a hop between regions costs 160 ms).

Change: each host takes from its copy of the region's bucket and announces what it took, once a second, or after 50 ms when it has taken half of its part of what is left. Under a bound of the deployment (settings limitWindowSeconds, limitOvershoot, limitSlack): a region that can't be reached keeps its share, fixed when it became unreachable; the own share follows demand only as far as the others know it; a part of a divided region uses its part of the hosts; a host that starts begins empty and reports no demand for 3 s.

The demand of 16 accounts a second is sent in digests instead of 4.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,13 @@
 	// 1), plus ColdSlack.
 	ColdOvershoot Bound `json:"coldOvershoot"`
 	ColdSlack     Bound `json:"coldSlack"`
+	// LimitWindow is the time in seconds over which the platform counts what all
+	// hosts together admit of an account's requests; 0 means that it doesn't
+	// count. LimitOvershoot and LimitSlack are the tolerated excess, as a factor
+	// of the account's limit and in its units.
+	LimitWindow    Bound `json:"limitWindowSeconds"`
+	LimitOvershoot Bound `json:"limitOvershoot"`
+	LimitSlack     Bound `json:"limitSlack"`
 	// MinLeaseMs is the shortest lease that the platform grants.
 	MinLeaseMs Bound `json:"leaseLeastMs"`
 }
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -129,6 +129,9 @@
 	bound("fleet.retryFloor", "the number of retries at a service in ten seconds that are allowed regardless of its requests, over all hosts", boundRange{0, 1e6}),
 	bound("fleet.coldOvershoot", "the factor by which the requests to a cold target may exceed its rate", boundRange{0, 100}),
 	bound("fleet.coldSlack", "requests per second that all hosts together may send to a cold target in addition to its own rate", boundRange{0, 1e6}),
+	bound("fleet.limitWindowSeconds", "the time over which what all hosts together admit of an account's requests is counted, in seconds; 0 means that no bound applies", boundRange{0, 3600}),
+	bound("fleet.limitOvershoot", "the tolerated excess over an account's limit in that time, as a factor of the limit", boundRange{0, 10}),
+	bound("fleet.limitSlack", "the tolerated excess over an account's limit in that time, in tokens, or in requests for a limit of requests", boundRange{0, 1e12}),
 	bound("fleet.leaseLeastMs", "the shortest lease that the platform grants, in milliseconds", boundRange{0, 600_000}),
 	optional("logs.level", "the log verbosity: 0 for events, 1 for each request too", inRange(0, 9)),
 }
--- a/internal/core/account_test.go
+++ b/internal/core/account_test.go
@@ -12,6 +12,7 @@
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
+	"verbenadale.example/verbenadale/pkg/value"
 )
 
 // accountHost returns a host with one target and the given account. Its route fetch is public.
@@ -57,6 +58,20 @@
 	checkRefusal(t, "known account", "", h.ask("acme", "publish", 0))
 }
 
+// Guards against requests that don't state their size and so pass any limit, and against credit that
+// is lost when a request is refused.
+func TestUnstatedAndRefusedRequestsCount(t *testing.T) {
+	c := rules.Client{Name: "acme", TokensPerMinute: 60, TokenBurst: value.Some(ident.Tokens(1000)), UnstatedTokens: 400}
+	h := accountHost(t, core.Bounds{}, c)
+	checkRefusal(t, "first", "", h.ask("acme", "publish", 0))
+	effs := h.ask("acme", "publish", 0)
+	checkRefusal(t, "second", "", effs)
+	checkRefusal(t, "third", codes.AccountLimit.ID, h.ask("acme", "publish", 0))
+	d, _ := pick[event.Dispatch](effs)
+	h.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultNotRun})
+	checkRefusal(t, "after one was not run", "", h.ask("acme", "publish", 0))
+}
+
 // Guards against a request that runs outside the regions of its account.
 func TestRegionsOfAnAccount(t *testing.T) {
 	h := accountHost(t, core.Bounds{}, rules.Client{Name: "acme", Regions: []ident.Region{"east"}})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,7 @@
 		requests:     make(map[ident.RequestID]*request),
 		attempts:     make(map[ident.Attempt]*attempt),
 	}
+	rd.quota.SetBounds(bounds.Accounts)
 	rd.quota.SetRegion(self.Place.Group(), self.Place.Region)
 	rd.table.SetColdLimits(member.ColdLimits{PerSecond: rd.coldPerSecond, Duration: rd.coldDuration})
 	rd.spread.SetPlatformFirst(bounds.SharedReads)
@@ -170,6 +171,8 @@
 		rd.table.PeerDown(now, e.Entry)
 	case event.DigestReceived:
 		rd.handleDigest(now, e.Digest)
+	case event.AdmissionsReceived:
+		rd.quota.MergeAnnouncement(now, e.From, e.Admissions, rd.spread.Book().Client)
 	case event.SummaryReceived:
 		rd.table.SummaryReceived(now, e.Summary)
 		rd.handleSummary(now, e.Summary, true)
@@ -276,6 +279,7 @@
 	if now >= rd.table.Next(now) {
 		rd.emit(rd.table.Tick(now, rd.ownState(now))...)
 	}
+	rd.announceAdmissions(now)
 	rd.emit(rd.spread.Tick(now, rd.table.IsWatcher(now))...)
 	rd.updateReadPace(now)
 	rd.targetsRestarted()
@@ -309,7 +313,7 @@
 
 // announcedAccountsPerSecond bounds how many accounts a host announces to its peers per second,
 // on average. With more accounts the whole list is sent less often.
-const announcedAccountsPerSecond = 4
+const announcedAccountsPerSecond = 16
 
 // peerDemandTTL is how long the demand of a peer counts after its last digest. It equals the time
 // after which package member considers a host dead.
@@ -328,11 +332,24 @@
 	}
 }
 
+// announceAdmissions announces what this host has admitted of the requests of limited accounts if
+// that is due.
+func (rd *Reducer) announceAdmissions(now ident.Time) {
+	if at := rd.quota.NextAnnouncement(); at == 0 || now < at {
+		return
+	}
+	as, to := rd.quota.Announce(now), rd.table.Peers(now)
+	if len(as) > 0 && len(to) > 0 {
+		rd.emit(event.SendAdmissions{To: to, Admissions: as})
+	}
+}
+
 func (rd *Reducer) ownState(now ident.Time) member.LocalState {
 	rd.expirePeerDemand(now)
+	rd.quota.SetHosts(now, 1+len(rd.table.Peers(now)), 1+rd.table.PeerCount())
 	own := member.LocalState{
 		Revision:       rd.spread.Revision(),
-		CentreAccounts: func() []event.AccountUse { return rd.quota.SummaryDemand(now) },
+		CentreAccounts: func() ([]event.AccountUse, bool) { return rd.quota.SummaryDemand(now) },
 		LastCacheEvent: rd.router.CacheSeq,
 	}
 	if now >= rd.nextDemandAt {
@@ -353,7 +370,7 @@
 		at = min(at, rd.table.NextListRead())
 	}
 	for _, t := range []ident.Time{
-		rd.table.Next(now), rd.spread.NextTick(now), rd.timers.next(), rd.pools.next(now, rd.queueDeadline), rd.once.Next(),
+		rd.table.Next(now), rd.spread.NextTick(now), rd.timers.next(), rd.pools.next(now, rd.queueDeadline), rd.once.Next(), rd.quota.NextAnnouncement(),
 	} {
 		if t > now && t < at {
 			at = t
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -6,6 +6,7 @@
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/length"
+	"verbenadale.example/verbenadale/internal/quota"
 	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/route"
@@ -28,6 +29,8 @@
 	// requests of routes are accepted whatever their deadline. DrainTimeout is the time from the
 	// start of a drain to event.DrainExpired, which ends the remaining requests.
 	MinDrain, DrainAccept, DrainTimeout time.Duration
+	// Accounts bounds what the hosts admit of the requests of one account.
+	Accounts quota.Bounds
 	// SharedReads limits continuous reads of the platform's store to one host of each data
 	// centre.
 	SharedReads bool
--- a/internal/dev/slope/slope.go
+++ b/internal/dev/slope/slope.go
@@ -252,6 +252,9 @@
 	case event.SendDigest:
 		m = &wire.Frame{Body: &wire.Frame_Digest{Digest: wire.FromDigest(e.Digest)}}
 		r.countDigestParts(e.Digest)
+	case event.SendAdmissions:
+		m = &wire.Frame{Body: &wire.Frame_Admissions{Admissions: wire.FromAdmissions(e.Admissions)}}
+		r.parts["admissions"] += proto.Size(m)
 	case event.SendSummary:
 		m = &wire.Frame{Body: &wire.Frame_Summary{Summary: wire.FromSummary(e.Summary)}}
 		r.parts["summaries"] += proto.Size(m)
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -229,6 +229,13 @@
 	Digest Digest `json:"digest"`
 }
 
+// SendAdmissions announces to hosts of this data centre what this host has admitted since the
+// last announcement.
+type SendAdmissions struct {
+	To         []Host      `json:"to"`
+	Admissions []Admission `json:"admissions"`
+}
+
 // SendSummary sends a summary to one host of another data centre.
 type SendSummary struct {
 	To      Host    `json:"to"`
@@ -431,6 +438,7 @@
 func (ForgetOutcome) isEffect()   {}
 func (Wake) isEffect()            {}
 func (SendDigest) isEffect()      {}
+func (SendAdmissions) isEffect()  {}
 func (SendSummary) isEffect()     {}
 func (SendChanges) isEffect()     {}
 func (SendSnapshot) isEffect()    {}
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -125,6 +125,14 @@
 	Tokens   ident.PerMinute `json:"tokens"`
 }
 
+// Admission is what a host has admitted of the requests of one account since its last
+// announcement. It is negative if more was returned than taken.
+type Admission struct {
+	Account  ident.Account `json:"account"`
+	Requests int64         `json:"requests,omitempty"`
+	Tokens   ident.Tokens  `json:"tokens,omitempty"`
+}
+
 // DrainNotice announces that an incarnation of a target is draining.
 type DrainNotice struct {
 	Target      ident.TargetID    `json:"target"`
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -34,6 +34,13 @@
 	Digest Digest `json:"digest"`
 }
 
+// AdmissionsReceived carries what a host of the same data centre has admitted since its last
+// announcement.
+type AdmissionsReceived struct {
+	From       ident.EntryID `json:"from"`
+	Admissions []Admission   `json:"admissions"`
+}
+
 // SummaryReceived carries the state of another data centre.
 type SummaryReceived struct {
 	Summary Summary `json:"summary"`
@@ -164,26 +171,27 @@
 	After ident.Revision `json:"after"`
 }
 
-func (Tick) isEvent()             {}
-func (DrainAsked) isEvent()       {}
-func (DrainExpired) isEvent()     {}
-func (PeerUp) isEvent()           {}
-func (PeerDown) isEvent()         {}
-func (DigestReceived) isEvent()   {}
-func (SummaryReceived) isEvent()  {}
-func (ChangesReceived) isEvent()  {}
-func (SnapshotReceived) isEvent() {}
-func (ChangesWanted) isEvent()    {}
-func (BarAsked) isEvent()         {}
-func (BarAnswered) isEvent()      {}
-func (LoadReported) isEvent()     {}
-func (LoadSeen) isEvent()         {}
-func (ProbeAnswered) isEvent()    {}
-func (MemoryReported) isEvent()   {}
-func (LoadFailed) isEvent()       {}
-func (CacheChanged) isEvent()     {}
-func (HostsRead) isEvent()        {}
-func (PlatformFailed) isEvent()   {}
-func (WatchIdle) isEvent()        {}
-func (ReadProgress) isEvent()     {}
-func (ListRead) isEvent()         {}
+func (Tick) isEvent()               {}
+func (DrainAsked) isEvent()         {}
+func (DrainExpired) isEvent()       {}
+func (PeerUp) isEvent()             {}
+func (PeerDown) isEvent()           {}
+func (DigestReceived) isEvent()     {}
+func (SummaryReceived) isEvent()    {}
+func (AdmissionsReceived) isEvent() {}
+func (ChangesReceived) isEvent()    {}
+func (SnapshotReceived) isEvent()   {}
+func (ChangesWanted) isEvent()      {}
+func (BarAsked) isEvent()           {}
+func (BarAnswered) isEvent()        {}
+func (LoadReported) isEvent()       {}
+func (LoadSeen) isEvent()           {}
+func (ProbeAnswered) isEvent()      {}
+func (MemoryReported) isEvent()     {}
+func (LoadFailed) isEvent()         {}
+func (CacheChanged) isEvent()       {}
+func (HostsRead) isEvent()          {}
+func (PlatformFailed) isEvent()     {}
+func (WatchIdle) isEvent()          {}
+func (ReadProgress) isEvent()       {}
+func (ListRead) isEvent()           {}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -73,7 +73,7 @@
 	// CentreAccounts returns the demand of the whole data centre, which is sent to other data
 	// centres. It is called at most once for each round of summaries, because the returned
 	// demand counts as sent. Nil means no demand.
-	CentreAccounts func() []event.AccountUse
+	CentreAccounts func() ([]event.AccountUse, bool)
 	// LastCacheEvent returns the sequence number of the last cache event received from a
 	// target. It may be nil.
 	LastCacheEvent func(ident.TargetID) uint64
--- a/internal/member/offer.go
+++ b/internal/member/offer.go
@@ -191,6 +191,10 @@
 	return max(0, tb.ownShare(now, dc, spareSlots(p.Free, p.Slots))-tb.unreportedInFlight(now, c, id))
 }
 
+// PeerCount returns the number of other entry hosts of this data centre that are known, whether
+// they can be reached or not.
+func (tb *Table) PeerCount() int { return len(tb.peers) }
+
 // HostCount returns the number of entry hosts known to this one, including itself.
 func (tb *Table) HostCount() int {
 	n := 1 + len(tb.peers)
--- a/internal/member/summary.go
+++ b/internal/member/summary.go
@@ -27,7 +27,7 @@
 	}
 	base := tb.summary(now)
 	var accounts []event.AccountUse
-	accountsRead := false
+	accountsRead, accountsKnown := false, false
 	var effs []event.Effect
 	for i, c := range tb.centres {
 		s := base
@@ -38,7 +38,11 @@
 			continue
 		}
 		if !s.AccountsOmitted && !accountsRead && tb.local.CentreAccounts != nil {
-			accounts, accountsRead = tb.local.CentreAccounts(), true
+			accounts, accountsKnown = tb.local.CentreAccounts()
+			accountsRead = true
+		}
+		if accountsRead && !accountsKnown {
+			s.AccountsOmitted = true
 		}
 		if !s.AccountsOmitted {
 			s.Accounts = accounts
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -12,6 +12,8 @@
 	switch e := eff.(type) {
 	case event.SendDigest:
 		m.broadcast(e.To, &wire.Frame{Body: &wire.Frame_Digest{Digest: wire.FromDigest(e.Digest)}}, true)
+	case event.SendAdmissions:
+		m.broadcast(e.To, &wire.Frame{Body: &wire.Frame_Admissions{Admissions: wire.FromAdmissions(e.Admissions)}}, false)
 	case event.SendSummary:
 		m.broadcast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_Summary{Summary: wire.FromSummary(e.Summary)}}, true)
 	case event.SendChanges:
@@ -95,6 +97,8 @@
 	case *wire.Frame_Ping:
 	case *wire.Frame_Digest:
 		m.receiveDigest(from, b.Digest)
+	case *wire.Frame_Admissions:
+		m.receiveAdmissions(from, b.Admissions)
 	case *wire.Frame_Summary:
 		return m.receiveSummary(from.ID, b.Summary.ToEvent())
 	case *wire.Frame_Changes:
@@ -128,6 +132,16 @@
 	m.post(event.DigestReceived{Digest: d.ToEvent(from)})
 }
 
+// receiveAdmissions accepts announcements only from this data centre, whose hosts share its part of
+// the limits.
+func (m *Mesh) receiveAdmissions(from event.Host, p *wire.Admissions) {
+	if !m.isLocal(from) {
+		m.counters.rejected.Inc(1)
+		return
+	}
+	m.post(p.ToEvent(from.ID))
+}
+
 func (m *Mesh) receiveSummary(from ident.EntryID, s event.Summary) error {
 	if s.From != from {
 		m.counters.rejected.Inc(1)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,59 +1,76 @@
 // Package quota enforces the limits of client accounts across all entry hosts
-// without a central counter: each host admits its share of an account's limit,
-// and the shares follow the demand.
+// without a central counter: each data centre admits its share of an account's limit,
+// the shares follow the demand, and the hosts of a data centre share one token bucket.
 //
 // # Usage
 //
 //	l := quota.New(self, dataCentre)
+//	l.SetBounds(quota.Bounds{Window: 8 * time.Second, Overshoot: 0.1})
 //	l.SetRegion(dataCentre, region)
 //	ok, retryAfter := l.Take(now, client, tokens)
 //	l.Settle(now, account, tokens, used) // when the answer has ended
 //
+// Hosts of a data centre announce what they have admitted:
+//
+//	if at := l.NextAnnouncement(); at > 0 && now >= at {
+//		admissions = l.Announce(now) // to all hosts of the data centre
+//	}
+//	l.MergeAnnouncement(now, from, admissions, book.Client)
+//
 // Digests and summaries carry the demand:
 //
 //	digest.Accounts = l.DigestDemand(now)
-//	summary.Accounts = l.SummaryDemand(now) // once a round, the same to all
+//	summary.Accounts, ok = l.SummaryDemand(now) // once a round, the same to all
 //	l.SetPeerDemand(now, from, digest.Accounts)
 //	l.MergeCentreReport(now, summary.Place.Group(), summary.Accounts)
 //
-// # Shares
+// # Shares of data centres
+//
+// A data centre's share of a limit is its demand divided by the known demand of all data
+// centres. Demand counts all requests, admitted or refused, up to the limit. Each active
+// data centre adds floorShare of the limit to its demand, so that one that has just become
+// active gets a share. One in the home region of the account adds homeFloorShare, so that
+// the limit is available first where the data is. When all hosts know the same demand, the
+// shares add up to one.
+//
+// # The bucket of a data centre
 //
-// A data centre's share of a limit is its demand divided by the known demand of
-// all data centres. A host's share is its demand divided by that of its data
-// centre. Demand counts all requests, admitted or refused, up to the limit.
-// Each active host or data centre adds floorShare of the limit to its demand, so
-// that one that has just become active gets a share. A data centre in the home
-// region of the account adds homeFloorShare, so that the limit is available first
-// where the data is. When all hosts know the same demand, the shares add up to one.
+// Each host has a copy of the bucket. It takes from its copy, and subtracts what the other
+// hosts announce. While an account is far below its limit, a host announces once per second;
+// when it has taken more than half of its own part of what is left, at once. The copies differ
+// by what has not been announced yet, so that the hosts together can admit that much more; it
+// remains as a debt in every copy and is paid before the next request.
 //
 // # Error bound
 //
-// With L the limit per minute, over a window of W seconds all hosts together admit at
-// most L*(W+burst)/60 plus one request per active host, once the demand has been
-// exchanged; burst is burstWindow in seconds. A data centre that becomes active with
-// demand d next to a known demand K adds (d+floor)/(d+K+2*floor) of L, at most 0.52
-// when K is the whole limit, until the others have received its demand. During a
-// partition the last known demand remains in force, so the others keep their shares and
-// each newly active part adds that much for as long as the partition lasts: k such
-// parts next to a busy one admit at most 1+0.52*k times the limit. A data centre that
-// is unreachable and had no demand counts with its floor. Parts that knew of no demand
-// for an account therefore admit at most 1.05/(1.05+0.05*s) of the limit each, where s
-// is the number of unreachable data centres. A data centre that has been silent for
-// centreTTL counts as gone: its callers are assumed to have moved.
+// With a bound, all hosts together admit in any window at most the rate times the window plus
+// the burst, exceeded by Overshoot and Slack. A part of the tolerated excess is added to the
+// burst, the rest covers announcements in flight. The bound also holds
+//
+//   - in a partition between data centres: the share of one that can't be reached is reserved
+//     for it, and the local share follows the demand only as far as the others know it. The
+//     parts together refuse what a part would need beyond its share at the time of the partition;
+//   - in a partition within a data centre: each part uses the limit in proportion to the hosts
+//     that it reaches, and the hosts lost by a minority are counted for minorityTTL. A part
+//     refuses early if its callers need more than that;
+//   - after restarts: the buckets of a host are empty at its start and fill after startDelay,
+//     and a host reports no demand for its data centre before reportDelay.
+//
+// Without a bound, a host that has just started admits up to the whole limit until it
+// receives the first digest and the first summaries, and its buckets are full.
 //
 // Fewer requests than the limit are admitted while demand that no longer exists is
-// still counted: for one exchange plus the decay of the demand (half in 7 s), or for
-// at most centreTTL after the loss of a whole data centre. A caller that moves with
-// all its demand gets about half of its limit at the new place at first. A host
-// that has just started admits up to the whole limit until it receives the first
-// digest and the first summaries.
+// still counted: for one exchange plus the decay of the demand (half in 7 s). A caller that
+// moves with all its demand to another data centre gets about half of its limit there at
+// first. A data centre that has been silent for centreTTL counts as gone: its callers are
+// assumed to have moved.
 //
 // # Bounds
 //
-// The ledger holds at most maxAccounts accounts. An account takes about 400 bytes,
-// plus 40 to 80 for each place where it is active: 1 KB with seven peers and four
-// data centres, 4 KB with 44. A summary contains at most maxSummaryAccounts accounts:
-// half of them those whose demand changed most, half those that were sent longest ago.
+// The ledger holds at most maxAccounts accounts. An account takes about 1 KB, 2 KB with a bound,
+// plus 40 to 80 bytes for each place where it is active. A summary contains at most
+// maxSummaryAccounts accounts: half of them those whose demand changed most, half those that
+// were sent longest ago.
 package quota
 
 import (
@@ -72,9 +89,9 @@
 	// centre, as shares of the limit.
 	floorShare     = 0.05
 	homeFloorShare = 0.25
-
-	// burstWindow is how long an unused share accumulates.
-	burstWindow = 10 * time.Second
+	// boundFloorShare replaces floorShare for data centres if there is a bound. Inactive ones
+	// count too, so it is what an account that is active in one place loses to each other.
+	boundFloorShare = 0.02
 
 	// A data centre counts as unreachable after a silence of unreachableTimeout and as
 	// gone after centreTTL.
@@ -84,6 +101,10 @@
 	maxAccounts   = 1 << 12
 	maxCentres    = 1 << 8
 	maxRetryAfter = time.Minute
+
+	// startDelay is the time after the start of a host with a bound during which its pools don't
+	// fill. It does not know the other hosts before.
+	startDelay = 1500 * time.Millisecond
 )
 
 // Ledger holds the demand and the shares as known to one host.
@@ -98,20 +119,35 @@
 	centres map[ident.DataCentre]*centre
 	regions map[ident.DataCentre]ident.Region
 	round   uint64
-	// unreachable lists the data centres that were unreachable at reachabilityCheckedAt.
+	// unreachable lists the data centres that were unreachable at reachabilityCheckedAt, and
+	// reachabilityChanges numbers its changes.
 	unreachable           []ident.DataCentre
 	reachabilityCheckedAt ident.Time
+	reachabilityChanges   uint64
+
+	bounds    Bounds
+	startedAt ident.Time
+	started   bool
+	reachable reachability
+	announced announcements
 }
 
 // account is the state of one client account.
 type account struct {
 	name        ident.Account
 	limits      rates
+	bursts      bursts
 	home        ident.Region
-	requests    bucket
-	tokens      bucket
+	requests    pool
+	tokens      pool
 	localDemand demand
-	lastActive  ident.Time
+	// centreDemand is the recent demand in the local data centre.
+	centreDemand demandLog
+	lastActive   ident.Time
+	// reservations are the shares of the unreachable data centres, sorted by name, when the set
+	// of them had the number reservedAt.
+	reservations []remoteDemand[ident.DataCentre]
+	reservedAt   uint64
 
 	// peers and centres hold the known demand elsewhere, sorted by name.
 	peers   []remoteDemand[ident.EntryID]
@@ -128,6 +164,8 @@
 // centre is another data centre that has reported.
 type centre struct {
 	lastSeen ident.Time
+	// unheard is set for a data centre of the deployment that has not reported yet.
+	unheard bool
 	// reportCount numbers the reports, so that the age of an entry can be computed.
 	reportCount uint64
 	// entries is the number of accounts with demand from this data centre at the last sweep.
@@ -145,6 +183,33 @@
 	}
 }
 
+// Bounds tightens the limits for a deployment that bounds what the hosts admit together.
+// The zero value bounds nothing.
+type Bounds struct {
+	// Window is the time over which admissions are counted, zero for no bound. In it, the
+	// hosts may admit the rate times the window plus the burst, exceeded by the factor
+	// Overshoot and by Slack units.
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+	// Timeout is the silence after which a data centre counts as unreachable, zero for
+	// unreachableTimeout.
+	Timeout time.Duration
+	// Centres lists the data centres of the deployment. One that has not reported counts as
+	// unreachable.
+	Centres []ident.DataCentre
+}
+
+// SetBounds sets the bounds. It is called before any other method.
+func (l *Ledger) SetBounds(b Bounds) {
+	l.bounds = b
+	for _, dc := range b.Centres {
+		if dc != l.dc {
+			l.centres[dc] = &centre{unheard: true}
+		}
+	}
+}
+
 // SetRegion sets the region of a data centre, including the local one. A data centre
 // without a region is in no account's home region.
 func (l *Ledger) SetRegion(dc ident.DataCentre, r ident.Region) {
@@ -157,24 +222,37 @@
 // local share of its limits allows it. Otherwise retryAfter is the time until it will.
 func (l *Ledger) Take(now ident.Time, c rules.Client, tokens ident.Tokens) (ok bool, retryAfter time.Duration) {
 	l.advance(now)
-	if c.RequestsPerMinute <= 0 && c.TokensPerMinute <= 0 {
+	if !c.Limited() {
 		return true, 0
 	}
-	a := l.ensureAccount(c.Name)
-	a.limits = rates{requests: c.RequestsPerMinute, tokens: c.TokensPerMinute}
-	a.home = c.Home
-	a.lastActive = l.now
+	a := l.limitedAccount(c)
 	a.localDemand.add(l.now, tokens)
 	l.refill(a)
 	wait := max(a.requests.wait(1), a.tokens.wait(float64(tokens)))
 	if wait > 0 {
 		return false, min(wait, maxRetryAfter)
 	}
-	a.requests.take(1)
-	a.tokens.take(float64(tokens))
+	l.take(a, 1, float64(tokens))
 	return true, 0
 }
 
+// limitedAccount returns the state of an account with its limits in force.
+func (l *Ledger) limitedAccount(c rules.Client) *account {
+	a := l.ensureAccount(c.Name)
+	a.limits = rates{requests: c.RequestsPerMinute, tokens: c.TokensPerMinute}
+	a.bursts = burstsOf(c)
+	a.home = c.Home
+	a.lastActive = l.now
+	return a
+}
+
+// take takes from the pools of an account and schedules the announcement.
+func (l *Ledger) take(a *account, requests, tokens float64) {
+	a.requests.take(requests)
+	a.tokens.take(tokens)
+	l.scheduleAnnouncement(a)
+}
+
 // Settle replaces a reservation by the number of tokens that the answer used.
 func (l *Ledger) Settle(now ident.Time, name ident.Account, reserved, used ident.Tokens) {
 	l.advance(now)
@@ -183,14 +261,59 @@
 		return
 	}
 	l.refill(a)
-	a.tokens.take(float64(used - reserved))
+	l.take(a, 0, float64(used-reserved))
 }
 
-// refill brings the buckets of an account up to now at its current share.
+// refill brings the pools of an account up to now.
 func (l *Ledger) refill(a *account) {
-	share := l.shares(a)
-	a.requests.refill(l.now, a.limits.requests*share.requests, 1)
-	a.tokens.refill(l.now, a.limits.tokens*share.tokens, 0)
+	centre, host := l.centreShare(a), l.hostShare(a)
+	reachable := l.reachableRatio()
+	tolerance := l.tolerance(a)
+	a.requests.refill(l.now, l.emptySince(), float64(a.limits.requests*centre.requests)*reachable,
+		max((a.bursts.requests+tolerance.requests)*float64(centre.requests)*reachable, 1))
+	a.tokens.refill(l.now, l.emptySince(), float64(a.limits.tokens*centre.tokens)*reachable,
+		(a.bursts.tokens+tolerance.tokens)*float64(centre.tokens)*reachable)
+	a.requests.part, a.tokens.part = float64(host.requests), float64(host.tokens)
+}
+
+// toleranceUsed is the part of the tolerated excess that is added to the burst. The rest covers
+// what hosts admit before they have received each other's announcements.
+const toleranceUsed = 0.4
+
+// tolerance returns what is added to the bursts of an account.
+func (l *Ledger) tolerance(a *account) bursts {
+	excess := func(limit ident.PerMinute, burst float64) float64 {
+		if l.bounds.Window <= 0 || limit <= 0 {
+			return 0
+		}
+		inWindow := float64(limit)*l.bounds.Window.Minutes() + burst
+		return toleranceUsed * (l.bounds.Overshoot*inWindow + l.bounds.Slack)
+	}
+	return bursts{requests: excess(a.limits.requests, a.bursts.requests), tokens: excess(a.limits.tokens, a.bursts.tokens)}
+}
+
+// emptySince returns since when a pool that is used for the first time has filled. Without a
+// bound it is full. With one, the pools are empty at the start of this host: it does not know
+// what was admitted before a restart.
+func (l *Ledger) emptySince() ident.Time {
+	if l.bounds.Window <= 0 {
+		return ident.Time(math.MinInt64 / 2)
+	}
+	return l.startedAt.Add(startDelay)
+}
+
+// bursts is how much of each limit may be used at once.
+type bursts struct{ requests, tokens float64 }
+
+func burstsOf(c rules.Client) bursts {
+	return bursts{
+		requests: float64(c.RequestBurst.Or(int64(defaultBurst(c.RequestsPerMinute)))),
+		tokens:   float64(c.TokenBurst.Or(ident.Tokens(defaultBurst(c.TokensPerMinute)))),
+	}
+}
+
+func defaultBurst(limit ident.PerMinute) float64 {
+	return min(float64(limit)*rules.DefaultBurst.Minutes(), math.MaxInt64/2)
 }
 
 // ensureAccount returns the state of an account and creates it if needed. When the
@@ -219,9 +342,11 @@
 	delete(l.accounts, idlest.name)
 }
 
-// advance moves the clock forward, never back: going back would take tokens out of the
-// buckets.
+// advance moves the clock forward, never back: going back would take tokens out of the pools.
 func (l *Ledger) advance(now ident.Time) {
+	if !l.started {
+		l.started, l.startedAt = true, now
+	}
 	l.now = max(l.now, now)
 	if l.now.Sub(l.reachabilityCheckedAt) >= time.Second {
 		l.updateUnreachable()
@@ -232,7 +357,7 @@
 // that are gone.
 func (l *Ledger) sweep() {
 	for dc, c := range l.centres {
-		if l.now.Sub(c.lastSeen) >= centreTTL {
+		if !c.unheard && l.now.Sub(c.lastSeen) >= centreTTL {
 			delete(l.centres, dc)
 			l.removeCentre(dc)
 		}
@@ -287,46 +412,3 @@
 	}
 	return uses
 }
-
-// bucket is a token bucket. A request for more than its capacity is admitted once the
-// bucket is full and leaves a debt that is paid before the next request; otherwise a
-// large request would never fit a small share.
-type bucket struct {
-	level float64
-	// rate is in units per second, zero for no limit.
-	rate       float64
-	capacity   float64
-	refilledAt ident.Time
-}
-
-func (b *bucket) refill(now ident.Time, limit ident.PerMinute, minCapacity float64) {
-	// A bucket that had no limit before starts full. Without a rate nothing refilled it,
-	// so the debt from earlier use could block the account for hours once it has a limit.
-	hadRate := b.rate > 0
-	b.rate = float64(limit) / time.Minute.Seconds()
-	b.capacity = max(b.rate*burstWindow.Seconds(), minCapacity)
-	if !hadRate {
-		b.refilledAt, b.level = now, b.capacity
-		return
-	}
-	b.level = min(b.level+b.rate*now.Sub(b.refilledAt).Seconds(), b.capacity)
-	b.refilledAt = now
-}
-
-// wait returns the time until n units can be taken. A full bucket admits any number.
-func (b *bucket) wait(n float64) time.Duration {
-	missing := min(n, b.capacity) - b.level
-	if b.rate == 0 || missing <= 0 {
-		return 0
-	}
-	seconds := math.Min(missing/b.rate, maxRetryAfter.Seconds())
-	return max(time.Duration(math.Ceil(seconds*1e9)), 1)
-}
-
-func (b *bucket) take(n float64) {
-	b.level = min(b.level-n, b.capacity)
-}
-
-func (b *bucket) full(now ident.Time) bool {
-	return b.rate == 0 || b.level+b.rate*now.Sub(b.refilledAt).Seconds() >= b.capacity
-}
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -26,6 +27,8 @@
 	tokensPerRequest = 500
 	// minChange is the relative change up to which a demand counts as unchanged.
 	minChange = 0.1
+	// reportDelay is the time after the start of a host until it reports for its data centre.
+	reportDelay = 3 * time.Second
 )
 
 // SetPeerDemand stores the demand reported by a host of the local data centre, replacing
@@ -84,6 +87,7 @@
 	if !ok {
 		return
 	}
+	c.unheard = false
 	c.reportCount++
 	for _, u := range uses[:min(len(uses), maxAccounts)] {
 		l.applyCentreUse(dc, c, u)
@@ -126,11 +130,15 @@
 	change float64
 }
 
-// SummaryDemand returns the demand of the local data centre for a summary. It records
-// what it returns, so call it once a round and send the same summary to all. A lost
-// summary is repaired when its accounts are next sent.
-func (l *Ledger) SummaryDemand(now ident.Time) []event.AccountUse {
+// SummaryDemand returns the demand of the local data centre for a summary. It returns
+// false shortly after the start of a host with a bound, which does not know the demand at its
+// peers yet. It records what it returns, so call it once a round and send the same summary to
+// all. A lost summary is repaired when its accounts are next sent.
+func (l *Ledger) SummaryDemand(now ident.Time) (uses []event.AccountUse, ok bool) {
 	l.advance(now)
+	if l.bounds.Window > 0 && l.now.Sub(l.startedAt) < reportDelay {
+		return nil, false
+	}
 	l.sweep()
 	l.round++
 	var all []summaryCandidate
@@ -140,7 +148,6 @@
 			all = append(all, d)
 		}
 	}
-	var uses []event.AccountUse
 	for _, d := range selectForSummary(all) {
 		uses = append(uses, d.rate.accountUse(d.name))
 		d.lastSent = d.rate
@@ -148,7 +155,7 @@
 		d.pendingZeros = max(d.pendingZeros-1, 0)
 	}
 	slices.SortFunc(uses, func(a, b event.AccountUse) int { return cmp.Compare(a.Account, b.Account) })
-	return uses
+	return uses, true
 }
 
 // selectForSummary picks the accounts of a summary: half are those that changed most,
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -79,6 +80,36 @@
 	return d.rate.times(f)
 }
 
+// demandLog holds the demand at intervals of demandLogInterval, the oldest first.
+type demandLog []demand
+
+const (
+	demandLogInterval = 250 * time.Millisecond
+	demandLogSize     = 24
+)
+
+func (g *demandLog) add(now ident.Time, r rates) {
+	if n := len(*g); n > 0 && now.Sub((*g)[n-1].updatedAt) < demandLogInterval {
+		return
+	}
+	if len(*g) == demandLogSize {
+		*g = append((*g)[:0], (*g)[1:]...)
+	}
+	*g = append(*g, demand{rate: r, updatedAt: now})
+}
+
+// at returns the demand at a time, that of the oldest entry if the time is before it.
+func (g demandLog) at(t ident.Time) rates {
+	r := rates{}
+	for i := range g {
+		if i > 0 && g[i].updatedAt > t {
+			break
+		}
+		r = g[i].rate
+	}
+	return r
+}
+
 // remoteDemand is the demand of an account at another host or data centre.
 type remoteDemand[T cmp.Ordered] struct {
 	id   T
@@ -124,31 +155,130 @@
 	s.total = s.total.plus(r.capped(s.limits)).plus(s.limits.times(floor))
 }
 
-// shares returns the local share of each limit of an account.
-func (l *Ledger) shares(a *account) rates {
-	sum := a.localDemand.rateAt(l.now)
+// hostShare returns this host's share of the demand in the local data centre.
+func (l *Ledger) hostShare(a *account) rates {
 	hosts := demandSum{limits: a.limits}
-	hosts.addLocal(sum, floorShare)
+	hosts.addLocal(a.localDemand.rateAt(l.now), floorShare)
 	for i := range a.peers {
 		hosts.addRemote(a.peers[i].rate, floorShare)
+	}
+	return hosts.share()
+}
+
+// centreShare returns the local data centre's share of each limit: its share of the demand of
+// all that can be reached, in what the others leave.
+func (l *Ledger) centreShare(a *account) rates {
+	sum := a.localDemand.rateAt(l.now)
+	for i := range a.peers {
 		sum = sum.plus(a.peers[i].rate)
 	}
 	centres := demandSum{limits: a.limits}
-	centres.addLocal(sum, l.floorFor(a, l.dc))
+	centres.addLocal(l.exchangedDemand(a, sum), l.floorFor(a, l.dc))
 	for i := range a.centres {
-		if p := &a.centres[i]; l.isCurrent(p) {
+		if p := &a.centres[i]; l.isCurrent(p) && !l.isUnreachable(p.id) {
 			centres.addRemote(p.rate, l.floorFor(a, p.id))
 		}
 	}
-	for _, dc := range l.unreachable {
-		if _, ok := find(a.centres, dc); !ok {
-			centres.addRemote(rates{}, floorShare)
+	l.addInactive(a, &centres)
+	reserved := l.reserve(a, centres)
+	share := centres.share()
+	return rates{requests: share.requests * (1 - reserved.requests), tokens: share.tokens * (1 - reserved.tokens)}
+}
+
+// reserve returns the share of all unreachable data centres. That of each is fixed when it becomes
+// unreachable, since it does not know what the others do later. reachable is the demand of the
+// others at that time.
+func (l *Ledger) reserve(a *account, reachable demandSum) rates {
+	if a.reservedAt != l.reachabilityChanges {
+		a.reservedAt = l.reachabilityChanges
+		a.reservations = slices.DeleteFunc(a.reservations, func(r remoteDemand[ident.DataCentre]) bool { return !l.isUnreachable(r.id) })
+		for _, dc := range l.unreachable {
+			if _, ok := find(a.reservations, dc); !ok {
+				a.reservations = upsert(a.reservations, remoteDemand[ident.DataCentre]{id: dc, rate: l.reservation(a, dc, reachable)})
+			}
 		}
 	}
-	return rates{
-		requests: ratio(hosts.local.requests, hosts.total.requests) * ratio(centres.local.requests, centres.total.requests),
-		tokens:   ratio(hosts.local.tokens, hosts.total.tokens) * ratio(centres.local.tokens, centres.total.tokens),
+	return reservedTotal(a)
+}
+
+func reservedTotal(a *account) rates {
+	sum := rates{}
+	for _, r := range a.reservations {
+		sum = sum.plus(r.rate)
 	}
+	return sum
+}
+
+// reservation returns the share of a data centre that has become unreachable, by its last known
+// demand, in what the others leave. One that has never reported gets an equal share.
+func (l *Ledger) reservation(a *account, dc ident.DataCentre, reachable demandSum) rates {
+	if l.centres[dc].unheard {
+		equal := 1 / ident.PerMinute(1+len(l.centres))
+		return rates{requests: equal, tokens: equal}
+	}
+	all := demandSum{limits: a.limits, total: reachable.total}
+	for _, other := range l.unreachable {
+		if _, ok := find(a.reservations, other); ok || l.centres[other].unheard {
+			continue
+		}
+		if other == dc {
+			all.addLocal(l.lastKnown(a, other), l.floorFor(a, other))
+		} else {
+			all.addRemote(l.lastKnown(a, other), l.floorFor(a, other))
+		}
+	}
+	left, share := reservedTotal(a).times(-1).plus(rates{requests: 1, tokens: 1}), all.share()
+	return rates{requests: share.requests * left.requests, tokens: share.tokens * left.tokens}
+}
+
+// lastKnown returns the last reported demand of an account at a data centre.
+func (l *Ledger) lastKnown(a *account, dc ident.DataCentre) rates {
+	if i, ok := find(a.centres, dc); ok && l.isCurrent(&a.centres[i]) {
+		return a.centres[i].rate
+	}
+	return rates{}
+}
+
+// addInactive adds the floors of the data centres without demand for an account. With a bound they
+// count: several that become active at the same time would each admit the whole limit.
+func (l *Ledger) addInactive(a *account, centres *demandSum) {
+	if l.bounds.Window <= 0 {
+		return
+	}
+	for dc, c := range l.centres {
+		if i, ok := find(a.centres, dc); c.unheard || l.isUnreachable(dc) || ok && l.isCurrent(&a.centres[i]) {
+			continue
+		}
+		centres.addRemote(rates{}, l.floorFor(a, dc))
+	}
+}
+
+// exchangedDemand returns the demand in the local data centre that counts for its share. With a
+// bound it is the demand at the time of the last summary from the data centre that has been silent
+// for longest, which is about what the others know: if the share followed later demand, the shares
+// of a partitioned deployment would add up to more than one.
+func (l *Ledger) exchangedDemand(a *account, now rates) rates {
+	if l.bounds.Window <= 0 {
+		return now
+	}
+	a.centreDemand.add(l.now, now)
+	at := l.now
+	for _, c := range l.centres {
+		if !c.unheard {
+			at = min(at, c.lastSeen)
+		}
+	}
+	return a.centreDemand.at(at)
+}
+
+func (l *Ledger) isUnreachable(dc ident.DataCentre) bool {
+	_, ok := slices.BinarySearch(l.unreachable, dc)
+	return ok
+}
+
+// share returns the local part of the sum, 1 where the sum is zero.
+func (s *demandSum) share() rates {
+	return rates{requests: ratio(s.local.requests, s.total.requests), tokens: ratio(s.local.tokens, s.total.tokens)}
 }
 
 func ratio(part, whole ident.PerMinute) ident.PerMinute {
@@ -160,21 +290,29 @@
 
 // floorFor returns the share of the limit that is added to the demand of a data centre.
 func (l *Ledger) floorFor(a *account, dc ident.DataCentre) ident.PerMinute {
-	if a.home != "" && l.regions[dc] == a.home {
+	switch {
+	case a.home != "" && l.regions[dc] == a.home:
 		return homeFloorShare
+	case l.bounds.Window > 0:
+		return boundFloorShare
 	}
 	return floorShare
 }
 
-// updateUnreachable finds the unreachable data centres. They may have become active
-// since their last report, so shares counts the floor of each for every account.
+// updateUnreachable finds the unreachable data centres. Until they report again, their share
+// stays reserved for them: they may still admit requests, and may have become active since
+// their last report.
 func (l *Ledger) updateUnreachable() {
 	l.reachabilityCheckedAt = l.now
-	l.unreachable = l.unreachable[:0]
+	var now []ident.DataCentre
 	for dc, c := range l.centres {
-		if l.now.Sub(c.lastSeen) >= unreachableTimeout {
-			l.unreachable = append(l.unreachable, dc)
+		if c.unheard || l.now.Sub(c.lastSeen) >= cmp.Or(l.bounds.Timeout, unreachableTimeout) {
+			now = append(now, dc)
 		}
 	}
-	slices.Sort(l.unreachable)
+	slices.Sort(now)
+	if !slices.Equal(now, l.unreachable) {
+		l.unreachable = now
+		l.reachabilityChanges++
+	}
 }
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -270,6 +270,29 @@
 	return as
 }
 
+// FromAdmissions converts an announcement to columns.
+func FromAdmissions(as []event.Admission) *Admissions {
+	p := &Admissions{}
+	for _, a := range as {
+		p.Accounts = append(p.Accounts, string(a.Account))
+		p.Requests = append(p.Requests, a.Requests)
+		p.Tokens = append(p.Tokens, int64(a.Tokens))
+	}
+	return p
+}
+
+// ToEvent converts the columns back, up to the shortest length.
+func (p *Admissions) ToEvent(from ident.EntryID) event.AdmissionsReceived {
+	e := event.AdmissionsReceived{From: from}
+	n := min(len(p.GetAccounts()), len(p.GetRequests()), len(p.GetTokens()))
+	for i := range n {
+		e.Admissions = append(e.Admissions, event.Admission{
+			Account: ident.Account(p.GetAccounts()[i]), Requests: p.GetRequests()[i], Tokens: ident.Tokens(p.GetTokens()[i]),
+		})
+	}
+	return e
+}
+
 const (
 	// rateScale is the number of steps per unit in which rates are sent.
 	rateScale = 16
