core: keys expire on a host whose configuration nobody confirms

Cause: the settings of a deployment may demand that a host which is cut off stops accepting keys (StrictRevoke with RevokeDelayMs); nothing bounded how long a host with an old configuration accepted a key that had been removed.

Change: the reducer records when its revision was last known to be current, from its own reads of the store and from digests of peers that confirm their list and know no newer revision. Beyond keyTTLMs, requests that need a key get 503 VB1032; public routes and running streams go on.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -65,6 +65,9 @@
 	LimitWindow    Bound `json:"limitWindowSeconds"`
 	LimitOvershoot Bound `json:"limitOvershoot"`
 	LimitSlack     Bound `json:"limitSlack"`
+	// KeyTTLMs is how long API keys are accepted after the platform has last
+	// confirmed the configuration; 0 means no limit.
+	KeyTTLMs Bound `json:"keyTTLMs"`
 	// MinLeaseMs is the shortest lease that the platform grants.
 	MinLeaseMs Bound `json:"leaseLeastMs"`
 }
--- a/internal/core/account_test.go
+++ b/internal/core/account_test.go
@@ -58,6 +58,26 @@
 	checkRefusal(t, "known account", "", h.ask("acme", "publish", 0))
 }
 
+// Guards against keys that are accepted longer than allowed by a host that nobody tells of changes,
+// and against a host that refuses all keys although a peer confirms its configuration.
+func TestKeysExpireWithoutConfirmation(t *testing.T) {
+	const ttl = 5 * time.Second
+	h := accountHost(t, core.Bounds{KeyTTL: ttl}, rules.Client{Name: "acme"})
+	h.step(event.ListRead{})
+	h.now = h.now.Add(ttl - time.Second)
+	checkRefusal(t, "before the time", "", h.ask("acme", "publish", 0))
+	h.now = h.now.Add(2 * time.Second)
+	checkRefusal(t, "after the time", codes.StaleKeys.ID, h.ask("acme", "publish", 0))
+	checkRefusal(t, "public route", "", h.ask(rules.Anonymous, "fetch", 0))
+	peer := event.Host{ID: "w2", Incarnation: 1, Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}}
+	h.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 1, Revision: 3, ListConfirmed: true}})
+	checkRefusal(t, "a peer has a newer revision", codes.StaleKeys.ID, h.ask("acme", "publish", 0))
+	h.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 2, Revision: 2, ListConfirmed: true, ListAge: ttl}})
+	checkRefusal(t, "an old confirmation", codes.StaleKeys.ID, h.ask("acme", "publish", 0))
+	h.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 3, Revision: 2, ListConfirmed: true, ListAge: time.Second}})
+	checkRefusal(t, "confirmed by a peer", "", h.ask("acme", "publish", 0))
+}
+
 // Guards against requests that don't state their size and so pass any limit, and against credit that
 // is lost when a request is refused.
 func TestUnstatedAndRefusedRequestsCount(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -73,6 +73,8 @@
 	wakeAt     ident.Time
 	// lastDigestAt is when each peer of the data centre last sent a digest.
 	lastDigestAt map[ident.EntryID]ident.Time
+	// confirmedAt is the latest time at which the configuration in force was known to be current.
+	confirmedAt ident.Time
 	// nextDemandAt is when the demand of the accounts is next announced.
 	nextDemandAt ident.Time
 	out          []event.Effect
@@ -217,6 +219,7 @@
 		rd.spread.WatchIdle(now)
 	case event.ListRead:
 		rd.table.ListRead(now, e.Age)
+		rd.confirmedAt = max(rd.confirmedAt, now.Add(-e.Age))
 	case event.ReadProgress:
 		rd.spread.PlatformProgress(now)
 	case event.DrainAsked:
@@ -238,6 +241,10 @@
 	if d.AccountsIncluded {
 		rd.quota.SetPeerDemand(now, d.Host.ID, d.Accounts)
 	}
+	if d.ListConfirmed && d.Revision <= rd.spread.Revision() {
+		// The sender has read the platform and knows no newer revision.
+		rd.confirmedAt = max(rd.confirmedAt, now.Add(-d.ListAge))
+	}
 	rd.emit(rd.spread.RevisionSeen(now, d.Host, d.Revision)...)
 	for _, s := range d.Summaries {
 		rd.handleSummary(now, s, false)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -145,6 +145,9 @@
 	if r.Account == rules.Anonymous && book.NeedsKey(p) {
 		return refuseAs(codes.UnknownKey), false
 	}
+	if book.NeedsKey(p) && !r.forwarded && rd.keysAreStale(now) {
+		return refuseAs(codes.StaleKeys), false
+	}
 	r.client = c
 	r.profile.Priority = c.Priority.Or(p.Priority)
 	if !c.MayUse(p.Name) {
@@ -167,6 +170,12 @@
 	return rd.resolveDeadline(now, r)
 }
 
+// keysAreStale reports whether the configuration has not been confirmed for so long that a key may
+// have been removed.
+func (rd *Reducer) keysAreStale(now ident.Time) bool {
+	return rd.bounds.KeyTTL > 0 && now.Sub(rd.confirmedAt) > rd.bounds.KeyTTL
+}
+
 func (rd *Reducer) resolveDeadline(now ident.Time, r *request) (refusal, bool) {
 	r.deadline = r.Deadline
 	if r.deadline == 0 {
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -31,6 +31,9 @@
 	MinDrain, DrainAccept, DrainTimeout time.Duration
 	// Accounts bounds what the hosts admit of the requests of one account.
 	Accounts quota.Bounds
+	// KeyTTL is how long a host accepts API keys after the platform or a peer has last confirmed
+	// its configuration. Zero means no limit.
+	KeyTTL time.Duration
 	// SharedReads limits continuous reads of the platform's store to one host of each data
 	// centre.
 	SharedReads bool
--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -136,6 +136,15 @@
 	}
 )
 
+// thirdVersion is the version that introduced accounts with several keys.
+const thirdVersion = "0.3.0"
+
+// StaleKeys is the refusal of a host that can't confirm its configuration.
+var StaleKeys = Code{
+	ID: "VB1032", Title: "the entry host can't confirm that the key is still valid", Status: http.StatusServiceUnavailable, Since: thirdVersion, Severity: Warning, RetryLater: true,
+	Text: "Neither the platform nor a peer has confirmed the configuration of the entry host for longer than fleet.keyTTLMs, so that the key may have been removed. The request was not run. Use another entry host.",
+}
+
 // Refusals lists the refusals.
 var Refusals = []Code{
 	UnknownKey, BadRequest, TooLarge, UnknownProfile, OutsideResidency, TooManyHops,
@@ -143,5 +152,5 @@
 	Draining, StoreDown, OutcomeUnknown, NeedsTicketOrKey, KeyReused, InProgress,
 	ForgedEnvelope, TargetFailed, DeadlineExceeded, ProfileForbidden, NotReady, NoOutcome,
 	HostBusy, UnknownPath, WrongMethod, WrongType, SlowBody,
-	ForwardRefused, HostStopped,
+	ForwardRefused, HostStopped, StaleKeys,
 }
