--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -55,6 +55,8 @@
 	// that defines it.
 	Profile  ident.Profile  `json:"profile,omitempty"`
 	Revision ident.Revision `json:"revision"`
+	// Account is the account of the request, empty if it has none.
+	Account ident.Account `json:"account,omitempty"`
 	// Attempts counts the attempts of the request, including this one.
 	Attempts int `json:"try"`
 	// Waited is the time since the request arrived, PredictedWait the predicted time to
--- a/internal/opctl/accounts.go
+++ b/internal/opctl/accounts.go
@@ -35,25 +35,34 @@
 }
 
 func accountTable(w io.Writer, l admin.AccountList) {
-	fmt.Fprintln(w, "ACCOUNT\tHOME\tPROFILES\tREQUESTS/MIN\tTOKENS/MIN\tCHANGED")
+	fmt.Fprintln(w, "ACCOUNT\tKEYS\tHOME\tREGIONS\tPROFILES\tPRIORITY\tREQUESTS/MIN\tTOKENS/MIN\tCHANGED")
 	for _, i := range l.Accounts {
 		c := i.Account
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\n",
-			c.Name, c.Home, profileNames(c), formatLimit(c.RequestsPerMinute), formatLimit(c.TokensPerMinute), i.ChangedAt)
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\n",
+			c.Name, len(c.KeyDigests()), c.Home, formatNames(c.Regions), formatNames(c.Profiles), formatPriority(c),
+			formatLimit(c.RequestsPerMinute), formatLimit(c.TokensPerMinute), i.ChangedAt)
 	}
 }
 
-func profileNames(c rules.Client) string {
-	if len(c.Profiles) == 0 {
+func formatNames[T ~string](list []T) string {
+	if len(list) == 0 {
 		return "all"
 	}
-	names := make([]string, 0, len(c.Profiles))
-	for _, p := range c.Profiles {
-		names = append(names, string(p))
+	names := make([]string, 0, len(list))
+	for _, name := range list {
+		names = append(names, string(name))
 	}
 	return strings.Join(names, ",")
 }
 
+// formatPriority returns the priority of an account, or that it has none of its own.
+func formatPriority(c rules.Client) string {
+	if n, ok := c.Priority.Get(); ok {
+		return fmt.Sprint(n)
+	}
+	return "profile"
+}
+
 func formatLimit(n ident.PerMinute) string {
 	if n == 0 {
 		return "none"
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -111,7 +111,7 @@
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
 		kv := []any{
-			"request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "profile", e.Basis.Profile, "try", e.Basis.Attempts,
+			"request", e.Request, "code", e.Code, "title", c.Title, "outcome", e.Outcome, "account", e.Basis.Account, "profile", e.Basis.Profile, "try", e.Basis.Attempts,
 			"revision", e.Basis.Revision, "waitedMs", millis(e.Basis.Waited), "leftMs", millis(e.Basis.RemainingTime),
 			"predictedMs", millis(e.Basis.PredictedWait), "queued", e.Basis.Queued, "full", e.Basis.CapacityLimited, "paceMs", millis(e.Basis.EventGap),
 			"retryAfterMs", millis(e.RetryAfter),
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -25,7 +25,7 @@
 	var out bytes.Buffer
 	tr := New(logs.New(&out, logs.NewLevel(0)), metrics.NewRegistry())
 	at := ident.Time(time.Second)
-	basis := event.Basis{Profile: "draft", Revision: 7, Attempts: 1, Waited: 3 * time.Millisecond, PredictedWait: 40 * time.Millisecond, InFlight: 2, LoadAge: 9 * time.Millisecond, ExpectedEvents: 48, EventGap: 120 * time.Millisecond, RemoteEventGap: 30 * time.Millisecond, ForwardedShare: 0.254, RemotePrefillRoom: 64000}
+	basis := event.Basis{Account: "acme", Profile: "draft", Revision: 7, Attempts: 1, Waited: 3 * time.Millisecond, PredictedWait: 40 * time.Millisecond, InFlight: 2, LoadAge: 9 * time.Millisecond, ExpectedEvents: 48, EventGap: 120 * time.Millisecond, RemoteEventGap: 30 * time.Millisecond, ForwardedShare: 0.254, RemotePrefillRoom: 64000}
 	tr.Record(at, event.Tick{}, []event.Effect{
 		event.InForceNow{Book: rules.FromStatic(7, rules.StaticConfig{})},
 		event.Dispatch{Request: "a.1", Attempt: newAttempt(1), Target: event.Target{ID: "t", Service: "writers"}, CopyFrom: event.Holder{Target: "u"}, Basis: basis},
