quota, core: a host that starts waits for the others; reservations by what the others know

Change: requests of limited accounts wait up to a second after the start of their host instead of being refused; the bucket counts from the start of the process, with a credit out of the tolerated excess; demand is corrected for the time before the start; a host reports for its region after 2 s instead of 3.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -262,9 +262,10 @@
 // be frozen.
 func (rd *Reducer) handleSummary(now ident.Time, s event.Summary, direct bool) {
 	rd.quota.SetRegion(s.Place.Group(), s.Place.Region)
-	rd.quota.RecordCentreSeen(now, s.Place.Group())
+	sentAt := now.Add(-s.Age)
+	rd.quota.RecordCentreSeen(now, sentAt, s.Place.Group())
 	if !s.AccountsOmitted {
-		rd.quota.MergeCentreReport(now, s.Place.Group(), s.Accounts)
+		rd.quota.MergeCentreReport(now, sentAt, s.Place.Group(), s.Accounts)
 	}
 	if !direct && !rd.table.IsRepresentative(now) {
 		return
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -213,16 +213,33 @@
 // reserveAndPlace reserves the tokens of a request from the limit of its account and places it.
 // checkOnce has allowed it to run at that point.
 func (rd *Reducer) reserveAndPlace(now ident.Time, r *request) {
-	if !r.forwarded {
+	if r.forwarded {
+		rd.place(now, r)
+		return
+	}
+	ok, retryAfter := rd.quota.Take(now, r.client, limitTokens(r))
+	rd.placeWithinLimit(now, r, ok, retryAfter)
+}
+
+// placeWithinLimit places a request whose tokens have been taken, and refuses another one. Shortly
+// after the start of this host it waits instead, since the part of the limit that is left is not
+// known yet.
+func (rd *Reducer) placeWithinLimit(now ident.Time, r *request, ok bool, retryAfter time.Duration) {
+	at := now.Add(retryAfter)
+	switch {
+	case ok:
 		r.reservedTokens = limitTokens(r)
-		ok, retryAfter := rd.quota.Take(now, r.client, r.reservedTokens)
-		if !ok {
-			r.reservedTokens = 0
-			rd.endRefused(now, r, refusal{code: codes.AccountLimit.ID, outcome: event.NotRun, retryAfter: retryAfter})
-			return
-		}
+		rd.place(now, r)
+	case rd.quota.IsStarting(now) && at < rd.queueDeadline(r):
+		rd.timers.add(timer{at: at, req: r, run: rd.retakeAndPlace})
+	default:
+		rd.endRefused(now, r, refusal{code: codes.AccountLimit.ID, outcome: event.NotRun, retryAfter: retryAfter})
 	}
-	rd.place(now, r)
+}
+
+func (rd *Reducer) retakeAndPlace(now ident.Time, r *request) {
+	ok, retryAfter := rd.quota.Retake(now, r.client, limitTokens(r))
+	rd.placeWithinLimit(now, r, ok, retryAfter)
 }
 
 // limitTokens returns the tokens that a request counts against the limit of its account.
--- a/internal/quota/announce.go
+++ b/internal/quota/announce.go
@@ -71,8 +71,8 @@
 		}
 		a := l.limitedAccount(c)
 		l.refill(a)
-		a.requests.takenElsewhere(l.now, float64(ad.Requests))
-		a.tokens.takenElsewhere(l.now, float64(ad.Tokens))
+		a.requests.takenElsewhere(float64(ad.Requests))
+		a.tokens.takenElsewhere(float64(ad.Tokens))
 	}
 }
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -101,7 +101,7 @@
 				continue
 			}
 			for _, l := range to {
-				l.MergeCentreReport(f.now, centreName(c), uses)
+				l.MergeCentreReport(f.now, f.now, centreName(c), uses)
 			}
 		}
 	}
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -127,10 +127,33 @@
 		}
 		for _, l := range ls {
 			l.SetHosts(f.now, len(ls), len(ls))
+			f.relay(ls, l)
 		}
 	}
 }
 
+// relay gives a host that has just started what another one of its region knows of the other
+// regions, as a full digest does.
+func (f *loadFleet) relay(ls []*Ledger, to *Ledger) {
+	for _, from := range ls {
+		a, ok := from.accounts[f.client.Name]
+		if !ok || from.startedAt >= to.startedAt {
+			continue
+		}
+		for dc, c := range to.centres {
+			if !c.unheard || from.centres[dc].unheard {
+				continue
+			}
+			var uses []event.AccountUse
+			if i, ok := find(a.centres, dc); ok {
+				uses = append(uses, a.centres[i].rate.accountUse(a.name))
+			}
+			to.MergeCentreReport(f.now, from.centres[dc].lastSeen, dc, uses)
+		}
+		return
+	}
+}
+
 func (f *loadFleet) summaries() {
 	for r, ls := range f.hosts {
 		uses, ok := ls[0].SummaryDemand(f.now)
@@ -139,7 +162,7 @@
 				continue
 			}
 			for _, l := range to {
-				l.MergeCentreReport(f.now, centreName(r), uses)
+				l.MergeCentreReport(f.now, f.now, centreName(r), uses)
 			}
 		}
 	}
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -17,24 +17,21 @@
 	rate       float64
 	capacity   float64
 	refilledAt ident.Time
-	// part is this host's share of the pool by demand, and unannounced what it has taken since
+	// part is this host's share of the pool by demand, at most an equal one, and unannounced what it has taken since
 	// its last announcement.
 	part        float64
 	unannounced float64
 }
 
-// refill brings the level up to now. A pool that had no limit before was empty at emptySince:
+// refill brings the level up to now. A pool that had no limit before held credit at emptySince:
 // without a rate nothing refilled it, so the debt from earlier use could block the account for
-// hours once it has a limit. Until emptySince the pool stays empty.
-func (p *pool) refill(now, emptySince ident.Time, perMinute, capacity float64) {
+// hours once it has a limit.
+func (p *pool) refill(now, emptySince ident.Time, credit, perMinute, capacity float64) {
 	hadRate := p.rate > 0
 	p.rate = perMinute / time.Minute.Seconds()
 	p.capacity = capacity
 	if !hadRate {
-		p.refilledAt, p.level = emptySince, 0
-	}
-	if now < p.refilledAt {
-		return
+		p.refilledAt, p.level = emptySince, credit
 	}
 	p.level = min(p.level+p.rate*secondsBetween(p.refilledAt, now), p.capacity)
 	p.refilledAt = now
@@ -61,10 +58,7 @@
 }
 
 // takenElsewhere subtracts what another host has announced.
-func (p *pool) takenElsewhere(now ident.Time, n float64) {
-	if now < p.refilledAt {
-		return
-	}
+func (p *pool) takenElsewhere(n float64) {
 	p.level = min(p.level-n, p.capacity)
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -53,8 +53,9 @@
 //   - in a partition within a data centre: each part uses the limit in proportion to the hosts
 //     that it reaches, and the hosts lost by a minority are counted for minorityTTL. A part
 //     refuses early if its callers need more than that;
-//   - after restarts: the buckets of a host are empty at its start and fill after startDelay,
-//     and a host reports no demand for its data centre before reportDelay.
+//   - after restarts: a host admits nothing before startDelay, its buckets begin with startCredit
+//     of what is added to the burst, and it reports no demand for its data centre before
+//     reportDelay.
 //
 // Without a bound, a host that has just started admits up to the whole limit until it
 // receives the first digest and the first summaries, and its buckets are full.
@@ -102,9 +103,9 @@
 	maxCentres    = 1 << 8
 	maxRetryAfter = time.Minute
 
-	// startDelay is the time after the start of a host with a bound during which its pools don't
-	// fill. It does not know the other hosts before.
-	startDelay = 1500 * time.Millisecond
+	// startDelay is the time after the start of a host with a bound during which it admits
+	// nothing. It does not know the other hosts before.
+	startDelay = time.Second
 )
 
 // Ledger holds the demand and the shares as known to one host.
@@ -225,9 +226,19 @@
 	if !c.Limited() {
 		return true, 0
 	}
+	l.limitedAccount(c).localDemand.add(l.now, tokens)
+	return l.Retake(now, c, tokens)
+}
+
+// Retake is Take for a request that was refused before and waits at this host. It does not count
+// the request as demand again.
+func (l *Ledger) Retake(now ident.Time, c rules.Client, tokens ident.Tokens) (ok bool, retryAfter time.Duration) {
+	l.advance(now)
 	a := l.limitedAccount(c)
-	a.localDemand.add(l.now, tokens)
 	l.refill(a)
+	if l.IsStarting(now) {
+		return false, l.startedAt.Add(startDelay).Sub(l.now)
+	}
 	wait := max(a.requests.wait(1), a.tokens.wait(float64(tokens)))
 	if wait > 0 {
 		return false, min(wait, maxRetryAfter)
@@ -269,16 +280,22 @@
 	centre, host := l.centreShare(a), l.hostShare(a)
 	reachable := l.reachableRatio()
 	tolerance := l.tolerance(a)
-	a.requests.refill(l.now, l.emptySince(), float64(a.limits.requests*centre.requests)*reachable,
+	a.requests.refill(l.now, l.emptySince(), startCredit*tolerance.requests, float64(a.limits.requests*centre.requests)*reachable,
 		max((a.bursts.requests+tolerance.requests)*float64(centre.requests)*reachable, 1))
-	a.tokens.refill(l.now, l.emptySince(), float64(a.limits.tokens*centre.tokens)*reachable,
+	a.tokens.refill(l.now, l.emptySince(), startCredit*tolerance.tokens, float64(a.limits.tokens*centre.tokens)*reachable,
 		(a.bursts.tokens+tolerance.tokens)*float64(centre.tokens)*reachable)
-	a.requests.part, a.tokens.part = float64(host.requests), float64(host.tokens)
+	// Hosts that become active at the same time don't know each other's demand yet.
+	equal := 1 / float64(max(l.reachable.known, 1))
+	a.requests.part, a.tokens.part = min(float64(host.requests), equal), min(float64(host.tokens), equal)
 }
 
 // toleranceUsed is the part of the tolerated excess that is added to the burst. The rest covers
 // what hosts admit before they have received each other's announcements.
-const toleranceUsed = 0.4
+const toleranceUsed = 0.35
+
+// startCredit is the part of the tolerance that the pools of a data centre hold when a host
+// starts.
+const startCredit = 0.5
 
 // tolerance returns what is added to the bursts of an account.
 func (l *Ledger) tolerance(a *account) bursts {
@@ -299,7 +316,13 @@
 	if l.bounds.Window <= 0 {
 		return ident.Time(math.MinInt64 / 2)
 	}
-	return l.startedAt.Add(startDelay)
+	return l.startedAt
+}
+
+// IsStarting reports whether the host has just started and does not know yet which other hosts
+// use the limits.
+func (l *Ledger) IsStarting(now ident.Time) bool {
+	return l.bounds.Window > 0 && now.Sub(l.startedAt) < startDelay
 }
 
 // bursts is how much of each limit may be used at once.
@@ -406,7 +429,7 @@
 	l.sweep()
 	var uses []event.AccountUse
 	for _, name := range l.accountNames() {
-		if own := l.accounts[name].localDemand.rateAt(l.now); own.active() {
+		if own := l.demandOf(l.accounts[name]); own.active() {
 			uses = append(uses, own.accountUse(name))
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -66,7 +66,7 @@
 			"summary": func(t *rapid.T) {
 				dc := rapid.SampledFrom([]ident.DataCentre{"here", "x", "y"}).Draw(t, "dc")
 				uses := drawUses(t)
-				l.MergeCentreReport(now, dc, uses)
+				l.MergeCentreReport(now, now, dc, uses)
 				if dc == "here" {
 					return
 				}
@@ -117,7 +117,7 @@
 			t.Fatalf("summary of %d accounts is too large or not sorted", len(uses))
 		}
 		if !lost {
-			to.MergeCentreReport(now, "from", uses)
+			to.MergeCentreReport(now, now, "from", uses)
 		}
 	}
 	for i := range 100 {
@@ -149,10 +149,10 @@
 // ever.
 func TestStaleReportExpires(t *testing.T) {
 	l := New("me", "here")
-	l.MergeCentreReport(0, "x", []event.AccountUse{{Account: "acme", Requests: 600}})
+	l.MergeCentreReport(0, 0, "x", []event.AccountUse{{Account: "acme", Requests: 600}})
 	var got []bool
 	for range minReportsSince + 1 {
-		l.MergeCentreReport(0, "x", nil)
+		l.MergeCentreReport(0, 0, "x", nil)
 		l.Take(0, limitedClient, 0)
 		got = append(got, l.shares(l.accounts["acme"]).requests == 1)
 	}
@@ -174,7 +174,7 @@
 		for i := range uses {
 			uses[i] = event.AccountUse{Account: ident.Account(fmt.Sprint((round*perReport + i) % accounts)), Requests: 600}
 		}
-		l.MergeCentreReport(now, "x", uses)
+		l.MergeCentreReport(now, now, "x", uses)
 		l.SummaryDemand(now)
 		if got := l.centres["x"].entries; round > accounts/perReport && got != accounts {
 			t.Fatalf("round %d: %d of %d accounts have demand from the other data centre", round, got, accounts)
@@ -266,7 +266,7 @@
 	l := New("me", "here")
 	nan := ident.PerMinute(0)
 	nan /= nan
-	l.MergeCentreReport(0, "x", []event.AccountUse{{Account: "a", Requests: nan, Tokens: 100}, {Account: "b", Requests: -1}})
+	l.MergeCentreReport(0, 0, "x", []event.AccountUse{{Account: "a", Requests: nan, Tokens: 100}, {Account: "b", Requests: -1}})
 	want := []event.AccountUse{{Account: "a", Tokens: 100}}
 	var got []event.AccountUse
 	for _, name := range l.accountNames() {
@@ -277,7 +277,7 @@
 	}
 	for i := range maxAccounts + 100 {
 		l.SetPeerDemand(0, "p", []event.AccountUse{{Account: ident.Account(fmt.Sprint(i)), Requests: 1}})
-		l.MergeCentreReport(0, ident.DataCentre(fmt.Sprint(i)), []event.AccountUse{{Account: ident.Account(fmt.Sprint(i)), Requests: 1}})
+		l.MergeCentreReport(0, 0, ident.DataCentre(fmt.Sprint(i)), []event.AccountUse{{Account: ident.Account(fmt.Sprint(i)), Requests: 1}})
 	}
 	if len(l.accounts) > maxAccounts || len(l.centres) > maxCentres {
 		t.Errorf("ledger exceeds its bounds: %d accounts, %d data centres", len(l.accounts), len(l.centres))
@@ -308,7 +308,7 @@
 				if i >= active {
 					reported = nil
 				}
-				l.MergeCentreReport(0, ident.DataCentre(fmt.Sprint("dc", i)), reported)
+				l.MergeCentreReport(0, 0, ident.DataCentre(fmt.Sprint("dc", i)), reported)
 			}
 			runtime.GC()
 			runtime.ReadMemStats(&after)
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -28,7 +28,7 @@
 	// minChange is the relative change up to which a demand counts as unchanged.
 	minChange = 0.1
 	// reportDelay is the time after the start of a host until it reports for its data centre.
-	reportDelay = 3 * time.Second
+	reportDelay = 2 * time.Second
 )
 
 // SetPeerDemand stores the demand reported by a host of the local data centre, replacing
@@ -63,9 +63,9 @@
 	delete(l.peers, entry)
 }
 
-// RecordCentreSeen records that a message from another data centre has arrived, with or
+// RecordCentreSeen records that another data centre has sent a message at the given time, with or
 // without its demand.
-func (l *Ledger) RecordCentreSeen(now ident.Time, dc ident.DataCentre) {
+func (l *Ledger) RecordCentreSeen(now, sentAt ident.Time, dc ident.DataCentre) {
 	l.advance(now)
 	c, ok := l.centres[dc]
 	if dc == l.dc || (!ok && len(l.centres) >= maxCentres) {
@@ -75,14 +75,14 @@
 		c = &centre{}
 		l.centres[dc] = c
 	}
-	c.lastSeen = l.now
+	c.lastSeen = max(c.lastSeen, min(sentAt, l.now))
 	l.updateUnreachable()
 }
 
-// MergeCentreReport stores the demand of another data centre. Accounts missing from the
-// report keep their previous values.
-func (l *Ledger) MergeCentreReport(now ident.Time, dc ident.DataCentre, uses []event.AccountUse) {
-	l.RecordCentreSeen(now, dc)
+// MergeCentreReport stores the demand that another data centre sent at the given time.
+// Accounts missing from the report keep their previous values.
+func (l *Ledger) MergeCentreReport(now, sentAt ident.Time, dc ident.DataCentre, uses []event.AccountUse) {
+	l.RecordCentreSeen(now, sentAt, dc)
 	c, ok := l.centres[dc]
 	if !ok {
 		return
@@ -104,7 +104,14 @@
 	}
 	a := l.ensureAccount(u.Account)
 	a.lastActive = l.now
-	a.centres = upsert(a.centres, remoteDemand[ident.DataCentre]{id: dc, rate: r, reportNumber: c.reportCount})
+	p := remoteDemand[ident.DataCentre]{id: dc, rate: r, reportNumber: c.reportCount}
+	if i, ok := find(a.centres, dc); ok {
+		p.log = a.centres[i].log
+	}
+	if l.bounds.Window > 0 {
+		p.log.add(c.lastSeen, r)
+	}
+	a.centres = upsert(a.centres, p)
 }
 
 // isCurrent reports whether an entry from a data centre's report still counts.
@@ -173,7 +180,7 @@
 
 func (l *Ledger) summaryCandidate(a *account) summaryCandidate {
 	a.centres = slices.DeleteFunc(a.centres, func(p remoteDemand[ident.DataCentre]) bool { return !l.isCurrent(&p) })
-	rate := a.localDemand.rateAt(l.now)
+	rate := l.demandOf(a)
 	for _, p := range a.peers {
 		rate = rate.plus(p.rate)
 	}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -85,7 +86,7 @@
 
 const (
 	demandLogInterval = 250 * time.Millisecond
-	demandLogSize     = 24
+	demandLogSize     = 32
 )
 
 func (g *demandLog) add(now ident.Time, r rates) {
@@ -98,11 +99,11 @@
 	*g = append(*g, demand{rate: r, updatedAt: now})
 }
 
-// at returns the demand at a time, that of the oldest entry if the time is before it.
+// at returns the demand at a time, none if the time is before the oldest entry.
 func (g demandLog) at(t ident.Time) rates {
 	r := rates{}
 	for i := range g {
-		if i > 0 && g[i].updatedAt > t {
+		if g[i].updatedAt > t {
 			break
 		}
 		r = g[i].rate
@@ -116,6 +117,8 @@
 	rate rates
 	// reportNumber is the number of the report that contained the demand.
 	reportNumber uint64
+	// log holds the recent values, if there is a bound.
+	log demandLog
 }
 
 func find[T cmp.Ordered](ps []remoteDemand[T], id T) (int, bool) {
@@ -158,17 +161,31 @@
 // hostShare returns this host's share of the demand in the local data centre.
 func (l *Ledger) hostShare(a *account) rates {
 	hosts := demandSum{limits: a.limits}
-	hosts.addLocal(a.localDemand.rateAt(l.now), floorShare)
+	hosts.addLocal(l.demandOf(a), floorShare)
 	for i := range a.peers {
 		hosts.addRemote(a.peers[i].rate, floorShare)
 	}
 	return hosts.share()
 }
 
+// minDemandAge bounds the correction of the demand shortly after the start.
+const minDemandAge = time.Second
+
+// demandOf returns the demand of an account at this host. With a bound, the smoothed rate is
+// corrected for the time before the start of the host, of which it knows nothing.
+func (l *Ledger) demandOf(a *account) rates {
+	r := a.localDemand.rateAt(l.now)
+	if l.bounds.Window <= 0 {
+		return r
+	}
+	age := max(l.now.Sub(l.startedAt), minDemandAge).Seconds()
+	return r.times(ident.PerMinute(1 / (1 - math.Pow(decayPerSecond, age))))
+}
+
 // centreShare returns the local data centre's share of each limit: its share of the demand of
 // all that can be reached, in what the others leave.
 func (l *Ledger) centreShare(a *account) rates {
-	sum := a.localDemand.rateAt(l.now)
+	sum := l.demandOf(a)
 	for i := range a.peers {
 		sum = sum.plus(a.peers[i].rate)
 	}
@@ -216,19 +233,44 @@
 		equal := 1 / ident.PerMinute(1+len(l.centres))
 		return rates{requests: equal, tokens: equal}
 	}
-	all := demandSum{limits: a.limits, total: reachable.total}
-	for _, other := range l.unreachable {
+	all := l.demandAt(a, dc, reachable)
+	left, share := reservedTotal(a).times(-1).plus(rates{requests: 1, tokens: 1}), all.share()
+	return rates{requests: share.requests * left.requests, tokens: share.tokens * left.tokens}
+}
+
+// demandAt returns the demand of all data centres without a reservation, with dc as the local one.
+// With a bound it is that of the time at which dc was last heard: it does not know what the others
+// have reported since.
+func (l *Ledger) demandAt(a *account, dc ident.DataCentre, reachable demandSum) demandSum {
+	if l.bounds.Window <= 0 {
+		all := demandSum{limits: a.limits, total: reachable.total}
+		l.addUnreserved(a, dc, &all, l.unreachable, l.lastKnown)
+		return all
+	}
+	at := l.centres[dc].lastSeen
+	all := demandSum{limits: a.limits}
+	all.addRemote(a.centreDemand.at(at), l.floorFor(a, l.dc))
+	l.addUnreserved(a, dc, &all, slices.Sorted(maps.Keys(l.centres)), func(a *account, dc ident.DataCentre) rates {
+		if i, ok := find(a.centres, dc); ok {
+			return a.centres[i].log.at(at)
+		}
+		return rates{}
+	})
+	return all
+}
+
+// addUnreserved adds the demand of the given data centres that have no reservation.
+func (l *Ledger) addUnreserved(a *account, dc ident.DataCentre, all *demandSum, centres []ident.DataCentre, demand func(*account, ident.DataCentre) rates) {
+	for _, other := range centres {
 		if _, ok := find(a.reservations, other); ok || l.centres[other].unheard {
 			continue
 		}
 		if other == dc {
-			all.addLocal(l.lastKnown(a, other), l.floorFor(a, other))
+			all.addLocal(demand(a, other), l.floorFor(a, other))
 		} else {
-			all.addRemote(l.lastKnown(a, other), l.floorFor(a, other))
+			all.addRemote(demand(a, other), l.floorFor(a, other))
 		}
 	}
-	left, share := reservedTotal(a).times(-1).plus(rates{requests: 1, tokens: 1}), all.share()
-	return rates{requests: share.requests * left.requests, tokens: share.tokens * left.tokens}
 }
 
 // lastKnown returns the last reported demand of an account at a data centre.
@@ -254,8 +296,8 @@
 }
 
 // exchangedDemand returns the demand in the local data centre that counts for its share. With a
-// bound it is the demand at the time of the last summary from the data centre that has been silent
-// for longest, which is about what the others know: if the share followed later demand, the shares
+// bound it is the demand at the time of the last summary from the reachable data centre that has
+// been silent for longest, which is about what the others know: if the share followed later demand, the shares
 // of a partitioned deployment would add up to more than one.
 func (l *Ledger) exchangedDemand(a *account, now rates) rates {
 	if l.bounds.Window <= 0 {
@@ -263,8 +305,8 @@
 	}
 	a.centreDemand.add(l.now, now)
 	at := l.now
-	for _, c := range l.centres {
-		if !c.unheard {
+	for dc, c := range l.centres {
+		if !l.isUnreachable(dc) {
 			at = min(at, c.lastSeen)
 		}
 	}
