quota: a host that starts uses its equal part at once; tolerances by the kind of excess

Change: before startDelay a request that fits this host's equal part of the bucket is admitted, if the list of hosts is known. Of the tolerated excess, 0.35 of the overshoot and 0.6 of the slack are added to the burst (0.35 of both before), since the slack is most of a small account's excess; the start has 0.35 of that as its credit.

--- a/internal/quota/announce.go
+++ b/internal/quota/announce.go
@@ -89,10 +89,10 @@
 const minorityTTL = time.Minute
 
 // reachableRatio returns the part of the hosts of the local data centre that can be reached, 1
-// without a bound.
+// without a bound, and shortly after the start of this host, when fitsOwnPart limits it.
 func (l *Ledger) reachableRatio() float64 {
 	r := l.reachable
-	if l.bounds.Window <= 0 || r.reachable >= r.known {
+	if l.bounds.Window <= 0 || r.reachable >= r.known || l.IsStarting(l.now) {
 		return 1
 	}
 	return float64(r.reachable) / float64(r.known)
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -32,7 +32,9 @@
 	now    ident.Time
 	rnd    *rand.Rand
 	client rules.Client
-	hosts  [loadRegions][]*Ledger
+	// perRegion is the number of hosts of each region.
+	perRegion int
+	hosts     [loadRegions][]*Ledger
 	// demand is the tokens per second that callers of each region request.
 	demand [loadRegions]float64
 	// cut holds the regions that can't reach the others.
@@ -54,7 +56,7 @@
 }
 
 func newLoadFleet(perRegion int, perSecond float64) *loadFleet {
-	f := &loadFleet{rnd: rand.New(rand.NewPCG(1, 2)), ideal: perSecond}
+	f := &loadFleet{rnd: rand.New(rand.NewPCG(1, 2)), ideal: perSecond, perRegion: perRegion}
 	f.client = rules.Client{
 		Name: "acme", TokensPerMinute: ident.PerMinute(perSecond * time.Minute.Seconds()), TokenBurst: value.Some(ident.Tokens(perSecond)),
 	}
@@ -73,7 +75,7 @@
 		b.Centres = append(b.Centres, centreName(r))
 	}
 	l.SetBounds(b)
-	l.SetHosts(f.now, 1, 1)
+	l.SetHosts(f.now, 1, f.perRegion)
 	return l
 }
 
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -52,6 +52,12 @@
 	return max(time.Duration(math.Ceil(seconds*1e9)), 1)
 }
 
+// fitsPart reports whether n units fit the given part of the pool, with what this host has taken
+// and not announced yet.
+func (p *pool) fitsPart(n, part float64) bool {
+	return p.rate == 0 || p.unannounced+n <= part*(p.level+p.unannounced)
+}
+
 func (p *pool) take(n float64) {
 	p.level = min(p.level-n, p.capacity)
 	p.unannounced += n
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -53,7 +53,7 @@
 //   - in a partition within a data centre: each part uses the limit in proportion to the hosts
 //     that it reaches, and the hosts lost by a minority are counted for minorityTTL. A part
 //     refuses early if its callers need more than that;
-//   - after restarts: a host admits nothing before startDelay, its buckets begin with startCredit
+//   - after restarts: a host admits only its equal part before startDelay, its buckets begin with startCredit
 //     of what is added to the burst, and it reports no demand for its data centre before
 //     reportDelay.
 //
@@ -104,7 +104,7 @@
 	maxRetryAfter = time.Minute
 
 	// startDelay is the time after the start of a host with a bound during which it admits
-	// nothing. It does not know the other hosts before.
+	// no more than its equal part. It does not know what the other hosts take before.
 	startDelay = time.Second
 )
 
@@ -236,7 +236,7 @@
 	l.advance(now)
 	a := l.limitedAccount(c)
 	l.refill(a)
-	if l.IsStarting(now) {
+	if l.IsStarting(now) && !l.fitsOwnPart(a, tokens) {
 		return false, l.startedAt.Add(startDelay).Sub(l.now)
 	}
 	wait := max(a.requests.wait(1), a.tokens.wait(float64(tokens)))
@@ -247,6 +247,16 @@
 	return true, 0
 }
 
+// fitsOwnPart reports whether a request fits this host's equal part of the pools of an account,
+// which it may use without knowing what the others take.
+func (l *Ledger) fitsOwnPart(a *account, tokens ident.Tokens) bool {
+	if l.reachable.known < 2 {
+		return false
+	}
+	part := 1 / float64(l.reachable.known)
+	return a.requests.fitsPart(1, part) && a.tokens.fitsPart(float64(tokens), part)
+}
+
 // limitedAccount returns the state of an account with its limits in force.
 func (l *Ledger) limitedAccount(c rules.Client) *account {
 	a := l.ensureAccount(c.Name)
@@ -289,13 +299,16 @@
 	a.requests.part, a.tokens.part = min(float64(host.requests), equal), min(float64(host.tokens), equal)
 }
 
-// toleranceUsed is the part of the tolerated excess that is added to the burst. The rest covers
-// what hosts admit before they have received each other's announcements.
-const toleranceUsed = 0.35
+// overshootUsed and slackUsed are the parts of the tolerated excess that are added to the burst.
+// The rest covers what hosts admit before they have received each other's announcements.
+const (
+	overshootUsed = 0.35
+	slackUsed     = 0.6
+)
 
 // startCredit is the part of the tolerance that the pools of a data centre hold when a host
 // starts.
-const startCredit = 0.5
+const startCredit = 0.35
 
 // tolerance returns what is added to the bursts of an account.
 func (l *Ledger) tolerance(a *account) bursts {
@@ -304,7 +317,7 @@
 			return 0
 		}
 		inWindow := float64(limit)*l.bounds.Window.Minutes() + burst
-		return toleranceUsed * (l.bounds.Overshoot*inWindow + l.bounds.Slack)
+		return overshootUsed*l.bounds.Overshoot*inWindow + slackUsed*l.bounds.Slack
 	}
 	return bursts{requests: excess(a.limits.requests, a.bursts.requests), tokens: excess(a.limits.tokens, a.bursts.tokens)}
 }
