--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,6 +68,9 @@
 	// KeyTTLMs is how long API keys are accepted after the platform has last
 	// confirmed the configuration; 0 means no limit.
 	KeyTTLMs Bound `json:"keyTTLMs"`
+	// MemoryMB is the memory of the machine that the process may use; 0 means
+	// that it is unknown.
+	MemoryMB Bound `json:"memoryMB"`
 	// MinLeaseMs is the shortest lease that the platform grants.
 	MinLeaseMs Bound `json:"leaseLeastMs"`
 }
--- a/internal/config/fields.go
+++ b/internal/config/fields.go
@@ -133,6 +133,7 @@
 	bound("fleet.limitOvershoot", "the tolerated excess over an account's limit in that time, as a factor of the limit", boundRange{0, 10}),
 	bound("fleet.limitSlack", "the tolerated excess over an account's limit in that time, in tokens, or in requests for a limit of requests", boundRange{0, 1e12}),
 	bound("fleet.keyTTLMs", "how long API keys are accepted after the platform or a peer has last confirmed the configuration, in milliseconds; 0 means no limit", boundRange{0, 3_600_000}),
+	bound("fleet.memoryMB", "the memory that the process may use before it is killed, in megabytes; 0 means that it is unknown", boundRange{0, 1e7}),
 	bound("fleet.leaseLeastMs", "the shortest lease that the platform grants, in milliseconds", boundRange{0, 600_000}),
 	optional("logs.level", "the log verbosity: 0 for events, 1 for each request too", inRange(0, 9)),
 }
