--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -134,17 +134,12 @@
 		ID: "VB1031", Title: "the entry host stopped before the answer was whole", Status: http.StatusBadGateway, Since: secondVersion, Severity: Warning,
 		Text: "The host was asked to stop, and its time to drain was over while the request was at a target. The request may have run. A stream that had begun was cut.",
 	}
+	StaleKeys = Code{
+		ID: "VB1032", Title: "the entry host can't confirm that the key is still valid", Status: http.StatusServiceUnavailable, Since: secondVersion, Severity: Warning, RetryLater: true,
+		Text: "Neither the platform nor a peer has confirmed the configuration of the entry host for longer than fleet.keyTTLMs, so that the key may have been removed. The request was not run. Use another entry host.",
+	}
 )
 
-// thirdVersion is the version that introduced accounts with several keys.
-const thirdVersion = "0.3.0"
-
-// StaleKeys is the refusal of a host that can't confirm its configuration.
-var StaleKeys = Code{
-	ID: "VB1032", Title: "the entry host can't confirm that the key is still valid", Status: http.StatusServiceUnavailable, Since: thirdVersion, Severity: Warning, RetryLater: true,
-	Text: "Neither the platform nor a peer has confirmed the configuration of the entry host for longer than fleet.keyTTLMs, so that the key may have been removed. The request was not run. Use another entry host.",
-}
-
 // Refusals lists the refusals.
 var Refusals = []Code{
 	UnknownKey, BadRequest, TooLarge, UnknownProfile, OutsideResidency, TooManyHops,
