quota: shares of regions follow demand within the window that is counted

Hypothesis: an account at its limit is refused far below it while its callers' hours move from region to region, since the demand by which regions share a limit halves in 7 s only.

Change: with a bound, demand decays by 0.3 a second in place of 0.1. The faster decay showed a fault: the demand of an idle region was taken as it was when it last used the account, so that its share stayed (1.07 of the bound after a move); it decays in the log too now.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -226,7 +226,7 @@
 	if !c.Limited() {
 		return true, 0
 	}
-	l.limitedAccount(c).localDemand.add(l.now, tokens)
+	l.limitedAccount(c).localDemand.add(l.now, l.decay(), tokens)
 	return l.Retake(now, c, tokens)
 }
 
@@ -400,7 +400,7 @@
 	}
 	l.updateUnreachable()
 	for name, a := range l.accounts {
-		if a.idle(l.now) {
+		if a.idle(l.now, l.decay()) {
 			delete(l.accounts, name)
 		}
 	}
@@ -427,8 +427,8 @@
 	}
 }
 
-func (a *account) idle(now ident.Time) bool {
-	return !a.localDemand.rateAt(now).active() && len(a.peers) == 0 && len(a.centres) == 0 &&
+func (a *account) idle(now ident.Time, decay float64) bool {
+	return !a.localDemand.rateAt(now, decay).active() && len(a.peers) == 0 && len(a.centres) == 0 &&
 		a.requests.full(now) && a.tokens.full(now) && a.pendingZeros == 0 && !a.lastSent.active()
 }
 
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -11,8 +11,20 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// decayPerSecond is the factor by which a demand decays each second.
-const decayPerSecond = 0.9
+// decayPerSecond is the factor by which a demand decays each second, boundDecayPerSecond the same if
+// there is a bound: the shares have to follow within the window that is counted.
+const (
+	decayPerSecond      = 0.9
+	boundDecayPerSecond = 0.7
+)
+
+// decay returns the factor by which demands decay each second.
+func (l *Ledger) decay() float64 {
+	if l.bounds.Window > 0 {
+		return boundDecayPerSecond
+	}
+	return decayPerSecond
+}
 
 // Minimum rates at which an account counts as active.
 const (
@@ -66,18 +78,17 @@
 	updatedAt ident.Time
 }
 
-func (d *demand) add(now ident.Time, tokens ident.Tokens) {
-	// perMinute is -ln(decayPerSecond)*60, which makes a steady demand converge to its
-	// true rate.
-	const perMinute = 6.321630939
-	d.rate = d.rateAt(now)
+func (d *demand) add(now ident.Time, decay float64, tokens ident.Tokens) {
+	// perMinute makes a steady demand converge to its true rate.
+	perMinute := ident.PerMinute(-math.Log(decay) * time.Minute.Seconds())
+	d.rate = d.rateAt(now, decay)
 	d.updatedAt = now
 	d.rate.requests += perMinute
 	d.rate.tokens += perMinute * ident.PerMinute(max(tokens, 0))
 }
 
-func (d *demand) rateAt(now ident.Time) rates {
-	f := ident.PerMinute(math.Pow(decayPerSecond, now.Sub(d.updatedAt).Seconds()))
+func (d *demand) rateAt(now ident.Time, decay float64) rates {
+	f := ident.PerMinute(math.Pow(decay, now.Sub(d.updatedAt).Seconds()))
 	return d.rate.times(f)
 }
 
@@ -99,14 +110,15 @@
 	*g = append(*g, demand{rate: r, updatedAt: now})
 }
 
-// at returns the demand at a time, none if the time is before the oldest entry.
-func (g demandLog) at(t ident.Time) rates {
+// at returns the demand at a time, none if the time is before the oldest entry. It has decayed since
+// the entry before that time.
+func (g demandLog) at(t ident.Time, decay float64) rates {
 	r := rates{}
 	for i := range g {
 		if g[i].updatedAt > t {
 			break
 		}
-		r = g[i].rate
+		r = g[i].rateAt(t, decay)
 	}
 	return r
 }
@@ -174,12 +186,12 @@
 // demandOf returns the demand of an account at this host. With a bound, the smoothed rate is
 // corrected for the time before the start of the host, of which it knows nothing.
 func (l *Ledger) demandOf(a *account) rates {
-	r := a.localDemand.rateAt(l.now)
+	r := a.localDemand.rateAt(l.now, l.decay())
 	if l.bounds.Window <= 0 {
 		return r
 	}
 	age := max(l.now.Sub(l.startedAt), minDemandAge).Seconds()
-	return r.times(ident.PerMinute(1 / (1 - math.Pow(decayPerSecond, age))))
+	return r.times(ident.PerMinute(1 / (1 - math.Pow(l.decay(), age))))
 }
 
 // centreShare returns the local data centre's share of each limit: its share of the demand of
@@ -249,10 +261,11 @@
 	}
 	at := l.centres[dc].lastSeen
 	all := demandSum{limits: a.limits}
-	all.addRemote(a.centreDemand.at(at), l.floorFor(a, l.dc))
+	all.addRemote(a.centreDemand.at(at, l.decay()), l.floorFor(a, l.dc))
 	l.addUnreserved(a, dc, &all, slices.Sorted(maps.Keys(l.centres)), func(a *account, dc ident.DataCentre) rates {
 		if i, ok := find(a.centres, dc); ok {
-			return a.centres[i].log.at(at)
+			// A report is valid until the next one.
+			return a.centres[i].log.at(at, 1)
 		}
 		return rates{}
 	})
@@ -310,7 +323,7 @@
 			at = min(at, c.lastSeen)
 		}
 	}
-	return a.centreDemand.at(at)
+	return a.centreDemand.at(at, l.decay())
 }
 
 func (l *Ledger) isUnreachable(dc ident.DataCentre) bool {
