member: eight hosts send a full digest to a new peer, not all

Cause of the memory at 300 hosts: each host of a region sent each new peer, and each peer that had been silent for 3.5 s, all targets, loads and summaries that it knows. With 100 hosts and 500 targets in a region a host that starts gets some 100 of them at once; a slow one works for seconds on them, is silent for so long that it counts as new, and gets them again.

Ruled out: links (4 to 5 MB of stacks), idle connections to targets (500 to 600 goroutines in all), logs.

Change: the eight live hosts that rank first for the new peer send it. In regions of up to nine hosts nothing changes. A new peer also reads the platform itself.

--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -185,6 +186,19 @@
 	return to
 }
 
+// sendsFullDigest reports whether this host is among the maxFullDigests live hosts that rank first
+// for a new peer.
+func (tb *Table) sendsFullDigest(now ident.Time, to *peer) bool {
+	score := func(id ident.EntryID) uint64 { return rank.Hash("full", string(to.host.ID), string(id)) }
+	self, before := score(tb.self.ID), 0
+	for _, p := range tb.peers {
+		if p != to && p.live(now) && score(p.host.ID) > self {
+			before++
+		}
+	}
+	return before < maxFullDigests
+}
+
 func (tb *Table) relayedLoads(now ident.Time) []event.Load {
 	loads := make([]event.Load, 0, len(tb.loadsToRelay))
 	for _, ld := range tb.loadsToRelay {
@@ -228,13 +242,21 @@
 	return ts
 }
 
+// maxFullDigests is the number of hosts that send a full digest to one new peer. In a large data
+// centre with many targets, those of all hosts would keep a slow peer busy for seconds, and its
+// heartbeats would be so late that it counted as new again.
+const maxFullDigests = 8
+
 // fullDigest returns a digest of everything that this host knows for new peers, so that a host
 // that restarts while the platform is unreachable can serve requests.
 func (tb *Table) fullDigest(now ident.Time) []event.Effect {
 	var to []event.Host
 	for _, p := range tb.peers {
-		if p.needsFullDigest && p.live(now) {
-			p.needsFullDigest = false
+		if !p.needsFullDigest || !p.live(now) {
+			continue
+		}
+		p.needsFullDigest = false
+		if tb.sendsFullDigest(now, p) {
 			to = append(to, p.host)
 		}
 	}
