--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -17,8 +17,8 @@
 	rate       float64
 	capacity   float64
 	refilledAt ident.Time
-	// part is this host's share of the pool by demand, at most an equal one, and unannounced what it has taken since
-	// its last announcement.
+	// part is this host's share of the pool by demand, at most an equal one. unannounced is what it
+	// has taken since its last announcement.
 	part        float64
 	unannounced float64
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -209,6 +209,7 @@
 			l.centres[dc] = &centre{unheard: true}
 		}
 	}
+	l.updateUnreachable()
 }
 
 // SetRegion sets the region of a data centre, including the local one. A data centre
