--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,6 +33,9 @@
 // the limit is available first where the data is. When all hosts know the same demand, the
 // shares add up to one.
 //
+// With a bound, inactive data centres count too, and what the demand leaves of the limit is
+// divided equally among all, so that the share does not swing with single requests.
+//
 // # The bucket of a data centre
 //
 // Each host has a copy of the bucket. It takes from its copy, and subtracts what the other
@@ -61,9 +64,9 @@
 // receives the first digest and the first summaries, and its buckets are full.
 //
 // Fewer requests than the limit are admitted while demand that no longer exists is
-// still counted: for one exchange plus the decay of the demand (half in 7 s). A caller that
-// moves with all its demand to another data centre gets about half of its limit there at
-// first. A data centre that has been silent for centreTTL counts as gone: its callers are
+// still counted: for one exchange plus the decay of the demand (half in 7 s, with a bound in
+// 2 s). A caller that moves with all its demand to another data centre gets about half of its
+// limit there at first. A data centre that has been silent for centreTTL counts as gone: its callers are
 // assumed to have moved.
 //
 // # Bounds
