--- a/internal/quota/announce.go
+++ b/internal/quota/announce.go
@@ -23,7 +23,7 @@
 	due ident.Time
 }
 
-// scheduleAnnouncement schedules the announcement of what this host has taken for an account.
+// scheduleAnnouncement schedules the announcement of what this host has admitted of an account.
 func (l *Ledger) scheduleAnnouncement(a *account) {
 	interval := announceInterval
 	if a.requests.urgent() || a.tokens.urgent() {
--- a/internal/quota/centre.go
+++ b/internal/quota/centre.go
@@ -58,7 +58,7 @@
 // reservation returns the share of a data centre that has become unreachable, by its last known
 // demand, in what the others leave. One that has never reported gets an equal share.
 func (l *Ledger) reservation(a *account, dc ident.DataCentre, reachable demandSum) rates {
-	if l.centres[dc].unheard {
+	if l.centres[dc].silent {
 		equal := 1 / ident.PerMinute(1+len(l.centres))
 		return rates{requests: equal, tokens: equal}
 	}
@@ -68,7 +68,7 @@
 }
 
 // demandAt returns the demand of all data centres without a reservation, with dc as the local one.
-// With a bound it is that of the time at which dc was last heard: it does not know what the others
+// With a bound it is that of the time of the last summary from dc: it does not know what the others
 // have reported since.
 func (l *Ledger) demandAt(a *account, dc ident.DataCentre, reachable demandSum) demandSum {
 	if l.bounds.Window <= 0 {
@@ -93,7 +93,7 @@
 // addUnreserved adds the demand of the given data centres that have no reservation.
 func (l *Ledger) addUnreserved(a *account, dc ident.DataCentre, all *demandSum, centres []ident.DataCentre, demand func(*account, ident.DataCentre) rates) {
 	for _, other := range centres {
-		if _, ok := find(a.reservations, other); ok || l.centres[other].unheard {
+		if _, ok := find(a.reservations, other); ok || l.centres[other].silent {
 			continue
 		}
 		if other == dc {
@@ -164,7 +164,7 @@
 	l.reachabilityCheckedAt = l.now
 	var now []ident.DataCentre
 	for dc, c := range l.centres {
-		if c.unheard || l.now.Sub(c.lastSeen) >= cmp.Or(l.bounds.Timeout, unreachableTimeout) {
+		if c.silent || l.now.Sub(c.lastSeen) >= cmp.Or(l.bounds.Timeout, unreachableTimeout) {
 			now = append(now, dc)
 		}
 	}
--- a/internal/quota/load_test.go
+++ b/internal/quota/load_test.go
@@ -143,7 +143,7 @@
 			continue
 		}
 		for dc, c := range to.centres {
-			if !c.unheard || from.centres[dc].unheard {
+			if !c.silent || from.centres[dc].silent {
 				continue
 			}
 			var uses []event.AccountUse
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -168,8 +168,8 @@
 // centre is another data centre that has reported.
 type centre struct {
 	lastSeen ident.Time
-	// unheard is set for a data centre of the deployment that has not reported yet.
-	unheard bool
+	// silent is set for a data centre of the deployment that has not reported since the start.
+	silent bool
 	// reportCount numbers the reports, so that the age of an entry can be computed.
 	reportCount uint64
 	// entries is the number of accounts with demand from this data centre at the last sweep.
@@ -209,7 +209,7 @@
 	l.bounds = b
 	for _, dc := range b.Centres {
 		if dc != l.dc {
-			l.centres[dc] = &centre{unheard: true}
+			l.centres[dc] = &centre{silent: true}
 		}
 	}
 	l.updateUnreachable()
@@ -397,7 +397,7 @@
 // that are gone.
 func (l *Ledger) sweep() {
 	for dc, c := range l.centres {
-		if !c.unheard && l.now.Sub(c.lastSeen) >= centreTTL {
+		if !c.silent && l.now.Sub(c.lastSeen) >= centreTTL {
 			delete(l.centres, dc)
 			l.removeCentre(dc)
 		}
--- a/internal/quota/report.go
+++ b/internal/quota/report.go
@@ -87,7 +87,7 @@
 	if !ok {
 		return
 	}
-	c.unheard = false
+	c.silent = false
 	c.reportCount++
 	for _, u := range uses[:min(len(uses), maxAccounts)] {
 		l.applyCentreUse(dc, c, u)
