--- a/internal/core/account_test.go
+++ b/internal/core/account_test.go
@@ -58,7 +58,7 @@
 	checkRefusal(t, "known account", "", h.ask("acme", "publish", 0))
 }
 
-// Guards against keys that are accepted longer than allowed by a host that nobody tells of changes,
+// Guards against keys that are accepted longer than allowed by a host that receives no changes,
 // and against a host that refuses all keys although a peer confirms its configuration.
 func TestKeysExpireWithoutConfirmation(t *testing.T) {
 	const ttl = 5 * time.Second
