trail, platform: builds of targets and identities of streams in the logs

The lines of hosts could not tell whether the rest of a stream went to a target of another build, nor whether its caller or a host went on with it: the list's Version was decoded and dropped, Resumes was passed on unread. Both are read now and logged, and travel with lists and forwarded requests; nothing is decided by them. A stream is named by a hash of the account and the id of its first request, so that another account learns nothing by naming an id. TestLines has the new fields. Stand-in workers can have a build.

--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -13,6 +13,7 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -59,11 +60,16 @@
 // data.
 const PauseDuration = 2500 * time.Millisecond
 
+// DefaultBuild is the version of the software of workers that name none.
+const DefaultBuild = "v1"
+
 // Config describes a worker.
 type Config struct {
 	ID         string
 	Service    string
 	DataCentre string
+	// Build is the version of the worker's software; empty means DefaultBuild.
+	Build string
 	// Slots is reported and not enforced.
 	Slots int
 	// Events is the number of events of a stream, or zero for a plain service;
@@ -112,7 +118,7 @@
 	defer k.mu.Unlock()
 	k.seq++
 	entry := map[string]any{
-		"Service": k.cfg.Service, "Address": addr, "Zone": k.cfg.DataCentre, "Version": "v1", "Slots": k.cfg.Slots,
+		"Service": k.cfg.Service, "Address": addr, "Zone": k.cfg.DataCentre, "Version": cmp.Or(k.cfg.Build, DefaultBuild), "Slots": k.cfg.Slots,
 		"State": state, "ColdLeftMs": coldStart.Milliseconds(), "Seq": k.seq,
 	}
 	if k.cfg.StartTimeMs > 0 {
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -58,6 +58,10 @@
 	Revision ident.Revision `json:"revision"`
 	// Content identifies what the request asks for.
 	Content ident.Content `json:"content,omitempty"`
+	// Origin identifies the stream that the request belongs to, zero for calls. TakenUp
+	// means that its caller has a part of it from an earlier request.
+	Origin  ident.Stream `json:"origin,omitempty"`
+	TakenUp bool         `json:"takenUp,omitempty"`
 	// Account is the account of the request, empty if it has none.
 	Account ident.Account `json:"account,omitempty"`
 	// Attempts counts the attempts of the request, including this one.
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -73,6 +73,8 @@
 	// Loaded lists the models that the target serves, if the platform's list rather than
 	// a load report states them.
 	Loaded []rules.Serve `json:"loaded,omitempty"`
+	// Build is the version of the software that the target runs.
+	Build ident.Build `json:"build,omitempty"`
 }
 
 // Load is the report of a target about its own load. It lags by Age, as far as the
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -66,6 +66,10 @@
 	// EndedRuns are the targets that have ended while they ran a forwarded request or a repeat of
 	// it, as far as the host knows that forwarded it.
 	EndedRuns []TargetRun `json:"endedRuns,omitempty"`
+	// Origin identifies the stream that the request begins or takes up again. TakenUp means
+	// that the caller has a part of it from an earlier request.
+	Origin  ident.Stream `json:"origin,omitempty"`
+	TakenUp bool         `json:"takenUp,omitempty"`
 	// Deadline is when the caller stops waiting; zero selects the deadline of the
 	// profile.
 	Deadline ident.Time `json:"deadline"`
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -121,8 +121,8 @@
 		ID: newRequestID(), Account: ident.Account(o.GetAccount()), Profile: ident.Profile(o.GetProfile()),
 		Prompt: ident.Tokens(max(o.GetPrompt(), 0)), MaxTokens: ident.Tokens(max(o.GetMaxTokens(), 0)),
 		Deadline: k.m.cfg.Clock.Now().Add(o.TimeLeft()), Stream: o.GetStream(), Service: o.GetService(), Content: ident.Content(o.GetContent()),
-		EndedRuns: o.RunsToEvent(),
-		Envelope:  value.Some(o.GetEnvelope().ToEvent(k.session.host)),
+		EndedRuns: o.RunsToEvent(), Origin: ident.Stream(o.GetOrigin()), TakenUp: o.GetTakenUp(),
+		Envelope: value.Some(o.GetEnvelope().ToEvent(k.session.host)),
 	}
 }
 
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -101,7 +101,9 @@
 			"leftMs", millis(e.Basis.RemainingTime), "predictedMs", millis(e.Basis.PredictedWait), "busy", e.Basis.InFlight, "loadAgeMs", millis(e.Basis.LoadAge),
 			"expectEvents", int(e.Basis.ExpectedEvents), "paceMs", millis(e.Basis.EventGap), "resume", e.ResumeAfter,
 			"unread", e.Basis.UncachedPrompt, "level", e.Priority, "copyFrom", e.CopyFrom.Target, "content", e.Basis.Content,
+			"build", e.Target.Build,
 		}
+		kv = append(kv, streamFields(e.Basis)...)
 		tr.logSend(kv, e.Basis)
 	case event.Forward:
 		tr.track(e.Envelope.Attempt, attempt{request: e.Request, content: e.Basis.Content, target: ident.TargetID(e.To.ID), sentAt: now})
@@ -120,6 +122,7 @@
 			"predictedMs", millis(e.Basis.PredictedWait), "queued", e.Basis.Queued, "full", e.Basis.CapacityLimited, "paceMs", millis(e.Basis.EventGap),
 			"retryAfterMs", millis(e.RetryAfter), "content", e.Basis.Content,
 		}
+		kv = append(kv, streamFields(e.Basis)...)
 		kv = append(kv, denialFields(e.Denial)...)
 		if e.Ending.Side != "" {
 			tr.count("answers.unfinished." + sideName(e.Ending))
@@ -152,6 +155,14 @@
 	tr.logImportant("sent to a target", append(kv, "limit", limit, "limitAgeMs", millis(b.RateLimitAge))...)
 }
 
+// streamFields returns the log fields of the stream that a request belongs to, none for calls.
+func streamFields(b event.Basis) []any {
+	if b.Origin == 0 {
+		return nil
+	}
+	return []any{"stream", b.Origin, "takenUp", b.TakenUp}
+}
+
 // denialFields returns the log fields of a denial, none if nothing was denied.
 func denialFields(d event.Denial) []any {
 	if d.Reason == "" {
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -29,11 +29,16 @@
 	basis := event.Basis{Account: "acme", Profile: "draft", Revision: 7, Attempts: 1, Waited: 3 * time.Millisecond, PredictedWait: 40 * time.Millisecond, Content: 0xfeed, InFlight: 2, LoadAge: 9 * time.Millisecond, ExpectedEvents: 48, EventGap: 120 * time.Millisecond, RemoteEventGap: 30 * time.Millisecond, ForwardedShare: 0.254, RemotePrefillRoom: 64000}
 	tr.Record(at, event.Tick{}, []event.Effect{
 		event.InForceNow{Book: rules.FromStatic(7, rules.StaticConfig{})},
-		event.Dispatch{Request: "a.1", Attempt: newAttempt(1), Target: event.Target{ID: "t", Service: "writers"}, CopyFrom: event.Holder{Target: "u"}, Basis: basis},
+		event.Dispatch{Request: "a.1", Attempt: newAttempt(1), Target: event.Target{ID: "t", Service: "writers", Build: "v1.1"}, CopyFrom: event.Holder{Target: "u"}, Basis: basis},
 		event.Forward{Request: "b.2", To: event.Host{ID: "h", Place: event.Place{Region: "east"}}, Envelope: event.Envelope{Attempt: newAttempt(2)}, Service: "writers", Basis: basis},
 		event.Refuse{Request: "c.3", Code: codes.NoTarget.ID, Outcome: event.NotRun, RetryAfter: time.Second, Basis: basis},
 		event.Refuse{Request: "d.4", Code: codes.TargetFailed.ID, Outcome: event.Unknown, Basis: basis, Denial: event.Denial{Reason: event.DeniedBudget, Attempts: 1, MaxAttempts: 2, Retries: 3, MaxRetries: 3.25}, Ending: event.Ending{Side: event.SideTarget, Reason: event.ReasonClosed}},
 	})
+	takenUp := basis
+	takenUp.Origin, takenUp.TakenUp = 0xabc, true
+	tr.Record(at, event.Tick{}, []event.Effect{
+		event.Dispatch{Request: "a.8", Attempt: newAttempt(8), Target: event.Target{ID: "t", Service: "writers", Build: "v1.1"}, ResumeAfter: 4, Basis: takenUp},
+	})
 	limited := basis
 	limited.RateLimit, limited.RateLimitAge = value.Some(1.5), 250*time.Millisecond
 	tr.Record(at, event.Tick{}, []event.Effect{
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -72,7 +72,7 @@
 		Envelope: FromEnvelope(env), Request: string(r.ID), Account: string(r.Account),
 		Profile: string(r.Profile), Prompt: int64(r.Prompt), MaxTokens: int64(r.MaxTokens),
 		Stream: r.Stream, LeftMs: millis(remaining), Service: r.Service, Content: uint64(r.Content),
-		EndedRuns: convert(r.EndedRuns, fromRun),
+		EndedRuns: convert(r.EndedRuns, fromRun), Origin: uint64(r.Origin), TakenUp: r.TakenUp,
 	}
 }
 
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -60,6 +60,7 @@
 		Id: string(t.ID), Incarnation: uint64(t.Incarnation), Kind: kind, Place: fromPlace(t.Place),
 		Url: t.URL, Service: t.Service, Draining: t.Draining, Price: float32(t.Price),
 		Capacity: uint32(max(t.Capacity, 0)), Closed: t.Evacuated, ColdMs: uint32(millis(t.ColdFor)), Loaded: convert(t.Loaded, fromServe),
+		Build: string(t.Build),
 	}
 }
 
@@ -73,5 +74,6 @@
 		Place: toPlace(p.GetPlace()), URL: p.GetUrl(), Service: p.GetService(),
 		Draining: p.GetDraining(), Price: finiteOrZero(p.GetPrice()),
 		Capacity: int(p.GetCapacity()), Evacuated: p.GetClosed(), ColdFor: duration(uint64(p.GetColdMs())), Loaded: convert(p.GetLoaded(), toServe),
+		Build: ident.Build(p.GetBuild()),
 	}
 }
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -48,6 +48,10 @@
 // Version names a version of a model.
 type Version string
 
+// Build names the version of the software that a target runs, empty if unknown. It
+// is not the version of a model.
+type Build string
+
 // Adapter names an adapter that an engine loads on top of a model.
 type Adapter string
 
@@ -62,6 +66,14 @@
 // String returns c as 16 hexadecimal digits, the form in logs.
 func (c Content) String() string { return fmt.Sprintf("%016x", uint64(c)) }
 
+// Stream identifies a stream over all requests by which its caller receives it:
+// one that begins it, and others that take it up again. Zero means that it is
+// unknown. It is a hash of the account and the id of the first request.
+type Stream uint64
+
+// String returns s as 16 hexadecimal digits, the form in logs.
+func (s Stream) String() string { return fmt.Sprintf("%016x", uint64(s)) }
+
 // ChangeID names one proposed change of the configuration. The writer chooses
 // it and recognises its own write by it after a lost reply.
 type ChangeID string
