core, begun: a stream goes on only at the build that began it

Cause: the rest of a stream was placed like new work. What it depends on, the build that brought its first event, was known to nobody: the list's Version was dropped, and a caller that takes its stream up again is a new request at any host.

Change: a request whose caller has a part of the stream is sent only to targets of the build that began it, at the host itself and where it is forwarded. The host that delivers the first event keeps the build under a hash of account and id, and sends it to three peers that rank first for the hash and, in each other region, to a host that does the same there, while a service has more than one build; when a second one appears also for the streams that are running. A host that does not know a stream asks these keepers, those of other regions too while it is young or several builds serve. If nobody knows, the stream goes on if only one build can have begun it, and is refused with VB1034 at once if several can, if the build has gone, if two streams have its name or if its route has moved to another service. Requests that need a build queue apart from those that may go anywhere. Prefixes are not copied between builds. Pools of other regions name their builds.

Why it works: both ways by which a rest is sent pass requiredBuild, and whatever was not seen to have begun at the one build is refused.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -16,7 +16,7 @@
 	return route.Query{
 		Request: r.Request, Profile: r.profile, Client: r.client,
 		TriedTargets: r.triedTargets, TriedCentres: r.triedCentres, OnlyTarget: r.boundTarget,
-		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.delivered, MayHaveRun: r.mayHaveRun,
+		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.delivered, MayHaveRun: r.mayHaveRun, Build: r.requiredBuild(),
 		Backlog: rd.pools.of(r).backlog(), ExpectedEvents: rd.expectedEvents(r), Length: rd.expectedLength(r), Deadline: r.deadline,
 	}
 }
@@ -32,6 +32,7 @@
 		rd.endPoison(now, r)
 		return
 	}
+	rd.chooseQueue(now, r)
 	pl := rd.pools.of(r)
 	dec := rd.router.Choose(now, rd.query(r), rd.table)
 	r.lastDecision = dec
@@ -67,6 +68,9 @@
 	}
 	at := now.Add(resumeInterval)
 	if r.delivered == 0 || r.resumeWaits >= maxResumeWaits || at >= r.deadline {
+		if rd.isBuildGone(now, r) {
+			code = codes.StreamNotContinued.ID
+		}
 		rd.endRefused(now, r, noTargetRefusal(r, code))
 		return
 	}
@@ -117,13 +121,14 @@
 	}
 	rd.attempts[a.id] = a
 	r.live = a
+	r.queueBuild = ""
 	r.attemptCount++
 	r.lastDenial = event.Denial{}
 	if dec.Target == nil {
 		rd.forward(now, r, a)
 		return
 	}
-	a.target, a.incarnation = dec.Target.ID, dec.Target.Incarnation
+	a.target, a.incarnation, a.build = dec.Target.ID, dec.Target.Incarnation, dec.Target.Build
 	rd.table.RequestSent(a.target, r.Prompt, a.tokens)
 	a.prefillAhead = dec.Target.PendingPrefill + dec.Target.PeerPendingPrefill
 	a.prefillTokens = dec.PrefillTokens
@@ -184,6 +189,7 @@
 		Request: r.ID, To: a.host, Envelope: env, Deadline: r.deadline, ResumeAfter: r.delivered,
 		AtMostOnce: r.outlivesCaller(), KeepOutcome: r.storesAnswer(), Basis: rd.basis(now, r, a.dec), Service: r.profile.Service,
 		IdleTimeouts: rd.idleTimeouts(r, a.dec), EndedRuns: rd.poison.Runs(now, r.Content),
+		Build: r.requiredBuild(),
 	})
 }
 
@@ -200,6 +206,7 @@
 		return
 	}
 	a.answerBegan = true
+	rd.streamBegan(now, a, e)
 	if rd.isCurrent(a) {
 		rd.table.AnswerBegan(a.target)
 		rd.table.FirstTokenReceived(a.target, a.dec.PrefillTokens, a.prefillAhead, now.Sub(a.start))
--- /dev/null
+++ b/internal/core/begun.go
@@ -0,0 +1,335 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
+	"verbenadale.example/verbenadale/pkg/value"
+)
+
+const (
+	// keeperCount is the number of peers that keep which build began a stream, in each region.
+	keeperCount = 3
+	// announceInterval is the shortest time between two announcements of begun streams.
+	announceInterval = 10 * time.Millisecond
+	// localLookupTimeout and remoteLookupTimeout bound the time for which keepers are asked, without
+	// and with those of other regions.
+	localLookupTimeout  = 250 * time.Millisecond
+	remoteLookupTimeout = 600 * time.Millisecond
+	// buildsInterval is the time between two looks at the builds that serve.
+	buildsInterval = 500 * time.Millisecond
+	// lateTakeUp is how long after its deadline a caller may still come for the rest of its stream.
+	lateTakeUp = time.Second
+)
+
+// lookup is a question to the keepers of a stream that has not been answered.
+type lookup struct {
+	stream ident.Stream
+	until  ident.Time
+	// unanswered are the hosts that were asked and have not answered.
+	unanswered value.Set[ident.EntryID]
+	// requests wait for the answer here, askers at other hosts.
+	requests []*request
+	askers   []ident.EntryID
+}
+
+// isContinued reports whether the caller has a part of the stream, so that only the build that began it
+// may serve the rest.
+func (r *request) isContinued() bool { return r.TakenUp || r.hasBegun() }
+
+// requiredBuild returns the only build that may serve a request, empty for any.
+func (r *request) requiredBuild() ident.Build {
+	if !r.isContinued() {
+		return ""
+	}
+	return r.build
+}
+
+// streamBegan records the build from which the caller gets the first event of an attempt.
+func (rd *Reducer) streamBegan(now ident.Time, a *attempt, e event.FirstToken) {
+	r := a.req
+	if !r.isRoutedStream() {
+		return
+	}
+	build := e.Build
+	if a.target != "" {
+		build = a.build
+	}
+	if build == "" {
+		return
+	}
+	sb := event.ServiceBuild{Service: r.profile.Service, Build: build}
+	rd.begun.BuildSeen(now, sb)
+	r.build = cmp.Or(r.build, build)
+	if !r.forwarded && r.profile.Route.Resumable {
+		rd.begun.Begin(now, event.BegunStream{Stream: r.Origin, ServiceBuild: sb, TTL: r.deadline.Sub(now) + lateTakeUp})
+	}
+}
+
+// noteBuilds records the builds that serve, here and in other regions.
+func (rd *Reducer) noteBuilds(now ident.Time) {
+	rd.nextBuilds = now.Add(buildsInterval)
+	for _, t := range rd.table.Targets() {
+		if !t.Removed && t.Build != "" {
+			rd.begun.BuildSeen(now, event.ServiceBuild{Service: t.Service, Build: t.Build})
+		}
+	}
+	for _, c := range rd.table.Centres(now) {
+		if c.CutOff(now) {
+			continue
+		}
+		for _, p := range c.Summary.Pools {
+			for _, build := range p.Builds {
+				rd.begun.BuildSeen(now, event.ServiceBuild{Service: p.Service, Build: build})
+			}
+		}
+	}
+}
+
+// possibleBuilds returns the builds that may have begun a stream that is still running.
+func (rd *Reducer) possibleBuilds(now ident.Time, r *request) []ident.Build {
+	rd.noteBuilds(now)
+	return rd.begun.Builds(now, r.profile.Service, profileDeadline(r.profile)+lateTakeUp)
+}
+
+// isYoung reports whether this host may have missed builds and streams that other hosts have seen.
+func (rd *Reducer) isYoung(now ident.Time, r *request) bool {
+	return now.Sub(rd.startedAt) < profileDeadline(r.profile)+lateTakeUp
+}
+
+// findBuild finds out which build may serve a request. It reports whether that is settled; otherwise
+// the request waits for an answer of the keepers.
+func (rd *Reducer) findBuild(now ident.Time, r *request) (settled bool) {
+	if r.forwarded || !r.TakenUp || !r.isRoutedStream() {
+		r.build = r.Build
+		return true
+	}
+	s, known := rd.begun.Find(now, r.Origin)
+	if known {
+		return rd.bindBuild(now, r, s, true)
+	}
+	q := rd.lookUp(now, r.Origin, rd.isYoung(now, r) || len(rd.possibleBuilds(now, r)) > 1)
+	if q == nil {
+		return rd.bindBuild(now, r, s, false)
+	}
+	q.requests = append(q.requests, r)
+	return false
+}
+
+// bindBuild binds a request to the build that began its stream, or refuses it if that is unknown. It
+// reports whether the request may be placed.
+func (rd *Reducer) bindBuild(now ident.Time, r *request, s event.BegunStream, known bool) bool {
+	if !known {
+		builds := rd.possibleBuilds(now, r)
+		if len(builds) > 1 {
+			rd.endNotContinued(now, r)
+			return false
+		}
+		if len(builds) == 1 {
+			r.build = builds[0]
+		}
+		return true
+	}
+	offered := slices.ContainsFunc(r.profile.Route.Shares, func(sh rules.Share) bool { return sh.Service == s.Service && sh.Weight > 0 })
+	if s.Ambiguous || !offered {
+		rd.endNotContinued(now, r)
+		return false
+	}
+	r.Service, r.profile.Service, r.build = s.Service, s.Service, s.Build
+	return true
+}
+
+func (rd *Reducer) endNotContinued(now ident.Time, r *request) {
+	rd.endRefused(now, r, refuseAs(codes.StreamNotContinued))
+}
+
+// lookUp asks the keepers of a stream, with remote also those of other regions. It returns nil if there
+// is nobody to ask.
+func (rd *Reducer) lookUp(now ident.Time, stream ident.Stream, remote bool) *lookup {
+	if q, ok := rd.lookups[stream]; ok {
+		return q
+	}
+	q := &lookup{stream: stream, until: now.Add(localLookupTimeout), unanswered: value.SetOf[ident.EntryID]()}
+	ask := func(to []event.Host, relay bool) {
+		for _, h := range to {
+			q.unanswered.Add(h.ID)
+		}
+		if len(to) > 0 {
+			rd.emit(event.AskBegun{To: to, Stream: stream, Relay: relay})
+		}
+	}
+	ask(rd.keepers(now, stream), false)
+	if remote {
+		q.until = now.Add(remoteLookupTimeout)
+		for _, c := range rd.table.Centres(now) {
+			if h, ok := rd.relayOf(now, c, stream); ok {
+				ask([]event.Host{h}, true)
+			}
+		}
+	}
+	if len(q.unanswered) == 0 {
+		return nil
+	}
+	rd.lookups[stream] = q
+	return q
+}
+
+// keepers returns the peers that keep which build began a stream.
+func (rd *Reducer) keepers(now ident.Time, stream ident.Stream) []event.Host {
+	peers := slices.Clone(rd.table.Peers(now))
+	score := func(h event.Host) uint64 { return rank.Combine(uint64(stream), rank.Hash(string(h.ID))) }
+	slices.SortFunc(peers, func(a, b event.Host) int { return cmp.Compare(score(b), score(a)) })
+	return peers[:min(len(peers), keeperCount)]
+}
+
+// relayOf returns the host of another data centre that reaches its keepers of a stream.
+func (rd *Reducer) relayOf(now ident.Time, c *member.Centre, stream ident.Stream) (event.Host, bool) {
+	if c.CutOff(now) {
+		return event.Host{}, false
+	}
+	return rd.table.ForwardHost(now, c, uint64(stream))
+}
+
+// announceBegun announces to the keepers which builds have begun streams.
+func (rd *Reducer) announceBegun(now ident.Time) {
+	if !rd.begun.HasAnnounced() || now < rd.nextBegun {
+		return
+	}
+	rd.nextBegun = now.Add(announceInterval)
+	streams := rd.begun.TakeAnnounced()
+	rd.sendBegun(streams, false, func(stream ident.Stream) []event.Host { return rd.keepers(now, stream) })
+	for _, c := range rd.table.Centres(now) {
+		rd.sendBegun(streams, true, func(stream ident.Stream) []event.Host {
+			if h, ok := rd.relayOf(now, c, stream); ok {
+				return []event.Host{h}
+			}
+			return nil
+		})
+	}
+}
+
+// sendBegun sends each stream to its recipients, in one message to each host.
+func (rd *Reducer) sendBegun(streams []event.BegunStream, relay bool, recipients func(ident.Stream) []event.Host) {
+	var msgs []event.SendBegun
+	for _, s := range streams {
+		for _, h := range recipients(s.Stream) {
+			i := slices.IndexFunc(msgs, func(m event.SendBegun) bool { return m.To.ID == h.ID })
+			if i < 0 {
+				i = len(msgs)
+				msgs = append(msgs, event.SendBegun{To: h, Relay: relay})
+			}
+			msgs[i].Streams = append(msgs[i].Streams, s)
+		}
+	}
+	for _, m := range msgs {
+		rd.emit(m)
+	}
+}
+
+func (rd *Reducer) begunReceived(now ident.Time, e event.BegunReceived) {
+	rd.begun.Merge(now, e.Streams)
+	if e.Relay {
+		rd.sendBegun(e.Streams, false, func(stream ident.Stream) []event.Host { return rd.keepers(now, stream) })
+	}
+}
+
+func (rd *Reducer) begunAsked(now ident.Time, e event.BegunAsked) {
+	if _, known := rd.begun.Find(now, e.Stream); !known && e.Relay {
+		if q := rd.lookUp(now, e.Stream, false); q != nil {
+			q.askers = append(q.askers, e.From)
+			return
+		}
+	}
+	rd.answerBegun(now, e.From, e.Stream)
+}
+
+func (rd *Reducer) answerBegun(now ident.Time, to ident.EntryID, stream ident.Stream) {
+	ans := event.AnswerBegun{To: to, Stream: stream, Seen: rd.begun.Seen(now)}
+	if s, known := rd.begun.Find(now, stream); known {
+		ans.Begun = []event.BegunStream{s}
+	}
+	rd.emit(ans)
+}
+
+func (rd *Reducer) begunAnswered(now ident.Time, e event.BegunAnswered) {
+	for _, sb := range e.Seen {
+		rd.begun.BuildSeen(now.Add(-sb.Age), sb.ServiceBuild)
+	}
+	rd.begun.Merge(now, e.Begun)
+	q, ok := rd.lookups[e.Stream]
+	if !ok {
+		return
+	}
+	delete(q.unanswered, e.From)
+	if _, known := rd.begun.Find(now, e.Stream); known || len(q.unanswered) == 0 {
+		rd.endLookup(now, q)
+	}
+}
+
+// endLookup settles the requests that wait for an answer, and answers other hosts.
+func (rd *Reducer) endLookup(now ident.Time, q *lookup) {
+	delete(rd.lookups, q.stream)
+	s, known := rd.begun.Find(now, q.stream)
+	for _, to := range q.askers {
+		rd.answerBegun(now, to, q.stream)
+	}
+	for _, r := range q.requests {
+		if rd.requests[r.ID] == r && rd.bindBuild(now, r, s, known) {
+			rd.checkOnce(now, r)
+		}
+	}
+}
+
+// endLookups ends the lookups whose time is over.
+func (rd *Reducer) endLookups(now ident.Time) {
+	var due []*lookup
+	for _, q := range rd.lookups {
+		if now >= q.until {
+			due = append(due, q)
+		}
+	}
+	slices.SortFunc(due, func(a, b *lookup) int { return cmp.Compare(a.stream, b.stream) })
+	for _, q := range due {
+		rd.endLookup(now, q)
+	}
+}
+
+// nextBegunTick returns when announceBegun or endLookups is next due, zero for never.
+func (rd *Reducer) nextBegunTick() ident.Time {
+	at := ident.Time(0)
+	if rd.begun.HasAnnounced() {
+		at = max(rd.nextBegun, 1)
+	}
+	for _, q := range rd.lookups {
+		if at == 0 || q.until < at {
+			at = q.until
+		}
+	}
+	return at
+}
+
+// isBuildGone reports whether no target of the required build serves any more, although others do.
+func (rd *Reducer) isBuildGone(now ident.Time, r *request) bool {
+	build := r.requiredBuild()
+	if build == "" || len(rd.possibleBuilds(now, r)) < 2 {
+		return false
+	}
+	for _, t := range rd.table.Targets() {
+		if t.Service == r.profile.Service && t.Build == build && !t.KnownDraining && !t.Removed && !t.Evacuated {
+			return false
+		}
+	}
+	for _, c := range rd.table.Centres(now) {
+		if p := c.Pool(member.PoolID{Service: r.profile.Service}); p != nil && !c.CutOff(now) && slices.Contains(p.Builds, build) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,8 @@
 // The state is split by decision, one package each: member holds hosts,
 // targets and loads; route chooses where a request runs; admit queues requests
 // while no target has capacity; quota limits accounts; retry bounds retries;
-// poison finds requests that end their targets; once keeps non-idempotent
+// poison finds requests that end their targets; begun remembers which build
+// began each stream; once keeps non-idempotent
 // requests from running twice; spread holds and distributes the configuration.
 // This package takes each request through them. A Reducer belongs to one
 // goroutine.
@@ -22,6 +23,7 @@
 import (
 	"time"
 
+	"verbenadale.example/verbenadale/internal/begun"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/length"
 	"verbenadale.example/verbenadale/internal/member"
@@ -48,6 +50,9 @@
 	once   *once.Registry
 	quota  *quota.Ledger
 	poison *poison.Book
+	begun  *begun.Book
+	// lookups are the questions to keepers of streams that have not been answered.
+	lookups map[ident.Stream]*lookup
 	// budget is the retry budget of requests without a route, retryBudgets that of each service.
 	budget retry.Budget
 	// bounds holds the limits that all hosts share.
@@ -82,7 +87,10 @@
 	nextDemandAt ident.Time
 	// nextEndsRefresh is when the representative next repeats which targets ended under requests.
 	nextEndsRefresh ident.Time
-	out             []event.Effect
+	// nextBegun is when begun streams may next be announced, nextBuilds when the builds that serve are
+	// next recorded.
+	nextBegun, nextBuilds ident.Time
+	out                   []event.Effect
 }
 
 // New returns the reducer of a host that has received no events yet, with default bounds.
@@ -102,6 +110,8 @@
 		once:         once.New(self.ID, self.Incarnation),
 		quota:        quota.New(self.ID, self.Place.Group()),
 		poison:       poison.New(),
+		begun:        begun.New(),
+		lookups:      make(map[ident.Stream]*lookup),
 		pools:        newPools(),
 		slack:        slack.New(),
 		lastDigestAt: make(map[ident.EntryID]ident.Time),
@@ -184,6 +194,12 @@
 		rd.quota.MergeAnnouncement(now, e.From, e.Admissions, rd.spread.Book().Client)
 	case event.TargetEndsReceived:
 		rd.mergeTargetEnds(now, e)
+	case event.BegunReceived:
+		rd.begunReceived(now, e)
+	case event.BegunAsked:
+		rd.begunAsked(now, e)
+	case event.BegunAnswered:
+		rd.begunAnswered(now, e)
 	case event.SummaryReceived:
 		rd.table.SummaryReceived(now, e.Summary)
 		rd.handleSummary(now, e.Summary, true)
@@ -299,6 +315,11 @@
 	rd.announceAdmissions(now)
 	rd.endCondemned(now)
 	rd.announceTargetEnds(now)
+	if now >= rd.nextBuilds {
+		rd.noteBuilds(now)
+	}
+	rd.announceBegun(now)
+	rd.endLookups(now)
 	rd.emit(rd.spread.Tick(now, rd.table.IsWatcher(now))...)
 	rd.updateReadPace(now)
 	rd.targetsRestarted()
@@ -390,7 +411,7 @@
 	}
 	for _, t := range []ident.Time{
 		rd.table.Next(now), rd.spread.NextTick(now), rd.timers.next(), rd.pools.next(now, rd.queueDeadline), rd.once.Next(), rd.quota.NextAnnouncement(),
-		rd.poison.NextAnnouncement(),
+		rd.poison.NextAnnouncement(), rd.nextBegunTick(),
 	} {
 		if t > now && t < at {
 			at = t
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -37,6 +37,15 @@
 
 func newPools() pools { return pools{byKey: make(map[string]*pool)} }
 
+// keyOf identifies the queue of a request: that of the service or the models that its profile can run
+// on, or of one build. The queues of builds come first: their requests have no alternative.
+func keyOf(r *request) string {
+	if r.queueBuild != "" {
+		return "build " + string(r.queueBuild) + " of " + r.profile.Service
+	}
+	return poolKey(r.profile)
+}
+
 // poolKey identifies the service or the models that a profile can run on.
 func poolKey(p rules.Profile) string {
 	if p.Service != "" {
@@ -55,7 +64,7 @@
 }
 
 func (ps *pools) of(r *request) *pool {
-	key := poolKey(r.profile)
+	key := keyOf(r)
 	if pl, ok := ps.byKey[key]; ok {
 		return pl
 	}
@@ -67,7 +76,7 @@
 }
 
 func (ps *pools) remove(r *request) {
-	pl, ok := ps.byKey[poolKey(r.profile)]
+	pl, ok := ps.byKey[keyOf(r)]
 	if !ok {
 		return
 	}
@@ -141,6 +150,15 @@
 	return time.Duration(pl.queue.Len()) * pl.slotInterval
 }
 
+// chooseQueue selects the queue of a request that is about to be placed. While several builds of its
+// service serve, one that needs a build waits for other targets than the rest.
+func (rd *Reducer) chooseQueue(now ident.Time, r *request) {
+	r.queueBuild = ""
+	if build := r.requiredBuild(); build != "" && len(rd.possibleBuilds(now, r)) > 1 {
+		r.queueBuild = build
+	}
+}
+
 // queueItem returns the queue item of a request.
 func (rd *Reducer) queueItem(pl *pool, r *request) admit.Item {
 	it := admit.Item{
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -66,6 +66,10 @@
 	delivered    ident.Tokens
 	generated    ident.Tokens
 	answerStored bool
+	// build is the build that began the stream of which the caller has a part, empty if unknown.
+	build ident.Build
+	// queueBuild is set while the request is queued with those that need the same build.
+	queueBuild ident.Build
 	// mayHaveRun is set if an attempt ended without proof that nothing ran.
 	mayHaveRun bool
 }
@@ -84,9 +88,11 @@
 	// incarnation is that of the target when the attempt was sent. The target may have restarted
 	// since.
 	incarnation ident.Incarnation
-	host        event.Host
-	dec         route.Decision
-	sent        bool
+	// build is that of the target when the attempt was sent.
+	build ident.Build
+	host  event.Host
+	dec   route.Decision
+	sent  bool
 	// retryTaken is set once this host has decided to abort the attempt, which had been silent
 	// since silentSince, and has taken its retry from the budget.
 	retryTaken bool
@@ -127,7 +133,9 @@
 	rd.requests[req.ID] = r
 	rd.poison.MergeRuns(now, r.Content, r.EndedRuns, 0)
 	rd.countArrival(now, r)
-	rd.checkOnce(now, r)
+	if rd.findBuild(now, r) {
+		rd.checkOnce(now, r)
+	}
 }
 
 // resolveRequest fills in the profile, client, service and deadline of a request, or returns why
--- a/internal/core/wait.go
+++ b/internal/core/wait.go
@@ -24,6 +24,10 @@
 		return r.deadline
 	}
 	half := time.Duration(maxWaitRatio * float64(r.deadline.Sub(r.arrived)))
+	if r.queueBuild != "" {
+		// Only these targets can continue what the caller has.
+		return r.arrived.Add(half)
+	}
 	if rd.isPastGoal(r) {
 		return r.arrived.Add(min(fraction(rt.Goal(), pastGoalWaitRatio), half))
 	}
--- a/internal/dev/drive/effects.go
+++ b/internal/dev/drive/effects.go
@@ -54,6 +54,16 @@
 		for _, to := range e.To {
 			d.message(h.Host, to, e, event.TargetEndsReceived{From: h.ID, Ends: e.Ends, Relay: e.Relay})
 		}
+	case event.SendBegun:
+		d.message(h.Host, e.To, e, event.BegunReceived{From: h.ID, Streams: e.Streams, Relay: e.Relay})
+	case event.AskBegun:
+		for _, to := range e.To {
+			d.message(h.Host, to, e, event.BegunAsked{From: h.ID, Stream: e.Stream, Relay: e.Relay})
+		}
+	case event.AnswerBegun:
+		if to := d.Host(e.To); to != nil {
+			d.message(h.Host, to.Host, e, event.BegunAnswered{From: h.ID, Stream: e.Stream, Begun: e.Begun, Seen: e.Seen})
+		}
 	case event.SendSummary:
 		d.message(h.Host, e.To, e, event.SummaryReceived{Summary: e.Summary})
 	case event.SendChanges:
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -114,6 +114,8 @@
 	Service      string       `json:"service,omitempty"`
 	Basis        Basis        `json:"basis"`
 	IdleTimeouts IdleTimeouts `json:"idleTimeouts"`
+	// Build is the only build that may continue the stream, empty for any.
+	Build ident.Build `json:"build,omitempty"`
 	// EndedRuns are the targets that have ended while they ran the request or a repeat of it.
 	EndedRuns []TargetRun `json:"endedRuns,omitempty"`
 }
@@ -269,6 +271,30 @@
 	Relay bool        `json:"relay,omitempty"`
 }
 
+// SendBegun announces streams and the builds that began them to their keepers. With Relay, the
+// recipient announces them to the keepers of its data centre.
+type SendBegun struct {
+	To      Host          `json:"to"`
+	Streams []BegunStream `json:"streams"`
+	Relay   bool          `json:"relay,omitempty"`
+}
+
+// AskBegun asks which build began a stream. With Relay, a recipient that does not know it asks the
+// keepers of its data centre.
+type AskBegun struct {
+	To     []Host       `json:"to"`
+	Stream ident.Stream `json:"stream"`
+	Relay  bool         `json:"relay,omitempty"`
+}
+
+// AnswerBegun answers AskBegun. Begun has the stream if the sender knows it.
+type AnswerBegun struct {
+	To     ident.EntryID `json:"to"`
+	Stream ident.Stream  `json:"stream"`
+	Begun  []BegunStream `json:"begun,omitempty"`
+	Seen   []SeenBuild   `json:"seen,omitempty"`
+}
+
 // SendSummary sends a summary to one host of another data centre.
 type SendSummary struct {
 	To      Host    `json:"to"`
@@ -473,6 +499,9 @@
 func (SendDigest) isEffect()      {}
 func (SendAdmissions) isEffect()  {}
 func (SendTargetEnds) isEffect()  {}
+func (SendBegun) isEffect()       {}
+func (AskBegun) isEffect()        {}
+func (AnswerBegun) isEffect()     {}
 func (SendSummary) isEffect()     {}
 func (SendChanges) isEffect()     {}
 func (SendSnapshot) isEffect()    {}
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -143,6 +143,28 @@
 	Confined bool `json:"confined,omitempty"`
 }
 
+// ServiceBuild names a build of a service.
+type ServiceBuild struct {
+	Service string      `json:"service"`
+	Build   ident.Build `json:"build"`
+}
+
+// BegunStream reports which build of a service brought the first event of a stream.
+type BegunStream struct {
+	Stream ident.Stream `json:"stream"`
+	ServiceBuild
+	// TTL is how much longer the caller of the stream may take it up again.
+	TTL time.Duration `json:"ttl"`
+	// Ambiguous means that several streams have the same name, so that its build is unknown.
+	Ambiguous bool `json:"ambiguous,omitempty"`
+}
+
+// SeenBuild is a build of a service of which targets served Age ago.
+type SeenBuild struct {
+	ServiceBuild
+	Age time.Duration `json:"age,omitempty"`
+}
+
 // TargetUse is the work that one entry host has in flight at one target.
 type TargetUse struct {
 	// Target is empty if Key identifies the target.
@@ -311,6 +333,8 @@
 	Targets         int     `json:"targets,omitempty"`
 	UnsharedPrefill float64 `json:"alone,omitempty"`
 	SharedPrefill   float64 `json:"shared,omitempty"`
+	// Builds lists the builds of the targets, sorted.
+	Builds []ident.Build `json:"builds,omitempty"`
 }
 
 // Summary is the state of a data centre, sent by its representative to another data
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -70,6 +70,8 @@
 	// that the caller has a part of it from an earlier request.
 	Origin  ident.Stream `json:"origin,omitempty"`
 	TakenUp bool         `json:"takenUp,omitempty"`
+	// Build is the only build that may continue a forwarded stream, empty for any.
+	Build ident.Build `json:"build,omitempty"`
 	// Deadline is when the caller stops waiting; zero selects the deadline of the
 	// profile.
 	Deadline ident.Time `json:"deadline"`
@@ -145,6 +147,8 @@
 // FirstToken reports that the first byte of an answer has arrived.
 type FirstToken struct {
 	Attempt ident.Attempt `json:"attempt"`
+	// Build is that of the target.
+	Build ident.Build `json:"build,omitempty"`
 }
 
 // AttemptSilent reports that an attempt has sent no data for its idle timeout. It is
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -50,6 +50,31 @@
 	Relay bool          `json:"relay,omitempty"`
 }
 
+// BegunReceived carries streams and the builds that began them. With Relay, the keepers of this data
+// centre do not know of them yet.
+type BegunReceived struct {
+	From    ident.EntryID `json:"from"`
+	Streams []BegunStream `json:"streams"`
+	Relay   bool          `json:"relay,omitempty"`
+}
+
+// BegunAsked is the question of another host which build began a stream. With Relay, the host is in
+// another data centre and does not reach the keepers of this one.
+type BegunAsked struct {
+	From   ident.EntryID `json:"from"`
+	Stream ident.Stream  `json:"stream"`
+	Relay  bool          `json:"relay,omitempty"`
+}
+
+// BegunAnswered answers AskBegun. Begun has the stream if the sender knows it, Seen the builds that the
+// sender has seen recently.
+type BegunAnswered struct {
+	From   ident.EntryID `json:"from"`
+	Stream ident.Stream  `json:"stream"`
+	Begun  []BegunStream `json:"begun,omitempty"`
+	Seen   []SeenBuild   `json:"seen,omitempty"`
+}
+
 // SummaryReceived carries the state of another data centre.
 type SummaryReceived struct {
 	Summary Summary `json:"summary"`
@@ -198,6 +223,9 @@
 func (SummaryReceived) isEvent()    {}
 func (AdmissionsReceived) isEvent() {}
 func (TargetEndsReceived) isEvent() {}
+func (BegunReceived) isEvent()      {}
+func (BegunAsked) isEvent()         {}
+func (BegunAnswered) isEvent()      {}
 func (ChangesReceived) isEvent()    {}
 func (SnapshotReceived) isEvent()   {}
 func (ChangesWanted) isEvent()      {}
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -175,6 +175,9 @@
 	p.PrefillRate += t.Load.PrefillRate
 	p.DecodeRate += t.Load.DecodeRate
 	p.priceSum += t.Price
+	if i, ok := slices.BinarySearch(p.Builds, t.Build); !ok && t.Build != "" {
+		p.Builds = slices.Insert(p.Builds, i, t.Build)
+	}
 }
 
 // countForwarded returns how many requests of a pool the hosts of this data centre have forwarded
--- a/internal/member/summary.go
+++ b/internal/member/summary.go
@@ -174,6 +174,9 @@
 		h = rank.Combine(h, uint64(bits.Len(uint(p.Offer))))
 		h = rank.Combine(h, demandStep(&p))
 		h = rank.Combine(h, uint64(p.Targets))
+		for _, build := range p.Builds {
+			h = rank.Combine(h, rank.Hash(string(build)))
+		}
 	}
 	return h
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -139,7 +139,7 @@
 func (c *outboundRequest) openMessage() *wire.Open {
 	remaining := c.Forward.Deadline.Sub(c.m.cfg.Clock.Now())
 	req := c.Request
-	req.EndedRuns = c.Forward.EndedRuns
+	req.EndedRuns, req.Build = c.Forward.EndedRuns, c.Forward.Build
 	o := wire.FromRequest(req, c.Forward.Envelope, remaining)
 	if c.Call.AnswerID != "" {
 		o.Request = string(c.Call.AnswerID)
@@ -186,6 +186,9 @@
 			return wire.ErrFormat
 		}
 		c.answerBegun = true
+		if c.relay.Build != nil {
+			c.relay.Build(ident.Build(b.Begin.GetBuild()))
+		}
 		c.relay.Begin(int(b.Begin.GetStatus()), wire.ToHeader(b.Begin.GetHeader()))
 		return nil
 	case *wire.Part_Data:
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -34,6 +34,8 @@
 	// target.
 	bodyRequested atomic.Bool
 
+	// build is that of the target that answers.
+	build     ident.Build
 	endSent   bool
 	sentBytes uint64
 }
@@ -79,7 +81,7 @@
 	}
 	stop := context.AfterFunc(ctx, k.stream.cancelIO)
 	k.m.serve(ctx, k.newCall(), k.newRequest(), serve.Sink{
-		Begin: k.sendBegin, Data: k.sendData, Finish: k.sendFinish, Refuse: k.sendRefusal,
+		Build: k.setBuild, Begin: k.sendBegin, Data: k.sendData, Finish: k.sendFinish, Refuse: k.sendRefusal,
 	})
 	stop()
 }
@@ -121,7 +123,7 @@
 		ID: newRequestID(), Account: ident.Account(o.GetAccount()), Profile: ident.Profile(o.GetProfile()),
 		Prompt: ident.Tokens(max(o.GetPrompt(), 0)), MaxTokens: ident.Tokens(max(o.GetMaxTokens(), 0)),
 		Deadline: k.m.cfg.Clock.Now().Add(o.TimeLeft()), Stream: o.GetStream(), Service: o.GetService(), Content: ident.Content(o.GetContent()),
-		EndedRuns: o.RunsToEvent(), Origin: ident.Stream(o.GetOrigin()), TakenUp: o.GetTakenUp(),
+		EndedRuns: o.RunsToEvent(), Origin: ident.Stream(o.GetOrigin()), TakenUp: o.GetTakenUp(), Build: ident.Build(o.GetBuild()),
 		Envelope: value.Some(o.GetEnvelope().ToEvent(k.session.host)),
 	}
 }
@@ -235,9 +237,11 @@
 	}
 }
 
+func (k *inboundRequest) setBuild(b ident.Build) { k.build = b }
+
 func (k *inboundRequest) sendBegin(status int, h http.Header) {
 	_ = k.send(&wire.Part{Body: &wire.Part_Begin{Begin: &wire.Begin{
-		Status: uint32(status), Header: wire.FromHeader(h),
+		Status: uint32(status), Header: wire.FromHeader(h), Build: string(k.build),
 	}}})
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -16,6 +16,12 @@
 		m.broadcast(e.To, &wire.Frame{Body: &wire.Frame_Admissions{Admissions: wire.FromAdmissions(e.Admissions)}}, false)
 	case event.SendTargetEnds:
 		m.broadcast(e.To, &wire.Frame{Body: &wire.Frame_TargetEnds{TargetEnds: wire.FromTargetEnds(e.Ends, e.Relay)}}, false)
+	case event.SendBegun:
+		m.broadcast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_BegunStreams{BegunStreams: wire.FromBegun(e.Streams, e.Relay)}}, false)
+	case event.AskBegun:
+		m.broadcast(e.To, &wire.Frame{Body: &wire.Frame_BegunAsk{BegunAsk: &wire.BegunAsk{Stream: uint64(e.Stream), Relay: e.Relay}}}, false)
+	case event.AnswerBegun:
+		m.answer(e.To, &wire.Frame{Body: &wire.Frame_BegunAnswer{BegunAnswer: wire.FromBegunAnswer(e)}})
 	case event.SendSummary:
 		m.broadcast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_Summary{Summary: wire.FromSummary(e.Summary)}}, true)
 	case event.SendChanges:
@@ -47,17 +53,22 @@
 }
 
 // answerBar sends the answer to a "run or bar" query. The reducer knows the querying host only
-// by name, so the answer is queued for its link without dialling.
+// by name.
 func (m *Mesh) answerBar(e event.AnswerBar) {
 	if e.Attempt.Entry != e.To {
 		m.counters.rejected.Inc(1)
 		return
 	}
-	frame, ok := m.encode(&wire.Frame{Body: &wire.Frame_BarAnswer{BarAnswer: wire.FromBarAnswer(e)}})
+	m.answer(e.To, &wire.Frame{Body: &wire.Frame_BarAnswer{BarAnswer: wire.FromBarAnswer(e)}})
+}
+
+// answer queues the answer to a question of a host for its link, without dialling.
+func (m *Mesh) answer(to ident.EntryID, f *wire.Frame) {
+	frame, ok := m.encode(f)
 	if !ok {
 		return
 	}
-	if l := m.link(e.To); l != nil {
+	if l := m.link(to); l != nil {
 		l.push(item{frame: frame})
 	}
 }
@@ -103,6 +114,12 @@
 		m.receiveAdmissions(from, b.Admissions)
 	case *wire.Frame_TargetEnds:
 		return m.receiveTargetEnds(from, b.TargetEnds)
+	case *wire.Frame_BegunStreams:
+		return m.receiveBegun(from, b.BegunStreams)
+	case *wire.Frame_BegunAsk:
+		m.post(event.BegunAsked{From: from.ID, Stream: ident.Stream(b.BegunAsk.GetStream()), Relay: b.BegunAsk.GetRelay() && !m.isLocal(from)})
+	case *wire.Frame_BegunAnswer:
+		return m.receiveBegunAnswer(from.ID, b.BegunAnswer)
 	case *wire.Frame_Summary:
 		return m.receiveSummary(from.ID, b.Summary.ToEvent())
 	case *wire.Frame_Changes:
@@ -158,6 +175,25 @@
 	return nil
 }
 
+// receiveBegun accepts streams from any host, and relays only those of other data centres.
+func (m *Mesh) receiveBegun(from event.Host, p *wire.BegunStreams) error {
+	streams, err := p.ToEvent()
+	if err != nil {
+		return err
+	}
+	m.post(event.BegunReceived{From: from.ID, Streams: streams, Relay: p.GetRelay() && !m.isLocal(from)})
+	return nil
+}
+
+func (m *Mesh) receiveBegunAnswer(from ident.EntryID, p *wire.BegunAnswer) error {
+	e, err := p.ToEvent(from)
+	if err != nil {
+		return err
+	}
+	m.post(e)
+	return nil
+}
+
 func (m *Mesh) receiveSummary(from ident.EntryID, s event.Summary) error {
 	if s.From != from {
 		m.counters.rejected.Inc(1)
--- a/internal/route/copy.go
+++ b/internal/route/copy.go
@@ -18,7 +18,7 @@
 		return
 	}
 	from, ok := v.tb.Target(h.target)
-	if !ok || !from.Usable(v.now) {
+	if !ok || !from.Usable(v.now) || from.Build != c.t.Build {
 		return
 	}
 	prompt := float64(v.q.Request.Prompt)
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -22,6 +23,7 @@
 var targetFilters = [...]targetFilter{
 	{codes.FilterKind, wrongKind},
 	{codes.FilterModel, lacksModel},
+	{codes.FilterBuild, func(v *view, t *member.Target) bool { return v.q.Build != "" && t.Build != v.q.Build }},
 	{codes.FilterResidency, targetOutside},
 	{codes.FilterDraining, func(_ *view, t *member.Target) bool { return t.KnownDraining || t.Removed }},
 	{codes.FilterEvacuated, func(_ *view, t *member.Target) bool { return t.Evacuated }},
@@ -47,6 +49,7 @@
 	{codes.FilterBound, func(v *view, _ *member.Centre) bool { return v.q.OnlyTarget != "" }},
 	{codes.FilterHealth, func(v *view, c *member.Centre) bool { return c.CutOff(v.now) || !hasActiveHost(c) }},
 	{codes.FilterModel, func(v *view, c *member.Centre) bool { return !hasPool(&v.q.Profile, c) }},
+	{codes.FilterBuild, lacksBuild},
 	{codes.FilterOffer, noOffer},
 }
 
@@ -261,6 +264,16 @@
 	return false
 }
 
+// lacksBuild reports whether no target of a data centre has the build that the request needs. A data
+// centre that names no builds may have one.
+func lacksBuild(v *view, c *member.Centre) bool {
+	if v.q.Build == "" || v.q.Profile.Service == "" {
+		return false
+	}
+	p := c.Pool(member.PoolID{Service: v.q.Profile.Service})
+	return p != nil && len(p.Builds) > 0 && !slices.Contains(p.Builds, v.q.Build)
+}
+
 func noOffer(v *view, c *member.Centre) bool { return usablePool(v, c) == nil }
 
 // poolWithoutOffer returns a pool of a data centre that a request without any local target may use
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -54,6 +54,8 @@
 	TriedCentres value.Set[ident.DataCentre]
 	// OnlyTarget is the only target that may serve the request; empty allows any.
 	OnlyTarget ident.TargetID
+	// Build is the only build whose targets may serve the request; empty allows any.
+	Build ident.Build
 	// Crossings counts how often the request has been forwarded between regions.
 	Crossings ident.Hops
 	// Forwarded reports whether another entry host forwarded the request.
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -67,11 +67,13 @@
 	call := a.call
 	call.Header = a.call.Header.Clone()
 	trace.Inject(ctx, call.Header)
-	end := a.Forward(ctx, ForwardedRequest{Forward: f, Request: a.req, Call: call}, a.markSent, Relay{Begin: a.begin, Data: a.receiveRelayed})
+	end := a.Forward(ctx, ForwardedRequest{Forward: f, Request: a.req, Call: call}, a.markSent, Relay{Build: a.setBuild, Begin: a.begin, Data: a.receiveRelayed})
 	span.Set("result", string(end.Result))
 	return end
 }
 
+func (a *attempt) setBuild(b ident.Build) { a.build = b }
+
 // receiveRelayed receives a piece of the answer that another entry host relays. That host has checked
 // that the pieces are contiguous. A piece whose token count is lower than that of the previous one
 // is rejected, since the caller would receive text twice.
@@ -151,5 +153,5 @@
 		return
 	}
 	a.firstByteReported = true
-	a.Loop.Post(event.FirstToken{Attempt: a.id})
+	a.Loop.Post(event.FirstToken{Attempt: a.id, Build: a.build})
 }
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -124,6 +124,7 @@
 		return end
 	}
 	from := a.delivered
+	a.setBuild(d.Target.Build)
 	a.begin(res.StatusCode, a.filterHeader(res.Header))
 	err := a.copy(res)
 	end.Delivered = a.delivered
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -62,6 +62,8 @@
 // Sink receives the answer. Its functions are called by one goroutine at a time: Begin at most once
 // and before Data, and finally either Finish or Refuse, or neither if the caller has disconnected.
 type Sink struct {
+	// Build, if set, receives the build of the target that answers before Begin is called.
+	Build func(build ident.Build)
 	Begin func(status int, h http.Header)
 	// Data receives a piece of the answer and the number of tokens up to its end. An error means
 	// that the caller has disconnected.
@@ -72,6 +74,8 @@
 
 // Relay receives the answer of one attempt. Begin is called before Data.
 type Relay struct {
+	// Build, if set, receives the build of the target that answers before Begin is called.
+	Build func(build ident.Build)
 	Begin func(status int, h http.Header)
 	Data  func(b []byte, tokens ident.Tokens) error
 }
@@ -148,6 +152,8 @@
 	// keepCopy is set if a stream is also buffered for repeats while it is relayed. copyIncomplete is
 	// set once a piece of it is missing from the buffer, so that it may not be stored.
 	keepCopy, copyIncomplete bool
+	// build is that of the target whose answer has begun.
+	build ident.Build
 	// delivered is the number of tokens that the sink has been given.
 	delivered ident.Tokens
 	// buffered is the answer that is kept until it is complete or for repeats; reserved is its share
@@ -375,6 +381,9 @@
 	}
 	if !r.sinkBegun {
 		r.sinkBegun = true
+		if r.sink.Build != nil {
+			r.sink.Build(r.build)
+		}
 		r.sink.Begin(r.buffered.Status, r.buffered.Header)
 	}
 	r.delivered = max(r.delivered, tokens)
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -73,6 +73,7 @@
 		Profile: string(r.Profile), Prompt: int64(r.Prompt), MaxTokens: int64(r.MaxTokens),
 		Stream: r.Stream, LeftMs: millis(remaining), Service: r.Service, Content: uint64(r.Content),
 		EndedRuns: convert(r.EndedRuns, fromRun), Origin: uint64(r.Origin), TakenUp: r.TakenUp,
+		Build: string(r.Build),
 	}
 }
 
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -350,6 +350,7 @@
 		Offer: int64(l.Offer), WaitMs: millis(l.Wait), PrefillRate: float32(l.PrefillRate),
 		DecodeRate: float32(l.DecodeRate), Price: float32(l.Price),
 		Targets: int64(l.Targets), Alone: float32(l.UnsharedPrefill), Shared: float32(l.SharedPrefill),
+		Builds: convert(l.Builds, fromBuild),
 	}
 }
 
@@ -359,6 +360,7 @@
 		Offer: int(nonNegative(p.GetOffer())), Wait: duration(p.GetWaitMs()), PrefillRate: finiteOrZero(p.GetPrefillRate()),
 		DecodeRate: finiteOrZero(p.GetDecodeRate()), Price: finiteOrZero(p.GetPrice()),
 		Targets: int(nonNegative(p.GetTargets())), UnsharedPrefill: finiteOrZero(p.GetAlone()), SharedPrefill: finiteOrZero(p.GetShared()),
+		Builds: convert(p.GetBuilds(), toBuild),
 	}
 }
 
--- a/pkg/codes/filter.go
+++ b/pkg/codes/filter.go
@@ -51,6 +51,10 @@
 		ID: "VB2013", Title: "the target has had the requests that it takes", Since: secondVersion, Severity: Info,
 		Text: "The target names a limit on the requests a second of all hosts together. A few hosts send them; the others use other targets until it names none any more.",
 	}
+	FilterBuild = Code{
+		ID: "VB2014", Title: "the targets run another version of the software", Since: secondVersion, Severity: Info,
+		Text: "The caller has a part of the stream, which only targets of the version that began it can continue.",
+	}
 	FilterFull = Code{
 		ID: "VB2009", Title: "the target has no free slot", Since: firstVersion, Severity: Info,
 		Text: "The requests sent and not yet ended fill the target's slots and the queue it is allowed.",
@@ -60,5 +64,5 @@
 // Filters lists the routing filters.
 var Filters = []Code{
 	FilterKind, FilterModel, FilterResidency, FilterHops, FilterDraining,
-	FilterHealth, FilterTried, FilterOffer, FilterFull, FilterEvacuated, FilterCold, FilterBound, FilterRate,
+	FilterHealth, FilterTried, FilterOffer, FilterFull, FilterEvacuated, FilterCold, FilterBound, FilterRate, FilterBuild,
 }
--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -142,6 +142,10 @@
 		ID: "VB1033", Title: "targets ended while they ran the request", Status: http.StatusBadGateway, Since: secondVersion, Severity: Error,
 		Text: "As many targets as may have ended while each of them ran this request, or another one of the same account with the same method, path, prompt and body. It is sent to no further target for some minutes, so repeating it is of no use. It may have run. Change the request, or ask the operators of the service to find its fault; the content in the log of the entry host is the same for all of its repeats.",
 	}
+	StreamNotContinued = Code{
+		ID: "VB1034", Title: "no target can continue the stream", Status: http.StatusServiceUnavailable, Since: secondVersion, Severity: Warning,
+		Text: "The caller has a part of the stream. Targets of several versions of the software serve, or did recently, and what they write does not fit together; the version that began the stream serves no more, or it is not known which one did. Nothing of this request was run. Waiting is of no use: begin the stream anew, without Last-Event-Id and Resumes.",
+	}
 )
 
 // Refusals lists the refusals.
@@ -151,5 +155,5 @@
 	Draining, StoreDown, OutcomeUnknown, NeedsTicketOrKey, KeyReused, InProgress,
 	ForgedEnvelope, TargetFailed, DeadlineExceeded, ProfileForbidden, NotReady, NoOutcome,
 	HostBusy, UnknownPath, WrongMethod, WrongType, SlowBody,
-	ForwardRefused, HostStopped, StaleKeys, PoisonRequest,
+	ForwardRefused, HostStopped, StaleKeys, PoisonRequest, StreamNotContinued,
 }
