core, begun: what plays of streams with two builds in virtual time show

Played with one build a target in turn, targets that end and hosts that restart once a second, callers that come back once at another host, 2 to 96 hosts in 1 to 12 regions:

- 11 streams of 9 plays had events of two builds, at deployments of more than one region: a host that had passed the first event on from another region counted none as delivered when the forwarding ended without saying so.
The build binds from the first event on now, whatever was delivered.
Three regions at most keep one, found by rank; two peers in the region itself, a relay and one peer in the others.
- A record that had expired behind one that had not was refreshed with its old build; found by the comparison with plain maps.

A stream is remembered for twice the timeout of its route, since its caller may take it up for as long again. A refusal names its reason (denied=buildUnknown, buildGone, serviceMoved).

--- a/internal/begun/begun.go
+++ b/internal/begun/begun.go
@@ -181,6 +181,9 @@
 		return nil
 	}
 	until := now.Add(min(s.TTL, maxTTL))
+	if el, ok := b.records[s.Stream]; ok && el.Value.(*record).until <= now {
+		b.remove(el)
+	}
 	if el, ok := b.records[s.Stream]; ok {
 		r := el.Value.(*record)
 		// A caller may have given two streams one name.
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -16,7 +16,7 @@
 	return route.Query{
 		Request: r.Request, Profile: r.profile, Client: r.client,
 		TriedTargets: r.triedTargets, TriedCentres: r.triedCentres, OnlyTarget: r.boundTarget,
-		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.delivered, MayHaveRun: r.mayHaveRun, Build: r.requiredBuild(),
+		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.delivered, MayHaveRun: r.mayHaveRun, Build: r.build,
 		Backlog: rd.pools.of(r).backlog(), ExpectedEvents: rd.expectedEvents(r), Length: rd.expectedLength(r), Deadline: r.deadline,
 	}
 }
@@ -69,7 +69,7 @@
 	at := now.Add(resumeInterval)
 	if r.delivered == 0 || r.resumeWaits >= maxResumeWaits || at >= r.deadline {
 		if rd.isBuildGone(now, r) {
-			code = codes.StreamNotContinued.ID
+			code, r.lastDenial = codes.StreamNotContinued.ID, event.Denial{Reason: event.DeniedBuildGone, Attempts: r.attemptCount}
 		}
 		rd.endRefused(now, r, noTargetRefusal(r, code))
 		return
@@ -189,7 +189,7 @@
 		Request: r.ID, To: a.host, Envelope: env, Deadline: r.deadline, ResumeAfter: r.delivered,
 		AtMostOnce: r.outlivesCaller(), KeepOutcome: r.storesAnswer(), Basis: rd.basis(now, r, a.dec), Service: r.profile.Service,
 		IdleTimeouts: rd.idleTimeouts(r, a.dec), EndedRuns: rd.poison.Runs(now, r.Content),
-		Build: r.requiredBuild(),
+		Build: r.build,
 	})
 }
 
--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,8 +16,11 @@
 )
 
 const (
-	// keeperCount is the number of peers that keep which build began a stream, in each region.
-	keeperCount = 3
+	// keeperCount is the number of peers that keep which build began a stream. In keeperRegions
+	// regions at most, a relay keeps it too, and sends it to relayedKeeperCount of its peers.
+	keeperCount        = 2
+	keeperRegions      = 3
+	relayedKeeperCount = 1
 	// announceInterval is the shortest time between two announcements of begun streams.
 	announceInterval = 10 * time.Millisecond
 	// localLookupTimeout and remoteLookupTimeout bound the time for which keepers are asked, without
@@ -25,7 +29,7 @@
 	remoteLookupTimeout = 600 * time.Millisecond
 	// buildsInterval is the time between two looks at the builds that serve.
 	buildsInterval = 500 * time.Millisecond
-	// lateTakeUp is how long after its deadline a caller may still come for the rest of its stream.
+	// lateTakeUp is added to the time for which a stream may be running.
 	lateTakeUp = time.Second
 )
 
@@ -33,25 +37,15 @@
 type lookup struct {
 	stream ident.Stream
 	until  ident.Time
-	// unanswered are the hosts that were asked and have not answered.
-	unanswered value.Set[ident.EntryID]
+	// asked are the hosts that were asked, unanswered those of them that have not answered. With remote,
+	// hosts of other regions are asked too.
+	asked, unanswered value.Set[ident.EntryID]
+	remote            bool
 	// requests wait for the answer here, askers at other hosts.
 	requests []*request
 	askers   []ident.EntryID
 }
 
-// isContinued reports whether the caller has a part of the stream, so that only the build that began it
-// may serve the rest.
-func (r *request) isContinued() bool { return r.TakenUp || r.hasBegun() }
-
-// requiredBuild returns the only build that may serve a request, empty for any.
-func (r *request) requiredBuild() ident.Build {
-	if !r.isContinued() {
-		return ""
-	}
-	return r.build
-}
-
 // streamBegan records the build from which the caller gets the first event of an attempt.
 func (rd *Reducer) streamBegan(now ident.Time, a *attempt, e event.FirstToken) {
 	r := a.req
@@ -69,7 +63,7 @@
 	rd.begun.BuildSeen(now, sb)
 	r.build = cmp.Or(r.build, build)
 	if !r.forwarded && r.profile.Route.Resumable {
-		rd.begun.Begin(now, event.BegunStream{Stream: r.Origin, ServiceBuild: sb, TTL: r.deadline.Sub(now) + lateTakeUp})
+		rd.begun.Begin(now, event.BegunStream{Stream: r.Origin, ServiceBuild: sb, TTL: streamTTL(r)})
 	}
 }
 
@@ -96,12 +90,18 @@
 // possibleBuilds returns the builds that may have begun a stream that is still running.
 func (rd *Reducer) possibleBuilds(now ident.Time, r *request) []ident.Build {
 	rd.noteBuilds(now)
-	return rd.begun.Builds(now, r.profile.Service, profileDeadline(r.profile)+lateTakeUp)
+	return rd.begun.Builds(now, r.profile.Service, streamTTL(r))
+}
+
+// streamTTL returns how long after its beginning a stream of the route of r may still be running. A
+// caller that takes it up again may wait for the whole timeout of the route once more.
+func streamTTL(r *request) time.Duration {
+	return 2*time.Duration(r.profile.Route.TimeoutMs)*time.Millisecond + lateTakeUp
 }
 
 // isYoung reports whether this host may have missed builds and streams that other hosts have seen.
 func (rd *Reducer) isYoung(now ident.Time, r *request) bool {
-	return now.Sub(rd.startedAt) < profileDeadline(r.profile)+lateTakeUp
+	return now.Sub(rd.startedAt) < streamTTL(r)
 }
 
 // findBuild finds out which build may serve a request. It reports whether that is settled; otherwise
@@ -129,7 +129,7 @@
 	if !known {
 		builds := rd.possibleBuilds(now, r)
 		if len(builds) > 1 {
-			rd.endNotContinued(now, r)
+			rd.endNotContinued(now, r, event.DeniedBuildUnknown)
 			return false
 		}
 		if len(builds) == 1 {
@@ -137,16 +137,20 @@
 		}
 		return true
 	}
-	offered := slices.ContainsFunc(r.profile.Route.Shares, func(sh rules.Share) bool { return sh.Service == s.Service && sh.Weight > 0 })
-	if s.Ambiguous || !offered {
-		rd.endNotContinued(now, r)
+	switch {
+	case s.Ambiguous:
+		rd.endNotContinued(now, r, event.DeniedBuildUnknown)
+		return false
+	case !slices.ContainsFunc(r.profile.Route.Shares, func(sh rules.Share) bool { return sh.Service == s.Service && sh.Weight > 0 }):
+		rd.endNotContinued(now, r, event.DeniedService)
 		return false
 	}
 	r.Service, r.profile.Service, r.build = s.Service, s.Service, s.Build
 	return true
 }
 
-func (rd *Reducer) endNotContinued(now ident.Time, r *request) {
+func (rd *Reducer) endNotContinued(now ident.Time, r *request, reason event.DenialReason) {
+	r.lastDenial = event.Denial{Reason: reason, Attempts: r.attemptCount}
 	rd.endRefused(now, r, refuseAs(codes.StreamNotContinued))
 }
 
@@ -156,45 +160,76 @@
 	if q, ok := rd.lookups[stream]; ok {
 		return q
 	}
-	q := &lookup{stream: stream, until: now.Add(localLookupTimeout), unanswered: value.SetOf[ident.EntryID]()}
-	ask := func(to []event.Host, relay bool) {
-		for _, h := range to {
-			q.unanswered.Add(h.ID)
-		}
-		if len(to) > 0 {
-			rd.emit(event.AskBegun{To: to, Stream: stream, Relay: relay})
-		}
-	}
-	ask(rd.keepers(now, stream), false)
+	q := &lookup{stream: stream, until: now.Add(localLookupTimeout), remote: remote, asked: value.SetOf[ident.EntryID](), unanswered: value.SetOf[ident.EntryID]()}
 	if remote {
 		q.until = now.Add(remoteLookupTimeout)
-		for _, c := range rd.table.Centres(now) {
-			if h, ok := rd.relayOf(now, c, stream); ok {
-				ask([]event.Host{h}, true)
-			}
-		}
 	}
-	if len(q.unanswered) == 0 {
+	rd.askKeepers(now, q)
+	if rd.isAnswered(now, q) {
 		return nil
 	}
 	rd.lookups[stream] = q
 	return q
 }
 
-// keepers returns the peers that keep which build began a stream.
-func (rd *Reducer) keepers(now ident.Time, stream ident.Stream) []event.Host {
+// askKeepers asks the keepers that have not been asked yet.
+func (rd *Reducer) askKeepers(now ident.Time, q *lookup) {
+	rd.askBegun(q, rd.keepers(now, q.stream, keeperCount), false)
+	if q.remote {
+		rd.askBegun(q, rd.relays(now, q.stream), true)
+	}
+}
+
+func (rd *Reducer) askBegun(q *lookup, hosts []event.Host, relay bool) {
+	hosts = slices.DeleteFunc(hosts, func(h event.Host) bool { return q.asked.Has(h.ID) })
+	for _, h := range hosts {
+		q.asked.Add(h.ID)
+		q.unanswered.Add(h.ID)
+	}
+	if len(hosts) > 0 {
+		rd.emit(event.AskBegun{To: hosts, Stream: q.stream, Relay: relay})
+	}
+}
+
+// isAnswered reports whether no answer to a lookup can come any more. Shortly after its start a host may
+// still discover keepers.
+func (rd *Reducer) isAnswered(now ident.Time, q *lookup) bool {
+	return len(q.unanswered) == 0 && (!q.remote || now.Sub(rd.startedAt) >= discoveryWindow)
+}
+
+// keepers returns the peers that rank first for a stream, at most n.
+func (rd *Reducer) keepers(now ident.Time, stream ident.Stream, n int) []event.Host {
 	peers := slices.Clone(rd.table.Peers(now))
 	score := func(h event.Host) uint64 { return rank.Combine(uint64(stream), rank.Hash(string(h.ID))) }
 	slices.SortFunc(peers, func(a, b event.Host) int { return cmp.Compare(score(b), score(a)) })
-	return peers[:min(len(peers), keeperCount)]
+	return peers[:min(len(peers), n)]
 }
 
-// relayOf returns the host of another data centre that reaches its keepers of a stream.
-func (rd *Reducer) relayOf(now ident.Time, c *member.Centre, stream ident.Stream) (event.Host, bool) {
-	if c.CutOff(now) {
-		return event.Host{}, false
+// relays returns a host of each other region that keeps a stream. The regions rank by the stream, this one
+// among them, so that all hosts find the same ones.
+func (rd *Reducer) relays(now ident.Time, stream ident.Stream) []event.Host {
+	score := func(group ident.DataCentre) uint64 {
+		return rank.Combine(uint64(stream), rank.Hash("region", string(group)))
+	}
+	centres := slices.Clone(rd.table.Centres(now))
+	slices.SortFunc(centres, func(a, b *member.Centre) int {
+		return cmp.Compare(score(b.Place.Group()), score(a.Place.Group()))
+	})
+	var hosts []event.Host
+	own := score(rd.self.Place.Group())
+	for i, c := range centres {
+		above := i
+		if own > score(c.Place.Group()) {
+			above++
+		}
+		if above >= keeperRegions || c.CutOff(now) {
+			continue
+		}
+		if h, ok := rd.table.ForwardHost(now, c, uint64(stream)); ok {
+			hosts = append(hosts, h)
+		}
 	}
-	return rd.table.ForwardHost(now, c, uint64(stream))
+	return hosts
 }
 
 // announceBegun announces to the keepers which builds have begun streams.
@@ -204,15 +239,8 @@
 	}
 	rd.nextBegun = now.Add(announceInterval)
 	streams := rd.begun.TakeAnnounced()
-	rd.sendBegun(streams, false, func(stream ident.Stream) []event.Host { return rd.keepers(now, stream) })
-	for _, c := range rd.table.Centres(now) {
-		rd.sendBegun(streams, true, func(stream ident.Stream) []event.Host {
-			if h, ok := rd.relayOf(now, c, stream); ok {
-				return []event.Host{h}
-			}
-			return nil
-		})
-	}
+	rd.sendBegun(streams, false, func(stream ident.Stream) []event.Host { return rd.keepers(now, stream, keeperCount) })
+	rd.sendBegun(streams, true, func(stream ident.Stream) []event.Host { return rd.relays(now, stream) })
 }
 
 // sendBegun sends each stream to its recipients, in one message to each host.
@@ -236,7 +264,7 @@
 func (rd *Reducer) begunReceived(now ident.Time, e event.BegunReceived) {
 	rd.begun.Merge(now, e.Streams)
 	if e.Relay {
-		rd.sendBegun(e.Streams, false, func(stream ident.Stream) []event.Host { return rd.keepers(now, stream) })
+		rd.sendBegun(e.Streams, false, func(stream ident.Stream) []event.Host { return rd.keepers(now, stream, relayedKeeperCount) })
 	}
 }
 
@@ -268,7 +296,7 @@
 		return
 	}
 	delete(q.unanswered, e.From)
-	if _, known := rd.begun.Find(now, e.Stream); known || len(q.unanswered) == 0 {
+	if _, known := rd.begun.Find(now, e.Stream); known || rd.isAnswered(now, q) {
 		rd.endLookup(now, q)
 	}
 }
@@ -287,21 +315,21 @@
 	}
 }
 
-// endLookups ends the lookups whose time is over.
-func (rd *Reducer) endLookups(now ident.Time) {
-	var due []*lookup
-	for _, q := range rd.lookups {
+// continueLookups ends the lookups whose time is over, and asks keepers that were discovered since.
+func (rd *Reducer) continueLookups(now ident.Time) {
+	if len(rd.lookups) == 0 {
+		return
+	}
+	for _, q := range slices.SortedFunc(maps.Values(rd.lookups), func(a, b *lookup) int { return cmp.Compare(a.stream, b.stream) }) {
 		if now >= q.until {
-			due = append(due, q)
+			rd.endLookup(now, q)
+		} else if now.Sub(rd.startedAt) < discoveryWindow {
+			rd.askKeepers(now, q)
 		}
 	}
-	slices.SortFunc(due, func(a, b *lookup) int { return cmp.Compare(a.stream, b.stream) })
-	for _, q := range due {
-		rd.endLookup(now, q)
-	}
 }
 
-// nextBegunTick returns when announceBegun or endLookups is next due, zero for never.
+// nextBegunTick returns when announceBegun or continueLookups is next due, zero for never.
 func (rd *Reducer) nextBegunTick() ident.Time {
 	at := ident.Time(0)
 	if rd.begun.HasAnnounced() {
@@ -317,8 +345,8 @@
 
 // isBuildGone reports whether no target of the required build serves any more, although others do.
 func (rd *Reducer) isBuildGone(now ident.Time, r *request) bool {
-	build := r.requiredBuild()
-	if build == "" || len(rd.possibleBuilds(now, r)) < 2 {
+	build := r.build
+	if r.profile.Route == nil || build == "" || len(rd.possibleBuilds(now, r)) < 2 {
 		return false
 	}
 	for _, t := range rd.table.Targets() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -319,7 +319,7 @@
 		rd.noteBuilds(now)
 	}
 	rd.announceBegun(now)
-	rd.endLookups(now)
+	rd.continueLookups(now)
 	rd.emit(rd.spread.Tick(now, rd.table.IsWatcher(now))...)
 	rd.updateReadPace(now)
 	rd.targetsRestarted()
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -154,8 +154,8 @@
 // service serve, one that needs a build waits for other targets than the rest.
 func (rd *Reducer) chooseQueue(now ident.Time, r *request) {
 	r.queueBuild = ""
-	if build := r.requiredBuild(); build != "" && len(rd.possibleBuilds(now, r)) > 1 {
-		r.queueBuild = build
+	if r.profile.Route != nil && r.build != "" && len(rd.possibleBuilds(now, r)) > 1 {
+		r.queueBuild = r.build
 	}
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -66,7 +66,8 @@
 	delivered    ident.Tokens
 	generated    ident.Tokens
 	answerStored bool
-	// build is the build that began the stream of which the caller has a part, empty if unknown.
+	// build is the only build that may serve the request, since the caller may have an event from it;
+	// empty for any.
 	build ident.Build
 	// queueBuild is set while the request is queued with those that need the same build.
 	queueBuild ident.Build
--- a/internal/dev/drive/drive.go
+++ b/internal/dev/drive/drive.go
@@ -77,6 +77,8 @@
 	EarlyBreak func() (time.Duration, bool)
 	// NameLimits makes targets name their RateLimit, or none, in each answer.
 	NameLimits bool
+	// FirstEvents makes targets send the first event of each answer firstEventRatio into its run.
+	FirstEvents bool
 	// EndsTarget, if set, reports whether a request ends each target that runs it.
 	EndsTarget func(req event.Request) bool
 	// OnMessage, if set, is called with each message between hosts, and OnCall with the name of
@@ -103,6 +105,8 @@
 	from        ident.EntryID
 	incarnation ident.Incarnation
 	attempt     ident.Attempt
+	// begun is set once the first event has been sent to the sender.
+	begun bool
 }
 
 // defaultDelay is the latency of a message unless Delay is replaced.
--- a/internal/dev/drive/effects.go
+++ b/internal/dev/drive/effects.go
@@ -119,6 +119,7 @@
 	req.Deadline = e.Deadline
 	req.Ticket, req.Key = "", ""
 	req.Envelope = value.Some(e.Envelope)
+	req.Build, req.AnswerBegan = e.Build, e.ResumeAfter > 0
 	d.platform.requests[req.ID] = req
 	d.forwarded[req.ID] = forwardedRequest{from: h.ID, incarnation: h.Incarnation, attempt: a}
 	broken := event.AttemptEnded{Attempt: a, Result: event.ResultBroken}
@@ -146,7 +147,10 @@
 		d.Answers = append(d.Answers, Answer{At: d.Now, Host: h.ID, Request: id, Outcome: outcome, Effect: eff})
 		return
 	}
-	end := event.AttemptEnded{Attempt: fwd.attempt, Result: event.ResultBroken}
+	end := event.AttemptEnded{Attempt: fwd.attempt, Result: event.ResultBroken, Resumable: fwd.begun}
+	if fwd.begun {
+		end.Delivered = 1
+	}
 	switch outcome {
 	case event.Done:
 		end.Result = event.ResultDone
--- a/internal/dev/drive/environment.go
+++ b/internal/dev/drive/environment.go
@@ -58,8 +58,14 @@
 type run struct {
 	host    event.Host
 	attempt ident.Attempt
+	request ident.RequestID
+	// begun is set once the first event has been sent.
+	begun bool
 }
 
+// firstEventRatio is the part of its run after which a target sends the first event of an answer.
+const firstEventRatio = 0.25
+
 // AddTarget adds a target to the platform's list.
 func (d *Driver) AddTarget(t event.Target, cfg TargetConfig) *Target {
 	tg := &Target{Target: t, TargetConfig: cfg, Runs: make(map[ident.RequestID]int)}
@@ -101,12 +107,19 @@
 	if t.Break != nil && t.Break() {
 		end = event.AttemptEnded{Attempt: e.Attempt, Result: event.ResultBroken}
 	}
-	t.inFlight = append(t.inFlight, run{h.Host, e.Attempt})
+	t.inFlight = append(t.inFlight, run{host: h.Host, attempt: e.Attempt, request: e.Request})
 	if d.EndsTarget != nil && d.EndsTarget(d.platform.requests[e.Request]) {
 		d.schedule(endDelay, func() { d.endTarget(t) })
 		return
 	}
 	ends := t.Ends
+	if d.FirstEvents {
+		d.schedule(time.Duration(firstEventRatio*float64(t.Work+wait)), func() {
+			if t.Ends == ends {
+				d.beginAnswer(t, e.Attempt)
+			}
+		})
+	}
 	d.schedule(t.Work+wait, func() {
 		if t.Ends != ends {
 			return
@@ -120,6 +133,41 @@
 	})
 }
 
+// beginAnswer sends the first event of an answer to the host that runs the attempt, and from there to the
+// one that forwarded the request.
+func (d *Driver) beginAnswer(t *Target, a ident.Attempt) {
+	i := slices.IndexFunc(t.inFlight, func(r run) bool { return r.attempt == a })
+	if i < 0 {
+		return
+	}
+	r := &t.inFlight[i]
+	r.begun = true
+	d.postToIncarnation(r.host, callDelay, event.FirstToken{Attempt: a, Build: t.Build})
+	if fwd, ok := d.forwarded[r.request]; ok {
+		fwd.begun = true
+		d.forwarded[r.request] = fwd
+		from := d.Host(fwd.from)
+		after, lost := d.Delay(r.host, from.Host)
+		if !lost && from.Incarnation == fwd.incarnation {
+			d.Post(fwd.from, callDelay+after, event.FirstToken{Attempt: fwd.attempt, Build: t.Build})
+		}
+	}
+}
+
+// SetBuild changes the build of a target in the platform's list.
+func (d *Driver) SetBuild(id ident.TargetID, build ident.Build) {
+	d.Target(id).Build = build
+	d.platform.hostsVersion++
+}
+
+// delivered returns how many events of a run its caller has.
+func (r run) delivered() ident.Tokens {
+	if r.begun {
+		return 1
+	}
+	return 0
+}
+
 // endTarget ends the process of a target: all attempts that it runs break, and it starts again as its
 // next incarnation.
 func (d *Driver) endTarget(t *Target) {
@@ -129,7 +177,7 @@
 	t.Dead = true
 	t.Ends++
 	for _, r := range t.inFlight {
-		d.postToIncarnation(r.host, callDelay, event.AttemptEnded{Attempt: r.attempt, Result: event.ResultBroken, Disconnected: true, TargetEnded: true, Resumable: true})
+		d.postToIncarnation(r.host, callDelay, event.AttemptEnded{Attempt: r.attempt, Result: event.ResultBroken, Disconnected: true, TargetEnded: true, Resumable: true, Delivered: r.delivered()})
 	}
 	t.inFlight, t.Running, t.Queued = nil, 0, 0
 	d.schedule(restartDelay, func() {
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -166,6 +166,12 @@
 	DeniedPoison DenialReason = "targetsEnded"
 	// DeniedCapacity means that no other target or data centre has capacity.
 	DeniedCapacity DenialReason = "noPlace"
+	// DeniedBuildUnknown means that it is not known which of several builds began a stream,
+	// DeniedBuildGone that no target of it serves, DeniedService that the route no longer
+	// uses its service.
+	DeniedBuildUnknown DenialReason = "buildUnknown"
+	DeniedBuildGone    DenialReason = "buildGone"
+	DeniedService      DenialReason = "serviceMoved"
 )
 
 // Denial is the reason why a request gets no further attempt, with the inputs of that
