soak: targets of two builds, and streams that callers take up again

Targets get one of two builds in turn and name it in each event; callers leave a quarter of their streams in the middle, and ask any host up to three times for the rest of a stream that broke or that they left. Checked are that the events of a stream name one build, and that of the streams taken up without a fault nearby at least half as many go on as new ones begin. A refusal with VB1034 must have no Retry-After; any other must have one, as before.

--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -93,7 +93,7 @@
 	return rd.begun.Builds(now, r.profile.Service, streamTTL(r))
 }
 
-// streamTTL returns how long after its beginning a stream of the route of r may still be running. A
+// streamTTL returns how long after its first event a stream of the route of r may still be running. A
 // caller that takes it up again may wait for the whole timeout of the route once more.
 func streamTTL(r *request) time.Duration {
 	return 2*time.Duration(r.profile.Route.TimeoutMs)*time.Millisecond + lateTakeUp
--- /dev/null
+++ b/internal/dev/soak/builds.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/dev/worker"
+)
+
+const (
+	// maxTakeUps is how often a caller asks for the rest of a stream, and takeUpDelay the time before it
+	// does.
+	maxTakeUps  = 3
+	takeUpDelay = 50 * time.Millisecond
+	// minTakenUp is the number of streams from which the share that goes on is checked.
+	minTakenUp = 12
+	// leaveDivisor is the inverse of the part of the streams whose callers leave in the middle.
+	leaveDivisor = 4
+)
+
+// nextBuild returns the build of the next target that starts: each in turn.
+func (s *deployment) nextBuild() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.builds++
+	return []string{"v1", "v2"}[s.builds%2]
+}
+
+// splitBuilds separates the lines that name builds from the rest of an answer.
+func (a *observation) splitBuilds() {
+	var rest strings.Builder
+	for line := range strings.Lines(a.body) {
+		build, ok := strings.CutPrefix(line, worker.BuildField)
+		if !ok {
+			rest.WriteString(line)
+			continue
+		}
+		if build = strings.TrimSpace(build); !slices.Contains(a.builds, build) && strings.HasSuffix(line, "\n") {
+			a.builds = append(a.builds, build)
+		}
+	}
+	a.body = rest.String()
+}
+
+// events returns how many whole events the answer contains.
+func (a *observation) events() int { return strings.Count(a.body, "\n\n") }
+
+// notContinued reports whether the answer says that no target can continue the stream.
+func (a *observation) notContinued() bool { return strings.Contains(a.body, "VB1034") }
+
+// readPart reads an answer of which a caller may leave the rest.
+func (k *caller) readPart(body io.Reader, a *observation) ([]byte, error) {
+	if a.kind != kindDraft || !k.pool.deployment.cfg.Builds || k.rnd.IntN(leaveDivisor) > 0 {
+		return io.ReadAll(body)
+	}
+	part, err := io.ReadAll(io.LimitReader(body, int64(1+k.rnd.IntN(len(worker.StreamText(streamEvents))))))
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return part, err
+}
+
+// takeUp asks other hosts for the rest of a stream that broke or that the caller left.
+func (k *caller) takeUp(a observation) {
+	s := k.pool.deployment
+	first, received := a.id, 0
+	for n := 0; s.cfg.Builds && a.kind == kindDraft && a.route == kindDraft && a.err != nil && n < maxTakeUps; n++ {
+		received += a.events()
+		if received == 0 || received >= streamEvents || !sleep(context.Background(), takeUpDelay) {
+			return
+		}
+		host := k.rnd.IntN(len(s.hosts))
+		rest := observation{
+			id: k.pool.newID(kindDraft), kind: kindDraft, route: kindDraft, host: host, first: first, received: received,
+			began: time.Now(), settled: s.settled(), text: "body of " + first, path: "/" + kindDraft + "/x?of=" + first,
+		}
+		rest.process, _ = s.hosts[host].state()
+		k.send(context.Background(), s.hosts[host], &rest)
+		rest.end = time.Now()
+		rest.settled = rest.settled && s.settled()
+		k.pool.record(rest)
+		a = rest
+	}
+}
+
+// checkBuilds checks that the events of a stream come from targets of one build, and that of the streams
+// that callers take up without a fault nearby at least half as many go on as new ones begin.
+func (c *checker) checkBuilds() {
+	builds := make(map[string][]string)
+	var asked, began, taken, kept int
+	for _, a := range c.pool.observations {
+		if a.kind != kindDraft || a.route != kindDraft {
+			continue
+		}
+		first := a.first
+		if first == "" {
+			first = a.id
+		}
+		for _, build := range a.builds {
+			if !slices.Contains(builds[first], build) {
+				builds[first] = append(builds[first], build)
+			}
+		}
+		switch got := a.events() > 0; {
+		case !a.settled:
+		case a.first == "":
+			asked++
+			began += count(got)
+		default:
+			taken++
+			kept += count(got)
+		}
+	}
+	for first, bs := range builds {
+		if len(bs) > 1 {
+			c.report("builds: stream %s has events of %v", first, bs)
+		}
+	}
+	if taken >= minTakenUp && 2*kept*asked < began*taken {
+		c.report("builds: %d of %d streams that were taken up went on, %d of %d new ones began", kept, taken, began, asked)
+	}
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -44,6 +44,11 @@
 	// differ from those of other requests of the kind.
 	route      string
 	path, text string
+	// first is the request that began the stream that this one takes up again, received how many events
+	// its caller has by then. builds are the builds that the events of the answer name.
+	first      string
+	received   int
+	builds     []string
 	began, end time.Time
 	status     int
 	header     http.Header
@@ -147,7 +152,7 @@
 		n := k.chooseHost(ctx)
 		// The request in flight is completed when the pool stops: an aborted one would show
 		// nothing about the system.
-		k.request(context.Background(), n, k.drawKind())
+		k.takeUp(k.request(context.Background(), n, k.drawKind()))
 	}
 	return nil
 }
@@ -234,21 +239,26 @@
 	req.Host = hostName
 	req.Header.Set("Verbenadale-Request-Id", a.id)
 	req.Header.Set("Verbenadale-Request-Deadline", strconv.FormatInt(deadline.Milliseconds(), 10))
+	if a.first != "" {
+		req.Header.Set("Resumes", a.first)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(a.received))
+	}
 	res, err := k.http.Do(req)
 	if err != nil {
 		a.err = err
 		return
 	}
 	defer res.Body.Close()
-	answer, err := io.ReadAll(res.Body)
+	answer, err := k.readPart(res.Body, a)
 	a.status, a.header, a.body, a.err = res.StatusCode, res.Header, string(answer), err
+	a.splitBuilds()
 }
 
 // wantBody returns the body that a successful answer must have, or for calls its prefix: the
 // body of a call ends with the id of the target, which is not known beforehand.
 func (a observation) wantBody() string {
 	if a.kind == kindDraft {
-		return worker.StreamText(streamEvents)
+		return strings.TrimPrefix(worker.StreamText(streamEvents), worker.StreamText(a.received))
 	}
 	return fmt.Sprintf("POST /%s/x?of=%s body of %s by ", a.route, a.id, a.id)
 }
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -50,6 +50,7 @@
 	c.checkNoRevert()
 	c.checkPoison()
 	c.checkLimits()
+	c.checkBuilds()
 }
 
 func (c *checker) checkRequest(a observation) {
@@ -62,8 +63,9 @@
 	if refused && runs > 0 {
 		c.report("not run: %s was refused with %d and ran %d times", desc, a.status, runs)
 	}
-	if refused && a.header.Get("Retry-After") == "" {
-		c.report("not run: %s was refused with %d and no Retry-After", desc, a.status)
+	// Waiting does not help a stream that no target can continue.
+	if hasTime, wanted := a.header.Get("Retry-After") != "", !a.notContinued(); refused && hasTime != wanted {
+		c.report("not run: %s was refused with %d, Retry-After %q", desc, a.status, a.header.Get("Retry-After"))
 	}
 	if a.status == http.StatusOK && a.err == nil {
 		c.checkSuccess(a, desc)
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -63,6 +63,8 @@
 	poison []*poisonSeries
 	// limits holds the times in which targets named a limit.
 	limits []*limitPeriod
+	// builds counts the builds that targets have been given.
+	builds int
 	// configs are the configurations written so far, evacuations the evacuations of data centres.
 	configs     []configWrite
 	evacuations []evacuation
@@ -222,6 +224,9 @@
 	cfg := worker.Config{ID: id, Service: service, DataCentre: centreOf(region), Slots: 16, Work: callRunTime}
 	if service == "writers" {
 		cfg.Events, cfg.EventInterval = streamEvents, s.cfg.timing().eventInterval
+		if s.cfg.Builds {
+			cfg.Build, cfg.NamesBuild = s.nextBuild(), true
+		}
 	}
 	w := &target{id: id, service: service, region: region}
 	cfg.OnPoison = func(r *http.Request) { s.endTarget(w, r) }
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -50,6 +50,9 @@
 	Poison bool
 	// Limits adds targets that name a limit on their requests for a while.
 	Limits bool
+	// Builds lets targets run two versions of their software, and callers take their streams up again
+	// at other hosts.
+	Builds bool
 	// Log receives the output of the hosts; nil discards it.
 	Log io.Writer
 }
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// Guards against streams of two builds while hosts are stopped, killed, paused and partitioned.
+func TestStreamsKeepTheirBuild(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for a quarter of a minute")
+	}
+	rep, err := Run(context.Background(), Config{Program: program, Seed: 7, Duration: 5 * time.Second, Builds: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(rep)
+	if len(rep.Violations) > 0 {
+		t.Errorf("seed %d violates guarantees", rep.Seed)
+	}
+}
+
 // Guards against a second SIGTERM that ends a host in the middle of a stream while a planned
 // stop is in progress.
 func TestOverlappingStopsAbortNoRequest(t *testing.T) {
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -63,6 +63,9 @@
 // DefaultBuild is the version of the software of workers that name none.
 const DefaultBuild = "v1"
 
+// BuildField begins the line of an event that names the build of its worker.
+const BuildField = "build: "
+
 // Config describes a worker.
 type Config struct {
 	ID         string
@@ -70,6 +73,8 @@
 	DataCentre string
 	// Build is the version of the worker's software; empty means DefaultBuild.
 	Build string
+	// NamesBuild adds the build to each event of a stream.
+	NamesBuild bool
 	// Slots is reported and not enforced.
 	Slots int
 	// Events is the number of events of a stream, or zero for a plain service;
@@ -373,6 +378,9 @@
 			_ = rc.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if k.cfg.NamesBuild {
+			fmt.Fprintf(w, "%s%s\n", BuildField, cmp.Or(k.cfg.Build, DefaultBuild))
+		}
 		fmt.Fprint(w, EventText(n))
 		pause := k.cfg.EventInterval
 		if f == Paused && n == from+2 {
