--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -79,6 +79,7 @@
 	net.Conn
 	p    *Pool
 	addr string
+	head *headReader
 	br   *bufio.Reader
 	// expires is the time from which the idle connection is no longer used.
 	expires ident.Time
@@ -198,7 +199,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, p: p, addr: addr, br: bufio.NewReaderSize(raw, connBufferBytes)}, nil
+	head := &headReader{r: raw, left: unlimited}
+	return &conn{Conn: raw, p: p, addr: addr, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}, nil
 }
 
 func (p *Pool) popIdle(addr string) *conn {
@@ -272,10 +274,43 @@
 	return w.t.Err() == nil && w.c.SetWriteDeadline(time.Time{}) == nil
 }
 
+// unlimited is the value of headReader.left outside of heads.
+const unlimited = -1
+
+// headReader bounds the bytes that are read while the head of an answer arrives: a target in trouble may
+// send bytes without end.
+type headReader struct {
+	r    io.Reader
+	left int
+}
+
+func (h *headReader) Read(b []byte) (int, error) {
+	if h.left == unlimited {
+		return h.r.Read(b)
+	}
+	if h.left == 0 {
+		return 0, errors.Wrapf(ErrWrongAnswer, "its head is longer than %d bytes", maxHeaderBytes)
+	}
+	n, err := h.r.Read(b[:min(len(b), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// readHead reads the head of one answer.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.head.left = maxHeaderBytes
+	res, err := http.ReadResponse(c.br, req)
+	c.head.left = unlimited
+	return res, err
+}
+
 // readAnswer reads answers until it reaches the one to this request.
 func (c *conn) readAnswer(req *http.Request, isOwn func(*http.Response) bool) (*http.Response, error) {
 	for range maxAnswersRead {
-		res, err := http.ReadResponse(c.br, req)
+		res, err := c.readHead(req)
+		if errors.Is(err, ErrWrongAnswer) {
+			return nil, err
+		}
 		if err != nil {
 			return nil, connectionError(err)
 		}
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -124,7 +124,8 @@
 	}
 	slow := &slowWriteConn{Conn: raw}
 	addr := srv.ln.Addr().String()
-	c := &conn{Conn: slow, p: p, addr: addr, br: bufio.NewReaderSize(raw, connBufferBytes)}
+	head := &headReader{r: raw, left: unlimited}
+	c := &conn{Conn: slow, p: p, addr: addr, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}
 	if !p.putIdle(c, time.Minute) {
 		t.Fatal("the pool does not accept the connection")
 	}
