worker, soak: answers without end

Stand-ins can send a head without end; the soak of targets of two builds injects it among the faults of targets (other plans stay as they are).

--- a/internal/dev/soak/fault.go
+++ b/internal/dev/soak/fault.go
@@ -257,6 +257,10 @@
 	kinds := []worker.Fault{
 		worker.Crash, worker.Reset, worker.NoAnswer, worker.ServerError, worker.Shed, worker.Unsigned, worker.WrongID, worker.NoLength, worker.ExtraAnswer,
 	}
+	if s.cfg.Builds {
+		// The plans of other seeds stay as they are.
+		kinds = append(kinds, worker.Endless)
+	}
 	ws := s.targets()
 	w, k, n := ws[rnd.IntN(len(ws))], kinds[rnd.IntN(len(kinds))], 1+rnd.IntN(6)
 	return fault{name: fmt.Sprintf("target %s: next %d %s", w.id, n, k), begin: func(context.Context) { w.InjectFault(k, n) }}
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -51,8 +51,13 @@
 	ExtraAnswer Fault = "extra"
 	// Paused sends no data for PauseDuration after the second event of a stream.
 	Paused Fault = "paused"
+	// Endless sends a head without end, up to maxEndlessBytes, until the connection closes.
+	Endless Fault = "endless"
 )
 
+// maxEndlessBytes bounds the bytes of one answer without end.
+const maxEndlessBytes = 64 << 20
+
 // PoisonSegment is the segment of a path that marks requests which end their worker.
 const PoisonSegment = "poison"
 
@@ -331,6 +336,9 @@
 		id = "of-somebody-else"
 	case NoLength:
 		w.Header().Set("Connection", "close")
+	case Endless:
+		writeEndlessHead(w)
+		return
 	}
 	w.Header().Set("Verbenadale-Request-Id", id)
 	if f != Unsigned {
@@ -367,6 +375,20 @@
 	time.Sleep(k.cfg.EventInterval)
 }
 
+// writeEndlessHead sends header lines until the caller closes the connection.
+func writeEndlessHead(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	line := []byte("X: " + strings.Repeat("x", 1<<10) + "\r\n")
+	_, err = c.Write([]byte("HTTP/1.1 200 OK\r\n"))
+	for sent := 0; err == nil && sent < maxEndlessBytes; sent += len(line) {
+		_, err = c.Write(line)
+	}
+}
+
 // stream sends the events after the last one that the caller received.
 func (k *Worker) stream(w http.ResponseWriter, r *http.Request, f Fault) {
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
