core: lookups of one stream are joined with the widest question

A host that asked its peers for another region, which asks them alone, gave the same answer to a request of its own that came meanwhile and for which other regions had to be asked; found by reading. Hosts to which the link has ended count as having answered, so that a request does not wait 250 to 600 ms for them.

--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -157,12 +157,12 @@
 // lookUp asks the keepers of a stream, with remote also those of other regions. It returns nil if there
 // is nobody to ask.
 func (rd *Reducer) lookUp(now ident.Time, stream ident.Stream, remote bool) *lookup {
-	if q, ok := rd.lookups[stream]; ok {
-		return q
+	q, ok := rd.lookups[stream]
+	if !ok {
+		q = &lookup{stream: stream, until: now.Add(localLookupTimeout), asked: value.SetOf[ident.EntryID](), unanswered: value.SetOf[ident.EntryID]()}
 	}
-	q := &lookup{stream: stream, until: now.Add(localLookupTimeout), remote: remote, asked: value.SetOf[ident.EntryID](), unanswered: value.SetOf[ident.EntryID]()}
-	if remote {
-		q.until = now.Add(remoteLookupTimeout)
+	if remote && !q.remote {
+		q.remote, q.until = true, now.Add(remoteLookupTimeout)
 	}
 	rd.askKeepers(now, q)
 	if rd.isAnswered(now, q) {
@@ -301,6 +301,24 @@
 	}
 }
 
+// keeperDown counts a host to which there is no link any more as one that does not know any stream.
+func (rd *Reducer) keeperDown(now ident.Time, id ident.EntryID) {
+	for _, q := range rd.sortedLookups() {
+		if !q.unanswered.Has(id) {
+			continue
+		}
+		delete(q.unanswered, id)
+		if rd.isAnswered(now, q) {
+			rd.endLookup(now, q)
+		}
+	}
+}
+
+// sortedLookups returns the lookups in order of their streams.
+func (rd *Reducer) sortedLookups() []*lookup {
+	return slices.SortedFunc(maps.Values(rd.lookups), func(a, b *lookup) int { return cmp.Compare(a.stream, b.stream) })
+}
+
 // endLookup settles the requests that wait for an answer, and answers other hosts.
 func (rd *Reducer) endLookup(now ident.Time, q *lookup) {
 	delete(rd.lookups, q.stream)
@@ -317,10 +335,7 @@
 
 // continueLookups ends the lookups whose time is over, and asks keepers that were discovered since.
 func (rd *Reducer) continueLookups(now ident.Time) {
-	if len(rd.lookups) == 0 {
-		return
-	}
-	for _, q := range slices.SortedFunc(maps.Values(rd.lookups), func(a, b *lookup) int { return cmp.Compare(a.stream, b.stream) }) {
+	for _, q := range rd.sortedLookups() {
 		if now >= q.until {
 			rd.endLookup(now, q)
 		} else if now.Sub(rd.startedAt) < discoveryWindow {
--- a/internal/core/begun_test.go
+++ b/internal/core/begun_test.go
@@ -403,6 +403,31 @@
 	wantSent(t, "a known stream", h.step(event.BegunAnswered{From: "w2", Stream: known.Stream, Begun: []event.BegunStream{known}}), "v2")
 }
 
+// Guards against a lookup for a host of another region, which asks peers alone, that answers a request here
+// for which other regions have to be asked.
+func TestLookupsOfOneStreamAreJoined(t *testing.T) {
+	h := newBuildHost(t, "v1", "v2")
+	near := event.Host{ID: "w2", Incarnation: 1, Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}}
+	far := event.Host{ID: "e1", Incarnation: 1, Place: event.Place{DataCentre: "east-a", Region: "east", Reach: "east"}}
+	h.step(event.PeerUp{Host: near})
+	h.step(event.DigestReceived{Digest: event.Digest{Host: near, Seq: 1}})
+	h.step(event.SummaryReceived{Summary: event.Summary{From: far.ID, Place: far.Place, Incarnation: 1, Seq: 1, Hosts: []event.Host{far}}})
+	stream := begun.StreamOf("callers", "a")
+	if ask, _ := pick[event.AskBegun](h.step(event.BegunAsked{From: "e1", Stream: stream, Relay: true})); len(ask.To) != 1 || ask.To[0].ID != near.ID || ask.Relay {
+		t.Fatalf("for another region, %+v is asked", ask)
+	}
+	if ask, _ := pick[event.AskBegun](h.askStream("a.r", "a")); len(ask.To) != 1 || ask.To[0].ID != far.ID || !ask.Relay {
+		t.Fatalf("for a request here, %+v is asked", ask)
+	}
+	h.step(event.PeerDown{Entry: near.ID})
+	known := event.BegunStream{Stream: stream, ServiceBuild: event.ServiceBuild{Service: "board", Build: "v2"}, TTL: time.Second}
+	effs := h.step(event.BegunAnswered{From: far.ID, Stream: stream, Begun: []event.BegunStream{known}})
+	wantSent(t, "a known stream", effs, "v2")
+	if ans, _ := pick[event.AnswerBegun](effs); ans.To != "e1" || len(ans.Begun) != 1 {
+		t.Errorf("the other region is answered %+v", ans)
+	}
+}
+
 // Guards against a region that continues a forwarded stream at another build.
 func TestForwardedStreamKeepsItsBuild(t *testing.T) {
 	h := newBuildHost(t, "v1", "v2")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -188,6 +188,7 @@
 		rd.refreshTargetEnds(now)
 	case event.PeerDown:
 		rd.table.PeerDown(now, e.Entry)
+		rd.keeperDown(now, e.Entry)
 	case event.DigestReceived:
 		rd.handleDigest(now, e.Digest)
 	case event.AdmissionsReceived:
