--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -311,3 +312,41 @@
 		t.Errorf("code %v, ended targets (-want +got):\n%s", end.Code, diff)
 	}
 }
+
+// Guards against a region that does not learn which build has to continue a stream, and against a sender that
+// does not learn which one began it.
+func TestBuildTravelsWithARequest(t *testing.T) {
+	got := make(chan event.Request, 1)
+	x, y := startPair(t, Config{}, Config{}, func(_ context.Context, call serve.Call, r event.Request, sink serve.Sink) {
+		got <- r
+		if _, err := call.ReadBody(); err != nil {
+			t.Error(err)
+		}
+		sink.Build("v2")
+		sink.Begin(http.StatusOK, http.Header{})
+		_ = sink.Data([]byte("event"), 1)
+		sink.Finish(event.Done)
+	})
+	p := newForwarded(y.cfg.Self, "body")
+	p.Forward.Envelope.Attempt.Incarnation = x.cfg.Self.Incarnation
+	p.Forward.Build, p.Request.Origin, p.Request.TakenUp = "v1", 7, true
+	a := &receivedAnswer{}
+	relay := a.relay()
+	var build ident.Build
+	relay.Build = func(b ident.Build) { build = b }
+	begin := relay.Begin
+	relay.Begin = func(status int, h http.Header) {
+		if build == "" {
+			t.Error("the answer begins before its build is known")
+		}
+		begin(status, h)
+	}
+	end := x.Forward(t.Context(), p, func() {}, relay)
+	r := <-got
+	if diff := cmp.Diff([]any{ident.Build("v1"), ident.Stream(7), true}, []any{r.Build, r.Origin, r.TakenUp}); diff != "" {
+		t.Errorf("request (-want +got):\n%s", diff)
+	}
+	if end.Result != event.ResultDone || build != "v2" {
+		t.Errorf("ended with %v, build %q", end.Result, build)
+	}
+}
