soak: streams that their callers leave are not aborted by a host

A caller that reads an answer to its end has not left it, and the checks of graceful stops and of planned work pass over what a caller left. Nothing else of them changes; without -builds nobody leaves.

--- a/internal/dev/soak/builds.go
+++ b/internal/dev/soak/builds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"strings"
@@ -21,6 +22,9 @@
 	leaveDivisor = 4
 )
 
+// errCallerLeft ends an answer whose caller has left in the middle.
+var errCallerLeft = errors.New("soak: caller has left")
+
 // nextBuild returns the build of the next target that starts: each in turn.
 func (s *deployment) nextBuild() string {
 	s.mu.Lock()
@@ -56,9 +60,10 @@
 	if a.kind != kindDraft || !k.pool.deployment.cfg.Builds || k.rnd.IntN(leaveDivisor) > 0 {
 		return io.ReadAll(body)
 	}
-	part, err := io.ReadAll(io.LimitReader(body, int64(1+k.rnd.IntN(len(worker.StreamText(streamEvents))))))
-	if err == nil {
-		err = io.ErrUnexpectedEOF
+	limit := 1 + k.rnd.IntN(len(worker.StreamText(streamEvents)))
+	part, err := io.ReadAll(io.LimitReader(body, int64(limit)))
+	if err == nil && len(part) == limit {
+		err = errCallerLeft
 	}
 	return part, err
 }
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -122,7 +122,7 @@
 
 // checkPlannedWork checks that planned work aborts no request, at any host.
 func (c *checker) checkPlannedWork(a observation, desc string) {
-	if a.err == nil || c.neverRead(a) {
+	if a.err == nil || errors.Is(a.err, errCallerLeft) || c.neverRead(a) {
 		return
 	}
 	c.report("planned work: %s was aborted (%v) and ran %d times", desc, a.err, c.runs[a.id])
@@ -131,7 +131,7 @@
 // checkGracefulStop checks that a host that stops after SIGTERM aborts no request that it has
 // read. A request that it never read shows as a refused or reset connection and has not run.
 func (c *checker) checkGracefulStop(a observation, desc string) {
-	if !a.settled || a.err == nil || a.termAt.IsZero() || a.end.Before(a.termAt) || c.neverRead(a) {
+	if !a.settled || a.err == nil || errors.Is(a.err, errCallerLeft) || a.termAt.IsZero() || a.end.Before(a.termAt) || c.neverRead(a) {
 		return
 	}
 	c.report("graceful stop: %s was aborted (%v) and ran %d times", desc, a.err, c.runs[a.id])
