--- a/internal/dev/soak/builds.go
+++ b/internal/dev/soak/builds.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -55,13 +56,13 @@
 // notContinued reports whether the answer says that no target can continue the stream.
 func (a *observation) notContinued() bool { return strings.Contains(a.body, "VB1034") }
 
-// readPart reads an answer of which a caller may leave the rest.
-func (k *caller) readPart(body io.Reader, a *observation) ([]byte, error) {
-	if a.kind != kindDraft || !k.pool.deployment.cfg.Builds || k.rnd.IntN(leaveDivisor) > 0 {
-		return io.ReadAll(body)
+// readPart reads an answer. The caller may leave the rest of a stream.
+func (k *caller) readPart(res *http.Response, a *observation) ([]byte, error) {
+	if res.StatusCode != http.StatusOK || a.kind != kindDraft || !k.pool.deployment.cfg.Builds || k.rnd.IntN(leaveDivisor) > 0 {
+		return io.ReadAll(res.Body)
 	}
 	limit := 1 + k.rnd.IntN(len(worker.StreamText(streamEvents)))
-	part, err := io.ReadAll(io.LimitReader(body, int64(limit)))
+	part, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)))
 	if err == nil && len(part) == limit {
 		err = errCallerLeft
 	}
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -249,7 +249,7 @@
 		return
 	}
 	defer res.Body.Close()
-	answer, err := k.readPart(res.Body, a)
+	answer, err := k.readPart(res, a)
 	a.status, a.header, a.body, a.err = res.StatusCode, res.Header, string(answer), err
 	a.splitBuilds()
 }
