--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -156,6 +156,23 @@
 	k.rateLimit = text
 }
 
+// OnPoison replaces the function that Config.OnPoison sets.
+func (k *Worker) OnPoison(f func(r *http.Request)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cfg.OnPoison = f
+}
+
+// endsUnder returns the function to call for a request that ends its worker, nil for any other request.
+func (k *Worker) endsUnder(r *http.Request) func(r *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !slices.Contains(strings.Split(r.URL.Path, "/"), PoisonSegment) {
+		return nil
+	}
+	return k.cfg.OnPoison
+}
+
 // Arrivals returns the times at which requests arrived, in order. Probes are left out.
 func (k *Worker) Arrivals() []time.Time {
 	k.mu.Lock()
@@ -278,8 +295,8 @@
 	}
 	k.recordRun(id, r.Header)
 	defer k.endRequest(r, true)
-	if k.cfg.OnPoison != nil && slices.Contains(strings.Split(r.URL.Path, "/"), PoisonSegment) {
-		k.cfg.OnPoison(r)
+	if end := k.endsUnder(r); end != nil {
+		end(r)
 		panic(http.ErrAbortHandler)
 	}
 	k.answer(w, r, f, id, body)
