core, poison: a later start in the list shows that a target has ended, also after its attempt

Callers of a service lost one target after the other to one request: 6 ended under three requests, and 16 more under eight repeats that came 3 s later. Cause: the evidence was looked for only while the attempt ended, by a connection that the next process at the address accepted; the list's later start, which the decision names as evidence too, came when no attempt was left. A host remembers the connections that targets closed for 10 s, at most 1,024, and counts them when the list shows a later start of the target, unless the content was answered since. Where each start of a target has an id of its own, nothing changes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -87,6 +87,8 @@
 	nextDemandAt ident.Time
 	// nextEndsRefresh is when the representative next repeats which targets ended under requests.
 	nextEndsRefresh ident.Time
+	// disconnects are the attempts of which targets have recently closed the connections, oldest first.
+	disconnects []disconnect
 	// nextBegun is when begun streams may next be announced, nextBuilds when the builds that serve are
 	// next recorded.
 	nextBegun, nextBuilds ident.Time
@@ -323,7 +325,7 @@
 	rd.continueLookups(now)
 	rd.emit(rd.spread.Tick(now, rd.table.IsWatcher(now))...)
 	rd.updateReadPace(now)
-	rd.targetsRestarted()
+	rd.targetsRestarted(now)
 	rd.runTimers(now)
 	rd.shedAndSendWaiting(now)
 	for _, id := range rd.once.Expire(now) {
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/member"
@@ -23,12 +24,48 @@
 	case a.target == "":
 		rd.poison.MergeRuns(now, r.Content, e.EndedRuns, now.Sub(a.start))
 	case e.Result == event.ResultBroken && (e.TargetEnded || a.targetRestarted):
-		rd.poison.Ended(now, poison.End{
-			Content: r.Content, Run: poison.RunOf(a.target, a.incarnation), SentAt: a.start, Regions: rd.confinedTo(now, r),
-		})
+		rd.poison.Ended(now, rd.endOf(now, a))
+	case e.Result == event.ResultBroken && e.Disconnected:
+		d := disconnect{target: a.target, incarnation: a.incarnation, end: rd.endOf(now, a)}
+		d.end.EndedAt = now
+		rd.disconnects = append(rd.disconnects, d)
+		rd.disconnects = rd.disconnects[max(len(rd.disconnects)-maxDisconnects, 0):]
 	}
 }
 
+func (rd *Reducer) endOf(now ident.Time, a *attempt) poison.End {
+	return poison.End{
+		Content: a.req.Content, Run: poison.RunOf(a.target, a.incarnation), SentAt: a.start, Regions: rd.confinedTo(now, a.req),
+	}
+}
+
+// disconnect is an attempt of which the target has closed the connection, while something accepted
+// connections at its address. If it has ended, the platform's list shows a later start soon.
+type disconnect struct {
+	target      ident.TargetID
+	incarnation ident.Incarnation
+	end         poison.End
+}
+
+const (
+	// maxDisconnects bounds the disconnects that are remembered, and disconnectTTL how long.
+	maxDisconnects = 1024
+	disconnectTTL  = 10 * time.Second
+)
+
+// recordLaterStart records that a target has ended under the requests of which it closed the connections, since
+// it has started again.
+func (rd *Reducer) recordLaterStart(now ident.Time, id ident.TargetID) {
+	rd.disconnects = slices.DeleteFunc(rd.disconnects, func(d disconnect) bool {
+		expired := now.Sub(d.end.EndedAt) > disconnectTTL
+		ended := d.target == id && !rd.table.IsCurrent(d.target, d.incarnation)
+		if ended && !expired {
+			rd.poison.Ended(now, d.end)
+		}
+		return ended || expired
+	})
+}
+
 // confinedTo returns the regions to which residency rules confine a request, nil if it may go to any.
 func (rd *Reducer) confinedTo(now ident.Time, r *request) []ident.Region {
 	if !r.profile.Confined(r.client) {
--- a/internal/core/restart.go
+++ b/internal/core/restart.go
@@ -17,9 +17,10 @@
 // targetsRestarted aborts the attempts at earlier incarnations of targets. A target may restart
 // under its id behind a partition, so that no connection is reset and no more data arrives. Streams
 // are resumed elsewhere, idempotent requests are retried, and others end with an unknown outcome.
-func (rd *Reducer) targetsRestarted() {
+func (rd *Reducer) targetsRestarted(now ident.Time) {
 	for _, id := range rd.table.TakeRestarted() {
 		rd.router.Forget(id)
+		rd.recordLaterStart(now, id)
 		if t, ok := rd.table.Target(id); ok {
 			rd.emit(event.DropLinks{Target: id, URL: t.URL})
 		}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -38,6 +38,7 @@
 package poison
 
 import (
+	"cmp"
 	"container/list"
 	"slices"
 	"time"
@@ -79,6 +80,8 @@
 	Content ident.Content
 	Run     event.TargetRun
 	SentAt  ident.Time
+	// EndedAt is when the target ended, if this host has found out later; zero means now.
+	EndedAt ident.Time
 	// Regions are the regions to which residency rules confine the request, nil for any.
 	Regions []ident.Region
 }
@@ -131,10 +134,13 @@
 
 // Ended records a target that ended while it ran a request of this host, and announces it.
 func (b *Book) Ended(now ident.Time, e End) {
-	if e.Content == 0 {
+	endedAt := cmp.Or(e.EndedAt, now)
+	if e.Content == 0 || e.EndedAt > 0 && b.isAnsweredSince(e.Content, endedAt) {
 		return
 	}
-	end := event.TargetEnd{Content: e.Content, Run: b.nextRun(e), Running: now.Sub(e.SentAt), Confined: e.Regions != nil}
+	end := event.TargetEnd{
+		Content: e.Content, Run: b.nextRun(e), Age: now.Sub(endedAt), Running: endedAt.Sub(e.SentAt), Confined: e.Regions != nil,
+	}
 	if a, ok := b.answerSince(e.Content, now.Add(-answerTTL)); ok {
 		end.AnsweredIn = max(a.took, time.Millisecond)
 	}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -112,6 +112,21 @@
 	check(t, "known to the sender of the late announcement", 0, a.Len())
 }
 
+// Guards against counting an end that is found out later although the content was answered since, and against
+// missing one that was not.
+func TestEndFoundOutLaterCounts(t *testing.T) {
+	a, b := New(), New()
+	late := End{Content: 1, Run: 7, SentAt: start, EndedAt: start.Add(time.Second)}
+	now := start.Add(3 * time.Second)
+	a.Ended(now, late)
+	check(t, "without an answer", 1, a.Len())
+	b.Answered(start.Add(2*time.Second), 1, 50*time.Millisecond)
+	b.Ended(now, late)
+	check(t, "after an answer", 0, b.Len())
+	exchange(now, a, b)
+	check(t, "after an answer that others have seen", 0, a.Len()+b.Len())
+}
+
 // Guards against condemning a popular call that runs at all targets while they are lost at once, and
 // against never condemning one that begins to end them.
 func TestPopularCallIsCondemnedOnlyInSeries(t *testing.T) {
