--- a/internal/target/endless_test.go
+++ b/internal/target/endless_test.go
@@ -52,7 +52,7 @@
 			res, err := newTestPool(t).Do(ctx, srv.ln.Addr().String(), req, func(*http.Response) bool { return true }, func() {})
 			if err == nil {
 				_ = res.Body.Close()
-				t.Fatal("bytes without end were taken for an answer")
+				t.Fatal("bytes without end were accepted as an answer")
 			}
 			if n := sent.Load(); n > maxReadOfHead || time.Since(began) > testTimeout/2 {
 				t.Errorf("%d bytes were read in %v: %v", n, time.Since(began), err)
