trail, platform: parts of prompts in the logs

A line names its content and nothing that two different requests have in common, so that the logs can't tell a part that ends targets from targets that crash by themselves. The lines of sends, failed attempts and refusals name the parts of the prompt now, each by a hash of its id alone: the prefix digests that the router uses chain a part with those before it. No decision reads them.

--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -227,7 +227,7 @@
 		return event.Basis{}
 	}
 	b := event.Basis{
-		Profile: r.profile.Name, Account: r.Account, Content: r.Content, Origin: r.Origin, TakenUp: r.TakenUp, Revision: rd.spread.Revision(), Attempts: r.attemptCount, PredictedWait: dec.Wait, LoadAge: loadAgeUnknown,
+		Profile: r.profile.Name, Account: r.Account, Content: r.Content, Parts: r.Parts, Origin: r.Origin, TakenUp: r.TakenUp, Revision: rd.spread.Revision(), Attempts: r.attemptCount, PredictedWait: dec.Wait, LoadAge: loadAgeUnknown,
 		ExpectedEvents: rd.expectedEvents(r), EventGap: rd.table.Pace(now, r.profile.Service), RemoteEventGap: dec.EventInterval,
 		ForwardedShare: dec.SpillShare, RemotePrefillRoom: dec.RemoteRoom, CapacityLimited: dec.Full, UncachedPrompt: dec.PrefillTokens,
 	}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -56,8 +56,10 @@
 	// that defines it.
 	Profile  ident.Profile  `json:"profile,omitempty"`
 	Revision ident.Revision `json:"revision"`
-	// Content identifies what the request asks for.
-	Content ident.Content `json:"content,omitempty"`
+	// Content identifies what the request asks for, Parts the parts of its prompt that other
+	// requests share.
+	Content ident.Content   `json:"content,omitempty"`
+	Parts   []ident.Content `json:"parts,omitempty"`
 	// Origin identifies the stream that the request belongs to, zero for calls. TakenUp
 	// means that its caller has a part of it from an earlier request.
 	Origin  ident.Stream `json:"origin,omitempty"`
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -63,6 +63,9 @@
 	Model ident.Model `json:"model,omitempty"`
 	// Content is the same for all repeats of the request by its caller.
 	Content ident.Content `json:"content,omitempty"`
+	// Parts are the parts of the prompt that other requests share, each without those
+	// before it.
+	Parts []ident.Content `json:"parts,omitempty"`
 	// EndedRuns are the targets that have ended while they ran a forwarded request or a repeat of
 	// it, as far as the host knows that forwarded it.
 	EndedRuns []TargetRun `json:"endedRuns,omitempty"`
--- a/internal/poison/content.go
+++ b/internal/poison/content.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -26,3 +27,7 @@
 	_, _ = h.Write(body)
 	return ident.Content(h.Sum64())
 }
+
+// PartOf returns the content of the part of a prompt with an id. It does not depend on the request
+// that has the part, and is the same in every process.
+func PartOf(id string) ident.Content { return ident.Content(rank.Hash("part", id)) }
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -14,6 +14,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -54,6 +55,7 @@
 type attempt struct {
 	request ident.RequestID
 	content ident.Content
+	parts   []ident.Content
 	// target is the target, or the entry host to which the request was forwarded.
 	target ident.TargetID
 	sentAt ident.Time
@@ -92,7 +94,7 @@
 func (tr *Trail) effect(now ident.Time, eff event.Effect) {
 	switch e := eff.(type) {
 	case event.Dispatch:
-		tr.track(e.Attempt, attempt{request: e.Request, content: e.Basis.Content, target: e.Target.ID, sentAt: now})
+		tr.track(e.Attempt, attempt{request: e.Request, content: e.Basis.Content, parts: e.Basis.Parts, target: e.Target.ID, sentAt: now})
 		tr.placedAfter.Update(e.Basis.Waited.Microseconds())
 		tr.count("requests.sent." + e.Target.Service)
 		kv := []any{
@@ -103,10 +105,11 @@
 			"unread", e.Basis.UncachedPrompt, "level", e.Priority, "copyFrom", e.CopyFrom.Target, "content", e.Basis.Content,
 			"build", e.Target.Build,
 		}
+		kv = append(kv, partFields(e.Basis.Parts)...)
 		kv = append(kv, streamFields(e.Basis)...)
 		tr.logSend(kv, e.Basis)
 	case event.Forward:
-		tr.track(e.Envelope.Attempt, attempt{request: e.Request, content: e.Basis.Content, target: ident.TargetID(e.To.ID), sentAt: now})
+		tr.track(e.Envelope.Attempt, attempt{request: e.Request, content: e.Basis.Content, parts: e.Basis.Parts, target: ident.TargetID(e.To.ID), sentAt: now})
 		tr.count("requests.passedOn")
 		tr.logRoutine("passed on", "request", e.Request, "attempt", e.Envelope.Attempt.Number, "to", e.To.ID,
 			"region", e.To.Place.Region, "service", e.Service, "profile", e.Basis.Profile, "try", e.Basis.Attempts, "revision", e.Basis.Revision,
@@ -122,6 +125,7 @@
 			"predictedMs", millis(e.Basis.PredictedWait), "queued", e.Basis.Queued, "full", e.Basis.CapacityLimited, "paceMs", millis(e.Basis.EventGap),
 			"retryAfterMs", millis(e.RetryAfter), "content", e.Basis.Content,
 		}
+		kv = append(kv, partFields(e.Basis.Parts)...)
 		kv = append(kv, streamFields(e.Basis)...)
 		kv = append(kv, denialFields(e.Denial)...)
 		if e.Ending.Side != "" {
@@ -155,6 +159,21 @@
 	tr.logImportant("sent to a target", append(kv, "limit", limit, "limitAgeMs", millis(b.RateLimitAge))...)
 }
 
+// maxLoggedParts limits the parts of one prompt in a line.
+const maxLoggedParts = 8
+
+// partFields returns the log field of the parts of a prompt that other requests share, none if it has none.
+func partFields(parts []ident.Content) []any {
+	if len(parts) == 0 {
+		return nil
+	}
+	texts := make([]string, 0, maxLoggedParts)
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		texts = append(texts, p.String())
+	}
+	return []any{"parts", strings.Join(texts, ",")}
+}
+
 // streamFields returns the log fields of the stream that a request belongs to, none for calls.
 func streamFields(b event.Basis) []any {
 	if b.Origin == 0 {
@@ -222,7 +241,8 @@
 	if e.TargetEnded {
 		tr.count("attempts.targetEnded")
 	}
-	tr.logImportant("attempt ended", append(kv, "draining", e.Draining, "resumable", e.Resumable, "disconnected", e.Disconnected, "targetEnded", e.TargetEnded, "content", a.content)...)
+	kv = append(kv, "draining", e.Draining, "resumable", e.Resumable, "disconnected", e.Disconnected, "targetEnded", e.TargetEnded, "content", a.content)
+	tr.logImportant("attempt ended", append(kv, partFields(a.parts)...)...)
 }
 
 // sideName returns the side of an ending, "unknown" if there is none.
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -34,6 +34,13 @@
 		event.Refuse{Request: "c.3", Code: codes.NoTarget.ID, Outcome: event.NotRun, RetryAfter: time.Second, Basis: basis},
 		event.Refuse{Request: "d.4", Code: codes.TargetFailed.ID, Outcome: event.Unknown, Basis: basis, Denial: event.Denial{Reason: event.DeniedBudget, Attempts: 1, MaxAttempts: 2, Retries: 3, MaxRetries: 3.25}, Ending: event.Ending{Side: event.SideTarget, Reason: event.ReasonClosed}},
 	})
+	shared := basis
+	shared.Parts = []ident.Content{0xaaaa, 0xbbbb}
+	tr.Record(at, event.Tick{}, []event.Effect{
+		event.Dispatch{Request: "a.6", Attempt: newAttempt(6), Target: event.Target{ID: "t", Service: "writers"}, Basis: shared},
+		event.Refuse{Request: "a.6", Code: codes.PoisonRequest.ID, Outcome: event.Unknown, Basis: shared},
+	})
+	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultBroken, Disconnected: true, TargetEnded: true}, nil)
 	takenUp := basis
 	takenUp.Origin, takenUp.TakenUp = 0xabc, true
 	tr.Record(at, event.Tick{}, []event.Effect{
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -59,8 +59,9 @@
 type RequestID string
 
 // Content identifies what a request asks for. Repeats of a request by its caller
-// have ids of their own and the same Content; zero means that it is unknown. It is
-// a hash, so that no text of a request leaves the host that received it.
+// have ids of their own and the same Content; zero means that it is unknown. A part
+// of a prompt that other requests share has a Content as well. It is a hash, so that
+// no text of a request leaves the host that received it.
 type Content uint64
 
 // String returns c as 16 hexadecimal digits, the form in logs.
