--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -49,6 +49,8 @@
 	// ExtraAnswer sends a second answer on the same connection.
 	NoLength    Fault = "unframed"
 	ExtraAnswer Fault = "extra"
+	// Unframed sends a whole answer that has neither a length nor chunks and ends with its connection.
+	Unframed Fault = "no framing"
 	// Paused sends no data for PauseDuration after the second event of a stream.
 	Paused Fault = "paused"
 	// Endless sends a head without end, up to maxEndlessBytes, until the connection closes.
@@ -61,6 +63,24 @@
 // PoisonSegment is the segment of a path that marks requests which end their worker.
 const PoisonSegment = "poison"
 
+// PoisonPart is the id of a part of prompts that ends each worker which begins an answer to it.
+const PoisonPart = "dead0bad"
+
+// Ending is what a worker sends of the answer to a prompt with PoisonPart before it ends.
+type Ending string
+
+// Endings.
+const (
+	// AfterHead sends the head alone, AfterEvent the first event.
+	AfterHead  Ending = "head"
+	AfterEvent Ending = "event"
+	// UnframedHead, UnframedEvent and UnframedEvents send an answer without length or chunks that ends after its
+	// head, inside its first event, or after it. The connection is closed in order.
+	UnframedHead   Ending = "unframed head"
+	UnframedEvent  Ending = "unframed event"
+	UnframedEvents Ending = "unframed events"
+)
+
 // PauseDuration is the time for which a stream with the fault Paused sends no
 // data.
 const PauseDuration = 2500 * time.Millisecond
@@ -88,10 +108,12 @@
 	EventInterval time.Duration
 	// Work is the duration of a call to a plain service.
 	Work time.Duration
-	// OnPoison is called when a request with PoisonSegment in its path begins to run. It ends the
-	// process of the worker: it closes its listener and its connections. Nil means that such
-	// requests are like any other.
+	// OnPoison is called when a request with PoisonSegment in its path begins to run, or one with
+	// PoisonPart in its prompt is answered. It ends the process of the worker: it closes its listener
+	// and its connections. Nil means that such requests are like any other.
 	OnPoison func(r *http.Request)
+	// Ending is what is sent of the answer to a prompt with PoisonPart; empty means AfterHead.
+	Ending Ending
 	// StartTimeMs is the start time in Unix milliseconds, which the store entry and
 	// the reports contain. If it is zero, the store entry omits it.
 	StartTimeMs int64
@@ -156,6 +178,13 @@
 	k.rateLimit = text
 }
 
+// SetEnding sets Config.Ending.
+func (k *Worker) SetEnding(e Ending) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cfg.Ending = e
+}
+
 // OnPoison replaces the function that Config.OnPoison sets.
 func (k *Worker) OnPoison(f func(r *http.Request)) {
 	k.mu.Lock()
@@ -173,6 +202,26 @@
 	return k.cfg.OnPoison
 }
 
+// endsUnderPart is endsUnder for a request whose prompt has PoisonPart.
+func (k *Worker) endsUnderPart(r *http.Request) func(r *http.Request) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !HasPart(r.Header, PoisonPart) {
+		return nil
+	}
+	return k.cfg.OnPoison
+}
+
+// HasPart reports whether the prompt of a request has a part.
+func HasPart(h http.Header, id string) bool {
+	for part := range strings.SplitSeq(h.Get("Verbenadale-Prompt-Prefix"), ",") {
+		if name, _, _ := strings.Cut(strings.TrimSpace(part), ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Arrivals returns the times at which requests arrived, in order. Probes are left out.
 func (k *Worker) Arrivals() []time.Time {
 	k.mu.Lock()
@@ -366,6 +415,18 @@
 		fmt.Fprint(w, "failed")
 		return
 	}
+	if end := k.endsUnderPart(r); end != nil {
+		k.beginAnswer(w)
+		end(r)
+		panic(http.ErrAbortHandler)
+	}
+	if f == Unframed {
+		if k.cfg.Events > 0 {
+			w.Header().Set("Content-Type", "text/event-stream")
+		}
+		writeUnframed(w, StreamText(k.cfg.Events))
+		return
+	}
 	if k.cfg.Events > 0 {
 		k.stream(w, r, f)
 		return
@@ -431,6 +492,41 @@
 	}
 }
 
+// beginAnswer sends what Config.Ending names of an answer.
+func (k *Worker) beginAnswer(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	switch k.cfg.Ending {
+	case AfterEvent:
+		fmt.Fprint(w, EventText(1))
+	case UnframedHead:
+		writeUnframed(w, "")
+		return
+	case UnframedEvent:
+		writeUnframed(w, "id: 1\ndata: pie")
+		return
+	case UnframedEvents:
+		writeUnframed(w, EventText(1))
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+}
+
+// writeUnframed sends an answer that ends with its connection, and closes that in order.
+func writeUnframed(w http.ResponseWriter, text string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	var head strings.Builder
+	_ = w.Header().Write(&head)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n%s", head.String(), text)
+	// The process of the worker has ended by the time that the caller sees the end.
+	time.AfterFunc(closeDelay, func() { _ = c.Close() })
+}
+
+// closeDelay is the time from the last byte of an unframed answer to its end.
+const closeDelay = 5 * time.Millisecond
+
 // EventText returns the n-th event of every stream.
 func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
 
