serve: an unframed answer is whole only if its target lives on

Callers got 200 and a part of an answer, or none of it, as whole: where an answer has neither a length nor chunks, its end and the end of its target look alike, and nothing asked which it was.

At the end of such an answer the host now asks whether anything still listens at the target's address, as it does after a broken connection. An unframed answer of a target that lives on is delivered as before (TestUnframedAnswersAreDelivered); the connection that asks joins the pool, in place of the one that the answer closed. Left: a target whose address accepts connections at once after its end.

--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -43,11 +43,15 @@
 		end := event.AttemptEnded{Result: event.ResultBroken, Resumable: a.resumable(), Delivered: a.delivered}
 		return a.withDisconnect(ctx, end, d.Target, errors.Is(err, target.ErrDisconnected))
 	}
-	body := &answerBody{ReadCloser: res.Body}
+	body := &answerBody{ReadCloser: res.Body, unframed: isUnframed(res)}
 	res.Body = body
 	defer res.Body.Close()
 	end := a.receive(res, d)
-	end = a.withDisconnect(ctx, end, d.Target, end.Result == event.ResultBroken && body.disconnected)
+	end = a.withDisconnect(ctx, end, d.Target, (end.Result == event.ResultBroken || body.unframed) && body.disconnected)
+	if end.TargetEnded && end.Result != event.ResultBroken {
+		end.AnswerBuffered = false
+		end = a.brokenResult(end, errors.Wrap(errTruncated, "its target has ended"))
+	}
 	span.Set("result", string(end.Result))
 	span.SetInt("status", end.Status)
 	return end
@@ -69,18 +73,25 @@
 }
 
 // answerBody is the body of an answer. It records whether the target closed the connection before
-// the end of the body.
+// the end of the body, or at its end if it is unframed.
 type answerBody struct {
 	io.ReadCloser
-	disconnected bool
+	unframed, disconnected bool
 }
 
 func (b *answerBody) Read(buf []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buf)
-	b.disconnected = b.disconnected || err != nil && !errors.Is(err, io.EOF) && target.IsDisconnect(err)
+	b.disconnected = b.disconnected || err != nil && (b.unframed || !errors.Is(err, io.EOF)) && target.IsDisconnect(err)
 	return n, err
 }
 
+// isUnframed reports whether the body of an answer has neither a length nor chunks. It ends with its
+// connection, whether it is complete or its target has ended.
+func isUnframed(res *http.Response) bool {
+	hasBody := res.StatusCode != http.StatusNoContent && res.StatusCode != http.StatusNotModified
+	return hasBody && res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // markSent reports that bytes of the request may have been sent. Only its first call has an effect:
 // the transport calls it again when it uses another connection.
 func (a *attempt) markSent() {
