poison, core: a part of prompts that ends targets is condemned as a content is

Cause: what is to blame was looked up by the whole content of a request, account, body and prompt, so that requests which are all different but for one part were each the first of their kind.

The parts of a prompt but the last are suspects beside the content, in the same book, announcements and refusal. Each is known by its id alone, since the part ends targets whatever else the request holds. What separates a part at fault from those that share its requests or its targets: only ends under answers that had not begun or just begun count, they must come one after the other, and any whole 2xx answer to a request with the part clears it, at any host. A condemned content is not held against a request if another, which the request lacks, was at all of its ends: a rare part that always comes with the one at fault, and requests that ran beside it three times. A verdict travels with its announcement, so that hosts that missed some of the ends have it as well.

Ruled out: the part with those before it (the case 'behind other parts' has others each time); the account in the key (requests of several accounts share parts; a caller can't have a part refused that others get answers to).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -205,7 +205,7 @@
 	if !ok || a.req.live != a {
 		return
 	}
-	a.answerBegan = true
+	a.answerBeganAt = now
 	rd.streamBegan(now, a, e)
 	if rd.isCurrent(a) {
 		rd.table.AnswerBegan(a.target)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -120,6 +120,7 @@
 		requests:     make(map[ident.RequestID]*request),
 		attempts:     make(map[ident.Attempt]*attempt),
 	}
+	rd.poison.Stagger(self.ID)
 	rd.quota.SetBounds(bounds.Accounts)
 	rd.quota.SetRegion(self.Place.Group(), self.Place.Region)
 	rd.table.SetColdLimits(member.ColdLimits{PerSecond: rd.coldPerSecond, Duration: rd.coldDuration})
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -19,8 +20,11 @@
 func (rd *Reducer) recordTargetEnd(now ident.Time, a *attempt, e event.AttemptEnded) {
 	r := a.req
 	switch {
+	case e.Result == event.ResultDone && e.Status < http.StatusMultipleChoices:
+		rd.poison.Answered(now, subjectOf(r), now.Sub(a.start))
 	case e.Result == event.ResultDone || e.Result == event.ResultFailed:
-		rd.poison.Answered(now, r.Content, now.Sub(a.start))
+		// A target may fail a request before it begins to write what would end it.
+		rd.poison.Answered(now, poison.Subject{Content: r.Content}, now.Sub(a.start))
 	case a.target == "":
 		rd.poison.MergeRuns(now, r.Content, e.EndedRuns, now.Sub(a.start))
 	case e.Result == event.ResultBroken && (e.TargetEnded || a.targetRestarted):
@@ -35,10 +39,13 @@
 
 func (rd *Reducer) endOf(now ident.Time, a *attempt) poison.End {
 	return poison.End{
-		Content: a.req.Content, Run: poison.RunOf(a.target, a.incarnation), SentAt: a.start, Regions: rd.confinedTo(now, a.req),
+		Subject: subjectOf(a.req), Run: poison.RunOf(a.target, a.incarnation), SentAt: a.start, AnswerBeganAt: a.answerBeganAt,
+		Regions: rd.confinedTo(now, a.req),
 	}
 }
 
+func subjectOf(r *request) poison.Subject { return poison.Subject{Content: r.Content, Parts: r.Parts} }
+
 // disconnect is an attempt of which the target has closed the connection, while something accepted
 // connections at its address. If it has ended, the platform's list shows a later start soon.
 type disconnect struct {
@@ -80,46 +87,55 @@
 	return regions
 }
 
-// isPoison reports whether as many targets as may have ended while they ran the request or a repeat of
-// it.
+// isPoison reports whether as many targets as may have ended while they ran the request, a repeat of it, or
+// others that share a part of its prompt.
 func (rd *Reducer) isPoison(now ident.Time, r *request) bool {
-	return rd.poison.Condemned(now, r.Content)
+	_, ok := rd.poison.Blamed(now, subjectOf(r))
+	return ok
 }
 
-// endPoison gives a request that has ended its targets its final answer. Its outcome is unknown even
-// if this repeat of it has not run, since another one has.
+// endPoison gives a request that ends its targets its final answer. Its outcome is unknown even
+// if it has not run itself, since a repeat of it may have.
 func (rd *Reducer) endPoison(now ident.Time, r *request) {
+	content, _ := rd.poison.Blamed(now, subjectOf(r))
 	r.lastDenial = event.Denial{
-		Reason: event.DeniedPoison, Attempts: len(rd.poison.Runs(now, r.Content)), MaxAttempts: poison.MaxEnds,
+		Reason: event.DeniedPoison, Attempts: len(rd.poison.Runs(now, content)), MaxAttempts: poison.MaxEnds,
 	}
 	rd.endRefused(now, r, refusal{code: codes.PoisonRequest.ID, outcome: event.Unknown})
 }
 
-// endCondemned ends the requests whose content has just been condemned: those that wait, and those at
-// a target or peer that may be repeated and have no answer yet. Any other keeps running, since its
-// outcome would be lost.
+// endCondemned ends the requests that have just been condemned, by their content or a part of their prompts:
+// those that wait, and those at a target or peer that may be repeated and have no answer yet. Any other keeps
+// running, since its outcome would be lost.
 func (rd *Reducer) endCondemned(now ident.Time) {
 	for _, content := range rd.poison.TakeCondemned() {
 		runs := rd.poison.Runs(now, content)
-		rd.emit(event.Note{Text: "request is condemned, its targets ended", Fields: []event.NotePair{
-			{Key: "content", Value: content.String()},
+		text, key := "request is condemned, its targets ended", "content"
+		if rd.poison.IsPart(content) {
+			text, key = "part of prompts is condemned, targets ended", "part"
+		}
+		rd.emit(event.Note{Text: text, Fields: []event.NotePair{
+			{Key: key, Value: content.String()},
 			{Key: "targets", Value: strconv.Itoa(len(runs))},
 		}})
-		for _, r := range rd.requestsOf(content) {
+		for _, r := range rd.requestsWith(content) {
+			if !rd.isPoison(now, r) {
+				continue
+			}
 			if r.live == nil && r.pendingBar == nil && !r.claimPending {
 				rd.endPoison(now, r)
-			} else if r.live != nil && !r.atMostOnce && !r.hasBegun() && !r.live.answerBegan {
+			} else if r.live != nil && !r.atMostOnce && !r.hasBegun() && r.live.answerBeganAt == 0 {
 				rd.emit(event.BreakOff{Request: r.ID, Attempt: r.live.id, Poison: true})
 			}
 		}
 	}
 }
 
-// requestsOf returns the requests of a content, sorted by ID.
-func (rd *Reducer) requestsOf(content ident.Content) []*request {
+// requestsWith returns the requests of a content or with that part in their prompts, sorted by ID.
+func (rd *Reducer) requestsWith(content ident.Content) []*request {
 	var rs []*request
 	for _, r := range rd.requests {
-		if r.Content == content {
+		if subjectOf(r).Has(content) {
 			rs = append(rs, r)
 		}
 	}
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -98,8 +98,9 @@
 	// since silentSince, and has taken its retry from the budget.
 	retryTaken bool
 	// targetRestarted is set once this host has found that the target has restarted since, and
-	// answerBegan once the first token has arrived.
-	targetRestarted, answerBegan bool
+	// answerBeganAt when the first token arrived, zero before.
+	targetRestarted bool
+	answerBeganAt   ident.Time
 	// unreachable is set once the attempt has ended because the host that it was to be
 	// forwarded to could not be reached.
 	unreachable bool
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -125,10 +125,14 @@
 type TargetRun uint64
 
 // TargetEnd reports that a target ended while it ran a request, or that a request of the same
-// content was answered.
+// content was answered. The content is that of the request or of a part of its prompt.
 type TargetEnd struct {
 	Content ident.Content `json:"content"`
 	Run     TargetRun     `json:"run,omitempty"`
+	// Part means that Content is a part of prompts. Under distinguishes the requests that have it:
+	// it is a short hash of the content of the one that ran, zero if unknown.
+	Part  bool   `json:"part,omitempty"`
+	Under uint16 `json:"under,omitempty"`
 	// Age is the time since the target ended or answered, Running how long the request had been
 	// at the target by then.
 	Age     time.Duration `json:"age,omitempty"`
@@ -138,6 +142,8 @@
 	AnsweredIn time.Duration `json:"answeredIn,omitempty"`
 	// Cleared means that a target has answered the content since: it ends no targets.
 	Cleared bool `json:"cleared,omitempty"`
+	// Condemned means that the sender sends nothing with the content to targets any more.
+	Condemned bool `json:"condemned,omitempty"`
 	// Confined means that residency rules confine the request, so that hosts of other regions
 	// learn of it only from the host that received it.
 	Confined bool `json:"confined,omitempty"`
--- a/internal/poison/announce.go
+++ b/internal/poison/announce.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"container/list"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -52,7 +51,7 @@
 	switch {
 	case r.condemnedAt > 0:
 		return immediate
-	case len(r.runs) > 1:
+	case len(r.ends) > 1:
 		return urgent
 	}
 	return routine
@@ -101,25 +100,21 @@
 	return ends
 }
 
-// Known returns the ends of the last refreshTTL that this host knows, condemned contents first. They
-// contain no more than maxAnnounced ends.
+// Known returns the ends of the last refreshTTL that this host knows, condemned contents first, then those with
+// several ends. They contain no more than maxAnnounced ends.
 func (b *Book) Known(now ident.Time) []event.TargetEnd {
 	b.expire(now)
 	var ends []event.TargetEnd
-	for _, l := range []*list.List{b.condemned, b.suspects} {
+	for _, l := range b.records.lists() {
 		for el := l.Back(); el != nil && len(ends) < maxAnnounced; el = el.Prev() {
 			r := el.Value.(*record)
-			if now.Sub(r.lastEndAt) > refreshTTL {
+			if now.Sub(r.newestEndAt) > refreshTTL {
 				break
 			}
-			answeredIn := r.answeredIn
-			if r.condemnedAt > 0 {
-				// The order of the ends, which condemned it, is not announced again.
-				answeredIn = 0
-			}
-			for i := 0; i < len(r.runs) && len(ends) < maxAnnounced; i++ {
+			for i := 0; i < len(r.ends) && len(ends) < maxAnnounced; i++ {
 				ends = append(ends, event.TargetEnd{
-					Content: r.content, Run: r.runs[i], Age: now.Sub(r.lastEndAt), Running: r.running, AnsweredIn: answeredIn, Confined: r.confined,
+					Content: r.content, Part: r.part, Run: r.ends[i].run, Under: r.ends[i].under, Age: now.Sub(r.newestEndAt), Running: r.running,
+					AnsweredIn: r.answeredIn, Confined: r.confined, Condemned: r.condemnedAt > 0 && !r.isLapsed(r.condemnedAt, now),
 				})
 			}
 		}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,19 +1,22 @@
-// Package poison finds the requests that end their targets.
+// Package poison finds the requests that end their targets, and the parts of prompts that do.
 //
 // A request that crashes each target it is sent to takes down a service within seconds: its
-// retries, and the repeats of its caller, each end one more target. A Book counts the targets that
-// ended under each content, over all hosts, and condemns the content after MaxEnds of them.
+// retries, and the repeats of its caller, each end one more target. So do requests that share
+// a part of their prompts with it, and nothing else. A Book counts the targets that ended under
+// each content of a request and each part of a prompt, over all hosts, and condemns it after
+// MaxEnds of them.
 //
 // # Usage
 //
-//	req.Content = poison.ContentOf(account, body, method, path)
+//	s := poison.Subject{Content: poison.ContentOf(account, body, method, path)}
+//	s.Parts = append(s.Parts, poison.PartOf(id))
 //	book := poison.New()
 //	// When a target has ended while it ran the request, or has answered it:
-//	book.Ended(now, poison.End{Content: req.Content, Run: run, SentAt: sentAt})
-//	book.Answered(now, req.Content, took)
+//	book.Ended(now, poison.End{Subject: s, Run: run, SentAt: sentAt})
+//	book.Answered(now, s, took)
 //
 //	// Before the request is sent to a target:
-//	if book.Condemned(now, req.Content) {
+//	if content, ok := book.Blamed(now, s); ok {
 //		// refuse it for good
 //	}
 //
@@ -31,6 +34,14 @@
 // if the targets ended one after the other, each of them under a run that began after the end
 // before it was known, with no answer in a time that is long enough for one.
 //
+// # Parts of prompts
+//
+// Many requests have a part in common, so that one of them runs at nearly every target that ends. A
+// part is condemned only by targets that ended one after the other, under answers that had just
+// begun, and with no whole answer to any request with the part in between. Where several contents
+// are condemned, one is not held against a request if another, which the request lacks, was at all of
+// its ends.
+//
 // # Bounds
 //
 // The number of contents is bounded, those that are least recently known to end targets are dropped
@@ -39,7 +50,6 @@
 
 import (
 	"cmp"
-	"container/list"
 	"slices"
 	"time"
 
@@ -61,10 +71,16 @@
 	// answerTimes is how often an answer could have come without one before a content that was
 	// answered is condemned.
 	answerTimes = 2
-	// maxRecords bounds the suspected contents, and as many condemned ones.
+	// maxRecords bounds the contents under which one target ended, and as many with several ends and
+	// condemned ones.
 	maxRecords = 2048
+	// staggerTime is the range over which hosts spread the expiry of what they know.
+	staggerTime = time.Minute
+	// maxBeginning is how long an answer counts as begun. Parts of prompts end targets that begin an
+	// answer, not those that have been writing it.
+	maxBeginning = time.Second
 	// maxRuns bounds the targets that are remembered for one content.
-	maxRuns = 8
+	maxRuns = 32
 	// answerSlots is the size of the table of recent answers. An answer replaces one of another
 	// content with the same slot.
 	answerSlots = 4096
@@ -77,9 +93,11 @@
 
 // End is a target that ended while it ran a request of this host.
 type End struct {
-	Content ident.Content
-	Run     event.TargetRun
-	SentAt  ident.Time
+	Subject
+	Run    event.TargetRun
+	SentAt ident.Time
+	// AnswerBeganAt is when the first piece of the answer came, zero if none did.
+	AnswerBeganAt ident.Time
 	// EndedAt is when the target ended, if this host has found out later; zero means now.
 	EndedAt ident.Time
 	// Regions are the regions to which residency rules confine the request, nil for any.
@@ -88,11 +106,12 @@
 
 // Book holds what one host knows of requests that end targets. It belongs to the reducer.
 type Book struct {
-	records map[ident.Content]*list.Element
-	// suspects and condemned order the records by their last end, the oldest first.
-	suspects, condemned *list.List
-	answers             [answerSlots]answer
-	announcer           announcer
+	records records
+	// answers are the last answers to contents of requests, partAnswers those to parts of prompts.
+	answers, partAnswers [answerSlots]answer
+	announcer            announcer
+	// ttl is how long this host keeps an end, at least suspicionTTL.
+	ttl time.Duration
 	// newlyCondemned holds the contents condemned since TakeCondemned.
 	newlyCondemned []ident.Content
 }
@@ -104,63 +123,55 @@
 	took    time.Duration
 }
 
-// record is what is known of one content.
-type record struct {
-	content ident.Content
-	// runs are the targets that ended, the earliest first, and when this host learned of each.
-	runs   []event.TargetRun
-	seenAt []ident.Time
-	// inSeries counts the targets that ended one after the other: under a run that began after the
-	// end before it was known.
-	inSeries   int
-	firstEndAt ident.Time
-	lastEndAt  ident.Time
-	// running is how long the request had been at the target that ended last.
-	running time.Duration
-	// answeredIn is how long an answer to the content took shortly before, zero for none.
-	answeredIn time.Duration
-	// confined is set if residency rules confine the requests, regions are those that may know
-	// of the content, as far as this host knows them.
-	confined bool
-	regions  []ident.Region
-	// condemnedAt is when the content was condemned, zero if it is not.
-	condemnedAt ident.Time
-}
-
 // New returns an empty book.
-func New() *Book {
-	return &Book{records: make(map[ident.Content]*list.Element), suspects: list.New(), condemned: list.New()}
+func New() *Book { return &Book{records: newRecords(), ttl: suspicionTTL} }
+
+// Stagger lets the ends that this host knows expire up to staggerTime later, depending on the host. What
+// was condemned is then tried again by one host after the other.
+func (b *Book) Stagger(host ident.EntryID) {
+	b.ttl = suspicionTTL + time.Duration(rank.Unit(rank.Mix(rank.Hash(string(host))))*float64(staggerTime))
 }
 
 // Ended records a target that ended while it ran a request of this host, and announces it.
 func (b *Book) Ended(now ident.Time, e End) {
 	endedAt := cmp.Or(e.EndedAt, now)
-	if e.Content == 0 || e.EndedAt > 0 && b.isAnsweredSince(e.Content, endedAt) {
+	b.ended(now, e, event.TargetEnd{Content: e.Content})
+	if e.AnswerBeganAt > 0 && endedAt.Sub(e.AnswerBeganAt) >= maxBeginning {
 		return
 	}
-	end := event.TargetEnd{
-		Content: e.Content, Run: b.nextRun(e), Age: now.Sub(endedAt), Running: endedAt.Sub(e.SentAt), Confined: e.Regions != nil,
+	for _, p := range e.Parts {
+		b.ended(now, e, event.TargetEnd{Content: p, Part: true, Under: uint16(e.Content)})
 	}
-	if a, ok := b.answerSince(e.Content, now.Add(-answerTTL)); ok {
+}
+
+// ended records that a target ended under the content of a request or a part of its prompt.
+func (b *Book) ended(now ident.Time, e End, end event.TargetEnd) {
+	endedAt := cmp.Or(e.EndedAt, now)
+	if end.Content == 0 || e.EndedAt > 0 && b.isAnsweredSince(end, endedAt) {
+		return
+	}
+	end.Run, end.Age, end.Running, end.Confined = b.nextRun(e, end.Content), now.Sub(endedAt), endedAt.Sub(e.SentAt), e.Regions != nil
+	if a, ok := b.answerSince(end, now.Add(-answerTTL)); ok {
 		end.AnsweredIn = max(a.took, time.Millisecond)
 	}
 	r, isNew := b.record(now, end)
 	r.regions = e.Regions
 	if isNew {
+		end.Condemned, end.AnsweredIn = r.condemnedAt > 0, r.answeredIn
 		b.announcer.add(now, end, urgencyOf(r))
 	}
 }
 
-// nextRun returns the run of a target that ended. A target may have started again before this host
-// knows of it, and then end a second time under the name of the run that has ended already.
-func (b *Book) nextRun(e End) event.TargetRun {
+// nextRun returns the run of a target that ended under a content. A target may have started again before
+// this host knows of it, and then end a second time under the name of the run that has ended already.
+func (b *Book) nextRun(e End, content ident.Content) event.TargetRun {
 	run := e.Run
-	r := b.lookUp(e.Content)
+	r := b.records.find(content)
 	if r == nil {
 		return run
 	}
-	for i, known := range r.runs {
-		if known == run && e.SentAt >= r.seenAt[i] {
+	for _, known := range r.ends {
+		if known.run == run && e.SentAt >= known.seenAt {
 			run = event.TargetRun(rank.Combine(uint64(run), 1))
 		}
 	}
@@ -173,10 +184,10 @@
 		switch {
 		case e.Content == 0:
 		case e.Cleared:
-			b.remove(e.Content)
-		case b.isAnsweredSince(e.Content, now.Add(-e.Age)):
+			b.records.remove(e.Content)
+		case b.isAnsweredSince(e, now.Add(-e.Age)):
 			// The sender does not know of the answer.
-			b.announcer.add(now, event.TargetEnd{Content: e.Content, Cleared: true, Confined: e.Confined}, urgent)
+			b.announcer.add(now, event.TargetEnd{Content: e.Content, Part: e.Part, Cleared: true, Confined: e.Confined}, urgent)
 		default:
 			b.record(now, e)
 		}
@@ -196,85 +207,94 @@
 // record adds an end and reports whether it was not known.
 func (b *Book) record(now ident.Time, e event.TargetEnd) (*record, bool) {
 	b.expire(now)
-	r := b.ensure(e.Content)
-	if slices.Contains(r.runs, e.Run) {
-		return r, false
+	r := b.records.ensure(e.Content, e.Part)
+	isNew := !r.has(e.Run)
+	if isNew {
+		r.add(now, e)
 	}
-	endedAt := now.Add(-e.Age)
-	if len(r.runs) < maxRuns {
-		r.runs, r.seenAt = append(r.runs, e.Run), append(r.seenAt, now)
+	condemns := r.condemnedAt == 0 && (e.Condemned && !r.isLapsed(now.Add(-e.Age), now) || isNew && r.isPoison(now.Add(-e.Age)))
+	if condemns {
+		r.condemnedAt = max(now.Add(-e.Age), 1)
+		b.newlyCondemned = append(b.newlyCondemned, r.content)
 	}
-	if r.inSeries == 0 {
-		r.firstEndAt = endedAt
+	if isNew || condemns {
+		b.records.moveToBack(r)
 	}
-	if r.inSeries == 0 || endedAt.Add(-e.Running) >= r.lastEndAt {
-		r.inSeries++
-		r.lastEndAt = max(r.lastEndAt, endedAt)
-		r.running = e.Running
+	return r, isNew
+}
+
+// Answered records that a target has given a request its whole answer, and how long that took.
+func (b *Book) Answered(now ident.Time, s Subject, took time.Duration) {
+	if s.Content != 0 {
+		b.answered(now, event.TargetEnd{Content: s.Content}, took)
 	}
-	r.answeredIn = max(r.answeredIn, e.AnsweredIn)
-	r.confined = r.confined || e.Confined
-	if r.condemnedAt == 0 && r.isPoison(endedAt) {
-		r.condemnedAt = max(now, 1)
-		b.newlyCondemned = append(b.newlyCondemned, r.content)
+	for _, p := range s.Parts {
+		b.answered(now, event.TargetEnd{Content: p, Part: true}, took)
 	}
-	b.moveToBack(r)
-	return r, true
 }
 
-// isPoison reports whether the ends of a record, the last one at endedAt, condemn its content.
-func (r *record) isPoison(endedAt ident.Time) bool {
-	if r.answeredIn == 0 {
-		return len(r.runs) >= MaxEnds
+// answered records an answer to the content that cleared names, and announces it if the content is a
+// suspect.
+func (b *Book) answered(now ident.Time, cleared event.TargetEnd, took time.Duration) {
+	*b.slot(cleared) = answer{cleared.Content, now, took}
+	if r := b.records.find(cleared.Content); r != nil {
+		cleared.Cleared, cleared.Confined = true, r.confined
+		b.announcer.add(now, cleared, urgent)
+		b.records.remove(r.content)
 	}
-	return r.inSeries >= MaxEnds && endedAt.Sub(r.firstEndAt) >= answerTimes*r.answeredIn
 }
 
-// Answered records that a target has answered a request of the content, and how long that took.
-func (b *Book) Answered(now ident.Time, content ident.Content, took time.Duration) {
-	if content == 0 {
-		return
-	}
-	b.answers[content%answerSlots] = answer{content, now, took}
-	if r := b.lookUp(content); r != nil {
-		b.announcer.add(now, event.TargetEnd{Content: content, Cleared: true, Confined: r.confined}, urgent)
-		b.remove(content)
+// slot returns the slot of the last answer to the content of an end.
+func (b *Book) slot(e event.TargetEnd) *answer {
+	if e.Part {
+		return &b.partAnswers[e.Content%answerSlots]
 	}
+	return &b.answers[e.Content%answerSlots]
 }
 
-// answerSince returns the last answer to the content that this host has received, if it has since a
-// time.
-func (b *Book) answerSince(content ident.Content, since ident.Time) (answer, bool) {
-	a := b.answers[content%answerSlots]
-	return a, a.content == content && a.at >= since
+// answerSince returns the last answer to the content of an end that this host has received, if it has
+// since a time.
+func (b *Book) answerSince(e event.TargetEnd, since ident.Time) (answer, bool) {
+	a := *b.slot(e)
+	return a, a.content == e.Content && a.at >= since
 }
 
-func (b *Book) isAnsweredSince(content ident.Content, since ident.Time) bool {
-	_, ok := b.answerSince(content, since)
+func (b *Book) isAnsweredSince(e event.TargetEnd, since ident.Time) bool {
+	_, ok := b.answerSince(e, since)
 	return ok
 }
 
-// Condemned reports whether no target may receive the content.
+// Condemned reports whether a content is condemned. A request that has it may still be sent to a
+// target; see Blamed.
 func (b *Book) Condemned(now ident.Time, content ident.Content) bool {
 	b.expire(now)
-	r := b.lookUp(content)
+	r := b.records.find(content)
 	if r == nil || r.condemnedAt == 0 {
 		return false
 	}
-	if r.answeredIn > 0 && now.Sub(r.condemnedAt) >= answerTTL {
-		b.remove(content)
+	if r.isLapsed(r.condemnedAt, now) {
+		b.records.remove(content)
 		return false
 	}
 	return true
 }
 
+// IsPart reports whether a content is known to be a part of prompts.
+func (b *Book) IsPart(content ident.Content) bool {
+	r := b.records.find(content)
+	return r != nil && r.part
+}
+
 // Runs returns the targets that ended under the content.
 func (b *Book) Runs(now ident.Time, content ident.Content) []event.TargetRun {
 	b.expire(now)
-	if r := b.lookUp(content); r != nil {
-		return slices.Clone(r.runs)
+	var runs []event.TargetRun
+	if r := b.records.find(content); r != nil {
+		for _, e := range r.ends {
+			runs = append(runs, e.run)
+		}
 	}
-	return nil
+	return runs
 }
 
 // Allows reports whether the hosts of another region may know of an end.
@@ -282,12 +302,12 @@
 	if !e.Confined {
 		return true
 	}
-	r := b.lookUp(e.Content)
+	r := b.records.find(e.Content)
 	return r != nil && slices.Contains(r.regions, region)
 }
 
 // Len returns the number of contents under which targets have ended.
-func (b *Book) Len() int { return len(b.records) }
+func (b *Book) Len() int { return len(b.records.byContent) }
 
 // TakeCondemned returns the contents that were condemned since the last call.
 func (b *Book) TakeCondemned() []ident.Content {
@@ -299,65 +319,18 @@
 // expire drops the suspicions that have expired. A condemned content becomes a suspect again that the
 // next end condemns.
 func (b *Book) expire(now ident.Time) {
-	for _, l := range []*list.List{b.suspects, b.condemned} {
+	for _, l := range b.records.lists() {
 		for front := l.Front(); front != nil; front = l.Front() {
 			r := front.Value.(*record)
-			if now.Sub(r.lastEndAt) < suspicionTTL {
+			if now.Sub(r.newestEndAt) < b.ttl {
 				break
 			}
 			if r.condemnedAt == 0 {
-				b.remove(r.content)
+				b.records.remove(r.content)
 				continue
 			}
-			r.condemnedAt, r.lastEndAt = 0, now
-			kept := len(r.runs) - MaxEnds + 1
-			r.runs, r.seenAt = r.runs[kept:], r.seenAt[kept:]
-			r.inSeries = MaxEnds - 1
-			b.moveToBack(r)
+			r.expireCondemned(now)
+			b.records.moveToBack(r)
 		}
 	}
 }
-
-func (b *Book) lookUp(content ident.Content) *record {
-	if el, ok := b.records[content]; ok {
-		return el.Value.(*record)
-	}
-	return nil
-}
-
-func (b *Book) ensure(content ident.Content) *record {
-	if r := b.lookUp(content); r != nil {
-		return r
-	}
-	r := &record{content: content}
-	b.records[content] = b.suspects.PushBack(r)
-	return r
-}
-
-// moveToBack moves a record to the back of its list and drops the oldest record if that is full.
-func (b *Book) moveToBack(r *record) {
-	b.unlink(r.content)
-	l := b.suspects
-	if r.condemnedAt > 0 {
-		l = b.condemned
-	}
-	b.records[r.content] = l.PushBack(r)
-	if l.Len() > maxRecords {
-		b.remove(l.Front().Value.(*record).content)
-	}
-}
-
-func (b *Book) remove(content ident.Content) {
-	b.unlink(content)
-	delete(b.records, content)
-}
-
-// unlink removes a record from its list.
-func (b *Book) unlink(content ident.Content) {
-	el, ok := b.records[content]
-	if !ok {
-		return
-	}
-	b.suspects.Remove(el)
-	b.condemned.Remove(el)
-}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -29,7 +29,7 @@
 
 // end records that a target ended 10 ms after the request was sent to it.
 func end(b *Book, now ident.Time, c ident.Content, run event.TargetRun) {
-	b.Ended(now, End{Content: c, Run: run, SentAt: now.Add(-10 * time.Millisecond)})
+	b.Ended(now, End{Subject: Subject{Content: c}, Run: run, SentAt: now.Add(-10 * time.Millisecond)})
 }
 
 // exchange delivers the announcements of each book to the others.
@@ -89,7 +89,7 @@
 	end(a, start, 1, 2)
 	exchange(start, a, b)
 	now := start.Add(time.Second)
-	b.Answered(now, 1, 50*time.Millisecond)
+	b.Answered(now, Subject{Content: 1}, 50*time.Millisecond)
 	exchange(now, a, b)
 	check(t, "known after the answer", 0, a.Len()+b.Len())
 	now = now.Add(time.Second)
@@ -104,7 +104,7 @@
 	end(a, start, 1, 1)
 	late := a.Announce(start)
 	now := start.Add(time.Second)
-	b.Answered(now, 1, 50*time.Millisecond)
+	b.Answered(now, Subject{Content: 1}, 50*time.Millisecond)
 	late[0].Age += time.Second
 	b.Merge(now, late)
 	check(t, "known", 0, b.Len())
@@ -116,11 +116,11 @@
 // missing one that was not.
 func TestEndFoundOutLaterCounts(t *testing.T) {
 	a, b := New(), New()
-	late := End{Content: 1, Run: 7, SentAt: start, EndedAt: start.Add(time.Second)}
+	late := End{Subject: Subject{Content: 1}, Run: 7, SentAt: start, EndedAt: start.Add(time.Second)}
 	now := start.Add(3 * time.Second)
 	a.Ended(now, late)
 	check(t, "without an answer", 1, a.Len())
-	b.Answered(start.Add(2*time.Second), 1, 50*time.Millisecond)
+	b.Answered(start.Add(2*time.Second), Subject{Content: 1}, 50*time.Millisecond)
 	b.Ended(now, late)
 	check(t, "after an answer", 0, b.Len())
 	exchange(now, a, b)
@@ -140,10 +140,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := New()
-			b.Answered(start, 1, c.took)
+			b.Answered(start, Subject{Content: 1}, c.took)
 			now := start.Add(time.Second)
 			for n := range 6 {
-				b.Ended(now, End{Content: 1, Run: event.TargetRun(n), SentAt: now.Add(-c.running)})
+				b.Ended(now, End{Subject: Subject{Content: 1}, Run: event.TargetRun(n), SentAt: now.Add(-c.running)})
 				now = now.Add(c.gap)
 			}
 			check(t, "condemned", c.want, b.Condemned(now, 1))
@@ -227,7 +227,7 @@
 			"answer": func(t *rapid.T) {
 				c := ident.Content(rapid.IntRange(1, 4).Draw(t, "content"))
 				exchange(now, books...)
-				rapid.SampledFrom(books).Draw(t, "host").Answered(now, c, time.Hour)
+				rapid.SampledFrom(books).Draw(t, "host").Answered(now, Subject{Content: c}, time.Hour)
 				delete(n, c)
 				exchange(now, books...)
 				now = now.Add(2 * answerTTL)
--- a/internal/wire/ends.go
+++ b/internal/wire/ends.go
@@ -16,8 +16,13 @@
 const (
 	endCleared = 1 << iota
 	endConfined
+	endPart
+	endCondemned
 )
 
+// endUnderShift is the position of TargetEnd.Under in the flags.
+const endUnderShift = 16
+
 // FromTargetEnds converts ends of targets to columns.
 func FromTargetEnds(ends []event.TargetEnd, relay bool) *TargetEnds {
 	p := &TargetEnds{Relay: relay}
@@ -40,7 +45,13 @@
 	if e.Confined {
 		flags |= endConfined
 	}
-	return flags
+	if e.Part {
+		flags |= endPart
+	}
+	if e.Condemned {
+		flags |= endCondemned
+	}
+	return flags | uint32(e.Under)<<endUnderShift
 }
 
 // ToEvent converts the columns back. It returns ErrFormat if their lengths differ.
@@ -56,6 +67,7 @@
 			Content: ident.Content(content), Run: event.TargetRun(p.GetRuns()[i]),
 			Age: duration(p.GetAgesMs()[i]), Running: duration(p.GetRunningMs()[i]),
 			AnsweredIn: duration(p.GetAnsweredInMs()[i]), Cleared: flags&endCleared != 0, Confined: flags&endConfined != 0,
+			Part: flags&endPart != 0, Condemned: flags&endCondemned != 0, Under: uint16(flags >> endUnderShift),
 		})
 	}
 	return e, nil
