--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -166,7 +166,7 @@
 	case event.FirstToken:
 		rd.firstToken(now, e)
 	case event.StreamPaced:
-		rd.streamPaced(e)
+		rd.streamPaced(now, e)
 	case event.AttemptSilent:
 		rd.attemptSilent(now, e)
 	case event.AttemptEnded:
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -101,6 +101,9 @@
 	// answerBeganAt when the first token arrived, zero before.
 	targetRestarted bool
 	answerBeganAt   ident.Time
+	// survived is set once the target has been writing the answer for so long that the parts of the prompt
+	// do not end it.
+	survived bool
 	// unreachable is set once the attempt has ended because the host that it was to be
 	// forwarded to could not be reached.
 	unreachable bool
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -197,9 +197,14 @@
 	return rd.expectedLength(r).Remaining(r.delivered)
 }
 
-func (rd *Reducer) streamPaced(e event.StreamPaced) {
-	if a, ok := rd.attempts[e.Attempt]; ok && a.req.live == a && rd.isCurrent(a) {
-		rd.table.StreamEventReceived(a.target, e.Gap)
+func (rd *Reducer) streamPaced(now ident.Time, e event.StreamPaced) {
+	a, ok := rd.attempts[e.Attempt]
+	if !ok || a.req.live != a || !rd.isCurrent(a) {
+		return
+	}
+	rd.table.StreamEventReceived(a.target, e.Gap)
+	if !a.survived {
+		a.survived = rd.poison.Survived(now, subjectOf(a.req), a.start, a.answerBeganAt)
 	}
 }
 
--- a/internal/dev/drive/environment.go
+++ b/internal/dev/drive/environment.go
@@ -66,6 +66,9 @@
 // firstEventRatio is the part of its run after which a target sends the first event of an answer.
 const firstEventRatio = 0.25
 
+// paceInterval is the interval at which the pace of an answer is reported after its first event.
+const paceInterval = 500 * time.Millisecond
+
 // AddTarget adds a target to the platform's list.
 func (d *Driver) AddTarget(t event.Target, cfg TargetConfig) *Target {
 	tg := &Target{Target: t, TargetConfig: cfg, Runs: make(map[ident.RequestID]int)}
@@ -143,6 +146,8 @@
 	r := &t.inFlight[i]
 	r.begun = true
 	d.postToIncarnation(r.host, callDelay, event.FirstToken{Attempt: a, Build: t.Build})
+	host := r.host
+	d.schedule(paceInterval, func() { d.continueAnswer(t, host, a) })
 	if fwd, ok := d.forwarded[r.request]; ok {
 		fwd.begun = true
 		d.forwarded[r.request] = fwd
@@ -154,6 +159,15 @@
 	}
 }
 
+// continueAnswer reports the pace of an answer in intervals until it ends.
+func (d *Driver) continueAnswer(t *Target, to event.Host, a ident.Attempt) {
+	if !slices.ContainsFunc(t.inFlight, func(r run) bool { return r.attempt == a }) {
+		return
+	}
+	d.postToIncarnation(to, callDelay, event.StreamPaced{Attempt: a, Gap: paceInterval})
+	d.schedule(paceInterval, func() { d.continueAnswer(t, to, a) })
+}
+
 // SetBuild changes the build of a target in the platform's list.
 func (d *Driver) SetBuild(id ident.TargetID, build ident.Build) {
 	d.Target(id).Build = build
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -79,6 +79,12 @@
 	// maxBeginning is how long an answer counts as begun. Parts of prompts end targets that begin an
 	// answer, not those that have been writing it.
 	maxBeginning = time.Second
+	// minCoverage is the share of all targets that ended under a part of prompts, from its first end on, for
+	// which MaxEnds of them condemn it. If more ended beside it, manyEnds do.
+	minCoverage = 0.5
+	manyEnds    = 2 * MaxEnds
+	// maxRecentEnds bounds the targets that are remembered for minCoverage.
+	maxRecentEnds = 256
 	// maxRuns bounds the targets that are remembered for one content.
 	maxRuns = 32
 	// answerSlots is the size of the table of recent answers. An answer replaces one of another
@@ -110,6 +116,8 @@
 	// answers are the last answers to contents of requests, partAnswers those to parts of prompts.
 	answers, partAnswers [answerSlots]answer
 	announcer            announcer
+	// recentEnds are the targets that ended last, under any content.
+	recentEnds []knownEnd
 	// ttl is how long this host keeps an end, at least suspicionTTL.
 	ttl time.Duration
 	// newlyCondemned holds the contents condemned since TakeCondemned.
@@ -212,7 +220,10 @@
 	if isNew {
 		r.add(now, e)
 	}
-	condemns := r.condemnedAt == 0 && (e.Condemned && !r.isLapsed(now.Add(-e.Age), now) || isNew && r.isPoison(now.Add(-e.Age)))
+	if isNew {
+		b.addRecentEnd(now, e.Run)
+	}
+	condemns := r.condemnedAt == 0 && (e.Condemned && !r.isLapsed(now.Add(-e.Age), now) || isNew && r.isPoison(now.Add(-e.Age), b.endsSince(r.ends[0].seenAt)))
 	if condemns {
 		r.condemnedAt = max(now.Add(-e.Age), 1)
 		b.newlyCondemned = append(b.newlyCondemned, r.content)
@@ -223,6 +234,26 @@
 	return r, isNew
 }
 
+// addRecentEnd adds a target to those that ended last.
+func (b *Book) addRecentEnd(now ident.Time, run event.TargetRun) {
+	if slices.ContainsFunc(b.recentEnds, func(e knownEnd) bool { return e.run == run }) {
+		return
+	}
+	b.recentEnds = append(b.recentEnds, knownEnd{run: run, seenAt: now})
+	b.recentEnds = b.recentEnds[max(len(b.recentEnds)-maxRecentEnds, 0):]
+}
+
+// endsSince returns how many targets this host has learned to have ended since a time.
+func (b *Book) endsSince(since ident.Time) int {
+	n := 0
+	for _, e := range b.recentEnds {
+		if e.seenAt >= since {
+			n++
+		}
+	}
+	return n
+}
+
 // Answered records that a target has given a request its whole answer, and how long that took.
 func (b *Book) Answered(now ident.Time, s Subject, took time.Duration) {
 	if s.Content != 0 {
@@ -233,6 +264,16 @@
 	}
 }
 
+// Survived records that a target has been writing the answer to a request for maxBeginning: the parts of its
+// prompt do not end targets. It reports whether the answer has been written for as long.
+func (b *Book) Survived(now ident.Time, s Subject, sentAt, beganAt ident.Time) bool {
+	if beganAt == 0 || now.Sub(beganAt) < maxBeginning {
+		return false
+	}
+	b.Answered(now, Subject{Parts: s.Parts}, now.Sub(sentAt))
+	return true
+}
+
 // answered records an answer to the content that cleared names, and announces it if the content is a
 // suspect.
 func (b *Book) answered(now ident.Time, cleared event.TargetEnd, took time.Duration) {
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -18,7 +18,7 @@
 	// ends are the targets that ended, the earliest known first.
 	ends []knownEnd
 	// inSeries counts the targets that ended one after the other: under a run that began after the
-	// end before it was known.
+	// end before it was known. For a part, repeats of one request count once.
 	inSeries   int
 	firstEndAt ident.Time
 	// lastEndAt is the last end of the series, newestEndAt the last of all.
@@ -51,13 +51,14 @@
 // add adds an end that is not known.
 func (r *record) add(now ident.Time, e event.TargetEnd) {
 	endedAt := now.Add(-e.Age)
+	repeats := r.part && e.Under != 0 && slices.ContainsFunc(r.ends, func(k knownEnd) bool { return k.under == e.Under })
 	if len(r.ends) < maxRuns {
 		r.ends = append(r.ends, knownEnd{run: e.Run, seenAt: now, under: e.Under})
 	}
 	if r.inSeries == 0 {
 		r.firstEndAt = endedAt
 	}
-	if r.inSeries == 0 || endedAt.Add(-e.Running) >= r.lastEndAt {
+	if r.inSeries == 0 || endedAt.Add(-e.Running) >= r.lastEndAt && !repeats {
 		r.inSeries++
 		r.lastEndAt = max(r.lastEndAt, endedAt)
 		r.running = e.Running
@@ -67,12 +68,16 @@
 	r.confined = r.confined || e.Confined
 }
 
-// isPoison reports whether the ends of a record, the last one at endedAt, condemn its content.
-func (r *record) isPoison(endedAt ident.Time) bool {
+// isPoison reports whether the ends of a record, the last one at endedAt, condemn its content. allEnds is the
+// number of targets that have ended since the first of them, whatever they ran.
+func (r *record) isPoison(endedAt ident.Time, allEnds int) bool {
 	if !r.part && r.answeredIn == 0 {
 		return len(r.ends) >= MaxEnds
 	}
-	return r.inSeries >= MaxEnds && endedAt.Sub(r.firstEndAt) >= answerTimes*r.answeredIn
+	if r.inSeries < MaxEnds || endedAt.Sub(r.firstEndAt) < answerTimes*r.answeredIn {
+		return false
+	}
+	return !r.part || float64(len(r.ends)) >= minCoverage*float64(allEnds) || r.inSeries >= manyEnds
 }
 
 // isLapsed reports whether a content that was condemned at a time no longer is: one that was answered shortly
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -263,6 +263,7 @@
 	ends := []event.TargetEnd{
 		{Content: 1, Run: 2, Age: 3 * time.Millisecond, Running: 4 * time.Millisecond, AnsweredIn: 5 * time.Millisecond},
 		{Content: 6, Cleared: true, Confined: true},
+		{Content: 7, Run: 8, Part: true, Under: 0xfedc, Condemned: true},
 	}
 	p := FromTargetEnds(ends, true)
 	got, err := p.ToEvent("uvs-1")
