soak: callers whose requests share a part of their prompts that ends targets

Run with -parts beside the other hazards: within the plan and once it has settled, requests come at any host, no two alike, that share the first part with all others and one part under which targets end. Checked is the users' bound, with 2 s in place of their 6 s: after the fifth end no more than three requests with the part reach targets, if hosts could reach each other. The check is shown on records that break it.

--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -44,6 +44,8 @@
 	// differ from those of other requests of the kind.
 	route      string
 	path, text string
+	// prompt names the parts of the prompt, empty for none.
+	prompt string
 	// first is the request that began the stream that this one takes up again, received how many events
 	// its caller has by then. builds are the builds that the events of the answer name.
 	first      string
@@ -212,6 +214,9 @@
 func (k *caller) request(ctx context.Context, n int, kind string) observation {
 	h := k.pool.deployment.hosts[n]
 	a := observation{id: k.pool.newID(kind), kind: kind, host: n, route: kind, began: time.Now(), settled: k.pool.deployment.settled()}
+	if k.pool.deployment.cfg.Parts && kind == kindDraft {
+		a.prompt = fmt.Sprintf("f1a57:800,%x:40,%x:10", k.rnd.IntN(8), k.rnd.Uint64())
+	}
 	a.process, _ = h.state()
 	k.send(ctx, h, &a)
 	a.end = time.Now()
@@ -239,6 +244,9 @@
 	req.Host = hostName
 	req.Header.Set("Verbenadale-Request-Id", a.id)
 	req.Header.Set("Verbenadale-Request-Deadline", strconv.FormatInt(deadline.Milliseconds(), 10))
+	if a.prompt != "" {
+		req.Header.Set("Verbenadale-Prompt-Prefix", a.prompt)
+	}
 	if a.first != "" {
 		req.Header.Set("Resumes", a.first)
 		req.Header.Set("Last-Event-Id", strconv.Itoa(a.received))
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -49,6 +49,7 @@
 	}
 	c.checkNoRevert()
 	c.checkPoison()
+	c.checkParts()
 	c.checkLimits()
 	c.checkBuilds()
 }
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -61,6 +61,8 @@
 	lastDisturbanceAt time.Time
 	// poison holds the requests that end their targets.
 	poison []*poisonSeries
+	// parts holds the parts of prompts that end targets.
+	parts []*partSeries
 	// limits holds the times in which targets named a limit.
 	limits []*limitPeriod
 	// builds counts the builds that targets have been given.
--- a/internal/dev/soak/poison.go
+++ b/internal/dev/soak/poison.go
@@ -94,6 +94,7 @@
 func (s *deployment) endTarget(w *target, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordPart(r, !w.ended)
 	if w.ended {
 		return
 	}
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -48,6 +48,8 @@
 	Planned bool
 	// Poison adds callers that repeat requests which end each target that runs them.
 	Poison bool
+	// Parts adds callers whose requests share a part of their prompts that ends targets.
+	Parts bool
 	// Limits adds targets that name a limit on their requests for a while.
 	Limits bool
 	// Builds lets targets run two versions of their software, and callers take their streams up again
@@ -135,7 +137,7 @@
 	return rep, nil
 }
 
-// plan draws the plan of the seed. What Poison and Limits add leaves the rest of the plan as it is.
+// plan draws the plan of the seed. What Poison, Parts and Limits add leaves the rest of the plan as it is.
 func (cfg Config) plan(s *deployment) []fault {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
 	if cfg.Planned {
@@ -145,6 +147,9 @@
 	if cfg.Poison {
 		plan = append(plan, drawPoison(rnd, cfg.Duration, s)...)
 	}
+	if cfg.Parts {
+		plan = append(plan, drawParts(rnd, cfg.Duration, s)...)
+	}
 	if cfg.Limits {
 		plan = append(plan, drawLimits(rnd, cfg.Duration, s)...)
 	}
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -118,12 +118,12 @@
 }
 
 // Guards against requests that end one target after the other while their callers repeat them at
-// hosts of both regions, and against hosts that together send a target more than the limit that it names.
+// hosts of both regions, or send others that share a part of their prompts, and against hosts that together send a target more than the limit that it names.
 func TestTargetsThatEndOrNameALimit(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for half a minute")
 	}
-	rep, err := Run(context.Background(), Config{Program: program, Seed: 208, Duration: 2 * time.Second, Poison: true, Limits: true})
+	rep, err := Run(context.Background(), Config{Program: program, Seed: 208, Duration: 2 * time.Second, Poison: true, Parts: true, Limits: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,6 +133,34 @@
 	}
 }
 
+// Guards against a check that misses a part of prompts that goes on ending targets.
+func TestPartCheckDetectsViolations(t *testing.T) {
+	at := time.Now()
+	times := func(n int, from time.Duration) []time.Time {
+		var ts []time.Time
+		for i := range n {
+			ts = append(ts, at.Add(from+time.Duration(i)*time.Millisecond))
+		}
+		return ts
+	}
+	for name, c := range map[string]struct {
+		series partSeries
+		want   int
+	}{
+		"few ends":      {partSeries{ends: times(partEnds-1, 0), arrivals: times(9, time.Minute)}, 0},
+		"at once":       {partSeries{ends: times(9, 0), arrivals: times(9, partDelay/2)}, 0},
+		"some are late": {partSeries{ends: times(partEnds, 0), arrivals: times(maxLateParts, 2*partDelay)}, 0},
+		"too many":      {partSeries{ends: times(partEnds, 0), arrivals: times(maxLateParts+1, 2*partDelay)}, 1},
+		"disturbed":     {partSeries{ends: times(partEnds, 0), arrivals: times(9, 2*partDelay), disturbed: true}, 0},
+	} {
+		chk := &checker{deployment: &deployment{parts: []*partSeries{&c.series}}}
+		chk.checkParts()
+		if len(chk.violations) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		}
+	}
+}
+
 // Guards against a check that misses a target that gets more than its limit allows.
 func TestLimitCheckDetectsViolations(t *testing.T) {
 	at := time.Now()
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -63,7 +63,7 @@
 // PoisonSegment is the segment of a path that marks requests which end their worker.
 const PoisonSegment = "poison"
 
-// PoisonPart is the id of a part of prompts that ends each worker which begins an answer to it.
+// PoisonPart begins the ids of the parts of prompts that end each worker which begins an answer to them.
 const PoisonPart = "dead0bad"
 
 // Ending is what a worker sends of the answer to a prompt with PoisonPart before it ends.
@@ -206,20 +206,20 @@
 func (k *Worker) endsUnderPart(r *http.Request) func(r *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !HasPart(r.Header, PoisonPart) {
+	if PoisonPartOf(r.Header) == "" {
 		return nil
 	}
 	return k.cfg.OnPoison
 }
 
-// HasPart reports whether the prompt of a request has a part.
-func HasPart(h http.Header, id string) bool {
+// PoisonPartOf returns the id of the part of a prompt that ends workers, empty if there is none.
+func PoisonPartOf(h http.Header) string {
 	for part := range strings.SplitSeq(h.Get("Verbenadale-Prompt-Prefix"), ",") {
-		if name, _, _ := strings.Cut(strings.TrimSpace(part), ":"); name == id {
-			return true
+		if id, _, _ := strings.Cut(strings.TrimSpace(part), ":"); strings.HasPrefix(id, PoisonPart) {
+			return id
 		}
 	}
-	return false
+	return ""
 }
 
 // Arrivals returns the times at which requests arrived, in order. Probes are left out.
