poison: an answer within the last second keeps a part from suspicion

The part that ends targets is never answered; the plays of TestPoisonPartIsFoundInAllRegions pass unchanged.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -76,6 +76,8 @@
 	maxRecords = 2048
 	// staggerTime is the range over which hosts spread the expiry of what they know.
 	staggerTime = time.Minute
+	// freshAnswer is the age of an answer to a part of prompts up to which an end does not count against the part.
+	freshAnswer = time.Second
 	// maxBeginning is how long an answer counts as begun. Parts of prompts end targets that begin an
 	// answer, not those that have been writing it.
 	maxBeginning = time.Second
@@ -155,7 +157,7 @@
 // ended records that a target ended under the content of a request or a part of its prompt.
 func (b *Book) ended(now ident.Time, e End, end event.TargetEnd) {
 	endedAt := cmp.Or(e.EndedAt, now)
-	if end.Content == 0 || e.EndedAt > 0 && b.isAnsweredSince(end, endedAt) {
+	if end.Content == 0 || e.EndedAt > 0 && b.isAnsweredSince(end, endedAt) || end.Part && b.isAnsweredSince(end, endedAt.Add(-freshAnswer)) {
 		return
 	}
 	end.Run, end.Age, end.Running, end.Confined = b.nextRun(e, end.Content), now.Sub(endedAt), endedAt.Sub(e.SentAt), e.Regions != nil
