--- a/pkg/codes/refuse.go
+++ b/pkg/codes/refuse.go
@@ -140,7 +140,7 @@
 	}
 	PoisonRequest = Code{
 		ID: "VB1033", Title: "targets ended while they ran the request", Status: http.StatusBadGateway, Since: secondVersion, Severity: Error,
-		Text: "As many targets as may have ended while each of them ran this request, or another one of the same account with the same method, path, prompt and body. It is sent to no further target for some minutes, so repeating it is of no use. It may have run. Change the request, or ask the operators of the service to find its fault; the content in the log of the entry host is the same for all of its repeats.",
+		Text: "As many targets as may have ended while each of them ran this request, another one of the same account with the same method, path, prompt and body, or others that share a part of its prompt. It is sent to no further target for some minutes, so repeating it is of no use. It may have run. Change the request, or ask the operators of the service to find its fault; the content in the log of the entry host is the same for all of its repeats.",
 	}
 	StreamNotContinued = Code{
 		ID: "VB1034", Title: "no target can continue the stream", Status: http.StatusServiceUnavailable, Since: secondVersion, Severity: Warning,
