trail: the time that an answer asks for, on the lines of attempts

An attempt that a target has turned away ends with the time after which the target wants requests again, and its line did not name it, so that a host which doesn't know the wish could not be told from one that doesn't follow it. Field retryAfterMs, only where there is one.

--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -241,6 +241,9 @@
 	if e.TargetEnded {
 		tr.count("attempts.targetEnded")
 	}
+	if e.RetryAfter > 0 {
+		kv = append(kv, "retryAfterMs", millis(e.RetryAfter))
+	}
 	kv = append(kv, "draining", e.Draining, "resumable", e.Resumable, "disconnected", e.Disconnected, "targetEnded", e.TargetEnded, "content", a.content)
 	tr.logImportant("attempt ended", append(kv, partFields(a.parts)...)...)
 }
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -41,6 +41,7 @@
 		event.Refuse{Request: "a.6", Code: codes.PoisonRequest.ID, Outcome: event.Unknown, Basis: shared},
 	})
 	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultBroken, Disconnected: true, TargetEnded: true}, nil)
+	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultNotRun, Status: 503, RetryAfter: 2500 * time.Millisecond}, nil)
 	takenUp := basis
 	takenUp.Origin, takenUp.TakenUp = 0xabc, true
 	tr.Record(at, event.Tick{}, []event.Effect{
