platform, worker: failing tests of targets that ask for rest, and of targets that say that they leave

One host before one or four targets, some of which answer 503 with Retry-After; 50 requests a second.

--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -127,7 +127,12 @@
 	// rateLimit is the value of the header that names the limit, empty for none.
 	rateLimit string
 	// arrivals are the times at which requests arrived, probes excepted.
-	arrivals    []time.Time
+	arrivals []time.Time
+	// rest is the behaviour that SetRest sets, restsAsked the times at which it was followed.
+	rest       Rest
+	restsAsked []time.Time
+	// leavingHeader is the name of the header by which the worker says that it leaves, empty for none.
+	leavingHeader string
 	running     int
 	runs        map[string]int
 	headers     []http.Header
@@ -178,6 +183,60 @@
 	k.rateLimit = text
 }
 
+// Rest is how a worker turns requests away and asks for rest.
+type Rest struct {
+	// RetryAfter holds the values of the header of that name. Without any the worker takes requests.
+	RetryAfter []string
+	// MayHaveRun leaves out the statement that the request has not run.
+	MayHaveRun bool
+}
+
+// SetRest makes the worker turn all requests away, probes excepted.
+func (k *Worker) SetRest(r Rest) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rest = r
+}
+
+// RestsAsked returns the times at which the worker has asked for rest.
+func (k *Worker) RestsAsked() []time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.restsAsked)
+}
+
+// SetLeaving makes the worker say in all its answers that it leaves.
+func (k *Worker) SetLeaving(header string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leavingHeader = header
+}
+
+// asksForRest turns a request away if SetRest says so, and reports whether it did.
+func (k *Worker) asksForRest(w http.ResponseWriter) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.rest.RetryAfter) == 0 {
+		return false
+	}
+	k.restsAsked = append(k.restsAsked, time.Now())
+	w.Header()["Retry-After"] = k.rest.RetryAfter
+	if !k.rest.MayHaveRun {
+		w.Header().Set("Verbenadale-Not-Executed", "1")
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// announceLeaving adds to an answer that the worker leaves.
+func (k *Worker) announceLeaving(w http.ResponseWriter) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leavingHeader != "" {
+		w.Header().Set(k.leavingHeader, "1")
+	}
+}
+
 // SetEnding sets Config.Ending.
 func (k *Worker) SetEnding(e Ending) {
 	k.mu.Lock()
@@ -312,6 +371,7 @@
 // ServeHTTP implements http.Handler.
 func (k *Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Verbenadale-Server-Load", k.load())
+	k.announceLeaving(w)
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
 		return
@@ -330,6 +390,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if k.asksForRest(w) {
+		return
+	}
 	f := k.beginRequest()
 	if f == Shed || id == "" {
 		w.Header().Set("Verbenadale-Not-Executed", "1")
