member, route, core: a target that asks for rest gets no request from this host until then

Cause: the time that an answer asks for reached the attempt that was turned away, where only the rest of its own stream used it. The choice of a target for all other requests did not know it, and took a target that turns everything away for an idle one. Besides, a fraction of a second was taken for no time.

It holds for this host alone.

Ruled out: to queue requests until the rest ends, which would send them all in the target's first moments; to tell peers, since a target asks each host by itself.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -66,6 +66,9 @@
 		rd.timers.add(timer{at: at, req: r, run: rd.place})
 		return
 	}
+	if rd.waitForRest(now, r) {
+		return
+	}
 	at := now.Add(resumeInterval)
 	if r.delivered == 0 || r.resumeWaits >= maxResumeWaits || at >= r.deadline {
 		if rd.isBuildGone(now, r) {
--- a/internal/core/refuse.go
+++ b/internal/core/refuse.go
@@ -15,7 +15,9 @@
 	outcome event.Outcome
 	// retryAfter is how long the caller should wait before it retries, zero for the default.
 	retryAfter time.Duration
-	entries    []event.Host
+	// targetsRest means that retryAfter is when targets that have asked for rest may be used again.
+	targetsRest bool
+	entries     []event.Host
 }
 
 func refuseAs(c codes.Code) refusal { return refusal{code: c.ID, outcome: event.NotRun} }
@@ -81,7 +83,7 @@
 	if r.mayHaveRun && ref.outcome == event.NotRun {
 		ref.outcome = event.Unknown
 	}
-	if r.profile.Route != nil && ref.code == codes.Overloaded.ID && ref.outcome == event.NotRun && !r.forwarded {
+	if r.profile.Route != nil && ref.code == codes.Overloaded.ID && ref.outcome == event.NotRun && !r.forwarded && !ref.targetsRest {
 		ref.retryAfter = rd.retryAfter(now, r)
 	}
 	rd.close(now, r, ref.outcome)
--- /dev/null
+++ b/internal/core/rest.go
@@ -0,0 +1,40 @@
+package core
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/rank"
+	"verbenadale.example/verbenadale/pkg/codes"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// restSpread is the range, as a fraction of the time that a rest still lasts, over which requests come back after it.
+const restSpread = 0.25
+
+// waitForRest handles a request of a route for which no target is available because targets have asked for rest, and
+// reports whether it did. The rest of an answer waits until the first of them may be used again, if that is before
+// its deadline. Any other request is refused at once, with a time to come back: it would take the target's first
+// moments after its rest together with all others that wait.
+func (rd *Reducer) waitForRest(now ident.Time, r *request) bool {
+	if r.profile.Route == nil {
+		return false
+	}
+	ends, ok := rd.router.RestEnds(now, rd.query(r), rd.table)
+	if !ok {
+		return false
+	}
+	back := ends.Add(fraction(ends.Sub(now), restSpread*rank.Unit(rank.Mix(rank.Hash(string(r.ID))))))
+	if r.hasBegun() && back < r.deadline {
+		rd.timers.add(timer{at: back, req: r, run: rd.place})
+		return true
+	}
+	r.lastDenial = event.Denial{Reason: event.DeniedRest, Attempts: r.attemptCount, PredictedWait: ends.Sub(now), RemainingTime: r.deadline.Sub(now)}
+	ref := noTargetRefusal(r, codes.Overloaded.ID)
+	ref.retryAfter, ref.targetsRest = max(back.Sub(now), minRestReturn), true
+	rd.endRefused(now, r, ref)
+	return true
+}
+
+// minRestReturn is the shortest time after which the caller of a request that is refused for a rest comes back.
+const minRestReturn = 50 * time.Millisecond
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -133,13 +133,13 @@
 	restsAsked []time.Time
 	// leavingHeader is the name of the header by which the worker says that it leaves, empty for none.
 	leavingHeader string
-	running     int
-	runs        map[string]int
-	headers     []http.Header
-	faults      []Fault
-	seq         int
-	disconnects int
-	reports     int
+	running       int
+	runs          map[string]int
+	headers       []http.Header
+	faults        []Fault
+	seq           int
+	disconnects   int
+	reports       int
 }
 
 // New returns a worker.
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -168,6 +168,8 @@
 	DeniedPoison DenialReason = "targetsEnded"
 	// DeniedCapacity means that no other target or data centre has capacity.
 	DeniedCapacity DenialReason = "noPlace"
+	// DeniedRest means that all targets which could serve the request have asked for rest.
+	DeniedRest DenialReason = "rest"
 	// DeniedBuildUnknown means that it is not known which of several builds began a stream,
 	// DeniedBuildGone that no target of it serves, DeniedService that the route no longer
 	// uses its service.
@@ -448,6 +450,8 @@
 	InFlight int           `json:"sent"`
 	Suspect  bool          `json:"suspect"`
 	Draining bool          `json:"draining"`
+	// RestFor is how much longer the target wants no requests from this host.
+	RestFor time.Duration `json:"restFor,omitempty"`
 }
 
 // CentreStatus is the state of one data centre as known to this host.
--- a/internal/member/absent.go
+++ b/internal/member/absent.go
@@ -164,6 +164,8 @@
 }
 
 // Usable reports whether requests may be sent to a target at all.
-func (t *Target) Usable(now ident.Time) bool {
+func (t *Target) Usable(now ident.Time) bool { return t.usableAfterRest(now) && !t.Resting(now) }
+
+func (t *Target) usableAfterRest(now ident.Time) bool {
 	return !t.KnownDraining && !t.Removed && !t.Evacuated && !t.Suspect(now)
 }
--- a/internal/member/status.go
+++ b/internal/member/status.go
@@ -99,6 +99,7 @@
 	targets := make([]event.TargetStatus, 0, len(tb.targets))
 	for _, t := range tb.targets {
 		st := event.TargetStatus{Target: t.Target, Load: t.Load, InFlight: t.InFlight, Suspect: t.Suspect(now), Draining: t.KnownDraining}
+		st.RestFor = max(t.restUntil.Sub(now), 0)
 		if t.HasLoad {
 			st.LoadAge = now.Sub(t.LoadAt)
 		}
--- a/internal/member/target.go
+++ b/internal/member/target.go
@@ -62,6 +62,8 @@
 	coldSends []ident.Time
 	// coldAssumed means that the target counts as cold without having reported it.
 	coldAssumed bool
+	// restUntil is the time until which the target wants no requests from this host.
+	restUntil ident.Time
 	// rateLimit is the limit on its requests that the target names.
 	rateLimit rateLimit
 	lastSeen  ident.Time
@@ -155,11 +157,11 @@
 // are not polled, because their answers carry their load. Each of the others is polled by the live
 // host that ranks first for it and relays the report, so that the number of polls does not grow
 // with the number of hosts. A suspect target is polled by every host that suspects it, since the
-// fault may be in the link of a single host, unless that would exceed the limit that it names.
+// fault may be in the link of a single host, unless it rests or that would exceed the limit that it names.
 func (tb *Table) loadPolls(now ident.Time) []event.Effect {
 	var effs []event.Effect
 	for _, t := range tb.targets {
-		if t.Suspect(now) && !t.Removed && !t.KnownDraining && !tb.RateLimitReached(now, t) || t.Capacity == 0 && tb.poller(now, t.ID) == tb.self.ID {
+		if t.Suspect(now) && !t.Removed && !t.KnownDraining && !t.Resting(now) && !tb.RateLimitReached(now, t) || t.Capacity == 0 && tb.poller(now, t.ID) == tb.self.ID {
 			tb.countSend(now, t)
 			effs = append(effs, event.PollLoad{Target: t.Target, After: tb.local.lastCacheEvent(t.ID)})
 		}
--- a/internal/opctl/hosts.go
+++ b/internal/opctl/hosts.go
@@ -72,6 +72,8 @@
 		return "draining"
 	case t.Suspect:
 		return "does not answer"
+	case t.RestFor > 0:
+		return "rests for " + formatAge(t.RestFor)
 	}
 	return "ok"
 }
--- a/internal/route/filter.go
+++ b/internal/route/filter.go
@@ -27,6 +27,7 @@
 	{codes.FilterResidency, targetOutside},
 	{codes.FilterDraining, func(_ *view, t *member.Target) bool { return t.KnownDraining || t.Removed }},
 	{codes.FilterEvacuated, func(_ *view, t *member.Target) bool { return t.Evacuated }},
+	{codes.FilterRest, func(v *view, t *member.Target) bool { return t.Resting(v.now) }},
 	{codes.FilterHealth, func(v *view, t *member.Target) bool { return t.Suspect(v.now) && !v.allowSuspect }},
 	{codes.FilterTried, func(v *view, t *member.Target) bool { return v.q.TriedTargets.Has(t.ID) }},
 	{codes.FilterBound, func(v *view, t *member.Target) bool { return v.q.OnlyTarget != "" && t.ID != v.q.OnlyTarget }},
@@ -67,6 +68,15 @@
 	return "", false
 }
 
+// RestEnds returns when the first local target that only its rest rules out may serve the request. It is false if there
+// is none.
+func (rt *Router) RestEnds(now ident.Time, q Query, tb *member.Table) (ident.Time, bool) {
+	v := rt.resetView(now, q, tb)
+	return tb.RestEnds(now, func(t *member.Target) bool {
+		return !wrongKind(v, t) && !lacksModel(v, t) && !targetOutside(v, t) && (q.Build == "" || t.Build == q.Build) && (q.OnlyTarget == "" || t.ID == q.OnlyTarget)
+	})
+}
+
 func centreRuledOut(v *view, c *member.Centre, filters []centreFilter) (codes.ID, bool) {
 	for i := range filters {
 		if filters[i].rulesOut(v, c) {
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -5,11 +5,8 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math"
 	"net/http"
-	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -117,7 +114,7 @@
 
 // receive reads the answer of a target and determines the result of the attempt.
 func (a *attempt) receive(res *http.Response, d event.Dispatch) event.AttemptEnded {
-	end := event.AttemptEnded{Status: res.StatusCode, RetryAfter: retryAfter(res.Header), Delivered: a.delivered}
+	end := event.AttemptEnded{Status: res.StatusCode, RetryAfter: target.RetryAfter(res.Header), Delivered: a.delivered}
 	if reason := res.Header.Get(target.HeaderNotRun); reason != "" {
 		end.Result = event.ResultNotRun
 		end.Draining = reason == target.NotRunDraining
@@ -302,16 +299,6 @@
 	}
 }
 
-// retryAfter returns the delay of the header Retry-After, or zero if it is missing, invalid or too
-// long for a duration.
-func retryAfter(h http.Header) time.Duration {
-	n, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || n < 0 || n > math.MaxInt32 {
-		return 0
-	}
-	return time.Duration(n) * time.Second
-}
-
 // relayedHeaders are the headers of an answer that are relayed to the caller.
 var relayedHeaders = []string{
 	"Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language", "Content-Type",
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -22,6 +22,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -204,3 +205,22 @@
 		h.Set(key, val)
 	}
 }
+
+// maxRetryAfter bounds the time of a Retry-After header. Longer ones would overflow a duration.
+const maxRetryAfter = 24 * time.Hour
+
+// RetryAfter returns the longest time that the Retry-After headers of an answer name in seconds, which may be a
+// fraction. It is zero if there is none. Dates are ignored: the clocks of target and host may differ.
+func RetryAfter(h http.Header) time.Duration {
+	longest := time.Duration(0)
+	for _, text := range h.Values("Retry-After") {
+		for part := range strings.SplitSeq(text, ",") {
+			seconds, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
+			if err != nil || !(seconds > 0) {
+				continue
+			}
+			longest = max(longest, time.Duration(min(seconds, maxRetryAfter.Seconds())*float64(time.Second)))
+		}
+	}
+	return longest
+}
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -81,3 +82,27 @@
 		}
 	}
 }
+
+// Guards against a time to come back that is taken for none, or for ever, because of its form.
+func TestRetryAfter(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"":                              0,
+		"3":                             3 * time.Second,
+		" 2.5 ":                         2500 * time.Millisecond,
+		"1, 4":                          4 * time.Second,
+		"0":                             0,
+		"-1":                            0,
+		"NaN":                           0,
+		"soon, 2":                       2 * time.Second,
+		"1e9":                           maxRetryAfter,
+		"+Inf":                          maxRetryAfter,
+		"Fri, 04 Dec 2026 11:26:45 GMT": 0,
+	} {
+		if got := RetryAfter(http.Header{"Retry-After": {text}}); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+	if got := RetryAfter(http.Header{"Retry-After": {"1", "3", "2"}}); got != 3*time.Second {
+		t.Errorf("three headers: %v", got)
+	}
+}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -188,7 +188,7 @@
 		return nil
 	}
 	kv := []any{"denied", d.Reason, "tries", d.Attempts, "maxTries", d.MaxAttempts, "retriesSpent", d.Retries, "retriesAllowed", roundHundredths(d.MaxRetries)}
-	if d.Reason == event.DeniedTime {
+	if d.Reason == event.DeniedTime || d.Reason == event.DeniedRest {
 		kv = append(kv, "nextMs", millis(d.PredictedWait), "deadlineMs", millis(d.RemainingTime))
 	}
 	return kv
--- a/pkg/codes/filter.go
+++ b/pkg/codes/filter.go
@@ -55,6 +55,10 @@
 		ID: "VB2014", Title: "the targets run another version of the software", Since: secondVersion, Severity: Info,
 		Text: "The caller has a part of the stream, which only targets of the version that began it can continue.",
 	}
+	FilterRest = Code{
+		ID: "VB2015", Title: "the target has asked this host for rest", Since: secondVersion, Severity: Info,
+		Text: "The target turned a request away and said for how long it wants none from this host. Other hosts send to it until they are asked too.",
+	}
 	FilterFull = Code{
 		ID: "VB2009", Title: "the target has no free slot", Since: firstVersion, Severity: Info,
 		Text: "The requests sent and not yet ended fill the target's slots and the queue it is allowed.",
@@ -64,5 +68,5 @@
 // Filters lists the routing filters.
 var Filters = []Code{
 	FilterKind, FilterModel, FilterResidency, FilterHops, FilterDraining,
-	FilterHealth, FilterTried, FilterOffer, FilterFull, FilterEvacuated, FilterCold, FilterBound, FilterRate, FilterBuild,
+	FilterHealth, FilterTried, FilterOffer, FilterFull, FilterEvacuated, FilterCold, FilterBound, FilterRate, FilterBuild, FilterRest,
 }
