platform, member: a target that says in its answers that it leaves drains

A target that the platform's list called ready, and that sent Server-Leaving with each answer, got 8 to 11 requests in the second after the first such answer (50 requests a second, four targets), with the store up or down. Cause: the header was not read. An answer of another target at the address, or of an earlier start, says nothing.

--- a/internal/core/rest_test.go
+++ b/internal/core/rest_test.go
@@ -136,3 +136,22 @@
 		t.Error("no probe after the rest")
 	}
 }
+
+// Guards against a target that drains by its own word and gets requests, and against a late answer of its earlier start that
+// keeps them from it.
+func TestTargetThatSaysItDrainsGetsNothing(t *testing.T) {
+	h := newTestHost(t, 1, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+	h.discovered()
+	drains := event.LoadSeen{Target: "t0", Incarnation: 1, LoadOmitted: true, RateLimitOmitted: true, Draining: true}
+	h.step(drains)
+	if ref, ok := pick[event.Refuse](h.request("a", "fetch")); !ok || ref.Code != codes.NoTarget.ID {
+		t.Errorf("a request at a target that drains: %+v", ref)
+	}
+	again := boardTarget("t0")
+	again.Incarnation = 2
+	h.step(event.HostsRead{Version: 2, Complete: true, Targets: []event.Target{again}})
+	h.step(drains)
+	if _, ok := pick[event.Dispatch](h.request("b", "fetch")); !ok {
+		t.Error("the target has started again and gets nothing")
+	}
+}
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -131,6 +131,8 @@
 	Slots   int `json:"slots"`
 	// LoadOmitted means that the answer contained no load.
 	LoadOmitted bool `json:"loadOmitted,omitempty"`
+	// Draining means that the target said it drains.
+	Draining bool `json:"draining,omitempty"`
 	// Rest is how long the target wants no requests from this host, zero if it did not say so.
 	Rest time.Duration `json:"rest,omitempty"`
 	// RateLimit is how many requests a second the target takes from all hosts together, if
--- a/internal/member/observe.go
+++ b/internal/member/observe.go
@@ -18,6 +18,9 @@
 	if !ev.LoadOmitted {
 		t.ObserveAnswer(now, ev.Running, ev.Queued, ev.Slots)
 	}
+	if ev.Draining {
+		tb.MarkDraining(now, t.ID, t.Incarnation)
+	}
 	if ev.Rest > 0 {
 		tb.restAsked(now, t, ev.Rest)
 	}
