--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -277,6 +277,7 @@
 	}
 	r := a.req
 	rd.recordTargetEnd(now, a, e)
+	rd.recordRest(now, a, e)
 	rd.dropAttempt(a, healthOf(now, a, e))
 	if rd.isCurrent(a) && e.Result != event.ResultNotRun {
 		rd.table.RecordOutcome(now, a.target, e.Result == event.ResultDone)
--- a/internal/core/rest.go
+++ b/internal/core/rest.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"net/http"
+	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -12,14 +14,21 @@
 // restSpread is the range, as a fraction of the time that a rest still lasts, over which requests come back after it.
 const restSpread = 0.25
 
-// waitForRest handles a request of a route for which no target is available because targets have asked for rest, and
+// restStatuses are the statuses with which a target turns requests away.
+var restStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}
+
+// recordRest records that the answer of a target asked for rest.
+func (rd *Reducer) recordRest(now ident.Time, a *attempt, e event.AttemptEnded) {
+	if a.target != "" && slices.Contains(restStatuses, e.Status) {
+		rd.table.RestAsked(now, a.target, a.incarnation, e.RetryAfter)
+	}
+}
+
+// waitForRest handles a request for which no target is available because targets have asked for rest, and
 // reports whether it did. The rest of an answer waits until the first of them may be used again, if that is before
 // its deadline. Any other request is refused at once, with a time to come back: it would take the target's first
 // moments after its rest together with all others that wait.
 func (rd *Reducer) waitForRest(now ident.Time, r *request) bool {
-	if r.profile.Route == nil {
-		return false
-	}
 	ends, ok := rd.router.RestEnds(now, rd.query(r), rd.table)
 	if !ok {
 		return false
--- a/internal/core/rest_test.go
+++ b/internal/core/rest_test.go
@@ -112,6 +112,31 @@
 	}
 }
 
+// Guards against a wish for rest of a target whose answers to requests say nothing else about it.
+func TestAnswersToRequestsAskForRest(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  event.AttemptEnded
+		want bool
+	}{
+		"turned away":    {event.AttemptEnded{Result: event.ResultNotRun, Status: 503, RetryAfter: 2 * time.Second}, true},
+		"too many":       {event.AttemptEnded{Result: event.ResultNotRun, Status: 429, RetryAfter: 2 * time.Second}, true},
+		"may have run":   {event.AttemptEnded{Result: event.ResultFailed, Status: 503, RetryAfter: 2 * time.Second}, true},
+		"no time":        {event.AttemptEnded{Result: event.ResultNotRun, Status: 503}, false},
+		"another target": {event.AttemptEnded{Result: event.ResultNotRun, Status: 421, RetryAfter: 2 * time.Second}, false},
+		"success":        {event.AttemptEnded{Result: event.ResultDone, Status: 200, RetryAfter: 2 * time.Second}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newTestHost(t, 1, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+			h.discovered()
+			c.end.Attempt = h.send("publish").Attempt
+			h.end(c.end)
+			if _, sent := pick[event.Dispatch](h.request("next", "fetch")); sent == c.want {
+				t.Errorf("the next request is sent: %v", sent)
+			}
+		})
+	}
+}
+
 // Guards against probes that reach a target which rests.
 func TestTargetAtRestIsNotProbed(t *testing.T) {
 	h := newTestHost(t, 1, core.Bounds{RetryRatio: 1, RetryFloor: 100})
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -133,7 +133,8 @@
 	LoadOmitted bool `json:"loadOmitted,omitempty"`
 	// Draining means that the target said it drains.
 	Draining bool `json:"draining,omitempty"`
-	// Rest is how long the target wants no requests from this host, zero if it did not say so.
+	// Rest is how long the target wants no requests from this host, as it answered a probe; zero
+	// if it did not say so. AttemptEnded carries the answers to requests.
 	Rest time.Duration `json:"rest,omitempty"`
 	// RateLimit is how many requests a second the target takes from all hosts together, if
 	// the answer named such a limit.
--- a/internal/member/observe.go
+++ b/internal/member/observe.go
@@ -21,9 +21,7 @@
 	if ev.Draining {
 		tb.MarkDraining(now, t.ID, t.Incarnation)
 	}
-	if ev.Rest > 0 {
-		tb.restAsked(now, t, ev.Rest)
-	}
+	tb.RestAsked(now, t.ID, t.Incarnation, ev.Rest)
 	switch {
 	case ev.RateLimitInvalid:
 		tb.rateLimitInvalid(t)
--- a/internal/member/rest.go
+++ b/internal/member/rest.go
@@ -12,11 +12,12 @@
 // come yet. What other hosts may send is theirs to find out.
 func (t *Target) Resting(now ident.Time) bool { return now < t.restUntil }
 
-// restAsked records that a target has asked for rest. A wish for less than what remains of an earlier one does not
+// RestAsked records that a target has asked for rest. A wish for less than what remains of an earlier one does not
 // shorten that.
-func (tb *Table) restAsked(now ident.Time, t *Target, rest time.Duration) {
+func (tb *Table) RestAsked(now ident.Time, id ident.TargetID, inc ident.Incarnation, rest time.Duration) {
+	t, ok := tb.currentTarget(id, inc)
 	until := now.Add(rest)
-	if until <= t.restUntil {
+	if !ok || rest <= 0 || until <= t.restUntil {
 		return
 	}
 	if !t.Resting(now) {
