soak: targets that ask for rest, and targets that say in their answers that they leave

Checked: a second and a half after a target has begun to turn requests away for 4 s, each host of its region sends it at most two more; one that says that it leaves gets nothing later than 4 s after. Hosts that have started meanwhile excuse it.

--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -51,6 +51,7 @@
 	c.checkPoison()
 	c.checkParts()
 	c.checkLimits()
+	c.checkRests()
 	c.checkBuilds()
 }
 
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -63,6 +63,8 @@
 	poison []*poisonSeries
 	// parts holds the parts of prompts that end targets.
 	parts []*partSeries
+	// rests holds the times in which targets asked for rest or left.
+	rests []*restPeriod
 	// limits holds the times in which targets named a limit.
 	limits []*limitPeriod
 	// builds counts the builds that targets have been given.
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -50,6 +50,8 @@
 	Poison bool
 	// Parts adds callers whose requests share a part of their prompts that ends targets.
 	Parts bool
+	// Rests adds targets that ask for rest, or say in their answers that they leave, for a while.
+	Rests bool
 	// Limits adds targets that name a limit on their requests for a while.
 	Limits bool
 	// Builds lets targets run two versions of their software, and callers take their streams up again
@@ -137,7 +139,7 @@
 	return rep, nil
 }
 
-// plan draws the plan of the seed. What Poison, Parts and Limits add leaves the rest of the plan as it is.
+// plan draws the plan of the seed. What Poison, Parts, Rests and Limits add leaves the rest of the plan as it is.
 func (cfg Config) plan(s *deployment) []fault {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
 	if cfg.Planned {
@@ -150,6 +152,9 @@
 	if cfg.Parts {
 		plan = append(plan, drawParts(rnd, cfg.Duration, s)...)
 	}
+	if cfg.Rests {
+		plan = append(plan, drawRests(rnd, cfg.Duration, s)...)
+	}
 	if cfg.Limits {
 		plan = append(plan, drawLimits(rnd, cfg.Duration, s)...)
 	}
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -123,7 +123,7 @@
 	if testing.Short() {
 		t.Skip("runs processes for half a minute")
 	}
-	rep, err := Run(context.Background(), Config{Program: program, Seed: 208, Duration: 2 * time.Second, Poison: true, Parts: true, Limits: true})
+	rep, err := Run(context.Background(), Config{Program: program, Seed: 208, Duration: 2 * time.Second, Poison: true, Parts: true, Rests: true, Limits: true})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,6 +161,34 @@
 	}
 }
 
+// Guards against a check that misses requests to targets at rest, or to those that leave.
+func TestRestCheckDetectsViolations(t *testing.T) {
+	for name, c := range map[string]struct {
+		requests          int
+		leaves, disturbed bool
+		want              int
+	}{
+		"allowed":      {requests: 2 * maxInRest},
+		"too many":     {requests: 2*maxInRest + 1, want: 1},
+		"disturbed":    {requests: 2*maxInRest + 1, disturbed: true},
+		"leaves":       {requests: 1, leaves: true, want: 1},
+		"left alone":   {leaves: true},
+		"not to blame": {requests: 1, leaves: true, disturbed: true},
+	} {
+		at := time.Now()
+		w := &target{Worker: worker.New(worker.Config{ID: "t"})}
+		for range c.requests {
+			w.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/x", nil))
+		}
+		p := &restPeriod{target: w, leaves: c.leaves, from: at.Add(-maxPropagation), to: at.Add(time.Minute), disturbed: c.disturbed}
+		chk := &checker{deployment: &deployment{cfg: Config{Hosts: 2}, rests: []*restPeriod{p}}}
+		chk.checkRests()
+		if len(chk.violations) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		}
+	}
+}
+
 // Guards against a check that misses a target that gets more than its limit allows.
 func TestLimitCheckDetectsViolations(t *testing.T) {
 	at := time.Now()
