soak: requests that reach targets at rest are counted for each host

Now the requests of callers tell which host sent them, and each host is bound half a second after the first answer that it got.

--- a/internal/dev/soak/rest.go
+++ b/internal/dev/soak/rest.go
@@ -13,10 +13,10 @@
 const (
 	// restLength is how long a target turns requests away and asks for rest, and what it asks for each time.
 	restLength = 4 * time.Second
-	// restKnownAfter is the time from its beginning by which each host has been asked, and maxInRest the number of
-	// requests that each of them may send to the target later.
-	restKnownAfter = 1500 * time.Millisecond
-	maxInRest      = 2
+	// restSlack is the time from which a wish for rest binds the host that it was told, and maxInRest the number of
+	// requests that the host may send to the target later.
+	restSlack = 500 * time.Millisecond
+	maxInRest = 2
 	// meanRestInterval is the mean time between two targets that ask for rest or say that they leave.
 	meanRestInterval = 3 * time.Second
 	// leavingLength is how long a target says that it leaves before it is replaced.
@@ -84,21 +84,52 @@
 // checkRests checks that targets get their rest, and nothing more once they have said that they leave. Hosts that have
 // started meanwhile do not know of it.
 func (c *checker) checkRests() {
+	hosts := make(map[string]int)
+	for _, a := range c.pool.observations {
+		hosts[a.id] = a.host
+	}
 	for _, p := range c.deployment.rests {
-		known, allowed := restKnownAfter, maxInRest*c.deployment.cfg.Hosts
-		if p.leaves {
-			known, allowed = maxPropagation, 0
+		if p.disturbed || c.overlapsRest(p) {
+			continue
 		}
-		n := 0
-		for _, at := range p.target.Arrivals() {
-			if at.After(p.from.Add(known)) && at.Before(p.to) {
-				n++
+		for host, times := range p.arrivals(hosts, c.deployment.hosts) {
+			if n := p.excess(times); n > 0 {
+				c.report("rest: target %s got %d requests from host %d that it did not want (leaves: %v)", p.target.id, n, host, p.leaves)
 			}
 		}
-		if n > allowed && !p.disturbed && !c.overlapsRest(p) {
-			c.report("rest: %d requests reached target %s over %v after it had begun (leaves: %v), %d are allowed", n, p.target.id, known, p.leaves, allowed)
+	}
+}
+
+// arrivals returns the times in the period at which requests of the hosts of the target's region arrived, given the hosts
+// to which callers sent them. Who sends on what came to a host of the other region is not known.
+func (p *restPeriod) arrivals(hostOf map[string]int, hosts []*host) map[int][]time.Time {
+	times := make(map[int][]time.Time)
+	for _, a := range p.target.ArrivedRequests() {
+		n, ok := hostOf[a.Request]
+		if ok && hosts[n].region == p.target.region && a.At.After(p.from) && a.At.Before(p.to) {
+			times[n] = append(times[n], a.At)
+		}
+	}
+	return times
+}
+
+// excess returns how many requests a host has sent beyond what is allowed, given all times of the period at which it did.
+// The first of them told it what the target wants.
+func (p *restPeriod) excess(times []time.Time) int {
+	slack, allowed := restSlack, maxInRest
+	if p.leaves {
+		slack, allowed = maxPropagation, 0
+	}
+	n := 0
+	for _, at := range times {
+		if at.Sub(times[0]) > slack {
+			n++
 		}
 	}
+	if n <= allowed {
+		return 0
+	}
+	return n
 }
 
 // overlapsRest reports whether the target asked for another rest meanwhile.
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -163,30 +163,43 @@
 
 // Guards against a check that misses requests to targets at rest, or to those that leave.
 func TestRestCheckDetectsViolations(t *testing.T) {
+	at := time.Now()
+	times := func(n int, after time.Duration) []time.Time {
+		ts := []time.Time{at}
+		for range n {
+			ts = append(ts, at.Add(after))
+		}
+		return ts
+	}
 	for name, c := range map[string]struct {
-		requests          int
-		leaves, disturbed bool
-		want              int
+		times  []time.Time
+		leaves bool
+		want   int
 	}{
-		"allowed":      {requests: 2 * maxInRest},
-		"too many":     {requests: 2*maxInRest + 1, want: 1},
-		"disturbed":    {requests: 2*maxInRest + 1, disturbed: true},
-		"leaves":       {requests: 1, leaves: true, want: 1},
-		"left alone":   {leaves: true},
-		"not to blame": {requests: 1, leaves: true, disturbed: true},
+		"none":                {nil, false, 0},
+		"in flight":           {times(9, restSlack), false, 0},
+		"allowed":             {times(maxInRest, 2*restSlack), false, 0},
+		"too many":            {times(maxInRest+1, 2*restSlack), false, maxInRest + 1},
+		"leaves, soon after":  {times(9, maxPropagation), true, 0},
+		"leaves, later":       {times(1, maxPropagation+1), true, 1},
+		"leaves, a last word": {times(0, 0), true, 0},
 	} {
-		at := time.Now()
-		w := &target{Worker: worker.New(worker.Config{ID: "t"})}
-		for range c.requests {
-			w.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/x", nil))
-		}
-		p := &restPeriod{target: w, leaves: c.leaves, from: at.Add(-maxPropagation), to: at.Add(time.Minute), disturbed: c.disturbed}
-		chk := &checker{deployment: &deployment{cfg: Config{Hosts: 2}, rests: []*restPeriod{p}}}
-		chk.checkRests()
-		if len(chk.violations) != c.want {
-			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		p := &restPeriod{leaves: c.leaves}
+		if got := p.excess(c.times); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
 		}
 	}
+	w := &target{Worker: worker.New(worker.Config{ID: "t"}), region: "west"}
+	for _, id := range []string{"of west", "of east", "of nobody"} {
+		r := httptest.NewRequest(http.MethodGet, "/x", nil)
+		r.Header.Set("Verbenadale-Request-Id", id)
+		w.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	p := &restPeriod{target: w, from: at.Add(-time.Minute), to: at.Add(time.Minute)}
+	got := p.arrivals(map[string]int{"of west": 0, "of east": 1}, []*host{{region: "west"}, {region: "east"}})
+	if len(got) != 1 || len(got[0]) != 1 {
+		t.Errorf("arrivals by host: %v", got)
+	}
 }
 
 // Guards against a check that misses a target that gets more than its limit allows.
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -126,8 +126,8 @@
 	mu sync.Mutex
 	// rateLimit is the value of the header that names the limit, empty for none.
 	rateLimit string
-	// arrivals are the times at which requests arrived, probes excepted.
-	arrivals []time.Time
+	// arrivals are the requests that arrived, probes excepted.
+	arrivals []Arrival
 	// rest is the behaviour that SetRest sets, restsAsked the times at which it was followed.
 	rest       Rest
 	restsAsked []time.Time
@@ -281,18 +281,33 @@
 	return ""
 }
 
+// Arrival is a request that arrived.
+type Arrival struct {
+	At      time.Time
+	Request string
+}
+
 // Arrivals returns the times at which requests arrived, in order. Probes are left out.
 func (k *Worker) Arrivals() []time.Time {
+	var times []time.Time
+	for _, a := range k.ArrivedRequests() {
+		times = append(times, a.At)
+	}
+	return times
+}
+
+// ArrivedRequests returns the requests that arrived, in order. Probes are left out.
+func (k *Worker) ArrivedRequests() []Arrival {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return slices.Clone(k.arrivals)
 }
 
 // recordArrival records the arrival of a request and adds the limit to the answer.
-func (k *Worker) recordArrival(w http.ResponseWriter) {
+func (k *Worker) recordArrival(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.arrivals = append(k.arrivals, time.Now())
+	k.arrivals = append(k.arrivals, Arrival{At: time.Now(), Request: r.Header.Get("Verbenadale-Request-Id")})
 	if k.rateLimit != "" {
 		w.Header().Set("Server-Limit", k.rateLimit)
 	}
@@ -383,7 +398,7 @@
 		_, _ = fmt.Fprintf(w, `{"born":%d,"KvTotal":%d}`, k.startTimeMs(), kvCapacity)
 		return
 	}
-	k.recordArrival(w)
+	k.recordArrival(w, r)
 	id := r.Header.Get("Verbenadale-Request-Id")
 	if want := r.Header.Get("Verbenadale-Expect-Instance"); want != "" && want != k.cfg.ID {
 		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
