--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -37,10 +37,12 @@
 // # Parts of prompts
 //
 // Many requests have a part in common, so that one of them runs at nearly every target that ends. A
-// part is condemned only by targets that ended one after the other, under answers that had just
-// begun, and with no whole answer to any request with the part in between. Where several contents
-// are condemned, one is not held against a request if another, which the request lacks, was at all of
-// its ends.
+// part is condemned only by targets that ended one after the other, under answers to different
+// requests that had just begun, with no whole answer to any request with the part in between. They
+// have to be half of all targets that ended meanwhile, or manyEnds.
+//
+// Where several contents are condemned, one is not held against a request if another, which the
+// request lacks, was at all of its ends: it is a bystander, or always comes with the one at fault.
 //
 // # Bounds
 //
