core, member: a new target at the address of another shows that this one has ended

Cause: a closed connection counts as an end once the list shows a later start of the same id, and the list does not connect two ids. It does name the address. An address is not shared by two targets, and a target that only resets connections keeps its own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -327,6 +327,7 @@
 	rd.emit(rd.spread.Tick(now, rd.table.IsWatcher(now))...)
 	rd.updateReadPace(now)
 	rd.targetsRestarted(now)
+	rd.targetsAdded(now)
 	rd.runTimers(now)
 	rd.shedAndSendWaiting(now)
 	for _, id := range rd.once.Expire(now) {
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -30,7 +30,7 @@
 	case e.Result == event.ResultBroken && (e.TargetEnded || a.targetRestarted):
 		rd.poison.Ended(now, rd.endOf(now, a))
 	case e.Result == event.ResultBroken && e.Disconnected:
-		d := disconnect{target: a.target, incarnation: a.incarnation, end: rd.endOf(now, a)}
+		d := disconnect{target: a.target, incarnation: a.incarnation, url: a.dec.Target.URL, end: rd.endOf(now, a)}
 		d.end.EndedAt = now
 		rd.disconnects = append(rd.disconnects, d)
 		rd.disconnects = rd.disconnects[max(len(rd.disconnects)-maxDisconnects, 0):]
@@ -51,6 +51,7 @@
 type disconnect struct {
 	target      ident.TargetID
 	incarnation ident.Incarnation
+	url         string
 	end         poison.End
 }
 
@@ -63,9 +64,20 @@
 // recordLaterStart records that a target has ended under the requests of which it closed the connections, since
 // it has started again.
 func (rd *Reducer) recordLaterStart(now ident.Time, id ident.TargetID) {
+	rd.recordEnds(now, func(d disconnect) bool { return d.target == id && !rd.table.IsCurrent(d.target, d.incarnation) })
+}
+
+// recordSuccessor records that a target has ended under the requests of which it closed the connections, since
+// another one answers at its address.
+func (rd *Reducer) recordSuccessor(now ident.Time, id ident.TargetID, url string) {
+	rd.recordEnds(now, func(d disconnect) bool { return d.url == url && d.target != id })
+}
+
+// recordEnds records the ends that the remembered disconnects show, and forgets these.
+func (rd *Reducer) recordEnds(now ident.Time, hasEnded func(d disconnect) bool) {
 	rd.disconnects = slices.DeleteFunc(rd.disconnects, func(d disconnect) bool {
 		expired := now.Sub(d.end.EndedAt) > disconnectTTL
-		ended := d.target == id && !rd.table.IsCurrent(d.target, d.incarnation)
+		ended := hasEnded(d)
 		if ended && !expired {
 			rd.poison.Ended(now, d.end)
 		}
--- a/internal/core/restart.go
+++ b/internal/core/restart.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// targetsAdded records which targets have ended because others answer at their addresses now.
+func (rd *Reducer) targetsAdded(now ident.Time) {
+	for _, id := range rd.table.TakeAdded() {
+		if t, ok := rd.table.Target(id); ok {
+			rd.recordSuccessor(now, id, t.URL)
+		}
+	}
+}
+
 // staleAttempts returns the attempts at earlier incarnations of a target, oldest first.
 func (rd *Reducer) staleAttempts(id ident.TargetID) []*attempt {
 	var as []*attempt
--- a/internal/member/incarnation.go
+++ b/internal/member/incarnation.go
@@ -20,6 +20,7 @@
 		tb.addKey(t)
 		tb.addPeerUse(t)
 		tb.updateDraining(now, t)
+		tb.added = append(tb.added, d.ID)
 		return
 	}
 	t.listed = true
@@ -73,6 +74,13 @@
 	tb.addNote(t, "target has started anew")
 }
 
+// TakeAdded returns the targets that became known since the last call.
+func (tb *Table) TakeAdded() []ident.TargetID {
+	ids := tb.added
+	tb.added = nil
+	return ids
+}
+
 // TakeRestarted returns the targets that have restarted since the last call.
 func (tb *Table) TakeRestarted() []ident.TargetID {
 	ids := tb.restarted
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -110,8 +110,9 @@
 	byID     map[ident.TargetID]*Target
 	byKey    map[event.TargetKey]*Target
 	draining map[ident.TargetID]drainNotice
-	// restarted holds the targets that have restarted since the reducer last took them.
-	restarted []ident.TargetID
+	// restarted holds the targets that have restarted since the reducer last took them, added those that
+	// became known.
+	restarted, added []ident.TargetID
 	// coldProbeQueue holds the targets that are assumed to be cold and are to be probed.
 	coldProbeQueue []ident.TargetID
 	centres        []*Centre
