--- a/internal/core/parts_test.go
+++ b/internal/core/parts_test.go
@@ -173,3 +173,72 @@
 		}
 	}
 }
+
+// Guards against a caller that has a part of others' prompts refused by naming it in requests that end targets for another reason.
+func TestPartOfOthersOutlivesAnAbuser(t *testing.T) {
+	checkAbuser(t, 500*time.Millisecond)
+}
+
+// Guards against the same where the abuser ends ten targets a second, so that hardly any answer comes.
+func TestPartOfOthersOutlivesAStormOfEnds(t *testing.T) {
+	checkAbuser(t, 100*time.Millisecond)
+}
+
+// checkAbuser sends 40 requests that end targets, in an interval, with parts of others in their prompts.
+func checkAbuser(t *testing.T, interval time.Duration) {
+	t.Helper()
+	const regions, targets, slots, work = 3, 6, 32, time.Second
+	rate := 0.4 * regions * targets * slots / work.Seconds()
+	for seed := range uint64(3) {
+		p := newPartsPlay(seed, regions, 4, targets, slots, work)
+		p.EndsTarget = func(req event.Request) bool { return p.poisoned[req.Content] }
+		p.play(rate, 4*time.Second, 0)
+		for n := range 40 {
+			p.n++
+			p.poisoned[ident.Content(p.n+1)] = true
+			p.askParts(firstPart, groupPart, ident.Content(1_000_000+n))
+			p.play(rate, interval, 0)
+		}
+		p.Run(10 * time.Second)
+		if p.ends() < 10 {
+			t.Errorf("seed %d: %d targets ended", seed, p.ends())
+		}
+		if n := p.othersRefused(); n > 0 {
+			t.Errorf("seed %d: %d of %d requests of others were refused for good", seed, n, p.n)
+		}
+	}
+}
+
+// Guards against forgetting a part that ends targets when the hosts that found it restart, and against ending as many again in each
+// region while the regions can't reach each other.
+func TestPoisonPartIsKnownAfterRestartsAndPartitions(t *testing.T) {
+	p := newPartsPlay(1, 2, 3, 6, 32, 300*time.Millisecond)
+	p.play(100, 2*time.Second, 0)
+	p.play(100, 3*time.Second, 10)
+	known := len(p.poisonSentAt)
+	for _, host := range p.hosts[:2] {
+		p.Restart(host)
+		p.play(100, 2*time.Second, 10)
+	}
+	if n := len(p.poisonSentAt) - known; n > 0 {
+		t.Errorf("%d requests with the part reached targets after restarts, %d before", n, known)
+	}
+
+	p = newPartsPlay(2, 2, 3, 6, 32, 300*time.Millisecond)
+	part := make(map[ident.EntryID]bool)
+	for _, id := range p.hosts[:3] {
+		part[id] = true
+	}
+	p.play(100, 2*time.Second, 0)
+	p.setPartition(part)
+	p.play(100, 5*time.Second, 10)
+	cut := len(p.poisonSentAt)
+	p.setPartition(nil)
+	p.play(100, 5*time.Second, 10)
+	if n := len(p.poisonSentAt) - cut; n > 0 {
+		t.Errorf("%d requests with the part reached targets after the partition, %d in it", n, cut)
+	}
+	if cut > 20 {
+		t.Errorf("%d requests with the part reached targets of two regions that could not reach each other", cut)
+	}
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -82,10 +82,10 @@
 	freshAnswer = time.Second
 	// maxBeginning is how long an answer counts as begun. Parts of prompts end targets that begin an
 	// answer, not those that have been writing it.
-	maxBeginning = time.Second
+	maxBeginning = 500 * time.Millisecond
 	// minCoverage is the share of all targets that ended under a part of prompts, from its first end on, for
 	// which MaxEnds of them condemn it. If more ended beside it, manyEnds do.
-	minCoverage = 0.5
+	minCoverage = 0.75
 	manyEnds    = 2 * MaxEnds
 	// maxRecentEnds bounds the targets that are remembered for minCoverage.
 	maxRecentEnds = 256
@@ -148,7 +148,7 @@
 func (b *Book) Ended(now ident.Time, e End) {
 	endedAt := cmp.Or(e.EndedAt, now)
 	b.ended(now, e, event.TargetEnd{Content: e.Content})
-	if e.AnswerBeganAt > 0 && endedAt.Sub(e.AnswerBeganAt) >= maxBeginning {
+	if b.Survived(endedAt, e.Subject, e.SentAt, e.AnswerBeganAt) {
 		return
 	}
 	for _, p := range e.Parts {
