--- a/internal/core/parts_test.go
+++ b/internal/core/parts_test.go
@@ -108,7 +108,10 @@
 		regions, hosts, targets, slots int
 		work                           time.Duration
 	}{
-		{1, 2, 6, 32, time.Second}, {3, 2, 4, 32, 2 * time.Second}, {3, 2, 4, 32, 300 * time.Millisecond}, {3, 30, 30, 16, time.Second},
+		{1, 2, 6, 32, time.Second},
+		{3, 2, 4, 32, 2 * time.Second},
+		{3, 2, 4, 32, 300 * time.Millisecond},
+		{3, 30, 30, 16, time.Second},
 		{12, 8, 10, 16, time.Second},
 	} {
 		t.Run(fmt.Sprintf("%d regions of %d hosts and %d targets, %v", size.regions, size.hosts, size.targets, size.work), func(t *testing.T) {
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -109,7 +109,11 @@
 // endPoison gives a request that ends its targets its final answer. Its outcome is unknown even
 // if it has not run itself, since a repeat of it may have.
 func (rd *Reducer) endPoison(now ident.Time, r *request) {
-	content, _ := rd.poison.Blamed(now, subjectOf(r))
+	content, ok := rd.poison.Blamed(now, subjectOf(r))
+	if !ok {
+		// Another host has refused it.
+		content = r.Content
+	}
 	r.lastDenial = event.Denial{
 		Reason: event.DeniedPoison, Attempts: len(rd.poison.Runs(now, content)), MaxAttempts: poison.MaxEnds,
 	}
--- a/internal/core/rest.go
+++ b/internal/core/rest.go
@@ -11,8 +11,13 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// restSpread is the range, as a fraction of the time that a rest still lasts, over which requests come back after it.
-const restSpread = 0.25
+// Return of requests whose targets have asked for rest.
+const (
+	// restSpread is the range, as a fraction of the time that the rest still lasts, over which they return after it.
+	restSpread = 0.25
+	// minRestReturn is the shortest time to return.
+	minRestReturn = 50 * time.Millisecond
+)
 
 // restStatuses are the statuses with which a target turns requests away.
 var restStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}
@@ -44,6 +49,3 @@
 	rd.endRefused(now, r, ref)
 	return true
 }
-
-// minRestReturn is the shortest time after which the caller of a request that is refused for a rest comes back.
-const minRestReturn = 50 * time.Millisecond
--- a/internal/dev/soak/parts.go
+++ b/internal/dev/soak/parts.go
@@ -72,24 +72,9 @@
 	s.mu.Lock()
 	s.parts = append(s.parts, p.series)
 	s.mu.Unlock()
-	k := newCaller(s.pool, regions[0], p.rnd.Uint64())
-	defer k.http.CloseIdleConnections()
-	calm := s.undisturbed()
-	for until := time.Now().Add(partLength); time.Now().Before(until); {
-		a := observation{
-			id: s.pool.newID(kindDraft), kind: kindDraft, host: p.rnd.IntN(len(s.hosts)), route: kindDraft, began: time.Now(),
-			prompt: fmt.Sprintf("f1a57:800,%x:40,%s:400,%x:10", p.rnd.IntN(8), p.series.id, p.rnd.Uint64()),
-		}
-		h := s.hosts[a.host]
-		a.process, _ = h.state()
-		k.send(ctx, h, &a)
-		a.end = time.Now()
-		s.pool.record(a)
-		calm = calm && s.undisturbed()
-		if !sleep(ctx, partInterval) {
-			break
-		}
-	}
+	calm := s.sendSeries(ctx, p.rnd, partLength, func() (observation, time.Duration) {
+		return observation{kind: kindDraft, prompt: fmt.Sprintf("f1a57:800,%x:40,%s:400,%x:10", p.rnd.IntN(8), p.series.id, p.rnd.Uint64())}, partInterval
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.series.disturbed = !calm
--- a/internal/dev/soak/poison.go
+++ b/internal/dev/soak/poison.go
@@ -66,27 +66,35 @@
 	s.mu.Lock()
 	s.poison = append(s.poison, p.series)
 	s.mu.Unlock()
-	k := newCaller(s.pool, regions[0], p.rnd.Uint64())
+	calm := s.sendSeries(ctx, p.rnd, poisonLength, func() (observation, time.Duration) {
+		a := observation{kind: p.kind, path: "/" + p.kind + "/" + worker.PoisonSegment + "/" + p.series.name, text: p.series.name}
+		return a, minRepeatDelay + time.Duration(p.rnd.Int64N(int64(maxRepeatDelay-minRepeatDelay)))
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.series.disturbed = !calm
+}
+
+// sendSeries sends requests to any host for a while, each after the answer to the one before and a delay. It reports whether
+// the hosts could reach each other all the while.
+func (s *deployment) sendSeries(ctx context.Context, rnd *rand.Rand, length time.Duration, next func() (observation, time.Duration)) bool {
+	k := newCaller(s.pool, regions[0], rnd.Uint64())
 	defer k.http.CloseIdleConnections()
 	calm := s.undisturbed()
-	for until := time.Now().Add(poisonLength); time.Now().Before(until); {
-		a := observation{
-			id: s.pool.newID(p.kind), kind: p.kind, host: p.rnd.IntN(len(s.hosts)), route: p.kind, began: time.Now(),
-			path: "/" + p.kind + "/" + worker.PoisonSegment + "/" + p.series.name, text: p.series.name,
-		}
+	for until := time.Now().Add(length); time.Now().Before(until); {
+		a, delay := next()
+		a.id, a.route, a.host, a.began = s.pool.newID(a.kind), a.kind, rnd.IntN(len(s.hosts)), time.Now()
 		h := s.hosts[a.host]
 		a.process, _ = h.state()
 		k.send(ctx, h, &a)
 		a.end = time.Now()
 		s.pool.record(a)
 		calm = calm && s.undisturbed()
-		if !sleep(ctx, minRepeatDelay+time.Duration(p.rnd.Int64N(int64(maxRepeatDelay-minRepeatDelay)))) {
+		if !sleep(ctx, delay) {
 			break
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p.series.disturbed = !calm
+	return calm
 }
 
 // endTarget ends the process of a target under a request with a path, and starts a new one in its
