soak: an ended target refuses connections before its last answer breaks

The host asked the target's address, which still accepted: the stand-in closed the connection first and stopped its relay in a goroutine of its own later. A process that ends stops listening with it. Where hosts can't see the end at once, the list shows it later, by the id or the address; the stand-in starts anew at another address under another id.

Now nothing listens at the address when the request's connection breaks.

--- a/internal/dev/soak/poison.go
+++ b/internal/dev/soak/poison.go
@@ -97,14 +97,24 @@
 	return calm
 }
 
-// endTarget ends the process of a target under a request with a path, and starts a new one in its
-// place.
+// endTarget ends the process of a target under a request, and starts a new one in its place. Nothing listens at its
+// address any more when it returns.
 func (s *deployment) endTarget(w *target, r *http.Request) {
+	if !s.recordEnd(w, r) {
+		return
+	}
+	w.relay.Stop()
+	e := &targetEnd{deployment: s, target: w}
+	s.t.Go(e.run)
+}
+
+// recordEnd records a request that ends its target, and reports whether that has not ended yet.
+func (s *deployment) recordEnd(w *target, r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordPart(r, !w.ended)
 	if w.ended {
-		return
+		return false
 	}
 	w.ended = true
 	for _, p := range s.poison {
@@ -112,8 +122,7 @@
 			p.ends++
 		}
 	}
-	e := &targetEnd{deployment: s, target: w}
-	s.t.Go(e.run)
+	return true
 }
 
 func kindOf(r *http.Request) string {
@@ -133,7 +142,6 @@
 
 func (e *targetEnd) run() error {
 	s, w := e.deployment, e.target
-	w.relay.Stop()
 	if !sleep(s.t.Context(context.Background()), restartDelay) {
 		return nil
 	}
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,6 +20,8 @@
 	"github.com/google/go-cmp/cmp"
 	"gopkg.in/tomb.v2"
 
+	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/dev/kvstub"
 	"verbenadale.example/verbenadale/internal/dev/worker"
 )
 
@@ -133,6 +136,29 @@
 	}
 }
 
+// Guards against a stand-in whose address accepts connections after its process has ended, so that hosts take it for one that
+// lives on (seed 2026120466 with poison, parts, rests and limits: four targets ended under one request).
+func TestEndedTargetRefusesConnections(t *testing.T) {
+	s := &deployment{clock: clock.New(), store: kvstub.New()}
+	defer s.stop()
+	if err := s.addWorker("t", "board", regions[0]); err != nil {
+		t.Fatal(err)
+	}
+	w := s.targets()[0]
+	for range 20 {
+		c, err := net.Dial("tcp", w.relay.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	s.endTarget(w, httptest.NewRequest(http.MethodGet, "/fetch/x", nil))
+	if c, err := net.Dial("tcp", w.relay.Addr()); err == nil {
+		_ = c.Close()
+		t.Error("the address of an ended target accepts a connection")
+	}
+}
+
 // Guards against a check that misses a part of prompts that goes on ending targets.
 func TestPartCheckDetectsViolations(t *testing.T) {
 	at := time.Now()
