--- a/internal/dev/soak/rest.go
+++ b/internal/dev/soak/rest.go
@@ -13,7 +13,7 @@
 const (
 	// restLength is how long a target turns requests away and asks for rest, and what it asks for each time.
 	restLength = 4 * time.Second
-	// restSlack is the time from which a wish for rest binds the host that it was told, and maxInRest the number of
+	// restSlack is the time from which a wish for rest binds the host that got it, and maxInRest the number of
 	// requests that the host may send to the target later.
 	restSlack = 500 * time.Millisecond
 	maxInRest = 2
@@ -114,7 +114,7 @@
 }
 
 // excess returns how many requests a host has sent beyond what is allowed, given all times of the period at which it did.
-// The first of them told it what the target wants.
+// The answer to the first of them said what the target wants.
 func (p *restPeriod) excess(times []time.Time) int {
 	slack, allowed := restSlack, maxInRest
 	if p.leaves {
