worker: the stand-in closes an unframed answer's connection once its process has ended

It was closed by a timer of the standard library 5 ms after the answer, while the process ended beside it; the connection is closed after that now, without a timer. TestUnframedAnswerOfAnEndedTargetIsNotWhole, TestUnframedAnswersAreDelivered and TestPoisonPartEndsFewTargets pass.

--- a/internal/dev/worker/ending.go
+++ b/internal/dev/worker/ending.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 )
 
 // PoisonSegment is the segment of a path that marks requests which end their worker.
@@ -66,37 +65,32 @@
 	return ""
 }
 
-// beginAnswer sends what Config.Ending names of an answer.
-func (k *Worker) beginAnswer(w http.ResponseWriter) {
+// beginAnswer sends what Config.Ending names of an answer, and returns a function that closes its connection if the
+// answer ends with that.
+func (k *Worker) beginAnswer(w http.ResponseWriter) (closeConn func()) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	switch k.cfg.Ending {
-	case AfterEvent:
-		fmt.Fprint(w, EventText(1))
 	case UnframedHead:
-		writeUnframed(w, "")
-		return
+		return writeUnframed(w, "")
 	case UnframedEvent:
-		writeUnframed(w, "id: 1\ndata: pie")
-		return
+		return writeUnframed(w, "id: 1\ndata: pie")
 	case UnframedEvents:
-		writeUnframed(w, EventText(1))
-		return
+		return writeUnframed(w, EventText(1))
+	case AfterEvent:
+		fmt.Fprint(w, EventText(1))
 	}
 	_ = http.NewResponseController(w).Flush()
+	return func() {}
 }
 
-// writeUnframed sends an answer that ends with its connection, and closes that in order.
-func writeUnframed(w http.ResponseWriter, text string) {
+// writeUnframed sends an answer that ends with its connection, and returns a function that closes that in order.
+func writeUnframed(w http.ResponseWriter, text string) (closeConn func()) {
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
-		return
+		return func() {}
 	}
 	var head strings.Builder
 	_ = w.Header().Write(&head)
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n%s", head.String(), text)
-	// The process of the worker has ended by the time that the caller sees the end.
-	time.AfterFunc(closeDelay, func() { _ = c.Close() })
+	return func() { _ = c.Close() }
 }
-
-// closeDelay is the time from the last byte of an unframed answer to its end.
-const closeDelay = 5 * time.Millisecond
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -382,15 +382,16 @@
 		return
 	}
 	if end := k.endsUnderPart(r); end != nil {
-		k.beginAnswer(w)
+		closeConn := k.beginAnswer(w)
 		end(r)
+		closeConn()
 		panic(http.ErrAbortHandler)
 	}
 	if f == Unframed {
 		if k.cfg.Events > 0 {
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
-		writeUnframed(w, StreamText(k.cfg.Events))
+		writeUnframed(w, StreamText(k.cfg.Events))()
 		return
 	}
 	if k.cfg.Events > 0 {
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// Guards against a time to come back that is taken for none, or for ever, because of its form.
+// Guards against a time to come back that is ignored, or that lasts for ever, because of its form.
 func TestRetryAfter(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"":                              0,
