--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -3,7 +3,9 @@
 //
 // # Usage
 //
+//	stand worker -listen ADDR -id ID   # one worker, until it is killed
 //	stand board -listen ADDR -id ID    # one worker of a plain service, until it is killed
+//	stand lines -record FILE           # the case review/2
 //	stand probe -record FILE           # the case review/1
 //
 // The program of the entry host is target/verbenadale below the working directory. A case exits with
@@ -26,7 +28,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: stand board|probe [flags]")
+		fmt.Fprintln(os.Stderr, "usage: stand worker|board|lines|probe [flags]")
 		os.Exit(exitFailed)
 	}
 	fs := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
@@ -37,11 +39,16 @@
 	record := fs.String("record", "record.txt", "file for the record")
 	_ = fs.Parse(os.Args[2:])
 	switch os.Args[1] {
+	case "worker":
+		fmt.Fprintln(os.Stderr, runWorker(*listen, *id))
+		os.Exit(exitFailed)
 	case "board":
 		fmt.Fprintln(os.Stderr, runBoard(*listen, *id, cmp.Or(*work, boardWork), *slots))
 		os.Exit(exitFailed)
 	case "probe":
 		os.Exit(runProbe(*record, os.Getenv("TROUBLE") != "0"))
+	case "lines":
+		os.Exit(runLines(*record, os.Getenv("TROUBLE") != "0"))
 	}
 	os.Exit(exitFailed)
 }
