--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -7,6 +7,7 @@
 //	stand board -listen ADDR -id ID    # one worker of a plain service, until it is killed
 //	stand lines -record FILE           # the case review/2
 //	stand probe -record FILE           # the case review/1
+//	stand bodies -record FILE          # the case review/3
 //
 // The program of the entry host is target/verbenadale below the working directory. A case exits with
 // 1 if the rule was broken, 0 if it held and 2 if it could not run.
@@ -28,7 +29,7 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: stand worker|board|lines|probe [flags]")
+		fmt.Fprintln(os.Stderr, "usage: stand worker|board|lines|probe|bodies [flags]")
 		os.Exit(exitFailed)
 	}
 	fs := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
@@ -45,6 +46,8 @@
 	case "board":
 		fmt.Fprintln(os.Stderr, runBoard(*listen, *id, cmp.Or(*work, boardWork), *slots))
 		os.Exit(exitFailed)
+	case "bodies":
+		os.Exit(runBodies(*record, os.Getenv("TROUBLE") != "0"))
 	case "probe":
 		os.Exit(runProbe(*record, os.Getenv("TROUBLE") != "0"))
 	case "lines":
