target, platform: an answer belongs to the request that it names, and to no other

Cause: any answer was accepted for a query of a target (a health check or a report), and any answer of status 300 and above without an id for a caller's request. A target in trouble sends an answer again where the next one is expected. A health check on that connection took the extra answer for its own, the connection went back to the pool with the real answer still due, and the next caller got that: 503 without an id, read as the target's own failure and passed on, where 503 is a promise. The target's 200 also counted as a passed health check, and its old load as the load of now.

The class is an answer that is believed without proof that it belongs to the request.

Change, one rule in the pool: an answer is returned only if it names the request; to a query, only if it names none. A connection is used again only after an answer that named its request with no other before it. Answers to queries name nothing, so that each query ends its connection. Early answers, 1xx, 204 and 304 are as before.

Why it works: no connection carries two answers without a name, so that one without a name on a connection whose earlier ones were all proven can only be the query's.

--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -49,6 +49,8 @@
 	// ExtraAnswer sends a second answer on the same connection.
 	NoLength    Fault = "unframed"
 	ExtraAnswer Fault = "extra"
+	// LateAnswer sends the answer to a call once more, before that to the next request on its connection.
+	LateAnswer Fault = "extra late"
 	// Unframed sends a whole answer that has neither a length nor chunks and ends with its connection.
 	Unframed Fault = "no framing"
 	// Paused sends no data for PauseDuration after the second event of a stream.
@@ -112,6 +114,7 @@
 	restsAsked []time.Time
 	// leavingHeader is the name of the header by which the worker says that it leaves, empty for none.
 	leavingHeader string
+	health        Health
 	running       int
 	runs          map[string]int
 	headers       []http.Header
@@ -276,7 +279,7 @@
 	w.Header().Set("Verbenadale-Server-Load", k.load())
 	k.announceLeaving(w)
 	if r.URL.Path == "/healthz" {
-		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
+		k.answerHealth(w, r)
 		return
 	}
 	if r.URL.Path == "/-/report" {
@@ -288,6 +291,9 @@
 	}
 	k.recordArrival(w, r)
 	id := r.Header.Get("Verbenadale-Request-Id")
+	if id != "" {
+		w.Header().Set("Verbenadale-Request-Id", id)
+	}
 	if want := r.Header.Get("Verbenadale-Expect-Instance"); want != "" && want != k.cfg.ID {
 		w.Header().Set("Verbenadale-Instance-Id", k.cfg.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -401,7 +407,12 @@
 	if !sleep(r, k.cfg.Work) {
 		return
 	}
-	fmt.Fprintf(w, "%s %s %s by %s", r.Method, r.RequestURI, body, k.cfg.ID)
+	text := fmt.Sprintf("%s %s %s by %s", r.Method, r.RequestURI, body, k.cfg.ID)
+	if f == LateAnswer {
+		k.answerLate(w, text)
+		return
+	}
+	fmt.Fprint(w, text)
 	if f == ExtraAnswer {
 		k.writeExtraAnswer(w)
 	}
--- a/internal/target/endless_test.go
+++ b/internal/target/endless_test.go
@@ -49,7 +49,7 @@
 				t.Fatal(err)
 			}
 			began := time.Now()
-			res, err := newTestPool(t).Do(ctx, srv.ln.Addr().String(), req, func(*http.Response) bool { return true }, func() {})
+			res, err := newTestPool(t).Do(ctx, Exchange{Addr: srv.ln.Addr().String(), Request: req, NamedBy: namedByID})
 			if err == nil {
 				_ = res.Body.Close()
 				t.Fatal("bytes without end were accepted as an answer")
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,7 +22,7 @@
 )
 
 // ErrWrongAnswer is returned if an answer is not the target's answer to this request.
-var ErrWrongAnswer = errors.New("target: the answer belongs to another request")
+var ErrWrongAnswer = errors.New("target: not the answer to this request")
 
 // Timeouts and limits of a pool.
 const (
@@ -62,7 +63,11 @@
 // may be repeated.
 //
 //	p := target.NewPool(svc)
-//	res, err := p.Do(ctx, addr, req, isOwn, onSend)
+//	res, err := p.Do(ctx, target.Exchange{Addr: addr, Request: req, ID: id, NamedBy: namedBy, OnSend: onSend})
+//
+// A target in trouble may send an answer twice, the second time where the next answer on the connection is expected.
+// Only the id that an answer names shows which request it belongs to. A connection is reused only after an answer that
+// named its request, with no other before it: on all others it is unknown how many answers are still due.
 type Pool struct {
 	t     tomb.Tomb
 	clock *clock.Service
@@ -84,6 +89,34 @@
 	// expires is the time from which the idle connection is no longer used.
 	expires ident.Time
 	w       *writer
+	// last is the id of the last request on the connection.
+	last ident.RequestID
+}
+
+// Exchange is one request to a target and what identifies its answer.
+type Exchange struct {
+	Addr    string
+	Request *http.Request
+	// ID is the id that the answer names. It is empty if the target names none in answers to such a request; then the first
+	// answer that names none is returned.
+	ID ident.RequestID
+	// NamedBy returns the id of the request that an answer names, empty if it names none.
+	NamedBy func(h http.Header) ident.RequestID
+	// OnSend, if set, is called before the first byte can leave.
+	OnSend func()
+	// OnOther, if set, is called for each answer that is not the one to this request.
+	OnOther func(res *http.Response)
+}
+
+// isOwn reports whether an answer is the one to this request.
+func (x Exchange) isOwn(res *http.Response) bool {
+	if x.NamedBy(res.Header) == x.ID {
+		return true
+	}
+	if x.OnOther != nil {
+		x.OnOther(res)
+	}
+	return false
 }
 
 // NewPool returns an empty pool.
@@ -129,30 +162,30 @@
 	return p.opened
 }
 
-// Do sends a request and returns once the headers of its answer have arrived.
-// isOwn reports whether an answer belongs to this request: a target may send an
-// extra answer to an earlier request on the same connection. onSend is called
-// before the first byte can leave. Closing the body before its end closes the
-// connection.
+// Do sends a request and returns once the headers of its answer have arrived. Answers to other requests are skipped.
+// Closing the body before its end closes the connection.
 //
-// It fails with ErrConnection if the connection failed, with ErrDisconnected if the
-// target closed it, and with ErrWrongAnswer if the target answered only other requests.
-func (p *Pool) Do(ctx context.Context, addr string, req *http.Request, isOwn func(*http.Response) bool, onSend func()) (*http.Response, error) {
-	c, err := p.acquire(ctx, addr)
+// It fails with ErrConnection if the connection failed, with ErrDisconnected if the target closed it, and with
+// ErrWrongAnswer if the target sent other answers only.
+func (p *Pool) Do(ctx context.Context, x Exchange) (*http.Response, error) {
+	c, err := p.acquire(ctx, x)
 	if err != nil {
 		return nil, errors.Wrap(ErrConnection, err.Error())
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	onSend()
-	c.w = &writer{c: c, req: req}
+	if x.OnSend != nil {
+		x.OnSend()
+	}
+	c.last = x.ID
+	c.w = &writer{c: c, req: x.Request}
 	c.w.t.Go(c.w.run)
-	res, err := c.readAnswer(req, isOwn)
+	res, proven, err := c.readAnswer(x)
 	if err != nil {
 		stop()
 		_ = c.Close()
 		return nil, err
 	}
-	res.Body = &body{ReadCloser: res.Body, c: c, stop: stop, reusable: keepsAlive(res), idleTimeout: idleTimeoutFrom(res.Header)}
+	res.Body = &body{ReadCloser: res.Body, c: c, stop: stop, reusable: proven && keepsAlive(res), idleTimeout: idleTimeoutFrom(res.Header)}
 	return res, nil
 }
 
@@ -176,9 +209,9 @@
 }
 
 // acquire returns an idle connection that can be reused, or a new one.
-func (p *Pool) acquire(ctx context.Context, addr string) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, x Exchange) (*conn, error) {
 	for {
-		c := p.popIdle(addr)
+		c := p.popIdle(x)
 		if c == nil {
 			break
 		}
@@ -187,7 +220,7 @@
 		}
 		_ = c.Close()
 	}
-	return p.open(ctx, addr)
+	return p.open(ctx, x.Addr)
 }
 
 // open opens a connection.
@@ -203,16 +236,19 @@
 	return &conn{Conn: raw, p: p, addr: addr, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}, nil
 }
 
-func (p *Pool) popIdle(addr string) *conn {
+// popIdle removes and returns an idle connection, nil if there is none. Connections whose last request had the same id
+// are left out: a late extra answer to that one could not be told from the answer to this one.
+func (p *Pool) popIdle(x Exchange) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cs := p.idle[addr]
-	if len(cs) == 0 {
-		return nil
+	cs := p.idle[x.Addr]
+	for i, c := range slices.Backward(cs) {
+		if x.ID == "" || c.last != x.ID {
+			p.idle[x.Addr] = slices.Delete(cs, i, i+1)
+			return c
+		}
 	}
-	c := cs[len(cs)-1]
-	p.idle[addr] = cs[:len(cs)-1]
-	return c
+	return nil
 }
 
 // isReusable reports whether an idle connection can be used: it has not expired,
@@ -304,28 +340,38 @@
 	return res, err
 }
 
-// readAnswer reads answers until it reaches the one to this request.
-func (c *conn) readAnswer(req *http.Request, isOwn func(*http.Response) bool) (*http.Response, error) {
+// readAnswer reads answers until it reaches the one to this request. proven reports whether it named the request and
+// came first.
+func (c *conn) readAnswer(x Exchange) (res *http.Response, proven bool, err error) {
+	skippedAny := false
 	for range maxAnswersRead {
-		res, err := c.readHead(req)
+		res, err := c.readHead(x.Request)
 		if errors.Is(err, ErrWrongAnswer) {
-			return nil, err
+			return nil, false, err
 		}
 		if err != nil {
-			return nil, connectionError(err)
+			return nil, false, connectionError(err)
 		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		if isOwn(res) {
-			return res, nil
+		if x.isOwn(res) {
+			return res, !skippedAny && x.ID != "", nil
+		}
+		if x.NamedBy(res.Header) == "" {
+			return nil, false, errors.Wrap(ErrWrongAnswer, "it names no request")
+		}
+		if x.Request.Method == http.MethodHead {
+			// Whether a body follows depends on the method of the other request.
+			return nil, false, ErrWrongAnswer
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBytes))
 		if err != nil || n == maxSkippedBytes || res.Close {
-			return nil, ErrWrongAnswer
+			return nil, false, ErrWrongAnswer
 		}
+		skippedAny = true
 	}
-	return nil, ErrWrongAnswer
+	return nil, false, ErrWrongAnswer
 }
 
 func keepsAlive(res *http.Response) bool { return !res.Close }
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/pkg/ident"
 )
 
 const testTimeout = 10 * time.Second
@@ -66,7 +67,7 @@
 	if body != "" {
 		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
 	}
-	res, err := p.Do(ctx, addr, req, func(r *http.Response) bool { return r.Header.Get("Id") == id }, func() {})
+	res, err := p.Do(ctx, Exchange{Addr: addr, Request: req, ID: ident.RequestID(id), NamedBy: namedByID})
 	if err != nil {
 		return "", err
 	}
@@ -75,6 +76,8 @@
 	return string(text), err
 }
 
+func namedByID(h http.Header) ident.RequestID { return ident.RequestID(h.Get("Id")) }
+
 func reply(c net.Conn, id, text string) {
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
 }
@@ -157,7 +160,7 @@
 	if took := time.Since(began); took > testTimeout/2 {
 		t.Errorf("the end of the answer came after %v", took)
 	}
-	if c := p.popIdle(srv.ln.Addr().String()); c != nil {
+	if c := p.popIdle(Exchange{Addr: srv.ln.Addr().String()}); c != nil {
 		t.Error("a connection with a partly written request was kept")
 	}
 }
@@ -354,7 +357,7 @@
 	if p.Ended(t.Context(), addr) {
 		t.Error("a target that listens counts as ended")
 	}
-	if c := p.popIdle(addr); c == nil {
+	if c := p.popIdle(Exchange{Addr: addr}); c == nil {
 		t.Error("the connection is not kept for the next request")
 	}
 	_ = l.Close()
