serve: an event ends with an empty line, wherever a buffer ends

Cause: eventReader took a read of a line end alone for an empty line. A line whose length is a multiple of the buffer (1,024 bytes) is returned by ReadSlice without its end, and its end by the next call. The first part of the event was passed on and its id counted as delivered, so that the rest of the stream was asked for after it once its target had ended.

Ruled out by the case's logs: another build, a wrong resume position of the target (both targets ran from the event that was asked for).

Change: the reader follows the lines themselves, over any number of reads. Lines end with LF, CRLF or CR, as text/event-stream allows; with CR alone no event was passed on before the stream had ended.

Why it works: the end of an event depends on its bytes only. An LF behind the CR that ended an event stays at the front of the next one.

The stand-in sends events with long lines and stops in the middle of one.

--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -36,6 +36,8 @@
 	// connection after the request ran and before the first byte of the answer.
 	Crash Fault = "crash"
 	Reset Fault = "reset"
+	// CrashInLines aborts a stream after the first data line of its second event.
+	CrashInLines Fault = "crash in lines"
 	// NoAnswer runs the request and never answers.
 	NoAnswer Fault = "lost"
 	// ServerError answers 500; Shed answers 503 without running the request.
@@ -87,6 +89,8 @@
 	// EventInterval is the time between two events.
 	Events        int
 	EventInterval time.Duration
+	// Lines is the number of data lines of an event, each LineBytes long and sent by itself. Zero means one short line.
+	Lines, LineBytes int
 	// Work is the duration of a call to a plain service.
 	Work time.Duration
 	// OnPoison is called when a request with PoisonSegment in its path begins to run, or one with
@@ -459,7 +463,13 @@
 		if k.cfg.NamesBuild {
 			fmt.Fprintf(w, "%s%s\n", BuildField, cmp.Or(k.cfg.Build, DefaultBuild))
 		}
-		fmt.Fprint(w, EventText(n))
+		if k.cfg.Lines > 0 {
+			if !k.writeLines(w, n, f == CrashInLines && n == from+2) {
+				panic(http.ErrAbortHandler)
+			}
+		} else {
+			fmt.Fprint(w, EventText(n))
+		}
 		pause := k.cfg.EventInterval
 		if f == Paused && n == from+2 {
 			pause = PauseDuration
--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"iter"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -34,41 +35,105 @@
 	}
 }
 
-// eventReader splits a stream into its events without changing a byte.
+// eventReader splits a stream into its events without changing a byte. An event ends with an empty
+// line. Lines end with CR, LF or CRLF.
 type eventReader struct {
 	br *bufio.Reader
 	// lastID is the id of the last event; at first, the number of tokens from which the stream is
 	// resumed.
 	lastID ident.Tokens
 	buf    []byte
+	// begun is set once the event that is being read has a line, inLine while a line of it has bytes
+	// and has not ended.
+	begun, inLine bool
+	// afterCR is set if the last byte was a CR: an LF that follows belongs to it.
+	afterCR bool
 }
 
 // next returns the next complete event, which is valid until the following call, or io.EOF if the
 // message ends between two events.
 func (r *eventReader) next() ([]byte, error) {
-	r.buf = r.buf[:0]
+	r.buf, r.begun = r.buf[:0], false
 	for {
-		line, err := r.br.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
+		_, err := r.br.Peek(1)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(r.buf) == 0:
 			return nil, io.EOF
+		case errors.Is(err, io.EOF) && !r.begun && !r.inLine:
+			// The LF of the CRLF that ended the last event.
+			return r.buf, nil
 		case err != nil:
 			return nil, errors.Wrap(errTruncated, err.Error())
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
-			return r.buf, r.checkID()
 		}
+		part, _ := r.br.Peek(r.br.Buffered())
+		n, ended := r.scan(part)
+		r.buf = append(r.buf, part[:n]...)
+		_, _ = r.br.Discard(n)
 		if len(r.buf) > maxEventBytes {
 			return nil, errEventTooLong
 		}
+		if ended {
+			return r.buf, r.checkID()
+		}
+	}
+}
+
+// scan returns how many of the following bytes belong to the event, and whether it ends with them.
+func (r *eventReader) scan(part []byte) (n int, ended bool) {
+	if r.afterCR && part[0] == '\n' {
+		n++
+	}
+	for n < len(part) && !ended {
+		length := lineLength(part[n:])
+		r.inLine = r.inLine || length > 0
+		n += length
+		if n < len(part) {
+			n += endLength(part[n:])
+			ended = !r.inLine
+			r.begun, r.inLine = true, false
+		}
+	}
+	r.afterCR = part[n-1] == '\r'
+	return n, ended
+}
+
+// lineLength returns the number of bytes before the end of the line, all if the line does not end.
+func lineLength(b []byte) int {
+	n := len(b)
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		n = i
+	}
+	if i := bytes.IndexByte(b[:n], '\r'); i >= 0 {
+		n = i
+	}
+	return n
+}
+
+// endLength returns the number of bytes of the line end with which b begins.
+func endLength(b []byte) int {
+	if len(b) > 1 && b[0] == '\r' && b[1] == '\n' {
+		return 2
+	}
+	return 1
+}
+
+// lines returns the lines of an event without their ends.
+func lines(ev []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(ev) > 0 {
+			n := lineLength(ev)
+			if !yield(ev[:n]) || n == len(ev) {
+				return
+			}
+			ev = ev[n+endLength(ev[n:]):]
+		}
 	}
 }
 
 // checkID checks the id of the event that has been read. Ids must increase by one: a repeated or
 // missing event would corrupt the text that the caller receives.
 func (r *eventReader) checkID() error {
-	for line := range bytes.Lines(r.buf) {
+	for line := range lines(r.buf) {
 		val, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
