peer: an event that is forwarded in several messages is passed on whole or not at all

Cause: sendData cuts an event of over 32 KiB into messages that each carry the count of the whole event. The receiver passed each on as it came and counted the event as delivered with the first one.

Change: messages whose event goes on are marked partial; the receiver holds them until the last one has come, at most 1 MiB. Other answers are passed on as before: they are buffered until they are complete, or have no counts.

Why it works: what is passed on and what is counted change together. A host of an earlier release ignores the mark or does not send it, and keeps the fault; nothing else differs between the two.

--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/serve"
@@ -101,8 +104,16 @@
 	// receivedBytes counts the bytes of the answer, delivered the tokens.
 	receivedBytes uint64
 	delivered     ident.Tokens
+	// events is set if the answer is a stream of events. held is the part of an event whose rest has
+	// not come: a stream that is resumed goes on behind a whole event.
+	events bool
+	held   []byte
 }
 
+// maxHeld bounds the bytes of an event that are held until the rest has come. It exceeds the longest
+// event that hosts relay.
+const maxHeld = 1 << 20
+
 func (c *outboundRequest) exchange() event.AttemptEnded {
 	defer c.acknowledge()
 	if err := c.stream.write(&wire.Part{Body: &wire.Part_Open{Open: c.openMessage()}}); err != nil {
@@ -186,10 +197,12 @@
 			return wire.ErrFormat
 		}
 		c.answerBegun = true
+		h := wire.ToHeader(b.Begin.GetHeader())
+		c.events = c.Call.Stream && b.Begin.GetStatus() == http.StatusOK && serve.IsEventStream(h)
 		if c.relay.Build != nil {
 			c.relay.Build(ident.Build(b.Begin.GetBuild()))
 		}
-		c.relay.Begin(int(b.Begin.GetStatus()), wire.ToHeader(b.Begin.GetHeader()))
+		c.relay.Begin(int(b.Begin.GetStatus()), h)
 		return nil
 	case *wire.Part_Data:
 		return c.receiveData(b.Data)
@@ -202,8 +215,20 @@
 		return wire.ErrFormat
 	}
 	c.receivedBytes += uint64(len(d.GetBody()))
+	body := d.GetBody()
+	if c.events && (d.GetPartial() || len(c.held) > 0) {
+		c.held = append(c.held, body...)
+		body = c.held
+	}
+	if len(c.held) > maxHeld {
+		return errors.Wrapf(wire.ErrFormat, "an event is longer than %d bytes", maxHeld)
+	}
+	if c.events && d.GetPartial() {
+		return nil
+	}
+	c.held = nil
 	upto := ident.Tokens(d.GetUpto())
-	if err := c.relay.Data(d.GetBody(), upto); err != nil {
+	if err := c.relay.Data(body, upto); err != nil {
 		return err
 	}
 	c.delivered = max(c.delivered, upto)
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -246,9 +246,10 @@
 }
 
 func (k *inboundRequest) sendData(b []byte, upto ident.Tokens) error {
-	for _, p := range splitPieces(b) {
+	ps := splitPieces(b)
+	for n, p := range ps {
 		k.sentBytes += uint64(len(p))
-		msg := &wire.Part{Body: &wire.Part_Data{Data: &wire.Data{Body: p, Upto: int64(upto)}}}
+		msg := &wire.Part{Body: &wire.Part_Data{Data: &wire.Data{Body: p, Upto: int64(upto), Partial: n < len(ps)-1}}}
 		if err := k.send(msg); err != nil {
 			return err
 		}
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -154,7 +154,7 @@
 // canContinueStream reports whether an answer can continue a stream of which the caller already has
 // a part. Any other answer is complete by itself, and its end would make that part look complete.
 func canContinueStream(res *http.Response) bool {
-	return res.StatusCode == http.StatusOK && isEventStream(res.Header)
+	return res.StatusCode == http.StatusOK && IsEventStream(res.Header)
 }
 
 // resumable reports whether another target may continue the stream.
@@ -202,7 +202,8 @@
 	return a.copyRaw(res.Body)
 }
 
-func isEventStream(h http.Header) bool {
+// IsEventStream reports whether the headers of an answer announce a stream of server-sent events.
+func IsEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -357,7 +357,7 @@
 func (r *run) begin(status int, h http.Header) {
 	r.buffered.Status = status
 	r.buffered.Header = h
-	r.streaming = r.call.Stream && status == http.StatusOK && isEventStream(h)
+	r.streaming = r.call.Stream && status == http.StatusOK && IsEventStream(h)
 }
 
 // buffer appends to the buffered answer within the budget.
