builds, core, platform: a record of the builds of each service outlives all hosts

Cause: a host that knows nothing of a stream took the build that it saw for the only one there had been. What hosts had seen was lost with all of them. bindBuild and possibleBuilds cannot tell "one is listed" from "there has been one".

Ruled out: a wrong build in the list (each start of a target has its own id); keepers that answer wrongly (with all hosts young there are none).

A host younger than a stream may last binds an unknown stream to the one build that it sees only if the record, or a host that knows all builds, has no other; with nothing known it refuses. Targets of a new build get requests once it is on record, for at most a second while others can serve. No times are stored, so that steps of a clock change nothing.

Why it works: whatever began a stream was on record before, and stays there for as long as the stream can be taken up, counted from when a host that reads without a gap last saw it. One version alone has one build on record, and goes on.

Related, of the same class and covered: a host that has not read the whole list yet, one that has not heard of other regions, keepers that answer too late. Once-only records, homes and keys: homes and keys come with the configuration, which a host either has whole or answers 503; outcomes of once-only calls are refused while unknown (by reading).

The plays in virtual time now confirm reads of the list, as the platform does.

--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -95,8 +95,10 @@
 
 // streamTTL returns how long after its first event a stream of the route of r may still be running. A
 // caller that takes it up again may wait for the whole timeout of the route once more.
-func streamTTL(r *request) time.Duration {
-	return 2*time.Duration(r.profile.Route.TimeoutMs)*time.Millisecond + lateTakeUp
+func streamTTL(r *request) time.Duration { return routeTTL(r.profile.Route) }
+
+func routeTTL(rt *rules.Route) time.Duration {
+	return 2*time.Duration(rt.TimeoutMs)*time.Millisecond + lateTakeUp
 }
 
 // isYoung reports whether this host may have missed builds and streams that other hosts have seen.
@@ -115,7 +117,7 @@
 	if known {
 		return rd.bindBuild(now, r, s, true)
 	}
-	q := rd.lookUp(now, r.Origin, rd.isYoung(now, r) || len(rd.possibleBuilds(now, r)) > 1)
+	q := rd.lookUp(now, r.Origin, rd.isYoung(now, r) || len(rd.possibleBuilds(now, r)) > 1 || !rd.knowsBuilds(now, r))
 	if q == nil {
 		return rd.bindBuild(now, r, s, false)
 	}
@@ -128,7 +130,7 @@
 func (rd *Reducer) bindBuild(now ident.Time, r *request, s event.BegunStream, known bool) bool {
 	if !known {
 		builds := rd.possibleBuilds(now, r)
-		if len(builds) > 1 {
+		if len(builds) > 1 || !rd.knowsBuilds(now, r) {
 			rd.endNotContinued(now, r, event.DeniedBuildUnknown)
 			return false
 		}
@@ -192,9 +194,10 @@
 }
 
 // isAnswered reports whether no answer to a lookup can come any more. Shortly after its start a host may
-// still discover keepers.
+// still discover keepers, or read the records of builds.
 func (rd *Reducer) isAnswered(now ident.Time, q *lookup) bool {
-	return len(q.unanswered) == 0 && (!q.remote || now.Sub(rd.startedAt) >= discoveryWindow)
+	hasRecords := rd.buildsHeard || rd.builds.IsRead()
+	return len(q.unanswered) == 0 && (!q.remote || hasRecords && now.Sub(rd.startedAt) >= discoveryWindow)
 }
 
 // keepers returns the peers that rank first for a stream, at most n.
@@ -279,7 +282,7 @@
 }
 
 func (rd *Reducer) answerBegun(now ident.Time, to ident.EntryID, stream ident.Stream) {
-	ans := event.AnswerBegun{To: to, Stream: stream, Seen: rd.begun.Seen(now)}
+	ans := event.AnswerBegun{To: to, Stream: stream, Seen: rd.begun.Seen(now), AllSeen: rd.knowsAllBuilds(now)}
 	if s, known := rd.begun.Find(now, stream); known {
 		ans.Begun = []event.BegunStream{s}
 	}
@@ -291,6 +294,7 @@
 		rd.begun.BuildSeen(now.Add(-sb.Age), sb.ServiceBuild)
 	}
 	rd.begun.Merge(now, e.Begun)
+	rd.buildsHeard = rd.buildsHeard || e.AllSeen
 	q, ok := rd.lookups[e.Stream]
 	if !ok {
 		return
--- a/internal/core/begun_test.go
+++ b/internal/core/begun_test.go
@@ -48,7 +48,7 @@
 		requests: make(map[ident.Attempt]ident.RequestID), builds: make(map[ident.RequestID]value.Set[ident.Build]),
 		ended: make(map[ident.RequestID]bool), codes: make(map[codes.ID]int), restartedAt: make(map[ident.EntryID]ident.Time),
 	}
-	p.FirstEvents = true
+	p.FirstEvents, p.ListReads = true, true
 	p.OnStep = p.watch
 	p.OnMessage = func(_, _ event.Host, eff event.Effect) {
 		switch eff.(type) {
--- /dev/null
+++ b/internal/core/builds.go
@@ -0,0 +1,87 @@
+package core
+
+import (
+	"time"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+)
+
+// lateSends is added to the time for which a build stays on record: hosts learn late that targets have
+// gone, and targets serve for a while after that.
+const lateSends = 15 * time.Second
+
+// hostsRead merges a read of the platform's list. Targets of builds that are not recorded are left out at first.
+func (rd *Reducer) hostsRead(now ident.Time, e event.HostsRead) {
+	rd.noteRecorded(now, rd.builds.Read(now, e.Targets, e.Builds))
+	rd.list, rd.listAt = e, now
+	rd.admitTargets(now)
+	rd.recordBuilds(now)
+}
+
+// admitTargets merges the last read of the list with the targets that may get requests by now.
+func (rd *Reducer) admitTargets(now ident.Time) {
+	e := rd.list
+	e.Targets, rd.admitAt = rd.builds.Admit(now, rd.list.Targets)
+	for i := range e.Targets {
+		e.Targets[i].ColdFor = max(e.Targets[i].ColdFor-now.Sub(rd.listAt), 0)
+	}
+	rd.table.HostsRead(now, e)
+	if rd.admitAt == 0 {
+		rd.list = event.HostsRead{}
+	}
+}
+
+// recordBuilds writes the records that are due. Hosts that don't read the list continuously leave that to others.
+func (rd *Reducer) recordBuilds(now ident.Time) {
+	if !rd.bounds.SharedReads || !rd.activeReader {
+		return
+	}
+	for _, w := range rd.builds.Due(now, rd.buildRetention()) {
+		rd.emit(w)
+	}
+}
+
+// buildRetention returns how long a build stays on record after it was last listed.
+func (rd *Reducer) buildRetention() time.Duration {
+	if rd.retention > 0 && rd.retentionOf == rd.spread.Revision() {
+		return rd.retention
+	}
+	longest := time.Duration(0)
+	for _, p := range rd.spread.Book().Profiles() {
+		if p.Route != nil && p.Route.Resumable {
+			longest = max(longest, routeTTL(p.Route))
+		}
+	}
+	rd.retention, rd.retentionOf = longest+lateSends, rd.spread.Revision()
+	return rd.retention
+}
+
+func (rd *Reducer) buildsRecorded(now ident.Time, e event.BuildsRecorded) {
+	rd.noteRecorded(now, rd.builds.Written(now, e.Record))
+	if rd.admitAt > 0 {
+		rd.admitTargets(now)
+	}
+}
+
+// noteRecorded notes builds that are new on record. Targets of them may have served until now.
+func (rd *Reducer) noteRecorded(now ident.Time, recorded []event.ServiceBuild) {
+	for _, sb := range recorded {
+		rd.begun.BuildSeen(now, sb)
+	}
+	for _, q := range rd.sortedLookups() {
+		if rd.isAnswered(now, q) {
+			rd.endLookup(now, q)
+		}
+	}
+}
+
+// knowsBuilds reports whether this host knows of all builds that may have begun a stream which a caller takes up.
+func (rd *Reducer) knowsBuilds(now ident.Time, r *request) bool {
+	return !rd.isYoung(now, r) || rd.buildsHeard || rd.builds.Covers(r.profile.Service)
+}
+
+// knowsAllBuilds is knowsBuilds for any stream.
+func (rd *Reducer) knowsAllBuilds(now ident.Time) bool {
+	return now.Sub(rd.startedAt) >= rd.buildRetention() || rd.buildsHeard || rd.builds.CoversAll()
+}
--- /dev/null
+++ b/internal/core/builds_test.go
@@ -0,0 +1,135 @@
+package core_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"verbenadale.example/verbenadale/internal/dev/drive"
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/value"
+)
+
+// restartAll stops all hosts at once and starts them again after a while. The callers of their streams come back
+// shortly after.
+func (p *streamPlay) restartAll(down time.Duration) {
+	var broken []ident.RequestID
+	for id := range p.builds {
+		if !p.ended[id] {
+			broken = append(broken, id)
+			p.ended[id] = true
+		}
+	}
+	for _, host := range p.hosts {
+		p.Kill(host)
+	}
+	p.Run(down)
+	for _, host := range p.hosts {
+		p.Restart(host)
+	}
+	p.Run(700 * time.Millisecond)
+	for _, id := range value.SetOf(broken...).Sorted() {
+		p.takeUp(p.anyHost(), id)
+	}
+	p.Run(4 * time.Second)
+}
+
+// beginSome begins streams at all hosts.
+func (p *streamPlay) beginSome(n int) {
+	for range n {
+		p.begin(p.anyHost())
+		p.Run(10 * time.Millisecond)
+	}
+}
+
+// Guards against a stream that goes on at another build because all hosts were down when the last target of the one that
+// began it had left, or left then, and against refusing streams of the only build there is.
+func TestStreamsKeepTheirBuildWhenAllHostsRestart(t *testing.T) {
+	const streams = 60
+	for _, size := range []struct{ regions, hosts, targets int }{{1, 1, 6}, {3, 2, 6}, {3, 8, 10}} {
+		for _, one := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d regions of %d hosts, one build %v", size.regions, size.hosts, one), func(t *testing.T) {
+				var taken, kept, refused int
+				for phase := -time.Second; phase <= 1500*time.Millisecond; phase += 100 * time.Millisecond {
+					p := newStreamPlay(uint64(phase), size.regions, size.hosts, size.targets, 3*time.Second, func(n int) ident.Build {
+						if n < 2 && !one {
+							return "v1"
+						}
+						return "v2"
+					})
+					p.Run(5 * time.Second)
+					p.beginSome(streams)
+					p.Run(time.Second)
+					old := p.Targets[:0:0]
+					for _, target := range p.Targets {
+						if target.Build == "v1" {
+							old = append(old, target)
+						}
+					}
+					remove := func() {
+						for _, target := range old {
+							p.RemoveTarget(target.ID)
+						}
+					}
+					if phase >= 0 {
+						remove()
+						p.Run(phase)
+						p.restartAll(400 * time.Millisecond)
+					} else {
+						// They leave while the hosts are down, or after these have started.
+						p.After(-phase, remove)
+						p.restartAll(400 * time.Millisecond)
+					}
+					p.checkBuilds(t)
+					taken, kept, refused = taken+p.taken, kept+p.kept, refused+p.notContinued
+				}
+				t.Logf("%d of %d went on, %d were refused", kept, taken, refused)
+				if one && kept < taken*9/10 {
+					t.Errorf("%d of %d streams of the only build went on", kept, taken)
+				}
+			})
+		}
+	}
+}
+
+// Guards against targets of a new build that get requests before the build is on record, and against holding them back for
+// ever while it can't be recorded.
+func TestNewBuildsAreRecordedFirst(t *testing.T) {
+	for _, recordable := range []bool{true, false} {
+		t.Run(fmt.Sprint("recordable ", recordable), func(t *testing.T) {
+			p := newStreamPlay(1, 1, 2, 6, time.Second, func(int) ident.Build { return "v1" })
+			p.Run(10 * time.Second)
+			p.LoseBuilds = !recordable
+			var recorded, sent ident.Time
+			onStep := p.OnStep
+			p.OnStep = func(h *drive.Host, ev event.Event, effs []event.Effect) {
+				onStep(h, ev, effs)
+				if e, ok := ev.(event.BuildsRecorded); ok && slices.Contains(e.Record.Builds, "v2") && recorded == 0 {
+					recorded = p.Now
+				}
+				for _, eff := range effs {
+					if d, ok := eff.(event.Dispatch); ok && d.Target.Build == "v2" && sent == 0 {
+						sent = p.Now
+					}
+				}
+			}
+			place := p.Targets[0].Target
+			place.ID, place.Build = "new", "v2"
+			p.AddTarget(place, drive.TargetConfig{Slots: 8, Work: time.Second})
+			for range 800 {
+				p.begin(p.anyHost())
+				p.Run(10 * time.Millisecond)
+			}
+			switch {
+			case sent == 0:
+				t.Error("the new target got no request")
+			case recordable && (recorded == 0 || sent < recorded):
+				t.Errorf("the new target got a request at %v, its build was recorded at %v", sent, recorded)
+			case !recordable && recorded > 0:
+				t.Errorf("the build was recorded at %v", recorded)
+			}
+		})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,7 +14,7 @@
 // targets and loads; route chooses where a request runs; admit queues requests
 // while no target has capacity; quota limits accounts; retry bounds retries;
 // poison finds requests that end their targets; begun remembers which build
-// began each stream; once keeps non-idempotent
+// began each stream, builds which builds there have been; once keeps non-idempotent
 // requests from running twice; spread holds and distributes the configuration.
 // This package takes each request through them. A Reducer belongs to one
 // goroutine.
@@ -24,6 +24,7 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/begun"
+	"verbenadale.example/verbenadale/internal/builds"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/length"
 	"verbenadale.example/verbenadale/internal/member"
@@ -51,6 +52,16 @@
 	quota  *quota.Ledger
 	poison *poison.Book
 	begun  *begun.Book
+	builds *builds.Book
+	// list is the last read of the platform's list of which targets are held back, and listAt when it was
+	// read. They are admitted at admitAt at the latest, zero if there are none.
+	list            event.HostsRead
+	listAt, admitAt ident.Time
+	// retention is the result of buildRetention at a revision of the configuration.
+	retention   time.Duration
+	retentionOf ident.Revision
+	// buildsHeard is set once a host that knows all builds has answered.
+	buildsHeard bool
 	// lookups are the questions to keepers of streams that have not been answered.
 	lookups map[ident.Stream]*lookup
 	// budget is the retry budget of requests without a route, retryBudgets that of each service.
@@ -113,6 +124,7 @@
 		quota:        quota.New(self.ID, self.Place.Group()),
 		poison:       poison.New(),
 		begun:        begun.New(),
+		builds:       builds.New(self.ID),
 		lookups:      make(map[ident.Stream]*lookup),
 		pools:        newPools(),
 		slack:        slack.New(),
@@ -238,7 +250,9 @@
 	case event.CacheChanged:
 		rd.router.CacheChanged(now, e, rd.table)
 	case event.HostsRead:
-		rd.table.HostsRead(now, e)
+		rd.hostsRead(now, e)
+	case event.BuildsRecorded:
+		rd.buildsRecorded(now, e)
 	case event.PlatformFailed:
 		rd.spread.PlatformFailed(now, e.Op)
 		if e.Op == event.OpReadHosts {
@@ -248,6 +262,7 @@
 		rd.spread.WatchIdle(now)
 	case event.ListRead:
 		rd.table.ListRead(now, e.Age)
+		rd.builds.Confirmed(now)
 		rd.confirmedAt = max(rd.confirmedAt, now.Add(-e.Age))
 	case event.ReadProgress:
 		rd.spread.PlatformProgress(now)
@@ -321,6 +336,10 @@
 	rd.announceTargetEnds(now)
 	if now >= rd.nextBuilds {
 		rd.noteBuilds(now)
+		rd.recordBuilds(now)
+	}
+	if rd.admitAt > 0 && now >= rd.admitAt {
+		rd.admitTargets(now)
 	}
 	rd.announceBegun(now)
 	rd.continueLookups(now)
@@ -416,7 +435,7 @@
 	}
 	for _, t := range []ident.Time{
 		rd.table.Next(now), rd.spread.NextTick(now), rd.timers.next(), rd.pools.next(now, rd.queueDeadline), rd.once.Next(), rd.quota.NextAnnouncement(),
-		rd.poison.NextAnnouncement(), rd.nextBegunTick(),
+		rd.poison.NextAnnouncement(), rd.nextBegunTick(), rd.admitAt,
 	} {
 		if t > now && t < at {
 			at = t
--- a/internal/dev/drive/drive.go
+++ b/internal/dev/drive/drive.go
@@ -77,6 +77,10 @@
 	EarlyBreak func() (time.Duration, bool)
 	// NameLimits makes targets name their RateLimit, or none, in each answer.
 	NameLimits bool
+	// ListReads confirms reads of the list, and makes hosts read it when they ask to.
+	ListReads bool
+	// LoseBuilds makes the platform refuse records of builds.
+	LoseBuilds bool
 	// FirstEvents makes targets send the first event of each answer firstEventRatio into its run.
 	FirstEvents bool
 	// EndsTarget, if set, reports whether a request ends each target that runs it.
--- a/internal/dev/drive/effects.go
+++ b/internal/dev/drive/effects.go
@@ -97,6 +97,12 @@
 		d.readSnapshot(h)
 	case event.ReadHosts:
 		d.readHosts(h)
+	case event.ReadList:
+		if d.ListReads {
+			d.readHosts(h)
+		}
+	case event.RecordBuilds:
+		d.recordBuilds(h, e)
 	case event.ClaimKey:
 		d.claim(h, e)
 	}
--- a/internal/dev/drive/environment.go
+++ b/internal/dev/drive/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,6 +42,7 @@
 	// Draining makes the target refuse new requests. A Dead target does not answer.
 	Draining bool
 	Dead     bool
+	removed  bool
 	// Runs counts the runs by the id that the caller gave the request. LastArrival is when the
 	// last request was sent to the target.
 	Runs        map[ident.RequestID]int
@@ -174,6 +176,15 @@
 	d.platform.hostsVersion++
 }
 
+// RemoveTarget ends the process of a target for good and removes it from the platform's list.
+func (d *Driver) RemoveTarget(id ident.TargetID) {
+	t := d.Target(id)
+	d.endTarget(t)
+	t.removed = true
+	d.Targets = slices.DeleteFunc(d.Targets, func(o *Target) bool { return o == t })
+	d.platform.hostsVersion++
+}
+
 // delivered returns how many events of a run its caller has.
 func (r run) delivered() ident.Tokens {
 	if r.begun {
@@ -195,12 +206,18 @@
 	}
 	t.inFlight, t.Running, t.Queued = nil, 0, 0
 	d.schedule(restartDelay, func() {
+		if t.removed {
+			return
+		}
 		t.Dead = false
 		t.Incarnation++
 		d.platform.hostsVersion++
 	})
 }
 
+// After calls run after a delay of virtual time.
+func (d *Driver) After(delay time.Duration, run func()) { d.schedule(delay, run) }
+
 // schedule calls run after a delay.
 func (d *Driver) schedule(after time.Duration, run func()) {
 	d.lastSeq++
@@ -231,6 +248,7 @@
 	book         *rules.Book
 	hosts        []event.Host
 	hostsVersion uint64
+	builds       map[string]event.BuildRecord
 	keys         map[string]event.KeyRecord
 	watchers     map[ident.EntryID]ident.Revision
 	requests     map[ident.RequestID]event.Request
@@ -238,6 +256,7 @@
 
 func newPlatform() platform {
 	return platform{
+		builds:   make(map[string]event.BuildRecord),
 		keys:     make(map[string]event.KeyRecord),
 		watchers: make(map[ident.EntryID]ident.Revision),
 		requests: make(map[ident.RequestID]event.Request),
@@ -315,7 +334,24 @@
 	for _, t := range d.Targets {
 		ev.Targets = append(ev.Targets, t.Target)
 	}
+	for _, service := range slices.Sorted(maps.Keys(d.platform.builds)) {
+		ev.Builds = append(ev.Builds, d.platform.builds[service])
+	}
 	d.Post(h.ID, callDelay, ev)
+	if d.ListReads {
+		d.Post(h.ID, callDelay, event.ListRead{})
+	}
+}
+
+// recordBuilds writes a record of builds if it has not changed.
+func (d *Driver) recordBuilds(h *Host, e event.RecordBuilds) {
+	if !d.platformReachable(h, "builds") || d.LoseBuilds || d.platform.builds[e.Record.Service].Revision != e.Record.Revision {
+		return
+	}
+	d.platform.hostsVersion++
+	e.Record.Revision = d.platform.hostsVersion
+	d.platform.builds[e.Record.Service] = e.Record
+	d.Post(h.ID, callDelay, event.BuildsRecorded(e))
 }
 
 func (d *Driver) claim(h *Host, e event.ClaimKey) {
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -303,6 +303,13 @@
 	Stream ident.Stream  `json:"stream"`
 	Begun  []BegunStream `json:"begun,omitempty"`
 	Seen   []SeenBuild   `json:"seen,omitempty"`
+	// AllSeen means that Seen has every build that may have begun a stream which is still running.
+	AllSeen bool `json:"allSeen,omitempty"`
+}
+
+// RecordBuilds writes the record of the builds of a service, if it still has the revision that Record names.
+type RecordBuilds struct {
+	Record BuildRecord `json:"record"`
 }
 
 // SendSummary sends a summary to one host of another data centre.
@@ -514,6 +521,7 @@
 func (SendBegun) isEffect()       {}
 func (AskBegun) isEffect()        {}
 func (AnswerBegun) isEffect()     {}
+func (RecordBuilds) isEffect()    {}
 func (SendSummary) isEffect()     {}
 func (SendChanges) isEffect()     {}
 func (SendSnapshot) isEffect()    {}
--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -165,6 +165,14 @@
 	Ambiguous bool `json:"ambiguous,omitempty"`
 }
 
+// BuildRecord is the platform's record of the builds of a service that serve, or did until recently. Revision
+// is that of the record, zero if there is none.
+type BuildRecord struct {
+	Service  string        `json:"service"`
+	Builds   []ident.Build `json:"builds"`
+	Revision uint64        `json:"revision,omitempty"`
+}
+
 // SeenBuild is a build of a service of which targets served Age ago.
 type SeenBuild struct {
 	ServiceBuild
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -73,6 +73,8 @@
 	Stream ident.Stream  `json:"stream"`
 	Begun  []BegunStream `json:"begun,omitempty"`
 	Seen   []SeenBuild   `json:"seen,omitempty"`
+	// AllSeen means that Seen has every build that may have begun a stream which is still running.
+	AllSeen bool `json:"allSeen,omitempty"`
 }
 
 // SummaryReceived carries the state of another data centre.
@@ -185,6 +187,13 @@
 	// Complete means that the list is nearly current and contains every host and target
 	// that the platform considers present, so that missing ones have been removed.
 	Complete bool `json:"complete,omitempty"`
+	// Builds are all records of builds.
+	Builds []BuildRecord `json:"builds,omitempty"`
+}
+
+// BuildsRecorded reports that this host has written a record of builds.
+type BuildsRecorded struct {
+	Record BuildRecord `json:"record"`
 }
 
 // ListRead reports that a read of the platform's list has succeeded. Its changes, if there were
@@ -231,6 +240,7 @@
 func (BegunReceived) isEvent()      {}
 func (BegunAsked) isEvent()         {}
 func (BegunAnswered) isEvent()      {}
+func (BuildsRecorded) isEvent()     {}
 func (ChangesReceived) isEvent()    {}
 func (SnapshotReceived) isEvent()   {}
 func (ChangesWanted) isEvent()      {}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -237,7 +237,7 @@
 }
 
 // popIdle removes and returns an idle connection, nil if there is none. Connections whose last request had the same id
-// are left out: a late extra answer to that one could not be told from the answer to this one.
+// are left out: a late extra answer to that one would name this one too.
 func (p *Pool) popIdle(x Exchange) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/wire/begun.go
+++ b/internal/wire/begun.go
@@ -61,7 +61,7 @@
 
 // FromBegunAnswer converts an answer.
 func FromBegunAnswer(e event.AnswerBegun) *BegunAnswer {
-	p := &BegunAnswer{Stream: uint64(e.Stream), Begun: FromBegun(e.Begun, false)}
+	p := &BegunAnswer{Stream: uint64(e.Stream), Begun: FromBegun(e.Begun, false), AllSeen: e.AllSeen}
 	for _, sb := range e.Seen {
 		p.Seen = append(p.Seen, fromServiceBuild(sb.ServiceBuild))
 		p.SeenAgesMs = append(p.SeenAgesMs, millis(sb.Age))
@@ -71,7 +71,7 @@
 
 // ToEvent converts an answer of a host back. It returns ErrFormat if the lengths of its columns differ.
 func (p *BegunAnswer) ToEvent(from ident.EntryID) (event.BegunAnswered, error) {
-	e := event.BegunAnswered{From: from, Stream: ident.Stream(p.GetStream())}
+	e := event.BegunAnswered{From: from, Stream: ident.Stream(p.GetStream()), AllSeen: p.GetAllSeen()}
 	var err error
 	if e.Begun, err = p.GetBegun().ToEvent(); err != nil || len(p.GetSeen()) != len(p.GetSeenAgesMs()) {
 		return e, ErrFormat
--- a/internal/wire/begun_test.go
+++ b/internal/wire/begun_test.go
@@ -20,8 +20,8 @@
 	if diff := cmp.Diff(streams, got); diff != "" || err != nil {
 		t.Errorf("streams, %v (-want +got):\n%s", err, diff)
 	}
-	ans := event.AnswerBegun{Stream: 2, Begun: streams[1:2], Seen: []event.SeenBuild{{ServiceBuild: v1, Age: time.Second}, {ServiceBuild: v2}}}
-	want := event.BegunAnswered{From: "e1", Stream: 2, Begun: ans.Begun, Seen: ans.Seen}
+	ans := event.AnswerBegun{Stream: 2, Begun: streams[1:2], Seen: []event.SeenBuild{{ServiceBuild: v1, Age: time.Second}, {ServiceBuild: v2}}, AllSeen: true}
+	want := event.BegunAnswered{From: "e1", Stream: 2, Begun: ans.Begun, Seen: ans.Seen, AllSeen: true}
 	gotAns, err := FromBegunAnswer(ans).ToEvent("e1")
 	if diff := cmp.Diff(want, gotAns); diff != "" || err != nil {
 		t.Errorf("answer, %v (-want +got):\n%s", err, diff)
