core: a host that is cut off does not take the build that it knows for the only one

A region is cut off from the store and the other regions; a new version begins to serve elsewhere; a caller of a stream there reaches a host of the region that was cut off, which knows the older version alone.

Cause: knowledge of which builds there have been has an age, and its age was not part of the decision.

Change: a host whose list was last confirmed as current more than six seconds ago, while another region does not answer, refuses streams that neither it nor a keeper knows (VB1034). Twice the age at which a host reads the list itself. While the store is away for all hosts, the regions still hear each other and nothing changes.

What it costs: in a region that is cut off, streams whose first host has ended are refused there too when there is one version, since a second one elsewhere can't be ruled out.

What remains: for up to six seconds after the cut a host still trusts its list.

--- a/internal/core/builds.go
+++ b/internal/core/builds.go
@@ -7,9 +7,14 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// lateSends is added to the time for which a build stays on record: hosts learn late that targets have
-// gone, and targets serve for a while after that.
-const lateSends = 15 * time.Second
+const (
+	// lateSends is added to the time for which a build stays on record: hosts learn late that targets have
+	// gone, and targets serve for a while after that.
+	lateSends = 15 * time.Second
+	// maxBuildsAge is how long ago the platform's list must have been confirmed as current for a host
+	// that is cut off from another region to know all builds.
+	maxBuildsAge = 6 * time.Second
+)
 
 // hostsRead merges a read of the platform's list. Targets of builds that are not recorded are left out at first.
 func (rd *Reducer) hostsRead(now ident.Time, e event.HostsRead) {
@@ -78,10 +83,23 @@
 
 // knowsBuilds reports whether this host knows of all builds that may have begun a stream which a caller takes up.
 func (rd *Reducer) knowsBuilds(now ident.Time, r *request) bool {
-	return !rd.isYoung(now, r) || rd.buildsHeard || rd.builds.Covers(r.profile.Service)
+	return !rd.isCutOff(now) && (!rd.isYoung(now, r) || rd.buildsHeard || rd.builds.Covers(r.profile.Service))
 }
 
 // knowsAllBuilds is knowsBuilds for any stream.
 func (rd *Reducer) knowsAllBuilds(now ident.Time) bool {
-	return now.Sub(rd.startedAt) >= rd.buildRetention() || rd.buildsHeard || rd.builds.CoversAll()
+	return !rd.isCutOff(now) && (now.Sub(rd.startedAt) >= rd.buildRetention() || rd.buildsHeard || rd.builds.CoversAll())
+}
+
+// isCutOff reports whether streams of a build that this host can't have heard of may run in another region.
+func (rd *Reducer) isCutOff(now ident.Time) bool {
+	if now.Sub(rd.table.ListConfirmedAt()) <= maxBuildsAge {
+		return false
+	}
+	for _, c := range rd.table.Centres(now) {
+		if c.CutOff(now) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/core/builds_test.go
+++ b/internal/core/builds_test.go
@@ -94,6 +94,39 @@
 	}
 }
 
+// Guards against a host that takes the build that it knows for the only one while it is cut off from the store and the other
+// regions, where another build began the stream.
+func TestCutOffHostsDoNotGuessBuilds(t *testing.T) {
+	const streams = 40
+	p := newStreamPlay(1, 3, 2, 6, 3*time.Second, func(int) ident.Build { return "v1" })
+	p.Run(30 * time.Second)
+	cut := func(id ident.EntryID) bool { return id == "r0-h0" || id == "r0-h1" }
+	p.partition = map[ident.EntryID]bool{"r0-h0": true, "r0-h1": true}
+	p.PlatformDown = func(h event.Host) bool { return cut(h.ID) }
+	p.Run(10 * time.Second)
+	for i, target := range p.Targets {
+		if i >= 6 && i%2 == 0 {
+			p.SetBuild(target.ID, "v2")
+		}
+	}
+	p.Run(5 * time.Second)
+	var began []ident.RequestID
+	for range streams {
+		p.begin("r1-h0")
+		began = append(began, ident.RequestID(fmt.Sprint("q", p.n)))
+		p.Run(10 * time.Millisecond)
+	}
+	p.Run(time.Second)
+	p.Kill("r1-h0")
+	for _, id := range began {
+		p.ended[id] = true
+		p.takeUp("r0-h0", id)
+	}
+	p.Run(4 * time.Second)
+	p.checkBuilds(t)
+	t.Logf("%d of %d went on, %d were refused", p.kept, p.taken, p.notContinued)
+}
+
 // Guards against targets of a new build that get requests before the build is on record, and against holding them back for
 // ever while it can't be recorded.
 func TestNewBuildsAreRecordedFirst(t *testing.T) {
--- a/internal/member/fresh.go
+++ b/internal/member/fresh.go
@@ -77,5 +77,8 @@
 	return max(f.confirmedAt, f.askedAt).Add(maxListAge)
 }
 
+// ListConfirmedAt returns up to which time the list in use contains all changes.
+func (tb *Table) ListConfirmedAt() ident.Time { return tb.list.fresh.confirmedAt }
+
 // ListReadAsked records that a read of the list was asked for.
 func (tb *Table) ListReadAsked(now ident.Time) { tb.list.fresh.askedAt = now }
