--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -61,6 +61,10 @@
 	Endless Fault = "endless"
 )
 
+// FailWith returns the fault of a worker that runs a request and answers with a status. The answer does not state that the
+// request has not run.
+func FailWith(status int) Fault { return Fault(strconv.Itoa(status)) }
+
 // maxEndlessBytes bounds the bytes of one answer without end.
 const maxEndlessBytes = 64 << 20
 
@@ -386,8 +390,12 @@
 	if f != Unsigned {
 		w.Header().Set("Verbenadale-Response-Seal", "seal-of-"+id)
 	}
+	status, _ := strconv.Atoi(string(f))
 	if f == ServerError {
-		w.WriteHeader(http.StatusInternalServerError)
+		status = http.StatusInternalServerError
+	}
+	if status > 0 {
+		w.WriteHeader(status)
 		fmt.Fprint(w, "failed")
 		return
 	}
