--- a/internal/core/builds.go
+++ b/internal/core/builds.go
@@ -91,7 +91,7 @@
 	return !rd.isCutOff(now) && (now.Sub(rd.startedAt) >= rd.buildRetention() || rd.buildsHeard || rd.builds.CoversAll())
 }
 
-// isCutOff reports whether streams of a build that this host can't have heard of may run in another region.
+// isCutOff reports whether streams of a build that this host can't know of may run in another region.
 func (rd *Reducer) isCutOff(now ident.Time) bool {
 	if now.Sub(rd.table.ListConfirmedAt()) <= maxBuildsAge {
 		return false
