soak, worker: targets that answer twice or stop inside events, and all hosts killed beside two builds

Change: -answers lets targets of plain services send answers again before that of a health check, and writers stop inside an event with long lines; -rejoins, with -builds, kills all hosts at once, around half of the times with the targets of one version leaving, and callers come back once the hosts are up. The plans of other seeds stay as they are.

The first form of the late answers took over connections that were not its own: answers without a body were the stand-in's. A worker's late connection can be taken over now, and ends when its handler aborts.

--- a/internal/dev/cmds/soak.go
+++ b/internal/dev/cmds/soak.go
@@ -29,7 +29,7 @@
 }
 
 func (*soakCmd) Usage() string {
-	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-logs DIR]
+	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-rejoins] [-answers] [-logs DIR]
   Runs entry hosts as processes with stand-ins of the platform's store and of
   targets, injects faults in an order derived from the seed, and checks what
   callers and targets see. Without -seed it starts with the current Unix time in
@@ -58,6 +58,8 @@
 	fs.BoolVar(&c.cfg.Parts, "parts", false, "add callers whose requests share a part of their prompts that ends targets")
 	fs.BoolVar(&c.cfg.Rests, "rests", false, "add targets that ask for rest, or say in their answers that they leave, for a while")
 	fs.BoolVar(&c.cfg.Limits, "limits", false, "add targets that name a limit on their requests for a while")
+	fs.BoolVar(&c.cfg.Rejoins, "rejoins", false, "with -builds, kill all hosts at once around the moment at which the targets of one version leave")
+	fs.BoolVar(&c.cfg.Answers, "answers", false, "let targets send answers again before that of a health check, and stop inside events with long lines")
 	fs.BoolVar(&c.cfg.Builds, "builds", false, "let targets run two versions of their software and callers take streams up again")
 	fs.StringVar(&c.logs, "logs", os.TempDir(), "directory for the logs of seeds that violate a guarantee")
 }
--- a/internal/dev/soak/builds.go
+++ b/internal/dev/soak/builds.go
@@ -61,7 +61,7 @@
 	if res.StatusCode != http.StatusOK || a.kind != kindDraft || !k.pool.deployment.cfg.Builds || k.rnd.IntN(leaveDivisor) > 0 {
 		return io.ReadAll(res.Body)
 	}
-	limit := 1 + k.rnd.IntN(len(worker.StreamText(streamEvents)))
+	limit := 1 + k.rnd.IntN(len(k.pool.deployment.cfg.streamText(streamEvents)))
 	part, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)))
 	if err == nil && len(part) == limit {
 		err = errCallerLeft
@@ -72,10 +72,13 @@
 // takeUp asks other hosts for the rest of a stream that broke or that the caller left.
 func (k *caller) takeUp(a observation) {
 	s := k.pool.deployment
-	first, received := a.id, 0
+	first, received, delay := a.id, 0, takeUpDelay
+	if s.cfg.Rejoins {
+		delay = rejoinDelay
+	}
 	for n := 0; s.cfg.Builds && a.kind == kindDraft && a.route == kindDraft && a.err != nil && n < maxTakeUps; n++ {
 		received += a.events()
-		if received == 0 || received >= streamEvents || !sleep(context.Background(), takeUpDelay) {
+		if received == 0 || received >= streamEvents || !sleep(context.Background(), delay) {
 			return
 		}
 		host := k.rnd.IntN(len(s.hosts))
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -16,8 +16,6 @@
 	"time"
 
 	"gopkg.in/tomb.v2"
-
-	"verbenadale.example/verbenadale/internal/dev/worker"
 )
 
 // Kinds of requests. Each kind is also the path of its route.
@@ -264,9 +262,9 @@
 
 // wantBody returns the body that a successful answer must have, or for calls its prefix: the
 // body of a call ends with the id of the target, which is not known beforehand.
-func (a observation) wantBody() string {
+func (a observation) wantBody(cfg Config) string {
 	if a.kind == kindDraft {
-		return strings.TrimPrefix(worker.StreamText(streamEvents), worker.StreamText(a.received))
+		return strings.TrimPrefix(cfg.streamText(streamEvents), cfg.streamText(a.received))
 	}
 	return fmt.Sprintf("POST /%s/x?of=%s body of %s by ", a.route, a.id, a.id)
 }
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -107,7 +107,7 @@
 	if got := a.header.Get("Verbenadale-Response-Seal"); got != "seal-of-"+a.id {
 		c.report("whole: %s has the signature %q", desc, got)
 	}
-	if want := a.wantBody(); a.body != want && (a.kind == kindDraft || !strings.HasPrefix(a.body, want)) {
+	if want := a.wantBody(c.deployment.cfg); a.body != want && (a.kind == kindDraft || !strings.HasPrefix(a.body, want)) {
 		c.report("whole: %s was answered %q, want %q", desc, a.body, want)
 	}
 	if c.runs[a.id] == 0 {
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -80,7 +80,9 @@
 type target struct {
 	*worker.Worker
 	id, service, region string
-	relay               *relay.Relay
+	// build is the version of its software, empty for any.
+	build string
+	relay *relay.Relay
 	// ended is set once its process has ended under a request.
 	ended bool
 	// drainingSince is when it was listed as draining.
@@ -225,14 +227,23 @@
 }
 
 func (s *deployment) addWorker(id, service, region string) error {
-	cfg := worker.Config{ID: id, Service: service, DataCentre: centreOf(region), Slots: 16, Work: callRunTime}
+	build := ""
+	if service == "writers" && s.cfg.Builds {
+		build = s.nextBuild()
+	}
+	return s.addWorkerOfBuild(id, service, region, build)
+}
+
+// addWorkerOfBuild adds a worker whose software has a given version, empty for any.
+func (s *deployment) addWorkerOfBuild(id, service, region, build string) error {
+	cfg := worker.Config{ID: id, Service: service, DataCentre: centreOf(region), Slots: 16, Work: callRunTime, Build: build, NamesBuild: build != ""}
 	if service == "writers" {
 		cfg.Events, cfg.EventInterval = streamEvents, s.cfg.timing().eventInterval
-		if s.cfg.Builds {
-			cfg.Build, cfg.NamesBuild = s.nextBuild(), true
-		}
 	}
-	w := &target{id: id, service: service, region: region}
+	if s.cfg.Answers {
+		s.setAnswers(&cfg)
+	}
+	w := &target{id: id, service: service, region: region, build: build}
 	cfg.OnPoison = func(r *http.Request) { s.endTarget(w, r) }
 	w.Worker = worker.New(cfg)
 	addr, err := s.serve(w.Worker)
@@ -330,6 +341,9 @@
 	h.settings.Platform.URL = "http://" + h.storeRelay.Addr()
 	h.settings.Fleet.Directory, h.settings.Fleet.Ready, h.settings.Fleet.Metrics = ports.Next(), ports.Next(), ports.Next()
 	h.settings.Fleet.GraceSeconds = config.Bound(s.cfg.timing().graceSeconds)
+	if s.cfg.Answers {
+		h.settings.Fleet.RetryRatio, h.settings.Fleet.RetryFloor = answerRetryRatio, answerRetryFloor
+	}
 	for _, r := range regions {
 		h.settings.Fleet.Places = append(h.settings.Fleet.Places, config.FleetPlace{DataCentre: ident.DataCentre(centreOf(r)), Region: ident.Region(r)})
 	}
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -57,6 +57,12 @@
 	// Builds lets targets run two versions of their software, and callers take their streams up again
 	// at other hosts.
 	Builds bool
+	// Rejoins adds moments at which all hosts are killed at once, around which the targets of one version leave. It needs
+	// Builds.
+	Rejoins bool
+	// Answers adds targets that send answers again, late, while their health checks fail, and streams of events with long
+	// lines whose targets stop inside an event.
+	Answers bool
 	// Log receives the output of the hosts; nil discards it.
 	Log io.Writer
 }
@@ -139,7 +145,7 @@
 	return rep, nil
 }
 
-// plan draws the plan of the seed. What Poison, Parts, Rests and Limits add leaves the rest of the plan as it is.
+// plan draws the plan of the seed. What Poison, Parts, Rests, Limits, Answers and Rejoins add leaves the rest of the plan as it is.
 func (cfg Config) plan(s *deployment) []fault {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
 	if cfg.Planned {
@@ -158,6 +164,12 @@
 	if cfg.Limits {
 		plan = append(plan, drawLimits(rnd, cfg.Duration, s)...)
 	}
+	if cfg.Answers {
+		plan = append(plan, drawAnswers(rnd, cfg.Duration, s)...)
+	}
+	if cfg.Rejoins {
+		plan = append(plan, drawRejoins(rnd, cfg.Duration, s)...)
+	}
 	return plan
 }
 
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+// Guards against streams of two builds after all hosts were killed at once (seed 103), and against answers of targets in trouble
+// that reach the wrong caller or are cut inside an event (seed 110).
+func TestAnswersSurviveTroubledTargetsAndRejoins(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for a minute")
+	}
+	for _, seed := range []uint64{103, 110} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rep, err := Run(context.Background(), Config{Program: program, Seed: seed, Duration: 8 * time.Second, Callers: 6, Builds: true, Rejoins: true, Answers: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(rep)
+			if len(rep.Violations) > 0 {
+				t.Error("guarantees are violated")
+			}
+		})
+	}
+}
+
 // Guards against a second SIGTERM that ends a host in the middle of a stream while a planned
 // stop is in progress.
 func TestOverlappingStopsAbortNoRequest(t *testing.T) {
--- a/internal/dev/worker/late.go
+++ b/internal/dev/worker/late.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Health is how a worker answers health checks.
@@ -43,6 +45,15 @@
 	header http.Header
 	status int
 	body   bytes.Buffer
+	// conn is the connection of the request. hijacked is set once a handler has taken it over.
+	conn     *lateConn
+	hijacked bool
+}
+
+// Hijack implements http.Hijacker.
+func (c *recorder) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	c.hijacked = true
+	return c.conn.c, bufio.NewReadWriter(c.conn.r, bufio.NewWriter(c.conn.c)), nil
 }
 
 func (c *recorder) Header() http.Header { return c.header }
@@ -94,22 +105,37 @@
 	go l.run()
 }
 
-// run serves the connection until the other side closes it.
+// run serves the connection until either side closes it.
 func (l *lateConn) run() {
-	defer l.c.Close()
-	for {
-		req, err := http.ReadRequest(l.r)
-		if err != nil {
-			return
-		}
-		if _, err := l.c.Write(l.extra); err != nil {
-			return
+	for l.serveNext() {
+	}
+}
+
+// serveNext serves one request. It returns false if the connection is closed or taken over.
+func (l *lateConn) serveNext() (goesOn bool) {
+	rec := &recorder{header: make(http.Header), conn: l}
+	defer func() {
+		if v := recover(); v != nil {
+			if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(v)
+			}
 		}
-		l.extra = nil
-		rec := &recorder{header: make(http.Header)}
-		l.k.ServeHTTP(rec, req)
-		if _, err := l.c.Write(rec.bytes()); err != nil {
-			return
+		if !goesOn && !rec.hijacked {
+			_ = l.c.Close()
 		}
+	}()
+	req, err := http.ReadRequest(l.r)
+	if err != nil {
+		return false
+	}
+	if _, err := l.c.Write(l.extra); err != nil {
+		return false
+	}
+	l.extra = nil
+	l.k.ServeHTTP(rec, req)
+	if rec.hijacked {
+		return false
 	}
+	_, err = l.c.Write(rec.bytes())
+	return err == nil
 }
--- a/internal/dev/worker/lines.go
+++ b/internal/dev/worker/lines.go
@@ -4,8 +4,12 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 )
 
+// cutDelay is the time between a part of an event and the end of its connection.
+const cutDelay = 20 * time.Millisecond
+
 // DataLine returns one data line of the n-th event of streams with long lines, without its end.
 func DataLine(n, line, length int) string {
 	text := fmt.Sprintf("data: %d/%d ", n, line)
@@ -18,7 +22,12 @@
 	fmt.Fprintf(w, "id: %d\n", n)
 	for line := range k.cfg.Lines {
 		fmt.Fprintf(w, "%s\n", DataLine(n, line, k.cfg.LineBytes))
-		if rc.Flush() != nil || cut {
+		if rc.Flush() != nil {
+			return false
+		}
+		if cut {
+			// What has been sent arrives before the connection closes.
+			time.Sleep(cutDelay)
 			return false
 		}
 	}
