serve, front, platform: a body counts against the memory for bodies while it arrives

Cause: the platform's front reserved the memory of a body once it had read all of it. Bodies that were arriving were bounded by nothing.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"mime"
 	"net"
 	"net/http"
@@ -11,18 +10,14 @@
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/pkg/codes"
-	"verbenadale.example/verbenadale/pkg/ident"
 )
 
 // maxDrainedBody is how much of a refused body the server may read to keep the connection for the
 // next request.
 const maxDrainedBody = 16 << 10
 
-// initialBodyCap is the first allocation for a body, so that a sender that announces a large body
-// and sends nothing uses little memory.
-const initialBodyCap = 4 << 10
-
 // checkBodyHeaders checks what the headers state about the body.
 func (x *exchange) checkBodyHeaders() *event.Refuse {
 	if x.r.ContentLength > int64(x.cfg.MaxBody) {
@@ -66,27 +61,21 @@
 		return nil
 	}
 	x.bodyStarted = true
-	for {
-		if ref := x.growBody(); ref != nil {
-			return ref
-		}
-		n, err := x.r.Body.Read(x.body[len(x.body):cap(x.body)])
-		x.body = x.body[:len(x.body)+n]
-		if ident.Bytes(len(x.body)) > x.cfg.MaxBody {
-			return x.tooLarge()
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return x.bodyReadFault(err)
-		}
+	x.body = serve.BodyReader{Budget: x.cfg.Budget, Max: x.cfg.MaxBody, Length: x.r.ContentLength}
+	err := x.body.Read(x.r.Body)
+	switch {
+	case errors.Is(err, serve.ErrBodyTooLong):
+		return x.tooLarge()
+	case errors.Is(err, serve.ErrBodyMemory):
+		return x.notRun(codes.HostBusy, "the memory for bodies is used up")
+	case err != nil:
+		return x.bodyReadFault(err)
 	}
 	// The deadline must not outlast the body: it would break the connection in the middle of a long
 	// answer.
 	_ = x.rc.SetReadDeadline(time.Time{})
 	x.bodyComplete = true
-	x.cfg.Meter.AddBytesIn(len(x.body))
+	x.cfg.Meter.AddBytesIn(len(x.body.Bytes()))
 	return nil
 }
 
@@ -103,25 +92,6 @@
 	}
 }
 
-// growBody makes room for more of the body.
-func (x *exchange) growBody() *event.Refuse {
-	if len(x.body) < cap(x.body) {
-		return nil
-	}
-	size := min(max(cap(x.body), initialBodyCap), int(x.cfg.MaxBody)+1-cap(x.body))
-	if n := x.r.ContentLength; n > 0 {
-		size = min(size, int(n)+1-cap(x.body))
-	}
-	if !x.cfg.Budget.Reserve(size) {
-		return x.notRun(codes.HostBusy, "the memory for bodies is used up")
-	}
-	x.reserved += size
-	body := make([]byte, len(x.body), cap(x.body)+size)
-	copy(body, x.body)
-	x.body = body
-	return nil
-}
-
 func (x *exchange) bodyReadFault(err error) *event.Refuse {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
--- a/internal/front/complete.go
+++ b/internal/front/complete.go
@@ -68,7 +68,7 @@
 	if ref := x.readBody(); ref != nil {
 		return ref
 	}
-	a, err := parseCompletion(x.body, sh)
+	a, err := parseCompletion(x.body.Bytes(), sh)
 	if err != nil {
 		return x.notRun(codes.BadRequest, err.Error())
 	}
@@ -93,7 +93,7 @@
 	req.Stream = a.Stream
 	x.setDigests(&req)
 	call := serve.Call{
-		Method: http.MethodPost, Path: x.r.URL.Path, Body: x.body, Stream: a.Stream, Engine: true,
+		Method: http.MethodPost, Path: x.r.URL.Path, Body: x.body.Bytes(), Stream: a.Stream, Engine: true,
 		Header: http.Header{"Content-Type": {"application/json"}, "Via": {x.via()}},
 		Ending: x.ending,
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -98,9 +98,8 @@
 
 	client  rules.Client
 	profile rules.Profile
-	// body is kept until the request is over; reserved is its share of the budget.
-	body     []byte
-	reserved int
+	// body is kept until the request is over.
+	body serve.BodyReader
 	// bodyStarted is set once reading the body has begun, bodyComplete once it has been read to its
 	// end.
 	bodyStarted, bodyComplete bool
@@ -150,7 +149,7 @@
 func (f *Front) finish(x *exchange) {
 	f.inFlight.Add(-1)
 	f.cfg.Meter.AddInFlight(-1)
-	f.cfg.Budget.Release(x.reserved)
+	x.body.Release()
 	if x.streaming {
 		f.cfg.Meter.AddOpenStreams(-1)
 	}
--- a/internal/front/head.go
+++ b/internal/front/head.go
@@ -219,12 +219,12 @@
 
 // setDigests sets the digests that identify repeats of a request.
 func (x *exchange) setDigests(req *event.Request) {
-	req.Content = poison.ContentOf(req.Account, x.body, x.r.Method, x.r.URL.RequestURI(), string(req.Profile))
+	req.Content = poison.ContentOf(req.Account, x.body.Bytes(), x.r.Method, x.r.URL.RequestURI(), string(req.Profile))
 	key := x.r.Header.Get(HeaderKey)
 	if key == "" && req.Ticket == "" {
 		return
 	}
-	req.Fingerprint = digest(x.r.Method, x.r.URL.RequestURI(), string(x.body))
+	req.Fingerprint = digest(x.r.Method, x.r.URL.RequestURI(), string(x.body.Bytes()))
 	if key != "" {
 		req.Key = digest(string(req.Account), string(req.Profile), key)
 	}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -52,7 +52,7 @@
 	if x.r.URL.RawQuery != "" {
 		path += "?" + x.r.URL.RawQuery
 	}
-	call := serve.Call{Method: x.r.Method, Path: path, Header: x.serviceHeader(), Body: x.body, Stream: req.Stream, Ending: x.ending}
+	call := serve.Call{Method: x.r.Method, Path: path, Header: x.serviceHeader(), Body: x.body.Bytes(), Stream: req.Stream, Ending: x.ending}
 	x.cfg.Runner.Run(x.r.Context(), call, req, x.sink(false))
 	return nil
 }
--- a/internal/serve/budget.go
+++ b/internal/serve/budget.go
@@ -17,13 +17,23 @@
 // NewBudget returns a budget of limit bytes; zero means no limit.
 func NewBudget(limit ident.Bytes) *Budget { return &Budget{limit: limit} }
 
-// Reserve reserves n bytes and reports whether they were available.
-func (b *Budget) Reserve(n int) bool {
+// bodyRatio is the part of a budget that bodies may use up. The rest is left to answers: a request that has run
+// must not lose its answer to bodies that are arriving.
+const bodyRatio = 0.8
+
+// Reserve reserves n bytes for an answer and reports whether they were available.
+func (b *Budget) Reserve(n int) bool { return b.reserve(n, 1) }
+
+// ReserveBody reserves n bytes for the body of a request and reports whether they were available.
+func (b *Budget) ReserveBody(n int) bool { return b.reserve(n, bodyRatio) }
+
+// reserve reserves n bytes of a part of the budget.
+func (b *Budget) reserve(n int, ratio float64) bool {
 	if b == nil {
 		return true
 	}
 	used := b.used.Add(int64(n))
-	if b.limit > 0 && used > int64(b.limit) {
+	if b.limit > 0 && float64(used) > ratio*float64(b.limit) {
 		b.used.Add(int64(-n))
 		return false
 	}
