peer: the bodies that other hosts forward count against the memory for bodies

Cause: the body of each forwarded request was bounded by itself, all of them together by the number of streams alone.

Change: what arrives is reserved in the budget of the host before it is kept, and released when the request has ended. A request whose body has no room is refused as not run; nothing of it has reached a target.

TestForwardedBodiesAreBounded fails before: two bodies of 60,000 bytes are kept beside a budget of 100,000.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,7 +110,8 @@
 	})
 	d.revs = revlog.New(d.store)
 	d.platform = newPlatform(d)
-	mesh, err := newMesh(cfg, d.self, d.clock, d.confined)
+	d.budget = serve.NewBudget(cfg.Settings.Limits.MaxBufferedBytes)
+	mesh, err := newMesh(cfg, d.self, d.clock, d.confined, d.budget)
 	if err != nil {
 		d.conns.Stop()
 		d.clock.Stop()
@@ -174,7 +175,6 @@
 
 func (d *Daemon) listen() error {
 	lim := d.cfg.Settings.Limits
-	d.budget = serve.NewBudget(lim.MaxBufferedBytes)
 	d.runner = &serve.Runner{
 		Loop: d.loop, Clock: d.clock, Log: d.cfg.Log, Targets: d.targets, Forward: d.forward,
 		Answers: d.answers, MaxAnswer: maxAnswerBytes, Budget: d.budget, Trace: d.trace,
--- a/internal/daemon/mesh.go
+++ b/internal/daemon/mesh.go
@@ -14,7 +14,7 @@
 )
 
 // newMesh returns the links to the other entry hosts without starting them.
-func newMesh(cfg Config, self event.Host, svc *clock.Service, confined func(ident.Profile, ident.Account) bool) (*peer.Mesh, error) {
+func newMesh(cfg Config, self event.Host, svc *clock.Service, confined func(ident.Profile, ident.Account) bool, budget *serve.Budget) (*peer.Mesh, error) {
 	set := cfg.Settings
 	var keys *peer.Keys
 	if !set.Peers.Plain {
@@ -27,7 +27,7 @@
 	}
 	return peer.New(peer.Config{
 		Self: self, Clock: svc, Log: cfg.Log, Keys: keys, Confined: confined,
-		Listen: set.Peers.Listen, Seeds: set.Peers.Seeds,
+		Listen: set.Peers.Listen, Seeds: set.Peers.Seeds, Budget: budget,
 		Bounds: peer.Bounds{MaxBodyBytes: set.Limits.MaxBodyBytes},
 	}), nil
 }
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -259,6 +259,37 @@
 	}
 }
 
+// Guards against bodies that peers forward and that are not counted while they arrive and while their requests run.
+func TestForwardedBodiesAreBounded(t *testing.T) {
+	budget := serve.NewBudget(100_000)
+	gate, began := make(chan struct{}), make(chan struct{}, 1)
+	x, y := startPair(t, Config{}, Config{Budget: budget}, func(_ context.Context, c serve.Call, _ event.Request, s serve.Sink) {
+		if _, err := c.ReadBody(); err != nil {
+			s.Refuse(event.Refuse{Code: codes.HostBusy.ID, Outcome: event.NotRun})
+			return
+		}
+		began <- struct{}{}
+		<-gate
+		s.Begin(200, nil)
+		s.Finish(event.Done)
+	})
+	first := make(chan event.AttemptEnded, 1)
+	go func() {
+		_, end := forward(t.Context(), x, y, strings.Repeat("x", 60_000), nil)
+		first <- end
+	}()
+	<-began
+	_, end := forward(t.Context(), x, y, strings.Repeat("x", 60_000), func(p *serve.ForwardedRequest) { p.Forward.Envelope.Attempt.Number = 2 })
+	if diff := cmp.Diff(event.ResultNotRun, end.Result); diff != "" {
+		t.Errorf("result of a body beyond the budget (-want +got):\n%s", diff)
+	}
+	close(gate)
+	if diff := cmp.Diff(event.ResultDone, (<-first).Result); diff != "" {
+		t.Errorf("result of the first (-want +got):\n%s", diff)
+	}
+	eventually(t, "all memory is released", func() bool { return budget.Used() == 0 })
+}
+
 // A request beyond the stream limit of a session must be reported as not run, not wait
 // indefinitely.
 func TestStreamsAreBounded(t *testing.T) {
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +62,9 @@
 		return nil
 	}
 	k.serve()
+	if k.reader != nil {
+		k.reader.release()
+	}
 	k.awaitClose()
 	return nil
 }
@@ -199,6 +203,30 @@
 	bodyComplete, done chan struct{}
 	body               []byte
 	err                error
+
+	mu sync.Mutex
+	// reserved is the share of the body in the budget, released is set once the request has ended.
+	reserved int
+	released bool
+}
+
+// reserve reserves memory for a piece of the body and reports whether it was available and is still needed.
+func (w *streamReader) reserve(n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.released || !w.request.m.cfg.Budget.ReserveBody(n) {
+		return false
+	}
+	w.reserved += n
+	return true
+}
+
+// release returns the memory of the body.
+func (w *streamReader) release() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.request.m.cfg.Budget.Release(w.reserved)
+	w.reserved, w.released = 0, true
 }
 
 func (w *streamReader) run() error {
@@ -230,6 +258,9 @@
 		if ident.Bytes(len(w.body)+len(p.GetBody())) > w.request.m.cfg.Bounds.MaxBodyBytes {
 			return errors.Wrap(ErrFull, "request body too large")
 		}
+		if !w.reserve(len(p.GetBody())) {
+			return errors.Wrap(ErrFull, "no memory for the request body")
+		}
 		w.body = append(w.body, p.GetBody()...)
 		if p.GetLast() {
 			return nil
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -69,6 +69,8 @@
 	// Keys authenticates both sides. If it is nil, the links are unencrypted and
 	// unauthenticated, for development only.
 	Keys *Keys
+	// Budget bounds the memory of the bodies that peers forward, together with all others; nil means no limit.
+	Budget *serve.Budget
 	// Listen is the address on which peers connect.
 	Listen string
 	// Seeds are dialled at the start, before the reducer names any host.
