begun: the latest builds are known however many there have been, and named for as long as streams may be taken up

A host remembers 256 builds and ignored every further one: after as many releases within one life of its process it would have known none of the builds that serve, and a stream whose build is unknown would have gone on anywhere. And a host that says that it knows all builds named those of the last minute, while streams of routes with timeouts above 29.5 s may be taken up for longer.

Change: the build that was seen longest ago makes room; the answer names builds for as long as the record keeps them.

TestLatestBuildsAreKnown fails before in its first two checks.

--- a/internal/begun/begun.go
+++ b/internal/begun/begun.go
@@ -77,7 +77,7 @@
 // BuildSeen records that targets of a build serve, or did at an earlier time.
 func (b *Book) BuildSeen(at ident.Time, sb event.ServiceBuild) {
 	last, known := b.builds[sb]
-	if known && last >= at || !known && len(b.builds) >= maxBuilds {
+	if known && last >= at || !known && !b.makeRoom(at) {
 		return
 	}
 	b.builds[sb] = at
@@ -92,6 +92,30 @@
 	}
 }
 
+// makeRoom drops the build that was seen longest ago if there are maxBuilds. It reports whether there is room for one that
+// was seen at a time.
+func (b *Book) makeRoom(at ident.Time) bool {
+	if len(b.builds) < maxBuilds {
+		return true
+	}
+	var oldest event.ServiceBuild
+	seenAt := at
+	for sb, t := range b.builds {
+		if t < seenAt || t == seenAt && oldest != (event.ServiceBuild{}) && compare(sb, oldest) < 0 {
+			oldest, seenAt = sb, t
+		}
+	}
+	if oldest == (event.ServiceBuild{}) {
+		return false
+	}
+	delete(b.builds, oldest)
+	return true
+}
+
+func compare(x, y event.ServiceBuild) int {
+	return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Build, y.Build))
+}
+
 // Builds returns the builds of a service that were seen within a time, sorted.
 func (b *Book) Builds(now ident.Time, service string, within time.Duration) []ident.Build {
 	var found []ident.Build
@@ -104,17 +128,15 @@
 	return found
 }
 
-// Seen returns the builds of all services that were seen within announceTTL, sorted.
-func (b *Book) Seen(now ident.Time) []event.SeenBuild {
+// Seen returns the builds of all services that were seen within a time, at least announceTTL, sorted.
+func (b *Book) Seen(now ident.Time, within time.Duration) []event.SeenBuild {
 	var seen []event.SeenBuild
 	for sb, at := range b.builds {
-		if age := now.Sub(at); age <= announceTTL {
+		if age := now.Sub(at); age <= max(within, announceTTL) {
 			seen = append(seen, event.SeenBuild{ServiceBuild: sb, Age: max(age, 0)})
 		}
 	}
-	slices.SortFunc(seen, func(x, y event.SeenBuild) int {
-		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Build, y.Build))
-	})
+	slices.SortFunc(seen, func(x, y event.SeenBuild) int { return compare(x.ServiceBuild, y.ServiceBuild) })
 	return seen
 }
 
--- a/internal/begun/begun_test.go
+++ b/internal/begun/begun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -96,7 +97,27 @@
 	for n := range 2 * maxBuilds {
 		b.BuildSeen(start, event.ServiceBuild{Service: "flood", Build: ident.Build(rune(n))})
 	}
-	check(t, "builds", maxBuilds, len(b.Seen(start)))
+	check(t, "builds", maxBuilds, len(b.Seen(start, time.Minute)))
+}
+
+// Guards against builds that are not noticed any more after many releases, and against leaving out builds whose streams may
+// still be taken up.
+func TestLatestBuildsAreKnown(t *testing.T) {
+	b := New()
+	now := start
+	for n := range 3 * maxBuilds {
+		now = now.Add(time.Minute)
+		b.BuildSeen(now, event.ServiceBuild{Service: "writers", Build: ident.Build(fmt.Sprint("v", n))})
+	}
+	last, before := ident.Build(fmt.Sprint("v", 3*maxBuilds-1)), ident.Build(fmt.Sprint("v", 3*maxBuilds-2))
+	check(t, "builds of two minutes", []ident.Build{before, last}, b.Builds(now, "writers", 90*time.Second))
+	var seen []ident.Build
+	for _, s := range b.Seen(now, 90*time.Second) {
+		seen = append(seen, s.Build)
+	}
+	check(t, "seen in two minutes", []ident.Build{before, last}, seen)
+	b.BuildSeen(start, v1)
+	check(t, "one of long ago", 0, len(b.Builds(now, "writers", time.Hour))-61)
 }
 
 // Compares a book with plain maps under any sequence of calls.
--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -282,7 +282,7 @@
 }
 
 func (rd *Reducer) answerBegun(now ident.Time, to ident.EntryID, stream ident.Stream) {
-	ans := event.AnswerBegun{To: to, Stream: stream, Seen: rd.begun.Seen(now), AllSeen: rd.knowsAllBuilds(now)}
+	ans := event.AnswerBegun{To: to, Stream: stream, Seen: rd.begun.Seen(now, rd.buildRetention()), AllSeen: rd.knowsAllBuilds(now)}
 	if s, known := rd.begun.Find(now, stream); known {
 		ans.Begun = []event.BegunStream{s}
 	}
