--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -457,49 +457,6 @@
 	}
 }
 
-// stream sends the events after the last one that the caller received.
-func (k *Worker) stream(w http.ResponseWriter, r *http.Request, f Fault) {
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	w.Header().Set("Content-Type", "text/event-stream")
-	rc := http.NewResponseController(w)
-	for n := from + 1; n <= k.cfg.Events; n++ {
-		if f == Crash && n == from+2 {
-			fmt.Fprintf(w, "id: %d\ndata: pie", n)
-			_ = rc.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		if k.cfg.NamesBuild {
-			fmt.Fprintf(w, "%s%s\n", BuildField, cmp.Or(k.cfg.Build, DefaultBuild))
-		}
-		if k.cfg.Lines > 0 {
-			if !k.writeLines(w, n, f == CrashInLines && n == from+2) {
-				panic(http.ErrAbortHandler)
-			}
-		} else {
-			fmt.Fprint(w, EventText(n))
-		}
-		pause := k.cfg.EventInterval
-		if f == Paused && n == from+2 {
-			pause = PauseDuration
-		}
-		if rc.Flush() != nil || !sleep(r, pause) {
-			return
-		}
-	}
-}
-
-// EventText returns the n-th event of every stream.
-func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
-
-// StreamText returns a complete stream of n events.
-func StreamText(n int) string {
-	var b strings.Builder
-	for i := 1; i <= n; i++ {
-		b.WriteString(EventText(i))
-	}
-	return b.String()
-}
-
 // sleep waits for d. It returns false if the caller has disconnected.
 func sleep(r *http.Request, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -3,14 +3,10 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,9 +17,6 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// ErrWrongAnswer is returned if an answer is not the target's answer to this request.
-var ErrWrongAnswer = errors.New("target: not the answer to this request")
-
 // Timeouts and limits of a pool.
 const (
 	// poolDialTimeout bounds the time to connect. Targets are in this host's region,
@@ -37,10 +30,6 @@
 	poolIdleMargin = 700 * time.Millisecond
 	// poolMaxIdle bounds the idle connections to one target.
 	poolMaxIdle = 64
-	// finalWriteTimeout is how long a complete answer waits for the last write of
-	// its request, at most connBufferBytes. It is a hundred times the scheduling delay
-	// of a goroutine on a busy machine, and too short for callers to notice.
-	finalWriteTimeout = 20 * time.Millisecond
 	// poolSweepInterval is the interval at which expired idle connections are closed.
 	poolSweepInterval = time.Second
 	// userTimeout is how long the kernel waits for sent bytes to be acknowledged,
@@ -51,10 +40,6 @@
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
 	tcpUserTimeout    = 18 // TCP_USER_TIMEOUT of Linux
-	// maxAnswersRead bounds the answers that are read for one request, interim (1xx)
-	// answers included, and maxSkippedBytes the body of each skipped answer.
-	maxAnswersRead  = 2
-	maxSkippedBytes = 1 << 20
 )
 
 // Pool sends requests on persistent connections, one at a time on each. It
@@ -79,46 +64,6 @@
 	opened int64
 }
 
-// conn is one connection to a target.
-type conn struct {
-	net.Conn
-	p    *Pool
-	addr string
-	head *headReader
-	br   *bufio.Reader
-	// expires is the time from which the idle connection is no longer used.
-	expires ident.Time
-	w       *writer
-	// last is the id of the last request on the connection.
-	last ident.RequestID
-}
-
-// Exchange is one request to a target and what identifies its answer.
-type Exchange struct {
-	Addr    string
-	Request *http.Request
-	// ID is the id that the answer names. It is empty if the target names none in answers to such a request; then the first
-	// answer that names none is returned.
-	ID ident.RequestID
-	// NamedBy returns the id of the request that an answer names, empty if it names none.
-	NamedBy func(h http.Header) ident.RequestID
-	// OnSend, if set, is called before the first byte can leave.
-	OnSend func()
-	// OnOther, if set, is called for each answer that is not the one to this request.
-	OnOther func(res *http.Response)
-}
-
-// isOwn reports whether an answer is the one to this request.
-func (x Exchange) isOwn(res *http.Response) bool {
-	if x.NamedBy(res.Header) == x.ID {
-		return true
-	}
-	if x.OnOther != nil {
-		x.OnOther(res)
-	}
-	return false
-}
-
 // NewPool returns an empty pool.
 func NewPool(svc *clock.Service) *Pool {
 	p := &Pool{clock: svc, idle: make(map[string][]*conn), dial: NewDialer(poolDialTimeout)}
@@ -251,183 +196,6 @@
 	return nil
 }
 
-// isReusable reports whether an idle connection can be used: it has not expired,
-// the target has not closed it, and no unsolicited bytes have arrived on it.
-func (c *conn) isReusable(now ident.Time) bool {
-	if now >= c.expires || c.br.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var b [1]byte
-	var got int
-	var readErr error
-	err = rc.Read(func(fd uintptr) bool {
-		got, readErr = syscall.Read(int(fd), b[:])
-		return true
-	})
-	return err == nil && got <= 0 && errors.Is(readErr, syscall.EAGAIN)
-}
-
-// writer writes a request while its answer is read: a target may answer before
-// it has read a long body, and writing first and reading afterwards would
-// deadlock both sides.
-type writer struct {
-	t   tomb.Tomb
-	c   *conn
-	req *http.Request
-	// requestRead is set once the whole request is in the write buffer or has been
-	// written.
-	requestRead atomic.Bool
-}
-
-func (w *writer) run() error {
-	bw := bufio.NewWriterSize(w.c, connBufferBytes)
-	if err := w.req.Write(bw); err != nil {
-		return errors.Wrap(ErrConnection, err.Error())
-	}
-	w.requestRead.Store(true)
-	return errors.Wrap(bw.Flush(), "target: write")
-}
-
-// awaitWritten reports whether the whole request has been written. The target may have answered
-// before the writer's goroutine returns from its last write, so awaitWritten waits for it, for at
-// most finalWriteTimeout.
-func (w *writer) awaitWritten() bool {
-	if !w.requestRead.Load() {
-		return false
-	}
-	if err := w.c.SetWriteDeadline(time.Now().Add(finalWriteTimeout)); err != nil {
-		return false
-	}
-	<-w.t.Dead()
-	return w.t.Err() == nil && w.c.SetWriteDeadline(time.Time{}) == nil
-}
-
-// unlimited is the value of headReader.left outside of heads.
-const unlimited = -1
-
-// headReader bounds the bytes that are read while the head of an answer arrives: a target in trouble may
-// send bytes without end.
-type headReader struct {
-	r    io.Reader
-	left int
-}
-
-func (h *headReader) Read(b []byte) (int, error) {
-	if h.left == unlimited {
-		return h.r.Read(b)
-	}
-	if h.left == 0 {
-		return 0, errors.Wrapf(ErrWrongAnswer, "its head is longer than %d bytes", maxHeaderBytes)
-	}
-	n, err := h.r.Read(b[:min(len(b), h.left)])
-	h.left -= n
-	return n, err
-}
-
-// readHead reads the head of one answer.
-func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.head.left = maxHeaderBytes
-	res, err := http.ReadResponse(c.br, req)
-	c.head.left = unlimited
-	return res, err
-}
-
-// readAnswer reads answers until it reaches the one to this request. proven reports whether it named the request and
-// came first.
-func (c *conn) readAnswer(x Exchange) (res *http.Response, proven bool, err error) {
-	skippedAny := false
-	for range maxAnswersRead {
-		res, err := c.readHead(x.Request)
-		if errors.Is(err, ErrWrongAnswer) {
-			return nil, false, err
-		}
-		if err != nil {
-			return nil, false, connectionError(err)
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
-		if x.isOwn(res) {
-			return res, !skippedAny && x.ID != "", nil
-		}
-		if x.NamedBy(res.Header) == "" {
-			return nil, false, errors.Wrap(ErrWrongAnswer, "it names no request")
-		}
-		if x.Request.Method == http.MethodHead {
-			// Whether a body follows depends on the method of the other request.
-			return nil, false, ErrWrongAnswer
-		}
-		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkippedBytes))
-		if err != nil || n == maxSkippedBytes || res.Close {
-			return nil, false, ErrWrongAnswer
-		}
-		skippedAny = true
-	}
-	return nil, false, ErrWrongAnswer
-}
-
-func keepsAlive(res *http.Response) bool { return !res.Close }
-
-// idleTimeoutFrom returns how long a connection may stay idle by the target's
-// Keep-Alive header, poolIdleTimeout if it names no shorter timeout.
-func idleTimeoutFrom(h http.Header) time.Duration {
-	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		val, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
-		if !ok {
-			continue
-		}
-		n, err := strconv.Atoi(val)
-		if err == nil && n >= 0 && n < int(poolIdleTimeout/time.Second) {
-			return max(time.Duration(n)*time.Second-poolIdleMargin, 0)
-		}
-	}
-	return poolIdleTimeout
-}
-
-// body returns the connection to the pool when the answer has been read to its end.
-type body struct {
-	io.ReadCloser
-	c           *conn
-	stop        func() bool
-	reusable    bool
-	idleTimeout time.Duration
-	once        sync.Once
-}
-
-func (b *body) Read(buf []byte) (int, error) {
-	n, err := b.ReadCloser.Read(buf)
-	if errors.Is(err, io.EOF) {
-		b.finish(b.reusable)
-	} else if err != nil {
-		b.finish(false)
-	}
-	return n, err
-}
-
-func (b *body) Close() error {
-	b.finish(false)
-	return nil
-}
-
-func (b *body) finish(keep bool) {
-	b.once.Do(func() {
-		// If the context has ended, the connection's deadline has passed and it
-		// cannot be reused.
-		keep = b.stop() && keep && b.c.w.awaitWritten()
-		if !keep || !b.c.p.putIdle(b.c, b.idleTimeout) {
-			_ = b.c.Close()
-		}
-	})
-}
-
 // Drop closes the idle connections to an address. It is used when a target has restarted during a
 // network partition: this side never saw the connections to its previous incarnation close.
 func (p *Pool) Drop(addr string) {
