--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -192,6 +192,9 @@
 	// answer was complete, TargetEnded that its process has ended.
 	Disconnected bool `json:"disconnected,omitempty"`
 	TargetEnded  bool `json:"targetEnded,omitempty"`
+	// Unframed means that the answer had neither a length nor chunks, so that it ended with its
+	// connection.
+	Unframed bool `json:"unframed,omitempty"`
 	// EndedRuns are the targets that have ended while they ran the request or a repeat of it,
 	// as far as the peer knows that ran the attempt.
 	EndedRuns []TargetRun `json:"endedRuns,omitempty"`
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -44,6 +44,7 @@
 	res.Body = body
 	defer res.Body.Close()
 	end := a.receive(res, d)
+	end.Unframed = body.unframed
 	end = a.withDisconnect(ctx, end, d.Target, (end.Result == event.ResultBroken || body.unframed) && body.disconnected)
 	if end.TargetEnded && end.Result != event.ResultBroken {
 		end.AnswerBuffered = false
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -230,6 +230,10 @@
 		"request", a.request, "attempt", e.Attempt.Number, "target", a.target, "result", e.Result, "status", e.Status,
 		"code", e.Code, "events", e.Delivered, "firstMs", firstMillis(a), "tookMs", millis(now.Sub(a.sentAt)),
 	}
+	if e.Unframed {
+		tr.count("attempts.unframed")
+		kv = append(kv, "unframed", true)
+	}
 	if e.Result == event.ResultDone {
 		tr.logRoutine("attempt ended", kv...)
 		return
