--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -39,6 +39,10 @@
 	Draining bool   `json:"leaving,omitempty"`
 }
 
+// MaxSlots limits the slots of one target, in requests at once. Hosts add up the slots of a data centre and
+// multiply them by percentages.
+const MaxSlots = 1 << 16
+
 // TargetKind distinguishes model engines and plain services.
 type TargetKind string
 
@@ -61,8 +65,8 @@
 	Draining bool   `json:"leaving,omitempty"`
 	// Price is the cost of one second of one slot, in cost units.
 	Price float64 `json:"price,omitempty"`
-	// Capacity is how many requests the target runs at once, zero if only its load
-	// report states it.
+	// Capacity is how many requests the target runs at once, at most MaxSlots, zero if only
+	// its load report states it.
 	Capacity int `json:"capacity,omitempty"`
 	// Evacuated is set while the data centre of the target is evacuated: no more
 	// requests are sent there until that ends.
