serve: an answer that another region relays in place of a rest does not end the stream

Callers saw a stream that ended as complete after a part of it: its target had broken off, the rest had been forwarded to another region, and a target there had answered with something else than a stream of events (a 4xx, a 204, a redirect, JSON). For targets of its own a host checks that (canContinueStream), for what another host relays it did not, and that host does not know that the caller has a part. The relayed answer was buffered, the attempt ended as done, and the end of the request was the end of the stream. A failure (5xx) was refused before, since the other host counts the events before the rest as delivered.

The check is now made where the caller's part is known. Such an attempt has failed, and the rest may go on elsewhere.

--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -32,8 +33,11 @@
 	hasBytes   atomic.Bool
 	// firstByteReported is set once the first byte of the answer has been reported.
 	firstByteReported bool
-	reportedUsage     usage
-	end               event.AttemptEnded
+	// cannotContinue is set if another entry host has answered with what is no continuation of the
+	// stream of which the caller has a part.
+	cannotContinue bool
+	reportedUsage  usage
+	end            event.AttemptEnded
 	// gapCount is the number of events since gapStart.
 	gapCount int
 	gapStart ident.Time
@@ -67,17 +71,35 @@
 	call := a.call
 	call.Header = a.call.Header.Clone()
 	trace.Inject(ctx, call.Header)
-	end := a.Forward(ctx, ForwardedRequest{Forward: f, Request: a.req, Call: call}, a.markSent, Relay{Build: a.setBuild, Begin: a.begin, Data: a.receiveRelayed})
+	end := a.Forward(ctx, ForwardedRequest{Forward: f, Request: a.req, Call: call}, a.markSent, Relay{Build: a.setBuild, Begin: a.beginRelayed, Data: a.receiveRelayed})
+	if a.cannotContinue {
+		a.Log.V(1).Info("attempt broke", "attempt", a.id, "error", errNotContinued)
+		end.Result, end.Resumable = event.ResultFailed, a.resumable()
+		end.Delivered, end.Generated = a.delivered, 0
+	}
 	span.Set("result", string(end.Result))
 	return end
 }
 
 func (a *attempt) setBuild(b ident.Build) { a.build = b }
 
+// beginRelayed receives the head of an answer that another entry host relays. That host does not know
+// whether the caller has a part of a stream.
+func (a *attempt) beginRelayed(status int, h http.Header) {
+	if a.sinkBegun && !canContinueStream(&http.Response{StatusCode: status, Header: h}) {
+		a.cannotContinue = true
+		return
+	}
+	a.begin(status, h)
+}
+
 // receiveRelayed receives a piece of the answer that another entry host relays. That host has checked
 // that the pieces are contiguous. A piece whose token count is lower than that of the previous one
 // is rejected, since the caller would receive text twice.
 func (a *attempt) receiveRelayed(b []byte, tokens ident.Tokens) error {
+	if a.cannotContinue {
+		return errNotContinued
+	}
 	if tokens < a.delivered {
 		return errOutOfSequence
 	}
--- a/internal/serve/fixture_test.go
+++ b/internal/serve/fixture_test.go
@@ -38,6 +38,8 @@
 	silences      int
 	// resumeFirst is the token from which the first attempt resumes the answer.
 	resumeFirst ident.Tokens
+	// hosts answer the attempts after those at the targets: other entry hosts to which they are forwarded.
+	hosts []func(req ForwardedRequest, relay Relay) event.AttemptEnded
 
 	mu            sync.Mutex
 	ends          []event.AttemptEnded
@@ -67,8 +69,13 @@
 	t.Cleanup(svc.Stop)
 	lp := loop.New(loop.Config{Step: f.step, Clock: svc, Log: logr.Discard(), Execute: func(event.Effect) {}})
 	t.Cleanup(lp.Stop)
+	forward := func(_ context.Context, req ForwardedRequest, onSend func(), relay Relay) event.AttemptEnded {
+		onSend()
+		return f.hosts[int(req.Forward.Envelope.Attempt.Number)-len(f.targets)-1](req, relay)
+	}
 	f.rn = &Runner{
-		Loop: lp, Clock: svc, Log: logr.Discard(), Targets: target.New(),
+		Forward: forward,
+		Loop:    lp, Clock: svc, Log: logr.Discard(), Targets: target.New(),
 		Answers: &AnswerCache{}, MaxAnswer: 1 << 20, Budget: NewBudget(4 << 20),
 	}
 	return f
@@ -104,10 +111,16 @@
 }
 
 func (f *fixture) dispatchNext(now ident.Time, resume ident.Tokens) []event.Effect {
-	if int(f.attempts) >= len(f.targets) {
+	if int(f.attempts) >= len(f.targets)+len(f.hosts) {
 		return []event.Effect{event.Refuse{Request: testID, Code: codes.NoTarget.ID, Outcome: event.NotRun}}
 	}
 	f.attempts++
+	if int(f.attempts) > len(f.targets) {
+		return []event.Effect{event.Forward{
+			Request: testID, Envelope: event.Envelope{Attempt: ident.Attempt{Entry: "e", Incarnation: 1, Number: f.attempts}},
+			Deadline: now.Add(f.deadline), ResumeAfter: resume, IdleTimeouts: f.idleTimeouts,
+		}}
+	}
 	return []event.Effect{event.Dispatch{
 		Request: testID, Attempt: ident.Attempt{Entry: "e", Incarnation: 1, Number: f.attempts}, Target: f.targets[f.attempts-1],
 		Deadline: now.Add(f.deadline), ResumeAfter: resume, AtMostOnce: f.atMostOnce, KeepOutcome: f.atMostOnce, IdleTimeouts: f.idleTimeouts,
--- /dev/null
+++ b/internal/serve/forwarded_test.go
@@ -0,0 +1,51 @@
+package serve
+
+import (
+	"net/http"
+	"testing"
+
+	"verbenadale.example/verbenadale/internal/event"
+)
+
+// eventStream are the headers of a stream of events.
+var eventStream = http.Header{"Content-Type": {"text/event-stream"}}
+
+// relayAnswer returns another entry host that relays an answer and its end.
+func relayAnswer(status int, h http.Header, body string, result event.Result) func(ForwardedRequest, Relay) event.AttemptEnded {
+	return func(req ForwardedRequest, relay Relay) event.AttemptEnded {
+		relay.Begin(status, h)
+		if body != "" {
+			if err := relay.Data([]byte(body), req.Forward.ResumeAfter); err != nil {
+				return event.AttemptEnded{Result: event.ResultBroken}
+			}
+		}
+		return event.AttemptEnded{Result: result, Delivered: req.Forward.ResumeAfter}
+	}
+}
+
+// Guards against a stream that ends as complete because another region has relayed a failure, or any other answer that
+// is no stream, in place of its rest.
+func TestForwardedAnswerInPlaceOfRestDoesNotEndStream(t *testing.T) {
+	for name, host := range map[string]func(ForwardedRequest, Relay) event.AttemptEnded{
+		"failure":            relayAnswer(500, http.Header{}, "{}", event.ResultDone),
+		"failure, no body":   relayAnswer(504, http.Header{}, "", event.ResultDone),
+		"no content":         relayAnswer(204, http.Header{}, "", event.ResultDone),
+		"redirect":           relayAnswer(307, eventStream, "", event.ResultDone),
+		"no events":          relayAnswer(200, http.Header{}, "{}", event.ResultDone),
+		"no events, no body": relayAnswer(200, http.Header{}, "", event.ResultDone),
+		"broken":             relayAnswer(200, http.Header{}, "{", event.ResultBroken),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				streamAnswer(routedEvents(1, 2))(w, r)
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			f.hosts = append(f.hosts, host)
+			got := f.run(t.Context(), routedStream)
+			check(t, "body", routedEvents(1, 2), got.Body)
+			check(t, "reported as complete", false, got.Outcome == event.Done)
+			check(t, "resumable", true, f.ends[1].Resumable)
+		})
+	}
+}
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -15,6 +15,7 @@
 var (
 	errEventTooLong  = errors.New("serve: stream event is too long")
 	errOutOfSequence = errors.New("serve: stream event is out of sequence")
+	errNotContinued  = errors.New("serve: answer does not continue the stream")
 )
 
 // Sizes and markers of server-sent events.
