serve, core: a stream does not go on at another target after an event without an id

Callers got events twice, or pieces of two runs as one stream: events without an id, or with an empty one, moved the stream and not the count of what was delivered. When the target broke off, the rest began after the last id before them; a stream without ids began anew at another target, behind what the caller had, and ended as complete. A rest that begins with such an event was relayed, as were the opening events of a target that begins anew.

Such an event is relayed as it arrives, and no other attempt follows until the next id: the end of an attempt says so (unplaced), the reducer ends the request, and a target that pauses is not broken off. A rest has to begin with an id. Comments and fields that carry nothing to the caller need none. A byte order mark before a rest is left out: within a stream it would hide the id.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -339,7 +339,7 @@
 		return
 	}
 	ref := refusal{code: codes.TargetFailed.ID, outcome: event.Unknown}
-	if r.delivered > 0 && !e.Resumable {
+	if (r.delivered > 0 || e.Unplaced) && !e.Resumable {
 		rd.endRefused(now, r, ref)
 		return
 	}
--- a/internal/core/resume_test.go
+++ b/internal/core/resume_test.go
@@ -195,3 +195,17 @@
 		}
 	}
 }
+
+// Guards against sending a stream to a second target when the caller has events of the first that have no ids.
+func TestStreamWithoutIDsIsNotSentAgain(t *testing.T) {
+	for _, delivered := range []ident.Tokens{0, 3} {
+		h := newTestHost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+		h.now = h.now.Add(retry.Window)
+		d := h.send("draft")
+		h.step(event.FirstToken{Attempt: d.Attempt})
+		effs := h.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Unplaced: true, Delivered: delivered})
+		if r, ok := pick[event.Refuse](effs); !ok || r.Outcome != event.Unknown {
+			t.Errorf("%d delivered: the stream is not ended: %+v", delivered, effs)
+		}
+	}
+}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -184,6 +184,9 @@
 	Draining bool `json:"draining,omitempty"`
 	// Resumable means that a new attempt may continue after the delivered tokens.
 	Resumable bool `json:"resumable,omitempty"`
+	// Unplaced means that the caller has an event without an id after the delivered tokens, so that no
+	// attempt may follow.
+	Unplaced bool `json:"unplaced,omitempty"`
 	// OutcomeStored means that the request's goroutine stored the outcome for repeats.
 	OutcomeStored bool `json:"kept,omitempty"`
 	// Silent means that the attempt was aborted because it sent no data.
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -59,7 +59,8 @@
 		a.t.Go(w.run)
 	}
 	end := a.do(ctx)
-	end.Attempt = a.id
+	end.Attempt, end.Unplaced = a.id, a.unplaced.Load()
+	end.Resumable = end.Resumable && !end.Unplaced
 	a.end = end
 	return nil
 }
@@ -118,7 +119,8 @@
 const silenceReportInterval = 500 * time.Millisecond
 
 // silenceWatch reports an attempt that sends no data for longer than its idle timeout. The reducer
-// decides whether to abort it, since it knows whether another attempt can follow.
+// decides whether to abort it, since it knows whether another attempt can follow. None can after an
+// event without an id.
 type silenceWatch struct {
 	*attempt
 	ctx context.Context
@@ -134,7 +136,9 @@
 				sub.Reset(deadline)
 				continue
 			}
-			w.Loop.Post(event.AttemptSilent{Attempt: w.id, Since: ident.Time(w.lastByteAt.Load()), AnswerBegan: w.hasBytes.Load()})
+			if !w.unplaced.Load() {
+				w.Loop.Post(event.AttemptSilent{Attempt: w.id, Since: ident.Time(w.lastByteAt.Load()), AnswerBegan: w.hasBytes.Load()})
+			}
 			sub.Reset(now.Add(silenceReportInterval))
 		case <-w.ctx.Done():
 			return nil
--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -36,13 +36,27 @@
 }
 
 // deliverEvent delivers an event of a routed stream. id is its id, or that of the last event that has one.
+//
+// An event with data and without an id is relayed as it arrives. Until the next id it is not known where
+// the stream would have to go on, so that no other attempt may follow.
 func (a *attempt) deliverEvent(ev []byte, id ident.Tokens) error {
-	if step := id - a.delivered; step > 0 {
+	if a.continues && !a.placed {
+		ev = bytes.TrimPrefix(ev, byteOrderMark)
+	}
+	step := id - a.delivered
+	if step <= 0 && hasData(ev) {
+		if a.continues && !a.placed {
+			return errOutOfSequence
+		}
+		a.unplaced.Store(true)
+	}
+	if step > 0 {
 		if a.continues && !a.placed && step > 1 && !a.hasLargeSteps {
 			// An event is missing between what two targets have sent.
 			return errOutOfSequence
 		}
 		a.placed = true
+		a.unplaced.Store(false)
 		a.hasLargeSteps = a.hasLargeSteps || step > 1
 	}
 	return a.deliver(ev, id)
@@ -142,12 +156,26 @@
 	}
 }
 
+// byteOrderMark may begin a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// hasData reports whether an event has data. One without, such as a comment, is nothing to the program
+// that receives the stream.
+func hasData(ev []byte) bool {
+	for line := range lines(bytes.TrimPrefix(ev, byteOrderMark)) {
+		if name, _, _ := bytes.Cut(line, []byte(":")); string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
+
 // checkID checks the id of the event that has been read. Ids must increase: a repeated event would corrupt
-// the text that the caller receives.
+// the text that the caller receives. An empty id is none.
 func (r *eventReader) checkID() error {
-	for line := range lines(r.buf) {
+	for line := range lines(bytes.TrimPrefix(r.buf, byteOrderMark)) {
 		val, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
+		if !ok || len(bytes.TrimSpace(val)) == 0 {
 			continue
 		}
 		n, err := strconv.ParseInt(string(bytes.TrimSpace(val)), 10, 64)
--- a/internal/serve/fixture_test.go
+++ b/internal/serve/fixture_test.go
@@ -105,7 +105,7 @@
 		switch {
 		case e.Result == event.ResultDone:
 			return []event.Effect{event.Finish{Request: testID, Outcome: event.Done}}
-		case e.Result == event.ResultNotRun, e.Resumable, e.Delivered == 0 && !f.atMostOnce:
+		case e.Result == event.ResultNotRun, e.Resumable, e.Delivered == 0 && !e.Unplaced && !f.atMostOnce:
 			return f.dispatchNext(now, e.Delivered)
 		}
 		return []event.Effect{event.Refuse{Request: testID, Code: codes.TargetFailed.ID, Outcome: event.Unknown}}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -156,6 +156,8 @@
 	build ident.Build
 	// delivered is the number of tokens that the sink has been given: the id of the last event.
 	delivered ident.Tokens
+	// unplaced is set while the sink has been given an event without an id after that one.
+	unplaced atomic.Bool
 	// hasLargeSteps is set once the ids of a stream have increased by more than one.
 	hasLargeSteps bool
 	// buffered is the answer that is kept until it is complete or for repeats; reserved is its share
