--- a/internal/dev/kvstub/kvstub.go
+++ b/internal/dev/kvstub/kvstub.go
@@ -43,6 +43,7 @@
 // Limits of the fake, and the revision of an empty store.
 const (
 	maxPageItems    = 500
+	maxPageBytes    = 1 << 20
 	maxWatchWait    = 30 * time.Second
 	initialRevision = 7
 )
@@ -314,8 +315,14 @@
 	if len(keys) > maxPageItems {
 		keys, out.HasMore = keys[:maxPageItems], true
 	}
+	size := 0
 	for _, key := range keys {
-		out.Items = append(out.Items, s.items[key])
+		it := s.items[key]
+		if size += len(it.Value); size > maxPageBytes && len(out.Items) > 0 {
+			out.HasMore = true
+			break
+		}
+		out.Items = append(out.Items, it)
 	}
 	writeJSON(w, out)
 }
