wire: numbers of peers have bounds that keep sums and percentages within 64 bits

What callers would see: a host with a bug, or of another release, that sends 5e18 slots, -2^63 requests or 3e38 tokens a second makes the others compute with sums and products that overflowed: a data centre that requests capacity without need or offers none, targets that look full or free, shares that are NaN.

Cause: counts were read as any number from 0 to 2^63, rates as any finite float32, the columns of uses as uint64 whose sign bit became zero. The recipients add them up over targets and peers and multiply them by 100.

Ruled out: durations. They have had a bound of 24 h; those from which rates are learnt (the typical time of a request, the gap of events) could still keep a host that adopts them wrong for a hundred requests.

Change, where messages are decoded: maxCount 2^30: requests, slots and targets of a data centre, admissions event.MaxSlots 2^16: slots of a target; a listed target beyond is left out, as the store's entry is maxTokens 2^40, maxMeasured 2^40 (rates per second, prices) maxRequestTime 10 min, maxEventGap 1 min event.MaxRateLimit 2^30 requests a second; a higher limit limits nothing, so that this one is cut Beyond its bound a number is a fault of its sender and counts as unknown, as NaN did: zero. A sum over 2^20 targets and hosts times 100 is below 2^57.

Evidence: TestNumbersOfPeersStayWithinBounds plays numbers at and beyond the bounds as digests and summaries. On the old code: "failed after 0 tests: 0 free of slots: requests capacity false".

--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -43,6 +43,9 @@
 // multiply them by percentages.
 const MaxSlots = 1 << 16
 
+// MaxRateLimit is the highest limit that a target may name, in requests a second. A higher one limits nothing.
+const MaxRateLimit = 1 << 30
+
 // TargetKind distinguishes model engines and plain services.
 type TargetKind string
 
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -102,8 +102,8 @@
 	}
 	return event.AttemptEnded{
 		Result: res, Code: codes.ID(p.GetCode()), Status: int(p.GetStatus()),
-		RetryAfter: duration(p.GetRetryAfterMs()), Generated: ident.Tokens(p.GetGenerated()),
-		Cached: ident.Tokens(p.GetCached()), Draining: p.GetDraining(), Resumable: p.GetResumable(),
+		RetryAfter: duration(p.GetRetryAfterMs()), Generated: tokens(p.GetGenerated()),
+		Cached: tokens(p.GetCached()), Draining: p.GetDraining(), Resumable: p.GetResumable(),
 		Disconnected: p.GetDisconnected(), EndedRuns: convert(p.GetEndedRuns(), toRun),
 	}, nil
 }
--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -38,7 +38,7 @@
 		Host: host, Seq: p.GetSeq(), Revision: ident.Revision(p.GetRevision()),
 		Use: append(convert(p.GetUse(), toUse), p.GetKeyed().toUses()...), Loads: convert(p.GetLoads(), toLoad),
 		Accounts: p.GetAccounts().toAccounts(), Draining: convert(p.GetDrainNotices(), toDrainNotice),
-		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: convert(p.GetTargets(), toTarget),
+		Summaries: convert(p.GetSummaries(), (*Summary).ToEvent), Targets: toTargets(p.GetTargets()),
 		Forwarded: convert(p.GetAway(), toForwarded), PlatformUnreachable: p.GetBlind(), Wants: convert(p.GetWants(), toWant), AccountsIncluded: p.GetAccountsIncluded(),
 		StaleCentres: convert(p.GetLacks(), toCentre), ListVersion: p.GetListVersion(), Demand: convert(p.GetFlows(), toDemand),
 		Holders: p.GetHolders().toHolders(), Complete: p.GetComplete(), Removed: convert(p.GetRemoved(), toRemoved),
@@ -124,7 +124,7 @@
 }
 
 func toDemand(p *Flow) event.PrefillDemand {
-	return event.PrefillDemand{Service: p.GetService(), UnsharedPrefill: finiteOrZero(p.GetAlone()), SharedPrefill: finiteOrZero(p.GetShared())}
+	return event.PrefillDemand{Service: p.GetService(), UnsharedPrefill: rate(p.GetAlone()), SharedPrefill: rate(p.GetShared())}
 }
 
 func fromRates(r event.ServiceRates) *ServiceRates {
@@ -136,8 +136,8 @@
 
 func toRates(p *ServiceRates) event.ServiceRates {
 	return event.ServiceRates{
-		Service: p.GetService(), PrefillRate: finiteOrZero(p.GetPrefillRate()), RequestTime: durationOfMicros(p.GetRequestTimeUs()),
-		EventGap: durationOfMicros(p.GetEventGapUs()), MinEventGap: durationOfMicros(p.GetMinEventGapUs()),
+		Service: p.GetService(), PrefillRate: rate(p.GetPrefillRate()), RequestTime: shortDuration(p.GetRequestTimeUs(), maxRequestTime),
+		EventGap: shortDuration(p.GetEventGapUs(), maxEventGap), MinEventGap: shortDuration(p.GetMinEventGapUs(), maxEventGap),
 	}
 }
 
@@ -203,8 +203,8 @@
 	for i := range n {
 		uses = append(uses, event.TargetUse{
 			Key:     event.TargetKey(p.GetKeys()[i]),
-			Running: int(nonNegative(int64(p.GetRunning()[i]))), Tokens: ident.Tokens(nonNegative(int64(p.GetTokens()[i]))),
-			PendingPrefill: ident.Tokens(nonNegative(int64(columnValue(p.GetUnread(), i)))),
+			Running: count(p.GetRunning()[i]), Tokens: tokens(p.GetTokens()[i]),
+			PendingPrefill: tokens(columnValue(p.GetUnread(), i)),
 		})
 	}
 	return uses
@@ -212,8 +212,8 @@
 
 func toUse(p *TargetUse) event.TargetUse {
 	return event.TargetUse{
-		Target: ident.TargetID(p.GetTarget()), Running: int(nonNegative(p.GetRunning())), Tokens: ident.Tokens(nonNegative(p.GetTokens())),
-		Key: event.TargetKey(p.GetKey()), PendingPrefill: ident.Tokens(nonNegative(p.GetUnread())),
+		Target: ident.TargetID(p.GetTarget()), Running: count(p.GetRunning()), Tokens: tokens(p.GetTokens()),
+		Key: event.TargetKey(p.GetKey()), PendingPrefill: tokens(p.GetUnread()),
 	}
 }
 
@@ -235,7 +235,7 @@
 func toForwarded(p *AwayUse) event.ForwardedUse {
 	return event.ForwardedUse{
 		DataCentre: ident.DataCentre(p.GetDataCentre()), Serve: toServe(p.GetServe()),
-		Service: p.GetService(), Running: int(nonNegative(p.GetRunning())),
+		Service: p.GetService(), Running: count(p.GetRunning()),
 	}
 }
 
@@ -290,7 +290,7 @@
 	n := min(len(p.GetAccounts()), len(p.GetRequests()), len(p.GetTokens()))
 	for i := range n {
 		e.Admissions = append(e.Admissions, event.Admission{
-			Account: ident.Account(p.GetAccounts()[i]), Requests: p.GetRequests()[i], Tokens: ident.Tokens(p.GetTokens()[i]),
+			Account: ident.Account(p.GetAccounts()[i]), Requests: signed(p.GetRequests()[i], maxCount), Tokens: ident.Tokens(signed(p.GetTokens()[i], maxTokens)),
 		})
 	}
 	return e
@@ -336,9 +336,9 @@
 func toLoad(p *Load) event.Load {
 	return event.Load{
 		Target: ident.TargetID(p.GetTarget()), Incarnation: ident.Incarnation(p.GetIncarnation()),
-		Seq: p.GetSeq(), Age: duration(p.GetAgeMs()), Slots: int(nonNegative(p.GetSlots())), Running: int(nonNegative(p.GetRunning())),
-		Queued: int(nonNegative(p.GetQueued())), QueuedTokens: ident.Tokens(nonNegative(p.GetQueuedTokens())),
-		PrefillRate: finiteOrZero(p.GetPrefillRate()), DecodeRate: finiteOrZero(p.GetDecodeRate()),
+		Seq: p.GetSeq(), Age: duration(p.GetAgeMs()), Slots: slots(p.GetSlots()), Running: count(p.GetRunning()),
+		Queued: count(p.GetQueued()), QueuedTokens: tokens(p.GetQueuedTokens()),
+		PrefillRate: rate(p.GetPrefillRate()), DecodeRate: rate(p.GetDecodeRate()),
 		Serves: convert(p.GetServes(), toServe), Draining: p.GetDraining(),
 		Key: event.TargetKey(p.GetKey()), StaticOmitted: p.GetKept(),
 	}
@@ -356,10 +356,10 @@
 
 func toPool(p *Pool) event.Pool {
 	return event.Pool{
-		Serve: toServe(p.GetServe()), Service: p.GetService(), Slots: int(nonNegative(p.GetSlots())), Free: int(nonNegative(p.GetFree())),
-		Offer: int(nonNegative(p.GetOffer())), Wait: duration(p.GetWaitMs()), PrefillRate: finiteOrZero(p.GetPrefillRate()),
-		DecodeRate: finiteOrZero(p.GetDecodeRate()), Price: finiteOrZero(p.GetPrice()),
-		Targets: int(nonNegative(p.GetTargets())), UnsharedPrefill: finiteOrZero(p.GetAlone()), SharedPrefill: finiteOrZero(p.GetShared()),
+		Serve: toServe(p.GetServe()), Service: p.GetService(), Slots: count(p.GetSlots()), Free: count(p.GetFree()),
+		Offer: count(p.GetOffer()), Wait: duration(p.GetWaitMs()), PrefillRate: rate(p.GetPrefillRate()),
+		DecodeRate: rate(p.GetDecodeRate()), Price: rate(p.GetPrice()),
+		Targets: count(p.GetTargets()), UnsharedPrefill: rate(p.GetAlone()), SharedPrefill: rate(p.GetShared()),
 		Builds: convert(p.GetBuilds(), toBuild),
 	}
 }
@@ -377,7 +377,7 @@
 		Target: ident.TargetID(p.GetTarget()), Key: event.TargetKey(p.GetKey()), Incarnation: ident.Incarnation(p.GetIncarnation()), Age: duration(p.GetAgeMs()),
 	}
 	if p.PerSecond != nil && p.GetPerSecond() >= 0 {
-		l.PerSecond = value.Some(p.GetPerSecond())
+		l.PerSecond = value.Some(min(p.GetPerSecond(), event.MaxRateLimit))
 	}
 	return l
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -25,13 +25,15 @@
 import (
 	"encoding/binary"
 	"io"
-	"math"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
+
+	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
 )
 
 // Version is the version of the protocol, sent in the hello.
@@ -111,10 +113,6 @@
 
 func micros(d time.Duration) uint64 { return uint64(max(d.Microseconds(), 0)) }
 
-func durationOfMicros(us uint64) time.Duration {
-	return time.Duration(min(us, uint64(maxDuration.Microseconds()))) * time.Microsecond
-}
-
 // maxDuration limits the durations that are read, so that sums do not overflow.
 const maxDuration = 24 * time.Hour
 
@@ -125,20 +123,61 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// nonNegative reads a count. A negative count, added to others, would make a full target
-// look free.
-func nonNegative(n int64) int64 { return max(n, 0) }
+// Bounds of the numbers in messages. A number beyond its bound is a fault of the sender and counts as unknown,
+// which is zero. Sums over all targets and hosts, and their percentages, stay within 64 bits.
+const (
+	// maxCount bounds the requests of a host, and the slots and targets of a data centre.
+	maxCount = 1 << 30
+	// maxTokens bounds the tokens that a host or a target has in flight.
+	maxTokens = 1 << 40
+	// maxMeasured bounds rates per second, and prices.
+	maxMeasured = 1 << 40
+	// maxRequestTime and maxEventGap bound the typical duration of a request and the time between two
+	// events of a stream.
+	maxRequestTime = 10 * time.Minute
+	maxEventGap    = time.Minute
+)
+
+// integer is a number as it is sent.
+type integer interface{ int64 | uint64 }
+
+// count reads a number of requests, targets or slots of a data centre. A negative one, added to others,
+// would make a full target look free.
+func count[N integer](n N) int { return int(bounded(n, maxCount)) }
+
+// slots reads the slots of one target.
+func slots(n int64) int { return int(bounded(n, event.MaxSlots)) }
+
+func tokens[N integer](n N) ident.Tokens { return ident.Tokens(bounded(n, maxTokens)) }
 
-// finiteOrZero reads a rate or a price. NaN compares as neither less nor greater than
-// any number, so that one NaN in a cost would make every choice arbitrary without an
-// error. Such values count as unknown, which is zero.
-func finiteOrZero(f float32) float64 {
-	if f >= 0 && f <= math.MaxFloat32 {
+func bounded[N integer](n, most N) N {
+	if n < 0 || n > most {
+		return 0
+	}
+	return n
+}
+
+// signed reads a number that may be negative.
+func signed(n, most int64) int64 {
+	if n < -most || n > most {
+		return 0
+	}
+	return n
+}
+
+// rate reads a rate or a price. NaN compares as neither less nor greater than any number, so that one NaN in
+// a cost would make every choice arbitrary without an error.
+func rate(f float32) float64 {
+	if f >= 0 && f <= maxMeasured {
 		return float64(f)
 	}
 	return 0
 }
 
+func shortDuration(us uint64, most time.Duration) time.Duration {
+	return time.Duration(bounded(us, uint64(most.Microseconds()))) * time.Microsecond
+}
+
 // convert applies f to each element of a slice and returns nil for an empty one.
 func convert[A, B any](as []A, f func(A) B) []B {
 	if len(as) == 0 {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// toTargets leaves out targets with more slots than any has: they are none.
+func toTargets(ps []*Target) []event.Target {
+	var ts []event.Target
+	for _, p := range ps {
+		if p.GetCapacity() <= event.MaxSlots {
+			ts = append(ts, toTarget(p))
+		}
+	}
+	return ts
+}
+
 func toTarget(p *Target) event.Target {
 	kind := event.Engine
 	if p.GetKind() == TargetKind_TARGET_KIND_SERVICE {
@@ -72,7 +83,7 @@
 	return event.Target{
 		ID: ident.TargetID(p.GetId()), Incarnation: ident.Incarnation(p.GetIncarnation()), Kind: kind,
 		Place: toPlace(p.GetPlace()), URL: p.GetUrl(), Service: p.GetService(),
-		Draining: p.GetDraining(), Price: finiteOrZero(p.GetPrice()),
+		Draining: p.GetDraining(), Price: rate(p.GetPrice()),
 		Capacity: int(p.GetCapacity()), Evacuated: p.GetClosed(), ColdFor: duration(uint64(p.GetColdMs())), Loaded: convert(p.GetLoaded(), toServe),
 		Build: ident.Build(p.GetBuild()),
 	}
