serve, platform: an unframed answer is whole only if its target then answers for itself

Cause: an answer with neither a length nor chunks ends with its connection. The system closes the connections of a killed process in order, so that a host sees the bytes of a real end. The host counted it as whole unless the address refused connections. A relay, a listener that outlives its process and another target at the address accept them; and for a moment so does the address of a process that is being killed, whose listener may be closed after its connections.

Ruled out: asking several times whether something listens; it shows nothing about the process. Passing the end of the connection on to the caller in place of framing: the end of a host that is killed would look like a whole answer.

Not proven is broken: a resumable stream goes on elsewhere, an idempotent call is sent again, a call that runs once gets 502, another stream is cut. A success without a body, or without a whole event, is never whole. HEAD has no body and is not unframed. The wait does not count as silence. Ended serves only to find who has ended under which request. The line 'attempt ended' has provenWhole, and attempts.unframedUnproven counts those without.

Why it works: a process that has been killed runs nothing after its connections are closed, so that an answer to a query that is sent later can't be its own.

--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -196,8 +196,10 @@
 	Disconnected bool `json:"disconnected,omitempty"`
 	TargetEnded  bool `json:"targetEnded,omitempty"`
 	// Unframed means that the answer had neither a length nor chunks, so that it ended with its
-	// connection.
-	Unframed bool `json:"unframed,omitempty"`
+	// connection. ProvenWhole means that it is complete all the same: its content shows this, or its
+	// target has answered a query after the end.
+	Unframed    bool `json:"unframed,omitempty"`
+	ProvenWhole bool `json:"provenWhole,omitempty"`
 	// EndedRuns are the targets that have ended while they ran the request or a repeat of it,
 	// as far as the peer knows that ran the attempt.
 	EndedRuns []TargetRun `json:"endedRuns,omitempty"`
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -31,6 +31,8 @@
 	// lastByteAt is when the last piece of the answer arrived; at first, when the attempt started.
 	lastByteAt atomic.Int64
 	hasBytes   atomic.Bool
+	// answerEnded is set once the end of the answer has arrived and its target is asked whether it lives.
+	answerEnded atomic.Bool
 	// firstByteReported is set once the first byte of the answer has been reported.
 	firstByteReported bool
 	// cannotContinue is set if another entry host has answered with what is no continuation of the
@@ -132,6 +134,9 @@
 	for {
 		select {
 		case now := <-sub.C():
+			if w.answerEnded.Load() {
+				return nil
+			}
 			if deadline := w.idleDeadline(); deadline > now {
 				sub.Reset(deadline)
 				continue
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -40,21 +40,55 @@
 		end := event.AttemptEnded{Result: event.ResultBroken, Resumable: a.resumable(), Delivered: a.delivered}
 		return a.withDisconnect(ctx, end, d.Target, errors.Is(err, target.ErrDisconnected))
 	}
-	body := &answerBody{ReadCloser: res.Body, unframed: isUnframed(res)}
+	body := &answerBody{ReadCloser: res.Body, unframed: isUnframed(a.call.Method, res)}
 	res.Body = body
 	defer res.Body.Close()
 	end := a.receive(res, d)
-	end.Unframed = body.unframed
-	end = a.withDisconnect(ctx, end, d.Target, (end.Result == event.ResultBroken || body.unframed) && body.disconnected)
-	if end.TargetEnded && end.Result != event.ResultBroken {
-		end.AnswerBuffered = false
-		end = a.brokenResult(end, errors.Wrap(errTruncated, "its target has ended"))
+	if body.unframed {
+		end = a.checkUnframed(ctx, end, d.Target)
 	}
+	end = a.withDisconnect(ctx, end, d.Target, end.Result == event.ResultBroken && body.disconnected)
 	span.Set("result", string(end.Result))
 	span.SetInt("status", end.Status)
 	return end
 }
 
+// checkUnframed decides whether an answer that ended with its connection is complete. The system closes the
+// connections of a process that is killed in the same way as a target that has sent all of its answer, so the target
+// must show that it lives on. An answer without a body could have stated a length of 0.
+func (a *attempt) checkUnframed(ctx context.Context, end event.AttemptEnded, t event.Target) event.AttemptEnded {
+	end.Unframed = true
+	if end.Result != event.ResultDone && !end.AnswerBuffered {
+		return end
+	}
+	reason := ""
+	switch {
+	case a.call.Engine && end.Status == http.StatusOK:
+		// The id in its JSON, or the end marker, has shown it.
+	case end.Status < http.StatusMultipleChoices && !a.hasBytes.Load():
+		reason = "it is unframed and empty"
+	case !a.targetLives(ctx, t):
+		reason = "it is unframed, and its target does not answer for itself"
+	}
+	if reason != "" {
+		end.AnswerBuffered = false
+		return a.brokenResult(end, errors.Wrap(errTruncated, reason))
+	}
+	end.ProvenWhole = true
+	return end
+}
+
+// targetLives reports whether a target answers a query now. The wait for it does not count as silence of the target.
+func (a *attempt) targetLives(ctx context.Context, t event.Target) bool {
+	a.answerEnded.Store(true)
+	a.lastByteAt.Store(int64(a.Clock.Now()))
+	lives := a.Lives
+	if lives == nil {
+		lives = a.Targets.Lives
+	}
+	return lives(ctx, t)
+}
+
 // withDisconnect adds to the end of an attempt whether the target closed its connection and, if so,
 // whether the target has ended.
 func (a *attempt) withDisconnect(ctx context.Context, end event.AttemptEnded, t event.Target, disconnected bool) event.AttemptEnded {
@@ -85,8 +119,8 @@
 
 // isUnframed reports whether the body of an answer has neither a length nor chunks. It ends with its
 // connection, whether it is complete or its target has ended.
-func isUnframed(res *http.Response) bool {
-	hasBody := res.StatusCode != http.StatusNoContent && res.StatusCode != http.StatusNotModified
+func isUnframed(method string, res *http.Response) bool {
+	hasBody := method != http.MethodHead && res.StatusCode != http.StatusNoContent && res.StatusCode != http.StatusNotModified
 	return hasBody && res.ContentLength < 0 && len(res.TransferEncoding) == 0
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -97,6 +97,8 @@
 	Send func(ctx context.Context, req target.AttemptRequest, onSend func()) (*http.Response, error)
 	// Ended, if set, reports in place of Targets whether the process of a target has ended.
 	Ended func(ctx context.Context, t event.Target) bool
+	// Lives, if set, reports in place of Targets whether a target answers a query under its own id.
+	Lives func(ctx context.Context, t event.Target) bool
 	// Forward runs an attempt at another entry host. It calls onSend before the first byte can reach
 	// that host.
 	Forward func(ctx context.Context, req ForwardedRequest, onSend func(), relay Relay) event.AttemptEnded
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -28,6 +28,8 @@
 	ID ident.RequestID
 	// NamedBy returns the id of the request that an answer names, empty if it names none.
 	NamedBy func(h http.Header) ident.RequestID
+	// NewConn leaves out the idle connections.
+	NewConn bool
 	// OnSend, if set, is called before the first byte can leave.
 	OnSend func()
 	// OnOther, if set, is called for each answer that is not the one to this request.
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -155,7 +155,7 @@
 
 // acquire returns an idle connection that can be reused, or a new one.
 func (p *Pool) acquire(ctx context.Context, x Exchange) (*conn, error) {
-	for {
+	for !x.NewConn {
 		c := p.popIdle(x)
 		if c == nil {
 			break
--- a/internal/target/report.go
+++ b/internal/target/report.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -34,6 +35,19 @@
 	return ld, nil
 }
 
+// livesTimeout limits the wait for a target that is asked whether it lives.
+const livesTimeout = time.Second
+
+// Lives reports whether a target answers under its own id. A report that names none could be that of another target at
+// the address.
+func (c *Client) Lives(ctx context.Context, t event.Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, livesTimeout)
+	defer cancel()
+	var ld event.Load
+	_, err := c.getReport(ctx, t.URL+"/load", &ld)
+	return err == nil && ld.Target == t.ID
+}
+
 // CacheReport is the body of an answer to GET /cache.
 type CacheReport struct {
 	Incarnation ident.Incarnation `json:"incarnation"`
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -232,7 +232,10 @@
 	}
 	if e.Unframed {
 		tr.count("attempts.unframed")
-		kv = append(kv, "unframed", true)
+		if !e.ProvenWhole {
+			tr.count("attempts.unframedUnproven")
+		}
+		kv = append(kv, "unframed", true, "provenWhole", e.ProvenWhole)
 	}
 	if e.Result == event.ResultDone {
 		tr.logRoutine("attempt ended", kv...)
