--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -307,6 +307,45 @@
 	}
 }
 
+// Guards against taking an answer that ends inside its head, or before the end of a body whose length it states, for whole.
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		head, body string
+	}{
+		"length first":  {head: "Content-Length: 12\r\nId: a\r\n", body: "twelve bytes"},
+		"length last":   {head: "Id: a\r\nContent-Length: 12\r\n", body: "twelve bytes"},
+		"length, close": {head: "Id: a\r\nContent-Length: 12\r\nConnection: close\r\n", body: "twelve bytes"},
+		"chunks":        {head: "Id: a\r\nTransfer-Encoding: chunked\r\n", body: "6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n"},
+		"unframed":      {head: "Id: a\r\n"},
+	} {
+		for _, status := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"} {
+			for _, lineEnd := range []string{"\r\n", "\n"} {
+				if name == "chunks" && strings.HasPrefix(status, "HTTP/1.0") {
+					continue
+				}
+				t.Run(fmt.Sprintf("%s, %q, %q", name, status, lineEnd), func(t *testing.T) {
+					whole := strings.ReplaceAll(status+c.head+"\r\n", "\r\n", lineEnd) + c.body
+					srv := newTestServer(t, func(n int, conn net.Conn, br *bufio.Reader) {
+						if _, ok := readRequest(br); ok {
+							fmt.Fprint(conn, whole[:n-1])
+						}
+					})
+					p := newTestPool(t)
+					for n := range len(whole) {
+						if got, err := call(t.Context(), p, srv.ln.Addr().String(), "a", ""); err == nil {
+							t.Errorf("%q counts as a whole answer with the body %q", whole[:n], got)
+						}
+					}
+					_, err := call(t.Context(), p, srv.ln.Addr().String(), "a", "")
+					if err != nil {
+						t.Errorf("%q: %v", whole, err)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a connection that stays open after the caller has disconnected, so
 // that the target keeps working on the request.
 func TestCancelClosesTheConnection(t *testing.T) {
