member: a version that the platform's list never had stops no host from following it

What callers would see: one host with a bug, or of another release, names a version of the list that is far too high, and the others stop following the list: targets that are listed later get nothing, or a serving target counts as removed for good.

Cause: versions of peers were taken as they are. A list with a later version makes every read of this host's own a stale one, for a minute at a time and renewed by each such digest. A removal with a later version outlives all later lists. A confirmation with a later version had the host read the store every 500 ms.

Ruled out: the revision of the configuration.

Change: a host that has read the list itself ignores a version that is more than maxVersionLead (2^34 writes) ahead of its own read; where a peer's came first, its own read replaces it.

--- a/internal/member/absent.go
+++ b/internal/member/absent.go
@@ -87,7 +87,7 @@
 // mergeRemovals applies the removals that a peer has announced.
 func (tb *Table) mergeRemovals(now ident.Time, rs []event.RemovedTarget) {
 	for _, r := range rs {
-		if t, ok := tb.byID[r.Target]; ok && t.listedVersion < r.Version {
+		if t, ok := tb.byID[r.Target]; ok && t.listedVersion < r.Version && !tb.isImplausible(r.Version) {
 			tb.remove(now, t, r.Version)
 		}
 	}
--- a/internal/member/fresh.go
+++ b/internal/member/fresh.go
@@ -57,7 +57,7 @@
 func (tb *Table) mergeConfirmation(now ident.Time, d event.Digest) {
 	f := &tb.list.fresh
 	switch {
-	case !d.ListConfirmed:
+	case !d.ListConfirmed || tb.isImplausible(d.ListVersion):
 	case d.ListVersion <= tb.list.version:
 		f.confirmedAt = max(f.confirmedAt, now.Add(-d.ListAge-tb.extraAge(now)))
 		f.behind = false
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -23,6 +23,9 @@
 	// staleListTimeout is how long an older version of the list is rejected. After that the
 	// platform is assumed to have reset its version counter.
 	staleListTimeout = time.Minute
+	// maxVersionLead is how many versions the list of a peer may be ahead of the one that this host
+	// has read. The store doesn't accept as many writes in a year.
+	maxVersionLead = 1 << 34
 )
 
 // firstReadDelay returns the delay between the start of a host and its first read of the list.
@@ -39,14 +42,14 @@
 func (tb *Table) HostsRead(now ident.Time, ev event.HostsRead) {
 	tb.Advance(now)
 	tb.readSucceeded(now)
-	if tb.isStale(now, ev.Version) {
+	if tb.isStale(now, ev.Version) && !leads(tb.list.version, ev.Version) {
 		tb.noteStaleList(ev.Version)
 		tb.mergeStaleRead(now, ev)
 		return
 	}
 	tb.list.source, tb.list.complete = tb.self.ID, ev.Complete
 	tb.list.unannounced = tb.list.unannounced || !tb.list.readHere || ev.Version != tb.list.version
-	tb.list.readHere = true
+	tb.list.readHere, tb.list.readVersion = true, ev.Version
 	tb.useVersion(now, ev.Version)
 	tb.list.urgent = tb.list.urgent || tb.hasUrgentChanges(ev.Targets)
 	tb.heartbeat.urgent = tb.heartbeat.urgent || tb.list.urgent
@@ -62,10 +65,19 @@
 	return version < tb.list.version && now.Sub(tb.list.updatedAt) <= staleListTimeout
 }
 
+// leads reports whether a version can't be one of the same list as another.
+func leads(version, other uint64) bool { return version > other && version-other > maxVersionLead }
+
+// isImplausible reports whether a version that a peer names can't be one of the list that this host reads. Every
+// later version of the list would count as older.
+func (tb *Table) isImplausible(version uint64) bool {
+	return tb.list.readHere && leads(version, tb.list.readVersion)
+}
+
 // mergeList merges a list that a peer has sent, unless a newer one is in use. An older one would
 // revert evacuations.
 func (tb *Table) mergeList(now ident.Time, d event.Digest) {
-	if len(d.Targets) == 0 && !d.Complete || tb.isStale(now, d.ListVersion) {
+	if len(d.Targets) == 0 && !d.Complete || tb.isStale(now, d.ListVersion) || tb.isImplausible(d.ListVersion) {
 		return
 	}
 	tb.list.source, tb.list.complete = d.Host.ID, false
@@ -146,7 +158,7 @@
 		if d.Place.Group() != tb.self.Place.Group() {
 			continue
 		}
-		if t, ok := tb.byID[d.ID]; ok && tb.list.version < t.removedVersion {
+		if t, ok := tb.byID[d.ID]; ok && tb.list.version < t.removedVersion && !leads(t.removedVersion, tb.list.version) {
 			continue
 		}
 		tb.putTarget(now, d)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -143,10 +143,11 @@
 type listState struct {
 	// version is the version of the list in use. updatedAt is when that list was read or was
 	// received from a peer, and readHere reports whether this host has ever read the list
-	// itself.
-	version   uint64
-	readHere  bool
-	updatedAt ident.Time
+	// itself, last in version readVersion.
+	version     uint64
+	readHere    bool
+	readVersion uint64
+	updatedAt   ident.Time
 	// source is the host that sent the list in use or, if that is this host, read it from the
 	// store. complete reports whether this host read it and it names all targets.
 	source   ident.EntryID
