member: one host's claims can't fill the targets of a data centre

What callers would see: a host with a bug that announces a thousand requests at each target makes all targets look full at the other hosts, which then refuse their callers or forward them, though the targets are idle.

Cause: the use that a peer announces is added to a target's requests whatever it is; the bound of the message (2^30) keeps the sum within range, and not the target in use.

Ruled out: to take the end of the range instead. Eight times the slots fill a target as well.

Change: at a target with a capacity, a use of more than eight times its slots, and more than 64 requests, counts as unknown, with its tokens. A host sends fewer than twice as many as there are slots; the rest is room for slots that have become fewer since. It is noted once for each peer: `use of a target by a host is out of range`.

Evidence: TestClaimsOfOneHostFillNoTarget.

Open: a host that claims a plausible number, such as all slots of each target, is believed.

--- a/internal/member/bounds_test.go
+++ b/internal/member/bounds_test.go
@@ -107,3 +107,23 @@
 		}
 	})
 }
+
+// Guards against a data centre that refuses everything because one host claims more requests than its targets hold.
+func TestClaimsOfOneHostFillNoTarget(t *testing.T) {
+	for _, claimed := range []int64{1 << 30, event.MaxSlots, 1000, 100} {
+		at := ident.Time(time.Hour)
+		tb := newNearbyTable(at)
+		tb.HostsRead(at, listOf(1, newTarget("a"), newTarget("b")))
+		d := &wire.Digest{Seq: 1, Use: []*wire.TargetUse{{Target: "a", Running: claimed, Tokens: 1 << 40, Unread: 1 << 40}, {Target: "b", Running: claimed}}}
+		tb.DigestReceived(at, d.ToEvent(newHost("w2", "west-a", "west")))
+		tb.Tick(at.Add(time.Second), LocalState{})
+		if p, ok := tb.pool(PoolID{Service: "writers"}); !ok || p.Free != p.Slots {
+			t.Errorf("%d claimed: %d of %d slots are free", claimed, p.Free, p.Slots)
+		}
+		d.Seq, d.Use = 2, []*wire.TargetUse{{Target: "a", Running: 3}}
+		tb.DigestReceived(at.Add(2*time.Second), d.ToEvent(newHost("w2", "west-a", "west")))
+		if tg, _ := tb.Target("a"); tg.PeerInFlight != 3 || tg.PeerInFlightTokens != 0 {
+			t.Errorf("%d claimed before: %d requests, %d tokens", claimed, tg.PeerInFlight, tg.PeerInFlightTokens)
+		}
+	}
+}
--- a/internal/member/digest.go
+++ b/internal/member/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/rank"
@@ -66,13 +67,33 @@
 		u := &p.use[i]
 		tb.resolveUse(u)
 		if t, ok := tb.byID[u.Target]; ok {
-			t.PeerInFlight += u.Running
-			t.PeerInFlightTokens += u.Tokens
-			t.PeerPendingPrefill += u.PendingPrefill
+			tb.addUse(p, t, u)
 		}
 	}
 }
 
+// Limits of the requests that one host may have at a target with a capacity. A host sends fewer than twice
+// as many as there are slots; the slots may since have become fewer.
+const (
+	maxUseRatio = 8
+	minMaxUse   = 64
+)
+
+// addUse adds the use of a target by a peer. A use out of range counts as unknown: otherwise the target would
+// seem full.
+func (tb *Table) addUse(p *peer, t *Target, u *event.TargetUse) {
+	if t.Capacity > 0 && u.Running > max(minMaxUse, maxUseRatio*t.Slots()) {
+		if !p.useNoted {
+			p.useNoted = true
+			tb.addNote(t, "use of a target by a host is out of range", event.NotePair{Key: "source", Value: string(p.host.ID)}, event.NotePair{Key: "running", Value: strconv.Itoa(u.Running)})
+		}
+		*u = event.TargetUse{Target: u.Target, Key: u.Key}
+	}
+	t.PeerInFlight += u.Running
+	t.PeerInFlightTokens += u.Tokens
+	t.PeerPendingPrefill += u.PendingPrefill
+}
+
 // resolveUse replaces the key of a use by the ID of its target, if that is known. Otherwise the key
 // might name another target when the use is subtracted later.
 func (tb *Table) resolveUse(u *event.TargetUse) {
@@ -91,9 +112,7 @@
 			u := &p.use[i]
 			tb.resolveUse(u)
 			if u.Target == t.ID {
-				t.PeerInFlight += u.Running
-				t.PeerInFlightTokens += u.Tokens
-				t.PeerPendingPrefill += u.PendingPrefill
+				tb.addUse(p, t, u)
 			}
 		}
 	}
--- a/internal/member/peer.go
+++ b/internal/member/peer.go
@@ -21,9 +21,11 @@
 	linkDown bool
 	listed   bool
 	// seq is the sequence number of the newest digest of this incarnation.
-	seq                 uint64
-	revision            ident.Revision
-	use                 []event.TargetUse
+	seq      uint64
+	revision ident.Revision
+	use      []event.TargetUse
+	// useNoted is set once it was noted that the peer names a use out of range.
+	useNoted            bool
 	forwarded           []event.ForwardedUse
 	demands             []event.PrefillDemand
 	platformUnreachable bool
