core: the id of an event is no number of tokens to read

A caller's Last-Event-Id, or the ids of a target, were added to the length of the prompt when the rest of a stream was placed, and taken for the length of the answer. The count is now at most what the request allows the answer, 2^20 if it says nothing; the position is passed on as it is.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -16,7 +16,7 @@
 	return route.Query{
 		Request: r.Request, Profile: r.profile, Client: r.client,
 		TriedTargets: r.triedTargets, TriedCentres: r.triedCentres, OnlyTarget: r.boundTarget,
-		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.delivered, MayHaveRun: r.mayHaveRun, Build: r.build,
+		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.deliveredTokens(), MayHaveRun: r.mayHaveRun, Build: r.build,
 		Backlog: rd.pools.of(r).backlog(), ExpectedEvents: rd.expectedEvents(r), Length: rd.expectedLength(r), Deadline: r.deadline,
 	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -17,6 +17,8 @@
 	defaultDeadline = 60 * time.Second
 	// defaultTokens is the assumed length of an answer if the request gives none.
 	defaultTokens = 256
+	// maxDeliveredTokens bounds the tokens of an answer that a caller has, if the request gives no bound.
+	maxDeliveredTokens = 1 << 20
 	// defaultRetryAfter is the Retry-After time if no better value is known.
 	defaultRetryAfter = time.Second
 )
@@ -75,6 +77,15 @@
 	mayHaveRun bool
 }
 
+// deliveredTokens returns how many tokens of the answer the caller has at most. Callers and targets choose the
+// ids of events, which need not be counts.
+func (r *request) deliveredTokens() ident.Tokens {
+	if r.MaxTokens > 0 {
+		return min(r.delivered, r.MaxTokens)
+	}
+	return min(r.delivered, maxDeliveredTokens)
+}
+
 // hasBegun reports whether the caller has a part of the answer.
 func (r *request) hasBegun() bool { return r.delivered > 0 || r.AnswerBegan }
 
--- a/internal/core/resume_test.go
+++ b/internal/core/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -209,3 +210,30 @@
 		}
 	}
 }
+
+// Guards against a prompt of negative or immense length at a target, and immense demand, from the id of an event.
+func TestIDsOfEventsAreNoLengths(t *testing.T) {
+	for _, id := range []ident.Tokens{math.MaxInt64, math.MaxInt64 - 50, 1 << 50, 30} {
+		h := newTestHost(t, 3, core.Bounds{RetryRatio: 1, RetryFloor: 100})
+		h.now = h.now.Add(retry.Window)
+		effs := h.step(event.RequestArrived{Request: event.Request{
+			ID: "r", Account: "callers", Profile: "draft", Deadline: h.now.Add(10 * time.Second), Prompt: 100, MaxTokens: 40, Stream: true,
+		}})
+		d, ok := pick[event.Dispatch](effs)
+		if !ok {
+			t.Fatalf("not sent: %v", effs)
+		}
+		h.step(event.AttemptSent{Attempt: d.Attempt})
+		effs = h.end(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultBroken, Resumable: true, Delivered: id})
+		rest, ok := pick[event.Dispatch](effs)
+		if !ok {
+			t.Fatalf("id %d: the rest is not sent: %v", id, effs)
+		}
+		if diff := cmp.Diff(id, rest.ResumeAfter); diff != "" {
+			t.Errorf("position (-want +got):\n%s", diff)
+		}
+		if n := rest.Basis.UncachedPrompt; n < 100 || n > 140 {
+			t.Errorf("id %d: %d tokens to read of a prompt of 100 and an answer of 40", id, n)
+		}
+	}
+}
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -167,14 +167,14 @@
 // recordStreamLength records the length of a complete stream.
 func (rd *Reducer) recordStreamLength(r *request) {
 	if r.isRoutedStream() {
-		rd.lengths.Complete(r.profile.Name, r.LengthHint, float64(r.delivered))
+		rd.lengths.Complete(r.profile.Name, r.LengthHint, float64(r.deliveredTokens()))
 	}
 }
 
 // recordUnfinishedStream records a stream that its deadline broke off.
 func (rd *Reducer) recordUnfinishedStream(now ident.Time, r *request) {
 	if r.isRoutedStream() && now >= r.deadline {
-		rd.lengths.Broken(r.profile.Name, r.LengthHint, float64(r.delivered))
+		rd.lengths.Broken(r.profile.Name, r.LengthHint, float64(r.deliveredTokens()))
 	}
 }
 
@@ -194,7 +194,7 @@
 
 // expectedEvents predicts how many events the rest of a stream has.
 func (rd *Reducer) expectedEvents(r *request) float64 {
-	return rd.expectedLength(r).Remaining(r.delivered)
+	return rd.expectedLength(r).Remaining(r.deliveredTokens())
 }
 
 func (rd *Reducer) streamPaced(now ident.Time, e event.StreamPaced) {
