soak: targets as processes that end inside answers, and callers that compare all that they read

What callers saw, as the operators report it: streams with pieces missing or joined, or that end as complete too early.

Each caller now knows the text that a target of each build sends for its stream, and all that it reads of an answer, whole, cut or left, must be of one build over all take-ups, from the place where it was taken up, and whole where it ends as complete. Calls name the target that ran them to the last byte.

--- a/internal/dev/cmds/cmds.go
+++ b/internal/dev/cmds/cmds.go
@@ -34,6 +34,7 @@
 	cdr.Register(&platformCmd{}, "stand-ins")
 	cdr.Register(&engineCmd{}, "stand-ins")
 	cdr.Register(&serviceCmd{}, "stand-ins")
+	cdr.Register(&targetCmd{}, "stand-ins")
 	cdr.Register(&demoCmd{}, "")
 	cdr.Register(&routesCmd{}, "")
 	cdr.Register(&replayCmd{}, "")
--- a/internal/dev/cmds/soak.go
+++ b/internal/dev/cmds/soak.go
@@ -13,6 +13,7 @@
 	"gopkg.in/tomb.v2"
 
 	"verbenadale.example/verbenadale/internal/dev/soak"
+	"verbenadale.example/verbenadale/internal/dev/worker"
 )
 
 // soakCmd runs the fault soak with a range of seeds.
@@ -29,7 +30,7 @@
 }
 
 func (*soakCmd) Usage() string {
-	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-rejoins] [-answers] [-logs DIR]
+	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-rejoins] [-answers] [-ends] [-logs DIR]
   Runs entry hosts as processes with stand-ins of the platform's store and of
   targets, injects faults in an order derived from the seed, and checks what
   callers and targets see. Without -seed it starts with the current Unix time in
@@ -61,6 +62,7 @@
 	fs.BoolVar(&c.cfg.Rejoins, "rejoins", false, "with -builds, kill all hosts at once around the moment at which the targets of one version leave")
 	fs.BoolVar(&c.cfg.Answers, "answers", false, "let targets send answers again before that of a health check, and stop inside events with long lines")
 	fs.BoolVar(&c.cfg.Builds, "builds", false, "let targets run two versions of their software and callers take streams up again")
+	fs.BoolVar(&c.cfg.Ends, "ends", false, "run targets as processes that end, pause and stop inside answers, with callers that leave and come back")
 	fs.StringVar(&c.logs, "logs", os.TempDir(), "directory for the logs of seeds that violate a guarantee")
 }
 
@@ -69,6 +71,9 @@
 		fmt.Fprintf(os.Stderr, "verbdev: program %s not found, build it with 'go build -o bin/ ./cmd/...' or set its path with -program\n", c.cfg.Program)
 		return subcommands.ExitUsageError
 	}
+	if exe, err := os.Executable(); err == nil {
+		c.cfg.Target = []string{exe, targetName}
+	}
 	if c.cfg.Seed == 0 {
 		c.cfg.Seed = uint64(time.Now().Unix())
 	}
@@ -132,3 +137,23 @@
 	_ = os.Remove(log.Name())
 	return true
 }
+
+const targetName = "target"
+
+// targetCmd runs a target of the fault soak.
+type targetCmd struct{}
+
+func (*targetCmd) Name() string     { return targetName }
+func (*targetCmd) Synopsis() string { return "run a target of the fault soak" }
+func (*targetCmd) Usage() string {
+	return "target\n  Reads its settings and faults from standard input.\n"
+}
+func (*targetCmd) SetFlags(_ *flag.FlagSet) {}
+
+func (*targetCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := worker.RunProcess(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "verbdev:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/internal/dev/soak/answer.go
+++ b/internal/dev/soak/answer.go
@@ -58,20 +58,3 @@
 	}
 	return plan
 }
-
-// setAnswers gives the events of a writer long lines, and lets a call to a plain service run for longer, so that several
-// run at once.
-func (s *deployment) setAnswers(cfg *worker.Config) {
-	if cfg.Events > 0 {
-		cfg.Lines, cfg.LineBytes = longLines, longLineBytes
-	}
-	cfg.Work = answerRunTime
-}
-
-// streamText returns a complete stream of n events.
-func (cfg Config) streamText(n int) string {
-	if cfg.Answers {
-		return worker.LinesText(n, longLines, longLineBytes)
-	}
-	return worker.StreamText(n)
-}
--- a/internal/dev/soak/builds.go
+++ b/internal/dev/soak/builds.go
@@ -31,13 +31,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.builds++
-	return []string{"v1", "v2"}[s.builds%2]
+	return builds[s.builds%2]
 }
 
+// builds names the builds of targets.
+var builds = []string{"v1", "v2"}
+
 // splitBuilds separates the lines that name builds from the rest of an answer.
 func (a *observation) splitBuilds() {
 	var rest strings.Builder
-	for line := range strings.Lines(a.body) {
+	for line := range strings.Lines(a.answer) {
 		build, ok := strings.CutPrefix(line, worker.BuildField)
 		if !ok {
 			rest.WriteString(line)
@@ -61,7 +64,7 @@
 	if res.StatusCode != http.StatusOK || a.kind != kindDraft || !k.pool.deployment.cfg.Builds || k.rnd.IntN(leaveDivisor) > 0 {
 		return io.ReadAll(res.Body)
 	}
-	limit := 1 + k.rnd.IntN(len(k.pool.deployment.cfg.streamText(streamEvents)))
+	limit := 1 + k.rnd.IntN(k.pool.deployment.cfg.streamBytes())
 	part, err := io.ReadAll(io.LimitReader(res.Body, int64(limit)))
 	if err == nil && len(part) == limit {
 		err = errCallerLeft
@@ -78,6 +81,7 @@
 	}
 	for n := 0; s.cfg.Builds && a.kind == kindDraft && a.route == kindDraft && a.err != nil && n < maxTakeUps; n++ {
 		received += a.events()
+		received, delay = k.drawTakeUp(received, delay)
 		if received == 0 || received >= streamEvents || !sleep(context.Background(), delay) {
 			return
 		}
@@ -98,7 +102,7 @@
 // checkBuilds checks that the events of a stream come from targets of one build, and that of the streams
 // that callers take up without a fault nearby at least half as many go on as new ones begin.
 func (c *checker) checkBuilds() {
-	builds := make(map[string][]string)
+	seen := make(map[string][]string)
 	var asked, began, taken, kept int
 	for _, a := range c.pool.observations {
 		if a.kind != kindDraft || a.route != kindDraft {
@@ -109,8 +113,8 @@
 			first = a.id
 		}
 		for _, build := range a.builds {
-			if !slices.Contains(builds[first], build) {
-				builds[first] = append(builds[first], build)
+			if !slices.Contains(seen[first], build) {
+				seen[first] = append(seen[first], build)
 			}
 		}
 		switch got := a.events() > 0; {
@@ -123,7 +127,7 @@
 			kept += count(got)
 		}
 	}
-	for first, bs := range builds {
+	for first, bs := range seen {
 		if len(bs) > 1 {
 			c.report("builds: stream %s has events of %v", first, bs)
 		}
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -52,7 +54,10 @@
 	began, end time.Time
 	status     int
 	header     http.Header
-	body       string
+	// answer is the whole answer, body the answer without the lines that name builds.
+	answer, body string
+	// framed is set if the answer has a length or chunks.
+	framed bool
 	// err is set if no complete answer was received.
 	err error
 	// settled is set if no fault was active shortly before or during the request. termAt is when
@@ -118,7 +123,7 @@
 	k := newCaller(c, regions[0], 0)
 	for n := range c.deployment.hosts {
 		for _, kind := range kinds {
-			for k.request(ctx, n, kind).status != http.StatusOK {
+			for !k.request(ctx, n, kind).isServed() {
 				if time.Now().After(until) || !sleep(ctx, 5*callerInterval) {
 					return false
 				}
@@ -136,11 +141,15 @@
 	http       *http.Client
 	addresses  []string
 	resolvedAt time.Time
+	// stays is set if the caller keeps to a host until a request is not served there. last is the host that it asked last.
+	stays      bool
+	last       int
+	lastFailed bool
 }
 
 func newCaller(c *callerPool, region string, n uint64) *caller {
 	return &caller{
-		pool: c, region: region, rnd: rand.New(rand.NewPCG(c.deployment.cfg.Seed, n)),
+		pool: c, region: region, rnd: rand.New(rand.NewPCG(c.deployment.cfg.Seed, n)), stays: c.deployment.cfg.Ends && n%2 == 0, lastFailed: true,
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 	}
 }
@@ -152,7 +161,9 @@
 		n := k.chooseHost(ctx)
 		// The request in flight is completed when the pool stops: an aborted one would show
 		// nothing about the system.
-		k.takeUp(k.request(context.Background(), n, k.drawKind()))
+		a := k.request(context.Background(), n, k.drawKind())
+		k.last, k.lastFailed = n, a.err != nil || a.status != http.StatusOK
+		k.takeUp(a)
 	}
 	return nil
 }
@@ -174,6 +185,9 @@
 // resolves again once the list has expired. It keeps the expired list if no directory answers.
 func (k *caller) chooseHost(ctx context.Context) int {
 	s := k.pool.deployment
+	if k.stays && !k.lastFailed {
+		return k.last
+	}
 	if time.Since(k.resolvedAt) > listTTL {
 		resolver := s.hosts[k.rnd.IntN(len(s.hosts))]
 		if list := k.resolve(ctx, resolver); len(list) > 0 {
@@ -226,13 +240,21 @@
 	return a
 }
 
+// isServed reports whether the request was answered with success, and whole unless its caller left.
+func (a observation) isServed() bool {
+	return a.status == http.StatusOK && (a.err == nil || errors.Is(a.err, errCallerLeft))
+}
+
+// target returns the target of the request.
+func (a observation) target() string { return cmp.Or(a.path, "/"+a.route+"/x?of="+a.id) }
+
 func (k *caller) send(ctx context.Context, h *host, a *observation) {
 	deadline := k.pool.deployment.cfg.timing().deadline
 	ctx, cancel := context.WithTimeout(ctx, deadline+time.Second)
 	defer cancel()
 	// The body cannot be rewound, so that net/http does not send the request a second time on
 	// its own.
-	text, path := cmp.Or(a.text, "body of "+a.id), cmp.Or(a.path, "/"+a.route+"/x?of="+a.id)
+	text, path := cmp.Or(a.text, "body of "+a.id), a.target()
 	body := io.MultiReader(strings.NewReader(text))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.Callers.Listen+path, body)
 	if err != nil {
@@ -247,24 +269,38 @@
 	}
 	if a.first != "" {
 		req.Header.Set("Resumes", a.first)
-		req.Header.Set("Last-Event-Id", strconv.Itoa(a.received))
+		req.Header.Set("Last-Event-Id", strconv.Itoa(k.pool.deployment.cfg.writer("").IDOf(a.received)))
+	}
+	var left atomic.Bool
+	if patience := k.drawPatience(a); patience > 0 {
+		leave := time.AfterFunc(patience, func() {
+			left.Store(true)
+			cancel()
+		})
+		defer leave.Stop()
 	}
 	res, err := k.http.Do(req)
 	if err != nil {
-		a.err = err
+		a.err = leftOr(&left, err)
 		return
 	}
 	defer res.Body.Close()
 	answer, err := k.readPart(res, a)
-	a.status, a.header, a.body, a.err = res.StatusCode, res.Header, string(answer), err
+	err = leftOr(&left, err)
+	a.status, a.header, a.answer, a.err = res.StatusCode, res.Header, string(answer), err
+	a.framed = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	a.splitBuilds()
 }
 
-// wantBody returns the body that a successful answer must have, or for calls its prefix: the
-// body of a call ends with the id of the target, which is not known beforehand.
-func (a observation) wantBody(cfg Config) string {
-	if a.kind == kindDraft {
-		return strings.TrimPrefix(cfg.streamText(streamEvents), cfg.streamText(a.received))
+// leftOr returns errCallerLeft for the error of a request that its caller has left.
+func leftOr(left *atomic.Bool, err error) error {
+	if err != nil && left.Load() {
+		return errCallerLeft
 	}
+	return err
+}
+
+// wantCall returns the body that a successful answer to a call must have, without the id of the target at its end.
+func (a observation) wantCall() string {
 	return fmt.Sprintf("POST /%s/x?of=%s body of %s by ", a.route, a.id, a.id)
 }
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -53,6 +53,10 @@
 	c.checkLimits()
 	c.checkRests()
 	c.checkBuilds()
+	c.checkTakeUps()
+	if c.deployment.cfg.Ends {
+		c.checkUnframed()
+	}
 }
 
 func (c *checker) checkRequest(a observation) {
@@ -69,6 +73,9 @@
 	if hasTime, wanted := a.header.Get("Retry-After") != "", !a.notContinued(); refused && hasTime != wanted {
 		c.report("not run: %s was refused with %d, Retry-After %q", desc, a.status, a.header.Get("Retry-After"))
 	}
+	if a.status == http.StatusOK {
+		c.checkText(a, desc)
+	}
 	if a.status == http.StatusOK && a.err == nil {
 		c.checkSuccess(a, desc)
 	}
@@ -102,14 +109,11 @@
 	}
 }
 
-// checkSuccess checks that an answer is complete and belongs to its request.
+// checkSuccess checks that an answer belongs to its request.
 func (c *checker) checkSuccess(a observation, desc string) {
 	if got := a.header.Get("Verbenadale-Response-Seal"); got != "seal-of-"+a.id {
 		c.report("whole: %s has the signature %q", desc, got)
 	}
-	if want := a.wantBody(c.deployment.cfg); a.body != want && (a.kind == kindDraft || !strings.HasPrefix(a.body, want)) {
-		c.report("whole: %s was answered %q, want %q", desc, a.body, want)
-	}
 	if c.runs[a.id] == 0 {
 		c.report("whole: %s was answered 200 but never ran", desc)
 	}
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -67,6 +67,8 @@
 	rests []*restPeriod
 	// limits holds the times in which targets named a limit.
 	limits []*limitPeriod
+	// stopping is set once the processes of targets are ended for good.
+	stopping bool
 	// builds counts the builds that targets have been given.
 	builds int
 	// configs are the configurations written so far, evacuations the evacuations of data centres.
@@ -83,6 +85,15 @@
 	// build is the version of its software, empty for any.
 	build string
 	relay *relay.Relay
+	// addr is the address in the list, of the relay or of the worker itself.
+	addr string
+	// config is that of the worker, as the process of the target gets it.
+	config worker.Config
+	// remote is its process, nil if it runs in this one. next is the target that replaced it after it ended, at
+	// endedAt.
+	remote  *remote
+	next    *target
+	endedAt time.Time
 	// ended is set once its process has ended under a request.
 	ended bool
 	// drainingSince is when it was listed as draining.
@@ -161,11 +172,12 @@
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
+	s.stopRemotes()
 	for _, h := range s.hosts {
 		h.storeRelay.Stop()
 		h.peerRelay.Stop()
 	}
-	for _, w := range s.workers {
+	for _, w := range s.targets() {
 		w.relay.Stop()
 	}
 	s.t.Kill(nil)
@@ -236,16 +248,10 @@
 
 // addWorkerOfBuild adds a worker whose software has a given version, empty for any.
 func (s *deployment) addWorkerOfBuild(id, service, region, build string) error {
-	cfg := worker.Config{ID: id, Service: service, DataCentre: centreOf(region), Slots: 16, Work: callRunTime, Build: build, NamesBuild: build != ""}
-	if service == "writers" {
-		cfg.Events, cfg.EventInterval = streamEvents, s.cfg.timing().eventInterval
-	}
-	if s.cfg.Answers {
-		s.setAnswers(&cfg)
+	w := s.newTarget(id, service, region, build)
+	if s.cfg.Ends {
+		return s.startRemote(w, nil)
 	}
-	w := &target{id: id, service: service, region: region, build: build}
-	cfg.OnPoison = func(r *http.Request) { s.endTarget(w, r) }
-	w.Worker = worker.New(cfg)
 	addr, err := s.serve(w.Worker)
 	if err != nil {
 		return err
@@ -253,16 +259,40 @@
 	if w.relay, err = s.relayTo(addr); err != nil {
 		return err
 	}
+	w.addr = w.relay.Addr()
+	s.list(w)
+	return nil
+}
+
+func (s *deployment) newTarget(id, service, region, build string) *target {
+	cfg := worker.Config{ID: id, Service: service, DataCentre: centreOf(region), Slots: 16, Work: callRunTime}
+	if service == "writers" {
+		cfg = s.cfg.writer(build)
+		cfg.ID, cfg.DataCentre = id, centreOf(region)
+	}
+	if s.cfg.Answers {
+		cfg.Work = answerRunTime
+	}
+	if s.cfg.Ends {
+		s.setEnds(&cfg)
+	}
+	w := &target{id: id, service: service, region: region, build: build, config: cfg}
+	cfg.OnPoison = func(r *http.Request) { s.endTarget(w, r) }
+	w.Worker = worker.New(cfg)
+	return w
+}
+
+// list adds a target to the store's list.
+func (s *deployment) list(w *target) {
 	s.mu.Lock()
 	s.workers = append(s.workers, w)
 	s.mu.Unlock()
-	s.store.Put(w.StoreKey(), w.StoreEntry(w.relay.Addr(), "ready", 0))
-	return nil
+	s.store.Put(w.StoreKey(), w.StoreEntry(w.addr, "ready", 0))
 }
 
 // drainWorker lists a worker as draining.
 func (s *deployment) drainWorker(w *target) {
-	s.store.Put(w.StoreKey(), w.StoreEntry(w.relay.Addr(), "draining", 0))
+	s.store.Put(w.StoreKey(), w.StoreEntry(w.addr, "draining", 0))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.drainingSince = time.Now()
@@ -341,7 +371,7 @@
 	h.settings.Platform.URL = "http://" + h.storeRelay.Addr()
 	h.settings.Fleet.Directory, h.settings.Fleet.Ready, h.settings.Fleet.Metrics = ports.Next(), ports.Next(), ports.Next()
 	h.settings.Fleet.GraceSeconds = config.Bound(s.cfg.timing().graceSeconds)
-	if s.cfg.Answers {
+	if s.cfg.Answers || s.cfg.Ends {
 		h.settings.Fleet.RetryRatio, h.settings.Fleet.RetryFloor = answerRetryRatio, answerRetryFloor
 	}
 	for _, r := range regions {
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -63,6 +63,11 @@
 	// Answers adds targets that send answers again, late, while their health checks fail, and streams of events with long
 	// lines whose targets stop inside an event.
 	Answers bool
+	// Ends runs the targets as processes that end, pause and stop in the middle of answers, of which many are unframed, and lets
+	// callers keep to their hosts, leave and come back early. Targets have two builds, as with Builds.
+	Ends bool
+	// Target is the command that runs worker.RunProcess. Ends needs it.
+	Target []string
 	// Log receives the output of the hosts; nil discards it.
 	Log io.Writer
 }
@@ -118,6 +123,7 @@
 	if cfg.Log == nil {
 		cfg.Log = io.Discard
 	}
+	cfg.Builds = cfg.Builds || cfg.Ends
 	s := &deployment{cfg: cfg, clock: clock.New(), began: time.Now()}
 	defer s.stop()
 	if err := s.start(); err != nil {
@@ -145,7 +151,7 @@
 	return rep, nil
 }
 
-// plan draws the plan of the seed. What Poison, Parts, Rests, Limits, Answers and Rejoins add leaves the rest of the plan as it is.
+// plan draws the plan of the seed. What Poison, Parts, Rests, Limits, Answers, Rejoins and Ends add leaves the rest of the plan as it is.
 func (cfg Config) plan(s *deployment) []fault {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
 	if cfg.Planned {
@@ -170,6 +176,9 @@
 	if cfg.Rejoins {
 		plan = append(plan, drawRejoins(rnd, cfg.Duration, s)...)
 	}
+	if cfg.Ends {
+		plan = append(plan, drawEnds(rnd, cfg.Duration, s)...)
+	}
 	return plan
 }
 
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -28,7 +28,17 @@
 // program is the path of the entry host executable, which TestMain builds.
 var program string
 
+// targetEnv is set in processes of the test binary that run a target.
+const targetEnv = "SOAK_TARGET"
+
 func TestMain(m *testing.M) {
+	if os.Getenv(targetEnv) != "" {
+		if err := worker.RunProcess(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	os.Exit(build(m))
 }
 
@@ -106,6 +116,101 @@
 	}
 }
 
+// targetCommand runs a target in a process of the test binary.
+func targetCommand() []string { return []string{"/usr/bin/env", targetEnv + "=1", os.Args[0]} }
+
+// Guards against unframed answers that look whole after their targets have ended inside them (seed 2), and against streams that are
+// not served because the ids of their events grow by more than one (seed 3).
+func TestStreamsStayInOrderWhereTargetsEnd(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for half a minute")
+	}
+	for _, seed := range []uint64{2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rep, err := Run(context.Background(), Config{Program: program, Target: targetCommand(), Seed: seed, Duration: 5 * time.Second, Ends: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(rep)
+			if len(rep.Violations) > 0 {
+				t.Error("guarantees are violated")
+			}
+			if rep.Outcomes["200"] == 0 {
+				t.Error("nothing was served")
+			}
+		})
+	}
+}
+
+// Guards against a check that misses an event of a stream that is missing, comes twice, or is of another stream or build.
+func TestTextChecksDetectViolations(t *testing.T) {
+	cfg := Config{Builds: true}
+	v1, v2 := cfg.writer("v1"), cfg.writer("v2")
+	first, second, third := v1.EventOf("s", 1), v1.EventOf("s", 2), v1.EventOf("s", 3)
+	whole := v1.TextOf("s", 1)
+	draft := observation{id: "s", kind: kindDraft, route: kindDraft, status: http.StatusOK, err: errCallerLeft}
+	rest := draft
+	rest.id, rest.first, rest.path = "r", "s", "/draft/x?of=s"
+	with := func(a observation, received int, answer string, err error) observation {
+		a.received, a.answer, a.err = received, answer, err
+		a.splitBuilds()
+		return a
+	}
+	for name, c := range map[string]struct {
+		observations []observation
+		want         int
+	}{
+		"whole":               {[]observation{with(draft, 0, whole, nil)}, 0},
+		"empty and complete":  {[]observation{with(draft, 0, "", nil)}, 1},
+		"an event is missing": {[]observation{with(draft, 0, strings.TrimSuffix(whole, v1.EventOf("s", streamEvents)), nil)}, 1},
+		"cut":                 {[]observation{with(draft, 0, first+second[:9], errCallerLeft)}, 0},
+		"joined inside":       {[]observation{with(draft, 0, first+second[:9]+v1.EventOf("s", 2), errCallerLeft)}, 2},
+		"a gap":               {[]observation{with(draft, 0, first+third, errCallerLeft)}, 2},
+		"twice":               {[]observation{with(draft, 0, first+first, errCallerLeft)}, 2},
+		"two builds":          {[]observation{with(draft, 0, first+v2.EventOf("s", 2), errCallerLeft)}, 2},
+		"of another stream":   {[]observation{with(draft, 0, v1.EventOf("t", 1), errCallerLeft)}, 2},
+		"taken up":            {[]observation{with(draft, 0, first+second, errCallerLeft), with(rest, 1, v1.TextOf("s", 2), nil)}, 0},
+		"taken up too late":   {[]observation{with(draft, 0, first, errCallerLeft), with(rest, 1, third, errCallerLeft)}, 2},
+		"taken up elsewhere":  {[]observation{with(draft, 0, first, errCallerLeft), with(rest, 1, v2.TextOf("s", 2), nil)}, 1},
+		"two at once":         {[]observation{with(rest, 1, v2.EventOf("s", 2), errCallerLeft), with(rest, 2, third, errCallerLeft)}, 1},
+	} {
+		chk := &checker{deployment: &deployment{cfg: cfg}, pool: &callerPool{observations: c.observations}}
+		for _, a := range c.observations {
+			chk.checkText(a, a.id)
+		}
+		chk.checkTakeUps()
+		if len(chk.violations) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		}
+	}
+}
+
+// Guards against a check that misses a call whose answer looks whole and is not.
+func TestCallChecksDetectViolations(t *testing.T) {
+	a := observation{id: "c", kind: kindFetch, route: kindFetch, status: http.StatusOK}
+	whole := a.wantCall() + "board-1"
+	for name, c := range map[string]struct {
+		answer string
+		err    error
+		want   int
+	}{
+		"whole":       {whole, nil, 0},
+		"cut":         {whole[:9], io.ErrUnexpectedEOF, 0},
+		"short":       {whole[:9], nil, 1},
+		"without id":  {a.wantCall(), nil, 1},
+		"other bytes": {whole[:9] + "x", io.ErrUnexpectedEOF, 1},
+		"more":        {whole + whole, nil, 1},
+	} {
+		a.answer, a.err = c.answer, c.err
+		chk := &checker{deployment: &deployment{}, ranAt: map[string][]*target{"c": {{id: "board-1"}}}}
+		chk.checkText(a, name)
+		if len(chk.violations) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		}
+	}
+}
+
 // Guards against a second SIGTERM that ends a host in the middle of a stream while a planned
 // stop is in progress.
 func TestOverlappingStopsAbortNoRequest(t *testing.T) {
@@ -434,8 +539,8 @@
 		"fine":                    {a: observation{id: "p", kind: kindFetch, route: kindFetch, status: 500}, runs: 1},
 		"twice":                   {a: observation{id: "p", kind: kindPublish, route: kindPublish, status: 502}, runs: 2, want: 1},
 		"not run":                 {a: observation{id: "p", kind: kindFetch, route: kindFetch, status: 503, header: map[string][]string{"Retry-After": {"1"}}}, runs: 1, want: 1},
-		"cut short":               {a: observation{id: "p", kind: kindDraft, route: kindDraft, status: 200, body: "id: 1", header: map[string][]string{"Verbenadale-Response-Seal": {"seal-of-p"}}}, runs: 1, want: 1},
-		"crossed":                 {a: observation{id: "p", kind: kindFetch, route: kindFetch, status: 200, body: "of another", header: map[string][]string{"Verbenadale-Response-Seal": {"seal-of-q"}}}, runs: 1, want: 2},
+		"cut short":               {a: observation{id: "p", kind: kindDraft, route: kindDraft, status: 200, answer: "id: 1", header: map[string][]string{"Verbenadale-Response-Seal": {"seal-of-p"}}}, runs: 1, want: 1},
+		"crossed":                 {a: observation{id: "p", kind: kindFetch, route: kindFetch, status: 200, answer: "of another", header: map[string][]string{"Verbenadale-Response-Seal": {"seal-of-q"}}}, runs: 1, want: 2},
 		"away":                    {a: observation{id: "p", kind: kindHome, route: kindHome, status: 502}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
 		"left":                    {a: observation{id: "p", kind: kindFetch, route: kindFetch, status: 502, settled: true, began: at}, runs: 1, ran: &target{region: regions[0], service: "board", drainingSince: at.Add(-2 * maxPropagation)}, want: 1},
 		"evacuated":               {a: observation{id: "p", kind: kindFetch, route: kindFetch, status: 502, settled: true, began: at}, runs: 1, ran: &target{region: regions[1], service: "board"}, want: 1},
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -85,22 +85,31 @@
 	DataCentre string
 	// Build is the version of the worker's software; empty means DefaultBuild.
 	Build string
-	// NamesBuild adds the build to each event of a stream.
-	NamesBuild bool
+	// NamesBuild adds the build to each event of a stream. NamesStream adds the stream and the build to the data of each event:
+	// the stream is named by the query of its path.
+	NamesBuild, NamesStream bool
 	// Slots is reported and not enforced.
 	Slots int
 	// Events is the number of events of a stream, or zero for a plain service;
 	// EventInterval is the time between two events.
 	Events        int
 	EventInterval time.Duration
+	// IDStep is the mean difference between the ids of two events; zero means 1.
+	IDStep int
+	// UnframedPercent is the share of the requests whose answers have neither a length nor chunks.
+	UnframedPercent int
 	// Lines is the number of data lines of an event, each LineBytes long and sent by itself. Zero means one short line.
 	Lines, LineBytes int
-	// Work is the duration of a call to a plain service.
-	Work time.Duration
+	// Work is the duration of a call to a plain service. Pause is the time between two parts of its answer; zero means one part.
+	Work, Pause time.Duration
 	// OnPoison is called when a request with PoisonSegment in its path begins to run, or one with
 	// PoisonPart in its prompt is answered. It ends the process of the worker: it closes its listener
 	// and its connections. Nil means that such requests are like any other.
-	OnPoison func(r *http.Request)
+	OnPoison func(r *http.Request) `json:"-"`
+	// OnRun is called with the id of each request that runs, before its answer begins. OnKill ends the process of the worker.
+	// Nil means that nothing is called.
+	OnRun  func(id string) `json:"-"`
+	OnKill func()          `json:"-"`
 	// Ending is what is sent of the answer to a prompt with PoisonPart; empty means AfterHead.
 	Ending Ending
 	// StartTimeMs is the start time in Unix milliseconds, which the store entry and
@@ -323,6 +332,9 @@
 		return
 	}
 	k.recordRun(id, r.Header)
+	if k.cfg.OnRun != nil {
+		k.cfg.OnRun(id)
+	}
 	defer k.endRequest(r, true)
 	if end := k.endsUnder(r); end != nil {
 		end(r)
@@ -355,6 +367,9 @@
 	return f
 }
 
+// RecordRun records a run at another worker with the same id.
+func (k *Worker) RecordRun(id string) { k.recordRun(id, nil) }
+
 func (k *Worker) recordRun(id string, h http.Header) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -372,6 +387,8 @@
 }
 
 func (k *Worker) answer(w http.ResponseWriter, r *http.Request, f Fault, id string, body []byte) {
+	f, killed := f.cutKilled()
+	asked := id
 	switch f {
 	case Reset:
 		panic(http.ErrAbortHandler)
@@ -399,21 +416,29 @@
 		fmt.Fprint(w, "failed")
 		return
 	}
+	k.answerRun(w, r, f, killed, asked, body)
+}
+
+// answerRun sends an answer with success.
+func (k *Worker) answerRun(w http.ResponseWriter, r *http.Request, f Fault, killed bool, id string, body []byte) {
 	if end := k.endsUnderPart(r); end != nil {
 		closeConn := k.beginAnswer(w)
 		end(r)
 		closeConn()
 		panic(http.ErrAbortHandler)
 	}
-	if f == Unframed {
-		if k.cfg.Events > 0 {
-			w.Header().Set("Content-Type", "text/event-stream")
-		}
+	if k.cfg.Events > 0 {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	switch f {
+	case PartOfHead, HeadAlone:
+		k.stopInHead(w, f, killed)
+	case Unframed:
 		writeUnframed(w, StreamText(k.cfg.Events))()
 		return
 	}
 	if k.cfg.Events > 0 {
-		k.stream(w, r, f)
+		k.stream(k.openAnswer(w, id), r, f, killed)
 		return
 	}
 	if !sleep(r, k.cfg.Work) {
@@ -424,10 +449,12 @@
 		k.answerLate(w, text)
 		return
 	}
-	fmt.Fprint(w, text)
-	if f == ExtraAnswer {
+	if f == ExtraAnswer && !k.cfg.IsUnframed(id) {
+		fmt.Fprint(w, text)
 		k.writeExtraAnswer(w)
+		return
 	}
+	k.writeCall(w, r, id, text, f, killed)
 }
 
 // writeExtraAnswer sends a complete answer and an unexpected second one.
