--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -94,6 +94,8 @@
 	remote  *remote
 	next    *target
 	endedAt time.Time
+	// faults are those of the requests that it ran.
+	faults map[string]worker.Fault
 	// ended is set once its process has ended under a request.
 	ended bool
 	// drainingSince is when it was listed as draining.
--- a/internal/dev/soak/remote.go
+++ b/internal/dev/soak/remote.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"os/exec"
 	"runtime"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -88,8 +87,9 @@
 		if lines.Text() == worker.LineUp {
 			p.up <- nil
 		}
-		if id, ok := strings.CutPrefix(lines.Text(), worker.LineRun); ok {
+		if id, f, ok := worker.ParseRun(lines.Text()); ok {
 			p.target.RecordRun(id)
+			p.deployment.recordFaultOf(p.target, id, f)
 		}
 	}
 	err = p.cmd.Wait()
@@ -105,6 +105,16 @@
 	return nil
 }
 
+// recordFaultOf records the fault with which a target runs a request.
+func (s *deployment) recordFaultOf(w *target, id string, f worker.Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if w.faults == nil {
+		w.faults = make(map[string]worker.Fault)
+	}
+	w.faults[id] = f
+}
+
 func (p *remote) start() (io.Reader, error) {
 	command := p.deployment.cfg.Target
 	p.cmd = exec.Command(command[0], command[1:]...)
--- a/internal/dev/soak/text.go
+++ b/internal/dev/soak/text.go
@@ -95,7 +95,7 @@
 	defer s.mu.Unlock()
 	var text string
 	for _, w := range c.ranAt[a.id] {
-		text += " " + w.id
+		text += fmt.Sprintf(" %s (fault %q)", w.id, w.faults[a.id])
 		if at := w.endedAt; !at.IsZero() && at.Before(a.end.Add(endSlack)) {
 			text += fmt.Sprintf(", which ended at %.2fs", at.Sub(s.began).Seconds())
 		} else {
--- a/internal/dev/worker/process.go
+++ b/internal/dev/worker/process.go
@@ -18,12 +18,18 @@
 	"github.com/pkg/errors"
 )
 
-// Lines that the process of a worker writes.
-const (
-	// LineUp says that the worker listens, LineRun begins the line that names a request which runs.
-	LineUp  = "up"
-	LineRun = "run "
-)
+// LineUp is what the process of a worker writes once it listens.
+const LineUp = "up"
+
+// runPrefix begins the line that names a request which runs, and its fault.
+const runPrefix = "run "
+
+// ParseRun returns the request and the fault that a line names.
+func ParseRun(line string) (id string, f Fault, ok bool) {
+	line, ok = strings.CutPrefix(line, runPrefix)
+	id, text, _ := strings.Cut(line, " ")
+	return id, Fault(text), ok
+}
 
 // stopDelay is the time between SIGTERM and the end of the process. Requests that are still running are aborted.
 const stopDelay = 300 * time.Millisecond
@@ -59,7 +65,7 @@
 	if err := json.Unmarshal(line, &s); err != nil {
 		return errors.Wrap(err, "worker: settings")
 	}
-	s.Worker.OnRun = func(id string) { p.write(LineRun + id) }
+	s.Worker.OnRun = func(id string, f Fault) { p.write(fmt.Sprintf("%s%s %s", runPrefix, id, f)) }
 	s.Worker.OnKill = func() {
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 		select {}
