--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -106,3 +106,40 @@
 		t.Errorf("three headers: %v", got)
 	}
 }
+
+// Guards against taking for alive a target that does not answer for itself.
+func TestLivingTargetsNameThemselves(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		report string
+		want   bool
+	}{
+		"its own":    {http.StatusOK, `{"target":"uvs-p1"}`, true},
+		"another's":  {http.StatusOK, `{"target":"uvs-p2"}`, false},
+		"of nobody":  {http.StatusOK, `{}`, false},
+		"cut":        {http.StatusOK, `{"target":"uvs-p1"`, false},
+		"no report":  {http.StatusNotFound, "", false},
+		"a failure":  {http.StatusBadGateway, `{"target":"uvs-p1"}`, false},
+		"no answer":  {0, "", false},
+		"no content": {http.StatusNoContent, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if c.status == 0 {
+					panic(http.ErrAbortHandler)
+				}
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.report))
+			}))
+			defer srv.Close()
+			if got := New().Lives(t.Context(), event.Target{ID: "uvs-p1", URL: srv.URL}); got != c.want {
+				t.Errorf("lives: %v, want %v", got, c.want)
+			}
+		})
+	}
+	srv := httptest.NewServer(http.NotFoundHandler())
+	srv.Close()
+	if New().Lives(t.Context(), event.Target{ID: "uvs-p1", URL: srv.URL}) {
+		t.Error("a target that refuses connections counts as alive")
+	}
+}
