--- a/internal/front/answer_test.go
+++ b/internal/front/answer_test.go
@@ -95,6 +95,38 @@
 	check(t, "no end marker", false, strings.Contains(rep.body, "[DONE]"))
 }
 
+// Guards against a stream of a service that is broken off because its caller has closed its sending side, and ends as
+// complete, and against an empty success.
+func TestAnswerToHalfClosedCallerDoesNotLookComplete(t *testing.T) {
+	for name, begins := range map[string]bool{"stream": true, "no answer yet": false} {
+		t.Run(name, func(t *testing.T) {
+			arrived := make(chan struct{})
+			b := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+				if begins {
+					w.Header().Set("Content-Type", "text/event-stream")
+					fmt.Fprint(w, "data: first\n\n")
+					_ = http.NewResponseController(w).Flush()
+				}
+				close(arrived)
+				<-r.Context().Done()
+			})
+			conn, br := b.raw(t, "GET /v1/services/vans/x HTTP/1.1\r\nHost: x\r\nAccept: text/event-stream\r\nAuthorization: Bearer key\r\n\r\n")
+			<-arrived
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(br, nil)
+			if err != nil {
+				return
+			}
+			text, err := io.ReadAll(res.Body)
+			if err == nil {
+				t.Errorf("the answer looks complete: status %d, %q", res.StatusCode, text)
+			}
+		})
+	}
+}
+
 // Guards against appending the end marker of a stream to a JSON error of an engine.
 func TestStreamAnsweredPlain(t *testing.T) {
 	b := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/front/complete.go
+++ b/internal/front/complete.go
@@ -97,7 +97,7 @@
 		Header: http.Header{"Content-Type": {"application/json"}, "Via": {x.via()}},
 		Ending: x.ending,
 	}
-	x.cfg.Runner.Run(x.r.Context(), call, req, x.sink(true))
+	x.run(call, req, true)
 }
 
 // parseCompletion parses a completion request and checks its shape.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -53,7 +53,7 @@
 		path += "?" + x.r.URL.RawQuery
 	}
 	call := serve.Call{Method: x.r.Method, Path: path, Header: x.serviceHeader(), Body: x.body.Bytes(), Stream: req.Stream, Ending: x.ending}
-	x.cfg.Runner.Run(x.r.Context(), call, req, x.sink(false))
+	x.run(call, req, false)
 	return nil
 }
 
--- a/internal/front/sink.go
+++ b/internal/front/sink.go
@@ -11,19 +11,24 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// sink returns the sink that writes the answer of a target to the caller.
-func (x *exchange) sink(engine bool) serve.Sink {
-	s := &callerSink{exchange: x, engine: engine}
-	return serve.Sink{Begin: s.begin, Data: s.data, Finish: s.finish, Refuse: s.refuse}
-}
-
 type callerSink struct {
 	*exchange
 	// engine is set if a stream ends with the end marker.
 	engine bool
 	// headerSent is set once the status has been sent, so that only a trailer or a cut can show the
-	// outcome.
-	headerSent bool
+	// outcome. ended is set once the answer has its end.
+	headerSent, ended bool
+}
+
+// run runs a request and writes its answer. An answer without an end, since its caller seemed to have
+// disconnected, is aborted: net/http would end it as if it were complete, also for a caller that has only
+// closed its sending side.
+func (x *exchange) run(call serve.Call, req event.Request, engine bool) {
+	s := &callerSink{exchange: x, engine: engine}
+	x.cfg.Runner.Run(x.r.Context(), call, req, serve.Sink{Begin: s.begin, Data: s.data, Finish: s.finish, Refuse: s.refuse})
+	if !s.ended {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *callerSink) begin(status int, h http.Header) {
@@ -64,7 +69,7 @@
 }
 
 func (s *callerSink) finish(outcome event.Outcome) {
-	s.outcome = outcome
+	s.outcome, s.ended = outcome, true
 	if !s.streaming {
 		return
 	}
@@ -78,6 +83,7 @@
 // refuse ends the answer with a refusal. A stream that has begun gets an error event and is then
 // cut without its end marker, so that no client mistakes the partial answer for a complete one.
 func (s *callerSink) refuse(r event.Refuse) {
+	s.ended = true
 	if !s.headerSent {
 		s.exchange.refuse(&r)
 		return
