--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -254,7 +254,7 @@
 	}
 	switch end.Result {
 	case event.ResultDone:
-		if !c.answerBegun || e.GetBytes() != c.receivedBytes {
+		if !c.answerBegun || e.GetBytes() != c.receivedBytes || len(c.held) > 0 {
 			return c.brokenResult()
 		}
 	case event.ResultNotRun:
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// Guards against an answer that counts as complete although its last event has not come whole.
+func TestEndWithinAnEventIsBroken(t *testing.T) {
+	c := &outboundRequest{answerBegun: true, bodySent: true, receivedBytes: 3, held: []byte("id:")}
+	end := c.checkEnd(wire.FromEnd(event.AttemptEnded{Result: event.ResultDone}, 3))
+	if diff := cmp.Diff(event.ResultBroken, end.Result); diff != "" {
+		t.Errorf("result (-want +got):\n%s", diff)
+	}
+}
+
 // A "not run" end frame after the answer has begun must count as broken; otherwise the request
 // would be run again.
 func TestNotRunAfterBeginIsBroken(t *testing.T) {
