soak: an unframed answer that a living target closes in order is its whole answer

The processes of targets write for each run where it began and its fault, and the check takes exactly what such a target sent as whole, no event more or less. Targets that end, heads alone, ends inside an event and resets stay checked; a target behind a relay does not reset, since the relay would close in order.

--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -94,8 +94,8 @@
 	remote  *remote
 	next    *target
 	endedAt time.Time
-	// faults are those of the requests that it ran.
-	faults map[string]worker.Fault
+	// requests are the runs of each request in its process.
+	requests map[string][]worker.Run
 	// ended is set once its process has ended under a request.
 	ended bool
 	// drainingSince is when it was listed as draining.
--- a/internal/dev/soak/ends.go
+++ b/internal/dev/soak/ends.go
@@ -81,11 +81,15 @@
 }
 
 func stopAnswers(rnd *rand.Rand, s *deployment, w *target) fault {
-	f, n := answerEnds[rnd.IntN(len(answerEnds))], 1+rnd.IntN(4)
-	if f == worker.BetweenEvents && rnd.IntN(2) == 0 {
-		f = worker.ResetAfterEvent
-	}
-	return fault{name: fmt.Sprintf("target %s: next %d stop, %s", w.id, n, f), target: true, begin: func(context.Context) { s.current(w).InjectFault(f, n) }}
+	f, n, resets := answerEnds[rnd.IntN(len(answerEnds))], 1+rnd.IntN(4), rnd.IntN(2) == 0
+	return fault{name: fmt.Sprintf("target %s: next %d stop, %s", w.id, n, f), target: true, begin: func(context.Context) {
+		now, f := s.current(w), f
+		// A relay closes in order where a target resets a connection.
+		if f == worker.BetweenEvents && resets && now.addr != now.relay.Addr() {
+			f = worker.ResetAfterEvent
+		}
+		now.InjectFault(f, n)
+	}}
 }
 
 func killInAnswer(rnd *rand.Rand, s *deployment, w *target) fault {
--- a/internal/dev/soak/remote.go
+++ b/internal/dev/soak/remote.go
@@ -87,9 +87,9 @@
 		if lines.Text() == worker.LineUp {
 			p.up <- nil
 		}
-		if id, f, ok := worker.ParseRun(lines.Text()); ok {
-			p.target.RecordRun(id)
-			p.deployment.recordFaultOf(p.target, id, f)
+		if r := (worker.Run{}); json.Unmarshal(lines.Bytes(), &r) == nil {
+			p.target.RecordRun(r.ID)
+			p.deployment.recordRun(p.target, r)
 		}
 	}
 	err = p.cmd.Wait()
@@ -105,14 +105,13 @@
 	return nil
 }
 
-// recordFaultOf records the fault with which a target runs a request.
-func (s *deployment) recordFaultOf(w *target, id string, f worker.Fault) {
+func (s *deployment) recordRun(w *target, r worker.Run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w.faults == nil {
-		w.faults = make(map[string]worker.Fault)
+	if w.requests == nil {
+		w.requests = make(map[string][]worker.Run)
 	}
-	w.faults[id] = f
+	w.requests[r.ID] = append(w.requests[r.ID], r)
 }
 
 func (p *remote) start() (io.Reader, error) {
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -186,6 +186,40 @@
 	}
 }
 
+// Guards against a check that takes an answer for whole of which a target sent more, was killed or reset the connection.
+func TestEndedInOrderDetectsViolations(t *testing.T) {
+	cfg := Config{Builds: true, Ends: true}
+	writer := cfg.writer("v1")
+	writer.UnframedPercent = 100
+	framed := writer
+	framed.UnframedPercent = 0
+	text := func(n int) string { return strings.TrimSuffix(writer.TextOf("s", 1), writer.TextOf("s", n+1)) }
+	for name, c := range map[string]struct {
+		config worker.Config
+		run    worker.Run
+		answer string
+		want   int
+	}{
+		"closed in order":    {writer, worker.Run{ID: "s", Fault: worker.BetweenEvents}, text(2), 0},
+		"one event is lost":  {writer, worker.Run{ID: "s", Fault: worker.BetweenEvents}, text(1), 1},
+		"resumed":            {writer, worker.Run{ID: "s", From: 5, Fault: worker.BetweenEvents}, text(7), 0},
+		"resumed, not whole": {writer, worker.Run{ID: "s", From: 5, Fault: worker.BetweenEvents}, text(2), 1},
+		"killed":             {writer, worker.Run{ID: "s", Fault: worker.Killed(worker.BetweenEvents)}, text(2), 1},
+		"reset":              {writer, worker.Run{ID: "s", Fault: worker.ResetAfterEvent}, text(2), 1},
+		"inside an event":    {writer, worker.Run{ID: "s", Fault: worker.Crash}, text(1) + "id", 1},
+		"head alone":         {writer, worker.Run{ID: "s", Fault: worker.HeadAlone}, "", 1},
+		"framed":             {framed, worker.Run{ID: "s", Fault: worker.BetweenEvents}, text(2), 1},
+		"no fault":           {writer, worker.Run{ID: "s"}, text(2), 1},
+	} {
+		w := &target{id: "t", config: c.config, requests: map[string][]worker.Run{"s": {c.run}}}
+		chk := &checker{deployment: &deployment{cfg: cfg}, ranAt: map[string][]*target{"s": {w}}}
+		chk.checkText(observation{id: "s", kind: kindDraft, route: kindDraft, answer: c.answer}, name)
+		if len(chk.violations) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		}
+	}
+}
+
 // Guards against a check that misses a call whose answer looks whole and is not.
 func TestCallChecksDetectViolations(t *testing.T) {
 	a := observation{id: "c", kind: kindFetch, route: kindFetch, status: http.StatusOK}
--- a/internal/dev/soak/text.go
+++ b/internal/dev/soak/text.go
@@ -69,7 +69,7 @@
 // as complete, whole.
 func (c *checker) checkText(a observation, desc string) {
 	texts := c.wants(a)
-	if slices.ContainsFunc(texts, a.fits) || len(texts) == 0 && a.answer == "" && a.err != nil {
+	if slices.ContainsFunc(texts, a.fits) || slices.ContainsFunc(texts, func(text string) bool { return c.endedInOrder(a, text) }) || len(texts) == 0 && a.answer == "" && a.err != nil {
 		return
 	}
 	kind, best := "order", ""
@@ -85,6 +85,22 @@
 	c.report("%s: %s (framed: %v, end: %v) has after %d bytes %q, want %q; ran at%s", kind, desc, a.framed, a.err, n, excerpt(a.answer, n), excerpt(best, n), c.ends(a))
 }
 
+// endedInOrder reports whether the answer is all that a target has sent of a text. What a target that lives on closes in order,
+// without a length or chunks, is its whole answer.
+func (c *checker) endedInOrder(a observation, text string) bool {
+	s := c.deployment
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range c.ranAt[a.id] {
+		for _, r := range w.requests[a.id] {
+			if sent := w.config.EndedInOrder(r, a.stream(), text); sent != text && sent == a.answer {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // endSlack is the time in which the end of a process is seen.
 const endSlack = 100 * time.Millisecond
 
@@ -95,7 +111,7 @@
 	defer s.mu.Unlock()
 	var text string
 	for _, w := range c.ranAt[a.id] {
-		text += fmt.Sprintf(" %s (fault %q)", w.id, w.faults[a.id])
+		text += fmt.Sprintf(" %s %v", w.id, w.requests[a.id])
 		if at := w.endedAt; !at.IsZero() && at.Before(a.end.Add(endSlack)) {
 			text += fmt.Sprintf(", which ended at %.2fs", at.Sub(s.began).Seconds())
 		} else {
--- a/internal/dev/worker/cut.go
+++ b/internal/dev/worker/cut.go
@@ -93,6 +93,19 @@
 	panic(http.ErrAbortHandler)
 }
 
+// EndedInOrder returns what a worker with this configuration has sent of a text in answer to a run if it closed an unframed
+// answer in order before its end: text itself if it did not.
+func (cfg Config) EndedInOrder(r Run, stream, text string) string {
+	switch {
+	case !cfg.IsUnframed(r.ID):
+	case cfg.Events > 0 && r.Fault == BetweenEvents && r.From+2 < cfg.Events:
+		return strings.TrimSuffix(text, cfg.TextOf(stream, r.From+3))
+	case cfg.Events == 0 && cfg.Pause > 0 && (r.Fault == BetweenEvents || r.Fault == Crash):
+		return text[:len(text)/2]
+	}
+	return text
+}
+
 // stopInHead sends a head, or part of it, and stops.
 func (k *Worker) stopInHead(w http.ResponseWriter, f Fault, killed bool) {
 	head := headOf(w)
--- a/internal/dev/worker/process.go
+++ b/internal/dev/worker/process.go
@@ -21,14 +21,12 @@
 // LineUp is what the process of a worker writes once it listens.
 const LineUp = "up"
 
-// runPrefix begins the line that names a request which runs, and its fault.
-const runPrefix = "run "
-
-// ParseRun returns the request and the fault that a line names.
-func ParseRun(line string) (id string, f Fault, ok bool) {
-	line, ok = strings.CutPrefix(line, runPrefix)
-	id, text, _ := strings.Cut(line, " ")
-	return id, Fault(text), ok
+// Run is a request that runs, as the process of a worker writes it, one line of JSON each.
+type Run struct {
+	ID string
+	// From is the number of events that the caller has.
+	From  int
+	Fault Fault
 }
 
 // stopDelay is the time between SIGTERM and the end of the process. Requests that are still running are aborted.
@@ -65,7 +63,7 @@
 	if err := json.Unmarshal(line, &s); err != nil {
 		return errors.Wrap(err, "worker: settings")
 	}
-	s.Worker.OnRun = func(id string, f Fault) { p.write(fmt.Sprintf("%s%s %s", runPrefix, id, f)) }
+	s.Worker.OnRun = p.writeRun
 	s.Worker.OnKill = func() {
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
 		select {}
@@ -85,6 +83,14 @@
 	return nil
 }
 
+func (p *process) writeRun(r Run) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	p.write(string(b))
+}
+
 func (p *process) write(line string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/dev/worker/stream.go
+++ b/internal/dev/worker/stream.go
@@ -11,9 +11,7 @@
 
 // stream sends the events after the last one that the caller received.
 func (k *Worker) stream(out *answerWriter, r *http.Request, f Fault, killed bool) {
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	step := max(k.cfg.IDStep, 1)
-	from, name := last/step, r.URL.Query().Get("of")
+	from, name := k.cfg.eventsBefore(r), r.URL.Query().Get("of")
 	for n := from + 1; n <= k.cfg.Events; n++ {
 		text := k.cfg.EventOf(name, n)
 		if n == from+2 && k.stopsInEvent(out, text, f) {
@@ -33,6 +31,12 @@
 	out.close()
 }
 
+// eventsBefore returns the number of events up to the last one that the caller received.
+func (cfg Config) eventsBefore(r *http.Request) int {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	return last / max(cfg.IDStep, 1)
+}
+
 // stopsInEvent sends part of an event if the fault says so, and reports whether it did.
 func (k *Worker) stopsInEvent(out *answerWriter, text string, f Fault) bool {
 	switch {
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -106,10 +106,10 @@
 	// PoisonPart in its prompt is answered. It ends the process of the worker: it closes its listener
 	// and its connections. Nil means that such requests are like any other.
 	OnPoison func(r *http.Request) `json:"-"`
-	// OnRun is called with the id of each request that runs and its fault, before its answer begins. OnKill ends the process of
-	// the worker. Nil means that nothing is called.
-	OnRun  func(id string, f Fault) `json:"-"`
-	OnKill func()                   `json:"-"`
+	// OnRun is called for each request that runs, before its answer begins. OnKill ends the process of the worker. Nil means that
+	// nothing is called.
+	OnRun  func(Run) `json:"-"`
+	OnKill func()    `json:"-"`
 	// Ending is what is sent of the answer to a prompt with PoisonPart; empty means AfterHead.
 	Ending Ending
 	// StartTimeMs is the start time in Unix milliseconds, which the store entry and
@@ -333,7 +333,7 @@
 	}
 	k.recordRun(id, r.Header)
 	if k.cfg.OnRun != nil {
-		k.cfg.OnRun(id, f)
+		k.cfg.OnRun(Run{ID: id, From: k.cfg.eventsBefore(r), Fault: f})
 	}
 	defer k.endRequest(r, true)
 	if end := k.endsUnder(r); end != nil {
