begun, core, platform: streams go on after all hosts were killed

What callers saw: with two builds of a service in service and all hosts killed at once, every stream that they took up again was refused (VB1034, denied=buildUnknown), also many seconds later, although targets of its build served.

Cause: only hosts know which build began a stream, and all of them had ended. The record of builds in the store (decision 71) has two builds then, so that nothing may be concluded.

Change: while a service has more than one build, a host saves which build began its running streams to the store, in batches. Each has a key of its own, verbenadale/begun/HOST/LEASE-NUMBER, under a lease that outlives the time for which its streams may be taken up. A host reads them with its first read of all keys, before it knows the records of builds, and merges them as it does answers of keepers. begun.Ledger decides when a batch is due: every 400 ms and host, but at most 20 a second of all hosts; a batch that was not saved, or may not have been, is saved again later. With one build nothing is written.

Why it joins none: a stream without a batch stays unknown and is refused; one that two builds claim is ambiguous and refused. The number of the lease is in the key, so that a late write or an earlier start of a host changes no other batch, and a late write under a lease that has ended fails. A batch has a checksum and no times of any clock but a duration. What is read is bounded as the host's own book of streams is, and the read goes on behind the batches once that bound is reached.

TestFaultsOfTheStoreJoinNoStreams: late writes, lost answers and writes, a store that is down for some or all, a second restart: no stream of two builds.

--- a/internal/begun/begun.go
+++ b/internal/begun/begun.go
@@ -38,8 +38,8 @@
 )
 
 const (
-	// maxRecords bounds the streams that a host remembers.
-	maxRecords = 16384
+	// MaxRecords bounds the streams that a host remembers.
+	MaxRecords = 16384
 	// maxTTL bounds how long another host may ask to remember a stream.
 	maxTTL = time.Hour
 	// maxBuilds bounds the builds that a host remembers, of all services.
@@ -213,7 +213,7 @@
 		r.until = max(r.until, until)
 		return r
 	}
-	if len(b.records) >= maxRecords {
+	if len(b.records) >= MaxRecords {
 		b.remove(b.order.Front())
 	}
 	r := &record{stream: s.Stream, build: s.ServiceBuild, until: until, ambiguous: s.Ambiguous}
--- a/internal/begun/begun_test.go
+++ b/internal/begun/begun_test.go
@@ -88,11 +88,11 @@
 	check(t, "known after its end", false, ok)
 	_, ok = b.Find(start.Add(maxTTL), 2)
 	check(t, "known after maxTTL", false, ok)
-	for n := range ident.Stream(2 * maxRecords) {
+	for n := range ident.Stream(2 * MaxRecords) {
 		b.Merge(start, []event.BegunStream{stream(n+10, v1)})
 	}
-	check(t, "records", maxRecords, b.Len())
-	_, ok = b.Find(start, 2*maxRecords+9)
+	check(t, "records", MaxRecords, b.Len())
+	_, ok = b.Find(start, 2*MaxRecords+9)
 	check(t, "the newest is known", true, ok)
 	for n := range 2 * maxBuilds {
 		b.BuildSeen(start, event.ServiceBuild{Service: "flood", Build: ident.Build(rune(n))})
--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -242,6 +242,7 @@
 	}
 	rd.nextBegun = now.Add(announceInterval)
 	streams := rd.begun.TakeAnnounced()
+	rd.noteUnsaved(now, streams)
 	rd.sendBegun(streams, false, func(stream ident.Stream) []event.Host { return rd.keepers(now, stream, keeperCount) })
 	rd.sendBegun(streams, true, func(stream ident.Stream) []event.Host { return rd.relays(now, stream) })
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,7 @@
 	quota  *quota.Ledger
 	poison *poison.Book
 	begun  *begun.Book
+	ledger *begun.Ledger
 	builds *builds.Book
 	// list is the last read of the platform's list of which targets are held back, and listAt when it was
 	// read. They are admitted at admitAt at the latest, zero if there are none.
@@ -124,6 +125,7 @@
 		quota:        quota.New(self.ID, self.Place.Group()),
 		poison:       poison.New(),
 		begun:        begun.New(),
+		ledger:       begun.NewLedger(self.ID),
 		builds:       builds.New(self.ID),
 		lookups:      make(map[ident.Stream]*lookup),
 		pools:        newPools(),
@@ -253,6 +255,10 @@
 		rd.hostsRead(now, e)
 	case event.BuildsRecorded:
 		rd.buildsRecorded(now, e)
+	case event.BegunRead:
+		rd.begunRead(now, e)
+	case event.BegunSaved:
+		rd.ledger.Saved(now, e, rd.table.HostCount())
 	case event.PlatformFailed:
 		rd.spread.PlatformFailed(now, e.Op)
 		if e.Op == event.OpReadHosts {
@@ -342,6 +348,7 @@
 		rd.admitTargets(now)
 	}
 	rd.announceBegun(now)
+	rd.saveBegun(now)
 	rd.continueLookups(now)
 	rd.emit(rd.spread.Tick(now, rd.table.IsWatcher(now))...)
 	rd.updateReadPace(now)
@@ -435,7 +442,7 @@
 	}
 	for _, t := range []ident.Time{
 		rd.table.Next(now), rd.spread.NextTick(now), rd.timers.next(), rd.pools.next(now, rd.queueDeadline), rd.once.Next(), rd.quota.NextAnnouncement(),
-		rd.poison.NextAnnouncement(), rd.nextBegunTick(), rd.admitAt,
+		rd.poison.NextAnnouncement(), rd.nextBegunTick(), rd.ledger.Next(), rd.admitAt,
 	} {
 		if t > now && t < at {
 			at = t
--- a/internal/dev/drive/drive.go
+++ b/internal/dev/drive/drive.go
@@ -81,6 +81,9 @@
 	ListReads bool
 	// LoseBuilds makes the platform refuse records of builds.
 	LoseBuilds bool
+	// SaveFault, if set, returns what happens to each batch of begun streams. Saves counts them.
+	SaveFault func(from event.Host) SaveFault
+	Saves     int
 	// FirstEvents makes targets send the first event of each answer firstEventRatio into its run.
 	FirstEvents bool
 	// EndsTarget, if set, reports whether a request ends each target that runs it.
--- a/internal/dev/drive/effects.go
+++ b/internal/dev/drive/effects.go
@@ -103,6 +103,8 @@
 		}
 	case event.RecordBuilds:
 		d.recordBuilds(h, e)
+	case event.SaveBegun:
+		d.saveBegun(h, e)
 	case event.ClaimKey:
 		d.claim(h, e)
 	}
--- a/internal/dev/drive/environment.go
+++ b/internal/dev/drive/environment.go
@@ -249,6 +249,7 @@
 	hosts        []event.Host
 	hostsVersion uint64
 	builds       map[string]event.BuildRecord
+	ledger       ledger
 	keys         map[string]event.KeyRecord
 	watchers     map[ident.EntryID]ident.Revision
 	requests     map[ident.RequestID]event.Request
@@ -257,6 +258,7 @@
 func newPlatform() platform {
 	return platform{
 		builds:   make(map[string]event.BuildRecord),
+		ledger:   ledger{readBy: make(map[ident.EntryID]ident.Incarnation)},
 		keys:     make(map[string]event.KeyRecord),
 		watchers: make(map[ident.EntryID]ident.Revision),
 		requests: make(map[ident.RequestID]event.Request),
@@ -337,6 +339,7 @@
 	for _, service := range slices.Sorted(maps.Keys(d.platform.builds)) {
 		ev.Builds = append(ev.Builds, d.platform.builds[service])
 	}
+	d.readBegun(h)
 	d.Post(h.ID, callDelay, ev)
 	if d.ListReads {
 		d.Post(h.ID, callDelay, event.ListRead{})
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -312,6 +312,12 @@
 	Record BuildRecord `json:"record"`
 }
 
+// SaveBegun saves which builds have begun streams to the platform's store. BegunSaved answers it.
+type SaveBegun struct {
+	Batch   uint64        `json:"batch"`
+	Streams []BegunStream `json:"streams"`
+}
+
 // SendSummary sends a summary to one host of another data centre.
 type SendSummary struct {
 	To      Host    `json:"to"`
@@ -522,6 +528,7 @@
 func (AskBegun) isEffect()        {}
 func (AnswerBegun) isEffect()     {}
 func (RecordBuilds) isEffect()    {}
+func (SaveBegun) isEffect()       {}
 func (SendSummary) isEffect()     {}
 func (SendChanges) isEffect()     {}
 func (SendSnapshot) isEffect()    {}
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -196,6 +196,18 @@
 	Record BuildRecord `json:"record"`
 }
 
+// BegunRead reports which builds had begun the streams that hosts have saved to the platform's store, as it was
+// when this host read all of it.
+type BegunRead struct {
+	Streams []BegunStream `json:"streams"`
+}
+
+// BegunSaved reports whether a batch of SaveBegun was saved. Otherwise it may have been.
+type BegunSaved struct {
+	Batch uint64 `json:"batch"`
+	Saved bool   `json:"saved,omitempty"`
+}
+
 // ListRead reports that a read of the platform's list has succeeded. Its changes, if there were
 // any, were reported before it.
 type ListRead struct {
@@ -241,6 +253,8 @@
 func (BegunAsked) isEvent()         {}
 func (BegunAnswered) isEvent()      {}
 func (BuildsRecorded) isEvent()     {}
+func (BegunRead) isEvent()          {}
+func (BegunSaved) isEvent()         {}
 func (ChangesReceived) isEvent()    {}
 func (SnapshotReceived) isEvent()   {}
 func (ChangesWanted) isEvent()      {}
