serve, trail: the end of an attempt says what was wrong with its answer

A line "attempt ended" with result=broken did not show whether the answer had stopped, had an event out of place, was no continuation of its stream, or was of another request: the error was on a debug line only, and for what another region relayed on none. It now has fault, and unplaced if the caller has an event without an id. With them an operator can tell the hypotheses on the place at which streams go on from a target that breaks off.

--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -187,6 +187,8 @@
 	// Unplaced means that the caller has an event without an id after the delivered tokens, so that no
 	// attempt may follow.
 	Unplaced bool `json:"unplaced,omitempty"`
+	// Fault is what was wrong with the answer, empty if nothing was or if none has begun.
+	Fault string `json:"fault,omitempty"`
 	// OutcomeStored means that the request's goroutine stored the outcome for repeats.
 	OutcomeStored bool `json:"kept,omitempty"`
 	// Silent means that the attempt was aborted because it sent no data.
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -38,8 +39,10 @@
 	// cannotContinue is set if another entry host has answered with what is no continuation of the
 	// stream of which the caller has a part.
 	cannotContinue bool
-	reportedUsage  usage
-	end            event.AttemptEnded
+	// relayFault is what was wrong with the answer that another entry host has relayed.
+	relayFault    string
+	reportedUsage usage
+	end           event.AttemptEnded
 	// gapCount is the number of events since gapStart, gapID the id of the event at that time.
 	gapCount int
 	gapStart ident.Time
@@ -79,9 +82,10 @@
 	call.Header = a.call.Header.Clone()
 	trace.Inject(ctx, call.Header)
 	end := a.Forward(ctx, ForwardedRequest{Forward: f, Request: a.req, Call: call}, a.markSent, Relay{Build: a.setBuild, Begin: a.beginRelayed, Data: a.receiveRelayed})
+	end.Fault = a.relayFault
 	if a.cannotContinue {
 		a.Log.V(1).Info("attempt broke", "attempt", a.id, "error", errNotContinued)
-		end.Result, end.Resumable = event.ResultFailed, a.resumable()
+		end.Result, end.Resumable, end.Fault = event.ResultFailed, a.resumable(), faultOf(errNotContinued)
 		end.Delivered, end.Generated = a.delivered, 0
 	}
 	span.Set("result", string(end.Result))
@@ -104,6 +108,14 @@
 // that the pieces are contiguous. A piece whose token count is lower than that of the previous one
 // is rejected, since the caller would receive text twice.
 func (a *attempt) receiveRelayed(b []byte, tokens ident.Tokens) error {
+	err := a.deliverRelayed(b, tokens)
+	if err != nil {
+		a.relayFault = faultOf(err)
+	}
+	return err
+}
+
+func (a *attempt) deliverRelayed(b []byte, tokens ident.Tokens) error {
 	if a.cannotContinue {
 		return errNotContinued
 	}
@@ -117,6 +129,30 @@
 	return a.deliver(b, tokens)
 }
 
+// faults names the faults in answers.
+var faults = []struct {
+	err  error
+	name string
+}{
+	{errTruncated, "truncated"},
+	{errOutOfSequence, "outOfSequence"},
+	{errNotContinued, "notContinued"},
+	{errWrongRequest, "otherRequest"},
+	{errEventTooLong, "tooLong"},
+	{errAnswerTooLarge, "tooLong"},
+	{errCallerGone, "callerGone"},
+}
+
+// faultOf returns the name of the fault in an answer.
+func faultOf(err error) string {
+	for _, f := range faults {
+		if errors.Is(err, f.err) {
+			return f.name
+		}
+	}
+	return "other"
+}
+
 // silenceReportInterval is the time between two reports while an attempt sends no data.
 const silenceReportInterval = 500 * time.Millisecond
 
--- a/internal/serve/forwarded_test.go
+++ b/internal/serve/forwarded_test.go
@@ -51,6 +51,7 @@
 			check(t, "body", routedEvents(1, 2), got.Body)
 			check(t, "reported as complete", false, got.Outcome == event.Done)
 			check(t, "resumable", true, f.ends[1].Resumable)
+			check(t, "faults", []string{"truncated", "notContinued"}, []string{f.ends[0].Fault, f.ends[1].Fault})
 		})
 	}
 }
--- a/internal/serve/routed_test.go
+++ b/internal/serve/routed_test.go
@@ -150,6 +150,7 @@
 			f := newFixture(t, brokenStream(c.first), streamAnswer(c.second), streamAnswer(c.second))
 			want := callerResult{Status: 200, Body: routedEvents(1, 2), Outcome: event.Unknown, Code: codes.TargetFailed.ID}
 			check(t, "caller", want, f.run(t.Context(), routedStream))
+			check(t, "fault of the last answer", "outOfSequence", f.ends[len(f.ends)-1].Fault)
 		})
 	}
 }
--- a/internal/serve/send.go
+++ b/internal/serve/send.go
@@ -206,7 +206,7 @@
 // brokenResult ends an attempt whose answer is unusable. Only a stream that merely stopped may be
 // resumed: after a missing event or an event of another request, its position can't be trusted.
 func (a *attempt) brokenResult(end event.AttemptEnded, err error) event.AttemptEnded {
-	end.Result = event.ResultBroken
+	end.Result, end.Fault = event.ResultBroken, faultOf(err)
 	end.Resumable = a.resumable() && errors.Is(err, errTruncated)
 	a.Log.V(1).Info("attempt broke", "attempt", a.id, "error", err)
 	return end
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -242,6 +242,12 @@
 		return
 	}
 	tr.count("attempts." + string(e.Result))
+	if e.Fault != "" {
+		kv = append(kv, "fault", e.Fault)
+	}
+	if e.Unplaced {
+		kv = append(kv, "unplaced", true)
+	}
 	if e.Disconnected {
 		tr.count("attempts.disconnected")
 	}
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -44,6 +44,7 @@
 	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultNotRun, Status: 503, RetryAfter: 2500 * time.Millisecond}, nil)
 	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultDone, Status: 200, Unframed: true, ProvenWhole: true}, nil)
 	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultBroken, Status: 200, Unframed: true, Disconnected: true}, nil)
+	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultBroken, Status: 200, Fault: "truncated", Unplaced: true}, nil)
 	takenUp := basis
 	takenUp.Origin, takenUp.TakenUp = 0xabc, true
 	tr.Record(at, event.Tick{}, []event.Effect{
