soak: the case of targets that end inside unframed answers is seed 18

On seed 18 (-ends -for 5s) breaks 7 answers: killed between events, killed after the head, stopped in the middle, head alone; seed 2 broke in 4 of 5 runs.

--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -119,13 +119,13 @@
 // targetCommand runs a target in a process of the test binary.
 func targetCommand() []string { return []string{"/usr/bin/env", targetEnv + "=1", os.Args[0]} }
 
-// Guards against unframed answers that look whole after their targets have ended inside them (seed 2), and against streams that are
+// Guards against unframed answers that look whole after their targets have ended inside them (seed 18), and against streams that are
 // not served because the ids of their events grow by more than one (seed 3).
 func TestStreamsStayInOrderWhereTargetsEnd(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for half a minute")
 	}
-	for _, seed := range []uint64{2, 3} {
+	for _, seed := range []uint64{18, 3} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			rep, err := Run(context.Background(), Config{Program: program, Target: targetCommand(), Seed: seed, Duration: 5 * time.Second, Ends: true})
