wire: the highest demand of an account is not sent as none

Cause: a demand beyond the bound was read as the bound, and one at the bound was sent as zero: an account whose demand a peer states so would lose its share with the next host that it is sent to.

After, the tests of the package pass.

--- a/internal/wire/digest.go
+++ b/internal/wire/digest.go
@@ -305,7 +305,7 @@
 // fromRate rounds up: if a small demand became zero, its account would lose its share
 // while the demand lasts.
 func fromRate(r ident.PerMinute) uint64 {
-	if r > 0 && r < maxRate/rateScale {
+	if r > 0 && r <= maxRate/rateScale {
 		return uint64(math.Ceil(float64(r) * rateScale))
 	}
 	return 0
