soak: the usual words, and timers of the timer service

A caller that leaves ends its request by the context, whose cause says so; no timer of its own is left.

--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -14,7 +14,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -252,6 +251,11 @@
 	deadline := k.pool.deployment.cfg.timing().deadline
 	ctx, cancel := context.WithTimeout(ctx, deadline+time.Second)
 	defer cancel()
+	if readTime := k.drawReadTime(a); readTime > 0 {
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeoutCause(ctx, readTime, errCallerLeft)
+		defer leave()
+	}
 	// The body cannot be rewound, so that net/http does not send the request a second time on
 	// its own.
 	text, path := cmp.Or(a.text, "body of "+a.id), a.target()
@@ -271,30 +275,22 @@
 		req.Header.Set("Resumes", a.first)
 		req.Header.Set("Last-Event-Id", strconv.Itoa(k.pool.deployment.cfg.writer("").IDOf(a.received)))
 	}
-	var left atomic.Bool
-	if patience := k.drawPatience(a); patience > 0 {
-		leave := time.AfterFunc(patience, func() {
-			left.Store(true)
-			cancel()
-		})
-		defer leave.Stop()
-	}
 	res, err := k.http.Do(req)
 	if err != nil {
-		a.err = leftOr(&left, err)
+		a.err = leftOr(ctx, err)
 		return
 	}
 	defer res.Body.Close()
 	answer, err := k.readPart(res, a)
-	err = leftOr(&left, err)
+	err = leftOr(ctx, err)
 	a.status, a.header, a.answer, a.err = res.StatusCode, res.Header, string(answer), err
 	a.framed = res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 	a.splitBuilds()
 }
 
 // leftOr returns errCallerLeft for the error of a request that its caller has left.
-func leftOr(left *atomic.Bool, err error) error {
-	if err != nil && left.Load() {
+func leftOr(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errCallerLeft) {
 		return errCallerLeft
 	}
 	return err
--- a/internal/dev/soak/ends.go
+++ b/internal/dev/soak/ends.go
@@ -25,10 +25,10 @@
 	swapDivisor = 4
 	// maxTargets bounds the processes of targets of one run.
 	maxTargets = 16
-	// maxPatience bounds the time after which a caller leaves a stream, in one of patienceDivisor cases, and maxUnread the
+	// maxReadTime bounds the time after which a caller leaves a stream, in one of readTimeDivisor cases, and maxUnread the
 	// events that it has got and asks for again.
-	maxPatience     = 1500 * time.Millisecond
-	patienceDivisor = 3
+	maxReadTime     = 1500 * time.Millisecond
+	readTimeDivisor = 3
 	maxUnread       = 3
 )
 
@@ -131,12 +131,12 @@
 	}}
 }
 
-// drawPatience draws how long the caller reads a stream before it leaves, zero for as long as it takes.
-func (k *caller) drawPatience(a *observation) time.Duration {
-	if !k.pool.deployment.cfg.Ends || a.kind != kindDraft || k.rnd.IntN(patienceDivisor) > 0 {
+// drawReadTime draws how long the caller reads a stream before it leaves, zero for as long as it takes.
+func (k *caller) drawReadTime(a *observation) time.Duration {
+	if !k.pool.deployment.cfg.Ends || a.kind != kindDraft || k.rnd.IntN(readTimeDivisor) > 0 {
 		return 0
 	}
-	return time.Duration(k.rnd.Int64N(int64(maxPatience)))
+	return time.Duration(k.rnd.Int64N(int64(maxReadTime)))
 }
 
 // drawTakeUp draws how many events a caller counts of those that it has got, and when it asks for the rest.
--- a/internal/dev/soak/remote.go
+++ b/internal/dev/soak/remote.go
@@ -56,12 +56,14 @@
 		}
 	}
 	s.t.Go(p.run)
+	timer := s.clock.At(s.clock.Now().Add(startTimeout))
+	defer timer.Close()
 	select {
 	case err := <-p.up:
 		if err != nil {
 			return errors.Wrap(ErrStart, err.Error())
 		}
-	case <-time.After(startTimeout):
+	case <-timer.C():
 		p.signal(syscall.SIGKILL)
 		return errors.Wrap(ErrStart, "the process of a target does not listen")
 	}
--- a/internal/dev/soak/text.go
+++ b/internal/dev/soak/text.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// common returns the length of the common beginning of two texts.
+// common returns the length of the common prefix of two texts.
 func common(x, y string) int {
 	n := 0
 	for n < min(len(x), len(y)) && x[n] == y[n] {
@@ -157,7 +157,7 @@
 // excerptBytes bounds the parts of texts that reports quote.
 const excerptBytes = 100
 
-// excerpt returns the part of a text from the beginning of the line that contains a place.
+// excerpt returns the part of a text from the start of the line that contains a place.
 func excerpt(text string, at int) string {
 	from := strings.LastIndex(text[:min(at, len(text))], "\n") + 1
 	return fmt.Sprintf("%.*s", excerptBytes, text[from:])
