core: streams that may be taken up do not begin at a build that is not on record

Callers could get a stream of two builds: when the store took no write for a second, targets of a new build were used all the same. If all hosts and the targets of that build then ended, the record showed one build alone, and the rest went to it. Hosts that learn of targets from their peers did not look at the record at all.

New streams of routes that may be resumed now begin at a build on record while a build is in use that is not, as long as one on record has a target that serves, here or else in another region; all other requests are placed as before. A host that is no continuous reader reads the records then, every two seconds at most.

Other requests may come first: nothing of them goes on elsewhere.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -24,7 +24,7 @@
 // # Bounds
 //
 // A new build is recorded before its targets get requests, unless the store takes longer than maxHold or no
-// other build can serve. A build stays on record for a retention after it was last listed. The
+// other build can serve. Streams that may be taken up wait for the record as long as another build can serve. A build stays on record for a retention after it was last listed. The
 // record holds no times: each host counts the retention from when it last saw the build, on its own clock, so that a restart
 // of all hosts prolongs it.
 package builds
@@ -215,6 +215,11 @@
 	return admitted, again
 }
 
+// Has reports whether a build is on record.
+func (b *Book) Has(sb event.ServiceBuild) bool {
+	return slices.Contains(b.records[sb.Service].Builds, sb.Build)
+}
+
 func (b *Book) isRecorded(t event.Target) bool {
 	return slices.Contains(b.records[t.Service].Builds, t.Build)
 }
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -12,11 +12,11 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-func (rd *Reducer) query(r *request) route.Query {
+func (rd *Reducer) query(now ident.Time, r *request) route.Query {
 	return route.Query{
 		Request: r.Request, Profile: r.profile, Client: r.client,
 		TriedTargets: r.triedTargets, TriedCentres: r.triedCentres, OnlyTarget: r.boundTarget,
-		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.deliveredTokens(), MayHaveRun: r.mayHaveRun, Build: r.build,
+		Crossings: r.env.Crossings, Forwarded: r.forwarded, DeliveredTokens: r.deliveredTokens(), MayHaveRun: r.mayHaveRun, Build: rd.requiredBuild(now, r),
 		Backlog: rd.pools.of(r).backlog(), ExpectedEvents: rd.expectedEvents(r), Length: rd.expectedLength(r), Deadline: r.deadline,
 	}
 }
@@ -34,7 +34,7 @@
 	}
 	rd.chooseQueue(now, r)
 	pl := rd.pools.of(r)
-	dec := rd.router.Choose(now, rd.query(r), rd.table)
+	dec := rd.router.Choose(now, rd.query(now, r), rd.table)
 	r.lastDecision = dec
 	switch {
 	case dec.Target == nil && dec.Centre == "" && !dec.Full:
@@ -192,7 +192,7 @@
 		Request: r.ID, To: a.host, Envelope: env, Deadline: r.deadline, ResumeAfter: r.delivered,
 		AtMostOnce: r.outlivesCaller(), KeepOutcome: r.storesAnswer(), Basis: rd.basis(now, r, a.dec), Service: r.profile.Service,
 		IdleTimeouts: rd.idleTimeouts(r, a.dec), EndedRuns: rd.poison.Runs(now, r.Content),
-		Build: r.build,
+		Build: rd.requiredBuild(now, r),
 	})
 }
 
--- a/internal/core/builds.go
+++ b/internal/core/builds.go
@@ -4,7 +4,10 @@
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/member"
+	"verbenadale.example/verbenadale/internal/rank"
 	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/value"
 )
 
 const (
@@ -14,6 +17,10 @@
 	// maxBuildsAge is how long ago the platform's list must have been confirmed as current for a host
 	// that is cut off from another region to know all builds.
 	maxBuildsAge = 6 * time.Second
+	// recordedTTL is how long the builds on record that serve are remembered.
+	recordedTTL = 100 * time.Millisecond
+	// recordsInterval is the shortest time between two reads of the records because one lacks a build.
+	recordsInterval = 2 * time.Second
 )
 
 // hostsRead merges a read of the platform's list. Targets of builds that are not recorded are left out at first.
@@ -32,6 +39,7 @@
 		e.Targets[i].ColdFor = max(e.Targets[i].ColdFor-now.Sub(rd.listAt), 0)
 	}
 	rd.table.HostsRead(now, e)
+	clear(rd.recorded)
 	if rd.admitAt == 0 {
 		rd.list = event.HostsRead{}
 	}
@@ -64,6 +72,7 @@
 
 func (rd *Reducer) buildsRecorded(now ident.Time, e event.BuildsRecorded) {
 	rd.noteRecorded(now, rd.builds.Written(now, e.Record))
+	clear(rd.recorded)
 	if rd.admitAt > 0 {
 		rd.admitTargets(now)
 	}
@@ -103,3 +112,74 @@
 	}
 	return false
 }
+
+// requiredBuild returns the only build that may serve a request, empty for any. While a build serves that is not on
+// record, new streams that may be taken up begin at another one: after a restart of all hosts nothing would show that there
+// have been two, and they could go on at the wrong one.
+func (rd *Reducer) requiredBuild(now ident.Time, r *request) ident.Build {
+	if r.build != "" || r.TakenUp || r.hasBegun() || !r.isRoutedStream() || !r.profile.Route.Resumable {
+		return r.build
+	}
+	if now >= rd.recordedUntil {
+		clear(rd.recorded)
+		rd.recordedUntil = now.Add(recordedTTL)
+	}
+	recorded, ok := rd.recorded[r.profile.Service]
+	if !ok {
+		recorded = rd.findRecorded(now, r.profile.Service)
+		rd.recorded[r.profile.Service] = recorded
+	}
+	if len(recorded) == 0 {
+		return ""
+	}
+	return recorded[rank.Hash(string(r.ID))%uint64(len(recorded))]
+}
+
+// findRecorded returns the builds of a service that serve and are on record, sorted, if one serves that is not; else nil.
+func (rd *Reducer) findRecorded(now ident.Time, service string) []ident.Build {
+	missing := false
+	recorded := value.SetOf[ident.Build]()
+	for _, t := range rd.table.Targets() {
+		switch {
+		case t.Service != service || t.Removed || t.Build == "":
+		case !rd.builds.Has(event.ServiceBuild{Service: service, Build: t.Build}):
+			missing = true
+		case !t.KnownDraining && !t.Evacuated && !t.Suspect(now):
+			recorded.Add(t.Build)
+		}
+	}
+	if !missing {
+		return nil
+	}
+	rd.readRecords(now)
+	if len(recorded) == 0 {
+		rd.addRemoteRecorded(now, service, recorded)
+	}
+	return recorded.Sorted()
+}
+
+// addRemoteRecorded adds the builds on record that serve in other regions.
+func (rd *Reducer) addRemoteRecorded(now ident.Time, service string, recorded value.Set[ident.Build]) {
+	for _, c := range rd.table.Centres(now) {
+		p := c.Pool(member.PoolID{Service: service})
+		if p == nil || c.CutOff(now) {
+			continue
+		}
+		for _, build := range p.Builds {
+			if rd.builds.Has(event.ServiceBuild{Service: service, Build: build}) {
+				recorded.Add(build)
+			}
+		}
+	}
+}
+
+// readRecords reads the records again, at a host that does not do so continuously: it learns of targets from its peers,
+// but not of records.
+func (rd *Reducer) readRecords(now ident.Time) {
+	if !rd.bounds.SharedReads || rd.activeReader || now < rd.nextRecords {
+		return
+	}
+	rd.nextRecords = now.Add(recordsInterval)
+	rd.table.ListReadAsked(now)
+	rd.emit(event.ReadList{})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,7 +85,13 @@
 	lastAttempt uint64
 
 	// activeReader is set while this host reads the store continuously.
-	activeReader   bool
+	activeReader bool
+	// recorded has what findRecorded has returned since the targets or the records last changed, until
+	// recordedUntil.
+	recorded      map[string][]ident.Build
+	recordedUntil ident.Time
+	// nextRecords is the earliest time at which a host that is no active reader reads the records again.
+	nextRecords    ident.Time
 	draining       bool
 	drainStartedAt ident.Time
 	// drainEnded is set once the drain has ended and the process is about to exit.
@@ -117,7 +123,7 @@
 		retryBudgets: make(map[string]*retry.Budget),
 		lengths:      length.New(),
 		self:         self,
-		activeReader: true,
+		activeReader: true, recorded: make(map[string][]ident.Build),
 		table:        member.New(self),
 		router:       route.New(),
 		spread:       spread.New(self),
@@ -287,6 +293,7 @@
 
 func (rd *Reducer) handleDigest(now ident.Time, d event.Digest) {
 	rd.table.DigestReceived(now, d)
+	clear(rd.recorded)
 	rd.lastDigestAt[d.Host.ID] = now
 	if d.AccountsIncluded {
 		rd.quota.SetPeerDemand(now, d.Host.ID, d.Accounts)
--- a/internal/core/idle.go
+++ b/internal/core/idle.go
@@ -78,7 +78,7 @@
 	if r.forwarded {
 		return event.Denial{Reason: event.DeniedForwarded, Attempts: r.attemptCount}
 	}
-	q := rd.query(r)
+	q := rd.query(now, r)
 	q.MayHaveRun = true
 	if a.target != "" {
 		q.TriedTargets = r.triedTargets.With(a.target)
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -154,8 +154,8 @@
 // service serve, one that needs a build waits for other targets than the rest.
 func (rd *Reducer) chooseQueue(now ident.Time, r *request) {
 	r.queueBuild = ""
-	if r.profile.Route != nil && r.build != "" && len(rd.possibleBuilds(now, r)) > 1 {
-		r.queueBuild = r.build
+	if build := rd.requiredBuild(now, r); r.profile.Route != nil && build != "" && len(rd.possibleBuilds(now, r)) > 1 {
+		r.queueBuild = build
 	}
 }
 
@@ -235,7 +235,7 @@
 		rd.endPoison(now, r)
 		return true
 	}
-	dec := rd.router.Choose(now, rd.query(r), rd.table)
+	dec := rd.router.Choose(now, rd.query(now, r), rd.table)
 	r.lastDecision = dec
 	if dec.Full {
 		return false
--- a/internal/core/query.go
+++ b/internal/core/query.go
@@ -62,7 +62,7 @@
 		rd.emit(ans)
 		return
 	}
-	ans.Choices, ans.Chosen = rd.router.Explain(now, rd.query(r), rd.table)
+	ans.Choices, ans.Chosen = rd.router.Explain(now, rd.query(now, r), rd.table)
 	if ans.Chosen < 0 {
 		ans.Code = codes.NoTarget.ID
 	}
--- a/internal/core/rest.go
+++ b/internal/core/rest.go
@@ -34,7 +34,7 @@
 // its deadline. Any other request is refused at once, with a time to come back: it would take the target's first
 // moments after its rest together with all others that wait.
 func (rd *Reducer) waitForRest(now ident.Time, r *request) bool {
-	ends, ok := rd.router.RestEnds(now, rd.query(r), rd.table)
+	ends, ok := rd.router.RestEnds(now, rd.query(now, r), rd.table)
 	if !ok {
 		return false
 	}
