--- a/internal/core/ledger_test.go
+++ b/internal/core/ledger_test.go
@@ -64,7 +64,7 @@
 	half := func(h event.Host) bool { return h.ID[len(h.ID)-1] == '0' }
 	for name, c := range map[string]struct {
 		fault func(p *streamPlay) func(h event.Host) drive.SaveFault
-		// down reports whether a host can't reach the store from the beginning of the streams on.
+		// down reports whether a host can't reach the store from the start of the streams on.
 		down func(h event.Host) bool
 		// back means that the store is reachable again while the hosts are down.
 		back  bool
@@ -142,7 +142,7 @@
 	}
 }
 
-// Guards against a stream of which two builds claim the beginning, and against a record that outlives the time for which
+// Guards against a stream that two builds claim to have begun, and against a record that outlives the time for which
 // its stream may be taken up.
 func TestReadStreamsAreBoundOrRefused(t *testing.T) {
 	h := newBuildHost(t, "v1", "v2")
