serve: a stream that a caller takes up does not begin with an event without an id

TestTakenUpStreamThatBeginsWithoutIDIsCut before: 2 of 2 cases are relayed and reported as complete. The check now looks at the position after which the answer has to go on, wherever that came from.

--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -45,7 +45,7 @@
 	}
 	step := id - a.delivered
 	if step <= 0 && hasData(ev) {
-		if a.continues && !a.placed {
+		if a.delivered > 0 && !a.placed {
 			return errOutOfSequence
 		}
 		a.unplaced.Store(true)
--- a/internal/serve/unplaced_test.go
+++ b/internal/serve/unplaced_test.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// Guards against an answer that begins anew, or at an unknown position, for a caller that takes its stream up again.
+func TestTakenUpStreamThatBeginsWithoutIDIsCut(t *testing.T) {
+	for name, text := range map[string]string{"no ids": "data: a\n\ndata: b\n\n", "opening": "data: opening\n\n" + routedEvents(3, 4)} {
+		t.Run(name, func(t *testing.T) {
+			call := routedStream
+			call.Resume = 2
+			got := newFixture(t, streamAnswer(text)).run(t.Context(), call)
+			check(t, "body", "", got.Body)
+			check(t, "reported as complete", false, got.Outcome == event.Done)
+		})
+	}
+}
+
 // Guards against breaking off a target that pauses when no other one may continue the stream.
 func TestPauseAfterAnEventWithoutIDIsNotReported(t *testing.T) {
 	text := "data: note\n\n"
