front: the product's own interface refuses HTTP/1.0 too

The same cause as in the platform's front: an answer in HTTP/1.0 ends with its connection, so that a part of a stream looks complete when it breaks off. Found by a review.

--- a/internal/front/answer_test.go
+++ b/internal/front/answer_test.go
@@ -127,6 +127,27 @@
 	}
 }
 
+// Guards against a part of a stream that looks complete, since an answer in HTTP/1.0 ends with its connection.
+func TestHTTP10IsRefused(t *testing.T) {
+	b := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "data: first\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	conn, br := b.raw(t, "GET /v1/services/vans/x HTTP/1.0\r\nHost: x\r\nAccept: text/event-stream\r\nAuthorization: Bearer key\r\n\r\n")
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.(*net.TCPConn).CloseWrite()
+	text, err := io.ReadAll(res.Body)
+	if err == nil && res.StatusCode == http.StatusOK {
+		t.Errorf("the answer looks complete: %q", text)
+	}
+	check(t, "status", http.StatusHTTPVersionNotSupported, res.StatusCode)
+}
+
 // Guards against appending the end marker of a stream to a JSON error of an engine.
 func TestStreamAnsweredPlain(t *testing.T) {
 	b := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -81,7 +81,15 @@
 }
 
 // ServeHTTP serves one request.
-func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.router.ServeHTTP(w, r) }
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// In HTTP/1.0 an answer that breaks off looks complete.
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusHTTPVersionNotSupported)
+		return
+	}
+	f.router.ServeHTTP(w, r)
+}
 
 // InFlight returns the number of requests in flight.
 func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
