core, trail: sends of streams that are taken up say how their build was found

A line "sent to a target" of a stream that its caller takes up did not show whether a host remembered the stream or concluded its build from having seen no other, nor how old the platform's list was. buildFrom and listAgeMs tell the hypotheses A and B of the incident apart; C shows in the revision of the record.

--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -137,6 +137,7 @@
 		if len(builds) == 1 {
 			r.build = builds[0]
 		}
+		r.buildFrom = event.BuildOnlyOne
 		return true
 	}
 	switch {
@@ -148,6 +149,7 @@
 		return false
 	}
 	r.Service, r.profile.Service, r.build = s.Service, s.Service, s.Build
+	r.buildFrom = event.BuildRemembered
 	return true
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -71,6 +71,8 @@
 	// build is the only build that may serve the request, since the caller may have an event from it;
 	// empty for any.
 	build ident.Build
+	// buildFrom states how the build of a stream that was taken up was found.
+	buildFrom event.BuildSource
 	// queueBuild is set while the request is queued with those that need the same build.
 	queueBuild ident.Build
 	// mayHaveRun is set if an attempt ended without proof that nothing ran.
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -236,6 +236,9 @@
 		ExpectedEvents: rd.expectedEvents(r), EventGap: rd.table.Pace(now, r.profile.Service), RemoteEventGap: dec.EventInterval,
 		ForwardedShare: dec.SpillShare, RemotePrefillRoom: dec.RemoteRoom, CapacityLimited: dec.Full, UncachedPrompt: dec.PrefillTokens,
 	}
+	if r.buildFrom != "" {
+		b.BuildFrom, b.ListAge = r.buildFrom, now.Sub(rd.table.ListConfirmedAt())
+	}
 	if r.arrived > 0 {
 		b.Waited = now.Sub(r.arrived)
 		b.RemainingTime = rd.queueDeadline(r).Sub(now)
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -49,6 +49,17 @@
 	Gap   time.Duration `json:"gap,omitempty"`
 }
 
+// BuildSource states how a host found the build that began a stream.
+type BuildSource string
+
+// Sources of the build of a stream.
+const (
+	// BuildRemembered means that this host or another one remembers the stream.
+	BuildRemembered BuildSource = "remembered"
+	// BuildOnlyOne means that no other build is known that may have begun the stream.
+	BuildOnlyOne BuildSource = "onlyOne"
+)
+
 // Basis holds the inputs of a decision about a request of a route, for the log. It is
 // zero for other requests.
 type Basis struct {
@@ -64,6 +75,10 @@
 	// means that its caller has a part of it from an earlier request.
 	Origin  ident.Stream `json:"origin,omitempty"`
 	TakenUp bool         `json:"takenUp,omitempty"`
+	// BuildFrom states how the build of a stream that was taken up was found, ListAge how long ago the
+	// platform's list was last known to be current. Both are zero for other requests.
+	BuildFrom BuildSource   `json:"buildFrom,omitempty"`
+	ListAge   time.Duration `json:"listAge,omitempty"`
 	// Account is the account of the request, empty if it has none.
 	Account ident.Account `json:"account,omitempty"`
 	// Attempts counts the attempts of the request, including this one.
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -179,7 +179,11 @@
 	if b.Origin == 0 {
 		return nil
 	}
-	return []any{"stream", b.Origin, "takenUp", b.TakenUp}
+	kv := []any{"stream", b.Origin, "takenUp", b.TakenUp}
+	if b.BuildFrom != "" {
+		kv = append(kv, "buildFrom", b.BuildFrom, "listAgeMs", millis(b.ListAge))
+	}
+	return kv
 }
 
 // denialFields returns the log fields of a denial, none if nothing was denied.
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -46,7 +46,7 @@
 	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultBroken, Status: 200, Unframed: true, Disconnected: true}, nil)
 	tr.Record(at, event.AttemptEnded{Attempt: newAttempt(6), Result: event.ResultBroken, Status: 200, Fault: "truncated", Unplaced: true}, nil)
 	takenUp := basis
-	takenUp.Origin, takenUp.TakenUp = 0xabc, true
+	takenUp.Origin, takenUp.TakenUp, takenUp.BuildFrom, takenUp.ListAge = 0xabc, true, event.BuildOnlyOne, 1500*time.Millisecond
 	tr.Record(at, event.Tick{}, []event.Effect{
 		event.Dispatch{Request: "a.8", Attempt: newAttempt(8), Target: event.Target{ID: "t", Service: "writers", Build: "v1.1"}, ResumeAfter: 4, Basis: takenUp},
 	})
