drive: answers of keepers say whether their hosts know all builds

Cause: the driver dropped AllSeen of AnswerBegun, so that no play in virtual time could show what a host concludes from a peer that says it knows all builds, and what happens if that peer is out of step itself.

Ruled out: that existing plays depend on the loss.

--- a/internal/dev/drive/effects.go
+++ b/internal/dev/drive/effects.go
@@ -62,7 +62,7 @@
 		}
 	case event.AnswerBegun:
 		if to := d.Host(e.To); to != nil {
-			d.message(h.Host, to.Host, e, event.BegunAnswered{From: h.ID, Stream: e.Stream, Begun: e.Begun, Seen: e.Seen})
+			d.message(h.Host, to.Host, e, event.BegunAnswered{From: h.ID, Stream: e.Stream, Begun: e.Begun, Seen: e.Seen, AllSeen: e.AllSeen})
 		}
 	case event.SendSummary:
 		d.message(h.Host, e.To, e, event.SummaryReceived{Summary: e.Summary})
