drive: hosts read the list continuously, and links fail, on request

Cause: in virtual time a host read the platform's list only at long intervals, and the links of hosts that were cut off, frozen or killed never failed. What a host does with a list that is a second old, or without its peers, could not be shown.

Change: after StartFeeds a host reads the list as platform/feed.go does: an active reader waits up to 1.2 s for a change and asks again after 0.4 s, a follower asks every 15 s or on ReadList; a failed call is repeated after 0.15 to 0.8 s; the answer of a call that waits is lost if the platform is out of reach by then, and lies with a frozen host until it continues, at age zero. After WatchLinks a link fails after a time without messages in one direction, at once if a process ends, and comes back a second after the cut. The tick that a frozen host asked for is no longer lost at the thaw.

Ruled out: both as the default. The existing plays keep what they measure.

--- a/internal/dev/drive/drive.go
+++ b/internal/dev/drive/drive.go
@@ -40,6 +40,7 @@
 	frozenUntil ident.Time
 	// dead is set if the host handles no event until it is restarted.
 	dead bool
+	feed feed
 	// Revision is the revision in force. Drained is set once a drain has ended.
 	Revision ident.Revision
 	Drained  bool
@@ -105,6 +106,9 @@
 	lastSeq   uint64
 	platform  platform
 	forwarded map[ident.RequestID]forwardedRequest
+	// feeds is set after StartFeeds, links after WatchLinks.
+	feeds bool
+	links map[hostPair]*link
 }
 
 // forwardedRequest identifies the sender of a forwarded request.
@@ -140,8 +144,11 @@
 	d.Hosts = append(d.Hosts, h)
 	d.byHost[h.ID] = h
 	d.platform.hosts = append(d.platform.hosts, self)
-	d.platform.hostsVersion++
+	d.listChanged()
 	d.Post(h.ID, 0, event.Tick{})
+	if d.feeds {
+		d.readAfter(h, 0)
+	}
 	return h
 }
 
@@ -160,18 +167,28 @@
 }
 
 // Kill stops a host. Its state is lost.
-func (d *Driver) Kill(id ident.EntryID) { d.Host(id).dead = true }
+func (d *Driver) Kill(id ident.EntryID) {
+	h := d.Host(id)
+	h.dead = true
+	d.breakLinks(h)
+}
 
 // Restart starts a host with empty state and a higher incarnation.
 func (d *Driver) Restart(id ident.EntryID) {
 	h := d.Host(id)
+	d.breakLinks(h)
 	h.Incarnation++
 	h.reducer = d.NewReducer(h.Host)
 	h.dead = false
 	h.frozenUntil = 0
 	h.nextTick = 0
 	h.Revision = 0
+	h.feed = feed{call: h.feed.call + 1}
 	d.Post(id, 0, event.Tick{})
+	if d.feeds {
+		d.readAfter(h, 0)
+	}
+	d.forgetLinks(h)
 	for _, o := range d.Hosts {
 		if o != h && !o.dead {
 			d.message(h.Host, o.Host, nil, event.PeerUp{Host: h.Host})
@@ -215,7 +232,7 @@
 		d.OnMessage(from, to, eff)
 	}
 	after, lost := d.Delay(from, to)
-	if !lost {
+	if !lost && !d.isLinkDown(from.ID, to.ID) {
 		d.Post(to.ID, after, ev)
 	}
 }
@@ -241,6 +258,9 @@
 		return
 	}
 	if h.frozenUntil > d.Now {
+		if dl.timer && h.nextTick == dl.at {
+			h.nextTick = h.frozenUntil
+		}
 		dl.at = h.frozenUntil
 		heap.Push(&d.queue, dl)
 		return
--- a/internal/dev/drive/effects.go
+++ b/internal/dev/drive/effects.go
@@ -96,9 +96,16 @@
 	case event.ReadSnapshot:
 		d.readSnapshot(h)
 	case event.ReadHosts:
-		d.readHosts(h)
+		if !d.feeds {
+			d.readHosts(h)
+		}
+	case event.PaceReads:
+		d.pace(h, e.Active)
 	case event.ReadList:
-		if d.ListReads {
+		switch {
+		case d.feeds:
+			d.pollList(h)
+		case d.ListReads:
 			d.readHosts(h)
 		}
 	case event.RecordBuilds:
--- a/internal/dev/drive/environment.go
+++ b/internal/dev/drive/environment.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"maps"
 	"slices"
 	"time"
 
@@ -76,7 +75,7 @@
 	tg := &Target{Target: t, TargetConfig: cfg, Runs: make(map[ident.RequestID]int)}
 	d.Targets = append(d.Targets, tg)
 	d.byTarget[t.ID] = tg
-	d.platform.hostsVersion++
+	d.listChanged()
 	return tg
 }
 
@@ -173,7 +172,7 @@
 // SetBuild changes the build of a target in the platform's list.
 func (d *Driver) SetBuild(id ident.TargetID, build ident.Build) {
 	d.Target(id).Build = build
-	d.platform.hostsVersion++
+	d.listChanged()
 }
 
 // RemoveTarget ends the process of a target for good and removes it from the platform's list.
@@ -182,7 +181,7 @@
 	d.endTarget(t)
 	t.removed = true
 	d.Targets = slices.DeleteFunc(d.Targets, func(o *Target) bool { return o == t })
-	d.platform.hostsVersion++
+	d.listChanged()
 }
 
 // delivered returns how many events of a run its caller has.
@@ -211,7 +210,7 @@
 		}
 		t.Dead = false
 		t.Incarnation++
-		d.platform.hostsVersion++
+		d.listChanged()
 	})
 }
 
@@ -332,15 +331,8 @@
 		d.Post(h.ID, failureDelay, event.PlatformFailed{Op: event.OpReadHosts})
 		return
 	}
-	ev := event.HostsRead{Version: d.platform.hostsVersion, Hosts: d.platform.hosts}
-	for _, t := range d.Targets {
-		ev.Targets = append(ev.Targets, t.Target)
-	}
-	for _, service := range slices.Sorted(maps.Keys(d.platform.builds)) {
-		ev.Builds = append(ev.Builds, d.platform.builds[service])
-	}
 	d.readBegun(h)
-	d.Post(h.ID, callDelay, ev)
+	d.Post(h.ID, callDelay, d.list())
 	if d.ListReads {
 		d.Post(h.ID, callDelay, event.ListRead{})
 	}
@@ -351,9 +343,9 @@
 	if !d.platformReachable(h, "builds") || d.LoseBuilds || d.platform.builds[e.Record.Service].Revision != e.Record.Revision {
 		return
 	}
-	d.platform.hostsVersion++
-	e.Record.Revision = d.platform.hostsVersion
+	e.Record.Revision = d.platform.hostsVersion + 1
 	d.platform.builds[e.Record.Service] = e.Record
+	d.listChanged()
 	d.Post(h.ID, callDelay, event.BuildsRecorded(e))
 }
 
