core, fence: a stream of an unknown build goes on only by a read from after it was taken up

What callers saw: a stream that had begun at a new build through one host broke, was taken up at a host that was cut off or stood still, and went on at another build.

Cause: "I have heard of no other build" was taken for "there is no other". A host that did not remember a stream bound it to the only build that it saw while its list was younger than six seconds, in a deployment of one region always, and right after a cut; keepers that could not be asked counted as keepers that do not know the stream. A host out of step can't know that it is, so no bound on an age helps: a process that stood still learns of its age after it has decided.

Change: such a stream waits for a read of the records of builds that was asked for after its caller came (internal/fence; one read for all that wait, its rate bounded by the number of hosts), and is bound to the only build on record. The record also counts for as long as it keeps a build, not only while this host has seen that build. While a host can't read the store, it announces the streams that it begins whatever the number of builds, so that its peers remember them. AllSeen, which a host concluded from its own age, is gone.

Why this works: a build is on record before a stream that may be taken up begins at it, the store's answers are linearizable, and a stream has begun before it is taken up; so a read from after that shows its build.

--- a/internal/begun/begun.go
+++ b/internal/begun/begun.go
@@ -23,7 +23,7 @@
 // # Bounds
 //
 // A record is kept until the caller has stopped waiting. Records are announced only while a service has
-// more than one build; when a second one appears, so are those of the streams that are running. The
+// more than one build, or the host can't read the store; when that begins, so are those of the streams that are running. The
 // number of records is bounded, the oldest are dropped first.
 package begun
 
@@ -56,6 +56,8 @@
 	// builds has the time at which each build was last seen.
 	builds    map[event.ServiceBuild]ident.Time
 	announced []event.BegunStream
+	// announceAll is set while streams of services with one build are announced too.
+	announceAll bool
 }
 
 // record is what is known of one stream.
@@ -81,12 +83,26 @@
 		return
 	}
 	b.builds[sb] = at
-	if known && at.Sub(last) < announceTTL || !b.announces(at, sb.Service) {
+	if known && at.Sub(last) < announceTTL || !b.HasSeveralBuilds(at, sb.Service) {
 		return
 	}
 	// The streams that are running began at the only build there was.
+	b.announceRunning(at, func(s event.ServiceBuild) bool { return s.Service == sb.Service })
+}
+
+// AnnounceAll sets whether streams are announced whatever builds were seen. While a host can't read the store, what its peers
+// remember is all that shows which build began a stream.
+func (b *Book) AnnounceAll(now ident.Time, on bool) {
+	if on && !b.announceAll {
+		b.announceRunning(now, func(event.ServiceBuild) bool { return true })
+	}
+	b.announceAll = on
+}
+
+// announceRunning announces the streams that are running and were not announced.
+func (b *Book) announceRunning(at ident.Time, matches func(event.ServiceBuild) bool) {
 	for el := b.order.Front(); el != nil; el = el.Next() {
-		if r := el.Value.(*record); r.own && !r.announced && r.build.Service == sb.Service && r.until > at {
+		if r := el.Value.(*record); r.own && !r.announced && r.until > at && matches(r.build) {
 			b.announce(at, r)
 		}
 	}
@@ -140,8 +156,8 @@
 	return seen
 }
 
-// announces reports whether the streams of a service are announced.
-func (b *Book) announces(now ident.Time, service string) bool {
+// HasSeveralBuilds reports whether several builds of a service were seen recently.
+func (b *Book) HasSeveralBuilds(now ident.Time, service string) bool {
 	n := 0
 	for sb, at := range b.builds {
 		if sb.Service == service && now.Sub(at) <= announceTTL {
@@ -158,7 +174,7 @@
 		return
 	}
 	r.own = true
-	if b.announces(now, s.Service) {
+	if b.announceAll || b.HasSeveralBuilds(now, s.Service) {
 		b.announce(now, r)
 	}
 }
--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -16,8 +16,9 @@
 //	for _, w := range book.Due(now, retention) {
 //		emit(w)
 //	}
-//	// Before a stream of an unknown build is bound to the only build that was seen:
-//	if !book.Covers(service) {
+//	// Before a stream of an unknown build is bound to the only build there is, with a read from after it was taken up:
+//	book.Confirm(now, records)
+//	if !book.Covers(service) || len(book.Recorded(service)) > 1 {
 //		// there may have been another one
 //	}
 //
@@ -93,6 +94,10 @@
 	old := b.records
 	b.records = make(map[string]event.BuildRecord, len(records))
 	for _, r := range records {
+		if known, ok := old[r.Service]; ok && known.Revision > r.Revision {
+			// Confirm has shown a newer one.
+			r = known
+		}
 		b.records[r.Service] = r
 	}
 	b.read = true
@@ -111,6 +116,16 @@
 	b.readAt = now
 }
 
+// Confirm takes over a read of the records alone, which may be newer than what Read was given last. It returns the builds that
+// were not recorded before.
+func (b *Book) Confirm(now ident.Time, records []event.BuildRecord) []event.ServiceBuild {
+	var added []event.ServiceBuild
+	for _, r := range records {
+		added = append(added, b.Written(now, r)...)
+	}
+	return added
+}
+
 // Written takes over a record that this host has written. It returns the builds that were not recorded before.
 func (b *Book) Written(now ident.Time, r event.BuildRecord) []event.ServiceBuild {
 	old, ok := b.records[r.Service]
@@ -159,14 +174,15 @@
 }
 
 // Covers reports whether the records have all builds of a service that may have begun streams which are still
-// running. A service whose targets name no builds has no record and needs none.
+// running. A service whose targets name no builds has no record and needs none; a record without builds could not be
+// decoded.
 func (b *Book) Covers(service string) bool {
+	if r, ok := b.records[service]; ok {
+		return len(r.Builds) > 0
+	}
 	if !b.read {
 		return false
 	}
-	if _, ok := b.records[service]; ok {
-		return true
-	}
 	for sb := range b.listedSince {
 		if sb.Service == service {
 			return false
@@ -178,17 +194,16 @@
 // IsRead reports whether the records have been read.
 func (b *Book) IsRead() bool { return b.read }
 
-// CoversAll reports whether Covers holds for all services.
-func (b *Book) CoversAll() bool {
-	if !b.read {
-		return false
-	}
-	for sb := range b.listedSince {
-		if _, ok := b.records[sb.Service]; !ok {
-			return false
-		}
+// Recorded returns the builds on record of a service.
+func (b *Book) Recorded(service string) []ident.Build { return b.records[service].Builds }
+
+// Records returns all records, in order of their services.
+func (b *Book) Records() []event.BuildRecord {
+	var records []event.BuildRecord
+	for _, service := range slices.Sorted(maps.Keys(b.records)) {
+		records = append(records, b.records[service])
 	}
-	return true
+	return records
 }
 
 // Admit returns the targets that may get requests, and when to ask again if some were left out. Targets of a build that is
--- a/internal/builds/builds_test.go
+++ b/internal/builds/builds_test.go
@@ -53,13 +53,29 @@
 			if got := b.Covers("writers"); got != c.want {
 				t.Errorf("covers %v, want %v", got, c.want)
 			}
-			if got := b.CoversAll(); got != c.want {
-				t.Errorf("covers all %v, want %v", got, c.want)
-			}
 		})
 	}
 }
 
+// Guards against records that a later but older read replaces, and those of services that a read lacks.
+func TestConfirmedRecordsAreKept(t *testing.T) {
+	b := builds.New("h1")
+	b.Read(at(0), targetsOf("v1"), recordOf(3, "v1"))
+	added := b.Confirm(at(time.Second), recordOf(5, "v1", "v2"))
+	if diff := cmp.Diff([]event.ServiceBuild{{Service: "writers", Build: "v2"}}, added); diff != "" {
+		t.Errorf("newly recorded (-want +got):\n%s", diff)
+	}
+	b.Confirm(at(time.Second), nil)
+	b.Read(at(2*time.Second), targetsOf("v1"), recordOf(3, "v1"))
+	if diff := cmp.Diff(recordOf(5, "v1", "v2"), b.Records()); diff != "" {
+		t.Errorf("records (-want +got):\n%s", diff)
+	}
+	b.Read(at(3*time.Second), targetsOf("v1"), recordOf(7, "v1"))
+	if diff := cmp.Diff(recordOf(7, "v1"), b.Records()); diff != "" {
+		t.Errorf("records after a newer read (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against dropping a build from the record while streams of it may run, by the clock of a host that has not seen
 // it leave, and against keeping it for ever.
 func TestBuildsLeaveTheRecordAfterTheRetention(t *testing.T) {
--- a/internal/core/builds.go
+++ b/internal/core/builds.go
@@ -14,9 +14,6 @@
 	// lateSends is added to the time for which a build stays on record: hosts learn late that targets have
 	// gone, and targets serve for a while after that.
 	lateSends = 15 * time.Second
-	// maxBuildsAge is how long ago the platform's list must have been confirmed as current for a host
-	// that is cut off from another region to know all builds.
-	maxBuildsAge = 6 * time.Second
 	// recordedTTL is how long the builds on record that serve are remembered.
 	recordedTTL = 100 * time.Millisecond
 	// recordsInterval is the shortest time between two reads of the records because one lacks a build.
@@ -84,33 +81,8 @@
 		rd.begun.BuildSeen(now, sb)
 	}
 	for _, q := range rd.sortedLookups() {
-		if rd.isAnswered(now, q) {
-			rd.endLookup(now, q)
-		}
-	}
-}
-
-// knowsBuilds reports whether this host knows of all builds that may have begun a stream which a caller takes up.
-func (rd *Reducer) knowsBuilds(now ident.Time, r *request) bool {
-	return !rd.isCutOff(now) && (!rd.isYoung(now, r) || rd.buildsHeard || rd.builds.Covers(r.profile.Service))
-}
-
-// knowsAllBuilds is knowsBuilds for any stream.
-func (rd *Reducer) knowsAllBuilds(now ident.Time) bool {
-	return !rd.isCutOff(now) && (now.Sub(rd.startedAt) >= rd.buildRetention() || rd.buildsHeard || rd.builds.CoversAll())
-}
-
-// isCutOff reports whether streams of a build that this host can't know of may run in another region.
-func (rd *Reducer) isCutOff(now ident.Time) bool {
-	if now.Sub(rd.table.ListConfirmedAt()) <= maxBuildsAge {
-		return false
-	}
-	for _, c := range rd.table.Centres(now) {
-		if c.CutOff(now) {
-			return true
-		}
+		rd.settleLookup(now, q)
 	}
-	return false
 }
 
 // requiredBuild returns the only build that may serve a request, empty for any. While a build serves that is not on
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	"verbenadale.example/verbenadale/internal/begun"
 	"verbenadale.example/verbenadale/internal/builds"
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/fence"
 	"verbenadale.example/verbenadale/internal/length"
 	"verbenadale.example/verbenadale/internal/member"
 	"verbenadale.example/verbenadale/internal/once"
@@ -61,10 +62,9 @@
 	// retention is the result of buildRetention at a revision of the configuration.
 	retention   time.Duration
 	retentionOf ident.Revision
-	// buildsHeard is set once a host that knows all builds has answered.
-	buildsHeard bool
-	// lookups are the questions to keepers of streams that have not been answered.
+	// lookups are the questions about streams that have not been settled, fence the reads that they wait for.
 	lookups map[ident.Stream]*lookup
+	fence   fence.Fence
 	// budget is the retry budget of requests without a route, retryBudgets that of each service.
 	budget retry.Budget
 	// bounds holds the limits that all hosts share.
@@ -261,6 +261,8 @@
 		rd.hostsRead(now, e)
 	case event.BuildsRecorded:
 		rd.buildsRecorded(now, e)
+	case event.BuildsRead:
+		rd.buildsRead(now, e)
 	case event.BegunRead:
 		rd.begunRead(now, e)
 	case event.BegunSaved:
@@ -354,9 +356,11 @@
 	if rd.admitAt > 0 && now >= rd.admitAt {
 		rd.admitTargets(now)
 	}
+	rd.begun.AnnounceAll(now, rd.isOutOfStep(now))
 	rd.announceBegun(now)
 	rd.saveBegun(now)
 	rd.continueLookups(now)
+	rd.readBuilds(now)
 	rd.emit(rd.spread.Tick(now, rd.table.IsWatcher(now))...)
 	rd.updateReadPace(now)
 	rd.targetsRestarted(now)
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
@@ -12,19 +14,21 @@
 	}
 }
 
-// noteUnsaved adds streams that saveBegun is to save. Only the platform's store has a place for them.
+// noteUnsaved adds streams that saveBegun is to save: those of services that have several builds. Only the platform's store has
+// a place for them.
 func (rd *Reducer) noteUnsaved(now ident.Time, streams []event.BegunStream) {
-	if rd.bounds.SharedReads {
-		rd.ledger.Add(now, streams, rd.table.HostCount())
+	if !rd.bounds.SharedReads {
+		return
 	}
+	rd.ledger.Add(now, slices.DeleteFunc(slices.Clone(streams), func(s event.BegunStream) bool {
+		return !rd.begun.HasSeveralBuilds(now, s.Service)
+	}), rd.table.HostCount())
 }
 
 // begunRead merges what hosts had saved, and settles the requests that wait for it.
 func (rd *Reducer) begunRead(now ident.Time, e event.BegunRead) {
 	rd.begun.Merge(now, e.Streams)
 	for _, q := range rd.sortedLookups() {
-		if _, known := rd.begun.Find(now, q.stream); known {
-			rd.endLookup(now, q)
-		}
+		rd.settleLookup(now, q)
 	}
 }
--- a/internal/dev/drive/effects.go
+++ b/internal/dev/drive/effects.go
@@ -58,11 +58,11 @@
 		d.message(h.Host, e.To, e, event.BegunReceived{From: h.ID, Streams: e.Streams, Relay: e.Relay})
 	case event.AskBegun:
 		for _, to := range e.To {
-			d.message(h.Host, to, e, event.BegunAsked{From: h.ID, Stream: e.Stream, Relay: e.Relay})
+			d.message(h.Host, to, e, event.BegunAsked{From: h.ID, Stream: e.Stream, Relay: e.Relay, Confirm: e.Confirm})
 		}
 	case event.AnswerBegun:
 		if to := d.Host(e.To); to != nil {
-			d.message(h.Host, to.Host, e, event.BegunAnswered{From: h.ID, Stream: e.Stream, Begun: e.Begun, Seen: e.Seen, AllSeen: e.AllSeen})
+			d.message(h.Host, to.Host, e, event.BegunAnswered{From: h.ID, Stream: e.Stream, Begun: e.Begun, Seen: e.Seen, Confirmed: e.Confirmed, Records: e.Records})
 		}
 	case event.SendSummary:
 		d.message(h.Host, e.To, e, event.SummaryReceived{Summary: e.Summary})
@@ -110,6 +110,8 @@
 		}
 	case event.RecordBuilds:
 		d.recordBuilds(h, e)
+	case event.ReadBuilds:
+		d.readBuilds(h, e)
 	case event.SaveBegun:
 		d.saveBegun(h, e)
 	case event.ClaimKey:
--- a/internal/dev/drive/environment.go
+++ b/internal/dev/drive/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"slices"
 	"time"
 
@@ -349,6 +350,24 @@
 	d.Post(h.ID, callDelay, event.BuildsRecorded(e))
 }
 
+// records returns the records of builds, in order of their services.
+func (p *platform) records() []event.BuildRecord {
+	var records []event.BuildRecord
+	for _, service := range slices.Sorted(maps.Keys(p.builds)) {
+		records = append(records, p.builds[service])
+	}
+	return records
+}
+
+// readBuilds reads the records of builds alone.
+func (d *Driver) readBuilds(h *Host, e event.ReadBuilds) {
+	if !d.platformReachable(h, "records") {
+		d.Post(h.ID, failureDelay, event.BuildsRead{Read: e.Read})
+		return
+	}
+	d.Post(h.ID, callDelay, event.BuildsRead{Read: e.Read, Succeeded: true, Records: d.platform.records()})
+}
+
 func (d *Driver) claim(h *Host, e event.ClaimKey) {
 	if !d.platformReachable(h, "claim") {
 		d.Post(h.ID, failureDelay, event.KeyClaimed{Request: e.Request, Claim: event.ClaimFailed})
--- a/internal/dev/drive/feed.go
+++ b/internal/dev/drive/feed.go
@@ -1,7 +1,6 @@
 package drive
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -149,8 +148,6 @@
 	for _, t := range d.Targets {
 		ev.Targets = append(ev.Targets, t.Target)
 	}
-	for _, service := range slices.Sorted(maps.Keys(d.platform.builds)) {
-		ev.Builds = append(ev.Builds, d.platform.builds[service])
-	}
+	ev.Builds = d.platform.records()
 	return ev
 }
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenadale.example/verbenadale/internal/fence"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
@@ -56,7 +57,7 @@
 const (
 	// BuildRemembered means that this host or another one remembers the stream.
 	BuildRemembered BuildSource = "remembered"
-	// BuildOnlyOne means that no other build is known that may have begun the stream.
+	// BuildOnlyOne means that the records of builds, read after the request had arrived, have no other.
 	BuildOnlyOne BuildSource = "onlyOne"
 )
 
@@ -191,6 +192,9 @@
 	DeniedBuildUnknown DenialReason = "buildUnknown"
 	DeniedBuildGone    DenialReason = "buildGone"
 	DeniedService      DenialReason = "serviceMoved"
+	// DeniedUnconfirmed means that no read of the store that began after the request had arrived, here or at a
+	// peer, has shown which builds may have begun a stream.
+	DeniedUnconfirmed DenialReason = "buildUnconfirmed"
 )
 
 // Denial is the reason why a request gets no further attempt, with the inputs of that
@@ -310,6 +314,8 @@
 	To     []Host       `json:"to"`
 	Stream ident.Stream `json:"stream"`
 	Relay  bool         `json:"relay,omitempty"`
+	// Confirm means that a recipient that does not know it reads the records of builds before it answers.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 // AnswerBegun answers AskBegun. Begun has the stream if the sender knows it.
@@ -318,8 +324,14 @@
 	Stream ident.Stream  `json:"stream"`
 	Begun  []BegunStream `json:"begun,omitempty"`
 	Seen   []SeenBuild   `json:"seen,omitempty"`
-	// AllSeen means that Seen has every build that may have begun a stream which is still running.
-	AllSeen bool `json:"allSeen,omitempty"`
+	// Confirmed means that Records are those that the store had after the question arrived.
+	Confirmed bool          `json:"confirmed,omitempty"`
+	Records   []BuildRecord `json:"records,omitempty"`
+}
+
+// ReadBuilds reads all records of builds. BuildsRead answers it.
+type ReadBuilds struct {
+	Read fence.Read `json:"read"`
 }
 
 // RecordBuilds writes the record of the builds of a service, if it still has the revision that Record names.
@@ -543,6 +555,7 @@
 func (AskBegun) isEffect()        {}
 func (AnswerBegun) isEffect()     {}
 func (RecordBuilds) isEffect()    {}
+func (ReadBuilds) isEffect()      {}
 func (SaveBegun) isEffect()       {}
 func (SendSummary) isEffect()     {}
 func (SendChanges) isEffect()     {}
--- a/internal/event/record.go
+++ b/internal/event/record.go
@@ -24,11 +24,11 @@
 		TicketAsked{}, EntriesAsked{}, NearbyAsked{}, RouteAsked{}, StatusAsked{}, Tick{}, DrainAsked{}, DrainExpired{}, PeerUp{},
 		PeerDown{}, DigestReceived{}, AdmissionsReceived{}, TargetEndsReceived{}, BegunReceived{}, BegunAsked{}, BegunAnswered{}, SummaryReceived{}, ChangesReceived{}, SnapshotReceived{},
 		ChangesWanted{}, BarAsked{}, BarAnswered{}, LoadReported{}, LoadSeen{}, ProbeAnswered{}, MemoryReported{}, LoadFailed{}, CacheChanged{},
-		HostsRead{}, BuildsRecorded{}, BegunRead{}, BegunSaved{}, PlatformFailed{}, WatchIdle{}, ReadProgress{}, ListRead{},
+		HostsRead{}, BuildsRecorded{}, BuildsRead{}, BegunRead{}, BegunSaved{}, PlatformFailed{}, WatchIdle{}, ReadProgress{}, ListRead{},
 	)
 	effectTypes = typesByName[Effect](
 		Dispatch{}, Forward{}, Refuse{}, Finish{}, BreakOff{}, KeepAttempt{}, DropLinks{}, Replay{}, ForgetOutcome{}, Wake{},
-		SendDigest{}, SendAdmissions{}, SendTargetEnds{}, SendBegun{}, AskBegun{}, AnswerBegun{}, RecordBuilds{}, SaveBegun{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
+		SendDigest{}, SendAdmissions{}, SendTargetEnds{}, SendBegun{}, AskBegun{}, AnswerBegun{}, RecordBuilds{}, ReadBuilds{}, SaveBegun{}, SendSummary{}, SendChanges{}, SendSnapshot{}, AskChanges{}, AskBar{},
 		AnswerBar{}, ClaimKey{}, WatchChange{}, StopWatch{}, PaceReads{}, ReadList{}, ReadSnapshot{}, ReadHosts{}, PollLoad{}, AskMemory{},
 		InForceNow{}, TicketIssued{}, EntriesAnswered{}, RouteAnswered{}, StatusAnswered{}, Drained{},
 		Note{},
--- a/internal/event/system.go
+++ b/internal/event/system.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenadale.example/verbenadale/internal/fence"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 	"verbenadale.example/verbenadale/pkg/value"
@@ -64,6 +65,8 @@
 	From   ident.EntryID `json:"from"`
 	Stream ident.Stream  `json:"stream"`
 	Relay  bool          `json:"relay,omitempty"`
+	// Confirm means that a host which does not know the stream reads the records of builds before it answers.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 // BegunAnswered answers AskBegun. Begun has the stream if the sender knows it, Seen the builds that the
@@ -73,8 +76,9 @@
 	Stream ident.Stream  `json:"stream"`
 	Begun  []BegunStream `json:"begun,omitempty"`
 	Seen   []SeenBuild   `json:"seen,omitempty"`
-	// AllSeen means that Seen has every build that may have begun a stream which is still running.
-	AllSeen bool `json:"allSeen,omitempty"`
+	// Confirmed means that Records are those that the store had after the sender was asked.
+	Confirmed bool          `json:"confirmed,omitempty"`
+	Records   []BuildRecord `json:"records,omitempty"`
 }
 
 // SummaryReceived carries the state of another data centre.
@@ -196,6 +200,13 @@
 	Record BuildRecord `json:"record"`
 }
 
+// BuildsRead answers ReadBuilds. Records are all records of builds if the read has succeeded.
+type BuildsRead struct {
+	Read      fence.Read    `json:"read"`
+	Succeeded bool          `json:"succeeded,omitempty"`
+	Records   []BuildRecord `json:"records,omitempty"`
+}
+
 // BegunRead reports which builds had begun the streams that hosts have saved to the platform's store, as it was
 // when this host read all of it.
 type BegunRead struct {
@@ -253,6 +264,7 @@
 func (BegunAsked) isEvent()         {}
 func (BegunAnswered) isEvent()      {}
 func (BuildsRecorded) isEvent()     {}
+func (BuildsRead) isEvent()         {}
 func (BegunRead) isEvent()          {}
 func (BegunSaved) isEvent()         {}
 func (ChangesReceived) isEvent()    {}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -19,7 +19,7 @@
 	case event.SendBegun:
 		m.broadcast([]event.Host{e.To}, &wire.Frame{Body: &wire.Frame_BegunStreams{BegunStreams: wire.FromBegun(e.Streams, e.Relay)}}, false)
 	case event.AskBegun:
-		m.broadcast(e.To, &wire.Frame{Body: &wire.Frame_BegunAsk{BegunAsk: &wire.BegunAsk{Stream: uint64(e.Stream), Relay: e.Relay}}}, false)
+		m.broadcast(e.To, &wire.Frame{Body: &wire.Frame_BegunAsk{BegunAsk: &wire.BegunAsk{Stream: uint64(e.Stream), Relay: e.Relay, Confirm: e.Confirm}}}, false)
 	case event.AnswerBegun:
 		m.answer(e.To, &wire.Frame{Body: &wire.Frame_BegunAnswer{BegunAnswer: wire.FromBegunAnswer(e)}})
 	case event.SendSummary:
@@ -117,7 +117,9 @@
 	case *wire.Frame_BegunStreams:
 		return m.receiveBegun(from, b.BegunStreams)
 	case *wire.Frame_BegunAsk:
-		m.post(event.BegunAsked{From: from.ID, Stream: ident.Stream(b.BegunAsk.GetStream()), Relay: b.BegunAsk.GetRelay() && !m.isLocal(from)})
+		m.post(event.BegunAsked{
+			From: from.ID, Stream: ident.Stream(b.BegunAsk.GetStream()), Relay: b.BegunAsk.GetRelay() && !m.isLocal(from), Confirm: b.BegunAsk.GetConfirm(),
+		})
 	case *wire.Frame_BegunAnswer:
 		return m.receiveBegunAnswer(from.ID, b.BegunAnswer)
 	case *wire.Frame_Summary:
--- a/internal/wire/begun.go
+++ b/internal/wire/begun.go
@@ -19,6 +19,14 @@
 	return event.ServiceBuild{Service: p.GetService(), Build: ident.Build(p.GetBuild())}
 }
 
+func fromRecord(r event.BuildRecord) *BuildRecord {
+	return &BuildRecord{Service: r.Service, Builds: convert(r.Builds, fromBuild), Revision: r.Revision}
+}
+
+func toRecord(p *BuildRecord) event.BuildRecord {
+	return event.BuildRecord{Service: p.GetService(), Builds: convert(p.GetBuilds(), toBuild), Revision: p.GetRevision()}
+}
+
 // FromBegun converts streams to columns.
 func FromBegun(streams []event.BegunStream, relay bool) *BegunStreams {
 	p := &BegunStreams{Relay: relay}
@@ -61,7 +69,7 @@
 
 // FromBegunAnswer converts an answer.
 func FromBegunAnswer(e event.AnswerBegun) *BegunAnswer {
-	p := &BegunAnswer{Stream: uint64(e.Stream), Begun: FromBegun(e.Begun, false), AllSeen: e.AllSeen}
+	p := &BegunAnswer{Stream: uint64(e.Stream), Begun: FromBegun(e.Begun, false), Confirmed: e.Confirmed, Records: convert(e.Records, fromRecord)}
 	for _, sb := range e.Seen {
 		p.Seen = append(p.Seen, fromServiceBuild(sb.ServiceBuild))
 		p.SeenAgesMs = append(p.SeenAgesMs, millis(sb.Age))
@@ -71,7 +79,9 @@
 
 // ToEvent converts an answer of a host back. It returns ErrFormat if the lengths of its columns differ.
 func (p *BegunAnswer) ToEvent(from ident.EntryID) (event.BegunAnswered, error) {
-	e := event.BegunAnswered{From: from, Stream: ident.Stream(p.GetStream()), AllSeen: p.GetAllSeen()}
+	e := event.BegunAnswered{
+		From: from, Stream: ident.Stream(p.GetStream()), Confirmed: p.GetConfirmed(), Records: convert(p.GetRecords(), toRecord),
+	}
 	var err error
 	if e.Begun, err = p.GetBegun().ToEvent(); err != nil || len(p.GetSeen()) != len(p.GetSeenAgesMs()) {
 		return e, ErrFormat
--- a/internal/wire/begun_test.go
+++ b/internal/wire/begun_test.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/pkg/ident"
 )
 
 // Guards against streams that are bound to another build because of how they travel.
@@ -20,8 +21,11 @@
 	if diff := cmp.Diff(streams, got); diff != "" || err != nil {
 		t.Errorf("streams, %v (-want +got):\n%s", err, diff)
 	}
-	ans := event.AnswerBegun{Stream: 2, Begun: streams[1:2], Seen: []event.SeenBuild{{ServiceBuild: v1, Age: time.Second}, {ServiceBuild: v2}}, AllSeen: true}
-	want := event.BegunAnswered{From: "e1", Stream: 2, Begun: ans.Begun, Seen: ans.Seen, AllSeen: true}
+	ans := event.AnswerBegun{
+		Stream: 2, Begun: streams[1:2], Seen: []event.SeenBuild{{ServiceBuild: v1, Age: time.Second}, {ServiceBuild: v2}}, Confirmed: true,
+		Records: []event.BuildRecord{{Service: "writers", Builds: []ident.Build{"v1", "v2"}, Revision: 7}},
+	}
+	want := event.BegunAnswered{From: "e1", Stream: 2, Begun: ans.Begun, Seen: ans.Seen, Confirmed: true, Records: ans.Records}
 	gotAns, err := FromBegunAnswer(ans).ToEvent("e1")
 	if diff := cmp.Diff(want, gotAns); diff != "" || err != nil {
 		t.Errorf("answer, %v (-want +got):\n%s", err, diff)
