core: plays of streams read the list continuously and notice links that fail

Cause: newStreamPlay read the list at long intervals only and no link ever failed, so that the age of the list at a cut-off host, and the loss of its keepers, were not those of real hosts.

Change: all plays of streams use StartFeeds and WatchLinks, with the 3 s of package platform.

--- a/internal/core/begun_test.go
+++ b/internal/core/begun_test.go
@@ -38,6 +38,9 @@
 	restartedAt map[ident.EntryID]ident.Time
 }
 
+// silenceTimeout is the time after which a silent link fails, as in package platform.
+const silenceTimeout = 3 * time.Second
+
 // restartPause is the time after its restart for which callers that come back avoid a host.
 const restartPause = 3 * time.Second
 
@@ -50,6 +53,8 @@
 	}
 	p.FirstEvents, p.ListReads = true, true
 	p.OnStep = p.watch
+	p.StartFeeds()
+	p.WatchLinks(silenceTimeout)
 	p.OnMessage = func(_, _ event.Host, eff event.Effect) {
 		switch eff.(type) {
 		case event.SendBegun, event.AskBegun, event.AnswerBegun:
--- a/internal/core/outofstep_test.go
+++ b/internal/core/outofstep_test.go
@@ -16,8 +16,6 @@
 const (
 	// oneBuildFor is how long there is one build, longer than a stream may run.
 	oneBuildFor = 26 * time.Second
-	// silenceTimeout is when the links of real hosts fail.
-	silenceTimeout = 3 * time.Second
 	// justHealed is how long before a take-up the links are there again.
 	justHealed   = 10 * time.Millisecond
 	releaseWork  = 3 * time.Second
@@ -47,8 +45,6 @@
 	first := p.rnd.IntN(size.hosts - n + 1)
 	p.out, p.inStep = p.hosts[first:first+n], slices.Concat(p.hosts[:first], p.hosts[first+n:])
 	p.n += p.rnd.IntN(1000)
-	p.StartFeeds()
-	p.WatchLinks(silenceTimeout)
 	p.Run(oneBuildFor + time.Duration(p.rnd.Int64N(int64(2*time.Second))))
 	return p
 }
