core, fence: a settled lookup answers all that wait for it, and a failing store is asked less often

Found by reading: a request that joined a lookup of the same stream, and found it settled, was placed alone; those that had waited, here and at other hosts, would have got no answer until their deadlines. It ends like any other lookup now. A host without a read (several builds are known at first, then one) refuses instead of concluding from its own view. After a failed read the next one waits 150 ms, not 50: each call is charged, refused ones too.

--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -90,7 +90,7 @@
 }
 
 // findBuild finds out which build may serve a request. It reports whether that is settled; otherwise
-// the request waits for an answer of the keepers or of the store.
+// endLookup places the request or refuses it.
 func (rd *Reducer) findBuild(now ident.Time, r *request) (settled bool) {
 	if r.forwarded || !r.TakenUp || !r.isRoutedStream() {
 		r.build = r.Build
@@ -104,10 +104,7 @@
 		keepers: true, regions: several || rd.isYoung(now, r) || rd.isOutOfStep(now), records: !several && rd.bounds.SharedReads,
 	})
 	q.requests = append(q.requests, r)
-	if rd.isSettled(now, q) {
-		delete(rd.lookups, q.stream)
-		return rd.bindToRecords(now, r, q)
-	}
+	rd.settleLookup(now, q)
 	return false
 }
 
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -96,12 +96,12 @@
 	rd.askKeepers(now, q)
 }
 
-// isConfirmed reports whether the records are known as they were after the lookup began, or need not be.
+// isConfirmed reports whether the records are known as they were after the lookup began. Without the platform's store there are none.
 func (rd *Reducer) isConfirmed(q *lookup) bool {
-	return !q.scope.records || q.confirmed || rd.fence.Passed(q.read)
+	return !rd.bounds.SharedReads || q.confirmed || rd.fence.Passed(q.read)
 }
 
-// isHopeless reports whether the records can't be read: the store does not answer, here or before, and there is nobody else to ask.
+// isHopeless reports whether the records can't be read: the store has not answered for a while, and there is nobody else to ask.
 func (rd *Reducer) isHopeless(q *lookup) bool {
 	return q.confirming && len(q.asked) == 0 && rd.fence.Failed(q.read) && rd.spread.PlatformFailing()
 }
@@ -109,7 +109,7 @@
 // isSettled reports whether no answer that may still come can change what a lookup has found. Shortly after its start a host may
 // still discover keepers, or read what hosts had saved.
 func (rd *Reducer) isSettled(now ident.Time, q *lookup) bool {
-	if !rd.isConfirmed(q) {
+	if q.scope.records && !rd.isConfirmed(q) {
 		return rd.isHopeless(q)
 	}
 	if len(q.unanswered) == 0 && (!q.scope.regions || rd.builds.IsRead() && now.Sub(rd.startedAt) >= discoveryWindow) {
@@ -176,7 +176,7 @@
 
 // buildsRead takes over a read of the records and settles the lookups that have waited for it.
 func (rd *Reducer) buildsRead(now ident.Time, e event.BuildsRead) {
-	rd.fence.Ended(e.Read, e.Succeeded)
+	rd.fence.Ended(now, e.Read, e.Succeeded)
 	if e.Succeeded {
 		rd.noteRecorded(now, rd.builds.Confirm(now, e.Records))
 	}
@@ -255,7 +255,7 @@
 
 // confirmsLate reports whether peers are to be asked for the records that this host has not read.
 func (rd *Reducer) confirmsLate(q *lookup) bool {
-	return len(q.requests) > 0 && !q.confirming && !rd.isConfirmed(q)
+	return q.scope.records && len(q.requests) > 0 && !q.confirming && !rd.isConfirmed(q)
 }
 
 // readBuilds reads the records of builds if a lookup waits for that.
--- a/internal/core/outofstep_test.go
+++ b/internal/core/outofstep_test.go
@@ -229,3 +229,31 @@
 		}
 	}
 }
+
+// Guards against a take-up that gets no answer because another one of the same stream was waiting.
+func TestTakeUpsOfOneStreamAreAllAnswered(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut off %v", cut), func(t *testing.T) {
+			p := newReleasePlay(1, releaseSize{regions: 2, hosts: 2}, 1, oneBuild)
+			p.beginAt(p.inStep[:1])
+			p.breakStreams()
+			p.Kill(p.inStep[0])
+			if cut {
+				p.cut()
+			}
+			first := p.n
+			for _, id := range p.streams {
+				for range 3 {
+					p.takeUp(p.out[0], id)
+					p.Run(time.Millisecond)
+				}
+			}
+			p.Run(8 * time.Second)
+			for n := first + 1; n <= p.n; n++ {
+				if id := ident.RequestID(fmt.Sprint("q", n)); !p.ended[id] {
+					t.Errorf("request %s got no answer", id)
+				}
+			}
+		})
+	}
+}
--- a/internal/fence/fence.go
+++ b/internal/fence/fence.go
@@ -15,7 +15,7 @@
 //		emit(event.ReadBuilds{Read: n})
 //	}
 //	// When the read has ended:
-//	f.Ended(n, succeeded)
+//	f.Ended(now, n, succeeded)
 //	if f.Passed(q.read) {
 //		// the answer to q is in what was read
 //	}
@@ -37,6 +37,8 @@
 	intervalPerHost = time.Millisecond
 	minInterval     = 50 * time.Millisecond
 	maxInterval     = 400 * time.Millisecond
+	// retryDelay is the time from a read that has failed to the next one.
+	retryDelay = 150 * time.Millisecond
 )
 
 // Read is the number of a read, counted from one. Zero is none.
@@ -69,13 +71,14 @@
 }
 
 // Ended records that a read has ended.
-func (f *Fence) Ended(n Read, succeeded bool) {
+func (f *Fence) Ended(now ident.Time, n Read, succeeded bool) {
 	switch {
 	case n > f.asked:
 	case succeeded:
 		f.passed = max(f.passed, n)
 	default:
 		f.failed = max(f.failed, n)
+		f.nextAt = max(f.nextAt, now.Add(retryDelay))
 	}
 }
 
--- a/internal/fence/fence_test.go
+++ b/internal/fence/fence_test.go
@@ -52,7 +52,7 @@
 					continue
 				}
 				ref.succeeded[pending] = rapid.Bool().Draw(t, "succeeds")
-				f.Ended(pending, ref.succeeded[pending])
+				f.Ended(now, pending, ref.succeeded[pending])
 				pending = 0
 			}
 			for at, n := range questions {
@@ -74,7 +74,7 @@
 			f.Wait()
 			if n, ok := f.Due(now, hosts); ok {
 				reads++
-				f.Ended(n, true)
+				f.Ended(now, n, true)
 			}
 		}
 		if got, most := hosts*reads, hosts+perSecond*seconds; got > most {
