member: older lists of peers that have not just read them revert nothing

Cause: a list with a lower version than the one in use is taken over once the list in use is a minute old, since the store may have reset its version counter. A list in use is as old whenever nothing has changed for a minute. A host that was cut off for longer sends its list with its first full digest after the cut: evacuations end and removed targets come back at hosts that are in step, until the returned host has read the store and sends the newer list.

Shown: TestListOfAPeerThatWasCutOffRevertsNothing, before this change "a is usable again by the list of a peer that was cut off for 90 s", and b (a is evacuated, b was removed).

Change: an older list of a peer counts only if its digest says that the peer has just read it (ListConfirmed). A peer that was cut off doesn't say so; a reset of the store is still learned from the reader of the list, or by an own read.

Ruled out: to count the list in use as young while it is confirmed. After a reset, reads of the new list would confirm the old one for ever.

Left: a reader that announces the list within 2.2 s of an outage does not confirm it yet; after a reset of the store beside an outage its peers wait for their own reads.

--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -75,9 +75,11 @@
 }
 
 // mergeList merges a list that a peer has sent, unless a newer one is in use. An older one would
-// revert evacuations.
+// revert evacuations. That the store has reset its version counter is believed only of a peer that has
+// just read the list: one that was cut off sends what it knew before.
 func (tb *Table) mergeList(now ident.Time, d event.Digest) {
-	if len(d.Targets) == 0 && !d.Complete || tb.isStale(now, d.ListVersion) || tb.isImplausible(d.ListVersion) {
+	isOlder := d.ListVersion < tb.list.version && !d.ListConfirmed
+	if len(d.Targets) == 0 && !d.Complete || isOlder || tb.isStale(now, d.ListVersion) || tb.isImplausible(d.ListVersion) {
 		return
 	}
 	tb.list.source, tb.list.complete = d.Host.ID, false
--- a/internal/member/stale_test.go
+++ b/internal/member/stale_test.go
@@ -231,3 +231,36 @@
 		t.Error("a target that is missing from an incomplete list is not usable")
 	}
 }
+
+// Guards against the list of a peer that was cut off for minutes: after the cut it sends all that it knows, and its list
+// would end evacuations and bring removed targets back at hosts that are in step.
+func TestListOfAPeerThatWasCutOffRevertsNothing(t *testing.T) {
+	at := ident.Time(time.Second)
+	cutOff, inStep := New(newHost("w2", "west-a", "west")), New(newHost("w1", "west-a", "west"))
+	for _, tb := range []*Table{cutOff, inStep} {
+		tb.HostsRead(at, listOf(4, newTarget("a"), newTarget("b"), newTarget("c")))
+		tb.ListRead(at, 0)
+	}
+	evacuated := newTarget("a")
+	evacuated.Evacuated = true
+	inStep.HostsRead(at.Add(10*time.Second), listOf(5, evacuated, newTarget("c")))
+	for range 90 {
+		at = at.Add(time.Second)
+		inStep.ListRead(at, 0)
+		inStep.Tick(at, LocalState{})
+		cutOff.ListFailed(at)
+		cutOff.Tick(at, LocalState{})
+	}
+	cutOff.PeerUp(at, inStep.self)
+	inStep.PeerUp(at, cutOff.self)
+	at = at.Add(HeartbeatInterval)
+	exchange(at, cutOff, []*Table{inStep})
+	for _, id := range []string{"a", "b"} {
+		if usable(t, inStep, at, id) {
+			t.Errorf("%s is usable again by the list of a peer that was cut off for 90 s", id)
+		}
+	}
+	if !usable(t, inStep, at, "c") {
+		t.Error("a listed target is not usable")
+	}
+}
