builds: builds leave their record only while the list is read

Cause: the time since a build was last listed runs on while the list is not read. A host that was paused, or whose reads fail, may write at its first tick that a build is gone, although it has come back meanwhile. The revision of the record is the same, as the record still had the build, so that the store takes the write. All hosts would then have no record of a build that serves; the readers add it again with their next look, and a restart of all hosts in between may join streams.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -239,7 +239,8 @@
 	return slices.Contains(b.records[t.Service].Builds, t.Build)
 }
 
-// Due returns the records to write. A build leaves its record a retention after it was last listed.
+// Due returns the records to write. A build leaves its record a retention after it was last listed, and only while the list
+// is read: it may have come back since the last read.
 func (b *Book) Due(now ident.Time, retention time.Duration) []event.RecordBuilds {
 	if !b.read {
 		return nil
@@ -284,7 +285,7 @@
 		}
 	}
 	for sb, since := range b.goneSince {
-		if sb.Service == service && now < since.Add(retention+b.stagger) {
+		if sb.Service == service && (now < since.Add(retention+b.stagger) || now.Sub(b.readAt) > maxReadGap) {
 			want = append(want, sb.Build)
 		}
 	}
--- a/internal/builds/builds_test.go
+++ b/internal/builds/builds_test.go
@@ -228,3 +228,26 @@
 		t.Error("the list alone misses no build: the test shows nothing")
 	}
 }
+
+// Guards against a build that leaves its record while it serves: a host that was paused, or whose reads have failed, has not seen
+// that the build came back, and counts the time since it was last listed at this host.
+func TestBuildLeavesItsRecordOnlyAfterReads(t *testing.T) {
+	b := builds.New("h1")
+	b.Read(at(0), targetsOf("v1", "v2"), recordOf(3, "v1", "v2"))
+	b.Read(at(time.Second), targetsOf("v2"), recordOf(3, "v1", "v2"))
+	for s := 2; s <= 20; s++ {
+		b.Confirmed(at(time.Duration(s) * time.Second))
+	}
+	for _, paused := range []time.Duration{10 * time.Second, 20 * time.Second, time.Minute} {
+		if due := b.Due(at(20*time.Second+paused), retention); len(due) > 0 {
+			t.Errorf("after %v without a read the record becomes %v", paused, due[0].Record.Builds)
+		}
+	}
+	for s := 81; s <= 150; s++ {
+		b.Confirmed(at(time.Duration(s) * time.Second))
+	}
+	due := b.Due(at(150*time.Second), retention)
+	if len(due) != 1 || !slices.Equal(due[0].Record.Builds, []ident.Build{"v2"}) {
+		t.Errorf("the build that is gone stays on record: %v", due)
+	}
+}
