core: messages from before a pause confirm no keys

Cause: with fleet.keyTTLMs the age of the configuration is counted from when a digest, or the end of an own read, was handled. After a pause of the host these may have waited in a socket or a queue for as long as the pause; loads, summaries and the list count that time (extraAge), keys did not. A key that was taken away during the pause was accepted for the whole TTL again.

Shown: TestKeysAreNotConfirmedByMessagesFromBeforeAPause, before this change accepted after a pause of four times the TTL.

Change: the length of a pause is added for one heartbeat interval after it, as for the list. The default has no TTL, so nothing changes there.

--- a/internal/core/account_test.go
+++ b/internal/core/account_test.go
@@ -118,3 +118,21 @@
 		t.Errorf("the caller gets %s, outcome %s", ref.Code, ref.Outcome)
 	}
 }
+
+// Guards against keys that count as confirmed by messages that lay in a socket while this host was paused: the key may
+// have been taken away meanwhile.
+func TestKeysAreNotConfirmedByMessagesFromBeforeAPause(t *testing.T) {
+	const ttl = 5 * time.Second
+	peer := event.Host{ID: "w2", Incarnation: 1, Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}}
+	h := accountHost(t, core.Bounds{KeyTTL: ttl}, rules.Client{Name: "acme"})
+	h.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 1, Revision: 2, ListConfirmed: true}})
+	checkRefusal(t, "before the pause", "", h.ask("acme", "publish", 0))
+	h.now = h.now.Add(4 * ttl)
+	h.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 2, Revision: 2, ListConfirmed: true}})
+	checkRefusal(t, "after a pause, by a message that may have been sent before it", codes.StaleKeys.ID, h.ask("acme", "publish", 0))
+	h.now = h.now.Add(3 * time.Second)
+	h.step(event.Tick{})
+	h.now = h.now.Add(time.Second)
+	h.step(event.DigestReceived{Digest: event.Digest{Host: peer, Seq: 3, Revision: 2, ListConfirmed: true}})
+	checkRefusal(t, "confirmed after the pause", "", h.ask("acme", "publish", 0))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -277,7 +277,7 @@
 	case event.ListRead:
 		rd.table.ListRead(now, e.Age)
 		rd.builds.Confirmed(now)
-		rd.confirmedAt = max(rd.confirmedAt, now.Add(-e.Age))
+		rd.confirmedAt = max(rd.confirmedAt, now.Add(-e.Age-rd.table.MaxDelay(now)))
 	case event.ReadProgress:
 		rd.spread.PlatformProgress(now)
 	case event.DrainAsked:
@@ -302,7 +302,7 @@
 	}
 	if d.ListConfirmed && d.Revision <= rd.spread.Revision() {
 		// The sender has read the platform and knows no newer revision.
-		rd.confirmedAt = max(rd.confirmedAt, now.Add(-d.ListAge))
+		rd.confirmedAt = max(rd.confirmedAt, now.Add(-d.ListAge-rd.table.MaxDelay(now)))
 	}
 	rd.emit(rd.spread.RevisionSeen(now, d.Host, d.Revision)...)
 	for _, s := range d.Summaries {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -263,6 +263,9 @@
 	return 0
 }
 
+// MaxDelay returns for how long a message that arrives now may have waited at this host.
+func (tb *Table) MaxDelay(now ident.Time) time.Duration { return tb.extraAge(now) }
+
 // Target returns a target of this data centre.
 func (tb *Table) Target(id ident.TargetID) (*Target, bool) {
 	t, ok := tb.byID[id]
