member: hosts that were paused send nothing to cold targets at first

Cause: a pause does not count as silence of others, so that a host that is continued considers itself the owner of the cold targets that it owned before. The limit is divided by two owners. Two hosts that were paused in turn, the second while it had taken over from the first, and that are continued together are three.

Shown: TestPausedHostsDoNotOverloadColdTargets, 12 hosts, messages that take 100 ms, limit 6 a second.

Change: for one heartbeat interval after a pause the limit of this host is zero, as after its start.

--- a/internal/member/cold.go
+++ b/internal/member/cold.go
@@ -82,7 +82,7 @@
 // A cold target crashes when it receives many requests at once. The limit holds for all hosts
 // together: one host owns each cold target, by rank among the live ones, and the others send
 // nothing to it. A host that has just started sends nothing either, because it may not know the
-// others yet. An owner that sees only a minority of the hosts gets a smaller share, see
+// others yet, nor does one after a pause: others may have taken over. An owner that sees only a minority of the hosts gets a smaller share, see
 // coldSendLimit.
 func (tb *Table) ColdLimitReached(now ident.Time, t *Target) bool {
 	if !t.Cold(now) || tb.cold.PerSecond == nil {
@@ -106,7 +106,7 @@
 // host may consider itself the owner and gets an even share of the limit; if that is less than one
 // request, it sends nothing.
 func (tb *Table) coldSendLimit(now ident.Time, limit float64) int {
-	if now.Sub(tb.started) < ownersKnownDelay {
+	if now.Sub(tb.started) < ownersKnownDelay || tb.extraAge(now) > 0 {
 		return 0
 	}
 	live, all := tb.reachableHosts(now)
--- a/internal/member/cold_test.go
+++ b/internal/member/cold_test.go
@@ -228,3 +228,50 @@
 		})
 	}
 }
+
+// Guards against overloading a cold target after pauses: each host that is continued considers itself the owner that it was
+// before, beside those that have taken over meanwhile.
+func TestPausedHostsDoNotOverloadColdTargets(t *testing.T) {
+	const (
+		step  = 20 * time.Millisecond
+		delay = 100 * time.Millisecond
+		first = 5 * time.Second
+		gap   = 6 * time.Second
+	)
+	for _, paused := range []int{1, 2, 4} {
+		at := ident.Time(time.Second)
+		hosts, tables := newColdFleet(at, 12)
+		cold := newTarget("a")
+		cold.ColdFor = time.Hour
+		list := listOf(1, cold)
+		list.Hosts = hosts
+		end := first + time.Duration(paused)*gap
+		pausedAt := make([]time.Duration, len(hosts))
+		runs := func(i int, since time.Duration) bool { return pausedAt[i] == 0 || since < pausedAt[i] || since >= end }
+		var sends []ident.Time
+		for since := time.Duration(0); since < end+4*time.Second; since += step {
+			now := at.Add(since)
+			for i, tb := range tables {
+				if !runs(i, since) {
+					continue
+				}
+				tb.HostsRead(now, list)
+				for j, h := range hosts {
+					if i != j && since > delay && runs(j, since-delay) && runs(i, since-delay) {
+						tb.PeerUp(now, h)
+					}
+				}
+				if since >= first && since < end && (since-first)%gap == 0 && tb.ownsCold(now, "a") {
+					pausedAt[i] = since + step
+				}
+				if tg, _ := tb.Target("a"); !tb.ColdLimitReached(now, tg) {
+					tb.RequestSent("a", 0, 0)
+					sends = append(sends, now)
+				}
+			}
+		}
+		if most := maxPerSecond(sends); most == 0 || most > coldLimit {
+			t.Errorf("%d hosts paused in turn and continued together: %d requests in one second at a cold target, of %d allowed", paused, most, coldLimit)
+		}
+	}
+}
