--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -111,11 +111,14 @@
 	case event.Forward:
 		tr.track(e.Envelope.Attempt, attempt{request: e.Request, content: e.Basis.Content, parts: e.Basis.Parts, target: ident.TargetID(e.To.ID), sentAt: now})
 		tr.count("requests.passedOn")
-		tr.logRoutine("passed on", "request", e.Request, "attempt", e.Envelope.Attempt.Number, "to", e.To.ID,
+		kv := []any{
+			"request", e.Request, "attempt", e.Envelope.Attempt.Number, "to", e.To.ID,
 			"region", e.To.Place.Region, "service", e.Service, "profile", e.Basis.Profile, "try", e.Basis.Attempts, "revision", e.Basis.Revision,
 			"waitedMs", millis(e.Basis.Waited), "predictedMs", millis(e.Basis.PredictedWait),
 			"expectEvents", int(e.Basis.ExpectedEvents), "paceMs", millis(e.Basis.EventGap), "paceThereMs", millis(e.Basis.RemoteEventGap), "resume", e.ResumeAfter,
-			"part", roundHundredths(e.Basis.ForwardedShare), "roomThere", int(e.Basis.RemotePrefillRoom))
+			"part", roundHundredths(e.Basis.ForwardedShare), "roomThere", int(e.Basis.RemotePrefillRoom), "build", e.Build,
+		}
+		tr.logRoutine("passed on", append(kv, streamFields(e.Basis)...)...)
 	case event.Refuse:
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -49,6 +49,7 @@
 	takenUp.Origin, takenUp.TakenUp, takenUp.BuildFrom, takenUp.ListAge = 0xabc, true, event.BuildOnlyOne, 1500*time.Millisecond
 	tr.Record(at, event.Tick{}, []event.Effect{
 		event.Dispatch{Request: "a.8", Attempt: newAttempt(8), Target: event.Target{ID: "t", Service: "writers", Build: "v1.1"}, ResumeAfter: 4, Basis: takenUp},
+		event.Forward{Request: "a.8", To: event.Host{ID: "h", Place: event.Place{Region: "east"}}, Envelope: event.Envelope{Attempt: newAttempt(10)}, Service: "writers", Build: "v1.1", Basis: takenUp},
 	})
 	limited := basis
 	limited.RateLimit, limited.RateLimitAge = value.Some(1.5), 250*time.Millisecond
