relay: faults of one sender

A host that is cut off from all others keeps its links to the store or not, and in one direction or both. Relays could hold back the data of all senders, or refuse one of them. SetSenderFault adds the same faults for one sender, by which the links between two groups of hosts are cut and those inside a group stay.

Ruled out: SetPartitioned alone (it closes connections, in both directions); a relay for each pair of hosts (16 hosts a region would need 992).

go test ./internal/dev/relay passes, with TestRelayHoldsBackOneSender (the sender's data in each direction, its refusal, and another sender meanwhile).

--- a/internal/dev/relay/relay.go
+++ b/internal/dev/relay/relay.go
@@ -47,6 +47,8 @@
 	partitioned map[string]bool
 	conns       map[net.Conn]string
 	fault       Fault
+	// senderFaults are the faults of single senders.
+	senderFaults map[string]Fault
 }
 
 // Direction is a set of directions between a sender and the address behind a
@@ -87,19 +89,37 @@
 	r.resetConns()
 }
 
+// SetSenderFault replaces the fault of one sender, which adds to that of all.
+func (r *Relay) SetSenderFault(sender string, f Fault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.senderFaults[sender] = f
+	for c, from := range r.conns {
+		if f.Refuse && from == sender {
+			resetConn(c)
+		}
+	}
+}
+
 func (r *Relay) resetConns() {
 	for c := range r.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		c.Close()
+		resetConn(c)
+	}
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	c.Close()
 }
 
-func (r *Relay) currentFault() Fault {
+// currentFault returns the fault of the connections of a sender.
+func (r *Relay) currentFault(sender string) Fault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.fault
+	f := r.senderFaults[sender]
+	return Fault{Stall: r.fault.Stall | f.Stall, Refuse: r.fault.Refuse || f.Refuse, Delay: r.fault.Delay + f.Delay}
 }
 
 // Start starts a relay.
@@ -108,7 +128,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "relay: listen")
 	}
-	r := &Relay{cfg: cfg, ln: ln, partitioned: make(map[string]bool), conns: make(map[net.Conn]string)}
+	r := &Relay{cfg: cfg, ln: ln, partitioned: make(map[string]bool), conns: make(map[net.Conn]string), senderFaults: make(map[string]Fault)}
 	r.t.Go(r.run)
 	return r, nil
 }
@@ -168,7 +188,7 @@
 	if r.cfg.Delay != nil {
 		delay = r.cfg.Delay(sender)
 	}
-	for _, p := range []*pipe{newPipe(r, Outbound, in, out, delay), newPipe(r, Inbound, out, in, delay)} {
+	for _, p := range []*pipe{newPipe(r, sender, Outbound, in, out, delay), newPipe(r, sender, Inbound, out, in, delay)} {
 		r.t.Go(p.readLoop)
 		r.t.Go(p.writeLoop)
 	}
@@ -177,7 +197,7 @@
 func (r *Relay) track(sender string, cs ...net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.partitioned[sender] || r.fault.Refuse || !r.t.Alive() {
+	if r.partitioned[sender] || r.fault.Refuse || r.senderFaults[sender].Refuse || !r.t.Alive() {
 		return false
 	}
 	for _, c := range cs {
@@ -208,14 +228,15 @@
 // pipe is one direction of a connection.
 type pipe struct {
 	relay    *Relay
+	sender   string
 	dir      Direction
 	from, to net.Conn
 	delay    time.Duration
 	chunks   chan chunk
 }
 
-func newPipe(r *Relay, dir Direction, from, to net.Conn, delay time.Duration) *pipe {
-	return &pipe{relay: r, dir: dir, from: from, to: to, delay: delay, chunks: make(chan chunk, maxQueuedChunks)}
+func newPipe(r *Relay, sender string, dir Direction, from, to net.Conn, delay time.Duration) *pipe {
+	return &pipe{relay: r, sender: sender, dir: dir, from: from, to: to, delay: delay, chunks: make(chan chunk, maxQueuedChunks)}
 }
 
 // stallPollInterval is the interval at which a stalled pipe checks whether the
@@ -227,7 +248,7 @@
 func (p *pipe) waitUntilDue(sub *clock.Subscription, due ident.Time) {
 	svc := p.relay.cfg.Clock
 	for p.relay.t.Alive() {
-		f := p.relay.currentFault()
+		f := p.relay.currentFault(p.sender)
 		now := svc.Now()
 		switch {
 		case due.Add(f.Delay) > now:
--- a/internal/dev/relay/relay_test.go
+++ b/internal/dev/relay/relay_test.go
@@ -87,6 +87,48 @@
 	}
 }
 
+// Guards against a fault of one sender that lets its traffic through, or holds back that of others.
+func TestRelayHoldsBackOneSender(t *testing.T) {
+	r := startRelay(t)
+	dial := func(ip string) net.Conn {
+		c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).Dial("tcp", r.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	isolated, other := dial("127.0.0.2"), dial("127.0.0.3")
+	roundTrip(t, isolated, "first")
+	for _, dir := range []relay.Direction{relay.Outbound, relay.Inbound} {
+		r.SetSenderFault("127.0.0.2", relay.Fault{Stall: dir})
+		if _, err := io.WriteString(isolated, "late"); err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff("second", roundTrip(t, other, "second")); d != "" {
+			t.Fatal(d)
+		}
+		_ = isolated.SetReadDeadline(time.Now().Add(4 * oneWayDelay))
+		if n, _ := isolated.Read(make([]byte, 1)); n > 0 {
+			t.Fatalf("direction %d: data of the sender came through", dir)
+		}
+		_ = isolated.SetReadDeadline(time.Time{})
+		r.SetSenderFault("127.0.0.2", relay.Fault{})
+		if d := cmp.Diff("late", roundTrip(t, isolated, "last")); d != "" {
+			t.Fatal(d)
+		}
+		buf := make([]byte, len("last"))
+		if _, err := io.ReadFull(isolated, buf); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.SetSenderFault("127.0.0.2", relay.Fault{Refuse: true})
+	if _, err := isolated.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the connection of the sender is still open")
+	}
+	roundTrip(t, other, "third")
+}
+
 // Guards against a partition that lets traffic through.
 func TestRelayPartitionsAndHeals(t *testing.T) {
 	r := startRelay(t)
