soak: releases while hosts are out of step

Change: -releases replaces the faults. Targets have one version at first; while hosts are cut off from the store or from other hosts, in one direction or both, or paused, targets of a version that is new to them join, break off streams and replace the earlier ones. Callers take streams up at these hosts, during the isolation and around its end. -regions 1 has one region. A request counts as undisturbed only while no host is isolated: isolations last longer than the 6 s after which a fault counted as settled.

Also checked: a process that began a stream at a target of its region doesn't refuse the rest; of the streams that begin and are taken up at hosts in step, half as many go on as new ones begin.

--- a/internal/dev/cmds/soak.go
+++ b/internal/dev/cmds/soak.go
@@ -30,7 +30,7 @@
 }
 
 func (*soakCmd) Usage() string {
-	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-rejoins] [-answers] [-ends] [-logs DIR]
+	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-rejoins] [-answers] [-ends] [-releases] [-logs DIR]
   Runs entry hosts as processes with stand-ins of the platform's store and of
   targets, injects faults in an order derived from the seed, and checks what
   callers and targets see. Without -seed it starts with the current Unix time in
@@ -52,7 +52,8 @@
 	fs.IntVar(&c.seeds, "seeds", 1, "number of consecutive seeds to run")
 	fs.IntVar(&c.parallel, "parallel", 1, "number of seeds that run concurrently")
 	fs.DurationVar(&c.cfg.Duration, "for", 20*time.Second, "time during which new faults are injected")
-	fs.IntVar(&c.cfg.Hosts, "hosts", 2, "number of entry hosts in each of the two regions")
+	fs.IntVar(&c.cfg.Hosts, "hosts", 2, "number of entry hosts in each region")
+	fs.IntVar(&c.cfg.Regions, "regions", 2, "number of regions, 1 or 2")
 	fs.IntVar(&c.cfg.Callers, "callers", 3, "number of callers in each region")
 	fs.BoolVar(&c.cfg.Planned, "planned", false, "only run overlapping planned maintenance, with long streams that pause")
 	fs.BoolVar(&c.cfg.Poison, "poison", false, "add callers that repeat requests which end each target that runs them")
@@ -63,6 +64,7 @@
 	fs.BoolVar(&c.cfg.Answers, "answers", false, "let targets send answers again before that of a health check, and stop inside events with long lines")
 	fs.BoolVar(&c.cfg.Builds, "builds", false, "let targets run two versions of their software and callers take streams up again")
 	fs.BoolVar(&c.cfg.Ends, "ends", false, "run targets as processes that end, pause and stop inside answers, with callers that leave and come back")
+	fs.BoolVar(&c.cfg.Releases, "releases", false, "only release versions while hosts are cut off from the store and from other hosts, or paused")
 	fs.StringVar(&c.logs, "logs", os.TempDir(), "directory for the logs of seeds that violate a guarantee")
 }
 
--- a/internal/dev/soak/builds.go
+++ b/internal/dev/soak/builds.go
@@ -26,10 +26,13 @@
 // errCallerLeft ends an answer whose caller has left in the middle.
 var errCallerLeft = errors.New("soak: caller has left")
 
-// nextBuild returns the build of the next target that starts: each in turn.
+// nextBuild returns the build of the next target that starts: each in turn, or with releases the first one.
 func (s *deployment) nextBuild() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.cfg.Releases {
+		return versionName(1)
+	}
 	s.builds++
 	return builds[s.builds%2]
 }
@@ -59,9 +62,14 @@
 // notContinued reports whether the answer says that no target can continue the stream.
 func (a *observation) notContinued() bool { return strings.Contains(a.body, "VB1034") }
 
+// drawLeave draws whether the caller leaves a stream in the middle. With releases most do.
+func (k *caller) drawLeave() bool {
+	return (k.rnd.IntN(leaveDivisor) == 0) != k.pool.deployment.cfg.Releases
+}
+
 // readPart reads an answer. The caller may leave the rest of a stream.
 func (k *caller) readPart(res *http.Response, a *observation) ([]byte, error) {
-	if res.StatusCode != http.StatusOK || a.kind != kindDraft || !k.pool.deployment.cfg.Builds || k.rnd.IntN(leaveDivisor) > 0 {
+	if res.StatusCode != http.StatusOK || a.kind != kindDraft || !k.pool.deployment.cfg.Builds || !k.drawLeave() {
 		return io.ReadAll(res.Body)
 	}
 	limit := 1 + k.rnd.IntN(k.pool.deployment.cfg.streamBytes())
@@ -75,17 +83,20 @@
 // takeUp asks other hosts for the rest of a stream that broke or that the caller left.
 func (k *caller) takeUp(a observation) {
 	s := k.pool.deployment
-	first, received, delay := a.id, 0, takeUpDelay
+	first, began, received, delay := a.id, a.began, 0, takeUpDelay
 	if s.cfg.Rejoins {
 		delay = rejoinDelay
 	}
-	for n := 0; s.cfg.Builds && a.kind == kindDraft && a.route == kindDraft && a.err != nil && n < maxTakeUps; n++ {
+	for n := 0; s.mayTakeUp(a, began) && n < maxTakeUps; n++ {
 		received += a.events()
 		received, delay = k.drawTakeUp(received, delay)
+		host := k.rnd.IntN(len(s.hosts))
+		if s.cfg.Releases {
+			host, delay = k.drawReleaseTakeUp()
+		}
 		if received == 0 || received >= streamEvents || !sleep(context.Background(), delay) {
 			return
 		}
-		host := k.rnd.IntN(len(s.hosts))
 		rest := observation{
 			id: k.pool.newID(kindDraft), kind: kindDraft, route: kindDraft, host: host, first: first, received: received,
 			began: time.Now(), settled: s.settled(), text: "body of " + first, path: "/" + kindDraft + "/x?of=" + first,
@@ -93,7 +104,9 @@
 		rest.process, _ = s.hosts[host].state()
 		k.send(context.Background(), s.hosts[host], &rest)
 		rest.end = time.Now()
-		rest.settled = rest.settled && s.settled()
+		rest.settled, rest.inStep = rest.settled && s.settled(), s.inStep(host, rest.began)
+		process, _ := s.hosts[host].state()
+		rest.restarted = process != rest.process
 		k.pool.record(rest)
 		a = rest
 	}
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -59,10 +59,10 @@
 	framed bool
 	// err is set if no complete answer was received.
 	err error
-	// settled is set if no fault was active shortly before or during the request. termAt is when
-	// the process was sent SIGTERM.
-	settled bool
-	termAt  time.Time
+	// settled is set if no fault was active shortly before or during the request, inStep if its host was not isolated then.
+	// restarted is set if the process of the host ended meanwhile. termAt is when the process was sent SIGTERM.
+	settled, inStep, restarted bool
+	termAt                     time.Time
 }
 
 // callerPool runs all callers and records their requests.
@@ -77,7 +77,7 @@
 func newCallerPool(s *deployment) *callerPool { return &callerPool{deployment: s} }
 
 func (c *callerPool) start() {
-	for _, region := range regions {
+	for _, region := range c.deployment.regions() {
 		for n := range c.deployment.cfg.Callers {
 			k := newCaller(c, region, uint64(n))
 			c.t.Go(k.run)
@@ -174,6 +174,9 @@
 	s.mu.Lock()
 	v := s.version
 	s.mu.Unlock()
+	if s.cfg.Releases && k.rnd.IntN(draftParts) < draftShare {
+		return kindDraft
+	}
 	if v > 1 && k.rnd.IntN(8) == 0 {
 		return fmt.Sprint("v", 2+k.rnd.IntN(v-1))
 	}
@@ -231,7 +234,7 @@
 	a.process, _ = h.state()
 	k.send(ctx, h, &a)
 	a.end = time.Now()
-	a.settled = a.settled && k.pool.deployment.settled()
+	a.settled, a.inStep = a.settled && k.pool.deployment.settled(), k.pool.deployment.inStep(n, a.began)
 	if process, termAt := h.state(); process == a.process {
 		a.termAt = termAt
 	}
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -57,6 +57,9 @@
 	if c.deployment.cfg.Ends {
 		c.checkUnframed()
 	}
+	if c.deployment.cfg.Releases {
+		c.checkReleases()
+	}
 }
 
 func (c *checker) checkRequest(a observation) {
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +22,17 @@
 
 const hostName = "soak.example"
 
-// regions of the deployment, with one data centre each.
+// regions that a deployment may have, with one data centre each.
 var regions = []string{"west", "east"}
 
+// regions returns the regions of the deployment.
+func (s *deployment) regions() []string {
+	if s.cfg.Regions == 0 {
+		return regions
+	}
+	return regions[:min(s.cfg.Regions, len(regions))]
+}
+
 func centreOf(region string) string { return region + "-a" }
 
 // Number of events of a stream, and running time of a call.
@@ -64,6 +73,12 @@
 	stopping bool
 	// builds counts the builds that targets have been given.
 	builds int
+	// versions counts the versions that releases have, leftAt is when the targets of each first left.
+	versions int
+	leftAt   map[string]time.Time
+	// isolations holds the times in which hosts were isolated. isolating is held while one begins or ends.
+	isolations []*isolation
+	isolating  sync.Mutex
 	// configs are the configurations written so far, evacuations the evacuations of data centres.
 	configs     []configWrite
 	evacuations []evacuation
@@ -137,7 +152,7 @@
 		return err
 	}
 	s.configure()
-	for _, region := range regions {
+	for _, region := range s.regions() {
 		for n := range 3 {
 			if err := s.addWorker(fmt.Sprintf("writer-%s-%d", region, n), "writers", region); err != nil {
 				return err
@@ -149,7 +164,7 @@
 			}
 		}
 	}
-	for _, region := range regions {
+	for _, region := range s.regions() {
 		for range s.cfg.Hosts {
 			if err := s.addHost(region); err != nil {
 				return err
@@ -319,5 +334,6 @@
 func (s *deployment) settled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.lastFaultAt) > settleTime
+	isolated := slices.ContainsFunc(s.isolations, func(p *isolation) bool { return p.to.IsZero() })
+	return !isolated && time.Since(s.lastFaultAt) > settleTime
 }
--- a/internal/dev/soak/fault.go
+++ b/internal/dev/soak/fault.go
@@ -271,7 +271,7 @@
 }
 
 func evacuate(rnd *rand.Rand, s *deployment) fault {
-	region := regions[rnd.IntN(len(regions))]
+	region := s.regions()[rnd.IntN(len(s.regions()))]
 	return fault{
 		name: "empty " + centreOf(region), planned: true, begin: func(context.Context) { s.setEvacuated(region, true) },
 		end: func(context.Context) { s.setEvacuated(region, false) },
--- a/internal/dev/soak/host.go
+++ b/internal/dev/soak/host.go
@@ -67,7 +67,7 @@
 	if s.cfg.Answers || s.cfg.Ends {
 		h.settings.Fleet.RetryRatio, h.settings.Fleet.RetryFloor = answerRetryRatio, answerRetryFloor
 	}
-	for _, r := range regions {
+	for _, r := range s.regions() {
 		h.settings.Fleet.Places = append(h.settings.Fleet.Places, config.FleetPlace{DataCentre: ident.DataCentre(centreOf(r)), Region: ident.Region(r)})
 	}
 	for _, o := range s.hosts {
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -41,8 +41,8 @@
 	Seed    uint64
 	// Duration is the span in which faults begin.
 	Duration time.Duration
-	// Hosts and Callers are the numbers of entry hosts and callers in each region.
-	Hosts, Callers int
+	// Regions is the number of regions, Hosts and Callers are the numbers of entry hosts and callers in each.
+	Regions, Hosts, Callers int
 	// Planned replaces faults by overlapping series of planned work, beside streams of several
 	// seconds that pause at their targets. No request that has run may then be aborted.
 	Planned bool
@@ -66,6 +66,9 @@
 	// Ends runs the targets as processes that end, pause and stop in the middle of answers, of which many are unframed, and lets
 	// callers keep to their hosts, leave and come back early. Targets have two builds, as with Builds.
 	Ends bool
+	// Releases replaces faults by releases of versions that are new to the hosts, while some of these are isolated. Targets have one
+	// version at first.
+	Releases bool
 	// Target is the command that runs worker.RunProcess. Ends needs it.
 	Target []string
 	// Log receives the output of the hosts; nil discards it.
@@ -105,6 +108,9 @@
 // timing returns the durations of a run. With planned work the grace period is longer than a
 // stream that pauses at both of its targets.
 func (cfg Config) timing() timing {
+	if cfg.Releases {
+		return releaseTiming
+	}
 	if cfg.Planned {
 		return timing{eventInterval: 60 * time.Millisecond, deadline: 7 * time.Second, timeoutMs: 8000, graceSeconds: 14}
 	}
@@ -123,8 +129,8 @@
 	if cfg.Log == nil {
 		cfg.Log = io.Discard
 	}
-	cfg.Builds = cfg.Builds || cfg.Ends
-	s := &deployment{cfg: cfg, clock: clock.New(), began: time.Now()}
+	cfg.Builds = cfg.Builds || cfg.Ends || cfg.Releases
+	s := &deployment{cfg: cfg, clock: clock.New(), began: time.Now(), leftAt: make(map[string]time.Time)}
 	defer s.stop()
 	if err := s.start(); err != nil {
 		return Report{Seed: cfg.Seed}, err
@@ -157,6 +163,9 @@
 	if cfg.Planned {
 		return drawPlanned(rnd, cfg.Duration, s)
 	}
+	if cfg.Releases {
+		return drawReleases(rnd, cfg.Duration, s)
+	}
 	plan := drawPlan(rnd, cfg.Duration, s)
 	if cfg.Poison {
 		plan = append(plan, drawPoison(rnd, cfg.Duration, s)...)
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -22,6 +23,7 @@
 
 	"verbenadale.example/verbenadale/internal/clock"
 	"verbenadale.example/verbenadale/internal/dev/kvstub"
+	"verbenadale.example/verbenadale/internal/dev/relay"
 	"verbenadale.example/verbenadale/internal/dev/worker"
 )
 
@@ -143,6 +145,31 @@
 	}
 }
 
+// Guards against streams that go on at another version where targets of a new one join while a host (seed 19) or all hosts of a region
+// (seed 27) get nothing from the store and from other hosts: a host that knows one version takes it for the only one.
+func TestStreamsKeepTheirVersionDuringReleases(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for a quarter of a minute")
+	}
+	for _, cfg := range []Config{{Seed: 19, Regions: 2}, {Seed: 27, Regions: 2}, {Seed: 19, Regions: 1}} {
+		t.Run(fmt.Sprintf("seed %d, regions %d", cfg.Seed, cfg.Regions), func(t *testing.T) {
+			t.Parallel()
+			cfg.Program, cfg.Duration, cfg.Callers, cfg.Releases = program, 3*time.Second, 16/cfg.Regions, true
+			rep, err := Run(context.Background(), cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(rep)
+			if len(rep.Violations) > 0 {
+				t.Error("guarantees are violated")
+			}
+			if rep.Outcomes["200"] == 0 {
+				t.Error("nothing was served")
+			}
+		})
+	}
+}
+
 // Guards against a check that misses an event of a stream that is missing, comes twice, or is of another stream or build.
 func TestTextChecksDetectViolations(t *testing.T) {
 	cfg := Config{Builds: true}
@@ -544,18 +571,148 @@
 		s.hosts = append(s.hosts, &host{region: regions[n/2]})
 		s.workers = append(s.workers, &target{id: fmt.Sprint("t", n), region: regions[n/2]})
 	}
-	names := func(seed uint64) []string {
-		var out []string
-		for _, f := range drawPlan(rand.New(rand.NewPCG(seed, seed)), 20*time.Second, s) {
-			out = append(out, f.String())
+	for name, draw := range map[string]func(*rand.Rand, time.Duration, *deployment) []fault{"faults": drawPlan, "releases": drawReleases} {
+		names := func(seed uint64) []string {
+			var out []string
+			for _, f := range draw(rand.New(rand.NewPCG(seed, seed)), 20*time.Second, s) {
+				out = append(out, f.String())
+			}
+			return out
+		}
+		if diff := cmp.Diff(names(7), names(7)); diff != "" {
+			t.Errorf("%s: two plans of one seed differ:\n%s", name, diff)
+		}
+		if cmp.Equal(names(7), names(8)) {
+			t.Errorf("%s: two seeds draw the same plan", name)
 		}
-		return out
 	}
-	if diff := cmp.Diff(names(7), names(7)); diff != "" {
-		t.Errorf("two plans of one seed differ:\n%s", diff)
+}
+
+// Guards against releases during which no host is in step, or of a version that serves already.
+func TestReleasesAreNewToIsolatedHosts(t *testing.T) {
+	for seed := range uint64(50) {
+		s := &deployment{}
+		for n := range 4 {
+			s.hosts = append(s.hosts, &host{region: regions[n/2]})
+		}
+		p := &releasePlan{rnd: rand.New(rand.NewPCG(seed, seed)), deployment: s, serving: []int{1}, versions: 1}
+		for range 10 {
+			before := p.serving
+			p.release(0)
+			if now := p.serving[len(p.serving)-1]; slices.Contains(before, now) {
+				t.Errorf("seed %d: version %d joins and serves already, beside %v", seed, now, before)
+			}
+		}
+		for _, hosts := range [][]*host{s.hosts, {{region: "west"}, {region: "west"}}} {
+			s.hosts = hosts
+			group := drawGroup(p.rnd, s)
+			f := drawIsolation(p.rnd, s, group)
+			if len(group) == 0 || len(group) >= len(hosts) || f.duration < minIsolation || f.duration > maxIsolation {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
 	}
-	if cmp.Equal(names(7), names(8)) {
-		t.Error("two seeds draw the same plan")
+}
+
+// Guards against a check that misses streams which are refused where they could go on.
+func TestReleaseChecksDetectViolations(t *testing.T) {
+	v1 := Config{Builds: true}.writer("v1")
+	at := time.Now()
+	began := observation{id: "s", kind: kindDraft, route: kindDraft, answer: v1.EventOf("s", 1), inStep: true, err: errCallerLeft}
+	rest := observation{id: "r", first: "s", kind: kindDraft, route: kindDraft, answer: "VB1034", inStep: true, end: at}
+	elsewhere, restarted, unknown := rest, rest, rest
+	elsewhere.host, restarted.restarted, unknown.first = 1, true, "t"
+	isolated := elsewhere
+	isolated.inStep = false
+	repeat := func(a observation, n int) []observation { return slices.Repeat([]observation{a}, n) }
+	for name, c := range map[string]struct {
+		rest []observation
+		left time.Time
+		ran  string
+		want int
+	}{
+		"where it began":       {rest: repeat(rest, 1), want: 1},
+		"the version has left": {rest: repeat(rest, minTakenUp), left: at.Add(-time.Second)},
+		"it leaves later":      {rest: repeat(rest, 1), left: at.Add(time.Second), want: 1},
+		"in another region":    {rest: repeat(rest, 1), ran: regions[1]},
+		"after a restart":      {rest: repeat(restarted, 1)},
+		"elsewhere, few":       {rest: repeat(elsewhere, minTakenUp-1)},
+		"elsewhere, many":      {rest: repeat(elsewhere, minTakenUp), want: 1},
+		"at an isolated host":  {rest: repeat(isolated, minTakenUp)},
+		"it never began":       {rest: repeat(unknown, minTakenUp)},
+		"half of them go on":   {rest: append(repeat(elsewhere, minTakenUp), repeat(began, minTakenUp)...)},
+		"less than half of it": {rest: append(repeat(elsewhere, minTakenUp), repeat(began, minTakenUp-1)...), want: 1},
+	} {
+		s := &deployment{
+			cfg: Config{Releases: true, Builds: true}, began: at, leftAt: make(map[string]time.Time),
+			hosts: []*host{{region: regions[0]}, {region: regions[0]}},
+		}
+		if !c.left.IsZero() {
+			s.leftAt["v1"] = c.left
+		}
+		pool := &callerPool{observations: []observation{began}}
+		for _, a := range c.rest {
+			if a.first == "" {
+				a.id, a.first, a.host = "r", "s", 1
+			}
+			pool.observations = append(pool.observations, a)
+		}
+		for i := range pool.observations {
+			pool.observations[i].splitBuilds()
+		}
+		if c.ran == "" {
+			c.ran = regions[0]
+		}
+		chk := &checker{deployment: s, pool: pool, ranAt: map[string][]*target{"s": {{region: c.ran}}}}
+		chk.checkReleases()
+		if len(chk.violations) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		}
+	}
+}
+
+// Guards against the end of one isolation that heals links, or continues hosts, while another one lasts.
+func TestIsolationsOverlap(t *testing.T) {
+	cut, directed := &isolation{hosts: []int{0, 1}, way: isolationWay{peers: silent}}, &isolation{hosts: []int{1}, way: isolationWay{peers: outward}}
+	for _, c := range []struct {
+		isolation *isolation
+		from, to  int
+		want      relay.Fault
+	}{
+		{cut, 0, 1, relay.Fault{}},
+		{cut, 0, 2, silent},
+		{cut, 2, 0, silent},
+		{cut, 2, 3, relay.Fault{}},
+		{directed, 1, 0, outward},
+		{directed, 0, 1, inward},
+		{directed, 0, 2, relay.Fault{}},
+	} {
+		if diff := cmp.Diff(c.want, c.isolation.fault(c.from, c.to)); diff != "" {
+			t.Errorf("link from %d to %d:\n%s", c.from, c.to, diff)
+		}
+	}
+	if diff := cmp.Diff(relay.Fault{Stall: silent.Stall, Refuse: true}, union(union(outward, inward), refused)); diff != "" {
+		t.Error(diff)
+	}
+	s := &deployment{isolations: []*isolation{cut, directed}}
+	cut.to = time.Now()
+	if diff := cmp.Diff(1, len(s.lasting())); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against a request that counts as undisturbed while its host, or another one, is isolated for longer than faults last.
+func TestIsolatedHostsAreNotInStep(t *testing.T) {
+	s := &deployment{hosts: []*host{{}, {}}}
+	i := &isolation{hosts: []int{1}, from: time.Now().Add(-2 * settleTime)}
+	s.isolations = []*isolation{i}
+	now := time.Now()
+	if s.settled() || s.inStep(1, now) || !s.inStep(0, now) {
+		t.Error("an isolation that lasts is not noticed")
+	}
+	i.to = now
+	if !s.settled() || s.inStep(1, now.Add(settleTime-1)) || !s.inStep(1, now.Add(settleTime)) {
+		t.Error("an isolation does not end")
 	}
 }
 
--- a/internal/dev/soak/text.go
+++ b/internal/dev/soak/text.go
@@ -22,8 +22,15 @@
 }
 
 // writerBuilds returns the builds that writers may have.
-func (cfg Config) writerBuilds() []string {
-	if cfg.Builds || cfg.Ends {
+func (s *deployment) writerBuilds() []string {
+	if s.cfg.Releases {
+		var versions []string
+		for n := range s.versions {
+			versions = append(versions, versionName(n+1))
+		}
+		return versions
+	}
+	if s.cfg.Builds || s.cfg.Ends {
 		return builds
 	}
 	return []string{""}
@@ -46,7 +53,7 @@
 func (c *checker) wants(a observation) []string {
 	var texts []string
 	if a.kind == kindDraft && a.route == kindDraft {
-		for _, build := range c.deployment.cfg.writerBuilds() {
+		for _, build := range c.deployment.writerBuilds() {
 			texts = append(texts, c.deployment.cfg.writer(build).TextOf(a.stream(), a.received+1))
 		}
 		return texts
@@ -131,7 +138,7 @@
 		whole := a.answer[:strings.LastIndex(a.answer, "\n\n")]
 		left, known := possible[a.stream()]
 		if !known {
-			left = slices.Clone(c.deployment.cfg.writerBuilds())
+			left = slices.Clone(c.deployment.writerBuilds())
 		}
 		left = slices.DeleteFunc(left, func(build string) bool {
 			return !strings.HasPrefix(c.deployment.cfg.writer(build).TextOf(a.stream(), a.received+1), whole)
