--- a/internal/core/outofstep_test.go
+++ b/internal/core/outofstep_test.go
@@ -28,6 +28,8 @@
 	// out are the hosts out of step, inStep the others.
 	out, inStep []ident.EntryID
 	streams     []ident.RequestID
+	// incarnation numbers the targets of builds that come back.
+	incarnation int
 }
 
 // releaseSize is a deployment of the plays.
@@ -71,7 +73,7 @@
 	for i, old := range slices.Clone(p.Targets) {
 		if i%2 == 0 {
 			target := old.Target
-			target.ID, target.Build = ident.TargetID(fmt.Sprint(build, "-", i)), build
+			target.ID, target.Build = ident.TargetID(fmt.Sprint(build, "-", i, "-", p.incarnation)), build
 			p.AddTarget(target, drive.TargetConfig{Slots: old.Slots, Work: releaseWork})
 		}
 	}
@@ -79,12 +81,17 @@
 
 // beginAt begins streams at hosts in turn, and lets all of them have their first events.
 func (p *releasePlay) beginAt(hosts []ident.EntryID) {
+	p.beginEvery(hosts, 10*time.Millisecond)
+	p.Run(releaseWork / 3)
+}
+
+// beginEvery begins streams at hosts in turn, one in each interval.
+func (p *releasePlay) beginEvery(hosts []ident.EntryID, interval time.Duration) {
 	for i := range releaseCount {
 		p.begin(hosts[i%len(hosts)])
 		p.streams = append(p.streams, ident.RequestID(fmt.Sprint("q", p.n)))
-		p.Run(10 * time.Millisecond)
+		p.Run(interval)
 	}
-	p.Run(releaseWork / 3)
 }
 
 // breakStreams breaks the connections of the callers.
--- a/internal/dev/drive/drive.go
+++ b/internal/dev/drive/drive.go
@@ -82,6 +82,11 @@
 	ListReads bool
 	// LoseBuilds makes the platform refuse records of builds.
 	LoseBuilds bool
+	// CallersFirst makes a host that was frozen handle what callers have sent before all else.
+	CallersFirst bool
+	// ReadDelay, if set, returns how long the answer to a read of the records of builds takes. It has what is recorded when
+	// the platform gets the call.
+	ReadDelay func(h event.Host) time.Duration
 	// SaveFault, if set, returns what happens to each batch of begun streams. Saves counts them.
 	SaveFault func(from event.Host) SaveFault
 	Saves     int
@@ -262,6 +267,8 @@
 			h.nextTick = h.frozenUntil
 		}
 		dl.at = h.frozenUntil
+		_, dl.first = dl.ev.(event.RequestArrived)
+		dl.first = dl.first && d.CallersFirst
 		heap.Push(&d.queue, dl)
 		return
 	}
@@ -299,12 +306,14 @@
 	// timer marks a Tick that the reducer requested. It is dropped if the reducer has requested
 	// another one since.
 	timer bool
+	// first puts the event before others of the same time.
+	first bool
 	// run, if set, is called instead of delivering an event. It changes the state of a target or
 	// of the platform.
 	run func()
 }
 
-// deliveries is a heap ordered by time, then by order of scheduling.
+// deliveries is a heap ordered by time, then by first, then by order of scheduling.
 type deliveries []delivery
 
 func (q deliveries) Len() int { return len(q) }
@@ -313,6 +322,9 @@
 	if q[i].at != q[j].at {
 		return q[i].at < q[j].at
 	}
+	if q[i].first != q[j].first {
+		return q[i].first
+	}
 	return q[i].seq < q[j].seq
 }
 
--- a/internal/dev/drive/environment.go
+++ b/internal/dev/drive/environment.go
@@ -365,7 +365,11 @@
 		d.Post(h.ID, failureDelay, event.BuildsRead{Read: e.Read})
 		return
 	}
-	d.Post(h.ID, callDelay, event.BuildsRead{Read: e.Read, Succeeded: true, Records: d.platform.records()})
+	after := callDelay
+	if d.ReadDelay != nil {
+		after = max(after, d.ReadDelay(h.Host))
+	}
+	d.postToIncarnation(h.Host, after, event.BuildsRead{Read: e.Read, Succeeded: true, Records: d.platform.records()})
 }
 
 func (d *Driver) claim(h *Host, e event.ClaimKey) {
