builds: a build that comes back can't be taken off the record by a write from before

What callers could see: streams of a build that had come back, taken up at a host that read the record before it was mended, go on at another build.

Cause: a host takes a build off the record by a write that requires the revision at which it last saw the build gone. A build that came back while still on record changed no revision, so that the write of a host that had stood still for up to the retention, or one that was executed late, succeeded. The streams that had begun at the build since then were not on record until a reader had added it again.

Evidence: TestBuildsThatComeBackStayOnRecord fails before: the write [v2] 3 of the host that stood still is executed, and streams may begin at the build while it can be. It passes since.

Change: a reader that lists a build again which was gone writes its record once more, unchanged, if that has kept its revision. Until then the build counts as not recorded: streams that may be taken up begin at another one for that time, as for a new build.

Ruled out: a bound on the age of the list in Due, since a process may stand still between the decision and the write.

Left: a reader that has started while the build was back already does not know that it was gone, and does not wait for the write of another reader.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -25,7 +25,9 @@
 // # Bounds
 //
 // A new build is recorded before its targets get requests, unless the store takes longer than maxHold or no
-// other build can serve. Streams that may be taken up wait for the record as long as another build can serve. A build stays on record for a retention after it was last listed. The
+// other build can serve. Streams that may be taken up wait for the record as long as another build can serve. A build stays on record
+// for a retention after it was last listed. When it comes back, its record is written again, so that writes that would take it off
+// and were decided on before fail. The
 // record holds no times: each host counts the retention from when it last saw the build, on its own clock, so that a restart
 // of all hosts prolongs it.
 package builds
@@ -64,6 +66,8 @@
 	// goneSince has the recorded builds that the list lacks.
 	goneSince map[event.ServiceBuild]ident.Time
 	writtenAt map[string]ident.Time
+	// returned has the builds that are listed again after they were gone, with the revision of the record at that time.
+	returned map[event.ServiceBuild]uint64
 }
 
 // New returns the book of a host that has read nothing.
@@ -72,6 +76,7 @@
 		stagger: time.Duration(rank.Unit(rank.Hash("builds", string(self))) * float64(maxStagger)),
 		records: make(map[string]event.BuildRecord), listedSince: make(map[event.ServiceBuild]ident.Time),
 		goneSince: make(map[event.ServiceBuild]ident.Time), writtenAt: make(map[string]ident.Time),
+		returned: make(map[event.ServiceBuild]uint64),
 	}
 }
 
@@ -91,7 +96,7 @@
 		}
 	}
 	b.listedSince = listed
-	old := b.records
+	old, wasGone := b.records, b.goneSince
 	b.records = make(map[string]event.BuildRecord, len(records))
 	for _, r := range records {
 		if known, ok := old[r.Service]; ok && known.Revision > r.Revision {
@@ -103,9 +108,40 @@
 	b.read = true
 	b.Confirmed(now)
 	b.updateGone(now)
+	b.updateReturned(old, wasGone)
 	return newlyRecorded(old, b.records)
 }
 
+// updateReturned notes the builds that are listed again. One whose record has changed since it was gone can't be taken off by a
+// write that was decided on before.
+func (b *Book) updateReturned(old map[string]event.BuildRecord, wasGone map[event.ServiceBuild]ident.Time) {
+	for sb := range b.listedSince {
+		if _, ok := wasGone[sb]; ok && b.records[sb.Service].Revision == old[sb.Service].Revision {
+			b.returned[sb] = old[sb.Service].Revision
+		}
+	}
+	maps.DeleteFunc(b.returned, func(sb event.ServiceBuild, revision uint64) bool {
+		_, listed := b.listedSince[sb]
+		return !listed || b.records[sb.Service].Revision > revision
+	})
+}
+
+// mayBeTakenOff reports whether a write that was decided on while a build was gone may still take it off the record.
+func (b *Book) mayBeTakenOff(sb event.ServiceBuild) bool {
+	revision, ok := b.returned[sb]
+	return ok && b.records[sb.Service].Revision <= revision
+}
+
+// hasReturned reports whether the record of a service is to be written because a build has come back.
+func (b *Book) hasReturned(service string) bool {
+	for sb := range b.returned {
+		if sb.Service == service && b.mayBeTakenOff(sb) {
+			return true
+		}
+	}
+	return false
+}
+
 // Confirmed records that a read has succeeded and that what Read was given last has all changes.
 func (b *Book) Confirmed(now ident.Time) {
 	if now.Sub(b.readAt) > maxReadGap {
@@ -230,13 +266,13 @@
 	return admitted, again
 }
 
-// Has reports whether a build is on record.
+// Has reports whether a build is on record and stays there.
 func (b *Book) Has(sb event.ServiceBuild) bool {
-	return slices.Contains(b.records[sb.Service].Builds, sb.Build)
+	return slices.Contains(b.records[sb.Service].Builds, sb.Build) && !b.mayBeTakenOff(sb)
 }
 
 func (b *Book) isRecorded(t event.Target) bool {
-	return slices.Contains(b.records[t.Service].Builds, t.Build)
+	return b.Has(event.ServiceBuild{Service: t.Service, Build: t.Build})
 }
 
 // Due returns the records to write. A build leaves its record a retention after it was last listed, and only while the list
@@ -249,7 +285,7 @@
 	for _, service := range b.services() {
 		want := b.wanted(now, service, retention)
 		old, recorded := b.records[service]
-		if len(want) == 0 || recorded && slices.Equal(want, old.Builds) {
+		if len(want) == 0 || recorded && slices.Equal(want, old.Builds) && !b.hasReturned(service) {
 			continue
 		}
 		if at, ok := b.writtenAt[service]; ok && now < at.Add(writeInterval) {
--- a/internal/builds/builds_test.go
+++ b/internal/builds/builds_test.go
@@ -158,6 +158,48 @@
 	return true
 }
 
+// Guards against a host that stood still, or whose write is late, and takes a build off the record that has come back: streams that
+// begin at it would be taken for those of the build that is left.
+func TestBuildsThatComeBackStayOnRecord(t *testing.T) {
+	store := &fakeStore{rec: event.BuildRecord{Service: "writers", Builds: []ident.Build{"v1", "v2"}, Revision: 3}}
+	still, other := builds.New("h1"), builds.New("h2")
+	for d := time.Duration(0); d < retention-5*time.Second; d += time.Second {
+		for _, h := range []*builds.Book{still, other} {
+			h.Read(at(d), targetsOf("v2"), []event.BuildRecord{store.rec})
+		}
+	}
+	back := at(retention - 5*time.Second)
+	read := func() {
+		other.Read(back, targetsOf("v1", "v2"), []event.BuildRecord{store.rec})
+		for _, w := range other.Due(back, retention) {
+			store.execute(w.Record)
+		}
+		other.Read(back, targetsOf("v1", "v2"), []event.BuildRecord{store.rec})
+	}
+	v1 := event.ServiceBuild{Service: "writers", Build: "v1"}
+	other.Read(back, targetsOf("v1", "v2"), []event.BuildRecord{store.rec})
+	if other.Has(v1) {
+		t.Error("streams may begin at a build that a write under way may take off the record")
+	}
+	read()
+	if !other.Has(v1) {
+		t.Error("streams may not begin at a build that is on record")
+	}
+	for _, w := range still.Due(back.Add(20*time.Second), retention) {
+		if store.execute(w.Record) {
+			t.Errorf("the write %v is executed", w.Record)
+		}
+	}
+	writes := store.rec.Revision
+	for range 10 {
+		back = back.Add(time.Second)
+		read()
+	}
+	if store.rec.Revision != writes {
+		t.Errorf("%d more writes, want none", store.rec.Revision-writes)
+	}
+}
+
 // Checks against random listings, restarts of all hosts, late and lost writes: a build that was listed within the retention is on record, and the
 // list alone, the naive version, would miss some. A build leaves the record in the end.
 func TestRecordHasAllRecentBuilds(t *testing.T) {
