core: streams without names do not share a read, and lookups end once the store has failed

What callers could see: a stream whose caller does not name it was bound by a read from before it was taken up, and went on at another build.

Cause: all streams without a name are stream 0 and shared one lookup, whose read may have been asked for before a later one came. Named streams may share a lookup: a stream has begun before its first take-up. Each stream without a name has a lookup of its own now and asks no keepers, which can't know it.

Also: a failed read of the list settles lookups that nobody else can answer, at once; a new record takes effect at once for streams that begin; asking peers to confirm does not wait for others; after a change of the configuration builds stay on record for as long as streams from before it may run; lists in virtual time are complete, as real ones are, so that removed targets count as removed.

--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -71,9 +71,14 @@
 // possibleBuilds returns the builds that may have begun a stream that is still running, as far as this host knows, sorted.
 func (rd *Reducer) possibleBuilds(now ident.Time, r *request) []ident.Build {
 	rd.noteBuilds(now)
-	found := append(rd.begun.Builds(now, r.profile.Service, streamTTL(r)), rd.builds.Recorded(r.profile.Service)...)
-	slices.Sort(found)
-	return slices.Compact(found)
+	return uniqueBuilds(append(rd.begun.Builds(now, r.profile.Service, streamTTL(r)), rd.builds.Recorded(r.profile.Service)...))
+}
+
+// uniqueBuilds sorts builds and removes duplicates and the one without a name, which is that of services whose targets name none.
+func uniqueBuilds(builds []ident.Build) []ident.Build {
+	builds = slices.DeleteFunc(builds, func(b ident.Build) bool { return b == "" })
+	slices.Sort(builds)
+	return slices.Compact(builds)
 }
 
 // streamTTL returns how long after its first event a stream of the route of r may still be running. A
@@ -100,7 +105,12 @@
 		return rd.bindToStream(now, r, s)
 	}
 	several := len(rd.possibleBuilds(now, r)) > 1
-	q := rd.lookUp(now, r.Origin, lookupScope{
+	key := lookupKey{stream: r.Origin}
+	if r.Origin == 0 {
+		key.unnamed = r.ID
+	}
+	// With several builds only somebody who remembers the stream can name the one that began it.
+	q := rd.lookUp(now, key, lookupScope{
 		keepers: true, regions: several || rd.isYoung(now, r) || rd.isOutOfStep(now), records: !several && rd.bounds.SharedReads,
 	})
 	q.requests = append(q.requests, r)
--- a/internal/core/builds.go
+++ b/internal/core/builds.go
@@ -47,14 +47,15 @@
 	if !rd.bounds.SharedReads || !rd.activeReader {
 		return
 	}
-	for _, w := range rd.builds.Due(now, rd.buildRetention()) {
+	for _, w := range rd.builds.Due(now, rd.buildRetention(now)) {
 		rd.emit(w)
 	}
 }
 
-// buildRetention returns how long a build stays on record after it was last listed.
-func (rd *Reducer) buildRetention() time.Duration {
-	if rd.retention > 0 && rd.retentionOf == rd.spread.Revision() {
+// buildRetention returns how long a build stays on record after it was last listed. After a change of the configuration
+// streams may still run for as long as before it.
+func (rd *Reducer) buildRetention(now ident.Time) time.Duration {
+	if rd.retention > 0 && rd.retentionOf == rd.spread.Revision() && now < rd.retentionUntil {
 		return rd.retention
 	}
 	longest := time.Duration(0)
@@ -63,7 +64,13 @@
 			longest = max(longest, routeTTL(p.Route))
 		}
 	}
-	rd.retention, rd.retentionOf = longest+lateSends, rd.spread.Revision()
+	longest += lateSends
+	if rd.retentionOf != rd.spread.Revision() {
+		rd.retentionOf, rd.retentionUntil = rd.spread.Revision(), now.Add(rd.retention)
+		rd.retention = max(rd.retention, longest)
+	} else if now >= rd.retentionUntil {
+		rd.retention, rd.retentionUntil = longest, now.Add(longest)
+	}
 	return rd.retention
 }
 
@@ -78,11 +85,11 @@
 // noteRecorded notes builds that are new on record. Targets of them may have served until now.
 func (rd *Reducer) noteRecorded(now ident.Time, recorded []event.ServiceBuild) {
 	for _, sb := range recorded {
-		rd.begun.BuildSeen(now, sb)
-	}
-	for _, q := range rd.sortedLookups() {
-		rd.settleLookup(now, q)
+		if sb.Build != "" {
+			rd.begun.BuildSeen(now, sb)
+		}
 	}
+	rd.settleLookups(now)
 }
 
 // requiredBuild returns the only build that may serve a request, empty for any. While a build serves that is not on
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,11 +59,12 @@
 	// read. They are admitted at admitAt at the latest, zero if there are none.
 	list            event.HostsRead
 	listAt, admitAt ident.Time
-	// retention is the result of buildRetention at a revision of the configuration.
-	retention   time.Duration
-	retentionOf ident.Revision
+	// retention is the result of buildRetention at a revision of the configuration, until it is worked out again.
+	retention      time.Duration
+	retentionOf    ident.Revision
+	retentionUntil ident.Time
 	// lookups are the questions about streams that have not been settled, fence the reads that they wait for.
-	lookups map[ident.Stream]*lookup
+	lookups map[lookupKey]*lookup
 	fence   fence.Fence
 	// budget is the retry budget of requests without a route, retryBudgets that of each service.
 	budget retry.Budget
@@ -133,7 +134,7 @@
 		begun:        begun.New(),
 		ledger:       begun.NewLedger(self.ID),
 		builds:       builds.New(self.ID),
-		lookups:      make(map[ident.Stream]*lookup),
+		lookups:      make(map[lookupKey]*lookup),
 		pools:        newPools(),
 		slack:        slack.New(),
 		lastDigestAt: make(map[ident.EntryID]ident.Time),
@@ -272,6 +273,7 @@
 		if e.Op == event.OpReadHosts {
 			rd.table.ListFailed(now)
 		}
+		rd.settleLookups(now)
 	case event.WatchIdle:
 		rd.spread.WatchIdle(now)
 	case event.ListRead:
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -28,7 +28,5 @@
 // begunRead merges what hosts had saved, and settles the requests that wait for it.
 func (rd *Reducer) begunRead(now ident.Time, e event.BegunRead) {
 	rd.begun.Merge(now, e.Streams)
-	for _, q := range rd.sortedLookups() {
-		rd.settleLookup(now, q)
-	}
+	rd.settleLookups(now)
 }
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -27,9 +27,9 @@
 
 // lookup is a question that has not been settled: which build began a stream that this host does not remember.
 type lookup struct {
-	stream ident.Stream
-	scope  lookupScope
-	until  ident.Time
+	lookupKey
+	scope lookupScope
+	until ident.Time
 	// asked are the hosts that were asked, unanswered those of them that have not answered.
 	asked, unanswered value.Set[ident.EntryID]
 	// read is the read of the records that has to succeed, zero if none was wanted.
@@ -44,16 +44,27 @@
 	askers   []ident.EntryID
 }
 
+// lookupKey is the stream of a lookup. A stream without a name has a lookup of its own for each request, as two of them need not
+// be one stream, and no keepers.
+type lookupKey struct {
+	stream  ident.Stream
+	unnamed ident.RequestID
+}
+
+func (k lookupKey) compare(o lookupKey) int {
+	return cmp.Or(cmp.Compare(k.stream, o.stream), cmp.Compare(k.unnamed, o.unnamed))
+}
+
 // lookupScope states who is asked: the keepers of this region, those of other regions, and the store for the records of
 // builds.
 type lookupScope struct{ keepers, regions, records bool }
 
 // lookUp starts a lookup of a stream, or widens the one that there is.
-func (rd *Reducer) lookUp(now ident.Time, stream ident.Stream, scope lookupScope) *lookup {
-	q, ok := rd.lookups[stream]
+func (rd *Reducer) lookUp(now ident.Time, key lookupKey, scope lookupScope) *lookup {
+	q, ok := rd.lookups[key]
 	if !ok {
-		q = &lookup{stream: stream, until: now.Add(localLookupTimeout), asked: value.SetOf[ident.EntryID](), unanswered: value.SetOf[ident.EntryID]()}
-		rd.lookups[stream] = q
+		q = &lookup{lookupKey: key, until: now.Add(localLookupTimeout), asked: value.SetOf[ident.EntryID](), unanswered: value.SetOf[ident.EntryID]()}
+		rd.lookups[key] = q
 	}
 	q.scope.keepers = q.scope.keepers || scope.keepers
 	if scope.regions && !q.scope.regions {
@@ -70,6 +81,9 @@
 
 // askKeepers asks the keepers that have not been asked yet.
 func (rd *Reducer) askKeepers(now ident.Time, q *lookup) {
+	if q.stream == 0 {
+		return
+	}
 	if q.scope.keepers {
 		rd.askBegun(q, rd.keepers(now, q.stream, keeperCount), false)
 	}
@@ -93,6 +107,7 @@
 func (rd *Reducer) askToConfirm(now ident.Time, q *lookup) {
 	q.confirming, q.scope.regions = true, true
 	clear(q.asked)
+	clear(q.unanswered)
 	rd.askKeepers(now, q)
 }
 
@@ -126,8 +141,7 @@
 			found = append(found, rec.Builds...)
 		}
 	}
-	slices.Sort(found)
-	return slices.Compact(found)
+	return uniqueBuilds(found)
 }
 
 // covers reports whether the records have all builds of a service that may have begun streams which are still running.
@@ -138,8 +152,8 @@
 }
 
 func (rd *Reducer) begunAsked(now ident.Time, e event.BegunAsked) {
-	if _, known := rd.begun.Find(now, e.Stream); !known && (e.Relay || e.Confirm) {
-		q := rd.lookUp(now, e.Stream, lookupScope{keepers: e.Relay, records: e.Confirm})
+	if _, known := rd.begun.Find(now, e.Stream); !known && e.Stream != 0 && (e.Relay || e.Confirm) {
+		q := rd.lookUp(now, lookupKey{stream: e.Stream}, lookupScope{keepers: e.Relay, records: e.Confirm})
 		q.askers = append(q.askers, e.From)
 		rd.settleLookup(now, q)
 		return
@@ -148,7 +162,7 @@
 }
 
 func (rd *Reducer) answerBegun(now ident.Time, to ident.EntryID, stream ident.Stream, confirmed bool) {
-	ans := event.AnswerBegun{To: to, Stream: stream, Seen: rd.begun.Seen(now, rd.buildRetention()), Confirmed: confirmed}
+	ans := event.AnswerBegun{To: to, Stream: stream, Seen: rd.begun.Seen(now, rd.buildRetention(now)), Confirmed: confirmed}
 	if s, known := rd.begun.Find(now, stream); known {
 		ans.Begun = []event.BegunStream{s}
 	}
@@ -163,7 +177,7 @@
 		rd.begun.BuildSeen(now.Add(-sb.Age), sb.ServiceBuild)
 	}
 	rd.begun.Merge(now, e.Begun)
-	q, ok := rd.lookups[e.Stream]
+	q, ok := rd.lookups[lookupKey{stream: e.Stream}]
 	if !ok || !q.asked.Has(e.From) {
 		return
 	}
@@ -179,6 +193,7 @@
 	rd.fence.Ended(now, e.Read, e.Succeeded)
 	if e.Succeeded {
 		rd.noteRecorded(now, rd.builds.Confirm(now, e.Records))
+		clear(rd.recorded)
 	}
 	for _, q := range rd.sortedLookups() {
 		if q.scope.records && rd.fence.Failed(q.read) {
@@ -189,11 +204,18 @@
 	}
 }
 
+// settleLookups settles the lookups that can be.
+func (rd *Reducer) settleLookups(now ident.Time) {
+	for _, q := range rd.sortedLookups() {
+		rd.settleLookup(now, q)
+	}
+}
+
 // settleLookup ends a lookup if it is settled. It asks more hosts if the records have turned out to have several builds.
 func (rd *Reducer) settleLookup(now ident.Time, q *lookup) {
 	_, known := rd.begun.Find(now, q.stream)
 	if !known && len(q.requests) > 0 && !q.scope.regions && rd.isConfirmed(q) && len(rd.possibleIn(now, q.requests[0], q)) > 1 {
-		rd.lookUp(now, q.stream, lookupScope{regions: true})
+		rd.lookUp(now, q.lookupKey, lookupScope{regions: true})
 	}
 	if known || rd.isSettled(now, q) {
 		rd.endLookup(now, q)
@@ -212,12 +234,12 @@
 
 // sortedLookups returns the lookups in order of their streams.
 func (rd *Reducer) sortedLookups() []*lookup {
-	return slices.SortedFunc(maps.Values(rd.lookups), func(a, b *lookup) int { return cmp.Compare(a.stream, b.stream) })
+	return slices.SortedFunc(maps.Values(rd.lookups), func(a, b *lookup) int { return a.compare(b.lookupKey) })
 }
 
 // endLookup settles the requests that wait for an answer, and answers other hosts.
 func (rd *Reducer) endLookup(now ident.Time, q *lookup) {
-	delete(rd.lookups, q.stream)
+	delete(rd.lookups, q.lookupKey)
 	s, known := rd.begun.Find(now, q.stream)
 	for _, to := range q.askers {
 		rd.answerBegun(now, to, q.stream, q.scope.records && rd.fence.Passed(q.read))
--- a/internal/dev/drive/feed.go
+++ b/internal/dev/drive/feed.go
@@ -144,7 +144,7 @@
 
 // list returns the platform's list.
 func (d *Driver) list() event.HostsRead {
-	ev := event.HostsRead{Version: d.platform.hostsVersion, Hosts: slices.Clone(d.platform.hosts)}
+	ev := event.HostsRead{Version: d.platform.hostsVersion, Hosts: slices.Clone(d.platform.hosts), Complete: true}
 	for _, t := range d.Targets {
 		ev.Targets = append(ev.Targets, t.Target)
 	}
