builds: what is not on record is not taken for what there is not

What callers could see: a stream of a service that is newer than the list of a host was bound to the one build that a peer had mentioned, or to none; after a restart of all hosts, streams of a build whose targets had left before the first record went on at another one.

Every service has a record now; that of targets which name no build has the build without a name. A service without a record refuses streams that nobody remembers. The first record also has the builds that left the list before it was written.

TestCovers asked that an unrecorded service whose targets name no builds is covered, which is the fault; it asks the opposite now, and that it is covered once recorded.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -65,7 +65,9 @@
 	listedSince map[event.ServiceBuild]ident.Time
 	// goneSince has the recorded builds that the list lacks.
 	goneSince map[event.ServiceBuild]ident.Time
-	writtenAt map[string]ident.Time
+	// unrecorded has the builds that left the list before they were recorded, and since when.
+	unrecorded map[event.ServiceBuild]ident.Time
+	writtenAt  map[string]ident.Time
 	// returned has the builds that are listed again after they were gone, with the revision of the record at that time.
 	returned map[event.ServiceBuild]uint64
 }
@@ -76,7 +78,7 @@
 		stagger: time.Duration(rank.Unit(rank.Hash("builds", string(self))) * float64(maxStagger)),
 		records: make(map[string]event.BuildRecord), listedSince: make(map[event.ServiceBuild]ident.Time),
 		goneSince: make(map[event.ServiceBuild]ident.Time), writtenAt: make(map[string]ident.Time),
-		returned: make(map[event.ServiceBuild]uint64),
+		returned: make(map[event.ServiceBuild]uint64), unrecorded: make(map[event.ServiceBuild]ident.Time),
 	}
 }
 
@@ -86,15 +88,13 @@
 	listed := make(map[event.ServiceBuild]ident.Time)
 	for _, t := range targets {
 		sb := event.ServiceBuild{Service: t.Service, Build: t.Build}
-		if t.Build == "" {
-			continue
-		}
 		if since, ok := b.listedSince[sb]; ok {
 			listed[sb] = since
 		} else {
 			listed[sb] = now
 		}
 	}
+	b.noteUnrecorded(now, listed)
 	b.listedSince = listed
 	old, wasGone := b.records, b.goneSince
 	b.records = make(map[string]event.BuildRecord, len(records))
@@ -112,6 +112,15 @@
 	return newlyRecorded(old, b.records)
 }
 
+// noteUnrecorded notes the builds that have left the list before they were recorded. Their targets may have served.
+func (b *Book) noteUnrecorded(now ident.Time, listed map[event.ServiceBuild]ident.Time) {
+	for sb := range b.listedSince {
+		if _, ok := listed[sb]; !ok && !slices.Contains(b.records[sb.Service].Builds, sb.Build) {
+			b.unrecorded[sb] = now
+		}
+	}
+}
+
 // updateReturned notes the builds that are listed again. One whose record has changed since it was gone can't be taken off by a
 // write that was decided on before.
 func (b *Book) updateReturned(old map[string]event.BuildRecord, wasGone map[event.ServiceBuild]ident.Time) {
@@ -209,23 +218,9 @@
 	b.goneSince = gone
 }
 
-// Covers reports whether the records have all builds of a service that may have begun streams which are still
-// running. A service whose targets name no builds has no record and needs none; a record without builds could not be
-// decoded.
-func (b *Book) Covers(service string) bool {
-	if r, ok := b.records[service]; ok {
-		return len(r.Builds) > 0
-	}
-	if !b.read {
-		return false
-	}
-	for sb := range b.listedSince {
-		if sb.Service == service {
-			return false
-		}
-	}
-	return true
-}
+// Covers reports whether there is a record of a service, which has all builds that may have begun streams which are still
+// running. One without builds could not be decoded; one whose targets name none has the build without a name.
+func (b *Book) Covers(service string) bool { return len(b.records[service].Builds) > 0 }
 
 // IsRead reports whether the records have been read.
 func (b *Book) IsRead() bool { return b.read }
@@ -249,7 +244,7 @@
 		sb := event.ServiceBuild{Service: t.Service, Build: t.Build}
 		since, listed := b.listedSince[sb]
 		_, recorded := b.records[t.Service]
-		return recorded && listed && !b.isRecorded(t) && now.Sub(since) < maxHold && slices.ContainsFunc(targets, func(o event.Target) bool {
+		return recorded && listed && t.Build != "" && !b.isRecorded(t) && now.Sub(since) < maxHold && slices.ContainsFunc(targets, func(o event.Target) bool {
 			return o.Service == t.Service && !o.Draining && !o.Evacuated && b.isRecorded(o)
 		})
 	}
@@ -306,6 +301,9 @@
 	for sb := range b.listedSince {
 		set[sb.Service] = true
 	}
+	for sb := range b.unrecorded {
+		set[sb.Service] = true
+	}
 	for service := range b.records {
 		set[service] = true
 	}
@@ -325,8 +323,24 @@
 			want = append(want, sb.Build)
 		}
 	}
-	slices.Sort(want)
-	return want
+	maps.DeleteFunc(b.unrecorded, func(_ event.ServiceBuild, since ident.Time) bool { return now >= since.Add(retention) })
+	for sb := range b.unrecorded {
+		if sb.Service == service {
+			want = append(want, sb.Build)
+		}
+	}
+	return named(want)
+}
+
+// named sorts builds and removes duplicates, and the build without a name if there are others: it is on record only to show that the
+// targets of a service name none.
+func named(builds []ident.Build) []ident.Build {
+	slices.Sort(builds)
+	builds = slices.Compact(builds)
+	if len(builds) > 1 && builds[0] == "" {
+		return builds[1:]
+	}
+	return builds
 }
 
 func (b *Book) firstListed(service string) ident.Time {
--- a/internal/builds/builds_test.go
+++ b/internal/builds/builds_test.go
@@ -38,12 +38,15 @@
 		records []event.BuildRecord
 		want    bool
 	}{
-		"nothing read":    {},
-		"recorded":        {true, targetsOf("v1"), recordOf(3, "v1"), true},
-		"not recorded":    {true, targetsOf("v1"), nil, false},
-		"none listed":     {true, nil, recordOf(3, "v1"), true},
-		"unnamed builds":  {true, targetsOf(""), nil, true},
-		"another service": {true, targetsOf("v1"), []event.BuildRecord{{Service: "board", Builds: []ident.Build{"v1"}, Revision: 3}}, false},
+		"nothing read":     {},
+		"recorded":         {true, targetsOf("v1"), recordOf(3, "v1"), true},
+		"not recorded":     {true, targetsOf("v1"), nil, false},
+		"none listed":      {true, nil, recordOf(3, "v1"), true},
+		"unnamed builds":   {true, targetsOf(""), nil, false},
+		"recorded as such": {true, targetsOf(""), recordOf(3, ""), true},
+		"none known":       {true, nil, nil, false},
+		"not decoded":      {true, targetsOf("v1"), recordOf(3), false},
+		"another service":  {true, targetsOf("v1"), []event.BuildRecord{{Service: "board", Builds: []ident.Build{"v1"}, Revision: 3}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := builds.New("h1")
@@ -57,6 +60,21 @@
 	}
 }
 
+// Guards against a first record that lacks a build whose targets have served and left before it was written.
+func TestFirstRecordHasAllBuildsThatServed(t *testing.T) {
+	b := builds.New("h1")
+	b.Read(at(0), targetsOf("v1", "v2"), nil)
+	b.Read(at(100*time.Millisecond), targetsOf("v2"), nil)
+	var due []event.RecordBuilds
+	for d := 200 * time.Millisecond; len(due) == 0 && d < 5*time.Second; d += 100 * time.Millisecond {
+		due = b.Due(at(d), retention)
+	}
+	want := []event.RecordBuilds{{Record: event.BuildRecord{Service: "writers", Builds: []ident.Build{"v1", "v2"}}}}
+	if diff := cmp.Diff(want, due); diff != "" {
+		t.Errorf("first record (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against records that a later but older read replaces, and those of services that a read lacks.
 func TestConfirmedRecordsAreKept(t *testing.T) {
 	b := builds.New("h1")
