soak: all hosts are asked at once whether they serve

Cause: before the plan and after it one caller asked each host in turn, with streams of nearly a second.

Change: a caller for each host. Each host still has the same 12 s for every kind of request. Ruled out: 12 s for each host in turn, by which later hosts would have more time. Plans stay as they are and begin some seconds earlier after the start, in all modes.

--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -118,18 +118,32 @@
 // awaitServing waits until every host answers every kind of request with 200, and reports
 // whether it did within timeout.
 func (c *callerPool) awaitServing(ctx context.Context, timeout time.Duration) bool {
-	until := time.Now().Add(timeout)
-	k := newCaller(c, regions[0], 0)
-	for n := range c.deployment.hosts {
-		for _, kind := range kinds {
-			for !k.request(ctx, n, kind).isServed() {
-				if time.Now().After(until) || !sleep(ctx, 5*callerInterval) {
-					return false
-				}
+	var t tomb.Tomb
+	for n, h := range c.deployment.hosts {
+		w := &servingWait{ctx: ctx, caller: newCaller(c, h.region, uint64(n)), host: n, until: time.Now().Add(timeout)}
+		t.Go(w.run)
+	}
+	return t.Wait() == nil
+}
+
+// servingWait waits until a host answers every kind of request.
+type servingWait struct {
+	ctx    context.Context
+	caller *caller
+	host   int
+	until  time.Time
+}
+
+func (w *servingWait) run() error {
+	defer w.caller.http.CloseIdleConnections()
+	for _, kind := range kinds {
+		for !w.caller.request(w.ctx, w.host, kind).isServed() {
+			if time.Now().After(w.until) || !sleep(w.ctx, 5*callerInterval) {
+				return ErrStart
 			}
 		}
 	}
-	return true
+	return nil
 }
 
 // caller sends requests one after the other.
