core: a build stays on record while a region is cut off

What callers could see: a stream that had begun in a region which was cut off for longer than builds stay on record (36 s here), taken up elsewhere, went on at the build that had replaced its own.

Cause: the readers outside count the retention from when the list last had the build. In the region that is cut off its targets serve on, and begin streams, while the list has lost them. The read after the take-up is current and shows one build.

Evidence: TestStreamsOfACutOffRegionAreNotJoined, two plays of 24 streams a case, before: taken up during the cut 48 of 48 streams of two builds, 10 ms after it 48 of 48 and 2 s after it 2 and 4 of 48 while the targets are not listed again (2 and 3 regions); now 0 in all 16 cases. The region serves on: all 48 began. During the cut all are refused outside; from 2 s after it 42 of 48, from 15 s after it 48 of 48 go on.

Change: while a data centre has sent no summary for three intervals, the retention counts from now on. The streams of a service with several builds on record are announced for as long, not only within a minute of the last sight of a second build: 0 of 72 streams of the only build that serves went on after their host had ended without that, 69 with it (TestStreamsGoOnWhileARegionIsCutOff).

Price: if a region is lost for good, or taken away, builds that served when it left stay on record until the readers have restarted. As long as there are two, streams are announced (6 to 7.5 messages each), and those that nobody remembers are refused.

Ruled out: a lease on the build in the region that is cut off, which would have to stop serving streams. Left: a reader that starts during the cut and finds no host of that region on the list does not know of it; a single host that is cut off with targets of its own.

--- a/internal/builds/builds.go
+++ b/internal/builds/builds.go
@@ -154,13 +154,18 @@
 // Confirmed records that a read has succeeded and that what Read was given last has all changes.
 func (b *Book) Confirmed(now ident.Time) {
 	if now.Sub(b.readAt) > maxReadGap {
-		for sb := range b.goneSince {
-			b.goneSince[sb] = now
-		}
+		b.Hold(now)
 	}
 	b.readAt = now
 }
 
+// Hold counts the retention from now on, because builds that the list lacks may still begin streams.
+func (b *Book) Hold(now ident.Time) {
+	for sb := range b.goneSince {
+		b.goneSince[sb] = now
+	}
+}
+
 // Confirm takes over a read of the records alone, which may be newer than what Read was given last. It returns the builds that
 // were not recorded before.
 func (b *Book) Confirm(now ident.Time, records []event.BuildRecord) []event.ServiceBuild {
@@ -222,6 +227,16 @@
 // running. One without builds could not be decoded; one whose targets name none has the build without a name.
 func (b *Book) Covers(service string) bool { return len(b.records[service].Builds) > 0 }
 
+// HasSeveral reports whether the record of a service has several builds.
+func (b *Book) HasSeveral() bool {
+	for _, r := range b.records {
+		if len(r.Builds) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // IsRead reports whether the records have been read.
 func (b *Book) IsRead() bool { return b.read }
 
--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -51,6 +51,9 @@
 // noteBuilds records the builds that serve, here and in other regions.
 func (rd *Reducer) noteBuilds(now ident.Time) {
 	rd.nextBuilds = now.Add(buildsInterval)
+	if rd.isRegionCutOff(now) {
+		rd.builds.Hold(now)
+	}
 	for _, t := range rd.table.Targets() {
 		if !t.Removed && t.Build != "" {
 			rd.begun.BuildSeen(now, event.ServiceBuild{Service: t.Service, Build: t.Build})
--- a/internal/core/builds.go
+++ b/internal/core/builds.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/internal/event"
@@ -52,6 +53,12 @@
 	}
 }
 
+// isRegionCutOff reports whether hosts of another region can't be reached. Their targets may serve on although the platform's list
+// does not have them any more.
+func (rd *Reducer) isRegionCutOff(now ident.Time) bool {
+	return slices.ContainsFunc(rd.table.Centres(now), func(c *member.Centre) bool { return c.CutOff(now) })
+}
+
 // buildRetention returns how long a build stays on record after it was last listed. After a change of the configuration
 // streams may still run for as long as before it.
 func (rd *Reducer) buildRetention(now ident.Time) time.Duration {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -358,7 +358,7 @@
 	if rd.admitAt > 0 && now >= rd.admitAt {
 		rd.admitTargets(now)
 	}
-	rd.begun.AnnounceAll(now, rd.isOutOfStep(now))
+	rd.begun.AnnounceAll(now, rd.isOutOfStep(now) || rd.builds.HasSeveral())
 	rd.announceBegun(now)
 	rd.saveBegun(now)
 	rd.continueLookups(now)
