core: a stream does not go on at another service of its route

What callers saw: a stream of a route with two services, or of one that had just moved, whose host had ended, went on with what another service writes.

Cause: a stream that nobody remembers was bound to the only build of the service that the route names now, which for several services is drawn from the id of the new request. With one build for each service no host was told of streams, so that this was the ordinary case when a host ended.

Change: hosts remember the services of each route for as long as its streams run. While there are several, its streams are announced and saved whatever the number of builds, those that run at a change as well, and a stream that nobody remembers is refused (buildUnknown).

Left: a host that does not know that a route has moved. Hosts that start after a route has moved do not know its former service: they rely on what keepers remember and on what was saved.

--- a/internal/begun/begun.go
+++ b/internal/begun/begun.go
@@ -23,7 +23,7 @@
 // # Bounds
 //
 // A record is kept until the caller has stopped waiting. Records are announced only while a service has
-// more than one build, or the host can't read the store; when that begins, so are those of the streams that are running. The
+// more than one build, a route has more than one service, or the host can't read the store; when that begins, so are those of the streams that are running. The
 // number of records is bounded, the oldest are dropped first.
 package begun
 
@@ -87,7 +87,7 @@
 		return
 	}
 	// The streams that are running began at the only build there was.
-	b.announceRunning(at, func(s event.ServiceBuild) bool { return s.Service == sb.Service })
+	b.AnnounceService(at, sb.Service)
 }
 
 // AnnounceAll sets whether streams are announced whatever builds were seen. While a host can't read the store, what its peers
@@ -99,6 +99,20 @@
 	b.announceAll = on
 }
 
+// AnnounceService announces the streams of a service that are running.
+func (b *Book) AnnounceService(now ident.Time, service string) {
+	b.announceRunning(now, func(s event.ServiceBuild) bool { return s.Service == service })
+}
+
+// Announce announces a stream that this host has begun, unless it was.
+func (b *Book) Announce(now ident.Time, stream ident.Stream) {
+	if el, ok := b.records[stream]; ok {
+		if r := el.Value.(*record); r.own && !r.announced {
+			b.announce(now, r)
+		}
+	}
+}
+
 // announceRunning announces the streams that are running and were not announced.
 func (b *Book) announceRunning(at ident.Time, matches func(event.ServiceBuild) bool) {
 	for el := b.order.Front(); el != nil; el = el.Next() {
--- a/internal/begun/begun_test.go
+++ b/internal/begun/begun_test.go
@@ -63,6 +63,25 @@
 	check(t, "announced once it is back", 2, len(b.TakeAnnounced()))
 }
 
+// Guards against streams of a service with one build that no other host is told of although its route has several services, and against
+// announcing those of other hosts, or any twice.
+func TestStreamsOfRoutesWithSeveralServicesAreAnnounced(t *testing.T) {
+	b := New()
+	b.BuildSeen(start, v1)
+	b.Begin(start, stream(1, v1))
+	b.Begin(start, stream(2, v1))
+	b.Begin(start, stream(3, event.ServiceBuild{Service: "other", Build: "v1"}))
+	b.Merge(start, []event.BegunStream{stream(4, v1)})
+	for range 2 {
+		b.Announce(start, 1)
+		b.Announce(start, 4)
+		b.Announce(start, 5)
+	}
+	check(t, "announced", []event.BegunStream{stream(1, v1)}, b.TakeAnnounced())
+	b.AnnounceService(start, v1.Service)
+	check(t, "announced with the service", []event.BegunStream{stream(2, v1)}, b.TakeAnnounced())
+}
+
 // Guards against choosing one of two builds for a name that two streams share.
 func TestNameOfTwoStreamsIsAmbiguous(t *testing.T) {
 	b := New()
--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -44,7 +44,9 @@
 	rd.begun.BuildSeen(now, sb)
 	r.build = cmp.Or(r.build, build)
 	if !r.forwarded && r.profile.Route.Resumable {
-		rd.begun.Begin(now, event.BegunStream{Stream: r.Origin, ServiceBuild: sb, TTL: streamTTL(r)})
+		s := event.BegunStream{Stream: r.Origin, ServiceBuild: sb, TTL: streamTTL(r)}
+		rd.begun.Begin(now, s)
+		rd.announceService(now, r, s)
 	}
 }
 
@@ -107,7 +109,7 @@
 	if s, known := rd.begun.Find(now, r.Origin); known {
 		return rd.bindToStream(now, r, s)
 	}
-	several := len(rd.possibleBuilds(now, r)) > 1
+	several := len(rd.possibleBuilds(now, r)) > 1 || rd.hasSeveralServices(&r.profile)
 	key := lookupKey{stream: r.Origin}
 	if r.Origin == 0 {
 		key.unnamed = r.ID
@@ -142,6 +144,9 @@
 func (rd *Reducer) bindToRecords(now ident.Time, r *request, q *lookup) bool {
 	builds := rd.possibleIn(now, r, q)
 	switch {
+	case rd.hasSeveralServices(&r.profile):
+		rd.endNotContinued(now, r, event.DeniedBuildUnknown)
+		return false
 	case len(builds) > 1:
 		rd.endNotContinued(now, r, event.DeniedBuildUnknown)
 		return false
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,10 @@
 	retention      time.Duration
 	retentionOf    ident.Revision
 	retentionUntil ident.Time
+	// services are those of the routes as of servicesOf, until nextServices.
+	services     routeServices
+	servicesOf   ident.Revision
+	nextServices ident.Time
 	// lookups are the questions about streams that have not been settled, fence the reads that they wait for.
 	lookups map[lookupKey]*lookup
 	fence   fence.Fence
@@ -134,6 +138,7 @@
 		begun:        begun.New(),
 		ledger:       begun.NewLedger(self.ID),
 		builds:       builds.New(self.ID),
+		services:     make(routeServices),
 		lookups:      make(map[lookupKey]*lookup),
 		pools:        newPools(),
 		slack:        slack.New(),
@@ -358,6 +363,7 @@
 	if rd.admitAt > 0 && now >= rd.admitAt {
 		rd.admitTargets(now)
 	}
+	rd.noteServices(now)
 	rd.begun.AnnounceAll(now, rd.isOutOfStep(now) || rd.builds.HasSeveral())
 	rd.announceBegun(now)
 	rd.saveBegun(now)
--- a/internal/core/ledger.go
+++ b/internal/core/ledger.go
@@ -14,14 +14,14 @@
 	}
 }
 
-// noteUnsaved adds streams that saveBegun is to save: those of services that have several builds. Only the platform's store has
+// noteUnsaved adds streams that saveBegun is to save: those of services that have several builds, or are one of several of a route. Only the platform's store has
 // a place for them.
 func (rd *Reducer) noteUnsaved(now ident.Time, streams []event.BegunStream) {
 	if !rd.bounds.SharedReads {
 		return
 	}
 	rd.ledger.Add(now, slices.DeleteFunc(slices.Clone(streams), func(s event.BegunStream) bool {
-		return !rd.begun.HasSeveralBuilds(now, s.Service)
+		return !rd.begun.HasSeveralBuilds(now, s.Service) && !rd.isOfSeveral(s.Service)
 	}), rd.table.HostCount())
 }
 
