known red: a host that missed that a route has moved, and a single host that is cut off for long

Evidence, two tests that fail:

The host reads the records after the take-up, and they say nothing of routes. To close it, that read has to bring the revision of the configuration as well, and a host with an older one has to refuse until it has read it; that needs the read of package platform and a field of event.BuildsRead.

A region that is cut off is noticed by its summaries; a single host is known only to its own region, and other regions' readers take the build off the record as well. To close it, the readers have to know of hosts that have left the list without a drain, in all regions, and a bound is needed for those that never come back.

--- a/internal/core/cutregion_test.go
+++ b/internal/core/cutregion_test.go
@@ -10,11 +10,11 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// takeOffList takes the targets of a region off the platform's list, while they serve on. It returns them.
-func (p *releasePlay) takeOffList(region ident.Region) []*drive.Target {
+// takeOffList takes targets off the platform's list, while they serve on. It returns them.
+func (p *releasePlay) takeOffList(matches func(t *drive.Target) bool) []*drive.Target {
 	var off []*drive.Target
 	p.Targets = slices.DeleteFunc(p.Targets, func(t *drive.Target) bool {
-		if t.Place.Region != region {
+		if !matches(t) {
 			return false
 		}
 		off = append(off, t)
@@ -24,6 +24,8 @@
 	return off
 }
 
+func inFirstRegion(t *drive.Target) bool { return t.Place.Region == "r0" }
+
 // Guards against streams that begin in a region which is cut off for longer than builds stay on record, and go on elsewhere at the build
 // that has replaced theirs.
 func TestStreamsOfACutOffRegionAreNotJoined(t *testing.T) {
@@ -36,7 +38,7 @@
 					for seed := range uint64(2) {
 						p := newReleasePlay(seed, size, size.hosts, oneBuild)
 						p.cut()
-						off := p.takeOffList("r0")
+						off := p.takeOffList(inFirstRegion)
 						old := slices.Clone(p.Targets)
 						p.addBuild("v2")
 						p.Run(2 * time.Second)
@@ -78,7 +80,7 @@
 	for seed := range uint64(3) {
 		p := newReleasePlay(seed, releaseSize{3, 2}, 2, oneBuild)
 		p.cut()
-		p.takeOffList("r0")
+		p.takeOffList(inFirstRegion)
 		old := slices.Clone(p.Targets)
 		p.addBuild("v2")
 		p.Run(2 * time.Second)
@@ -102,3 +104,36 @@
 		t.Errorf("%d of %d streams went on, want 0.9", c.kept, c.taken)
 	}
 }
+
+// Guards against streams that begin at one host which is cut off, with targets of its own, for longer than builds stay on record, and go on
+// elsewhere at the build that has replaced theirs.
+func TestStreamsOfACutOffHostAreNotJoined(t *testing.T) {
+	for _, size := range []releaseSize{{1, 4}, {3, 2}} {
+		t.Run(size.String(), func(t *testing.T) {
+			var c releaseCounts
+			for seed := range uint64(2) {
+				p := newReleasePlay(seed, size, 1, oneBuild)
+				p.cut()
+				p.takeOffList(func(t *drive.Target) bool { return t.ID == "r0-t0" || t.ID == "r0-t1" })
+				old := slices.Clone(p.Targets)
+				p.addBuild("v2")
+				p.Run(2 * time.Second)
+				for _, target := range old {
+					p.RemoveTarget(target.ID)
+				}
+				p.Run(45 * time.Second)
+				p.beginAt(p.out)
+				for _, id := range p.streams {
+					p.ended[id] = true
+				}
+				p.takeUpAt(p.inStep)
+				p.checkBuilds(t)
+				c.add(p)
+			}
+			t.Log(c.String())
+			if c.began == 0 {
+				t.Error("no stream began at the host that was cut off")
+			}
+		})
+	}
+}
--- a/internal/core/routemove_test.go
+++ b/internal/core/routemove_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// Guards against a host that reads the records of builds, but does not know that the route of a stream has moved: its configuration comes
+// from peers, or has not arrived.
+func TestHostThatMissedAMoveJoinsNoStreamsAcrossServices(t *testing.T) {
+	for _, c := range []relatedCase{
+		{name: "cut off from peers", out: 1, lostTo: true, lostFrom: true},
+		{name: "frozen for 8 s, callers first, cut off from peers", out: 1, frozen: 8 * time.Second, callersFirst: true, lostTo: true, lostFrom: true},
+		{name: "cut off, then frozen for 1 s until the cut is over, callers first", out: 1, lostTo: true, lostFrom: true, store: true, frozen: time.Second, callersFirst: true, cutFirst: true},
+	} {
+		t.Run(c.name, c.playMove)
+	}
+}
+
 // Guards against streams that go on at another service after all hosts have restarted at once, and against refusing those whose service is
 // saved.
 func TestStreamsKeepTheirServiceWhenAllHostsRestart(t *testing.T) {
