core: plays that find a read under way that counts, and a peer that confirms without a read

Cause: two changes of the rule on a scratch copy were found by none of the plays: a read that was asked for before the take-up counts, and a peer answers that it has read the records whether it has or not.

Change: three cases of a host that is frozen while a read is under way, and TestPeersConfirmOnlyWhatTheyHaveRead.

--- a/internal/core/outofstep_test.go
+++ b/internal/core/outofstep_test.go
@@ -6,6 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/dev/drive"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -264,3 +268,32 @@
 		})
 	}
 }
+
+// Guards against a peer that confirms records which it has not read itself after it was asked, and against one that answers before it has.
+func TestPeersConfirmOnlyWhatTheyHaveRead(t *testing.T) {
+	recorded := []event.BuildRecord{{Service: "board", Builds: []ident.Build{"v1", "v2"}, Revision: 7}}
+	for _, succeeded := range []bool{false, true} {
+		t.Run(fmt.Sprint("the read succeeds ", succeeded), func(t *testing.T) {
+			h := newTestHost(t, 2, core.Bounds{SharedReads: true})
+			h.step(event.BuildsRead{Succeeded: true, Records: []event.BuildRecord{{Service: "board", Builds: []ident.Build{"v1"}, Revision: 3}}})
+			h.now = h.now.Add(5 * time.Second)
+			read, ok := pick[event.ReadBuilds](h.step(event.BegunAsked{From: "w2", Stream: 9, Confirm: true}))
+			if !ok {
+				t.Fatal("the records are not read")
+			}
+			effs := h.step(event.BuildsRead{Read: read.Read - 1, Succeeded: true, Records: recorded[:0]})
+			effs = append(effs, h.step(event.BuildsRead{Read: read.Read, Succeeded: succeeded, Records: recorded})...)
+			h.now = h.now.Add(2 * time.Second)
+			effs = append(effs, h.red.Step(h.now, event.Tick{})...)
+			ans, ok := pick[event.AnswerBegun](effs)
+			want := event.AnswerBegun{To: "w2", Stream: 9, Confirmed: succeeded}
+			if succeeded {
+				want.Records = recorded
+			}
+			ans.Seen = nil
+			if diff := cmp.Diff(want, ans, cmpopts.EquateEmpty()); !ok || diff != "" {
+				t.Errorf("the answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/core/related_test.go
+++ b/internal/core/related_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,6 +69,12 @@
 			})
 		}
 	}
+	for _, frozen := range []time.Duration{4 * time.Second, 8 * time.Second, 20 * time.Second} {
+		cases = append(cases, relatedCase{
+			name: fmt.Sprintf("frozen for %v with a read under way, callers first", frozen), guards: "an answer that was sent before the pause and is handled after the take-up",
+			size: threeRegions, out: 1, lostTo: true, lostFrom: true, frozen: frozen, callersFirst: true, readDelay: 100 * time.Millisecond, early: true,
+		})
+	}
 	for _, frozen := range []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 20 * time.Second} {
 		for _, first := range []bool{false, true} {
 			cases = append(cases,
@@ -132,12 +139,6 @@
 		return after, lost || c.lostTo && !part[from.ID] && part[to.ID] || c.lostFrom && part[from.ID] && !part[to.ID]
 	}
 	p.PlatformDown = func(h event.Host) bool { return c.store && part[h.ID] }
-	p.ReadDelay = func(h event.Host) time.Duration {
-		if part[h.ID] {
-			return c.readDelay
-		}
-		return 0
-	}
 }
 
 // play plays a case once.
@@ -146,13 +147,19 @@
 	if c.before != nil {
 		c.before(p)
 	}
-	c.apply(p)
+	p.ReadDelay = func(h event.Host) time.Duration {
+		if slices.Contains(p.out, h.ID) {
+			return c.readDelay
+		}
+		return 0
+	}
 	if c.early {
 		// A stream of an earlier day makes the host ask.
 		p.takeUp(p.out[0], "earlier")
 		p.taken--
-		p.Run(5 * time.Millisecond)
+		p.Run(time.Millisecond)
 	}
+	c.apply(p)
 	thaw := p.Now.Add(c.frozen)
 	if c.release != nil {
 		c.release(p)
