--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -20,9 +20,9 @@
 	recordsTimeout      = time.Second
 	// confirmDelay is how long the store may take before peers are asked to read the records as well.
 	confirmDelay = 300 * time.Millisecond
-	// maxListAge is how long ago the platform's list must have been confirmed as current for a host to count as in
+	// staleListAge is how long ago the platform's list must have been confirmed as current for a host to count as in
 	// step. That settles nothing: a host can't know that it is out of step.
-	maxListAge = 4 * time.Second
+	staleListAge = 4 * time.Second
 )
 
 // lookup is a question that has not been settled: which build began a stream that this host does not remember.
@@ -309,5 +309,5 @@
 
 // isOutOfStep reports whether this host has reason to take its list for old.
 func (rd *Reducer) isOutOfStep(now ident.Time) bool {
-	return rd.bounds.SharedReads && (rd.spread.PlatformFailing() || now.Sub(rd.table.ListConfirmedAt()) > maxListAge)
+	return rd.bounds.SharedReads && (rd.spread.PlatformFailing() || now.Sub(rd.table.ListConfirmedAt()) > staleListAge)
 }
