--- a/internal/core/begun.go
+++ b/internal/core/begun.go
@@ -144,10 +144,7 @@
 func (rd *Reducer) bindToRecords(now ident.Time, r *request, q *lookup) bool {
 	builds := rd.possibleIn(now, r, q)
 	switch {
-	case rd.hasSeveralServices(&r.profile):
-		rd.endNotContinued(now, r, event.DeniedBuildUnknown)
-		return false
-	case len(builds) > 1:
+	case len(builds) > 1 || rd.hasSeveralServices(&r.profile):
 		rd.endNotContinued(now, r, event.DeniedBuildUnknown)
 		return false
 	case !rd.isConfirmed(q) || !rd.covers(r.profile.Service, q):
