--- a/internal/begun/begun_test.go
+++ b/internal/begun/begun_test.go
@@ -63,7 +63,7 @@
 	check(t, "announced once it is back", 2, len(b.TakeAnnounced()))
 }
 
-// Guards against streams of a service with one build that no other host is told of although its route has several services, and against
+// Guards against streams of a service with one build that no other host knows although its route has several services, and against
 // announcing those of other hosts, or any twice.
 func TestStreamsOfRoutesWithSeveralServicesAreAnnounced(t *testing.T) {
 	b := New()
--- a/internal/builds/builds_test.go
+++ b/internal/builds/builds_test.go
@@ -177,7 +177,7 @@
 }
 
 // Guards against a host that stood still, or whose write is late, and takes a build off the record that has come back: streams that
-// begin at it would be taken for those of the build that is left.
+// begin at it would count as those of the build that is left.
 func TestBuildsThatComeBackStayOnRecord(t *testing.T) {
 	store := &fakeStore{rec: event.BuildRecord{Service: "writers", Builds: []ident.Build{"v1", "v2"}, Revision: 3}}
 	still, other := builds.New("h1"), builds.New("h2")
--- a/internal/core/cutregion_test.go
+++ b/internal/core/cutregion_test.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// Guards against refusing streams of the only build that serves, which no peer was told of, while the record keeps the builds of a region
+// Guards against refusing streams of the only build that serves, which no peer knows, while the record keeps the builds of a region
 // that is cut off.
 func TestStreamsGoOnWhileARegionIsCutOff(t *testing.T) {
 	var c releaseCounts
--- a/internal/core/outofstep_test.go
+++ b/internal/core/outofstep_test.go
@@ -145,7 +145,7 @@
 	return fmt.Sprintf("%3d taken up, %3d of them began at the new build, %3d of two builds, %3d went on at one, %3d refused", c.taken, c.ofNew, c.joined, c.kept-c.joined, c.refused)
 }
 
-// Guards against a host that joins streams of two builds because it has not heard of the second one while it was cut off.
+// Guards against a host that joins streams of two builds because it does not know of the second one while it was cut off.
 func TestHostOutOfStepJoinsNoStreams(t *testing.T) {
 	for _, size := range releaseSizes {
 		for _, out := range value.SetOf(1, size.hosts).Sorted() {
@@ -226,7 +226,7 @@
 							p.ended[id] = true
 						}
 						p.Run(after)
-						// With one build no other host is told of a stream.
+						// With one build no other host knows a stream.
 						p.takeUpAt(p.out[builds-1 : builds])
 						p.checkBuilds(t)
 						c.add(p)
--- a/internal/core/recordreads_test.go
+++ b/internal/core/recordreads_test.go
@@ -118,8 +118,8 @@
 	for _, c := range []relatedCase{
 		{name: "in step", size: threeRegions, out: 1},
 		{name: "cut off from the store", size: threeRegions, out: 2, store: true},
-		{name: "hears nobody", size: threeRegions, out: 2, store: true, lostTo: true},
-		{name: "is not heard", size: threeRegions, out: 2, store: true, lostFrom: true},
+		{name: "inbound cut", size: threeRegions, out: 2, store: true, lostTo: true},
+		{name: "outbound cut", size: threeRegions, out: 2, store: true, lostFrom: true},
 		{name: "frozen for 2 s", size: threeRegions, out: 2, frozen: 2 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/core/records_test.go
+++ b/internal/core/records_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// Guards against taking a service that is newer than the list of a host for one whose targets name no builds.
+// Guards against binding streams of a service that is newer than the list of a host, as if its targets named no builds.
 func TestStreamsOfServicesWithoutARecordAreNotBound(t *testing.T) {
 	for _, learns := range []bool{true, false} {
 		h := newRecordsHost(t)
--- a/internal/core/related_test.go
+++ b/internal/core/related_test.go
@@ -40,12 +40,12 @@
 // relatedCases returns the cases.
 func relatedCases() []relatedCase {
 	cases := []relatedCase{
-		{name: "cut off from the store", guards: "a read that fails being taken for one that shows no other build", size: threeRegions, out: 1, store: true, wantKept: true},
+		{name: "cut off from the store", guards: "a read that fails counting as one that shows no other build", size: threeRegions, out: 1, store: true, wantKept: true},
 		{name: "cut off from the store in one region", guards: "the same, where no other region can confirm", size: oneRegion, out: 1, store: true, wantKept: true},
-		{name: "cut off from peers", guards: "keepers that can't be asked being taken for keepers that know no stream", size: threeRegions, out: 1, lostTo: true, lostFrom: true},
-		{name: "hears nobody", guards: "answers that are lost being taken for a no", size: threeRegions, out: 1, lostTo: true, store: true},
-		{name: "is not heard", guards: "digests that still arrive being taken for a link on which questions pass", size: threeRegions, out: 1, lostFrom: true, store: true},
-		{name: "is not heard in one region", guards: "the same beside peers only", size: oneRegion, out: 1, lostFrom: true, store: true},
+		{name: "cut off from peers", guards: "keepers that can't be asked counting as keepers that know no stream", size: threeRegions, out: 1, lostTo: true, lostFrom: true},
+		{name: "inbound cut", guards: "answers that are lost counting as a no", size: threeRegions, out: 1, lostTo: true, store: true},
+		{name: "outbound cut", guards: "digests that still arrive counting as a link on which questions pass", size: threeRegions, out: 1, lostFrom: true, store: true},
+		{name: "outbound cut in one region", guards: "the same beside peers only", size: oneRegion, out: 1, lostFrom: true, store: true},
 		{name: "two hosts as a group", guards: "a peer that is out of step itself and confirms", size: oneRegion, out: 2, lostTo: true, lostFrom: true, store: true},
 		{name: "three of eight hosts as a group", guards: "the same beside other regions", size: releaseSize{3, 8}, out: 3, lostTo: true, lostFrom: true, store: true},
 		{name: "a third build", guards: "a record that has grown from one build to three", size: threeRegions, out: 1, lostTo: true, lostFrom: true, release: func(p *releasePlay) {
--- a/internal/core/routemove_test.go
+++ b/internal/core/routemove_test.go
@@ -113,7 +113,7 @@
 	for _, c := range []relatedCase{
 		{name: "a region cut off from peers", out: 2, lostTo: true, lostFrom: true},
 		{name: "cut off from the store", out: 1, store: true},
-		{name: "hears nobody", out: 1, lostTo: true, store: true},
+		{name: "inbound cut", out: 1, lostTo: true, store: true},
 		{name: "cut off", out: 1, lostTo: true, lostFrom: true, store: true},
 		{name: "frozen for 2 s, callers first", out: 1, frozen: 2 * time.Second, callersFirst: true},
 		{name: "frozen for 8 s, callers first", out: 1, frozen: 8 * time.Second, callersFirst: true},
