--- a/internal/core/routemove_test.go
+++ b/internal/core/routemove_test.go
@@ -108,7 +108,7 @@
 	t.Log(sum.String())
 }
 
-// Guards against streams that go on at the service from which their route has moved while a host could not hear of that.
+// Guards against streams that go on at the service from which their route has moved while a host was out of step.
 func TestHostOutOfStepJoinsNoStreamsAcrossServices(t *testing.T) {
 	for _, c := range []relatedCase{
 		{name: "a region cut off from peers", out: 2, lostTo: true, lostFrom: true},
