core, trail: lines of repeated sends say how old the grant of the retry budget is

A send said which try it is, not whether and when the budget had counted it, so that retries that wait, and those that the budget never saw, looked alike. retryAgeMs on 'sent to a target' and 'passed on' from the second try on, -1 without a grant; counters requests.repeated.SERVICE and requests.repeatsPassedOn. No decision changes.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -58,6 +58,8 @@
 	resumeWaits int
 	// live is the attempt that has not ended, nil if there is none.
 	live *attempt
+	// retryGrantedAt is when the retry budget last allowed a retry, zero if it never has.
+	retryGrantedAt ident.Time
 	// lastDecision and lastDenial are logged with a refusal.
 	lastDecision route.Decision
 	lastDenial   event.Denial
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -129,6 +129,7 @@
 // spendRetry takes one retry of a request from a budget, or returns why the budget denies it.
 func spendRetry(now ident.Time, r *request, b *retry.Budget) event.Denial {
 	if b.Spend(now) {
+		r.retryGrantedAt = now
 		return event.Denial{}
 	}
 	d := event.Denial{Reason: event.DeniedBudget, Attempts: r.attemptCount}
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -226,6 +226,9 @@
 // loadAgeUnknown is the load age of a target without a load report.
 const loadAgeUnknown = -1
 
+// retryAgeUnknown is the age of a retry that the budget has not granted.
+const retryAgeUnknown = -1
+
 // basis returns the inputs of a decision about a request of a route.
 func (rd *Reducer) basis(now ident.Time, r *request, dec route.Decision) event.Basis {
 	if r.profile.Route == nil {
@@ -236,6 +239,12 @@
 		ExpectedEvents: rd.expectedEvents(r), EventGap: rd.table.Pace(now, r.profile.Service), RemoteEventGap: dec.EventInterval,
 		ForwardedShare: dec.SpillShare, RemotePrefillRoom: dec.RemoteRoom, CapacityLimited: dec.Full, UncachedPrompt: dec.PrefillTokens,
 	}
+	if r.attemptCount > 1 {
+		b.RetryAge = retryAgeUnknown
+	}
+	if r.attemptCount > 1 && r.retryGrantedAt > 0 {
+		b.RetryAge = now.Sub(r.retryGrantedAt)
+	}
 	if r.buildFrom != "" {
 		b.BuildFrom, b.ListAge = r.buildFrom, now.Sub(rd.table.ListConfirmedAt())
 	}
--- a/internal/event/effect.go
+++ b/internal/event/effect.go
@@ -84,6 +84,9 @@
 	Account ident.Account `json:"account,omitempty"`
 	// Attempts counts the attempts of the request, including this one.
 	Attempts int `json:"try"`
+	// RetryAge is how long ago the retry budget allowed the retry that this attempt is, negative if it
+	// did not. It is zero for first attempts.
+	RetryAge time.Duration `json:"retryAge,omitempty"`
 	// Waited is the time since the request arrived, PredictedWait the predicted time to
 	// its first token.
 	Waited        time.Duration `json:"waited"`
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -107,7 +107,10 @@
 		}
 		kv = append(kv, partFields(e.Basis.Parts)...)
 		kv = append(kv, streamFields(e.Basis)...)
-		tr.logSend(kv, e.Basis)
+		if e.Basis.Attempts > 1 {
+			tr.count("requests.repeated." + e.Target.Service)
+		}
+		tr.logSend(append(kv, retryFields(e.Basis)...), e.Basis)
 	case event.Forward:
 		tr.track(e.Envelope.Attempt, attempt{request: e.Request, content: e.Basis.Content, parts: e.Basis.Parts, target: ident.TargetID(e.To.ID), sentAt: now})
 		tr.count("requests.passedOn")
@@ -118,7 +121,11 @@
 			"expectEvents", int(e.Basis.ExpectedEvents), "paceMs", millis(e.Basis.EventGap), "paceThereMs", millis(e.Basis.RemoteEventGap), "resume", e.ResumeAfter,
 			"part", roundHundredths(e.Basis.ForwardedShare), "roomThere", int(e.Basis.RemotePrefillRoom), "build", e.Build,
 		}
-		tr.logRoutine("passed on", append(kv, streamFields(e.Basis)...)...)
+		kv = append(kv, streamFields(e.Basis)...)
+		if e.Basis.Attempts > 1 {
+			tr.count("requests.repeatsPassedOn")
+		}
+		tr.logRoutine("passed on", append(kv, retryFields(e.Basis)...)...)
 	case event.Refuse:
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
@@ -189,6 +196,17 @@
 	return kv
 }
 
+// retryFields returns the log field of a retry, none for a first attempt.
+func retryFields(b event.Basis) []any {
+	switch {
+	case b.Attempts <= 1:
+		return nil
+	case b.RetryAge < 0:
+		return []any{"retryAgeMs", -1}
+	}
+	return []any{"retryAgeMs", millis(b.RetryAge)}
+}
+
 // denialFields returns the log fields of a denial, none if nothing was denied.
 func denialFields(d event.Denial) []any {
 	if d.Reason == "" {
