core: a peer says that a target has received a forwarded request, so that the next attempt is counted

A host that had sent a forwarded request to a target, been turned away there, and then refused it because the target had gone or its own drain was over, answered VB1007 or VB1013.

The sender learns by the code alone. A forwarded request that a target has received is now always refused as VB1008, which counts; VB1030 stays for those that none has. A peer's answer 'refused' to run or bar counts as well.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -406,7 +406,12 @@
 	r.pendingBar = nil
 	switch e.Answer {
 	case event.Barred, event.Refused:
-		rd.retryOrEnd(now, r, a, event.AttemptEnded{Result: event.ResultNotRun}, refusal{code: codes.NoTarget.ID, outcome: event.NotRun})
+		end := event.AttemptEnded{Result: event.ResultNotRun}
+		if e.Answer == event.Refused {
+			// A target of the peer may have received it.
+			end.Code = codes.Overloaded.ID
+		}
+		rd.retryOrEnd(now, r, a, end, refusal{code: codes.NoTarget.ID, outcome: event.NotRun})
 	default:
 		rd.endRefused(now, r, refusal{code: codes.OutcomeUnknown.ID, outcome: event.Unknown})
 	}
--- a/internal/core/refuse.go
+++ b/internal/core/refuse.go
@@ -51,8 +51,8 @@
 
 // refuse sends a request its final answer immediately.
 func (rd *Reducer) refuse(now ident.Time, r *request, ref refusal) {
-	if r.isUntriedForward(ref) {
-		ref.code = codes.ForwardRefused.ID
+	if r.forwarded && ref.outcome == event.NotRun {
+		ref.code = r.forwardedCode(ref.code)
 	}
 	eff := event.Refuse{
 		Request: r.ID, Code: ref.code, Outcome: ref.outcome, RetryAfter: ref.retryAfter, Entries: ref.entries,
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -123,11 +123,16 @@
 	return code == codes.Overloaded.ID || code == codes.ForwardRefused.ID || code == codes.NoTarget.ID
 }
 
-// isUntriedForward reports whether ref refuses a forwarded request that no target has received. If
-// the request may have run before, the host that forwarded it does not count this attempt, since
-// the caller may have a part of the answer.
-func (r *request) isUntriedForward(ref refusal) bool {
-	return r.forwarded && r.attemptCount == 0 && ref.code == codes.Overloaded.ID && ref.outcome == event.NotRun
+// forwardedCode returns the code with which a forwarded request that has not run is refused: the host that forwarded
+// it learns by the code whether a target has received it, and counts the attempt if so.
+func (r *request) forwardedCode(code codes.ID) codes.ID {
+	switch {
+	case r.attemptCount > 0:
+		return codes.Overloaded.ID
+	case code == codes.Overloaded.ID:
+		return codes.ForwardRefused.ID
+	}
+	return code
 }
 
 // shedRefusal returns the refusal of a request that a target or another host has refused.
