retry, core: the repeats of all hosts stay within the budget of a service in any window

Three causes, one class: a host judged its own past instead of the window in which its retries arrive, together with those of all other hosts.

- Spent retries were forgotten with the slot of their second, after 9 to 10 s.
- The ratio applied to the last ten seconds of this host.
Where requests move from one host to another, the first spends by the requests before the move and the second by those after it, in one window.
Each host now counts the fewest requests of any window that ended within the last one: whichever window the platform takes, the one before it is among them, for all hosts at once, so that the sums hold.
- A host that had just started used half of its share at once, and did not know what it spent before.
It retries nothing now for a window and the two seconds in which others learn of it.

A retry counts from its grant until a window after its attempt has been answered or has ended, so that the time in queues, at other hosts and on links brings no further ones into the window in which it arrives. An attempt that is not sent gives it back; one that has waited for more than a second is judged again; an attempt beyond the first never leaves without a grant.

Price: fewer retries in the 20 s after traffic begins or moves, and none of received requests in the first 12 s of a host.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -115,13 +115,19 @@
 	return refusal{code: code, outcome: event.NotRun}
 }
 
-// send starts an attempt at the target or host that dec selects.
+// send starts an attempt at the target or host that dec selects, if it is the first one or the retry budget
+// allows it.
 func (rd *Reducer) send(now ident.Time, r *request, dec route.Decision) {
+	if r.lastDenial = rd.confirmRetry(now, r); r.lastDenial.Reason != "" {
+		rd.handleUnconfirmedRetry(now, r)
+		return
+	}
 	rd.lastAttempt++
 	a := &attempt{
 		id:  ident.Attempt{Entry: rd.self.ID, Incarnation: rd.self.Incarnation, Number: rd.lastAttempt},
 		req: r, start: now, dec: dec, tokens: answerTokens(r),
 	}
+	a.retry, r.retry = r.retry, nil
 	rd.attempts[a.id] = a
 	r.live = a
 	r.queueBuild = ""
@@ -209,6 +215,7 @@
 		return
 	}
 	a.answerBeganAt = now
+	a.settleRetry(now)
 	rd.streamBegan(now, a, e)
 	if rd.isCurrent(a) {
 		rd.table.AnswerBegan(a.target)
@@ -236,7 +243,8 @@
 )
 
 // dropAttempt removes an attempt and releases what was reserved for it.
-func (rd *Reducer) dropAttempt(a *attempt, h health) {
+func (rd *Reducer) dropAttempt(now ident.Time, a *attempt, h health) {
+	a.settleRetry(now)
 	delete(rd.attempts, a.id)
 	a.req.live = nil
 	rd.prefillDone(a)
@@ -278,7 +286,10 @@
 	r := a.req
 	rd.recordTargetEnd(now, a, e)
 	rd.recordRest(now, a, e)
-	rd.dropAttempt(a, healthOf(now, a, e))
+	if e.Result == event.ResultNotRun && !reachedTarget(a, e) {
+		a.returnRetry()
+	}
+	rd.dropAttempt(now, a, healthOf(now, a, e))
 	if rd.isCurrent(a) && e.Result != event.ResultNotRun {
 		rd.table.RecordOutcome(now, a.target, e.Result == event.ResultDone)
 	}
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -34,7 +34,7 @@
 			r.lastEnding = event.Ending{Side: event.SideHost, Reason: event.ReasonStopped}
 		}
 		if r.live != nil {
-			rd.dropAttempt(r.live, healthUnknown)
+			rd.dropAttempt(now, r.live, healthUnknown)
 		}
 		rd.endRefused(now, r, ref)
 	}
--- a/internal/core/fixture_test.go
+++ b/internal/core/fixture_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -35,6 +36,8 @@
 func newTestHost(t *testing.T, targets int, bounds core.Bounds) *testHost {
 	t.Helper()
 	place := event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}
+	// These tests are not about the first seconds of a host.
+	bounds.RetryHold = cmp.Or(bounds.RetryHold, time.Nanosecond)
 	h := &testHost{t: t, red: core.NewBounded(event.Host{ID: "w1", Incarnation: 1, Place: place}, bounds), now: ident.Time(time.Second)}
 	h.step(event.SnapshotReceived{Book: rules.FromStatic(1, rules.StaticConfig{
 		Profiles: []rules.Profile{
--- a/internal/core/poison_test.go
+++ b/internal/core/poison_test.go
@@ -10,6 +10,7 @@
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/poison"
+	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
@@ -87,6 +88,8 @@
 func TestPoisonRequestIsKnownAfterARestart(t *testing.T) {
 	p := newRoutePlay(1, 2, 3, 4, 8, 30*time.Millisecond)
 	host := p.hosts[0]
+	// Hosts that have just started retry nothing.
+	p.Run(retry.Window + 2*time.Second)
 	for range 2 {
 		p.ask(host, "fetch", poisonContent)
 		p.Run(500 * time.Millisecond)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -5,6 +5,7 @@
 
 	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/once"
+	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/internal/route"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -58,8 +59,8 @@
 	resumeWaits int
 	// live is the attempt that has not ended, nil if there is none.
 	live *attempt
-	// retryGrantedAt is when the retry budget last allowed a retry, zero if it never has.
-	retryGrantedAt ident.Time
+	// retry is the permission of the retry budget for the next attempt, nil if it has given none.
+	retry *retry.Grant
 	// lastDecision and lastDenial are logged with a refusal.
 	lastDecision route.Decision
 	lastDenial   event.Denial
@@ -109,6 +110,8 @@
 	host  event.Host
 	dec   route.Decision
 	sent  bool
+	// retry is the permission of the retry budget for the attempt, nil for a first one.
+	retry *retry.Grant
 	// retryTaken is set once this host has decided to abort the attempt, which had been silent
 	// since silentSince, and has taken its retry from the budget.
 	retryTaken bool
@@ -321,7 +324,7 @@
 		outcome = event.Unknown
 	}
 	if r.live != nil {
-		rd.dropAttempt(r.live, healthUnknown)
+		rd.dropAttempt(now, r.live, healthUnknown)
 	}
 	rd.close(now, r, outcome)
 }
@@ -333,6 +336,9 @@
 	}
 	delete(rd.requests, r.ID)
 	rd.pools.remove(r)
+	if r.retry != nil {
+		r.retry.Return()
+	}
 	if r.reservedTokens > 0 {
 		rd.quota.Settle(now, r.Account, r.reservedTokens, usedTokens(r, outcome))
 	}
--- a/internal/core/retry.go
+++ b/internal/core/retry.go
@@ -126,13 +126,65 @@
 	return spendRetry(now, r, b)
 }
 
-// spendRetry takes one retry of a request from a budget, or returns why the budget denies it.
+// spendRetry takes one retry of a request from a budget, or returns why the budget denies it. A request
+// whose retry was granted and has not reached a target needs no other.
 func spendRetry(now ident.Time, r *request, b *retry.Budget) event.Denial {
-	if b.Spend(now) {
-		r.retryGrantedAt = now
+	if r.retry != nil {
+		return event.Denial{}
+	}
+	if r.retry = b.Take(now); r.retry != nil {
 		return event.Denial{}
 	}
 	d := event.Denial{Reason: event.DeniedBudget, Attempts: r.attemptCount}
 	d.Retries, d.MaxRetries = b.Usage(now)
 	return d
 }
+
+// confirmRetry returns why the next attempt of a request of a route may not be sent, the zero Denial if it may. Each
+// attempt beyond the first that may have reached a target needs a grant, also where an earlier one was settled and
+// then turned out not to have arrived. What a forwarded request needs, the host that forwarded it has taken.
+func (rd *Reducer) confirmRetry(now ident.Time, r *request) event.Denial {
+	if r.profile.Route == nil {
+		return event.Denial{}
+	}
+	needed := r.retry != nil || r.attemptCount > 0
+	if r.retry != nil && r.retry.Age(now) > retry.MaxGrantAge {
+		r.retry.Return()
+		r.retry = nil
+	}
+	if !needed {
+		return event.Denial{}
+	}
+	return spendRetry(now, r, rd.retryBudget(now, r.profile.Service))
+}
+
+// handleUnconfirmedRetry handles a request whose retry was granted and may not be sent any more. The rest of an answer
+// waits for the budget, any other request is refused.
+func (rd *Reducer) handleUnconfirmedRetry(now ident.Time, r *request) {
+	at := now.Add(resumeInterval)
+	if r.delivered == 0 || r.resumeWaits >= maxResumeWaits || at >= r.deadline {
+		rd.endRefused(now, r, noTargetRefusal(r, codes.Overloaded.ID))
+		return
+	}
+	r.resumeWaits++
+	rd.timers.add(timer{at: at, req: r, run: rd.place})
+}
+
+// settleRetry records that the attempt has reached its target by now, or never will.
+func (a *attempt) settleRetry(now ident.Time) {
+	if a.retry != nil {
+		a.retry.Settle(now)
+	}
+}
+
+// returnRetry gives the permission of an attempt that was not sent back to its request.
+func (a *attempt) returnRetry() {
+	switch {
+	case a.retry == nil:
+	case a.req.retry == nil:
+		a.req.retry = a.retry
+	default:
+		a.retry.Return()
+	}
+	a.retry = nil
+}
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -22,6 +22,8 @@
 	// the number of retries that need no requests. Both apply to one retry.Window.
 	RetryRatio float64
 	RetryFloor int
+	// RetryHold is how long after its start a host retries nothing that a target has received.
+	RetryHold time.Duration
 	// ColdOvershoot and ColdSlack extend the rate of a cold target to what all hosts together may
 	// send it in one second: the rate times ColdOvershoot plus ColdSlack.
 	ColdOvershoot, ColdSlack float64
@@ -45,19 +47,26 @@
 // withDefaults returns the bounds with their defaults filled in.
 func (b Bounds) withDefaults() Bounds {
 	b.MinDrain = cmp.Or(b.MinDrain, defaultMinDrain)
+	b.RetryHold = cmp.Or(b.RetryHold, defaultRetryHold)
 	return b
 }
 
-// retryMargin is the fraction of the retry budget that is used. The rest allows for hosts that
-// count in whole seconds, and for retries in flight from one second to the next.
-const retryMargin = 0.8
+const (
+	// retryMargin is the fraction of the retry budget that is used. The rest allows for requests that hosts
+	// count later than their callers sent them, and for attempts at silent targets that arrive after they were
+	// given up.
+	retryMargin = 0.8
+	// defaultRetryHold is how long a host that has just started retries nothing. It does not know what it spent
+	// before: after that time, nothing of it counts any more, and the other hosts know this one and have
+	// reduced their shares.
+	defaultRetryHold = retry.Window + discoveryWindow
+)
 
 // retryBudget returns the retry budget of a service. The floor is split evenly among the highest
 // number of hosts known at one time, so that the sum stays within the floor in any partition. The
 // ratio applies to the requests that this host accepted from callers, so the hosts' budgets add
-// up to it without coordination. A host that has just started knows neither the others nor what
-// it spent before a restart: hosts that restart together would each use the whole floor. So for
-// one window it has half of its share, and none before it has read the list of hosts.
+// up to it without coordination. A host that has just started has no share for defaultRetryHold, and
+// none before it has read the list of hosts.
 func (rd *Reducer) retryBudget(now ident.Time, name string) *retry.Budget {
 	b, ok := rd.retryBudgets[name]
 	if !ok {
@@ -67,10 +76,7 @@
 	rd.maxHosts = max(rd.maxHosts, rd.table.HostCount())
 	b.Ratio = retryMargin * rd.bounds.RetryRatio
 	b.MinRetries = int(retryMargin * float64(rd.bounds.RetryFloor) / float64(rd.maxHosts))
-	if now.Sub(rd.startedAt) < retry.Window {
-		b.MinRetries /= 2
-	}
-	if b.MinRetries == 0 || !rd.table.HasList() {
+	if b.MinRetries == 0 || !rd.table.HasList() || now.Sub(rd.startedAt) < rd.bounds.RetryHold {
 		b.MinRetries = -1
 	}
 	if b.Ratio == 0 {
@@ -247,8 +253,8 @@
 	if r.attemptCount > 1 {
 		b.RetryAge = retryAgeUnknown
 	}
-	if r.attemptCount > 1 && r.retryGrantedAt > 0 {
-		b.RetryAge = now.Sub(r.retryGrantedAt)
+	if r.live != nil && r.live.retry != nil {
+		b.RetryAge = r.live.retry.Age(now)
 	}
 	if r.buildFrom != "" {
 		b.BuildFrom, b.ListAge = r.buildFrom, now.Sub(rd.table.ListConfirmedAt())
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -5,25 +5,37 @@
 //
 //	var b retry.Budget
 //	b.RecordArrival(now) // for each request of a caller
-//	if attempts < retry.MaxAttempts && b.Spend(now) {
-//		// retry after retry.Backoff(attempts, id)
+//	if attempts < retry.MaxAttempts {
+//		if g := b.Take(now); g != nil {
+//			// retry after retry.Backoff(attempts, id), then g.Settle(answeredAt)
+//		}
 //	}
 //
 // Without a budget, each request that fails at a lost region is sent MaxAttempts
 // times, and the other regions receive up to three times their load just when
-// capacity is short. With it, the sends of a window are at most its arrivals
-// times 1+Ratio, plus MinRetries. When a retry is refused, the request fails at
-// once. A stream that continues at another target after it has returned tokens
-// is limited by MaxAttempts alone, since it requests only the remaining tokens.
+// capacity is short. When a retry is refused, the request fails at once. A stream
+// that continues at another target after it has returned tokens is limited by
+// MaxAttempts alone, since it requests only the remaining tokens.
 //
 // # Bounds
 //
-// A Budget is one fixed array of counts and keeps no state per request.
+// In any Window, the retries that reach targets are at most Ratio times the
+// arrivals of the Window before it plus MinRetries. That holds for the sum over
+// several hosts too, whatever part of the arrivals each of them has: all hosts
+// count the same Window of arrivals, that before the retries.
+//
+// A retry counts from its grant until a Window after the last moment at which it
+// can have reached a target. The time that it waits in a queue, at another host or
+// on a link thus brings no further retries into the Window in which it arrives.
+//
+// A Budget has a count for each slot of two Windows, and one time for each retry
+// of the last Window.
 package retry
 
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"verbenadale.example/verbenadale/pkg/ident"
@@ -39,17 +51,25 @@
 	// defaultMinRetries allows retries on a host that receives few requests.
 	defaultMinRetries = 3
 
-	slotDuration = time.Second
-	slotCount    = 10
+	// Arrivals are counted in slots. Any Window contains fullSlots whole ones.
+	slotDuration = 250 * time.Millisecond
+	windowSlots  = int64(Window / slotDuration)
+	fullSlots    = windowSlots - 1
+	slotCount    = 2*windowSlots + 1
 
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = time.Second
 )
 
-// Window is the period over which a Budget counts.
-const Window = slotCount * slotDuration
+const (
+	// Window is the period over which a Budget counts.
+	Window = 10 * time.Second
+	// MaxGrantAge is the age beyond which a retry needs a new grant to be sent, since the arrivals may have
+	// become fewer.
+	MaxGrantAge = maxBackoff
+)
 
-// Budget counts the arrivals and retries of the last Window. The zero Budget uses the
+// Budget limits retries to a fraction of the arrivals. The zero Budget uses the
 // default ratio and minimum.
 type Budget struct {
 	// Ratio is the maximum number of retries per arrival. Zero selects the default, a
@@ -61,7 +81,18 @@
 
 	slot     int64
 	arrivals [slotCount]int
-	retries  [slotCount]int
+	// open counts the retries that may still reach a target, settled are the times from which the
+	// others can't have, in order.
+	open    int
+	settled []ident.Time
+}
+
+// Grant is the permission for one retry. It counts against its Budget until a Window after it has been
+// settled, or until it is returned.
+type Grant struct {
+	budget *Budget
+	at     ident.Time
+	ended  bool
 }
 
 // RecordArrival records a caller's request. Retries are not arrivals.
@@ -70,20 +101,45 @@
 	b.arrivals[b.slot%slotCount]++
 }
 
-// Spend reports whether a request may be retried, and if so records the retry.
-func (b *Budget) Spend(now ident.Time) bool {
-	b.advance(now)
-	if float64(sum(b.retries)+1) > b.allowed() {
-		return false
+// Take returns the permission for a retry, nil if the budget is used up.
+func (b *Budget) Take(now ident.Time) *Grant {
+	if used, allowed := b.Usage(now); float64(used+1) > allowed {
+		return nil
 	}
-	b.retries[b.slot%slotCount]++
-	return true
+	b.open++
+	return &Grant{budget: b, at: now}
 }
 
-// Usage returns the retries in the window and the number allowed.
+// Usage returns the retries that count now and the number allowed.
 func (b *Budget) Usage(now ident.Time) (retries int, allowed float64) {
 	b.advance(now)
-	return sum(b.retries), b.allowed()
+	expired, _ := slices.BinarySearch(b.settled, now.Add(-Window)+1)
+	b.settled = slices.Delete(b.settled, 0, expired)
+	return b.open + len(b.settled), b.allowed()
+}
+
+// Age returns how long ago the retry was allowed.
+func (g *Grant) Age(now ident.Time) time.Duration { return now.Sub(g.at) }
+
+// Settle records that the retry does not reach a target after the given time. Only the first call of Settle or Return
+// has an effect.
+func (g *Grant) Settle(at ident.Time) {
+	if g.ended {
+		return
+	}
+	g.ended = true
+	g.budget.open--
+	i, _ := slices.BinarySearch(g.budget.settled, at+1)
+	g.budget.settled = slices.Insert(g.budget.settled, i, at)
+}
+
+// Return gives back the grant of a retry that was never sent.
+func (g *Grant) Return() {
+	if g.ended {
+		return
+	}
+	g.ended = true
+	g.budget.open--
 }
 
 func (b *Budget) allowed() float64 {
@@ -94,30 +150,39 @@
 	if minRetries == 0 {
 		minRetries = defaultMinRetries
 	}
-	return max(ratio, 0)*float64(sum(b.arrivals)) + float64(max(minRetries, 0))
+	return max(ratio, 0)*float64(b.fewestArrivals()) + float64(max(minRetries, 0))
+}
+
+// fewestArrivals returns the arrivals of the Window that had the fewest, of all that have ended within the last
+// one. Which of them the retries of other hosts are counted against is not known here.
+func (b *Budget) fewestArrivals() int {
+	at := func(back int64) int {
+		if back > b.slot {
+			return 0
+		}
+		return b.arrivals[(b.slot-back)%slotCount]
+	}
+	n := 0
+	for back := int64(1); back <= fullSlots; back++ {
+		n += at(back)
+	}
+	fewest := n
+	for back := fullSlots + 1; back < slotCount; back++ {
+		n += at(back) - at(back-fullSlots)
+		fewest = min(fewest, n)
+	}
+	return fewest
 }
 
 // advance clears the slots between the last call and now.
 func (b *Budget) advance(now ident.Time) {
 	current := int64(now) / int64(slotDuration)
-	for n := 0; b.slot < current && n < slotCount; n++ {
+	for n := int64(0); b.slot < current && n < slotCount; n++ {
 		b.slot++
 		b.arrivals[b.slot%slotCount] = 0
-		b.retries[b.slot%slotCount] = 0
-	}
-	if b.slot >= current {
-		return
-	}
-	// More than a window has passed: all slots are already clear.
-	b.slot = current
-}
-
-func sum(counts [slotCount]int) int {
-	total := 0
-	for _, n := range counts {
-		total += n
 	}
-	return total
+	// After more than all slots, they are clear already.
+	b.slot = max(b.slot, current)
 }
 
 // Backoff returns the delay after the n-th attempt of a request, counted from 1. It doubles
