core: a draining host leaves what may run only once to another host, unless it surely ends in time

What callers saw in a planned stop: a request that may run only once was taken in the first 0.37 of the grace period, ran, and was answered 502 (VB1031) at 0.85 of it. Its caller can't repeat that; a refusal it can, at another address.

While another host of its data centre is active, such a request is now refused at once (VB1013, not run) if its deadline lies beyond the end of the drain, unless it is a call and twice the time past which answers of its route are unusually late is left. How long a stream takes is not known in advance, so its deadline alone decides. The same holds when it leaves the queue. Without another host, and for what may be repeated, nothing changes.

TestDrainingHostLeavesWhatMayRunOnceToOthers failed in four of nine cases: long work, long work late, unknown work, a stream that may not be resumed.

Ruled out, by tests that pass before: heads in time with late bodies (TestRequestThatArrivesAtTheEndIsAnswered), a second SIGTERM (TestSecondStopCutsNothing).

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -118,6 +118,10 @@
 // send starts an attempt at the target or host that dec selects, if it is the first one or the retry budget
 // allows it.
 func (rd *Reducer) send(now ident.Time, r *request, dec route.Decision) {
+	if rd.draining && r.attemptCount == 0 && rd.leavesToOthers(now, r) {
+		rd.endRefused(now, r, rd.refuseDraining(now, r))
+		return
+	}
 	if r.lastDenial = rd.confirmRetry(now, r); r.lastDenial.Reason != "" {
 		rd.handleUnconfirmedRetry(now, r)
 		return
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -9,6 +9,7 @@
 	"verbenadale.example/verbenadale/internal/mech"
 	"verbenadale.example/verbenadale/pkg/codes"
 	"verbenadale.example/verbenadale/pkg/ident"
+	"verbenadale.example/verbenadale/pkg/rules"
 )
 
 func (rd *Reducer) drain(now ident.Time) {
@@ -52,15 +53,36 @@
 // as long as their directory answer is valid, and know no other host if all hosts of a region
 // drain. So every request of a route is accepted for DrainAccept, and after that one whose deadline
 // is before the end of the drain. The typical duration of its route is not a reliable criterion
-// under load.
+// under load. A request that may run only once is left to another host, if there is one, unless it
+// surely ends in time: its caller can repeat a refusal and not an answer that is cut.
 func (rd *Reducer) acceptsWhileDraining(now ident.Time, r *request) bool {
 	if r.profile.Route == nil || rd.drainEnded {
 		return false
 	}
 	if now.Sub(rd.drainStartedAt) < rd.bounds.DrainAccept {
-		return true
+		return !rd.leavesToOthers(now, r)
 	}
-	return mech.On(codes.DrainAccept) && r.Deadline > 0 && r.Deadline <= rd.drainStartedAt.Add(rd.bounds.DrainTimeout-drainAnswerMargin)
+	return mech.On(codes.DrainAccept) && r.Deadline > 0 && r.Deadline <= rd.drainAnswersBy()
+}
+
+// drainAnswersBy returns when the last answers of a drain must be complete.
+func (rd *Reducer) drainAnswersBy() ident.Time {
+	return rd.drainStartedAt.Add(rd.bounds.DrainTimeout - drainAnswerMargin)
+}
+
+// lateAnswerMultiple is how many times the time past which an answer of its route is unusually late a call must
+// have left, to be certain to end before the drain.
+const lateAnswerMultiple = 2
+
+// leavesToOthers reports whether a draining host leaves a request that has not been sent to another host, since it may
+// run only once and could be cut. How long a stream takes is not known in advance.
+func (rd *Reducer) leavesToOthers(now ident.Time, r *request) bool {
+	rt := r.profile.Route
+	if rt == nil || rt.Repeatable() || r.Deadline > 0 && r.Deadline <= rd.drainAnswersBy() || !rd.table.HasActivePeer(now) {
+		return false
+	}
+	late := rd.slack.LateAfter(r.profile.Name)
+	return rt.Kind == rules.Streaming || late == 0 || now.Add(lateAnswerMultiple*late) > rd.drainAnswersBy()
 }
 
 // refuseDraining refers a caller to other hosts. Without another host in the region the caller is
--- a/internal/core/drain_test.go
+++ b/internal/core/drain_test.go
@@ -99,3 +99,57 @@
 		}
 	}
 }
+
+// Guards against a request that may run only once being cut at the end of a drain, where another host could have taken it.
+func TestDrainingHostLeavesWhatMayRunOnceToOthers(t *testing.T) {
+	const timeout = 6800 * time.Millisecond
+	cases := map[string]struct {
+		profile ident.Profile
+		// work is how long earlier answers took, alone whether there is no other host.
+		work  time.Duration
+		alone bool
+		since time.Duration
+		left  time.Duration
+		want  bool
+	}{
+		"long work":                        {"publish", 4 * time.Second, false, 100 * time.Millisecond, 10 * time.Second, false},
+		"long work, late":                  {"publish", 2 * time.Second, false, 2900 * time.Millisecond, 10 * time.Second, false},
+		"unknown work":                     {"publish", 0, false, 100 * time.Millisecond, 10 * time.Second, false},
+		"short work":                       {"publish", 20 * time.Millisecond, false, 2900 * time.Millisecond, 10 * time.Second, true},
+		"a deadline within the drain":      {"publish", 4 * time.Second, false, 100 * time.Millisecond, 5 * time.Second, true},
+		"no other host":                    {"publish", 4 * time.Second, true, 100 * time.Millisecond, 10 * time.Second, true},
+		"a call that may run twice":        {"fetch", 4 * time.Second, false, 100 * time.Millisecond, 10 * time.Second, true},
+		"a stream that may be resumed":     {"draft", 4 * time.Second, false, 100 * time.Millisecond, 10 * time.Second, true},
+		"a stream that may not be resumed": {"once", 20 * time.Millisecond, false, 100 * time.Millisecond, 10 * time.Second, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newTestHost(t, 1, core.Bounds{MinDrain: 4 * time.Second, DrainAccept: 3 * time.Second, DrainTimeout: timeout})
+			if !c.alone {
+				h.step(event.PeerUp{Host: event.Host{ID: "w2", Incarnation: 1, Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}}})
+			}
+			for range 8 {
+				if c.work == 0 {
+					break
+				}
+				d := h.send(string(c.profile))
+				h.now = h.now.Add(c.work)
+				h.step(event.FirstToken{Attempt: d.Attempt})
+				h.step(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultDone})
+			}
+			if !c.alone {
+				h.step(event.PeerUp{Host: event.Host{ID: "w2", Incarnation: 1, Place: event.Place{DataCentre: "west-a", Region: "west", Reach: "west"}}})
+			}
+			h.step(event.DrainAsked{})
+			h.now = h.now.Add(c.since)
+			effs := h.step(event.RequestArrived{Request: event.Request{ID: "late", Account: "callers", Profile: c.profile, Deadline: h.now.Add(c.left)}})
+			_, sent := pick[event.Dispatch](effs)
+			if sent != c.want {
+				t.Errorf("sent: %v, want %v; %v", sent, c.want, effs)
+			}
+			if r, ok := pick[event.Refuse](effs); !sent && (!ok || r.Code != codes.Draining.ID || r.Outcome != event.NotRun) {
+				t.Errorf("refused as %+v", r)
+			}
+		})
+	}
+}
--- a/internal/core/fixture_test.go
+++ b/internal/core/fixture_test.go
@@ -41,7 +41,7 @@
 	h := &testHost{t: t, red: core.NewBounded(event.Host{ID: "w1", Incarnation: 1, Place: place}, bounds), now: ident.Time(time.Second)}
 	h.step(event.SnapshotReceived{Book: rules.FromStatic(1, rules.StaticConfig{
 		Profiles: []rules.Profile{
-			routeProfile("fetch", rules.Idempotent, 2), routeProfile("publish", rules.NonIdempotent, 1), routeProfile("draft", rules.Streaming, 2),
+			routeProfile("fetch", rules.Idempotent, 2), routeProfile("publish", rules.NonIdempotent, 1), routeProfile("draft", rules.Streaming, 2), routeProfile("once", rules.Streaming, 1),
 		},
 		Clients: []rules.Client{{Name: "callers"}},
 	})})
