serve: long answers leave room for the bodies and answers of others, and are counted by what they occupy

What callers saw: at a host to which four targets sent answers without end, 1 to 5 of 40 requests for another service were refused or failed, and with 64 MB of memory the process used 68 to 70 MB, at which the platform would have killed it; with 284 MB it used 211 MB.

An answer was reserved by its length and could use the whole budget of the host, so that nothing was left for the body of a request, and the buffers, which grow by copying, held more than was counted. Answers longer than 64 KiB share 0.4 of the budget now, bodies 0.8 and short answers all of it; what is reserved is the size of the buffer, and of both while it grows.

TestAnswersWithoutEndLeaveRoomForOthers (200 callers, the real program as a process with one processor, memory as the kernel counts it) failed before in body, body that runs once, long length, chunks and chunk of a stream. After: 57 MB at most of 64, 139 of 284, 40 of 40 others served.

Ruled out, passing before: heads, interim answers, events, bodies that trickle. By reading: reports, health checks, refused bodies and answers of the store have limits of their own.

Price: answers beyond 64 KiB fail sooner where many are on their way, at 40 MB together with 284 MB of memory. The longest answer that fits alone is 16 MiB there, as before, and 10 to 15 MiB with 184 MB.

--- a/internal/serve/budget.go
+++ b/internal/serve/budget.go
@@ -17,13 +17,24 @@
 // NewBudget returns a budget of limit bytes; zero means no limit.
 func NewBudget(limit ident.Bytes) *Budget { return &Budget{limit: limit} }
 
-// bodyRatio is the part of a budget that bodies may use up. The rest is left to answers: a request that has run
-// must not lose its answer to bodies that are arriving.
-const bodyRatio = 0.8
+const (
+	// bodyRatio is the part of a budget that bodies may use up. The rest is left to answers: a request that has run
+	// must not lose its answer to bodies that are arriving.
+	bodyRatio = 0.8
+	// maxSmallAnswer is the size up to which an answer may use the whole budget, largeAnswerRatio the part of it
+	// that is open to longer ones. Targets that send without end thus leave room for the bodies of other
+	// requests, and for most answers.
+	maxSmallAnswer   = 64 << 10
+	largeAnswerRatio = 0.4
+)
 
 // Reserve reserves n bytes for an answer and reports whether they were available.
 func (b *Budget) Reserve(n int) bool { return b.reserve(n, 1) }
 
+// ReserveLarge reserves n bytes for an answer that is longer than maxSmallAnswer and reports whether they were
+// available.
+func (b *Budget) ReserveLarge(n int) bool { return b.reserve(n, largeAnswerRatio) }
+
 // ReserveBody reserves n bytes for the body of a request and reports whether they were available.
 func (b *Budget) ReserveBody(n int) bool { return b.reserve(n, bodyRatio) }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -332,6 +332,9 @@
 	return false
 }
 
+// answerGrowth is the factor by which the buffer of an answer grows.
+const answerGrowth = 1.5
+
 // discardBuffer drops the buffered answer and releases its share of the budget.
 func (r *run) discardBuffer() {
 	r.Budget.Release(r.reserved)
@@ -368,13 +371,38 @@
 
 // buffer appends to the buffered answer within the budget.
 func (r *run) buffer(b []byte) error {
-	if !r.Budget.Reserve(len(b)) {
-		return errAnswerTooLarge
+	if err := r.growBuffer(len(r.buffered.Body) + len(b)); err != nil {
+		return err
 	}
-	r.reserved += len(b)
 	return r.buffered.appendBody(b, r.MaxAnswer)
 }
 
+// growBuffer makes room for an answer of n bytes. What is reserved is what the buffer occupies; while it grows, that is
+// the old and the new one.
+func (r *run) growBuffer(n int) error {
+	old := cap(r.buffered.Body)
+	if ident.Bytes(n) > r.MaxAnswer {
+		return errAnswerTooLarge
+	}
+	if n <= old {
+		return nil
+	}
+	size := max(n, min(int(answerGrowth*float64(old)), int(r.MaxAnswer)))
+	reserve := r.Budget.Reserve
+	if size > maxSmallAnswer {
+		reserve = r.Budget.ReserveLarge
+	}
+	if !reserve(size) {
+		return errAnswerTooLarge
+	}
+	body := make([]byte, len(r.buffered.Body), size)
+	copy(body, r.buffered.Body)
+	r.buffered.Body = body
+	r.Budget.Release(r.reserved)
+	r.reserved = size
+	return nil
+}
+
 func (r *run) deliver(b []byte, tokens ident.Tokens) error {
 	if !r.streaming {
 		return r.buffer(b)
