retry: the test of several hosts lets retries wait and leave at once

Waiting retries are judged again as the reducer does, shares are larger, and in half of the seeds all that wait leave together.

--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -104,11 +104,32 @@
 	})
 }
 
+// heldRetry is a retry that leaves after it has waited.
+type heldRetry struct {
+	id     ident.RequestID
+	budget *Budget
+	grant  *Grant
+	until  ident.Time
+}
+
+// confirm reports whether the retry may still be sent, and if so settles it.
+func (h heldRetry) confirm(now ident.Time) bool {
+	g := h.grant
+	if g.Age(now) > MaxGrantAge {
+		g.Return()
+		if g = h.budget.Take(now); g == nil {
+			return false
+		}
+	}
+	g.Settle(now)
+	return true
+}
+
 // Guards against several hosts that together retry more in a Window than their arrivals allow: with requests that move
 // from host to host, and retries that wait before they arrive.
 func TestBudgetsOfSeveralHostsAddUp(t *testing.T) {
 	const (
-		hosts, share = 4, 5
+		hosts, share = 4, 20
 		ratio        = 0.3
 	)
 	rule := budget.Rule{Ratio: ratio, Floor: hosts * share, Window: Window}
@@ -120,17 +141,29 @@
 		}
 		var requests []time.Duration
 		var arrivals []budget.Arrival
-		var held []ident.Time
-		var grants []*Grant
+		var held []heldRetry
 		from := ident.Time(time.Hour)
 		now, n := from, 0
-		burst, wait := 1+rnd.IntN(60), time.Duration(1+rnd.Int64N(int64(9*time.Second)))
+		burst, wait := 1+rnd.IntN(60), time.Duration(1+rnd.Int64N(int64(20*time.Second)))
 		for range 400 {
 			now = now.Add(time.Duration(rnd.Int64N(int64(300 * time.Millisecond))))
 			if rnd.IntN(20) == 0 {
 				now = now.Add(8*time.Second + time.Duration(rnd.Int64N(int64(2*time.Second))))
 			}
-			b := &budgets[int(now/ident.Time(4*time.Second))%hosts]
+			held = slices.DeleteFunc(held, func(h heldRetry) bool {
+				if h.until > now {
+					return false
+				}
+				if h.confirm(now) {
+					arrivals = append(arrivals, budget.Arrival{At: now.Sub(from), Request: h.id})
+				}
+				return true
+			})
+			host := int(now/ident.Time(4*time.Second)) % hosts
+			if seed%2 == 1 {
+				host = rnd.IntN(hosts)
+			}
+			b := &budgets[host]
 			for range rnd.IntN(burst) {
 				n++
 				id := ident.RequestID(fmt.Sprint("r", n))
@@ -138,14 +171,12 @@
 				requests = append(requests, now.Sub(from))
 				arrivals = append(arrivals, budget.Arrival{At: now.Sub(from), Request: id})
 				if g := b.Take(now); g != nil {
-					at := now.Add(time.Duration(rnd.Int64N(int64(wait))))
-					grants, held = append(grants, g), append(held, at)
-					arrivals = append(arrivals, budget.Arrival{At: at.Sub(from), Request: id})
-				}
-			}
-			for i, at := range held {
-				if at <= now {
-					grants[i].Settle(at)
+					until := now.Add(time.Duration(rnd.Int64N(int64(wait))))
+					if seed%2 == 1 {
+						// All retries that wait leave at once.
+						until = now.Add(wait - time.Duration(now)%wait)
+					}
+					held = append(held, heldRetry{id: id, budget: b, grant: g, until: until})
 				}
 			}
 		}
