soak: -retries checks the repeats at all targets of a service against the retry budget

The soak had no check of repeats. -retries draws bursts of requests whose first attempts fail, a window or less apart, or phases in which all callers move to one host and the targets fail at the end, or while all hosts are killed in series; beside them hosts restart, pause, and links fall silent. All arrivals at all targets are checked in any window; the worst one is printed.

--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -171,6 +171,9 @@
 	ctx := k.pool.t.Context(context.Background())
 	defer k.http.CloseIdleConnections()
 	for sleep(ctx, callerInterval) {
+		if k.pool.deployment.callersRest.Load() {
+			continue
+		}
 		n := k.chooseHost(ctx)
 		// The request in flight is completed when the pool stops: an aborted one would show
 		// nothing about the system.
@@ -188,6 +191,9 @@
 	s.mu.Lock()
 	v := s.version
 	s.mu.Unlock()
+	if s.cfg.Retries && k.rnd.IntN(4) > 0 {
+		return kindFetch
+	}
 	if s.cfg.Releases && k.rnd.IntN(draftParts) < draftShare {
 		return kindDraft
 	}
@@ -201,6 +207,9 @@
 // resolves again once the list has expired. It keeps the expired list if no directory answers.
 func (k *caller) chooseHost(ctx context.Context) int {
 	s := k.pool.deployment
+	if n := s.onlyHost.Load(); n > 0 {
+		return int(n) - 1
+	}
 	if k.stays && !k.lastFailed {
 		return k.last
 	}
--- a/internal/dev/soak/check.go
+++ b/internal/dev/soak/check.go
@@ -16,6 +16,8 @@
 	deployment *deployment
 	pool       *callerPool
 	violations []string
+	// notes are figures of the run that broke nothing.
+	notes []string
 	// runs counts how often each request ran, ranAt lists the targets at which it ran.
 	runs  map[string]int
 	ranAt map[string][]*target
@@ -60,6 +62,9 @@
 	if c.deployment.cfg.Releases {
 		c.checkReleases()
 	}
+	if c.deployment.cfg.Retries {
+		c.checkRetries()
+	}
 }
 
 func (c *checker) checkRequest(a observation) {
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,6 +53,10 @@
 	url   string
 	hosts []*host
 	pool  *callerPool
+	// onlyHost is the host that all callers use, counted from 1, zero if each chooses.
+	onlyHost atomic.Int64
+	// callersRest is set while callers send nothing of their own.
+	callersRest atomic.Bool
 
 	mu      sync.Mutex
 	workers []*target
--- a/internal/dev/soak/host.go
+++ b/internal/dev/soak/host.go
@@ -67,6 +67,9 @@
 	if s.cfg.Answers || s.cfg.Ends {
 		h.settings.Fleet.RetryRatio, h.settings.Fleet.RetryFloor = answerRetryRatio, answerRetryFloor
 	}
+	if s.cfg.Retries {
+		h.settings.Fleet.RetryRatio, h.settings.Fleet.RetryFloor = retryRatio, retryFloor
+	}
 	for _, r := range s.regions() {
 		h.settings.Fleet.Places = append(h.settings.Fleet.Places, config.FleetPlace{DataCentre: ident.DataCentre(centreOf(r)), Region: ident.Region(r)})
 	}
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -69,6 +69,9 @@
 	// Releases replaces faults by releases of versions that are new to the hosts, while some of these are isolated. Targets have one
 	// version at first.
 	Releases bool
+	// Retries replaces other faults by pulses in which all targets of a service fail, while hosts restart in series, links fall
+	// silent and callers move between hosts. The repeats that reach targets must stay within the retry budget.
+	Retries bool
 	// Target is the command that runs worker.RunProcess. Ends needs it.
 	Target []string
 	// Log receives the output of the hosts; nil discards it.
@@ -80,8 +83,10 @@
 	Seed       uint64
 	Plan       []string
 	Violations []string
-	Requests   int
-	Outcomes   map[string]int
+	// Notes are figures that show how close the run came to a bound.
+	Notes    []string
+	Requests int
+	Outcomes map[string]int
 }
 
 const (
@@ -150,7 +155,7 @@
 	if !healed {
 		chk.report("recovery: not every host serves %v after the last fault", recoveryTimeout)
 	}
-	rep := Report{Seed: cfg.Seed, Violations: chk.violations, Requests: len(c.observations), Outcomes: c.outcomes()}
+	rep := Report{Seed: cfg.Seed, Violations: chk.violations, Notes: chk.notes, Requests: len(c.observations), Outcomes: c.outcomes()}
 	for _, f := range plan {
 		rep.Plan = append(rep.Plan, f.String())
 	}
@@ -166,6 +171,9 @@
 	if cfg.Releases {
 		return drawReleases(rnd, cfg.Duration, s)
 	}
+	if cfg.Retries {
+		return drawRetries(rnd, cfg.Duration, s)
+	}
 	plan := drawPlan(rnd, cfg.Duration, s)
 	if cfg.Poison {
 		plan = append(plan, drawPoison(rnd, cfg.Duration, s)...)
@@ -202,6 +210,9 @@
 // String formats the report for the terminal.
 func (r Report) String() string {
 	text := fmt.Sprintf("seed %d: %d requests %v, %d faults, %d promises broken\n", r.Seed, r.Requests, r.Outcomes, len(r.Plan), len(r.Violations))
+	for _, n := range r.Notes {
+		text += "  note    " + n + "\n"
+	}
 	if len(r.Violations) == 0 {
 		return text
 	}
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -415,6 +415,48 @@
 	}
 }
 
+// Guards against repeats beyond the retry budget of a service where failures come less than ten seconds apart, at hosts that count by
+// whole seconds (seed 52).
+func TestRepeatsStayWithinTheRetryBudget(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for a minute")
+	}
+	rep, err := Run(context.Background(), Config{Program: program, Seed: 52, Duration: 33 * time.Second, Retries: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(rep)
+	if len(rep.Violations) > 0 {
+		t.Errorf("seed %d violates guarantees", rep.Seed)
+	}
+}
+
+// Guards against a check that misses repeats beyond the budget, or counts those of another service.
+func TestRetryCheckDetectsViolations(t *testing.T) {
+	began := time.Now()
+	for name, c := range map[string]struct {
+		service string
+		repeats int
+		want    int
+	}{
+		"within":             {"board", retryFloor, 0},
+		"beyond":             {"board", 2 * retryFloor, 1},
+		"beyond, of streams": {"writers", 2 * retryFloor, 1},
+	} {
+		w := &target{Worker: worker.New(worker.Config{ID: "t"}), service: c.service}
+		for range 1 + c.repeats {
+			r := httptest.NewRequest(http.MethodGet, "/x", nil)
+			r.Header.Set("Verbenadale-Request-Id", "r")
+			w.ServeHTTP(httptest.NewRecorder(), r)
+		}
+		chk := &checker{deployment: &deployment{began: began, workers: []*target{w}}, pool: &callerPool{observations: []observation{{id: "r", kind: kindFetch, began: began}}}}
+		chk.checkRetries()
+		if len(chk.violations) != c.want {
+			t.Errorf("%s: found %v, want %d", name, chk.violations, c.want)
+		}
+	}
+}
+
 // Guards against a check that misses a target that gets more than its limit allows.
 func TestLimitCheckDetectsViolations(t *testing.T) {
 	at := time.Now()
@@ -571,7 +613,7 @@
 		s.hosts = append(s.hosts, &host{region: regions[n/2]})
 		s.workers = append(s.workers, &target{id: fmt.Sprint("t", n), region: regions[n/2]})
 	}
-	for name, draw := range map[string]func(*rand.Rand, time.Duration, *deployment) []fault{"faults": drawPlan, "releases": drawReleases} {
+	for name, draw := range map[string]func(*rand.Rand, time.Duration, *deployment) []fault{"faults": drawPlan, "releases": drawReleases, "retries": drawRetries} {
 		names := func(seed uint64) []string {
 			var out []string
 			for _, f := range draw(rand.New(rand.NewPCG(seed, seed)), 20*time.Second, s) {
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -242,6 +242,13 @@
 	}
 }
 
+// ClearFaults removes the injected faults.
+func (k *Worker) ClearFaults() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults = nil
+}
+
 // Runs returns how often a request ran.
 func (k *Worker) Runs(id string) int {
 	k.mu.Lock()
