--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -107,10 +107,7 @@
 		}
 		kv = append(kv, partFields(e.Basis.Parts)...)
 		kv = append(kv, streamFields(e.Basis)...)
-		if e.Basis.Attempts > 1 {
-			tr.count("requests.repeated." + e.Target.Service)
-		}
-		tr.logSend(append(kv, retryFields(e.Basis)...), e.Basis)
+		tr.logSend(append(kv, tr.repeat(e.Basis, "requests.repeated."+e.Target.Service)...), e.Basis)
 	case event.Forward:
 		tr.track(e.Envelope.Attempt, attempt{request: e.Request, content: e.Basis.Content, parts: e.Basis.Parts, target: ident.TargetID(e.To.ID), sentAt: now})
 		tr.count("requests.passedOn")
@@ -122,10 +119,7 @@
 			"part", roundHundredths(e.Basis.ForwardedShare), "roomThere", int(e.Basis.RemotePrefillRoom), "build", e.Build,
 		}
 		kv = append(kv, streamFields(e.Basis)...)
-		if e.Basis.Attempts > 1 {
-			tr.count("requests.repeatsPassedOn")
-		}
-		tr.logRoutine("passed on", append(kv, retryFields(e.Basis)...)...)
+		tr.logRoutine("passed on", append(kv, tr.repeat(e.Basis, "requests.repeatsPassedOn")...)...)
 	case event.Refuse:
 		c, _ := codes.Find(e.Code)
 		tr.count("requests.refused." + string(e.Code))
@@ -196,12 +190,13 @@
 	return kv
 }
 
-// retryFields returns the log field of a retry, none for a first attempt.
-func retryFields(b event.Basis) []any {
-	switch {
-	case b.Attempts <= 1:
+// repeat counts an attempt beyond the first under a name and returns its log field, none for a first attempt.
+func (tr *Trail) repeat(b event.Basis, counter string) []any {
+	if b.Attempts <= 1 {
 		return nil
-	case b.RetryAge < 0:
+	}
+	tr.count(counter)
+	if b.RetryAge < 0 {
 		return []any{"retryAgeMs", -1}
 	}
 	return []any{"retryAgeMs", millis(b.RetryAge)}
