core: tests of retries that are granted and not sent

An attempt that reached no target keeps its grant, a caller that leaves gives it back, one that was sent counts for a window.

--- a/internal/core/budget_test.go
+++ b/internal/core/budget_test.go
@@ -10,6 +10,7 @@
 	"verbenadale.example/verbenadale/internal/core"
 	"verbenadale.example/verbenadale/internal/dev/budget"
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/retry"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
 )
@@ -301,3 +302,52 @@
 		})
 	}
 }
+
+// Guards against a retry that stays counted although it was never sent, or that needs a second grant after an attempt that
+// reached no target.
+func TestRetryThatIsNotSentCountsNoMore(t *testing.T) {
+	oneRetry := core.Bounds{RetryRatio: 0.001, RetryFloor: 2}
+	failed := event.AttemptEnded{Result: event.ResultFailed, Status: 500, AnswerBuffered: true}
+	retryOf := func(h *testHost) (event.Dispatch, bool) {
+		end := failed
+		end.Attempt = h.send("fetch").Attempt
+		return pick[event.Dispatch](h.endBriefly(end))
+	}
+	t.Run("an attempt that is not sent", func(t *testing.T) {
+		h := newTestHost(t, 4, oneRetry)
+		d, ok := retryOf(h)
+		if !ok {
+			t.Fatal("the request is not retried")
+		}
+		effs := h.endBriefly(event.AttemptEnded{Attempt: d.Attempt, Result: event.ResultNotRun})
+		if again, ok := pick[event.Dispatch](effs); !ok || again.Request != d.Request {
+			t.Errorf("the retry is not placed elsewhere: %v", effs)
+		}
+		if _, ok := retryOf(h); ok {
+			t.Error("a second request is retried, one retry is allowed")
+		}
+	})
+	t.Run("a caller that leaves before", func(t *testing.T) {
+		h := newTestHost(t, 4, oneRetry)
+		end := failed
+		first := h.send("fetch")
+		end.Attempt = first.Attempt
+		h.step(end)
+		h.step(event.CallerLeft{Request: first.Request})
+		if _, ok := retryOf(h); !ok {
+			t.Error("the retry of a caller that has left still counts")
+		}
+	})
+	t.Run("a caller that leaves after", func(t *testing.T) {
+		h := newTestHost(t, 4, oneRetry)
+		d, _ := retryOf(h)
+		h.step(event.CallerLeft{Request: d.Request})
+		if _, ok := retryOf(h); ok {
+			t.Error("a second request is retried, one retry is allowed")
+		}
+		h.now = h.now.Add(retry.Window)
+		if _, ok := retryOf(h); !ok {
+			t.Error("the retry still counts after a window")
+		}
+	})
+}
