httpcl, target, store, platform: an unframed answer that was reset during the upload is not whole

What callers saw: a target answered a long upload at once with a 200 or 404 without a length or chunks, sent a part of the body and reset the connection while the upload was still being written. The caller got the part, framed as a whole answer.

Cause: Linux reports the failure of a connection (a reset, a timeout of unacknowledged data) once, to the first call on the socket. The host writes the request and reads the answer in two goroutines. If the writer's call came first it got the error, and the reader's call returned the end of the stream, as after an orderly close. An unframed body ends with its connection, so the part was taken for the whole; the query whether the target lives does not help, since it does. net/http behaves alike, so the clients of engines and of both stores had the same fault.

Change: all connections on which answers are read are httpcl.Conn. It keeps the first error of a Write. When Read meets the end of the stream, it ends the Write that is still running by a deadline in the past, waits for it, and returns its error in place of io.EOF if there was one. Why it works: a call that returned the end because a Write had taken the error comes after that Write's call, so that the error is recorded once that Write has returned. An orderly end leaves the Write with no error or with that of the deadline. The rest of the upload is not sent after the end of the answer, as before: the connection was closed then.

The state of the socket (TCP_INFO) would do too, on Linux only. An end that is followed by a reset before it has been read counts as a failure (RFC 9112, section 8).

Handled already: answers with a length or chunks, interim answers, folded and padded values, answers after the whole upload.

--- /dev/null
+++ b/internal/httpcl/transport.go
@@ -0,0 +1,31 @@
+package httpcl
+
+import (
+	"net"
+	"net/http"
+)
+
+// Transport is an http.RoundTripper whose bodies end with io.EOF only if no failure of the connection has cut them.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport that uses another one, which it changes and which must not be used otherwise.
+func NewTransport(base *http.Transport) *Transport {
+	dial := dialFunc(base.DialContext)
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+		// net/http no longer negotiates HTTP/2 by itself once DialContext is set.
+		base.ForceAttemptHTTP2 = true
+	}
+	base.DialContext = dial.guarded
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return t.base.RoundTrip(req)
+}
+
+// CloseIdleConnections closes the connections that serve no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -33,6 +33,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
+	"verbenadale.example/verbenadale/internal/httpcl"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -111,7 +112,7 @@
 	}
 	return &Client{
 		cfg:         cfg,
-		http:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		http:        &http.Client{Transport: httpcl.NewTransport(&http.Transport{MaxIdleConnsPerHost: 8})},
 		budget:      limiter(cfg.CallsPerSecond),
 		claimBudget: limiter(cfg.CallsPerSecond / claimDivisor),
 	}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -14,6 +14,7 @@
 	"gopkg.in/tomb.v2"
 
 	"verbenadale.example/verbenadale/internal/clock"
+	"verbenadale.example/verbenadale/internal/httpcl"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -177,8 +178,9 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	head := &headReader{r: raw, left: unlimited}
-	return &conn{Conn: raw, p: p, addr: addr, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}, nil
+	guarded := httpcl.NewConn(raw)
+	head := &headReader{r: guarded, left: unlimited}
+	return &conn{Conn: guarded, p: p, addr: addr, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}, nil
 }
 
 // popIdle removes and returns an idle connection, nil if there is none. Connections whose last request had the same id
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -29,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/httpcl"
 	"verbenadale.example/verbenadale/internal/trace"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
@@ -127,17 +128,17 @@
 func New() *Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	return &Client{
-		pooled: &http.Client{Transport: &http.Transport{
+		pooled: &http.Client{Transport: httpcl.NewTransport(&http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, DisableCompression: true,
 			MaxResponseHeaderBytes: maxHeaderBytes, WriteBufferSize: connBufferBytes, ReadBufferSize: connBufferBytes,
-		}, CheckRedirect: noRedirect},
+		}), CheckRedirect: noRedirect},
 		// net/http retries a request when a reused connection turns out to be
 		// closed, even a POST with an Idempotency-Key. Calls that are not
 		// idempotent therefore get a new connection each.
-		unpooled: &http.Client{Transport: &http.Transport{
+		unpooled: &http.Client{Transport: httpcl.NewTransport(&http.Transport{
 			DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 			WriteBufferSize: connBufferBytes, ReadBufferSize: connBufferBytes,
-		}, CheckRedirect: noRedirect},
+		}), CheckRedirect: noRedirect},
 	}
 }
 
