httpcl, target, peer, opctl: an answer whose status is none is no answer

What callers saw: a target in trouble sent an answer with the status 000 (also 001, 042, 099, +20, -00). Where its body held an answer of its own (a head, the request's id, a signature), the caller got that one as the target's answer. On the product's own interface callers got the answer itself: a status of 000 or 042 with its body, an engine's too.

Cause: Pool.readAnswer took every status below 200 for an interim answer and read on without the body, which net/http frames by its length for a status below 100. So the body was read as the next answer. 101 was skipped alike, although what follows it is another protocol's. net/http's transport skips 100 to 199 and hands all else to its user; Client, verbctl and the host that gets a forwarded answer did not look at it. For verbctl all below 300 was a success.

Change: interim is 100 to 199 but 101 (httpcl.IsInterim); the head of any other answer passes httpcl.CheckHead, which refuses a status below 200, in the pool, in all clients of net/http (Transport), in verbctl, and where a host receives what another one relays: earlier builds relay such heads. The attempt is broken, and the connection is closed, so that nothing behind the head is read. Why it works: no path takes a status below 200 for a final answer any more, and none skips one that is not interim.

Ruled out: 0200, 20 and 2OO are refused by net/http. Statuses from 600 on are invalid too; RFC 9110, section 15, has them treated as failures of the server, as the hosts do, so that they stay as they are.

Handled already: reports and both stores take no status but those they expect.

--- a/internal/httpcl/transport.go
+++ b/internal/httpcl/transport.go
@@ -5,7 +5,8 @@
 	"net/http"
 )
 
-// Transport is an http.RoundTripper whose bodies end with io.EOF only if no failure of the connection has cut them.
+// Transport is an http.RoundTripper that fails with ErrHead if CheckHead does, and whose bodies end with io.EOF only if no failure
+// of the connection has cut them.
 type Transport struct {
 	base *http.Transport
 }
@@ -24,7 +25,15 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(req)
+	res, err := t.base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(res.StatusCode); err != nil {
+		_ = res.Body.Close()
+		return nil, err
+	}
+	return res, nil
 }
 
 // CloseIdleConnections closes the connections that serve no request.
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -28,6 +28,7 @@
 
 	"verbenadale.example/verbenadale/internal/admin"
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/httpcl"
 	"verbenadale.example/verbenadale/internal/revlog"
 	"verbenadale.example/verbenadale/pkg/ident"
 	"verbenadale.example/verbenadale/pkg/rules"
@@ -211,6 +212,9 @@
 	if err != nil {
 		return &CallError{cause: err}
 	}
+	if err := httpcl.CheckHead(res.StatusCode); err != nil {
+		return &CallError{cause: err}
+	}
 	if res.StatusCode >= http.StatusMultipleChoices {
 		ce := &CallError{Status: res.StatusCode}
 		if json.Unmarshal(b, &ce.Fault) != nil {
--- a/internal/opctl/opctl_test.go
+++ b/internal/opctl/opctl_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -240,3 +242,23 @@
 		t.Errorf("only %d commands were checked", n)
 	}
 }
+
+// Guards against taking an answer whose head is none for a success.
+func TestAnswersWithABrokenHeadAreNoSuccess(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000\r\n", "HTTP/1.1 042 X\r\n", "HTTP/1.1 +20 X\r\n"} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = io.WriteString(c, head+"Connection: close\r\nContent-Length: 2\r\n\r\n{}")
+		}))
+		defer srv.Close()
+		err := (&Client{URL: srv.URL}).SetLevel(t.Context(), admin.Level{})
+		var ce *CallError
+		if !errors.As(err, &ce) || ce.Status != 0 {
+			t.Errorf("%q: %v", head, err)
+		}
+	}
+}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/httpcl"
 	"verbenadale.example/verbenadale/internal/serve"
 	"verbenadale.example/verbenadale/internal/wire"
 	"verbenadale.example/verbenadale/pkg/codes"
@@ -196,13 +197,16 @@
 		if c.answerBegun || !c.bodySent {
 			return wire.ErrFormat
 		}
+		status, h := int(b.Begin.GetStatus()), wire.ToHeader(b.Begin.GetHeader())
+		if err := httpcl.CheckHead(status); err != nil {
+			return errors.Wrap(wire.ErrFormat, err.Error())
+		}
 		c.answerBegun = true
-		h := wire.ToHeader(b.Begin.GetHeader())
-		c.events = c.Call.Stream && b.Begin.GetStatus() == http.StatusOK && serve.IsEventStream(h)
+		c.events = c.Call.Stream && status == http.StatusOK && serve.IsEventStream(h)
 		if c.relay.Build != nil {
 			c.relay.Build(ident.Build(b.Begin.GetBuild()))
 		}
-		c.relay.Begin(int(b.Begin.GetStatus()), h)
+		c.relay.Begin(status, h)
 		return nil
 	case *wire.Part_Data:
 		return c.receiveData(b.Data)
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -136,6 +136,37 @@
 	}
 }
 
+// Guards against passing on the head of an answer that is none: earlier builds relay what their targets send.
+func TestRelayedHeadsAreChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		header http.Header
+		want   event.Result
+	}{
+		"sound":      {200, http.Header{"X-A": {"b"}}, event.ResultDone},
+		"failure":    {599, nil, event.ResultDone},
+		"status 000": {0, nil, event.ResultBroken},
+		"status 042": {42, nil, event.ResultBroken},
+		"status 101": {101, nil, event.ResultBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x, y := startPair(t, Config{}, Config{}, func(_ context.Context, call serve.Call, _ event.Request, sink serve.Sink) {
+				_, _ = call.ReadBody()
+				sink.Begin(c.status, c.header)
+				_ = sink.Data([]byte("text"), 1)
+				sink.Finish(event.Done)
+			})
+			a, end := forward(t.Context(), x, y, "body", nil)
+			if diff := cmp.Diff(c.want, end.Result); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+			if passed := a.status != 0; passed != (c.want == event.ResultDone) {
+				t.Errorf("passed on with status %d", a.status)
+			}
+		})
+	}
+}
+
 // A request that finds no link must be reported as not run, and onSend must not be called.
 func TestNoLinkIsNotRun(t *testing.T) {
 	x := startNode(t, Config{
--- a/internal/serve/broken_test.go
+++ b/internal/serve/broken_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"verbenadale.example/verbenadale/internal/event"
 	"verbenadale.example/verbenadale/internal/target"
 	"verbenadale.example/verbenadale/pkg/codes"
 )
@@ -68,3 +69,47 @@
 		}
 	}
 }
+
+func closeConn(*net.TCPConn, *http.Request) {}
+
+// brokenHeads are heads of answers that are none, by what is wrong with them.
+var brokenHeads = map[string]string{
+	"status 000": "HTTP/1.1 000\r\nATTEMPT\r\n", "status 042": "HTTP/1.1 042 X\r\nATTEMPT\r\n", "status +20": "HTTP/1.1 +20 X\r\nATTEMPT\r\n",
+	"status 101": "HTTP/1.1 101 Switching Protocols\r\nATTEMPT\r\nConnection: upgrade\r\nUpgrade: x\r\n",
+}
+
+// Guards against passing on an answer whose head is none: with its own body, with an answer that its body holds, or as a promise.
+func TestAnswersWithABrokenHeadAreNotPassedOn(t *testing.T) {
+	const events = "id: 1\ndata: a\n\n"
+	for name, head := range brokenHeads {
+		for kind, c := range map[string]struct {
+			call Call
+			body string
+		}{
+			"service":  {serviceCall, "text"},
+			"call":     {routedCall, "text"},
+			"stream":   {onceStream, events},
+			"engine":   {plainCall, `{"id":"REQUEST"}`},
+			"events":   {streamCall, tokens(1, 2) + doneEvent},
+			"answer":   {routedCall, "HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length: 4\r\n\r\ntext"},
+			"refusal":  {routedCall, ""},
+			"no event": {streamCall, ""},
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				fields := ""
+				switch kind {
+				case "stream", "events":
+					fields = "Content-Type: text/event-stream\r\n"
+				case "refusal":
+					fields = target.HeaderNotRun + ": true\r\n"
+				}
+				f := newFixture(t, rawAnswer(head+fields+"\r\n"+c.body, closeConn))
+				f.atMostOnce = true
+				f.withLives(true)
+				got := f.run(t.Context(), c.call)
+				check(t, "status and body", callerResult{}, callerResult{Status: got.Status, Body: got.Body})
+				check(t, "results of the attempts", []event.Result{event.ResultBroken}, f.results())
+			})
+		}
+	}
+}
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"verbenadale.example/verbenadale/internal/httpcl"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -57,11 +58,14 @@
 			return nil, false, err
 		}
 		if err != nil {
-			return nil, false, connectionError(err)
+			return nil, false, answerError(err)
 		}
-		if res.StatusCode < http.StatusOK {
+		if httpcl.IsInterim(res.StatusCode) {
 			continue
 		}
+		if err := httpcl.CheckHead(res.StatusCode); err != nil {
+			return nil, false, errors.Wrap(ErrWrongAnswer, err.Error())
+		}
 		if x.isOwn(res) {
 			return res, !skippedAny && x.ID != "", nil
 		}
--- a/internal/target/report.go
+++ b/internal/target/report.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"verbenadale.example/verbenadale/internal/event"
+	"verbenadale.example/verbenadale/internal/httpcl"
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
@@ -89,6 +90,9 @@
 	// The library's default User-Agent would be a quarter of the bytes of a poll.
 	req.Header["User-Agent"] = nil
 	res, err := c.pooled.Do(req)
+	if errors.Is(err, httpcl.ErrHead) {
+		return 0, errors.Wrap(ErrBadReport, err.Error())
+	}
 	if err != nil {
 		return 0, errors.Wrap(ErrConnection, err.Error())
 	}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -79,8 +79,11 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// connectionError returns the error of this package for one of the connection to a target.
-func connectionError(err error) error {
+// answerError returns the error of this package for an answer that could not be read.
+func answerError(err error) error {
+	if errors.Is(err, httpcl.ErrHead) {
+		return errors.Wrap(ErrWrongAnswer, err.Error())
+	}
 	if IsDisconnect(err) {
 		return errors.Wrap(ErrDisconnected, err.Error())
 	}
@@ -148,7 +151,8 @@
 
 // Send sends an attempt and returns once the headers of the answer have
 // arrived. It calls onSend before the first byte can reach the target, and fails
-// with ErrConnection if the target was not reached or the connection failed.
+// with ErrConnection if the target was not reached or the connection failed, and
+// with ErrWrongAnswer if what it sent is no answer.
 func (c *Client) Send(ctx context.Context, a AttemptRequest, onSend func()) (*http.Response, error) {
 	hook := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { onSend() }}
 	ctx = httptrace.WithClientTrace(ctx, hook)
@@ -164,7 +168,7 @@
 	}
 	res, err := cl.Do(req)
 	if err != nil {
-		return nil, connectionError(err)
+		return nil, answerError(err)
 	}
 	return res, nil
 }
