--- a/internal/httpcl/httpcl.go
+++ b/internal/httpcl/httpcl.go
@@ -12,7 +12,7 @@
 //	c := httpcl.NewConn(raw)
 //	res, err := http.ReadResponse(bufio.NewReader(c), req)
 //	if !httpcl.IsInterim(res.StatusCode) {
-//		err = httpcl.CheckHead(res.StatusCode)
+//		err = httpcl.CheckHead(res.StatusCode, res.Header)
 //	}
 package httpcl
 
@@ -20,6 +20,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrHead is returned if the head of an answer is not one of HTTP.
@@ -31,10 +32,17 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// CheckHead fails with ErrHead if a status is not that of a final answer. net/http accepts any number of three characters.
-func CheckHead(status int) error {
+// CheckHead fails with ErrHead if a status is not that of a final answer, or if the name of a field is none (RFC 9110, section 5.1).
+// net/http accepts any number of three characters as a status. It accepts blanks in a name too, and keeps such a field without
+// its meaning, which could be the framing of the body.
+func CheckHead(status int, h http.Header) error {
 	if status < http.StatusOK {
 		return errors.Wrapf(ErrHead, "status %03d", status)
 	}
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrHead, "field name %.40q", name)
+		}
+	}
 	return nil
 }
--- a/internal/httpcl/transport.go
+++ b/internal/httpcl/transport.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckHead(res.StatusCode); err != nil {
+	if err := CheckHead(res.StatusCode, res.Header); err != nil {
 		_ = res.Body.Close()
 		return nil, err
 	}
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -212,7 +212,7 @@
 	if err != nil {
 		return &CallError{cause: err}
 	}
-	if err := httpcl.CheckHead(res.StatusCode); err != nil {
+	if err := httpcl.CheckHead(res.StatusCode, res.Header); err != nil {
 		return &CallError{cause: err}
 	}
 	if res.StatusCode >= http.StatusMultipleChoices {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -198,7 +198,7 @@
 			return wire.ErrFormat
 		}
 		status, h := int(b.Begin.GetStatus()), wire.ToHeader(b.Begin.GetHeader())
-		if err := httpcl.CheckHead(status); err != nil {
+		if err := httpcl.CheckHead(status, h); err != nil {
 			return errors.Wrap(wire.ErrFormat, err.Error())
 		}
 		c.answerBegun = true
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -148,6 +148,9 @@
 		"status 000": {0, nil, event.ResultBroken},
 		"status 042": {42, nil, event.ResultBroken},
 		"status 101": {101, nil, event.ResultBroken},
+		"a blank":    {200, http.Header{"X-A ": {"b"}}, event.ResultBroken},
+		"blanks":     {404, http.Header{"X A": {"b"}}, event.ResultBroken},
+		"no name":    {200, http.Header{"": {"b"}}, event.ResultBroken},
 	} {
 		t.Run(name, func(t *testing.T) {
 			x, y := startPair(t, Config{}, Config{}, func(_ context.Context, call serve.Call, _ event.Request, sink serve.Sink) {
--- a/internal/serve/broken_test.go
+++ b/internal/serve/broken_test.go
@@ -76,6 +76,9 @@
 var brokenHeads = map[string]string{
 	"status 000": "HTTP/1.1 000\r\nATTEMPT\r\n", "status 042": "HTTP/1.1 042 X\r\nATTEMPT\r\n", "status +20": "HTTP/1.1 +20 X\r\nATTEMPT\r\n",
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\nATTEMPT\r\nConnection: upgrade\r\nUpgrade: x\r\n",
+	"a blank":    "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-A : b\r\n", "blanks": "HTTP/1.1 404 Not Found\r\nATTEMPT\r\nX A: b\r\n",
+	"a length behind a blank": "HTTP/1.1 200 OK\r\nATTEMPT\r\nContent-Length : 3\r\n",
+	"a control byte":          "HTTP/1.1 200 OK\r\nATTEMPT\r\nX\x07A: b\r\n",
 }
 
 // Guards against passing on an answer whose head is none: with its own body, with an answer that its body holds, or as a promise.
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -90,3 +90,65 @@
 		}
 	}
 }
+
+// brokenFields are lines of heads whose name is none.
+var brokenFields = []string{
+	"X-A : b", "X A: b", "X-A  : b", "Content-Length : 4", "Transfer-Encoding : chunked", "Content-Encoding : gzip",
+	HeaderNotRun + " : true", "Id : 0", "X\tA: b", "X-A\t: b", "X\x00A: b", "X\x07A: b", "X\x7fA: b", "X\rA: b", ": b", "X\xc3\xa4: b", "X(A): b",
+	"X-A", "\x0bX: b",
+}
+
+// Guards against taking for an answer one in whose head the name of a field holds what no name does.
+func TestFieldNamesThatAreNoneAreNoAnswer(t *testing.T) {
+	for _, line := range brokenFields {
+		for name, text := range map[string]string{
+			"a length": framed("200", line+"\r\n", "{}"),
+			"unframed": "HTTP/1.1 200 X\r\nId: 0\r\n" + line + "\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+			"failure":  framed("404", line+"\r\n", "{}"),
+			"interim":  "HTTP/1.1 103 X\r\n\r\n" + framed("200", line+"\r\n", "{}"),
+		} {
+			for client, err := range answersOf(t, textServer(t, text)) {
+				if err == nil {
+					t.Errorf("%q, %s: the %s takes it", line, name, client)
+				}
+			}
+		}
+	}
+}
+
+// Guards against taking for broken an answer with a folded or padded value, and against passing on a field of an interim answer or
+// of a trailer.
+func TestFieldsOfSoundAnswers(t *testing.T) {
+	for name, text := range map[string]string{
+		"folded":             framed("200", "X-A: b\r\n c\r\n", "{}"),
+		"padded":             framed("200", "X-A: \t b \t\r\n", "{}"),
+		"no value":           framed("200", "X-A:\r\n", "{}"),
+		"odd name":           framed("200", "!#$%&'*+-.^_`|~: b\r\n", "{}"),
+		"blanks in interim":  "HTTP/1.1 103 X\r\nX A: b\r\nX-B : b\r\n\r\n" + framed("200", "", "{}"),
+		"blanks in trailers": "HTTP/1.1 200 X\r\nId: 0\r\nTransfer-Encoding: chunked\r\nTrailer: X-B\r\n\r\n2\r\n{}\r\n0\r\nX A: b\r\nX-B : b\r\n\r\n",
+	} {
+		addr := textServer(t, text)
+		for client, err := range answersOf(t, addr) {
+			if err != nil {
+				t.Errorf("%s: the %s fails: %v", name, client, err)
+			}
+		}
+		req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := newTestPool(t).Do(t.Context(), Exchange{Addr: addr, Request: req, ID: "0", NamedBy: namedByID})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		if diff := cmp.Diff("{}", string(body)); diff != "" || err != nil {
+			t.Errorf("%s: %v, body (-want +got):\n%s", name, err, diff)
+		}
+		for _, field := range []string{"X A", "X-B ", "X-B"} {
+			if vs := res.Header[field]; len(vs) > 0 {
+				t.Errorf("%s: the answer has a field %q", name, field)
+			}
+		}
+	}
+}
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -63,7 +63,7 @@
 		if httpcl.IsInterim(res.StatusCode) {
 			continue
 		}
-		if err := httpcl.CheckHead(res.StatusCode); err != nil {
+		if err := httpcl.CheckHead(res.StatusCode, res.Header); err != nil {
 			return nil, false, errors.Wrap(ErrWrongAnswer, err.Error())
 		}
 		if x.isOwn(res) {
