soak: targets whose answers are none, or that reset connections during an upload

`-broken` adds them beside the faults: a status 000 with an answer as its body, the framing in a field whose name holds a blank, and a part without framing that is reset while an upload of 4 MiB is written. The checks are those of before: each answer that ends as complete is compared with what its target sends.

--- a/internal/dev/cmds/soak.go
+++ b/internal/dev/cmds/soak.go
@@ -30,7 +30,7 @@
 }
 
 func (*soakCmd) Usage() string {
-	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-rejoins] [-answers] [-ends] [-releases] [-retries] [-logs DIR]
+	return `soak [-program FILE] [-seed N] [-seeds N] [-parallel N] [-for DURATION] [-planned] [-poison] [-parts] [-rests] [-limits] [-builds] [-rejoins] [-answers] [-ends] [-releases] [-retries] [-broken] [-logs DIR]
   Runs entry hosts as processes with stand-ins of the platform's store and of
   targets, injects faults in an order derived from the seed, and checks what
   callers and targets see. Without -seed it starts with the current Unix time in
@@ -66,6 +66,7 @@
 	fs.BoolVar(&c.cfg.Ends, "ends", false, "run targets as processes that end, pause and stop inside answers, with callers that leave and come back")
 	fs.BoolVar(&c.cfg.Releases, "releases", false, "only release versions while hosts are cut off from the store and from other hosts, or paused")
 	fs.BoolVar(&c.cfg.Retries, "retries", false, "only let targets fail in pulses while hosts restart, links fall silent and callers move, and check the retry budget; needs -for 40s")
+	fs.BoolVar(&c.cfg.Broken, "broken", false, "let targets send answers that are none, or reset connections while uploads are written")
 	fs.StringVar(&c.logs, "logs", os.TempDir(), "directory for the logs of seeds that violate a guarantee")
 }
 
--- a/internal/dev/soak/caller.go
+++ b/internal/dev/soak/caller.go
@@ -251,6 +251,7 @@
 func (k *caller) request(ctx context.Context, n int, kind string) observation {
 	h := k.pool.deployment.hosts[n]
 	a := observation{id: k.pool.newID(kind), kind: kind, host: n, route: kind, began: time.Now(), settled: k.pool.deployment.settled()}
+	a.text = k.drawText(kind)
 	if k.pool.deployment.cfg.Parts && kind == kindDraft {
 		a.prompt = fmt.Sprintf("f1a57:800,%x:40,%x:10", k.rnd.IntN(8), k.rnd.Uint64())
 	}
--- a/internal/dev/soak/deployment.go
+++ b/internal/dev/soak/deployment.go
@@ -242,7 +242,7 @@
 	b, err := json.Marshal(map[string]any{
 		"Version": v, "Routes": routes,
 		"Services": []any{map[string]any{"Name": "writers", "HealthPath": "/healthz"}, map[string]any{"Name": "board", "HealthPath": "/healthz"}},
-		"Limits":   map[string]any{"MaxBodyBytes": 1 << 20, "IdleTimeoutMs": 15000},
+		"Limits":   map[string]any{"MaxBodyBytes": s.cfg.maxBodyBytes(), "IdleTimeoutMs": 15000},
 	})
 	if err != nil {
 		panic(err)
@@ -275,6 +275,10 @@
 		return err
 	}
 	w.addr = w.relay.Addr()
+	if s.cfg.Broken {
+		// A relay ends connections in order.
+		w.addr = addr
+	}
 	s.list(w)
 	return nil
 }
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -72,6 +72,9 @@
 	// Retries replaces other faults by pulses in which all targets of a service fail, while hosts restart in series, links fall
 	// silent and callers move between hosts. The repeats that reach targets must stay within the retry budget.
 	Retries bool
+	// Broken adds targets whose answers are none, or stop by a reset while an upload is written, and streams with uploads. No relays
+	// stand before the targets then.
+	Broken bool
 	// Target is the command that runs worker.RunProcess. Ends needs it.
 	Target []string
 	// Log receives the output of the hosts; nil discards it.
@@ -162,7 +165,7 @@
 	return rep, nil
 }
 
-// plan draws the plan of the seed. What Poison, Parts, Rests, Limits, Answers, Rejoins and Ends add leaves the rest of the plan as it is.
+// plan draws the plan of the seed. What Poison, Parts, Rests, Limits, Answers, Rejoins, Ends and Broken add leaves the rest of the plan as it is.
 func (cfg Config) plan(s *deployment) []fault {
 	rnd := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed))
 	if cfg.Planned {
@@ -196,6 +199,9 @@
 	if cfg.Ends {
 		plan = append(plan, drawEnds(rnd, cfg.Duration, s)...)
 	}
+	if cfg.Broken {
+		plan = append(plan, drawBroken(rnd, cfg.Duration, s)...)
+	}
 	return plan
 }
 
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -415,6 +415,27 @@
 	}
 }
 
+// Guards against answers that reach callers although they are none, or although their connections were reset while the requests were
+// still being written.
+func TestBrokenAnswersDoNotReachCallers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes for a quarter of a minute")
+	}
+	for _, seed := range []uint64{1, 4} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			rep, err := Run(context.Background(), Config{Program: program, Seed: seed, Duration: 5 * time.Second, Broken: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(rep)
+			if len(rep.Violations) > 0 {
+				t.Error("guarantees are violated")
+			}
+		})
+	}
+}
+
 // Guards against repeats beyond the retry budget of a service where failures come less than ten seconds apart, at hosts that count by
 // whole seconds (seed 52).
 func TestRepeatsStayWithinTheRetryBudget(t *testing.T) {
--- a/internal/dev/worker/worker.go
+++ b/internal/dev/worker/worker.go
@@ -333,6 +333,9 @@
 		k.endRequest(r, false)
 		return
 	}
+	if k.answerBroken(w, r, f, id) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		k.endRequest(r, false)
