httpcl and its users: usual terms, and verbctl checks the head before it reads the body

"An answer that is none" is a malformed answer, "a status that is none" an invalid status, ErrHead is ErrMalformed.

--- a/internal/dev/cmds/soak.go
+++ b/internal/dev/cmds/soak.go
@@ -66,7 +66,7 @@
 	fs.BoolVar(&c.cfg.Ends, "ends", false, "run targets as processes that end, pause and stop inside answers, with callers that leave and come back")
 	fs.BoolVar(&c.cfg.Releases, "releases", false, "only release versions while hosts are cut off from the store and from other hosts, or paused")
 	fs.BoolVar(&c.cfg.Retries, "retries", false, "only let targets fail in pulses while hosts restart, links fall silent and callers move, and check the retry budget; needs -for 40s")
-	fs.BoolVar(&c.cfg.Broken, "broken", false, "let targets send answers that are none, or reset connections while uploads are written")
+	fs.BoolVar(&c.cfg.Broken, "broken", false, "let targets send malformed answers, or reset connections while uploads are written")
 	fs.StringVar(&c.logs, "logs", os.TempDir(), "directory for the logs of seeds that violate a guarantee")
 }
 
--- a/internal/dev/soak/broken.go
+++ b/internal/dev/soak/broken.go
@@ -23,9 +23,9 @@
 var upload = strings.Repeat("u", uploadBytes)
 
 // brokenAnswerKinds are the ways in which answers are broken.
-var brokenAnswerKinds = []worker.Fault{worker.ResetUpload, worker.ResetUpload, worker.NoStatus, worker.BlankName}
+var brokenAnswerKinds = []worker.Fault{worker.ResetUpload, worker.ResetUpload, worker.InvalidStatus, worker.BlankName}
 
-// drawBroken draws targets whose answers are none, or stop while the request is still being written.
+// drawBroken draws targets whose answers are malformed, or are reset while the request is still being written.
 func drawBroken(rnd *rand.Rand, span time.Duration, s *deployment) []fault {
 	var plan []fault
 	ws := s.targets()
--- a/internal/dev/soak/soak_test.go
+++ b/internal/dev/soak/soak_test.go
@@ -415,8 +415,7 @@
 	}
 }
 
-// Guards against answers that reach callers although they are none, or although their connections were reset while the requests were
-// still being written.
+// Guards against malformed answers that reach callers, and against parts of answers that were reset during an upload and look whole.
 func TestBrokenAnswersDoNotReachCallers(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes for a quarter of a minute")
--- a/internal/dev/worker/broken.go
+++ b/internal/dev/worker/broken.go
@@ -9,14 +9,14 @@
 	"time"
 )
 
-// Faults of answers that are none, or that stop while the request is still being written.
+// Faults of answers that are malformed, or are reset while the request is still being written.
 const (
 	// ResetUpload answers before the request has been read, without a length or chunks, and resets the connection after a part of the body.
 	ResetUpload Fault = "reset in an upload"
-	// NoStatus answers with a status that is none and with another answer as its body. BlankName sends the framing of its body in a
+	// InvalidStatus answers with the status 000 and with another answer as its body. BlankName sends the framing of its body in a
 	// field whose name holds a blank.
-	NoStatus  Fault = "no status"
-	BlankName Fault = "blank in a name"
+	InvalidStatus Fault = "invalid status"
+	BlankName     Fault = "blank in a field name"
 )
 
 // resetDelay is the time after which a connection is reset. The part of the answer is read before.
@@ -24,7 +24,7 @@
 
 // answerBroken sends an answer with one of these faults, and reports whether f is one of them.
 func (k *Worker) answerBroken(w http.ResponseWriter, r *http.Request, f Fault, id string) bool {
-	if f != ResetUpload && f != NoStatus && f != BlankName {
+	if f != ResetUpload && f != InvalidStatus && f != BlankName {
 		return false
 	}
 	k.recordRun(id, r.Header)
@@ -48,7 +48,7 @@
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
-	case NoStatus:
+	case InvalidStatus:
 		inner := strings.Replace(head, "\r\n", fmt.Sprintf("\r\nContent-Length: %d\r\n", len(text)), 1) + text
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 000\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
 	case BlankName:
--- a/internal/dev/worker/broken_test.go
+++ b/internal/dev/worker/broken_test.go
@@ -19,7 +19,7 @@
 		if events > 0 {
 			part = EventText(1)
 		}
-		for f, want := range map[Fault]string{ResetUpload: "\r\n\r\n" + part, NoStatus: "HTTP/1.1 000\r\n", BlankName: "\r\nTransfer-Encoding : chunked\r\n"} {
+		for f, want := range map[Fault]string{ResetUpload: "\r\n\r\n" + part, InvalidStatus: "HTTP/1.1 000\r\n", BlankName: "\r\nTransfer-Encoding : chunked\r\n"} {
 			k := New(Config{ID: "w", Events: events})
 			k.InjectFault(f, 1)
 			srv := httptest.NewServer(k)
--- a/internal/httpcl/conn.go
+++ b/internal/httpcl/conn.go
@@ -1,7 +1,6 @@
 package httpcl
 
 import (
-	"context"
 	"io"
 	"net"
 	"os"
@@ -16,18 +15,20 @@
 var pastDeadline = time.Unix(1, 0)
 
 // Conn is a connection whose Read returns io.EOF only after an orderly end. The system reports the failure of a connection, such as
-// a reset, once, to the first of its Read and Write; a Read that comes second would see the end of the stream. The end of the stream also
-// ends a Write that is still running: what the other side has to say is said.
+// a reset, once: to whichever of Read and Write comes first. A Read that comes second sees the end of the stream.
+//
+// The end of the stream interrupts a running Write. That suits HTTP/1, where nothing is sent after the end of an answer.
 type Conn struct {
 	net.Conn
 
 	// mu is held during a Write.
 	mu sync.Mutex
-	// failure is the first error of a Write, nil if there was none or if this side has stopped it.
+	// failure is the first error of a Write that this side has not caused. It may also be a reset that followed an orderly end: what
+	// came before is incomplete then as well (RFC 9112, section 8).
 	failure error
 }
 
-// NewConn returns a connection that uses another one, which must not be read or written to directly.
+// NewConn wraps a connection, which must not be read or written directly any more.
 func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Write implements net.Conn.
@@ -52,7 +53,7 @@
 	return n, err
 }
 
-// writeFailure ends the running Write, whose error could be the failure of the connection, and returns the failure.
+// writeFailure interrupts the running Write, which may be about to return the failure of the connection, and returns that failure.
 func (c *Conn) writeFailure() error {
 	if err := c.SetWriteDeadline(pastDeadline); err != nil {
 		return err
@@ -70,15 +71,3 @@
 	}
 	return sc.SyscallConn()
 }
-
-// dialFunc opens connections.
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// guarded returns a function that opens connections of the type Conn.
-func (dial dialFunc) guarded(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := dial(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return NewConn(c), nil
-}
--- a/internal/httpcl/httpcl.go
+++ b/internal/httpcl/httpcl.go
@@ -1,5 +1,5 @@
-// Package httpcl guards clients of HTTP against answers that are broken and look sound: parts of answers that end with
-// their connection, and heads that are none. Servers in trouble send both.
+// Package httpcl makes clients of HTTP reject broken answers that net/http accepts: parts of answers whose connection was
+// reset, and malformed heads. Servers in trouble send both.
 //
 // # Usage
 //
@@ -23,8 +23,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrHead is returned if the head of an answer is not one of HTTP.
-var ErrHead = errors.New("httpcl: not the head of an answer")
+// ErrMalformed is returned if the head of an answer is malformed.
+var ErrMalformed = errors.New("httpcl: malformed answer")
 
 // IsInterim reports whether another answer to the same request follows one with this status (RFC 9110, section 15.2). None follows
 // a change of protocol, which no client of this package asks for.
@@ -32,16 +32,16 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// CheckHead fails with ErrHead if a status is not that of a final answer, or if the name of a field is none (RFC 9110, section 5.1).
-// net/http accepts any number of three characters as a status. It accepts blanks in a name too, and keeps such a field without
-// its meaning, which could be the framing of the body.
+// CheckHead fails with ErrMalformed if a status is not that of a final answer, or if the name of a field is no token (RFC 9110,
+// section 5.1). net/http accepts any number of three characters as a status. It also accepts blanks in a name and then ignores what
+// the field means, such as the framing of the body.
 func CheckHead(status int, h http.Header) error {
 	if status < http.StatusOK {
-		return errors.Wrapf(ErrHead, "status %03d", status)
+		return errors.Wrapf(ErrMalformed, "status %03d", status)
 	}
 	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
-			return errors.Wrapf(ErrHead, "field name %.40q", name)
+			return errors.Wrapf(ErrMalformed, "field name %.40q", name)
 		}
 	}
 	return nil
--- a/internal/httpcl/httpcl_test.go
+++ b/internal/httpcl/httpcl_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
-// Guards against heads that are none, and against refusing sound ones.
+// Guards against accepting malformed heads, and against rejecting sound ones.
 func TestCheckHead(t *testing.T) {
 	for _, c := range []struct {
 		status  int
@@ -16,27 +16,27 @@
 		want    error
 		interim bool
 	}{
-		{status: 0, want: ErrHead},
-		{status: 20, want: ErrHead},
-		{status: 99, want: ErrHead},
-		{status: 100, want: ErrHead, interim: true},
-		{status: 101, want: ErrHead},
-		{status: 103, want: ErrHead, interim: true},
-		{status: 199, want: ErrHead, interim: true},
+		{status: 0, want: ErrMalformed},
+		{status: 20, want: ErrMalformed},
+		{status: 99, want: ErrMalformed},
+		{status: 100, want: ErrMalformed, interim: true},
+		{status: 101, want: ErrMalformed},
+		{status: 103, want: ErrMalformed, interim: true},
+		{status: 199, want: ErrMalformed, interim: true},
 		{status: 200},
 		{status: 204, name: "X-A"},
 		{status: 304},
 		{status: 599},
 		{status: 999},
 		{status: 200, name: "!#$%&'*+-.^_`|~09aZ"},
-		{status: 200, name: "X-A ", want: ErrHead},
-		{status: 200, name: " X-A", want: ErrHead},
-		{status: 503, name: "X A", want: ErrHead},
-		{status: 200, name: "X\tA", want: ErrHead},
-		{status: 200, name: "X\x00A", want: ErrHead},
-		{status: 200, name: "X\x7fA", want: ErrHead},
-		{status: 200, name: "Xä", want: ErrHead},
-		{status: 200, name: "X:", want: ErrHead},
+		{status: 200, name: "X-A ", want: ErrMalformed},
+		{status: 200, name: " X-A", want: ErrMalformed},
+		{status: 503, name: "X A", want: ErrMalformed},
+		{status: 200, name: "X\tA", want: ErrMalformed},
+		{status: 200, name: "X\x00A", want: ErrMalformed},
+		{status: 200, name: "X\x7fA", want: ErrMalformed},
+		{status: 200, name: "Xä", want: ErrMalformed},
+		{status: 200, name: "X:", want: ErrMalformed},
 	} {
 		h := http.Header{}
 		if c.name != "" {
--- a/internal/httpcl/transport.go
+++ b/internal/httpcl/transport.go
@@ -1,28 +1,41 @@
 package httpcl
 
 import (
+	"context"
 	"net"
 	"net/http"
 )
 
-// Transport is an http.RoundTripper that fails with ErrHead if CheckHead does, and whose bodies end with io.EOF only if no failure
-// of the connection has cut them.
+// Transport is an http.RoundTripper that checks the heads of answers with CheckHead, and whose connections are of the type Conn.
 type Transport struct {
 	base *http.Transport
 }
 
-// NewTransport returns a transport that uses another one, which it changes and which must not be used otherwise.
+// NewTransport wraps a transport. It changes base, which must not be used directly any more.
 func NewTransport(base *http.Transport) *Transport {
-	dial := dialFunc(base.DialContext)
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
+	d := dialer{dial: base.DialContext}
+	if d.dial == nil {
+		d.dial = new(net.Dialer).DialContext
 		// net/http no longer negotiates HTTP/2 by itself once DialContext is set.
 		base.ForceAttemptHTTP2 = true
 	}
-	base.DialContext = dial.guarded
+	base.DialContext = d.dialConn
 	return &Transport{base: base}
 }
 
+// dialer opens connections of the type Conn.
+type dialer struct {
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+func (d dialer) dialConn(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := d.dial(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(c), nil
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	res, err := t.base.RoundTrip(req)
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -208,11 +208,11 @@
 		return &CallError{cause: err}
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(res.Body)
-	if err != nil {
+	if err := httpcl.CheckHead(res.StatusCode, res.Header); err != nil {
 		return &CallError{cause: err}
 	}
-	if err := httpcl.CheckHead(res.StatusCode, res.Header); err != nil {
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
 		return &CallError{cause: err}
 	}
 	if res.StatusCode >= http.StatusMultipleChoices {
--- a/internal/opctl/opctl_test.go
+++ b/internal/opctl/opctl_test.go
@@ -243,8 +243,8 @@
 	}
 }
 
-// Guards against taking an answer whose head is none for a success.
-func TestAnswersWithABrokenHeadAreNoSuccess(t *testing.T) {
+// Guards against taking a malformed answer for a success.
+func TestMalformedAnswersAreNoSuccess(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 000\r\n", "HTTP/1.1 042 X\r\n", "HTTP/1.1 +20 X\r\n", "HTTP/1.1 200 X\r\nX A: b\r\n"} {
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			c, _, err := http.NewResponseController(w).Hijack()
--- a/internal/peer/forward_test.go
+++ b/internal/peer/forward_test.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// Guards against passing on the head of an answer that is none: earlier builds relay what their targets send.
+// Guards against passing on a malformed head: earlier builds relay what their targets send.
 func TestRelayedHeadsAreChecked(t *testing.T) {
 	for name, c := range map[string]struct {
 		status int
--- a/internal/serve/broken_test.go
+++ b/internal/serve/broken_test.go
@@ -72,8 +72,8 @@
 
 func closeConn(*net.TCPConn, *http.Request) {}
 
-// brokenHeads are heads of answers that are none, by what is wrong with them.
-var brokenHeads = map[string]string{
+// malformedHeads are heads of answers, by what is wrong with them.
+var malformedHeads = map[string]string{
 	"status 000": "HTTP/1.1 000\r\nATTEMPT\r\n", "status 042": "HTTP/1.1 042 X\r\nATTEMPT\r\n", "status +20": "HTTP/1.1 +20 X\r\nATTEMPT\r\n",
 	"status 101": "HTTP/1.1 101 Switching Protocols\r\nATTEMPT\r\nConnection: upgrade\r\nUpgrade: x\r\n",
 	"a blank":    "HTTP/1.1 200 OK\r\nATTEMPT\r\nX-A : b\r\n", "blanks": "HTTP/1.1 404 Not Found\r\nATTEMPT\r\nX A: b\r\n",
@@ -81,10 +81,10 @@
 	"a control byte":          "HTTP/1.1 200 OK\r\nATTEMPT\r\nX\x07A: b\r\n",
 }
 
-// Guards against passing on an answer whose head is none: with its own body, with an answer that its body holds, or as a promise.
-func TestAnswersWithABrokenHeadAreNotPassedOn(t *testing.T) {
+// Guards against passing on a malformed answer: with its own body, with an answer that its body holds, or as a promise.
+func TestMalformedAnswersAreNotPassedOn(t *testing.T) {
 	const events = "id: 1\ndata: a\n\n"
-	for name, head := range brokenHeads {
+	for name, head := range malformedHeads {
 		for kind, c := range map[string]struct {
 			call Call
 			body string
--- a/internal/store/broken_test.go
+++ b/internal/store/broken_test.go
@@ -29,8 +29,8 @@
 	return cl
 }
 
-// Guards against believing an answer whose head is none.
-func TestAnswerWithABrokenHeadIsNotBelieved(t *testing.T) {
+// Guards against believing a malformed answer.
+func TestMalformedAnswerIsNotBelieved(t *testing.T) {
 	const length = "Connection: close\r\nContent-Length: 13\r\n\r\n"
 	for _, head := range []string{
 		"HTTP/1.1 000\r\n" + length, "HTTP/1.1 042 X\r\n" + length, "HTTP/1.1 200 OK\r\nX A: b\r\n" + length, "HTTP/1.1 200 OK\r\nX-A : b\r\n" + length,
--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -17,7 +17,7 @@
 	"verbenadale.example/verbenadale/pkg/ident"
 )
 
-// invalidStatuses are statuses of three characters that no final answer has.
+// invalidStatuses are statuses of three characters that net/http accepts and that no final answer has.
 var invalidStatuses = []string{"000", "001", "042", "099", "+20", "-00", "101"}
 
 // framed returns an answer to the request "0" and to a query, with a status, further fields and a body.
@@ -62,13 +62,13 @@
 	return errs
 }
 
-// rejected are the results of answersOf for an answer that is none.
+// rejected are the results of answersOf for a malformed answer.
 var rejected = map[string]error{
 	"pool": ErrWrongAnswer, "query": ErrWrongAnswer, "client": ErrWrongAnswer, "client, once": ErrWrongAnswer, "report": ErrBadReport,
 }
 
-// Guards against taking an answer whose status is none for an interim one, and its body for the answer.
-func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+// Guards against taking an answer with an invalid status for an interim one, and its body for the answer.
+func TestInvalidStatusIsRejected(t *testing.T) {
 	for _, status := range invalidStatuses {
 		for name, body := range map[string]string{"empty": "", "json": "{}", "an answer": framed("200", "", "{}"), "many answers": strings.Repeat(framed("200", "", "{}"), 3)} {
 			got := answersOf(t, textServer(t, framed(status, "", body)))
@@ -91,15 +91,15 @@
 	}
 }
 
-// brokenFields are lines of heads whose name is none.
+// brokenFields are lines of heads with an invalid name.
 var brokenFields = []string{
 	"X-A : b", "X A: b", "X-A  : b", "Content-Length : 4", "Transfer-Encoding : chunked", "Content-Encoding : gzip",
 	HeaderNotRun + " : true", "Id : 0", "X\tA: b", "X-A\t: b", "X\x00A: b", "X\x07A: b", "X\x7fA: b", "X\rA: b", ": b", "X\xc3\xa4: b", "X(A): b",
 	"X-A", "\x0bX: b",
 }
 
-// Guards against taking for an answer one in whose head the name of a field holds what no name does.
-func TestFieldNamesThatAreNoneAreNoAnswer(t *testing.T) {
+// Guards against accepting an answer with an invalid field name.
+func TestInvalidFieldNameIsRejected(t *testing.T) {
 	for _, line := range brokenFields {
 		for name, text := range map[string]string{
 			"a length": framed("200", line+"\r\n", "{}"),
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -178,9 +178,9 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	guarded := httpcl.NewConn(raw)
-	head := &headReader{r: guarded, left: unlimited}
-	return &conn{Conn: guarded, p: p, addr: addr, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}, nil
+	c := httpcl.NewConn(raw)
+	head := &headReader{r: c, left: unlimited}
+	return &conn{Conn: c, p: p, addr: addr, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}, nil
 }
 
 // popIdle removes and returns an idle connection, nil if there is none. Connections whose last request had the same id
--- a/internal/target/report.go
+++ b/internal/target/report.go
@@ -90,7 +90,7 @@
 	// The library's default User-Agent would be a quarter of the bytes of a poll.
 	req.Header["User-Agent"] = nil
 	res, err := c.pooled.Do(req)
-	if errors.Is(err, httpcl.ErrHead) {
+	if errors.Is(err, httpcl.ErrMalformed) {
 		return 0, errors.Wrap(ErrBadReport, err.Error())
 	}
 	if err != nil {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -81,7 +81,7 @@
 
 // answerError returns the error of this package for an answer that could not be read.
 func answerError(err error) error {
-	if errors.Is(err, httpcl.ErrHead) {
+	if errors.Is(err, httpcl.ErrMalformed) {
 		return errors.Wrap(ErrWrongAnswer, err.Error())
 	}
 	if IsDisconnect(err) {
