target: the test of queries asks on a new connection

Seen in 8 of 18 runs beside 10 other test processes: a query failed with a reset. Its stand-in closes the connection after each answer without saying so, and the pool had put that connection back before the end arrived.

--- a/internal/target/broken_test.go
+++ b/internal/target/broken_test.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	res, err := p.Do(ctx, Exchange{Addr: addr, Request: req, NamedBy: func(http.Header) ident.RequestID { return "" }})
+	res, err := p.Do(ctx, Exchange{Addr: addr, Request: req, NamedBy: func(http.Header) ident.RequestID { return "" }, NewConn: true})
 	if errs["query"] = err; err == nil {
 		_ = res.Body.Close()
 	}
