soak: with -broken and -ends, targets behind relays reset nothing

A relay passes a reset on as an orderly end, and the target lives, so that nothing at the host tells the part from a whole answer: the case that is listed as open in the postmortem, and not a reset.

The stand-in was wrong, no check changes: a target behind a relay sends the invalid status instead, the target that now has the place gets the fault, and a broken answer reports its run.

--- a/internal/dev/soak/broken.go
+++ b/internal/dev/soak/broken.go
@@ -32,12 +32,22 @@
 	for at := time.Duration(0); at < span; at += time.Duration(rnd.Int64N(int64(2 * meanBrokenInterval))) {
 		w, k, n := ws[rnd.IntN(len(ws))], brokenAnswerKinds[rnd.IntN(len(brokenAnswerKinds))], 1+rnd.IntN(maxBroken)
 		plan = append(plan, fault{
-			at: at, target: true, name: fmt.Sprintf("target %s: next %d %s", w.id, n, k), begin: func(context.Context) { w.InjectFault(k, n) },
+			at: at, target: true, name: fmt.Sprintf("target %s: next %d %s", w.id, n, k), begin: func(context.Context) { s.breakAnswers(w, k, n) },
 		})
 	}
 	return plan
 }
 
+// breakAnswers injects a fault of answers into the target that now has the place of w.
+func (s *deployment) breakAnswers(w *target, k worker.Fault, n int) {
+	w = s.current(w)
+	if k == worker.ResetUpload && w.addr == w.relay.Addr() {
+		// A relay would end the connection in order, as after a whole answer.
+		k = worker.InvalidStatus
+	}
+	w.InjectFault(k, n)
+}
+
 // drawText draws the body of a request, empty for a short one.
 func (k *caller) drawText(kind string) string {
 	if !k.pool.deployment.cfg.Broken || kind != kindDraft || k.rnd.IntN(uploadDivisor) > 0 {
--- a/internal/dev/soak/soak.go
+++ b/internal/dev/soak/soak.go
@@ -72,8 +72,8 @@
 	// Retries replaces other faults by pulses in which all targets of a service fail, while hosts restart in series, links fall
 	// silent and callers move between hosts. The repeats that reach targets must stay within the retry budget.
 	Retries bool
-	// Broken adds targets whose answers are malformed, or are reset while an upload is written, and streams with uploads. No relays
-	// stand before the targets then.
+	// Broken adds targets whose answers are malformed, or are reset while an upload is written, and streams with uploads. Relays, which
+	// pass on a reset as an orderly end, stand before targets only with Ends.
 	Broken bool
 	// Target is the command that runs worker.RunProcess. Ends needs it.
 	Target []string
--- a/internal/dev/worker/broken.go
+++ b/internal/dev/worker/broken.go
@@ -28,6 +28,9 @@
 		return false
 	}
 	k.recordRun(id, r.Header)
+	if k.cfg.OnRun != nil {
+		k.cfg.OnRun(Run{ID: id, From: k.cfg.eventsBefore(r), Fault: f})
+	}
 	defer k.endRequest(r, true)
 	w.Header().Set("Verbenadale-Response-Seal", "seal-of-"+id)
 	text := "a part"
